Set up the workspace: core types, timers, chains, ports and the manifest's schema

Cause: nothing stood yet; parts can be built side by side only once they share types, a timer service, seeded randomness and the ports to outside systems. The chain type can be made by createChain alone, so one with a gap or an overlap cannot exist. Conclusion: the base on which the thin path and the parts are built.

--- /dev/null
+++ b/packages/core/src/__tests__/unit/CoreChain.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai';
+import { createChain } from '../../CoreChain.js';
+import type { Stage } from '../../CoreChain.js';
+
+const variant = { model: 'letters', version: 'v1', adapter: null };
+
+function createStage(engine: string, first: number, end: number): Stage {
+  return { engine, layers: { first, end } };
+}
+
+describe('CoreChain', () => {
+  it('takes stages that cover every layer once and in order', () => {
+    const result = createChain(variant, 8, [createStage('a', 0, 3), createStage('b', 3, 8)]);
+    expect(result.ok).to.equal(true);
+  });
+
+  // Symptom: an answer made without some layers, or with some of them twice.
+  // Sequence: engines reload other ranges between two load reports and a chain is put together from both.
+  // Cause: stages that do not meet. No such chain can be created.
+  it('refuses gaps, overlaps, short and long chains and a repeated engine', () => {
+    const kinds = [
+      [createStage('a', 0, 3), createStage('b', 4, 8)],
+      [createStage('a', 0, 3), createStage('b', 2, 8)],
+      [createStage('a', 0, 3)],
+      [createStage('a', 0, 9)],
+      [createStage('a', 0, 3), createStage('a', 3, 8)],
+      [],
+    ].map((stages) => {
+      const result = createChain(variant, 8, stages);
+      return result.ok ? 'ok' : result.error.kind;
+    });
+    expect(kinds).to.deep.equal(['gap', 'overlap', 'short', 'long', 'repeated-engine', 'empty']);
+  });
+});
--- /dev/null
+++ b/packages/platform/src/PlatformPort.ts
@@ -0,0 +1,83 @@
+/**
+ * The port to the platform: its configuration service (get, compare-and-swap, lease, long watch), its
+ * lagging instance list and its rate-limited weight store. Adapters and fakes implement it.
+ */
+import type { InstanceRoleName, LifeStateName } from '@skylarksail/core/CoreConstants';
+import type { DomainId, HostPort, Millis } from '@skylarksail/core/CoreTypes';
+
+/**
+ * What came of a call. `refused`: the service answered and took no effect. `unknown`: no answer came;
+ * the effect may have happened, may yet happen, or never will.
+ */
+export type PlatformOutcome<T> =
+  | { readonly kind: 'done'; readonly value: T }
+  | { readonly kind: 'refused'; readonly reason: PlatformRefusal }
+  | { readonly kind: 'unknown' };
+
+/** Why the service, or our own budget, refused a call. */
+export type PlatformRefusal =
+  | { readonly kind: 'conflict'; readonly revision: number }
+  | { readonly kind: 'held'; readonly holder: string }
+  | { readonly kind: 'lapsed' }
+  | { readonly kind: 'rate-limited'; readonly retryAfter: Millis }
+  | { readonly kind: 'over-budget'; readonly retryAfter: Millis }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'invalid'; readonly detail: string };
+
+/** A stored value. Revision 0 stands for a key that does not exist. */
+export interface PlatformEntry {
+  readonly revision: number;
+  readonly value: string;
+}
+
+/** A lease that we hold, as far as we know. */
+export interface PlatformLease {
+  readonly key: string;
+  readonly holder: string;
+  /** Rises with every new holder; the service never gives a number twice. */
+  readonly fencing: number;
+  readonly ttl: Millis;
+}
+
+/** A line of the platform's instance list, which lags behind what is true. */
+export interface InstanceRecord {
+  readonly id: string;
+  readonly role: InstanceRoleName;
+  readonly domain: DomainId;
+  readonly rack: string;
+  readonly address: HostPort;
+  /** Port for our own instances to talk to each other; 0 for backend servers. */
+  readonly peerPort: number;
+  readonly state: LifeStateName;
+}
+
+/** How long a call may take. */
+export interface CallOptions {
+  readonly timeout: Millis;
+}
+
+export interface PlatformPort {
+  get(key: string, options: CallOptions): Promise<PlatformOutcome<PlatformEntry>>;
+  /** Writes `value` if the key's revision is `expected`; 0 creates it. Gives the new revision. */
+  swap(
+    key: string,
+    expected: number,
+    value: string,
+    options: CallOptions,
+  ): Promise<PlatformOutcome<number>>;
+  /** Removes a key if its revision is `expected`. */
+  remove(key: string, expected: number, options: CallOptions): Promise<PlatformOutcome<number>>;
+  /** Keys with a prefix, in order; for the collection of garbage only. */
+  list(prefix: string, options: CallOptions): Promise<PlatformOutcome<readonly string[]>>;
+  /** Waits until the key's revision differs from `known`; gives the entry, changed or not. */
+  watch(key: string, known: number, options: CallOptions): Promise<PlatformOutcome<PlatformEntry>>;
+  acquireLease(
+    key: string,
+    holder: string,
+    ttl: Millis,
+    options: CallOptions,
+  ): Promise<PlatformOutcome<PlatformLease>>;
+  renewLease(lease: PlatformLease, options: CallOptions): Promise<PlatformOutcome<PlatformLease>>;
+  releaseLease(lease: PlatformLease, options: CallOptions): Promise<PlatformOutcome<null>>;
+  listInstances(options: CallOptions): Promise<PlatformOutcome<readonly InstanceRecord[]>>;
+}
--- /dev/null
+++ b/packages/requests/src/RequestPorts.ts
@@ -0,0 +1,154 @@
+/**
+ * The ports of a running request: calls to engines and plain services, and claims of keyed requests.
+ * Adapters with sockets implement them in the daemon; small fakes do in tests and benches.
+ */
+import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
+import type { PriorityName, RunStateName } from '@skylarksail/core/CoreConstants';
+import type {
+  EngineId,
+  Millis,
+  RequestId,
+  ServiceId,
+  TeamId,
+  Unregister,
+} from '@skylarksail/core/CoreTypes';
+
+/** Where in an attempt a failure showed. */
+export const FailurePlace = {
+  /** No connection; no byte was sent. */
+  Connect: 'connect',
+  /** While the request was being sent. */
+  Send: 'send',
+  /** The backend server answered with a refusal before it started. */
+  Refused: 'refused',
+  /** The acknowledgement named another chain, version or layer range. */
+  Acknowledgement: 'acknowledgement',
+  /** The stream broke, or ended without its end frame. */
+  Stream: 'stream',
+  /** A frame made no sense. */
+  Garbage: 'garbage',
+  /** No frame came for too long. */
+  Silence: 'silence',
+  /** A stage behind the first failed, as the first one says. */
+  Stage: 'stage',
+} as const;
+
+export type FailurePlaceName = (typeof FailurePlace)[keyof typeof FailurePlace];
+
+/** What went wrong with an attempt, told by structure and never by message text. */
+export interface AttemptFailure {
+  readonly place: FailurePlaceName;
+  /** Backend server that failed, if it is known which. */
+  readonly engine: EngineId | null;
+  /** HTTP status, if an answer came. */
+  readonly status: number | null;
+  /** Wait that the backend server asked for. */
+  readonly retryAfter: Millis | null;
+  /** True only on the backend server's own word, or if no byte left us. */
+  readonly provenNotRun: boolean;
+}
+
+/** One attempt to run a request, or the rest of it, on a chain of engines. */
+export interface EngineCall {
+  readonly request: RequestId;
+  /** Counts up from 1; frames of another attempt are dropped. */
+  readonly attempt: number;
+  readonly chain: Chain;
+  /** What the model reads, as the engines take it. */
+  readonly prompt: string;
+  /** Tokens already given to the caller; generation goes on after them. */
+  readonly resumeTokens: readonly string[];
+  /** Tokens of the whole answer at the most, those resumed included. */
+  readonly maxTokens: number;
+  readonly priority: PriorityName;
+  /** Time that is left until the caller's deadline. */
+  readonly timeLeft: Millis;
+  /** Engines of the earlier chain whose KV cache may be imported, by first layer. */
+  readonly importFrom: readonly Stage[];
+}
+
+/** What the first stage says before the first token. */
+export interface ChainAcknowledgement {
+  readonly variant: ModelVariant;
+  readonly stages: readonly Stage[];
+}
+
+/** Why a whole answer ended. */
+export type FinishReason = 'stop' | 'length';
+
+/** Hears of one attempt. Exactly one of `onEnd` and `onFailure` comes last, then nothing more. */
+export interface EngineCallListener {
+  onAcknowledged(acknowledgement: ChainAcknowledgement): void;
+  /** `index` counts the tokens of the whole answer from 0, those resumed included. */
+  onToken(index: number, token: string): void;
+  onEnd(reason: FinishReason, tokenCount: number): void;
+  onFailure(failure: AttemptFailure): void;
+}
+
+/** Starts an attempt; the returned function cancels it, also at the engines. */
+export type OpenEngineCall = (call: EngineCall, listener: EngineCallListener) => Unregister;
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly request: RequestId;
+  readonly attempt: number;
+  readonly service: ServiceId;
+  /** Backend server that takes it. */
+  readonly server: EngineId;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly timeLeft: Millis;
+}
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+export interface ServiceCallListener {
+  onAnswer(answer: ServiceAnswer): void;
+  onFailure(failure: AttemptFailure): void;
+}
+
+export type OpenServiceCall = (call: ServiceCall, listener: ServiceCallListener) => Unregister;
+
+/** Asks for the right to run a keyed, non-idempotent request. */
+export interface ClaimAsk {
+  readonly team: TeamId;
+  readonly key: string;
+  /** Hash of what is asked for; the same key with other content is refused. */
+  readonly fingerprint: string;
+  readonly request: RequestId;
+  readonly timeLeft: Millis;
+}
+
+/** What is kept of a request that ended, so that a resend is told the same. */
+export interface ClaimRecord {
+  readonly run: RunStateName;
+  /** The answer as the caller got it, while it is held; null once it is not. */
+  readonly answer: string | null;
+}
+
+export type ClaimOutcome =
+  /** This request, and no other, may be sent, once. */
+  | { readonly kind: 'granted'; readonly token: string }
+  /** An earlier request has the key and still runs, at that instance if it is known. */
+  | { readonly kind: 'running'; readonly instance: string | null }
+  /** An earlier request has the key and has ended, or nobody can tell how it ended. */
+  | { readonly kind: 'ended'; readonly record: ClaimRecord }
+  /** The key was used for other content, or is too old to tell. */
+  | { readonly kind: 'key-mismatch' }
+  | { readonly kind: 'key-expired' }
+  /** No claim could be made in time. Nothing ran. */
+  | { readonly kind: 'unavailable'; readonly retryAfter: Millis };
+
+export interface ClaimPort {
+  claim(ask: ClaimAsk): Promise<ClaimOutcome>;
+  /** Says how a granted request ended. Best effort: safety does not hang on it. */
+  settle(token: string, record: ClaimRecord): void;
+  /** Gives a claim back that was granted and proven not to have run. */
+  release(token: string): void;
+}
