--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -64,6 +64,7 @@
   { rules: { ...formattingDecidedByPrettier, ...houseRules } },
   {
     files: ['**/__tests__/**', '**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
     rules: { 'import-x/no-default-export': 'off', 'no-console': 'off' },
   },
   {
--- /dev/null
+++ b/packages/cli/src/CliStatus.ts
@@ -0,0 +1,78 @@
+/** The commands that look: status of the instances, and why a request was routed as it was. */
+import { callEveryServer, expectOk } from './CliClient.js';
+import { ExitCode, createCliError } from './CliErrors.js';
+import { formatTable, printResult } from './CliOutput.js';
+import type { CliContext } from './CliManifest.js';
+
+const STATUS_OK = 200;
+
+/** What an instance says of itself; docs/API.md has the whole. */
+export interface StatusReport {
+  readonly instance: string;
+  readonly domain: string;
+  readonly ready: boolean;
+  readonly manifest: { readonly revision: number; readonly source: string };
+  readonly running: number;
+  readonly queued: number;
+  readonly engines: { readonly live: number; readonly known: number };
+  readonly members: number;
+}
+
+export async function showStatus(context: CliContext): Promise<void> {
+  const answers = await callEveryServer(context.target(), { method: 'GET', path: '/v1/status' });
+  const reports = answers.map(({ server, reply }) => ({
+    server,
+    report: reply ? (expectOk(reply) as StatusReport) : null,
+  }));
+  if (reports.every(({ report }) => report === null)) {
+    throw createCliError(ExitCode.Unreachable, 'no instance answered');
+  }
+  printResult(context.output, context.isJson(), reports, () =>
+    formatTable([
+      ['INSTANCE', 'DOMAIN', 'READY', 'REVISION', 'FROM', 'RUNNING', 'QUEUED', 'ENGINES', 'PEERS'],
+      ...reports.map(({ server, report }) =>
+        report
+          ? [
+              report.instance,
+              report.domain,
+              report.ready ? 'yes' : 'no',
+              String(report.manifest.revision),
+              report.manifest.source,
+              String(report.running),
+              String(report.queued),
+              `${report.engines.live}/${report.engines.known}`,
+              String(report.members),
+            ]
+          : [server, '-', 'no answer'],
+      ),
+    ]),
+  );
+}
+
+/** One decision as it was logged. */
+interface DecisionRecord {
+  readonly at?: string;
+  readonly decision: string;
+  readonly [field: string]: unknown;
+}
+
+export async function explainRequest(context: CliContext, id: string): Promise<void> {
+  const path = `/v1/explain/${encodeURIComponent(id)}`;
+  const answers = await callEveryServer(context.target(), { method: 'GET', path });
+  const found = answers.flatMap(({ server, reply }) =>
+    reply?.status === STATUS_OK
+      ? [{ server, decisions: (reply.body as { decisions: DecisionRecord[] }).decisions }]
+      : [],
+  );
+  if (found.length === 0) {
+    throw createCliError(ExitCode.Failed, `no instance remembers a decision on ${id}`);
+  }
+  printResult(context.output, context.isJson(), found, () =>
+    found.flatMap(({ server, decisions }) => [
+      `${server}:`,
+      ...decisions.map(
+        ({ at, decision, ...rest }) => `  ${at ?? ''} ${decision}  ${JSON.stringify(rest)}`,
+      ),
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonPeers.ts
@@ -0,0 +1,187 @@
+/**
+ * Messages between instances over ws, each one a msgpackr-encoded envelope. A peer proves the shared
+ * secret before any message of its is read, and garbage costs the sender its connection only.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+import { Packr } from 'msgpackr';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { RawData } from 'ws';
+import type { HostPort, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+
+const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+const HANDSHAKE_TIMEOUT_MS = 3000;
+const NONCE_BYTES = 16;
+const PROOF_HEADER = 'x-peer-proof';
+const NONCE_HEADER = 'x-peer-nonce';
+const NAME_HEADER = 'x-peer-name';
+const TIME_HEADER = 'x-peer-time';
+const CLOSE_POLICY = 1008;
+
+/** How much the clocks of two instances may differ before a proof is taken for a replay. */
+const MAX_CLOCK_SKEW_MS = 120_000;
+
+export interface PeerLink {
+  /** Sends if it can; false if the message was dropped. */
+  send(address: HostPort, message: unknown): boolean;
+  /** Bytes sent and received since the start, and messages dropped. */
+  readCounts(): PeerCounts;
+  close(): Promise<void>;
+}
+
+export interface PeerCounts {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  readonly dropped: number;
+  readonly refused: number;
+}
+
+export interface PeerLinkOptions {
+  readonly self: InstanceId;
+  readonly listen: HostPort;
+  readonly secret: string;
+  readonly wallNow: () => Millis;
+  readonly onMessage: (message: unknown) => void;
+}
+
+/** Starts listening for peers and dials them as messages are sent. */
+export async function startPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
+  const packr = new Packr({ useRecords: false, int64AsType: 'number' });
+  const dialled = new Map<string, WebSocket>();
+  const seenNonces = new Map<string, Millis>();
+  let sentBytes = 0;
+  let receivedBytes = 0;
+  let dropped = 0;
+  let refused = 0;
+
+  const server = new WebSocketServer({
+    host: options.listen.host,
+    port: options.listen.port,
+    maxPayload: MAX_MESSAGE_BYTES,
+    perMessageDeflate: false,
+    verifyClient: ({
+      req,
+    }: {
+      req: { headers: Record<string, string | string[] | undefined> };
+    }) => {
+      const isProven = isProofValid(req.headers, options, seenNonces);
+      refused += isProven ? 0 : 1;
+      return isProven;
+    },
+  });
+  server.on('connection', (socket) => readFrom(socket));
+  server.on('error', () => {
+    refused += 1;
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('listening', resolve);
+    server.once('error', reject);
+  });
+
+  function readFrom(socket: WebSocket): void {
+    socket.on('error', () => socket.terminate());
+    socket.on('message', (data: RawData) => {
+      const bytes = data as Buffer;
+      receivedBytes += bytes.byteLength;
+      let message: unknown;
+      try {
+        message = packr.unpack(bytes);
+      } catch {
+        dropped += 1;
+        socket.close(CLOSE_POLICY);
+        return;
+      }
+      options.onMessage(message);
+    });
+  }
+
+  function dial(name: string): WebSocket {
+    const socket = new WebSocket(`ws://${name}`, {
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+      headers: createProof(options),
+    });
+    dialled.set(name, socket);
+    readFrom(socket);
+    socket.on('close', () => {
+      if (dialled.get(name) === socket) {
+        dialled.delete(name);
+      }
+    });
+    return socket;
+  }
+
+  return {
+    send(address, message) {
+      const name = `${address.host}:${address.port}`;
+      const socket = dialled.get(name) ?? dial(name);
+      if (socket.bufferedAmount > MAX_QUEUED_BYTES) {
+        dropped += 1;
+        return false;
+      }
+      const bytes = packr.pack(message);
+      sentBytes += bytes.byteLength;
+      if (socket.readyState === WebSocket.OPEN) {
+        socket.send(bytes);
+      } else if (socket.readyState === WebSocket.CONNECTING) {
+        socket.once('open', () => socket.send(bytes));
+      } else {
+        dropped += 1;
+        return false;
+      }
+      return true;
+    },
+    readCounts: () => ({ sentBytes, receivedBytes, dropped, refused }),
+    async close() {
+      dialled.forEach((socket) => socket.terminate());
+      server.clients.forEach((socket) => socket.terminate());
+      await new Promise<void>((resolve) => {
+        server.close(() => resolve());
+      });
+    },
+  };
+}
+
+function computeProof(secret: string, name: string, time: string, nonce: string): Buffer {
+  return createHmac('sha256', secret).update(`${name}\n${time}\n${nonce}`).digest();
+}
+
+function createProof(options: PeerLinkOptions): Record<string, string> {
+  const time = String(options.wallNow());
+  const nonce = randomBytes(NONCE_BYTES).toString('hex');
+  return {
+    [NAME_HEADER]: options.self,
+    [TIME_HEADER]: time,
+    [NONCE_HEADER]: nonce,
+    [PROOF_HEADER]: computeProof(options.secret, options.self, time, nonce).toString('hex'),
+  };
+}
+
+/**
+ * A proof seen on the wire could be sent again by somebody else, who would then be taken for a peer.
+ * The time bounds how long a proof is good, and within that time its nonce is taken once.
+ */
+function isProofValid(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+  options: PeerLinkOptions,
+  seenNonces: Map<string, Millis>,
+): boolean {
+  const [name, time, nonce, proof] = [NAME_HEADER, TIME_HEADER, NONCE_HEADER, PROOF_HEADER].map(
+    (header) => String(headers[header] ?? ''),
+  ) as [string, string, string, string];
+  const now = options.wallNow();
+  seenNonces.forEach((at, seen) => {
+    if (Math.abs(now - at) > MAX_CLOCK_SKEW_MS) {
+      seenNonces.delete(seen);
+    }
+  });
+  const given = Buffer.from(proof, 'hex');
+  const expected = computeProof(options.secret, name, time, nonce);
+  const isFresh = Math.abs(now - Number(time)) <= MAX_CLOCK_SKEW_MS && !seenNonces.has(nonce);
+  if (!isFresh || given.length !== expected.length || !timingSafeEqual(given, expected)) {
+    return false;
+  }
+  seenNonces.set(nonce, Number(time));
+  return true;
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonServiceHttp.ts
@@ -0,0 +1,113 @@
+/** Calls to plain services over HTTP: the adapter behind OpenServiceCall. */
+import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { OpenServiceCall, ServiceCall } from '@skylarksail/requests/RequestPorts';
+import { describeSocketError } from './DaemonEngineHttp.js';
+import type { FindEngineAddress } from './DaemonEngineHttp.js';
+
+const CONNECTIONS_PER_SERVER = 256;
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Headers that belong to one connection and are not passed on. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'authorization',
+  'expect',
+]);
+
+/** Headers that may be passed on, in either direction. */
+export function selectPassedHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).flatMap(([name, value]) =>
+      value === undefined || HOP_HEADERS.has(name.toLowerCase())
+        ? []
+        : [[name.toLowerCase(), Array.isArray(value) ? value.join(', ') : value]],
+    ),
+  );
+}
+
+/** Creates the adapter; `close` ends its connections. */
+export function createServiceHttp(findAddress: FindEngineAddress): {
+  readonly open: OpenServiceCall;
+  readonly close: () => Promise<void>;
+} {
+  const agent = new Agent({ connections: CONNECTIONS_PER_SERVER, pipelining: 1 });
+
+  async function send(call: ServiceCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const address = findAddress(call.server);
+    if (!address) {
+      throw Object.assign(new Error('address not known'), { code: 'EHOSTUNREACH' });
+    }
+    return agent.request({
+      origin: `http://${address.host}:${address.port}`,
+      path: call.path,
+      method: call.method,
+      headers: {
+        ...call.headers,
+        'x-request-id': call.request,
+        'x-attempt': String(call.attempt),
+      },
+      body: call.body.byteLength > 0 ? Buffer.from(call.body) : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      signal,
+    });
+  }
+
+  const open: OpenServiceCall = (call, listener) => {
+    const controller = new AbortController();
+    let ended = false;
+    const end = (tell: () => void): void => {
+      if (!ended) {
+        ended = true;
+        tell();
+      }
+    };
+    send(call, controller.signal)
+      .then(async (res) => {
+        const body = await readBounded(res);
+        const headers = selectPassedHeaders(res.headers);
+        end(() => listener.onAnswer({ status: res.statusCode, headers, body }));
+      })
+      .catch((err: unknown) => {
+        const failure = {
+          engine: call.server,
+          status: null,
+          retryAfter: null,
+          ...describeSocketError(err),
+        };
+        end(() => listener.onFailure(failure));
+      });
+    return () => {
+      ended = true;
+      controller.abort();
+    };
+  };
+
+  return { open, close: () => agent.destroy() };
+}
+
+/** A service that never stops sending would fill the memory of the instance; it is cut off instead. */
+async function readBounded(res: Dispatcher.ResponseData): Promise<Uint8Array> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of res.body as AsyncIterable<Buffer>) {
+    bytes += chunk.byteLength;
+    if (bytes > MAX_ANSWER_BYTES) {
+      throw new Error('answer too large');
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -0,0 +1,157 @@
+/** The daemon's settings: one JSON file, checked as a whole before anything starts. */
+import { readFileSync } from 'node:fs';
+import { isIP } from 'node:net';
+import { z } from 'zod';
+import { SettingsError } from './DaemonErrors.js';
+
+const MAX_PORT = 65535;
+
+const ipNumber = z.string().refine((text) => isIP(text) !== 0, 'an IP number, not a host name');
+
+const addressSchema = z.strictObject({
+  host: ipNumber,
+  port: z.int().min(1).max(MAX_PORT),
+});
+
+/** A secret is named, never written down here: a file or an environment variable holds it. */
+const secretSchema = z.union([
+  z.strictObject({ file: z.string().min(1) }),
+  z.strictObject({ env: z.string().min(1) }),
+]);
+
+export const settingsSchema = z
+  .strictObject({
+    instance: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/),
+    domain: z.string().min(1),
+    rack: z.string().min(1).default('rack-0'),
+    region: z.string().min(1).default('local'),
+    callers: addressSchema,
+    admin: addressSchema,
+    peers: addressSchema,
+    platform: addressSchema,
+    secrets: z.strictObject({
+      /** Shared by all instances; proves a peer. */
+      peer: secretSchema,
+      /** Bearer token of the operators' pipeline on the admin port. */
+      operator: secretSchema,
+    }),
+    limits: z
+      .strictObject({
+        bodyBytes: z
+          .int()
+          .min(1024)
+          .max(64 * 1024 * 1024)
+          .default(1024 * 1024),
+        /** Slow senders are cut off after this. */
+        receiveTimeoutMs: z.int().min(100).default(10000),
+        maxRunning: z.int().positive().default(2000),
+        /** Bytes that may wait for one slow reader before its stream is paused. */
+        streamBufferBytes: z
+          .int()
+          .positive()
+          .default(64 * 1024),
+      })
+      .prefault({}),
+    shutdown: z
+      .strictObject({
+        /** How long the balancer may go on sending after readiness is withdrawn. */
+        balancerLagMs: z.int().min(0).default(3000),
+        graceMs: z.int().positive().default(60000),
+      })
+      .prefault({}),
+    log: z
+      .strictObject({
+        level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+      })
+      .prefault({}),
+  })
+  .superRefine((settings, ctx) => {
+    const ports = (['callers', 'admin', 'peers'] as const).map((name) => ({
+      name,
+      address: `${settings[name].host}:${settings[name].port}`,
+    }));
+    ports.forEach(({ name, address }, i) => {
+      const earlier = ports.slice(0, i).find((other) => other.address === address);
+      if (earlier) {
+        ctx.addIssue({
+          code: 'custom',
+          path: [name],
+          message: `same address as "${earlier.name}"`,
+        });
+      }
+    });
+    if (settings.shutdown.graceMs <= settings.shutdown.balancerLagMs) {
+      ctx.addIssue({
+        code: 'custom',
+        path: ['shutdown', 'graceMs'],
+        message: 'must exceed balancerLagMs, or running requests get no time to end',
+      });
+    }
+  });
+
+export type Settings = z.output<typeof settingsSchema>;
+type Secret = z.output<typeof secretSchema>;
+
+/** Checks settings; all faults are told together, each with its path. Throws SettingsError. */
+export function parseSettings(text: string): Settings {
+  let input: unknown;
+  try {
+    input = JSON.parse(text);
+  } catch (err) {
+    throw new SettingsError(`settings are not JSON: ${(err as Error).message}`);
+  }
+  const parsed = settingsSchema.safeParse(input);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map(
+      ({ path, message }) => `  ${path.join('.') || '(top)'}: ${message}`,
+    );
+    throw new SettingsError(`settings refused:\n${faults.join('\n')}`);
+  }
+  return parsed.data;
+}
+
+/** Reads and checks a settings file. Throws SettingsError. */
+export function readSettings(path: string): Settings {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (err) {
+    throw new SettingsError(`settings cannot be read: ${(err as Error).message}`);
+  }
+  return parseSettings(text);
+}
+
+/** Reads a secret from where the settings say. Throws SettingsError; the secret is never logged. */
+export function readSecret(secret: Secret, name: string): string {
+  const text =
+    'env' in secret ? (process.env[secret.env] ?? '') : readSecretFile(secret.file, name);
+  const value = text.trim();
+  if (value.length === 0) {
+    throw new SettingsError(`secrets.${name} is empty`);
+  }
+  return value;
+}
+
+function readSecretFile(path: string, name: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (err) {
+    throw new SettingsError(`secrets.${name} cannot be read: ${(err as Error).message}`);
+  }
+}
+
+/** Settings to start from, with every default shown. */
+export function createDefaultSettings(): Settings {
+  return settingsSchema.parse({
+    instance: 'entry-1',
+    domain: 'domain-a',
+    callers: { host: '127.0.0.1', port: 8080 },
+    admin: { host: '127.0.0.1', port: 8081 },
+    peers: { host: '127.0.0.1', port: 8082 },
+    platform: { host: '127.0.0.1', port: 8090 },
+    secrets: {
+      peer: { env: 'SKYLARKSAIL_PEER_SECRET' },
+      operator: { env: 'SKYLARKSAIL_OPERATOR_TOKEN' },
+    },
+  });
+}
--- /dev/null
+++ b/packages/stand-ins/src/StandInEngine.ts
@@ -0,0 +1,295 @@
+/** A stand-in for a model engine: holds a layer range, passes tokens on, and fails when told to. */
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import { Agent } from 'undici';
+import type { EngineFacts, EngineLoad, Holding } from '@skylarksail/core/CoreEngine';
+import type { LifeStateName } from '@skylarksail/core/CoreConstants';
+import type { EngineFrame, ForwardBody, GenerateBody } from './StandInEngineProtocol.js';
+import { forwardSchema, generateSchema, orderSchema } from './StandInEngineProtocol.js';
+import type { Fault } from './StandInFaults.js';
+import { createFaultBoard } from './StandInFaults.js';
+import type { Ledger, LayerPass } from './StandInLedger.js';
+import { createLedger } from './StandInLedger.js';
+import { computeAnswerLength, computePromptSeed, computeToken } from './StandInModel.js';
+import type { StandInServer } from './StandInServer.js';
+import { startStandInServer } from './StandInServer.js';
+
+const HANG_POLL_MS = 50;
+const PREFILL_PROMPT = -1;
+const STATUS_BUSY = 503;
+const STATUS_MISMATCH = 409;
+const MILLIS = 1000;
+
+/** What a stand-in engine is. */
+export interface StandInEngineOptions {
+  readonly facts: Omit<EngineFacts, 'address'>;
+  readonly host: string;
+  readonly port: number;
+  readonly holding: Holding | null;
+  readonly checksFencing: boolean;
+  /** Milliseconds for one token through one layer; 0 takes no time. */
+  readonly stepMsPerLayer: number;
+  /** Milliseconds to load the weights of one layer. */
+  readonly loadMsPerLayer: number;
+}
+
+/** A running stand-in engine. */
+export interface StandInEngine {
+  readonly server: StandInServer;
+  readonly ledger: Ledger<LayerPass>;
+  readonly readLoad: () => EngineLoad;
+}
+
+/** Raised inside a stage when the stage behind it failed. */
+class StageFailure extends Error {
+  constructor(
+    readonly engine: string,
+    readonly status: number | null,
+  ) {
+    super(`stage ${engine} failed`);
+  }
+}
+
+export async function startStandInEngine(options: StandInEngineOptions): Promise<StandInEngine> {
+  const { facts } = options;
+  const faults = createFaultBoard(() => performance.now());
+  const ledger = createLedger<LayerPass>();
+  const agent = new Agent({ connections: 64, pipelining: 1 });
+  let holding: Holding | null = options.holding;
+  let highestOrder = 0;
+  let running = 0;
+  let boots = 0;
+  let refusedOrders = 0;
+  // Set once the server listens; the handlers that read it run only then.
+  let server: StandInServer;
+  let takenOrders = 0;
+
+  function readLoad(): EngineLoad {
+    const state: LifeStateName = faults.isOn('leaving') ? 'leaving' : 'live';
+    return {
+      engine: facts.id,
+      bootId: `${facts.id}/${boots}`,
+      state,
+      holding,
+      running,
+      queued: 0,
+      kvUsed: Math.min(1, running / facts.maxBatch),
+      orderNumber: highestOrder,
+    };
+  }
+
+  async function waitWhileHanging(): Promise<void> {
+    while (faults.isOn('hang')) {
+      await sleep(HANG_POLL_MS);
+    }
+  }
+
+  /** Runs this engine's layers for one token, or for the prompt. */
+  async function runLayers(body: ForwardBody): Promise<void> {
+    const own = body.stages[body.stage];
+    const crashOn = faults.isOn('crash-on') ? faults.take('crash-on') : null;
+    if (crashOn?.text !== undefined && body.crashText.includes(crashOn.text)) {
+      void server.crash(crashOn.ms ?? null);
+      throw new StageFailure(facts.id, null);
+    }
+    await waitWhileHanging();
+    const slow = faults.take('slow')?.factor ?? 1;
+    const layers = (own?.layers.end ?? 0) - (own?.layers.first ?? 0);
+    const work =
+      body.token === PREFILL_PROMPT
+        ? (body.prefillTokens * layers * MILLIS) / facts.prefillLayerTokensPerSecond
+        : layers * options.stepMsPerLayer;
+    if (work > 0) {
+      await sleep(work * slow);
+    }
+    if (own && body.token !== PREFILL_PROMPT) {
+      const { request, attempt, token } = body;
+      ledger.record({ request, attempt, token, engine: facts.id, layers: own.layers });
+    }
+  }
+
+  /** Runs the stage and those behind it; gives the token, made by the last one. */
+  async function runStage(body: ForwardBody): Promise<string> {
+    await runLayers(body);
+    const nextIndex = body.stage + 1;
+    const next = body.stages[nextIndex];
+    if (!next) {
+      return computeToken(body.seed, Math.max(0, body.token));
+    }
+    const answer = await postForward(next, { ...body, stage: nextIndex });
+    return answer;
+  }
+
+  async function postForward(next: ForwardBody['stages'][number], body: ForwardBody) {
+    let status: number;
+    let text: string;
+    try {
+      const res = await agent.request({
+        origin: `http://${next.host}:${next.port}`,
+        path: '/v1/forward',
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      status = res.statusCode;
+      text = await res.body.text();
+    } catch {
+      throw new StageFailure(next.engine, null);
+    }
+    const parsed = JSON.parse(text) as { token?: string; engine?: string; status?: number | null };
+    if (status !== 200 || parsed.token === undefined) {
+      throw new StageFailure(parsed.engine ?? next.engine, parsed.status ?? status);
+    }
+    return parsed.token;
+  }
+
+  function isHeld(body: Pick<ForwardBody, 'variant' | 'stages'>, stage: number): boolean {
+    const own = body.stages[stage];
+    return (
+      holding !== null &&
+      own !== undefined &&
+      own.engine === facts.id &&
+      holding.model === body.variant.model &&
+      holding.version === body.variant.version &&
+      holding.layers.first === own.layers.first &&
+      holding.layers.end === own.layers.end &&
+      (body.variant.adapter === null || holding.adapters.includes(body.variant.adapter))
+    );
+  }
+
+  async function streamAnswer(body: GenerateBody, write: (frame: EngineFrame) => Promise<boolean>) {
+    const seed = computePromptSeed(body.prompt);
+    const length = computeAnswerLength(body.prompt);
+    const end = Math.min(length, body.maxTokens);
+    const start = body.resumeTokens.length;
+    const { request, attempt, variant, stages } = body;
+    const pass = { request, attempt, variant, stages, stage: 0, seed, crashText: body.prompt };
+    const prefillTokens = Math.ceil(body.prompt.length / 4) + start;
+    await write({
+      type: 'ack',
+      variant,
+      stages: stages.map(({ engine, layers }) => ({ engine, layers })),
+    });
+    await runStage({ ...pass, token: PREFILL_PROMPT, prefillTokens });
+    for (let index = start; index < end; index++) {
+      const token = await runStage({ ...pass, token: index, prefillTokens: 0 });
+      await waitWhileHanging();
+      if (!(await write({ type: 'token', index, token }))) {
+        return;
+      }
+    }
+    await write({ type: 'end', reason: length <= body.maxTokens ? 'stop' : 'length', tokens: end });
+  }
+
+  /** Writes frames, with back pressure and the faults that concern frames. */
+  function createFrameWriter(reply: FastifyReply) {
+    let held: string | null = null;
+    return async (frame: EngineFrame): Promise<boolean> => {
+      const { raw } = reply;
+      if (raw.destroyed || raw.writableEnded) {
+        return false;
+      }
+      let text = `${JSON.stringify(frame)}\n`;
+      if (frame.type === 'token') {
+        text += faults.take('duplicate-frames') ? text : '';
+        text = faults.take('garbage') ? 'not a frame {\n' : text;
+        if (held === null && faults.take('reorder-frames')) {
+          held = text;
+          return true;
+        }
+      }
+      text += held ?? '';
+      held = null;
+      if (!raw.write(text)) {
+        await Promise.race([once(raw, 'drain'), once(raw, 'close')]);
+      }
+      return !raw.destroyed;
+    };
+  }
+
+  async function handleGenerate(body: GenerateBody, reply: FastifyReply): Promise<unknown> {
+    if (!isHeld(body, 0)) {
+      return reply.code(STATUS_MISMATCH).send({ notRun: true, holding });
+    }
+    if (running >= facts.maxBatch) {
+      return reply.code(STATUS_BUSY).send({ notRun: true, retryAfterMs: 200 });
+    }
+    reply.hijack();
+    reply.raw.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    const write = createFrameWriter(reply);
+    running += 1;
+    try {
+      await streamAnswer(body, write);
+    } catch (err) {
+      const failure = err instanceof StageFailure ? err : new StageFailure(facts.id, null);
+      await write({ type: 'failed', engine: failure.engine, status: failure.status });
+    } finally {
+      running -= 1;
+      reply.raw.end();
+    }
+    return reply;
+  }
+
+  async function handleForward(body: ForwardBody, reply: FastifyReply): Promise<unknown> {
+    if (!isHeld(body, body.stage)) {
+      return reply.code(STATUS_MISMATCH).send({ engine: facts.id, status: STATUS_MISMATCH });
+    }
+    try {
+      return await reply.send({ token: await runStage(body) });
+    } catch (err) {
+      const failure = err instanceof StageFailure ? err : new StageFailure(facts.id, null);
+      return reply.code(502).send({ engine: failure.engine, status: failure.status });
+    }
+  }
+
+  async function handleOrder(input: unknown, reply: FastifyReply): Promise<unknown> {
+    const order = orderSchema.parse(input);
+    if (options.checksFencing && order.number < highestOrder) {
+      refusedOrders += 1;
+      return reply.code(STATUS_MISMATCH).send({ highest: highestOrder });
+    }
+    highestOrder = Math.max(highestOrder, order.number);
+    takenOrders += 1;
+    const layers = order.want ? order.want.layers.end - order.want.layers.first : 0;
+    holding = null;
+    await sleep(layers * options.loadMsPerLayer);
+    holding = order.want;
+    if (faults.take('drop-answer')) {
+      reply.raw.destroy();
+      return reply;
+    }
+    return reply.send({ holding, number: order.number });
+  }
+
+  function registerRoutes(app: FastifyInstance): void {
+    app.get('/v1/status', async (_req, reply) => {
+      await waitWhileHanging();
+      return reply.send({ load: readLoad(), facts: { ...facts, address: server.address } });
+    });
+    app.post('/v1/generate', (req, reply) => handleGenerate(generateSchema.parse(req.body), reply));
+    app.post('/v1/forward', (req, reply) => handleForward(forwardSchema.parse(req.body), reply));
+    app.post('/v1/orders', (req, reply) => handleOrder(req.body, reply));
+  }
+
+  function onFault(fault: Fault): void {
+    if (fault.kind === 'crash') {
+      running = 0;
+    }
+  }
+
+  server = await startStandInServer({
+    host: options.host,
+    port: options.port,
+    faults,
+    registerRoutes,
+    onFault,
+    onStart: () => {
+      boots += 1;
+    },
+    readLedger: () => ({ engine: facts.id, refusedOrders, takenOrders, ...ledger.read() }),
+  });
+  return { server, ledger, readLoad };
+}
--- /dev/null
+++ b/packages/stand-ins/src/StandInEngineProtocol.ts
@@ -0,0 +1,81 @@
+/** The engines' protocol: what an entry instance and the stages of a chain send each other. */
+import { z } from 'zod';
+
+const layersSchema = z.strictObject({ first: z.int().min(0), end: z.int().positive() });
+
+/** A stage with the address at which the stage before it finds it. */
+export const wireStageSchema = z.strictObject({
+  engine: z.string(),
+  layers: layersSchema,
+  host: z.string(),
+  port: z.int(),
+});
+
+export const variantSchema = z.strictObject({
+  model: z.string(),
+  version: z.string(),
+  adapter: z.string().nullable(),
+});
+
+/** Body of `POST /v1/generate`, sent to the first stage. */
+export const generateSchema = z.strictObject({
+  request: z.string(),
+  attempt: z.int().positive(),
+  variant: variantSchema,
+  stages: z.array(wireStageSchema).min(1),
+  prompt: z.string(),
+  resumeTokens: z.array(z.string()),
+  maxTokens: z.int().positive(),
+  priority: z.string(),
+  timeLeftMs: z.number(),
+  importFrom: z.array(z.strictObject({ engine: z.string(), layers: layersSchema })),
+});
+
+/** Body of `POST /v1/forward`, sent from each stage to the next. */
+export const forwardSchema = z.strictObject({
+  request: z.string(),
+  attempt: z.int().positive(),
+  variant: variantSchema,
+  stages: z.array(wireStageSchema).min(1),
+  stage: z.int().positive(),
+  seed: z.int(),
+  /** Token that is being made, or -1 while the prompt is read. */
+  token: z.int(),
+  /** Tokens of the prompt and of the answer so far, while they are read. */
+  prefillTokens: z.int().min(0),
+  crashText: z.string(),
+});
+
+export type WireStage = z.output<typeof wireStageSchema>;
+export type GenerateBody = z.output<typeof generateSchema>;
+export type ForwardBody = z.output<typeof forwardSchema>;
+
+/** Lines of the answer to `POST /v1/generate`, one JSON value a line. */
+export type EngineFrame =
+  | {
+      readonly type: 'ack';
+      readonly variant: GenerateBody['variant'];
+      readonly stages: readonly Pick<WireStage, 'engine' | 'layers'>[];
+    }
+  | { readonly type: 'token'; readonly index: number; readonly token: string }
+  | { readonly type: 'end'; readonly reason: 'stop' | 'length'; readonly tokens: number }
+  | { readonly type: 'failed'; readonly engine: string; readonly status: number | null };
+
+/** Body of `POST /v1/orders`: the state that the engine shall reach. */
+export const orderSchema = z.strictObject({
+  /** Fencing number; engines that check refuse one lower than the highest seen. */
+  number: z.int().min(0),
+  want: z
+    .strictObject({
+      model: z.string(),
+      version: z.string(),
+      adapters: z.array(z.string()),
+      layers: layersSchema,
+      duty: z.enum(['mixed', 'prefill', 'decode']),
+    })
+    .nullable(),
+  /** The engine drops the order if it could not start on it by then. */
+  validForMs: z.number().positive(),
+});
+
+export type OrderBody = z.output<typeof orderSchema>;
