--- /dev/null
+++ b/packages/routing/src/RoutingLinks.ts
@@ -0,0 +1,83 @@
+/** Links between racks, domains and regions, and which of them joins two engines. */
+import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { DomainId, Millis, RegionId } from '@skylarksail/core/CoreTypes';
+
+/** A link as the manifest names it. Ends are racks, domains or regions; `*` is any other. */
+export interface LinkFacts {
+  readonly from: string;
+  readonly to: string;
+  readonly bytesPerSecond: number;
+  readonly delayMs: Millis;
+}
+
+/** What a transfer between two engines costs. A null key means that no link limits it. */
+export interface LinkCost {
+  readonly key: string | null;
+  readonly bytesPerSecond: number;
+  readonly delayMs: Millis;
+}
+
+const ANY = '*';
+const FREE_LINK: LinkCost = { key: null, bytesPerSecond: Infinity, delayMs: 0 };
+
+/** Where an engine stands: the names that a link may use for its end. */
+export interface EnginePlace {
+  readonly rack: string;
+  readonly domain: DomainId;
+  readonly region: RegionId;
+}
+
+export function getEnginePlace(
+  facts: EngineFacts,
+  regions: ReadonlyMap<DomainId, RegionId>,
+): EnginePlace {
+  return {
+    rack: facts.rack,
+    domain: facts.domain,
+    region: regions.get(facts.domain) ?? facts.domain,
+  };
+}
+
+/** The link from one place to another: the most exact match; within a rack there is none. */
+export function getLinkCost(
+  links: readonly LinkFacts[],
+  from: EnginePlace,
+  to: EnginePlace,
+): LinkCost {
+  for (const level of ['rack', 'domain', 'region'] as const) {
+    if (from[level] !== to[level]) {
+      const found = findLink(links, from[level], to[level]);
+      if (found) {
+        return found;
+      }
+    }
+  }
+  return FREE_LINK;
+}
+
+function findLink(links: readonly LinkFacts[], from: string, to: string): LinkCost | null {
+  let best: LinkCost | null = null;
+  let bestExactness = -1;
+  links.forEach((link, i) => {
+    const forward = matchesEnds(link, from, to);
+    if (!forward && !matchesEnds(link, to, from)) {
+      return;
+    }
+    const exactness = Number(link.from !== ANY) + Number(link.to !== ANY);
+    if (exactness > bestExactness) {
+      bestExactness = exactness;
+      // A link with a named end is shared by all that use it; one between any two is theirs alone.
+      const ends = exactness === 0 ? `${from}>${to}` : String(forward);
+      best = {
+        key: `${i}:${ends}`,
+        bytesPerSecond: link.bytesPerSecond,
+        delayMs: link.delayMs,
+      };
+    }
+  });
+  return best;
+}
+
+function matchesEnds(link: LinkFacts, from: string, to: string): boolean {
+  return (link.from === from || link.from === ANY) && (link.to === to || link.to === ANY);
+}
--- /dev/null
+++ b/packages/routing/src/RoutingPools.ts
@@ -0,0 +1,74 @@
+/** Pools: the engines of one failure domain that hold layers of one version of a model. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
+import type { EngineFacts, Holding } from '@skylarksail/core/CoreEngine';
+import { EngineDuty } from '@skylarksail/core/CoreEngine';
+import type { DomainId, EngineId, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
+
+/** An engine with the layers that it holds of the pool's model. */
+export interface PoolMember {
+  readonly id: EngineId;
+  readonly facts: EngineFacts;
+  readonly holding: Holding;
+}
+
+export interface Pool {
+  readonly key: string;
+  readonly domain: DomainId;
+  readonly model: ModelId;
+  readonly version: VersionId;
+  readonly members: readonly PoolMember[];
+}
+
+export type PoolIndex = ReadonlyMap<string, Pool>;
+
+/** Name of the pool that serves a version of a model in a domain. */
+export function getPoolKey(model: ModelId, version: VersionId, domain: DomainId): string {
+  return `${model}/${version}/${domain}`;
+}
+
+/** The pool of a variant in a domain, if any engine there holds a part of it. */
+export function getPool(
+  pools: PoolIndex,
+  variant: ModelVariant,
+  domain: DomainId,
+): Pool | undefined {
+  return pools.get(getPoolKey(variant.model, variant.version, domain));
+}
+
+/** Moves an engine to the pool of what it now holds; null takes it out. Other pools stay as they are. */
+export function moveMember(
+  pools: PoolIndex,
+  before: PoolMember | null,
+  after: PoolMember | null,
+): PoolIndex {
+  const next = new Map(pools);
+  if (before) {
+    removeMember(next, before);
+  }
+  if (after && after.holding.duty !== EngineDuty.Prefill) {
+    addMember(next, after);
+  }
+  return next;
+}
+
+function removeMember(pools: Map<string, Pool>, member: PoolMember): void {
+  const key = keyOf(member);
+  const pool = pools.get(key);
+  const members = pool?.members.filter(({ id }) => id !== member.id) ?? [];
+  if (!pool || members.length === 0) {
+    pools.delete(key);
+    return;
+  }
+  pools.set(key, { ...pool, members });
+}
+
+function addMember(pools: Map<string, Pool>, member: PoolMember): void {
+  const key = keyOf(member);
+  const members = [...(pools.get(key)?.members ?? []), member];
+  const { model, version } = member.holding;
+  pools.set(key, { key, domain: member.facts.domain, model, version, members });
+}
+
+function keyOf({ facts, holding }: PoolMember): string {
+  return getPoolKey(holding.model, holding.version, facts.domain);
+}
