--- a/packages/platform/src/PlatformPort.ts
+++ b/packages/platform/src/PlatformPort.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'lapsed' }
   | { readonly kind: 'rate-limited'; readonly retryAfter: Millis }
   | { readonly kind: 'over-budget'; readonly retryAfter: Millis }
+  /** Held back by our own client while the service does not answer; nothing was sent. */
+  | { readonly kind: 'unavailable'; readonly retryAfter: Millis }
   | { readonly kind: 'too-large' }
   | { readonly kind: 'invalid'; readonly detail: string };
 
