Add the membership machine, its codec and calls between instances

Cause: instances have to know which others live without asking the platform for each heartbeat. Change: a pure SWIM-style machine (random and indirect probes, suspicion that grows with the logarithm of the domain, incarnations, repair from the lagging list, tombstones against old news, few contacts between domains), its bytes in msgpackr, topics with byte budgets that ride on it, one envelope for everything between instances, and calls with one reply each. A fleet over virtual time runs the real machine for tests.

--- /dev/null
+++ b/packages/membership/src/MembershipApply.ts
@@ -0,0 +1,237 @@
+/** Takes in what others claim of members: newer claims stand, claims against ourselves are refuted. */
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type { MembershipEffect, MembershipStep, MemberChangeName } from './MembershipEffects.js';
+import { createStep, MemberChangeKind } from './MembershipEffects.js';
+import type { Member, MemberRecord } from './MembershipRecords.js';
+import { createMember, Health, isDead, isNewerRecord, isPresent } from './MembershipRecords.js';
+import type { MembershipState, QueuedUpdate, Suspicion } from './MembershipState.js';
+import { getSuspicionTime } from './MembershipState.js';
+
+/** What is changed while a batch of records is taken in; it becomes the next state at the end. */
+interface Batch {
+  readonly state: MembershipState;
+  readonly now: Millis;
+  readonly members: Map<InstanceId, Member>;
+  readonly suspicions: Map<InstanceId, Suspicion>;
+  readonly queued: Map<InstanceId, QueuedUpdate>;
+  readonly effects: MembershipEffect[];
+  readonly changed: Set<InstanceId>;
+}
+
+/** Takes in claims made by others. */
+export function applyRecords(
+  state: MembershipState,
+  records: readonly MemberRecord[],
+  now: Millis,
+): MembershipStep {
+  if (!records.some((record) => isOfInterest(state, record))) {
+    return createStep(state);
+  }
+  const batch = createBatch(state, now);
+  records.forEach((record) => applyClaim(batch, record));
+  return finishBatch(batch);
+}
+
+/** Takes in what we found ourselves: a suspicion that began, or that ran out. */
+export function applyVerdict(
+  state: MembershipState,
+  record: MemberRecord,
+  now: Millis,
+): MembershipStep {
+  const batch = createBatch(state, now);
+  setRecord(batch, record);
+  return finishBatch(batch);
+}
+
+/** Changes what we say of ourselves; the incarnation rises so that the new word stands. */
+export function applySelf(
+  state: MembershipState,
+  change: Partial<Pick<MemberRecord, 'phase' | 'health'>>,
+  now: Millis,
+  aboveIncarnation = state.self.incarnation,
+): MembershipStep {
+  const batch = createBatch(state, now);
+  raiseSelf(batch, aboveIncarnation, change);
+  return finishBatch(batch);
+}
+
+function isOfInterest(state: MembershipState, record: MemberRecord): boolean {
+  if (record.id === state.self.id) {
+    return isAgainstSelf(state.self, record);
+  }
+  const known = state.members.get(record.id);
+  return (
+    !known ||
+    isNewerRecord(record, known.record) ||
+    (isDead(known.record) && isNewerRecord(known.record, record))
+  );
+}
+
+function applyClaim(batch: Batch, record: MemberRecord): void {
+  if (record.id === batch.state.self.id) {
+    if (isAgainstSelf(getSelf(batch), record)) {
+      raiseSelf(batch, record.incarnation, {});
+    }
+    return;
+  }
+  const known = batch.members.get(record.id)?.record;
+  if (!known) {
+    addUnknown(batch, record);
+    return;
+  }
+  if (isNewerRecord(record, known)) {
+    const weighed = weighDeath(batch, record, known);
+    if (weighed) {
+      setRecord(batch, weighed);
+    }
+    return;
+  }
+  if (isDead(known) && isNewerRecord(known, record)) {
+    // Somebody still spreads an old record of a dead member. Without our word the two claims would
+    // stand beside each other, and the dead member would live on in part of the fleet.
+    queueUpdate(batch, record.id);
+  }
+}
+
+/**
+ * Hearsay of a death in our own domain does not end a member that we hold to be present, unless we too
+ * have suspected it for a while. Two halves of a domain that meet again after a partition each bring the
+ * other's death lists; taken at their word, both halves would lose all their members until each had
+ * objected. Null: the claim changes nothing.
+ */
+function weighDeath(batch: Batch, record: MemberRecord, known: MemberRecord): MemberRecord | null {
+  if (record.health !== Health.Dead || record.domain !== batch.state.self.domain || isDead(known)) {
+    return record;
+  }
+  const suspicion = batch.suspicions.get(record.id);
+  if (!suspicion || record.incarnation > known.incarnation) {
+    return { ...record, health: Health.Suspect };
+  }
+  const halfTime = (suspicion.since + suspicion.deadline) / 2;
+  return batch.now >= halfTime ? record : null;
+}
+
+function addUnknown(batch: Batch, record: MemberRecord): void {
+  if (isPresent(record)) {
+    setRecord(batch, record);
+    return;
+  }
+  // A dead member that we never knew is remembered without a word to anybody.
+  batch.members.set(record.id, createMember(record, batch.now));
+  batch.changed.add(record.id);
+}
+
+/** A claim that we have to answer: of another start of ours, of our death, or from our own future. */
+function isAgainstSelf(self: MemberRecord, record: MemberRecord): boolean {
+  if (record.incarnation !== self.incarnation) {
+    return record.incarnation > self.incarnation;
+  }
+  if (self.health === Health.Left) {
+    return false;
+  }
+  return (
+    record.bootId !== self.bootId || record.health !== Health.Ok || record.phase !== self.phase
+  );
+}
+
+function raiseSelf(
+  batch: Batch,
+  aboveIncarnation: number,
+  change: Partial<Pick<MemberRecord, 'phase' | 'health'>>,
+): void {
+  const self = getSelf(batch);
+  const incarnation = Math.max(aboveIncarnation, self.incarnation) + 1;
+  const record = { ...self, ...change, incarnation };
+  batch.members.set(record.id, createMember(record, batch.now));
+  batch.changed.add(record.id);
+  queueUpdate(batch, record.id);
+}
+
+function getSelf(batch: Batch): MemberRecord {
+  return batch.members.get(batch.state.self.id)?.record ?? batch.state.self;
+}
+
+function setRecord(batch: Batch, record: MemberRecord): void {
+  const known = batch.members.get(record.id)?.record;
+  batch.members.set(record.id, createMember(record, batch.now));
+  batch.changed.add(record.id);
+  queueUpdate(batch, record.id);
+  setSuspicion(batch, record);
+  const kind = getChangeKind(known, record);
+  if (kind) {
+    batch.effects.push({
+      kind: 'member',
+      change: { kind, id: record.id, domain: record.domain, record },
+    });
+  }
+}
+
+/** Only our own domain's suspects are timed here; other domains judge their own members. */
+function setSuspicion(batch: Batch, record: MemberRecord): void {
+  if (record.health !== Health.Suspect) {
+    batch.suspicions.delete(record.id);
+    return;
+  }
+  if (record.domain === batch.state.self.domain) {
+    const deadline = batch.now + getSuspicionTime(batch.state);
+    batch.suspicions.set(record.id, { since: batch.now, deadline, checks: 0 });
+  }
+}
+
+function queueUpdate(batch: Batch, id: InstanceId): void {
+  batch.queued.set(id, { id, sends: 0 });
+}
+
+function getChangeKind(
+  before: MemberRecord | undefined,
+  after: MemberRecord,
+): MemberChangeName | null {
+  if (after.health === Health.Left) {
+    return before && isPresent(before) ? MemberChangeKind.Left : null;
+  }
+  if (after.health === Health.Dead) {
+    return before && isPresent(before) ? MemberChangeKind.Dead : null;
+  }
+  if (!before || isDead(before)) {
+    return MemberChangeKind.Joined;
+  }
+  if (before.bootId !== after.bootId) {
+    return MemberChangeKind.Restarted;
+  }
+  if (after.phase === LifeState.Leaving && before.phase === LifeState.Live) {
+    return MemberChangeKind.Leaving;
+  }
+  if (before.health !== after.health) {
+    return after.health === Health.Suspect ? MemberChangeKind.Suspected : MemberChangeKind.Refuted;
+  }
+  return null;
+}
+
+function createBatch(state: MembershipState, now: Millis): Batch {
+  return {
+    state,
+    now,
+    members: new Map(state.members),
+    suspicions: new Map(state.suspicions),
+    queued: new Map(state.updates.map((update) => [update.id, update])),
+    effects: [],
+    changed: new Set(),
+  };
+}
+
+function finishBatch(batch: Batch): MembershipStep {
+  const { state, effects } = batch;
+  const isChanged = batch.changed.size > 0;
+  return createStep(
+    {
+      ...state,
+      self: getSelf(batch),
+      members: isChanged ? batch.members : state.members,
+      viewChangedAt: isChanged ? batch.now : state.viewChangedAt,
+      suspicions: batch.suspicions,
+      updates: [...batch.queued.values()],
+    },
+    effects,
+  );
+}
--- /dev/null
+++ b/packages/membership/src/MembershipCodec.ts
@@ -0,0 +1,210 @@
+/**
+ * Gossip messages as bytes. Messages are arrays of msgpackr: the names of the fields would cost more than
+ * their values. Fields are only ever added at the end, so that two releases understand each other.
+ */
+import { Packr } from 'msgpackr';
+import type {
+  DomainAge,
+  GossipCommon,
+  GossipMessage,
+  SenderTag,
+  TopicPayload,
+} from './MembershipMessages.js';
+import { GossipKind } from './MembershipMessages.js';
+import type { HealthCode, MemberRecord } from './MembershipRecords.js';
+import { Health } from './MembershipRecords.js';
+import {
+  readArray,
+  readBytes,
+  readPhase,
+  readText,
+  readWhole,
+  WireError,
+  writePhase,
+} from './MembershipWire.js';
+
+const packr = new Packr({ useRecords: false });
+
+const UINT32 = 2 ** 32 - 1;
+const MAX_PORT = 65535;
+/** Ages of domains are told in steps of this many milliseconds, rounded up. */
+const AGE_STEP = 100;
+const AGE_BYTES = 4;
+const HASH_BYTES = 4;
+const COMMON_FIELDS = 9;
+
+/** A message as an array that msgpackr can pack; `decodeGossip` is its inverse. */
+export function encodeGossip(message: GossipMessage): Uint8Array {
+  const { sender } = message;
+  const common = [
+    message.kind,
+    sender.id,
+    sender.bootId,
+    sender.incarnation,
+    writePhase(sender.phase),
+    message.updates.map(writeRecord),
+    writeAges(message.ages),
+    message.topics.map(({ topic, bytes }) => [topic, bytes]),
+  ];
+  return packr.pack([...common, writeBody(message)]);
+}
+
+/** Reads a message; throws WireError on anything that is not one. */
+export function decodeGossip(bytes: Uint8Array): GossipMessage {
+  const fields = readArray(unpack(bytes), COMMON_FIELDS);
+  const [kind, id, bootId, incarnation, phase, updates, ages, topics, body] = fields;
+  const common: GossipCommon = {
+    sender: readTag([id, bootId, incarnation, phase]),
+    updates: readArray(updates).map(readRecord),
+    ages: readAges(readBytes(ages)),
+    topics: readArray(topics).map(readTopic),
+  };
+  return readBody(readWhole(kind), common, readArray(body));
+}
+
+/** Bytes to a value; garbage throws WireError and never anything else. */
+export function unpack(bytes: Uint8Array): unknown {
+  try {
+    return packr.unpack(bytes);
+  } catch (err) {
+    throw new WireError('bytes that do not decode', { cause: err });
+  }
+}
+
+function writeBody(message: GossipMessage): readonly unknown[] {
+  switch (message.kind) {
+    case GossipKind.Ping: {
+      const { seq, self, view } = message;
+      const { domain, rack, address, peerPort } = self;
+      const fields = [seq, domain, rack, address.host, address.port, peerPort];
+      return view ? [...fields, view.domain === domain ? 0 : view.domain, view.hash] : fields;
+    }
+    case GossipKind.PingRequest:
+      return [message.seq, message.target];
+    case GossipKind.Ack:
+      return [message.seq, ...(message.who.id === message.sender.id ? [] : writeTag(message.who))];
+    case GossipKind.Sync:
+      return [message.domain, writeHashes(message.hashes)];
+    case GossipKind.Records:
+      return [writeHashes(message.wanted)];
+    default:
+      throw new WireError('unknown kind of message');
+  }
+}
+
+function readBody(kind: number, common: GossipCommon, body: readonly unknown[]): GossipMessage {
+  switch (kind) {
+    case GossipKind.Ping:
+      return readPing(common, body);
+    case GossipKind.PingRequest:
+      return { ...common, kind, seq: readWhole(body[0]), target: readText(body[1]) };
+    case GossipKind.Ack: {
+      const who = body.length > 1 ? readTag(body.slice(1)) : common.sender;
+      return { ...common, kind, seq: readWhole(body[0]), who };
+    }
+    case GossipKind.Sync: {
+      const hashes = readHashes(readBytes(body[1]));
+      return { ...common, kind, domain: readText(body[0]), hashes };
+    }
+    case GossipKind.Records:
+      return { ...common, kind, wanted: readHashes(readBytes(body[0])) };
+    default:
+      throw new WireError('unknown kind of message');
+  }
+}
+
+function readPing(common: GossipCommon, body: readonly unknown[]): GossipMessage {
+  const [seq, domainField, rack, host, port, peerPort, viewDomain, viewHash] = body;
+  const domain = readText(domainField);
+  const self: MemberRecord = {
+    ...common.sender,
+    domain,
+    rack: readText(rack),
+    address: { host: readText(host), port: readWhole(port, MAX_PORT) },
+    peerPort: readWhole(peerPort, MAX_PORT),
+    health: Health.Ok,
+  };
+  const view =
+    viewDomain === undefined
+      ? null
+      : {
+          domain: viewDomain === 0 ? domain : readText(viewDomain),
+          hash: readWhole(viewHash, UINT32),
+        };
+  return { ...common, kind: GossipKind.Ping, seq: readWhole(seq), self, view };
+}
+
+function writeTag(tag: SenderTag): readonly unknown[] {
+  return [tag.id, tag.bootId, tag.incarnation, writePhase(tag.phase)];
+}
+
+function readTag(fields: readonly unknown[]): SenderTag {
+  const [id, bootId, incarnation, phase] = fields;
+  return {
+    id: readText(id),
+    bootId: readWhole(bootId, UINT32),
+    incarnation: readWhole(incarnation),
+    phase: readPhase(phase),
+  };
+}
+
+function writeRecord(record: MemberRecord): readonly unknown[] {
+  const { id, domain, rack, address, peerPort, bootId, incarnation, phase, health } = record;
+  const status = health * 2 + writePhase(phase);
+  return [id, domain, rack, address.host, address.port, peerPort, bootId, incarnation, status];
+}
+
+function readRecord(value: unknown): MemberRecord {
+  const [id, domain, rack, host, port, peerPort, bootId, incarnation, statusField] = readArray(
+    value,
+    9,
+  );
+  const status = readWhole(statusField, Health.Left * 2 + 1);
+  return {
+    ...readTag([id, bootId, incarnation, status % 2]),
+    domain: readText(domain),
+    rack: readText(rack),
+    address: { host: readText(host), port: readWhole(port, MAX_PORT) },
+    peerPort: readWhole(peerPort, MAX_PORT),
+    health: Math.floor(status / 2) as HealthCode,
+  };
+}
+
+function readTopic(value: unknown): TopicPayload {
+  const [topic, bytes] = readArray(value, 2);
+  return { topic: readWhole(topic, 255), bytes: readBytes(bytes) };
+}
+
+/** Three bytes of the domain's hash and one of its age, rounded up so that no hop makes news younger. */
+function writeAges(ages: readonly DomainAge[]): Uint8Array {
+  const bytes = Buffer.alloc(ages.length * AGE_BYTES);
+  ages.forEach(({ domainHash, age }, i) => {
+    bytes.writeUIntBE(domainHash, i * AGE_BYTES, 3);
+    bytes.writeUInt8(Math.min(255, Math.ceil(age / AGE_STEP)), i * AGE_BYTES + 3);
+  });
+  return bytes;
+}
+
+function readAges(bytes: Uint8Array): readonly DomainAge[] {
+  const view = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const ages: DomainAge[] = [];
+  for (let at = 0; at + AGE_BYTES <= view.length; at += AGE_BYTES) {
+    ages.push({ domainHash: view.readUIntBE(at, 3), age: view.readUInt8(at + 3) * AGE_STEP });
+  }
+  return ages;
+}
+
+function writeHashes(hashes: readonly number[]): Uint8Array {
+  const bytes = Buffer.alloc(hashes.length * HASH_BYTES);
+  hashes.forEach((hash, i) => bytes.writeUInt32BE(hash, i * HASH_BYTES));
+  return bytes;
+}
+
+function readHashes(bytes: Uint8Array): readonly number[] {
+  const view = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const hashes: number[] = [];
+  for (let at = 0; at + HASH_BYTES <= view.length; at += HASH_BYTES) {
+    hashes.push(view.readUInt32BE(at));
+  }
+  return hashes;
+}
--- /dev/null
+++ b/packages/membership/src/MembershipMachine.ts
@@ -0,0 +1,333 @@
+/**
+ * The membership machine of one instance, after SWIM: `stepMembership` takes the state and an event and
+ * gives the next state and what is to be sent and told. It reads no clock and draws from the given source.
+ */
+import type { LifeStateName } from '@skylarksail/core/CoreConstants';
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import { sampleElements } from '@skylarksail/core/CoreRandom';
+import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import { applyRecords, applySelf } from './MembershipApply.js';
+import type { MembershipEffect, MembershipStep, StepContext } from './MembershipEffects.js';
+import { createStep, runActions } from './MembershipEffects.js';
+import type { GossipMessage, PingMessage, SenderTag } from './MembershipMessages.js';
+import { GossipKind } from './MembershipMessages.js';
+import {
+  createTag,
+  findAddress,
+  findNewerRecord,
+  hashDomain,
+  sendMessage,
+} from './MembershipOutbox.js';
+import {
+  continueProbes,
+  continueSuspicions,
+  endProbe,
+  expireRelayed,
+  relayProbe,
+  sendProbe,
+  startProbe,
+} from './MembershipProbes.js';
+import type { MemberRecord } from './MembershipRecords.js';
+import { Health, isDead } from './MembershipRecords.js';
+import type { ListedInstance, MembershipState } from './MembershipState.js';
+import {
+  answerSync,
+  answerWanted,
+  compareView,
+  contactDomains,
+  repairView,
+  startSync,
+} from './MembershipSync.js';
+import { getDomainView, getKnownDomains } from './MembershipViews.js';
+
+export type MembershipEvent =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'message'; readonly message: GossipMessage }
+  /** The platform's list was read; it lags, so it adds names and never takes one away. */
+  | { readonly kind: 'listed'; readonly instances: readonly ListedInstance[] }
+  /** A connection to the instance was refused or broke: no proof, but grounds to ask at once. */
+  | { readonly kind: 'connection-lost'; readonly id: InstanceId }
+  /** A planned stop begins: no more duties, though we still answer. */
+  | { readonly kind: 'leaving' }
+  /** The planned stop ends: the next thing is silence. */
+  | { readonly kind: 'left' };
+
+/** Ticks that come later than this many periods mean that this process was paused. */
+const LATE_TICKS = 3;
+/** Members told at once of a planned stop. */
+const FAREWELLS = 8;
+const PRUNE_SHARE = 0.001;
+
+/** One step of membership. */
+export function stepMembership(
+  state: MembershipState,
+  event: MembershipEvent,
+  ctx: StepContext,
+): MembershipStep {
+  switch (event.kind) {
+    case 'tick':
+      return stepTick(state, ctx);
+    case 'message':
+      return stepMessage(state, ctx, event.message);
+    case 'listed':
+      return createStep({ ...state, listed: indexListed(state, event.instances) });
+    case 'connection-lost':
+      return probeNow(state, ctx, event.id);
+    case 'leaving':
+      return announceSelf(state, ctx, { phase: LifeState.Leaving });
+    case 'left':
+      return announceSelf(state, ctx, { phase: LifeState.Leaving, health: Health.Left });
+    default:
+      return createStep(state);
+  }
+}
+
+function stepTick(state: MembershipState, ctx: StepContext): MembershipStep {
+  if (state.self.health === Health.Left) {
+    return createStep(state);
+  }
+  const resumed = resumeAfterPause(state, ctx.now);
+  const timed = { ...expireRelayed(resumed, ctx.now), lastTick: ctx.now };
+  return runActions(timed, ctx, [
+    continueProbes,
+    continueSuspicions,
+    startProbe,
+    contactDomains,
+    repairView,
+    judgeDomains,
+    pruneTombstones,
+  ]);
+}
+
+/**
+ * After a pause of our own, the answers to our probes lie unread and the suspects' objections too. Judged
+ * by the clock, a process that woke from a long pause would declare half of its domain dead.
+ */
+function resumeAfterPause(state: MembershipState, now: Millis): MembershipState {
+  const pause = now - state.lastTick - state.cfg.tick;
+  if (pause < LATE_TICKS * state.cfg.tick) {
+    return state;
+  }
+  const suspicions = new Map(
+    [...state.suspicions].map(([id, one]) => [
+      id,
+      { ...one, since: one.since + pause, deadline: one.deadline + pause },
+    ]),
+  );
+  const heard = new Map([...state.heard].map(([domain, at]) => [domain, at + pause]));
+  return { ...state, probes: [], suspicions, heard };
+}
+
+function stepMessage(
+  state: MembershipState,
+  ctx: StepContext,
+  message: GossipMessage,
+): MembershipStep {
+  if (state.self.health === Health.Left || message.sender.id === state.self.id) {
+    return createStep(state);
+  }
+  return runActions(state, ctx, [
+    (current) => hearSender(current, ctx.now, message),
+    (current) => applyRecords(current, message.updates, ctx.now),
+    (current) => answerMessage(current, ctx, message),
+    (current) => correctSender(current, ctx, message.sender),
+  ]);
+}
+
+/** Takes in what the message says of its sender, and of the domains that were heard of. */
+function hearSender(state: MembershipState, now: Millis, message: GossipMessage): MembershipStep {
+  const heard = mergeHeard(state, now, message);
+  const next = heard === state.heard ? state : { ...state, heard };
+  const record = describeSender(next, message);
+  return record ? applyRecords(next, [record], now) : createStep(next);
+}
+
+function describeSender(state: MembershipState, message: GossipMessage): MemberRecord | null {
+  if (message.kind === GossipKind.Ping) {
+    return message.self;
+  }
+  return describeTag(state, message.sender);
+}
+
+/** A full record from a tag, if we know the rest from an earlier record or the list. */
+function describeTag(state: MembershipState, tag: SenderTag): MemberRecord | null {
+  const known = findAddress(state, tag.id);
+  if (!known) {
+    return null;
+  }
+  const { domain, rack, address, peerPort } = known;
+  return { domain, rack, address, peerPort, ...tag, health: Health.Ok };
+}
+
+function answerMessage(
+  state: MembershipState,
+  ctx: StepContext,
+  message: GossipMessage,
+): MembershipStep {
+  const from = message.sender.id;
+  switch (message.kind) {
+    case GossipKind.Ping:
+      return answerPing(state, ctx, message);
+    case GossipKind.PingRequest:
+      return relayProbe(state, ctx, from, message.seq, message.target);
+    case GossipKind.Ack:
+      return takeAck(state, ctx, message.seq, message.who);
+    case GossipKind.Sync:
+      return answerSync(state, ctx, message);
+    case GossipKind.Records:
+      return answerWanted(state, ctx, from, message.wanted);
+    default:
+      return createStep(state);
+  }
+}
+
+function answerPing(state: MembershipState, ctx: StepContext, ping: PingMessage): MembershipStep {
+  const body = { kind: GossipKind.Ack, seq: ping.seq, who: createTag(state.self) };
+  return runActions(state, ctx, [
+    (current) => sendMessage(current, ping.self, body, ctx.now),
+    (current) =>
+      ping.view ? compareView(current, ctx, ping.sender.id, ping.view) : createStep(current),
+  ]);
+}
+
+function takeAck(
+  state: MembershipState,
+  ctx: StepContext,
+  seq: number,
+  who: SenderTag,
+): MembershipStep {
+  const wasAlone = getDomainView(state.members, state.self.domain).present.length <= 2;
+  const ended = endProbe(state, seq, who.id);
+  const record = describeTag(ended, who);
+  return runActions(ended, ctx, [
+    (current) => (record ? applyRecords(current, [record], ctx.now) : createStep(current)),
+    (current) => passAckOn(current, ctx, seq, who),
+    (current) =>
+      wasAlone && ctx.now >= current.nextSyncAt
+        ? startSync(current, ctx, who.id, current.self.domain)
+        : createStep(current),
+  ]);
+}
+
+function passAckOn(
+  state: MembershipState,
+  ctx: StepContext,
+  seq: number,
+  who: SenderTag,
+): MembershipStep {
+  const relayed = state.relayed.find((one) => one.seq === seq);
+  const to = relayed && findAddress(state, relayed.origin);
+  if (!relayed || !to) {
+    return createStep(state);
+  }
+  const next = { ...state, relayed: state.relayed.filter((one) => one !== relayed) };
+  return sendMessage(next, to, { kind: GossipKind.Ack, seq: relayed.originSeq, who }, ctx.now);
+}
+
+/** Tells a sender that we hold a newer claim about it: of an earlier start, or of its death. */
+function correctSender(state: MembershipState, ctx: StepContext, tag: SenderTag): MembershipStep {
+  const record = findNewerRecord(state, tag);
+  const to = record && findAddress(state, tag.id);
+  if (!record || !to || record.health === Health.Suspect) {
+    return createStep(state);
+  }
+  return sendMessage(state, to, { kind: GossipKind.Records, wanted: [] }, ctx.now, [record]);
+}
+
+function mergeHeard(
+  state: MembershipState,
+  now: Millis,
+  message: GossipMessage,
+): ReadonlyMap<DomainId, Millis> {
+  const own = state.self.domain;
+  const sender = findAddress(state, message.sender.id);
+  const from = message.kind === GossipKind.Ping ? message.self.domain : sender?.domain;
+  const heard = new Map(state.heard);
+  if (from !== undefined && from !== own) {
+    heard.set(from, now);
+  }
+  if (message.ages.length > 0) {
+    const ages = new Map(message.ages.map(({ domainHash, age }) => [domainHash, age]));
+    for (const domain of getDomainsToHear(state)) {
+      const age = ages.get(hashDomain(domain));
+      if (age !== undefined && domain !== own) {
+        heard.set(domain, Math.max(heard.get(domain) ?? -Infinity, now - age));
+      }
+    }
+  }
+  return heard;
+}
+
+function getDomainsToHear(state: MembershipState): ReadonlySet<DomainId> {
+  const domains = new Set<DomainId>([...state.heard.keys(), ...getKnownDomains(state.members)]);
+  for (const { domain } of state.listed.values()) {
+    domains.add(domain);
+  }
+  return domains;
+}
+
+function judgeDomains(state: MembershipState, ctx: StepContext): MembershipStep {
+  const effects: MembershipEffect[] = [];
+  const reachable = new Set<DomainId>([state.self.domain]);
+  for (const [domain, heardAt] of state.heard) {
+    const isReachable = ctx.now - heardAt <= state.cfg.domainTimeout;
+    if (isReachable) {
+      reachable.add(domain);
+    }
+    if (isReachable !== state.reachable.has(domain)) {
+      effects.push({ kind: 'domain', domain, reachable: isReachable });
+    }
+  }
+  return effects.length === 0 ? createStep(state) : createStep({ ...state, reachable }, effects);
+}
+
+function pruneTombstones(state: MembershipState, ctx: StepContext): MembershipStep {
+  if (ctx.random.nextFloat() >= PRUNE_SHARE) {
+    return createStep(state);
+  }
+  const oldest = ctx.now - state.cfg.tombstoneTime;
+  const members = new Map(
+    [...state.members].filter(([, one]) => !isDead(one.record) || one.changedAt >= oldest),
+  );
+  return createStep(members.size === state.members.size ? state : { ...state, members });
+}
+
+function indexListed(
+  state: MembershipState,
+  instances: readonly ListedInstance[],
+): ReadonlyMap<InstanceId, ListedInstance> {
+  return new Map(
+    instances.filter(({ id }) => id !== state.self.id).map((instance) => [instance.id, instance]),
+  );
+}
+
+function probeNow(state: MembershipState, ctx: StepContext, id: InstanceId): MembershipStep {
+  const to = findAddress(state, id);
+  const isProbed = state.probes.some(({ target }) => target === id);
+  if (!to || isProbed || to.domain !== state.self.domain) {
+    return createStep(state);
+  }
+  return sendProbe(state, ctx, to, true);
+}
+
+function announceSelf(
+  state: MembershipState,
+  ctx: StepContext,
+  change: { phase: LifeStateName; health?: MemberRecord['health'] },
+): MembershipStep {
+  const others = getDomainView(state.members, state.self.domain).present.filter(
+    (id) => id !== state.self.id,
+  );
+  const told = sampleElements(ctx.random, others, FAREWELLS);
+  return runActions(state, ctx, [
+    (current) => applySelf(current, change, ctx.now),
+    ...told.map((id) => (current: MembershipState) => {
+      const to = findAddress(current, id);
+      return to
+        ? sendMessage(current, to, { kind: GossipKind.Records, wanted: [] }, ctx.now, [
+            current.self,
+          ])
+        : createStep(current);
+    }),
+  ]);
+}
--- /dev/null
+++ b/packages/membership/src/MembershipViews.ts
@@ -0,0 +1,102 @@
+/**
+ * What follows from the members alone: who is in a domain, the hash of a domain's view, who speaks with
+ * another domain. Kept beside each table of members, which changes seldom and is read at every message.
+ */
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import { selectOwners } from '@skylarksail/core/CoreHash';
+import type { DomainId, InstanceId } from '@skylarksail/core/CoreTypes';
+import type { Member } from './MembershipRecords.js';
+import { isPresent } from './MembershipRecords.js';
+
+type Members = ReadonlyMap<InstanceId, Member>;
+
+interface DomainView {
+  readonly present: readonly InstanceId[];
+  readonly live: readonly InstanceId[];
+  readonly hash: number;
+  /** Hash of each present member's record, to its id. */
+  readonly byHash: ReadonlyMap<number, InstanceId>;
+}
+
+interface MembersView {
+  readonly domains: ReadonlyMap<DomainId, DomainView>;
+  readonly presentCount: number;
+  readonly contacts: Map<string, readonly InstanceId[]>;
+}
+
+const EMPTY_VIEW: DomainView = { present: [], live: [], hash: 0, byHash: new Map() };
+const views = new WeakMap<Members, MembersView>();
+
+/** One domain's members, as this table has them. */
+export function getDomainView(members: Members, domain: DomainId): DomainView {
+  return getView(members).domains.get(domain) ?? EMPTY_VIEW;
+}
+
+/** Domains with at least one present member, in order. */
+export function getKnownDomains(members: Members): readonly DomainId[] {
+  return [...getView(members).domains.keys()].sort();
+}
+
+export function countPresent(members: Members): number {
+  return getView(members).presentCount;
+}
+
+/** The members of `own` whose part it is to speak with `other`. */
+export function getContacts(
+  members: Members,
+  own: DomainId,
+  other: DomainId,
+  count: number,
+): readonly InstanceId[] {
+  const { contacts } = getView(members);
+  const key = `${own}\u0000${other}`;
+  const known = contacts.get(key);
+  if (known) {
+    return known;
+  }
+  const chosen = selectOwners(`contact\u0000${key}`, getDomainView(members, own).live, count);
+  contacts.set(key, chosen);
+  return chosen;
+}
+
+function getView(members: Members): MembersView {
+  const known = views.get(members);
+  if (known) {
+    return known;
+  }
+  const view = createView(members);
+  views.set(members, view);
+  return view;
+}
+
+function createView(members: Members): MembersView {
+  const groups = new Map<DomainId, Member[]>();
+  let presentCount = 0;
+  for (const member of members.values()) {
+    if (!isPresent(member.record)) {
+      continue;
+    }
+    presentCount += 1;
+    const group = groups.get(member.record.domain);
+    if (group) {
+      group.push(member);
+    } else {
+      groups.set(member.record.domain, [member]);
+    }
+  }
+  const domains = new Map([...groups].map(([domain, group]) => [domain, createDomainView(group)]));
+  return { domains, presentCount, contacts: new Map() };
+}
+
+function createDomainView(group: readonly Member[]): DomainView {
+  const byHash = new Map(group.map(({ hash, record }) => [hash, record.id]));
+  return {
+    present: group.map(({ record }) => record.id),
+    live: group
+      .filter(({ record }) => record.phase === LifeState.Live)
+      .map(({ record }) => record.id),
+    // A sum does not hang on the order, and changes with each record.
+    hash: group.reduce((sum, { hash }) => (sum + hash) % 2 ** 32, 0),
+    byHash,
+  };
+}
