--- /dev/null
+++ b/packages/stand-ins/src/VirtualEngine.ts
@@ -0,0 +1,317 @@
+/**
+ * A virtual engine: continuous batching in virtual time, with limited KV memory, a prefix cache, and
+ * faults. A step takes decode tokens up to the batch limit and some prompt tokens, and costs
+ * `depth * ((FIXED * maxBatch + (1 - FIXED) * tokens) / decodeRate + promptTokens / prefillRate)`
+ * seconds, so that a full step of decode tokens runs at the decode rate.
+ */
+import { getPriorityRank, LifeState, MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
+import type { LifeStateName } from '@skylarksail/core/CoreConstants';
+import type { EngineFacts, EngineLoad, Holding } from '@skylarksail/core/CoreEngine';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, Millis, RequestId } from '@skylarksail/core/CoreTypes';
+import type { VirtualItem, VirtualRun } from './VirtualRun.js';
+
+/** Share of a full step's time that a step costs however few tokens it has. */
+const FIXED_STEP_SHARE = 0.3;
+/** Prompt tokens that one step takes at the most, so that decode tokens need not wait long. */
+const PREFILL_TOKENS_PER_STEP = 64;
+/** Calls that may wait for KV memory, as a multiple of the batch. */
+const WAITING_BATCHES = 4;
+const KV_RETAINED_MS = 3000;
+const PREFIX_CACHE_SHARE = 0.1;
+
+/** How a virtual engine works, for faults and tests. */
+export type VirtualFault =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'crashed' }
+  | { readonly kind: 'hung' }
+  /** Each step takes `factor` times as long. */
+  | { readonly kind: 'slow'; readonly factor: number };
+
+interface WaitingRun {
+  readonly run: VirtualRun;
+  readonly onAdmitted: () => void;
+}
+
+export class VirtualEngine {
+  private fault: VirtualFault = { kind: 'none' };
+
+  private boot = 1;
+
+  private life: LifeStateName = LifeState.Live;
+
+  private leavingSince = Infinity;
+
+  private decodes: VirtualItem[] = [];
+
+  private prefills: VirtualItem[] = [];
+
+  private waiting: WaitingRun[] = [];
+
+  private stepping = false;
+
+  private usedLayerTokens = 0;
+
+  private readonly admitted = new Map<VirtualRun, number>();
+
+  private readonly retained = new Map<RequestId, { tokens: number; until: Millis }>();
+
+  private readonly prefixes = new Map<string, number>();
+
+  constructor(
+    readonly facts: EngineFacts,
+    private currentHolding: Holding,
+    private readonly timers: TimerService,
+    private readonly onComputed: (engine: VirtualEngine, items: readonly VirtualItem[]) => void,
+  ) {}
+
+  get holding(): Holding {
+    return this.currentHolding;
+  }
+
+  get isCrashed(): boolean {
+    return this.fault.kind === 'crashed';
+  }
+
+  get isHung(): boolean {
+    return this.fault.kind === 'hung';
+  }
+
+  /** Time since which the engine is leaving, or Infinity. */
+  get leavingAt(): Millis {
+    return this.leavingSince;
+  }
+
+  get runs(): readonly VirtualRun[] {
+    return [...this.admitted.keys(), ...this.waiting.map(({ run }) => run)];
+  }
+
+  setHolding(holding: Holding): void {
+    this.currentHolding = holding;
+  }
+
+  setLeaving(): void {
+    this.life = LifeState.Leaving;
+    this.leavingSince = this.timers.now();
+  }
+
+  /** Sets a fault or clears it. A crash forgets everything; what comes after it is a new process. */
+  setFault(fault: VirtualFault): void {
+    if (this.isCrashed && fault.kind !== 'crashed') {
+      this.boot += 1;
+    }
+    this.fault = fault;
+    if (fault.kind === 'crashed') {
+      this.forgetAll();
+    }
+    this.planStep();
+  }
+
+  /** What the engine would report now. */
+  readLoad(): EngineLoad {
+    return {
+      engine: this.facts.id,
+      bootId: `${this.facts.id}-${this.boot}`,
+      state: this.life,
+      holding: this.currentHolding,
+      running: this.admitted.size,
+      queued: this.waiting.length,
+      kvUsed: this.usedLayerTokens / this.facts.kvLayerTokens,
+      orderNumber: 0,
+    };
+  }
+
+  /** Prefixes that the cache holds, oldest use first. */
+  readPrefixes(): readonly string[] {
+    return [...this.prefixes.keys()];
+  }
+
+  /** Reserves KV memory for a run, at once or when some is free; false if too many wait. */
+  admit(run: VirtualRun, onAdmitted: () => void): boolean {
+    if (this.waiting.length >= WAITING_BATCHES * this.facts.maxBatch) {
+      return false;
+    }
+    insertByPriority(this.waiting, { run, onAdmitted }, (entry) => entry.run);
+    this.admitWaiting();
+    return true;
+  }
+
+  /** Tokens of the run's context that the engine holds: of an earlier attempt, or a shared prefix. */
+  countHeldTokens(run: VirtualRun): number {
+    const kept = this.retained.get(run.call.request);
+    if (kept && kept.until >= this.timers.now()) {
+      return Math.min(kept.tokens, run.contextTokens);
+    }
+    const { prefixKey } = run.prompt;
+    return (prefixKey !== null && this.prefixes.get(prefixKey)) || 0;
+  }
+
+  /** Frees a run's memory; its KV cache stays exportable for a while. */
+  release(run: VirtualRun): void {
+    const reserved = this.admitted.get(run);
+    this.waiting = this.waiting.filter((entry) => entry.run !== run);
+    if (reserved === undefined) {
+      return;
+    }
+    this.admitted.delete(run);
+    this.usedLayerTokens -= reserved;
+    const until = this.timers.now() + KV_RETAINED_MS;
+    this.retained.set(run.call.request, { tokens: run.prompt.tokens + run.tokenCount, until });
+    this.timers.registerTimeout(KV_RETAINED_MS, () => this.dropRetained(run.call.request));
+    this.admitWaiting();
+  }
+
+  enqueue(item: VirtualItem): void {
+    if (this.isCrashed) {
+      return;
+    }
+    if (item.prefill) {
+      insertByPriority(this.prefills, item, ({ run }) => run);
+    } else {
+      this.decodes.push(item);
+    }
+    this.planStep();
+  }
+
+  private get depth(): number {
+    return this.currentHolding.layers.end - this.currentHolding.layers.first;
+  }
+
+  private admitWaiting(): void {
+    while (this.waiting.length > 0) {
+      const { run, onAdmitted } = this.waiting[0] as WaitingRun;
+      const reserved = run.kvTokens * depthOf(run, this.facts.id);
+      if (this.usedLayerTokens + reserved > this.facts.kvLayerTokens) {
+        return;
+      }
+      this.waiting.shift();
+      this.usedLayerTokens += reserved;
+      this.admitted.set(run, reserved);
+      onAdmitted();
+    }
+  }
+
+  /** Starts a step after all that arrives at this very time, so that it makes one batch. */
+  private planStep(): void {
+    if (this.stepping || this.isHung || this.isCrashed) {
+      return;
+    }
+    if (this.decodes.length + this.prefills.length > 0) {
+      this.stepping = true;
+      const { boot } = this;
+      this.timers.registerTimeout(0, () => this.runStep(boot));
+    }
+  }
+
+  private runStep(boot: number): void {
+    if (boot !== this.boot || this.isCrashed) {
+      return;
+    }
+    this.decodes = this.decodes.filter(({ run }) => run.isOpen);
+    this.prefills = this.prefills.filter(({ run }) => run.isOpen);
+    const decodes = this.decodes.splice(0, this.facts.maxBatch);
+    const prefills = this.takePrefills();
+    if (decodes.length + prefills.length === 0) {
+      this.stepping = false;
+      return;
+    }
+    const duration = this.getStepTime([...decodes, ...prefills]);
+    this.timers.registerTimeout(duration, () => this.endStep(boot, [...decodes, ...prefills]));
+  }
+
+  private endStep(boot: number, items: readonly VirtualItem[]): void {
+    if (boot !== this.boot || this.isCrashed) {
+      return;
+    }
+    this.stepping = false;
+    if (this.isHung) {
+      // What the step had taken is not lost, should the engine come back.
+      this.decodes.unshift(...items.filter(({ prefill }) => !prefill));
+      this.prefills.unshift(...items.filter(({ prefill }) => prefill));
+      return;
+    }
+    items.forEach((item) => this.rememberPrefix(item));
+    this.onComputed(this, items);
+    this.planStep();
+  }
+
+  private takePrefills(): readonly VirtualItem[] {
+    let tokens = 0;
+    let count = 0;
+    while (count < this.prefills.length && tokens < PREFILL_TOKENS_PER_STEP) {
+      const item = this.prefills[count] as VirtualItem;
+      tokens += item.run.countComputed(item);
+      count += 1;
+    }
+    return this.prefills.splice(0, count);
+  }
+
+  private getStepTime(items: readonly VirtualItem[]): Millis {
+    const { decodeLayerTokensPerSecond, prefillLayerTokensPerSecond, maxBatch } = this.facts;
+    let decode = FIXED_STEP_SHARE * maxBatch * this.depth;
+    let prompt = 0;
+    for (const item of items) {
+      const work = item.run.countComputed(item) * item.run.getDepth(item.stage);
+      if (item.prefill) {
+        prompt += work;
+      } else {
+        decode += (1 - FIXED_STEP_SHARE) * work;
+      }
+    }
+    const seconds = decode / decodeLayerTokensPerSecond + prompt / prefillLayerTokensPerSecond;
+    const factor = this.fault.kind === 'slow' ? this.fault.factor : 1;
+    return seconds * factor * MILLIS_PER_SECOND;
+  }
+
+  private rememberPrefix({ run, prefill, end }: VirtualItem): void {
+    const { prefixKey, prefixTokens } = run.prompt;
+    if (!prefill || prefixKey === null || end < prefixTokens) {
+      return;
+    }
+    this.prefixes.delete(prefixKey);
+    this.prefixes.set(prefixKey, prefixTokens);
+    const limit = (PREFIX_CACHE_SHARE * this.facts.kvLayerTokens) / this.depth;
+    let tokens = [...this.prefixes.values()].reduce((sum, n) => sum + n, 0);
+    for (const [key, n] of this.prefixes) {
+      if (tokens <= limit) {
+        break;
+      }
+      this.prefixes.delete(key);
+      tokens -= n;
+    }
+  }
+
+  private dropRetained(request: RequestId): void {
+    const kept = this.retained.get(request);
+    if (kept && kept.until <= this.timers.now()) {
+      this.retained.delete(request);
+    }
+  }
+
+  private forgetAll(): void {
+    this.boot += 1;
+    this.stepping = false;
+    this.decodes = [];
+    this.prefills = [];
+    this.waiting = [];
+    this.usedLayerTokens = 0;
+    this.admitted.clear();
+    this.retained.clear();
+    this.prefixes.clear();
+  }
+}
+
+/** Layers that a run uses of an engine. */
+function depthOf(run: VirtualRun, engine: EngineId): number {
+  return run.getDepth(run.call.chain.stages.findIndex((stage) => stage.engine === engine));
+}
+
+/** Puts an entry behind all of the same or a higher priority. */
+function insertByPriority<T>(queue: T[], entry: T, getRun: (entry: T) => VirtualRun): void {
+  const rank = getPriorityRank(getRun(entry).call.priority);
+  let at = queue.length;
+  while (at > 0 && getPriorityRank(getRun(queue[at - 1] as T).call.priority) < rank) {
+    at -= 1;
+  }
+  queue.splice(at, 0, entry);
+}
--- /dev/null
+++ b/packages/stand-ins/src/__tests__/unit/VirtualFleet.test.ts
@@ -0,0 +1,131 @@
+import { expect } from 'chai';
+import type { Stage } from '@skylarksail/core/CoreChain';
+import { createChain } from '@skylarksail/core/CoreChain';
+import type { EngineId } from '@skylarksail/core/CoreTypes';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { EngineCall } from '@skylarksail/requests/RequestPorts';
+import { createVirtualFleet } from '../../VirtualFleet.js';
+
+const VARIANT = { model: 'notes', version: 'v1', adapter: null };
+
+function createSpec(id: EngineId, first: number, end: number) {
+  return {
+    facts: {
+      id,
+      domain: 'a',
+      rack: 'a1',
+      address: { host: '127.0.0.1', port: 1 },
+      accelerator: 'kind',
+      decodeLayerTokensPerSecond: 10000,
+      prefillLayerTokensPerSecond: 100000,
+      weightBytes: 1e9,
+      kvLayerTokens: 1e5,
+      maxBatch: 8,
+    },
+    holding: {
+      model: 'notes',
+      version: 'v1',
+      adapters: [],
+      layers: { first, end },
+      duty: 'mixed' as const,
+    },
+  };
+}
+
+function createCall(changes: Partial<EngineCall>, ids: readonly EngineId[]): EngineCall {
+  const stages: readonly Stage[] = [
+    { engine: ids[0] ?? '', layers: { first: 0, end: 10 } },
+    { engine: ids[1] ?? '', layers: { first: 10, end: 20 } },
+  ];
+  const chain = createChain(VARIANT, 20, stages);
+  if (!chain.ok) {
+    throw new Error('the stages form a chain');
+  }
+  return {
+    request: 'r1',
+    attempt: 1,
+    chain: chain.value,
+    prompt: 'x'.repeat(640),
+    resumeTokens: [],
+    maxTokens: 20,
+    priority: 'normal',
+    timeLeft: 60000,
+    importFrom: [],
+    ...changes,
+  };
+}
+
+function createHarness() {
+  const timers = createVirtualTimers();
+  const fleet = createVirtualFleet({
+    timers,
+    engines: [createSpec('a', 0, 10), createSpec('b', 10, 20), createSpec('c', 10, 20)],
+    getLink: () => ({ key: 'link', bytesPerSecond: 1e9, delayMs: 0.1 }),
+    activationBytes: 16384,
+    kvBytesPerLayer: 4096,
+    entryDelayMs: 1,
+    readPrompt: (prompt) => ({ tokens: prompt.length, prefixKey: null, prefixTokens: 0 }),
+    createToken: (_call, index) => `t${index}`,
+    isPoison: () => false,
+  });
+  const heard: string[] = [];
+  const tokens: string[] = [];
+  function open(call: EngineCall) {
+    return fleet.open(call, {
+      onAcknowledged: () => heard.push('acknowledged'),
+      onToken: (index, token) => tokens.push(`${index}${token}`),
+      onEnd: (reason, count) => heard.push(`${reason} ${count}`),
+      onFailure: ({ place, engine, provenNotRun }) =>
+        heard.push(`${place} ${engine} ${provenNotRun}`),
+    });
+  }
+  return { timers, fleet, heard, tokens, open };
+}
+
+describe('VirtualFleet', () => {
+  it('runs every layer once for each token and frees what it held', () => {
+    const { timers, fleet, heard, tokens, open } = createHarness();
+    open(createCall({}, ['a', 'b']));
+    timers.advanceTo(5000);
+    expect(heard).to.deep.equal(['acknowledged', 'length 20']);
+    expect(tokens).to.deep.equal(Array.from({ length: 20 }, (_, i) => `${i}t${i}`));
+    expect(fleet.readLedger()).to.include({ tokens: 20, layerFaults: 0 });
+    expect(fleet.readLoads().map(({ running, kvUsed }) => running + kvUsed)).to.deep.equal([
+      0, 0, 0,
+    ]);
+  });
+
+  // Symptom: after a stage's death the same answer went on, but its cost told nothing of recovery.
+  // Sequence: stage b dies in mid-answer; the call is resumed on c, which must prefill its layers.
+  // Cause: a fake that forgets nothing, or everything, makes every way to recover look the same.
+  it('tells of a dead stage and prefills only what the resumed chain misses', () => {
+    const { timers, fleet, heard, tokens, open } = createHarness();
+    open(createCall({}, ['a', 'b']));
+    timers.advanceTo(150);
+    fleet.setFault('b', { kind: 'crashed' });
+    timers.advanceTo(152);
+    expect(heard).to.deep.equal(['acknowledged', 'stage b false']);
+    const resumeTokens = tokens.map((token) => token.replace(/^\d+/, ''));
+    open(createCall({ attempt: 2, resumeTokens }, ['a', 'c']));
+    timers.advanceTo(5000);
+    expect(heard.slice(2)).to.deep.equal(['acknowledged', 'length 20']);
+    expect(tokens).to.deep.equal(Array.from({ length: 20 }, (_, i) => `${i}t${i}`));
+    open(createCall({ request: 'r2' }, ['a', 'b']));
+    timers.advanceTo(5100);
+    expect(heard.at(-1)).to.equal('stage b true');
+  });
+
+  it('keeps silent while hung and goes on afterwards', () => {
+    const { timers, fleet, heard, tokens, open } = createHarness();
+    open(createCall({}, ['a', 'b']));
+    timers.advanceTo(150);
+    fleet.setFault('b', { kind: 'hung' });
+    timers.advanceTo(160);
+    const count = tokens.length;
+    timers.advanceTo(3000);
+    expect(tokens).to.have.length(count);
+    fleet.setFault('b', { kind: 'none' });
+    timers.advanceTo(5000);
+    expect(heard).to.deep.equal(['acknowledged', 'length 20']);
+  });
+});
