Run requests by a pure machine behind one router

Cause: nothing yet decided when a request runs, what follows a failure, or what a caller is told. Change: a pure state machine for one model request, a router that owns all of them, and around it fair queue, adaptive limit, retry budget, silence limits, recovery queue, poison search, claims and calls to plain services. Every attempt's failure is classified once, by place, status and what we saw ourselves. Conclusion: the face that the daemon needs (createRequestRouter, submit, submitService, drain) stands.

--- /dev/null
+++ b/packages/requests/src/AttemptRunner.ts
@@ -0,0 +1,113 @@
+/** Holds the open attempt of a model request: chooses its chain, opens its call, and closes it. */
+import type { Chain } from '@skylarksail/core/CoreChain';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { RequestEffect, RequestEvent } from './RequestMessages.js';
+import type { Fingerprint } from './RequestPoison.js';
+import type { EngineCallListener } from './RequestPorts.js';
+import type { AttemptOutcome, ChainHold, RequestSpec } from './RequestTypes.js';
+import { estimatePromptTokens } from './RequestTypes.js';
+import type { RouterShared } from './RouterShared.js';
+import { findFellowEngines } from './RunSuspicion.js';
+
+type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
+
+/** An attempt that was opened. */
+interface OpenAttempt {
+  readonly chain: Chain;
+  readonly contextTokens: number;
+  readonly isImported: boolean;
+  readonly cancel: Unregister;
+}
+
+/** The attempts of one request, one at a time. */
+export interface AttemptRunner {
+  /** Asks for a chain; the answer comes as an event. Returns whether there is one. */
+  choose(effect: EffectOf<'choose'>): boolean;
+  open(effect: EffectOf<'open'>): void;
+  close(outcome: AttemptOutcome): void;
+  /** Takes in the attempt's first token, `wait` after it was opened. */
+  noteFirstToken(wait: Millis): void;
+  getChain(): Chain | null;
+  getEngines(): readonly EngineId[];
+}
+
+/** Creates the runner of a request's attempts. `tokens` is the answer so far, kept by its owner. */
+export function createAttemptRunner(
+  shared: RouterShared,
+  spec: RequestSpec,
+  fingerprint: Fingerprint,
+  tokens: readonly string[],
+  send: (event: RequestEvent) => void,
+): AttemptRunner {
+  const { deps, meters } = shared;
+  const promptTokens = estimatePromptTokens(spec.prompt);
+  let current: OpenAttempt | null = null;
+  let hold: ChainHold | null = null;
+
+  function createListener(attempt: number, openedAt: Millis): EngineCallListener {
+    return {
+      onAcknowledged: (acknowledgement) => {
+        meters.noteAcknowledgement(spec.model, deps.timers.now() - openedAt);
+        send({ kind: 'acknowledged', attempt, acknowledgement });
+      },
+      onToken: (index, token) => send({ kind: 'token', attempt, index, token }),
+      onEnd: (reason, tokenCount) => send({ kind: 'end', attempt, reason, tokenCount }),
+      onFailure: (failure) =>
+        send({ kind: 'failure', attempt, failure, suspects: [], isSlow: false }),
+    };
+  }
+
+  return {
+    choose({ broken, failed, avoid }) {
+      const contextTokens = promptTokens + tokens.length;
+      const fellows = findFellowEngines(shared, fingerprint);
+      const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...fellows])] };
+      const isRepair = broken !== null && failed.length < broken.stages.length;
+      const choice = isRepair
+        ? deps.chooseRepair({ ...wish, broken, failed })
+        : deps.chooseChain(wish);
+      if (choice.kind === 'none') {
+        send({ kind: 'no-chain', isFull: choice.isFull, retryAfter: choice.retryAfter });
+        return false;
+      }
+      hold = choice.hold;
+      const limits = meters.getSilenceLimits(spec.model, contextTokens);
+      send({ kind: 'chosen', chain: choice.chain, importFrom: choice.importFrom, limits });
+      return true;
+    },
+    open({ attempt, chain, importFrom }) {
+      const now = deps.timers.now();
+      const cancel = deps.openEngineCall(
+        {
+          request: spec.id,
+          attempt,
+          chain,
+          prompt: spec.prompt,
+          resumeTokens: [...tokens],
+          maxTokens: spec.maxTokens,
+          priority: spec.priority,
+          timeLeft: spec.deadline - now,
+          importFrom,
+        },
+        createListener(attempt, now),
+      );
+      const contextTokens = promptTokens + tokens.length;
+      current = { chain, contextTokens, isImported: importFrom.length > 0, cancel };
+    },
+    close(outcome) {
+      // An attempt that has ended by itself takes the cancellation as nothing.
+      current?.cancel();
+      current = null;
+      hold?.release(outcome);
+      hold = null;
+    },
+    noteFirstToken(wait) {
+      hold?.noteFirstToken();
+      if (current && !current.isImported) {
+        meters.noteFirstToken(spec.model, current.contextTokens, wait);
+      }
+    },
+    getChain: () => current?.chain ?? null,
+    getEngines: () => current?.chain.stages.map((stage) => stage.engine) ?? [],
+  };
+}
--- /dev/null
+++ b/packages/requests/src/RequestFailures.ts
@@ -0,0 +1,151 @@
+/**
+ * The one classification of failed attempts, told by place, status and structure, never by message
+ * text, and what may be done after each class.
+ */
+import { RunState } from '@skylarksail/core/CoreConstants';
+import type { RunStateName } from '@skylarksail/core/CoreConstants';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { jitter } from '@skylarksail/core/CoreRandom';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { AttemptFailure, FailurePlaceName } from './RequestPorts.js';
+import { FailurePlace } from './RequestPorts.js';
+import type { FailureCause } from './RequestTypes.js';
+
+/** How far an attempt got. */
+export const FailureClass = {
+  NotRun: 'not-run',
+  Unknown: 'unknown',
+  RanInPart: 'ran-in-part',
+  Answered: 'answered',
+} as const;
+
+export type FailureClassName = (typeof FailureClass)[keyof typeof FailureClass];
+
+/** What we saw of an attempt ourselves before it failed. */
+export interface AttemptEvidence {
+  readonly acknowledged: boolean;
+  readonly tokens: number;
+  readonly ended: boolean;
+}
+
+/**
+ * Classifies a failure. What we saw outweighs what the backend server says: a `not run` after an
+ * acknowledgement or a token would be passed on to the caller, who would send the request again and
+ * have it run twice.
+ */
+export function classifyFailure(
+  failure: AttemptFailure,
+  evidence: AttemptEvidence,
+): FailureClassName {
+  if (evidence.ended) {
+    return FailureClass.Answered;
+  }
+  if (evidence.tokens > 0) {
+    return FailureClass.RanInPart;
+  }
+  if (evidence.acknowledged) {
+    return FailureClass.Unknown;
+  }
+  if (failure.place === FailurePlace.Connect || failure.provenNotRun) {
+    return FailureClass.NotRun;
+  }
+  return FailureClass.Unknown;
+}
+
+/** What the caller may be told after a failure of a class. */
+export function getRunState(failureClass: FailureClassName): RunStateName {
+  switch (failureClass) {
+    case FailureClass.NotRun:
+      return RunState.NotRun;
+    case FailureClass.Unknown:
+      return RunState.Unknown;
+    default:
+      return RunState.Ran;
+  }
+}
+
+const RUN_STATE_ORDER: readonly RunStateName[] = [RunState.NotRun, RunState.Unknown, RunState.Ran];
+
+/** What is known of a request from two of its attempts: one that may have run is never forgotten. */
+export function combineRunStates(a: RunStateName, b: RunStateName): RunStateName {
+  return RUN_STATE_ORDER.indexOf(a) >= RUN_STATE_ORDER.indexOf(b) ? a : b;
+}
+
+/** What a failure at a place says of the backend server. */
+export function describeCause(place: FailurePlaceName): FailureCause {
+  switch (place) {
+    case FailurePlace.Refused:
+      return 'refused';
+    case FailurePlace.Silence:
+      return 'silent';
+    case FailurePlace.Garbage:
+    case FailurePlace.Acknowledgement:
+      return 'broken';
+    default:
+      return 'lost';
+  }
+}
+
+const LOST_ENGINE_PLACES: ReadonlySet<FailurePlaceName> = new Set([
+  FailurePlace.Stream,
+  FailurePlace.Stage,
+  FailurePlace.Silence,
+]);
+
+/** Whether the engine was lost under the work, as against having refused it. */
+export function isEngineLost(failure: AttemptFailure): boolean {
+  return LOST_ENGINE_PLACES.has(failure.place);
+}
+
+/** Whether a failure looks like the death of an engine's process, for the search for poison requests. */
+export function isCrashLike(failure: AttemptFailure): boolean {
+  return failure.place === FailurePlace.Stream || failure.place === FailurePlace.Stage;
+}
+
+/** Failed attempts in a row, none of which gave a token, after which a request is given up. */
+export const MAX_FRUITLESS_ATTEMPTS = 4;
+
+/** How to go on after a failed attempt. */
+export const NextStep = {
+  /** The engine was lost under the work: replace it and go on from the last token. */
+  Recover: 'recover',
+  /** Try again later, out of the retry budget. */
+  Retry: 'retry',
+  Stop: 'stop',
+} as const;
+
+export type NextStepName = (typeof NextStep)[keyof typeof NextStep];
+
+/** Decides what may follow a failure. Non-idempotent work goes on only if it is proven not to have run. */
+export function decideNextStep(
+  failure: AttemptFailure,
+  failureClass: FailureClassName,
+  idempotent: boolean,
+  fruitlessAttempts: number,
+): NextStepName {
+  if (failureClass === FailureClass.Answered) {
+    return NextStep.Stop;
+  }
+  if (!idempotent && failureClass !== FailureClass.NotRun) {
+    return NextStep.Stop;
+  }
+  if (fruitlessAttempts >= MAX_FRUITLESS_ATTEMPTS) {
+    return NextStep.Stop;
+  }
+  return isEngineLost(failure) && fruitlessAttempts <= 1 ? NextStep.Recover : NextStep.Retry;
+}
+
+const BACKOFF_BASE: Millis = 25;
+const BACKOFF_LIMIT: Millis = 2000;
+const BACKOFF_JITTER = 0.5;
+
+/** Wait before the next try: doubled by each fruitless one, spread out, never less than was asked for. */
+export function computeBackoff(
+  random: Random,
+  fruitlessAttempts: number,
+  retryAfter: Millis | null,
+): Millis {
+  const doubled = BACKOFF_BASE * 2 ** Math.max(0, fruitlessAttempts - 1);
+  const spread = jitter(random, Math.min(BACKOFF_LIMIT, doubled), BACKOFF_JITTER);
+  return retryAfter === null ? spread : retryAfter + spread;
+}
--- /dev/null
+++ b/packages/requests/src/RequestProgress.ts
@@ -0,0 +1,98 @@
+/**
+ * What the running streams tell of their engines. A silent or slow stream does not say which stage is to
+ * blame; the other streams through the same engines do, since those that go on clear their engines.
+ */
+import type { Chain } from '@skylarksail/core/CoreChain';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+
+interface EngineProgress {
+  lastAt: Millis;
+  /** Least gap in the present and in the last window. */
+  best: Millis;
+  lastBest: Millis;
+  windowStart: Millis;
+}
+
+/** Progress of engines as seen from this instance. */
+export interface ProgressTracker {
+  /** A token came over the chain, `gap` after the one before it. */
+  noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
+  /** Engines of a chain through which nothing has come since `since`; all of them if each is cleared. */
+  findSilent(chain: Chain, since: Millis): readonly EngineId[];
+  /** The engine of a chain whose best stream is slowest. */
+  findSlowest(chain: Chain, now: Millis): EngineId | null;
+  /** Median over the engines of their best gap lately; null while fewer than three are known. */
+  getUsualGap(now: Millis): Millis | null;
+}
+
+const WINDOW: Millis = 500;
+const FORGET_AFTER: Millis = 10_000;
+const LEAST_ENGINES = 3;
+
+/** Creates a tracker that knows nothing. */
+export function createProgressTracker(): ProgressTracker {
+  const engines = new Map<EngineId, EngineProgress>();
+
+  function getBest(progress: EngineProgress, now: Millis): Millis {
+    return now - progress.windowStart > 2 * WINDOW
+      ? progress.best
+      : Math.min(progress.best, progress.lastBest);
+  }
+
+  return {
+    noteToken(chain, gap, now) {
+      for (const { engine } of chain.stages) {
+        const known = engines.get(engine);
+        const progress = known ?? {
+          lastAt: now,
+          best: Infinity,
+          lastBest: Infinity,
+          windowStart: now,
+        };
+        if (!known) {
+          engines.set(engine, progress);
+        }
+        if (now - progress.windowStart >= WINDOW) {
+          progress.lastBest = progress.best;
+          progress.best = Infinity;
+          progress.windowStart = now;
+        }
+        progress.lastAt = now;
+        progress.best = Math.min(progress.best, gap ?? Infinity);
+      }
+    },
+    findSilent(chain, since) {
+      const all = chain.stages.map((stage) => stage.engine);
+      const silent = all.filter((engine) => (engines.get(engine)?.lastAt ?? -Infinity) <= since);
+      return silent.length > 0 ? silent : all;
+    },
+    findSlowest(chain, now) {
+      let slowest: EngineId | null = null;
+      let worst = -Infinity;
+      for (const { engine } of chain.stages) {
+        const progress = engines.get(engine);
+        const best = progress ? getBest(progress, now) : -Infinity;
+        if (Number.isFinite(best) && best > worst) {
+          slowest = engine;
+          worst = best;
+        }
+      }
+      return slowest;
+    },
+    getUsualGap(now) {
+      const gaps: Millis[] = [];
+      for (const [engine, progress] of engines) {
+        if (now - progress.lastAt > FORGET_AFTER) {
+          engines.delete(engine);
+        } else {
+          const best = getBest(progress, now);
+          if (Number.isFinite(best)) {
+            gaps.push(best);
+          }
+        }
+      }
+      gaps.sort((a, b) => a - b);
+      return gaps.length < LEAST_ENGINES ? null : (gaps[Math.floor(gaps.length / 2)] ?? null);
+    },
+  };
+}
--- /dev/null
+++ b/packages/requests/src/RequestRouter.ts
@@ -0,0 +1,181 @@
+/**
+ * Owns all running requests of an instance. The daemon turns calls from outside into `submit` and
+ * `submitService`, hears the answers through sinks, and lends the ports; nothing else is shared.
+ */
+import { invariant } from '@skylarksail/core/CoreErrors';
+import type { Millis, ServiceId } from '@skylarksail/core/CoreTypes';
+import { startModelRun } from './ModelRunner.js';
+import type { Admission } from './RequestAdmission.js';
+import { createAdmission } from './RequestAdmission.js';
+import { createRetryBudget } from './RequestBudget.js';
+import type { PoisonDigest } from './RequestPoison.js';
+import {
+  createCrashId,
+  createPoisonDigest,
+  createPoisonState,
+  isNewDigest,
+  mergePoisonDigest,
+  noteAlive,
+} from './RequestPoison.js';
+import { createProgressTracker } from './RequestProgress.js';
+import { createRecoveryQueue } from './RequestRecovery.js';
+import type { RequestHandle, RequestSink, RequestSpec } from './RequestTypes.js';
+import { createWorkQueue } from './RouterEvents.js';
+import { createRouterMeters } from './RouterMeters.js';
+import type { RouterShared } from './RouterShared.js';
+import type { RouterCounts, RouterDeps } from './RouterTypes.js';
+import { stopCondemned } from './RunSuspicion.js';
+import { startServiceRun } from './ServiceRunner.js';
+import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
+
+/** The router as the daemon sees it. */
+export interface RequestRouter {
+  /** Runs a model request. Its id must be new. */
+  submit(spec: RequestSpec, sink: RequestSink): RequestHandle;
+  /** Runs a call to a plain service. Its id must be new. */
+  submitService(spec: ServiceSpec, sink: ServiceSink): RequestHandle;
+  /**
+   * Refuses what is new from now on and resolves once all that was taken has ended. What still runs
+   * after `limit` is told the truth and ended.
+   */
+  drain(limit: Millis): Promise<void>;
+  /** What is known of requests that crash engines, for the other instances. */
+  getPoisonDigest(): PoisonDigest;
+  /** Takes in another instance's digest; says whether it held news, which should travel on. */
+  mergePoison(digest: PoisonDigest): boolean;
+  /** An engine was seen alive with this boot id: it had not crashed. */
+  noteEngineAlive(engine: string, bootId: string): void;
+  getCounts(): RouterCounts;
+  /** Stops the router's own timers. */
+  stop(): void;
+}
+
+const SWEEP_PERIOD: Millis = 100;
+const LEAST_RECOVERIES = 4;
+
+/** Creates a router on its ports. */
+export function createRequestRouter(deps: RouterDeps): RequestRouter {
+  const { cfg, timers } = deps;
+  const admissionCfg = {
+    limits: cfg.limits,
+    queueBound: cfg.queueBound,
+    getTeamLimits: deps.getTeamLimits,
+  };
+  const services = new Map<ServiceId, Admission>();
+  const serviceRuns = new Map<string, RequestHandle>();
+  const drained: (() => void)[] = [];
+  let poison = createPoisonState(cfg.poisonCrashes);
+  let budget = createRetryBudget(cfg.retryShare, cfg.retryBurst);
+  let isDraining = false;
+
+  const shared: RouterShared = {
+    deps,
+    admission: createAdmission(
+      { ...admissionCfg, getKvCapacity: deps.getKvCapacity },
+      timers.now(),
+    ),
+    recovery: createRecoveryQueue(),
+    progress: createProgressTracker(),
+    meters: createRouterMeters(),
+    runs: new Map(),
+    post: createWorkQueue(),
+    getPoison: () => poison,
+    setPoison: (state) => {
+      poison = state;
+    },
+    getBudget: () => budget,
+    setBudget: (next) => {
+      budget = next;
+    },
+    isDraining: () => isDraining,
+    pumpRecoveries,
+  };
+
+  function pumpRecoveries(): void {
+    const bound = Math.max(
+      LEAST_RECOVERIES,
+      Math.ceil(shared.admission.getLimit() * cfg.recoveryShare),
+    );
+    shared.recovery.startNext(bound, (id) => shared.runs.get(id)?.startRecovery());
+  }
+
+  function getServiceAdmission(service: ServiceId): Admission {
+    const known = services.get(service);
+    if (known) {
+      return known;
+    }
+    const created = createAdmission({ ...admissionCfg, getKvCapacity: () => null }, timers.now());
+    services.set(service, created);
+    return created;
+  }
+
+  function sweep(): void {
+    const now = timers.now();
+    shared.admission.sweep(now);
+    services.forEach((admission) => admission.sweep(now));
+    const usualGap = shared.progress.getUsualGap(now);
+    if (usualGap !== null) {
+      [...shared.runs.values()].forEach((run) => run.checkSlow(usualGap));
+    }
+    resolveDrained();
+  }
+
+  function resolveDrained(): void {
+    if (isDraining && shared.runs.size === 0 && serviceRuns.size === 0) {
+      drained.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
+  const undoSweep = timers.registerInterval(SWEEP_PERIOD, () => shared.post(sweep));
+
+  return {
+    submit(spec, sink) {
+      invariant(!shared.runs.has(spec.id), `request ${spec.id} is submitted once`);
+      return startModelRun(shared, spec, sink);
+    },
+    submitService(spec, sink) {
+      invariant(!serviceRuns.has(spec.id), `request ${spec.id} is submitted once`);
+      const admission = getServiceAdmission(spec.service);
+      let isGone = false;
+      const handle = startServiceRun(shared, admission, spec, sink, () => {
+        isGone = true;
+        serviceRuns.delete(spec.id);
+      });
+      if (!isGone) {
+        serviceRuns.set(spec.id, handle);
+      }
+      return handle;
+    },
+    drain(limit) {
+      isDraining = true;
+      timers.registerTimeout(limit, () => {
+        [...shared.runs.values()].forEach((run) => run.reachDrainLimit());
+        [...serviceRuns.values()].forEach((handle) => handle.cancel());
+      });
+      return new Promise((resolve) => {
+        drained.push(resolve);
+        resolveDrained();
+      });
+    },
+    getPoisonDigest: () => createPoisonDigest(poison, timers.now()),
+    mergePoison(digest) {
+      const isNews = isNewDigest(poison, digest);
+      poison = mergePoisonDigest(poison, digest, timers.now());
+      if (isNews) {
+        stopCondemned(shared);
+      }
+      return isNews;
+    },
+    noteEngineAlive(engine, bootId) {
+      poison = noteAlive(poison, createCrashId(engine, bootId));
+    },
+    getCounts: () => ({
+      waiting: shared.admission.countWaiting(),
+      running: shared.admission.countRunning(),
+      recovering: shared.recovery.countRunning(),
+      recoveriesWaiting: shared.recovery.countWaiting(),
+      limit: shared.admission.getLimit(),
+    }),
+    stop: undoSweep,
+  };
+}
--- /dev/null
+++ b/packages/requests/src/RouterMeters.ts
@@ -0,0 +1,107 @@
+/** What this instance has measured of each model: times to first token and between tokens, lengths. */
+import type { Millis, ModelId } from '@skylarksail/core/CoreTypes';
+import type { SilenceLimits } from './RequestMessages.js';
+import type { Pace } from './RequestPace.js';
+import {
+  ACKNOWLEDGEMENT_BOUNDS,
+  addSample,
+  computeSilenceLimit,
+  createPace,
+  FIRST_TOKEN_BOUNDS,
+} from './RequestPace.js';
+
+interface ModelMeters {
+  readonly acknowledgement: Pace;
+  /** Time to the first token for each unit of prefill work. */
+  readonly firstPerUnit: Pace;
+  readonly gap: Pace;
+  /** Share of the tokens allowed that answers come to. */
+  readonly lengthShare: number;
+}
+
+/** Measurements by model. */
+export interface RouterMeters {
+  noteAcknowledgement(model: ModelId, time: Millis): void;
+  noteFirstToken(model: ModelId, contextTokens: number, time: Millis): void;
+  noteGap(model: ModelId, gap: Millis): void;
+  noteLength(model: ModelId, tokens: number, maxTokens: number): void;
+  getSilenceLimits(model: ModelId, contextTokens: number): SilenceLimits;
+  /** Time that a request takes once it runs; 0 until one was measured. */
+  estimateDuration(model: ModelId, contextTokens: number, maxTokens: number): Millis;
+  /** Time to the first token of an attempt that reads `contextTokens`. */
+  estimateFirstToken(model: ModelId, contextTokens: number): Millis;
+  /** Tokens that an answer will come to. */
+  estimateLength(model: ModelId, maxTokens: number): number;
+}
+
+/** Work of a prefill that does not grow with the prompt, in tokens. */
+const PREFILL_BASE = 256;
+const GUESS: ModelMeters = {
+  acknowledgement: createPace(100),
+  firstPerUnit: createPace(1),
+  gap: createPace(40),
+  lengthShare: 1,
+};
+const LENGTH_WEIGHT = 0.05;
+
+/** Creates meters that have measured nothing. */
+export function createRouterMeters(): RouterMeters {
+  const models = new Map<ModelId, ModelMeters>();
+
+  function getMeters(model: ModelId): ModelMeters {
+    return models.get(model) ?? GUESS;
+  }
+
+  function change(model: ModelId, part: Partial<ModelMeters>): void {
+    models.set(model, { ...getMeters(model), ...part });
+  }
+
+  function estimateFirstToken(model: ModelId, contextTokens: number): Millis {
+    return getMeters(model).firstPerUnit.mean * (PREFILL_BASE + contextTokens);
+  }
+
+  function estimateLength(model: ModelId, maxTokens: number): number {
+    return getMeters(model).lengthShare * maxTokens;
+  }
+
+  return {
+    noteAcknowledgement(model, time) {
+      change(model, { acknowledgement: addSample(getMeters(model).acknowledgement, time) });
+    },
+    noteFirstToken(model, contextTokens, time) {
+      const perUnit = time / (PREFILL_BASE + contextTokens);
+      change(model, { firstPerUnit: addSample(getMeters(model).firstPerUnit, perUnit) });
+    },
+    noteGap(model, gap) {
+      change(model, { gap: addSample(getMeters(model).gap, gap) });
+    },
+    noteLength(model, tokens, maxTokens) {
+      const { lengthShare } = getMeters(model);
+      const seen = tokens / Math.max(1, maxTokens);
+      change(model, { lengthShare: lengthShare + LENGTH_WEIGHT * (seen - lengthShare) });
+    },
+    getSilenceLimits(model, contextTokens) {
+      const { acknowledgement, firstPerUnit, gap } = getMeters(model);
+      const units = PREFILL_BASE + contextTokens;
+      const first: Pace = {
+        mean: firstPerUnit.mean * units,
+        deviation: firstPerUnit.deviation * units,
+        samples: firstPerUnit.samples,
+      };
+      return {
+        acknowledgement: computeSilenceLimit(acknowledgement, ACKNOWLEDGEMENT_BOUNDS),
+        firstToken: computeSilenceLimit(first, FIRST_TOKEN_BOUNDS),
+        gap: gap.mean,
+      };
+    },
+    estimateDuration(model, contextTokens, maxTokens) {
+      const { firstPerUnit, gap } = getMeters(model);
+      if (firstPerUnit.samples === 0 || gap.samples === 0) {
+        return 0;
+      }
+      return estimateFirstToken(model, contextTokens) + gap.mean * estimateLength(model, maxTokens);
+    },
+    estimateFirstToken,
+    estimateLength,
+  };
+}
--- /dev/null
+++ b/packages/requests/src/RouterShared.ts
@@ -0,0 +1,81 @@
+/** What the running requests of one router share. */
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { Admission } from './RequestAdmission.js';
+import type { RetryBudget } from './RequestBudget.js';
+import { noteFirstTry, takeRetry } from './RequestBudget.js';
+import type { Fingerprint, PoisonState, PoisonVerdictName } from './RequestPoison.js';
+import { judgeRequest } from './RequestPoison.js';
+import type { ProgressTracker } from './RequestProgress.js';
+import type { RecoveryQueue } from './RequestRecovery.js';
+import type { PostWork } from './RouterEvents.js';
+import type { RouterMeters } from './RouterMeters.js';
+import type { DecisionRecord, RouterDeps, RouterMetricName } from './RouterTypes.js';
+
+/** A running request as the others see it. */
+export interface ModelRun {
+  readonly fingerprint: Fingerprint;
+  /** Engines that it runs on now. */
+  getEngines(): readonly EngineId[];
+  /** A slot for its recovery is free. */
+  startRecovery(): void;
+  /** Moves it if its stream is slow and moving pays. */
+  checkSlow(usualGap: Millis): void;
+  condemn(): void;
+  reachDrainLimit(): void;
+}
+
+/** State and services shared by all requests of a router. */
+export interface RouterShared {
+  readonly deps: RouterDeps;
+  readonly admission: Admission;
+  readonly recovery: RecoveryQueue;
+  readonly progress: ProgressTracker;
+  readonly meters: RouterMeters;
+  readonly runs: Map<string, ModelRun>;
+  readonly post: PostWork;
+  readonly getPoison: () => PoisonState;
+  readonly setPoison: (state: PoisonState) => void;
+  readonly getBudget: () => RetryBudget;
+  readonly setBudget: (budget: RetryBudget) => void;
+  readonly isDraining: () => boolean;
+  /** Starts recoveries while there are slots. */
+  readonly pumpRecoveries: () => void;
+}
+
+/** Counts one, or records a time. */
+export function countMetric(shared: RouterShared, name: RouterMetricName, value = 1): void {
+  shared.deps.onCount({ name, value });
+}
+
+/** Writes a decision to the log. */
+export function logDecision(shared: RouterShared, record: Omit<DecisionRecord, 'at'>): void {
+  shared.deps.onDecision({ at: shared.deps.timers.now(), ...record });
+}
+
+/** Takes a retry out of the budget, if it has one left. */
+export function takeFromBudget(shared: RouterShared): boolean {
+  const left = takeRetry(shared.getBudget());
+  countMetric(shared, left ? 'retries' : 'retriesDenied');
+  if (left) {
+    shared.setBudget(left);
+  }
+  return left !== null;
+}
+
+/** Lets a first try add its share to the budget. */
+export function feedBudget(shared: RouterShared): void {
+  shared.setBudget(noteFirstTry(shared.getBudget()));
+}
+
+/** How a request stands now. */
+export function judgeRun(shared: RouterShared, fingerprint: Fingerprint): PoisonVerdictName {
+  return judgeRequest(shared.getPoison(), fingerprint, shared.deps.timers.now());
+}
+
+/** The other running requests with a fingerprint out of `wanted`. */
+export function listRunsOf(
+  shared: RouterShared,
+  wanted: ReadonlySet<Fingerprint>,
+): readonly ModelRun[] {
+  return [...shared.runs.values()].filter((run) => wanted.has(run.fingerprint));
+}
--- /dev/null
+++ b/packages/requests/src/RouterTypes.ts
@@ -0,0 +1,121 @@
+/** What the router of requests is given, and what it reports. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, Millis, RequestId, ServiceId, TeamId } from '@skylarksail/core/CoreTypes';
+import type { TeamLimits } from './RequestAdmission.js';
+import type { LimitConfig } from './RequestLimits.js';
+import { DEFAULT_LIMIT_CONFIG } from './RequestLimits.js';
+import type { ClaimPort, OpenEngineCall, OpenServiceCall } from './RequestPorts.js';
+import type { AttemptOutcome, ChooseChain, ChooseRepair } from './RequestTypes.js';
+
+/** Settings of the router. */
+export interface RouterConfig {
+  readonly limits: LimitConfig;
+  /** Requests of all teams that may wait at this instance. */
+  readonly queueBound: number;
+  /** Retries as a share of first tries. */
+  readonly retryShare: number;
+  /** Retries that may come at once. */
+  readonly retryBurst: number;
+  /** Share of the concurrency limit that recoveries may take at once. */
+  readonly recoveryShare: number;
+  /** Crashes after which a request is refused. */
+  readonly poisonCrashes: number;
+}
+
+export const DEFAULT_ROUTER_CONFIG: RouterConfig = {
+  limits: DEFAULT_LIMIT_CONFIG,
+  queueBound: 4096,
+  retryShare: 0.1,
+  retryBurst: 20,
+  recoveryShare: 0.25,
+  poisonCrashes: 2,
+};
+
+/** What was decided. */
+export type DecisionName =
+  | 'admit'
+  | 'refuse'
+  | 'chain'
+  | 'repair'
+  | 'no-chain'
+  | 'attempt-failed'
+  | 'recover'
+  | 'retry'
+  | 'server'
+  | 'complete'
+  | 'fail';
+
+/** A decision, for the log: one line each. */
+export interface DecisionRecord {
+  readonly at: Millis;
+  readonly request: RequestId;
+  readonly team: TeamId;
+  readonly decision: DecisionName;
+  readonly attempt: number;
+  /** The chain or the backend server, where one was chosen. */
+  readonly chain: string | null;
+  readonly reason: string | null;
+}
+
+/** Names of what is counted or measured. Those that end in `Ms` are times, the others add up. */
+export type RouterMetricName =
+  | 'lateFrames'
+  | 'repeatedFrames'
+  | 'admitted'
+  | 'refused'
+  | 'completed'
+  | 'failed'
+  | 'retries'
+  | 'retriesDenied'
+  | 'recoveries'
+  | 'poisonRefused'
+  | 'firstTokenMs'
+  | 'gapMs'
+  | 'detectionMs'
+  | 'replacementMs'
+  | 'recoveryFirstTokenMs'
+  | 'pauseMs';
+
+export interface RouterMetric {
+  readonly name: RouterMetricName;
+  readonly value: number;
+}
+
+/** A backend server of a plain service, to be told how the call ended. */
+export interface ServerChoice {
+  readonly server: EngineId;
+  readonly release: (outcome: AttemptOutcome) => void;
+}
+
+/** Chooses a backend server of a plain service, or null if none can take the call. */
+export type ChooseServer = (service: ServiceId, avoid: readonly EngineId[]) => ServerChoice | null;
+
+/** What the router stands on. */
+export interface RouterDeps {
+  readonly cfg: RouterConfig;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly chooseChain: ChooseChain;
+  readonly chooseRepair: ChooseRepair;
+  readonly openEngineCall: OpenEngineCall;
+  readonly chooseServer: ChooseServer;
+  readonly openServiceCall: OpenServiceCall;
+  readonly claims: ClaimPort;
+  readonly getTeamLimits: (team: TeamId) => TeamLimits;
+  /** KV-cache memory that this instance may count on, in tokens; null if not known. */
+  readonly getKvCapacity: () => number | null;
+  /** Boot id of an engine as last reported, or null. */
+  readonly getBootId: (engine: EngineId) => string | null;
+  readonly onDecision: (record: DecisionRecord) => void;
+  readonly onCount: (metric: RouterMetric) => void;
+}
+
+/** Numbers for the status page. */
+export interface RouterCounts {
+  readonly waiting: number;
+  readonly running: number;
+  readonly recovering: number;
+  readonly recoveriesWaiting: number;
+  readonly limit: number;
+}
--- /dev/null
+++ b/packages/requests/src/ServiceRunner.ts
@@ -0,0 +1,267 @@
+/**
+ * Runs one call to a plain service under the same limits, retries and claims as model requests. An
+ * answer with a status is an answer, whatever the status; only an idempotent call is sent again for one
+ * that says that the server is unavailable.
+ */
+import { RunState } from '@skylarksail/core/CoreConstants';
+import type { RunStateName } from '@skylarksail/core/CoreConstants';
+import { hash64Hex } from '@skylarksail/core/CoreHash';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { ClaimHold } from './ClaimRunner.js';
+import { claimKey } from './ClaimRunner.js';
+import type { Admission, AdmissionAsk } from './RequestAdmission.js';
+import { decodeServiceAnswer, encodeServiceAnswer } from './RequestAnswers.js';
+import {
+  classifyFailure,
+  combineRunStates,
+  computeBackoff,
+  decideNextStep,
+  describeCause,
+  getRunState,
+  NextStep,
+} from './RequestFailures.js';
+import type { AttemptFailure, ServiceAnswer } from './RequestPorts.js';
+import { FailurePlace } from './RequestPorts.js';
+import type { AttemptOutcome, ProblemKindName, RequestHandle } from './RequestTypes.js';
+import { ProblemKind } from './RequestTypes.js';
+import type { RouterShared } from './RouterShared.js';
+import { countMetric, feedBudget, logDecision, takeFromBudget } from './RouterShared.js';
+import type { DecisionName, ServerChoice } from './RouterTypes.js';
+import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
+
+const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+const NO_SERVER_RETRY: Millis = 1000;
+
+/** Starts a call; its sink hears how it ends. */
+export function startServiceRun(
+  shared: RouterShared,
+  admission: Admission,
+  spec: ServiceSpec,
+  sink: ServiceSink,
+  onGone: () => void,
+): RequestHandle {
+  const { deps } = shared;
+  const { timers } = deps;
+  const submittedAt = timers.now();
+  const undoDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
+    shared.post(() => fail(ProblemKind.Deadline, null)),
+  );
+  let listener: ServiceSink | null = sink;
+  let isEnded = false;
+  let isOpen = false;
+  let attempt = 0;
+  let fruitless = 0;
+  let run: RunStateName = RunState.NotRun;
+  let avoid: readonly EngineId[] = [];
+  let cancelCall: Unregister | null = null;
+  let choice: ServerChoice | null = null;
+  let claim: ClaimHold | null = null;
+
+  function log(decision: DecisionName, chain: string | null, reason: string | null): void {
+    const { id: request, team } = spec;
+    logDecision(shared, { request, team, decision, attempt, chain, reason });
+  }
+
+  function dispatch(): void {
+    if (isEnded) {
+      return;
+    }
+    const chosen = deps.chooseServer(spec.service, avoid) ?? deps.chooseServer(spec.service, []);
+    if (chosen === null) {
+      fail(ProblemKind.NoChain, NO_SERVER_RETRY);
+      return;
+    }
+    const { server } = chosen;
+    choice = chosen;
+    attempt += 1;
+    isOpen = true;
+    log('server', server, null);
+    const current = attempt;
+    const openedAt = timers.now();
+    const { id: request, service, method, path, headers, body } = spec;
+    const timeLeft = spec.deadline - openedAt;
+    cancelCall = deps.openServiceCall(
+      { request, attempt, service, server, method, path, headers, body, timeLeft },
+      {
+        onAnswer: (answer) =>
+          shared.post(() => takeIfCurrent(current, () => takeAnswer(answer, server, openedAt))),
+        onFailure: (failure) =>
+          shared.post(() => takeIfCurrent(current, () => takeFailure(failure, server))),
+      },
+    );
+  }
+
+  function takeIfCurrent(of: number, take: () => void): void {
+    if (isEnded || !isOpen || of !== attempt) {
+      countMetric(shared, 'lateFrames');
+      return;
+    }
+    isOpen = false;
+    cancelCall = null;
+    take();
+  }
+
+  function takeAnswer(answer: ServiceAnswer, server: EngineId, openedAt: Millis): void {
+    const firstToken = timers.now() - openedAt;
+    admission.noteFirstToken(firstToken);
+    const isUnavailable = UNAVAILABLE_STATUSES.has(answer.status);
+    run = RunState.Ran;
+    release(
+      isUnavailable
+        ? { kind: 'failed', engine: server, cause: 'refused' }
+        : { kind: 'answered', firstToken, meanGap: null },
+    );
+    if (isUnavailable && spec.idempotent && retry(server, readRetryAfter(answer))) {
+      return;
+    }
+    finish(answer);
+  }
+
+  function takeFailure(failure: AttemptFailure, server: EngineId): void {
+    const evidence = { acknowledged: false, tokens: 0, ended: false };
+    const failureClass = classifyFailure(failure, evidence);
+    run = combineRunStates(run, getRunState(failureClass));
+    log('attempt-failed', server, `${failure.place} ${failureClass}`);
+    release({ kind: 'failed', engine: server, cause: describeCause(failure.place) });
+    if (failure.place === FailurePlace.Refused) {
+      admission.noteRefusal();
+    }
+    const next = decideNextStep(failure, failureClass, spec.idempotent, fruitless + 1);
+    if (next === NextStep.Stop || !retry(server, failure.retryAfter)) {
+      fail(ProblemKind.EngineFailed, failure.retryAfter);
+    }
+  }
+
+  /** Plans another try if the deadline and the budget allow it. */
+  function retry(server: EngineId, retryAfter: Millis | null): boolean {
+    fruitless += 1;
+    const delay = computeBackoff(deps.random, fruitless, retryAfter);
+    if (timers.now() + delay >= spec.deadline || !takeFromBudget(shared)) {
+      return false;
+    }
+    avoid = [...avoid, server];
+    log('retry', null, null);
+    timers.registerTimeout(delay, () => shared.post(dispatch));
+    return true;
+  }
+
+  function release(outcome: AttemptOutcome): void {
+    choice?.release(outcome);
+    choice = null;
+  }
+
+  function finish(answer: ServiceAnswer): void {
+    claim?.settle({ run: RunState.Ran, answer: encodeServiceAnswer(answer) });
+    countMetric(shared, 'completed');
+    log('complete', null, `${answer.status}`);
+    const ended = listener;
+    leave();
+    ended?.onAnswer(answer);
+  }
+
+  function getRun(): RunStateName {
+    return isOpen ? combineRunStates(run, RunState.Unknown) : run;
+  }
+
+  function fail(kind: ProblemKindName, retryAfter: Millis | null): void {
+    failWith({ kind, run: getRun(), retryAfter, instance: null });
+  }
+
+  function failWith(problem: Parameters<ServiceSink['onError']>[0]): void {
+    if (isEnded) {
+      return;
+    }
+    claim?.end(getRun());
+    countMetric(shared, problem.run === RunState.NotRun ? 'refused' : 'failed');
+    log(
+      problem.run === RunState.NotRun ? 'refuse' : 'fail',
+      null,
+      `${problem.kind} ${problem.run}`,
+    );
+    const ended = listener;
+    leave();
+    ended?.onError(problem);
+  }
+
+  function leave(): void {
+    isEnded = true;
+    listener = null;
+    undoDeadline();
+    cancelCall?.();
+    release({ kind: 'cancelled' });
+    admission.leave(spec.id, timers.now());
+    onGone();
+  }
+
+  function getAsk(): AdmissionAsk {
+    const { id, team, priority, deadline } = spec;
+    return { id, team, priority, cost: 1, kvTokens: 0, deadline, duration: 0 };
+  }
+
+  function enqueue(): void {
+    admission.enqueue(
+      getAsk(),
+      {
+        onAdmitted: () => {
+          countMetric(shared, 'admitted');
+          feedBudget(shared);
+          shared.post(dispatch);
+        },
+        onRefused: (retryAfter) => shared.post(() => fail(ProblemKind.Overloaded, retryAfter)),
+      },
+      timers.now(),
+    );
+  }
+
+  function begin(): void {
+    const retryAfter = admission.check(getAsk(), submittedAt);
+    if (spec.deadline <= submittedAt) {
+      fail(ProblemKind.Deadline, null);
+    } else if (shared.isDraining()) {
+      fail(ProblemKind.Draining, 0);
+    } else if (retryAfter !== null) {
+      fail(ProblemKind.Overloaded, retryAfter);
+    } else if (spec.idempotent || spec.idempotencyKey === null) {
+      enqueue();
+    } else {
+      const content = Buffer.from(spec.body).toString('base64');
+      const fingerprint = hash64Hex(`${spec.service} ${spec.method} ${spec.path} ${content}`);
+      claim = claimKey(
+        shared,
+        { ...spec, key: spec.idempotencyKey, fingerprint },
+        {
+          onGranted: enqueue,
+          onHeld: (answer) => finish(decodeServiceAnswer(answer)),
+          onRefused: failWith,
+        },
+      );
+    }
+  }
+
+  function cancel(): void {
+    shared.post(() => {
+      if (claim !== null && isOpen) {
+        // Keyed work that runs goes on, so that a resend finds its answer.
+        const left = listener;
+        listener = null;
+        left?.onError({
+          kind: ProblemKind.HungUp,
+          run: RunState.Unknown,
+          retryAfter: null,
+          instance: null,
+        });
+      } else {
+        fail(ProblemKind.HungUp, null);
+      }
+    });
+  }
+
+  shared.post(begin);
+  return { cancel };
+}
+
+/** Reads a wait in seconds; a date is left to the backoff, since no clock of others is trusted. */
+function readRetryAfter(answer: ServiceAnswer): Millis | null {
+  const seconds = Number(answer.headers['retry-after']);
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : null;
+}
