--- /dev/null
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -0,0 +1,126 @@
+/** The callers' port joined to the manifest in force and the router of requests. */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import { hash64Hex } from '@skylarksail/core/CoreHash';
+import type { ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import { isIdempotentCall } from '@skylarksail/requests/ServiceTypes';
+import type { CallerGateway } from './DaemonGateway.js';
+import type { DaemonManifest, ManifestInForce } from './DaemonManifest.js';
+import { findTeam } from './DaemonManifest.js';
+import { ProblemKind, createNotRunError } from './DaemonProblems.js';
+
+const NOT_READY_RETRY_MS = 1000;
+const MILLIS_PER_SECOND = 1000;
+const PREFIX_STEP_CHARACTERS = 1024;
+const MAX_PREFIX_KEYS = 8;
+
+export interface CallerGatewayOptions {
+  readonly timers: TimerService;
+  readonly wallNow: () => number;
+  readonly manifest: DaemonManifest;
+  readonly router: RequestRouter;
+  /** Whether new requests are still taken. */
+  readonly isAccepting: () => boolean;
+}
+
+export function createCallerGateway(options: CallerGatewayOptions): CallerGateway {
+  const { timers, manifest, router } = options;
+
+  function getInForce(): ManifestInForce {
+    const inForce = manifest.getInForce();
+    if (!inForce) {
+      throw createNotRunError(ProblemKind.NoCapacity, 'no manifest yet', NOT_READY_RETRY_MS);
+    }
+    return inForce;
+  }
+
+  function checkAccepting(): void {
+    if (!options.isAccepting()) {
+      throw createNotRunError(ProblemKind.Stopping, undefined, NOT_READY_RETRY_MS);
+    }
+  }
+
+  /** A team learns nothing of what it may not use, not even that it exists. */
+  function findModel(team: ManifestTeam, id: string, adapter: string | null) {
+    const model = getInForce().manifest.models.find((known) => known.id === id);
+    const isAllowed = model !== undefined && team.models.includes(id);
+    if (!isAllowed || (adapter !== null && !model.adapters.includes(adapter))) {
+      throw createNotRunError(ProblemKind.NotFound, 'no such model');
+    }
+    return model;
+  }
+
+  return {
+    timers,
+    authenticate(key) {
+      const team = findTeam(getInForce(), key);
+      if (!team) {
+        throw createNotRunError(ProblemKind.Unauthorized);
+      }
+      return team;
+    },
+    getLimits: () => getInForce().manifest.limits,
+    getService(team, id) {
+      const service = getInForce().manifest.services.find((known) => known.id === id);
+      if (!service || !team.services.includes(id)) {
+        throw createNotRunError(ProblemKind.NotFound, 'no such service');
+      }
+      return service;
+    },
+    listModels: (team) =>
+      getInForce()
+        .manifest.models.filter(({ id }) => team.models.includes(id))
+        .map(({ id, adapters }) => ({ id, adapters })),
+    submitCompletion(id, team, ask, wishes, sink) {
+      checkAccepting();
+      const model = findModel(team, ask.model, ask.adapter);
+      const { prompt } = ask;
+      return router.submit(
+        {
+          id,
+          team: team.id,
+          model: model.id,
+          variant: { model: model.id, version: model.serve, adapter: ask.adapter },
+          layerCount: model.layers,
+          prompt,
+          maxTokens: Math.min(ask.maxTokens, model.maxContextTokens),
+          priority: wishes.priority,
+          deadline: timers.now() + wishes.timeLeft,
+          idempotencyKey: wishes.idempotencyKey,
+          idempotent: wishes.idempotencyKey === null,
+          prefixKeys: createPrefixKeys(prompt),
+        },
+        sink,
+      );
+    },
+    submitService(id, team, ask, wishes, sink) {
+      checkAccepting();
+      const { service, method, path, headers, body } = ask;
+      return router.submitService(
+        {
+          id,
+          team: team.id,
+          service: service.id,
+          method,
+          path,
+          headers,
+          body,
+          priority: wishes.priority,
+          deadline: timers.now() + Math.min(wishes.timeLeft, service.timeoutMs),
+          idempotencyKey: wishes.idempotencyKey,
+          idempotent: isIdempotentCall(method, path, service.routes),
+        },
+        sink,
+      );
+    },
+    wallSeconds: () => Math.floor(options.wallNow() / MILLIS_PER_SECOND),
+  };
+}
+
+/** Hashes of a prompt's beginnings, shortest first, by which prefix caches are compared. */
+function createPrefixKeys(prompt: string): readonly string[] {
+  const count = Math.min(MAX_PREFIX_KEYS, Math.floor(prompt.length / PREFIX_STEP_CHARACTERS));
+  return Array.from({ length: count }, (_, i) =>
+    hash64Hex(prompt.slice(0, (i + 1) * PREFIX_STEP_CHARACTERS)),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -0,0 +1,83 @@
+/** Starts a Nest application on Fastify with the bounds that keep bad callers from doing harm. */
+import { randomUUID } from 'node:crypto';
+import { NestFactory } from '@nestjs/core';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import { Catch } from '@nestjs/common';
+import type { ArgumentsHost, DynamicModule, ExceptionFilter } from '@nestjs/common';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import { describeThrown, sendProblem } from './DaemonReplies.js';
+
+const MAX_HEADER_COUNT = 100;
+const KEEP_ALIVE: Millis = 72_000;
+
+export interface HttpServerOptions {
+  readonly module: DynamicModule;
+  readonly listen: HostPort;
+  readonly bodyBytes: number;
+  readonly receiveTimeout: Millis;
+  /** Paths whose bodies are handed on as bytes. */
+  readonly rawBodyPrefix: string | null;
+}
+
+export interface HttpServer {
+  /** Takes no new connection, and closes each open one after the answer that it waits for. */
+  stopAccepting(): void;
+  close(): Promise<void>;
+}
+
+/** Whatever is thrown outside the controllers, such as a body that is no JSON, becomes a problem. */
+@Catch()
+class ProblemFilter implements ExceptionFilter {
+  catch(err: unknown, host: ArgumentsHost): void {
+    const http = host.switchToHttp();
+    const { id } = http.getRequest<FastifyRequest>();
+    sendProblem(http.getResponse<FastifyReply>(), describeThrown(err), id);
+  }
+}
+
+export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+  const adapter = new FastifyAdapter({
+    bodyLimit: options.bodyBytes,
+    requestTimeout: options.receiveTimeout,
+    keepAliveTimeout: KEEP_ALIVE,
+    forceCloseConnections: 'idle',
+    genReqId: () => randomUUID(),
+    logger: false,
+  });
+  const fastify: FastifyInstance = adapter.getInstance();
+  fastify.server.maxHeadersCount = MAX_HEADER_COUNT;
+  registerBodyParsers(fastify, options.rawBodyPrefix);
+  const app = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
+    logger: false,
+    bodyParser: false,
+    abortOnError: false,
+  });
+  app.useGlobalFilters(new ProblemFilter());
+  await app.init();
+  await app.listen(options.listen.port, options.listen.host);
+  return {
+    stopAccepting: () => {
+      fastify.server.close();
+      fastify.server.closeIdleConnections();
+    },
+    close: () => app.close(),
+  };
+}
+
+/** Bodies for plain services stay bytes; the rest is JSON, and anything else is refused. */
+function registerBodyParsers(fastify: FastifyInstance, rawBodyPrefix: string | null): void {
+  fastify.removeAllContentTypeParsers();
+  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (req, body, done) => {
+    if (rawBodyPrefix !== null && req.url.startsWith(rawBodyPrefix)) {
+      done(null, body);
+      return;
+    }
+    try {
+      done(null, body.length === 0 ? undefined : JSON.parse(body.toString()));
+    } catch (err) {
+      done(Object.assign(err as Error, { statusCode: 400 }));
+    }
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -0,0 +1,103 @@
+/** Metrics for Prometheus: what the router counts, and gauges read when they are asked for. */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import type { RouterMetric, RouterMetricName } from '@skylarksail/requests/RouterTypes';
+
+const TIME_BUCKETS_MS = [1, 2, 5, 10, 20, 40, 78, 150, 300, 600, 1000, 2000, 4000, 8000, 16000];
+
+/** Metric of the router to its name in Prometheus. */
+const ROUTER_COUNTERS: Readonly<Partial<Record<RouterMetricName, string>>> = {
+  lateFrames: 'late_frames',
+  repeatedFrames: 'repeated_frames',
+  admitted: 'requests_admitted',
+  refused: 'requests_refused',
+  completed: 'requests_completed',
+  failed: 'requests_failed',
+  retries: 'retries',
+  retriesDenied: 'retries_denied',
+  recoveries: 'recoveries',
+  poisonRefused: 'poison_requests_refused',
+};
+const ROUTER_TIMES: Readonly<Partial<Record<RouterMetricName, string>>> = {
+  firstTokenMs: 'first_token',
+  gapMs: 'token_gap',
+  detectionMs: 'failure_detection',
+  replacementMs: 'failure_replacement',
+  recoveryFirstTokenMs: 'recovery_first_token',
+  pauseMs: 'recovery_pause',
+};
+
+export interface DaemonMetrics {
+  countRouter(metric: RouterMetric): void;
+  /** A counter that grows by `count`. */
+  count(name: string, help: string, count?: number): void;
+  /** A gauge whose value is read when Prometheus asks. */
+  registerGauge(name: string, help: string, read: () => number): void;
+  /** The exposition text. */
+  write(): Promise<string>;
+  readonly contentType: string;
+}
+
+export function createDaemonMetrics(): DaemonMetrics {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const counters = new Map<string, Counter>();
+  const times = new Map<string, Histogram>();
+
+  function getCounter(name: string, help: string): Counter {
+    const found = counters.get(name);
+    if (found) {
+      return found;
+    }
+    const created = new Counter({
+      name: `skylarksail_${name}_total`,
+      help,
+      registers: [registry],
+    });
+    counters.set(name, created);
+    return created;
+  }
+
+  function getTimes(name: string): Histogram {
+    const found = times.get(name);
+    if (found) {
+      return found;
+    }
+    const created = new Histogram({
+      name: `skylarksail_${name}_ms`,
+      help: `${name.replaceAll('_', ' ')} in milliseconds`,
+      buckets: TIME_BUCKETS_MS,
+      registers: [registry],
+    });
+    times.set(name, created);
+    return created;
+  }
+
+  Object.values(ROUTER_COUNTERS).forEach((name) => getCounter(name, name.replaceAll('_', ' ')));
+  Object.values(ROUTER_TIMES).forEach(getTimes);
+
+  return {
+    countRouter({ name, value }) {
+      const counter = ROUTER_COUNTERS[name];
+      const time = ROUTER_TIMES[name];
+      if (counter) {
+        getCounter(counter, counter).inc(value);
+      } else if (time) {
+        getTimes(time).observe(value);
+      }
+    },
+    count: (name, help, count = 1) => getCounter(name, help).inc(count),
+    registerGauge(name, help, read) {
+      const gauge = new Gauge({
+        name: `skylarksail_${name}`,
+        help,
+        registers: [registry],
+        collect() {
+          this.set(read());
+        },
+      });
+      gauge.set(read());
+    },
+    write: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
--- a/packages/daemon/src/DaemonPeers.ts
+++ b/packages/daemon/src/DaemonPeers.ts
@@ -1,9 +1,8 @@
 /**
- * Messages between instances over ws, each one a msgpackr-encoded envelope. A peer proves the shared
- * secret before any message of its is read, and garbage costs the sender its connection only.
+ * Messages between instances over ws. A peer proves the shared secret before any message of its is
+ * read; what the bytes mean is for the packages above, which count and drop garbage.
  */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
-import { Packr } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
 import type { RawData } from 'ws';
 import type { HostPort, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
@@ -16,14 +15,13 @@
 const NONCE_HEADER = 'x-peer-nonce';
 const NAME_HEADER = 'x-peer-name';
 const TIME_HEADER = 'x-peer-time';
-const CLOSE_POLICY = 1008;
 
 /** How much the clocks of two instances may differ before a proof is taken for a replay. */
 const MAX_CLOCK_SKEW_MS = 120_000;
 
 export interface PeerLink {
   /** Sends if it can; false if the message was dropped. */
-  send(address: HostPort, message: unknown): boolean;
+  send(address: HostPort, bytes: Uint8Array): boolean;
   /** Bytes sent and received since the start, and messages dropped. */
   readCounts(): PeerCounts;
   close(): Promise<void>;
@@ -41,12 +39,11 @@
   readonly listen: HostPort;
   readonly secret: string;
   readonly wallNow: () => Millis;
-  readonly onMessage: (message: unknown) => void;
+  readonly onMessage: (bytes: Uint8Array) => void;
 }
 
 /** Starts listening for peers and dials them as messages are sent. */
 export async function startPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
-  const packr = new Packr({ useRecords: false, int64AsType: 'number' });
   const dialled = new Map<string, WebSocket>();
   const seenNonces = new Map<string, Millis>();
   let sentBytes = 0;
@@ -83,15 +80,7 @@
     socket.on('message', (data: RawData) => {
       const bytes = data as Buffer;
       receivedBytes += bytes.byteLength;
-      let message: unknown;
-      try {
-        message = packr.unpack(bytes);
-      } catch {
-        dropped += 1;
-        socket.close(CLOSE_POLICY);
-        return;
-      }
-      options.onMessage(message);
+      options.onMessage(bytes);
     });
   }
 
@@ -113,14 +102,13 @@
   }
 
   return {
-    send(address, message) {
+    send(address, bytes) {
       const name = `${address.host}:${address.port}`;
       const socket = dialled.get(name) ?? dial(name);
       if (socket.bufferedAmount > MAX_QUEUED_BYTES) {
         dropped += 1;
         return false;
       }
-      const bytes = packr.pack(message);
       sentBytes += bytes.byteLength;
       if (socket.readyState === WebSocket.OPEN) {
         socket.send(bytes);
--- a/packages/daemon/src/DaemonPlatformHttp.ts
+++ b/packages/daemon/src/DaemonPlatformHttp.ts
@@ -10,6 +10,7 @@
   PlatformPort,
   PlatformRefusal,
 } from '@skylarksail/platform/PlatformPort';
+import { createTimeoutSignal } from './DaemonSignals.js';
 
 const CONNECTIONS = 16;
 const WATCH_MARGIN_MS = 2000;
@@ -71,7 +72,7 @@
         origin,
         path: call.path,
         method: call.method,
-        signal: AbortSignal.timeout(call.timeout),
+        signal: createTimeoutSignal(call.timeout),
         ...(call.body === undefined
           ? {}
           : {
--- /dev/null
+++ b/packages/daemon/src/DaemonProblemMap.ts
@@ -0,0 +1,31 @@
+/** Turns what the router of requests reports into problems as callers see them. */
+import { RunState } from '@skylarksail/core/CoreConstants';
+import type { RequestProblem } from '@skylarksail/requests/RequestTypes';
+import { ProblemKind as RequestProblemKind } from '@skylarksail/requests/RequestTypes';
+import type { Problem, ProblemKindName } from './DaemonProblems.js';
+import { ProblemKind } from './DaemonProblems.js';
+
+const KIND_OF: Readonly<Record<RequestProblem['kind'], ProblemKindName>> = {
+  [RequestProblemKind.Overloaded]: ProblemKind.Overloaded,
+  [RequestProblemKind.Deadline]: ProblemKind.DeadlineExceeded,
+  [RequestProblemKind.NoChain]: ProblemKind.NoCapacity,
+  [RequestProblemKind.EngineFailed]: ProblemKind.BackendFailed,
+  [RequestProblemKind.Poison]: ProblemKind.RequestCrashesBackends,
+  [RequestProblemKind.AlreadyRunning]: ProblemKind.KeyInUse,
+  [RequestProblemKind.AnswerGone]: ProblemKind.AnswerNotHeld,
+  [RequestProblemKind.OutcomeUnknown]: ProblemKind.OutcomeUnknown,
+  [RequestProblemKind.KeyMismatch]: ProblemKind.KeyMismatch,
+  [RequestProblemKind.KeyExpired]: ProblemKind.KeyExpired,
+  [RequestProblemKind.ClaimUnavailable]: ProblemKind.ClaimUnavailable,
+  [RequestProblemKind.Draining]: ProblemKind.Stopping,
+  [RequestProblemKind.HungUp]: ProblemKind.Internal,
+};
+
+export function createProblem({ kind, run, retryAfter }: RequestProblem): Problem {
+  const isRefusedEarly = kind === RequestProblemKind.Deadline && run === RunState.NotRun;
+  return {
+    kind: isRefusedEarly ? ProblemKind.DeadlineTooShort : KIND_OF[kind],
+    run,
+    retryAfter,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -0,0 +1,211 @@
+/** Joins the pure routing state to the router of requests, and logs what was weighed. */
+import type { Chain, Stage } from '@skylarksail/core/CoreChain';
+import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
+import type {
+  AttemptOutcome,
+  ChainChoice as RequestChoice,
+  ChainWish,
+  ChooseChain,
+  ChooseRepair,
+} from '@skylarksail/requests/RequestTypes';
+import { selectChain } from '@skylarksail/routing/RoutingChoice';
+import type { ChainAsk, ChainCandidate, RoutingRefusal } from '@skylarksail/routing/RoutingChoice';
+import { selectRepair } from '@skylarksail/routing/RoutingRepair';
+import type { CallOutcome, RoutingState } from '@skylarksail/routing/RoutingState';
+import {
+  createRoutingState,
+  markLeaving,
+  recordCallEnd,
+  recordCallStart,
+  recordFirstToken,
+  setEngines,
+  setLoad,
+  setRoutingFacts,
+} from '@skylarksail/routing/RoutingState';
+import type { DecisionLog } from './DaemonDecisions.js';
+
+export interface DaemonRouting {
+  readonly chooseChain: ChooseChain;
+  readonly chooseRepair: ChooseRepair;
+  getBootId(engine: EngineId): string | null;
+  /** KV cache of the own domain's engines that this instance may count on, in tokens. */
+  getKvCapacity(): number | null;
+  setFacts(facts: readonly EngineFacts[]): void;
+  setEngineLoad(load: EngineLoad): void;
+  setLeaving(engine: EngineId): void;
+  setManifest(manifest: Manifest): void;
+  setInstanceCount(count: number): void;
+  getState(): RoutingState;
+}
+
+export interface DaemonRoutingOptions {
+  readonly domain: DomainId;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly decisions: DecisionLog;
+}
+
+export function createDaemonRouting(options: DaemonRoutingOptions): DaemonRouting {
+  const { domain, timers, random, decisions } = options;
+  let state = createRoutingState();
+
+  function createAsk({ spec, contextTokens, avoid }: ChainWish): ChainAsk {
+    const { variant, layerCount, priority, maxTokens } = spec;
+    return {
+      variant,
+      layerCount,
+      domain,
+      priority,
+      promptTokens: contextTokens,
+      maxTokens,
+      prefixKeys: spec.prefixKeys.map((key, i) => ({
+        key,
+        tokens: Math.floor((contextTokens * (i + 1)) / spec.prefixKeys.length),
+      })),
+      avoidEngines: new Set(avoid),
+      now: timers.now(),
+    };
+  }
+
+  /** Records the chosen chain's work, and takes it off again when the attempt is over. */
+  function startCall(chain: Chain, ask: ChainAsk, importFrom: readonly Stage[]): RequestChoice {
+    const call = { chain, promptTokens: ask.promptTokens, maxTokens: ask.maxTokens };
+    let hadFirstToken = false;
+    state = recordCallStart(state, call);
+    return {
+      kind: 'chain',
+      chain,
+      importFrom,
+      hold: {
+        noteFirstToken: () => {
+          hadFirstToken = true;
+          state = recordFirstToken(state, call);
+        },
+        release: (outcome) => {
+          state = recordCallEnd(state, call, toCallOutcome(outcome), hadFirstToken, timers.now());
+        },
+      },
+    };
+  }
+
+  function logChoice(
+    request: string,
+    decision: string,
+    candidates: readonly ChainCandidate[],
+    chosen: Chain,
+  ): void {
+    const chain = chosen.stages.map(({ engine }) => engine);
+    decisions.record({ request, decision, chain, candidates });
+  }
+
+  function refuse(request: string, { kind, retryAfter }: RoutingRefusal): RequestChoice {
+    decisions.record({ request, decision: 'no-chain-found', reason: kind });
+    return { kind: 'none', isFull: kind === 'no-capacity', retryAfter };
+  }
+
+  return {
+    chooseChain(wish) {
+      const ask = createAsk(wish);
+      const choice = selectChain(state, ask, random);
+      if (!choice.ok) {
+        return refuse(wish.spec.id, choice.error);
+      }
+      const { chain, candidates } = choice.value;
+      logChoice(wish.spec.id, 'chain-chosen', candidates, chain);
+      return startCall(chain, ask, []);
+    },
+    chooseRepair(wish) {
+      const ask = createAsk(wish);
+      const choice = selectRepair(state, wish.broken, new Set(wish.failed), ask, random);
+      if (!choice.ok) {
+        return refuse(wish.spec.id, choice.error);
+      }
+      const { chain, candidates, newStages } = choice.value;
+      logChoice(wish.spec.id, 'chain-repaired', candidates, chain);
+      return startCall(chain, ask, selectImports(wish.broken, newStages, wish.failed));
+    },
+    getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
+    getKvCapacity: () => computeKvCapacity(state, domain),
+    setFacts: (facts) => {
+      state = setEngines(state, facts);
+    },
+    setEngineLoad: (load) => {
+      state = setLoad(state, { load, seenAt: timers.now() });
+    },
+    setLeaving: (engine) => {
+      state = markLeaving(state, engine);
+    },
+    setManifest: (manifest) => {
+      state = setRoutingFacts(state, {
+        models: new Map(
+          manifest.models.map(({ id, activationBytes }) => [id, { id, activationBytes }]),
+        ),
+        links: manifest.links,
+        regions: new Map(manifest.domains.map(({ id, region }) => [id, region])),
+        tuning: { ...state.tuning, crossDomainShare: manifest.limits.crossDomainShare },
+      });
+    },
+    setInstanceCount: (count) => {
+      state = setRoutingFacts(state, {
+        tuning: { ...state.tuning, instanceCount: Math.max(1, count) },
+      });
+    },
+    getState: () => state,
+  };
+}
+
+function toCallOutcome(outcome: AttemptOutcome): CallOutcome {
+  switch (outcome.kind) {
+    case 'answered':
+      return {
+        kind: 'answered',
+        firstTokenMs: outcome.firstToken,
+        tokenGapMs: outcome.meanGap,
+      };
+    case 'failed':
+      return { kind: 'failed', engine: outcome.engine };
+    default:
+      return { kind: 'cancelled' };
+  }
+}
+
+/** Stages of the broken chain that still work and whose layers a new stage takes over. */
+function selectImports(
+  broken: Chain,
+  newStages: readonly Stage[],
+  failed: readonly EngineId[],
+): readonly Stage[] {
+  const isTakenOver = ({ layers }: Stage): boolean =>
+    newStages.some((stage) => stage.layers.first < layers.end && layers.first < stage.layers.end);
+  return broken.stages.filter((stage) => !failed.includes(stage.engine) && isTakenOver(stage));
+}
+
+/** An engine's memory in tokens is what it holds in layers times tokens, over the layers it has. */
+function computeKvCapacity(state: RoutingState, domain: DomainId): number | null {
+  const layersByModel = new Map<string, { layers: number; layerTokens: number }>();
+  for (const [id, facts] of state.engines) {
+    const holding = state.loads.get(id)?.load.holding;
+    if (facts.domain === domain && holding) {
+      const known = layersByModel.get(holding.model) ?? { layers: 0, layerTokens: 0 };
+      layersByModel.set(holding.model, {
+        layers: Math.max(known.layers, holding.layers.end),
+        layerTokens: known.layerTokens + facts.kvLayerTokens,
+      });
+    }
+  }
+  if (layersByModel.size === 0) {
+    return null;
+  }
+  const tokens = [...layersByModel.values()].reduce(
+    (sum, { layers, layerTokens }) => sum + layerTokens / layers,
+    0,
+  );
+  return tokens / state.tuning.instanceCount;
+}
+
+/** Period at which engines are polled by their owner. */
+export const ENGINE_POLL_PERIOD: Millis = 500;
--- /dev/null
+++ b/packages/daemon/src/DaemonServiceReply.ts
@@ -0,0 +1,41 @@
+/** Gives a plain service's answer to its caller. */
+import type { FastifyReply } from 'fastify';
+import type { ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import type { CallerWishes } from './DaemonCallerInput.js';
+import type { CallerGateway, ServiceAsk } from './DaemonGateway.js';
+import { createProblem } from './DaemonProblemMap.js';
+import { sendProblem } from './DaemonReplies.js';
+
+/** One service call on its way. */
+export interface ServiceExchange {
+  readonly id: string;
+  readonly team: ManifestTeam;
+  readonly ask: ServiceAsk;
+  readonly wishes: CallerWishes;
+}
+
+export function replyService(
+  gateway: CallerGateway,
+  reply: FastifyReply,
+  { id, team, ask, wishes }: ServiceExchange,
+): void {
+  let hasEnded = false;
+  const handle = gateway.submitService(id, team, ask, wishes, {
+    onAnswer: ({ status, headers, body }) => {
+      hasEnded = true;
+      void reply
+        .code(status)
+        .headers({ ...headers, 'x-request-id': id })
+        .send(Buffer.from(body));
+    },
+    onError: (problem) => {
+      hasEnded = true;
+      sendProblem(reply, createProblem(problem), id);
+    },
+  });
+  reply.raw.once('close', () => {
+    if (!hasEnded) {
+      handle.cancel();
+    }
+  });
+}
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -45,11 +45,6 @@
         /** Slow senders are cut off after this. */
         receiveTimeoutMs: z.int().min(100).default(10000),
         maxRunning: z.int().positive().default(2000),
-        /** Bytes that may wait for one slow reader before its stream is paused. */
-        streamBufferBytes: z
-          .int()
-          .positive()
-          .default(64 * 1024),
       })
       .prefault({}),
     shutdown: z
--- a/packages/stand-ins/src/StandInEngine.ts
+++ b/packages/stand-ins/src/StandInEngine.ts
@@ -105,7 +105,14 @@
     }
     if (own && body.token !== PREFILL_PROMPT) {
       const { request, attempt, token } = body;
-      ledger.record({ request, attempt, token, engine: facts.id, layers: own.layers });
+      ledger.record({
+        request,
+        attempt,
+        token,
+        engine: facts.id,
+        layers: own.layers,
+        at: performance.timeOrigin + performance.now(),
+      });
     }
   }
 
--- a/packages/stand-ins/src/StandInLedger.ts
+++ b/packages/stand-ins/src/StandInLedger.ts
@@ -8,6 +8,8 @@
   readonly token: number;
   readonly engine: string;
   readonly layers: LayerRange;
+  /** Milliseconds since 1970 when it ended, by the machine's clock. */
+  readonly at: number;
 }
 
 /** One call that a plain service carried out. */
@@ -56,7 +58,7 @@
   const byToken = new Map<string, LayerPass[]>();
   const faults: string[] = [];
   const complete = new Set<number>();
-  for (const pass of passes) {
+  for (const pass of [...passes].sort((a, b) => a.at - b.at)) {
     const key = `${pass.attempt}/${pass.token}`;
     byToken.set(key, [...(byToken.get(key) ?? []), pass]);
   }
