--- a/packages/platform/src/PlatformBudget.ts
+++ b/packages/platform/src/PlatformBudget.ts
@@ -23,13 +23,21 @@
 export interface BudgetRates {
   readonly fleetWritesPerSecond: number;
   readonly fleetReadsPerSecond: number;
+  /**
+   * Rates for claims alone. They are shared by slots owned and not by instances: a few instances own
+   * the slots of a large fleet, and an equal part for each instance would starve them.
+   */
+  readonly fleetClaimWritesPerSecond: number;
+  readonly fleetClaimReadsPerSecond: number;
   /** Unused calls are saved up for this long. */
   readonly burst: Millis;
 }
 
 export const DEFAULT_BUDGET_RATES: BudgetRates = {
-  fleetWritesPerSecond: 300,
-  fleetReadsPerSecond: 1500,
+  fleetWritesPerSecond: 100,
+  fleetReadsPerSecond: 1100,
+  fleetClaimWritesPerSecond: 200,
+  fleetClaimReadsPerSecond: 400,
   burst: 4000,
 };
 
@@ -53,23 +61,21 @@
   readonly filledAt: Millis;
 }
 
-/** Both buckets of an instance. */
-export interface PlatformBudget {
-  readonly read: Bucket;
-  readonly write: Bucket;
+/** What an instance's part of the rates is worked out from. */
+export interface BudgetShares {
+  /** Live instances, ourselves included. */
+  readonly instances: number;
+  /** Part of all claim slots that are ours, 0 to 1. */
+  readonly claims: number;
 }
 
-/** Creates full buckets. */
-export function createPlatformBudget(
-  rates: BudgetRates,
-  instances: number,
-  now: Millis,
-): PlatformBudget {
-  return {
-    read: { tokens: getCapacity(rates, 'read', instances), filledAt: now },
-    write: { tokens: getCapacity(rates, 'write', instances), filledAt: now },
-  };
-}
+type BucketName = CallKind | 'claim-read' | 'claim-write';
+
+/** The buckets of an instance. One that was never drawn from is full. */
+export type PlatformBudget = ReadonlyMap<BucketName, Bucket>;
+
+/** A budget with full buckets. */
+export const FULL_BUDGET: PlatformBudget = new Map();
 
 /** A call's share of the budget: `wait` is 0 if the call was taken from it. */
 export interface BudgetDraw {
@@ -81,31 +87,36 @@
 export function drawCall(
   budget: PlatformBudget,
   rates: BudgetRates,
-  instances: number,
+  shares: BudgetShares,
   kind: CallKind,
   use: PlatformUseName,
   now: Millis,
 ): BudgetDraw {
-  const capacity = getCapacity(rates, kind, instances);
-  const rate = getRate(rates, kind, instances) / MILLIS_PER_SECOND;
-  const bucket = budget[kind];
+  const name: BucketName = use === PlatformUse.Claims ? `claim-${kind}` : kind;
+  const rate = getRate(rates, name, shares) / MILLIS_PER_SECOND;
+  const capacity = Math.max(LEAST_CAPACITY, rate * rates.burst);
+  const bucket = budget.get(name) ?? { tokens: capacity, filledAt: now };
   const tokens = Math.min(capacity, bucket.tokens + (now - bucket.filledAt) * rate);
   const needed = 1 + RESERVED_SHARE[use] * capacity;
-  if (tokens < needed) {
-    return {
-      budget: { ...budget, [kind]: { tokens, filledAt: now } },
-      wait: Math.max(1, Math.ceil((needed - tokens) / rate)),
-    };
-  }
-  return { budget: { ...budget, [kind]: { tokens: tokens - 1, filledAt: now } }, wait: 0 };
-}
-
-function getRate(rates: BudgetRates, kind: CallKind, instances: number): number {
-  const fleet = kind === 'write' ? rates.fleetWritesPerSecond : rates.fleetReadsPerSecond;
-  return fleet / Math.max(1, instances);
+  const isGranted = tokens >= needed;
+  const left = isGranted ? tokens - 1 : tokens;
+  return {
+    budget: new Map([...budget, [name, { tokens: left, filledAt: now }]]),
+    wait: isGranted ? 0 : Math.max(1, Math.ceil((needed - tokens) / rate)),
+  };
 }
 
-function getCapacity(rates: BudgetRates, kind: CallKind, instances: number): number {
-  const saved = (getRate(rates, kind, instances) * rates.burst) / MILLIS_PER_SECOND;
-  return Math.max(LEAST_CAPACITY, saved);
+function getRate(rates: BudgetRates, name: BucketName, shares: BudgetShares): number {
+  const equalShare = 1 / Math.max(1, shares.instances);
+  const claimShare = Math.max(shares.claims, equalShare);
+  switch (name) {
+    case 'claim-read':
+      return rates.fleetClaimReadsPerSecond * claimShare;
+    case 'claim-write':
+      return rates.fleetClaimWritesPerSecond * claimShare;
+    case 'read':
+      return rates.fleetReadsPerSecond * equalShare;
+    default:
+      return rates.fleetWritesPerSecond * equalShare;
+  }
 }
--- a/packages/platform/src/PlatformClient.ts
+++ b/packages/platform/src/PlatformClient.ts
@@ -7,9 +7,9 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import {
-  createPlatformBudget,
   DEFAULT_BUDGET_RATES,
   drawCall,
+  FULL_BUDGET,
   type BudgetRates,
   type CallKind,
   type PlatformUseName,
@@ -30,6 +30,8 @@
   readonly random: Random;
   /** Live instances as far as is known, ourselves included; read at each call. */
   readonly countInstances: () => number;
+  /** Part of all claim slots that this instance owns, 0 to 1; none if left out. */
+  readonly getClaimShare?: () => number;
   readonly rates?: BudgetRates;
   readonly circuit?: CircuitSettings;
 }
@@ -64,7 +66,7 @@
   const { port, timers, random, countInstances } = options;
   const rates = options.rates ?? DEFAULT_BUDGET_RATES;
   const circuitSettings = options.circuit ?? DEFAULT_CIRCUIT_SETTINGS;
-  let budget = createPlatformBudget(rates, countInstances(), timers.now());
+  let budget = FULL_BUDGET;
   let circuit = CLOSED_CIRCUIT;
   let counts: PlatformClientCounts = {
     sent: 0,
@@ -93,7 +95,8 @@
   ): Promise<Millis> {
     const giveUpAt = timers.now() + patience;
     for (;;) {
-      const draw = drawCall(budget, rates, countInstances(), kind, use, timers.now());
+      const shares = { instances: countInstances(), claims: options.getClaimShare?.() ?? 0 };
+      const draw = drawCall(budget, rates, shares, kind, use, timers.now());
       budget = draw.budget;
       if (draw.wait === 0 || timers.now() + draw.wait > giveUpAt) {
         return draw.wait;
