Spread revisions from few watchers over peers, rising only

Cause: an accepted revision must be in force at every instance within seconds, also for one that starts in an outage, without every instance watching the platform and without moving the whole manifest. Change: a pure machine per instance: two watchers a domain, a tree of peers reordered by each revision, deltas pulled from the peer that told, gossip and a slow jittered poll as nets, confirmations collected per domain on demand; a start hears the platform or several peers in all domains and takes the highest. A revision comes into force once a keeper holds it too, so that a restart in an outage finds it.

--- a/packages/manifest/src/ManifestChunks.ts
+++ b/packages/manifest/src/ManifestChunks.ts
@@ -176,15 +176,15 @@
     return [];
   }
   const body = parseBody(split.added.get(split.body) ?? '');
+  invariant(body, 'a new body has the format of this version');
   const named = body.parts.filter(({ ref }) => oversized.includes(ref)).map(({ name }) => name);
   return named.length > 0 ? named : ['teams'];
 }
 
-/** Parses a body chunk. A format that this version does not know is an error, never a guess. */
-export function parseBody(text: string): ManifestBody {
+/** Parses a body chunk. Null for a format that a later version wrote: it is never guessed at. */
+export function parseBody(text: string): ManifestBody | null {
   const body = JSON.parse(text) as ManifestBody;
-  invariant(body.format === 1, `the body has format 1 and not ${String(body.format)}`);
-  return body;
+  return body.format === 1 ? body : null;
 }
 
 /** Parses an index chunk: the hashes of its leaves. */
@@ -195,7 +195,9 @@
 /** What of a manifest is at hand: its tree once whole, else the chunks to fetch next. */
 export type TreeWalk =
   | { readonly kind: 'whole'; readonly tree: ManifestTree }
-  | { readonly kind: 'missing'; readonly refs: readonly ChunkRef[] };
+  | { readonly kind: 'missing'; readonly refs: readonly ChunkRef[] }
+  /** The body has a format that this version does not know. */
+  | { readonly kind: 'unreadable' };
 
 /** Follows a body to its leaves. */
 export function walkTree(bodyRef: ChunkRef, getChunk: GetChunk): TreeWalk {
@@ -204,6 +206,9 @@
     return { kind: 'missing', refs: [bodyRef] };
   }
   const body = parseBody(bodyText);
+  if (!body) {
+    return { kind: 'unreadable' };
+  }
   const missing = body.parts.map(({ ref }) => ref).filter((ref) => getChunk(ref) === undefined);
   const leaves: ChunkRef[] = [];
   body.indexes.forEach((indexRef) => {
--- /dev/null
+++ b/packages/manifest/src/ManifestPeers.ts
@@ -0,0 +1,119 @@
+/** Who tells whom of a new revision: parts that each instance plays, by rendezvous over the members. */
+import { selectOwners } from '@skylarksail/core/CoreHash';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { sampleElements } from '@skylarksail/core/CoreRandom';
+import type { DomainId, InstanceId } from '@skylarksail/core/CoreTypes';
+
+/** An instance as far as the manifest's spread is concerned. */
+export interface SpreadMember {
+  readonly id: InstanceId;
+  readonly domain: DomainId;
+}
+
+/** Instances of a domain that watch the root. Two, so that one may die unnoticed for a while. */
+const WATCHERS = 2;
+/** Instances of a domain that collect confirmations. */
+const COLLECTORS = 2;
+/** Instances of the own domain that each one tells; a low number spreads the bytes evenly. */
+const FAN_OUT = 2;
+const START_SAMPLE = 3;
+
+/** What an instance derives from the list of members. */
+export interface PeerPlan {
+  readonly self: SpreadMember;
+  /** All members but this one. */
+  readonly others: readonly SpreadMember[];
+  /** Ids of this domain's members, this one included. */
+  readonly ownDomain: readonly InstanceId[];
+  readonly domains: ReadonlyMap<DomainId, readonly InstanceId[]>;
+  readonly isWatcher: boolean;
+  /** First watcher of each other domain. */
+  readonly farWatchers: readonly InstanceId[];
+  /**
+   * Peers that hold a revision before this instance puts it into force, and that it asks when it starts
+   * again: they are chosen by its id alone, so that its next process finds them.
+   */
+  readonly keepers: readonly InstanceId[];
+  readonly collectors: ReadonlyMap<DomainId, readonly InstanceId[]>;
+}
+
+/** Works out the parts. `members` may or may not list `self`. */
+export function createPeerPlan(self: SpreadMember, members: readonly SpreadMember[]): PeerPlan {
+  const others = members.filter(({ id }) => id !== self.id);
+  const domains = groupByDomain([self, ...others]);
+  const ownDomain = domains.get(self.domain) ?? [];
+  const near = ownDomain.filter((id) => id !== self.id);
+  const far = others.filter(({ domain }) => domain !== self.domain).map(({ id }) => id);
+  const keeperKey = `keeper/${self.id}`;
+  return {
+    self,
+    others,
+    ownDomain,
+    domains,
+    isWatcher: selectWatchers(self.domain, ownDomain).includes(self.id),
+    farWatchers: [...domains]
+      .filter(([domain]) => domain !== self.domain)
+      .flatMap(([domain, ids]) => selectWatchers(domain, ids).slice(0, 1)),
+    keepers: [...selectOwners(keeperKey, near, 1), ...selectOwners(keeperKey, far, 1)],
+    collectors: new Map(
+      [...domains].map(([domain, ids]) => [
+        domain,
+        selectOwners(`manifest-confirm/${domain}`, ids, COLLECTORS),
+      ]),
+    ),
+  };
+}
+
+function groupByDomain(members: readonly SpreadMember[]): Map<DomainId, readonly InstanceId[]> {
+  const domains = new Map<DomainId, InstanceId[]>();
+  members.forEach(({ id, domain }) => {
+    const ids = domains.get(domain);
+    if (ids) {
+      ids.push(id);
+    } else {
+      domains.set(domain, [id]);
+    }
+  });
+  return domains;
+}
+
+function selectWatchers(domain: DomainId, ids: readonly InstanceId[]): readonly InstanceId[] {
+  return selectOwners(`manifest-watch/${domain}`, ids, WATCHERS);
+}
+
+/**
+ * Peers to tell of a new revision. Each revision orders the domain anew into a tree; a watcher, which
+ * is where the revision comes in, also tells the tree's first members and the other domains' watchers.
+ */
+export function selectListeners(plan: PeerPlan, revision: number): readonly InstanceId[] {
+  const order = selectOwners(`manifest-spread/${revision}`, plan.ownDomain, plan.ownDomain.length);
+  const place = order.indexOf(plan.self.id);
+  const below = order.slice(FAN_OUT * place + 1, FAN_OUT * place + 1 + FAN_OUT);
+  const entry = plan.isWatcher ? [...order.slice(0, FAN_OUT), ...plan.farWatchers] : [];
+  return [...new Set([...below, ...entry, ...plan.keepers])].filter((id) => id !== plan.self.id);
+}
+
+/** Peers that a starting instance asks: its keepers, and some of each domain. */
+export function selectStartPeers(plan: PeerPlan, random: Random): readonly InstanceId[] {
+  const near = sampleElements(
+    random,
+    plan.ownDomain.filter((id) => id !== plan.self.id),
+    START_SAMPLE,
+  );
+  const far = [...plan.domains]
+    .filter(([domain]) => domain !== plan.self.domain)
+    .flatMap(([, ids]) => sampleElements(random, ids, 1));
+  return [...new Set([...plan.keepers, ...near, ...far])];
+}
+
+/** A random peer, mostly of the own domain: knowledge must also cross between domains, but less often. */
+export function selectGossipPeer(
+  plan: PeerPlan,
+  random: Random,
+  farShare: number,
+): InstanceId | undefined {
+  const near = plan.ownDomain.filter((id) => id !== plan.self.id);
+  const isFar = near.length === 0 || random.nextFloat() < farShare;
+  const pool = isFar ? plan.others.map(({ id }) => id) : near;
+  return sampleElements(random, pool, 1)[0];
+}
--- a/packages/manifest/src/ManifestReader.ts
+++ b/packages/manifest/src/ManifestReader.ts
@@ -78,6 +78,10 @@
     : createFailed({ kind: 'garbage', key, detail: 'the text does not match its hash' });
 }
 
+function createUnreadable(body: ChunkRef): ReadFault {
+  return { kind: 'garbage', key: getChunkKey(body), detail: 'written by a later version' };
+}
+
 /** Loads the manifest that `root` names, fetching only what `knownChunks` lacks. */
 export async function loadManifest(
   ctx: StoreContext,
@@ -91,6 +95,9 @@
     if (walk.kind === 'whole') {
       return createOk({ tree: walk.tree, fetched });
     }
+    if (walk.kind === 'unreadable') {
+      return createFailed(createUnreadable(root.body));
+    }
     const texts = await mapBounded(walk.refs, (ref) => readChunk(ctx, deadline, ref));
     for (const [i, text] of texts.entries()) {
       if (!text.ok) {
@@ -112,6 +119,9 @@
     return bodyText;
   }
   const body = parseBody(bodyText.value);
+  if (!body) {
+    return createFailed(createUnreadable(bodyRef));
+  }
   const texts = await mapBounded(body.indexes, (ref) => readChunk(ctx, deadline, ref));
   const leaves: ChunkRef[] = [];
   for (const text of texts) {
--- a/packages/manifest/src/ManifestRoot.ts
+++ b/packages/manifest/src/ManifestRoot.ts
@@ -15,15 +15,17 @@
 export const HISTORY_PAGE_LENGTH = 128;
 
 const hash = z.string().regex(/^[A-Za-z0-9_-]{43}$/);
-const chunkRef = z.string().regex(/^\d{1,15}-[A-Za-z0-9_-]{43}$/);
+/** Shape of a chunk name. */
+export const chunkRefSchema = z.string().regex(/^\d{1,15}-[A-Za-z0-9_-]{43}$/);
 
-const rootSchema = z.strictObject({
+/** Shape of the root. */
+export const rootSchema = z.strictObject({
   format: z.literal(1),
   /** Rises by one with each accepted submission. */
   revision: z.int().min(1),
   submission: z.string().min(1).max(200),
-  body: chunkRef,
-  history: chunkRef,
+  body: chunkRefSchema,
+  history: chunkRefSchema,
 });
 
 export type ManifestRoot = z.output<typeof rootSchema>;
@@ -31,7 +33,7 @@
 const summarySchema = z.strictObject({
   revision: z.int().min(1),
   submission: z.string(),
-  body: chunkRef,
+  body: chunkRefSchema,
   /** Hash of the manifest however it is cut into chunks. */
   content: hash,
 });
@@ -39,7 +41,7 @@
 const historyPageSchema = z.strictObject({
   /** Oldest first. */
   entries: z.array(summarySchema),
-  previous: chunkRef.nullable(),
+  previous: chunkRefSchema.nullable(),
 });
 
 /** One accepted submission. */
--- /dev/null
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -0,0 +1,169 @@
+/** Runs the spread's machine against the platform, the peers and the timers of one instance. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type {
+  PlatformEntry,
+  PlatformOutcome,
+  PlatformPort,
+} from '@skylarksail/platform/PlatformPort';
+import { mapBounded } from './ManifestCalls.js';
+import type { ChunkRef } from './ManifestChunks.js';
+import { isChunkText } from './ManifestChunks.js';
+import type { SpreadMessage } from './ManifestMessages.js';
+import { parseSpreadMessage } from './ManifestMessages.js';
+import type { SpreadMember } from './ManifestPeers.js';
+import { parseStoredRoot } from './ManifestReader.js';
+import { getChunkKey, ROOT_KEY } from './ManifestRoot.js';
+import { createSpread, stepSpread } from './ManifestSpread.js';
+import type {
+  RootReading,
+  SpreadEffect,
+  SpreadEvent,
+  SpreadSettings,
+  SpreadState,
+} from './ManifestSpreadTypes.js';
+import { DEFAULT_SPREAD_SETTINGS } from './ManifestSpreadTypes.js';
+import type { HeldManifest, ManifestView } from './ManifestView.js';
+import { createManifestView } from './ManifestView.js';
+
+const TICK_PERIOD: Millis = 100;
+const READ_TIMEOUT: Millis = 5000;
+const WATCH_TIMEOUT: Millis = 30_000;
+
+/** What the spread of one instance needs from outside. */
+export interface ManifestRunnerOptions {
+  readonly self: SpreadMember;
+  readonly members: readonly SpreadMember[];
+  readonly platform: PlatformPort;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly settings?: SpreadSettings;
+  /** Best effort; a message may be lost, late or repeated. */
+  readonly sendToPeer: (to: InstanceId, message: SpreadMessage) => void;
+  /** Called each time that a revision comes into force, with the one before. */
+  readonly onInForce?: (view: ManifestView, previous: ManifestView | null) => void;
+}
+
+export interface ManifestRunner {
+  /** The view for new requests; null until a revision is in force. */
+  getView(): ManifestView | null;
+  getState(): SpreadState;
+  /** Takes what came from a peer, whatever it is. */
+  receiveMessage(from: InstanceId, input: unknown): void;
+  changeMembers(members: readonly SpreadMember[]): void;
+  /** Asks every domain how far a revision is in force; read the answers with `listInForce`. */
+  askInForce(revision: number): void;
+  /** Stops for good. */
+  stop(): void;
+}
+
+/** Starts the spread of one instance. */
+export function startManifestRunner(options: ManifestRunnerOptions): ManifestRunner {
+  const { platform, timers, random, sendToPeer } = options;
+  const ctx = { settings: options.settings ?? DEFAULT_SPREAD_SETTINGS, random };
+  const queue: SpreadEvent[] = [];
+  let state = createSpread(options.self, options.members);
+  let view: ManifestView | null = null;
+  let isStepping = false;
+  let isStopped = false;
+
+  /** Events that come up while one is stepped wait, so that the state changes in one place. */
+  function enqueue(event: SpreadEvent): void {
+    queue.push(event);
+    if (isStepping) {
+      return;
+    }
+    isStepping = true;
+    try {
+      for (let next = queue.shift(); next && !isStopped; next = queue.shift()) {
+        const step = stepSpread(ctx, state, next);
+        state = step.state;
+        step.effects.forEach(runEffect);
+      }
+    } finally {
+      isStepping = false;
+    }
+  }
+
+  function runEffect(effect: SpreadEffect): void {
+    switch (effect.type) {
+      case 'send':
+        sendToPeer(effect.to, effect.message);
+        break;
+      case 'apply':
+        applyManifest(effect.manifest);
+        break;
+      case 'watch-root':
+        void readRootVia('watch', () =>
+          platform.watch(ROOT_KEY, effect.known, { timeout: WATCH_TIMEOUT }),
+        );
+        break;
+      case 'read-root':
+        void readRootVia('poll', () => platform.get(ROOT_KEY, { timeout: READ_TIMEOUT }));
+        break;
+      case 'read-chunks':
+        void readChunks(effect.body, effect.refs);
+        break;
+      default:
+    }
+  }
+
+  function applyManifest(manifest: HeldManifest): void {
+    const previous = view;
+    view = createManifestView(manifest, previous);
+    options.onInForce?.(view, previous);
+  }
+
+  async function readRootVia(
+    via: 'watch' | 'poll',
+    read: () => Promise<PlatformOutcome<PlatformEntry>>,
+  ): Promise<void> {
+    const reading = toReading(await read());
+    enqueue({ type: 'root-read', at: timers.now(), via, reading });
+  }
+
+  async function readChunks(body: ChunkRef, refs: readonly ChunkRef[]): Promise<void> {
+    const chunks = new Map<ChunkRef, string>();
+    await mapBounded(refs, async (ref) => {
+      const outcome = await platform.get(getChunkKey(ref), { timeout: READ_TIMEOUT });
+      if (outcome.kind === 'done' && isChunkText(ref, outcome.value.value)) {
+        chunks.set(ref, outcome.value.value);
+      }
+    });
+    enqueue({ type: 'chunks-read', at: timers.now(), body, chunks });
+  }
+
+  const stopTicks: Unregister = timers.registerInterval(TICK_PERIOD, () =>
+    enqueue({ type: 'tick', at: timers.now() }),
+  );
+  enqueue({ type: 'started', at: timers.now() });
+
+  return {
+    getView: () => view,
+    getState: () => state,
+    receiveMessage(from, input) {
+      const parsed = parseSpreadMessage(input);
+      enqueue(
+        parsed.ok
+          ? { type: 'message', at: timers.now(), from, message: parsed.value }
+          : { type: 'garbage', at: timers.now(), from },
+      );
+    },
+    changeMembers: (members) => enqueue({ type: 'members-changed', at: timers.now(), members }),
+    askInForce: (revision) => enqueue({ type: 'digest-wanted', at: timers.now(), revision }),
+    stop() {
+      isStopped = true;
+      stopTicks();
+    },
+  };
+}
+
+function toReading(outcome: PlatformOutcome<PlatformEntry>): RootReading {
+  if (outcome.kind !== 'done') {
+    return { kind: 'failed' };
+  }
+  const { revision, value } = outcome.value;
+  const stored = parseStoredRoot(revision, value);
+  return stored.ok ? { kind: 'read', ...stored.value } : { kind: 'failed' };
+}
--- /dev/null
+++ b/packages/manifest/src/ManifestSpread.ts
@@ -0,0 +1,366 @@
+/**
+ * How a revision gets into force at one instance, as a pure machine. Few instances of a domain watch the
+ * root; the others learn from peers; a slow poll by each is the safety net. Revisions only rise. After a
+ * start nothing is in force before the platform, or several peers, have been heard.
+ */
+import { jitter } from '@skylarksail/core/CoreRandom';
+import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import {
+  askDigests,
+  createDigest,
+  pruneConfirmations,
+  receiveDigest,
+  recordConfirmation,
+  sendConfirmation,
+} from './ManifestConfirm.js';
+import {
+  advanceTarget,
+  answerAsked,
+  askNextTeller,
+  askTeller,
+  changeSource,
+  choosePeerSource,
+  getKnownRevision,
+  learnRoot,
+  pauseTarget,
+  receiveChunks,
+  receiveGiven,
+} from './ManifestFetch.js';
+import type { SpreadMessage } from './ManifestMessages.js';
+import type { ManifestRoot } from './ManifestRoot.js';
+import type { SpreadMember } from './ManifestPeers.js';
+import { createPeerPlan, selectGossipPeer } from './ManifestPeers.js';
+import type {
+  ChunkSource,
+  KnownByName,
+  RootReading,
+  SpreadContext,
+  SpreadEvent,
+  SpreadState,
+  SpreadStep,
+} from './ManifestSpreadTypes.js';
+import { continueStep, createStep, getRevisionOf, KnownBy } from './ManifestSpreadTypes.js';
+import { advanceStart, beginStart, receiveStartAnswer } from './ManifestStart.js';
+
+const POLL_JITTER = 0.5;
+const GOSSIP_JITTER = 0.3;
+const BACKOFF_JITTER = 0.5;
+
+/** State of an instance that has not started. */
+export function createSpread(self: SpreadMember, members: readonly SpreadMember[]): SpreadState {
+  return {
+    plan: createPeerPlan(self, members),
+    start: null,
+    held: null,
+    heldSince: 0,
+    inForce: null,
+    asking: null,
+    target: null,
+    deltas: [],
+    keeperRevisions: new Map(),
+    waiters: [],
+    platformSeen: null,
+    platformSeenAt: 0,
+    watch: { isWaiting: false, retryAt: 0, backoff: 0, platformRevision: 0 },
+    pollAt: Infinity,
+    gossipAt: Infinity,
+    confirmAt: Infinity,
+    confirmed: new Map(),
+    digests: new Map(),
+    counts: { droppedMessages: 0, droppedChunks: 0, olderRoots: 0, unreadableRoots: 0 },
+  };
+}
+
+/** Takes one event. */
+export function stepSpread(ctx: SpreadContext, state: SpreadState, event: SpreadEvent): SpreadStep {
+  const step = takeEvent(ctx, state, event);
+  return continueStep(step, (next) => putInForce(ctx, next, event.at));
+}
+
+function takeEvent(ctx: SpreadContext, state: SpreadState, event: SpreadEvent): SpreadStep {
+  switch (event.type) {
+    case 'started':
+      return startSpread(ctx, state, event.at);
+    case 'members-changed':
+      return changeMembers(state, event.members, event.at);
+    case 'tick':
+      return tick(ctx, state, event.at);
+    case 'root-read':
+      return receiveRoot(ctx, state, event.via, event.reading, event.at);
+    case 'chunks-read':
+      return receiveRead(ctx, state, event);
+    case 'message':
+      return receiveMessage(ctx, state, event.from, event.message, event.at);
+    case 'garbage':
+      return createStep({
+        ...state,
+        counts: { ...state.counts, droppedMessages: state.counts.droppedMessages + 1 },
+      });
+    case 'digest-wanted':
+      return askDigests(state, event.revision, event.at);
+    default:
+      return createStep(state);
+  }
+}
+
+function startSpread(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  const timed: SpreadState = {
+    ...state,
+    pollAt: at + getPollPeriod(ctx, state) * ctx.random.nextFloat(),
+    gossipAt: at + jitter(ctx.random, ctx.settings.gossipPeriod, GOSSIP_JITTER),
+    confirmAt: at + jitter(ctx.random, ctx.settings.confirmPeriod, GOSSIP_JITTER),
+    watch: { ...state.watch, backoff: ctx.settings.minBackoff },
+  };
+  const asked = continueStep(beginStart(ctx, timed, at), (next) =>
+    createStep(next, [{ type: 'read-root' }]),
+  );
+  return continueStep(asked, (next) => keepWatch(next, at));
+}
+
+function changeMembers(
+  state: SpreadState,
+  members: readonly SpreadMember[],
+  at: Millis,
+): SpreadStep {
+  const before = state.plan;
+  const plan = createPeerPlan(before.self, members);
+  const next = pruneConfirmations({ ...state, plan });
+  const own = plan.self.domain;
+  const isSameCollectors = String(before.collectors.get(own)) === String(plan.collectors.get(own));
+  const confirmed = isSameCollectors || !state.inForce ? createStep(next) : sendConfirmation(next);
+  return continueStep(confirmed, (following) => keepWatch(following, at));
+}
+
+function getPollPeriod(ctx: SpreadContext, state: SpreadState): Millis {
+  const { minPollPeriod, pollPeriodPerInstance } = ctx.settings;
+  return Math.max(minPollPeriod, pollPeriodPerInstance * (state.plan.others.length + 1));
+}
+
+function tick(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  const parts = [advanceStart, poll, gossip, confirmAgain, watchAgain, fetchAgain, askNextTeller];
+  return parts.reduce<SpreadStep>(
+    (step, part) => continueStep(step, (next) => part(ctx, next, at)),
+    createStep(state),
+  );
+}
+
+function poll(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  if (at < state.pollAt) {
+    return createStep(state);
+  }
+  const pollAt = at + jitter(ctx.random, getPollPeriod(ctx, state), POLL_JITTER);
+  return createStep({ ...state, pollAt }, [{ type: 'read-root' }]);
+}
+
+function gossip(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  if (at < state.gossipAt) {
+    return createStep(state);
+  }
+  const gossipAt = at + jitter(ctx.random, ctx.settings.gossipPeriod, GOSSIP_JITTER);
+  const to = selectGossipPeer(state.plan, ctx.random, ctx.settings.gossipFarShare);
+  const revision = getRevisionOf(state.held);
+  return createStep(
+    { ...state, gossipAt },
+    to === undefined
+      ? []
+      : [{ type: 'send', to, message: { type: 'told', revision, wantsReply: false } }],
+  );
+}
+
+function confirmAgain(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  if (at < state.confirmAt) {
+    return createStep(state);
+  }
+  const confirmAt = at + jitter(ctx.random, ctx.settings.confirmPeriod, GOSSIP_JITTER);
+  const next = { ...state, confirmAt };
+  return state.inForce ? sendConfirmation(next) : createStep(next);
+}
+
+function watchAgain(_ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  return keepWatch(state, at);
+}
+
+/** Lets a watch wait, if this instance is a watcher and none is waiting. */
+function keepWatch(state: SpreadState, at: Millis): SpreadStep {
+  const { watch, plan } = state;
+  if (!plan.isWatcher || watch.isWaiting || at < watch.retryAt) {
+    return createStep(state);
+  }
+  return createStep({ ...state, watch: { ...watch, isWaiting: true } }, [
+    { type: 'watch-root', known: watch.platformRevision },
+  ]);
+}
+
+function fetchAgain(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  return state.target && at >= state.target.answerBy
+    ? changeSource(ctx, state, at)
+    : createStep(state);
+}
+
+function receiveRoot(
+  ctx: SpreadContext,
+  state: SpreadState,
+  via: 'watch' | 'poll',
+  reading: RootReading,
+  at: Millis,
+): SpreadStep {
+  const watched = via === 'watch' ? endWatch(ctx, state, reading, at) : state;
+  if (reading.kind === 'failed') {
+    return createStep(state.platformSeen === null ? pollSoon(ctx, watched, at) : watched);
+  }
+  const seen = noteReading(watched, reading.root, at);
+  const source: ChunkSource =
+    via === 'watch' && state.held ? { kind: 'platform' } : choosePeerSource(ctx, state);
+  const learned = reading.root ? learnRoot(ctx, seen, reading.root, source, at) : createStep(seen);
+  return continueStep(learned, (next) => keepWatch(next, at));
+}
+
+/** An instance that has never heard the platform does not wait for its ordinary poll. */
+function pollSoon(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadState {
+  const soon = at + jitter(ctx.random, ctx.settings.minPollPeriod, POLL_JITTER);
+  return { ...state, pollAt: Math.min(state.pollAt, soon) };
+}
+
+function noteReading(state: SpreadState, root: ManifestRoot | null, at: Millis): SpreadState {
+  const revision = root?.revision ?? 0;
+  const { held } = state;
+  const isOlder = revision < Math.max(state.platformSeen ?? 0, getRevisionOf(held));
+  const isOther = held?.root.revision === revision && held.root.body !== root?.body;
+  const olderRoots = state.counts.olderRoots + (isOlder || isOther ? 1 : 0);
+  return {
+    ...state,
+    counts: { ...state.counts, olderRoots },
+    start: null,
+    platformSeen: Math.max(state.platformSeen ?? 0, revision),
+    platformSeenAt: at,
+  };
+}
+
+function endWatch(
+  ctx: SpreadContext,
+  state: SpreadState,
+  reading: RootReading,
+  at: Millis,
+): SpreadState {
+  const { watch } = state;
+  const { minBackoff, maxBackoff } = ctx.settings;
+  if (reading.kind === 'read') {
+    const { platformRevision } = reading;
+    // A service that answers watches at once although nothing changed must not be asked in a loop.
+    const isNews = platformRevision !== watch.platformRevision;
+    const retryAt = isNews ? at : at + jitter(ctx.random, minBackoff, BACKOFF_JITTER);
+    const next = { isWaiting: false, retryAt, backoff: minBackoff, platformRevision };
+    return { ...state, watch: next };
+  }
+  const retryAt = at + jitter(ctx.random, watch.backoff, BACKOFF_JITTER);
+  const backoff = Math.min(watch.backoff * 2, maxBackoff);
+  return { ...state, watch: { ...watch, isWaiting: false, retryAt, backoff } };
+}
+
+function receiveRead(
+  ctx: SpreadContext,
+  state: SpreadState,
+  event: Extract<SpreadEvent, { type: 'chunks-read' }>,
+): SpreadStep {
+  const received = receiveChunks(state, event.chunks);
+  const { target } = received;
+  if (!target || target.root.body !== event.body || target.source.kind !== 'platform') {
+    // The end of a read for a root that was superseded meanwhile, or whose source was changed.
+    return createStep(received);
+  }
+  const gained = event.chunks.size > 0;
+  return gained
+    ? advanceTarget(ctx, received, event.at)
+    : createStep(pauseTarget(ctx, received, event.at));
+}
+
+function receiveMessage(
+  ctx: SpreadContext,
+  state: SpreadState,
+  from: InstanceId,
+  message: SpreadMessage,
+  at: Millis,
+): SpreadStep {
+  switch (message.type) {
+    case 'told':
+      return continueStep(
+        receiveTold(ctx, state, from, message.revision, message.wantsReply, at),
+        (next) => advanceStart(ctx, next, at),
+      );
+    case 'asked':
+      return answerAsked(ctx, state, from, message.have, message.refs);
+    case 'given':
+      return receiveGiven(ctx, state, message.root, message.chunks, from, at);
+    case 'confirmed':
+      return createStep(recordConfirmation(state, from, message.revision));
+    case 'digest-asked':
+      return createStep(state, [
+        {
+          type: 'send',
+          to: from,
+          message: { type: 'digest-given', digest: createDigest(state, message.revision) },
+        },
+      ]);
+    case 'digest-given':
+      return createStep(receiveDigest(state, message.digest, at));
+    default:
+      return createStep(state);
+  }
+}
+
+/** A peer said what it holds: ask it if that is higher, tell it if it is lower. */
+function receiveTold(
+  ctx: SpreadContext,
+  state: SpreadState,
+  from: InstanceId,
+  revision: number,
+  wantsReply: boolean,
+  at: Millis,
+): SpreadStep {
+  const noted = noteKeeper(receiveStartAnswer(state, from, revision), from, revision);
+  const own = getRevisionOf(state.held);
+  if (revision > own) {
+    const waiters = wantsReply ? [...new Set([...noted.waiters, from])] : noted.waiters;
+    const waiting = { ...noted, waiters };
+    const isNews = revision > getKnownRevision(state) && !state.start;
+    return isNews ? askTeller(ctx, waiting, from, revision, at) : createStep(waiting);
+  }
+  const message = { type: 'told', revision: own, wantsReply: false } as const;
+  return wantsReply || revision < own
+    ? createStep(noted, [{ type: 'send', to: from, message }])
+    : createStep(noted);
+}
+
+function noteKeeper(state: SpreadState, peer: InstanceId, revision: number): SpreadState {
+  if (!state.plan.keepers.includes(peer) || (state.keeperRevisions.get(peer) ?? 0) >= revision) {
+    return state;
+  }
+  return { ...state, keeperRevisions: new Map(state.keeperRevisions).set(peer, revision) };
+}
+
+/**
+ * Puts the held revision into force: only a higher one, not before the start is over, and only once a
+ * keeper holds it too. Without that last condition, an instance could serve a revision that it alone
+ * had read, restart in an outage of the platform, and learn a lower one from its peers.
+ */
+function putInForce(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
+  const { held } = state;
+  if (!held || state.start || held.root.revision <= getRevisionOf(state.inForce)) {
+    return createStep(state);
+  }
+  const { keepers } = state.plan;
+  const isKept = keepers.some((id) => (state.keeperRevisions.get(id) ?? 0) >= held.root.revision);
+  if (keepers.length > 0 && !isKept && at < state.heldSince + ctx.settings.holdLimit) {
+    return createStep(state);
+  }
+  const applied = createStep({ ...state, inForce: held }, [{ type: 'apply', manifest: held }]);
+  return continueStep(applied, sendConfirmation);
+}
+
+/** How the instance knows the revision in force, for readiness and status. */
+export function getKnownBy(state: SpreadState): KnownByName {
+  if (state.platformSeen !== null && state.platformSeen >= getRevisionOf(state.inForce)) {
+    return KnownBy.Platform;
+  }
+  return state.inForce ? KnownBy.Peers : KnownBy.Nothing;
+}
--- /dev/null
+++ b/packages/manifest/src/__tests__/ManifestBed.ts
@@ -0,0 +1,92 @@
+/** A fleet with a fake platform and submitters, over virtual time, for tests of the whole way. */
+import { expect } from 'chai';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { VirtualTimers } from '@skylarksail/core/CoreTimers';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
+import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import type { FakeFleet } from '../FakeFleet.js';
+import { createFakeFleet, createFleetMembers } from '../FakeFleet.js';
+import type { StoreContext } from '../ManifestCalls.js';
+import type { SubmitOutcome } from '../ManifestStore.js';
+import { submitManifest } from '../ManifestStore.js';
+import { createManifest } from './ManifestFixtures.js';
+
+export const DEADLINE: Millis = 10_000;
+
+export interface Bed {
+  readonly timers: VirtualTimers;
+  readonly platform: FakePlatform;
+  readonly fleet: FakeFleet;
+  /** Revisions in the order in which each instance, over all its processes, put them into force. */
+  readonly applied: Map<InstanceId, number[]>;
+  connect(client: string): StoreContext;
+  pass(time: Millis): Promise<void>;
+  /** Lets time pass until the work is surely done. */
+  run<T>(work: Promise<T>): Promise<T>;
+  submit(
+    client: string,
+    submissionId: string,
+    expectedRevision: number | null,
+    teamCount: number,
+  ): Promise<SubmitOutcome>;
+  /** Submits without a race; `teamCount` tells the revision by its content. */
+  accept(teamCount: number): Promise<void>;
+  getRevisions(): readonly (number | null)[];
+}
+
+/** Creates a bed of `domains` domains with `perDomain` instances; none runs yet. */
+export function createBed(seed = 5, domains = 2, perDomain = 3): Bed {
+  const timers = createVirtualTimers();
+  const random = createRandom(seed);
+  const platform = createFakePlatform({ timers, random });
+  const applied = new Map<InstanceId, number[]>();
+  const members = createFleetMembers(domains, perDomain);
+  const fleet = createFakeFleet({
+    timers,
+    random,
+    platform,
+    members,
+    onInForce: (id, revision) => applied.set(id, [...(applied.get(id) ?? []), revision]),
+  });
+  const connect = (client: string): StoreContext => ({
+    platform: platform.connect(client),
+    timers,
+    random,
+    callTimeout: 500,
+  });
+  const pass = (time: Millis): Promise<void> => timers.advanceToAsync(timers.now() + time);
+  const submit: Bed['submit'] = (client, submissionId, expectedRevision, teamCount) =>
+    submitManifest(connect(client), createManifest(teamCount), {
+      submissionId,
+      expectedRevision,
+      deadline: timers.now() + DEADLINE,
+    });
+  return {
+    timers,
+    platform,
+    fleet,
+    applied,
+    connect,
+    pass,
+    submit,
+    async run(work) {
+      await pass(3 * DEADLINE);
+      return work;
+    },
+    async accept(teamCount) {
+      const work = submit('pipeline', `teams-${teamCount}`, null, teamCount);
+      await pass(DEADLINE / 20);
+      expect((await work).kind).to.equal('accepted');
+    },
+    getRevisions: () => members.map(({ id }) => fleet.getRevision(id)),
+  };
+}
+
+/** Fails if any instance ever put a lower revision into force after a higher one. */
+export function expectNoRevert(bed: Bed): void {
+  bed.applied.forEach((revisions, id) => {
+    expect(revisions, id).to.deep.equal([...revisions].sort((a, b) => a - b));
+  });
+}
--- a/packages/manifest/src/__tests__/unit/ManifestStore.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestStore.test.ts
@@ -1,60 +1,13 @@
 import { expect } from 'chai';
-import { createRandom } from '@skylarksail/core/CoreRandom';
-import type { VirtualTimers } from '@skylarksail/core/CoreTimers';
-import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
 import type { StoreContext } from '../../ManifestCalls.js';
 import { joinManifest } from '../../ManifestChunks.js';
 import { loadManifest, readHistory, readRoot } from '../../ManifestReader.js';
 import { ROOT_KEY } from '../../ManifestRoot.js';
-import type { SubmitOutcome } from '../../ManifestStore.js';
 import { submitManifest } from '../../ManifestStore.js';
+import type { Bed } from '../ManifestBed.js';
+import { createBed, DEADLINE } from '../ManifestBed.js';
 import { createManifest } from '../ManifestFixtures.js';
 
-const DEADLINE = 10_000;
-
-interface Bed {
-  readonly timers: VirtualTimers;
-  readonly platform: FakePlatform;
-  connect(client: string): StoreContext;
-  run<T>(work: Promise<T>): Promise<T>;
-}
-
-function createBed(): Bed {
-  const timers = createVirtualTimers();
-  const random = createRandom(5);
-  const platform = createFakePlatform({ timers, random });
-  return {
-    timers,
-    platform,
-    connect: (client) => ({
-      platform: platform.connect(client),
-      timers,
-      random,
-      callTimeout: 500,
-    }),
-    async run(work) {
-      await timers.advanceToAsync(timers.now() + 3 * DEADLINE);
-      return work;
-    },
-  };
-}
-
-function submit(
-  bed: Bed,
-  client: string,
-  submissionId: string,
-  expectedRevision: number | null,
-  teamCount: number,
-): Promise<SubmitOutcome> {
-  return submitManifest(bed.connect(client), createManifest(teamCount), {
-    submissionId,
-    expectedRevision,
-    deadline: bed.timers.now() + DEADLINE,
-  });
-}
-
 async function getCurrent(bed: Bed): Promise<{ revision: number; submission: string }> {
   const stored = await bed.run(readRoot(bed.connect('reader'), Infinity));
   return stored.ok && stored.value.root ? stored.value.root : { revision: 0, submission: '' };
@@ -63,7 +16,7 @@
 describe('ManifestStore', () => {
   it('gives back what was submitted', async () => {
     const bed = createBed();
-    const accepted = await bed.run(submit(bed, 'a', 'first', 0, 300));
+    const accepted = await bed.run(bed.submit('a', 'first', 0, 300));
     expect(accepted).to.include({ kind: 'accepted', revision: 1, repeated: false });
     const ctx = bed.connect('reader');
     const stored = await bed.run(readRoot(ctx, Infinity));
@@ -80,8 +33,8 @@
     // Symptom: a change that its author saw accepted is gone. Sequence: several submitters read one
     // root and write at the same time. Cause: an acceptance that was not one compare-and-swap.
     const bed = createBed();
-    await bed.run(submit(bed, 'a', 'first', 0, 10));
-    const racers = ['r1', 'r2', 'r3', 'r4'].map((id, i) => submit(bed, id, id, 1, 20 + i));
+    await bed.run(bed.submit('a', 'first', 0, 10));
+    const racers = ['r1', 'r2', 'r3', 'r4'].map((id, i) => bed.submit(id, id, 1, 20 + i));
     const outcomes = await bed.run(Promise.all(racers));
     const winners = outcomes.filter(({ kind }) => kind === 'accepted');
     expect(winners).to.have.length(1);
@@ -93,13 +46,13 @@
 
   it('gives the same submission its first result, also after later ones', async () => {
     const bed = createBed();
-    await bed.run(submit(bed, 'a', 'first', 0, 10));
-    await bed.run(submit(bed, 'a', 'second', 1, 11));
-    const again = await bed.run(submit(bed, 'b', 'first', 0, 10));
+    await bed.run(bed.submit('a', 'first', 0, 10));
+    await bed.run(bed.submit('a', 'second', 1, 11));
+    const again = await bed.run(bed.submit('b', 'first', 0, 10));
     expect(again).to.include({ kind: 'accepted', revision: 1, repeated: true });
-    const unpinned = await bed.run(submit(bed, 'b', 'first', null, 10));
+    const unpinned = await bed.run(bed.submit('b', 'first', null, 10));
     expect(unpinned).to.include({ kind: 'accepted', revision: 1, repeated: true });
-    const other = await bed.run(submit(bed, 'b', 'first', 0, 12));
+    const other = await bed.run(bed.submit('b', 'first', 0, 12));
     expect(other).to.deep.equal({ kind: 'id-reused', revision: 1 });
     expect((await getCurrent(bed)).revision).to.equal(2);
   });
@@ -110,7 +63,7 @@
     // Cause: taking the second try's refusal for somebody else's win.
     const bed = createBed();
     bed.platform.setFaults({ lostAnswers: 0.4 }, 'a');
-    const outcome = await bed.run(submit(bed, 'a', 'first', 0, 10));
+    const outcome = await bed.run(bed.submit('a', 'first', 0, 10));
     expect(outcome).to.include({ kind: 'accepted', revision: 1 });
     const ctx = bed.connect('reader');
     const stored = await bed.run(readRoot(ctx, Infinity));
@@ -124,7 +77,7 @@
     // Sequence: the swap is delayed beyond its timeout; the root read back is unchanged; the swap
     // lands. Cause: a look at the root says nothing about writes that have not arrived.
     const bed = createBed();
-    await bed.run(submit(bed, 'a', 'first', 0, 10));
+    await bed.run(bed.submit('a', 'first', 0, 10));
     const { platform } = bed;
     const ctx = bed.connect('slow');
     const delayed: StoreContext = {
@@ -148,14 +101,14 @@
     expect(await outcome).to.deep.equal({ kind: 'unknown' });
     expect((await getCurrent(bed)).submission).to.equal('first');
     expect((await getCurrent(bed)).submission).to.equal('late');
-    const again = await bed.run(submit(bed, 'b', 'late', 1, 11));
+    const again = await bed.run(bed.submit('b', 'late', 1, 11));
     expect(again).to.include({ kind: 'accepted', revision: 2, repeated: true });
   });
 
   it('says unavailable, and takes no effect, when an outage comes before the root is written', async () => {
     const bed = createBed();
     bed.platform.setFaults({ outage: true });
-    const outcome = await bed.run(submit(bed, 'a', 'first', null, 10));
+    const outcome = await bed.run(bed.submit('a', 'first', null, 10));
     expect(outcome).to.deep.equal({ kind: 'unavailable', fault: { kind: 'unavailable' } });
     bed.platform.setFaults({ outage: false });
     expect((await getCurrent(bed)).revision).to.equal(0);
@@ -174,9 +127,9 @@
 
   it('writes only the delta of a change of one team', async () => {
     const bed = createBed();
-    await bed.run(submit(bed, 'a', 'first', 0, 2000));
+    await bed.run(bed.submit('a', 'first', 0, 2000));
     const before = bed.platform.countCalls().bytesWritten;
-    const outcome = await bed.run(submit(bed, 'a', 'second', 1, 2001));
+    const outcome = await bed.run(bed.submit('a', 'second', 1, 2001));
     expect(outcome).to.include({ kind: 'accepted', writtenChunks: 4 });
     expect(bed.platform.countCalls().bytesWritten - before).to.be.below(30_000);
   });
