Add load digests, small digests and duties to membership

Cause: each engine is polled by one owner, so the others must learn its load within 4 KB a second, and other parts have small facts of the same kind to spread. Change: a table of values told with their age, a two-byte load on top of it, digests for other parts, duties by rendezvous over the live instances, and a period for reading the list that keeps the calls of the fleet flat.

--- a/packages/membership/src/MembershipApply.ts
+++ b/packages/membership/src/MembershipApply.ts
@@ -146,6 +146,7 @@
   batch.members.set(record.id, createMember(record, batch.now));
   batch.changed.add(record.id);
   queueUpdate(batch, record.id);
+  tellChange(batch, self, record);
 }
 
 function getSelf(batch: Batch): MemberRecord {
@@ -158,12 +159,14 @@
   batch.changed.add(record.id);
   queueUpdate(batch, record.id);
   setSuspicion(batch, record);
-  const kind = getChangeKind(known, record);
+  tellChange(batch, known, record);
+}
+
+function tellChange(batch: Batch, before: MemberRecord | undefined, after: MemberRecord): void {
+  const kind = getChangeKind(before, after);
   if (kind) {
-    batch.effects.push({
-      kind: 'member',
-      change: { kind, id: record.id, domain: record.domain, record },
-    });
+    const { id, domain } = after;
+    batch.effects.push({ kind: 'member', change: { kind, id, domain, record: after } });
   }
 }
 
--- /dev/null
+++ b/packages/membership/src/MembershipDigests.ts
@@ -0,0 +1,105 @@
+/**
+ * Small values of other parts that all instances should know: what an engine holds, poison suspects, the
+ * revision of the manifest that each instance has in force. Keyed by a text, told with their age.
+ */
+import { hash32 } from '@skylarksail/core/CoreHash';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import { Packr } from 'msgpackr';
+import type { AgedConfig, AgedTable } from './MembershipAged.js';
+import { createAgedTable, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
+import { unpack } from './MembershipCodec.js';
+import type { GossipTopic, TopicCode } from './MembershipTopics.js';
+import { MembershipError } from './MembershipErrors.js';
+
+/** A value that does not fit into a digest. */
+export const DigestSizeError = MembershipError.subclass('DigestSizeError');
+
+export interface DigestOptions {
+  readonly topic: TopicCode;
+  readonly bytesPerSecond: number;
+  readonly bytesPerMessage: number;
+  readonly crossesDomains: boolean;
+  /** How often one instance passes a value on. */
+  readonly maxSends?: number;
+  /** Values not recorded again for this long are forgotten. */
+  readonly forgetAfter: Millis;
+  readonly maxEntries?: number;
+}
+
+/** A value with the local time at which it was recorded, as near as can be told. */
+export interface SeenDigest<Value> {
+  readonly value: Value;
+  readonly seenAt: Millis;
+}
+
+/** Values of one kind, the same on all instances after a while. The latest recorded stands. */
+export interface DigestSpread<Value> {
+  readonly topic: GossipTopic;
+  /** Records a value; at most 200 bytes once packed. Record it again now and then to keep it. */
+  record(key: string, value: Value, now: Millis): void;
+  get(key: string, now: Millis): SeenDigest<Value> | null;
+  /** All values that are not forgotten; keys are known by their hash only. */
+  getAll(now: Millis): readonly SeenDigest<Value>[];
+  /** Tells of values that came from other instances. */
+  registerListener(listener: () => void): Unregister;
+}
+
+const MAX_VALUE_BYTES = 200;
+const DEFAULT_MAX_SENDS = 6;
+const DEFAULT_MAX_ENTRIES = 4096;
+const SAME_WITHIN: Millis = 15_000;
+
+const packr = new Packr({ useRecords: false });
+
+/** Creates a digest with its topic, to be registered with membership. */
+export function createDigestSpread<Value>(options: DigestOptions): DigestSpread<Value> {
+  const cfg: AgedConfig = {
+    valueBytes: 0,
+    maxSends: options.maxSends ?? DEFAULT_MAX_SENDS,
+    sameWithin: SAME_WITHIN,
+    forgetAfter: options.forgetAfter,
+    maxEntries: options.maxEntries ?? DEFAULT_MAX_ENTRIES,
+  };
+  const listeners = new Set<() => void>();
+  let table: AgedTable = createAgedTable(cfg);
+  return {
+    topic: {
+      topic: options.topic,
+      bytesPerSecond: options.bytesPerSecond,
+      bytesPerMessage: options.bytesPerMessage,
+      crossesDomains: options.crossesDomains,
+      collect(room, now) {
+        const taken = takeDigest(table, room, now);
+        table = taken.table;
+        return taken.bytes;
+      },
+      merge(bytes, _from, now) {
+        table = mergeAged(table, bytes, now);
+        listeners.forEach((listener) => listener());
+      },
+    },
+    record(key, value, now) {
+      const bytes = packr.pack(value);
+      if (bytes.length > MAX_VALUE_BYTES) {
+        throw new DigestSizeError(`a digest of ${bytes.length} bytes is over ${MAX_VALUE_BYTES}`);
+      }
+      table = recordAged(table, hash32(key), bytes, now);
+    },
+    get(key, now) {
+      const entry = table.entries.get(hash32(key));
+      return entry && now - entry.seenAt < cfg.forgetAfter
+        ? { value: unpack(entry.value) as Value, seenAt: entry.seenAt }
+        : null;
+    },
+    getAll: (now) =>
+      [...table.entries.values()]
+        .filter(({ seenAt }) => now - seenAt < cfg.forgetAfter)
+        .map(({ value, seenAt }) => ({ value: unpack(value) as Value, seenAt })),
+    registerListener(listener) {
+      listeners.add(listener);
+      return () => {
+        listeners.delete(listener);
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/MembershipLoad.ts
@@ -0,0 +1,138 @@
+/**
+ * Load of the engines of a domain: the owner of an engine polls it and notes what it says, the rest learn
+ * it in digests of seven bytes an engine, coarse and with its age.
+ */
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import type { LifeStateName } from '@skylarksail/core/CoreConstants';
+import type { EngineLoad } from '@skylarksail/core/CoreEngine';
+import { hash32 } from '@skylarksail/core/CoreHash';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { AgedConfig, AgedTable } from './MembershipAged.js';
+import { createAgedTable, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
+import type { GossipTopic } from './MembershipTopics.js';
+import { TopicNumber } from './MembershipTopics.js';
+
+/** How often an owner polls each of its engines; docs/design/load-knowledge.md tells why. */
+export const LOAD_POLL_PERIOD: Millis = 4000;
+/** What the digests of load may cost each instance. */
+export const LOAD_BYTES_PER_SECOND = 900;
+const LOAD_BYTES_PER_MESSAGE = 420;
+
+export const LOAD_TABLE_CONFIG: AgedConfig = {
+  valueBytes: 2,
+  maxSends: 2,
+  sameWithin: LOAD_POLL_PERIOD / 2,
+  forgetAfter: 120_000,
+  maxEntries: 4096,
+};
+
+/** An engine's load as it is spread: counts are rounded to about a tenth of themselves. */
+export interface SpreadLoad {
+  readonly running: number;
+  readonly queued: number;
+  /** Share of the KV cache in use, 0 to 1, in sixteenths. */
+  readonly kvUsed: number;
+  readonly state: LifeStateName;
+  /** Local time at which the engine said so, as near as can be told. */
+  readonly seenAt: Millis;
+}
+
+export type LoadTable = AgedTable;
+
+const RUNNING_SCALE = 8;
+const RUNNING_MAX = 63;
+const QUEUED_SCALE = 4;
+const QUEUED_MAX = 31;
+const KV_MAX = 15;
+
+export function createLoadTable(cfg: Partial<AgedConfig> = {}): LoadTable {
+  return createAgedTable({ ...LOAD_TABLE_CONFIG, ...cfg });
+}
+
+/** Notes what an engine that we poll has just said. */
+export function recordLoad(table: LoadTable, load: EngineLoad, now: Millis): LoadTable {
+  return recordAged(table, hash32(load.engine), encodeLoad(load), now);
+}
+
+/** What is known of one engine's load, or null. */
+export function getLoad(table: LoadTable, engine: EngineId): SpreadLoad | null {
+  const entry = table.entries.get(hash32(engine));
+  return entry ? { ...decodeLoad(entry.value), seenAt: entry.seenAt } : null;
+}
+
+/** What is known of the given engines; those never heard of are left out. */
+export function getLoads(
+  table: LoadTable,
+  engines: readonly EngineId[],
+): ReadonlyMap<EngineId, SpreadLoad> {
+  const loads = new Map<EngineId, SpreadLoad>();
+  for (const engine of engines) {
+    const load = getLoad(table, engine);
+    if (load) {
+      loads.set(engine, load);
+    }
+  }
+  return loads;
+}
+
+/** Sixteen bits: running, queued and KV cache, each coarser the larger it is, and whether it leaves. */
+export function encodeLoad(load: Pick<EngineLoad, 'running' | 'queued' | 'kvUsed' | 'state'>) {
+  const running = encodeCount(load.running, RUNNING_SCALE, RUNNING_MAX);
+  const queued = encodeCount(load.queued, QUEUED_SCALE, QUEUED_MAX);
+  const kv = Math.round(Math.min(1, Math.max(0, load.kvUsed)) * KV_MAX);
+  const leaving = load.state === LifeState.Leaving ? 1 : 0;
+  const word = running * 1024 + queued * 32 + kv * 2 + leaving;
+  return Uint8Array.of(Math.floor(word / 256), word % 256);
+}
+
+export function decodeLoad(value: Uint8Array): Omit<SpreadLoad, 'seenAt'> {
+  const word = (value[0] ?? 0) * 256 + (value[1] ?? 0);
+  return {
+    running: decodeCount(Math.floor(word / 1024), RUNNING_SCALE),
+    queued: decodeCount(Math.floor(word / 32) % 32, QUEUED_SCALE),
+    kvUsed: (Math.floor(word / 2) % 16) / KV_MAX,
+    state: word % 2 === 1 ? LifeState.Leaving : LifeState.Live,
+  };
+}
+
+function encodeCount(count: number, scale: number, max: number): number {
+  return Math.min(max, Math.round(scale * Math.log2(1 + Math.max(0, count))));
+}
+
+function decodeCount(code: number, scale: number): number {
+  return Math.round(2 ** (code / scale) - 1);
+}
+
+/** Load knowledge that rides on membership. */
+export interface LoadSpread {
+  readonly topic: GossipTopic;
+  recordLoad(load: EngineLoad, now: Millis): void;
+  getLoad(engine: EngineId): SpreadLoad | null;
+  getLoads(engines: readonly EngineId[]): ReadonlyMap<EngineId, SpreadLoad>;
+}
+
+/** Creates the load table of one instance with its topic, to be registered with membership. */
+export function createLoadSpread(cfg: Partial<AgedConfig> = {}): LoadSpread {
+  let table = createLoadTable(cfg);
+  return {
+    topic: {
+      topic: TopicNumber.Load,
+      bytesPerSecond: LOAD_BYTES_PER_SECOND,
+      bytesPerMessage: LOAD_BYTES_PER_MESSAGE,
+      crossesDomains: false,
+      collect(room, now) {
+        const taken = takeDigest(table, room, now);
+        table = taken.table;
+        return taken.bytes;
+      },
+      merge(bytes, _from, now) {
+        table = mergeAged(table, bytes, now);
+      },
+    },
+    recordLoad(load, now) {
+      table = recordLoad(table, load, now);
+    },
+    getLoad: (engine) => getLoad(table, engine),
+    getLoads: (engines) => getLoads(table, engines),
+  };
+}
--- a/packages/membership/src/MembershipService.ts
+++ b/packages/membership/src/MembershipService.ts
@@ -4,7 +4,7 @@
  */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { decodeGossip, encodeGossip } from './MembershipCodec.js';
 import type { MemberChange, MembershipEffect } from './MembershipEffects.js';
 import { EnvelopeKind, encodeEnvelope } from './MembershipEnvelope.js';
@@ -27,6 +27,7 @@
 } from './MembershipState.js';
 import type { GossipTopic } from './MembershipTopics.js';
 import { createTopicTable } from './MembershipTopics.js';
+import { countPresent, isListReader } from './MembershipViews.js';
 import { readBytes } from './MembershipWire.js';
 
 /** What membership needs from outside. */
@@ -59,6 +60,8 @@
   receive(payload: unknown): void;
   /** Takes in a reading of the platform's instance list: entry instances only. */
   readList(instances: readonly ListedInstance[]): void;
+  /** When to read the platform's list next, from now; jitter it. */
+  getListPeriod(): Millis;
   /** A connection to the instance was refused or broke. */
   reportConnectionLost(id: InstanceId): void;
   getLiveInstances(domain?: DomainId): readonly LiveInstance[];
@@ -140,6 +143,7 @@
   return {
     receive,
     readList: (instances) => step({ kind: 'listed', instances }),
+    getListPeriod: () => getListPeriod(state),
     reportConnectionLost: (id) => step({ kind: 'connection-lost', id }),
     getLiveInstances: (domain) => getLiveInstances(state, domain),
     getInstance: (id) => getInstance(state, id),
@@ -160,3 +164,10 @@
     },
   };
 }
+
+function getListPeriod({ cfg, members, self }: MembershipState): Millis {
+  if (isListReader(members, self.id, self.domain, cfg.listReaders)) {
+    return cfg.listPeriod;
+  }
+  return Math.max(cfg.slowListPeriod, cfg.slowListPerInstance * countPresent(members));
+}
--- a/packages/membership/src/MembershipState.ts
+++ b/packages/membership/src/MembershipState.ts
@@ -37,6 +37,12 @@
   /** How long a dead instance is remembered, so that old news cannot bring it back. */
   readonly tombstoneTime: Millis;
   readonly recordsPerSync: number;
+  /** Instances of a domain that read the platform's list often. */
+  readonly listReaders: number;
+  readonly listPeriod: Millis;
+  /** Least period of the others; with the fleet's size it grows, so that their calls together do not. */
+  readonly slowListPeriod: Millis;
+  readonly slowListPerInstance: Millis;
 }
 
 export const DEFAULT_MEMBERSHIP_CONFIG: MembershipConfig = {
@@ -55,6 +61,10 @@
   syncPeriod: 2000,
   tombstoneTime: 24 * 3_600_000,
   recordsPerSync: 96,
+  listReaders: 2,
+  listPeriod: 10_000,
+  slowListPeriod: 30_000,
+  slowListPerInstance: 450,
 };
 
 /** An instance as the platform's list tells of it. */
--- a/packages/membership/src/MembershipViews.ts
+++ b/packages/membership/src/MembershipViews.ts
@@ -100,3 +100,14 @@
     byHash,
   };
 }
+
+/** Whether it is among the `count` instances of its domain that read the platform's list often. */
+export function isListReader(
+  members: Members,
+  self: InstanceId,
+  domain: DomainId,
+  count: number,
+): boolean {
+  const { live } = getDomainView(members, domain);
+  return selectOwners(`list\u0000${domain}`, live, count).includes(self);
+}
--- a/packages/membership/src/VirtualFleet.ts
+++ b/packages/membership/src/VirtualFleet.ts
@@ -21,9 +21,8 @@
   /** Share of messages that are lost. */
   readonly loss?: number;
   readonly latency?: Millis;
-  /** How far the platform's list lags, and how often each instance reads it. */
+  /** How far the platform's list lags. */
   readonly listLag?: Millis;
-  readonly listPeriod?: Millis;
   readonly onChange?: (observer: InstanceId, change: MembershipChange, now: Millis) => void;
   /** Called for each new instance, to register topics. */
   readonly onStart?: (instance: VirtualInstance) => void;
@@ -52,6 +51,8 @@
   setLoss(share: number): void;
   /** Says which messages pass; null lets all pass. */
   setCut(cut: ((from: ListedInstance, to: ListedInstance) => boolean) | null): void;
+  /** Reads of the platform's list so far. */
+  countListReads(): number;
   /** Whether the platform's list can be read. */
   setListUp(isUp: boolean): void;
   /** Delivers bytes to an instance as if they came over the network. */
@@ -95,6 +96,7 @@
   let cut: ((from: ListedInstance, to: ListedInstance) => boolean) | null = null;
   let isListUp = true;
   let boots = 1;
+  let listReads = 0;
 
   function start(listed: ListedInstance, incarnation = boots): void {
     crash(listed.id);
@@ -119,13 +121,17 @@
     running.set(listed.id, instance);
     membership.registerListener((change) => options.onChange?.(listed.id, change, timers.now()));
     options.onStart?.(instance);
+    pollList(instance);
+  }
+
+  function pollList(instance: Running): void {
     readList(instance);
-    ownTimers.registerInterval(jitter(own, options.listPeriod ?? 30_000, 0.2), () =>
-      readList(instance),
-    );
+    const period = jitter(instance.random, instance.membership.getListPeriod(), 0.2);
+    instance.timers.registerTimeout(period, () => pollList(instance));
   }
 
   function readList(instance: Running): void {
+    listReads += 1;
     if (isListUp) {
       const seen = new Map<InstanceId, ListedInstance>();
       const until = timers.now() - (options.listLag ?? 0);
@@ -206,6 +212,7 @@
     setCut(next) {
       cut = next;
     },
+    countListReads: () => listReads,
     setListUp(isUp) {
       isListUp = isUp;
     },
