Measure throughput against the hardware's bound and three baselines

Cause: changes to the choice of chains need a figure before and after. Change: the throughput bench over virtual engines: three shapes, six instances with late reports, open-loop callers, a bound from a max-flow of its own, three baselines that hold back the same number of calls as the router, and a run at three times the bound.

--- /dev/null
+++ b/packages/bench/src/ThroughputBench.ts
@@ -0,0 +1,368 @@
+/**
+ * The throughput bench: virtual engines and links, several entry instances with lagging views, the
+ * router against baselines, at the hardware's bound and at three times it.
+ */
+import { build } from 'hdr-histogram-js';
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
+import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import { invariant } from '@skylarksail/core/CoreErrors';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
+import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
+import type { RoutingState } from '@skylarksail/routing/RoutingState';
+import { createRoutingState, setEngines, setRoutingFacts } from '@skylarksail/routing/RoutingState';
+import type { VirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
+import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
+import { computeBound, getWorkMeans } from './ThroughputBound.js';
+import type { BenchRequest } from './ThroughputEntry.js';
+import { createBenchEntry } from './ThroughputEntry.js';
+import type { BenchPolicy } from './ThroughputPolicies.js';
+import {
+  createBaselinePolicy,
+  createLeastLoaded,
+  createPowerOfTwo,
+  createRoundRobin,
+  createRouterPolicy,
+} from './ThroughputPolicies.js';
+import type { BenchShape, BenchWork } from './ThroughputShapes.js';
+import { BENCH_ACTIVATION_BYTES, BENCH_VARIANT, createBenchShapes } from './ThroughputShapes.js';
+
+export interface ThroughputOptions {
+  readonly seed: number;
+  /** Virtual time that is measured, after the warm-up. */
+  readonly measuredMs?: Millis;
+  /** Names of the shapes to run; all by default. */
+  readonly shapes?: readonly string[];
+}
+
+/** What one policy reached. */
+export interface ThroughputRun {
+  readonly tokens_s: number;
+  readonly ttft_p95_ms: number;
+  readonly tbt_p95_ms: number;
+  /** Tokens a second that callers asked for. */
+  readonly offered_tokens_s: number;
+  readonly refused: number;
+  readonly failed: number;
+}
+
+export interface ThroughputLine {
+  readonly bench: 'throughput';
+  readonly case: string;
+  readonly bound_tokens_s: number;
+  readonly measured_tokens_s: number;
+  readonly ratio: number;
+  /** Ratio to the bound of each baseline. */
+  readonly baselines: Readonly<Record<string, number>>;
+  readonly ttft_p95_ms: number;
+  readonly tbt_p95_ms: number;
+  /** Tokens a second at three times the bound, as a share of those at the bound. */
+  readonly overload3_ratio: number;
+  readonly layer_faults: number;
+  /** The runs behind the figures. */
+  readonly runs: Readonly<Record<string, ThroughputRun>>;
+}
+
+type CreatePolicy = (instance: number, random: Random) => BenchPolicy;
+
+const WARM_UP_MS = 8000;
+const MEASURED_MS = 12000;
+const REPORT_PERIOD_MS = 500;
+const REPORT_LAG_MS = 300;
+const ENTRY_DELAY_MS = 0.3;
+const KV_BYTES_PER_LAYER = 4096;
+const TOKEN_GAP_MS = 65;
+const OVERLOAD = 3;
+const HISTOGRAM_UNITS_PER_MS = 10;
+
+/** Runs the bench; one line a case, the last one the whole. */
+export function runThroughputBench(options: ThroughputOptions): readonly ThroughputLine[] {
+  const shapes = createBenchShapes().filter(({ name }) => options.shapes?.includes(name) ?? true);
+  const lines = shapes.map((shape) => runShape(shape, options));
+  return lines.length > 1 ? [...lines, createTotal(lines)] : lines;
+}
+
+function runShape(shape: BenchShape, options: ThroughputOptions): ThroughputLine {
+  const getLink = createLinkLookup(shape);
+  const bound = computeBound(shape, (from, to) => getLink(from, to).bytesPerSecond);
+  const count = shape.domains.length * shape.instancesPerDomain;
+  const maxCalls = (bound * TOKEN_GAP_MS) / MILLIS_PER_SECOND / count;
+  const baselines = {
+    'round-robin': createRoundRobin,
+    'least-loaded': createLeastLoaded,
+    'power-of-two': createPowerOfTwo,
+  };
+  const runs: Record<string, ThroughputRun> = {};
+  const ratios: Record<string, number> = {};
+  let layerFaults = 0;
+
+  function measure(name: string, load: number, createPolicy: CreatePolicy): ThroughputRun {
+    const { run, faults } = runLoad(shape, bound * load, getLink, createPolicy, options);
+    layerFaults += faults;
+    runs[name] = run;
+    return run;
+  }
+
+  Object.entries(baselines).forEach(([name, createPick]) => {
+    const run = measure(name, 1, (_i, random) =>
+      createBaselinePolicy(shape.engines, maxCalls, createPick, random),
+    );
+    ratios[name] = round(run.tokens_s / bound);
+  });
+  const routing = createInitialState(shape, count);
+  const router: CreatePolicy = (_i, random) => createRouterPolicy(routing, random);
+  const atBound = measure('router', 1, router);
+  const overload = measure('router-overload3', OVERLOAD, router);
+  return {
+    bench: 'throughput',
+    case: shape.name,
+    bound_tokens_s: Math.round(bound),
+    measured_tokens_s: atBound.tokens_s,
+    ratio: round(atBound.tokens_s / bound),
+    baselines: ratios,
+    ttft_p95_ms: atBound.ttft_p95_ms,
+    tbt_p95_ms: atBound.tbt_p95_ms,
+    overload3_ratio: round(overload.tokens_s / atBound.tokens_s),
+    layer_faults: layerFaults,
+    runs,
+  };
+}
+
+function runLoad(
+  shape: BenchShape,
+  tokensPerSecond: number,
+  getLink: (from: EngineFacts, to: EngineFacts) => LinkCost,
+  createPolicy: CreatePolicy,
+  options: ThroughputOptions,
+): { readonly run: ThroughputRun; readonly faults: number } {
+  const timers = createVirtualTimers();
+  const random = createRandom(options.seed);
+  const measuredMs = options.measuredMs ?? MEASURED_MS;
+  const fleet = createVirtualFleet({
+    timers,
+    engines: shape.engines,
+    getLink,
+    activationBytes: BENCH_ACTIVATION_BYTES,
+    kvBytesPerLayer: KV_BYTES_PER_LAYER,
+    entryDelayMs: ENTRY_DELAY_MS,
+    readPrompt: readBenchPrompt,
+    createToken: () => 't',
+    isPoison: () => false,
+  });
+  const meter = createMeter();
+  const policies: BenchPolicy[] = [];
+  const entries = shape.domains.flatMap((domain) =>
+    Array.from({ length: shape.instancesPerDomain }, () => {
+      const policy = createPolicy(
+        policies.length,
+        createRandom(options.seed + policies.length + 1),
+      );
+      policies.push(policy);
+      const { layerCount } = shape;
+      return createBenchEntry({ timers, domain, layerCount, policy, open: fleet.open, meter });
+    }),
+  );
+  reportLoads(timers, fleet, policies, random);
+  sendRequests(timers, shape, tokensPerSecond, entries, random);
+  timers.advanceTo(WARM_UP_MS);
+  meter.start();
+  timers.advanceTo(WARM_UP_MS + measuredMs);
+  return { run: meter.read(measuredMs), faults: fleet.readLedger().layerFaults };
+}
+
+/** Each instance hears of each engine at its own times, later than the engine spoke. */
+function reportLoads(
+  timers: TimerService,
+  fleet: VirtualFleet,
+  policies: readonly BenchPolicy[],
+  random: Random,
+): void {
+  function report(): void {
+    const seenAt = timers.now();
+    fleet.readLoads().forEach((load) =>
+      policies.forEach((policy) => {
+        const lag = REPORT_LAG_MS * (0.5 + random.nextFloat());
+        timers.registerTimeout(lag, () => policy.onLoad({ load, seenAt }, timers.now()));
+      }),
+    );
+  }
+  report();
+  timers.registerInterval(REPORT_PERIOD_MS, report);
+}
+
+/** Callers that do not wait for each other; the balancer gives each request to any instance. */
+function sendRequests(
+  timers: TimerService,
+  shape: BenchShape,
+  tokensPerSecond: number,
+  entries: readonly ((req: BenchRequest) => void)[],
+  random: Random,
+): void {
+  const { answerTokens } = getWorkMeans(shape.work);
+  const meanGap = (MILLIS_PER_SECOND * answerTokens) / tokensPerSecond;
+  let count = 0;
+  function sendNext(): void {
+    const entry = entries[random.nextInt(entries.length)];
+    count += 1;
+    entry?.(createRequest(shape.work, `r${count}`, timers.now(), random));
+    timers.registerTimeout(-Math.log(1 - random.nextFloat()) * meanGap, sendNext);
+  }
+  sendNext();
+}
+
+function createRequest(
+  work: readonly BenchWork[],
+  id: string,
+  arrivedAt: Millis,
+  random: Random,
+): BenchRequest {
+  const kind = pickWork(work, random);
+  const ownTokens = drawLength(kind.ownTokens, random);
+  const answerTokens = drawLength(kind.answerTokens, random);
+  const prefixKey = `${kind.name}-${random.nextInt(kind.templates)}`;
+  const prompt = `${prefixKey}/${kind.prefixTokens}/${ownTokens}`;
+  return { id, work: kind, prompt, prefixKey, ownTokens, answerTokens, arrivedAt };
+}
+
+function pickWork(work: readonly BenchWork[], random: Random): BenchWork {
+  let draw = random.nextFloat();
+  const found = work.find(({ share }) => {
+    draw -= share;
+    return draw < 0;
+  });
+  const last = work.at(-1);
+  invariant(last, 'there is work');
+  return found ?? last;
+}
+
+function drawLength(mean: number, random: Random): number {
+  return Math.max(1, Math.round(mean * (0.5 + random.nextFloat())));
+}
+
+function readBenchPrompt(prompt: string) {
+  const [prefixKey = null, prefix, own] = prompt.split('/');
+  const prefixTokens = Number(prefix);
+  return { tokens: prefixTokens + Number(own), prefixKey, prefixTokens };
+}
+
+function createMeter() {
+  const firsts = build({ highestTrackableValue: 6e6 });
+  const gaps = build({ highestTrackableValue: 6e6 });
+  let measuring = false;
+  let tokens = 0;
+  let offered = 0;
+  let refused = 0;
+  let failed = 0;
+  const count = (change: () => void) => () => {
+    if (measuring) {
+      change();
+    }
+  };
+  return {
+    start() {
+      measuring = true;
+    },
+    onFirstToken(wait: Millis) {
+      if (measuring) {
+        firsts.recordValue(Math.round(wait * HISTOGRAM_UNITS_PER_MS));
+      }
+    },
+    onTokenGap(gap: Millis) {
+      if (measuring) {
+        gaps.recordValue(Math.round(gap * HISTOGRAM_UNITS_PER_MS));
+      }
+    },
+    onArrived(answerTokens: number) {
+      offered += measuring ? answerTokens : 0;
+    },
+    onToken: count(() => {
+      tokens += 1;
+    }),
+    onRefused: count(() => {
+      refused += 1;
+    }),
+    onFailed: count(() => {
+      failed += 1;
+    }),
+    read: (measuredMs: Millis): ThroughputRun => ({
+      tokens_s: Math.round((tokens * MILLIS_PER_SECOND) / measuredMs),
+      ttft_p95_ms: firsts.getValueAtPercentile(95) / HISTOGRAM_UNITS_PER_MS,
+      tbt_p95_ms: gaps.getValueAtPercentile(95) / HISTOGRAM_UNITS_PER_MS,
+      offered_tokens_s: Math.round((offered * MILLIS_PER_SECOND) / measuredMs),
+      refused,
+      failed,
+    }),
+  };
+}
+
+function createInitialState(shape: BenchShape, instanceCount: number): RoutingState {
+  const { promptTokensPerToken } = getWorkMeans(shape.work);
+  const state = setRoutingFacts(
+    createRoutingState({ instanceCount, promptTokensPerToken, tokenGapMs: TOKEN_GAP_MS }),
+    {
+      links: shape.links,
+      models: new Map([
+        [BENCH_VARIANT.model, { id: BENCH_VARIANT.model, activationBytes: BENCH_ACTIVATION_BYTES }],
+      ]),
+    },
+  );
+  return setEngines(
+    state,
+    shape.engines.map(({ facts }) => facts),
+  );
+}
+
+function createLinkLookup(shape: BenchShape): (from: EngineFacts, to: EngineFacts) => LinkCost {
+  const known = new Map<string, LinkCost>();
+  const regions = new Map<string, string>();
+  return (from, to) => {
+    const name = `${from.rack}>${to.rack}`;
+    const cached = known.get(name);
+    if (cached) {
+      return cached;
+    }
+    const cost = getLinkCost(
+      shape.links,
+      getEnginePlace(from, regions),
+      getEnginePlace(to, regions),
+    );
+    known.set(name, cost);
+    return cost;
+  };
+}
+
+/** The worst of the cases in each field; the ratio is over all tokens. */
+function createTotal(lines: readonly ThroughputLine[]): ThroughputLine {
+  const sum = (read: (line: ThroughputLine) => number) =>
+    lines.reduce((total, line) => total + read(line), 0);
+  const bound = sum((line) => line.bound_tokens_s);
+  const measured = sum((line) => line.measured_tokens_s);
+  const names = Object.keys(lines[0]?.baselines ?? {});
+  const baselines = Object.fromEntries(
+    names.map((name) => [
+      name,
+      round(sum((line) => (line.baselines[name] ?? 0) * line.bound_tokens_s) / bound),
+    ]),
+  );
+  return {
+    bench: 'throughput',
+    case: 'all',
+    bound_tokens_s: bound,
+    measured_tokens_s: measured,
+    ratio: round(measured / bound),
+    baselines,
+    ttft_p95_ms: Math.max(...lines.map((line) => line.ttft_p95_ms)),
+    tbt_p95_ms: Math.max(...lines.map((line) => line.tbt_p95_ms)),
+    overload3_ratio: Math.min(...lines.map((line) => line.overload3_ratio)),
+    layer_faults: sum((line) => line.layer_faults),
+    runs: {},
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
