Draw chains from a max-flow plan and weigh them by expected finish

Cause: a choice of two that knows no flow sent as much work over slow links as over fast ones, and no domain could use another's idle engines. Change: a capacity plan for each pool (Dinic over groups of engines by rack and layers, fast links before slow ones, flow spread over peers), walks that draw four engines a hop by their share of it, prefix expectations, memory headroom, a limit by priority, health of engines (ejection by failures and by latency, probing, slow start, crash loops) and crossing into other domains within what each lends. Tables that copy one bucket for a change hold the state of calls.

--- a/packages/bench/src/ThroughputBench.ts
+++ b/packages/bench/src/ThroughputBench.ts
@@ -10,7 +10,7 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
 import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
 import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
 import type { RoutingState } from '@skylarksail/routing/RoutingState';
@@ -113,8 +113,10 @@
     );
     ratios[name] = round(run.tokens_s / bound);
   });
-  const routing = createInitialState(shape, count);
-  const router: CreatePolicy = (_i, random) => createRouterPolicy(routing, random);
+  const router: CreatePolicy = (i, random) => {
+    const domain = shape.domains[Math.floor(i / shape.instancesPerDomain)] ?? null;
+    return createRouterPolicy(createInitialState(shape, domain), random);
+  };
   const atBound = measure('router', 1, router);
   const overload = measure('router-overload3', OVERLOAD, router);
   return {
@@ -299,10 +301,11 @@
   };
 }
 
-function createInitialState(shape: BenchShape, instanceCount: number): RoutingState {
-  const { promptTokensPerToken } = getWorkMeans(shape.work);
+function createInitialState(shape: BenchShape, domain: DomainId | null): RoutingState {
+  const instanceCount = shape.instancesPerDomain;
+  const foreignInstanceCount = (shape.domains.length - 1) * instanceCount;
   const state = setRoutingFacts(
-    createRoutingState({ instanceCount, promptTokensPerToken, tokenGapMs: TOKEN_GAP_MS }),
+    createRoutingState({ domain, instanceCount, foreignInstanceCount }),
     {
       links: shape.links,
       models: new Map([
--- a/packages/bench/src/ThroughputEntry.ts
+++ b/packages/bench/src/ThroughputEntry.ts
@@ -4,6 +4,7 @@
 import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
 import type { EngineCall, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { ChainAsk } from '@skylarksail/routing/RoutingChoice';
+import type { RoutedCall } from '@skylarksail/routing/RoutingState';
 import type { BenchPolicy } from './ThroughputPolicies.js';
 import type { BenchWork } from './ThroughputShapes.js';
 import { BENCH_VARIANT } from './ThroughputShapes.js';
@@ -74,12 +75,12 @@
     queue = waiting;
     while (queue.length > 0) {
       const req = queue[0] as BenchRequest;
-      const chain = policy.choose(createBenchAsk(req));
-      if (!chain) {
+      const routed = policy.choose(createBenchAsk(req));
+      if (!routed) {
         return;
       }
       queue.shift();
-      run(req, chain);
+      run(req, routed);
     }
   }
 
@@ -98,9 +99,7 @@
     };
   }
 
-  function run(req: BenchRequest, chain: EngineCall['chain']): void {
-    const promptTokens = req.work.prefixTokens + req.ownTokens;
-    const routed = { chain, promptTokens, maxTokens: req.answerTokens };
+  function run(req: BenchRequest, routed: RoutedCall): void {
     const startedAt = timers.now();
     let firstAt: Millis | null = null;
     let lastAt = startedAt;
@@ -116,7 +115,7 @@
     const call: EngineCall = {
       request: req.id,
       attempt: 1,
-      chain,
+      chain: routed.chain,
       prompt: req.prompt,
       resumeTokens: [],
       maxTokens: req.answerTokens,
--- a/packages/bench/src/ThroughputPolicies.ts
+++ b/packages/bench/src/ThroughputPolicies.ts
@@ -1,5 +1,5 @@
 /** Ways to choose a chain that the throughput bench compares: the router's and the baselines. */
-import type { Chain, Stage } from '@skylarksail/core/CoreChain';
+import type { Stage } from '@skylarksail/core/CoreChain';
 import { createChain } from '@skylarksail/core/CoreChain';
 import type { SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import { invariant } from '@skylarksail/core/CoreErrors';
@@ -7,6 +7,7 @@
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { ChainAsk } from '@skylarksail/routing/RoutingChoice';
 import { selectChain } from '@skylarksail/routing/RoutingChoice';
+import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
 import type { RoutedCall, RoutingState } from '@skylarksail/routing/RoutingState';
 import {
   recordCallEnd,
@@ -20,33 +21,45 @@
 /** How one entry instance chooses; it hears of its own calls and of late load reports. */
 export interface BenchPolicy {
   /** A chain, or null while the request has to wait. */
-  choose(ask: ChainAsk): Chain | null;
+  choose(ask: ChainAsk): RoutedCall | null;
   onStart(call: RoutedCall, now: Millis): void;
   onFirstToken(call: RoutedCall, now: Millis): void;
   onEnd(call: RoutedCall, firstTokenMs: Millis, tokenGapMs: Millis | null, now: Millis): void;
   onLoad(seen: SeenEngineLoad, now: Millis): void;
 }
 
+const PLAN_PERIOD_MS = 1000;
+
 /** The router itself. */
 export function createRouterPolicy(initial: RoutingState, random: Random): BenchPolicy {
   let state = initial;
+  let nextPlanAt = PLAN_PERIOD_MS;
   return {
     choose(ask) {
       const choice = selectChain(state, ask, random);
-      return choice.ok ? choice.value.chain : null;
+      if (!choice.ok) {
+        return null;
+      }
+      const { promptTokens, maxTokens, prefixKeys } = ask;
+      const { chain, cachedTokens } = choice.value;
+      return { chain, promptTokens, maxTokens, prefixKeys, cachedTokens };
     },
     onStart(call) {
       state = recordCallStart(state, call);
     },
-    onFirstToken(call) {
-      state = recordFirstToken(state, call);
+    onFirstToken(call, now) {
+      state = recordFirstToken(state, call, now);
     },
     onEnd(call, firstTokenMs, tokenGapMs, now) {
       const outcome = { kind: 'answered', firstTokenMs, tokenGapMs } as const;
       state = recordCallEnd(state, call, outcome, true, now);
     },
-    onLoad(seen) {
+    onLoad(seen, now) {
       state = setLoad(state, seen);
+      if (now >= nextPlanAt) {
+        state = refreshPlans(state, now);
+        nextPlanAt = now + PLAN_PERIOD_MS;
+      }
     },
   };
 }
@@ -96,7 +109,8 @@
       }
       const chain = createChain(BENCH_VARIANT, ask.layerCount, stages);
       invariant(chain.ok, 'whole ranges form a chain');
-      return chain.value;
+      const { promptTokens, maxTokens } = ask;
+      return { chain: chain.value, promptTokens, maxTokens };
     },
     onStart: (call) => add(call, 1),
     onFirstToken() {},
--- /dev/null
+++ b/packages/routing/src/RoutingCalls.ts
@@ -0,0 +1,201 @@
+/** Records of our own calls: what they keep busy, and what they tell of the engines' health. */
+import type { Chain } from '@skylarksail/core/CoreChain';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineHealth } from './RoutingHealth.js';
+import {
+  eject,
+  isOutlier,
+  MAX_EJECTED_SHARE,
+  NEW_HEALTH,
+  recordFailure,
+  recordGap,
+  recordSuccess,
+} from './RoutingHealth.js';
+import { addSightings } from './RoutingPrefixes.js';
+import { getPoolKey } from './RoutingPools.js';
+import { getEntry, withEntry } from './RoutingTable.js';
+import type { CallOutcome, OwnWork, RoutedCall, RoutingState } from './RoutingTypes.js';
+
+export const NO_WORK: OwnWork = { calls: 0, kvTokens: 0, prefillTokens: 0 };
+
+/** How much of the learned mix remains after one more call. */
+const MIX_MEMORY = 0.995;
+
+/** Work of this instance on an engine. */
+export function getOwnWork(state: RoutingState, engine: EngineId): OwnWork {
+  return getEntry(state.own, engine) ?? NO_WORK;
+}
+
+/** Health of an engine as seen so far. */
+export function getHealth(state: RoutingState, engine: EngineId): EngineHealth {
+  return getEntry(state.health, engine) ?? NEW_HEALTH;
+}
+
+export function setHealth(
+  state: RoutingState,
+  engine: EngineId,
+  health: EngineHealth,
+): RoutingState {
+  return { ...state, health: withEntry(state.health, engine, health) };
+}
+
+/** Counts a call's work on each engine of its chain. */
+export function recordCallStart(state: RoutingState, call: RoutedCall): RoutingState {
+  const kvTokens = call.promptTokens + call.maxTokens;
+  const change = { calls: 1, kvTokens, prefillTokens: call.promptTokens };
+  return countCrossing(changeOwnWork(state, call.chain, change), call.chain, 1);
+}
+
+/** The first token came: the prompt is prefilled, and its prefixes are cached. */
+export function recordFirstToken(
+  state: RoutingState,
+  call: RoutedCall,
+  now: Millis = 0,
+): RoutingState {
+  const change = { calls: 0, kvTokens: 0, prefillTokens: -call.promptTokens };
+  const next = changeOwnWork(state, call.chain, change);
+  const sightings = call.chain.stages.map(({ engine }) => ({
+    engine,
+    bootId: getHealth(state, engine).bootId,
+    seenAt: now,
+  }));
+  const prefixes = (call.prefixKeys ?? []).reduce(
+    (table, { key }) => addSightings(table, key, sightings),
+    state.prefixes,
+  );
+  return { ...next, prefixes };
+}
+
+/**
+ * Takes in the time between tokens of a call so far. To be told of a running call now and then: a slow
+ * engine's calls end late, and would otherwise be heard of last.
+ */
+export function recordTokenGap(
+  state: RoutingState,
+  chain: Chain,
+  gap: Millis,
+  now: Millis,
+): RoutingState {
+  const smoothed = chain.stages.reduce(
+    (next, { engine }) => setHealth(next, engine, recordGap(getHealth(next, engine), gap)),
+    state,
+  );
+  return chain.stages.reduce((next, { engine }) => {
+    const health = getHealth(next, engine);
+    const peers = selectPeers(next, chain, engine);
+    const others = peers.map((peer) => getHealth(next, peer));
+    return health.ejectedUntil === null &&
+      isOutlier(health, others) &&
+      mayEject(next, [engine, ...peers])
+      ? setHealth(next, engine, eject(health, now))
+      : next;
+  }, smoothed);
+}
+
+/** Takes a call's work off its engines. `hadFirstToken` says whether its prompt was prefilled. */
+export function recordCallEnd(
+  state: RoutingState,
+  call: RoutedCall,
+  outcome: CallOutcome,
+  hadFirstToken: boolean,
+  now: Millis,
+): RoutingState {
+  const kvTokens = -(call.promptTokens + call.maxTokens);
+  const prefillTokens = hadFirstToken ? 0 : -call.promptTokens;
+  const change = { calls: -1, kvTokens, prefillTokens };
+  const next = countCrossing(changeOwnWork(state, call.chain, change), call.chain, -1);
+  if (outcome.kind === 'answered') {
+    return recordAnswered(next, call, outcome, now);
+  }
+  if (outcome.kind === 'failed' && outcome.engine !== null) {
+    return recordEngineFailure(next, call.chain, outcome.engine, now);
+  }
+  return next;
+}
+
+function recordAnswered(
+  state: RoutingState,
+  call: RoutedCall,
+  outcome: CallOutcome & { kind: 'answered' },
+  now: Millis,
+): RoutingState {
+  const mix = {
+    promptTokens:
+      state.mix.promptTokens * MIX_MEMORY + call.promptTokens - (call.cachedTokens ?? 0),
+    answerTokens: state.mix.answerTokens * MIX_MEMORY + (outcome.tokens ?? call.maxTokens),
+  };
+  const succeeded = call.chain.stages.reduce(
+    (next, { engine }) => setHealth(next, engine, recordSuccess(getHealth(next, engine), now)),
+    { ...state, mix },
+  );
+  return outcome.tokenGapMs === null
+    ? succeeded
+    : recordTokenGap(succeeded, call.chain, outcome.tokenGapMs, now);
+}
+
+function recordEngineFailure(
+  state: RoutingState,
+  chain: Chain,
+  engine: EngineId,
+  now: Millis,
+): RoutingState {
+  const group = [engine, ...selectPeers(state, chain, engine)];
+  const health = recordFailure(getHealth(state, engine), mayEject(state, group), now);
+  return setHealth(state, engine, health);
+}
+
+/** Engines of the same pool that hold the same layers. */
+function selectPeers(state: RoutingState, chain: Chain, engine: EngineId): readonly EngineId[] {
+  const domain = state.engines.get(engine)?.domain;
+  const layers = state.loads.get(engine)?.load.holding?.layers;
+  if (domain === undefined || !layers) {
+    return [];
+  }
+  const key = getPoolKey(chain.variant.model, chain.variant.version, domain);
+  const members = state.pools.get(key)?.members ?? [];
+  return members
+    .filter(
+      ({ id, holding }) =>
+        id !== engine && holding.layers.first === layers.first && holding.layers.end === layers.end,
+    )
+    .map(({ id }) => id);
+}
+
+/** Whether one more engine of a group may be ejected. The last of a group never is. */
+function mayEject(state: RoutingState, group: readonly EngineId[]): boolean {
+  const ejected = group.filter((id) => getHealth(state, id).ejectedUntil !== null).length;
+  const allowed = Math.max(1, Math.floor(group.length * MAX_EJECTED_SHARE));
+  return group.length > 1 && ejected < allowed;
+}
+
+function countCrossing(state: RoutingState, chain: Chain, change: number): RoutingState {
+  const own = state.tuning.domain;
+  if (own === null) {
+    return state;
+  }
+  const domains = new Set(chain.stages.map(({ engine }) => state.engines.get(engine)?.domain));
+  const crossed = [...domains].filter((domain) => domain !== undefined && domain !== own);
+  if (crossed.length === 0) {
+    return state;
+  }
+  const crossing = new Map(state.crossing);
+  crossed.forEach((domain) => {
+    if (domain !== undefined) {
+      crossing.set(domain, Math.max(0, (crossing.get(domain) ?? 0) + change));
+    }
+  });
+  return { ...state, crossing };
+}
+
+function changeOwnWork(state: RoutingState, chain: Chain, change: OwnWork): RoutingState {
+  const own = chain.stages.reduce((table, { engine }) => {
+    const work = getEntry(table, engine) ?? NO_WORK;
+    const next = {
+      calls: work.calls + change.calls,
+      kvTokens: work.kvTokens + change.kvTokens,
+      prefillTokens: work.prefillTokens + change.prefillTokens,
+    };
+    return withEntry(table, engine, next.calls > 0 ? next : undefined);
+  }, state.own);
+  return { ...state, own };
+}
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -1,38 +1,25 @@
 /** Chooses the chain that a request runs on. Pure: state, ask and random numbers in, choice out. */
-import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
+import type { Chain, Stage } from '@skylarksail/core/CoreChain';
 import { createChain, formatChain } from '@skylarksail/core/CoreChain';
-import type { PriorityName } from '@skylarksail/core/CoreConstants';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { Random } from '@skylarksail/core/CoreRandom';
-import type { DomainId, EngineId, Millis, Result } from '@skylarksail/core/CoreTypes';
+import type { DomainId, Millis, Result } from '@skylarksail/core/CoreTypes';
 import { createFailed, createOk } from '@skylarksail/core/CoreTypes';
+import { getHealth } from './RoutingCalls.js';
 import { coverLayers } from './RoutingCover.js';
+import { getHealedShare, getLentCalls, orderForeignDomains } from './RoutingDomains.js';
+import { isEjected } from './RoutingHealth.js';
+import { getEnginePlace, getLinkCost } from './RoutingLinks.js';
 import type { PoolMember } from './RoutingPools.js';
-import { getPool } from './RoutingPools.js';
-import { estimateTokenGap } from './RoutingScore.js';
-import type { RoutingState } from './RoutingState.js';
-
-/** A prefix of a prompt that engines may have in their cache. */
-export interface PrefixKey {
-  readonly key: string;
-  readonly tokens: number;
-}
-
-/** What a request needs of a chain. */
-export interface ChainAsk {
-  readonly variant: ModelVariant;
-  readonly layerCount: number;
-  /** Domain of the instance that asks. */
-  readonly domain: DomainId;
-  readonly priority: PriorityName;
-  readonly promptTokens: number;
-  readonly maxTokens: number;
-  /** From the shortest prefix to the longest. */
-  readonly prefixKeys: readonly PrefixKey[];
-  /** Engines not to be used, such as those that have just failed this request. */
-  readonly avoidEngines: ReadonlySet<EngineId>;
-  readonly now: Millis;
-}
+import { getPool, getPoolKey } from './RoutingPools.js';
+import type { ChainAsk } from './RoutingScore.js';
+import { estimateStage, estimateTransfer, getGapLimit } from './RoutingScore.js';
+import type { RoutingState } from './RoutingTypes.js';
+import type { WalkOption } from './RoutingWalk.js';
+import { walkPlan } from './RoutingWalk.js';
+
+export type { ChainAsk } from './RoutingScore.js';
+export type { PrefixKey } from './RoutingPrefixes.js';
 
 /** A chain that was weighed, for the decision log. */
 export interface ChainCandidate {
@@ -46,6 +33,8 @@
   readonly chain: Chain;
   readonly candidates: readonly ChainCandidate[];
   readonly crossedDomain: boolean;
+  /** Prompt tokens that every stage is expected to have cached. */
+  readonly cachedTokens: number;
 }
 
 /** Why no chain can be had. Nothing was sent, so the request is proven not to have run. */
@@ -54,46 +43,57 @@
   | { readonly kind: 'no-capacity'; readonly retryAfter: Millis }
   /** No engine that can be reached holds the model, version and adapter. */
   | { readonly kind: 'model-not-held'; readonly retryAfter: Millis }
-  /** Engines hold it, but leave a gap from this layer on. */
-  | { readonly kind: 'layers-missing'; readonly layer: number; readonly retryAfter: Millis }
+  /** Engines hold it, but leave a gap somewhere. */
+  | { readonly kind: 'layers-missing'; readonly retryAfter: Millis }
   /** Only other domains hold it, and they are cut off or lend no more. */
   | { readonly kind: 'cut-off'; readonly retryAfter: Millis };
 
+/** What a chain is expected to cost. */
+export interface ChainScore {
+  /** Time to the end of the answer. */
+  readonly finish: Millis;
+  /** Longest time between tokens that any of its engines would allow. */
+  readonly gap: Millis;
+  readonly cachedTokens: number;
+}
+
+interface ScoredChain extends ChainScore {
+  readonly chain: Chain;
+}
+
 const CANDIDATE_COUNT = 3;
-const RETRY_AFTER_MS = 1000;
+const FULL_RETRY_MS = 1000;
+const MISSING_RETRY_MS = 5000;
+/** Engines of another domain may be filled so far by us: its own callers come first. */
+const FOREIGN_FILL = 0.9;
+const DEFAULT_ACTIVATION_BYTES = 16384;
 
-/** The chain with the least expected finish among few random ones, or why there is none. */
+/**
+ * The chain with the least expected finish among few random ones, in the own domain if any there has
+ * room, else in one of the others within what they lend; or why there is none.
+ */
 export function selectChain(
   state: RoutingState,
   ask: ChainAsk,
   random: Random,
 ): Result<ChainChoice, RoutingRefusal> {
-  const members = selectMembers(state, ask, ask.domain);
-  if (members.length === 0) {
-    return createFailed({ kind: 'model-not-held', retryAfter: RETRY_AFTER_MS });
+  const own = selectInDomain(state, ask, ask.domain, 1, random);
+  if (own.ok) {
+    return own;
   }
-  const found: { chain: Chain; score: number }[] = [];
-  for (let i = 0; i < CANDIDATE_COUNT; i++) {
-    const stages = coverLayers(members, { first: 0, end: ask.layerCount }, (options) =>
-      pickOfTwo(state, ask, options, random),
-    );
-    if (!stages) {
-      return createFailed({ kind: 'layers-missing', layer: 0, retryAfter: RETRY_AFTER_MS });
-    }
-    const chain = buildChain(ask, stages);
-    found.push({ chain, score: scoreChain(state, ask, chain) });
+  const crossed = selectAbroad(state, ask, random);
+  if (crossed) {
+    return createOk(crossed);
   }
-  const best = found.reduce((a, b) => (b.score < a.score ? b : a));
-  const gap = best.score / ask.maxTokens;
-  if (gap > state.tuning.tokenGapMs) {
-    return createFailed({ kind: 'no-capacity', retryAfter: RETRY_AFTER_MS });
-  }
-  const candidates = found.map(({ chain, score }) => ({
-    chain: formatChain(chain),
-    score,
-    reason: 'least expected finish',
-  }));
-  return createOk({ chain: best.chain, candidates, crossedDomain: false });
+  const isHeldElsewhere =
+    own.error.kind !== 'no-capacity' &&
+    [...state.pools.values()].some(
+      (pool) =>
+        pool.model === ask.variant.model &&
+        pool.version === ask.variant.version &&
+        pool.domain !== ask.domain,
+    );
+  return isHeldElsewhere ? createFailed({ kind: 'cut-off', retryAfter: FULL_RETRY_MS }) : own;
 }
 
 /** Members of the domain's pool that may take new work of this ask. */
@@ -102,17 +102,11 @@
   ask: ChainAsk,
   domain: DomainId,
 ): readonly PoolMember[] {
-  const { adapter } = ask.variant;
   const pool = getPool(state.pools, ask.variant, domain);
-  return (pool?.members ?? []).filter(
-    ({ id, holding }) =>
-      !state.leaving.has(id) &&
-      !ask.avoidEngines.has(id) &&
-      (adapter === null || holding.adapters.includes(adapter)),
-  );
+  return (pool?.members ?? []).filter((member) => mayServe(state, ask, member));
 }
 
-/** Of two random members the one that would keep the shorter time between tokens. */
+/** Of two random members the one that costs less. */
 export function pickOfTwo(
   state: RoutingState,
   ask: ChainAsk,
@@ -122,19 +116,36 @@
   const a = options[random.nextInt(options.length)];
   const b = options[random.nextInt(options.length)];
   invariant(a && b, 'there is an option to pick');
-  const gapA = estimateTokenGap(state, a.facts, a.holding.layers, ask.now);
-  const gapB = estimateTokenGap(state, b.facts, b.holding.layers, ask.now);
-  return gapB < gapA ? b : a;
+  const weigh = ({ facts, holding }: PoolMember) =>
+    estimateStage(state, ask, facts, holding.layers).weight;
+  return weigh(b) < weigh(a) ? b : a;
 }
 
-/** Expected time to the end of the answer. */
-export function scoreChain(state: RoutingState, ask: ChainAsk, chain: Chain): number {
-  const gaps = chain.stages.map(({ engine, layers }) => {
+/** What a chain is expected to cost this ask. */
+export function scoreChain(state: RoutingState, ask: ChainAsk, chain: Chain): ChainScore {
+  const bytes = getActivationBytes(state, ask);
+  let gap = 0;
+  let path = 0;
+  let first = 0;
+  let cachedTokens = ask.promptTokens;
+  chain.stages.forEach(({ engine, layers }, i) => {
     const facts = state.engines.get(engine);
     invariant(facts, 'a chosen engine is known');
-    return estimateTokenGap(state, facts, layers, ask.now);
+    const cost = estimateStage(state, ask, facts, layers);
+    gap = Math.max(gap, cost.gap);
+    path += cost.step;
+    first += cost.prefill;
+    cachedTokens = Math.min(cachedTokens, cost.cachedTokens);
+    const next = state.engines.get(chain.stages[i + 1]?.engine ?? '');
+    if (next) {
+      const from = getEnginePlace(facts, state.regions);
+      const link = getLinkCost(state.links, from, getEnginePlace(next, state.regions));
+      const transfer = estimateTransfer(link, bytes, ask.promptTokens - cost.cachedTokens);
+      path += transfer.gap;
+      first += transfer.prefill;
+    }
   });
-  return ask.maxTokens * Math.max(...gaps);
+  return { finish: first + ask.maxTokens * Math.max(gap, path), gap, cachedTokens };
 }
 
 /** A chain of stages that are known to cover the model. */
@@ -143,3 +154,123 @@
   invariant(chain.ok, 'stages that cover the layers form a chain');
   return chain.value;
 }
+
+/** A whole chain in another domain that can be reached and still lends to us, or null. */
+function selectAbroad(state: RoutingState, ask: ChainAsk, random: Random): ChainChoice | null {
+  const names = [...new Set([...state.pools.values()].map(({ domain }) => domain))].sort();
+  const order = orderForeignDomains(
+    names,
+    ask.domain,
+    random.nextInt(Math.max(1, names.length - 1)),
+  );
+  for (const domain of order) {
+    const { model, version } = ask.variant;
+    const planned = state.plans.get(getPoolKey(model, version, domain));
+    const healed = getHealedShare(state.domains.get(domain), ask.now);
+    const lent = planned ? getLentCalls(planned.plan, state.tuning, ask.priority, healed) : 0;
+    if ((state.crossing.get(domain) ?? 0) + 1 <= lent) {
+      const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
+      if (choice.ok) {
+        return choice.value;
+      }
+    }
+  }
+  return null;
+}
+
+/** The best of few chains in one domain, if its engines are filled to less than `fill` of the limit. */
+function selectInDomain(
+  state: RoutingState,
+  ask: ChainAsk,
+  domain: DomainId,
+  fill: number,
+  random: Random,
+): Result<ChainChoice, RoutingRefusal> {
+  const found: ScoredChain[] = [];
+  for (let i = 0; i < CANDIDATE_COUNT; i++) {
+    const stages = drawStages(state, ask, domain, random);
+    if (!stages.ok) {
+      return stages;
+    }
+    if (stages.value) {
+      const chain = buildChain(ask, stages.value);
+      found.push({ chain, ...scoreChain(state, ask, chain) });
+    }
+  }
+  const limit = getGapLimit(state, ask.priority) * fill;
+  const open = found.filter(({ gap }) => gap <= limit);
+  if (open.length === 0) {
+    return createFailed({ kind: 'no-capacity', retryAfter: FULL_RETRY_MS });
+  }
+  const best = open.reduce((a, b) => (b.finish < a.finish ? b : a));
+  return createOk({
+    chain: best.chain,
+    candidates: found.map((scored) => explain(scored, best, limit)),
+    crossedDomain: domain !== ask.domain,
+    cachedTokens: best.cachedTokens,
+  });
+}
+
+function explain(scored: ScoredChain, best: ScoredChain, limit: Millis): ChainCandidate {
+  const { chain, finish, gap } = scored;
+  const verdict = scored === best ? 'least expected finish' : 'later expected finish';
+  const reason = gap > limit ? 'full' : verdict;
+  return { chain: formatChain(chain), score: finish, reason };
+}
+
+/** Stages drawn by the plan; by search where the plan does not fit. Null if all drawn were full. */
+function drawStages(
+  state: RoutingState,
+  ask: ChainAsk,
+  domain: DomainId,
+  random: Random,
+): Result<readonly Stage[] | null, RoutingRefusal> {
+  const { model, version } = ask.variant;
+  const plan = state.plans.get(getPoolKey(model, version, domain))?.plan;
+  if (plan && plan.tokensPerSecond > 0 && plan.layerCount === ask.layerCount) {
+    const stages = walkPlan(plan, (option) => weighOption(state, ask, option), random);
+    if (stages) {
+      return createOk(stages);
+    }
+  }
+  const members = selectMembers(state, ask, domain);
+  if (members.length === 0) {
+    return createFailed({ kind: 'model-not-held', retryAfter: MISSING_RETRY_MS });
+  }
+  const covered = coverLayers(members, { first: 0, end: ask.layerCount }, (options) =>
+    pickOfTwo(state, ask, options, random),
+  );
+  return covered
+    ? createOk(covered)
+    : createFailed({ kind: 'layers-missing', retryAfter: MISSING_RETRY_MS });
+}
+
+function weighOption(state: RoutingState, ask: ChainAsk, { member, hop }: WalkOption): number {
+  if (!mayServe(state, ask, member)) {
+    return Infinity;
+  }
+  const cost = estimateStage(state, ask, member.facts, member.holding.layers);
+  const bytes = getActivationBytes(state, ask);
+  const transfer = estimateTransfer(hop.link, bytes, ask.promptTokens - cost.cachedTokens);
+  return cost.weight + transfer.gap * ask.maxTokens + transfer.prefill;
+}
+
+function mayServe(state: RoutingState, ask: ChainAsk, { id, holding }: PoolMember): boolean {
+  const { variant } = ask;
+  // A plan may be older than the latest report of what the engine holds.
+  const held = state.loads.get(id)?.load.holding;
+  return (
+    held?.model === variant.model &&
+    held.version === variant.version &&
+    held.layers.first === holding.layers.first &&
+    held.layers.end === holding.layers.end &&
+    (variant.adapter === null || held.adapters.includes(variant.adapter)) &&
+    !state.leaving.has(id) &&
+    !ask.avoidEngines.has(id) &&
+    !isEjected(getHealth(state, id), ask.now)
+  );
+}
+
+function getActivationBytes(state: RoutingState, ask: ChainAsk): number {
+  return state.models.get(ask.variant.model)?.activationBytes ?? DEFAULT_ACTIVATION_BYTES;
+}
--- a/packages/routing/src/RoutingLinks.ts
+++ b/packages/routing/src/RoutingLinks.ts
@@ -18,7 +18,8 @@
 }
 
 const ANY = '*';
-const FREE_LINK: LinkCost = { key: null, bytesPerSecond: Infinity, delayMs: 0 };
+/** The way within a rack, or where no link is named. */
+export const FREE_LINK: LinkCost = { key: null, bytesPerSecond: Infinity, delayMs: 0 };
 
 /** Where an engine stands: the names that a link may use for its end. */
 export interface EnginePlace {
--- /dev/null
+++ b/packages/routing/src/RoutingPlanHops.ts
@@ -0,0 +1,74 @@
+/** Turns a solved flow into hops to draw from: from each place, the next groups with their shares. */
+import { FREE_LINK } from './RoutingLinks.js';
+import type {
+  CapacityPlan,
+  PlanGroup,
+  PlanHop,
+  PlanHops,
+  PlanOptions,
+} from './RoutingPlanTypes.js';
+import { getHopKey } from './RoutingPlanTypes.js';
+import type { SolvedPlan } from './RoutingPlanSolve.js';
+
+/** Turns flows into hops to draw from. */
+export function buildPlan(
+  groups: readonly PlanGroup[],
+  solved: SolvedPlan,
+  options: PlanOptions,
+): CapacityPlan {
+  const entering = new Map<string, { group: PlanGroup; flow: number }[]>();
+  groups.forEach((group, i) => {
+    const key = getHopKey(group.first, group.rack);
+    entering.set(key, [...(entering.get(key) ?? []), { group, flow: solved.groupFlows[i] ?? 0 }]);
+  });
+  const starts = groups.flatMap((group, i) =>
+    group.first === 0 ? [{ hop: { group, link: FREE_LINK }, flow: solved.groupFlows[i] ?? 0 }] : [],
+  );
+  const hops = new Map<string, PlanHops>();
+  const ends = new Map(groups.map(({ end, rack }) => [getHopKey(end, rack), { end, rack }]));
+  for (const [key, { end, rack }] of ends) {
+    if (end !== options.layerCount) {
+      hops.set(key, sumHops(selectHops(solved, entering, end, rack)));
+    }
+  }
+  const { layerCount } = options;
+  return { layerCount, tokensPerSecond: solved.total, starts: sumHops(starts), hops };
+}
+
+interface WeighedHop {
+  readonly hop: PlanHop;
+  readonly flow: number;
+}
+
+/** Ways out of a rack at a boundary: what stays in the rack, and what each link carries. */
+function selectHops(
+  solved: SolvedPlan,
+  entering: ReadonlyMap<string, readonly { group: PlanGroup; flow: number }[]>,
+  at: number,
+  rack: string,
+): readonly WeighedHop[] {
+  const leaving = solved.links.filter((link) => link.at === at && link.from === rack);
+  const arriving = solved.links.filter((link) => link.at === at && link.toRack === rack);
+  const here = entering.get(getHopKey(at, rack)) ?? [];
+  const taken = here.reduce((sum, { flow }) => sum + flow, 0);
+  const fromOthers = arriving.reduce((sum, { flow }) => sum + flow, 0);
+  const staying = { toRack: rack, link: FREE_LINK, flow: Math.max(0, taken - fromOthers) };
+  return [staying, ...leaving].flatMap(({ toRack, link, flow }) => {
+    const next = entering.get(getHopKey(at, toRack)) ?? [];
+    const total = next.reduce((sum, entry) => sum + entry.flow, 0);
+    return next.map((entry) => ({
+      hop: { group: entry.group, link },
+      flow: total > 0 ? (flow * entry.flow) / total : 0,
+    }));
+  });
+}
+
+function sumHops(weighed: readonly WeighedHop[]): PlanHops {
+  const used = weighed.filter(({ flow }) => flow > 0);
+  let sum = 0;
+  const sums = used.map(({ flow }) => {
+    sum += flow;
+    return sum;
+  });
+  return { hops: used.map(({ hop }) => hop), sums };
+}
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -1,13 +1,61 @@
-/** What a chain is expected to cost a request, from own work, aged reports and links. */
+/** What a chain is expected to cost a request, from own work, aged reports, caches and links. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
+import type { PriorityName } from '@skylarksail/core/CoreConstants';
+import { MILLIS_PER_SECOND, Priority } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts } from '@skylarksail/core/CoreEngine';
-import type { EngineId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
-import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
-import type { RoutingState } from './RoutingState.js';
-import { getOwnWork } from './RoutingState.js';
+import type { DomainId, EngineId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
+import { getHealth, getOwnWork } from './RoutingCalls.js';
+import { getHealthShare } from './RoutingHealth.js';
+import type { LinkCost } from './RoutingLinks.js';
+import type { PrefixKey } from './RoutingPrefixes.js';
+import { estimateCachedTokens } from './RoutingPrefixes.js';
+import type { RoutingState } from './RoutingTypes.js';
+
+/** What a request needs of a chain. */
+export interface ChainAsk {
+  readonly variant: ModelVariant;
+  readonly layerCount: number;
+  /** Domain of the instance that asks. */
+  readonly domain: DomainId;
+  readonly priority: PriorityName;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** From the shortest prefix to the longest. */
+  readonly prefixKeys: readonly PrefixKey[];
+  /** Engines not to be used, such as those that have just failed this request. */
+  readonly avoidEngines: ReadonlySet<EngineId>;
+  readonly now: Millis;
+}
+
+/** What one engine would cost a request. */
+export interface StageCost {
+  /** Time between tokens that the engine alone would allow, its health counted in; may be Infinity. */
+  readonly gap: Millis;
+  /** Time of one full step. */
+  readonly step: Millis;
+  /** Time to prefill what is not expected to be cached. */
+  readonly prefill: Millis;
+  readonly cachedTokens: number;
+  /** Share of the answer's time that the stage is expected to cost, to compare engines of one hop. */
+  readonly weight: Millis;
+}
 
 /** Age at which a report of others' work has lost two thirds of its weight. */
 const REPORT_AGE_MS = 4000;
 
+/** How far each priority may fill an engine, as a share of the time between tokens aimed at. */
+const FILL_BY_PRIORITY: Readonly<Record<PriorityName, number>> = {
+  [Priority.Low]: 0.97,
+  [Priority.Normal]: 1,
+  [Priority.High]: 1.03,
+  [Priority.Urgent]: 1.05,
+};
+
+/** Longest time between tokens that a request may find on a chain that it joins. */
+export function getGapLimit(state: RoutingState, priority: PriorityName): Millis {
+  return state.tuning.tokenGapMs * FILL_BY_PRIORITY[priority];
+}
+
 /** Calls that run on an engine, as expected now: own ones exactly, others' by the aged report. */
 export function estimateCalls(state: RoutingState, engine: EngineId, now: Millis): number {
   const own = getOwnWork(state, engine).calls;
@@ -15,27 +63,75 @@
   if (!known) {
     return own;
   }
-  const reported = Math.max(0, known.load.running + known.load.queued - known.ownCalls);
+  const { running, queued } = known.load;
+  const reported = Math.max(0, running + queued - known.own.calls);
   const trust = Math.exp(-Math.max(0, now - known.seenAt) / REPORT_AGE_MS);
   // Without news the others are expected to do as we do.
   const usual = own * (state.tuning.instanceCount - 1);
   return own + trust * reported + (1 - trust) * usual;
 }
 
+/** Prompt tokens to prefill for each generated token, as calls have shown it. */
+export function getPromptTokensPerToken({ mix }: RoutingState): number {
+  return mix.answerTokens > 0 ? mix.promptTokens / mix.answerTokens : 0;
+}
+
 /** Engine time that one generated token costs, with its part of the prompt's prefill, in ms. */
 export function getTokenCost(state: RoutingState, facts: EngineFacts, layers: LayerRange): Millis {
   const depth = layers.end - layers.first;
   const decode = depth / facts.decodeLayerTokensPerSecond;
-  const prefill = (depth * state.tuning.promptTokensPerToken) / facts.prefillLayerTokensPerSecond;
+  const prefill = (depth * getPromptTokensPerToken(state)) / facts.prefillLayerTokensPerSecond;
   return (decode + prefill) * MILLIS_PER_SECOND;
 }
 
-/** Time between tokens that the engine alone would allow with its calls and one more. */
-export function estimateTokenGap(
+/** What the engine would cost this ask for these layers. */
+export function estimateStage(
   state: RoutingState,
+  ask: ChainAsk,
   facts: EngineFacts,
   layers: LayerRange,
-  now: Millis,
-): Millis {
-  return (estimateCalls(state, facts.id, now) + 1) * getTokenCost(state, facts, layers);
+): StageCost {
+  const { now } = ask;
+  const health = getHealth(state, facts.id);
+  const own = getOwnWork(state, facts.id);
+  const share = getHealthShare(health, own.calls, now);
+  const calls = estimateCalls(state, facts.id, now);
+  const depth = layers.end - layers.first;
+  const cachedTokens = estimateCachedTokens(
+    state.prefixes,
+    ask.prefixKeys,
+    facts.id,
+    health.bootId,
+    now,
+  );
+  const perPromptToken = (depth * MILLIS_PER_SECOND) / facts.prefillLayerTokensPerSecond;
+  const prefill = Math.max(1, ask.promptTokens - cachedTokens) * perPromptToken;
+  const cost = getTokenCost(state, facts, layers);
+  const gap =
+    share > 0 && hasMemory(state, ask, facts, depth) ? ((calls + 1) * cost) / share : Infinity;
+  const step = (depth * facts.maxBatch * MILLIS_PER_SECOND) / facts.decodeLayerTokensPerSecond;
+  // A prefill holds up every call of the engine, so it weighs as many times as there are calls.
+  const weight = gap * ask.maxTokens + prefill * (calls + 1);
+  return { gap, step, prefill, cachedTokens, weight };
+}
+
+/** Time that a link adds between tokens, and to the first one. */
+export function estimateTransfer(
+  link: LinkCost,
+  activationBytes: number,
+  promptTokens: number,
+): { readonly gap: Millis; readonly prefill: Millis } {
+  const perToken = (activationBytes * MILLIS_PER_SECOND) / link.bytesPerSecond;
+  return { gap: link.delayMs + perToken, prefill: link.delayMs + perToken * promptTokens };
+}
+
+/** Whether the KV cache is expected to have room, by the last report and our own calls since. */
+function hasMemory(state: RoutingState, ask: ChainAsk, facts: EngineFacts, depth: number): boolean {
+  const known = state.loads.get(facts.id);
+  if (!known) {
+    return true;
+  }
+  const since = (getOwnWork(state, facts.id).kvTokens - known.own.kvTokens) * depth;
+  const free = (1 - known.load.kvUsed) * facts.kvLayerTokens - since;
+  return free >= (ask.promptTokens + ask.maxTokens) * depth;
 }
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -1,79 +1,30 @@
 /** All that routing knows, as one immutable value, and the pure functions that update it. */
-import type { Chain } from '@skylarksail/core/CoreChain';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts, Holding, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
-import type { DomainId, EngineId, Millis, ModelId, RegionId } from '@skylarksail/core/CoreTypes';
-import type { LinkFacts } from './RoutingLinks.js';
-import type { PoolIndex, PoolMember } from './RoutingPools.js';
+import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import { getHealth, getOwnWork, setHealth } from './RoutingCalls.js';
+import { recordBoot, startSlowly } from './RoutingHealth.js';
+import type { PoolMember } from './RoutingPools.js';
 import { moveMember } from './RoutingPools.js';
-
-/** Work that this instance itself has on an engine. */
-export interface OwnWork {
-  readonly calls: number;
-  /** Tokens that its calls may come to hold in the KV cache. */
-  readonly kvTokens: number;
-  /** Prompt tokens of calls that have not yet given a first token. */
-  readonly prefillTokens: number;
-}
-
-/** The latest load report, with our own calls on the engine when it came. */
-export interface KnownLoad extends SeenEngineLoad {
-  readonly ownCalls: number;
-}
-
-/** Facts of a model that routing needs. */
-export interface RoutedModel {
-  readonly id: ModelId;
-  readonly activationBytes: number;
-}
-
-/** Facts that come from settings and the manifest. */
-export interface RoutingTuning {
-  /** Time between tokens that a chain is filled up to. */
-  readonly tokenGapMs: Millis;
-  /** Prompt tokens to prefill for each generated token, as expected. */
-  readonly promptTokensPerToken: number;
-  /** Entry instances that share the engines. */
-  readonly instanceCount: number;
-  /** Share of a domain's capacity that may be lent to other domains. */
-  readonly crossDomainShare: number;
-}
-
-export interface RoutingState {
-  readonly engines: ReadonlyMap<EngineId, EngineFacts>;
-  readonly models: ReadonlyMap<ModelId, RoutedModel>;
-  readonly loads: ReadonlyMap<EngineId, KnownLoad>;
-  readonly leaving: ReadonlySet<EngineId>;
-  readonly links: readonly LinkFacts[];
-  readonly regions: ReadonlyMap<DomainId, RegionId>;
-  readonly own: ReadonlyMap<EngineId, OwnWork>;
-  readonly pools: PoolIndex;
-  readonly tuning: RoutingTuning;
-}
-
-/** A call that runs on a chain, as it was recorded at its start. */
-export interface RoutedCall {
-  readonly chain: Chain;
-  readonly promptTokens: number;
-  readonly maxTokens: number;
-}
-
-/** How a call ended, for the health of its engines. */
-export type CallOutcome =
-  | { readonly kind: 'answered'; readonly firstTokenMs: Millis; readonly tokenGapMs: Millis | null }
-  | { readonly kind: 'failed'; readonly engine: EngineId | null }
-  | { readonly kind: 'cancelled' };
-
-const DEFAULT_TUNING: RoutingTuning = {
-  tokenGapMs: 65,
-  promptTokensPerToken: 2,
-  instanceCount: 1,
-  crossDomainShare: 0.2,
-};
-
-const NO_WORK: OwnWork = { calls: 0, kvTokens: 0, prefillTokens: 0 };
+import { addSightings } from './RoutingPrefixes.js';
+import { createTable } from './RoutingTable.js';
+import type { RoutingTuning } from './RoutingTuning.js';
+import { DEFAULT_TUNING } from './RoutingTuning.js';
+import type { RoutingState } from './RoutingTypes.js';
+
+export type { CallOutcome, RoutedCall, RoutedModel, RoutingState } from './RoutingTypes.js';
+export {
+  recordCallEnd,
+  recordCallStart,
+  recordFirstToken,
+  recordTokenGap,
+} from './RoutingCalls.js';
+
+/** Weight of the expected mix of prompt and answer before calls have shown theirs, in tokens. */
+const PRIOR_MIX_TOKENS = 1000;
 
 export function createRoutingState(tuning: Partial<RoutingTuning> = {}): RoutingState {
+  const whole = { ...DEFAULT_TUNING, ...tuning };
   return {
     engines: new Map(),
     models: new Map(),
@@ -81,9 +32,18 @@
     leaving: new Set(),
     links: [],
     regions: new Map(),
-    own: new Map(),
+    domains: new Map(),
+    own: createTable(),
+    health: createTable(),
+    prefixes: createTable(),
     pools: new Map(),
-    tuning: { ...DEFAULT_TUNING, ...tuning },
+    plans: new Map(),
+    crossing: new Map(),
+    mix: {
+      promptTokens: whole.promptTokensPerToken * PRIOR_MIX_TOKENS,
+      answerTokens: PRIOR_MIX_TOKENS,
+    },
+    tuning: whole,
   };
 }
 
@@ -94,13 +54,16 @@
   const loads = new Map(state.loads);
   for (const [id, before] of state.engines) {
     const after = engines.get(id);
-    const holding = state.loads.get(id)?.load.holding ?? null;
-    pools = moveMember(pools, toMember(before, holding), after ? toMember(after, holding) : null);
+    if (after !== before) {
+      const holding = state.loads.get(id)?.load.holding ?? null;
+      pools = moveMember(pools, toMember(before, holding), after ? toMember(after, holding) : null);
+    }
     if (!after) {
       loads.delete(id);
     }
   }
-  return { ...state, engines, pools, loads };
+  const leaving = new Set([...state.leaving].filter((id) => engines.has(id)));
+  return { ...state, engines, pools, loads, leaving };
 }
 
 /** Sets what the manifest says of models, links, regions and limits. */
@@ -113,19 +76,18 @@
 
 /** Takes in a load report; one older than the known one changes nothing. */
 export function setLoad(state: RoutingState, seen: SeenEngineLoad): RoutingState {
-  const { engine: id, holding } = seen.load;
+  const { engine: id, holding, bootId } = seen.load;
   const facts = state.engines.get(id);
   const known = state.loads.get(id);
   if (!facts || (known && known.seenAt > seen.seenAt)) {
     return state;
   }
-  const ownCalls = getOwnWork(state, id).calls;
-  const loads = new Map(state.loads).set(id, { ...seen, ownCalls });
+  const loads = new Map(state.loads).set(id, { ...seen, own: getOwnWork(state, id) });
   const before = known?.load.holding ?? null;
   const pools = isSameHolding(before, holding)
     ? state.pools
     : moveMember(state.pools, toMember(facts, before), toMember(facts, holding));
-  const next = { ...state, loads, pools };
+  const next = noteBoot({ ...state, loads, pools }, id, bootId, seen.seenAt);
   return seen.load.state === LifeState.Leaving ? markLeaving(next, id) : next;
 }
 
@@ -137,50 +99,45 @@
   return { ...state, leaving: new Set(state.leaving).add(engine) };
 }
 
-/** Counts a call's work on each engine of its chain. */
-export function recordCallStart(state: RoutingState, call: RoutedCall): RoutingState {
-  const kvTokens = call.promptTokens + call.maxTokens;
-  return changeOwnWork(state, call.chain, { calls: 1, kvTokens, prefillTokens: call.promptTokens });
-}
-
-/** The first token came: the prompt is prefilled. */
-export function recordFirstToken(state: RoutingState, call: RoutedCall): RoutingState {
-  return changeOwnWork(state, call.chain, {
-    calls: 0,
-    kvTokens: 0,
-    prefillTokens: -call.promptTokens,
-  });
-}
-
-/** Takes a call's work off its engines. `hadFirstToken` says whether its prompt was prefilled. */
-export function recordCallEnd(
+/** Says whether a domain can be reached. After a cut it lends again step by step. */
+export function setDomainReach(
   state: RoutingState,
-  call: RoutedCall,
-  outcome: CallOutcome,
-  hadFirstToken: boolean,
-  _now: Millis,
+  domain: DomainId,
+  reachable: boolean,
+  now: Millis,
 ): RoutingState {
-  void outcome;
-  const kvTokens = -(call.promptTokens + call.maxTokens);
-  const prefillTokens = hadFirstToken ? 0 : -call.promptTokens;
-  return changeOwnWork(state, call.chain, { calls: -1, kvTokens, prefillTokens });
+  const known = state.domains.get(domain)?.reachable ?? true;
+  if (known === reachable) {
+    return state;
+  }
+  return { ...state, domains: new Map(state.domains).set(domain, { reachable, since: now }) };
 }
 
-export function getOwnWork(state: RoutingState, engine: EngineId): OwnWork {
-  return state.own.get(engine) ?? NO_WORK;
+/** Takes in a cache event: an engine said that it has cached a prefix. */
+export function recordPrefix(
+  state: RoutingState,
+  engine: EngineId,
+  key: string,
+  seenAt: Millis,
+): RoutingState {
+  const { bootId } = getHealth(state, engine);
+  const prefixes = addSightings(state.prefixes, key, [{ engine, bootId, seenAt }]);
+  return { ...state, prefixes };
 }
 
-function changeOwnWork(state: RoutingState, chain: Chain, change: OwnWork): RoutingState {
-  const own = new Map(state.own);
-  for (const { engine } of chain.stages) {
-    const work = own.get(engine) ?? NO_WORK;
-    own.set(engine, {
-      calls: work.calls + change.calls,
-      kvTokens: work.kvTokens + change.kvTokens,
-      prefillTokens: work.prefillTokens + change.prefillTokens,
-    });
+/** A new process behind an engine's name: it is no longer leaving, and starts slowly. */
+function noteBoot(state: RoutingState, id: EngineId, bootId: string, now: Millis): RoutingState {
+  const before = getHealth(state, id);
+  if (before.bootId === bootId) {
+    return state;
+  }
+  const booted = recordBoot(before, bootId, now);
+  const joined = before.bootId === null && state.plans.size > 0;
+  const next = setHealth(state, id, joined ? startSlowly(booted, now) : booted);
+  if (before.bootId === null || !state.leaving.has(id)) {
+    return next;
   }
-  return { ...state, own };
+  return { ...next, leaving: new Set([...state.leaving].filter((other) => other !== id)) };
 }
 
 function toMember(facts: EngineFacts, holding: Holding | null): PoolMember | null {
--- /dev/null
+++ b/packages/routing/src/RoutingTypes.ts
@@ -0,0 +1,90 @@
+/** The types of routing's state. */
+import type { Chain } from '@skylarksail/core/CoreChain';
+import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
+import type { DomainId, EngineId, Millis, ModelId, RegionId } from '@skylarksail/core/CoreTypes';
+import type { DomainReach } from './RoutingDomains.js';
+import type { EngineHealth } from './RoutingHealth.js';
+import type { LinkFacts } from './RoutingLinks.js';
+import type { CapacityPlan } from './RoutingPlanTypes.js';
+import type { Pool, PoolIndex } from './RoutingPools.js';
+import type { PrefixKey, PrefixTable } from './RoutingPrefixes.js';
+import type { RoutingTable } from './RoutingTable.js';
+import type { RoutingTuning } from './RoutingTuning.js';
+
+/** Work that this instance itself has on an engine. */
+export interface OwnWork {
+  readonly calls: number;
+  /** Tokens that its calls may come to hold in the KV cache. */
+  readonly kvTokens: number;
+  /** Prompt tokens of calls that have not yet given a first token. */
+  readonly prefillTokens: number;
+}
+
+/** The latest load report, with our own work on the engine when it came. */
+export interface KnownLoad extends SeenEngineLoad {
+  readonly own: OwnWork;
+}
+
+/** Facts of a model that routing needs. */
+export interface RoutedModel {
+  readonly id: ModelId;
+  readonly activationBytes: number;
+}
+
+/** The plan of a pool, with what it was made from. */
+export interface PlannedPool {
+  readonly pool: Pool;
+  readonly links: readonly LinkFacts[];
+  /** Engines that were not to be used when it was made. */
+  readonly excluded: string;
+  /** Mix of prompt and answer that it was made for. */
+  readonly promptTokensPerToken: number;
+  readonly plan: CapacityPlan;
+}
+
+/** What calls have shown of the mix of prompt and answer, with older calls fading. */
+export interface WorkMix {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+}
+
+export interface RoutingState {
+  readonly engines: ReadonlyMap<EngineId, EngineFacts>;
+  readonly models: ReadonlyMap<ModelId, RoutedModel>;
+  readonly loads: ReadonlyMap<EngineId, KnownLoad>;
+  readonly leaving: ReadonlySet<EngineId>;
+  readonly links: readonly LinkFacts[];
+  readonly regions: ReadonlyMap<DomainId, RegionId>;
+  readonly domains: ReadonlyMap<DomainId, DomainReach>;
+  readonly own: RoutingTable<OwnWork>;
+  readonly health: RoutingTable<EngineHealth>;
+  readonly prefixes: PrefixTable;
+  readonly pools: PoolIndex;
+  readonly plans: ReadonlyMap<string, PlannedPool>;
+  /** Own calls in other domains. */
+  readonly crossing: ReadonlyMap<DomainId, number>;
+  readonly mix: WorkMix;
+  readonly tuning: RoutingTuning;
+}
+
+/** A call that runs on a chain, as it was recorded at its start. */
+export interface RoutedCall {
+  readonly chain: Chain;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** Prefixes that the engines will have cached, and the tokens that were expected to be. */
+  readonly prefixKeys?: readonly PrefixKey[];
+  readonly cachedTokens?: number;
+}
+
+/** How a call ended, for the health of its engines. */
+export type CallOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly firstTokenMs: Millis;
+      readonly tokenGapMs: Millis | null;
+      /** Tokens of the answer, if known. */
+      readonly tokens?: number;
+    }
+  | { readonly kind: 'failed'; readonly engine: EngineId | null }
+  | { readonly kind: 'cancelled' };
