Add the control bench's fleet and tune gossip

Cause: the cost of load digests and of a fleet's cold start had to be seen before the rates were chosen. Change: tables of aged values are changed in place, entries are not sent back to whom they came from and count as passed on when they are heard again, views are compared without delay by new instances, and suspicion is shorter.

--- /dev/null
+++ b/packages/bench/src/ControlFleet.ts
@@ -0,0 +1,161 @@
+/**
+ * A fleet for the control bench: real membership, duties and load digests over virtual time, in front of
+ * engines whose load wanders. Counts bytes and polls, and compares what is known with what is true.
+ */
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import type { EngineLoad } from '@skylarksail/core/CoreEngine';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { createRandom, jitter } from '@skylarksail/core/CoreRandom';
+import type { EngineId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type { Duties } from '@skylarksail/membership/MembershipDuties';
+import { createDuties } from '@skylarksail/membership/MembershipDuties';
+import { MemberChangeKind } from '@skylarksail/membership/MembershipEffects';
+import type { LoadSpread } from '@skylarksail/membership/MembershipLoad';
+import { createLoadSpread, LOAD_POLL_PERIOD } from '@skylarksail/membership/MembershipLoad';
+import type { VirtualFleet, VirtualInstance } from '@skylarksail/membership/VirtualFleet';
+import { createVirtualFleet } from '@skylarksail/membership/VirtualFleet';
+
+export interface ControlFleetOptions {
+  readonly seed: number;
+  readonly domainSizes: readonly number[];
+  readonly enginesPerInstance: number;
+  readonly pollPeriod?: Millis;
+  readonly loss?: number;
+}
+
+/** An engine of the bench: its load drifts as requests come and go. */
+interface WanderingEngine {
+  readonly id: EngineId;
+  readonly load: EngineLoad;
+  readonly changedAt: Millis;
+}
+
+interface ControlInstance {
+  readonly instance: VirtualInstance;
+  readonly duties: Duties;
+  readonly loads: LoadSpread;
+}
+
+/** A member that one instance declared dead, or heard to be dead. */
+export interface SeenDeath {
+  readonly observer: InstanceId;
+  readonly id: InstanceId;
+  readonly at: Millis;
+}
+
+export interface ControlFleet {
+  readonly fleet: VirtualFleet;
+  /** Polls of engines so far, and the bytes of their answers. */
+  countPolls(): { readonly polls: number; readonly bytes: number };
+  /** How old each instance's word of each engine of its domain is; null if it has none. */
+  sampleLoadAges(): readonly (Millis | null)[];
+  getDeaths(): readonly SeenDeath[];
+}
+
+const MAX_BATCH = 64;
+const WANDER_PERIOD: Millis = 1000;
+
+/** Creates the fleet with its engines. */
+export function createControlFleet(options: ControlFleetOptions): ControlFleet {
+  const random = createRandom(options.seed + 1);
+  const pollPeriod = options.pollPeriod ?? LOAD_POLL_PERIOD;
+  const engines = new Map<string, Map<EngineId, WanderingEngine>>();
+  const instances = new Map<string, ControlInstance>();
+  const deaths: SeenDeath[] = [];
+  let polls = 0;
+  let bytes = 0;
+
+  options.domainSizes.forEach((size, number) => {
+    const domain = `d${number}`;
+    const count = Math.round(size * options.enginesPerInstance);
+    const ids = Array.from({ length: count }, (_, i) => `${domain}-engine-${i}`);
+    engines.set(domain, new Map(ids.map((id) => [id, createEngine(id, random)])));
+  });
+
+  function startInstance(instance: VirtualInstance): void {
+    const { listed, membership, timers } = instance;
+    const duties = createDuties(listed, membership);
+    const loads = createLoadSpread();
+    const own = engines.get(listed.domain) ?? new Map<EngineId, WanderingEngine>();
+    membership.registerTopic(loads.topic);
+    duties.setDuties([...own.keys()]);
+    instances.set(listed.id, { instance, duties, loads });
+
+    function poll(): void {
+      const now = timers.now();
+      for (const id of duties.getOwn()) {
+        const engine = own.get(id);
+        if (engine) {
+          own.set(id, wander(engine, random, now));
+          loads.recordLoad(engine.load, now);
+          polls += 1;
+          bytes += JSON.stringify(engine.load).length;
+        }
+      }
+      timers.registerTimeout(jitter(instance.random, pollPeriod, 0.1), poll);
+    }
+    timers.registerTimeout(instance.random.nextFloat() * pollPeriod, poll);
+  }
+
+  const fleet = createVirtualFleet({
+    seed: options.seed,
+    domainSizes: options.domainSizes,
+    loss: options.loss ?? 0,
+    onStart: startInstance,
+    onChange(observer, event, at) {
+      if (event.kind === 'member' && event.change.kind === MemberChangeKind.Dead) {
+        deaths.push({ observer, id: event.change.id, at });
+      }
+    },
+  });
+
+  return {
+    fleet,
+    countPolls: () => ({ polls, bytes }),
+    getDeaths: () => deaths,
+    sampleLoadAges() {
+      const now = fleet.timers.now();
+      return fleet.getInstances().flatMap(({ listed }) => {
+        const ids = [...(engines.get(listed.domain)?.keys() ?? [])];
+        const loads = instances.get(listed.id)?.loads;
+        return ids.map((id) => {
+          const load = loads?.getLoad(id);
+          return load ? now - load.seenAt : null;
+        });
+      });
+    },
+  };
+}
+
+function createEngine(id: EngineId, random: Random): WanderingEngine {
+  const load: EngineLoad = {
+    engine: id,
+    bootId: 'boot-1',
+    state: LifeState.Live,
+    holding: null,
+    running: random.nextInt(MAX_BATCH),
+    queued: random.nextInt(8),
+    kvUsed: random.nextFloat(),
+    orderNumber: 1,
+  };
+  return { id, load, changedAt: 0 };
+}
+
+/** One step of a random walk for each second since the last one. */
+function wander(engine: WanderingEngine, random: Random, now: Millis): WanderingEngine {
+  const steps = Math.min(30, Math.floor((now - engine.changedAt) / WANDER_PERIOD));
+  if (steps <= 0) {
+    return engine;
+  }
+  let { running, queued, kvUsed } = engine.load;
+  for (let i = 0; i < steps; i++) {
+    running = clamp(running + random.nextInt(9) - 4, MAX_BATCH);
+    queued = clamp(queued + random.nextInt(3) - 1, MAX_BATCH);
+    kvUsed = clamp(kvUsed + (random.nextFloat() - 0.5) / 10, 1);
+  }
+  return { ...engine, load: { ...engine.load, running, queued, kvUsed }, changedAt: now };
+}
+
+function clamp(value: number, max: number): number {
+  return Math.min(max, Math.max(0, value));
+}
--- a/packages/membership/src/MembershipAged.ts
+++ b/packages/membership/src/MembershipAged.ts
@@ -2,8 +2,11 @@
  * A table of small values that are told with their age: of two values for one key the one seen later
  * stands. No clock is compared between instances, and what is late or repeated does no harm. Each value
  * is passed on a few times by each instance; changed values go before those merely seen again.
+ *
+ * The table is changed in place: it is read and written with every message, and copies of it were a third
+ * of the processor time of all gossip.
  */
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import { WireError } from './MembershipWire.js';
 
 /** How values of one table are spread. */
@@ -21,17 +24,21 @@
 
 export interface AgedEntry {
   readonly key: number;
-  readonly value: Uint8Array;
+  /** Its bytes, one character each: short texts are far cheaper to make and compare than arrays. */
+  readonly value: string;
   /** Local time at which it was true, as near as can be told; never later than that. */
   readonly seenAt: Millis;
+  /** How often we passed it on, or heard that others have it. */
   readonly sends: number;
+  /** Who told us; it need not be told. */
+  readonly from: InstanceId | null;
   /** Whether it differed from the value before. */
   readonly isChange: boolean;
 }
 
 export interface AgedTable {
   readonly cfg: AgedConfig;
-  readonly entries: ReadonlyMap<number, AgedEntry>;
+  readonly entries: Map<number, AgedEntry>;
 }
 
 const KEY_BYTES = 4;
@@ -41,27 +48,27 @@
 const FINE_STEPS = 128;
 const COARSE_STEP: Millis = 5000;
 const MAX_AGE_CODE = 255;
+const KEPT_SHARE = 0.75;
 
 export function createAgedTable(cfg: AgedConfig): AgedTable {
   return { cfg, entries: new Map() };
 }
 
 /** Notes a value that we saw ourselves, at `now`. */
-export function recordAged(
-  table: AgedTable,
-  key: number,
-  value: Uint8Array,
-  now: Millis,
-): AgedTable {
-  const entries = new Map(table.entries);
-  takeEntry(table.cfg, entries, key, value, now);
-  return limitEntries({ ...table, entries }, now);
+export function recordAged(table: AgedTable, key: number, value: string, now: Millis): void {
+  takeEntry(table, { key, value, seenAt: now, from: null });
+  limitEntries(table, now);
 }
 
 /** Takes in a digest of another instance. Throws WireError on bytes that are not one. */
-export function mergeAged(table: AgedTable, bytes: Uint8Array, now: Millis): AgedTable {
+export function mergeAged(
+  table: AgedTable,
+  bytes: Uint8Array,
+  from: InstanceId,
+  now: Millis,
+): void {
   const view = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-  const entries = new Map(table.entries);
+  const { valueBytes } = table.cfg;
   let at = 0;
   while (at < view.length) {
     if (at + KEY_BYTES + AGE_BYTES >= view.length) {
@@ -70,39 +77,34 @@
     const key = view.readUInt32BE(at);
     const age = decodeAge(view.readUInt8(at + KEY_BYTES));
     at += KEY_BYTES + AGE_BYTES;
-    const length = table.cfg.valueBytes || view.readUInt8(at);
-    at += table.cfg.valueBytes ? 0 : 1;
+    const length = valueBytes || view.readUInt8(at);
+    at += valueBytes ? 0 : 1;
     if (at + length > view.length) {
       throw new WireError('digest is cut off');
     }
-    // A copy, so that the message that the bytes came in need not be kept.
-    takeEntry(table.cfg, entries, key, Uint8Array.from(view.subarray(at, at + length)), now - age);
+    const value = view.toString('latin1', at, at + length);
+    takeEntry(table, { key, value, seenAt: now - age, from });
     at += length;
   }
-  return limitEntries({ ...table, entries }, now);
+  limitEntries(table, now);
 }
 
-export interface TakenDigest {
-  readonly table: AgedTable;
-  readonly bytes: Uint8Array;
-}
-
-/** The next digest of at most `room` bytes; each entry in it counts as passed on once more. */
-export function takeDigest(table: AgedTable, room: number, now: Millis): TakenDigest {
-  const chosen = chooseEntries(table, room);
-  if (chosen.length === 0) {
-    return { table, bytes: new Uint8Array(0) };
-  }
-  const bytes = Buffer.alloc(
-    chosen.reduce((sum, entry) => sum + measureEntry(table.cfg, entry), 0),
-  );
-  const entries = new Map(table.entries);
+/** The next digest of at most `room` bytes for `to`; each entry in it counts as passed on once more. */
+export function takeDigest(
+  table: AgedTable,
+  room: number,
+  to: InstanceId,
+  now: Millis,
+): Uint8Array {
+  const chosen = chooseEntries(table, room, to);
+  const size = chosen.reduce((sum, entry) => sum + measureEntry(table.cfg, entry), 0);
+  const bytes = Buffer.alloc(size);
   let at = 0;
   for (const entry of chosen) {
     at = writeEntry(table.cfg, bytes, at, entry, now);
-    entries.set(entry.key, { ...entry, sends: entry.sends + 1 });
+    table.entries.set(entry.key, { ...entry, sends: entry.sends + 1 });
   }
-  return { table: { ...table, entries }, bytes };
+  return bytes;
 }
 
 /** An age as a byte, rounded up so that no hop makes a value younger. */
@@ -120,50 +122,56 @@
   return fine * FINE_STEP + (code - fine) * COARSE_STEP;
 }
 
-function takeEntry(
-  cfg: AgedConfig,
-  entries: Map<number, AgedEntry>,
-  key: number,
-  value: Uint8Array,
-  seenAt: Millis,
-): void {
-  const known = entries.get(key);
-  if (known && known.seenAt >= seenAt) {
+type Sighting = Pick<AgedEntry, 'key' | 'value' | 'seenAt' | 'from'>;
+
+function takeEntry({ cfg, entries }: AgedTable, seen: Sighting): void {
+  const known = entries.get(seen.key);
+  if (!known) {
+    entries.set(seen.key, { ...seen, sends: 0, isChange: true });
     return;
   }
-  const isSame = known !== undefined && Buffer.compare(known.value, value) === 0;
-  if (known && isSame && seenAt - known.seenAt < cfg.sameWithin) {
-    // Rounded ages make one sighting look a little newer by one path than by another. Taken as a new
-    // sighting it would be passed on for ever.
-    entries.set(key, { ...known, seenAt });
+  const isSame = known.value === seen.value;
+  if (isSame && Math.abs(seen.seenAt - known.seenAt) < cfg.sameWithin) {
+    // The same sighting by another path, though rounded ages may make it look a little newer. Taken as
+    // a new one it would be passed on for ever; as it is, it shows that others have it already.
+    const seenAt = Math.max(known.seenAt, seen.seenAt);
+    entries.set(seen.key, { ...known, seenAt, sends: known.sends + 1 });
     return;
   }
-  entries.set(key, { key, value, seenAt, sends: 0, isChange: !isSame });
+  if (seen.seenAt > known.seenAt) {
+    // Taken out first, so that the order of the table is that in which the values came.
+    entries.delete(seen.key);
+    entries.set(seen.key, { ...seen, sends: 0, isChange: !isSame });
+  }
 }
 
-function chooseEntries(table: AgedTable, room: number): readonly AgedEntry[] {
+function chooseEntries(table: AgedTable, room: number, to: InstanceId): readonly AgedEntry[] {
   const { cfg } = table;
-  const waiting: AgedEntry[] = [];
-  for (const entry of table.entries.values()) {
-    if (entry.sends < cfg.maxSends) {
-      waiting.push(entry);
-    }
-  }
-  waiting.sort(compareUrgency);
   const chosen: AgedEntry[] = [];
   let used = 0;
-  for (const entry of waiting) {
-    used += measureEntry(cfg, entry);
-    if (used > room) {
-      break;
+  for (const group of groupWaiting(table, to)) {
+    // From the end: what came last is the freshest.
+    for (let i = group.length - 1; i >= 0; i--) {
+      const entry = group[i] as AgedEntry;
+      used += measureEntry(cfg, entry);
+      if (used > room) {
+        return chosen;
+      }
+      chosen.push(entry);
     }
-    chosen.push(entry);
   }
   return chosen;
 }
 
-function compareUrgency(a: AgedEntry, b: AgedEntry): number {
-  return a.sends - b.sends || Number(b.isChange) - Number(a.isChange) || b.seenAt - a.seenAt;
+/** Entries to be passed on, the most urgent group first: seldom sent, then changed. */
+function groupWaiting({ cfg, entries }: AgedTable, to: InstanceId): readonly AgedEntry[][] {
+  const groups = Array.from({ length: 2 * cfg.maxSends }, (): AgedEntry[] => []);
+  for (const entry of entries.values()) {
+    if (entry.sends < cfg.maxSends && entry.from !== to) {
+      groups[2 * entry.sends + (entry.isChange ? 0 : 1)]?.push(entry);
+    }
+  }
+  return groups;
 }
 
 function measureEntry(cfg: AgedConfig, entry: AgedEntry): number {
@@ -182,19 +190,19 @@
   if (!cfg.valueBytes) {
     at = bytes.writeUInt8(entry.value.length, at);
   }
-  bytes.set(entry.value, at);
-  return at + entry.value.length;
+  return at + bytes.write(entry.value, at, 'latin1');
 }
 
 /** Drops what was not seen for long, and the oldest beyond the bound. */
-function limitEntries(table: AgedTable, now: Millis): AgedTable {
-  const { cfg, entries } = table;
+function limitEntries({ cfg, entries }: AgedTable, now: Millis): void {
   if (entries.size <= cfg.maxEntries) {
-    return table;
+    return;
   }
-  const kept = [...entries.values()]
-    .filter((entry) => now - entry.seenAt < cfg.forgetAfter)
-    .sort((a, b) => b.seenAt - a.seenAt)
-    .slice(0, cfg.maxEntries);
-  return { cfg, entries: new Map(kept.map((entry) => [entry.key, entry])) };
+  const ordered = [...entries.values()].sort((a, b) => b.seenAt - a.seenAt);
+  ordered.forEach((entry, i) => {
+    // A quarter is freed at once, so that the sorting is not done for each new entry.
+    if (i >= cfg.maxEntries * KEPT_SHARE || now - entry.seenAt >= cfg.forgetAfter) {
+      entries.delete(entry.key);
+    }
+  });
 }
--- a/packages/membership/src/MembershipApply.ts
+++ b/packages/membership/src/MembershipApply.ts
@@ -6,7 +6,7 @@
 import type { Member, MemberRecord } from './MembershipRecords.js';
 import { createMember, Health, isDead, isNewerRecord, isPresent } from './MembershipRecords.js';
 import type { MembershipState, QueuedUpdate, Suspicion } from './MembershipState.js';
-import { getSuspicionTime } from './MembershipState.js';
+import { getRetransmitLimit, getSuspicionTime } from './MembershipState.js';
 
 /** What is changed while a batch of records is taken in; it becomes the next state at the end. */
 interface Batch {
@@ -17,22 +17,46 @@
   readonly queued: Map<InstanceId, QueuedUpdate>;
   readonly effects: MembershipEffect[];
   readonly changed: Set<InstanceId>;
+  /** How often the changes of this batch count as passed on already. */
+  readonly firstSends: number;
 }
 
+/**
+ * Claims that come as many at once are those of a whole view: others get them the same way, so they are
+ * passed on less. Otherwise a fleet that starts together would chatter about it for many minutes.
+ */
+const BULK_COUNT = 12;
+const BULK_SENDS_SHARE = 0.7;
+
 /** Takes in claims made by others. */
 export function applyRecords(
   state: MembershipState,
   records: readonly MemberRecord[],
   now: Millis,
 ): MembershipStep {
+  const isBulk = records.length > BULK_COUNT;
   if (!records.some((record) => isOfInterest(state, record))) {
-    return createStep(state);
+    return createStep(countRepeats(state, records));
   }
-  const batch = createBatch(state, now);
+  const firstSends = isBulk ? Math.ceil(BULK_SENDS_SHARE * getRetransmitLimit(state)) : 0;
+  const batch = createBatch(state, now, firstSends);
   records.forEach((record) => applyClaim(batch, record));
   return finishBatch(batch);
 }
 
+/** A change that comes to us once more is known to others already, and is passed on once less. */
+function countRepeats(state: MembershipState, records: readonly MemberRecord[]): MembershipState {
+  if (state.updates.length === 0 || records.length === 0) {
+    return state;
+  }
+  const ids = new Set(records.map(({ id }) => id));
+  const limit = getRetransmitLimit(state);
+  const updates = state.updates
+    .map((update) => (ids.has(update.id) ? { ...update, sends: update.sends + 1 } : update))
+    .filter(({ sends }) => sends < limit);
+  return { ...state, updates };
+}
+
 /** Takes in what we found ourselves: a suspicion that began, or that ran out. */
 export function applyVerdict(
   state: MembershipState,
@@ -183,7 +207,7 @@
 }
 
 function queueUpdate(batch: Batch, id: InstanceId): void {
-  batch.queued.set(id, { id, sends: 0 });
+  batch.queued.set(id, { id, sends: batch.firstSends });
 }
 
 function getChangeKind(
@@ -211,7 +235,7 @@
   return null;
 }
 
-function createBatch(state: MembershipState, now: Millis): Batch {
+function createBatch(state: MembershipState, now: Millis, firstSends = 0): Batch {
   return {
     state,
     now,
@@ -220,6 +244,7 @@
     queued: new Map(state.updates.map((update) => [update.id, update])),
     effects: [],
     changed: new Set(),
+    firstSends,
   };
 }
 
--- a/packages/membership/src/MembershipDigests.ts
+++ b/packages/membership/src/MembershipDigests.ts
@@ -5,7 +5,7 @@
 import { hash32 } from '@skylarksail/core/CoreHash';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { Packr } from 'msgpackr';
-import type { AgedConfig, AgedTable } from './MembershipAged.js';
+import type { AgedConfig } from './MembershipAged.js';
 import { createAgedTable, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
 import { unpack } from './MembershipCodec.js';
 import type { GossipTopic, TopicCode } from './MembershipTopics.js';
@@ -61,20 +61,16 @@
     maxEntries: options.maxEntries ?? DEFAULT_MAX_ENTRIES,
   };
   const listeners = new Set<() => void>();
-  let table: AgedTable = createAgedTable(cfg);
+  const table = createAgedTable(cfg);
   return {
     topic: {
       topic: options.topic,
       bytesPerSecond: options.bytesPerSecond,
       bytesPerMessage: options.bytesPerMessage,
       crossesDomains: options.crossesDomains,
-      collect(room, now) {
-        const taken = takeDigest(table, room, now);
-        table = taken.table;
-        return taken.bytes;
-      },
-      merge(bytes, _from, now) {
-        table = mergeAged(table, bytes, now);
+      collect: (room, to, now) => takeDigest(table, room, to, now),
+      merge(bytes, from, now) {
+        mergeAged(table, bytes, from, now);
         listeners.forEach((listener) => listener());
       },
     },
@@ -83,18 +79,18 @@
       if (bytes.length > MAX_VALUE_BYTES) {
         throw new DigestSizeError(`a digest of ${bytes.length} bytes is over ${MAX_VALUE_BYTES}`);
       }
-      table = recordAged(table, hash32(key), bytes, now);
+      recordAged(table, hash32(key), bytes.toString('latin1'), now);
     },
     get(key, now) {
       const entry = table.entries.get(hash32(key));
       return entry && now - entry.seenAt < cfg.forgetAfter
-        ? { value: unpack(entry.value) as Value, seenAt: entry.seenAt }
+        ? { value: readValue<Value>(entry.value), seenAt: entry.seenAt }
         : null;
     },
     getAll: (now) =>
       [...table.entries.values()]
         .filter(({ seenAt }) => now - seenAt < cfg.forgetAfter)
-        .map(({ value, seenAt }) => ({ value: unpack(value) as Value, seenAt })),
+        .map(({ value, seenAt }) => ({ value: readValue<Value>(value), seenAt })),
     registerListener(listener) {
       listeners.add(listener);
       return () => {
@@ -103,3 +99,7 @@
     },
   };
 }
+
+function readValue<Value>(text: string): Value {
+  return unpack(Buffer.from(text, 'latin1')) as Value;
+}
--- a/packages/membership/src/MembershipDuties.ts
+++ b/packages/membership/src/MembershipDuties.ts
@@ -6,6 +6,7 @@
 import { hash32 } from '@skylarksail/core/CoreHash';
 import type { InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
 import type { Membership } from './MembershipService.js';
+import { getDomainView } from './MembershipViews.js';
 
 interface Holder {
   readonly owner: InstanceId;
@@ -136,12 +137,7 @@
   }
 
   function readLive(): void {
-    take(
-      applyLive(
-        state,
-        membership.getLiveInstances(self.domain).map(({ id }) => id),
-      ),
-    );
+    take(applyLive(state, getDomainView(membership.getState().members, self.domain).live));
   }
 
   const stop = membership.registerListener((event) => {
--- a/packages/membership/src/MembershipLoad.ts
+++ b/packages/membership/src/MembershipLoad.ts
@@ -50,8 +50,8 @@
 }
 
 /** Notes what an engine that we poll has just said. */
-export function recordLoad(table: LoadTable, load: EngineLoad, now: Millis): LoadTable {
-  return recordAged(table, hash32(load.engine), encodeLoad(load), now);
+export function recordLoad(table: LoadTable, load: EngineLoad, now: Millis): void {
+  recordAged(table, hash32(load.engine), encodeLoad(load), now);
 }
 
 /** What is known of one engine's load, or null. */
@@ -75,18 +75,20 @@
   return loads;
 }
 
-/** Sixteen bits: running, queued and KV cache, each coarser the larger it is, and whether it leaves. */
-export function encodeLoad(load: Pick<EngineLoad, 'running' | 'queued' | 'kvUsed' | 'state'>) {
+/** Sixteen bits as two characters: running, queued and KV cache, each coarser the larger it is, and whether it leaves. */
+export function encodeLoad(
+  load: Pick<EngineLoad, 'running' | 'queued' | 'kvUsed' | 'state'>,
+): string {
   const running = encodeCount(load.running, RUNNING_SCALE, RUNNING_MAX);
   const queued = encodeCount(load.queued, QUEUED_SCALE, QUEUED_MAX);
   const kv = Math.round(Math.min(1, Math.max(0, load.kvUsed)) * KV_MAX);
   const leaving = load.state === LifeState.Leaving ? 1 : 0;
   const word = running * 1024 + queued * 32 + kv * 2 + leaving;
-  return Uint8Array.of(Math.floor(word / 256), word % 256);
+  return String.fromCharCode(Math.floor(word / 256), word % 256);
 }
 
-export function decodeLoad(value: Uint8Array): Omit<SpreadLoad, 'seenAt'> {
-  const word = (value[0] ?? 0) * 256 + (value[1] ?? 0);
+export function decodeLoad(value: string): Omit<SpreadLoad, 'seenAt'> {
+  const word = value.charCodeAt(0) * 256 + value.charCodeAt(1);
   return {
     running: decodeCount(Math.floor(word / 1024), RUNNING_SCALE),
     queued: decodeCount(Math.floor(word / 32) % 32, QUEUED_SCALE),
@@ -113,25 +115,17 @@
 
 /** Creates the load table of one instance with its topic, to be registered with membership. */
 export function createLoadSpread(cfg: Partial<AgedConfig> = {}): LoadSpread {
-  let table = createLoadTable(cfg);
+  const table = createLoadTable(cfg);
   return {
     topic: {
       topic: TopicNumber.Load,
       bytesPerSecond: LOAD_BYTES_PER_SECOND,
       bytesPerMessage: LOAD_BYTES_PER_MESSAGE,
       crossesDomains: false,
-      collect(room, now) {
-        const taken = takeDigest(table, room, now);
-        table = taken.table;
-        return taken.bytes;
-      },
-      merge(bytes, _from, now) {
-        table = mergeAged(table, bytes, now);
-      },
-    },
-    recordLoad(load, now) {
-      table = recordLoad(table, load, now);
+      collect: (room, to, now) => takeDigest(table, room, to, now),
+      merge: (bytes, from, now) => mergeAged(table, bytes, from, now),
     },
+    recordLoad: (load, now) => recordLoad(table, load, now),
     getLoad: (engine) => getLoad(table, engine),
     getLoads: (engines) => getLoads(table, engines),
   };
--- a/packages/membership/src/MembershipMachine.ts
+++ b/packages/membership/src/MembershipMachine.ts
@@ -35,10 +35,11 @@
   answerWanted,
   compareView,
   contactDomains,
+  getOtherDomains,
   repairView,
   startSync,
 } from './MembershipSync.js';
-import { getDomainView, getKnownDomains } from './MembershipViews.js';
+import { getDomainView } from './MembershipViews.js';
 
 export type MembershipEvent =
   | { readonly kind: 'tick' }
@@ -70,7 +71,7 @@
     case 'message':
       return stepMessage(state, ctx, event.message);
     case 'listed':
-      return createStep({ ...state, listed: indexListed(state, event.instances) });
+      return createStep(readListed(state, event.instances));
     case 'connection-lost':
       return probeNow(state, ctx, event.id);
     case 'leaving':
@@ -246,26 +247,17 @@
   if (from !== undefined && from !== own) {
     heard.set(from, now);
   }
-  if (message.ages.length > 0) {
-    const ages = new Map(message.ages.map(({ domainHash, age }) => [domainHash, age]));
-    for (const domain of getDomainsToHear(state)) {
-      const age = ages.get(hashDomain(domain));
-      if (age !== undefined && domain !== own) {
-        heard.set(domain, Math.max(heard.get(domain) ?? -Infinity, now - age));
-      }
+  const others = message.ages.length > 0 ? getOtherDomains(state) : [];
+  for (const domain of others) {
+    const hash = hashDomain(domain);
+    const told = message.ages.find(({ domainHash }) => domainHash === hash);
+    if (told) {
+      heard.set(domain, Math.max(heard.get(domain) ?? -Infinity, now - told.age));
     }
   }
   return heard;
 }
 
-function getDomainsToHear(state: MembershipState): ReadonlySet<DomainId> {
-  const domains = new Set<DomainId>([...state.heard.keys(), ...getKnownDomains(state.members)]);
-  for (const { domain } of state.listed.values()) {
-    domains.add(domain);
-  }
-  return domains;
-}
-
 function judgeDomains(state: MembershipState, ctx: StepContext): MembershipStep {
   const effects: MembershipEffect[] = [];
   const reachable = new Set<DomainId>([state.self.domain]);
@@ -292,13 +284,13 @@
   return createStep(members.size === state.members.size ? state : { ...state, members });
 }
 
-function indexListed(
-  state: MembershipState,
-  instances: readonly ListedInstance[],
-): ReadonlyMap<InstanceId, ListedInstance> {
-  return new Map(
-    instances.filter(({ id }) => id !== state.self.id).map((instance) => [instance.id, instance]),
-  );
+function readListed(state: MembershipState, instances: readonly ListedInstance[]): MembershipState {
+  const others = instances.filter(({ id }) => id !== state.self.id);
+  return {
+    ...state,
+    listed: new Map(others.map((instance) => [instance.id, instance])),
+    listedDomains: new Set(others.map(({ domain }) => domain)),
+  };
 }
 
 function probeNow(state: MembershipState, ctx: StepContext, id: InstanceId): MembershipStep {
--- a/packages/membership/src/MembershipOutbox.ts
+++ b/packages/membership/src/MembershipOutbox.ts
@@ -13,7 +13,8 @@
 import type { MemberRecord } from './MembershipRecords.js';
 import { Health, isNewerRecord } from './MembershipRecords.js';
 import type { ListedInstance, MembershipState, QueuedUpdate } from './MembershipState.js';
-import { countPresent, getDomainView } from './MembershipViews.js';
+import { getRetransmitLimit } from './MembershipState.js';
+import { getDomainView } from './MembershipViews.js';
 
 /** The part of a message that says what it is; the rest is filled in here. */
 export type MessageBody = {
@@ -58,9 +59,17 @@
   return { domain, hash: getDomainView(state.members, domain).hash };
 }
 
+const domainHashes = new Map<string, number>();
+
 /** Number by which a domain is named in ages: its hash, cut to 24 bits. */
 export function hashDomain(domain: string): number {
-  return hash32(domain) % 2 ** 24;
+  const known = domainHashes.get(domain);
+  if (known !== undefined) {
+    return known;
+  }
+  const hash = hash32(domain) % 2 ** 24;
+  domainHashes.set(domain, hash);
+  return hash;
 }
 
 interface TakenUpdates {
@@ -96,11 +105,6 @@
   return record && record.health !== Health.Ok ? [record] : [];
 }
 
-function getRetransmitLimit(state: MembershipState): number {
-  const size = countPresent(state.members);
-  return Math.ceil(state.cfg.retransmitScale * Math.log2(size + 1)) + 1;
-}
-
 /** Our record of a sender, if what it says of itself is older: it has to hear of it. */
 export function findNewerRecord(state: MembershipState, tag: SenderTag): MemberRecord | null {
   const record = state.members.get(tag.id)?.record;
--- a/packages/membership/src/MembershipService.ts
+++ b/packages/membership/src/MembershipService.ts
@@ -108,7 +108,7 @@
 
   function sendGossip(to: ListedInstance, message: GossipMessage): void {
     const crossesDomains = to.domain !== deps.self.domain;
-    const payloads = topics.collectPayloads(timers.now(), crossesDomains);
+    const payloads = topics.collectPayloads(to.id, crossesDomains, timers.now());
     const payload = encodeGossip({ ...message, topics: payloads });
     const bytes = encodeEnvelope({ from: deps.self.id, kind: EnvelopeKind.Gossip, payload });
     counters = {
--- a/packages/membership/src/MembershipState.ts
+++ b/packages/membership/src/MembershipState.ts
@@ -7,6 +7,7 @@
 import type { DomainId, HostPort, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import { createMember, isPresent } from './MembershipRecords.js';
 import type { Member, MemberRecord } from './MembershipRecords.js';
+import { countPresent, getDomainView } from './MembershipViews.js';
 
 /** Rates and limits of membership; times in milliseconds. */
 export interface MembershipConfig {
@@ -50,8 +51,8 @@
   probePeriod: 500,
   probeTimeout: 1000,
   relays: 3,
-  suspicionMin: 3000,
-  suspicionScale: 2000,
+  suspicionMin: 2500,
+  suspicionScale: 1500,
   updatesPerMessage: 6,
   retransmitScale: 3,
   contactPeriod: 1000,
@@ -115,6 +116,7 @@
   /** All that are or were known, ourselves and the dead included. */
   readonly members: ReadonlyMap<InstanceId, Member>;
   readonly listed: ReadonlyMap<InstanceId, ListedInstance>;
+  readonly listedDomains: ReadonlySet<DomainId>;
   readonly suspicions: ReadonlyMap<InstanceId, Suspicion>;
   readonly updates: readonly QueuedUpdate[];
   readonly probes: readonly Probe[];
@@ -125,6 +127,7 @@
   readonly heard: ReadonlyMap<DomainId, Millis>;
   readonly reachable: ReadonlySet<DomainId>;
   readonly nextSeq: number;
+  readonly startedAt: Millis;
   readonly lastTick: Millis;
   readonly nextProbeAt: Millis;
   readonly nextContactAt: Millis;
@@ -163,6 +166,7 @@
     self,
     members: new Map([[self.id, createMember(self, now)]]),
     listed: new Map(),
+    listedDomains: new Set(),
     suspicions: new Map(),
     updates: [{ id: self.id, sends: 0 }],
     probes: [],
@@ -171,6 +175,7 @@
     heard: new Map(),
     reachable: new Set([self.domain]),
     nextSeq: 1,
+    startedAt: now,
     lastTick: now,
     nextProbeAt: now,
     nextContactAt: now,
@@ -225,23 +230,18 @@
   return state.reachable.has(domain);
 }
 
-/** Number of members of our own domain that are neither dead nor gone. */
-export function countDomainMembers(state: MembershipState): number {
-  let count = 0;
-  for (const { record } of state.members.values()) {
-    if (record.domain === state.self.domain && isPresent(record)) {
-      count += 1;
-    }
-  }
-  return count;
-}
-
 /** How long a suspect has to object, in a domain of the present size. */
 export function getSuspicionTime(state: MembershipState): Millis {
-  const size = Math.max(1, countDomainMembers(state));
+  const size = Math.max(1, getDomainView(state.members, state.self.domain).present.length);
   return Math.max(state.cfg.suspicionMin, state.cfg.suspicionScale * Math.log10(size));
 }
 
+/** How often a change is passed on by each instance. */
+export function getRetransmitLimit(state: MembershipState): number {
+  const size = countPresent(state.members);
+  return Math.ceil(state.cfg.retransmitScale * Math.log2(size + 1)) + 1;
+}
+
 function toLiveInstance(record: MemberRecord): LiveInstance {
   const { id, domain, rack, address, peerPort, bootId, phase } = record;
   return {
--- a/packages/membership/src/MembershipSync.ts
+++ b/packages/membership/src/MembershipSync.ts
@@ -8,13 +8,15 @@
 import { findAddress, sendMessage } from './MembershipOutbox.js';
 import type { MemberRecord } from './MembershipRecords.js';
 import type { ListedInstance, MembershipState } from './MembershipState.js';
-import { getContacts, getDomainView } from './MembershipViews.js';
+import { getContacts, getDomainView, getKnownDomains } from './MembershipViews.js';
 import { sendProbe } from './MembershipProbes.js';
 
 /** A view that changed this recently may differ only because the change is still under way. */
 const SETTLE_TIME: Millis = 3000;
 /** A view that never settles is compared all the same, this long after the last time. */
 const UNSETTLED_PERIOD: Millis = 8000;
+/** A new instance compares views without waiting: it lacks most of them. */
+const NEW_TIME: Millis = 20_000;
 /** Listed instances asked at once by an instance that knows nobody. */
 const FIRST_CONTACTS = 3;
 
@@ -92,7 +94,7 @@
     return createStep(state);
   }
   let step = createStep({ ...state, nextContactAt: ctx.now + state.cfg.contactPeriod });
-  for (const domain of getListedDomains(state)) {
+  for (const domain of getOtherDomains(state)) {
     const target = isContact(state, domain) ? chooseContact(state, ctx, domain) : null;
     if (target) {
       const sent = sendProbe(step.state, ctx, target, false);
@@ -148,7 +150,8 @@
 function isSyncDue(state: MembershipState, now: Millis): boolean {
   const isSettled = now - state.viewChangedAt >= SETTLE_TIME;
   const isOverdue = now - state.nextSyncAt >= UNSETTLED_PERIOD;
-  return now >= state.nextSyncAt && (isSettled || isOverdue);
+  const isNew = now - state.startedAt < NEW_TIME;
+  return now >= state.nextSyncAt && (isSettled || isOverdue || isNew);
 }
 
 function isContact(state: MembershipState, domain: DomainId): boolean {
@@ -169,16 +172,11 @@
   return choices[ctx.random.nextInt(Math.max(1, choices.length))] ?? null;
 }
 
-function getListedDomains(state: MembershipState): readonly DomainId[] {
-  const domains = new Set<DomainId>();
-  for (const { domain } of state.listed.values()) {
-    domains.add(domain);
-  }
-  for (const { record } of state.members.values()) {
-    domains.add(record.domain);
-  }
-  domains.delete(state.self.domain);
-  return [...domains];
+/** All domains but ours that the list or the members tell of. */
+export function getOtherDomains(state: MembershipState): readonly DomainId[] {
+  const known = getKnownDomains(state.members);
+  const listed = [...state.listedDomains].filter((domain) => !known.includes(domain));
+  return [...known, ...listed].filter((domain) => domain !== state.self.domain);
 }
 
 /** Time after its death during which a member is tried again, if the list does not name it. */
--- a/packages/membership/src/MembershipTopics.ts
+++ b/packages/membership/src/MembershipTopics.ts
@@ -27,8 +27,8 @@
   readonly bytesPerMessage: number;
   /** Whether it also goes to instances of other domains. */
   readonly crossesDomains: boolean;
-  /** At most `room` bytes to send now, or null. */
-  collect(room: number, now: Millis): Uint8Array | null;
+  /** At most `room` bytes to send to `to` now, or null. */
+  collect(room: number, to: InstanceId, now: Millis): Uint8Array | null;
   /** Takes in bytes of another instance; throwing drops and counts them. */
   merge(bytes: Uint8Array, from: InstanceId, now: Millis): void;
 }
@@ -36,7 +36,7 @@
 /** Topics and their budgets. */
 export interface TopicTable {
   registerTopic(topic: GossipTopic): Unregister;
-  collectPayloads(now: Millis, crossesDomains: boolean): readonly TopicPayload[];
+  collectPayloads(to: InstanceId, crossesDomains: boolean, now: Millis): readonly TopicPayload[];
   /** Gives the number of payloads that could not be taken in. */
   mergePayloads(payloads: readonly TopicPayload[], from: InstanceId, now: Millis): number;
 }
@@ -56,12 +56,12 @@
 export function createTopicTable(): TopicTable {
   const budgets = new Map<number, TopicBudget>();
 
-  function collectOne(budget: TopicBudget, now: Millis): TopicPayload | null {
+  function collectOne(budget: TopicBudget, to: InstanceId, now: Millis): TopicPayload | null {
     const { topic, filledAt } = budget;
     const earned = ((now - filledAt) * topic.bytesPerSecond) / MILLIS_PER_SECOND;
     const tokens = Math.min(topic.bytesPerSecond * SAVED_SECONDS, budget.tokens + earned);
     const room = Math.floor(Math.min(topic.bytesPerMessage, tokens - PAYLOAD_OVERHEAD));
-    const bytes = room > 0 ? topic.collect(room, now) : null;
+    const bytes = room > 0 ? topic.collect(room, to, now) : null;
     const spent = bytes && bytes.length > 0 ? bytes.length + PAYLOAD_OVERHEAD : 0;
     budgets.set(topic.topic, { topic, tokens: tokens - spent, filledAt: now });
     if (!bytes || spent === 0) {
@@ -79,11 +79,11 @@
         budgets.delete(topic.topic);
       };
     },
-    collectPayloads(now, crossesDomains) {
+    collectPayloads(to, crossesDomains, now) {
       const payloads: TopicPayload[] = [];
       for (const budget of budgets.values()) {
         const payload =
-          crossesDomains && !budget.topic.crossesDomains ? null : collectOne(budget, now);
+          crossesDomains && !budget.topic.crossesDomains ? null : collectOne(budget, to, now);
         if (payload) {
           payloads.push(payload);
         }
--- a/packages/membership/src/MembershipViews.ts
+++ b/packages/membership/src/MembershipViews.ts
@@ -20,6 +20,7 @@
 
 interface MembersView {
   readonly domains: ReadonlyMap<DomainId, DomainView>;
+  readonly names: readonly DomainId[];
   readonly presentCount: number;
   readonly contacts: Map<string, readonly InstanceId[]>;
 }
@@ -34,7 +35,7 @@
 
 /** Domains with at least one present member, in order. */
 export function getKnownDomains(members: Members): readonly DomainId[] {
-  return [...getView(members).domains.keys()].sort();
+  return getView(members).names;
 }
 
 export function countPresent(members: Members): number {
@@ -85,7 +86,7 @@
     }
   }
   const domains = new Map([...groups].map(([domain, group]) => [domain, createDomainView(group)]));
-  return { domains, presentCount, contacts: new Map() };
+  return { domains, names: [...domains.keys()].sort(), presentCount, contacts: new Map() };
 }
 
 function createDomainView(group: readonly Member[]): DomainView {
