Join claims, membership and the manifest's spread to the daemon

Cause: keyed calls were refused as claim-unavailable, each daemon read the manifest and polled every engine by itself, and nobody knew of the others. Change: membership and calls between instances over the peers' link; claims routed to the owners of slots; the manifest spread by few watchers and peers; each engine polled by one instance of its domain, its report sent on when it changes and its load as a digest; news of poison requests to the whole domain; a planned stop gives duties away first.

--- a/packages/cli/src/CliManifest.ts
+++ b/packages/cli/src/CliManifest.ts
@@ -4,6 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { checkManifest } from '@skylarksail/manifest/ManifestCheck';
 import type { ManifestFault } from '@skylarksail/manifest/ManifestCheck';
+import type { ManifestChange } from '@skylarksail/manifest/ManifestDiff';
+import { formatDiff } from '@skylarksail/manifest/ManifestDiff';
 import type { CliTarget } from './CliClient.js';
 import { callServers, expectOk } from './CliClient.js';
 import { ExitCode, createCliError } from './CliErrors.js';
@@ -25,7 +27,7 @@
 export interface InForceReport {
   readonly revision: number;
   readonly accepted: boolean;
-  readonly inForce: boolean;
+  readonly in_force: boolean;
   readonly domains: readonly {
     readonly domain: string;
     readonly confirmed: number;
@@ -115,7 +117,7 @@
       }),
     ) as InForceReport;
     showProgress(context, report);
-    if (report.inForce) {
+    if (report.in_force) {
       printResult(context.output, context.isJson(), report, formatInForce);
       return;
     }
@@ -145,7 +147,7 @@
     `${confirmed}/${total}`,
     missing.length === 0 ? '' : `not confirmed: ${missing.join(', ')}`,
   ]);
-  const state = report.inForce ? 'in force everywhere' : 'not in force everywhere';
+  const state = report.in_force ? 'in force everywhere' : 'not in force everywhere';
   const accepted = report.accepted ? 'accepted' : 'not accepted';
   return [`revision ${report.revision}: ${accepted}, ${state}`, ...formatTable(rows)];
 }
@@ -168,35 +170,20 @@
   if (reply.status === STATUS_INVALID) {
     throw createFaultsError((reply.body as { faults: ManifestFault[] }).faults);
   }
-  const { changes } = expectOk(reply) as {
-    changes: { path: string; kind: string; before?: unknown; after?: unknown }[];
-  };
+  const { changes } = expectOk(reply) as { changes: ManifestChange[] };
   printResult(context.output, context.isJson(), { changes }, () =>
-    changes.length === 0
-      ? ['no difference']
-      : changes.map(
-          ({ path: at, kind, before, after }) =>
-            `${kind.padEnd(8)} ${at}  ${formatSide(before)} -> ${formatSide(after)}`,
-        ),
+    changes.length === 0 ? ['no difference'] : formatDiff(changes),
   );
 }
 
-function formatSide(value: unknown): string {
-  return value === undefined ? '(none)' : JSON.stringify(value);
-}
-
 export async function showHistory(context: CliContext): Promise<void> {
   const { revisions } = expectOk(
     await callServers(context.target(), { method: 'GET', path: '/v1/manifest/history' }),
-  ) as { revisions: { revision: number; submission_id: string; accepted_at?: string }[] };
+  ) as { revisions: { revision: number; submission: string }[] };
   printResult(context.output, context.isJson(), { revisions }, () =>
     formatTable([
-      ['REVISION', 'SUBMISSION', 'ACCEPTED'],
-      ...revisions.map(({ revision, submission_id: id, accepted_at: at }) => [
-        String(revision),
-        id,
-        at ?? '',
-      ]),
+      ['REVISION', 'SUBMISSION'],
+      ...revisions.map(({ revision, submission }) => [String(revision), submission]),
     ]),
   );
 }
--- a/packages/daemon/src/DaemonAdmin.ts
+++ b/packages/daemon/src/DaemonAdmin.ts
@@ -5,6 +5,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 import { checkManifest } from '@skylarksail/manifest/ManifestCheck';
+import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
 import type { Decision } from './DaemonDecisions.js';
 import { ProblemKind, createNotRunError } from './DaemonProblems.js';
@@ -31,7 +32,7 @@
     expectedRevision: number | null,
   ): Promise<SubmitOutcome>;
   readManifest(): { readonly revision: number; readonly manifest: unknown } | null;
-  diffManifest(input: unknown): readonly unknown[];
+  diffManifest(next: Manifest): readonly unknown[];
   readHistory(): Promise<readonly unknown[]>;
   describeInForce(revision: number): Readonly<Record<string, unknown>>;
 }
--- a/packages/daemon/src/DaemonAdminGateway.ts
+++ b/packages/daemon/src/DaemonAdminGateway.ts
@@ -1,30 +1,24 @@
 /** What the admin port shows, read from the parts that know it. */
-import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { AdminGateway } from './DaemonAdmin.js';
 import type { DecisionLog } from './DaemonDecisions.js';
-import type { EngineDirectory } from './DaemonEngines.js';
-import type { DaemonManifest } from './DaemonManifest.js';
 import type { DaemonMetrics } from './DaemonMetrics.js';
-import type { DaemonRouting } from './DaemonRouting.js';
+import type { DaemonParts } from './DaemonParts.js';
 import type { Settings } from './DaemonSettings.js';
 
 export interface AdminGatewayOptions {
   readonly settings: Settings;
   readonly operatorToken: string;
-  readonly manifest: DaemonManifest;
-  readonly router: RequestRouter;
-  readonly directory: EngineDirectory;
-  readonly routing: DaemonRouting;
+  readonly parts: DaemonParts;
   readonly metrics: DaemonMetrics;
   readonly decisions: DecisionLog;
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
-  readonly countMembers: () => number;
 }
 
 export function createAdminGateway(options: AdminGatewayOptions): AdminGateway {
-  const { settings, manifest, router, directory, routing, metrics, decisions } = options;
-  const getRevision = (): number => manifest.getInForce()?.revision ?? 0;
+  const { settings, metrics, decisions } = options;
+  const { manifest, router, directory, routing, fleet, platform, claims } = options.parts;
+  const getRevision = (): number => manifest.getView()?.revision ?? 0;
 
   metrics.registerGauge('manifest_revision', 'revision in force', getRevision);
   metrics.registerGauge('ready', '1 while the balancer may send requests', () =>
@@ -62,7 +56,7 @@
         domain: settings.domain,
         ready: options.isReady(),
         stopping: options.isStopping(),
-        manifest: { revision: getRevision(), source: 'platform' },
+        manifest: { revision: getRevision(), source: manifest.getKnownBy() },
         running: counts.running,
         queued: counts.waiting,
         recovering: counts.recovering,
@@ -71,29 +65,31 @@
           live: known.filter(({ id }) => !leaving.has(id)).length,
           known: known.length,
         },
-        members: options.countMembers(),
+        members: fleet.listLive().length,
+        claim_slot_share: claims.owner.getSlotShare(),
+        platform: { held_back: platform.isHeldBack(), ...platform.getCounts() },
+        peers: { ...fleet.link.readCounts(), garbage: fleet.countGarbage() },
       };
     },
     readDecisions: decisions.read,
     submitManifest: manifest.submit,
-    readManifest() {
-      const inForce = manifest.getInForce();
-      return inForce && { revision: inForce.revision, manifest: inForce.manifest };
+    readManifest: manifest.readWhole,
+    diffManifest: manifest.diff,
+    readHistory: manifest.readHistory,
+    describeInForce(revision) {
+      const domains = manifest.askInForce(revision);
+      return {
+        revision,
+        accepted: getRevision() >= revision,
+        in_force: domains.length > 0 && domains.every(({ inForce, total }) => inForce === total),
+        domains: domains.map(({ domain, total, inForce, behind, age }) => ({
+          domain,
+          confirmed: inForce,
+          total,
+          missing: behind.map(({ instance }) => instance),
+          age_ms: age,
+        })),
+      };
     },
-    diffManifest: () => [],
-    readHistory: () => Promise.resolve([]),
-    describeInForce: (revision) => ({
-      revision,
-      accepted: getRevision() >= revision,
-      inForce: getRevision() >= revision,
-      domains: [
-        {
-          domain: settings.domain,
-          confirmed: getRevision() >= revision ? 1 : 0,
-          total: 1,
-          missing: getRevision() >= revision ? [] : [settings.instance],
-        },
-      ],
-    }),
   };
 }
--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -2,11 +2,11 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import { hash64Hex } from '@skylarksail/core/CoreHash';
 import type { ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import type { ManifestView } from '@skylarksail/manifest/ManifestView';
+import { isIdempotentCall } from '@skylarksail/manifest/ManifestView';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
-import { isIdempotentCall } from '@skylarksail/requests/ServiceTypes';
 import type { CallerGateway } from './DaemonGateway.js';
-import type { DaemonManifest, ManifestInForce } from './DaemonManifest.js';
-import { findTeam } from './DaemonManifest.js';
+import type { DaemonManifest } from './DaemonManifest.js';
 import { ProblemKind, createNotRunError } from './DaemonProblems.js';
 
 const NOT_READY_RETRY_MS = 1000;
@@ -26,12 +26,12 @@
 export function createCallerGateway(options: CallerGatewayOptions): CallerGateway {
   const { timers, manifest, router } = options;
 
-  function getInForce(): ManifestInForce {
-    const inForce = manifest.getInForce();
-    if (!inForce) {
+  function getView(): ManifestView {
+    const view = manifest.getView();
+    if (!view) {
       throw createNotRunError(ProblemKind.NoCapacity, 'no manifest yet', NOT_READY_RETRY_MS);
     }
-    return inForce;
+    return view;
   }
 
   function checkAccepting(): void {
@@ -42,7 +42,7 @@
 
   /** A team learns nothing of what it may not use, not even that it exists. */
   function findModel(team: ManifestTeam, id: string, adapter: string | null) {
-    const model = getInForce().manifest.models.find((known) => known.id === id);
+    const model = getView().getModel(id);
     const isAllowed = model !== undefined && team.models.includes(id);
     if (!isAllowed || (adapter !== null && !model.adapters.includes(adapter))) {
       throw createNotRunError(ProblemKind.NotFound, 'no such model');
@@ -53,23 +53,23 @@
   return {
     timers,
     authenticate(key) {
-      const team = findTeam(getInForce(), key);
+      const team = getView().getTeamByKey(key);
       if (!team) {
         throw createNotRunError(ProblemKind.Unauthorized);
       }
       return team;
     },
-    getLimits: () => getInForce().manifest.limits,
+    getLimits: () => getView().limits,
     getService(team, id) {
-      const service = getInForce().manifest.services.find((known) => known.id === id);
+      const service = getView().getService(id);
       if (!service || !team.services.includes(id)) {
         throw createNotRunError(ProblemKind.NotFound, 'no such service');
       }
       return service;
     },
     listModels: (team) =>
-      getInForce()
-        .manifest.models.filter(({ id }) => team.models.includes(id))
+      getView()
+        .models.filter(({ id }) => team.models.includes(id))
         .map(({ id, adapters }) => ({ id, adapters })),
     submitCompletion(id, team, ask, wishes, sink) {
       checkAccepting();
@@ -108,7 +108,7 @@
           priority: wishes.priority,
           deadline: timers.now() + Math.min(wishes.timeLeft, service.timeoutMs),
           idempotencyKey: wishes.idempotencyKey,
-          idempotent: isIdempotentCall(method, path, service.routes),
+          idempotent: isIdempotentCall(service, method, path.split('?')[0] ?? path),
         },
         sink,
       );
--- /dev/null
+++ b/packages/daemon/src/DaemonClaims.ts
@@ -0,0 +1,102 @@
+/** Claims of keyed requests on this instance, joined to the platform and to the other instances. */
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import type { ClaimPeerMessage, ClaimPeerReply } from '@skylarksail/claims/ClaimMessages';
+import { createProcessName } from '@skylarksail/claims/ClaimMessages';
+import type { ClaimOwner } from '@skylarksail/claims/ClaimOwner';
+import { createClaimOwner } from '@skylarksail/claims/ClaimOwner';
+import type { ClaimRouter } from '@skylarksail/claims/ClaimRouter';
+import { createClaimRouter } from '@skylarksail/claims/ClaimRouter';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createCallTopic } from '@skylarksail/membership/MembershipCalls';
+import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { DaemonError } from './DaemonErrors.js';
+import type { DaemonFleet } from './DaemonFleet.js';
+
+/** Slots of the whole fleet. Changing it would part the claims of one key, so it never changes. */
+export const CLAIM_SLOTS = 64;
+
+/** Longer than any deadline a caller may set: how long a peer may take to answer an ask. */
+const PEER_TIMEOUT: Millis = 5000;
+
+const CLAIM_TOPIC = createCallTopic<ClaimPeerMessage, ClaimPeerReply>('claim');
+
+const recordSchema = z.object({
+  run: z.enum(['not-run', 'unknown', 'ran']),
+  answer: z.string().nullable(),
+});
+const slot = z
+  .int()
+  .min(0)
+  .max(CLAIM_SLOTS - 1);
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('claim-ask'),
+    slot,
+    ask: z.object({
+      askId: z.string(),
+      keyHash: z.string(),
+      fingerprint: z.string(),
+      stamp: z.number().nullable(),
+      timeLeft: z.number(),
+    }),
+  }),
+  z.object({
+    kind: z.literal('claim-release'),
+    slot,
+    askId: z.string(),
+    keyHash: z.string(),
+  }),
+  z.object({ kind: z.literal('claim-settle'), slot, askId: z.string(), record: recordSchema }),
+  z.object({ kind: z.literal('claim-query'), askId: z.string() }),
+]);
+
+export interface DaemonClaims {
+  readonly router: ClaimRouter;
+  readonly owner: ClaimOwner;
+}
+
+export interface DaemonClaimsOptions {
+  readonly instance: string;
+  readonly platform: PlatformClient;
+  readonly fleet: DaemonFleet;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly wallNow: () => Millis;
+}
+
+export function createDaemonClaims(options: DaemonClaimsOptions): DaemonClaims {
+  const { instance, platform, fleet, timers, random, wallNow } = options;
+  const bootId = randomUUID();
+  const owner = createClaimOwner({
+    processName: createProcessName(instance, bootId),
+    platform: platform.forUse(PlatformUse.Claims),
+    housekeeping: platform.forUse(PlatformUse.Housekeeping),
+    timers,
+    wallClock: wallNow,
+    slots: CLAIM_SLOTS,
+  });
+  const router = createClaimRouter({
+    instance,
+    bootId,
+    owner,
+    slots: CLAIM_SLOTS,
+    getLiveInstances: fleet.listLive,
+    sendToPeer: async (to, message) => {
+      const reply = await fleet.calls.call(to, CLAIM_TOPIC, message, PEER_TIMEOUT);
+      if (!reply.ok) {
+        throw new DaemonError(`no answer of ${to}: ${reply.error.kind}`);
+      }
+      return reply.value;
+    },
+    timers,
+    random,
+  });
+  fleet.calls.registerHandler(CLAIM_TOPIC, (message) =>
+    router.handleMessage(messageSchema.parse(message)),
+  );
+  return { router, owner };
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonEngineStatus.ts
@@ -0,0 +1,89 @@
+/** An engine's report: its shape, and the adapter that asks for it over HTTP. */
+import { Agent } from 'undici';
+import { z } from 'zod';
+import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
+import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import { createTimeoutSignal } from './DaemonSignals.js';
+
+const STATUS_OK = 200;
+const CONNECTIONS = 2;
+
+const layersSchema = z.object({ first: z.int(), end: z.int() });
+
+/** Shape of a report, from an engine or from another instance. */
+export const engineStatusSchema = z.object({
+  load: z.object({
+    engine: z.string(),
+    bootId: z.string(),
+    state: z.enum(['live', 'leaving']),
+    holding: z
+      .object({
+        model: z.string(),
+        version: z.string(),
+        adapters: z.array(z.string()),
+        layers: layersSchema,
+        duty: z.enum(['mixed', 'prefill', 'decode']),
+      })
+      .nullable(),
+    running: z.number(),
+    queued: z.number(),
+    kvUsed: z.number(),
+    orderNumber: z.number(),
+  }),
+  facts: z.object({
+    id: z.string(),
+    domain: z.string(),
+    rack: z.string(),
+    address: z.object({ host: z.string(), port: z.int() }),
+    accelerator: z.string(),
+    decodeLayerTokensPerSecond: z.number(),
+    prefillLayerTokensPerSecond: z.number(),
+    weightBytes: z.number(),
+    kvLayerTokens: z.number(),
+    maxBatch: z.number(),
+  }),
+});
+
+/** An engine's report as it came. */
+export interface EngineStatus {
+  readonly load: EngineLoad;
+  readonly facts: EngineFacts;
+}
+
+/** Asks an engine for its report; null if none came that makes sense. */
+export type FetchEngineStatus = (address: HostPort) => Promise<EngineStatus | null>;
+
+/** Creates the adapter over HTTP. */
+export function createEngineStatusHttp(timeout: Millis): {
+  readonly fetch: FetchEngineStatus;
+  readonly close: () => Promise<void>;
+} {
+  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  return {
+    async fetch({ host, port }) {
+      try {
+        const res = await agent.request({
+          origin: `http://${host}:${port}`,
+          path: '/v1/status',
+          method: 'GET',
+          signal: createTimeoutSignal(timeout),
+        });
+        const parsed = engineStatusSchema.safeParse(await res.body.json());
+        return res.statusCode === STATUS_OK && parsed.success ? parsed.data : null;
+      } catch {
+        return null;
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+/** Whether the two differ in what digests of load do not carry. */
+export function isReportNews(before: EngineStatus | undefined, after: EngineStatus): boolean {
+  return before === undefined || getLastingPart(before) !== getLastingPart(after);
+}
+
+function getLastingPart({ facts, load }: EngineStatus): string {
+  const { bootId, state, holding, orderNumber } = load;
+  return JSON.stringify([facts, bootId, state, holding, orderNumber]);
+}
--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -1,134 +1,118 @@
-/** What this instance knows of backend servers: the lagging instance list joined with their reports. */
-import { Agent } from 'undici';
+/**
+ * What this instance knows of backend servers. Each engine is polled by one instance of its domain.
+ * What changes seldom travels as a notice to the others, load as a small digest on membership's
+ * messages; a starting instance asks a peer for all of it.
+ */
 import { z } from 'zod';
 import { InstanceRole, LifeState } from '@skylarksail/core/CoreConstants';
-import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
+import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { sampleElements } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import { createCallTopic, createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
+import { createLoadSpread } from '@skylarksail/membership/MembershipLoad';
 import type { InstanceRecord } from '@skylarksail/platform/PlatformPort';
-import { createTimeoutSignal } from './DaemonSignals.js';
-
-const STATUS_OK = 200;
-
-const layersSchema = z.object({ first: z.int(), end: z.int() });
-const statusSchema = z.object({
-  load: z.object({
-    engine: z.string(),
-    bootId: z.string(),
-    state: z.enum(['live', 'leaving']),
-    holding: z
-      .object({
-        model: z.string(),
-        version: z.string(),
-        adapters: z.array(z.string()),
-        layers: layersSchema,
-        duty: z.enum(['mixed', 'prefill', 'decode']),
-      })
-      .nullable(),
-    running: z.number(),
-    queued: z.number(),
-    kvUsed: z.number(),
-    orderNumber: z.number(),
-  }),
-  facts: z.object({
-    id: z.string(),
-    domain: z.string(),
-    rack: z.string(),
-    address: z.object({ host: z.string(), port: z.int() }),
-    accelerator: z.string(),
-    decodeLayerTokensPerSecond: z.number(),
-    prefillLayerTokensPerSecond: z.number(),
-    weightBytes: z.number(),
-    kvLayerTokens: z.number(),
-    maxBatch: z.number(),
-  }),
-});
-
-/** An engine's report as it came. */
-export interface EngineStatus {
-  readonly load: EngineLoad;
-  readonly facts: EngineFacts;
-}
+import type { EngineStatus, FetchEngineStatus } from './DaemonEngineStatus.js';
+import { engineStatusSchema, isReportNews } from './DaemonEngineStatus.js';
+import type { DaemonFleet } from './DaemonFleet.js';
 
-/** Asks an engine for its report; null if none came that makes sense. */
-export type FetchEngineStatus = (address: HostPort) => Promise<EngineStatus | null>;
+/** How often an engine is polled. A leaving engine must get no new work within 3 s. */
+export const ENGINE_POLL_PERIOD: Millis = 2000;
+const DIGEST_PERIOD: Millis = 500;
+const FOREIGN_PERIOD: Millis = 5000;
+const PEER_TIMEOUT: Millis = 1500;
 
-/** Creates the adapter over HTTP. */
-export function createEngineStatusHttp(timeout: Millis): {
-  readonly fetch: FetchEngineStatus;
-  readonly close: () => Promise<void>;
-} {
-  const agent = new Agent({ connections: 2, pipelining: 1 });
-  return {
-    async fetch({ host, port }) {
-      try {
-        const res = await agent.request({
-          origin: `http://${host}:${port}`,
-          path: '/v1/status',
-          method: 'GET',
-          signal: createTimeoutSignal(timeout),
-        });
-        const parsed = statusSchema.safeParse(await res.body.json());
-        return res.statusCode === STATUS_OK && parsed.success ? parsed.data : null;
-      } catch {
-        return null;
-      }
-    },
-    close: () => agent.destroy(),
-  };
+/** Engines of another domain that are told at once; more would not fit the bytes of a node. */
+const MAX_FOREIGN = 64;
+
+interface KnownReport {
+  readonly status: EngineStatus;
+  readonly seenAt: Millis;
 }
 
+/** A report on its way between instances; `age` is in milliseconds. */
+interface SentReport {
+  readonly status: EngineStatus;
+  readonly age: Millis;
+}
+
+const sentReportSchema = z.object({ status: engineStatusSchema, age: z.number().min(0) });
+const REPORT_NOTICE = createNoticeTopic<SentReport>('engine-report');
+const REPORTS_CALL = createCallTopic<{ readonly limit: number }, readonly SentReport[]>(
+  'engine-reports',
+);
+
 /** What the directory tells its listener. */
 export interface EngineListener {
   onFacts(facts: readonly EngineFacts[]): void;
-  onLoad(load: EngineLoad): void;
+  onLoad(seen: SeenEngineLoad): void;
   onLeaving(engine: EngineId): void;
   /** The engine did not answer its poll. */
   onSilent(engine: EngineId): void;
 }
 
 export interface EngineDirectory {
-  /** Takes in a new instance list. */
+  /** Takes in a new reading of the instance list. */
   setRecords(records: readonly InstanceRecord[]): void;
-  /** Takes in what another instance learned of an engine. */
-  setLoad(load: EngineLoad): void;
   findAddress(id: EngineId): HostPort | null;
-  /** Backend servers of a plain service: those whose id is the service's, or `service/…`. */
+  /** Live backend servers of a plain service: those whose id is the service's, or `service/…`. */
   listServers(service: string): readonly EngineId[];
   listEngines(): readonly EngineFacts[];
+  listReports(): readonly EngineStatus[];
+  registerListener(listener: EngineListener): Unregister;
   start(): Unregister;
 }
 
 export interface EngineDirectoryOptions {
+  readonly domain: DomainId;
   readonly timers: TimerService;
+  readonly random: Random;
+  readonly fleet: DaemonFleet;
   readonly fetchStatus: FetchEngineStatus;
-  readonly pollPeriod: Millis;
-  /** Whether this instance is the one that polls the engine. */
-  readonly isPollOwner: (engine: EngineId) => boolean;
-  readonly listener: EngineListener;
+  /** Duties that are held besides polling. */
+  readonly otherDuties: readonly string[];
 }
 
 export function createEngineDirectory(options: EngineDirectoryOptions): EngineDirectory {
-  const { listener } = options;
+  const { domain, timers, random, fleet } = options;
+  const listeners = new Set<EngineListener>();
   const records = new Map<string, InstanceRecord>();
-  const facts = new Map<EngineId, EngineFacts>();
+  const reports = new Map<EngineId, KnownReport>();
   const polling = new Set<EngineId>();
+  const loads = createLoadSpread();
 
   function setRecords(list: readonly InstanceRecord[]): void {
-    const before = [...facts.keys()].length;
     records.clear();
     list
       .filter(({ role }) => role !== InstanceRole.Entry)
       .forEach((record) => records.set(record.id, record));
-    [...facts.keys()].filter((id) => !records.has(id)).forEach((id) => facts.delete(id));
-    records.forEach(({ id, role, state }) => {
-      if (role === InstanceRole.Engine && state === LifeState.Leaving) {
-        listener.onLeaving(id);
-      }
-    });
-    if (facts.size !== before) {
-      listener.onFacts([...facts.values()]);
+    const gone = [...reports.keys()].filter((id) => !records.has(id));
+    gone.forEach((id) => reports.delete(id));
+    if (gone.length > 0) {
+      tellFacts();
     }
+    const engines = listOwnEngines();
+    fleet.duties.setDuties([...options.otherDuties, ...engines.map(({ id }) => getPollDuty(id))]);
+    [...records.values()]
+      .filter(({ role, state }) => role === InstanceRole.Engine && state === LifeState.Leaving)
+      .forEach(({ id }) => tell((listener) => listener.onLeaving(id)));
+    pollUnknown();
+  }
+
+  function listOwnEngines(): readonly InstanceRecord[] {
+    return [...records.values()].filter(
+      (record) => record.role === InstanceRole.Engine && record.domain === domain,
+    );
+  }
+
+  function tell(act: (listener: EngineListener) => void): void {
+    listeners.forEach(act);
+  }
+
+  function tellFacts(): void {
+    const facts = [...reports.values()].map(({ status }) => status.facts);
+    tell((listener) => listener.onFacts(facts));
   }
 
   async function poll(record: InstanceRecord): Promise<void> {
@@ -139,34 +123,132 @@
     polling.add(record.id);
     const status = await options.fetchStatus(record.address);
     polling.delete(record.id);
-    if (!status || status.load.engine !== record.id) {
-      listener.onSilent(record.id);
+    if (!status || status.load.engine !== record.id || !records.has(record.id)) {
+      tell((listener) => listener.onSilent(record.id));
       return;
     }
-    setFacts({ ...status.facts, domain: record.domain, rack: record.rack });
-    listener.onLoad(status.load);
+    const { domain: ownDomain, rack, address } = record;
+    const facts = { ...status.facts, domain: ownDomain, rack, address };
+    const polled = { ...status, facts };
+    const isNews = isReportNews(reports.get(record.id)?.status, polled);
+    takeReport(polled, timers.now());
+    loads.recordLoad(polled.load, timers.now());
+    if (isNews && fleet.duties.isOwn(getPollDuty(record.id))) {
+      tellPeers(polled);
+    }
   }
 
-  function setFacts(next: EngineFacts): void {
-    const known = facts.get(next.id);
-    facts.set(next.id, next);
-    if (!known || JSON.stringify(known) !== JSON.stringify(next)) {
-      listener.onFacts([...facts.values()]);
+  function takeReport(status: EngineStatus, seenAt: Millis): void {
+    const { id } = status.facts;
+    const known = reports.get(id);
+    if (known && known.seenAt > seenAt) {
+      return;
+    }
+    reports.set(id, { status, seenAt });
+    if (!known || JSON.stringify(known.status.facts) !== JSON.stringify(status.facts)) {
+      tellFacts();
     }
+    tell((listener) => listener.onLoad({ load: status.load, seenAt }));
+  }
+
+  function tellPeers(status: EngineStatus): void {
+    fleet
+      .listOwnDomain()
+      .forEach((peer) => fleet.calls.notify(peer, REPORT_NOTICE, { status, age: 0 }));
+  }
+
+  /** Polls what nobody has told of yet, so that the first start and a lost notice heal by themselves. */
+  function pollUnknown(): void {
+    listOwnEngines()
+      .filter(({ id }) => !reports.has(id))
+      .forEach((record) => {
+        void poll(record);
+      });
   }
 
   function pollOwned(): void {
-    records.forEach((record) => {
-      const isEngine = record.role === InstanceRole.Engine;
-      if (isEngine && (!facts.has(record.id) || options.isPollOwner(record.id))) {
+    listOwnEngines()
+      .filter(({ id }) => fleet.duties.isOwn(getPollDuty(id)))
+      .forEach((record) => {
         void poll(record);
+      });
+  }
+
+  /** Brings what digests say into the reports of engines that others poll. */
+  function readDigests(): void {
+    reports.forEach(({ status, seenAt }, id) => {
+      const told = loads.getLoad(id);
+      if (told && told.seenAt > seenAt) {
+        const { running, queued, kvUsed, state } = told;
+        const load = { ...status.load, running, queued, kvUsed, state };
+        reports.set(id, { status: { ...status, load }, seenAt: told.seenAt });
+        tell((listener) => listener.onLoad({ load, seenAt: told.seenAt }));
       }
     });
   }
 
+  /** Asks one instance of each other domain, so that its engines can be borrowed when it comes to that. */
+  async function askForeign(): Promise<void> {
+    const live = fleet.membership.getLiveInstances().filter((peer) => peer.domain !== domain);
+    const domains = [...new Set(live.map((peer) => peer.domain))];
+    await Promise.all(
+      domains.map((foreign) =>
+        askPeer(live.filter((peer) => peer.domain === foreign).map(({ id }) => id)),
+      ),
+    );
+  }
+
+  async function askPeer(candidates: readonly string[]): Promise<void> {
+    const [peer] = sampleElements(random, candidates, 1);
+    if (peer === undefined) {
+      return;
+    }
+    const question = { limit: MAX_FOREIGN };
+    const reply = await fleet.calls.call(peer, REPORTS_CALL, question, PEER_TIMEOUT);
+    const parsed = z.array(sentReportSchema).safeParse(reply.ok ? reply.value : null);
+    if (parsed.success) {
+      parsed.data.forEach(receiveReport);
+    }
+  }
+
+  function receiveReport({ status, age }: SentReport): void {
+    // Only what the platform lists is an engine; a report of anything else is out of date.
+    if (records.has(status.facts.id)) {
+      takeReport(status, timers.now() - age);
+    }
+  }
+
+  function sendReports(limit: number): readonly SentReport[] {
+    const own = [...reports.values()].filter(({ status }) => status.facts.domain === domain);
+    return sampleElements(random, own, Math.min(limit, MAX_FOREIGN)).map(({ status, seenAt }) => ({
+      status,
+      age: timers.now() - seenAt,
+    }));
+  }
+
+  function start(): Unregister {
+    const undo = [
+      fleet.membership.registerTopic(loads.topic),
+      fleet.calls.registerHandler(REPORTS_CALL, ({ limit }) => sendReports(Number(limit) || 0)),
+      fleet.calls.registerNotice(REPORT_NOTICE, (sent) => {
+        const parsed = sentReportSchema.safeParse(sent);
+        if (parsed.success) {
+          receiveReport(parsed.data);
+        }
+      }),
+      timers.registerInterval(ENGINE_POLL_PERIOD, pollOwned),
+      timers.registerInterval(DIGEST_PERIOD, readDigests),
+      timers.registerInterval(FOREIGN_PERIOD, () => {
+        void askForeign();
+        pollUnknown();
+      }),
+    ];
+    pollUnknown();
+    return () => undo.forEach((stop) => stop());
+  }
+
   return {
     setRecords,
-    setLoad: (load) => listener.onLoad(load),
     findAddress: (id) => records.get(id)?.address ?? null,
     listServers: (service) =>
       [...records.values()]
@@ -177,10 +259,18 @@
             (id === service || id.startsWith(`${service}/`)),
         )
         .map(({ id }) => id),
-    listEngines: () => [...facts.values()],
-    start: () => {
-      pollOwned();
-      return options.timers.registerInterval(options.pollPeriod, pollOwned);
+    listEngines: () => [...reports.values()].map(({ status }) => status.facts),
+    registerListener(listener) {
+      listeners.add(listener);
+      return () => {
+        listeners.delete(listener);
+      };
     },
+    listReports: () => [...reports.values()].map(({ status }) => status),
+    start,
   };
 }
+
+function getPollDuty(engine: EngineId): string {
+  return `poll/${engine}`;
+}
--- a/packages/daemon/src/DaemonManifest.ts
+++ b/packages/daemon/src/DaemonManifest.ts
@@ -1,118 +1,162 @@
-/** The manifest on this instance: the revision in force, and the way to submit another. */
-import { createHash, timingSafeEqual } from 'node:crypto';
+/** The manifest on this instance: the view in force, and the operators' way to submit another. */
+import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { StoreContext } from '@skylarksail/manifest/ManifestCalls';
 import { joinManifest } from '@skylarksail/manifest/ManifestChunks';
-import { loadManifest, readRoot } from '@skylarksail/manifest/ManifestReader';
-import type { Manifest, ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import { listInForce } from '@skylarksail/manifest/ManifestConfirm';
+import type { DomainInForce } from '@skylarksail/manifest/ManifestConfirm';
+import type { ManifestChange } from '@skylarksail/manifest/ManifestDiff';
+import { diffManifests } from '@skylarksail/manifest/ManifestDiff';
+import { collectGarbage } from '@skylarksail/manifest/ManifestGarbage';
+import { readHistory } from '@skylarksail/manifest/ManifestReader';
+import type { RevisionSummary } from '@skylarksail/manifest/ManifestRoot';
+import type { ManifestRunner } from '@skylarksail/manifest/ManifestRunner';
+import { startManifestRunner } from '@skylarksail/manifest/ManifestRunner';
+import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
+import { getKnownBy } from '@skylarksail/manifest/ManifestSpread';
 import { submitManifest } from '@skylarksail/manifest/ManifestStore';
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
+import type { ManifestView } from '@skylarksail/manifest/ManifestView';
+import { createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
+import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { DaemonError } from './DaemonErrors.js';
+import type { DaemonFleet } from './DaemonFleet.js';
 
-const POLL_PERIOD: Millis = 1000;
-const READ_DEADLINE: Millis = 5000;
+const CALL_TIMEOUT: Millis = 2000;
 const SUBMIT_DEADLINE: Millis = 10_000;
+const READ_DEADLINE: Millis = 5000;
+const HISTORY_LENGTH = 100;
+const GARBAGE_PERIOD: Millis = 300_000;
+const GARBAGE_DEADLINE: Millis = 30_000;
+const GARBAGE_REMOVALS = 200;
 
-/** A revision in force, with what is looked up for each request. */
-export interface ManifestInForce {
-  readonly revision: number;
-  readonly manifest: Manifest;
-  readonly teamsByKeyHash: ReadonlyMap<string, ManifestTeam>;
-}
+/** The duty of removing what no revision names any more. */
+const GARBAGE_DUTY = 'manifest-garbage';
+
+const SPREAD_TOPIC = createNoticeTopic<unknown>('manifest');
 
 export interface DaemonManifest {
-  getInForce(): ManifestInForce | null;
+  getView(): ManifestView | null;
+  /** How this instance knows the revision in force. */
+  getKnownBy(): string;
   submit(
     input: unknown,
     submissionId: string,
     expectedRevision: number | null,
   ): Promise<SubmitOutcome>;
-  registerListener(listener: (inForce: ManifestInForce) => void): Unregister;
-  start(): Unregister;
+  /** The whole manifest in force, for operators. */
+  readWhole(): { readonly revision: number; readonly manifest: Manifest } | null;
+  diff(next: Manifest): readonly ManifestChange[];
+  readHistory(): Promise<readonly RevisionSummary[]>;
+  /** How far a revision is in force, domain by domain; asking also refreshes what is known. */
+  askInForce(revision: number): readonly DomainInForce[];
+  registerListener(listener: (view: ManifestView) => void): Unregister;
+  stop(): void;
 }
 
-/** Creates the keeper; nothing is read before `start`. */
-export function createDaemonManifest(ctx: StoreContext, timers: TimerService): DaemonManifest {
-  const listeners = new Set<(inForce: ManifestInForce) => void>();
-  let inForce: ManifestInForce | null = null;
-  let isReading = false;
-  let chunks: ReadonlyMap<string, string> = new Map();
+export interface DaemonManifestOptions {
+  readonly self: { readonly id: string; readonly domain: string };
+  readonly platform: PlatformClient;
+  readonly fleet: DaemonFleet;
+  readonly timers: TimerService;
+  readonly random: Random;
+}
 
-  async function refresh(): Promise<void> {
-    if (isReading) {
-      return;
-    }
-    isReading = true;
-    try {
-      await readOnce();
-    } finally {
-      isReading = false;
-    }
-  }
+export function startDaemonManifest(options: DaemonManifestOptions): DaemonManifest {
+  const { self, fleet, timers, random } = options;
+  const platform = options.platform.forUse(PlatformUse.Manifest);
+  const ctx: StoreContext = { platform, timers, random, callTimeout: CALL_TIMEOUT };
+  const listeners = new Set<(view: ManifestView) => void>();
 
-  async function readOnce(): Promise<void> {
-    const deadline = timers.now() + READ_DEADLINE;
-    const stored = await readRoot(ctx, deadline);
-    const root = stored.ok ? stored.value.root : null;
-    // A revision never goes down: what an old or repeated answer names is not applied.
-    if (!root || root.revision <= (inForce?.revision ?? 0)) {
-      return;
-    }
-    const loaded = await loadManifest(ctx, root, chunks, deadline);
-    if (loaded.ok) {
-      chunks = new Map([...chunks, ...loaded.value.fetched]);
-      apply(
-        root.revision,
-        joinManifest(loaded.value.tree, (hash) => chunks.get(hash)),
-      );
-    }
+  const runner: ManifestRunner = startManifestRunner({
+    self,
+    members: listMembers(fleet),
+    platform,
+    timers,
+    random,
+    sendToPeer: (to, message) => {
+      fleet.calls.notify(to, SPREAD_TOPIC, message);
+    },
+    onInForce: (view) => listeners.forEach((listener) => listener(view)),
+  });
+  const undo = [
+    fleet.calls.registerNotice(SPREAD_TOPIC, (message, from) =>
+      runner.receiveMessage(from, message),
+    ),
+    fleet.membership.registerListener(() => runner.changeMembers(listMembers(fleet))),
+    timers.registerInterval(GARBAGE_PERIOD, () => {
+      if (fleet.duties.isOwn(GARBAGE_DUTY)) {
+        void removeGarbage();
+      }
+    }),
+  ];
+
+  function removeGarbage(): Promise<unknown> {
+    const housekeeping = options.platform.forUse(PlatformUse.Housekeeping);
+    return collectGarbage(
+      { ...ctx, platform: housekeeping },
+      { deadline: timers.now() + GARBAGE_DEADLINE, maxRemovals: GARBAGE_REMOVALS },
+    );
   }
 
-  function apply(revision: number, manifest: Manifest): void {
-    if (revision <= (inForce?.revision ?? 0)) {
-      return;
-    }
-    inForce = { revision, manifest, teamsByKeyHash: indexTeams(manifest) };
-    listeners.forEach((listener) => inForce && listener(inForce));
+  function readWhole(): ReturnType<DaemonManifest['readWhole']> {
+    const held = runner.getState().inForce;
+    return (
+      held && {
+        revision: held.root.revision,
+        manifest: joinManifest(held.tree, (ref) => held.chunks.get(ref)),
+      }
+    );
   }
 
   return {
-    getInForce: () => inForce,
-    async submit(input, submissionId, expectedRevision) {
-      const deadline = timers.now() + SUBMIT_DEADLINE;
-      const outcome = await submitManifest(ctx, input, {
+    getView: runner.getView,
+    getKnownBy: () => getKnownBy(runner.getState()),
+    submit: (input, submissionId, expectedRevision) =>
+      submitManifest(ctx, input, {
         submissionId,
         expectedRevision,
-        deadline,
-      });
-      void refresh();
-      return outcome;
+        deadline: timers.now() + SUBMIT_DEADLINE,
+      }),
+    readWhole,
+    diff: (next) => {
+      const whole = readWhole();
+      return whole ? diffManifests(whole.manifest, next) : [];
+    },
+    async readHistory() {
+      const root = runner.getState().inForce?.root;
+      if (!root) {
+        return [];
+      }
+      const deadline = timers.now() + READ_DEADLINE;
+      const history = await readHistory(ctx, deadline, root, HISTORY_LENGTH);
+      if (!history.ok) {
+        throw new DaemonError(`the history cannot be read: ${history.error.kind}`);
+      }
+      return history.value;
+    },
+    askInForce(revision) {
+      runner.askInForce(revision);
+      return listInForce(runner.getState(), revision, timers.now());
     },
     registerListener(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    start() {
-      void refresh();
-      return timers.registerInterval(POLL_PERIOD, () => {
-        void refresh();
-      });
+    stop() {
+      undo.forEach((stop) => stop());
+      runner.stop();
     },
   };
 }
 
-function indexTeams(manifest: Manifest): ReadonlyMap<string, ManifestTeam> {
-  return new Map(
-    manifest.teams.flatMap((team) => team.keyHashes.map((hash) => [hash, team] as const)),
-  );
+function listMembers(
+  fleet: DaemonFleet,
+): readonly { readonly id: string; readonly domain: string }[] {
+  return fleet.membership.getLiveInstances().map(({ id, domain }) => ({ id, domain }));
 }
 
-/** The team whose key this is. The key is hashed first, so the lookup's time tells nothing of a key. */
-export function findTeam(inForce: ManifestInForce, key: string): ManifestTeam | null {
-  const hash = `sha256:${createHash('sha256').update(key).digest('hex')}`;
-  const team = inForce.teamsByKeyHash.get(hash);
-  const isSame = team?.keyHashes.some((known) =>
-    timingSafeEqual(Buffer.from(known), Buffer.from(hash)),
-  );
-  return team && isSame ? team : null;
-}
+/** Duties that the manifest needs somebody to hold. */
+export const MANIFEST_DUTIES: readonly string[] = [GARBAGE_DUTY];
--- /dev/null
+++ b/packages/daemon/src/DaemonParts.ts
@@ -0,0 +1,170 @@
+/** The parts of a daemon behind its HTTP ports, joined to each other. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
+import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
+import { DEFAULT_ROUTER_CONFIG } from '@skylarksail/requests/RouterTypes';
+import type { DaemonClaims } from './DaemonClaims.js';
+import { createDaemonClaims } from './DaemonClaims.js';
+import type { DecisionLog } from './DaemonDecisions.js';
+import { createEngineHttp } from './DaemonEngineHttp.js';
+import type { EngineDirectory } from './DaemonEngines.js';
+import { createEngineDirectory } from './DaemonEngines.js';
+import { createEngineStatusHttp } from './DaemonEngineStatus.js';
+import type { DaemonFleet } from './DaemonFleet.js';
+import { startDaemonFleet } from './DaemonFleet.js';
+import type { DaemonLogger } from './DaemonLog.js';
+import type { DaemonManifest } from './DaemonManifest.js';
+import { MANIFEST_DUTIES, startDaemonManifest } from './DaemonManifest.js';
+import type { DaemonMetrics } from './DaemonMetrics.js';
+import { createPlatformHttp } from './DaemonPlatformHttp.js';
+import { startDaemonPoison } from './DaemonPoison.js';
+import type { DaemonRouting } from './DaemonRouting.js';
+import { createDaemonRouting } from './DaemonRouting.js';
+import { createServiceHttp } from './DaemonServiceHttp.js';
+import type { Settings } from './DaemonSettings.js';
+
+const STATUS_TIMEOUT: Millis = 1000;
+
+export interface DaemonParts {
+  readonly platform: PlatformClient;
+  readonly fleet: DaemonFleet;
+  readonly manifest: DaemonManifest;
+  readonly routing: DaemonRouting;
+  readonly directory: EngineDirectory;
+  readonly claims: DaemonClaims;
+  readonly router: RequestRouter;
+  /** Duties go to others; running work and the callers' port go on. */
+  startLeaving(): void;
+  stop(): Promise<void>;
+}
+
+export interface DaemonPartsOptions {
+  readonly settings: Settings;
+  readonly peerSecret: string;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly wallNow: () => Millis;
+  readonly logger: DaemonLogger;
+  readonly metrics: DaemonMetrics;
+  readonly decisions: DecisionLog;
+}
+
+export async function startDaemonParts(options: DaemonPartsOptions): Promise<DaemonParts> {
+  const { settings, timers, random, wallNow, logger, metrics, decisions } = options;
+  const self = { id: settings.instance, domain: settings.domain };
+
+  let countInstances = (): number => 1;
+  const platformHttp = createPlatformHttp(settings.platform);
+  const platform = createPlatformClient({
+    port: platformHttp,
+    timers,
+    random,
+    countInstances: () => countInstances(),
+  });
+
+  const fleet = await startDaemonFleet({
+    settings,
+    secret: options.peerSecret,
+    timers,
+    random,
+    wallNow,
+    platform: platform.forUse(PlatformUse.Membership),
+  });
+  countInstances = () => Math.max(1, fleet.listLive().length);
+
+  const routing = createDaemonRouting({ domain: settings.domain, timers, random, decisions });
+  const status = createEngineStatusHttp(STATUS_TIMEOUT);
+  const directory = createEngineDirectory({
+    domain: settings.domain,
+    timers,
+    random,
+    fleet,
+    fetchStatus: status.fetch,
+    otherDuties: MANIFEST_DUTIES,
+  });
+  fleet.registerListListener(directory.setRecords);
+
+  const manifest = startDaemonManifest({ self, platform, fleet, timers, random });
+  manifest.registerListener((view) => {
+    routing.setManifest(view);
+    logger.info({ revision: view.revision, known_by: manifest.getKnownBy() }, 'manifest in force');
+  });
+  const claims = createDaemonClaims({
+    instance: self.id,
+    platform,
+    fleet,
+    timers,
+    random,
+    wallNow,
+  });
+  const engineHttp = createEngineHttp(directory.findAddress);
+  const serviceHttp = createServiceHttp(directory.findAddress);
+  const router: RequestRouter = createRequestRouter({
+    cfg: DEFAULT_ROUTER_CONFIG,
+    timers,
+    random,
+    chooseChain: routing.chooseChain,
+    chooseRepair: routing.chooseRepair,
+    openEngineCall: engineHttp.open,
+    chooseServer: (service, avoid) => {
+      const servers = directory.listServers(service).filter((id) => !avoid.includes(id));
+      const server = servers[random.nextInt(Math.max(1, servers.length))];
+      return server === undefined ? null : { server, release: () => undefined };
+    },
+    openServiceCall: serviceHttp.open,
+    claims: claims.router,
+    getTeamLimits: (id) => {
+      const team = manifest.getView()?.getTeam(id);
+      return { share: team?.share ?? 1, queueLimit: team?.queueLimit ?? 0 };
+    },
+    getKvCapacity: routing.getKvCapacity,
+    getBootId: routing.getBootId,
+    onDecision: (record) => decisions.record({ ...record }),
+    onCount: metrics.countRouter,
+  });
+
+  directory.registerListener({
+    onFacts: routing.setFacts,
+    onLoad: (seen) => {
+      routing.setEngineLoad(seen);
+      router.noteEngineAlive(seen.load.engine, seen.load.bootId);
+    },
+    onLeaving: routing.setLeaving,
+    onSilent: () => metrics.count('engine_polls_unanswered', 'engine polls without an answer'),
+  });
+
+  await fleet.refreshList();
+  const undo: Unregister[] = [
+    fleet.start(),
+    directory.start(),
+    startDaemonPoison({ self: self.id, fleet, router, timers, random }),
+    fleet.membership.registerListener(() => routing.setInstanceCount(fleet.listOwnDomain().length)),
+  ];
+
+  async function stop(): Promise<void> {
+    undo.forEach((stopPart) => stopPart());
+    router.stop();
+    manifest.stop();
+    claims.owner.stop();
+    fleet.membership.stop();
+    await fleet.link.close();
+    await Promise.all([platformHttp, status, engineHttp, serviceHttp].map((http) => http.close()));
+  }
+
+  return {
+    platform,
+    fleet,
+    manifest,
+    routing,
+    directory,
+    claims,
+    router,
+    startLeaving: fleet.membership.startLeaving,
+    stop,
+  };
+}
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -1,10 +1,10 @@
 /** Joins the pure routing state to the router of requests, and logs what was weighed. */
 import type { Chain, Stage } from '@skylarksail/core/CoreChain';
-import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
+import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
+import type { DomainId, EngineId } from '@skylarksail/core/CoreTypes';
+import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type {
   AttemptOutcome,
   ChainChoice as RequestChoice,
@@ -35,9 +35,9 @@
   /** KV cache of the own domain's engines that this instance may count on, in tokens. */
   getKvCapacity(): number | null;
   setFacts(facts: readonly EngineFacts[]): void;
-  setEngineLoad(load: EngineLoad): void;
+  setEngineLoad(seen: SeenEngineLoad): void;
   setLeaving(engine: EngineId): void;
-  setManifest(manifest: Manifest): void;
+  setManifest(view: ManifestView): void;
   setInstanceCount(count: number): void;
   getState(): RoutingState;
 }
@@ -133,20 +133,20 @@
     setFacts: (facts) => {
       state = setEngines(state, facts);
     },
-    setEngineLoad: (load) => {
-      state = setLoad(state, { load, seenAt: timers.now() });
+    setEngineLoad: (seen) => {
+      state = setLoad(state, seen);
     },
     setLeaving: (engine) => {
       state = markLeaving(state, engine);
     },
-    setManifest: (manifest) => {
+    setManifest: (view) => {
       state = setRoutingFacts(state, {
         models: new Map(
-          manifest.models.map(({ id, activationBytes }) => [id, { id, activationBytes }]),
+          view.models.map(({ id, activationBytes }) => [id, { id, activationBytes }]),
         ),
-        links: manifest.links,
-        regions: new Map(manifest.domains.map(({ id, region }) => [id, region])),
-        tuning: { ...state.tuning, crossDomainShare: manifest.limits.crossDomainShare },
+        links: view.links,
+        regions: new Map(view.domains.map(({ id, region }) => [id, region])),
+        tuning: { ...state.tuning, crossDomainShare: view.limits.crossDomainShare },
       });
     },
     setInstanceCount: (count) => {
@@ -206,6 +206,3 @@
   );
   return tokens / state.tuning.instanceCount;
 }
-
-/** Period at which engines are polled by their owner. */
-export const ENGINE_POLL_PERIOD: Millis = 500;
