--- a/packages/manifest/src/ManifestFetch.ts
+++ b/packages/manifest/src/ManifestFetch.ts
@@ -15,7 +15,13 @@
   SpreadStep,
   SpreadTarget,
 } from './ManifestSpreadTypes.js';
-import { continueStep, createStep, getRevisionOf } from './ManifestSpreadTypes.js';
+import {
+  continueStep,
+  createStep,
+  createTold,
+  drawAsk,
+  getRevisionOf,
+} from './ManifestSpreadTypes.js';
 import type { HeldManifest } from './ManifestView.js';
 
 /** Revisions whose deltas are kept; a peer further behind asks for chunks by name. */
@@ -136,7 +142,7 @@
   }
   const refs = [...listTreeChunks(walk.tree)];
   const chunks = new Map(refs.map((ref) => [ref, getChunk(ref) as string]));
-  return holdManifest(state, { root: target.root, tree: walk.tree, chunks }, at);
+  return holdManifest(ctx, state, { root: target.root, tree: walk.tree, chunks }, at);
 }
 
 function askSource(
@@ -213,8 +219,28 @@
   return id === undefined ? { kind: 'platform' } : { kind: 'peer', id };
 }
 
+/** A peer holds `revision`: if that is too low for what was asked of it, another source is tried. */
+export function giveUpSource(
+  ctx: SpreadContext,
+  state: SpreadState,
+  peer: InstanceId,
+  revision: number,
+  at: Millis,
+): SpreadStep {
+  const { target } = state;
+  const isSource = target?.source.kind === 'peer' && target.source.id === peer;
+  return isSource && revision < target.root.revision
+    ? changeSource(ctx, state, at)
+    : createStep(state);
+}
+
 /** Holds a whole manifest and tells the peers that depend on this instance for it. */
-function holdManifest(state: SpreadState, manifest: HeldManifest, at: Millis): SpreadStep {
+function holdManifest(
+  ctx: SpreadContext,
+  state: SpreadState,
+  manifest: HeldManifest,
+  at: Millis,
+): SpreadStep {
   const { revision } = manifest.root;
   const delta: RevisionDelta = {
     revision,
@@ -223,19 +249,23 @@
   // A delta that leaps over revisions would be wrong for a peer that holds one of those between.
   const follows = getRevisionOf(state.held) === revision - 1;
   const deltas = follows ? [...state.deltas, delta].slice(-MAX_DELTAS) : [];
+  const keeperAsk = drawAsk(ctx);
   const next: SpreadState = {
     ...state,
     held: manifest,
     heldSince: at,
+    keeperAsk,
+    isKept: false,
     asking: null,
     target: null,
     deltas,
     waiters: [],
   };
-  const listeners = new Set([...selectListeners(state.plan, revision), ...state.waiters]);
-  const effects = [...listeners].map((to): SpreadEffect => {
-    const wantsReply = state.plan.keepers.includes(to);
-    return { type: 'send', to, message: { type: 'told', revision, wantsReply } };
+  const replies = new Map(state.waiters.map(({ peer, ask }) => [peer, ask]));
+  const listeners = new Set([...selectListeners(state.plan, revision), ...replies.keys()]);
+  const effects = [...listeners].map((to) => {
+    const ask = state.plan.keepers.includes(to) ? keeperAsk : 0;
+    return createTold(to, revision, { ask, reply: replies.get(to) ?? 0 });
   });
   return createStep(next, effects);
 }
@@ -250,7 +280,7 @@
 ): SpreadStep {
   const { held } = state;
   if (!held) {
-    return createStep(state);
+    return createStep(state, [createTold(peer, 0)]);
   }
   const wanted = new Set([...refs, ...listDelta(state, have)]);
   const chunks: { ref: ChunkRef; text: string }[] = [];
--- a/packages/manifest/src/ManifestMessages.ts
+++ b/packages/manifest/src/ManifestMessages.ts
@@ -9,6 +9,8 @@
 const MAX_REFS = 4096;
 
 const revision = z.int().min(0);
+/** Chosen at random by who asks; 0 for none. */
+const askNumber = z.int().min(0);
 const instance = z.string().min(1).max(200);
 
 /** How far a domain's instances have put a revision into force. */
@@ -22,8 +24,11 @@
 });
 
 const messageSchema = z.discriminatedUnion('type', [
-  /** The sender holds this revision whole; 0 if it holds none. */
-  z.strictObject({ type: z.literal('told'), revision, wantsReply: z.boolean() }),
+  /**
+   * The sender holds this revision whole; 0 if it holds none. `ask` wants an answer that repeats it as
+   * `reply`: an answer then proves what the peer held after it was asked, by this very process.
+   */
+  z.strictObject({ type: z.literal('told'), revision, ask: askNumber, reply: askNumber }),
   /** Asks for the root, what it adds to revision `have`, and the chunks named. */
   z.strictObject({
     type: z.literal('asked'),
--- a/packages/manifest/src/ManifestSpread.ts
+++ b/packages/manifest/src/ManifestSpread.ts
@@ -21,6 +21,7 @@
   changeSource,
   choosePeerSource,
   getKnownRevision,
+  giveUpSource,
   learnRoot,
   pauseTarget,
   receiveChunks,
@@ -39,7 +40,13 @@
   SpreadState,
   SpreadStep,
 } from './ManifestSpreadTypes.js';
-import { continueStep, createStep, getRevisionOf, KnownBy } from './ManifestSpreadTypes.js';
+import {
+  continueStep,
+  createStep,
+  createTold,
+  getRevisionOf,
+  KnownBy,
+} from './ManifestSpreadTypes.js';
 import { advanceStart, beginStart, receiveStartAnswer } from './ManifestStart.js';
 
 const POLL_JITTER = 0.5;
@@ -57,7 +64,8 @@
     asking: null,
     target: null,
     deltas: [],
-    keeperRevisions: new Map(),
+    keeperAsk: 0,
+    isKept: false,
     waiters: [],
     platformSeen: null,
     platformSeenAt: 0,
@@ -159,12 +167,7 @@
   const gossipAt = at + jitter(ctx.random, ctx.settings.gossipPeriod, GOSSIP_JITTER);
   const to = selectGossipPeer(state.plan, ctx.random, ctx.settings.gossipFarShare);
   const revision = getRevisionOf(state.held);
-  return createStep(
-    { ...state, gossipAt },
-    to === undefined
-      ? []
-      : [{ type: 'send', to, message: { type: 'told', revision, wantsReply: false } }],
-  );
+  return createStep({ ...state, gossipAt }, to === undefined ? [] : [createTold(to, revision)]);
 }
 
 function confirmAgain(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
@@ -283,9 +286,8 @@
 ): SpreadStep {
   switch (message.type) {
     case 'told':
-      return continueStep(
-        receiveTold(ctx, state, from, message.revision, message.wantsReply, at),
-        (next) => advanceStart(ctx, next, at),
+      return continueStep(receiveTold(ctx, state, from, message, at), (next) =>
+        advanceStart(ctx, next, at),
       );
     case 'asked':
       return answerAsked(ctx, state, from, message.have, message.refs);
@@ -313,29 +315,40 @@
   ctx: SpreadContext,
   state: SpreadState,
   from: InstanceId,
-  revision: number,
-  wantsReply: boolean,
+  { revision, ask, reply }: Extract<SpreadMessage, { type: 'told' }>,
+  at: Millis,
+): SpreadStep {
+  const heard = noteKeeper(receiveStartAnswer(state, from, revision, reply), revision, reply);
+  const given = giveUpSource(ctx, heard, from, revision, at);
+  return continueStep(given, (noted) => answerTold(ctx, noted, from, { revision, ask }, at));
+}
+
+function answerTold(
+  ctx: SpreadContext,
+  noted: SpreadState,
+  from: InstanceId,
+  { revision, ask }: { readonly revision: number; readonly ask: number },
   at: Millis,
 ): SpreadStep {
-  const noted = noteKeeper(receiveStartAnswer(state, from, revision), from, revision);
-  const own = getRevisionOf(state.held);
+  const own = getRevisionOf(noted.held);
   if (revision > own) {
-    const waiters = wantsReply ? [...new Set([...noted.waiters, from])] : noted.waiters;
-    const waiting = { ...noted, waiters };
-    const isNews = revision > getKnownRevision(state) && !state.start;
+    const waiting = ask === 0 ? noted : addWaiter(noted, from, ask);
+    const isNews = revision > getKnownRevision(noted) && noted.start?.goal !== null;
     return isNews ? askTeller(ctx, waiting, from, revision, at) : createStep(waiting);
   }
-  const message = { type: 'told', revision: own, wantsReply: false } as const;
-  return wantsReply || revision < own
-    ? createStep(noted, [{ type: 'send', to: from, message }])
+  return ask !== 0 || revision < own
+    ? createStep(noted, [createTold(from, own, { reply: ask })])
     : createStep(noted);
 }
 
-function noteKeeper(state: SpreadState, peer: InstanceId, revision: number): SpreadState {
-  if (!state.plan.keepers.includes(peer) || (state.keeperRevisions.get(peer) ?? 0) >= revision) {
-    return state;
-  }
-  return { ...state, keeperRevisions: new Map(state.keeperRevisions).set(peer, revision) };
+function addWaiter(state: SpreadState, peer: InstanceId, ask: number): SpreadState {
+  const others = state.waiters.filter((waiter) => waiter.peer !== peer);
+  return { ...state, waiters: [...others, { peer, ask }] };
+}
+
+function noteKeeper(state: SpreadState, revision: number, reply: number): SpreadState {
+  const isAnswer = reply !== 0 && reply === state.keeperAsk;
+  return isAnswer && revision >= getRevisionOf(state.held) ? { ...state, isKept: true } : state;
 }
 
 /**
@@ -348,9 +361,8 @@
   if (!held || state.start || held.root.revision <= getRevisionOf(state.inForce)) {
     return createStep(state);
   }
-  const { keepers } = state.plan;
-  const isKept = keepers.some((id) => (state.keeperRevisions.get(id) ?? 0) >= held.root.revision);
-  if (keepers.length > 0 && !isKept && at < state.heldSince + ctx.settings.holdLimit) {
+  const mayWait = state.plan.keepers.length > 0 && at < state.heldSince + ctx.settings.holdLimit;
+  if (!state.isKept && mayWait) {
     return createStep(state);
   }
   const applied = createStep({ ...state, inForce: held }, [{ type: 'apply', manifest: held }]);
--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -15,6 +15,8 @@
   readonly peerTries: number;
   /** A starting instance waits so long for the platform and for the peers that it asked. */
   readonly startLimit: Millis;
+  /** After so long without the revision that a peer spoke of, the start asks anew. */
+  readonly startFetchLimit: Millis;
   /** A revision is put into force after so long even if no keeper has said that it holds it. */
   readonly holdLimit: Millis;
   readonly gossipPeriod: Millis;
@@ -36,6 +38,7 @@
   peerTimeout: 400,
   peerTries: 2,
   startLimit: 1000,
+  startFetchLimit: 10_000,
   holdLimit: 250,
   gossipPeriod: 1000,
   gossipFarShare: 0.2,
@@ -83,10 +86,24 @@
   readonly backoff: Millis;
 }
 
+/** A peer that asked whether a revision is held here, with the number to repeat. */
+export interface SpreadWaiter {
+  readonly peer: InstanceId;
+  readonly ask: number;
+}
+
 /** The asking of peers after a start. */
 export interface SpreadStart {
+  /** Number that answers must repeat. */
+  readonly ask: number;
   readonly askedPeers: readonly InstanceId[];
   readonly answers: ReadonlyMap<InstanceId, number>;
+  /**
+   * Highest answer, once it is decided on; the start ends when it is held. Were it to end before, and
+   * the peer with the highest die, a lower revision would be taken from another.
+   */
+  readonly goal: number | null;
+  /** When the asking ends, or begins anew if the goal was not reached. */
   readonly endsAt: Millis;
 }
 
@@ -132,10 +149,15 @@
   readonly asking: SpreadAsking | null;
   readonly target: SpreadTarget | null;
   readonly deltas: readonly RevisionDelta[];
-  /** Highest revision that each keeper said it holds. */
-  readonly keeperRevisions: ReadonlyMap<InstanceId, number>;
+  /** Number that the keepers' answers about the held revision must repeat. */
+  readonly keeperAsk: number;
+  /**
+   * Whether a keeper has answered, after this instance held the revision, that it holds it too. An
+   * earlier word would not do: the keeper may have restarted since, and learned less.
+   */
+  readonly isKept: boolean;
   /** Peers that want to hear once the next revision is held here. */
-  readonly waiters: readonly InstanceId[];
+  readonly waiters: readonly SpreadWaiter[];
   /** Highest revision read from the platform; null before the first answer. */
   readonly platformSeen: number | null;
   readonly platformSeenAt: Millis;
@@ -214,6 +236,22 @@
   readonly random: Random;
 }
 
+const ASK_NUMBERS = 2 ** 31 - 1;
+
+/** A number for a question, so that answers to an earlier process of the same id do not count. */
+export function drawAsk(ctx: SpreadContext): number {
+  return 1 + ctx.random.nextInt(ASK_NUMBERS);
+}
+
+/** A message that tells what is held here. */
+export function createTold(
+  to: InstanceId,
+  revision: number,
+  { ask = 0, reply = 0 }: { readonly ask?: number; readonly reply?: number } = {},
+): SpreadEffect {
+  return { type: 'send', to, message: { type: 'told', revision, ask, reply } };
+}
+
 /** A step without effects. */
 export function createStep(state: SpreadState, effects: readonly SpreadEffect[] = []): SpreadStep {
   return { state, effects };
--- a/packages/manifest/src/ManifestStart.ts
+++ b/packages/manifest/src/ManifestStart.ts
@@ -2,27 +2,22 @@
  * The start of an instance: it hears the platform, or else several peers in several domains, and takes
  * the highest. One peer alone may lag, and its word would take the instance back to what it had left.
  */
+import { invariant } from '@skylarksail/core/CoreErrors';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import { askTeller, getKnownRevision } from './ManifestFetch.js';
 import { selectStartPeers } from './ManifestPeers.js';
-import type {
-  SpreadContext,
-  SpreadEffect,
-  SpreadState,
-  SpreadStep,
-} from './ManifestSpreadTypes.js';
-import { createStep, getRevisionOf } from './ManifestSpreadTypes.js';
+import type { SpreadContext, SpreadStart, SpreadState, SpreadStep } from './ManifestSpreadTypes.js';
+import { createStep, createTold, drawAsk, getRevisionOf } from './ManifestSpreadTypes.js';
 
 /** Asks the platform's root (by the caller) and several peers. */
 export function beginStart(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
   const askedPeers = selectStartPeers(state.plan, ctx.random);
   const endsAt = at + ctx.settings.startLimit;
   const revision = getRevisionOf(state.held);
+  const ask = drawAsk(ctx);
   return createStep(
-    { ...state, start: { askedPeers, answers: new Map(), endsAt } },
-    askedPeers.map((to): SpreadEffect => {
-      const message = { type: 'told', revision, wantsReply: true } as const;
-      return { type: 'send', to, message };
-    }),
+    { ...state, start: { ask, askedPeers, answers: new Map(), goal: null, endsAt } },
+    askedPeers.map((to) => createTold(to, revision, { ask })),
   );
 }
 
@@ -31,34 +26,53 @@
   state: SpreadState,
   peer: InstanceId,
   revision: number,
+  reply: number,
 ): SpreadState {
   const { start } = state;
-  if (!start?.askedPeers.includes(peer)) {
+  if (!start || start.ask !== reply || start.goal !== null) {
     return state;
   }
   return { ...state, start: { ...start, answers: new Map(start.answers).set(peer, revision) } };
 }
 
 /**
- * Ends the start when all peers have answered or the time is up, with the highest answer; an answer of
- * the platform ends it earlier. Without any answer that names a revision the asking goes on.
+ * Decides on the highest answer when all peers have answered or the time is up, and ends the start when
+ * that is held; an answer of the platform ends it earlier. Without any answer that names a revision, or
+ * if the one decided on cannot be had, the asking begins anew.
  */
 export function advanceStart(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
   const { start } = state;
   if (!start) {
     return createStep(state);
   }
-  const isComplete = start.answers.size === start.askedPeers.length && start.askedPeers.length > 0;
-  if (!isComplete && at < start.endsAt) {
-    return createStep(state);
+  if (start.goal !== null && getRevisionOf(state.held) >= start.goal) {
+    return createStep({ ...state, start: null });
+  }
+  if (start.goal === null && isAnswered(start, at)) {
+    return decideGoal(ctx, state, start, at);
   }
+  return at < start.endsAt ? createStep(state) : beginStart(ctx, state, at);
+}
+
+function isAnswered({ askedPeers, answers, endsAt }: SpreadStart, at: Millis): boolean {
+  return answers.size > 0 && (answers.size === askedPeers.length || at >= endsAt);
+}
+
+function decideGoal(
+  ctx: SpreadContext,
+  state: SpreadState,
+  start: SpreadStart,
+  at: Millis,
+): SpreadStep {
   const [best] = [...start.answers].sort((a, b) => b[1] - a[1]);
-  if (!best || best[1] === 0) {
+  invariant(best, 'a start that is answered has an answer');
+  const [peer, goal] = best;
+  if (goal === 0) {
     return at < start.endsAt ? createStep(state) : beginStart(ctx, state, at);
   }
-  const have = getRevisionOf(state.held);
-  const ended = { ...state, start: null };
-  return best[1] > have
-    ? createStep(ended, [{ type: 'send', to: best[0], message: { type: 'asked', have, refs: [] } }])
-    : createStep(ended);
+  const endsAt = at + ctx.settings.startFetchLimit;
+  const decided = { ...state, start: { ...start, goal, endsAt } };
+  return goal > getKnownRevision(state)
+    ? askTeller(ctx, decided, peer, goal, at)
+    : createStep(decided);
 }
