--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -9,7 +9,8 @@
 import { coverLayers } from './RoutingCover.js';
 import { getHealedShare, getLentCalls, orderForeignDomains } from './RoutingDomains.js';
 import { isEjected } from './RoutingHealth.js';
-import { getEnginePlace, getLinkCost } from './RoutingLinks.js';
+import type { LinkCost } from './RoutingLinks.js';
+import { FREE_LINK, getLinkBetween } from './RoutingLinks.js';
 import type { PoolMember } from './RoutingPools.js';
 import { getPool, getPoolKey } from './RoutingPools.js';
 import type { ChainAsk } from './RoutingScore.js';
@@ -106,18 +107,21 @@
   return (pool?.members ?? []).filter((member) => mayServe(state, ask, member));
 }
 
-/** Of two random members the one that costs less. */
+/** Of two random members the one that costs less, the link from the stage before it counted in. */
 export function pickOfTwo(
   state: RoutingState,
   ask: ChainAsk,
   options: readonly PoolMember[],
+  previous: PoolMember | null,
   random: Random,
 ): PoolMember {
   const a = options[random.nextInt(options.length)];
   const b = options[random.nextInt(options.length)];
   invariant(a && b, 'there is an option to pick');
-  const weigh = ({ facts, holding }: PoolMember) =>
-    estimateStage(state, ask, facts, holding.layers).weight;
+  const weigh = (member: PoolMember) => {
+    const link = previous ? getLinkBetween(state, previous.facts, member.facts) : FREE_LINK;
+    return weighMember(state, ask, member, link);
+  };
   return weigh(b) < weigh(a) ? b : a;
 }
 
@@ -138,8 +142,7 @@
     cachedTokens = Math.min(cachedTokens, cost.cachedTokens);
     const next = state.engines.get(chain.stages[i + 1]?.engine ?? '');
     if (next) {
-      const from = getEnginePlace(facts, state.regions);
-      const link = getLinkCost(state.links, from, getEnginePlace(next, state.regions));
+      const link = getLinkBetween(state, facts, next);
       const transfer = estimateTransfer(link, bytes, ask.promptTokens - cost.cachedTokens);
       path += transfer.gap;
       first += transfer.prefill;
@@ -237,8 +240,8 @@
   if (members.length === 0) {
     return createFailed({ kind: 'model-not-held', retryAfter: MISSING_RETRY_MS });
   }
-  const covered = coverLayers(members, { first: 0, end: ask.layerCount }, (options) =>
-    pickOfTwo(state, ask, options, random),
+  const covered = coverLayers(members, { first: 0, end: ask.layerCount }, (options, previous) =>
+    pickOfTwo(state, ask, options, previous, random),
   );
   return covered
     ? createOk(covered)
@@ -246,12 +249,18 @@
 }
 
 function weighOption(state: RoutingState, ask: ChainAsk, { member, hop }: WalkOption): number {
-  if (!mayServe(state, ask, member)) {
-    return Infinity;
-  }
-  const cost = estimateStage(state, ask, member.facts, member.holding.layers);
+  return mayServe(state, ask, member) ? weighMember(state, ask, member, hop.link) : Infinity;
+}
+
+function weighMember(
+  state: RoutingState,
+  ask: ChainAsk,
+  { facts, holding }: PoolMember,
+  link: LinkCost,
+): number {
+  const cost = estimateStage(state, ask, facts, holding.layers);
   const bytes = getActivationBytes(state, ask);
-  const transfer = estimateTransfer(hop.link, bytes, ask.promptTokens - cost.cachedTokens);
+  const transfer = estimateTransfer(link, bytes, ask.promptTokens - cost.cachedTokens);
   return cost.weight + transfer.gap * ask.maxTokens + transfer.prefill;
 }
 
--- a/packages/routing/src/RoutingLinks.ts
+++ b/packages/routing/src/RoutingLinks.ts
@@ -28,6 +28,12 @@
   readonly region: RegionId;
 }
 
+/** All links, and the region of each domain. */
+export interface LinkMap {
+  readonly links: readonly LinkFacts[];
+  readonly regions: ReadonlyMap<DomainId, RegionId>;
+}
+
 export function getEnginePlace(
   facts: EngineFacts,
   regions: ReadonlyMap<DomainId, RegionId>,
@@ -82,3 +88,12 @@
 function matchesEnds(link: LinkFacts, from: string, to: string): boolean {
   return (link.from === from || link.from === ANY) && (link.to === to || link.to === ANY);
 }
+
+/** The link from one engine to another. */
+export function getLinkBetween(
+  { links, regions }: LinkMap,
+  from: EngineFacts,
+  to: EngineFacts,
+): LinkCost {
+  return getLinkCost(links, getEnginePlace(from, regions), getEnginePlace(to, regions));
+}
--- a/packages/routing/src/RoutingPlans.ts
+++ b/packages/routing/src/RoutingPlans.ts
@@ -1,10 +1,8 @@
 /** Keeps the capacity plans of all pools up to date, off the hot path. */
-import type { EngineFacts } from '@skylarksail/core/CoreEngine';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { getHealth } from './RoutingCalls.js';
 import { isEjected } from './RoutingHealth.js';
-import type { LinkCost } from './RoutingLinks.js';
-import { getEnginePlace, getLinkCost } from './RoutingLinks.js';
+import { getLinkBetween } from './RoutingLinks.js';
 import { createPlan } from './RoutingPlan.js';
 import type { Pool, PoolMember } from './RoutingPools.js';
 import { getPromptTokensPerToken, getTokenCost } from './RoutingScore.js';
@@ -65,16 +63,7 @@
     layerCount: Math.max(0, ...members.map(({ holding }) => holding.layers.end)),
     bytesPerToken: activationBytes * (1 + promptTokensPerToken),
     getTokenCost: (member: PoolMember) => getTokenCost(state, member.facts, member.holding.layers),
-    getLink: createLinkReader(state),
+    getLink: (from, to) => getLinkBetween(state, from, to),
   });
   return { pool, links: state.links, excluded: excluded.join(), promptTokensPerToken, plan };
 }
-
-function createLinkReader(state: RoutingState): (from: EngineFacts, to: EngineFacts) => LinkCost {
-  return (from, to) =>
-    getLinkCost(
-      state.links,
-      getEnginePlace(from, state.regions),
-      getEnginePlace(to, state.regions),
-    );
-}
--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -61,8 +61,8 @@
       continue;
     }
     const free = members.filter(({ id }) => !taken.has(id));
-    const cover = coverLayers(free, stage.layers, (options) =>
-      pickOfTwo(state, ask, options, random),
+    const cover = coverLayers(free, stage.layers, (options, previous) =>
+      pickOfTwo(state, ask, options, previous, random),
     );
     if (!cover) {
       return null;
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -22,6 +22,8 @@
 
 /** Weight of the expected mix of prompt and answer before calls have shown theirs, in tokens. */
 const PRIOR_MIX_TOKENS = 1000;
+/** Engines first heard of within this time after the first report were there before us. */
+const SETTLING_MS = 5000;
 
 export function createRoutingState(tuning: Partial<RoutingTuning> = {}): RoutingState {
   const whole = { ...DEFAULT_TUNING, ...tuning };
@@ -29,6 +31,7 @@
     engines: new Map(),
     models: new Map(),
     loads: new Map(),
+    firstLoadAt: null,
     leaving: new Set(),
     links: [],
     regions: new Map(),
@@ -87,7 +90,8 @@
   const pools = isSameHolding(before, holding)
     ? state.pools
     : moveMember(state.pools, toMember(facts, before), toMember(facts, holding));
-  const next = noteBoot({ ...state, loads, pools }, id, bootId, seen.seenAt);
+  const firstLoadAt = state.firstLoadAt ?? seen.seenAt;
+  const next = noteBoot({ ...state, loads, pools, firstLoadAt }, id, bootId, seen.seenAt);
   return seen.load.state === LifeState.Leaving ? markLeaving(next, id) : next;
 }
 
@@ -132,7 +136,7 @@
     return state;
   }
   const booted = recordBoot(before, bootId, now);
-  const joined = before.bootId === null && state.plans.size > 0;
+  const joined = before.bootId === null && now - (state.firstLoadAt ?? now) > SETTLING_MS;
   const next = setHealth(state, id, joined ? startSlowly(booted, now) : booted);
   if (before.bootId === null || !state.leaving.has(id)) {
     return next;
--- a/packages/routing/src/RoutingTable.ts
+++ b/packages/routing/src/RoutingTable.ts
@@ -2,20 +2,20 @@
  * An immutable map that is cheap to change: entries lie in buckets, and a change copies one bucket only.
  * Copying a plain map of some thousand entries for each call would cost more than the choice itself.
  */
-import { hash32 } from '@skylarksail/core/CoreHash';
-
 export interface RoutingTable<V> {
   readonly buckets: readonly ReadonlyMap<string, V>[];
 }
 
 const BUCKET_COUNT = 128;
+const SPREAD = 31;
+const SPREAD_LIMIT = 1000003;
 
 export function createTable<V>(): RoutingTable<V> {
   return { buckets: Array.from({ length: BUCKET_COUNT }, () => new Map<string, V>()) };
 }
 
 export function getEntry<V>(table: RoutingTable<V>, key: string): V | undefined {
-  return table.buckets[hash32(key) % BUCKET_COUNT]?.get(key);
+  return table.buckets[getBucket(key)]?.get(key);
 }
 
 /**
@@ -28,7 +28,7 @@
   value: V | undefined,
   bucketLimit = Infinity,
 ): RoutingTable<V> {
-  const index = hash32(key) % BUCKET_COUNT;
+  const index = getBucket(key);
   const bucket = new Map(table.buckets[index]);
   bucket.delete(key);
   if (value !== undefined) {
@@ -40,6 +40,15 @@
   return { buckets: table.buckets.with(index, bucket) };
 }
 
+/** A call of the hash library costs more than the whole look-up; any spread over the buckets will do. */
+function getBucket(key: string): number {
+  let sum = 0;
+  for (let i = 0; i < key.length; i++) {
+    sum = (sum * SPREAD + key.charCodeAt(i)) % SPREAD_LIMIT;
+  }
+  return sum % BUCKET_COUNT;
+}
+
 /** Number of entries. */
 export function countEntries(table: RoutingTable<unknown>): number {
   return table.buckets.reduce((sum, bucket) => sum + bucket.size, 0);
--- a/packages/routing/src/RoutingTuning.ts
+++ b/packages/routing/src/RoutingTuning.ts
@@ -18,7 +18,7 @@
 
 export const DEFAULT_TUNING: RoutingTuning = {
   domain: null,
-  tokenGapMs: 68,
+  tokenGapMs: 61,
   promptTokensPerToken: 1,
   instanceCount: 1,
   foreignInstanceCount: 4,
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -52,6 +52,8 @@
   readonly engines: ReadonlyMap<EngineId, EngineFacts>;
   readonly models: ReadonlyMap<ModelId, RoutedModel>;
   readonly loads: ReadonlyMap<EngineId, KnownLoad>;
+  /** When the first report was made; what appears much later has joined a running fleet. */
+  readonly firstLoadAt: Millis | null;
   readonly leaving: ReadonlySet<EngineId>;
   readonly links: readonly LinkFacts[];
   readonly regions: ReadonlyMap<DomainId, RegionId>;
