Check the claim's specification with Spin, and mend a release of a found claim

Cause: the claims need an exhaustive check of their core protocol. Writing the specification showed a mistake in the code: while a slot is taken, the swap carries the old claims along, and an ask that ran out of time meanwhile was taken for one that this owner had put in, so that a running request's claim could be taken out and its key granted again.

--- a/packages/claims/src/ClaimSlot.ts
+++ b/packages/claims/src/ClaimSlot.ts
@@ -8,7 +8,7 @@
 import type { PlatformEntry, PlatformOutcome } from '@skylarksail/platform/PlatformPort';
 import { decodeClaims, decodeHead, type SlotHead } from './ClaimHead.js';
 import { adoptHead, buildBatch, hasBatch, indexClaims, planWork } from './ClaimSlotBatch.js';
-import { answerAsk, isInDoubt, isSealed } from './ClaimSlotLookup.js';
+import { answerAsk, getAddedAsks, isInDoubt, isSealed } from './ClaimSlotLookup.js';
 import {
   SlotPhase,
   type ClaimSlotSettings,
@@ -182,9 +182,7 @@
     return adoptOwn(calm, outcome.value, swapping);
   }
   if (outcome.kind === 'unknown') {
-    const open = state.known?.open;
-    const added = swapping.claims.filter((c) => open?.get(c.keyHash)?.askId !== c.askId);
-    const askIds = new Set(added.map((claim) => claim.askId));
+    const askIds = getAddedAsks(state, swapping);
     const doubtful = [...state.doubtful, { writeId: swapping.writeId, askIds }];
     return stay(pause({ ...calm, doubtful, needsRead: true }, outcome, clock));
   }
--- a/packages/claims/src/ClaimSlotLookup.ts
+++ b/packages/claims/src/ClaimSlotLookup.ts
@@ -1,5 +1,5 @@
 /** What a slot knows of a key. Reads only. */
-import type { SlotClaim } from './ClaimHead.js';
+import type { SlotClaim, SlotHead } from './ClaimHead.js';
 import type { ClaimSlotState, SlotAsk, SlotReply } from './ClaimSlotTypes.js';
 
 /** A refused key is worth another try once claims have been let go, which takes long. */
@@ -32,11 +32,19 @@
   );
 }
 
+/** Asks whose claims a swap from the known head puts in; those that it only keeps are left out. */
+export function getAddedAsks(state: ClaimSlotState, swap: SlotHead): ReadonlySet<string> {
+  const open = state.known?.open;
+  const added = swap.claims.filter(({ keyHash, askId }) => open?.get(keyHash)?.askId !== askId);
+  return new Set(added.map((claim) => claim.askId));
+}
+
 /** Whether a swap that may still land would put the ask's claim in. */
 export function isInDoubt(state: ClaimSlotState, askId: string): boolean {
+  const { swapping, doubtful } = state;
   return (
-    (state.swapping?.claims.some((claim) => claim.askId === askId) ?? false) ||
-    state.doubtful.some((swap) => swap.askIds.has(askId))
+    (swapping !== null && getAddedAsks(state, swapping).has(askId)) ||
+    doubtful.some((swap) => swap.askIds.has(askId))
   );
 }
 
--- /dev/null
+++ b/packages/proof/bin/models.mjs
@@ -0,0 +1,49 @@
+/**
+ * The specifications that are checked. A run names a file of specs/, its bounds as macros, and what must
+ * come of it: 'right' must verify without an error, 'mistake' must be caught by an assertion.
+ * To add a specification: put its .pml into specs/ and its runs into this table.
+ */
+export const MODEL_RUNS = [
+  {
+    spec: 'claim.pml',
+    name: 'two unanswered swaps',
+    expect: 'right',
+    defines: { MAX_REVISION: 3, MAX_UNANSWERED: 2 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'four changes of the head',
+    expect: 'right',
+    defines: { MAX_REVISION: 4, MAX_UNANSWERED: 1 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'owner goes on after losing a swap',
+    expect: 'mistake',
+    defines: { MAX_REVISION: 4, MAX_UNANSWERED: 0, MISTAKE_NO_REREAD: 1 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'unanswered swap taken to have won',
+    expect: 'mistake',
+    defines: { MAX_REVISION: 3, MAX_UNANSWERED: 1, MISTAKE_GRANT_ON_UNKNOWN: 1 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'owner releases a claim that it found',
+    expect: 'mistake',
+    defines: { MAX_REVISION: 4, MAX_UNANSWERED: 0, MISTAKE_RELEASE_FOUND: 1 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'silent holder taken to have given up',
+    expect: 'mistake',
+    defines: { MAX_REVISION: 4, MAX_UNANSWERED: 0, MISTAKE_SILENT_IS_NEVER: 1 },
+  },
+  {
+    spec: 'claim.pml',
+    name: 'late grant dispatched after "not run"',
+    expect: 'mistake',
+    defines: { MAX_REVISION: 3, MAX_UNANSWERED: 1, MISTAKE_LATE_GRANT: 1 },
+  },
+];
