--- a/packages/claims/src/ClaimSlot.ts
+++ b/packages/claims/src/ClaimSlot.ts
@@ -194,7 +194,10 @@
 
 function adoptOwn(state: ClaimSlotState, revision: number, head: SlotHead): SlotStep {
   const { state: adopted, effects } = adoptHead(state, revision, head);
-  const phase = state.phase === SlotPhase.Taking ? SlotPhase.Loading : state.phase;
+  if (state.phase !== SlotPhase.Taking) {
+    return { state: adopted, effects };
+  }
+  const phase = findMissing(adopted, head).length > 0 ? SlotPhase.Loading : SlotPhase.Held;
   return { state: { ...adopted, phase }, effects };
 }
 
@@ -345,10 +348,12 @@
   };
 }
 
+function findMissing(state: ClaimSlotState, head: SlotHead): readonly string[] {
+  return head.segments.map((segment) => segment.name).filter((name) => !state.segments.has(name));
+}
+
 function loadSegments(state: ClaimSlotState, head: SlotHead, clock: SlotClock): SlotStep {
-  const missing = head.segments
-    .map((segment) => segment.name)
-    .filter((name) => !state.segments.has(name));
+  const missing = findMissing(state, head);
   if (missing.length === 0) {
     const held = { ...state, phase: SlotPhase.Held };
     return chain(chain(stay(held), answerWaiting, clock), advance, clock);
--- a/packages/proof/specs/claim.pml
+++ b/packages/proof/specs/claim.pml
@@ -126,6 +126,10 @@
   (writes[SLOT(o, w)].doubtful || writes[SLOT(o, w)].state == FLIGHT || \
    writes[SLOT(o, w)].state == DONE || writes[SLOT(o, w)].state == CONFLICT))
 
+/* Told in simulations only; the replay against ClaimSlot reads these lines. */
+#define SHOW(o) printf("STATE %d %d %d %d %d %d %d %d\n", o, owners[o].phase, owners[o].isKnown, \
+  owners[o].revision, owners[o].epoch, owners[o].claim, owners[o].waiting, owners[o].released)
+
 #define CAN_ASK(o, a) (!HAS(owners[o].waiting, a) && !HAS(owners[o].released, a))
 
 inline take_ask(o, asker) {
@@ -141,8 +145,8 @@
 end:
   do
   /* An ask comes in: the first, one sent again, or a copy that is late by any time. */
-  :: d_step { CAN_ASK(o, 1) -> take_ask(o, 1) }
-  :: d_step { CAN_ASK(o, 2) -> take_ask(o, 2) }
+  :: d_step { CAN_ASK(o, 1) -> take_ask(o, 1); printf("STEP ask %d 1\n", o); SHOW(o) }
+  :: d_step { CAN_ASK(o, 2) -> take_ask(o, 2); printf("STEP ask %d 2\n", o); SHOW(o) }
 
   /* An ask is answered from the known head. */
   :: d_step { owners[o].phase == HELD && owners[o].waiting != 0 && !IS_FREED(o) ->
@@ -150,7 +154,7 @@
       :: HAS(owners[o].waiting, owners[o].claim) -> grants = grants | BIT(owners[o].claim)
       :: else
       fi;
-      owners[o].waiting = 0 }
+      owners[o].waiting = 0; printf("STEP answer %d\n", o); SHOW(o) }
 
   /* An ask runs out of time. */
   :: atomic { owners[o].waiting != 0 && !(owners[o].phase == HELD && !IS_FREED(o)) ->
@@ -168,7 +172,7 @@
       :: else
       fi;
 #endif
-      a = 0 }
+      printf("STEP expire %d %d\n", o, a); SHOW(o); a = 0 }
 
   /* The holder of the claim says that it was never dispatched, or its release comes in. */
   :: d_step { owners[o].phase == HELD && owners[o].claim != NOBODY &&
@@ -178,7 +182,9 @@
         request[owners[o].claim] == GAVE_UP &&
 #endif
         !HAS(owners[o].released, owners[o].claim) ->
-      owners[o].released = owners[o].released | BIT(owners[o].claim) }
+      owners[o].released = owners[o].released | BIT(owners[o].claim);
+      owners[o].waiting = owners[o].waiting & ~BIT(owners[o].claim);
+      printf("STEP release %d %d\n", o, owners[o].claim); SHOW(o) }
 
   /* The head is read. What follows may come any time later, so a stale answer needs no step. */
   :: d_step { owners[o].phase != IDLE && owners[o].needsRead && !IS_CALLING(o) ->
@@ -202,11 +208,13 @@
 #endif
           fi
         fi
-      fi }
+      fi;
+      printf("STEP read %d\n", o); SHOW(o) }
 
   /* The slot is taken by a swap that raises the epoch and keeps the claim. */
   :: d_step { owners[o].phase == TAKING && CAN_WRITE(o) ->
-      send_write(o, owners[o].epoch + 1, owners[o].claim); w = 0 }
+      send_write(o, owners[o].epoch + 1, owners[o].claim);
+      printf("STEP take %d %d\n", o, w); SHOW(o); w = 0 }
 
   /* A batch: a claim put in, or a released one taken out. */
   :: atomic { owners[o].phase == HELD && CAN_WRITE(o) && IS_FREED(o) &&
@@ -216,17 +224,20 @@
       :: HAS(owners[o].waiting, 2) -> chosen = 2
       :: owners[o].waiting == 0 -> chosen = NOBODY
       fi;
-      send_write(o, owners[o].epoch, chosen); w = 0; chosen = 0 }
+      send_write(o, owners[o].epoch, chosen);
+      printf("STEP batch %d %d %d\n", o, w, chosen); SHOW(o); w = 0; chosen = 0 }
 
   /* The swap's answer comes. */
   :: d_step { writes[SLOT(o, 0)].state == DONE || writes[SLOT(o, 1)].state == DONE ->
       chosen = (writes[SLOT(o, 0)].state == DONE -> 0 : 1);
       adopt(o, writes[SLOT(o, chosen)].expected + 1, writes[SLOT(o, chosen)].epoch,
         writes[SLOT(o, chosen)].claim);
-      free_write(SLOT(o, chosen)); chosen = 0 }
+      free_write(SLOT(o, chosen));
+      printf("STEP done %d %d\n", o, chosen); SHOW(o); chosen = 0 }
   :: d_step { writes[SLOT(o, 0)].state == CONFLICT || writes[SLOT(o, 1)].state == CONFLICT ->
       w = (writes[SLOT(o, 0)].state == CONFLICT -> 0 : 1);
-      free_write(SLOT(o, w)); owners[o].needsRead = 1; w = 0 }
+      free_write(SLOT(o, w)); owners[o].needsRead = 1;
+      printf("STEP conflict %d %d\n", o, w); SHOW(o); w = 0 }
 
   /* The owner gives up waiting for the swap's answer. */
   :: atomic { IS_CALLING(o) && unanswered < MAX_UNANSWERED ->
@@ -249,7 +260,7 @@
       :: else -> writes[SLOT(o, w)].state = GONE
       fi;
 #endif
-      w = 0; chosen = 0 }
+      printf("STEP unknown %d %d\n", o, w); SHOW(o); w = 0; chosen = 0 }
   od
 }
 
@@ -262,6 +273,7 @@
 inline arrive(s) {
   if
   :: writes[s].expected == revision ->
+    printf("STEP apply %d\n", s);
     revision++; epoch = writes[s].epoch; claim = writes[s].claim; writer = s;
     if
     :: writes[s].state == FLIGHT -> writes[s].state = DONE
