--- a/packages/manifest/src/ManifestPeers.ts
+++ b/packages/manifest/src/ManifestPeers.ts
@@ -16,7 +16,9 @@
 const COLLECTORS = 2;
 /** Instances of the own domain that each one tells; a low number spreads the bytes evenly. */
 const FAN_OUT = 2;
-const START_SAMPLE = 3;
+const START_NEAR = 3;
+/** Peers that a starting instance asks at the least, if there are so many. */
+const START_TOTAL = 5;
 
 /** What an instance derives from the list of members. */
 export interface PeerPlan {
@@ -98,12 +100,14 @@
   const near = sampleElements(
     random,
     plan.ownDomain.filter((id) => id !== plan.self.id),
-    START_SAMPLE,
+    START_NEAR,
   );
   const far = [...plan.domains]
     .filter(([domain]) => domain !== plan.self.domain)
     .flatMap(([, ids]) => sampleElements(random, ids, 1));
-  return [...new Set([...plan.keepers, ...near, ...far])];
+  const chosen = new Set([...plan.keepers, ...near, ...far]);
+  const rest = plan.others.map(({ id }) => id).filter((id) => !chosen.has(id));
+  return [...chosen, ...sampleElements(random, rest, Math.max(0, START_TOTAL - chosen.size))];
 }
 
 /** A random peer, mostly of the own domain: knowledge must also cross between domains, but less often. */
--- a/packages/proof/specs/manifest-spread.pml
+++ b/packages/proof/specs/manifest-spread.pml
@@ -69,6 +69,8 @@
   do
   /* step: learn-platform */
   :: atomic { up && root > held[me] -> held[me] = root; forget_keeper(me) }
+  /* A fetch that began before the last acceptance ends with an older revision. */
+  :: atomic { up && root > held[me] -> held[me]++; forget_keeper(me) }
   /* step: learn-peer */
 #ifdef APPLY_LOWER
   :: atomic { down != a + 1 && held[a] > 0 && held[a] != held[me] -> held[me] = held[a] }
