Let two watchers of the fleet read a revision's chunks, the rest ask peers

Cause: with every watcher reading every chunk, a change of many teams costs the platform its chunks times the watchers, and a budget divided by hundreds of instances lets one watcher read 1.6 a second. Change: two readers, chosen anew by each revision among all watchers, read from the platform; other watchers wait a second for a peer that holds it, then read too. The reading of the root is a module of its own. Conclusion: the platform's cost of a change no longer grows with the domains.

--- a/packages/manifest/src/ManifestFetch.ts
+++ b/packages/manifest/src/ManifestFetch.ts
@@ -52,12 +52,28 @@
     chunks: state.target?.chunks ?? new Map(),
     source,
     triedPeers: source.kind === 'peer' ? [source.id] : [],
-    answerBy: at,
+    answerBy: source.kind === 'none' ? at + ctx.settings.readerTimeout : at,
     backoff: ctx.settings.minBackoff,
   };
   return advanceTarget(ctx, { ...state, target }, at);
 }
 
+/** A peer holds the target's revision or a higher one, while no source is being asked: ask that peer. */
+export function offerSource(
+  ctx: SpreadContext,
+  state: SpreadState,
+  peer: InstanceId,
+  revision: number,
+  at: Millis,
+): SpreadStep {
+  const { target } = state;
+  if (target?.source.kind !== 'none' || revision < target.root.revision) {
+    return createStep(state);
+  }
+  const next: SpreadTarget = { ...target, source: { kind: 'peer', id: peer }, triedPeers: [peer] };
+  return advanceTarget(ctx, { ...state, target: next }, at);
+}
+
 /** A peer told of a higher revision: ask it, or remember it while another is being asked. */
 export function askTeller(
   ctx: SpreadContext,
--- a/packages/manifest/src/ManifestPeers.ts
+++ b/packages/manifest/src/ManifestPeers.ts
@@ -12,6 +12,8 @@
 
 /** Instances of a domain that watch the root. Two, so that one may die unnoticed for a while. */
 const WATCHERS = 2;
+/** Watchers of the fleet that read a new revision's chunks from the platform; the rest ask peers. */
+const READERS = 2;
 /** Instances of a domain that collect confirmations. */
 const COLLECTORS = 2;
 /** Instances of the own domain that each one tells; a low number spreads the bytes evenly. */
@@ -29,6 +31,8 @@
   readonly ownDomain: readonly InstanceId[];
   readonly domains: ReadonlyMap<DomainId, readonly InstanceId[]>;
   readonly isWatcher: boolean;
+  /** Watchers of all domains. */
+  readonly watchers: readonly InstanceId[];
   /** First watcher of each other domain. */
   readonly farWatchers: readonly InstanceId[];
   /**
@@ -53,6 +57,7 @@
     ownDomain,
     domains,
     isWatcher: selectWatchers(self.domain, ownDomain).includes(self.id),
+    watchers: [...domains].flatMap(([domain, ids]) => selectWatchers(domain, ids)),
     farWatchers: [...domains]
       .filter(([domain]) => domain !== self.domain)
       .flatMap(([domain, ids]) => selectWatchers(domain, ids).slice(0, 1)),
@@ -95,6 +100,11 @@
   return [...new Set([...below, ...entry, ...plan.keepers])].filter((id) => id !== plan.self.id);
 }
 
+/** Whether this instance reads a revision's chunks from the platform as soon as it sees the root. */
+export function isReader({ watchers, self }: PeerPlan, revision: number): boolean {
+  return selectOwners(`manifest-read/${revision}`, watchers, READERS).includes(self.id);
+}
+
 /** Peers that a starting instance asks: its keepers, and some of each domain. */
 export function selectStartPeers(plan: PeerPlan, random: Random): readonly InstanceId[] {
   const near = sampleElements(
--- a/packages/manifest/src/ManifestSpread.ts
+++ b/packages/manifest/src/ManifestSpread.ts
@@ -19,22 +19,18 @@
   askNextTeller,
   askTeller,
   changeSource,
-  choosePeerSource,
   getKnownRevision,
   giveUpSource,
-  learnRoot,
+  offerSource,
   pauseTarget,
   receiveChunks,
   receiveGiven,
 } from './ManifestFetch.js';
 import type { SpreadMessage } from './ManifestMessages.js';
-import type { ManifestRoot } from './ManifestRoot.js';
 import type { SpreadMember } from './ManifestPeers.js';
 import { createPeerPlan, selectGossipPeer } from './ManifestPeers.js';
 import type {
-  ChunkSource,
   KnownByName,
-  RootReading,
   SpreadContext,
   SpreadEvent,
   SpreadState,
@@ -47,11 +43,10 @@
   getRevisionOf,
   KnownBy,
 } from './ManifestSpreadTypes.js';
+import { getPollPeriod, keepWatch, poll, receiveRoot } from './ManifestWatch.js';
 import { advanceStart, beginStart, receiveStartAnswer } from './ManifestStart.js';
 
-const POLL_JITTER = 0.5;
 const GOSSIP_JITTER = 0.3;
-const BACKOFF_JITTER = 0.5;
 
 /** State of an instance that has not started. */
 export function createSpread(self: SpreadMember, members: readonly SpreadMember[]): SpreadState {
@@ -139,11 +134,6 @@
   return continueStep(confirmed, (following) => keepWatch(following, at));
 }
 
-function getPollPeriod(ctx: SpreadContext, state: SpreadState): Millis {
-  const { minPollPeriod, pollPeriodPerInstance } = ctx.settings;
-  return Math.max(minPollPeriod, pollPeriodPerInstance * (state.plan.others.length + 1));
-}
-
 function tick(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
   const parts = [advanceStart, poll, gossip, confirmAgain, watchAgain, fetchAgain, askNextTeller];
   return parts.reduce<SpreadStep>(
@@ -152,14 +142,6 @@
   );
 }
 
-function poll(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
-  if (at < state.pollAt) {
-    return createStep(state);
-  }
-  const pollAt = at + jitter(ctx.random, getPollPeriod(ctx, state), POLL_JITTER);
-  return createStep({ ...state, pollAt }, [{ type: 'read-root' }]);
-}
-
 function gossip(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
   if (at < state.gossipAt) {
     return createStep(state);
@@ -183,83 +165,12 @@
   return keepWatch(state, at);
 }
 
-/** Lets a watch wait, if this instance is a watcher and none is waiting. */
-function keepWatch(state: SpreadState, at: Millis): SpreadStep {
-  const { watch, plan } = state;
-  if (!plan.isWatcher || watch.isWaiting || at < watch.retryAt) {
-    return createStep(state);
-  }
-  return createStep({ ...state, watch: { ...watch, isWaiting: true } }, [
-    { type: 'watch-root', known: watch.platformRevision },
-  ]);
-}
-
 function fetchAgain(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadStep {
   return state.target && at >= state.target.answerBy
     ? changeSource(ctx, state, at)
     : createStep(state);
 }
 
-function receiveRoot(
-  ctx: SpreadContext,
-  state: SpreadState,
-  via: 'watch' | 'poll',
-  reading: RootReading,
-  at: Millis,
-): SpreadStep {
-  const watched = via === 'watch' ? endWatch(ctx, state, reading, at) : state;
-  if (reading.kind === 'failed') {
-    return createStep(state.platformSeen === null ? pollSoon(ctx, watched, at) : watched);
-  }
-  const seen = noteReading(watched, reading.root, at);
-  const source: ChunkSource =
-    via === 'watch' && state.held ? { kind: 'platform' } : choosePeerSource(ctx, state);
-  const learned = reading.root ? learnRoot(ctx, seen, reading.root, source, at) : createStep(seen);
-  return continueStep(learned, (next) => keepWatch(next, at));
-}
-
-/** An instance that has never heard the platform does not wait for its ordinary poll. */
-function pollSoon(ctx: SpreadContext, state: SpreadState, at: Millis): SpreadState {
-  const soon = at + jitter(ctx.random, ctx.settings.minPollPeriod, POLL_JITTER);
-  return { ...state, pollAt: Math.min(state.pollAt, soon) };
-}
-
-function noteReading(state: SpreadState, root: ManifestRoot | null, at: Millis): SpreadState {
-  const revision = root?.revision ?? 0;
-  const { held } = state;
-  const isOlder = revision < Math.max(state.platformSeen ?? 0, getRevisionOf(held));
-  const isOther = held?.root.revision === revision && held.root.body !== root?.body;
-  const olderRoots = state.counts.olderRoots + (isOlder || isOther ? 1 : 0);
-  return {
-    ...state,
-    counts: { ...state.counts, olderRoots },
-    start: null,
-    platformSeen: Math.max(state.platformSeen ?? 0, revision),
-    platformSeenAt: at,
-  };
-}
-
-function endWatch(
-  ctx: SpreadContext,
-  state: SpreadState,
-  reading: RootReading,
-  at: Millis,
-): SpreadState {
-  const { watch } = state;
-  const { minBackoff, maxBackoff } = ctx.settings;
-  if (reading.kind === 'read') {
-    const { platformRevision } = reading;
-    // A service that answers watches at once although nothing changed must not be asked in a loop.
-    const isNews = platformRevision !== watch.platformRevision;
-    const retryAt = isNews ? at : at + jitter(ctx.random, minBackoff, BACKOFF_JITTER);
-    const next = { isWaiting: false, retryAt, backoff: minBackoff, platformRevision };
-    return { ...state, watch: next };
-  }
-  const retryAt = at + jitter(ctx.random, watch.backoff, BACKOFF_JITTER);
-  const backoff = Math.min(watch.backoff * 2, maxBackoff);
-  return { ...state, watch: { ...watch, isWaiting: false, retryAt, backoff } };
-}
-
 function receiveRead(
   ctx: SpreadContext,
   state: SpreadState,
@@ -334,7 +245,9 @@
   if (revision > own) {
     const waiting = ask === 0 ? noted : addWaiter(noted, from, ask);
     const isNews = revision > getKnownRevision(noted) && noted.start?.goal !== null;
-    return isNews ? askTeller(ctx, waiting, from, revision, at) : createStep(waiting);
+    return isNews
+      ? askTeller(ctx, waiting, from, revision, at)
+      : offerSource(ctx, waiting, from, revision, at);
   }
   return ask !== 0 || revision < own
     ? createStep(noted, [createTold(from, own, { reply: ask })])
--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -13,6 +13,8 @@
   readonly peerTimeout: Millis;
   /** Peers that are asked for a chunk before the platform is. */
   readonly peerTries: number;
+  /** A watcher that is no reader waits so long for a peer that holds the revision. */
+  readonly readerTimeout: Millis;
   /** A starting instance waits so long for the platform and for the peers that it asked. */
   readonly startLimit: Millis;
   /** After so long without the revision that a peer spoke of, the start asks anew. */
@@ -37,6 +39,7 @@
 export const DEFAULT_SPREAD_SETTINGS: SpreadSettings = {
   peerTimeout: 400,
   peerTries: 2,
+  readerTimeout: 1000,
   startLimit: 1000,
   startFetchLimit: 10_000,
   holdLimit: 250,
@@ -61,7 +64,7 @@
 
 export type KnownByName = (typeof KnownBy)[keyof typeof KnownBy];
 
-/** Where chunks are asked for; `none` during a pause after the platform failed. */
+/** Where chunks are asked for; `none` while a peer's word is awaited, or the platform's recovery. */
 export type ChunkSource =
   | { readonly kind: 'platform' }
   | { readonly kind: 'peer'; readonly id: InstanceId }
