--- a/packages/manifest/src/ManifestFetch.ts
+++ b/packages/manifest/src/ManifestFetch.ts
@@ -4,7 +4,7 @@
 import type { ChunkRef, GetChunk } from './ManifestChunks.js';
 import { isChunkText, listTreeChunks, walkTree } from './ManifestChunks.js';
 import type { ManifestRoot } from './ManifestRoot.js';
-import { selectListeners } from './ManifestPeers.js';
+import { getReaderDelay, selectListeners } from './ManifestPeers.js';
 import type {
   ChunkSource,
   RevisionDelta,
@@ -52,7 +52,7 @@
     chunks: state.target?.chunks ?? new Map(),
     source,
     triedPeers: source.kind === 'peer' ? [source.id] : [],
-    answerBy: source.kind === 'none' ? at + ctx.settings.readerTimeout : at,
+    answerBy: at + ctx.settings.readerTimeout * getReaderDelay(state.plan, root.revision),
     backoff: ctx.settings.minBackoff,
   };
   return advanceTarget(ctx, { ...state, target }, at);
--- a/packages/manifest/src/ManifestPeers.ts
+++ b/packages/manifest/src/ManifestPeers.ts
@@ -43,32 +43,71 @@
   readonly collectors: ReadonlyMap<DomainId, readonly InstanceId[]>;
 }
 
+/** What follows from the list of members alone, the same for all instances. */
+interface FleetPlan {
+  readonly domains: ReadonlyMap<DomainId, readonly InstanceId[]>;
+  readonly watchersOf: ReadonlyMap<DomainId, readonly InstanceId[]>;
+  readonly collectors: ReadonlyMap<DomainId, readonly InstanceId[]>;
+}
+
+/** The plan of the newest list, as many instances of one process are given the same one in tests. */
+const fleetPlans = new WeakMap<readonly SpreadMember[], FleetPlan>();
+
 /** Works out the parts. `members` may or may not list `self`. */
 export function createPeerPlan(self: SpreadMember, members: readonly SpreadMember[]): PeerPlan {
-  const others = members.filter(({ id }) => id !== self.id);
-  const domains = groupByDomain([self, ...others]);
+  const isListed = members.some(({ id }) => id === self.id);
+  const { domains, watchersOf, collectors } = getFleetPlan(isListed ? members : [self, ...members]);
   const ownDomain = domains.get(self.domain) ?? [];
-  const near = ownDomain.filter((id) => id !== self.id);
-  const far = others.filter(({ domain }) => domain !== self.domain).map(({ id }) => id);
-  const keeperKey = `keeper/${self.id}`;
+  const farWatchers = [...watchersOf].filter(([domain]) => domain !== self.domain);
   return {
     self,
-    others,
+    others: members.filter(({ id }) => id !== self.id),
     ownDomain,
     domains,
-    isWatcher: selectWatchers(self.domain, ownDomain).includes(self.id),
-    watchers: [...domains].flatMap(([domain, ids]) => selectWatchers(domain, ids)),
-    farWatchers: [...domains]
-      .filter(([domain]) => domain !== self.domain)
-      .flatMap(([domain, ids]) => selectWatchers(domain, ids).slice(0, 1)),
-    keepers: [...selectOwners(keeperKey, near, 1), ...selectOwners(keeperKey, far, 1)],
-    collectors: new Map(
-      [...domains].map(([domain, ids]) => [
-        domain,
-        selectOwners(`manifest-confirm/${domain}`, ids, COLLECTORS),
-      ]),
-    ),
+    isWatcher: watchersOf.get(self.domain)?.includes(self.id) ?? false,
+    watchers: [...watchersOf.values()].flat(),
+    farWatchers: farWatchers.flatMap(([, ids]) => ids.slice(0, 1)),
+    keepers: selectKeepers(self, domains),
+    collectors,
+  };
+}
+
+function getFleetPlan(members: readonly SpreadMember[]): FleetPlan {
+  const known = fleetPlans.get(members);
+  if (known) {
+    return known;
+  }
+  const domains = groupByDomain(members);
+  const plan: FleetPlan = {
+    domains,
+    watchersOf: selectInEach(domains, 'manifest-watch', WATCHERS),
+    collectors: selectInEach(domains, 'manifest-confirm', COLLECTORS),
   };
+  fleetPlans.set(members, plan);
+  return plan;
+}
+
+function selectInEach(
+  domains: ReadonlyMap<DomainId, readonly InstanceId[]>,
+  part: string,
+  count: number,
+): ReadonlyMap<DomainId, readonly InstanceId[]> {
+  return new Map(
+    [...domains].map(([domain, ids]) => [domain, selectOwners(`${part}/${domain}`, ids, count)]),
+  );
+}
+
+/** One keeper in the own domain and one in another. */
+function selectKeepers(
+  self: SpreadMember,
+  domains: ReadonlyMap<DomainId, readonly InstanceId[]>,
+): readonly InstanceId[] {
+  const key = `keeper/${self.id}`;
+  const near = (domains.get(self.domain) ?? []).filter((id) => id !== self.id);
+  const otherDomains = [...domains.keys()].filter((domain) => domain !== self.domain);
+  const [farDomain] = selectOwners(key, otherDomains, 1);
+  const far = farDomain === undefined ? [] : (domains.get(farDomain) ?? []);
+  return [...selectOwners(key, near, 1), ...selectOwners(key, far, 1)];
 }
 
 function groupByDomain(members: readonly SpreadMember[]): Map<DomainId, readonly InstanceId[]> {
@@ -84,10 +123,6 @@
   return domains;
 }
 
-function selectWatchers(domain: DomainId, ids: readonly InstanceId[]): readonly InstanceId[] {
-  return selectOwners(`manifest-watch/${domain}`, ids, WATCHERS);
-}
-
 /**
  * Peers to tell of a new revision. Each revision orders the domain anew into a tree; a watcher, which
  * is where the revision comes in, also tells the tree's first members and the other domains' watchers.
@@ -100,9 +135,13 @@
   return [...new Set([...below, ...entry, ...plan.keepers])].filter((id) => id !== plan.self.id);
 }
 
-/** Whether this instance reads a revision's chunks from the platform as soon as it sees the root. */
-export function isReader({ watchers, self }: PeerPlan, revision: number): boolean {
-  return selectOwners(`manifest-read/${revision}`, watchers, READERS).includes(self.id);
+/**
+ * Turn of this instance in reading a revision's chunks from the platform: 0 for the two readers, which
+ * read as soon as they see the root, 1 for the next watcher, and so on.
+ */
+export function getReaderDelay({ watchers, self }: PeerPlan, revision: number): number {
+  const order = selectOwners(`manifest-read/${revision}`, watchers, watchers.length);
+  return Math.max(0, order.indexOf(self.id) - READERS + 1);
 }
 
 /** Peers that a starting instance asks: its keepers, and some of each domain. */
--- a/packages/manifest/src/ManifestRates.ts
+++ b/packages/manifest/src/ManifestRates.ts
@@ -4,6 +4,8 @@
  * budget would let a change of a hundred teams take minutes.
  */
 import type { BudgetRates } from '@skylarksail/platform/PlatformBudget';
+import type { CircuitSettings } from '@skylarksail/platform/PlatformCircuit';
+import { DEFAULT_CIRCUIT_SETTINGS } from '@skylarksail/platform/PlatformCircuit';
 import { DEFAULT_BUDGET_RATES } from '@skylarksail/platform/PlatformBudget';
 
 /** Instances that use the manifest's rates at the same time, at the most, on an ordinary day. */
@@ -15,3 +17,9 @@
   fleetReadsPerSecond: 400,
   fleetWritesPerSecond: 200,
 };
+
+/** Only the few watchers try again in an outage, so they may do it often enough to notice its end soon. */
+export const MANIFEST_CIRCUIT_SETTINGS: CircuitSettings = {
+  ...DEFAULT_CIRCUIT_SETTINGS,
+  longestPause: 1500,
+};
--- a/packages/manifest/src/ManifestRunner.ts
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -30,6 +30,8 @@
 const TICK_PERIOD: Millis = 100;
 const READ_TIMEOUT: Millis = 5000;
 const WATCH_TIMEOUT: Millis = 30_000;
+/** A lost call is noticed soon, and yet a service that is slow by seconds is waited for. */
+const CHUNK_TIMEOUTS: readonly Millis[] = [500, 2000, 6000];
 
 /** What the spread of one instance needs from outside. */
 export interface ManifestRunnerOptions {
@@ -126,14 +128,24 @@
   async function readChunks(body: ChunkRef, refs: readonly ChunkRef[]): Promise<void> {
     const chunks = new Map<ChunkRef, string>();
     await mapBounded(refs, async (ref) => {
-      const outcome = await platform.get(getChunkKey(ref), { timeout: READ_TIMEOUT });
-      if (outcome.kind === 'done' && isChunkText(ref, outcome.value.value)) {
-        chunks.set(ref, outcome.value.value);
+      const text = await readChunkText(ref);
+      if (text !== null && isChunkText(ref, text)) {
+        chunks.set(ref, text);
       }
     });
     enqueue({ type: 'chunks-read', at: timers.now(), body, chunks });
   }
 
+  async function readChunkText(ref: ChunkRef): Promise<string | null> {
+    for (const timeout of CHUNK_TIMEOUTS) {
+      const outcome = await platform.get(getChunkKey(ref), { timeout });
+      if (outcome.kind !== 'unknown') {
+        return outcome.kind === 'done' ? outcome.value.value : null;
+      }
+    }
+    return null;
+  }
+
   const stopTicks: Unregister = timers.registerInterval(TICK_PERIOD, () =>
     enqueue({ type: 'tick', at: timers.now() }),
   );
--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -13,7 +13,8 @@
   readonly peerTimeout: Millis;
   /** Peers that are asked for a chunk before the platform is. */
   readonly peerTries: number;
-  /** A watcher that is no reader waits so long for a peer that holds the revision. */
+  /** The first watcher that is no reader waits so long for a peer that holds the revision, the next
+   * twice as long, and so on: if the readers are gone, not all others read at once. */
   readonly readerTimeout: Millis;
   /** A starting instance waits so long for the platform and for the peers that it asked. */
   readonly startLimit: Millis;
@@ -39,7 +40,7 @@
 export const DEFAULT_SPREAD_SETTINGS: SpreadSettings = {
   peerTimeout: 400,
   peerTries: 2,
-  readerTimeout: 1000,
+  readerTimeout: 150,
   startLimit: 1000,
   startFetchLimit: 10_000,
   holdLimit: 250,
@@ -48,7 +49,7 @@
   pollPeriodPerInstance: 250,
   minPollPeriod: 15_000,
   minBackoff: 250,
-  maxBackoff: 10_000,
+  maxBackoff: 2000,
   confirmPeriod: 20_000,
   maxMessageBytes: 256 * 1024,
 };
--- a/packages/manifest/src/ManifestTeams.ts
+++ b/packages/manifest/src/ManifestTeams.ts
@@ -18,6 +18,12 @@
   readonly leafNumbers: Uint32Array;
 }
 
+const EMPTY_TABLE: KeyTable = {
+  leaves: [],
+  prefixes: new Float64Array(0),
+  leafNumbers: new Uint32Array(0),
+};
+
 interface KeyPlace {
   readonly prefix: number;
   readonly leafNumber: number;
@@ -36,31 +42,47 @@
   readLeaf: ReadLeaf,
   previous: KeyTable | null,
 ): KeyTable {
-  const isKept = (leafNumber: number): boolean =>
-    previous?.leaves.length === leaves.length && previous.leaves[leafNumber] === leaves[leafNumber];
-  const places = previous ? listKeptPlaces(previous, isKept) : [];
-  leaves.forEach((leaf, leafNumber) => {
-    if (!isKept(leafNumber)) {
-      places.push(...listPlaces(readLeaf(leaf), leafNumber));
-    }
-  });
-  places.sort((a, b) => a.prefix - b.prefix);
-  return {
-    leaves,
-    prefixes: Float64Array.from(places, ({ prefix }) => prefix),
-    leafNumbers: Uint32Array.from(places, ({ leafNumber }) => leafNumber),
-  };
+  const isComparable = previous?.leaves.length === leaves.length;
+  const isNew = leaves.map((leaf, i) => !isComparable || previous.leaves[i] !== leaf);
+  const added = leaves
+    .flatMap((leaf, i) => (isNew[i] ? listPlaces(readLeaf(leaf), i) : []))
+    .sort((a, b) => a.prefix - b.prefix);
+  return mergePlaces(leaves, isComparable ? previous : EMPTY_TABLE, isNew, added);
 }
 
-function listKeptPlaces(table: KeyTable, isKept: (leafNumber: number) => boolean): KeyPlace[] {
-  const places: KeyPlace[] = [];
-  table.prefixes.forEach((prefix, i) => {
-    const leafNumber = table.leafNumbers[i] as number;
-    if (isKept(leafNumber)) {
-      places.push({ prefix, leafNumber });
+/** Merges the kept keys of `previous` with the added ones; both are sorted. */
+function mergePlaces(
+  leaves: readonly ChunkRef[],
+  previous: KeyTable,
+  isNew: readonly boolean[],
+  added: readonly KeyPlace[],
+): KeyTable {
+  const keptCount = previous.leafNumbers.reduce((sum, leaf) => sum + (isNew[leaf] ? 0 : 1), 0);
+  const prefixes = new Float64Array(keptCount + added.length);
+  const leafNumbers = new Uint32Array(keptCount + added.length);
+  let end = 0;
+  let nextAdded = 0;
+  const put = (prefix: number, leafNumber: number): void => {
+    prefixes[end] = prefix;
+    leafNumbers[end] = leafNumber;
+    end += 1;
+  };
+  const putAddedBelow = (limit: number): void => {
+    for (let place = added[nextAdded]; place && place.prefix < limit; place = added[nextAdded]) {
+      put(place.prefix, place.leafNumber);
+      nextAdded += 1;
+    }
+  };
+  for (let i = 0; i < previous.prefixes.length; i++) {
+    const prefix = previous.prefixes[i] as number;
+    const leafNumber = previous.leafNumbers[i] as number;
+    if (!isNew[leafNumber]) {
+      putAddedBelow(prefix);
+      put(prefix, leafNumber);
     }
-  });
-  return places;
+  }
+  putAddedBelow(Infinity);
+  return { leaves, prefixes, leafNumbers };
 }
 
 function listPlaces(teams: readonly ManifestTeam[], leafNumber: number): KeyPlace[] {
--- a/packages/manifest/src/ManifestView.ts
+++ b/packages/manifest/src/ManifestView.ts
@@ -4,7 +4,7 @@
  */
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { DomainId, ModelId, ServiceId, TeamId } from '@skylarksail/core/CoreTypes';
-import type { ChunkRef, GetChunk, ManifestTree } from './ManifestChunks.js';
+import type { ChunkRef, GetChunk, ManifestBase, ManifestTree } from './ManifestChunks.js';
 import { getLeafNumber, readBase, readLeaf, readModels } from './ManifestChunks.js';
 import type { ManifestRoot } from './ManifestRoot.js';
 import type {
@@ -53,6 +53,8 @@
 }
 
 interface CompiledView extends ManifestView {
+  readonly tree: ManifestTree;
+  readonly base: ManifestBase;
   readonly keyTable: KeyTable;
 }
 
@@ -62,13 +64,14 @@
   previous: ManifestView | null = null,
 ): ManifestView {
   const getChunk: GetChunk = (ref) => chunks.get(ref);
-  const base = readBase(tree, getChunk);
-  const models = readModels(tree, getChunk);
+  const shared = findShared(tree, previous as CompiledView | null);
+  const base = shared?.base ?? readBase(tree, getChunk);
+  const models = shared?.models ?? readModels(tree, getChunk);
   const readTeams = createLeafReader(getChunk);
   const keyTable = createKeyTable(
     tree.leaves,
     (leaf) => readLeaf(leaf, getChunk),
-    previous ? (previous as CompiledView).keyTable : null,
+    (previous as CompiledView | null)?.keyTable ?? null,
   );
   const modelsById = indexById(models);
   const servicesById = indexById(base.services);
@@ -82,6 +85,8 @@
   }
 
   const view: CompiledView = {
+    tree,
+    base,
     revision: root.revision,
     models,
     services: base.services,
@@ -101,6 +106,14 @@
   return view;
 }
 
+/** The previous view, if nothing but teams has changed since. */
+function findShared(tree: ManifestTree, previous: CompiledView | null): CompiledView | null {
+  const isSame =
+    previous?.tree.body.parts.length === tree.body.parts.length &&
+    tree.body.parts.every(({ ref }, i) => previous.tree.body.parts[i]?.ref === ref);
+  return isSame ? previous : null;
+}
+
 function indexById<T extends { readonly id: string }>(elements: readonly T[]): Map<string, T> {
   return new Map(elements.map((element) => [element.id, element]));
 }
--- a/packages/manifest/src/ManifestWatch.ts
+++ b/packages/manifest/src/ManifestWatch.ts
@@ -2,7 +2,7 @@
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { choosePeerSource, learnRoot } from './ManifestFetch.js';
-import { isReader } from './ManifestPeers.js';
+import { getReaderDelay } from './ManifestPeers.js';
 import type { ManifestRoot } from './ManifestRoot.js';
 import type {
   ChunkSource,
@@ -70,7 +70,7 @@
   if (via !== 'watch' || !root || !state.held) {
     return choosePeerSource(ctx, state);
   }
-  return isReader(state.plan, root.revision) ? { kind: 'platform' } : { kind: 'none' };
+  return getReaderDelay(state.plan, root.revision) === 0 ? { kind: 'platform' } : { kind: 'none' };
 }
 
 /** An instance that has never heard the platform does not wait for its ordinary poll. */
