Count cut-off instances from their return in the config bench

Cause: an instance that restarted inside a cut-off domain was counted as reachable, and a lost read of a chunk held a change up by half a second. Change: every member of a cut domain is noted as away; the first try of a chunk gives up after 250 ms.

--- a/packages/bench/src/ConfigBench.ts
+++ b/packages/bench/src/ConfigBench.ts
@@ -138,6 +138,7 @@
   readonly random: Random;
   readonly platform: FakePlatform;
   readonly fleet: FakeFleet;
+  readonly members: readonly InstanceId[];
   readonly record: FleetRecord;
   /** Bytes of all messages between instances so far. */
   readonly countBytes: () => number;
@@ -210,11 +211,12 @@
     reverts: [],
     restarts: [],
   };
+  const members = createFleetMembers(shape.domains, shape.perDomain);
   const fleet = createFakeFleet({
     timers,
     random,
     platform,
-    members: createFleetMembers(shape.domains, shape.perDomain),
+    members,
     wrapPlatform: (_id, port) => wrapPort(port, timers, random),
     onMessage(_from, _to, message) {
       bytes += packr.pack(message).length;
@@ -227,7 +229,16 @@
       record.accepted.push({ revision: root.value.revision, at: timers.now() });
     }
   });
-  return { shape, timers, random, platform, fleet, record, countBytes: () => bytes };
+  return {
+    shape,
+    timers,
+    random,
+    platform,
+    fleet,
+    members: members.map(({ id }) => id),
+    record,
+    countBytes: () => bytes,
+  };
 }
 
 function wrapPort(port: PlatformPort, timers: VirtualTimers, random: Random): PlatformPort {
@@ -293,11 +304,12 @@
   if (change % CUT_EVERY === 0) {
     const domain = `d${random.nextInt(run.shape.domains)}`;
     fleet.setCut(domain, true);
-    const members = fleet.listRunning().filter((id) => id.startsWith(`${domain}-`));
-    members.forEach((id) => leave(run, id, 'cut'));
+    const returns = run.members
+      .filter((id) => id.startsWith(`${domain}-`))
+      .map((id) => leave(run, id, 'cut'));
     timers.registerTimeout(OUTAGE, () => {
       fleet.setCut(domain, false);
-      members.forEach((id) => comeBack(run, id));
+      returns.forEach((comeBack) => comeBack());
     });
   }
 }
@@ -308,25 +320,22 @@
     return;
   }
   fleet.kill(id);
-  leave(run, id, 'restart');
+  const comeBack = leave(run, id, 'restart');
   timers.registerTimeout(RESTART_GAP, () => {
     record.restarts.push(id);
     record.startedAt.set(id, timers.now());
-    comeBack(run, id);
+    comeBack();
     fleet.start(id);
   });
 }
 
-function leave({ record, timers }: Run, id: InstanceId, kind: AwaySpan['kind']): void {
-  const spans = record.away.get(id) ?? [];
-  record.away.set(id, [...spans, { kind, from: timers.now(), to: Infinity }]);
-}
-
-function comeBack({ record, timers }: Run, id: InstanceId): void {
-  const last = record.away.get(id)?.at(-1);
-  if (last) {
-    last.to = timers.now();
-  }
+/** Notes that an instance is away; the returned function notes its return. */
+function leave({ record, timers }: Run, id: InstanceId, kind: AwaySpan['kind']): () => void {
+  const span: AwaySpan = { kind, from: timers.now(), to: Infinity };
+  record.away.set(id, [...(record.away.get(id) ?? []), span]);
+  return () => {
+    span.to = timers.now();
+  };
 }
 
 /**
--- a/packages/manifest/src/ManifestRunner.ts
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -31,7 +31,7 @@
 const READ_TIMEOUT: Millis = 5000;
 const WATCH_TIMEOUT: Millis = 30_000;
 /** A lost call is noticed soon, and yet a service that is slow by seconds is waited for. */
-const CHUNK_TIMEOUTS: readonly Millis[] = [500, 2000, 6000];
+const CHUNK_TIMEOUTS: readonly Millis[] = [250, 1000, 5000];
 
 /** What the spread of one instance needs from outside. */
 export interface ManifestRunnerOptions {
