Take over from a slow reader at once, and give deltas over leaps

Cause: a watcher whose read of a chunk was lost ignored all the peers that already held the revision; peers that had leapt over a revision gave no delta, which cost four round trips. Change: an offer of a peer goes before a read from the platform; a delta that begins earlier than what the asker holds is given too; watches end after 10 s, so that a lost one blinds a watcher less long.

--- a/packages/manifest/src/ManifestFetch.ts
+++ b/packages/manifest/src/ManifestFetch.ts
@@ -58,7 +58,11 @@
   return advanceTarget(ctx, { ...state, target }, at);
 }
 
-/** A peer holds the target's revision or a higher one, while no source is being asked: ask that peer. */
+/**
+ * A peer holds the target's revision or a higher one: ask it, unless another peer is being asked. A read
+ * from the platform goes on beside it; were it waited for, one lost call would hold up an instance that
+ * all its peers could help.
+ */
 export function offerSource(
   ctx: SpreadContext,
   state: SpreadState,
@@ -67,7 +71,7 @@
   at: Millis,
 ): SpreadStep {
   const { target } = state;
-  if (target?.source.kind !== 'none' || revision < target.root.revision) {
+  if (!target || target.source.kind === 'peer' || revision < target.root.revision) {
     return createStep(state);
   }
   const next: SpreadTarget = { ...target, source: { kind: 'peer', id: peer }, triedPeers: [peer] };
@@ -259,12 +263,11 @@
 ): SpreadStep {
   const { revision } = manifest.root;
   const delta: RevisionDelta = {
+    after: getRevisionOf(state.held),
     revision,
     refs: [...manifest.chunks.keys()].filter((ref) => !state.held?.chunks.has(ref)),
   };
-  // A delta that leaps over revisions would be wrong for a peer that holds one of those between.
-  const follows = getRevisionOf(state.held) === revision - 1;
-  const deltas = follows ? [...state.deltas, delta].slice(-MAX_DELTAS) : [];
+  const deltas = [...state.deltas, delta].slice(-MAX_DELTAS);
   const keeperAsk = drawAsk(ctx);
   const next: SpreadState = {
     ...state,
@@ -316,7 +319,8 @@
 
 function listDelta({ deltas, held }: SpreadState, have: number): readonly ChunkRef[] {
   const newer = deltas.filter(({ revision }) => revision > have);
-  return newer[0]?.revision === have + 1
+  // A delta that begins before `have` gives too much, but one that begins after it would give too little.
+  return newer[0] && newer[0].after <= have
     ? newer.flatMap(({ refs }) => refs).filter((ref) => held?.chunks.has(ref))
     : [];
 }
--- a/packages/manifest/src/ManifestRunner.ts
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -29,7 +29,7 @@
 
 const TICK_PERIOD: Millis = 100;
 const READ_TIMEOUT: Millis = 5000;
-const WATCH_TIMEOUT: Millis = 30_000;
+const WATCH_TIMEOUT: Millis = 10_000;
 /** A lost call is noticed soon, and yet a service that is slow by seconds is waited for. */
 const CHUNK_TIMEOUTS: readonly Millis[] = [250, 1000, 5000];
 
--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -38,7 +38,7 @@
 }
 
 export const DEFAULT_SPREAD_SETTINGS: SpreadSettings = {
-  peerTimeout: 400,
+  peerTimeout: 250,
   peerTries: 2,
   readerTimeout: 150,
   startLimit: 1000,
@@ -126,6 +126,8 @@
 
 /** Refs that a revision added, so that a peer that holds the one before is given just these. */
 export interface RevisionDelta {
+  /** Revision that was held before. */
+  readonly after: number;
   readonly revision: number;
   readonly refs: readonly ChunkRef[];
 }
