--- /dev/null
+++ b/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
@@ -0,0 +1,132 @@
+import { LifeState } from '@skylarksail/core/CoreConstants';
+import type { EngineLoad } from '@skylarksail/core/CoreEngine';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { expect } from 'chai';
+import { decodeAge, encodeAge, mergeAged, takeDigest } from '../../MembershipAged.js';
+import {
+  createLoadSpread,
+  createLoadTable,
+  decodeLoad,
+  encodeLoad,
+  getLoad,
+  recordLoad,
+} from '../../MembershipLoad.js';
+import { createDigestSpread } from '../../MembershipDigests.js';
+import type { DigestSpread } from '../../MembershipDigests.js';
+import { createTopicTable, TopicNumber } from '../../MembershipTopics.js';
+import { createVirtualFleet } from '../../VirtualFleet.js';
+
+function createLoad(change: Partial<EngineLoad>): EngineLoad {
+  return {
+    engine: 'e1',
+    bootId: 'b',
+    state: LifeState.Live,
+    holding: null,
+    running: 3,
+    queued: 0,
+    kvUsed: 0.5,
+    orderNumber: 1,
+    ...change,
+  };
+}
+
+describe('MembershipLoad', () => {
+  it('keeps counts to about a tenth, and small ones exactly', () => {
+    for (let running = 0; running < 200; running++) {
+      const got = decodeLoad(encodeLoad(createLoad({ running, queued: running })));
+      expect(Math.abs(got.running - running)).to.be.at.most(Math.max(0, 0.06 * running + 0.5));
+      expect(Math.abs(got.queued - running)).to.be.at.most(Math.max(0, 0.11 * running + 0.6));
+    }
+    expect(decodeLoad(encodeLoad(createLoad({ state: LifeState.Leaving }))).state).to.equal(
+      'leaving',
+    );
+  });
+
+  it('never makes a load younger than it is, over many hops', () => {
+    // Symptom: a stale load is taken for fresh and requests pile up on one engine. Sequence: a value is
+    // passed on from one to the next, each rounding its age. Cause: ages rounded down.
+    const random = createRandom(1);
+    for (let age = 0; age < 700_000; age += 37) {
+      const back = decodeAge(encodeAge(age));
+      expect(back >= Math.min(age, 650_000)).to.equal(true);
+      expect(back - age).to.be.at.most(age < 12_700 ? 100 : 5000);
+    }
+    let now = 1000;
+    let table = createLoadTable();
+    recordLoad(table, createLoad({}), now);
+    for (let hop = 0; hop < 8; hop++) {
+      now += random.nextInt(400);
+      const next = createLoadTable();
+      mergeAged(next, takeDigest(table, 100, 'next', now), 'last', now);
+      table = next;
+    }
+    expect(getLoad(table, 'e1')?.seenAt).to.be.at.most(1000);
+    expect(getLoad(table, 'e1')?.seenAt).to.be.at.least(1000 - 8 * 100);
+  });
+
+  it('keeps the later sighting whichever comes first, and takes two owners', () => {
+    const older = createLoadTable();
+    const newer = createLoadTable();
+    recordLoad(older, createLoad({ running: 1 }), 1000);
+    recordLoad(newer, createLoad({ running: 9 }), 5000);
+    const [first, second] = [older, newer].map((table) => takeDigest(table, 100, 'x', 6000));
+    for (const digests of [
+      [first, second],
+      [second, first],
+    ]) {
+      const table = createLoadTable();
+      digests.forEach((bytes) => mergeAged(table, bytes as Uint8Array, 'from', 6000));
+      expect(getLoad(table, 'e1')?.running).to.equal(9);
+    }
+  });
+
+  it('keeps to its bytes a second, and drops digests that are cut off', () => {
+    const topics = createTopicTable();
+    const loads = createLoadSpread();
+    topics.registerTopic(loads.topic);
+    const sizes: number[] = [];
+    for (let now = 0; now < 60_000; now += 50) {
+      for (let i = 0; i < 20; i++) {
+        loads.recordLoad(createLoad({ engine: `e${(now / 50 + i) % 400}`, running: i }), now);
+      }
+      sizes.push(...topics.collectPayloads('to', false, now).map(({ bytes }) => bytes.length));
+    }
+    const sent = sizes.reduce((sum, size) => sum + size, 0);
+    expect(sent / 60).to.be.at.most(loads.topic.bytesPerSecond * 1.1);
+    expect(sent / 60).to.be.at.least(loads.topic.bytesPerSecond * 0.8);
+    const cutOff = [{ topic: TopicNumber.Load, bytes: Uint8Array.of(1, 2, 3, 4, 0, 7) }];
+    expect(topics.mergePayloads(cutOff, 'from', 0)).to.equal(1);
+  });
+});
+
+describe('MembershipDigests', () => {
+  it('brings a small value to all instances of all domains, and forgets it in time', () => {
+    const spreads = new Map<string, DigestSpread<{ crashes: number }>>();
+    const fleet = createVirtualFleet({
+      seed: 2,
+      domainSizes: [8, 8, 8],
+      loss: 0.1,
+      onStart({ listed, membership }) {
+        const spread = createDigestSpread<{ crashes: number }>({
+          topic: TopicNumber.Poison,
+          bytesPerSecond: 100,
+          bytesPerMessage: 100,
+          crossesDomains: true,
+          forgetAfter: 60_000,
+        });
+        membership.registerTopic(spread.topic);
+        spreads.set(listed.id, spread);
+      },
+    });
+    fleet.advance(15_000);
+    spreads.get('d1-i3')?.record('fingerprint', { crashes: 1 }, fleet.timers.now());
+    fleet.advance(5000);
+    spreads.get('d2-i1')?.record('fingerprint', { crashes: 2 }, fleet.timers.now());
+    fleet.advance(15_000);
+    const read = () =>
+      [...spreads.values()].map((one) => one.get('fingerprint', fleet.timers.now())?.value.crashes);
+    expect(new Set(read())).to.deep.equal(new Set([2]));
+    fleet.advance(60_000);
+    expect(new Set(read())).to.deep.equal(new Set([undefined]));
+  });
+});
