--- a/packages/bench/src/ControlFleet.ts
+++ b/packages/bench/src/ControlFleet.ts
@@ -10,7 +10,7 @@
 import type { Duties } from '@skylarksail/membership/MembershipDuties';
 import { createDuties } from '@skylarksail/membership/MembershipDuties';
 import { MemberChangeKind } from '@skylarksail/membership/MembershipEffects';
-import type { LoadSpread } from '@skylarksail/membership/MembershipLoad';
+import type { LoadSpread, LoadSpreadOptions } from '@skylarksail/membership/MembershipLoad';
 import { createLoadSpread, LOAD_POLL_PERIOD } from '@skylarksail/membership/MembershipLoad';
 import type { VirtualFleet, VirtualInstance } from '@skylarksail/membership/VirtualFleet';
 import { createVirtualFleet } from '@skylarksail/membership/VirtualFleet';
@@ -21,6 +21,7 @@
   readonly enginesPerInstance: number;
   readonly pollPeriod?: Millis;
   readonly loss?: number;
+  readonly load?: LoadSpreadOptions;
 }
 
 /** An engine of the bench: its load drifts as requests come and go. */
@@ -75,7 +76,7 @@
   function startInstance(instance: VirtualInstance): void {
     const { listed, membership, timers } = instance;
     const duties = createDuties(listed, membership);
-    const loads = createLoadSpread();
+    const loads = createLoadSpread(options.load);
     const own = engines.get(listed.domain) ?? new Map<EngineId, WanderingEngine>();
     membership.registerTopic(loads.topic);
     duties.setDuties([...own.keys()]);
--- a/packages/membership/src/MembershipAged.ts
+++ b/packages/membership/src/MembershipAged.ts
@@ -6,6 +6,7 @@
  * The table is changed in place: it is read and written with every message, and copies of it were a third
  * of the processor time of all gossip.
  */
+import { hash32 } from '@skylarksail/core/CoreHash';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import { WireError } from './MembershipWire.js';
 
@@ -41,7 +42,9 @@
   readonly entries: Map<number, AgedEntry>;
 }
 
-const KEY_BYTES = 4;
+/** Two keys of a domain's 350 engines collide once in 270 domains; the load is a hint in any case. */
+const KEY_BYTES = 3;
+const KEY_LIMIT = 2 ** 24;
 const AGE_BYTES = 1;
 /** Ages are told in fine steps up to the 128th, in coarse ones beyond; always rounded up. */
 const FINE_STEP: Millis = 100;
@@ -50,13 +53,18 @@
 const MAX_AGE_CODE = 255;
 const KEPT_SHARE = 0.75;
 
+/** A table's key for a name, the same on every instance. */
+export function getAgedKey(name: string): number {
+  return hash32(name) % KEY_LIMIT;
+}
+
 export function createAgedTable(cfg: AgedConfig): AgedTable {
   return { cfg, entries: new Map() };
 }
 
 /** Notes a value that we saw ourselves, at `now`. */
-export function recordAged(table: AgedTable, key: number, value: string, now: Millis): void {
-  takeEntry(table, { key, value, seenAt: now, from: null });
+export function recordAged(table: AgedTable, name: string, value: string, now: Millis): void {
+  takeEntry(table, { key: getAgedKey(name), value, seenAt: now, from: null });
   limitEntries(table, now);
 }
 
@@ -74,7 +82,7 @@
     if (at + KEY_BYTES + AGE_BYTES >= view.length) {
       throw new WireError('digest is cut off');
     }
-    const key = view.readUInt32BE(at);
+    const key = view.readUIntBE(at, KEY_BYTES);
     const age = decodeAge(view.readUInt8(at + KEY_BYTES));
     at += KEY_BYTES + AGE_BYTES;
     const length = valueBytes || view.readUInt8(at);
@@ -107,6 +115,11 @@
   return bytes;
 }
 
+/** What is known of a name. */
+export function getAged(table: AgedTable, name: string): AgedEntry | null {
+  return table.entries.get(getAgedKey(name)) ?? null;
+}
+
 /** An age as a byte, rounded up so that no hop makes a value younger. */
 export function encodeAge(age: Millis): number {
   const fine = Math.ceil(Math.max(0, age) / FINE_STEP);
@@ -185,7 +198,7 @@
   entry: AgedEntry,
   now: Millis,
 ): number {
-  let at = bytes.writeUInt32BE(entry.key, start);
+  let at = bytes.writeUIntBE(entry.key, start, KEY_BYTES);
   at = bytes.writeUInt8(encodeAge(now - entry.seenAt), at);
   if (!cfg.valueBytes) {
     at = bytes.writeUInt8(entry.value.length, at);
--- a/packages/membership/src/MembershipDigests.ts
+++ b/packages/membership/src/MembershipDigests.ts
@@ -2,11 +2,10 @@
  * Small values of other parts that all instances should know: what an engine holds, poison suspects, the
  * revision of the manifest that each instance has in force. Keyed by a text, told with their age.
  */
-import { hash32 } from '@skylarksail/core/CoreHash';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { Packr } from 'msgpackr';
 import type { AgedConfig } from './MembershipAged.js';
-import { createAgedTable, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
+import { createAgedTable, getAged, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
 import { unpack } from './MembershipCodec.js';
 import type { GossipTopic, TopicCode } from './MembershipTopics.js';
 import { MembershipError } from './MembershipErrors.js';
@@ -79,10 +78,10 @@
       if (bytes.length > MAX_VALUE_BYTES) {
         throw new DigestSizeError(`a digest of ${bytes.length} bytes is over ${MAX_VALUE_BYTES}`);
       }
-      recordAged(table, hash32(key), bytes.toString('latin1'), now);
+      recordAged(table, key, bytes.toString('latin1'), now);
     },
     get(key, now) {
-      const entry = table.entries.get(hash32(key));
+      const entry = getAged(table, key);
       return entry && now - entry.seenAt < cfg.forgetAfter
         ? { value: readValue<Value>(entry.value), seenAt: entry.seenAt }
         : null;
--- a/packages/membership/src/MembershipLoad.ts
+++ b/packages/membership/src/MembershipLoad.ts
@@ -1,26 +1,25 @@
 /**
  * Load of the engines of a domain: the owner of an engine polls it and notes what it says, the rest learn
- * it in digests of seven bytes an engine, coarse and with its age.
+ * it in digests of six bytes an engine, coarse and with its age.
  */
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { LifeStateName } from '@skylarksail/core/CoreConstants';
 import type { EngineLoad } from '@skylarksail/core/CoreEngine';
-import { hash32 } from '@skylarksail/core/CoreHash';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { AgedConfig, AgedTable } from './MembershipAged.js';
-import { createAgedTable, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
+import { createAgedTable, getAged, mergeAged, recordAged, takeDigest } from './MembershipAged.js';
 import type { GossipTopic } from './MembershipTopics.js';
 import { TopicNumber } from './MembershipTopics.js';
 
 /** How often an owner polls each of its engines; docs/design/load-knowledge.md tells why. */
 export const LOAD_POLL_PERIOD: Millis = 4000;
 /** What the digests of load may cost each instance. */
-export const LOAD_BYTES_PER_SECOND = 900;
+export const LOAD_BYTES_PER_SECOND = 850;
 const LOAD_BYTES_PER_MESSAGE = 420;
 
 export const LOAD_TABLE_CONFIG: AgedConfig = {
   valueBytes: 2,
-  maxSends: 2,
+  maxSends: 3,
   sameWithin: LOAD_POLL_PERIOD / 2,
   forgetAfter: 120_000,
   maxEntries: 4096,
@@ -51,12 +50,12 @@
 
 /** Notes what an engine that we poll has just said. */
 export function recordLoad(table: LoadTable, load: EngineLoad, now: Millis): void {
-  recordAged(table, hash32(load.engine), encodeLoad(load), now);
+  recordAged(table, load.engine, encodeLoad(load), now);
 }
 
 /** What is known of one engine's load, or null. */
 export function getLoad(table: LoadTable, engine: EngineId): SpreadLoad | null {
-  const entry = table.entries.get(hash32(engine));
+  const entry = getAged(table, engine);
   return entry ? { ...decodeLoad(entry.value), seenAt: entry.seenAt } : null;
 }
 
@@ -113,13 +112,18 @@
   getLoads(engines: readonly EngineId[]): ReadonlyMap<EngineId, SpreadLoad>;
 }
 
+export interface LoadSpreadOptions {
+  readonly bytesPerSecond?: number;
+  readonly cfg?: Partial<AgedConfig>;
+}
+
 /** Creates the load table of one instance with its topic, to be registered with membership. */
-export function createLoadSpread(cfg: Partial<AgedConfig> = {}): LoadSpread {
-  const table = createLoadTable(cfg);
+export function createLoadSpread(options: LoadSpreadOptions = {}): LoadSpread {
+  const table = createLoadTable(options.cfg);
   return {
     topic: {
       topic: TopicNumber.Load,
-      bytesPerSecond: LOAD_BYTES_PER_SECOND,
+      bytesPerSecond: options.bytesPerSecond ?? LOAD_BYTES_PER_SECOND,
       bytesPerMessage: LOAD_BYTES_PER_MESSAGE,
       crossesDomains: false,
       collect: (room, to, now) => takeDigest(table, room, to, now),
