Suspect for a shorter time where a connection broke as well

Cause: a crashed process closes its connections, a paused one keeps them, so a break says more than silence. Change: the daemon reports broken or refused connections; the member is probed at once, and if direct and indirect probes fail for a second it has one second to object instead of 2.5 to 2.9. Resetting all connections of 20 live instances condemned nobody.

--- a/packages/membership/src/MembershipApply.ts
+++ b/packages/membership/src/MembershipApply.ts
@@ -201,7 +201,7 @@
     return;
   }
   if (record.domain === batch.state.self.domain) {
-    const deadline = batch.now + getSuspicionTime(batch.state);
+    const deadline = batch.now + getSuspicionTime(batch.state, record.id);
     batch.suspicions.set(record.id, { since: batch.now, deadline, checks: 0 });
   }
 }
--- a/packages/membership/src/MembershipMachine.ts
+++ b/packages/membership/src/MembershipMachine.ts
@@ -28,7 +28,7 @@
   startProbe,
 } from './MembershipProbes.js';
 import type { MemberRecord } from './MembershipRecords.js';
-import { Health, isDead } from './MembershipRecords.js';
+import { Health, isDead, isPresent } from './MembershipRecords.js';
 import type { ListedInstance, MembershipState } from './MembershipState.js';
 import {
   answerSync,
@@ -294,12 +294,13 @@
 }
 
 function probeNow(state: MembershipState, ctx: StepContext, id: InstanceId): MembershipStep {
-  const to = findAddress(state, id);
-  const isProbed = state.probes.some(({ target }) => target === id);
-  if (!to || isProbed || to.domain !== state.self.domain) {
+  const to = state.members.get(id)?.record;
+  if (!to || id === state.self.id || !isPresent(to) || to.domain !== state.self.domain) {
     return createStep(state);
   }
-  return sendProbe(state, ctx, to, true);
+  const next = { ...state, lost: new Set([...state.lost, id]) };
+  const isProbed = state.probes.some(({ target }) => target === id);
+  return isProbed ? createStep(next) : sendProbe(next, ctx, to, true);
 }
 
 function announceSelf(
--- a/packages/membership/src/MembershipProbes.ts
+++ b/packages/membership/src/MembershipProbes.ts
@@ -80,7 +80,11 @@
 /** Ends the probe that an answer belongs to. */
 export function endProbe(state: MembershipState, seq: number, who: InstanceId): MembershipState {
   const probes = state.probes.filter((probe) => probe.seq !== seq || probe.target !== who);
-  return probes.length === state.probes.length ? state : { ...state, probes };
+  if (probes.length === state.probes.length) {
+    return state;
+  }
+  const lost = new Set([...state.lost].filter((id) => id !== who));
+  return { ...state, probes, lost };
 }
 
 /** Probes a member because another instance, which has no answer from it, asks us to. */
--- a/packages/membership/src/MembershipState.ts
+++ b/packages/membership/src/MembershipState.ts
@@ -21,6 +21,8 @@
   readonly suspicionMin: Millis;
   /** Suspicion lasts this long times the decimal logarithm of the domain's size. */
   readonly suspicionScale: Millis;
+  /** The same where a connection broke too: a paused process keeps its connections open. */
+  readonly lostSuspicion: Millis;
   /** Updates in one message. */
   readonly updatesPerMessage: number;
   /** A change is sent this often times the binary logarithm of the fleet's known size. */
@@ -53,6 +55,7 @@
   relays: 3,
   suspicionMin: 2500,
   suspicionScale: 1500,
+  lostSuspicion: 1000,
   updatesPerMessage: 6,
   retransmitScale: 3,
   contactPeriod: 1000,
@@ -118,6 +121,8 @@
   readonly listed: ReadonlyMap<InstanceId, ListedInstance>;
   readonly listedDomains: ReadonlySet<DomainId>;
   readonly suspicions: ReadonlyMap<InstanceId, Suspicion>;
+  /** Members to which a connection broke or was refused, until they answer again. */
+  readonly lost: ReadonlySet<InstanceId>;
   readonly updates: readonly QueuedUpdate[];
   readonly probes: readonly Probe[];
   readonly relayed: readonly RelayedProbe[];
@@ -168,6 +173,7 @@
     listed: new Map(),
     listedDomains: new Set(),
     suspicions: new Map(),
+    lost: new Set(),
     updates: [{ id: self.id, sends: 0 }],
     probes: [],
     relayed: [],
@@ -231,7 +237,10 @@
 }
 
 /** How long a suspect has to object, in a domain of the present size. */
-export function getSuspicionTime(state: MembershipState): Millis {
+export function getSuspicionTime(state: MembershipState, id: InstanceId): Millis {
+  if (state.lost.has(id)) {
+    return state.cfg.lostSuspicion;
+  }
   const size = Math.max(1, getDomainView(state.members, state.self.domain).present.length);
   return Math.max(state.cfg.suspicionMin, state.cfg.suspicionScale * Math.log10(size));
 }
--- a/packages/membership/src/VirtualFleet.ts
+++ b/packages/membership/src/VirtualFleet.ts
@@ -42,8 +42,8 @@
   get(id: InstanceId): VirtualInstance;
   /** Starts an instance that was not there, or starts one anew at the same address. */
   start(listed: ListedInstance, incarnation?: number): void;
-  /** Ends an instance without a word. */
-  crash(id: InstanceId): void;
+  /** Ends an instance without a word. With `closes`, the others of its domain see connections break. */
+  crash(id: InstanceId, closes?: boolean): void;
   /** Announces, then ends an instance after `grace`. */
   leave(id: InstanceId, grace: Millis): void;
   /** Stops an instance's loop for a while; messages wait for it. */
@@ -166,12 +166,23 @@
     instance.membership.receive(decodeEnvelope(bytes).payload);
   }
 
-  function crash(id: InstanceId): void {
+  function crash(id: InstanceId, closes = false): void {
     const instance = running.get(id);
     if (instance) {
       instance.isUp = false;
       running.delete(id);
       list.push({ at: timers.now(), listed: instance.listed, isUp: false });
+      if (closes) {
+        timers.registerTimeout(latency, () => breakConnections(instance.listed));
+      }
+    }
+  }
+
+  function breakConnections({ id, domain }: ListedInstance): void {
+    for (const { listed, membership } of running.values()) {
+      if (listed.domain === domain) {
+        membership.reportConnectionLost(id);
+      }
     }
   }
 
--- a/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
@@ -78,6 +78,23 @@
     }
   });
 
+  it('is quicker when connections break, but condemns nobody for that alone', () => {
+    // Symptom: a switch resets all connections and live instances vanish. Sequence: connections break,
+    // the processes live. Cause: a broken connection taken for proof.
+    const { fleet, seen } = createSettled({ seed: 14, domainSizes: [20] });
+    fleet.getInstances().forEach(({ membership }) => {
+      fleet.getInstances().forEach(({ listed }) => membership.reportConnectionLost(listed.id));
+    });
+    fleet.advance(10_000);
+    expect(select(seen, MemberChangeKind.Dead)).to.have.length(0);
+    const crashedAt = fleet.timers.now();
+    fleet.crash('d0-i3', true);
+    fleet.advance(5000);
+    const deaths = select(seen, MemberChangeKind.Dead, 'd0-i3');
+    expect(deaths).to.have.length(19);
+    expect(Math.max(...deaths.map(({ at }) => at - crashedAt))).to.be.below(3000);
+  });
+
   it('declares nobody dead at 20% loss while instances pause for two seconds', () => {
     // Symptom: live instances lose their duties again and again. Sequence: messages are lost while the
     // loop of a member, or of its prober, stands still for seconds. Cause: silence taken for death.
