--- a/packages/membership/src/MembershipApply.ts
+++ b/packages/membership/src/MembershipApply.ts
@@ -27,6 +27,8 @@
  */
 const BULK_COUNT = 12;
 const BULK_SENDS_SHARE = 0.7;
+/** A view as large as this is not passed on at all. */
+const WHOLE_VIEW_COUNT = 64;
 
 /** Takes in claims made by others. */
 export function applyRecords(
@@ -34,17 +36,31 @@
   records: readonly MemberRecord[],
   now: Millis,
 ): MembershipStep {
-  const isBulk = records.length > BULK_COUNT;
-  if (!records.some((record) => isOfInterest(state, record))) {
-    return createStep(countRepeats(state, records));
+  const fresh = records.filter((record) => isOfInterest(state, record));
+  const counted = countRepeats(
+    state,
+    records.filter((record) => !fresh.includes(record)),
+  );
+  if (fresh.length === 0) {
+    return createStep(counted);
   }
-  const firstSends = isBulk ? Math.ceil(BULK_SENDS_SHARE * getRetransmitLimit(state)) : 0;
-  const batch = createBatch(state, now, firstSends);
-  records.forEach((record) => applyClaim(batch, record));
+  const batch = createBatch(counted, now, getFirstSends(state, fresh.length));
+  fresh.forEach((record) => applyClaim(batch, record));
   return finishBatch(batch);
 }
 
-/** A change that comes to us once more is known to others already, and is passed on once less. */
+function getFirstSends(state: MembershipState, count: number): number {
+  if (count <= BULK_COUNT) {
+    return 0;
+  }
+  const limit = getRetransmitLimit(state);
+  return count > WHOLE_VIEW_COUNT ? limit : Math.ceil(BULK_SENDS_SHARE * limit);
+}
+
+/** After so many times of hearing a change again we stop passing it on. */
+const REPEATS = 5;
+
+/** A change that comes to us once more is known to others already, and is passed on much less. */
 function countRepeats(state: MembershipState, records: readonly MemberRecord[]): MembershipState {
   if (state.updates.length === 0 || records.length === 0) {
     return state;
@@ -52,7 +68,9 @@
   const ids = new Set(records.map(({ id }) => id));
   const limit = getRetransmitLimit(state);
   const updates = state.updates
-    .map((update) => (ids.has(update.id) ? { ...update, sends: update.sends + 1 } : update))
+    .map((update) =>
+      ids.has(update.id) ? { ...update, sends: update.sends + limit / REPEATS } : update,
+    )
     .filter(({ sends }) => sends < limit);
   return { ...state, updates };
 }
@@ -207,6 +225,9 @@
 }
 
 function queueUpdate(batch: Batch, id: InstanceId): void {
+  if (batch.firstSends >= getRetransmitLimit(batch.state)) {
+    return;
+  }
   batch.queued.set(id, { id, sends: batch.firstSends });
 }
 
--- a/packages/membership/src/MembershipLoad.ts
+++ b/packages/membership/src/MembershipLoad.ts
@@ -14,7 +14,7 @@
 /** How often an owner polls each of its engines; docs/design/load-knowledge.md tells why. */
 export const LOAD_POLL_PERIOD: Millis = 4000;
 /** What the digests of load may cost each instance. */
-export const LOAD_BYTES_PER_SECOND = 850;
+export const LOAD_BYTES_PER_SECOND = 1000;
 const LOAD_BYTES_PER_MESSAGE = 420;
 
 export const LOAD_TABLE_CONFIG: AgedConfig = {
--- a/packages/membership/src/MembershipState.ts
+++ b/packages/membership/src/MembershipState.ts
@@ -57,7 +57,7 @@
   suspicionScale: 1500,
   lostSuspicion: 1000,
   updatesPerMessage: 6,
-  retransmitScale: 3,
+  retransmitScale: 2,
   contactPeriod: 1000,
   contacts: 2,
   domainTimeout: 12_000,
--- a/packages/membership/src/VirtualFleet.ts
+++ b/packages/membership/src/VirtualFleet.ts
@@ -8,7 +8,9 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
-import { decodeEnvelope } from './MembershipEnvelope.js';
+import { encodeGossip } from './MembershipCodec.js';
+import { decodeEnvelope, EnvelopeKind, encodeEnvelope } from './MembershipEnvelope.js';
+import { GossipKind } from './MembershipMessages.js';
 import type { Membership, MembershipChange } from './MembershipService.js';
 import { createMembership } from './MembershipService.js';
 import type { ListedInstance, MembershipConfig } from './MembershipState.js';
@@ -40,6 +42,8 @@
   advance(time: Millis): void;
   getInstances(): readonly VirtualInstance[];
   get(id: InstanceId): VirtualInstance;
+  /** Lets each instance know of all others at once, so that a large fleet need not find itself first. */
+  settle(): void;
   /** Starts an instance that was not there, or starts one anew at the same address. */
   start(listed: ListedInstance, incarnation?: number): void;
   /** Ends an instance without a word. With `closes`, the others of its domain see connections break. */
@@ -166,6 +170,16 @@
     instance.membership.receive(decodeEnvelope(bytes).payload);
   }
 
+  function settle(): void {
+    const updates = [...running.values()].map(({ membership }) => membership.getState().self);
+    const common = { updates, ages: [], topics: [], wanted: [] };
+    for (const sender of updates.slice(0, 2)) {
+      const payload = encodeGossip({ kind: GossipKind.Records, sender, ...common });
+      const bytes = encodeEnvelope({ from: sender.id, kind: EnvelopeKind.Gossip, payload });
+      [...running.keys()].forEach((id) => deliver(id, bytes));
+    }
+  }
+
   function crash(id: InstanceId, closes = false): void {
     const instance = running.get(id);
     if (instance) {
@@ -205,6 +219,7 @@
     advance: (time) => timers.advanceTo(timers.now() + time),
     getInstances: () => [...running.values()],
     get,
+    settle,
     start,
     crash,
     leave(id, grace) {
