Expect other instances to have done since their report as we did

Cause: when load rises, every instance sees the same room in the same late report and fills it alone. Change: what we started in a pool since a report, times the other instances, spread by the engines' shares, is added to the report. Eight draws a hop in place of four, a narrower span of fill between priorities, and 60 ms as the gap aimed at.

--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -1,5 +1,6 @@
 /** Records of our own calls: what they keep busy, and what they tell of the engines' health. */
 import type { Chain } from '@skylarksail/core/CoreChain';
+import type { EngineFacts, Holding } from '@skylarksail/core/CoreEngine';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { EngineHealth } from './RoutingHealth.js';
 import {
@@ -31,6 +32,17 @@
   return getEntry(state.health, engine) ?? NEW_HEALTH;
 }
 
+/** Own calls in the pool of an engine that holds this. */
+export function getPoolCalls(
+  state: RoutingState,
+  facts: EngineFacts,
+  holding: Holding | null,
+): number {
+  return holding === null
+    ? 0
+    : (state.poolCalls.get(getPoolKey(holding.model, holding.version, facts.domain)) ?? 0);
+}
+
 export function setHealth(
   state: RoutingState,
   engine: EngineId,
@@ -43,7 +55,7 @@
 export function recordCallStart(state: RoutingState, call: RoutedCall): RoutingState {
   const kvTokens = call.promptTokens + call.maxTokens;
   const change = { calls: 1, kvTokens, prefillTokens: call.promptTokens };
-  return countCrossing(changeOwnWork(state, call.chain, change), call.chain, 1);
+  return countCall(changeOwnWork(state, call.chain, change), call, 1);
 }
 
 /** The first token came: the prompt is prefilled, and its prefixes are cached. */
@@ -103,7 +115,7 @@
   const kvTokens = -(call.promptTokens + call.maxTokens);
   const prefillTokens = hadFirstToken ? 0 : -call.promptTokens;
   const change = { calls: -1, kvTokens, prefillTokens };
-  const next = countCrossing(changeOwnWork(state, call.chain, change), call.chain, -1);
+  const next = countCall(changeOwnWork(state, call.chain, change), call, -1);
   if (outcome.kind === 'answered') {
     return recordAnswered(next, call, outcome, now);
   }
@@ -168,23 +180,26 @@
   return group.length > 1 && ejected < allowed;
 }
 
-function countCrossing(state: RoutingState, chain: Chain, change: number): RoutingState {
-  const own = state.tuning.domain;
-  if (own === null) {
-    return state;
-  }
-  const domains = new Set(chain.stages.map(({ engine }) => state.engines.get(engine)?.domain));
-  const crossed = [...domains].filter((domain) => domain !== undefined && domain !== own);
-  if (crossed.length === 0) {
-    return state;
-  }
+/** Counts a call in the pool of each domain that its chain passes, and as crossing in those not ours. */
+function countCall(state: RoutingState, { chain }: RoutedCall, change: number): RoutingState {
+  const { model, version } = chain.variant;
+  const poolCalls = new Map(state.poolCalls);
   const crossing = new Map(state.crossing);
-  crossed.forEach((domain) => {
+  for (const domain of new Set(
+    chain.stages.map(({ engine }) => state.engines.get(engine)?.domain),
+  )) {
     if (domain !== undefined) {
-      crossing.set(domain, Math.max(0, (crossing.get(domain) ?? 0) + change));
+      addCount(poolCalls, getPoolKey(model, version, domain), change);
+      if (state.tuning.domain !== null && domain !== state.tuning.domain) {
+        addCount(crossing, domain, change);
+      }
     }
-  });
-  return { ...state, crossing };
+  }
+  return { ...state, poolCalls, crossing };
+}
+
+function addCount(counts: Map<string, number>, key: string, change: number): void {
+  counts.set(key, Math.max(0, (counts.get(key) ?? 0) + change));
 }
 
 function changeOwnWork(state: RoutingState, chain: Chain, change: OwnWork): RoutingState {
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -2,11 +2,12 @@
 import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { PriorityName } from '@skylarksail/core/CoreConstants';
 import { MILLIS_PER_SECOND, Priority } from '@skylarksail/core/CoreConstants';
-import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { EngineFacts, Holding } from '@skylarksail/core/CoreEngine';
 import type { DomainId, EngineId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
-import { getHealth, getOwnWork } from './RoutingCalls.js';
+import { getHealth, getOwnWork, getPoolCalls } from './RoutingCalls.js';
 import { getHealthShare } from './RoutingHealth.js';
 import type { LinkCost } from './RoutingLinks.js';
+import { getPoolKey } from './RoutingPools.js';
 import type { PrefixKey } from './RoutingPrefixes.js';
 import { estimateCachedTokens } from './RoutingPrefixes.js';
 import type { RoutingState } from './RoutingTypes.js';
@@ -45,10 +46,10 @@
 
 /** How far each priority may fill an engine, as a share of the time between tokens aimed at. */
 const FILL_BY_PRIORITY: Readonly<Record<PriorityName, number>> = {
-  [Priority.Low]: 0.97,
-  [Priority.Normal]: 1,
-  [Priority.High]: 1.03,
-  [Priority.Urgent]: 1.05,
+  [Priority.Low]: 0.96,
+  [Priority.Normal]: 0.98,
+  [Priority.High]: 1,
+  [Priority.Urgent]: 1.02,
 };
 
 /** Longest time between tokens that a request may find on a chain that it joins. */
@@ -56,19 +57,46 @@
   return state.tuning.tokenGapMs * FILL_BY_PRIORITY[priority];
 }
 
-/** Calls that run on an engine, as expected now: own ones exactly, others' by the aged report. */
-export function estimateCalls(state: RoutingState, engine: EngineId, now: Millis): number {
-  const own = getOwnWork(state, engine).calls;
-  const known = state.loads.get(engine);
+/**
+ * Calls that run on an engine, as expected now: own ones exactly, others' by the aged report. Since the
+ * report the other instances are taken to have done as we did: when load rises, all of them see the
+ * same room in the same late report, and each would fill it alone.
+ */
+export function estimateCalls(
+  state: RoutingState,
+  facts: EngineFacts,
+  layers: LayerRange,
+  now: Millis,
+): number {
+  const own = getOwnWork(state, facts.id).calls;
+  const known = state.loads.get(facts.id);
   if (!known) {
     return own;
   }
-  const { running, queued } = known.load;
+  const { running, queued, holding } = known.load;
   const reported = Math.max(0, running + queued - known.own.calls);
   const trust = Math.exp(-Math.max(0, now - known.seenAt) / REPORT_AGE_MS);
-  // Without news the others are expected to do as we do.
-  const usual = own * (state.tuning.instanceCount - 1);
-  return own + trust * reported + (1 - trust) * usual;
+  const othersCount = state.tuning.instanceCount - 1;
+  const joined = getPoolCalls(state, facts, holding) - known.ownPoolCalls;
+  const others = reported + joined * othersCount * getPoolShare(state, facts, layers, holding);
+  // Without news the others are expected to have as many as we have.
+  return own + trust * Math.max(0, others) + (1 - trust) * own * othersCount;
+}
+
+/** Share of its pool's calls that an engine is expected to get. */
+function getPoolShare(
+  state: RoutingState,
+  facts: EngineFacts,
+  layers: LayerRange,
+  holding: Holding | null,
+): number {
+  if (!holding) {
+    return 0;
+  }
+  const key = getPoolKey(holding.model, holding.version, facts.domain);
+  const planned = state.plans.get(key)?.plan.tokensPerSecond ?? 0;
+  const rate = MILLIS_PER_SECOND / getTokenCost(state, facts, layers);
+  return planned > 0 ? Math.min(1, rate / planned) : 0;
 }
 
 /** Prompt tokens to prefill for each generated token, as calls have shown it. */
@@ -95,7 +123,7 @@
   const health = getHealth(state, facts.id);
   const own = getOwnWork(state, facts.id);
   const share = getHealthShare(health, own.calls, now);
-  const calls = estimateCalls(state, facts.id, now);
+  const calls = estimateCalls(state, facts, layers, now);
   const depth = layers.end - layers.first;
   const cachedTokens = estimateCachedTokens(
     state.prefixes,
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -2,7 +2,7 @@
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts, Holding, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import { getHealth, getOwnWork, setHealth } from './RoutingCalls.js';
+import { getHealth, getOwnWork, getPoolCalls, setHealth } from './RoutingCalls.js';
 import { recordBoot, startSlowly } from './RoutingHealth.js';
 import type { PoolMember } from './RoutingPools.js';
 import { moveMember } from './RoutingPools.js';
@@ -41,6 +41,7 @@
     prefixes: createTable(),
     pools: new Map(),
     plans: new Map(),
+    poolCalls: new Map(),
     crossing: new Map(),
     mix: {
       promptTokens: whole.promptTokensPerToken * PRIOR_MIX_TOKENS,
@@ -85,7 +86,9 @@
   if (!facts || (known && known.seenAt > seen.seenAt)) {
     return state;
   }
-  const loads = new Map(state.loads).set(id, { ...seen, own: getOwnWork(state, id) });
+  const ownPoolCalls = getPoolCalls(state, facts, holding);
+  const own = getOwnWork(state, id);
+  const loads = new Map(state.loads).set(id, { ...seen, own, ownPoolCalls });
   const before = known?.load.holding ?? null;
   const pools = isSameHolding(before, holding)
     ? state.pools
--- a/packages/routing/src/RoutingTuning.ts
+++ b/packages/routing/src/RoutingTuning.ts
@@ -18,7 +18,7 @@
 
 export const DEFAULT_TUNING: RoutingTuning = {
   domain: null,
-  tokenGapMs: 61,
+  tokenGapMs: 60,
   promptTokensPerToken: 1,
   instanceCount: 1,
   foreignInstanceCount: 4,
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -23,6 +23,8 @@
 /** The latest load report, with our own work on the engine when it came. */
 export interface KnownLoad extends SeenEngineLoad {
   readonly own: OwnWork;
+  /** Our own calls in the whole pool at that time. */
+  readonly ownPoolCalls: number;
 }
 
 /** Facts of a model that routing needs. */
@@ -63,6 +65,8 @@
   readonly prefixes: PrefixTable;
   readonly pools: PoolIndex;
   readonly plans: ReadonlyMap<string, PlannedPool>;
+  /** Own calls by pool. */
+  readonly poolCalls: ReadonlyMap<string, number>;
   /** Own calls in other domains. */
   readonly crossing: ReadonlyMap<DomainId, number>;
   readonly mix: WorkMix;
--- a/packages/routing/src/RoutingWalk.ts
+++ b/packages/routing/src/RoutingWalk.ts
@@ -13,7 +13,7 @@
 }
 
 /** Engines that are drawn at each hop. More balance better, fewer keep instances from herding. */
-const DRAWS = 4;
+const DRAWS = 8;
 
 /**
  * One chain, or null if the walk ran into engines that `weigh` all gives Infinity. `weigh` says what an
--- a/packages/stand-ins/src/VirtualEngine.ts
+++ b/packages/stand-ins/src/VirtualEngine.ts
@@ -215,8 +215,8 @@
       this.stepping = false;
       return;
     }
-    const duration = this.getStepTime([...decodes, ...prefills]);
-    this.timers.registerTimeout(duration, () => this.endStep(boot, [...decodes, ...prefills]));
+    const items = prefills.length > 0 ? [...decodes, ...prefills] : decodes;
+    this.timers.registerTimeout(this.getStepTime(items), () => this.endStep(boot, items));
   }
 
   private endStep(boot: number, items: readonly VirtualItem[]): void {
@@ -230,7 +230,11 @@
       this.prefills.unshift(...items.filter(({ prefill }) => prefill));
       return;
     }
-    items.forEach((item) => this.rememberPrefix(item));
+    for (const item of items) {
+      if (item.prefill) {
+        this.rememberPrefix(item);
+      }
+    }
     this.onComputed(this, items);
     this.planStep();
   }
@@ -263,13 +267,19 @@
     return seconds * factor * MILLIS_PER_SECOND;
   }
 
-  private rememberPrefix({ run, prefill, end }: VirtualItem): void {
+  private rememberPrefix({ run, end }: VirtualItem): void {
     const { prefixKey, prefixTokens } = run.prompt;
-    if (!prefill || prefixKey === null || end < prefixTokens) {
+    if (prefixKey === null || end < prefixTokens) {
       return;
     }
-    this.prefixes.delete(prefixKey);
+    const isNew = !this.prefixes.delete(prefixKey);
     this.prefixes.set(prefixKey, prefixTokens);
+    if (isNew) {
+      this.evictPrefixes();
+    }
+  }
+
+  private evictPrefixes(): void {
     const limit = (PREFIX_CACHE_SHARE * this.facts.kvLayerTokens) / this.depth;
     let tokens = [...this.prefixes.values()].reduce((sum, n) => sum + n, 0);
     for (const [key, n] of this.prefixes) {
--- a/packages/stand-ins/src/VirtualFleet.ts
+++ b/packages/stand-ins/src/VirtualFleet.ts
@@ -232,14 +232,15 @@
       layerFaults += 1;
       return;
     }
-    const moved = { ...item, stage: stage + 1, layer: layers.end };
+    const { start, end, prefill } = item;
+    const moved = { run, stage: stage + 1, start, end, layer: layers.end, prefill };
     const next = getStageEngine(run, stage + 1);
     if (!next) {
       finishToken(engine, moved);
       return;
     }
-    const isLast = item.end === run.contextTokens;
-    if (item.prefill && !isLast && run.countComputed(moved) === 0) {
+    const isLast = end === run.contextTokens;
+    if (prefill && !isLast && run.countComputed(moved) === 0) {
       return;
     }
     const count = Math.max(1, run.countComputed(moved));
