--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -5,6 +5,7 @@
 import type { EngineHealth } from './RoutingHealth.js';
 import {
   eject,
+  isFailedProbe,
   isOutlier,
   MAX_EJECTED_SHARE,
   NEW_HEALTH,
@@ -136,8 +137,9 @@
       state.mix.promptTokens * MIX_MEMORY + call.promptTokens - (call.cachedTokens ?? 0),
     answerTokens: state.mix.answerTokens * MIX_MEMORY + (outcome.tokens ?? call.maxTokens),
   };
-  const succeeded = call.chain.stages.reduce(
-    (next, { engine }) => setHealth(next, engine, recordSuccess(getHealth(next, engine), now)),
+  const succeeded = call.chain.stages.reduce<RoutingState>(
+    (next, { engine }) =>
+      setHealth(next, engine, judgeAnswer(next, call.chain, engine, outcome.tokenGapMs, now)),
     { ...state, mix },
   );
   return outcome.tokenGapMs === null
@@ -145,6 +147,21 @@
     : recordTokenGap(succeeded, call.chain, outcome.tokenGapMs, now);
 }
 
+/** An answer clears its engines, but for one that was ejected and is as slow as it was. */
+function judgeAnswer(
+  state: RoutingState,
+  chain: Chain,
+  engine: EngineId,
+  gap: Millis | null,
+  now: Millis,
+): EngineHealth {
+  const health = getHealth(state, engine);
+  const peers = selectPeers(state, chain, engine).map((peer) => getHealth(state, peer));
+  return gap !== null && isFailedProbe(health, gap, peers, now)
+    ? eject(health, now)
+    : recordSuccess(health, now);
+}
+
 function recordEngineFailure(
   state: RoutingState,
   chain: Chain,
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -275,6 +275,7 @@
     held.layers.end === holding.layers.end &&
     (variant.adapter === null || held.adapters.includes(variant.adapter)) &&
     !state.leaving.has(id) &&
+    !state.silent.has(id) &&
     !ask.avoidEngines.has(id) &&
     !isEjected(getHealth(state, id), ask.now)
   );
--- a/packages/routing/src/RoutingHealth.ts
+++ b/packages/routing/src/RoutingHealth.ts
@@ -62,19 +62,15 @@
 
 /** A call that the engine had a part in ended well: it counts as a passed probe. */
 export function recordSuccess(health: EngineHealth, now: Millis): EngineHealth {
-  const recovered = health.ejectedUntil !== null && now >= health.ejectedUntil;
-  return {
-    ...health,
-    failures: 0,
-    ejectedUntil: recovered ? null : health.ejectedUntil,
-    warmSince: recovered ? now : health.warmSince,
+  if (health.ejectedUntil === null) {
     // A while without trouble makes the next ejection short again.
-    ejections: recovered ? health.ejections : decayEjections(health, now),
-  };
-}
-
-function decayEjections(health: EngineHealth, now: Millis): number {
-  return now - health.warmSince > LONGEST_EJECTION_MS ? 0 : health.ejections;
+    const isCalm = now - health.warmSince > LONGEST_EJECTION_MS;
+    return { ...health, failures: 0, ejections: isCalm ? 0 : health.ejections };
+  }
+  // A call from before the ejection says nothing of the engine as it is now.
+  return now < health.ejectedUntil
+    ? health
+    : { ...health, failures: 0, ejectedUntil: null, warmSince: now };
 }
 
 /** A failure was laid to the engine. `mayEject` says whether its peers can bear its loss. */
@@ -98,14 +94,26 @@
  * down but each of its partners only in a few of them; the median of the peers tells them apart.
  */
 export function isOutlier(health: EngineHealth, peers: readonly EngineHealth[]): boolean {
+  return health.gapCount >= GAPS_TO_JUDGE && isSlow(health.gap, peers);
+}
+
+/** Whether an engine that is due for a probe gave one that is as slow as before. */
+export function isFailedProbe(
+  health: EngineHealth,
+  gap: Millis,
+  peers: readonly EngineHealth[],
+  now: Millis,
+): boolean {
+  return health.ejectedUntil !== null && now >= health.ejectedUntil && isSlow(gap, peers);
+}
+
+function isSlow(gap: Millis, peers: readonly EngineHealth[]): boolean {
   const gaps = peers
     .filter(({ gapCount }) => gapCount >= GAPS_TO_JUDGE)
-    .map(({ gap }) => gap)
+    .map((peer) => peer.gap)
     .sort((a, b) => a - b);
   const median = gaps[Math.floor((gaps.length - 1) / 2)];
-  return (
-    health.gapCount >= GAPS_TO_JUDGE && median !== undefined && health.gap > SLOW_RATIO * median
-  );
+  return median !== undefined && gap > SLOW_RATIO * median;
 }
 
 /** Ejects the engine, each time in a row for longer; what was measured of it starts anew. */
--- a/packages/routing/src/RoutingPlans.ts
+++ b/packages/routing/src/RoutingPlans.ts
@@ -1,5 +1,5 @@
 /** Keeps the capacity plans of all pools up to date, off the hot path. */
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { getHealth } from './RoutingCalls.js';
 import { isEjected } from './RoutingHealth.js';
 import { getLinkBetween } from './RoutingLinks.js';
@@ -11,12 +11,19 @@
 /** Change of the mix of prompt and answer that is worth a new plan. */
 const MIX_CHANGE = 0.2;
 const DEFAULT_ACTIVATION_BYTES = 16384;
+/** Reports come every half second; one that lacks so many has stopped. */
+const SILENT_MS = 5000;
 
 /**
  * Plans the pools whose engines, links or mix have changed since their plan was made; the others keep
  * theirs. To be called now and then, and soon after a change.
  */
 export function refreshPlans(state: RoutingState, now: Millis): RoutingState {
+  const silent = new Set([...state.pools.values()].flatMap((pool) => listSilent(state, pool)));
+  return planPools(isSameSet(silent, state.silent) ? state : { ...state, silent }, now);
+}
+
+function planPools(state: RoutingState, now: Millis): RoutingState {
   const plans = new Map<string, PlannedPool>();
   let changed = state.plans.size !== state.pools.size;
   for (const [key, pool] of state.pools) {
@@ -51,7 +58,23 @@
 function listExcluded(state: RoutingState, pool: Pool, now: Millis): readonly string[] {
   return pool.members
     .map(({ id }) => id)
-    .filter((id) => state.leaving.has(id) || isEjected(getHealth(state, id), now));
+    .filter(
+      (id) => state.leaving.has(id) || state.silent.has(id) || isEjected(getHealth(state, id), now),
+    );
+}
+
+/**
+ * Engines whose last report is far older than the newest of their pool. If all reports stop, the fault
+ * is on their way to us, and none is taken for silent.
+ */
+function listSilent(state: RoutingState, pool: Pool): readonly EngineId[] {
+  const seen = pool.members.map(({ id }) => ({ id, at: state.loads.get(id)?.seenAt ?? -Infinity }));
+  const newest = Math.max(...seen.map(({ at }) => at));
+  return seen.filter(({ at }) => newest - at > SILENT_MS).map(({ id }) => id);
+}
+
+function isSameSet(a: ReadonlySet<EngineId>, b: ReadonlySet<EngineId>): boolean {
+  return a.size === b.size && [...a].every((id) => b.has(id));
 }
 
 function planPool(state: RoutingState, pool: Pool, excluded: readonly string[]): PlannedPool {
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -83,6 +83,15 @@
   return own + trust * Math.max(0, others) + (1 - trust) * own * othersCount;
 }
 
+/**
+ * Calls that the other instances may have put on an engine since its report, if they chose as we did.
+ * It only ranks engines: an engine that looked best to us looked best to all who read the same report.
+ */
+function estimateFollowers(state: RoutingState, engine: EngineId): number {
+  const since = getOwnWork(state, engine).calls - (state.loads.get(engine)?.own.calls ?? 0);
+  return Math.max(0, since) * (state.tuning.instanceCount - 1);
+}
+
 /** Share of its pool's calls that an engine is expected to get. */
 function getPoolShare(
   state: RoutingState,
@@ -138,8 +147,9 @@
   const gap =
     share > 0 && hasMemory(state, ask, facts, depth) ? ((calls + 1) * cost) / share : Infinity;
   const step = (depth * facts.maxBatch * MILLIS_PER_SECOND) / facts.decodeLayerTokensPerSecond;
+  const crowd = calls + 1 + estimateFollowers(state, facts.id);
   // A prefill holds up every call of the engine, so it weighs as many times as there are calls.
-  const weight = gap * ask.maxTokens + prefill * (calls + 1);
+  const weight = (gap / (calls + 1)) * crowd * ask.maxTokens + prefill * crowd;
   return { gap, step, prefill, cachedTokens, weight };
 }
 
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -33,6 +33,7 @@
     loads: new Map(),
     firstLoadAt: null,
     leaving: new Set(),
+    silent: new Set(),
     links: [],
     regions: new Map(),
     domains: new Map(),
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -57,6 +57,8 @@
   /** When the first report was made; what appears much later has joined a running fleet. */
   readonly firstLoadAt: Millis | null;
   readonly leaving: ReadonlySet<EngineId>;
+  /** Engines whose reports stopped while their peers' go on. */
+  readonly silent: ReadonlySet<EngineId>;
   readonly links: readonly LinkFacts[];
   readonly regions: ReadonlyMap<DomainId, RegionId>;
   readonly domains: ReadonlyMap<DomainId, DomainReach>;
