Recover broken answers stage by stage, and test it

Cause: a stream that stands still or crawls does not say which of its stages is to blame, and recovering every stream of a crash apart from all its fellows left those streams without any engine. Change: the other streams through the same engines clear them; suspects of a crash are spread as far as the engines allow, those that ran long are reported apart, and a crash that came with several others is the work of an outage.

--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -4,10 +4,10 @@
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
 import type { EngineCallListener } from './RequestPorts.js';
-import type { AttemptOutcome, ChainHold, RequestSpec } from './RequestTypes.js';
+import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
 import { estimatePromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { findFellowEngines } from './RunSuspicion.js';
+import { listSpreads } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
@@ -57,15 +57,23 @@
     };
   }
 
+  function chooseSpread(choose: (fellows: readonly EngineId[]) => ChainChoice): ChainChoice {
+    const [first = [], ...others] = listSpreads(shared, fingerprint);
+    return others.reduce(
+      (choice, fellows) => (choice.kind === 'none' ? choose(fellows) : choice),
+      choose(first),
+    );
+  }
+
   return {
     choose({ broken, failed, avoid }) {
       const contextTokens = promptTokens + tokens.length;
-      const fellows = findFellowEngines(shared, fingerprint);
-      const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...fellows])] };
-      const isRepair = broken !== null && failed.length < broken.stages.length;
-      const choice = isRepair
-        ? deps.chooseRepair({ ...wish, broken, failed })
-        : deps.chooseChain(wish);
+      const choice = chooseSpread((fellows) => {
+        const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...fellows])] };
+        return broken !== null && failed.length < broken.stages.length
+          ? deps.chooseRepair({ ...wish, broken, failed })
+          : deps.chooseChain(wish);
+      });
       if (choice.kind === 'none') {
         send({ kind: 'no-chain', isFull: choice.isFull, retryAfter: choice.retryAfter });
         return false;
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -13,12 +13,13 @@
 import type { AdmissionAsk } from './RequestAdmission.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { computeBackoff } from './RequestFailures.js';
-import { createRequestMachine, stepRequest } from './RequestMachine.js';
+import { stepRequest } from './RequestMachine.js';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
+import { createRequestMachine } from './RequestState.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { estimatePromptTokens, ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
@@ -57,6 +58,7 @@
   let lastFailed: readonly EngineId[] = [];
   let claim: ClaimHold | null = null;
   let undoWatch: Unregister | null = null;
+  let slowSince: Millis | null = null;
 
   const run: ModelRun = {
     fingerprint,
@@ -66,9 +68,10 @@
       send({ kind: 'retry-granted', failed: lastFailed });
     },
     checkSlow: (usualGap) => {
-      const slowest = decideMove(shared, spec, machine, usualGap);
-      if (slowest !== null) {
-        sendSilence([slowest], true);
+      const move = decideMove(shared, spec, machine, usualGap, slowSince);
+      slowSince = move.engine === null ? move.slowSince : null;
+      if (move.engine !== null) {
+        sendSilence([move.engine], true);
       }
     },
     condemn: () => send({ kind: 'condemned' }),
@@ -221,7 +224,7 @@
     }
     const [engine] = effect.engines;
     if (effect.isCrash && engine !== undefined) {
-      noteRunCrash(shared, fingerprint, engine);
+      noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
     }
   }
 
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -97,9 +97,13 @@
   return LOST_ENGINE_PLACES.has(failure.place);
 }
 
-/** Whether a failure looks like the death of an engine's process, for the search for poison requests. */
+/**
+ * Whether a failure looks like the death of an engine's process under the work, for the search for
+ * poison requests. Work that came to an engine already dead is no suspect of its death.
+ */
 export function isCrashLike(failure: AttemptFailure): boolean {
-  return failure.place === FailurePlace.Stream || failure.place === FailurePlace.Stage;
+  const isBroken = failure.place === FailurePlace.Stream || failure.place === FailurePlace.Stage;
+  return isBroken && !failure.provenNotRun;
 }
 
 /** Failed attempts in a row, none of which gave a token, after which a request is given up. */
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -128,6 +128,8 @@
       /** Whether an engine's process seems to have died while it ran the request. */
       readonly isCrash: boolean;
       readonly isLost: boolean;
+      /** Tokens that the attempt gave. */
+      readonly attemptTokens: number;
       /** From the last sign of life to now. */
       readonly detection: Millis;
     }
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -62,6 +62,9 @@
 /** How long a crash counts. */
 export const CRASH_RETENTION: Millis = 3_600_000;
 const MAX_CRASHES = 256;
+/** Crashes so near to each other, and so many, have a common cause outside. */
+const OUTAGE_WINDOW: Millis = 1000;
+const OUTAGE_CRASHES = 3;
 
 /** The state before any crash. */
 export function createPoisonState(crashLimit: number): PoisonState {
@@ -73,9 +76,12 @@
   return hash64Hex(`${team}\u0000${model}\u0000${content}`);
 }
 
-/** Names the process of an engine that crashed. */
-export function createCrashId(engine: EngineId, bootId: string): CrashId {
-  return `${engine}@${bootId}`;
+/**
+ * Names the process of an engine that crashed, and whether the suspects had run on it for long. The two
+ * kinds are reported apart: what ran long is seldom to blame, and would hide who is.
+ */
+export function createCrashId(engine: EngineId, bootId: string, ranLong: boolean): CrashId {
+  return ranLong ? `${engine}@${bootId}/long` : `${engine}@${bootId}`;
 }
 
 /** Notes that a request was on an engine when it crashed. */
@@ -228,10 +234,26 @@
       !crash.disproven &&
       crash.expiresAt > now &&
       crash.suspects.has(fingerprint) &&
-      !crash.cleared.has(fingerprint),
+      !crash.cleared.has(fingerprint) &&
+      !isOfOutage(state, crash, fingerprint),
   );
 }
 
+/**
+ * Whether a crash was one of several at a time that had nothing to do with the request: a rack or a
+ * switch that goes takes engines down that never saw it.
+ */
+function isOfOutage(state: PoisonState, crash: Crash, fingerprint: Fingerprint): boolean {
+  let others = 0;
+  for (const other of state.crashes.values()) {
+    const isNear = Math.abs(other.expiresAt - crash.expiresAt) <= OUTAGE_WINDOW;
+    if (other !== crash && isNear && !other.suspects.has(fingerprint)) {
+      others += 1;
+    }
+  }
+  return others >= OUTAGE_CRASHES;
+}
+
 function listUncleared(crash: Crash): readonly Fingerprint[] {
   return [...crash.suspects].filter((suspect) => !crash.cleared.has(suspect));
 }
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -13,19 +13,25 @@
   windowStart: Millis;
 }
 
+/** An engine with the least gap that any stream had through it lately. */
+export interface SlowEngine {
+  readonly engine: EngineId;
+  readonly bestGap: Millis;
+}
+
 /** Progress of engines as seen from this instance. */
 export interface ProgressTracker {
   /** A token came over the chain, `gap` after the one before it. */
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
   /** Engines of a chain through which nothing has come since `since`; all of them if each is cleared. */
   findSilent(chain: Chain, since: Millis): readonly EngineId[];
-  /** The engine of a chain whose best stream is slowest. */
-  findSlowest(chain: Chain, now: Millis): EngineId | null;
+  /** The engine of a chain whose best stream is slowest, the later of two that are equal. */
+  findSlowest(chain: Chain, now: Millis): SlowEngine | null;
   /** Median over the engines of their best gap lately; null while fewer than three are known. */
   getUsualGap(now: Millis): Millis | null;
 }
 
-const WINDOW: Millis = 500;
+const WINDOW: Millis = 250;
 const FORGET_AFTER: Millis = 10_000;
 const LEAST_ENGINES = 3;
 
@@ -67,14 +73,12 @@
       return silent.length > 0 ? silent : all;
     },
     findSlowest(chain, now) {
-      let slowest: EngineId | null = null;
-      let worst = -Infinity;
+      let slowest: SlowEngine | null = null;
       for (const { engine } of chain.stages) {
         const progress = engines.get(engine);
         const best = progress ? getBest(progress, now) : -Infinity;
-        if (Number.isFinite(best) && best > worst) {
-          slowest = engine;
-          worst = best;
+        if (Number.isFinite(best) && best >= (slowest?.bestGap ?? 0)) {
+          slowest = { engine, bestGap: best };
         }
       }
       return slowest;
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -167,7 +167,9 @@
       return isNews;
     },
     noteEngineAlive(engine, bootId) {
-      poison = noteAlive(poison, createCrashId(engine, bootId));
+      for (const ranLong of [false, true]) {
+        poison = noteAlive(poison, createCrashId(engine, bootId, ranLong));
+      }
     },
     getCounts: () => ({
       waiting: shared.admission.countWaiting(),
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -1,6 +1,6 @@
 /** Decides whether a slow stream is moved off the engine that slows it. */
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { RequestMachine } from './RequestMachine.js';
+import type { RequestMachine } from './RequestState.js';
 import { RequestPhase } from './RequestMessages.js';
 import type { RequestSpec } from './RequestTypes.js';
 import { estimatePromptTokens } from './RequestTypes.js';
@@ -15,24 +15,40 @@
 /** Moving must save this many times what it is expected to cost. */
 const MOVE_GAIN = 2;
 
-/** The engine to replace, or null if the stream is not slow or moving would not pay. */
+/** An engine is to blame if even its best stream is this many times as slow as is usual. */
+const BLAME_FACTOR = 1.5;
+/** Time after which a slow stream is moved though each of its engines does well: a link is slow. */
+const LINK_PATIENCE: Millis = 600;
+
+/** Since when a stream has been slow, and the engine to replace if it is to be moved now. */
+export interface MoveDecision {
+  readonly slowSince: Millis | null;
+  readonly engine: EngineId | null;
+}
+
+/** Decides on a stream that was slow since `slowSince`. */
 export function decideMove(
   shared: RouterShared,
   spec: RequestSpec,
   machine: RequestMachine,
   usualGap: Millis,
-): EngineId | null {
+  slowSince: Millis | null,
+): MoveDecision {
   const now = shared.deps.timers.now();
   const { pace, chain, tokenCount } = machine;
   const isSettled = pace.samples >= SLOW_SAMPLES && now - machine.openedAt >= MOVE_AFTER;
   const isSlow = pace.mean > Math.max(SLOW_LEAST_GAP, usualGap * SLOW_FACTOR);
   const isMovable = spec.idempotent && machine.phase === RequestPhase.Running;
   if (!chain || !isMovable || !isSettled || !isSlow) {
-    return null;
+    return { slowSince: null, engine: null };
   }
+  const since = slowSince ?? now;
   const left = shared.meters.estimateLength(spec.model, spec.maxTokens) - tokenCount;
   const contextTokens = estimatePromptTokens(spec.prompt) + tokenCount;
   const cost = shared.meters.estimateFirstToken(spec.model, contextTokens);
   const pays = left * (pace.mean - usualGap) > MOVE_GAIN * cost;
-  return pays ? shared.progress.findSlowest(chain, now) : null;
+  const slowest = shared.progress.findSlowest(chain, now);
+  const isClear = slowest !== null && slowest.bestGap > BLAME_FACTOR * usualGap;
+  const isDue = isClear || now - since >= LINK_PATIENCE;
+  return { slowSince: since, engine: pays && isDue && slowest ? slowest.engine : null };
 }
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -14,6 +14,8 @@
 
 /** Tokens that a suspect must give after a crash to be cleared of it. */
 const CLEARING_TOKENS = 64;
+/** Fellow suspects on an engine that are borne, from the wish to the last resort. */
+const FELLOW_BOUNDS = [0, 1, 3, 7, Infinity];
 
 /** Notes a token that came over a chain; a request that gets on for long is cleared of crashes. */
 export function noteRunToken(
@@ -36,14 +38,19 @@
   }
 }
 
-/** Notes that a request was on an engine that crashed, and stops its copies if that condemns it. */
+/**
+ * Notes that a request was on an engine that crashed, and stops its copies if that condemns it. Those
+ * that ran there for long are kept apart from those that had just begun, who are few.
+ */
 export function noteRunCrash(
   shared: RouterShared,
   fingerprint: Fingerprint,
   engine: EngineId,
+  attemptTokens: number,
 ): void {
   const now = shared.deps.timers.now();
-  const crash = createCrashId(engine, shared.deps.getBootId(engine) ?? 'unknown');
+  const bootId = shared.deps.getBootId(engine) ?? 'unknown';
+  const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
   shared.setPoison(noteCrash(shared.getPoison(), crash, fingerprint, now));
   stopCondemned(shared);
 }
@@ -58,16 +65,23 @@
 }
 
 /**
- * Engines that a suspect must keep off: those that run other suspects of the same crash. Were two
- * suspects together at the next crash, it would not tell which of them caused it.
+ * Engines that a suspect keeps off: those that run other suspects of the same crash, which could not be
+ * told apart if they were together at the next one. Sets of engines to try in turn, each smaller than
+ * the one before: engines are few, and a bystander must not wait for one of its own.
  */
-export function findFellowEngines(
+export function listSpreads(
   shared: RouterShared,
   fingerprint: Fingerprint,
-): readonly EngineId[] {
+): readonly (readonly EngineId[])[] {
   if (judgeRun(shared, fingerprint) === PoisonVerdict.Clean) {
-    return [];
+    return [[]];
   }
   const fellows = listFellowSuspects(shared.getPoison(), fingerprint, shared.deps.timers.now());
-  return listRunsOf(shared, fellows).flatMap((run) => run.getEngines());
+  const counts = new Map<EngineId, number>();
+  for (const engine of listRunsOf(shared, fellows).flatMap((run) => run.getEngines())) {
+    counts.set(engine, (counts.get(engine) ?? 0) + 1);
+  }
+  return FELLOW_BOUNDS.map((bound) =>
+    [...counts].filter(([, count]) => count > bound).map(([engine]) => engine),
+  );
 }
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
@@ -0,0 +1,195 @@
+import { expect } from 'chai';
+import { FailurePlace } from '../../RequestPorts.js';
+import {
+  acknowledge,
+  createFailure,
+  createFakeWorld,
+  giveTokens,
+  listEngines,
+  listWords,
+} from './RequestFakes.js';
+
+describe('Recovery of an answer that broke off', () => {
+  it('goes on after the last token on a chain with only the dead stage replaced', () => {
+    // Symptom: an answer stops in mid-sentence, or begins again from its first word.
+    // Sequence: the second stage dies after five tokens; a late frame of the dead attempt follows.
+    // Cause: an attempt that is started anew, or frames that are not tied to their attempt.
+    const world = createFakeWorld();
+    const heard = world.submit('r');
+    const first = world.last();
+    acknowledge(first);
+    giveTokens(world, first, 0, 5);
+    first.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    const second = world.last();
+    expect(listEngines(second)).to.deep.equal(['a1', 'b2']);
+    expect(second.call.resumeTokens).to.deep.equal(listWords(5));
+    first.listener.onToken(5, 'stale');
+    acknowledge(second);
+    second.listener.onToken(4, 'repeated');
+    giveTokens(world, second, 5, 8);
+    second.listener.onEnd('stop', 8);
+    expect(heard.tokens).to.deep.equal(listWords(8));
+    expect([heard.ends, heard.problems]).to.deep.equal([['stop'], []]);
+    expect([world.count('lateFrames'), world.count('repeatedFrames')]).to.deep.equal([1, 1]);
+  });
+
+  it('finds a hung stage by silence and blames only the stage that no other stream clears', () => {
+    // Symptom: a stream stands still for the whole timeout, and then its healthy stages are ejected.
+    // Sequence: b1 hangs without an error; a stream over a1 and b2 goes on.
+    // Cause: waiting for a fixed timeout; blaming the whole chain for one stage.
+    const world = createFakeWorld();
+    const hung = world.submit('hung');
+    const call = world.last();
+    acknowledge(call);
+    world.submit('other', { prompt: 'other' });
+    const other = world.last();
+    acknowledge(other);
+    other.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    const moved = world.last();
+    acknowledge(moved);
+    expect(listEngines(moved)).to.deep.equal(['a1', 'b2']);
+    giveTokens(world, call, 0, 10);
+    const silentFrom = world.timers.now();
+    for (let i = 0; world.last() === moved && i < 100; i++) {
+      giveTokens(world, moved, i, i + 1);
+    }
+    const repaired = world.last();
+    expect(repaired.openedAt - silentFrom).to.be.within(100, 200);
+    expect(listEngines(repaired)).to.deep.equal(['a1', 'b2']);
+    expect(call.isCancelled).to.equal(true);
+    acknowledge(repaired);
+    giveTokens(world, repaired, 10, 12);
+    repaired.listener.onEnd('stop', 12);
+    expect(hung.tokens).to.deep.equal(listWords(12));
+  });
+
+  it('bears a replacement that dies too, and a third that refuses', () => {
+    // Symptom: an answer is lost although engines that could finish it are left.
+    // Sequence: b1 dies after tokens, b2 is dead when it is asked, a1 refuses once with a wait.
+    // Cause: recovering once only, or asking the engine again before the wait it named.
+    const world = createFakeWorld();
+    const heard = world.submit('r');
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 3);
+    world.last().listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    acknowledge(world.last());
+    world
+      .last()
+      .listener.onFailure(
+        createFailure({ place: FailurePlace.Stage, engine: 'b2', provenNotRun: true }),
+      );
+    world.timers.advanceTo(world.timers.now() + 200);
+    expect(listEngines(world.last())).to.deep.equal(['a1', 'b3']);
+    const refusedAt = world.timers.now();
+    world.last().listener.onFailure(
+      createFailure({
+        place: FailurePlace.Refused,
+        engine: 'a1',
+        status: 429,
+        retryAfter: 700,
+        provenNotRun: true,
+      }),
+    );
+    world.timers.advanceTo(refusedAt + 800);
+    const last = world.last();
+    expect(last.openedAt - refusedAt).to.be.at.least(700);
+    expect(last.call.resumeTokens).to.deep.equal(listWords(3));
+    acknowledge(last);
+    last.listener.onToken(3, 'w3');
+    last.listener.onEnd('stop', 4);
+    expect(heard.tokens).to.deep.equal(listWords(4));
+    expect(heard.ends).to.deep.equal(['stop']);
+  });
+
+  it('recovers those who have waited longest first, and only so many at once', () => {
+    // Symptom: after a rack is lost, the answers on the engines that are left stop as well.
+    // Sequence: twenty streams lose their engine within a second.
+    // Cause: all of them read their prompts again at the same time.
+    const world = createFakeWorld();
+    for (let i = 0; i < 20; i++) {
+      world.submit(`r${i}`);
+      acknowledge(world.last());
+    }
+    const before = [...world.calls];
+    before.forEach((opened, i) => {
+      world.timers.advanceTo(100 + i * 5);
+      opened.listener.onToken(0, 'w0');
+    });
+    [...before].reverse().forEach((opened) => {
+      opened.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    });
+    const bound = world.router.getCounts().recovering;
+    expect(bound).to.be.within(4, 10);
+    expect(world.router.getCounts().recoveriesWaiting).to.equal(20 - bound);
+    acknowledge(world.last());
+    world.last().listener.onToken(1, 'w1');
+    expect(world.last().call.request).to.equal('r0');
+  });
+
+  it('never passes off a cut or miscounted answer as complete', () => {
+    // Symptom: a statement without its last line, shown as whole.
+    // Sequence: an end frame counts a token that never came; then an index jumps over one.
+    // Cause: trusting the end of a stream, or gluing what came over a gap.
+    const world = createFakeWorld();
+    const heard = world.submit('r');
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 2);
+    world.last().listener.onEnd('stop', 3);
+    world.timers.advanceTo(world.timers.now() + 100);
+    acknowledge(world.last());
+    world.last().listener.onToken(3, 'w3');
+    world.timers.advanceTo(world.timers.now() + 100);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(2), []]);
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 2, 4);
+    world.last().listener.onEnd('stop', 4);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(4), ['stop']]);
+  });
+
+  it('gives no token of an engine that acknowledges another chain', () => {
+    // Symptom: an answer from the wrong version of a model.
+    // Sequence: the engine was given a new version after the choice; it acknowledges that one.
+    // Cause: an acknowledgement that nobody compares with what was asked for.
+    const world = createFakeWorld();
+    const heard = world.submit('r');
+    const wrong = world.last();
+    const { chain } = wrong.call;
+    wrong.listener.onAcknowledged({
+      variant: { ...chain.variant, version: 'v2' },
+      stages: chain.stages,
+    });
+    wrong.listener.onToken(0, 'of v2');
+    world.timers.advanceTo(100);
+    acknowledge(world.last());
+    world.last().listener.onToken(0, 'w0');
+    world.last().listener.onEnd('stop', 1);
+    expect(heard.tokens).to.deep.equal(['w0']);
+    expect(wrong.isCancelled).to.equal(true);
+  });
+
+  it('moves a stream that has become slow', () => {
+    // Symptom: one answer crawls for minutes while its neighbours are done in seconds.
+    // Sequence: an engine's accelerator throttles; each token comes, ten times as late.
+    // Cause: every single gap is below the limit of silence, so nothing is ever silent.
+    const world = createFakeWorld();
+    world.submit('slow', { maxTokens: 400 });
+    const slow = world.last();
+    acknowledge(slow);
+    world.submit('well', { maxTokens: 400 });
+    const well = world.last();
+    acknowledge(well);
+    well.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    const moved = world.last();
+    acknowledge(moved);
+    let slowTokens = 0;
+    for (let i = 0; i < 160 && !slow.isCancelled; i++) {
+      giveTokens(world, moved, i, i + 1, 10);
+      if (i < 20 || i % 10 === 0) {
+        slow.listener.onToken(slowTokens, `w${slowTokens}`);
+        slowTokens += 1;
+      }
+    }
+    expect(slow.isCancelled).to.equal(true);
+    expect(listEngines(world.last())).to.deep.equal(['a1', 'b2']);
+  });
+});
