Wait out the longest backoff in the recovery test

Cause: the test gave the third attempt 800 ms after a wait of 700 ms that the engine had asked for, but the backoff that follows adds up to 150 ms, so the attempt was not yet open and the test failed. Change: the test waits 900 ms, still short of the silence that would fail the new attempt. Conclusion: the test checks what it meant to, that the named wait is honoured and tokens go on.

--- a/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
@@ -90,7 +90,7 @@
         provenNotRun: true,
       }),
     );
-    world.timers.advanceTo(refusedAt + 800);
+    world.timers.advanceTo(refusedAt + 900);
     const last = world.last();
     expect(last.openedAt - refusedAt).to.be.at.least(700);
     expect(last.call.resumeTokens).to.deep.equal(listWords(3));
