--- /dev/null
+++ b/packages/bench/src/RecoveryWorld.ts
@@ -0,0 +1,311 @@
+/** A fleet under steady load for the recovery bench, with callers that check every token they get. */
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
+import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { ClaimOutcome, ClaimPort } from '@skylarksail/requests/RequestPorts';
+import type { RequestSpec } from '@skylarksail/requests/RequestTypes';
+import type { DecisionRecord, RouterMetric } from '@skylarksail/requests/RouterTypes';
+import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
+import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
+import { createRoutingState, setEngines, setRoutingFacts } from '@skylarksail/routing/RoutingState';
+import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
+import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
+import type { InstanceOptions } from './RecoveryInstance.js';
+import type { RecoveryInstance, RecoveryWorld, RequestTrace } from './RecoveryTypes.js';
+import type { BenchShape, BenchWork } from './ThroughputShapes.js';
+import { BENCH_ACTIVATION_BYTES, BENCH_VARIANT } from './ThroughputShapes.js';
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly shape: BenchShape;
+  /** Requests a second over all instances. */
+  readonly requestsPerSecond: number;
+  readonly createInstance: (options: InstanceOptions) => RecoveryInstance;
+  readonly onMetric: (metric: RouterMetric) => void;
+}
+
+const ENTRY_DELAY = 0.3;
+const KV_BYTES_PER_LAYER = 4096;
+const DEADLINE: Millis = 60_000;
+/** One request in this many carries a key and must not run twice. */
+const KEYED_EVERY = 10;
+const CLAIM_TIME: Millis = 5;
+const STEP: Millis = 5;
+const PROMPT_SPREAD = 0.5;
+/** Time in which a balancer gives a caller's resend to another instance. */
+const RESEND_DELAY: Millis = 50;
+const GOSSIP_PERIOD: Millis = 200;
+/** Prompts that start so crash the engine that first computes them. */
+export const POISON_PREFIX = 'poison';
+
+/** Creates the world; time moves as its timers are advanced. */
+export function createRecoveryWorld(options: WorldOptions): RecoveryWorld {
+  const { shape, seed } = options;
+  const timers = createVirtualTimers();
+  const random = createRandom(seed);
+  const traces: RequestTrace[] = [];
+  const byId = new Map<string, RequestTrace>();
+  let isPlatformUp = true;
+  let wrongAnswers = 0;
+  let count = 0;
+  const dead = new Set<number>();
+
+  const fleet = createVirtualFleet({
+    timers,
+    engines: shape.engines,
+    getLink: createLinkLookup(shape),
+    activationBytes: BENCH_ACTIVATION_BYTES,
+    kvBytesPerLayer: KV_BYTES_PER_LAYER,
+    entryDelayMs: ENTRY_DELAY,
+    readPrompt: (prompt) => {
+      const [prefixKey = null, prefix, own] = prompt.split('/');
+      return { tokens: Number(prefix) + Number(own), prefixKey, prefixTokens: Number(prefix) };
+    },
+    createToken: (call, index) => `${call.request}:${index} `,
+    isPoison: (call) => call.prompt.startsWith(POISON_PREFIX),
+  });
+
+  const claims: ClaimPort = {
+    claim: (ask) =>
+      new Promise<ClaimOutcome>((resolve) => {
+        const until = timers.now() + ask.timeLeft;
+        function tryClaim(): void {
+          if (isPlatformUp) {
+            resolve({ kind: 'granted', token: ask.request });
+          } else if (timers.now() >= until) {
+            resolve({ kind: 'unavailable', retryAfter: MILLIS_PER_SECOND });
+          } else {
+            timers.registerTimeout(CLAIM_TIME, tryClaim);
+          }
+        }
+        timers.registerTimeout(CLAIM_TIME, tryClaim);
+      }),
+    settle: () => undefined,
+    release: () => undefined,
+  };
+
+  function onDecision(record: DecisionRecord): void {
+    const trace = byId.get(record.request);
+    if (!trace) {
+      return;
+    }
+    if (record.decision === 'chain' || record.decision === 'repair') {
+      trace.engines = (record.chain ?? '').split(/ > |,/).map((stage) => stage.split('[')[0] ?? '');
+    }
+    const isSign = record.decision === 'attempt-failed' || record.decision === 'repair';
+    if (isSign && trace.detectedAt === null) {
+      trace.detectedAt = timers.now();
+    }
+  }
+
+  const instances = shape.domains.flatMap((domain, d) =>
+    Array.from({ length: shape.instancesPerDomain }, (_, i) =>
+      options.createInstance({
+        timers,
+        seed: seed + 1 + d * shape.instancesPerDomain + i,
+        domain,
+        layerCount: shape.layerCount,
+        fleet,
+        open: fleet.open,
+        claims,
+        routing: createInitialRouting(shape, domain),
+        onDecision,
+        onCount: options.onMetric,
+      }),
+    ),
+  );
+
+  function submit(
+    prompt: string,
+    maxTokens: number,
+    priority: BenchWork['priority'],
+    instance: number,
+    isKeyed: boolean,
+  ): RequestTrace {
+    count += 1;
+    const id = `r${count}`;
+    const [, prefix, own] = prompt.split('/');
+    const trace: RequestTrace = {
+      id,
+      instance,
+      isKeyed,
+      submittedAt: timers.now(),
+      tokenTimes: [],
+      engines: [],
+      detectedAt: null,
+      endedAt: null,
+      problem: null,
+      resentAs: null,
+    };
+    traces.push(trace);
+    byId.set(id, trace);
+    const spec: RequestSpec = {
+      id,
+      team: `team${count % 10}`,
+      model: BENCH_VARIANT.model,
+      variant: BENCH_VARIANT,
+      layerCount: shape.layerCount,
+      prompt: `${prompt}/${id}`,
+      promptTokens: Number(prefix) + Number(own),
+      maxTokens,
+      priority,
+      deadline: timers.now() + DEADLINE,
+      idempotencyKey: isKeyed ? id : null,
+      idempotent: !isKeyed,
+      prefixKeys: [],
+    };
+    const isPoison = prompt.startsWith(POISON_PREFIX);
+    instances[instance]?.submit(isPoison ? { ...spec, prompt } : spec, {
+      onStart: () => undefined,
+      onToken(index, token) {
+        const isRight = index === trace.tokenTimes.length && token === `${id}:${index} `;
+        wrongAnswers += isRight ? 0 : 1;
+        trace.tokenTimes.push(timers.now());
+      },
+      onEnd() {
+        wrongAnswers += trace.tokenTimes.length === maxTokens && trace.endedAt === null ? 0 : 1;
+        trace.endedAt = timers.now();
+      },
+      onError(problem) {
+        wrongAnswers += trace.endedAt === null ? 0 : 1;
+        trace.endedAt = timers.now();
+        trace.problem = `${problem.kind} ${problem.run}`;
+        if (dead.has(instance) && !isKeyed) {
+          timers.registerTimeout(RESEND_DELAY, () => resend(trace, prompt, maxTokens, priority));
+        }
+      },
+    });
+    return trace;
+  }
+
+  /** The caller's connection broke: it sends the whole request to another instance. */
+  function resend(
+    trace: RequestTrace,
+    prompt: string,
+    maxTokens: number,
+    priority: BenchWork['priority'],
+  ): void {
+    Object.assign(trace, {
+      problem: null,
+      resentAs: submit(prompt, maxTokens, priority, pickInstance(), false),
+    });
+  }
+
+  function pickInstance(): number {
+    const live = instances.map((_, i) => i).filter((i) => !dead.has(i));
+    return live[random.nextInt(live.length)] ?? 0;
+  }
+
+  function sendNext(): void {
+    const work = pickWork(shape.work, random);
+    const own = drawLength(work.ownTokens, random);
+    const prompt = `${work.name}-${random.nextInt(work.templates)}/${work.prefixTokens}/${own}`;
+    const isKeyed = count % KEYED_EVERY === 0;
+    submit(prompt, drawLength(work.answerTokens, random), work.priority, pickInstance(), isKeyed);
+    const gap = MILLIS_PER_SECOND / options.requestsPerSecond;
+    timers.registerTimeout(-Math.log(1 - random.nextFloat()) * gap, sendNext);
+  }
+
+  function gossip(): void {
+    const digests = instances.map((instance) => instance.getPoisonDigest());
+    instances.forEach((instance) => digests.forEach((digest) => instance.mergePoison(digest)));
+  }
+
+  timers.registerTimeout(MILLIS_PER_SECOND, sendNext);
+  timers.registerInterval(GOSSIP_PERIOD, gossip);
+  return {
+    shape,
+    timers,
+    fleet,
+    instances,
+    traces,
+    get tallies() {
+      const { started } = fleet.readLedger();
+      const keyed = traces.filter((trace) => trace.isKeyed);
+      const doubled = keyed.filter(({ id }) => (started.get(id) ?? 0) > 1).length;
+      const lost = traces.filter((trace) => isLost(trace, started, timers.now())).length;
+      return { lost, doubled, cutOff: wrongAnswers };
+    },
+    async advanceTo(time) {
+      while (timers.now() < time) {
+        timers.advanceTo(Math.min(time, timers.now() + STEP));
+        await new Promise(setImmediate);
+      }
+    },
+    setPlatformUp(isUp) {
+      isPlatformUp = isUp;
+    },
+    killInstance(index) {
+      dead.add(index);
+      instances[index]?.kill();
+    },
+    send: (prompt, instance) => submit(prompt, 32, 'normal', instance, false),
+  };
+}
+
+/** An idempotent request that ran and got no answer, or any request that hears nothing at all. */
+function isLost(trace: RequestTrace, started: ReadonlyMap<string, number>, now: Millis): boolean {
+  if (trace.endedAt === null) {
+    return now > trace.submittedAt + DEADLINE;
+  }
+  if (trace.problem === null) {
+    return false;
+  }
+  const saysNotRun = trace.problem.endsWith('not-run');
+  const isFalse = saysNotRun && (started.get(trace.id) ?? 0) > 0;
+  return isFalse || (!trace.isKeyed && !saysNotRun && !trace.problem.startsWith('poison'));
+}
+
+function pickWork(work: readonly BenchWork[], random: Random): BenchWork {
+  let draw = random.nextFloat();
+  const found = work.find(({ share }) => {
+    draw -= share;
+    return draw < 0;
+  });
+  return found ?? (work.at(-1) as BenchWork);
+}
+
+function drawLength(mean: number, random: Random): number {
+  return Math.max(
+    1,
+    Math.round(mean * (1 - PROMPT_SPREAD + 2 * PROMPT_SPREAD * random.nextFloat())),
+  );
+}
+
+function createInitialRouting(shape: BenchShape, domain: string): RoutingState {
+  const instanceCount = shape.instancesPerDomain;
+  const foreignInstanceCount = (shape.domains.length - 1) * instanceCount;
+  const models = new Map([
+    [BENCH_VARIANT.model, { id: BENCH_VARIANT.model, activationBytes: BENCH_ACTIVATION_BYTES }],
+  ]);
+  const state = setRoutingFacts(
+    createRoutingState({ domain, instanceCount, foreignInstanceCount }),
+    { links: shape.links, models },
+  );
+  return setEngines(
+    state,
+    shape.engines.map(({ facts }) => facts),
+  );
+}
+
+function createLinkLookup(shape: BenchShape): (from: EngineFacts, to: EngineFacts) => LinkCost {
+  const known = new Map<string, LinkCost>();
+  const regions = new Map<string, string>();
+  return (from, to) => {
+    const name = `${from.rack}>${to.rack}`;
+    const cached = known.get(name);
+    if (cached) {
+      return cached;
+    }
+    const cost = getLinkCost(
+      shape.links,
+      getEnginePlace(from, regions),
+      getEnginePlace(to, regions),
+    );
+    known.set(name, cost);
+    return cost;
+  };
+}
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -5,7 +5,7 @@
 import type { Fingerprint } from './RequestPoison.js';
 import type { EngineCallListener } from './RequestPorts.js';
 import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
-import { estimatePromptTokens } from './RequestTypes.js';
+import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { listSpreads } from './RunSuspicion.js';
 
@@ -40,7 +40,7 @@
   send: (event: RequestEvent) => void,
 ): AttemptRunner {
   const { deps, meters } = shared;
-  const promptTokens = estimatePromptTokens(spec.prompt);
+  const promptTokens = getPromptTokens(spec);
   let current: OpenAttempt | null = null;
   let hold: ChainHold | null = null;
 
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -21,7 +21,7 @@
 import { FailurePlace } from './RequestPorts.js';
 import { createRequestMachine } from './RequestState.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
-import { estimatePromptTokens, ProblemKind } from './RequestTypes.js';
+import { getPromptTokens, ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
 import { countMetric, feedBudget, judgeRun, logDecision, takeFromBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
@@ -33,7 +33,7 @@
 /** Prompts weigh this part of what generated tokens do. */
 const PROMPT_COST = 1 / 8;
 const RECHOOSE_LEAST: Millis = 50;
-const RECHOOSE_MOST: Millis = 1000;
+const RECHOOSE_MOST: Millis = 250;
 const RETRY_JITTER = 0.3;
 
 /** Starts a request; its sink hears everything from here on. */
@@ -46,7 +46,7 @@
   const { timers } = deps;
   const submittedAt = timers.now();
   const fingerprint = computeFingerprint(spec.team, spec.model, spec.prompt);
-  const promptTokens = estimatePromptTokens(spec.prompt);
+  const promptTokens = getPromptTokens(spec);
   const tokens: string[] = [];
   const attempts = createAttemptRunner(shared, spec, fingerprint, tokens, send);
   const undoDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
@@ -144,6 +144,7 @@
   function choose(effect: EffectOf<'choose'>): void {
     if (!attempts.choose(effect)) {
       log('no-chain', effect.failed.join(','));
+      admission.noteRefusal();
       recovery.finish(spec.id);
       shared.pumpRecoveries();
     }
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -12,6 +12,8 @@
   readonly variant: ModelVariant;
   readonly layerCount: number;
   readonly prompt: string;
+  /** Tokens of the prompt, if they were counted; estimated from its length otherwise. */
+  readonly promptTokens?: number;
   readonly maxTokens: number;
   readonly priority: PriorityName;
   /** Time on the timer service's clock after which the caller no longer wants the answer. */
@@ -132,7 +134,7 @@
 
 const CHARACTERS_PER_TOKEN = 4;
 
-/** Rough number of tokens in a prompt, for costs and expected times. */
-export function estimatePromptTokens(prompt: string): number {
-  return Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+/** Tokens of a request's prompt, for costs and expected times. */
+export function getPromptTokens(spec: Pick<RequestSpec, 'prompt' | 'promptTokens'>): number {
+  return spec.promptTokens ?? Math.ceil(spec.prompt.length / CHARACTERS_PER_TOKEN);
 }
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -3,7 +3,7 @@
 import type { RequestMachine } from './RequestState.js';
 import { RequestPhase } from './RequestMessages.js';
 import type { RequestSpec } from './RequestTypes.js';
-import { estimatePromptTokens } from './RequestTypes.js';
+import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
@@ -44,7 +44,7 @@
   }
   const since = slowSince ?? now;
   const left = shared.meters.estimateLength(spec.model, spec.maxTokens) - tokenCount;
-  const contextTokens = estimatePromptTokens(spec.prompt) + tokenCount;
+  const contextTokens = getPromptTokens(spec) + tokenCount;
   const cost = shared.meters.estimateFirstToken(spec.model, contextTokens);
   const pays = left * (pace.mean - usualGap) > MOVE_GAIN * cost;
   const slowest = shared.progress.findSlowest(chain, now);
