--- a/packages/bench/src/RecoveryBench.ts
+++ b/packages/bench/src/RecoveryBench.ts
@@ -196,7 +196,8 @@
   world.traces.forEach(clearDetection);
   const fault = inject(world);
   const struck = world.traces.filter(
-    (trace) => wasRunning(trace, FAULT_AT) && fault.strikes(trace),
+    // Keyed work is never run again: its callers get the truth and not the rest of the answer.
+    (trace) => wasRunning(trace, FAULT_AT) && !trace.isKeyed && fault.strikes(trace),
   );
   await world.advanceTo(FAULT_AT + MEND_AFTER);
   fault.mend();
--- a/packages/bench/src/RecoveryWorld.ts
+++ b/packages/bench/src/RecoveryWorld.ts
@@ -144,7 +144,7 @@
     byId.set(id, trace);
     const spec: RequestSpec = {
       id,
-      team: `team${count % 10}`,
+      team: prompt.startsWith(POISON_PREFIX) ? POISON_PREFIX : `team${count % 10}`,
       model: BENCH_VARIANT.model,
       variant: BENCH_VARIANT,
       layerCount: shape.layerCount,
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -57,10 +57,10 @@
     };
   }
 
-  function chooseSpread(choose: (fellows: readonly EngineId[]) => ChainChoice): ChainChoice {
+  function chooseSpread(choose: (others: readonly EngineId[]) => ChainChoice): ChainChoice {
     const [first = [], ...others] = listSpreads(shared, fingerprint);
     return others.reduce(
-      (choice, fellows) => (choice.kind === 'none' ? choose(fellows) : choice),
+      (choice, next) => (choice.kind === 'none' ? choose(next) : choice),
       choose(first),
     );
   }
@@ -68,10 +68,13 @@
   return {
     choose({ broken, failed, avoid }) {
       const contextTokens = promptTokens + tokens.length;
-      const choice = chooseSpread((fellows) => {
-        const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...fellows])] };
-        return broken !== null && failed.length < broken.stages.length
-          ? deps.chooseRepair({ ...wish, broken, failed })
+      const choice = chooseSpread((others) => {
+        const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...others])] };
+        const engines = broken?.stages.map((stage) => stage.engine) ?? [];
+        // Stages that other requests have lost meanwhile are replaced in the same stroke.
+        const lost = engines.filter((id) => failed.includes(id) || wish.avoid.includes(id));
+        return broken !== null && lost.length < engines.length
+          ? deps.chooseRepair({ ...wish, broken, failed: lost })
           : deps.chooseChain(wish);
       });
       if (choice.kind === 'none') {
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -35,6 +35,7 @@
 const RECHOOSE_LEAST: Millis = 50;
 const RECHOOSE_MOST: Millis = 250;
 const RETRY_JITTER = 0.3;
+const BUDGET_WAIT: Millis = 500;
 
 /** Starts a request; its sink hears everything from here on. */
 export function startModelRun(
@@ -224,7 +225,13 @@
       admission.noteRefusal();
     }
     const [engine] = effect.engines;
-    if (effect.isCrash && engine !== undefined) {
+    if (engine === undefined || effect.engines.length > 1) {
+      return;
+    }
+    if (effect.isLost) {
+      shared.progress.noteLost(engine, timers.now());
+    }
+    if (effect.isCrash) {
       noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
     }
   }
@@ -240,14 +247,34 @@
     }
     const delay = mode === 'rechoose' ? computeRechoose(retryAfter) : computeDelay(effect);
     const isInTime = timers.now() + delay < spec.deadline;
-    if (!isInTime || (mode === 'retry' && !takeFromBudget(shared))) {
+    if (!isInTime) {
       send({ kind: 'retry-refused', retryAfter });
       return;
     }
+    if (mode === 'retry' && !takeFromBudget(shared)) {
+      waitForBudget(effect);
+      return;
+    }
     log('retry', mode);
     timers.registerTimeout(delay, () => send({ kind: 'retry-granted', failed }));
   }
 
+  /** A caller that has part of its answer waits for the rest; any other is told at once. */
+  function waitForBudget(effect: EffectOf<'ask-retry'>): void {
+    if (machine.tokenCount === 0) {
+      send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
+      return;
+    }
+    const { attempt } = machine;
+    timers.registerTimeout(jitter(deps.random, BUDGET_WAIT, RETRY_JITTER), () =>
+      shared.post(() => {
+        if (machine.phase === RequestPhase.Pausing && machine.attempt === attempt) {
+          askRetry(effect);
+        }
+      }),
+    );
+  }
+
   function computeDelay({ fruitless, retryAfter }: EffectOf<'ask-retry'>): Millis {
     return computeBackoff(deps.random, fruitless, retryAfter);
   }
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -35,6 +35,7 @@
 
 /** Work that must not run twice is never replaced, so its silence is borne this many times as long. */
 const SINGLE_RUN_PATIENCE = 10;
+const MAX_DOUBLINGS = 4;
 
 /** Opens the next attempt on a chain that was chosen. */
 export function openAttempt(
@@ -158,7 +159,9 @@
 
 /** How long the present attempt may be silent from its last sign of life on. */
 function getSilenceLimit(machine: RequestMachine): Millis {
-  const patience = machine.idempotent ? 1 : SINGLE_RUN_PATIENCE;
+  // Silence after silence says that all is slow: recovering ever again would make it slower.
+  const doubled = 2 ** Math.min(MAX_DOUBLINGS, machine.fruitless);
+  const patience = machine.idempotent ? doubled : SINGLE_RUN_PATIENCE;
   if (!machine.acknowledged) {
     return patience * machine.limits.acknowledgement;
   }
@@ -194,7 +197,11 @@
     { kind: 'close', outcome: describeFailure(failure, failed, isSlow) },
     noteFailure(closed, failure, failureClass, failed, now),
   ];
-  const next = decideNextStep(failure, failureClass, machine.idempotent, fruitless);
+  const next = decideNextStep(failure, failureClass, {
+    idempotent: machine.idempotent,
+    fruitless,
+    hasTokens: machine.tokenCount > 0,
+  });
   if (next === NextStep.Stop) {
     const ended = endWith(
       { ...closed, phase: RequestPhase.Pausing },
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -87,12 +87,13 @@
 }
 
 const LOST_ENGINE_PLACES: ReadonlySet<FailurePlaceName> = new Set([
+  FailurePlace.Connect,
   FailurePlace.Stream,
   FailurePlace.Stage,
   FailurePlace.Silence,
 ]);
 
-/** Whether the engine was lost under the work, as against having refused it. */
+/** Whether the engine was lost, before or under the work, as against having refused it. */
 export function isEngineLost(failure: AttemptFailure): boolean {
   return LOST_ENGINE_PLACES.has(failure.place);
 }
@@ -120,12 +121,26 @@
 
 export type NextStepName = (typeof NextStep)[keyof typeof NextStep];
 
-/** Decides what may follow a failure. Non-idempotent work goes on only if it is proven not to have run. */
+/** Attempts at engines that were dead already, after which trying on waits for the budget. */
+const MAX_DEAD_ENGINES = 8;
+
+/** What decides how a request goes on. */
+export interface RetryState {
+  readonly idempotent: boolean;
+  /** Failed attempts in a row, none of which gave a token. */
+  readonly fruitless: number;
+  /** Whether the caller has a part of the answer. */
+  readonly hasTokens: boolean;
+}
+
+/**
+ * Decides what may follow a failure. Non-idempotent work goes on only if it is proven not to have run.
+ * An answer of which the caller has a part is not given up before its deadline.
+ */
 export function decideNextStep(
   failure: AttemptFailure,
   failureClass: FailureClassName,
-  idempotent: boolean,
-  fruitlessAttempts: number,
+  { idempotent, fruitless, hasTokens }: RetryState,
 ): NextStepName {
   if (failureClass === FailureClass.Answered) {
     return NextStep.Stop;
@@ -133,10 +148,13 @@
   if (!idempotent && failureClass !== FailureClass.NotRun) {
     return NextStep.Stop;
   }
-  if (fruitlessAttempts >= MAX_FRUITLESS_ATTEMPTS) {
-    return NextStep.Stop;
+  const isDead = failureClass === FailureClass.NotRun && isEngineLost(failure);
+  const freeAttempts = isDead ? MAX_DEAD_ENGINES : 1;
+  if (isEngineLost(failure) && fruitless <= freeAttempts) {
+    return NextStep.Recover;
   }
-  return isEngineLost(failure) && fruitlessAttempts <= 1 ? NextStep.Recover : NextStep.Retry;
+  const isGivenUp = fruitless >= MAX_FRUITLESS_ATTEMPTS && !hasTokens;
+  return isGivenUp ? NextStep.Stop : NextStep.Retry;
 }
 
 const BACKOFF_BASE: Millis = 25;
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -23,6 +23,13 @@
 export interface ProgressTracker {
   /** A token came over the chain, `gap` after the one before it. */
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
+  /** An engine was lost under a request, or could not be reached. */
+  noteLost(engine: EngineId, now: Millis): void;
+  /**
+   * Engines lost a short while ago that have given nothing since. Without this list each request of a
+   * lost rack would find out for itself, engine by engine, that they are dead.
+   */
+  listDown(now: Millis): readonly EngineId[];
   /** Engines of a chain through which nothing has come since `since`; all of them if each is cleared. */
   findSilent(chain: Chain, since: Millis): readonly EngineId[];
   /** The engine of a chain whose best stream is slowest, the later of two that are equal. */
@@ -34,10 +41,12 @@
 const WINDOW: Millis = 250;
 const FORGET_AFTER: Millis = 10_000;
 const LEAST_ENGINES = 3;
+const DOWN_TIME: Millis = 2000;
 
 /** Creates a tracker that knows nothing. */
 export function createProgressTracker(): ProgressTracker {
   const engines = new Map<EngineId, EngineProgress>();
+  const lostAt = new Map<EngineId, Millis>();
 
   function getBest(progress: EngineProgress, now: Millis): Millis {
     return now - progress.windowStart > 2 * WINDOW
@@ -64,9 +73,24 @@
           progress.windowStart = now;
         }
         progress.lastAt = now;
+        lostAt.delete(engine);
         progress.best = Math.min(progress.best, gap ?? Infinity);
       }
     },
+    noteLost(engine, now) {
+      lostAt.set(engine, now);
+    },
+    listDown(now) {
+      const down: EngineId[] = [];
+      for (const [engine, at] of lostAt) {
+        if (now - at < DOWN_TIME) {
+          down.push(engine);
+        } else {
+          lostAt.delete(engine);
+        }
+      }
+      return down;
+    },
     findSilent(chain, since) {
       const all = chain.stages.map((stage) => stage.engine);
       const silent = all.filter((engine) => (engines.get(engine)?.lastAt ?? -Infinity) <= since);
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -65,23 +65,28 @@
 }
 
 /**
- * Engines that a suspect keeps off: those that run other suspects of the same crash, which could not be
- * told apart if they were together at the next one. Sets of engines to try in turn, each smaller than
- * the one before: engines are few, and a bystander must not wait for one of its own.
+ * Engines that a request keeps off: those that were lost just now and, if it is a suspect, those that run
+ * other suspects of the same crash, which could not be told apart if they were together at the next one.
+ * Sets of engines to try in turn, each smaller than the one before: engines are few, and a bystander must
+ * not wait for one of its own.
  */
 export function listSpreads(
   shared: RouterShared,
   fingerprint: Fingerprint,
 ): readonly (readonly EngineId[])[] {
+  const now = shared.deps.timers.now();
+  const down = shared.progress.listDown(now);
   if (judgeRun(shared, fingerprint) === PoisonVerdict.Clean) {
-    return [[]];
+    return down.length > 0 ? [down, []] : [[]];
   }
-  const fellows = listFellowSuspects(shared.getPoison(), fingerprint, shared.deps.timers.now());
+  const fellows = listFellowSuspects(shared.getPoison(), fingerprint, now);
   const counts = new Map<EngineId, number>();
   for (const engine of listRunsOf(shared, fellows).flatMap((run) => run.getEngines())) {
     counts.set(engine, (counts.get(engine) ?? 0) + 1);
   }
-  return FELLOW_BOUNDS.map((bound) =>
-    [...counts].filter(([, count]) => count > bound).map(([engine]) => engine),
-  );
+  const spreads = FELLOW_BOUNDS.map((bound) => [
+    ...down,
+    ...[...counts].filter(([, count]) => count > bound).map(([engine]) => engine),
+  ]);
+  return [...spreads, []];
 }
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -126,7 +126,11 @@
     if (failure.place === FailurePlace.Refused) {
       admission.noteRefusal();
     }
-    const next = decideNextStep(failure, failureClass, spec.idempotent, fruitless + 1);
+    const next = decideNextStep(failure, failureClass, {
+      idempotent: spec.idempotent,
+      fruitless: fruitless + 1,
+      hasTokens: false,
+    });
     if (next === NextStep.Stop || !retry(server, failure.retryAfter)) {
       fail(ProblemKind.EngineFailed, failure.retryAfter);
     }
