--- a/packages/claims/src/ClaimSlotTypes.ts
+++ b/packages/claims/src/ClaimSlotTypes.ts
@@ -28,11 +28,11 @@
 export const DEFAULT_SLOT_SETTINGS: ClaimSlotSettings = {
   batchInterval: 400,
   retryPause: 150,
-  sealAt: 150,
+  sealAt: 100,
   openLimit: 600,
   mergeAt: 8,
-  segmentLimit: 9600,
-  claimLimit: 200_000,
+  segmentLimit: 6400,
+  claimLimit: 150_000,
   retention: 86_400_000,
   deferAfterLoss: 3000,
 };
