--- a/packages/platform/src/PlatformBudget.ts
+++ b/packages/platform/src/PlatformBudget.ts
@@ -29,6 +29,11 @@
    */
   readonly fleetClaimWritesPerSecond: number;
   readonly fleetClaimReadsPerSecond: number;
+  /**
+   * Writes of one instance for leases. Not a part of the fleet's: a lease is held by one instance and
+   * wanted by few, and an equal part for each of many would be too little to renew it in time.
+   */
+  readonly leaseWritesPerSecond: number;
   /** Unused calls are saved up for this long. */
   readonly burst: Millis;
 }
@@ -38,6 +43,7 @@
   fleetReadsPerSecond: 1100,
   fleetClaimWritesPerSecond: 200,
   fleetClaimReadsPerSecond: 400,
+  leaseWritesPerSecond: 1,
   burst: 4000,
 };
 
@@ -69,7 +75,7 @@
   readonly claims: number;
 }
 
-type BucketName = CallKind | 'claim-read' | 'claim-write';
+type BucketName = CallKind | 'claim-read' | 'claim-write' | 'lease-write';
 
 /** The buckets of an instance. One that was never drawn from is full. */
 export type PlatformBudget = ReadonlyMap<BucketName, Bucket>;
@@ -92,7 +98,7 @@
   use: PlatformUseName,
   now: Millis,
 ): BudgetDraw {
-  const name: BucketName = use === PlatformUse.Claims ? `claim-${kind}` : kind;
+  const name = getBucketName(kind, use);
   const rate = getRate(rates, name, shares) / MILLIS_PER_SECOND;
   const capacity = Math.max(LEAST_CAPACITY, rate * rates.burst);
   const bucket = budget.get(name) ?? { tokens: capacity, filledAt: now };
@@ -106,6 +112,13 @@
   };
 }
 
+function getBucketName(kind: CallKind, use: PlatformUseName): BucketName {
+  if (use === PlatformUse.Claims) {
+    return `claim-${kind}`;
+  }
+  return use === PlatformUse.Leases && kind === 'write' ? 'lease-write' : kind;
+}
+
 function getRate(rates: BudgetRates, name: BucketName, shares: BudgetShares): number {
   const equalShare = 1 / Math.max(1, shares.instances);
   const claimShare = Math.max(shares.claims, equalShare);
@@ -114,6 +127,8 @@
       return rates.fleetClaimReadsPerSecond * claimShare;
     case 'claim-write':
       return rates.fleetClaimWritesPerSecond * claimShare;
+    case 'lease-write':
+      return rates.leaseWritesPerSecond;
     case 'read':
       return rates.fleetReadsPerSecond * equalShare;
     default:
