Collect segments that a dead owner wrote and never named

Cause: an owner that dies between writing a segment and the swap that names it leaves a value behind that nobody would ever remove, so the service would fill up slowly. Change: thirty seconds after a slot was taken, its owner lists the slot's values once and removes those of earlier epochs that the head does not name; a test puts one of each kind there. Conclusion: nothing of a slot is left behind for good, but for writes that land after the collection and wait for the next owner.

--- a/packages/claims/src/ClaimOwner.ts
+++ b/packages/claims/src/ClaimOwner.ts
@@ -6,6 +6,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Unregister } from '@skylarksail/core/CoreTypes';
 import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import { findOrphans } from './ClaimCollector.js';
 import { encodeClaims, encodeHead } from './ClaimHead.js';
 import { createClaimSlot, getWakeTime, stepSlot } from './ClaimSlot.js';
 import {
@@ -46,6 +47,8 @@
 }
 
 const CALL_TIMEOUT_MS = 1000;
+/** A slot that was taken is looked through for left-over segments after this time. */
+const COLLECT_AFTER_MS = 30_000;
 
 interface RunningSlot {
   state: ClaimSlotState;
@@ -80,8 +83,14 @@
       return;
     }
     const target = openSlot(slot);
+    const wasHeld = target.state.phase === SlotPhase.Held;
     const step = stepSlot(target.state, event, { now: timers.now(), wall: wallClock() });
     target.state = step.state;
+    if (!wasHeld && step.state.phase === SlotPhase.Held) {
+      timers.registerTimeout(COLLECT_AFTER_MS, () => {
+        void collect(target);
+      });
+    }
     step.effects.forEach((effect) => runEffect(target, effect));
     target.cancelWake();
     const wakeAt = getWakeTime(target.state);
@@ -126,6 +135,21 @@
     }
   }
 
+  /** Removes left-over segments once after the slot was taken; what fails is left to the next owner. */
+  async function collect(target: RunningSlot): Promise<void> {
+    const { slot } = target.state;
+    const prefix = getSlotKey(slots, slot, '');
+    const listed = await housekeeping.list(prefix, callOptions);
+    const head = target.state.known?.head;
+    if (stopped || listed.kind !== 'done' || !head || target.state.phase !== SlotPhase.Held) {
+      return;
+    }
+    const names = listed.value.map((key) => key.slice(prefix.length));
+    for (const name of findOrphans(names, head)) {
+      await housekeeping.remove(getSlotKey(slots, slot, name), 1, callOptions);
+    }
+  }
+
   function answer(target: RunningSlot, askId: string, reply: SlotReply): void {
     const listeners = target.replies.get(askId) ?? [];
     target.replies.delete(askId);
--- a/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
@@ -237,6 +237,27 @@
     getToken(await waitFor(timers, claim(owner, 'k')));
   });
 
+  it('collects segments that a dead owner wrote and never named, and no others', async () => {
+    // Symptom: the service fills up with values that nobody reads. Sequence: an owner writes a segment
+    // and dies before the swap that names it. Cause: nobody removes what no head names.
+    const { timers, platform, owner, other, claim } = createStand({ sealAt: 3 });
+    for (let i = 0; i < 8; i++) {
+      getToken(await waitFor(timers, claim(owner, `k${i}`)));
+    }
+    platform.store.swap('claims/1/0/1-999', 0, '[]');
+    platform.store.swap('claims/1/0/2-999', 0, '[]');
+    owner.kill();
+    getToken(await waitFor(timers, claim(other, 'after')));
+    await timers.advanceToAsync(timers.now() + 40_000);
+    const left = platform.store.list('claims/1/0/');
+    expect(left).to.include.members(['claims/1/0/2-999', 'claims/1/0/head']);
+    expect(left).to.not.include('claims/1/0/1-999');
+    expect(left.length).to.be.above(3);
+    for (let i = 0; i < 8; i++) {
+      expect((await waitFor(timers, claim(other, `k${i}`))).kind).to.equal('ended');
+    }
+  });
+
   it('grants once when the answer is lost, the owner dies and the service goes out, all at once', async () => {
     // Symptom: a key is run twice, or stays claimed by nobody. Sequence: the swap lands, its answer is
     // lost, the owner is killed, the service is out for 2 s; the asker asks the next owner. Cause: a new
