Split the slot's state machine into steps, calls and lookups, and survive a spoiled value

Change: ClaimSlotSteps and ClaimSlotCalls are modules of their own; a value that cannot be read counts as a call without an answer, so the slot waits and its asks are refused as not run; with a test. Conclusion: no change of behaviour but for spoiled values.

--- a/packages/claims/src/ClaimHead.ts
+++ b/packages/claims/src/ClaimHead.ts
@@ -105,6 +105,18 @@
   return { keyHash, fingerprint, stamp: stamp || null, askId, outcome: outcome || null };
 }
 
+/**
+ * What `decode` reads, or null if the value is not of its shape. A value that somebody else spoiled
+ * must not end the process: each next owner of the slot would end in the same way.
+ */
+export function tryDecode<T>(decode: (value: string) => T, value: string): T | null {
+  try {
+    return decode(value);
+  } catch {
+    return null;
+  }
+}
+
 function parse(value: string): unknown {
   try {
     return JSON.parse(value);
--- a/packages/claims/src/ClaimOwner.ts
+++ b/packages/claims/src/ClaimOwner.ts
@@ -8,7 +8,8 @@
 import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
 import { findOrphans } from './ClaimCollector.js';
 import { encodeClaims, encodeHead } from './ClaimHead.js';
-import { createClaimSlot, getWakeTime, stepSlot } from './ClaimSlot.js';
+import { createClaimSlot, stepSlot } from './ClaimSlot.js';
+import { getWakeTime } from './ClaimSlotCalls.js';
 import {
   DEFAULT_SLOT_SETTINGS,
   SlotPhase,
--- a/packages/claims/src/ClaimSlot.ts
+++ b/packages/claims/src/ClaimSlot.ts
@@ -6,24 +6,21 @@
  */
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
 import type { PlatformEntry, PlatformOutcome } from '@skylarksail/platform/PlatformPort';
-import { decodeClaims, decodeHead, type SlotHead } from './ClaimHead.js';
-import { adoptHead, buildBatch, hasBatch, indexClaims, planWork } from './ClaimSlotBatch.js';
-import { answerAsk, getAddedAsks, isInDoubt, isSealed } from './ClaimSlotLookup.js';
+import { decodeClaims, decodeHead, tryDecode, type SlotHead } from './ClaimHead.js';
+import { adoptHead, indexClaims } from './ClaimSlotBatch.js';
+import { advance } from './ClaimSlotCalls.js';
+import { findMissing, getAddedAsks, isInDoubt, isSealed } from './ClaimSlotLookup.js';
+import { answerWaiting, chain, reply, RETRY_WHEN_LATE_MS, stay } from './ClaimSlotSteps.js';
 import {
   SlotPhase,
   type ClaimSlotSettings,
   type ClaimSlotState,
   type SlotAsk,
   type SlotClock,
-  type SlotEffect,
   type SlotEvent,
-  type SlotReply,
   type SlotStep,
 } from './ClaimSlotTypes.js';
 
-const PARALLEL_SEGMENT_READS = 8;
-const RETRY_WHEN_LATE_MS = 1000;
-
 /** A slot that is not ours yet. */
 export function createClaimSlot(
   slot: number,
@@ -58,30 +55,6 @@
   return chain(chain(handleEvent(state, event, clock), answerWaiting, clock), advance, clock);
 }
 
-/** When the slot wants a tick, or null while it waits for an answer or has nothing to do. */
-export function getWakeTime(state: ClaimSlotState): number | null {
-  const deadline = state.waiting.reduce((least, ask) => Math.min(least, ask.deadline), Infinity);
-  const isCalling = state.swapping !== null || state.reading;
-  const next = !isCalling && hasWork(state) ? state.nextCallAt : Infinity;
-  const wakeAt = Math.min(deadline, next);
-  return wakeAt === Infinity ? null : wakeAt;
-}
-
-type Part = (state: ClaimSlotState, clock: SlotClock) => SlotStep;
-
-function chain(step: SlotStep, part: Part, clock: SlotClock): SlotStep {
-  const next = part(step.state, clock);
-  return { state: next.state, effects: [...step.effects, ...next.effects] };
-}
-
-function stay(state: ClaimSlotState): SlotStep {
-  return { state, effects: [] };
-}
-
-function reply(askId: string, answer: SlotReply): SlotEffect {
-  return { kind: 'reply', askId, reply: answer };
-}
-
 function handleEvent(state: ClaimSlotState, event: SlotEvent, clock: SlotClock): SlotStep {
   switch (event.kind) {
     case 'ask':
@@ -150,7 +123,10 @@
     return stay(pause(state, outcome, clock));
   }
   const { revision } = outcome.value;
-  const head = decodeHead(outcome.value.value);
+  const head = tryDecode(decodeHead, outcome.value.value);
+  if (!head) {
+    return stay(pause(state, { kind: 'unknown' }, clock));
+  }
   if (state.doubtful.some((swap) => swap.writeId === head.writeId)) {
     // A swap without an answer did take effect.
     return adoptOwn(state, revision, head);
@@ -226,10 +202,12 @@
   const readingSegments = new Set([...state.readingSegments].filter((other) => other !== name));
   const calm = { ...state, readingSegments };
   // A segment that is named but not found would make claimed keys look free, so the slot waits.
-  if (outcome.kind !== 'done' || outcome.value.revision === 0) {
+  const isFound = outcome.kind === 'done' && outcome.value.revision > 0;
+  const rows = isFound ? tryDecode(decodeClaims, outcome.value.value) : null;
+  if (!rows) {
     return pause(calm, outcome, clock);
   }
-  const claims = indexClaims(decodeClaims(outcome.value.value));
+  const claims = indexClaims(rows);
   return { ...calm, segments: new Map([...state.segments, [name, claims]]) };
 }
 
@@ -259,130 +237,3 @@
     outcome.kind === 'refused' && 'retryAfter' in outcome.reason ? outcome.reason.retryAfter : 0;
   return { ...state, nextCallAt: now + Math.max(asked, state.settings.retryPause) };
 }
-
-/** Replies to the asks that can be told by now: decided, or out of time. */
-function answerWaiting(state: ClaimSlotState, { now }: SlotClock): SlotStep {
-  const effects: SlotEffect[] = [];
-  const waiting: SlotAsk[] = [];
-  const released = new Map(state.released);
-  for (const ask of state.waiting) {
-    const answer = state.phase === SlotPhase.Held ? answerAsk(state, ask) : null;
-    if (answer) {
-      effects.push(reply(ask.askId, answer));
-    } else if (ask.deadline <= now) {
-      // The ask's claim may be in a swap that lands yet; the next batch must take it out again, or
-      // a resend would be told "unknown" for ever about work that never ran. Only what this owner
-      // put in itself, and never granted, may go: a claim that it finds may be running.
-      if (isInDoubt(state, ask.askId)) {
-        released.set(ask.askId, ask.keyHash);
-      }
-      effects.push(reply(ask.askId, { kind: 'unavailable', retryAfter: RETRY_WHEN_LATE_MS }));
-    } else {
-      waiting.push(ask);
-    }
-  }
-  return { state: effects.length > 0 ? { ...state, waiting, released } : state, effects };
-}
-
-function hasWork(state: ClaimSlotState): boolean {
-  switch (state.phase) {
-    case SlotPhase.Idle:
-      return state.waiting.length > 0;
-    case SlotPhase.Taking:
-      return true;
-    case SlotPhase.Loading:
-      return state.readingSegments.size === 0;
-    default:
-      return state.needsRead || hasBatch(state) || state.work?.state === 'planned';
-  }
-}
-
-/** Starts the next call, if it is time and none is under way. */
-function advance(state: ClaimSlotState, clock: SlotClock): SlotStep {
-  if (state.swapping || state.reading || clock.now < state.nextCallAt || !hasWork(state)) {
-    return stay(state);
-  }
-  if (state.phase === SlotPhase.Idle) {
-    return readHead({ ...state, phase: SlotPhase.Taking });
-  }
-  if (state.needsRead || !state.known) {
-    return readHead(state);
-  }
-  switch (state.phase) {
-    case SlotPhase.Taking:
-      return swapHead(state, clock, (head, writeId) => ({
-        ...head,
-        writeId,
-        epoch: head.epoch + 1,
-        owner: state.owner,
-      }));
-    case SlotPhase.Loading:
-      return loadSegments(state, state.known.head, clock);
-    default:
-      return chain(startWork(state, state.known.head), startBatch, clock);
-  }
-}
-
-function readHead(state: ClaimSlotState): SlotStep {
-  return { state: { ...state, reading: true }, effects: [{ kind: 'read-head' }] };
-}
-
-function swapHead(
-  state: ClaimSlotState,
-  { now }: SlotClock,
-  change: (head: SlotHead, writeId: string) => SlotHead,
-): SlotStep {
-  const { known } = state;
-  if (!known) {
-    return stay(state);
-  }
-  const swapping = change(known.head, `${state.owner}.${state.nextWriteNumber}`);
-  return {
-    state: {
-      ...state,
-      swapping,
-      nextWriteNumber: state.nextWriteNumber + 1,
-      nextCallAt: state.phase === SlotPhase.Held ? now + state.settings.batchInterval : now,
-    },
-    effects: [{ kind: 'swap-head', expected: known.revision, head: swapping }],
-  };
-}
-
-function findMissing(state: ClaimSlotState, head: SlotHead): readonly string[] {
-  return head.segments.map((segment) => segment.name).filter((name) => !state.segments.has(name));
-}
-
-function loadSegments(state: ClaimSlotState, head: SlotHead, clock: SlotClock): SlotStep {
-  const missing = findMissing(state, head);
-  if (missing.length === 0) {
-    const held = { ...state, phase: SlotPhase.Held };
-    return chain(chain(stay(held), answerWaiting, clock), advance, clock);
-  }
-  const names = missing.slice(0, PARALLEL_SEGMENT_READS);
-  return {
-    state: { ...state, readingSegments: new Set(names) },
-    effects: names.map((name) => ({ kind: 'read-segment', name })),
-  };
-}
-
-function startWork(state: ClaimSlotState, head: SlotHead): SlotStep {
-  const work = state.work ?? planWork(state, head, `${head.epoch}-${state.nextWriteNumber}`);
-  if (work?.state !== 'planned') {
-    return stay(state);
-  }
-  return {
-    state: {
-      ...state,
-      work: { ...work, state: 'writing' },
-      nextWriteNumber: state.nextWriteNumber + 1,
-    },
-    effects: [{ kind: 'write-segment', name: work.name, claims: work.claims }],
-  };
-}
-
-function startBatch(state: ClaimSlotState, clock: SlotClock): SlotStep {
-  if (!hasBatch(state)) {
-    return stay(state);
-  }
-  return swapHead(state, clock, (head, writeId) => buildBatch(state, head, writeId, clock.wall));
-}
--- /dev/null
+++ b/packages/claims/src/ClaimSlotCalls.ts
@@ -0,0 +1,116 @@
+/** Which call to the platform's service a slot makes next, and when. One call to the head at a time. */
+import type { SlotHead } from './ClaimHead.js';
+import { buildBatch, hasBatch, planWork } from './ClaimSlotBatch.js';
+import { findMissing } from './ClaimSlotLookup.js';
+import { answerWaiting, chain, stay } from './ClaimSlotSteps.js';
+import { SlotPhase, type ClaimSlotState, type SlotClock, type SlotStep } from './ClaimSlotTypes.js';
+
+const PARALLEL_SEGMENT_READS = 8;
+
+/** When the slot wants a tick, or null while it waits for an answer or has nothing to do. */
+export function getWakeTime(state: ClaimSlotState): number | null {
+  const deadline = state.waiting.reduce((least, ask) => Math.min(least, ask.deadline), Infinity);
+  const isCalling = state.swapping !== null || state.reading;
+  const next = !isCalling && hasWork(state) ? state.nextCallAt : Infinity;
+  const wakeAt = Math.min(deadline, next);
+  return wakeAt === Infinity ? null : wakeAt;
+}
+
+function hasWork(state: ClaimSlotState): boolean {
+  switch (state.phase) {
+    case SlotPhase.Idle:
+      return state.waiting.length > 0;
+    case SlotPhase.Taking:
+      return true;
+    case SlotPhase.Loading:
+      return state.readingSegments.size === 0;
+    default:
+      return state.needsRead || hasBatch(state) || state.work?.state === 'planned';
+  }
+}
+
+/** Starts the next call, if it is time and none is under way. */
+export function advance(state: ClaimSlotState, clock: SlotClock): SlotStep {
+  if (state.swapping || state.reading || clock.now < state.nextCallAt || !hasWork(state)) {
+    return stay(state);
+  }
+  if (state.phase === SlotPhase.Idle) {
+    return readHead({ ...state, phase: SlotPhase.Taking });
+  }
+  if (state.needsRead || !state.known) {
+    return readHead(state);
+  }
+  switch (state.phase) {
+    case SlotPhase.Taking:
+      return swapHead(state, clock, (head, writeId) => ({
+        ...head,
+        writeId,
+        epoch: head.epoch + 1,
+        owner: state.owner,
+      }));
+    case SlotPhase.Loading:
+      return loadSegments(state, state.known.head, clock);
+    default:
+      return chain(startWork(state, state.known.head), startBatch, clock);
+  }
+}
+
+function readHead(state: ClaimSlotState): SlotStep {
+  return { state: { ...state, reading: true }, effects: [{ kind: 'read-head' }] };
+}
+
+function swapHead(
+  state: ClaimSlotState,
+  { now }: SlotClock,
+  change: (head: SlotHead, writeId: string) => SlotHead,
+): SlotStep {
+  const { known } = state;
+  if (!known) {
+    return stay(state);
+  }
+  const swapping = change(known.head, `${state.owner}.${state.nextWriteNumber}`);
+  return {
+    state: {
+      ...state,
+      swapping,
+      nextWriteNumber: state.nextWriteNumber + 1,
+      nextCallAt: state.phase === SlotPhase.Held ? now + state.settings.batchInterval : now,
+    },
+    effects: [{ kind: 'swap-head', expected: known.revision, head: swapping }],
+  };
+}
+
+function loadSegments(state: ClaimSlotState, head: SlotHead, clock: SlotClock): SlotStep {
+  const missing = findMissing(state, head);
+  if (missing.length === 0) {
+    const held = { ...state, phase: SlotPhase.Held };
+    return chain(chain(stay(held), answerWaiting, clock), advance, clock);
+  }
+  const names = missing.slice(0, PARALLEL_SEGMENT_READS);
+  return {
+    state: { ...state, readingSegments: new Set(names) },
+    effects: names.map((name) => ({ kind: 'read-segment', name })),
+  };
+}
+
+function startWork(state: ClaimSlotState, head: SlotHead): SlotStep {
+  const work = state.work ?? planWork(state, head, `${head.epoch}-${state.nextWriteNumber}`);
+  if (work?.state !== 'planned') {
+    return stay(state);
+  }
+  return {
+    state: {
+      ...state,
+      work: { ...work, state: 'writing' },
+      nextWriteNumber: state.nextWriteNumber + 1,
+    },
+    effects: [{ kind: 'write-segment', name: work.name, claims: work.claims }],
+  };
+}
+
+function startBatch(state: ClaimSlotState, clock: SlotClock): SlotStep {
+  if (!hasBatch(state)) {
+    return stay(state);
+  }
+  return swapHead(state, clock, (head, writeId) => buildBatch(state, head, writeId, clock.wall));
+}
--- a/packages/claims/src/ClaimSlotLookup.ts
+++ b/packages/claims/src/ClaimSlotLookup.ts
@@ -84,3 +84,8 @@
   }
   return { kind: 'taken', askId: claim.askId, outcome: claim.outcome };
 }
+
+/** Sealed segments that the head names and that are not read yet. */
+export function findMissing(state: ClaimSlotState, head: SlotHead): readonly string[] {
+  return head.segments.map((segment) => segment.name).filter((name) => !state.segments.has(name));
+}
--- a/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
@@ -258,6 +258,18 @@
     }
   });
 
+  it('refuses as not run, and lives on, while a slot holds a value that nobody can read', async () => {
+    // Symptom: one instance after the other ends. Sequence: a slot's head is overwritten by hand, each
+    // next owner reads it and throws. Cause: an error of decoding that left its promise.
+    const { timers, platform, owner, claim } = createStand();
+    platform.store.swap('claims/1/0/head', 0, '{"e":');
+    expect((await waitFor(timers, claim(owner, 'k', 1000))).kind).to.equal('unavailable');
+    platform.store.swap('claims/1/0/head', 1, '[1]');
+    expect((await waitFor(timers, claim(owner, 'k', 1000))).kind).to.equal('unavailable');
+    platform.store.swap('claims/1/0/head', 2, '');
+    getToken(await waitFor(timers, claim(owner, 'k')));
+  });
+
   it('grants once when the answer is lost, the owner dies and the service goes out, all at once', async () => {
     // Symptom: a key is run twice, or stays claimed by nobody. Sequence: the swap lands, its answer is
     // lost, the owner is killed, the service is out for 2 s; the asker asks the next owner. Cause: a new
