--- a/packages/manifest/src/ManifestCalls.ts
+++ b/packages/manifest/src/ManifestCalls.ts
@@ -8,6 +8,7 @@
   PlatformOutcome,
   PlatformPort,
 } from '@skylarksail/platform/PlatformPort';
+import type { Pause } from './ManifestSlices.js';
 
 /** What the manifest's store needs from outside. */
 export interface StoreContext {
@@ -16,6 +17,8 @@
   readonly random: Random;
   /** Limit of a single call. */
   readonly callTimeout: Millis;
+  /** Lets other work of the loop run while a large manifest is checked and cut; none does it at once. */
+  readonly pause?: Pause;
 }
 
 /** Calls made at the same time, so that one submission does not take the platform's whole rate. */
--- a/packages/manifest/src/ManifestCheck.ts
+++ b/packages/manifest/src/ManifestCheck.ts
@@ -1,8 +1,11 @@
 /** Checks a manifest as a whole: its shape, and that every name it uses is one that it defines. */
+import { z } from 'zod';
 import type { Result } from '@skylarksail/core/CoreTypes';
 import { createFailed, createOk } from '@skylarksail/core/CoreTypes';
-import type { Manifest } from './ManifestSchema.js';
-import { manifestSchema } from './ManifestSchema.js';
+import type { Manifest, ManifestTeam } from './ManifestSchema.js';
+import { manifestSchema, teamSchema } from './ManifestSchema.js';
+import type { SlicedWork } from './ManifestSlices.js';
+import { mapInSlices, runAtOnce } from './ManifestSlices.js';
 
 /** One thing that is wrong, with where it stands: `teams[3].models[0]`. */
 export interface ManifestFault {
@@ -10,23 +13,44 @@
   readonly message: string;
 }
 
+/** The whole but for its teams, which are checked one by one. */
+const outlineSchema = manifestSchema.extend({ teams: z.array(z.unknown()).default([]) });
+
 /** Gives the manifest with its defaults filled in, or everything that is wrong with it. */
 export function checkManifest(input: unknown): Result<Manifest, readonly ManifestFault[]> {
-  const parsed = manifestSchema.safeParse(input);
-  if (!parsed.success) {
-    return createFailed(
-      parsed.error.issues.map((issue) => ({
-        path: formatPath(issue.path),
-        message: issue.message,
-      })),
-    );
+  return runAtOnce(checkInSlices(input));
+}
+
+/** The same as work in slices. */
+export function* checkInSlices(
+  input: unknown,
+): SlicedWork<Result<Manifest, readonly ManifestFault[]>> {
+  const outline = outlineSchema.safeParse(input);
+  if (!outline.success) {
+    return createFailed(listFaults(outline.error, []));
   }
-  const faults = [
-    ...findRepeatedIds(parsed.data),
-    ...findUnknownNames(parsed.data),
-    ...findRepeatedKeys(parsed.data),
-  ];
-  return faults.length === 0 ? createOk(parsed.data) : createFailed(faults);
+  const checked = yield* mapInSlices(outline.data.teams, (team, i) => {
+    const parsed = teamSchema.safeParse(team);
+    return parsed.success ? parsed.data : listFaults(parsed.error, ['teams', i]);
+  });
+  const faults = checked.filter((team) => Array.isArray(team)).flat();
+  if (faults.length > 0) {
+    return createFailed(faults);
+  }
+  const manifest: Manifest = { ...outline.data, teams: checked as ManifestTeam[] };
+  const wrong: ManifestFault[] = [];
+  for (const find of [findRepeatedIds, findUnknownNames, findRepeatedKeys]) {
+    wrong.push(...find(manifest));
+    yield;
+  }
+  return wrong.length === 0 ? createOk(manifest) : createFailed(wrong);
+}
+
+function listFaults(error: z.ZodError, above: readonly PropertyKey[]): ManifestFault[] {
+  return error.issues.map(({ path, message }) => ({
+    path: formatPath([...above, ...path]),
+    message,
+  }));
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
--- a/packages/manifest/src/ManifestChunks.ts
+++ b/packages/manifest/src/ManifestChunks.ts
@@ -9,6 +9,8 @@
 import { hash32 } from '@skylarksail/core/CoreHash';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { Manifest, ManifestModel, ManifestTeam } from './ManifestSchema.js';
+import type { SlicedWork } from './ManifestSlices.js';
+import { mapInSlices, runAtOnce } from './ManifestSlices.js';
 
 /** SHA-256 of a chunk's text, in base64url. */
 export type ChunkHash = string;
@@ -100,21 +102,18 @@
   base: ManifestTree | null,
   generation: number,
 ): SplitManifest {
+  return runAtOnce(splitInSlices(manifest, base, generation));
+}
+
+/** The same as work in slices. */
+export function* splitInSlices(
+  manifest: Manifest,
+  base: ManifestTree | null,
+  generation: number,
+): SlicedWork<SplitManifest> {
   const { models, teams, ...rest } = manifest;
-  const refsOfBase = new Map(
-    base ? [...listTreeChunks(base)].map((ref) => [getChunkHash(ref), ref]) : [],
-  );
   const added = new Map<ChunkRef, string>();
-  const put = (text: string): ChunkRef => {
-    const hash = hashChunk(text);
-    const inBase = refsOfBase.get(hash);
-    if (inBase !== undefined) {
-      return inBase;
-    }
-    const ref = `${generation}-${hash}`;
-    added.set(ref, text);
-    return ref;
-  };
+  const put = createChunkWriter(base, generation, added);
   const parts = [
     { name: BASE_PART, ref: put(JSON.stringify(rest)) },
     ...models.map((model) => ({
@@ -122,16 +121,40 @@
       ref: put(JSON.stringify(model)),
     })),
   ];
-  const lines = createTeamLines(teams);
+  const lines = yield* mapInSlices(teams, ({ id }, i) => ({ id, text: JSON.stringify(teams[i]) }));
+  lines.sort((a, b) => (a.id < b.id ? -1 : 1));
+  yield;
   const leafTexts = splitTeams(lines, base?.body.leafCount ?? null);
-  const leaves = leafTexts.map(put);
+  const leaves = yield* mapInSlices(leafTexts, put);
   const indexes: ChunkRef[] = [];
   for (let first = 0; first < leaves.length; first += INDEX_FAN_OUT) {
     indexes.push(put(JSON.stringify(leaves.slice(first, first + INDEX_FAN_OUT))));
   }
   const body: ManifestBody = { format: 1, parts, leafCount: leafTexts.length, indexes };
-  const content = hashChunk(JSON.stringify([rest, models, lines.map(({ text }) => text)]));
-  return { body: put(JSON.stringify(body)), content, added };
+  const content = createHash('sha256').update(JSON.stringify([rest, models]));
+  yield* mapInSlices(lines, ({ text }) => content.update(text));
+  return { body: put(JSON.stringify(body)), content: content.digest('base64url'), added };
+}
+
+/** Names a chunk's text, and adds it unless the base has it. */
+function createChunkWriter(
+  base: ManifestTree | null,
+  generation: number,
+  added: Map<ChunkRef, string>,
+): (text: string) => ChunkRef {
+  const refsOfBase = new Map(
+    base ? [...listTreeChunks(base)].map((ref) => [getChunkHash(ref), ref]) : [],
+  );
+  return (text) => {
+    const hash = hashChunk(text);
+    const inBase = refsOfBase.get(hash);
+    if (inBase !== undefined) {
+      return inBase;
+    }
+    const ref = `${generation}-${hash}`;
+    added.set(ref, text);
+    return ref;
+  };
 }
 
 interface TeamLine {
@@ -139,12 +162,6 @@
   readonly text: string;
 }
 
-function createTeamLines(teams: readonly ManifestTeam[]): readonly TeamLine[] {
-  return teams
-    .map((team) => ({ id: team.id, text: JSON.stringify(team) }))
-    .sort((a, b) => (a.id < b.id ? -1 : 1));
-}
-
 function splitTeams(
   lines: readonly TeamLine[],
   previousLeafCount: number | null,
--- a/packages/manifest/src/ManifestStore.ts
+++ b/packages/manifest/src/ManifestStore.ts
@@ -7,18 +7,20 @@
 import type { StoreContext } from './ManifestCalls.js';
 import { callUntil, mapBounded, sleep } from './ManifestCalls.js';
 import type { ManifestFault } from './ManifestCheck.js';
-import { checkManifest } from './ManifestCheck.js';
+import { checkInSlices } from './ManifestCheck.js';
 import type { ChunkRef, ManifestTree, SplitManifest } from './ManifestChunks.js';
 import {
   createChunkRef,
   findOversizedParts,
   MAX_CHUNK_BYTES,
-  splitManifest,
+  splitInSlices,
 } from './ManifestChunks.js';
 import type { ReadFault, StoredRoot } from './ManifestReader.js';
 import { readHistoryPage, readRoot, readTreeIndex, walkHistory } from './ManifestReader.js';
 import type { HistoryPage, ManifestRoot, RevisionSummary } from './ManifestRoot.js';
 import { appendHistory, getChunkKey, ROOT_KEY } from './ManifestRoot.js';
+import type { SlicedWork } from './ManifestSlices.js';
+import { runAtOnce, runInSlices } from './ManifestSlices.js';
 
 /** Pause before the root is read again because a chunk that it named was gone. */
 const REREAD_DELAY: Millis = 50;
@@ -76,7 +78,7 @@
   input: unknown,
   submission: SubmitOptions,
 ): Promise<SubmitOutcome> {
-  const checked = checkManifest(input);
+  const checked = await doWork(ctx, checkInSlices(input));
   if (!checked.ok) {
     return { kind: 'invalid', faults: checked.error };
   }
@@ -85,7 +87,7 @@
     return { kind: 'unavailable', fault: base.error };
   }
   const { stored, tree } = base.value;
-  const split = splitManifest(checked.value, tree, stored.platformRevision);
+  const split = await doWork(ctx, splitInSlices(checked.value, tree, stored.platformRevision));
   const oversized = findOversizedParts(split);
   if (oversized.length > 0) {
     const faults = oversized.map((path) => ({ path, message: `over ${MAX_CHUNK_BYTES} bytes` }));
@@ -94,6 +96,10 @@
   return submitSplit({ ctx, submission, base: base.value, split });
 }
 
+function doWork<T>(ctx: StoreContext, work: SlicedWork<T>): Promise<T> | T {
+  return ctx.pause ? runInSlices(work, ctx.pause) : runAtOnce(work);
+}
+
 function getRevision({ stored }: Pick<Base, 'stored'>): number {
   return stored.root?.revision ?? 0;
 }
