Run the manifest's specifications with the others

Cause: the specifications were checked by hand only. Change: nine runs in the table of models.mjs, two right ones and seven seeded mistakes.

--- a/packages/proof/bin/models.mjs
+++ b/packages/proof/bin/models.mjs
@@ -46,4 +46,58 @@
     expect: 'mistake',
     defines: { MAX_REVISION: 3, MAX_UNANSWERED: 1, MISTAKE_LATE_GRANT: 1 },
   },
+  {
+    spec: 'manifest-accept.pml',
+    name: 'two submitters, each sending twice',
+    expect: 'right',
+    defines: {},
+  },
+  {
+    spec: 'manifest-accept.pml',
+    name: 'swap again blindly after an unknown outcome',
+    expect: 'mistake',
+    defines: { BLIND_RETRY: 1 },
+  },
+  {
+    spec: 'manifest-accept.pml',
+    name: 'unchanged root taken for proof',
+    expect: 'mistake',
+    defines: { TRUST_UNCHANGED: 1 },
+  },
+  {
+    spec: 'manifest-accept.pml',
+    name: "every lost swap taken for another's win",
+    expect: 'mistake',
+    defines: { NO_HISTORY: 1 },
+  },
+  {
+    spec: 'manifest-spread.pml',
+    name: 'three instances, three restarts',
+    expect: 'right',
+    defines: {},
+  },
+  {
+    spec: 'manifest-spread.pml',
+    name: 'a start trusts one peer',
+    expect: 'mistake',
+    defines: { TRUST_ONE_PEER: 1 },
+  },
+  {
+    spec: 'manifest-spread.pml',
+    name: 'in force before anyone else holds it',
+    expect: 'mistake',
+    defines: { APPLY_ALONE: 1 },
+  },
+  {
+    spec: 'manifest-spread.pml',
+    name: 'a lower revision is taken',
+    expect: 'mistake',
+    defines: { APPLY_LOWER: 1 },
+  },
+  {
+    spec: 'manifest-spread.pml',
+    name: "a keeper's earlier word counts",
+    expect: 'mistake',
+    defines: { STALE_KEEPER: 1 },
+  },
 ];
