--- /dev/null
+++ b/packages/bench/src/ControlSuspicion.ts
@@ -0,0 +1,107 @@
+/**
+ * How often live instances are suspected or declared dead in error, at several sizes of a domain, under
+ * loss of messages, pauses of single instances, and both.
+ */
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { MemberChangeKind } from '@skylarksail/membership/MembershipEffects';
+import type { MembershipChange } from '@skylarksail/membership/MembershipService';
+import { createVirtualFleet } from '@skylarksail/membership/VirtualFleet';
+
+export interface ControlSuspicionOptions {
+  readonly seed: number;
+  readonly sizes?: readonly number[];
+  /** Virtual time of each run. */
+  readonly duration?: Millis;
+}
+
+export interface ControlSuspicionLine {
+  readonly bench: 'control-suspicion';
+  readonly members: number;
+  readonly loss: number;
+  readonly pause_ms: number;
+  readonly pauses: number;
+  readonly member_hours: number;
+  /** Times that a live member was suspected by anybody, and objected. */
+  readonly suspicions: number;
+  /** Live members declared dead by anybody. */
+  readonly false_deaths: number;
+}
+
+interface Trouble {
+  readonly loss: number;
+  readonly pause: Millis;
+}
+
+const SIZES = [7, 28, 85];
+const TROUBLES: readonly Trouble[] = [
+  { loss: 0, pause: 0 },
+  { loss: 0.2, pause: 0 },
+  { loss: 0, pause: 2000 },
+  { loss: 0.2, pause: 2000 },
+  { loss: 0, pause: 3000 },
+];
+const DURATION: Millis = 120_000;
+const START_TIME: Millis = 1500;
+const SETTLE_TIME: Millis = 12_000;
+const PAUSE_PERIOD: Millis = 6000;
+const MILLIS_PER_HOUR = 3600 * MILLIS_PER_SECOND;
+
+/** Runs each size under each trouble. */
+export function runControlSuspicionBench(
+  options: ControlSuspicionOptions,
+): readonly ControlSuspicionLine[] {
+  return (options.sizes ?? SIZES).flatMap((members) =>
+    TROUBLES.map((trouble) => measureTrouble(members, trouble, options)),
+  );
+}
+
+function measureTrouble(
+  members: number,
+  { loss, pause }: Trouble,
+  options: ControlSuspicionOptions,
+): ControlSuspicionLine {
+  const duration = options.duration ?? DURATION;
+  const random = createRandom(options.seed);
+  const suspicions = new Set<string>();
+  const deaths = new Set<string>();
+  let isCounted = false;
+  function onChange(_observer: string, event: MembershipChange): void {
+    if (!isCounted || event.kind !== 'member') {
+      return;
+    }
+    const { kind, id, record } = event.change;
+    if (kind === MemberChangeKind.Suspected) {
+      suspicions.add(`${id}/${record.incarnation}`);
+    } else if (kind === MemberChangeKind.Dead) {
+      deaths.add(`${id}/${record.incarnation}`);
+    }
+  }
+  const fleet = createVirtualFleet({ seed: options.seed, domainSizes: [members], onChange });
+  fleet.advance(START_TIME);
+  fleet.settle();
+  fleet.advance(SETTLE_TIME);
+  isCounted = true;
+  fleet.setLoss(loss);
+  let pauses = 0;
+  for (let passed = 0; passed < duration; passed += PAUSE_PERIOD) {
+    if (pause > 0) {
+      const instances = fleet.getInstances();
+      const paused = instances[random.nextInt(instances.length)];
+      fleet.pause(paused?.listed.id ?? '', pause);
+      pauses += 1;
+    }
+    fleet.advance(PAUSE_PERIOD);
+  }
+  return {
+    bench: 'control-suspicion',
+    members,
+    loss,
+    pause_ms: pause,
+    pauses,
+    member_hours: Number(((members * duration) / MILLIS_PER_HOUR).toFixed(2)),
+    suspicions: suspicions.size,
+    false_deaths: deaths.size,
+  };
+}
