Look for members to try again in one's own domain only

Cause: the search for members to try again walked through the whole fleet's list and table each 2 s, 7.5% of the processor time of an instance among 340. Change: the list's names of one's own domain and the domain's dead are kept apart. Figures: measured before this change at 680 instances in 8 domains: 1934 bytes a second sent, 0.35% of a core, 0.46 MB; the share of the search was measured by profile at 340. Conclusion: one linear part less.

--- a/packages/membership/src/MembershipMachine.ts
+++ b/packages/membership/src/MembershipMachine.ts
@@ -290,6 +290,7 @@
     ...state,
     listed: new Map(others.map((instance) => [instance.id, instance])),
     listedDomains: new Set(others.map(({ domain }) => domain)),
+    listedNear: others.filter(({ domain }) => domain === state.self.domain),
   };
 }
 
--- a/packages/membership/src/MembershipState.ts
+++ b/packages/membership/src/MembershipState.ts
@@ -120,6 +120,8 @@
   readonly members: ReadonlyMap<InstanceId, Member>;
   readonly listed: ReadonlyMap<InstanceId, ListedInstance>;
   readonly listedDomains: ReadonlySet<DomainId>;
+  /** Those of our own domain. */
+  readonly listedNear: readonly ListedInstance[];
   readonly suspicions: ReadonlyMap<InstanceId, Suspicion>;
   /** Members to which a connection broke or was refused, until they answer again. */
   readonly lost: ReadonlySet<InstanceId>;
@@ -172,6 +174,7 @@
     members: new Map([[self.id, createMember(self, now)]]),
     listed: new Map(),
     listedDomains: new Set(),
+    listedNear: [],
     suspicions: new Map(),
     lost: new Set(),
     updates: [{ id: self.id, sends: 0 }],
--- a/packages/membership/src/MembershipSync.ts
+++ b/packages/membership/src/MembershipSync.ts
@@ -6,7 +6,8 @@
 import { GossipKind } from './MembershipMessages.js';
 import type { SyncMessage, ViewHash } from './MembershipMessages.js';
 import { findAddress, sendMessage } from './MembershipOutbox.js';
-import type { MemberRecord } from './MembershipRecords.js';
+import type { Member, MemberRecord } from './MembershipRecords.js';
+import { Health, isDead } from './MembershipRecords.js';
 import type { ListedInstance, MembershipState } from './MembershipState.js';
 import { getContacts, getDomainView, getKnownDomains } from './MembershipViews.js';
 import { sendProbe } from './MembershipProbes.js';
@@ -183,20 +184,22 @@
 const RETRY_DEAD_TIME: Millis = 2 * 3_600_000;
 
 function getRepairCandidates(state: MembershipState, now: Millis): readonly ListedInstance[] {
-  const { self } = state;
-  const candidates: ListedInstance[] = [];
-  for (const listed of state.listed.values()) {
-    const known = state.members.get(listed.id)?.record;
-    if (listed.domain === self.domain && listed.id !== self.id && (!known || known.health >= 2)) {
-      candidates.push(listed);
-    }
-  }
-  for (const { record, changedAt } of state.members.values()) {
-    const isRecent = now - changedAt < RETRY_DEAD_TIME;
-    const isUnplanned = record.health === 2 && record.phase === LifeState.Live;
-    if (record.domain === self.domain && isRecent && isUnplanned && !state.listed.has(record.id)) {
-      candidates.push(record);
+  const { self, members } = state;
+  const listed = state.listedNear.filter(({ id }) => {
+    const known = members.get(id)?.record;
+    return !known || isDead(known);
+  });
+  const candidates = [...listed];
+  for (const id of getDomainView(members, self.domain).gone) {
+    const member = members.get(id);
+    if (member && isWorthTrying(member, now) && !state.listed.has(id)) {
+      candidates.push(member.record);
     }
   }
   return candidates;
 }
+
+function isWorthTrying({ record, changedAt }: Member, now: Millis): boolean {
+  const isUnplanned = record.health === Health.Dead && record.phase === LifeState.Live;
+  return isUnplanned && now - changedAt < RETRY_DEAD_TIME;
+}
--- a/packages/membership/src/MembershipViews.ts
+++ b/packages/membership/src/MembershipViews.ts
@@ -13,6 +13,8 @@
 interface DomainView {
   readonly present: readonly InstanceId[];
   readonly live: readonly InstanceId[];
+  /** Those that are dead or left and still remembered. */
+  readonly gone: readonly InstanceId[];
   readonly hash: number;
   /** Hash of each present member's record, to its id. */
   readonly byHash: ReadonlyMap<number, InstanceId>;
@@ -25,7 +27,7 @@
   readonly contacts: Map<string, readonly InstanceId[]>;
 }
 
-const EMPTY_VIEW: DomainView = { present: [], live: [], hash: 0, byHash: new Map() };
+const EMPTY_VIEW: DomainView = { present: [], live: [], gone: [], hash: 0, byHash: new Map() };
 const views = new WeakMap<Members, MembersView>();
 
 /** One domain's members, as this table has them. */
@@ -33,7 +35,7 @@
   return getView(members).domains.get(domain) ?? EMPTY_VIEW;
 }
 
-/** Domains with at least one present member, in order. */
+/** Domains of which a member is or was known, in order. */
 export function getKnownDomains(members: Members): readonly DomainId[] {
   return getView(members).names;
 }
@@ -72,12 +74,7 @@
 
 function createView(members: Members): MembersView {
   const groups = new Map<DomainId, Member[]>();
-  let presentCount = 0;
   for (const member of members.values()) {
-    if (!isPresent(member.record)) {
-      continue;
-    }
-    presentCount += 1;
     const group = groups.get(member.record.domain);
     if (group) {
       group.push(member);
@@ -86,19 +83,26 @@
     }
   }
   const domains = new Map([...groups].map(([domain, group]) => [domain, createDomainView(group)]));
-  return { domains, names: [...domains.keys()].sort(), presentCount, contacts: new Map() };
+  const counts = [...domains.values()].map(({ present }) => present.length);
+  return {
+    domains,
+    names: [...domains.keys()].sort(),
+    presentCount: counts.reduce((sum, count) => sum + count, 0),
+    contacts: new Map(),
+  };
 }
 
 function createDomainView(group: readonly Member[]): DomainView {
-  const byHash = new Map(group.map(({ hash, record }) => [hash, record.id]));
+  const present = group.filter(({ record }) => isPresent(record));
+  const live = present.filter(({ record }) => record.phase === LifeState.Live);
+  const gone = group.filter(({ record }) => !isPresent(record));
   return {
-    present: group.map(({ record }) => record.id),
-    live: group
-      .filter(({ record }) => record.phase === LifeState.Live)
-      .map(({ record }) => record.id),
+    present: present.map(({ record }) => record.id),
+    live: live.map(({ record }) => record.id),
+    gone: gone.map(({ record }) => record.id),
     // A sum does not hang on the order, and changes with each record.
-    hash: group.reduce((sum, { hash }) => (sum + hash) % 2 ** 32, 0),
-    byHash,
+    hash: present.reduce((sum, { hash }) => (sum + hash) % 2 ** 32, 0),
+    byHash: new Map(present.map(({ hash, record }) => [hash, record.id])),
   };
 }
 
