--- a/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
@@ -248,6 +248,26 @@
     expect(select(seen, MemberChangeKind.Left, 'd0-i4').length).to.be.at.least(29);
   });
 
+  it('costs an instance the same however many instances the other domains have', () => {
+    // Symptom: control traffic that grows with the fleet until it takes the room of requests. Sequence:
+    // other domains grow. Cause: work done for each instance of the fleet, not of the own domain.
+    const costs = [
+      [12, 12, 12],
+      [12, 40, 40],
+    ].map((domainSizes) => {
+      const fleet = createVirtualFleet({ seed: 15, domainSizes });
+      fleet.advance(1500);
+      fleet.settle();
+      fleet.advance(25_000);
+      const before = countBytes(fleet, 'd0');
+      fleet.advance(20_000);
+      return (countBytes(fleet, 'd0') - before) / 12 / 20;
+    });
+    const [amongFew, amongMany] = costs as [number, number];
+    expect(amongFew).to.be.within(100, 400);
+    expect(amongMany / amongFew).to.be.within(0.8, 1.2);
+  });
+
   it('counts and drops garbage', () => {
     const { fleet } = createSettled({ seed: 13, domainSizes: [3] });
     const { membership } = fleet.get('d0-i0');
@@ -276,3 +296,10 @@
 function isInFirst({ domain }: { readonly domain: string }): boolean {
   return domain === 'd0';
 }
+
+function countBytes(fleet: VirtualFleet, domain: string): number {
+  return fleet
+    .getInstances()
+    .filter(({ listed }) => listed.domain === domain)
+    .reduce((sum, { membership }) => sum + membership.getCounters().bytesSent, 0);
+}
