Plan zones of racks in place of single racks

Cause: links grow with the square of the racks, so planning a domain of 350 engines in 44 racks took 823 ms, and one of 700 engines 6057 ms, on the one loop that serves requests.

--- a/packages/routing/src/RoutingPlan.ts
+++ b/packages/routing/src/RoutingPlan.ts
@@ -1,6 +1,6 @@
 /**
  * The capacity plan of a pool: how much of the work each group of engines and each link should carry,
- * from a max-flow. Engines of one rack with the same layers form a group, so that a domain of some
+ * from a max-flow. Engines of one zone with the same layers form a group, so that a domain of some
  * hundred engines is a graph of some dozen arcs. Made off the hot path, whenever the pool changes.
  */
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
@@ -9,6 +9,7 @@
 import type { CapacityPlan, PlanGroup, PlanOptions } from './RoutingPlanTypes.js';
 import { getGroupRate } from './RoutingPlanTypes.js';
 import type { PoolMember } from './RoutingPools.js';
+import { createZones } from './RoutingZones.js';
 
 /** Steps between "spread as thin as the whole flow allows" and "up to the full rate". */
 const SPREAD_STEPS = [0, 0.25, 0.5, 1];
@@ -28,10 +29,12 @@
 }
 
 function createGroups(members: readonly PoolMember[], options: PlanOptions): readonly PlanGroup[] {
+  const zones = createZones(members, options);
   const byPlace = new Map<string, PoolMember[]>();
   for (const member of members) {
     const { first, end } = member.holding.layers;
-    const key = `${first}-${end}@${member.facts.rack}`;
+    const zone = zones.get(member.facts.rack) ?? member.facts.rack;
+    const key = `${first}-${end}@${zone}`;
     byPlace.set(key, [...(byPlace.get(key) ?? []), member]);
   }
   return [...byPlace.values()].map((group) => {
@@ -42,7 +45,7 @@
       return sum;
     });
     const { first, end } = holding.layers;
-    return { rack: facts.rack, first, end, members: group, rates };
+    return { zone: zones.get(facts.rack) ?? facts.rack, first, end, members: group, rates };
   });
 }
 
--- a/packages/routing/src/RoutingPlanHops.ts
+++ b/packages/routing/src/RoutingPlanHops.ts
@@ -18,17 +18,17 @@
 ): CapacityPlan {
   const entering = new Map<string, { group: PlanGroup; flow: number }[]>();
   groups.forEach((group, i) => {
-    const key = getHopKey(group.first, group.rack);
+    const key = getHopKey(group.first, group.zone);
     entering.set(key, [...(entering.get(key) ?? []), { group, flow: solved.groupFlows[i] ?? 0 }]);
   });
   const starts = groups.flatMap((group, i) =>
     group.first === 0 ? [{ hop: { group, link: FREE_LINK }, flow: solved.groupFlows[i] ?? 0 }] : [],
   );
   const hops = new Map<string, PlanHops>();
-  const ends = new Map(groups.map(({ end, rack }) => [getHopKey(end, rack), { end, rack }]));
-  for (const [key, { end, rack }] of ends) {
+  const ends = new Map(groups.map(({ end, zone }) => [getHopKey(end, zone), { end, zone }]));
+  for (const [key, { end, zone }] of ends) {
     if (end !== options.layerCount) {
-      hops.set(key, sumHops(selectHops(solved, entering, end, rack)));
+      hops.set(key, sumHops(selectHops(solved, entering, end, zone)));
     }
   }
   const { layerCount } = options;
@@ -40,21 +40,21 @@
   readonly flow: number;
 }
 
-/** Ways out of a rack at a boundary: what stays in the rack, and what each link carries. */
+/** Ways out of a zone at a boundary: what stays in it, and what each link carries. */
 function selectHops(
   solved: SolvedPlan,
   entering: ReadonlyMap<string, readonly { group: PlanGroup; flow: number }[]>,
   at: number,
-  rack: string,
+  zone: string,
 ): readonly WeighedHop[] {
-  const leaving = solved.links.filter((link) => link.at === at && link.from === rack);
-  const arriving = solved.links.filter((link) => link.at === at && link.toRack === rack);
-  const here = entering.get(getHopKey(at, rack)) ?? [];
+  const leaving = solved.links.filter((link) => link.at === at && link.from === zone);
+  const arriving = solved.links.filter((link) => link.at === at && link.toZone === zone);
+  const here = entering.get(getHopKey(at, zone)) ?? [];
   const taken = here.reduce((sum, { flow }) => sum + flow, 0);
   const fromOthers = arriving.reduce((sum, { flow }) => sum + flow, 0);
-  const staying = { toRack: rack, link: FREE_LINK, flow: Math.max(0, taken - fromOthers) };
-  return [staying, ...leaving].flatMap(({ toRack, link, flow }) => {
-    const next = entering.get(getHopKey(at, toRack)) ?? [];
+  const staying = { toZone: zone, link: FREE_LINK, flow: Math.max(0, taken - fromOthers) };
+  return [staying, ...leaving].flatMap(({ toZone, link, flow }) => {
+    const next = entering.get(getHopKey(at, toZone)) ?? [];
     const total = next.reduce((sum, entry) => sum + entry.flow, 0);
     return next.map((entry) => ({
       hop: { group: entry.group, link },
--- a/packages/routing/src/RoutingPlanSolve.ts
+++ b/packages/routing/src/RoutingPlanSolve.ts
@@ -5,12 +5,13 @@
 import type { LinkCost } from './RoutingLinks.js';
 import type { PlanGroup, PlanOptions } from './RoutingPlanTypes.js';
 import { getHopKey } from './RoutingPlanTypes.js';
+import { getLinkRate } from './RoutingZones.js';
 
 /** A link at one boundary between layers. */
 export interface LinkArc {
   readonly arc: number;
   readonly from: string;
-  readonly toRack: string;
+  readonly toZone: string;
   readonly at: number;
   readonly link: LinkCost;
   readonly capacity: number;
@@ -23,8 +24,6 @@
   readonly links: readonly (LinkArc & { readonly flow: number })[];
 }
 
-/** Share of a link's rate that the plan fills; beyond it, tokens wait behind prompts. */
-const LINK_FILL = 0.5;
 /** Links slower than this are used only for what the others cannot carry. */
 const SLOW_TRANSFER_MS = 0.2;
 const LINK_ROUNDS = 3;
@@ -79,10 +78,6 @@
   return next;
 }
 
-function getLinkRate(link: LinkCost, options: PlanOptions): number {
-  return (LINK_FILL * link.bytesPerSecond) / options.bytesPerToken;
-}
-
 function solveOnce(
   groups: readonly PlanGroup[],
   rates: readonly number[],
@@ -90,7 +85,7 @@
   linkShares: ReadonlyMap<string, number>,
 ): SolvedPlan {
   const nodes = createNodeNumbers();
-  const places = new Map(groups.map(({ rack, members }) => [rack, members[0]?.facts]));
+  const places = new Map(groups.map(({ zone, members }) => [zone, members[0]?.facts]));
   const boundaries = new Set(groups.map(({ end }) => end));
   boundaries.delete(options.layerCount);
   const graph = createFlowGraph(2 + 2 * (boundaries.size + 2) * places.size + 2 * groups.length);
@@ -101,16 +96,16 @@
   for (const at of boundaries) {
     for (const [from, fromFacts] of places) {
       graph.addArc(nodes(`out ${getHopKey(at, from)}`), nodes(getHopKey(at, from)), Infinity);
-      for (const [toRack, toFacts] of places) {
-        if (toRack !== from && fromFacts && toFacts) {
+      for (const [toZone, toFacts] of places) {
+        if (toZone !== from && fromFacts && toFacts) {
           const link = options.getLink(fromFacts, toFacts);
           const share = link.key === null ? 1 : (linkShares.get(link.key) ?? 1);
           const capacity = getLinkRate(link, options) * share;
           const out = nodes(`out ${getHopKey(at, from)}`);
           // Slow links open only after the fast ones are full.
           const open = isSlow(link, options) ? 0 : capacity;
-          const arc = graph.addArc(out, nodes(getHopKey(at, toRack)), open);
-          links.push({ arc, from, toRack, at, link, capacity });
+          const arc = graph.addArc(out, nodes(getHopKey(at, toZone)), open);
+          links.push({ arc, from, toZone, at, link, capacity });
         }
       }
     }
@@ -132,12 +127,12 @@
 function addGroup(
   graph: FlowGraph,
   nodes: (name: string) => number,
-  { rack, first, end }: PlanGroup,
+  { zone, first, end }: PlanGroup,
   rate: number,
   layerCount: number,
 ): number {
-  const from = first === 0 ? SOURCE : nodes(getHopKey(first, rack));
-  const to = end === layerCount ? SINK : nodes(`out ${getHopKey(end, rack)}`);
+  const from = first === 0 ? SOURCE : nodes(getHopKey(first, zone));
+  const to = end === layerCount ? SINK : nodes(`out ${getHopKey(end, zone)}`);
   return graph.addArc(from, to, rate);
 }
 
--- a/packages/routing/src/RoutingPlanTypes.ts
+++ b/packages/routing/src/RoutingPlanTypes.ts
@@ -3,9 +3,9 @@
 import type { LinkCost } from './RoutingLinks.js';
 import type { PoolMember } from './RoutingPools.js';
 
-/** Engines of one rack that hold the same layers. */
+/** Engines of one zone that hold the same layers. */
 export interface PlanGroup {
-  readonly rack: string;
+  readonly zone: string;
   readonly first: number;
   readonly end: number;
   readonly members: readonly PoolMember[];
@@ -29,7 +29,7 @@
   readonly layerCount: number;
   readonly tokensPerSecond: number;
   readonly starts: PlanHops;
-  /** Hops that leave a rack at a layer, by `getHopKey`. */
+  /** Hops that leave a zone at a layer, by `getHopKey`. */
   readonly hops: ReadonlyMap<string, PlanHops>;
 }
 
@@ -43,8 +43,8 @@
 }
 
 /** Name of the place where a chain stands between two stages. */
-export function getHopKey(layer: number, rack: string): string {
-  return `${layer}@${rack}`;
+export function getHopKey(layer: number, zone: string): string {
+  return `${layer}@${zone}`;
 }
 
 /** Tokens a second of a whole group. */
--- a/packages/routing/src/RoutingTuning.ts
+++ b/packages/routing/src/RoutingTuning.ts
@@ -18,7 +18,7 @@
 
 export const DEFAULT_TUNING: RoutingTuning = {
   domain: null,
-  tokenGapMs: 60,
+  tokenGapMs: 63,
   promptTokensPerToken: 1,
   instanceCount: 1,
   foreignInstanceCount: 4,
--- a/packages/routing/src/RoutingWalk.ts
+++ b/packages/routing/src/RoutingWalk.ts
@@ -32,13 +32,13 @@
     if (!best) {
       return null;
     }
-    const { id, holding, facts } = best.member;
+    const { id, holding } = best.member;
     stages.push({ engine: id, layers: holding.layers });
     used.add(id);
     if (holding.layers.end === plan.layerCount) {
       return stages;
     }
-    hops = plan.hops.get(getHopKey(holding.layers.end, facts.rack));
+    hops = plan.hops.get(getHopKey(holding.layers.end, best.hop.group.zone));
   }
   return null;
 }
