--- a/packages/bench/src/ThroughputBench.ts
+++ b/packages/bench/src/ThroughputBench.ts
@@ -2,10 +2,8 @@
  * The throughput bench: virtual engines and links, several entry instances with lagging views, the
  * router against baselines, at the hardware's bound and at three times it.
  */
-import { build } from 'hdr-histogram-js';
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts } from '@skylarksail/core/CoreEngine';
-import { invariant } from '@skylarksail/core/CoreErrors';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
@@ -18,9 +16,11 @@
 import type { RoutingTuning } from '@skylarksail/routing/RoutingTuning';
 import type { VirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
 import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
-import { computeBound, getWorkMeans } from './ThroughputBound.js';
-import type { BenchRequest } from './ThroughputEntry.js';
+import { computeBound } from './ThroughputBound.js';
 import { createBenchEntry } from './ThroughputEntry.js';
+import { FULL_TOKEN_GAP_MS, readBenchPrompt, sendRequests } from './ThroughputLoad.js';
+import type { ThroughputRun } from './ThroughputMeter.js';
+import { createMeter } from './ThroughputMeter.js';
 import type { BenchPolicy } from './ThroughputPolicies.js';
 import {
   createBaselinePolicy,
@@ -29,30 +29,21 @@
   createRoundRobin,
   createRouterPolicy,
 } from './ThroughputPolicies.js';
-import type { BenchShape, BenchWork } from './ThroughputShapes.js';
+import type { BenchShape } from './ThroughputShapes.js';
 import { BENCH_ACTIVATION_BYTES, BENCH_VARIANT, createBenchShapes } from './ThroughputShapes.js';
 
 export interface ThroughputOptions {
   readonly seed: number;
   /** Virtual time that is measured, after the warm-up. */
   readonly measuredMs?: Millis;
+  /** Baselines to run beside the router; all by default. */
+  readonly baselines?: readonly string[];
   /** Names of the shapes to run; all by default. */
   readonly shapes?: readonly string[];
   /** Settings of the router to try, in place of its own. */
   readonly tuning?: Partial<RoutingTuning>;
 }
 
-/** What one policy reached. */
-export interface ThroughputRun {
-  readonly tokens_s: number;
-  readonly ttft_p95_ms: number;
-  readonly tbt_p95_ms: number;
-  /** Tokens a second that callers asked for. */
-  readonly offered_tokens_s: number;
-  readonly refused: number;
-  readonly failed: number;
-}
-
 export interface ThroughputLine {
   readonly bench: 'throughput';
   readonly case: string;
@@ -72,22 +63,15 @@
 
 type CreatePolicy = (instance: number, random: Random) => BenchPolicy;
 
-/** Callers come once the instances know the engines. */
-const START_MS = 800;
 const WARM_UP_MS = 9000;
 const MEASURED_MS = 8000;
 const REPORT_PERIOD_MS = 500;
 const REPORT_LAG_MS = 300;
 const ENTRY_DELAY_MS = 0.3;
 const KV_BYTES_PER_LAYER = 4096;
-/** Time between tokens at which the baselines hold back, and at which a full fleet runs. */
-const TOKEN_GAP_MS = 65;
-/** Time over which the requests arrive that a running fleet would have in hand at the start. */
-const FILL_MS = 1200;
 /** Load against the bound: a little above it, so that callers never leave the engines idle. */
 const FULL_LOAD = 1.2;
 const OVERLOAD = 3;
-const HISTOGRAM_UNITS_PER_MS = 10;
 
 /** Runs the bench; one line a case, the last one the whole. */
 export function runThroughputBench(options: ThroughputOptions): readonly ThroughputLine[] {
@@ -100,7 +84,7 @@
   const getLink = createLinkLookup(shape);
   const bound = computeBound(shape, (from, to) => getLink(from, to).bytesPerSecond);
   const count = shape.domains.length * shape.instancesPerDomain;
-  const maxCalls = (bound * TOKEN_GAP_MS) / MILLIS_PER_SECOND / count;
+  const maxCalls = (bound * FULL_TOKEN_GAP_MS) / MILLIS_PER_SECOND / count;
   const baselines = {
     'round-robin': createRoundRobin,
     'least-loaded': createLeastLoaded,
@@ -117,7 +101,10 @@
     return run;
   }
 
-  Object.entries(baselines).forEach(([name, createPick]) => {
+  const chosen = Object.entries(baselines).filter(
+    ([name]) => options.baselines?.includes(name) ?? true,
+  );
+  chosen.forEach(([name, createPick]) => {
     const run = measure(name, FULL_LOAD, (_i, random) =>
       createBaselinePolicy(shape.engines, maxCalls, createPick, random),
     );
@@ -207,140 +194,6 @@
   timers.registerInterval(REPORT_PERIOD_MS, report);
 }
 
-/** Callers that do not wait for each other; the balancer gives each request to any instance. */
-function sendRequests(
-  timers: TimerService,
-  shape: BenchShape,
-  tokensPerSecond: number,
-  fullTokensPerSecond: number,
-  entries: readonly ((req: BenchRequest) => void)[],
-  random: Random,
-): void {
-  const { answerTokens } = getWorkMeans(shape.work);
-  const meanGap = (MILLIS_PER_SECOND * answerTokens) / tokensPerSecond;
-  let count = 0;
-  function sendNext(): void {
-    const entry = entries[random.nextInt(entries.length)];
-    count += 1;
-    entry?.(createRequest(shape.work, `r${count}`, timers.now(), random));
-    timers.registerTimeout(-Math.log(1 - random.nextFloat()) * meanGap, sendNext);
-  }
-  /** A fleet that starts empty would be measured before it is full: long answers take 20 s and more. */
-  function fill(): void {
-    const inHand =
-      Math.min(tokensPerSecond, fullTokensPerSecond) * (TOKEN_GAP_MS / MILLIS_PER_SECOND);
-    for (let i = 0; i < inHand; i++) {
-      const entry = entries[i % entries.length];
-      const rest = createRunningRequest(shape.work, `f${i}`, random);
-      timers.registerTimeout((FILL_MS * i) / inHand, () =>
-        entry?.({ ...rest, arrivedAt: timers.now() }),
-      );
-    }
-  }
-  timers.registerTimeout(START_MS, () => {
-    fill();
-    sendNext();
-  });
-}
-
-/** What is left of a request met at a random moment: long ones are met more often. */
-function createRunningRequest(
-  work: readonly BenchWork[],
-  id: string,
-  random: Random,
-): BenchRequest {
-  const weights = work.map((w) => ({ ...w, share: w.share * w.answerTokens }));
-  const total = weights.reduce((sum, { share }) => sum + share, 0);
-  const byTime = weights.map((w) => ({ ...w, share: w.share / total }));
-  const req = createRequest(byTime, id, 0, random);
-  return { ...req, answerTokens: Math.max(1, Math.round(req.answerTokens * random.nextFloat())) };
-}
-
-function createRequest(
-  work: readonly BenchWork[],
-  id: string,
-  arrivedAt: Millis,
-  random: Random,
-): BenchRequest {
-  const kind = pickWork(work, random);
-  const ownTokens = drawLength(kind.ownTokens, random);
-  const answerTokens = drawLength(kind.answerTokens, random);
-  const prefixKey = `${kind.name}-${random.nextInt(kind.templates)}`;
-  const prompt = `${prefixKey}/${kind.prefixTokens}/${ownTokens}`;
-  return { id, work: kind, prompt, prefixKey, ownTokens, answerTokens, arrivedAt };
-}
-
-function pickWork(work: readonly BenchWork[], random: Random): BenchWork {
-  let draw = random.nextFloat();
-  const found = work.find(({ share }) => {
-    draw -= share;
-    return draw < 0;
-  });
-  const last = work.at(-1);
-  invariant(last, 'there is work');
-  return found ?? last;
-}
-
-function drawLength(mean: number, random: Random): number {
-  return Math.max(1, Math.round(mean * (0.5 + random.nextFloat())));
-}
-
-function readBenchPrompt(prompt: string) {
-  const [prefixKey = null, prefix, own] = prompt.split('/');
-  const prefixTokens = Number(prefix);
-  return { tokens: prefixTokens + Number(own), prefixKey, prefixTokens };
-}
-
-function createMeter() {
-  const firsts = build({ highestTrackableValue: 6e6 });
-  const gaps = build({ highestTrackableValue: 6e6 });
-  let measuring = false;
-  let tokens = 0;
-  let offered = 0;
-  let refused = 0;
-  let failed = 0;
-  const count = (change: () => void) => () => {
-    if (measuring) {
-      change();
-    }
-  };
-  return {
-    start() {
-      measuring = true;
-    },
-    onFirstToken(wait: Millis) {
-      if (measuring) {
-        firsts.recordValue(Math.round(wait * HISTOGRAM_UNITS_PER_MS));
-      }
-    },
-    onTokenGap(gap: Millis) {
-      if (measuring) {
-        gaps.recordValue(Math.round(gap * HISTOGRAM_UNITS_PER_MS));
-      }
-    },
-    onArrived(answerTokens: number) {
-      offered += measuring ? answerTokens : 0;
-    },
-    onToken: count(() => {
-      tokens += 1;
-    }),
-    onRefused: count(() => {
-      refused += 1;
-    }),
-    onFailed: count(() => {
-      failed += 1;
-    }),
-    read: (measuredMs: Millis): ThroughputRun => ({
-      tokens_s: Math.round((tokens * MILLIS_PER_SECOND) / measuredMs),
-      ttft_p95_ms: firsts.getValueAtPercentile(95) / HISTOGRAM_UNITS_PER_MS,
-      tbt_p95_ms: gaps.getValueAtPercentile(95) / HISTOGRAM_UNITS_PER_MS,
-      offered_tokens_s: Math.round((offered * MILLIS_PER_SECOND) / measuredMs),
-      refused,
-      failed,
-    }),
-  };
-}
-
 function createInitialState(
   shape: BenchShape,
   domain: DomainId | null,
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -2,7 +2,15 @@
 import { createChain, formatChain } from '@skylarksail/core/CoreChain';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { selectRepair } from '../../RoutingRepair.js';
-import { createAsk, createFacts, createFilledState, LAYERS, VARIANT } from './RoutingFixtures.js';
+import { setLoad } from '../../RoutingState.js';
+import {
+  createAsk,
+  createFacts,
+  createFilledState,
+  createSeen,
+  LAYERS,
+  VARIANT,
+} from './RoutingFixtures.js';
 
 function createTestChain() {
   const chain = createChain(VARIANT, LAYERS, [
@@ -56,4 +64,27 @@
     expect(repair.ok && repair.value.kind).to.equal('whole');
     expect(repair.ok && formatChain(repair.value.chain)).to.equal('b[0-20)');
   });
+
+  // Symptom: after a repair each token of an answer crossed between domains twice.
+  // Sequence: a chain runs in domain b, lent to a caller of a; its second stage dies there.
+  // Cause: the replacement was looked for in the domain of the caller.
+  it('replaces a stage in the domain where the chain runs, and passes over a full engine', () => {
+    const state = createFilledState([
+      { facts: createFacts('a', { domain: 'b' }), layers: [0, 10] },
+      { facts: createFacts('b', { domain: 'b' }), layers: [10, 20] },
+      { facts: createFacts('near', { domain: 'a' }), layers: [10, 20] },
+      { facts: createFacts('full', { domain: 'b' }), layers: [10, 20] },
+      { facts: createFacts('free', { domain: 'b' }), layers: [10, 20] },
+    ]);
+    const filled = setLoad(state, createSeen('full', [10, 20], { kvUsed: 1, seenAt: 1 }));
+    const repair = selectRepair(
+      filled,
+      createTestChain(),
+      new Set(['b']),
+      createAsk(),
+      createRandom(2),
+    );
+    expect(repair.ok && formatChain(repair.value.chain)).to.equal('a[0-10) > free[10-20)');
+    expect(repair.ok && repair.value.crossedDomain).to.equal(true);
+  });
 });
