Bear silences that tell nothing, and test limits and the machine

Cause: a slow link held up many streams at once; each was recovered, its prompt was read again over the same link, and all stood still. Conclusion: what remains slow is a rack that held a whole range of layers, and a saturated link.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -12,6 +12,7 @@
 import { claimKey } from './ClaimRunner.js';
 import type { AdmissionAsk } from './RequestAdmission.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
+import { hasRetry } from './RequestBudget.js';
 import { computeBackoff } from './RequestFailures.js';
 import { stepRequest } from './RequestMachine.js';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
@@ -36,6 +37,8 @@
 const RECHOOSE_MOST: Millis = 250;
 const RETRY_JITTER = 0.3;
 const BUDGET_WAIT: Millis = 500;
+/** Silences that are borne where the other streams do not tell which engine is to blame. */
+const UNCLEAR_SILENCES = 3;
 
 /** Starts a request; its sink hears everything from here on. */
 export function startModelRun(
@@ -143,8 +146,16 @@
   }
 
   function choose(effect: EffectOf<'choose'>): void {
+    const now = timers.now();
+    if (machine.attempt === 0 && shared.starved.isStarved(spec.model, now)) {
+      send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
+      return;
+    }
     if (!attempts.choose(effect)) {
       log('no-chain', effect.failed.join(','));
+      if (machine.tokenCount > 0) {
+        shared.starved.noteStarved(spec.model, now);
+      }
       admission.noteRefusal();
       recovery.finish(spec.id);
       shared.pumpRecoveries();
@@ -202,8 +213,24 @@
   }
 
   function reportSilence(): void {
+    const isRetry = machine.attemptTokens === 0 && machine.fruitless > 0;
+    if (isRetry && !hasRetry(shared.getBudget())) {
+      // Nothing could follow but giving up; the attempt may only be slow.
+      send({ kind: 'silence-borne' });
+      return;
+    }
+    const all = attempts.getEngines();
     const chain = attempts.getChain();
-    sendSilence(chain ? shared.progress.findSilent(chain, machine.signAt) : [], false);
+    // The later half of the silence: an engine that hung may have served another stream just before.
+    const since = (machine.signAt + timers.now()) / 2;
+    const silent = chain ? shared.progress.findSilent(chain, since) : [];
+    const isClear = silent.length > 0 && silent.length < all.length;
+    if (!isClear && machine.borne < UNCLEAR_SILENCES) {
+      // A slow link holds up many streams at once, and prompts read again would hold them up longer.
+      send({ kind: 'silence-borne' });
+      return;
+    }
+    sendSilence(isClear ? silent : all, false);
   }
 
   function sendSilence(suspects: readonly EngineId[], isSlow: boolean): void {
@@ -229,7 +256,7 @@
       return;
     }
     if (effect.isLost) {
-      shared.progress.noteLost(engine, timers.now());
+      shared.progress.noteLost(engine, effect.place !== FailurePlace.Silence, timers.now());
     }
     if (effect.isCrash) {
       noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
--- a/packages/requests/src/RequestAdmission.ts
+++ b/packages/requests/src/RequestAdmission.ts
@@ -105,9 +105,13 @@
     return capacity === null || running.size === 0 || kvInUse + wanted <= capacity;
   }
 
-  function admit(): void {
+  function admit(now: Millis): void {
     for (let entry = queue.pop(fits); entry; entry = queue.pop(fits)) {
       const found = waiting.get(entry.id);
+      if (found && isHopeless(found.ask, now)) {
+        refuse(entry.id, now);
+        continue;
+      }
       waiting.delete(entry.id);
       if (found) {
         running.set(entry.id, found.ask);
@@ -124,6 +128,11 @@
     found?.listener.onRefused(computeRetryAfter(estimateWait(found.ask), now));
   }
 
+  /** Even if it ran now it would end too late: running it would take a place for nothing. */
+  function isHopeless(ask: AdmissionAsk, now: Millis): boolean {
+    return now + ask.duration > ask.deadline;
+  }
+
   function computeRetryAfter(wait: Millis, now: Millis): Millis {
     const untilSweep = Math.max(0, rateStart + RATE_WINDOW - now);
     return Math.min(MOST_RETRY, Math.max(LEAST_RETRY, wait, untilSweep));
@@ -177,7 +186,7 @@
       if (outcome.kind === 'displaced') {
         refuse(outcome.evicted.id, now);
       }
-      admit();
+      admit(now);
     },
     leave(id, now) {
       const ask = running.get(id);
@@ -189,17 +198,17 @@
       } else if (waiting.delete(id)) {
         queue.remove(id);
       }
-      admit();
+      admit(now);
     },
     sweep(now) {
       noteRate(now);
       limit = adaptLimit(limit, cfg.limits, now);
       for (const { ask } of [...waiting.values()]) {
-        if (now + ask.duration > ask.deadline) {
+        if (isHopeless(ask, now)) {
           refuse(ask.id, now);
         }
       }
-      admit();
+      admit(now);
     },
     noteGap(gap) {
       limit = noteGap(limit, cfg.limits, gap);
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -33,8 +33,6 @@
 /** A tick that comes this late says that we slept ourselves; the streams get another chance. */
 export const LATE_TICK: Millis = 50;
 
-/** Work that must not run twice is never replaced, so its silence is borne this many times as long. */
-const SINGLE_RUN_PATIENCE = 10;
 const MAX_DOUBLINGS = 4;
 
 /** Opens the next attempt on a chain that was chosen. */
@@ -55,6 +53,7 @@
     acknowledged: false,
     attemptTokens: 0,
     limits: event.limits,
+    borne: 0,
     pace: createPace(event.limits.gap),
     openedAt: now,
     signAt: now,
@@ -63,7 +62,8 @@
     machine: opened,
     effects: [
       { kind: 'open', attempt, chain: event.chain, importFrom: event.importFrom },
-      { kind: 'watch', delay: getSilenceLimit(opened) },
+      // Work that must not run twice is never replaced, so its silence is borne until the deadline.
+      ...watchSilence(opened),
     ],
   };
 }
@@ -127,6 +127,7 @@
       run: RunState.Ran,
       fruitless: 0,
       avoid: machine.avoid.length > 0 ? [] : machine.avoid,
+      borne: 0,
       firstTokenAt: isFirst ? now : machine.firstTokenAt,
       signAt: now,
       progressAt: now,
@@ -157,18 +158,30 @@
   return { machine, effects: [{ kind: 'silent', attempt: machine.attempt }] };
 }
 
+function watchSilence(machine: RequestMachine): readonly RequestEffect[] {
+  return machine.idempotent ? [{ kind: 'watch', delay: getSilenceLimit(machine) }] : [];
+}
+
+/** Gives a silent attempt as much time again. */
+export function bearSilence(machine: RequestMachine): MachineStep {
+  if (machine.phase !== RequestPhase.Running) {
+    return stay(machine);
+  }
+  const delay = getSilenceLimit(machine);
+  return { machine: { ...machine, borne: machine.borne + 1 }, effects: [{ kind: 'watch', delay }] };
+}
+
 /** How long the present attempt may be silent from its last sign of life on. */
 function getSilenceLimit(machine: RequestMachine): Millis {
   // Silence after silence says that all is slow: recovering ever again would make it slower.
-  const doubled = 2 ** Math.min(MAX_DOUBLINGS, machine.fruitless);
-  const patience = machine.idempotent ? doubled : SINGLE_RUN_PATIENCE;
+  const doubled = 2 ** Math.min(MAX_DOUBLINGS, machine.fruitless) * (1 + machine.borne);
   if (!machine.acknowledged) {
-    return patience * machine.limits.acknowledgement;
+    return doubled * machine.limits.acknowledgement;
   }
   if (machine.attemptTokens === 0) {
-    return patience * machine.limits.firstToken;
+    return doubled * machine.limits.firstToken;
   }
-  return patience * computeSilenceLimit(machine.pace, GAP_BOUNDS);
+  return doubled * computeSilenceLimit(machine.pace, GAP_BOUNDS);
 }
 
 function failAttempt(
--- a/packages/requests/src/RequestBudget.ts
+++ b/packages/requests/src/RequestBudget.ts
@@ -21,6 +21,11 @@
   return { ...budget, tokens: Math.min(budget.burst, budget.tokens + budget.share) };
 }
 
+/** Whether a retry could be had now. */
+export function hasRetry(budget: RetryBudget): boolean {
+  return budget.tokens >= 1;
+}
+
 /** Takes a token for a retry, or null if there is none. */
 export function takeRetry(budget: RetryBudget): RetryBudget | null {
   return budget.tokens >= 1 ? { ...budget, tokens: budget.tokens - 1 } : null;
--- a/packages/requests/src/RequestLimits.ts
+++ b/packages/requests/src/RequestLimits.ts
@@ -34,7 +34,7 @@
 }
 
 export const DEFAULT_LIMIT_CONFIG: LimitConfig = {
-  initial: 32,
+  initial: 128,
   least: 4,
   most: 4096,
   gapTarget: 78,
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -5,7 +5,7 @@
  */
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import { checkSilence, openAttempt, stepAttempt } from './RequestAttempt.js';
+import { bearSilence, checkSilence, openAttempt, stepAttempt } from './RequestAttempt.js';
 import type { RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import type { MachineStep, RequestMachine } from './RequestState.js';
@@ -27,10 +27,7 @@
   }
   switch (event.kind) {
     case 'admitted':
-      return {
-        machine: { ...machine, phase: RequestPhase.Choosing, progressAt: now },
-        effects: [{ kind: 'choose', broken: null, failed: [], avoid: machine.avoid }],
-      };
+      return admit(machine, now);
     case 'refused':
       return endWith(machine, event.problem);
     case 'answer-held':
@@ -47,9 +44,13 @@
     case 'retry-granted':
       return chooseAgain(machine, event.failed);
     case 'retry-refused':
-      return failWith(machine, ProblemKind.EngineFailed, event.retryAfter);
+      return machine.phase === RequestPhase.Pausing
+        ? failWith(machine, ProblemKind.EngineFailed, event.retryAfter)
+        : stay(machine);
     case 'tick':
       return checkSilence(machine, event.dueAt, now);
+    case 'silence-borne':
+      return bearSilence(machine);
     case 'hang-up':
       return failWith(machine, ProblemKind.HungUp, null);
     case 'deadline':
@@ -61,6 +62,16 @@
   }
 }
 
+function admit(machine: RequestMachine, now: Millis): MachineStep {
+  if (machine.phase !== RequestPhase.Waiting) {
+    return stay(machine);
+  }
+  return {
+    machine: { ...machine, phase: RequestPhase.Choosing, progressAt: now },
+    effects: [{ kind: 'choose', broken: null, failed: [], avoid: machine.avoid }],
+  };
+}
+
 function chooseAgain(machine: RequestMachine, failed: readonly EngineId[]): MachineStep {
   if (machine.phase !== RequestPhase.Pausing) {
     return stay(machine);
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -75,6 +75,8 @@
     }
   /** The timer of the last `watch`; `dueAt` is when it should have fired. */
   | { readonly kind: 'tick'; readonly dueAt: Millis }
+  /** A silent attempt is left to go on. */
+  | { readonly kind: 'silence-borne' }
   | { readonly kind: 'retry-granted'; readonly failed: readonly EngineId[] }
   | { readonly kind: 'retry-refused'; readonly retryAfter: Millis | null }
   | { readonly kind: 'hang-up' }
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -19,18 +19,27 @@
   readonly bestGap: Millis;
 }
 
+/** Engines to keep off: the dead ones always, the silent ones if there are others. */
+export interface DownEngines {
+  readonly dead: readonly EngineId[];
+  readonly silent: readonly EngineId[];
+}
+
 /** Progress of engines as seen from this instance. */
 export interface ProgressTracker {
   /** A token came over the chain, `gap` after the one before it. */
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
-  /** An engine was lost under a request, or could not be reached. */
-  noteLost(engine: EngineId, now: Millis): void;
+  /** An engine was lost under a request, or could not be reached; `isDead` unless it was only silent. */
+  noteLost(engine: EngineId, isDead: boolean, now: Millis): void;
   /**
    * Engines lost a short while ago that have given nothing since. Without this list each request of a
    * lost rack would find out for itself, engine by engine, that they are dead.
    */
-  listDown(now: Millis): readonly EngineId[];
-  /** Engines of a chain through which nothing has come since `since`; all of them if each is cleared. */
+  listDown(now: Millis): DownEngines;
+  /**
+   * Engines of a chain through which nothing has come since `since`. All of them, or none, tells nothing:
+   * then a link is slow, or no other stream is there to clear an engine.
+   */
   findSilent(chain: Chain, since: Millis): readonly EngineId[];
   /** The engine of a chain whose best stream is slowest, the later of two that are equal. */
   findSlowest(chain: Chain, now: Millis): SlowEngine | null;
@@ -46,7 +55,7 @@
 /** Creates a tracker that knows nothing. */
 export function createProgressTracker(): ProgressTracker {
   const engines = new Map<EngineId, EngineProgress>();
-  const lostAt = new Map<EngineId, Millis>();
+  const lost = new Map<EngineId, { readonly at: Millis; readonly isDead: boolean }>();
 
   function getBest(progress: EngineProgress, now: Millis): Millis {
     return now - progress.windowStart > 2 * WINDOW
@@ -73,28 +82,29 @@
           progress.windowStart = now;
         }
         progress.lastAt = now;
-        lostAt.delete(engine);
+        lost.delete(engine);
         progress.best = Math.min(progress.best, gap ?? Infinity);
       }
     },
-    noteLost(engine, now) {
-      lostAt.set(engine, now);
+    noteLost(engine, isDead, now) {
+      lost.set(engine, { at: now, isDead });
     },
     listDown(now) {
-      const down: EngineId[] = [];
-      for (const [engine, at] of lostAt) {
-        if (now - at < DOWN_TIME) {
-          down.push(engine);
+      const dead: EngineId[] = [];
+      const silent: EngineId[] = [];
+      for (const [engine, { at, isDead }] of lost) {
+        if (now - at >= DOWN_TIME) {
+          lost.delete(engine);
         } else {
-          lostAt.delete(engine);
+          (isDead ? dead : silent).push(engine);
         }
       }
-      return down;
+      return { dead, silent };
     },
     findSilent(chain, since) {
-      const all = chain.stages.map((stage) => stage.engine);
-      const silent = all.filter((engine) => (engines.get(engine)?.lastAt ?? -Infinity) <= since);
-      return silent.length > 0 ? silent : all;
+      return chain.stages
+        .map((stage) => stage.engine)
+        .filter((engine) => (engines.get(engine)?.lastAt ?? -Infinity) <= since);
     },
     findSlowest(chain, now) {
       let slowest: SlowEngine | null = null;
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -23,6 +23,7 @@
 import { createWorkQueue } from './RouterEvents.js';
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
+import { createStarvedModels } from './RouterShared.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
 import { stopCondemned } from './RunSuspicion.js';
 import { startServiceRun } from './ServiceRunner.js';
@@ -77,6 +78,7 @@
     recovery: createRecoveryQueue(),
     progress: createProgressTracker(),
     meters: createRouterMeters(),
+    starved: createStarvedModels(),
     runs: new Map(),
     post: createWorkQueue(),
     getPoison: () => poison,
@@ -94,7 +96,7 @@
   function pumpRecoveries(): void {
     const bound = Math.max(
       LEAST_RECOVERIES,
-      Math.ceil(shared.admission.getLimit() * cfg.recoveryShare),
+      Math.ceil(shared.admission.countRunning() * cfg.recoveryShare),
     );
     shared.recovery.startNext(bound, (id) => shared.runs.get(id)?.startRecovery());
   }
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -38,6 +38,8 @@
   readonly progressAt: Millis;
   /** When the present attempt last gave a sign of life. */
   readonly signAt: Millis;
+  /** Silences in a row that were borne. */
+  readonly borne: number;
   /** When the last failure showed; null while nothing is being mended. */
   readonly failedAt: Millis | null;
 }
@@ -74,6 +76,7 @@
     firstTokenAt: now,
     progressAt: now,
     signAt: now,
+    borne: 0,
     failedAt: null,
   };
 }
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -1,5 +1,5 @@
 /** What the running requests of one router share. */
-import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, ModelId } from '@skylarksail/core/CoreTypes';
 import type { Admission } from './RequestAdmission.js';
 import type { RetryBudget } from './RequestBudget.js';
 import { noteFirstTry, takeRetry } from './RequestBudget.js';
@@ -24,6 +24,25 @@
   reachDrainLimit(): void;
 }
 
+/** Models of which begun answers wait for a chain: new requests of those wait their turn. */
+export interface StarvedModels {
+  noteStarved(model: ModelId, now: Millis): void;
+  isStarved(model: ModelId, now: Millis): boolean;
+}
+
+const STARVED_TIME: Millis = 300;
+
+/** Creates the record of starved models, empty. */
+export function createStarvedModels(): StarvedModels {
+  const until = new Map<ModelId, Millis>();
+  return {
+    noteStarved: (model, now) => {
+      until.set(model, now + STARVED_TIME);
+    },
+    isStarved: (model, now) => (until.get(model) ?? 0) > now,
+  };
+}
+
 /** State and services shared by all requests of a router. */
 export interface RouterShared {
   readonly deps: RouterDeps;
@@ -31,6 +50,7 @@
   readonly recovery: RecoveryQueue;
   readonly progress: ProgressTracker;
   readonly meters: RouterMeters;
+  readonly starved: StarvedModels;
   readonly runs: Map<string, ModelRun>;
   readonly post: PostWork;
   readonly getPoison: () => PoisonState;
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -17,7 +17,7 @@
   readonly retryShare: number;
   /** Retries that may come at once. */
   readonly retryBurst: number;
-  /** Share of the concurrency limit that recoveries may take at once. */
+  /** Share of the running requests that may be in recovery at once. */
   readonly recoveryShare: number;
   /** Crashes after which a request is refused. */
   readonly poisonCrashes: number;
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -19,6 +19,7 @@
 const BLAME_FACTOR = 1.5;
 /** Time after which a slow stream is moved though each of its engines does well: a link is slow. */
 const LINK_PATIENCE: Millis = 600;
+const MAX_MOVES = 4;
 
 /** Since when a stream has been slow, and the engine to replace if it is to be moved now. */
 export interface MoveDecision {
@@ -38,7 +39,9 @@
   const { pace, chain, tokenCount } = machine;
   const isSettled = pace.samples >= SLOW_SAMPLES && now - machine.openedAt >= MOVE_AFTER;
   const isSlow = pace.mean > Math.max(SLOW_LEAST_GAP, usualGap * SLOW_FACTOR);
-  const isMovable = spec.idempotent && machine.phase === RequestPhase.Running;
+  // Few at a time: a stream gives up what it has, and its prompt is read again.
+  const isRoom = shared.recovery.countRunning() + shared.recovery.countWaiting() < MAX_MOVES;
+  const isMovable = isRoom && spec.idempotent && machine.phase === RequestPhase.Running;
   if (!chain || !isMovable || !isSettled || !isSlow) {
     return { slowSince: null, engine: null };
   }
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -75,9 +75,9 @@
   fingerprint: Fingerprint,
 ): readonly (readonly EngineId[])[] {
   const now = shared.deps.timers.now();
-  const down = shared.progress.listDown(now);
+  const { dead, silent } = shared.progress.listDown(now);
   if (judgeRun(shared, fingerprint) === PoisonVerdict.Clean) {
-    return down.length > 0 ? [down, []] : [[]];
+    return silent.length > 0 ? [[...dead, ...silent], dead] : [dead];
   }
   const fellows = listFellowSuspects(shared.getPoison(), fingerprint, now);
   const counts = new Map<EngineId, number>();
@@ -85,8 +85,9 @@
     counts.set(engine, (counts.get(engine) ?? 0) + 1);
   }
   const spreads = FELLOW_BOUNDS.map((bound) => [
-    ...down,
+    ...dead,
+    ...silent,
     ...[...counts].filter(([, count]) => count > bound).map(([engine]) => engine),
   ]);
-  return [...spreads, []];
+  return [...spreads, dead];
 }
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestAdmission.test.ts
@@ -0,0 +1,145 @@
+import { expect } from 'chai';
+import type { PriorityName } from '@skylarksail/core/CoreConstants';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createAdmission } from '../../RequestAdmission.js';
+import { DEFAULT_LIMIT_CONFIG } from '../../RequestLimits.js';
+
+const DURATION = 1000;
+const SLOTS = 20;
+
+interface Ask {
+  readonly team: string;
+  readonly priority?: PriorityName;
+  readonly patience?: Millis;
+}
+
+/** A gate before engines that run `SLOTS` requests of one second each at the same time. */
+function createGate(queueLimit = 1000) {
+  const timers = createVirtualTimers();
+  const limits = { ...DEFAULT_LIMIT_CONFIG, initial: SLOTS, most: SLOTS };
+  const admission = createAdmission(
+    {
+      limits,
+      queueBound: 2000,
+      getTeamLimits: () => ({ share: 1, queueLimit }),
+      getKvCapacity: () => null,
+    },
+    0,
+  );
+  const done: Record<string, number> = {};
+  const refused: Record<string, number> = {};
+  const refusals: { readonly wait: Millis; readonly retryAfter: Millis }[] = [];
+  let count = 0;
+  timers.registerInterval(100, () => admission.sweep(timers.now()));
+
+  function send({ team, priority = 'normal', patience = 3000 }: Ask): void {
+    count += 1;
+    const id = `r${count}`;
+    const sentAt = timers.now();
+    const deadline = sentAt + patience;
+    const ask = { id, team, priority, cost: 100, kvTokens: 0, deadline, duration: DURATION };
+    const name = `${team} ${priority}`;
+    function refuse(retryAfter: Millis): void {
+      refused[name] = (refused[name] ?? 0) + 1;
+      refusals.push({ wait: timers.now() - sentAt, retryAfter });
+    }
+    const retryAfter = admission.check(ask, sentAt);
+    if (retryAfter !== null) {
+      refuse(retryAfter);
+      return;
+    }
+    const onAdmitted = (): void => {
+      timers.registerTimeout(DURATION, () => {
+        done[name] = (done[name] ?? 0) + (timers.now() <= deadline ? 1 : 0);
+        admission.leave(id, timers.now());
+      });
+    };
+    admission.enqueue(ask, { onAdmitted, onRefused: refuse }, sentAt);
+  }
+
+  function sendEvery(period: Millis, ask: Ask): void {
+    timers.registerInterval(period, () => send(ask));
+  }
+  return { timers, admission, send, sendEvery, done, refused, refusals };
+}
+
+describe('RequestAdmission', () => {
+  it('keeps goodput at three times the bound within 5% of goodput at the bound', () => {
+    // Symptom: the more is asked, the less is answered in time.
+    // Sequence: three times as many requests come as the engines can run.
+    // Cause: queuing what will be past its deadline once it runs.
+    const atBound = createGate();
+    atBound.sendEvery(DURATION / SLOTS, { team: 't' });
+    atBound.timers.advanceTo(60_000);
+    const over = createGate();
+    over.sendEvery(DURATION / SLOTS / 3, { team: 't' });
+    over.timers.advanceTo(60_000);
+    const ratio = (over.done['t normal'] ?? 0) / (atBound.done['t normal'] ?? 0);
+    expect(ratio).to.be.within(0.95, 1.05);
+  });
+
+  it('answers at once whom it gives up on, with a time to come back', () => {
+    // Symptom: a caller waits for its whole deadline to hear that it was never going to run.
+    // Sequence: the queue is longer than the caller's time.
+    // Cause: looking at the deadline only when it has passed.
+    const gate = createGate();
+    gate.sendEvery(DURATION / SLOTS / 3, { team: 't' });
+    gate.timers.advanceTo(10_000);
+    const late = gate.refusals.slice(-100);
+    expect(late.every(({ retryAfter }) => retryAfter >= 250)).to.equal(true);
+    const atOnce = late.filter(({ wait }) => wait === 0).length;
+    expect(atOnce).to.be.at.least(60);
+    expect(Math.max(...late.map(({ wait }) => wait))).to.be.at.most(3000 - DURATION + 100);
+  });
+
+  it('lets a flooding team take nothing from the share of another', () => {
+    // Symptom: one team's batch job makes every parent's question time out.
+    // Sequence: a team sends ten times the bound; another sends two fifths of it.
+    // Cause: one queue for all, in order of arrival.
+    const gate = createGate();
+    gate.sendEvery(DURATION / SLOTS / 10, { team: 'flood', patience: 8000 });
+    gate.timers.advanceTo(5000);
+    gate.sendEvery((DURATION / SLOTS) * 2.5, { team: 'calm' });
+    gate.timers.advanceTo(35_000);
+    const sent = Math.floor(30_000 / ((DURATION / SLOTS) * 2.5));
+    expect(gate.refused['calm normal'] ?? 0).to.equal(0);
+    expect(gate.done['calm normal']).to.be.at.least(sent - 25);
+    const total = (gate.done['calm normal'] ?? 0) + (gate.done['flood normal'] ?? 0);
+    expect(total).to.be.at.least(0.95 * SLOTS * 34);
+  });
+
+  it('refuses the lower priority first', () => {
+    // Symptom: a truck waits for a quote behind a hundred bulletins.
+    // Sequence: a team fills its queue with low requests, then urgent ones come.
+    // Cause: a full queue that refuses whoever comes last.
+    const gate = createGate(10);
+    for (let i = 0; i < SLOTS + 10; i++) {
+      gate.send({ team: 't', priority: 'low' });
+    }
+    for (let i = 0; i < 5; i++) {
+      gate.send({ team: 't', priority: 'urgent' });
+    }
+    expect([gate.refused['t low'], gate.refused['t urgent']]).to.deep.equal([5, undefined]);
+    gate.timers.advanceTo(3000);
+    expect(gate.done['t urgent']).to.equal(5);
+  });
+
+  it('lowers its limit while tokens come late, and raises it again', () => {
+    // Symptom: every answer crawls, and none is refused.
+    // Sequence: half of the engines are lost; the rest serve twice the work, each token twice as late.
+    // Cause: a limit that is set once.
+    const gate = createGate();
+    const before = gate.admission.getLimit();
+    gate.timers.registerInterval(20, () => {
+      const isCrowded = gate.timers.now() > 1000 && gate.timers.now() < 5000;
+      gate.admission.noteGap(isCrowded ? 160 : 30);
+    });
+    gate.timers.advanceTo(5000);
+    const fallen = gate.admission.getLimit();
+    expect(fallen).to.be.below(before / 2);
+    gate.sendEvery(20, { team: 't' });
+    gate.timers.advanceTo(20_000);
+    expect(gate.admission.getLimit()).to.be.above(fallen * 2);
+  });
+});
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -0,0 +1,172 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createChain } from '@skylarksail/core/CoreChain';
+import { RunState } from '@skylarksail/core/CoreConstants';
+import { invariant } from '@skylarksail/core/CoreErrors';
+import { classifyFailure, FailureClass } from '../../RequestFailures.js';
+import { stepRequest } from '../../RequestMachine.js';
+import type { RequestEffect, RequestEvent } from '../../RequestMessages.js';
+import { FailurePlace } from '../../RequestPorts.js';
+import type { RequestMachine } from '../../RequestState.js';
+import { createRequestMachine, getMachineRun } from '../../RequestState.js';
+import { createFailure, VARIANT } from './RequestFakes.js';
+
+const MAX_TOKENS = 6;
+const made = createChain(VARIANT, 2, [
+  { engine: 'a', layers: { first: 0, end: 1 } },
+  { engine: 'b', layers: { first: 1, end: 2 } },
+]);
+invariant(made.ok, 'the stages form a chain');
+const chain = made.value;
+const limits = { acknowledgement: 300, firstToken: 400, gap: 30 };
+
+const attempt = fc.integer({ min: 1, max: 3 });
+const place = fc.constantFrom(...Object.values(FailurePlace));
+const anyEvent: fc.Arbitrary<RequestEvent> = fc.oneof(
+  fc.constant<RequestEvent>({ kind: 'admitted' }),
+  fc.constant<RequestEvent>({ kind: 'chosen', chain, importFrom: [], limits }),
+  fc.constant<RequestEvent>({ kind: 'chosen', chain, importFrom: [], limits }),
+  fc.constant<RequestEvent>({ kind: 'no-chain', isFull: true, retryAfter: 10 }),
+  fc.constant<RequestEvent>({ kind: 'retry-granted', failed: ['a'] }),
+  fc.constant<RequestEvent>({ kind: 'retry-refused', retryAfter: null }),
+  fc.constant<RequestEvent>({ kind: 'silence-borne' }),
+  fc.constant<RequestEvent>({ kind: 'hang-up' }),
+  fc.constant<RequestEvent>({ kind: 'deadline' }),
+  attempt.map((n): RequestEvent => ({ kind: 'acknowledged', attempt: n, acknowledgement: chain })),
+  fc
+    .tuple(attempt, fc.integer({ min: 0, max: MAX_TOKENS }))
+    .map(([n, index]): RequestEvent => ({ kind: 'token', attempt: n, index, token: `w${index}` })),
+  fc
+    .tuple(attempt, fc.integer({ min: 0, max: MAX_TOKENS }))
+    .map(([n, tokenCount]): RequestEvent => ({
+      kind: 'end',
+      attempt: n,
+      reason: 'stop',
+      tokenCount,
+    })),
+  fc.tuple(attempt, place, fc.boolean()).map(([n, where, provenNotRun]): RequestEvent => ({
+    kind: 'failure',
+    attempt: n,
+    failure: createFailure({ place: where, provenNotRun }),
+    suspects: [],
+    isSlow: false,
+  })),
+);
+
+/** Steps a machine through events, a token or two at a time to get far enough. */
+function run(idempotent: boolean, events: readonly RequestEvent[]) {
+  let machine: RequestMachine = createRequestMachine(idempotent, MAX_TOKENS, 0);
+  const effects: RequestEffect[] = [];
+  const states: RequestMachine[] = [];
+  events.forEach((event, i) => {
+    const step = stepRequest(machine, event, i * 10);
+    machine = step.machine;
+    effects.push(...step.effects);
+    states.push(machine);
+  });
+  return { machine, effects, states };
+}
+
+describe('RequestMachine', () => {
+  it('keeps its promises whatever comes, in whatever order', () => {
+    fc.assert(
+      fc.property(fc.boolean(), fc.array(anyEvent, { maxLength: 60 }), (idempotent, tail) => {
+        const start: RequestEvent[] = [
+          { kind: 'admitted' },
+          { kind: 'chosen', chain, importFrom: [], limits },
+        ];
+        const { effects, machine } = run(idempotent, [...start, ...tail]);
+        const tokens = effects.filter((effect) => effect.kind === 'token');
+        expect(tokens.map((effect) => effect.index)).to.deep.equal(tokens.map((_, i) => i));
+        const ends = effects.filter(({ kind }) => ['complete', 'fail', 'replay'].includes(kind));
+        expect(ends.length).to.be.at.most(1);
+        expect(ends.length === 1).to.equal(machine.phase === 'ended');
+        const last = effects.findLastIndex(({ kind }) => kind === 'token' || kind === 'open');
+        expect(ends.every((end) => effects.indexOf(end) > last)).to.equal(true);
+        const opened = effects.filter(({ kind }) => kind === 'open').length;
+        const closed = effects.filter(({ kind }) => kind === 'close').length;
+        expect(opened - closed).to.equal(machine.phase === 'running' ? 1 : 0);
+        const [end] = ends;
+        if (end?.kind === 'fail' && end.problem.run === RunState.NotRun) {
+          expect(tokens).to.have.length(0);
+        }
+      }),
+      { numRuns: 2000, seed: 7 },
+    );
+  });
+
+  it('runs non-idempotent work again only after a proof that it has not run', () => {
+    // Symptom: a receipt is written twice.
+    // Sequence: the connection breaks after the request was sent, and it is sent once more.
+    // Cause: taking "no answer" for "not run".
+    const start: RequestEvent[] = [
+      { kind: 'admitted' },
+      { kind: 'chosen', chain, importFrom: [], limits },
+    ];
+    for (const where of Object.values(FailurePlace)) {
+      const failure = createFailure({ place: where });
+      const { effects, machine } = run(false, [
+        ...start,
+        { kind: 'failure', attempt: 1, failure, suspects: [], isSlow: false },
+      ]);
+      const isAskedAgain = effects.some(({ kind }) => kind === 'ask-retry');
+      expect(isAskedAgain, where).to.equal(where === FailurePlace.Connect);
+      expect(getMachineRun(machine) === RunState.NotRun, where).to.equal(isAskedAgain);
+    }
+  });
+
+  it('believes what it saw over an engine that says it did not run', () => {
+    // Symptom: a caller is told "not run", sends its request again, and it runs twice.
+    // Sequence: an engine acknowledges, gives a token, restarts, and says that it knows of nothing.
+    // Cause: passing the engine's word on although a frame of the attempt had come before it.
+    const failure = createFailure({ place: FailurePlace.Refused, provenNotRun: true });
+    const saw = (acknowledged: boolean, tokens: number) =>
+      classifyFailure(failure, { acknowledged, tokens, ended: false });
+    expect(saw(false, 0)).to.equal(FailureClass.NotRun);
+    expect(saw(true, 0)).to.equal(FailureClass.Unknown);
+    expect(saw(true, 1)).to.equal(FailureClass.RanInPart);
+  });
+
+  it('never forgets that an earlier attempt may have run', () => {
+    // Symptom: "not run" for work that ran.
+    // Sequence: the first attempt fails unknown, the second is refused and proven not to have run.
+    // Cause: telling the caller of the last attempt only.
+    const { effects } = run(true, [
+      { kind: 'admitted' },
+      { kind: 'chosen', chain, importFrom: [], limits },
+      {
+        kind: 'failure',
+        attempt: 1,
+        failure: createFailure({ place: FailurePlace.Send }),
+        suspects: [],
+        isSlow: false,
+      },
+      { kind: 'retry-granted', failed: ['a'] },
+      { kind: 'chosen', chain, importFrom: [], limits },
+      {
+        kind: 'failure',
+        attempt: 2,
+        failure: createFailure({ place: FailurePlace.Refused, provenNotRun: true }),
+        suspects: [],
+        isSlow: false,
+      },
+      { kind: 'retry-refused', retryAfter: 100 },
+    ]);
+    const end = effects.find(({ kind }) => kind === 'fail');
+    expect(end?.kind === 'fail' && end.problem.run).to.equal(RunState.Unknown);
+  });
+
+  it('gives a stream another chance after the process itself was paused', () => {
+    // Symptom: after a pause of the process every stream is recovered at once.
+    // Sequence: the process sleeps for seconds; its timers fire before the frames are read.
+    // Cause: taking our own sleep for the engines' silence.
+    const { machine } = run(true, [
+      { kind: 'admitted' },
+      { kind: 'chosen', chain, importFrom: [], limits },
+    ]);
+    const late = stepRequest(machine, { kind: 'tick', dueAt: 400 }, 5000);
+    expect(late.effects.map(({ kind }) => kind)).to.deep.equal(['watch']);
+    const onTime = stepRequest(machine, { kind: 'tick', dueAt: 400 }, 401);
+    expect(onTime.effects.map(({ kind }) => kind)).to.deep.equal(['silent']);
+  });
+});
