Blame one engine only while most answers go on

Cause: while a slow link held up most answers of an instance, a short silence of each made its engines look hung, and answers were recovered that would have gone on by themselves.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -37,8 +37,11 @@
 const RECHOOSE_MOST: Millis = 250;
 const RETRY_JITTER = 0.3;
 const BUDGET_WAIT: Millis = 500;
+const STILL_AFTER: Millis = 80;
 /** Silences that are borne where the other streams do not tell which engine is to blame. */
 const UNCLEAR_SILENCES = 3;
+/** Share of answers that may stand still at once while one engine is held to be the cause. */
+const MOST_STILL = 0.5;
 
 /** Starts a request; its sink hears everything from here on. */
 export function startModelRun(
@@ -67,6 +70,10 @@
   const run: ModelRun = {
     fingerprint,
     getEngines: () => attempts.getEngines(),
+    isStill: (now) =>
+      machine.phase === RequestPhase.Running &&
+      machine.attemptTokens > 0 &&
+      now - machine.signAt > STILL_AFTER,
     startRecovery: () => {
       countMetric(shared, 'recoveries');
       send({ kind: 'retry-granted', failed: lastFailed });
@@ -219,12 +226,14 @@
       send({ kind: 'silence-borne' });
       return;
     }
+    const now = timers.now();
     const all = attempts.getEngines();
     const chain = attempts.getChain();
     // The later half of the silence: an engine that hung may have served another stream just before.
-    const since = (machine.signAt + timers.now()) / 2;
+    const since = (machine.signAt + now) / 2;
     const silent = chain ? shared.progress.findSilent(chain, since) : [];
-    const isClear = silent.length > 0 && silent.length < all.length;
+    const isAlone = shared.getStillShare() <= MOST_STILL;
+    const isClear = isAlone && silent.length > 0 && silent.length < all.length;
     if (!isClear && machine.borne < UNCLEAR_SILENCES) {
       // A slow link holds up many streams at once, and prompts read again would hold them up longer.
       send({ kind: 'silence-borne' });
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -53,6 +53,7 @@
 
 const SWEEP_PERIOD: Millis = 100;
 const LEAST_RECOVERIES = 4;
+const STILL_PERIOD: Millis = 10;
 
 /** Creates a router on its ports. */
 export function createRequestRouter(deps: RouterDeps): RequestRouter {
@@ -68,6 +69,8 @@
   let poison = createPoisonState(cfg.poisonCrashes);
   let budget = createRetryBudget(cfg.retryShare, cfg.retryBurst);
   let isDraining = false;
+  let stillShare = 0;
+  let stillAt = -Infinity;
 
   const shared: RouterShared = {
     deps,
@@ -90,6 +93,7 @@
       budget = next;
     },
     isDraining: () => isDraining,
+    getStillShare,
     pumpRecoveries,
   };
 
@@ -101,6 +105,16 @@
     shared.recovery.startNext(bound, (id) => shared.runs.get(id)?.startRecovery());
   }
 
+  function getStillShare(): number {
+    const now = timers.now();
+    if (now - stillAt >= STILL_PERIOD) {
+      const runs = [...shared.runs.values()];
+      stillAt = now;
+      stillShare = runs.filter((run) => run.isStill(now)).length / Math.max(1, runs.length);
+    }
+    return stillShare;
+  }
+
   function getServiceAdmission(service: ServiceId): Admission {
     const known = services.get(service);
     if (known) {
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -16,6 +16,8 @@
   readonly fingerprint: Fingerprint;
   /** Engines that it runs on now. */
   getEngines(): readonly EngineId[];
+  /** Whether its answer has begun and stands still now. */
+  isStill(now: Millis): boolean;
   /** A slot for its recovery is free. */
   startRecovery(): void;
   /** Moves it if its stream is slow and moving pays. */
@@ -58,6 +60,8 @@
   readonly getBudget: () => RetryBudget;
   readonly setBudget: (budget: RetryBudget) => void;
   readonly isDraining: () => boolean;
+  /** Share of the begun answers that stand still now. */
+  readonly getStillShare: () => number;
   /** Starts recoveries while there are slots. */
   readonly pumpRecoveries: () => void;
 }
