Test claims, poison requests, services and the planned stop

Change: tests for each, with the failures that they prevent; the drain limit now ends service calls with what is known of whether they ran.

--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -26,6 +26,7 @@
 import { createStarvedModels } from './RouterShared.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
 import { stopCondemned } from './RunSuspicion.js';
+import type { ServiceRun } from './ServiceRunner.js';
 import { startServiceRun } from './ServiceRunner.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
@@ -64,7 +65,7 @@
     getTeamLimits: deps.getTeamLimits,
   };
   const services = new Map<ServiceId, Admission>();
-  const serviceRuns = new Map<string, RequestHandle>();
+  const serviceRuns = new Map<string, ServiceRun>();
   const drained: (() => void)[] = [];
   let poison = createPoisonState(cfg.poisonCrashes);
   let budget = createRetryBudget(cfg.retryShare, cfg.retryBurst);
@@ -166,7 +167,7 @@
       isDraining = true;
       timers.registerTimeout(limit, () => {
         [...shared.runs.values()].forEach((run) => run.reachDrainLimit());
-        [...serviceRuns.values()].forEach((handle) => handle.cancel());
+        [...serviceRuns.values()].forEach((run) => run.reachDrainLimit());
       });
       return new Promise((resolve) => {
         drained.push(resolve);
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -32,6 +32,12 @@
 const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 const NO_SERVER_RETRY: Millis = 1000;
 
+/** A running call. */
+export interface ServiceRun extends RequestHandle {
+  /** Ends it now, with the truth. */
+  reachDrainLimit(): void;
+}
+
 /** Starts a call; its sink hears how it ends. */
 export function startServiceRun(
   shared: RouterShared,
@@ -39,7 +45,7 @@
   spec: ServiceSpec,
   sink: ServiceSink,
   onGone: () => void,
-): RequestHandle {
+): ServiceRun {
   const { deps } = shared;
   const { timers } = deps;
   const submittedAt = timers.now();
@@ -261,7 +267,10 @@
   }
 
   shared.post(begin);
-  return { cancel };
+  return {
+    cancel,
+    reachDrainLimit: () => shared.post(() => fail(ProblemKind.Draining, null)),
+  };
 }
 
 /** Reads a wait in seconds; a date is left to the backoff, since no clock of others is trusted. */
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -0,0 +1,138 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { PoisonState } from '../../RequestPoison.js';
+import {
+  CRASH_RETENTION,
+  createCrashId,
+  createPoisonDigest,
+  createPoisonState,
+  judgeRequest,
+  mergePoisonDigest,
+  noteAlive,
+  noteCrash,
+  noteSurvival,
+  PoisonVerdict,
+} from '../../RequestPoison.js';
+import { FailurePlace } from '../../RequestPorts.js';
+import {
+  acknowledge,
+  createFailure,
+  createFakeWorld,
+  giveTokens,
+  listEngines,
+} from './RequestFakes.js';
+
+/** Notes crashes, a minute apart, each with its suspects. */
+function crash(state: PoisonState, suspects: readonly string[], engine: string, now: number) {
+  const id = createCrashId(engine, 'boot', false);
+  return suspects.reduce((next, suspect) => noteCrash(next, id, suspect, now), state);
+}
+
+describe('RequestPoison', () => {
+  it('condemns the one request that was at two crashes, and no bystander', () => {
+    let state = crash(createPoisonState(2), ['poison', 'b1', 'b2'], 'x', 0);
+    expect(judgeRequest(state, 'poison', 1)).to.equal(PoisonVerdict.Suspect);
+    state = crash(state, ['poison', 'b3'], 'y', 60_000);
+    const verdicts = ['poison', 'b1', 'b2', 'b3', 'new'].map((id) =>
+      judgeRequest(state, id, 60_001),
+    );
+    const { Condemned, Suspect, Clean } = PoisonVerdict;
+    expect(verdicts).to.deep.equal([Condemned, Suspect, Suspect, Suspect, Clean]);
+  });
+
+  it('clears an honest request that happened to be there twice', () => {
+    // Symptom: a parent's first question is refused as harmful.
+    // Sequence: it shares two engines with a poison request; both crash; then each runs alone.
+    // Cause: counting crashes without asking who else was at both.
+    let state = crash(createPoisonState(2), ['poison', 'honest'], 'x', 0);
+    state = crash(state, ['poison', 'honest'], 'y', 60_000);
+    expect(judgeRequest(state, 'honest', 60_001)).to.equal(PoisonVerdict.Suspect);
+    state = noteSurvival(state, 'honest');
+    expect(judgeRequest(state, 'honest', 60_002)).to.equal(PoisonVerdict.Clean);
+    expect(judgeRequest(state, 'poison', 60_002)).to.equal(PoisonVerdict.Condemned);
+  });
+
+  it('counts no broken link and no lost rack against a request', () => {
+    // Symptom: honest requests are refused after an outage.
+    // Sequence: a link breaks twice; a rack goes, and the recovery lands on its second engine.
+    // Cause: taking each broken stream for the work of what ran on it.
+    let state = crash(createPoisonState(2), ['honest'], 'x', 0);
+    state = crash(state, ['honest'], 'y', 60_000);
+    state = noteAlive(state, createCrashId('x', 'boot', false));
+    expect(judgeRequest(state, 'honest', 60_001)).to.equal(PoisonVerdict.Suspect);
+    let rack = crash(createPoisonState(2), ['honest'], 'r1', 0);
+    rack = crash(rack, ['honest'], 'r2', 50);
+    rack = ['r3', 'r4', 'r5'].reduce((next, id) => crash(next, [`of ${id}`], id, 60), rack);
+    expect(judgeRequest(rack, 'honest', 100)).to.equal(PoisonVerdict.Clean);
+  });
+
+  it('merges digests in any order, any number of times, to the same state', () => {
+    const report = fc.record({
+      crash: fc.constantFrom('c1', 'c2', 'c3'),
+      age: fc.integer({ min: 0, max: 1000 }),
+      disproven: fc.boolean(),
+      suspects: fc.subarray(['p', 'q', 'r']),
+      cleared: fc.subarray(['p', 'q']),
+    });
+    const digest = fc.record({ reports: fc.array(report, { maxLength: 3 }) });
+    const normalise = (state: PoisonState) =>
+      createPoisonDigest(state, 0)
+        .reports.map((r) => ({
+          ...r,
+          suspects: [...r.suspects].sort(),
+          cleared: [...r.cleared].sort(),
+        }))
+        .sort((a, b) => a.crash.localeCompare(b.crash));
+    fc.assert(
+      fc.property(digest, digest, (a, b) => {
+        const empty = createPoisonState(2);
+        const ab = mergePoisonDigest(mergePoisonDigest(empty, a, 0), b, 0);
+        const ba = mergePoisonDigest(mergePoisonDigest(empty, b, 0), a, 0);
+        expect(normalise(ab)).to.deep.equal(normalise(ba));
+        expect(normalise(mergePoisonDigest(ab, a, 0))).to.deep.equal(normalise(ab));
+      }),
+      { seed: 11 },
+    );
+  });
+
+  it('forgets old crashes, also when instances tell each other of them for ever', () => {
+    const state = crash(createPoisonState(2), ['p'], 'x', 0);
+    const later = createPoisonDigest(state, CRASH_RETENTION - 10);
+    const other = mergePoisonDigest(createPoisonState(2), later, 0);
+    expect(judgeRequest(other, 'p', 5)).to.equal(PoisonVerdict.Suspect);
+    expect(judgeRequest(other, 'p', 11)).to.equal(PoisonVerdict.Clean);
+  });
+
+  it('stops at the second engine, there and at the instance that its caller turns to', () => {
+    // Symptom: one request takes the whole fleet down, engine by engine.
+    // Sequence: it crashes its engine, is recovered, crashes the next; its caller sends it again.
+    // Cause: recovery that never asks what it recovers.
+    const world = createFakeWorld();
+    const heard = world.submit('r', { prompt: 'poison' });
+    const bystander = world.submit('b');
+    const [first, beside] = world.calls;
+    [first, beside].forEach((opened) => opened && acknowledge(opened));
+    first?.listener.onFailure(createFailure({ place: FailurePlace.Stream, engine: 'a1' }));
+    const again = world.last();
+    beside?.listener.onFailure(createFailure({ place: FailurePlace.Stream, engine: 'a1' }));
+    const besideAgain = world.last();
+    const shared = listEngines(again).filter((id) => listEngines(besideAgain).includes(id));
+    expect(shared, 'suspects are kept apart').to.deep.equal([]);
+    acknowledge(again);
+    again.listener.onFailure(
+      createFailure({ place: FailurePlace.Stream, engine: listEngines(again)[0] ?? null }),
+    );
+    expect(heard.problems.map(({ kind }) => kind)).to.deep.equal(['poison']);
+    acknowledge(besideAgain);
+    giveTokens(world, besideAgain, 0, 3);
+    besideAgain.listener.onEnd('stop', 3);
+    expect(bystander.ends).to.deep.equal(['stop']);
+    const other = createFakeWorld();
+    other.router.mergePoison(world.router.getPoisonDigest());
+    const resent = other.submit('r2', { prompt: 'poison' });
+    expect(resent.problems).to.deep.equal([
+      { kind: 'poison', run: 'not-run', retryAfter: null, instance: null },
+    ]);
+    expect(other.calls).to.have.length(0);
+  });
+});
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -0,0 +1,232 @@
+import { expect } from 'chai';
+import { RunState } from '@skylarksail/core/CoreConstants';
+import type { RequestProblem } from '../../RequestTypes.js';
+import type { ClaimOutcome, ServiceAnswer } from '../../RequestPorts.js';
+import { FailurePlace } from '../../RequestPorts.js';
+import type { ServiceSpec } from '../../ServiceTypes.js';
+import { isIdempotentCall } from '../../ServiceTypes.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { FakeWorld } from './RequestFakes.js';
+import {
+  acknowledge,
+  createFailure,
+  createFakeWorld,
+  giveTokens,
+  listWords,
+} from './RequestFakes.js';
+
+const KEYED = { idempotent: false, idempotencyKey: 'k' };
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+async function answerClaim(world: FakeWorld, outcome: ClaimOutcome): Promise<void> {
+  world.claims.at(-1)?.answer(outcome);
+  await settle();
+}
+
+function callService(world: FakeWorld, id: string, change: Partial<ServiceSpec> = {}) {
+  const answers: ServiceAnswer[] = [];
+  const problems: RequestProblem[] = [];
+  const spec: ServiceSpec = {
+    id,
+    team: 't',
+    service: 's',
+    method: 'POST',
+    path: '/p',
+    headers: {},
+    body: new Uint8Array([1]),
+    priority: 'normal',
+    deadline: world.timers.now() + 10_000,
+    idempotencyKey: null,
+    idempotent: false,
+    ...change,
+  };
+  const handle = world.router.submitService(spec, {
+    onAnswer: (answer) => answers.push(answer),
+    onError: (problem) => problems.push(problem),
+  });
+  return { answers, problems, handle };
+}
+
+describe('RequestRouter', () => {
+  it('sends nothing of a keyed request before its claim is granted, and records its end', async () => {
+    const world = createFakeWorld();
+    const heard = world.submit('r', KEYED);
+    expect(world.calls).to.have.length(0);
+    await answerClaim(world, { kind: 'granted', token: 'c' });
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 2);
+    world.last().listener.onEnd('stop', 2);
+    expect(heard.ends).to.deep.equal(['stop']);
+    expect(world.claimLog).to.deep.equal(['settle c ran {"reason":"stop","text":"w0w1"}']);
+    const resent = world.submit('r2', KEYED);
+    const answer = '{"reason":"stop","text":"w0w1"}';
+    await answerClaim(world, { kind: 'ended', record: { run: RunState.Ran, answer } });
+    expect([resent.tokens, resent.ends]).to.deep.equal([['w0w1'], ['stop']]);
+    expect(world.calls).to.have.length(1);
+  });
+
+  it('tells no more than is proven for each outcome of a claim', async () => {
+    const cases: [ClaimOutcome, string, string][] = [
+      [{ kind: 'ended', record: { run: 'ran', answer: null } }, 'answer-gone', 'ran'],
+      [{ kind: 'ended', record: { run: 'unknown', answer: null } }, 'outcome-unknown', 'unknown'],
+      [{ kind: 'key-mismatch' }, 'key-mismatch', 'not-run'],
+      [{ kind: 'key-expired' }, 'key-expired', 'unknown'],
+      [{ kind: 'unavailable', retryAfter: 900 }, 'claim-unavailable', 'not-run'],
+    ];
+    for (const [outcome, kind, run] of cases) {
+      const world = createFakeWorld();
+      const { problems } = world.submit('r', KEYED);
+      await answerClaim(world, outcome);
+      expect(problems.map((problem) => [problem.kind, problem.run])).to.deep.equal([[kind, run]]);
+      expect(world.calls).to.have.length(0);
+    }
+  });
+
+  it('gives back a claim that is granted after its request was given up', async () => {
+    // Symptom: a resend is told "unknown" of work that never ran, for as long as claims are kept.
+    // Sequence: the caller hangs up while the platform is slow; then the claim is granted.
+    // Cause: a granted claim that nobody is waiting for any more.
+    const world = createFakeWorld();
+    const heard = world.submit('r', KEYED);
+    heard.handle.cancel();
+    await answerClaim(world, { kind: 'granted', token: 'c' });
+    expect(heard.problems.map(({ run }) => run)).to.deep.equal([RunState.NotRun]);
+    expect(world.claimLog).to.deep.equal(['release c']);
+    expect(world.calls).to.have.length(0);
+  });
+
+  it('finishes keyed work whose caller hung up, for the resend to find', async () => {
+    // Symptom: a bulletin is neither finished nor repeatable.
+    // Sequence: the caller's connection breaks in the middle of the stream; it asks again.
+    // Cause: ending work that may not be started a second time.
+    const world = createFakeWorld();
+    const heard = world.submit('r', KEYED);
+    await answerClaim(world, { kind: 'granted', token: 'c' });
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 1);
+    heard.handle.cancel();
+    const resent = world.submit('r2', KEYED);
+    await answerClaim(world, { kind: 'running', instance: 'i1' });
+    expect(world.last().isCancelled).to.equal(false);
+    giveTokens(world, world.last(), 1, 2);
+    world.last().listener.onEnd('stop', 2);
+    expect(world.claimLog).to.deep.equal(['settle c ran {"reason":"stop","text":"w0w1"}']);
+    world.timers.advanceTo(world.timers.now() + 600);
+    const answer = '{"reason":"stop","text":"w0w1"}';
+    await answerClaim(world, { kind: 'ended', record: { run: RunState.Ran, answer } });
+    expect(resent.tokens).to.deep.equal(['w0w1']);
+    expect(heard.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([['hung-up', 'ran']]);
+  });
+
+  it('bounds retries to a share of first tries while every engine refuses', () => {
+    // Symptom: an outage is followed by a longer one, of retries.
+    // Sequence: all engines refuse for a minute; 300 requests come.
+    // Cause: each request retrying as if it were alone.
+    const world = createFakeWorld();
+    for (let i = 0; i < 300; i++) {
+      world.submit(`r${i}`);
+      world.timers.advanceTo(world.timers.now() + 200);
+      const refused = createFailure({
+        place: FailurePlace.Refused,
+        status: 503,
+        provenNotRun: true,
+      });
+      world.calls.forEach(
+        ({ listener, isCancelled }) => !isCancelled && listener.onFailure(refused),
+      );
+    }
+    const { retryShare, retryBurst } = DEFAULT_ROUTER_CONFIG;
+    expect(world.calls.length).to.be.at.most(300 * (1 + retryShare) + retryBurst);
+    expect(world.count('refused')).to.be.at.least(250);
+  });
+
+  it('retries nothing beyond its deadline', () => {
+    const world = createFakeWorld();
+    const heard = world.submit('r', { deadline: 1000 });
+    world.last().listener.onFailure(
+      createFailure({
+        place: FailurePlace.Refused,
+        status: 429,
+        retryAfter: 1500,
+        provenNotRun: true,
+      }),
+    );
+    expect(heard.problems).to.deep.equal([
+      { kind: 'engine-failed', run: 'not-run', retryAfter: 1500, instance: null },
+    ]);
+  });
+
+  it('cuts nothing off in a planned stop, and tells the truth at the grace limit', async () => {
+    const world = createFakeWorld();
+    const finishing = world.submit('f');
+    const finishingCall = world.last();
+    acknowledge(finishingCall);
+    const late = world.submit('l', { idempotent: false });
+    acknowledge(world.last());
+    let isDrained = false;
+    void world.router.drain(5000).then(() => {
+      isDrained = true;
+    });
+    const refused = world.submit('n');
+    expect(refused.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['draining', 'not-run'],
+    ]);
+    giveTokens(world, finishingCall, 0, 3);
+    finishingCall.listener.onEnd('stop', 3);
+    expect(finishing.tokens).to.deep.equal(listWords(3));
+    await settle();
+    expect(isDrained).to.equal(false);
+    world.timers.advanceTo(6000);
+    await settle();
+    expect(late.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['draining', 'unknown'],
+    ]);
+    expect(isDrained).to.equal(true);
+  });
+
+  it('repeats calls to plain services only where that is harmless', () => {
+    // Symptom: an account is opened twice.
+    // Sequence: the connection to a service breaks after a POST was sent.
+    // Cause: one rule of retries for all methods.
+    const world = createFakeWorld();
+    const broken = createFailure({ place: FailurePlace.Stream });
+    const post = callService(world, 'p');
+    world.serviceCalls.at(-1)?.listener.onFailure(broken);
+    world.timers.advanceTo(1000);
+    expect(world.serviceCalls).to.have.length(1);
+    expect(post.problems.map(({ run }) => run)).to.deep.equal([RunState.Unknown]);
+    const get = callService(world, 'g', { method: 'GET', idempotent: true });
+    world.serviceCalls.at(-1)?.listener.onFailure(broken);
+    world.timers.advanceTo(2000);
+    expect(world.serviceCalls.map(({ call }) => call.server)).to.deep.equal(['s1', 's1', 's2']);
+    const answer = { status: 200, headers: {}, body: new Uint8Array() };
+    world.serviceCalls.at(-1)?.listener.onAnswer(answer);
+    world.serviceCalls.at(-1)?.listener.onAnswer(answer);
+    expect(get.answers).to.deep.equal([answer]);
+    const unsent = callService(world, 'u');
+    world.serviceCalls.at(-1)?.listener.onFailure(createFailure({ place: FailurePlace.Connect }));
+    world.timers.advanceTo(3000);
+    expect(world.serviceCalls).to.have.length(5);
+    expect(unsent.problems).to.have.length(0);
+  });
+
+  it('takes idempotence from the closest route of the manifest, then from the method', () => {
+    const routes = [
+      { method: 'POST', path: '/search*', idempotent: true },
+      { method: 'POST', path: '/search/save', idempotent: false },
+      { method: 'PUT', path: '/append', idempotent: false },
+    ];
+    const ask = (method: string, path: string) => isIdempotentCall(method, path, routes);
+    expect(
+      ['/search?q=1', '/search/save', '/other'].map((path) => ask('POST', path)),
+    ).to.deep.equal([true, false, false]);
+    expect([ask('PUT', '/append'), ask('PUT', '/x'), ask('GET', '/x')]).to.deep.equal([
+      false,
+      true,
+      true,
+    ]);
+  });
+});
