--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -52,10 +52,13 @@
   const bootId = shared.deps.getBootId(engine) ?? 'unknown';
   const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
   shared.setPoison(noteCrash(shared.getPoison(), crash, fingerprint, now));
-  stopCondemned(shared);
+  if (judgeRun(shared, fingerprint) === PoisonVerdict.Condemned) {
+    // One report can condemn no other request; judging them all would cost runs times runs.
+    listRunsOf(shared, new Set([fingerprint])).forEach((run) => run.condemn());
+  }
 }
 
-/** Stops what runs of the requests that are condemned by now. */
+/** Stops what runs of the requests that another instance's news condemns. */
 export function stopCondemned(shared: RouterShared): void {
   for (const run of [...shared.runs.values()]) {
     if (judgeRun(shared, run.fingerprint) === PoisonVerdict.Condemned) {
--- a/packages/requests/src/__tests__/unit/RequestAdmission.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestAdmission.test.ts
@@ -125,6 +125,37 @@
     expect(gate.done['t urgent']).to.equal(5);
   });
 
+  it('admits no more than the KV memory holds, but always one', () => {
+    // Symptom: engines refuse what was admitted, or evict the cache of what runs.
+    // Sequence: long prompts come; slots are free, memory is not.
+    // Cause: counting requests and not what they hold.
+    const running: string[] = [];
+    const admission = createAdmission(
+      {
+        limits: DEFAULT_LIMIT_CONFIG,
+        queueBound: 10,
+        getTeamLimits: () => ({ share: 1, queueLimit: 10 }),
+        getKvCapacity: () => 1000,
+      },
+      0,
+    );
+    const ask = (id: string, kvTokens: number): void =>
+      admission.enqueue(
+        { id, team: 't', priority: 'normal', cost: 1, kvTokens, deadline: 1e6, duration: 0 },
+        { onAdmitted: () => running.push(id), onRefused: () => running.push(`refused ${id}`) },
+        0,
+      );
+    ask('larger than all', 5000);
+    ask('a', 600);
+    expect(running).to.deep.equal(['larger than all']);
+    admission.leave('larger than all', 1);
+    ask('b', 600);
+    ask('c', 300);
+    expect(running).to.deep.equal(['larger than all', 'a']);
+    admission.leave('a', 2);
+    expect(running).to.deep.equal(['larger than all', 'a', 'b', 'c']);
+  });
+
   it('lowers its limit while tokens come late, and raises it again', () => {
     // Symptom: every answer crawls, and none is refused.
     // Sequence: half of the engines are lost; the rest serve twice the work, each token twice as late.
