Wait for the other instances' reports before a request is condemned

Change: reports are counted by the engine's process; a request alone at two crashes is held for 500 ms and judged again.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -27,7 +27,7 @@
 import { countMetric, feedBudget, judgeRun, logDecision, takeFromBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { decideMove } from './RunMove.js';
-import { clearRun, noteRunCrash, noteRunToken } from './RunSuspicion.js';
+import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
@@ -154,6 +154,16 @@
 
   function choose(effect: EffectOf<'choose'>): void {
     const now = timers.now();
+    const verdict = judgeRun(shared, fingerprint);
+    if (verdict === PoisonVerdict.Condemned) {
+      stopCopies(shared, fingerprint);
+      return;
+    }
+    if (verdict === PoisonVerdict.Doubted) {
+      recovery.finish(spec.id);
+      send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
+      return;
+    }
     if (machine.attempt === 0 && shared.starved.isStarved(spec.model, now)) {
       send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
       return;
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -53,6 +53,8 @@
   Clean: 'clean',
   /** It was at a crash: run it apart from the others that were. */
   Suspect: 'suspect',
+  /** It seems to crash engines, but other instances may still name who else was there: hold it. */
+  Doubted: 'doubted',
   /** It crashed engines: refuse it. */
   Condemned: 'condemned',
 } as const;
@@ -61,7 +63,10 @@
 
 /** How long a crash counts. */
 export const CRASH_RETENTION: Millis = 3_600_000;
+const RAN_LONG = '/long';
 const MAX_CRASHES = 256;
+/** Time in which the other instances' reports of a crash arrive. */
+const SETTLE_TIME: Millis = 500;
 /** Crashes so near to each other, and so many, have a common cause outside. */
 const OUTAGE_WINDOW: Millis = 1000;
 const OUTAGE_CRASHES = 3;
@@ -81,7 +86,12 @@
  * kinds are reported apart: what ran long is seldom to blame, and would hide who is.
  */
 export function createCrashId(engine: EngineId, bootId: string, ranLong: boolean): CrashId {
-  return ranLong ? `${engine}@${bootId}/long` : `${engine}@${bootId}`;
+  return ranLong ? `${engine}@${bootId}${RAN_LONG}` : `${engine}@${bootId}`;
+}
+
+/** The engine's process, whichever suspects a crash's report is of. */
+function getCrashedProcess(id: CrashId): string {
+  return id.endsWith(RAN_LONG) ? id.slice(0, -RAN_LONG.length) : id;
 }
 
 /** Notes that a request was on an engine when it crashed. */
@@ -131,8 +141,12 @@
   if (counted.length < state.crashLimit) {
     return PoisonVerdict.Suspect;
   }
-  const others = findCommonSuspects(counted);
-  return others.length === 1 ? PoisonVerdict.Condemned : PoisonVerdict.Suspect;
+  if (findCommonSuspects(counted).length > 1) {
+    return PoisonVerdict.Suspect;
+  }
+  const newest = Math.max(...counted.map((crash) => crash.expiresAt));
+  const age = CRASH_RETENTION - (newest - now);
+  return age < SETTLE_TIME ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
 
 /** Requests that were at a crash together with this one and are not cleared: not to run beside it. */
@@ -244,14 +258,19 @@
  * switch that goes takes engines down that never saw it.
  */
 function isOfOutage(state: PoisonState, crash: Crash, fingerprint: Fingerprint): boolean {
-  let others = 0;
-  for (const other of state.crashes.values()) {
-    const isNear = Math.abs(other.expiresAt - crash.expiresAt) <= OUTAGE_WINDOW;
-    if (other !== crash && isNear && !other.suspects.has(fingerprint)) {
-      others += 1;
+  const engines = new Set<string>();
+  const ownEngines = new Set<string>();
+  for (const [id, other] of state.crashes) {
+    const engine = getCrashedProcess(id);
+    if (other.suspects.has(fingerprint)) {
+      ownEngines.add(engine);
+    } else if (Math.abs(other.expiresAt - crash.expiresAt) <= OUTAGE_WINDOW) {
+      engines.add(engine);
     }
   }
-  return others >= OUTAGE_CRASHES;
+  // One crash can have two reports, of those that had run long and of the others.
+  const others = [...engines].filter((engine) => !ownEngines.has(engine));
+  return others.length >= OUTAGE_CRASHES;
 }
 
 function listUncleared(crash: Crash): readonly Fingerprint[] {
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -52,12 +52,17 @@
   const bootId = shared.deps.getBootId(engine) ?? 'unknown';
   const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
   shared.setPoison(noteCrash(shared.getPoison(), crash, fingerprint, now));
+  // One report can condemn no other request; judging them all would cost runs times runs.
   if (judgeRun(shared, fingerprint) === PoisonVerdict.Condemned) {
-    // One report can condemn no other request; judging them all would cost runs times runs.
-    listRunsOf(shared, new Set([fingerprint])).forEach((run) => run.condemn());
+    stopCopies(shared, fingerprint);
   }
 }
 
+/** Stops what runs of a condemned request. */
+export function stopCopies(shared: RouterShared, fingerprint: Fingerprint): void {
+  listRunsOf(shared, new Set([fingerprint])).forEach((run) => run.condemn());
+}
+
 /** Stops what runs of the requests that another instance's news condemns. */
 export function stopCondemned(shared: RouterShared): void {
   for (const run of [...shared.runs.values()]) {
