Hold new copies of a request while it is one of several suspects

Cause: a poison request that shared two crashes with a bystander was not condemned yet, and each copy that its caller sent meanwhile crashed another engine. Change: a verdict of its own for that case; begun copies go on apart from each other, new ones wait until the others are cleared or the request is condemned.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -159,12 +159,13 @@
       stopCopies(shared, fingerprint);
       return;
     }
-    if (verdict === PoisonVerdict.Doubted) {
+    const isNew = machine.attempt === 0;
+    if (verdict === PoisonVerdict.Doubted || (isNew && verdict === PoisonVerdict.Ambiguous)) {
       recovery.finish(spec.id);
       send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
       return;
     }
-    if (machine.attempt === 0 && shared.starved.isStarved(spec.model, now)) {
+    if (isNew && shared.starved.isStarved(spec.model, now)) {
       send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
       return;
     }
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -53,6 +53,8 @@
   Clean: 'clean',
   /** It was at a crash: run it apart from the others that were. */
   Suspect: 'suspect',
+  /** It was at as many crashes as condemn, but not alone: begun copies go on apart, new ones wait. */
+  Ambiguous: 'ambiguous',
   /** It seems to crash engines, but other instances may still name who else was there: hold it. */
   Doubted: 'doubted',
   /** It crashed engines: refuse it. */
@@ -142,7 +144,7 @@
     return PoisonVerdict.Suspect;
   }
   if (findCommonSuspects(counted).length > 1) {
-    return PoisonVerdict.Suspect;
+    return PoisonVerdict.Ambiguous;
   }
   const newest = Math.max(...counted.map((crash) => crash.expiresAt));
   const age = CRASH_RETENTION - (newest - now);
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -46,7 +46,7 @@
     // Cause: counting crashes without asking who else was at both.
     let state = crash(createPoisonState(2), ['poison', 'honest'], 'x', 0);
     state = crash(state, ['poison', 'honest'], 'y', 60_000);
-    expect(judgeRequest(state, 'honest', 61_000)).to.equal(PoisonVerdict.Suspect);
+    expect(judgeRequest(state, 'honest', 61_000)).to.equal(PoisonVerdict.Ambiguous);
     state = noteSurvival(state, 'honest');
     expect(judgeRequest(state, 'honest', 61_001)).to.equal(PoisonVerdict.Clean);
     expect(judgeRequest(state, 'poison', 61_001)).to.equal(PoisonVerdict.Condemned);
@@ -65,7 +65,7 @@
     expect(judgeRequest(seen, 'bystander', 1001)).to.equal(PoisonVerdict.Doubted);
     const elsewhere = crash(crash(createPoisonState(2), ['poison'], 'x', 0), ['poison'], 'y', 1000);
     const merged = mergePoisonDigest(seen, createPoisonDigest(elsewhere, 1200), 1200);
-    expect(judgeRequest(merged, 'bystander', 2000)).to.equal(PoisonVerdict.Suspect);
+    expect(judgeRequest(merged, 'bystander', 2000)).to.equal(PoisonVerdict.Ambiguous);
     expect(judgeRequest(seen, 'bystander', 2000)).to.equal(PoisonVerdict.Condemned);
   });
 
