Measure what a daemon costs, and run benches by name

Cause: the cost of the router itself was not known. Change: npm run bench -- throughput|recovery|config|control|overhead, each line JSON; the overhead bench runs a real daemon over loopback against engines that take no time, then one stream at a time through it and directly, then idle ones.

--- /dev/null
+++ b/packages/bench/src/BenchMain.ts
@@ -0,0 +1,58 @@
+/** `npm run bench -- NAME`: runs one bench; each case is a JSON line, the last one is the whole. */
+import { Argument, Command } from 'commander';
+import { runConfigBench } from './ConfigBench.js';
+import { runControlBench } from './ControlBench.js';
+import { runOverheadBench } from './OverheadBench.js';
+import { runRecoveryBench } from './RecoveryBench.js';
+import { runThroughputBench } from './ThroughputBench.js';
+
+type Print = (line: unknown) => void;
+
+/** What the command line gives to every bench. */
+interface BenchOptions {
+  readonly seed: number;
+  /** Fleet sizes, for the benches that have them. */
+  readonly sizes?: readonly number[];
+}
+
+const BENCHES = {
+  throughput: ({ seed }: BenchOptions, print: Print) => {
+    runThroughputBench({ seed }).forEach(print);
+  },
+  recovery: async ({ seed }: BenchOptions, print: Print) => {
+    (await runRecoveryBench({ seed })).forEach(print);
+  },
+  config: async ({ seed, sizes }: BenchOptions, print: Print) => {
+    const shapes = sizes?.map((nodes) => {
+      const domains = nodes > 255 ? 8 : 3;
+      return { domains, perDomain: Math.ceil(nodes / domains) };
+    });
+    print(await runConfigBench({ seed, ...(shapes && { shapes }) }, print));
+  },
+  control: ({ seed, sizes }: BenchOptions, print: Print) => {
+    print(runControlBench({ seed, ...(sizes && { sizes }) }, print).summary);
+  },
+  overhead: async ({ seed }: BenchOptions, print: Print) => {
+    await runOverheadBench({ seed }, print);
+  },
+} as const;
+
+type BenchName = keyof typeof BENCHES;
+
+/** Runs the bench that the command line names; gives the exit code. */
+export async function runBenchCommand(argv: readonly string[]): Promise<number> {
+  const program = new Command('bench')
+    .addArgument(new Argument('<name>', 'bench').choices(Object.keys(BENCHES)))
+    .option('--seed <n>', 'seed of all that is random', Number, 1)
+    .option('--sizes <n,n>', 'fleet sizes, for config and control', parseSizes)
+    .parse([...argv]);
+  const [name] = program.args as [BenchName];
+  await BENCHES[name](program.opts<BenchOptions>(), (line) => {
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+  });
+  return 0;
+}
+
+function parseSizes(text: string): readonly number[] {
+  return text.split(',').map(Number);
+}
