Let the instance that took a submission tell its peers at once

Change: submitManifest reports its acceptance through onAccepted, and the runner takes root and chunks by learnAccepted and spreads them to peers without the platform.

--- a/packages/manifest/src/ManifestRunner.ts
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -14,6 +14,7 @@
 import { parseSpreadMessage } from './ManifestMessages.js';
 import type { SpreadMember } from './ManifestPeers.js';
 import { parseStoredRoot } from './ManifestReader.js';
+import type { ManifestRoot } from './ManifestRoot.js';
 import { getChunkKey, ROOT_KEY } from './ManifestRoot.js';
 import { createSpread, stepSpread } from './ManifestSpread.js';
 import type {
@@ -54,6 +55,8 @@
   /** Takes what came from a peer, whatever it is. */
   receiveMessage(from: InstanceId, input: unknown): void;
   changeMembers(members: readonly SpreadMember[]): void;
+  /** Takes a submission accepted through this instance; see `SubmitOptions.onAccepted`. */
+  learnAccepted(root: ManifestRoot, chunks: ReadonlyMap<ChunkRef, string>): void;
   /** Asks every domain how far a revision is in force; read the answers with `listInForce`. */
   askInForce(revision: number): void;
   /** Stops for good. */
@@ -163,6 +166,7 @@
       );
     },
     changeMembers: (members) => enqueue({ type: 'members-changed', at: timers.now(), members }),
+    learnAccepted: (root, chunks) => enqueue({ type: 'accepted', at: timers.now(), root, chunks }),
     askInForce: (revision) => enqueue({ type: 'digest-wanted', at: timers.now(), revision }),
     stop() {
       isStopped = true;
--- a/packages/manifest/src/ManifestSpread.ts
+++ b/packages/manifest/src/ManifestSpread.ts
@@ -43,7 +43,7 @@
   getRevisionOf,
   KnownBy,
 } from './ManifestSpreadTypes.js';
-import { getPollPeriod, keepWatch, poll, receiveRoot } from './ManifestWatch.js';
+import { getPollPeriod, keepWatch, poll, receiveAccepted, receiveRoot } from './ManifestWatch.js';
 import { advanceStart, beginStart, receiveStartAnswer } from './ManifestStart.js';
 
 const GOSSIP_JITTER = 0.3;
@@ -94,6 +94,8 @@
       return receiveRead(ctx, state, event);
     case 'message':
       return receiveMessage(ctx, state, event.from, event.message, event.at);
+    case 'accepted':
+      return receiveAccepted(ctx, state, event.root, event.chunks, event.at);
     case 'garbage':
       return createStep({
         ...state,
--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -217,6 +217,13 @@
       readonly from: InstanceId;
       readonly message: SpreadMessage;
     }
+  /** A submission through this instance was accepted, which is as good as reading it. */
+  | {
+      readonly type: 'accepted';
+      readonly at: Millis;
+      readonly root: ManifestRoot;
+      readonly chunks: ReadonlyMap<ChunkRef, string>;
+    }
   /** A peer sent what is no message. */
   | { readonly type: 'garbage'; readonly at: Millis; readonly from: InstanceId }
   /** An operator asks how far a revision is in force. */
--- a/packages/manifest/src/ManifestStore.ts
+++ b/packages/manifest/src/ManifestStore.ts
@@ -36,6 +36,11 @@
   readonly expectedRevision: number | null;
   /** Time of the context's timers by which an answer is wanted. */
   readonly deadline: Millis;
+  /**
+   * Hears of this submission's acceptance with the chunks that it added. The instance that took it can
+   * tell its peers at once; else a change accepted just before an outage waits for the outage's end.
+   */
+  readonly onAccepted?: (root: ManifestRoot, chunks: ReadonlyMap<ChunkRef, string>) => void;
 }
 
 /** What came of a submission. */
@@ -205,7 +210,13 @@
     history,
   };
   const outcome = await swapRoot(attempt, next);
-  return outcome.kind === 'accepted' ? { ...outcome, ...countBytes(written) } : outcome;
+  if (outcome.kind !== 'accepted') {
+    return outcome;
+  }
+  if (outcome.revision === revision) {
+    submission.onAccepted?.(next, split.added);
+  }
+  return { ...outcome, ...countBytes(written) };
 }
 
 function countBytes(written: readonly (readonly [ChunkRef, string])[]): {
--- a/packages/manifest/src/ManifestWatch.ts
+++ b/packages/manifest/src/ManifestWatch.ts
@@ -1,7 +1,8 @@
 /** What an instance reads of the root: by its watch, if it is a watcher, and by its poll. */
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import { choosePeerSource, learnRoot } from './ManifestFetch.js';
+import { advanceTarget, choosePeerSource, learnRoot, receiveChunks } from './ManifestFetch.js';
+import type { ChunkRef } from './ManifestChunks.js';
 import { getReaderDelay } from './ManifestPeers.js';
 import type { ManifestRoot } from './ManifestRoot.js';
 import type {
@@ -114,3 +115,16 @@
   const backoff = Math.min(watch.backoff * 2, maxBackoff);
   return { ...state, watch: { ...watch, isWaiting: false, retryAt, backoff } };
 }
+
+/** Takes a root that was accepted through this instance, with the chunks that came with it. */
+export function receiveAccepted(
+  ctx: SpreadContext,
+  state: SpreadState,
+  root: ManifestRoot,
+  chunks: ReadonlyMap<ChunkRef, string>,
+  at: Millis,
+): SpreadStep {
+  const seen = noteReading(state, root, at);
+  const learned = learnRoot(ctx, seen, root, { kind: 'none' }, at);
+  return continueStep(learned, (next) => advanceTarget(ctx, receiveChunks(next, chunks), at));
+}
--- a/packages/manifest/src/__tests__/unit/ManifestSpread.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestSpread.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai';
 import { listInForce } from '../../ManifestConfirm.js';
 import { getKnownBy } from '../../ManifestSpread.js';
-import { createBed, expectNoRevert } from '../ManifestBed.js';
-import { getTestKey } from '../ManifestFixtures.js';
+import { submitManifest } from '../../ManifestStore.js';
+import { createBed, DEADLINE, expectNoRevert } from '../ManifestBed.js';
+import { createManifest, getTestKey } from '../ManifestFixtures.js';
 
 describe('ManifestSpread', () => {
   it('brings a revision into force everywhere within a second, and finds teams by key', async () => {
@@ -139,6 +140,30 @@
     expectNoRevert(bed);
   });
 
+  it('spreads what it took itself when the platform goes right after the acceptance', async () => {
+    // Symptom: a change is reported as accepted and is in force nowhere until an outage ends.
+    // Sequence: the swap of the root is answered, the platform goes before any watcher has read the
+    // chunks. Cause: the instance that took the submission had them and told nobody.
+    const bed = createBed(10, 3, 3);
+    bed.fleet.startAll();
+    await bed.accept(3);
+    await bed.pass(3000);
+    const runner = bed.fleet.getRunner('d1-1');
+    const outcome = submitManifest(bed.connect('d1-1'), createManifest(4), {
+      submissionId: 'second',
+      expectedRevision: 1,
+      deadline: bed.timers.now() + DEADLINE,
+      onAccepted(root, chunks) {
+        bed.platform.setFaults({ outage: true });
+        runner?.learnAccepted(root, chunks);
+      },
+    });
+    await bed.pass(2000);
+    expect(await outcome).to.include({ kind: 'accepted', revision: 2 });
+    expect(new Set(bed.getRevisions())).to.deep.equal(new Set([2]));
+    expectNoRevert(bed);
+  });
+
   it('drops garbage from a peer and counts it', async () => {
     const bed = createBed(8);
     bed.fleet.startAll();
