Fit the control bench's slope over fleets with full domains

Cause: below 85 instances a domain some costs grow with the domain, so a line through all sizes drew 2358 bytes a second at 680 where 1591 were measured; and a window of two and a half polling periods counted two or three rounds of polls by chance (283 or 390 bytes a second of answers). Change: 85 instances are one domain, larger fleets whole domains, the slope is fitted over those, and the window is three periods.

--- a/packages/bench/src/ControlBench.ts
+++ b/packages/bench/src/ControlBench.ts
@@ -7,6 +7,7 @@
 import { BYTES_PER_MEBIBYTE, MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import { LOAD_POLL_PERIOD } from '@skylarksail/membership/MembershipLoad';
 import { build } from 'hdr-histogram-js';
 import type { ControlFleet } from './ControlFleet.js';
 import { createControlFleet } from './ControlFleet.js';
@@ -51,6 +52,8 @@
 /** The line that ends the bench: how the costs grow, and their value at 680 nodes. */
 export interface ControlSummary {
   readonly bench: 'control';
+  /** Sizes over which the slope was fitted: those with full domains, if there are two. */
+  readonly fitted_over: readonly number[];
   readonly slope_per_100_nodes: ControlCosts;
   readonly at_680: ControlCosts;
   /** Whether the values at 680 were measured, or drawn out along the slope. */
@@ -73,7 +76,8 @@
 const START_TIME: Millis = 1500;
 /** What was said at the start has been passed on by then, also at 680 instances. */
 const WARM_UP: Millis = 28_000;
-const MEASURE_TIME: Millis = 10_000;
+/** Whole periods of polling, else the share of polls in it hangs on where it begins. */
+const MEASURE_TIME: Millis = 3 * LOAD_POLL_PERIOD;
 const DETECT_TIME: Millis = 9000;
 const SAMPLE_PERIOD: Millis = 1000;
 /** Bytes around each message: ws frame with mask, TCP with timestamps, IP. */
@@ -99,9 +103,9 @@
   return { lines, summary: summarise(lines) };
 }
 
-/** Splits a fleet as the users' fleets are: three domains while it is small, then 85 to a domain. */
+/** Splits a fleet into domains of 85, or into three smaller ones as the users have today. */
 export function splitDomains(nodes: number): readonly number[] {
-  const domains = nodes > 3 * DOMAIN_SIZE ? Math.ceil(nodes / DOMAIN_SIZE) : 3;
+  const domains = nodes % DOMAIN_SIZE === 0 ? nodes / DOMAIN_SIZE : 3;
   return Array.from({ length: domains }, (_, i) => Math.floor((nodes + i) / domains));
 }
 
@@ -246,17 +250,21 @@
 
 function summarise(lines: readonly ControlLine[]): ControlSummary {
   const measured = lines.find(({ nodes }) => nodes === TARGET_SIZE);
+  // A domain's size is what some costs grow with until it is 85; the fleet grows by domains beyond it.
+  const full = lines.filter(({ nodes, domains }) => nodes === domains * DOMAIN_SIZE);
+  const fitted = full.length > 1 ? full : lines;
   const fits = COST_FIELDS.map((field) => {
-    const points = lines.map((line) => [line.nodes, line[field]] as const);
+    const points = fitted.map((line) => [line.nodes, line[field]] as const);
     return { field, ...fitLine(points) };
   });
   const slope = toCosts(fits.map(({ field, slope: rise }) => [field, 100 * rise]));
-  const fitted = toCosts(
+  const drawn = toCosts(
     fits.map(({ field, slope: rise, start }) => [field, start + rise * TARGET_SIZE]),
   );
-  const at680 = measured ? toCosts(COST_FIELDS.map((field) => [field, measured[field]])) : fitted;
+  const at680 = measured ? toCosts(COST_FIELDS.map((field) => [field, measured[field]])) : drawn;
   return {
     bench: 'control',
+    fitted_over: fitted.map(({ nodes }) => nodes),
     slope_per_100_nodes: slope,
     at_680: at680,
     measured: measured !== undefined,
