Blame one engine until seven in ten answers stand still

Cause: in a domain of fourteen engines the busiest one can hold more than half of an instance's answers, so that its own hang or slowness would have counted as trouble of the whole.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -41,7 +41,7 @@
 /** Silences that are borne where the other streams do not tell which engine is to blame. */
 const UNCLEAR_SILENCES = 3;
 /** Share of answers that may stand still at once while one engine is held to be the cause. */
-const MOST_STILL = 0.5;
+const MOST_STILL = 0.7;
 
 /** Starts a request; its sink hears everything from here on. */
 export function startModelRun(
