Submit through instances in the config bench

Cause: the bench's pipelines wrote to the platform by themselves, which no daemon does, and so did not show what the hand-over to peers is worth. Change: each submission goes through a running instance, which tells its peers of the acceptance.

--- a/packages/bench/src/ConfigFleet.ts
+++ b/packages/bench/src/ConfigFleet.ts
@@ -180,9 +180,10 @@
   return reads + writes;
 }
 
-/** Submits a manifest from a pipeline of its own. */
+/** Submits a manifest through an instance, as the daemon does; a cut-off one cannot reach the platform. */
 export function submit(run: Run, submissionId: string, manifest: unknown): Promise<SubmitOutcome> {
-  const port = run.platform.connect(`pipeline-${submissionId}`);
+  const [via] = sampleElements(run.random, run.fleet.listRunning(), 1);
+  const port = run.platform.connect(via as InstanceId);
   const ctx = {
     platform: wrapPort(port, run.timers, run.random),
     timers: run.timers,
@@ -190,7 +191,13 @@
     callTimeout: 500,
   };
   const deadline = run.timers.now() + SUBMIT_DEADLINE;
-  return submitManifest(ctx, manifest, { submissionId, expectedRevision: null, deadline });
+  return submitManifest(ctx, manifest, {
+    submissionId,
+    expectedRevision: null,
+    deadline,
+    onAccepted: (root, chunks) =>
+      run.fleet.getRunner(via as InstanceId)?.learnAccepted(root, chunks),
+  });
 }
 
 /** Losses of messages, calls and answers, from now on. */
