Put capacity shares, reach of domains and running gaps into the daemon's routing

Cause: the daemon chose chains without the max-flow plan, took each report by itself, never told routing of unreachable domains, and heard of a slow engine only when its answers ended; slot owners got no part of the claims' budget.

--- a/packages/daemon/src/DaemonClaims.ts
+++ b/packages/daemon/src/DaemonClaims.ts
@@ -1,5 +1,5 @@
 /** Claims of keyed requests on this instance, joined to the platform and to the other instances. */
-import { randomUUID } from 'node:crypto';
+import { randomBytes } from 'node:crypto';
 import { z } from 'zod';
 import type { ClaimPeerMessage, ClaimPeerReply } from '@skylarksail/claims/ClaimMessages';
 import { createProcessName } from '@skylarksail/claims/ClaimMessages';
@@ -22,6 +22,9 @@
 /** Longer than any deadline a caller may set: how long a peer may take to answer an ask. */
 const PEER_TIMEOUT: Millis = 5000;
 
+/** The name of a process stands in each stored claim, so it is kept short. */
+const BOOT_ID_BYTES = 8;
+
 const CLAIM_TOPIC = createCallTopic<ClaimPeerMessage, ClaimPeerReply>('claim');
 
 const recordSchema = z.object({
@@ -70,7 +73,7 @@
 
 export function createDaemonClaims(options: DaemonClaimsOptions): DaemonClaims {
   const { instance, platform, fleet, timers, random, wallNow } = options;
-  const bootId = randomUUID();
+  const bootId = randomBytes(BOOT_ID_BYTES).toString('hex');
   const owner = createClaimOwner({
     processName: createProcessName(instance, bootId),
     platform: platform.forUse(PlatformUse.Claims),
--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -46,7 +46,8 @@
 /** What the directory tells its listener. */
 export interface EngineListener {
   onFacts(facts: readonly EngineFacts[]): void;
-  onLoad(seen: SeenEngineLoad): void;
+  /** Reports that came together, which are cheaper to take in together. */
+  onLoads(reports: readonly SeenEngineLoad[]): void;
   onLeaving(engine: EngineId): void;
   /** The engine did not answer its poll. */
   onSilent(engine: EngineId): void;
@@ -148,7 +149,7 @@
     if (!known || JSON.stringify(known.status.facts) !== JSON.stringify(status.facts)) {
       tellFacts();
     }
-    tell((listener) => listener.onLoad({ load: status.load, seenAt }));
+    tell((listener) => listener.onLoads([{ load: status.load, seenAt }]));
   }
 
   function tellPeers(status: EngineStatus): void {
@@ -176,15 +177,19 @@
 
   /** Brings what digests say into the reports of engines that others poll. */
   function readDigests(): void {
+    const news: SeenEngineLoad[] = [];
     reports.forEach(({ status, seenAt }, id) => {
       const told = loads.getLoad(id);
       if (told && told.seenAt > seenAt) {
         const { running, queued, kvUsed, state } = told;
         const load = { ...status.load, running, queued, kvUsed, state };
         reports.set(id, { status: { ...status, load }, seenAt: told.seenAt });
-        tell((listener) => listener.onLoad({ load, seenAt: told.seenAt }));
+        news.push({ load, seenAt: told.seenAt });
       }
     });
+    if (news.length > 0) {
+      tell((listener) => listener.onLoads(news));
+    }
   }
 
   /** Asks one instance of each other domain, so that its engines can be borrowed when it comes to that. */
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import type { MembershipChange } from '@skylarksail/membership/MembershipService';
 import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
 import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
@@ -59,12 +60,14 @@
   const self = { id: settings.instance, domain: settings.domain };
 
   let countInstances = (): number => 1;
+  let getClaimShare = (): number => 0;
   const platformHttp = createPlatformHttp(settings.platform);
   const platform = createPlatformClient({
     port: platformHttp,
     timers,
     random,
     countInstances: () => countInstances(),
+    getClaimShare: () => getClaimShare(),
   });
 
   const fleet = await startDaemonFleet({
@@ -102,6 +105,7 @@
     random,
     wallNow,
   });
+  getClaimShare = claims.owner.getSlotShare;
   const engineHttp = createEngineHttp(directory.findAddress);
   const serviceHttp = createServiceHttp(directory.findAddress);
   const router: RequestRouter = createRequestRouter({
@@ -110,7 +114,7 @@
     random,
     chooseChain: routing.chooseChain,
     chooseRepair: routing.chooseRepair,
-    openEngineCall: engineHttp.open,
+    openEngineCall: routing.watchGaps(engineHttp.open),
     chooseServer: (service, avoid) => {
       const servers = directory.listServers(service).filter((id) => !avoid.includes(id));
       const server = servers[random.nextInt(Math.max(1, servers.length))];
@@ -130,9 +134,9 @@
 
   directory.registerListener({
     onFacts: routing.setFacts,
-    onLoad: (seen) => {
-      routing.setEngineLoad(seen);
-      router.noteEngineAlive(seen.load.engine, seen.load.bootId);
+    onLoads: (reports) => {
+      routing.setEngineLoads(reports);
+      reports.forEach(({ load }) => router.noteEngineAlive(load.engine, load.bootId));
     },
     onLeaving: routing.setLeaving,
     onSilent: () => metrics.count('engine_polls_unanswered', 'engine polls without an answer'),
@@ -143,9 +147,19 @@
     fleet.start(),
     directory.start(),
     startDaemonPoison({ self: self.id, fleet, router, timers, random }),
-    fleet.membership.registerListener(() => routing.setInstanceCount(fleet.listOwnDomain().length)),
+    fleet.membership.registerListener(tellRouting),
+    routing.start(),
   ];
 
+  /** Tells routing how many instances share the engines, and which domains can be reached. */
+  function tellRouting(change: MembershipChange): void {
+    const own = fleet.listOwnDomain().length;
+    routing.setInstanceCounts(own, fleet.listLive().length - own);
+    if (change.kind === 'domain') {
+      routing.setDomainReach(change.domain, change.reachable);
+    }
+  }
+
   async function stop(): Promise<void> {
     undo.forEach((stopPart) => stopPart());
     router.stop();
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -3,7 +3,7 @@
 import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, EngineId } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type {
   AttemptOutcome,
@@ -12,22 +12,34 @@
   ChooseChain,
   ChooseRepair,
 } from '@skylarksail/requests/RequestTypes';
+import type { EngineCallListener, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import { selectChain } from '@skylarksail/routing/RoutingChoice';
 import type { ChainAsk, ChainCandidate, RoutingRefusal } from '@skylarksail/routing/RoutingChoice';
-import { selectRepair } from '@skylarksail/routing/RoutingRepair';
-import type { CallOutcome, RoutingState } from '@skylarksail/routing/RoutingState';
 import {
-  createRoutingState,
-  markLeaving,
   recordCallEnd,
   recordCallStart,
   recordFirstToken,
+  recordTokenGap,
+} from '@skylarksail/routing/RoutingCalls';
+import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
+import { selectRepair } from '@skylarksail/routing/RoutingRepair';
+import type { CallOutcome, RoutingState } from '@skylarksail/routing/RoutingTypes';
+import {
+  createRoutingState,
+  markLeaving,
   setEngines,
-  setLoad,
+  setDomainReach,
+  setLoads,
   setRoutingFacts,
 } from '@skylarksail/routing/RoutingState';
 import type { DecisionLog } from './DaemonDecisions.js';
 
+/** How often capacity shares are worked out anew, if anything changed. */
+const PLAN_PERIOD: Millis = 500;
+
+/** Tokens after which the mean time between them is noted; each one would cost more than it tells. */
+const GAP_SAMPLE_TOKENS = 16;
+
 export interface DaemonRouting {
   readonly chooseChain: ChooseChain;
   readonly chooseRepair: ChooseRepair;
@@ -35,10 +47,16 @@
   /** KV cache of the own domain's engines that this instance may count on, in tokens. */
   getKvCapacity(): number | null;
   setFacts(facts: readonly EngineFacts[]): void;
-  setEngineLoad(seen: SeenEngineLoad): void;
+  setEngineLoads(reports: readonly SeenEngineLoad[]): void;
   setLeaving(engine: EngineId): void;
   setManifest(view: ManifestView): void;
-  setInstanceCount(count: number): void;
+  /** Instances of the own domain, and of all others. */
+  setInstanceCounts(own: number, foreign: number): void;
+  setDomainReach(domain: DomainId, reachable: boolean): void;
+  /** The same calls, with their times between tokens noted while they run. */
+  watchGaps(open: OpenEngineCall): OpenEngineCall;
+  /** Starts working out capacity shares anew as engines change. */
+  start(): Unregister;
   getState(): RoutingState;
 }
 
@@ -51,7 +69,7 @@
 
 export function createDaemonRouting(options: DaemonRoutingOptions): DaemonRouting {
   const { domain, timers, random, decisions } = options;
-  let state = createRoutingState();
+  let state = createRoutingState({ domain });
 
   function createAsk({ spec, contextTokens, avoid }: ChainWish): ChainAsk {
     const { variant, layerCount, priority, maxTokens } = spec;
@@ -72,8 +90,14 @@
   }
 
   /** Records the chosen chain's work, and takes it off again when the attempt is over. */
-  function startCall(chain: Chain, ask: ChainAsk, importFrom: readonly Stage[]): RequestChoice {
-    const call = { chain, promptTokens: ask.promptTokens, maxTokens: ask.maxTokens };
+  function startCall(
+    chain: Chain,
+    ask: ChainAsk,
+    cachedTokens: number,
+    importFrom: readonly Stage[],
+  ): RequestChoice {
+    const { promptTokens, maxTokens, prefixKeys } = ask;
+    const call = { chain, promptTokens, maxTokens, prefixKeys, cachedTokens };
     let hadFirstToken = false;
     state = recordCallStart(state, call);
     return {
@@ -83,7 +107,7 @@
       hold: {
         noteFirstToken: () => {
           hadFirstToken = true;
-          state = recordFirstToken(state, call);
+          state = recordFirstToken(state, call, timers.now());
         },
         release: (outcome) => {
           state = recordCallEnd(state, call, toCallOutcome(outcome), hadFirstToken, timers.now());
@@ -92,6 +116,29 @@
     };
   }
 
+  /**
+   * An engine that slows down would be heard of only when its long answers end. The mean of some
+   * tokens is noted while they come, so that later requests keep off it sooner.
+   */
+  function watchCall(chain: Chain, listener: EngineCallListener): EngineCallListener {
+    let tokens = 0;
+    let sampledAt = 0;
+    return {
+      ...listener,
+      onToken(index, token) {
+        if (tokens % GAP_SAMPLE_TOKENS === 0) {
+          const now = timers.now();
+          if (tokens > 0) {
+            state = recordTokenGap(state, chain, (now - sampledAt) / GAP_SAMPLE_TOKENS, now);
+          }
+          sampledAt = now;
+        }
+        tokens += 1;
+        listener.onToken(index, token);
+      },
+    };
+  }
+
   function logChoice(
     request: string,
     decision: string,
@@ -114,9 +161,9 @@
       if (!choice.ok) {
         return refuse(wish.spec.id, choice.error);
       }
-      const { chain, candidates } = choice.value;
+      const { chain, candidates, cachedTokens } = choice.value;
       logChoice(wish.spec.id, 'chain-chosen', candidates, chain);
-      return startCall(chain, ask, []);
+      return startCall(chain, ask, cachedTokens, []);
     },
     chooseRepair(wish) {
       const ask = createAsk(wish);
@@ -126,15 +173,15 @@
       }
       const { chain, candidates, newStages } = choice.value;
       logChoice(wish.spec.id, 'chain-repaired', candidates, chain);
-      return startCall(chain, ask, selectImports(wish.broken, newStages, wish.failed));
+      return startCall(chain, ask, 0, selectImports(wish.broken, newStages, wish.failed));
     },
     getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
     getKvCapacity: () => computeKvCapacity(state, domain),
     setFacts: (facts) => {
       state = setEngines(state, facts);
     },
-    setEngineLoad: (seen) => {
-      state = setLoad(state, seen);
+    setEngineLoads: (reports) => {
+      state = setLoads(state, reports);
     },
     setLeaving: (engine) => {
       state = markLeaving(state, engine);
@@ -149,11 +196,23 @@
         tuning: { ...state.tuning, crossDomainShare: view.limits.crossDomainShare },
       });
     },
-    setInstanceCount: (count) => {
+    setInstanceCounts: (own, foreign) => {
       state = setRoutingFacts(state, {
-        tuning: { ...state.tuning, instanceCount: Math.max(1, count) },
+        tuning: {
+          ...state.tuning,
+          instanceCount: Math.max(1, own),
+          foreignInstanceCount: Math.max(0, foreign),
+        },
       });
     },
+    setDomainReach: (foreign, reachable) => {
+      state = setDomainReach(state, foreign, reachable, timers.now());
+    },
+    watchGaps: (open) => (call, listener) => open(call, watchCall(call.chain, listener)),
+    start: () =>
+      timers.registerInterval(PLAN_PERIOD, () => {
+        state = refreshPlans(state, timers.now());
+      }),
     getState: () => state,
   };
 }
