Take silence, waits and the ask for admission out of the model runner

Cause: the module that runs a model request had grown to 450 lines and decided what a silence means beside carrying effects out.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -5,15 +5,11 @@
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
-import { jitter } from '@skylarksail/core/CoreRandom';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHold } from './ClaimRunner.js';
 import { claimKey } from './ClaimRunner.js';
-import type { AdmissionAsk } from './RequestAdmission.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
-import { hasRetry } from './RequestBudget.js';
-import { computeBackoff } from './RequestFailures.js';
 import { stepRequest } from './RequestMachine.js';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
@@ -22,27 +18,18 @@
 import { FailurePlace } from './RequestPorts.js';
 import { createRequestMachine } from './RequestState.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
-import { getPromptTokens, ProblemKind } from './RequestTypes.js';
+import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
 import { countMetric, feedBudget, judgeRun, logDecision, takeFromBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
+import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
+import { computeBudgetWait, computeRetryWait, RECHOOSE_LEAST } from './RunRetry.js';
+import { findSilenceSuspects, isStandingStill } from './RunSilence.js';
 import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
-/** Prompts weigh this part of what generated tokens do. */
-const PROMPT_COST = 1 / 8;
-const RECHOOSE_LEAST: Millis = 50;
-const RECHOOSE_MOST: Millis = 250;
-const RETRY_JITTER = 0.3;
-const BUDGET_WAIT: Millis = 500;
-const STILL_AFTER: Millis = 80;
-/** Silences that are borne where the other streams do not tell which engine is to blame. */
-const UNCLEAR_SILENCES = 3;
-/** Share of answers that may stand still at once while one engine is held to be the cause. */
-const MOST_STILL = 0.7;
-
 /** Starts a request; its sink hears everything from here on. */
 export function startModelRun(
   shared: RouterShared,
@@ -53,7 +40,6 @@
   const { timers } = deps;
   const submittedAt = timers.now();
   const fingerprint = computeFingerprint(spec.team, spec.model, spec.prompt);
-  const promptTokens = getPromptTokens(spec);
   const tokens: string[] = [];
   const attempts = createAttemptRunner(shared, spec, fingerprint, tokens, send);
   const undoDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
@@ -70,10 +56,7 @@
   const run: ModelRun = {
     fingerprint,
     getEngines: () => attempts.getEngines(),
-    isStill: (now) =>
-      machine.phase === RequestPhase.Running &&
-      machine.attemptTokens > 0 &&
-      now - machine.signAt > STILL_AFTER,
+    isStill: (now) => isStandingStill(machine, now),
     startRecovery: () => {
       countMetric(shared, 'recoveries');
       send({ kind: 'retry-granted', failed: lastFailed });
@@ -231,26 +214,12 @@
   }
 
   function reportSilence(): void {
-    const isRetry = machine.attemptTokens === 0 && machine.fruitless > 0;
-    if (isRetry && !hasRetry(shared.getBudget())) {
-      // Nothing could follow but giving up; the attempt may only be slow.
-      send({ kind: 'silence-borne' });
-      return;
-    }
-    const now = timers.now();
-    const all = attempts.getEngines();
-    const chain = attempts.getChain();
-    // The later half of the silence: an engine that hung may have served another stream just before.
-    const since = (machine.signAt + now) / 2;
-    const silent = chain ? shared.progress.findSilent(chain, since) : [];
-    const isAlone = shared.getStillShare() <= MOST_STILL;
-    const isClear = isAlone && silent.length > 0 && silent.length < all.length;
-    if (!isClear && machine.borne < UNCLEAR_SILENCES) {
-      // A slow link holds up many streams at once, and prompts read again would hold them up longer.
+    const suspects = findSilenceSuspects(shared, machine);
+    if (suspects === null) {
       send({ kind: 'silence-borne' });
-      return;
+    } else {
+      sendSilence(suspects, false);
     }
-    sendSilence(isClear ? silent : all, false);
   }
 
   function sendSilence(suspects: readonly EngineId[], isSlow: boolean): void {
@@ -292,7 +261,7 @@
       shared.pumpRecoveries();
       return;
     }
-    const delay = mode === 'rechoose' ? computeRechoose(retryAfter) : computeDelay(effect);
+    const delay = computeRetryWait(deps.random, effect);
     const isInTime = timers.now() + delay < spec.deadline;
     if (!isInTime) {
       send({ kind: 'retry-refused', retryAfter });
@@ -313,7 +282,7 @@
       return;
     }
     const { attempt } = machine;
-    timers.registerTimeout(jitter(deps.random, BUDGET_WAIT, RETRY_JITTER), () =>
+    timers.registerTimeout(computeBudgetWait(deps.random), () =>
       shared.post(() => {
         if (machine.phase === RequestPhase.Pausing && machine.attempt === attempt) {
           askRetry(effect);
@@ -322,16 +291,6 @@
     );
   }
 
-  function computeDelay({ fruitless, retryAfter }: EffectOf<'ask-retry'>): Millis {
-    return computeBackoff(deps.random, fruitless, retryAfter);
-  }
-
-  /** Nothing was sent, so looking again soon costs the engines nothing. */
-  function computeRechoose(retryAfter: Millis | null): Millis {
-    const wait = Math.min(RECHOOSE_MOST, Math.max(RECHOOSE_LEAST, retryAfter ?? 0));
-    return jitter(deps.random, wait, RETRY_JITTER);
-  }
-
   function complete(reason: FinishReason): void {
     meters.noteLength(spec.model, tokens.length, spec.maxTokens);
     clearRun(shared, fingerprint);
@@ -380,18 +339,6 @@
     send({ kind: 'refused', problem });
   }
 
-  function getAsk(): AdmissionAsk {
-    return {
-      id: spec.id,
-      team: spec.team,
-      priority: spec.priority,
-      cost: spec.maxTokens + promptTokens * PROMPT_COST,
-      kvTokens: promptTokens + spec.maxTokens,
-      deadline: spec.deadline,
-      duration: meters.estimateDuration(spec.model, promptTokens, spec.maxTokens),
-    };
-  }
-
   function enqueue(): void {
     const onAdmitted = (): void => {
       countMetric(shared, 'admitted');
@@ -400,11 +347,11 @@
       send({ kind: 'admitted' });
     };
     const onRefused = (retryAfter: Millis): void => refuse(ProblemKind.Overloaded, retryAfter);
-    admission.enqueue(getAsk(), { onAdmitted, onRefused }, timers.now());
+    admission.enqueue(createAdmissionAsk(spec, meters), { onAdmitted, onRefused }, timers.now());
   }
 
   function begin(): void {
-    const retryAfter = admission.check(getAsk(), submittedAt);
+    const retryAfter = admission.check(createAdmissionAsk(spec, meters), submittedAt);
     if (spec.deadline <= submittedAt) {
       refuse(ProblemKind.Deadline, null);
     } else if (shared.isDraining()) {
--- /dev/null
+++ b/packages/requests/src/RunRetry.ts
@@ -0,0 +1,29 @@
+/** Waits before a request goes on. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { jitter } from '@skylarksail/core/CoreRandom';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { computeBackoff } from './RequestFailures.js';
+import type { RequestEffect } from './RequestMessages.js';
+
+/** Least wait before another look for a chain. */
+export const RECHOOSE_LEAST: Millis = 50;
+const RECHOOSE_MOST: Millis = 250;
+const BUDGET_WAIT: Millis = 500;
+const RETRY_JITTER = 0.3;
+
+/** Wait before a retry, or before another look for a chain, which costs the engines nothing. */
+export function computeRetryWait(
+  random: Random,
+  { mode, fruitless, retryAfter }: Extract<RequestEffect, { kind: 'ask-retry' }>,
+): Millis {
+  if (mode !== 'rechoose') {
+    return computeBackoff(random, fruitless, retryAfter);
+  }
+  const wait = Math.min(RECHOOSE_MOST, Math.max(RECHOOSE_LEAST, retryAfter ?? 0));
+  return jitter(random, wait, RETRY_JITTER);
+}
+
+/** Wait before the retry budget is asked again. */
+export function computeBudgetWait(random: Random): Millis {
+  return jitter(random, BUDGET_WAIT, RETRY_JITTER);
+}
--- /dev/null
+++ b/packages/requests/src/RunSilence.ts
@@ -0,0 +1,42 @@
+/** Decides what the silence of an attempt means: one engine's failure, all engines', or nothing yet. */
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import { hasRetry } from './RequestBudget.js';
+import { RequestPhase } from './RequestMessages.js';
+import type { RequestMachine } from './RequestState.js';
+import type { RouterShared } from './RouterShared.js';
+
+/** Time without a token after which an answer counts as standing still. */
+const STILL_AFTER: Millis = 80;
+/** Silences that are borne where the other streams do not tell which engine is to blame. */
+const UNCLEAR_SILENCES = 3;
+/** Share of answers that may stand still at once while one engine is held to be the cause. */
+const MOST_STILL = 0.7;
+
+/** Whether an answer has begun and stands still now. */
+export function isStandingStill(machine: RequestMachine, now: Millis): boolean {
+  const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
+  return isBegun && now - machine.signAt > STILL_AFTER;
+}
+
+/** Engines to replace, or null if the silence is to be borne for now. */
+export function findSilenceSuspects(
+  shared: RouterShared,
+  machine: RequestMachine,
+): readonly EngineId[] | null {
+  const { chain } = machine;
+  const isRetry = machine.attemptTokens === 0 && machine.fruitless > 0;
+  if (!chain || (isRetry && !hasRetry(shared.getBudget()))) {
+    // Nothing could follow but giving up; the attempt may only be slow.
+    return null;
+  }
+  const all = chain.stages.map((stage) => stage.engine);
+  // The later half of the silence: an engine that hung may have served another stream just before.
+  const since = (machine.signAt + shared.deps.timers.now()) / 2;
+  const silent = shared.progress.findSilent(chain, since);
+  const isAlone = shared.getStillShare() <= MOST_STILL;
+  if (isAlone && silent.length > 0 && silent.length < all.length) {
+    return silent;
+  }
+  // A slow link holds up many streams at once, and prompts read again would hold them up longer.
+  return machine.borne < UNCLEAR_SILENCES ? null : all;
+}
