Tell membership of broken connections, and give the manifest rates of its own

Change: the peers' link reports connections that break; the manifest uses a client with its own rates and circuit, works on large manifests in slices, and tells peers of what was accepted through this instance. Not measured with real daemons.

--- a/packages/cli/src/CliClient.ts
+++ b/packages/cli/src/CliClient.ts
@@ -2,7 +2,8 @@
 import { request } from 'undici';
 import { ExitCode, createCliError } from './CliErrors.js';
 
-const TIMEOUT_MS = 15_000;
+/** A first load of a large manifest takes most of a minute. */
+const TIMEOUT_MS = 70_000;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_OK = 200;
 
--- a/packages/daemon/src/DaemonFleet.ts
+++ b/packages/daemon/src/DaemonFleet.ts
@@ -4,7 +4,7 @@
 import { jitter } from '@skylarksail/core/CoreRandom';
 import { InstanceRole } from '@skylarksail/core/CoreConstants';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
+import type { HostPort, InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
 import { createPeerCalls } from '@skylarksail/membership/MembershipCalls';
 import type { PeerCalls } from '@skylarksail/membership/MembershipCalls';
 import { createDuties } from '@skylarksail/membership/MembershipDuties';
@@ -75,6 +75,7 @@
     secret: options.secret,
     wallNow,
     onMessage: receive,
+    onLost: reportLost,
   });
   const membership = createMembership({
     self,
@@ -110,6 +111,16 @@
     }
   }
 
+  /** A broken connection is word of a death seconds before probes go unanswered. */
+  function reportLost({ host, port }: HostPort): void {
+    const lost = membership
+      .getLiveInstances()
+      .find(({ address, peerPort }) => address.host === host && peerPort === port);
+    if (lost) {
+      membership.reportConnectionLost(lost.id);
+    }
+  }
+
   async function refreshList(): Promise<boolean> {
     const listed = await platform.listInstances({ timeout: LIST_TIMEOUT_MS });
     if (listed.kind !== 'done') {
--- a/packages/daemon/src/DaemonManifest.ts
+++ b/packages/daemon/src/DaemonManifest.ts
@@ -14,18 +14,25 @@
 import type { ManifestRunner } from '@skylarksail/manifest/ManifestRunner';
 import { startManifestRunner } from '@skylarksail/manifest/ManifestRunner';
 import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
+import {
+  MANIFEST_BUDGET_RATES,
+  MANIFEST_CIRCUIT_SETTINGS,
+  MANIFEST_SHARERS,
+} from '@skylarksail/manifest/ManifestRates';
 import { getKnownBy } from '@skylarksail/manifest/ManifestSpread';
 import { submitManifest } from '@skylarksail/manifest/ManifestStore';
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import { createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
 import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
-import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
+import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
 import { DaemonError } from './DaemonErrors.js';
 import type { DaemonFleet } from './DaemonFleet.js';
 
 const CALL_TIMEOUT: Millis = 2000;
-const SUBMIT_DEADLINE: Millis = 10_000;
+/** A first load of 47,000 teams writes about 2,100 chunks, which takes most of a minute. */
+const SUBMIT_DEADLINE: Millis = 60_000;
 const READ_DEADLINE: Millis = 5000;
 const HISTORY_LENGTH = 100;
 const GARBAGE_PERIOD: Millis = 300_000;
@@ -58,7 +65,8 @@
 
 export interface DaemonManifestOptions {
   readonly self: { readonly id: string; readonly domain: string };
-  readonly platform: PlatformClient;
+  /** The platform itself; the manifest's calls have rates of their own. */
+  readonly port: PlatformPort;
   readonly fleet: DaemonFleet;
   readonly timers: TimerService;
   readonly random: Random;
@@ -66,8 +74,24 @@
 
 export function startDaemonManifest(options: DaemonManifestOptions): DaemonManifest {
   const { self, fleet, timers, random } = options;
-  const platform = options.platform.forUse(PlatformUse.Manifest);
-  const ctx: StoreContext = { platform, timers, random, callTimeout: CALL_TIMEOUT };
+  // The rates of other uses are shared over all instances; of the manifest's calls few instances make
+  // nearly all, and a share of a 680th would let none of them submit.
+  const client = createPlatformClient({
+    port: options.port,
+    timers,
+    random,
+    countInstances: () => MANIFEST_SHARERS,
+    rates: MANIFEST_BUDGET_RATES,
+    circuit: MANIFEST_CIRCUIT_SETTINGS,
+  });
+  const platform = client.forUse(PlatformUse.Manifest);
+  const ctx: StoreContext = {
+    platform,
+    timers,
+    random,
+    callTimeout: CALL_TIMEOUT,
+    pause: letOthersRun,
+  };
   const listeners = new Set<(view: ManifestView) => void>();
 
   const runner: ManifestRunner = startManifestRunner({
@@ -94,7 +118,7 @@
   ];
 
   function removeGarbage(): Promise<unknown> {
-    const housekeeping = options.platform.forUse(PlatformUse.Housekeeping);
+    const housekeeping = client.forUse(PlatformUse.Housekeeping);
     return collectGarbage(
       { ...ctx, platform: housekeeping },
       { deadline: timers.now() + GARBAGE_DEADLINE, maxRemovals: GARBAGE_REMOVALS },
@@ -119,6 +143,7 @@
         submissionId,
         expectedRevision,
         deadline: timers.now() + SUBMIT_DEADLINE,
+        onAccepted: runner.learnAccepted,
       }),
     readWhole,
     diff: (next) => {
@@ -158,5 +183,12 @@
   return fleet.membership.getLiveInstances().map(({ id, domain }) => ({ id, domain }));
 }
 
+/** Large manifests are worked on in slices, so that tokens of running answers are not held up. */
+function letOthersRun(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 /** Duties that the manifest needs somebody to hold. */
 export const MANIFEST_DUTIES: readonly string[] = [GARBAGE_DUTY];
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -92,7 +92,7 @@
   });
   fleet.registerListListener(directory.setRecords);
 
-  const manifest = startDaemonManifest({ self, platform, fleet, timers, random });
+  const manifest = startDaemonManifest({ self, port: platformHttp, fleet, timers, random });
   manifest.registerListener((view) => {
     routing.setManifest(view);
     logger.info({ revision: view.revision, known_by: manifest.getKnownBy() }, 'manifest in force');
--- a/packages/daemon/src/DaemonPeers.ts
+++ b/packages/daemon/src/DaemonPeers.ts
@@ -40,6 +40,8 @@
   readonly secret: string;
   readonly wallNow: () => Millis;
   readonly onMessage: (bytes: Uint8Array) => void;
+  /** A connection that we dialled was refused or broke, while the link is not being closed. */
+  readonly onLost: (address: HostPort) => void;
 }
 
 /** Starts listening for peers and dials them as messages are sent. */
@@ -50,6 +52,7 @@
   let receivedBytes = 0;
   let dropped = 0;
   let refused = 0;
+  let isClosing = false;
 
   const server = new WebSocketServer({
     host: options.listen.host,
@@ -84,7 +87,7 @@
     });
   }
 
-  function dial(name: string): WebSocket {
+  function dial(address: HostPort, name: string): WebSocket {
     const socket = new WebSocket(`ws://${name}`, {
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
       maxPayload: MAX_MESSAGE_BYTES,
@@ -97,6 +100,9 @@
       if (dialled.get(name) === socket) {
         dialled.delete(name);
       }
+      if (!isClosing) {
+        options.onLost(address);
+      }
     });
     return socket;
   }
@@ -104,7 +110,7 @@
   return {
     send(address, bytes) {
       const name = `${address.host}:${address.port}`;
-      const socket = dialled.get(name) ?? dial(name);
+      const socket = dialled.get(name) ?? dial(address, name);
       if (socket.bufferedAmount > MAX_QUEUED_BYTES) {
         dropped += 1;
         return false;
@@ -122,6 +128,7 @@
     },
     readCounts: () => ({ sentBytes, receivedBytes, dropped, refused }),
     async close() {
+      isClosing = true;
       dialled.forEach((socket) => socket.terminate());
       server.clients.forEach((socket) => socket.terminate());
       await new Promise<void>((resolve) => {
