Measure idle daemons as processes, and wake them less

Change: npm run bench -- daemons (and claims); the event loop's own monitor looks each 100 ms instead of 10, news of poison requests each 200 ms instead of 100.

--- a/packages/bench/src/BenchMain.ts
+++ b/packages/bench/src/BenchMain.ts
@@ -1,7 +1,9 @@
 /** `npm run bench -- NAME`: runs one bench; each case is a JSON line, the last one is the whole. */
 import { Argument, Command } from 'commander';
+import { runClaimsBench } from './ClaimsBench.js';
 import { runConfigBench } from './ConfigBench.js';
 import { runControlBench } from './ControlBench.js';
+import { runDaemonsBench } from './DaemonsBench.js';
 import { runOverheadBench } from './OverheadBench.js';
 import { runRecoveryBench } from './RecoveryBench.js';
 import { runThroughputBench } from './ThroughputBench.js';
@@ -32,6 +34,12 @@
   control: ({ seed, sizes }: BenchOptions, print: Print) => {
     print(runControlBench({ seed, ...(sizes && { sizes }) }, print).summary);
   },
+  daemons: async ({ seed, sizes }: BenchOptions, print: Print) => {
+    await runDaemonsBench({ seed, ...(sizes && { sizes }) }, print);
+  },
+  claims: async ({ seed }: BenchOptions, print: Print) => {
+    (await runClaimsBench(seed)).forEach(print);
+  },
   overhead: async ({ seed }: BenchOptions, print: Print) => {
     await runOverheadBench({ seed }, print);
   },
--- a/packages/bench/src/StackLauncher.ts
+++ b/packages/bench/src/StackLauncher.ts
@@ -28,6 +28,8 @@
   readonly callers: string;
   readonly admin: string;
   readonly process: StackProcess;
+  /** What the daemon says of itself to operators. */
+  readStatus(): Promise<unknown>;
 }
 
 /** A backend server of the stack. */
@@ -161,6 +163,7 @@
       callers: formatUrl({ host: STACK_HOST, port: callers }),
       admin: formatUrl({ host: STACK_HOST, port: admin }),
       process: started,
+      readStatus: () => readStatus(formatUrl({ host: STACK_HOST, port: admin })),
     };
     await waitFor(() => isAnswering(`${daemon.admin}/healthz`), `${id} to listen`);
     daemons.push(daemon);
@@ -222,14 +225,18 @@
   }
 }
 
+async function readStatus(admin: string): Promise<unknown> {
+  const res = await request(`${admin}/v1/status`, {
+    headers: { authorization: `Bearer ${SECRETS.SKYLARKSAIL_OPERATOR_TOKEN}` },
+  });
+  return res.body.json();
+}
+
 async function isReady(admin: string, engineCount: number): Promise<boolean> {
   if (!(await isAnswering(`${admin}/readyz`))) {
     return false;
   }
-  const res = await request(`${admin}/v1/status`, {
-    headers: { authorization: `Bearer ${SECRETS.SKYLARKSAIL_OPERATOR_TOKEN}` },
-  });
-  const status = (await res.body.json()) as { engines: { known: number } };
+  const status = (await readStatus(admin)) as { engines: { known: number } };
   return status.engines.known >= engineCount;
 }
 
--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -2,6 +2,9 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
 import type { RouterMetric, RouterMetricName } from '@skylarksail/requests/RouterTypes';
 
+/** The default of 10 ms would wake an idle process a hundred times a second. */
+const LOOP_PRECISION_MS = 100;
+
 const TIME_BUCKETS_MS = [1, 2, 5, 10, 20, 40, 78, 150, 300, 600, 1000, 2000, 4000, 8000, 16000];
 
 /** Metric of the router to its name in Prometheus. */
@@ -39,7 +42,7 @@
 
 export function createDaemonMetrics(): DaemonMetrics {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: LOOP_PRECISION_MS });
   const counters = new Map<string, Counter>();
   const times = new Map<string, Histogram>();
 
--- a/packages/daemon/src/DaemonPoison.ts
+++ b/packages/daemon/src/DaemonPoison.ts
@@ -10,7 +10,7 @@
 import type { DaemonFleet } from './DaemonFleet.js';
 
 /** A caller's resend may reach another instance this soon after the crash and find it unaware. */
-const NEWS_PERIOD: Millis = 100;
+const NEWS_PERIOD: Millis = 200;
 const REPAIR_PERIOD: Millis = 10_000;
 const MAX_REPORTS = 256;
 const MAX_NAMES = 4096;
