Send placement orders under a lease, and place a domain from the daemon

Cause: a plan was of no use without orders, and orders are where two holders, lost answers and engines that ignore fencing numbers do harm.

Each step is told what a look at the lease said just before it, so a holder that was paused finds its lease gone in its first step after it wakes. An order's number is the lease's fencing number and a count; a new holder waits 7 s before engines that ignore numbers; orders without an answer are settled by the engine's report; engines that refuse, half-finish or crash in a loop are backed off and planned around. A domain's part of the weight store's rate goes to restoring first.

--- /dev/null
+++ b/packages/placement/src/__tests__/unit/PlacementOrders.test.ts
@@ -0,0 +1,294 @@
+import { expect } from 'chai';
+import { DecisionKind } from '../../PlacementOrderTypes.js';
+import { PlacementPhase } from '../../PlacementRunner.js';
+import type { Bed, BedOptions } from '../PlacementBed.js';
+import { createBed } from '../PlacementBed.js';
+import type { KindName } from '../PlacementFixtures.js';
+import { createEngine, createEngines, createManifest, createModel } from '../PlacementFixtures.js';
+
+const KINDS: readonly KindName[] = ['medium', 'medium', 'small', 'medium', 'small'];
+const WRITER = createModel('writer', 48);
+const SERVES = [{ model: 'writer', minTokensPerSecond: 1000, weight: 1 }];
+const NEXT = { ...WRITER, serve: 'v2' };
+
+function createManifests(checksFencing: boolean) {
+  return {
+    first: createManifest({ models: [WRITER], serves: SERVES, checksFencing }),
+    next: createManifest({ models: [NEXT], serves: SERVES, checksFencing, revision: 2 }),
+  };
+}
+
+function createPlaced(checksFencing: boolean, options: Partial<BedOptions> = {}): Bed {
+  const { first } = createManifests(checksFencing);
+  const engines = createEngines(14, KINDS);
+  return createBed({ engines, manifest: first, isPlaced: true, ...options });
+}
+
+/** Engines that check must never take a number lower than one before. */
+function checkNumbers({ taken }: Bed): void {
+  const highest = new Map<string, number>();
+  for (const { engine, number } of taken) {
+    expect(number).to.be.at.least(highest.get(engine) ?? 0);
+    highest.set(engine, number);
+  }
+}
+
+function countDecisions({ decisions }: Bed, kind: string): number {
+  return decisions.filter((decision) => decision.kind === kind).length;
+}
+
+describe('placement orders', () => {
+  for (const checksFencing of [true, false]) {
+    const name = checksFencing ? 'engines that check numbers' : 'engines that ignore numbers';
+
+    it(`places an empty domain, and a planned stop hands it over: ${name}`, async () => {
+      const bed = createBed({
+        engines: createEngines(14, KINDS),
+        manifest: createManifests(checksFencing).first,
+        deps: { weights: { bytesPerSecond: 1e13, burst: 1000 } },
+      });
+      bed.start('a');
+      bed.start('b');
+      await bed.run(60_000);
+      expect(bed.getCapacity('writer')).to.be.above(4000);
+      expect(bed.countMovesLeft()).to.equal(0);
+      const [holder, other] = ['a', 'b'].sort(
+        (x, y) =>
+          (bed.getRunner(y).getStatus().fencing ?? 0) - (bed.getRunner(x).getStatus().fencing ?? 0),
+      ) as [string, string];
+      const before = bed.taken.length;
+      const stoppedAt = bed.timers.now();
+      bed.getRunner(holder).stop();
+      bed.setManifest(createManifests(checksFencing).next);
+      await bed.run(200_000);
+      const orders = bed.taken.slice(before);
+      expect(orders.every(({ by }) => by === other)).to.equal(true);
+      expect(bed.countMovesLeft()).to.equal(0);
+      const wait = (orders[0]?.at ?? 0) - stoppedAt;
+      expect(wait).to.be.above(checksFencing ? 0 : 7000);
+      expect(wait).to.be.below(checksFencing ? 12_000 : 16_000);
+      checkNumbers(bed);
+    });
+
+    it(`a holder paused past its lease sends nothing when it wakes: ${name}`, async () => {
+      // Symptom: engines go back to what an old plan said. Sequence: the holder is paused; its lease
+      // lapses; a successor places a newer manifest; the holder wakes with timers overdue. Cause: it
+      // acts on a look at its lease from before the pause.
+      const bed = createPlaced(checksFencing);
+      bed.start('a');
+      await bed.run(20_000);
+      bed.start('b');
+      bed.setManifest(createManifests(checksFencing).first, 'a');
+      bed.pause('a');
+      const { next } = createManifests(checksFencing);
+      bed.setManifest(next, 'b');
+      await bed.run(300_000);
+      const before = bed.taken.length;
+      bed.resume('a');
+      await bed.run(60_000);
+      expect(before).to.be.above(0);
+      expect(bed.taken.slice(before).filter(({ by }) => by === 'a')).to.deep.equal([]);
+      expect(bed.getRunner('a').getStatus().fencing).to.equal(null);
+      expect(bed.getHolding('e000')).to.include({ version: 'v2' });
+    });
+  }
+
+  it('an order that left a paused holder late is refused by engines that check', async () => {
+    // Symptom: an engine loads an old version again. Sequence: the holder looks at its lease, is paused
+    // before the bytes leave, wakes long after. Cause: no look can cover a pause after it.
+    const bed = createPlaced(true);
+    bed.start('a');
+    await bed.run(60_000);
+    bed.setManifest(createManifests(true).next);
+    bed.holdOrders('a');
+    await bed.run(1500);
+    bed.pause('a');
+    bed.start('b');
+    await bed.run(600_000);
+    bed.setManifest(createManifests(true).first);
+    await bed.run(300_000);
+    const before = bed.taken.length;
+    bed.releaseOrders('a');
+    bed.resume('a');
+    await bed.run(30_000);
+    expect(bed.refused.map(({ by }) => by)).to.include('a');
+    expect(bed.taken.length).to.equal(before);
+    expect(bed.countMovesLeft()).to.equal(0);
+    checkNumbers(bed);
+  });
+
+  it('a lost answer is settled by the report, without a second order', async () => {
+    // Symptom: an engine loads the same layers twice. Sequence: it does what it was told; the answer is
+    // lost. Cause: no answer is taken for no effect.
+    const bed = createPlaced(false);
+    bed.start('a');
+    await bed.run(20_000);
+    createEngines(14, KINDS).forEach(({ facts }) =>
+      bed.setFaults(facts.id, { losesAnswers: true }),
+    );
+    bed.setManifest(createManifests(false).next);
+    await bed.run(1_500_000);
+    expect(bed.taken.length).to.equal(14);
+    expect(countDecisions(bed, DecisionKind.Settled)).to.equal(14);
+    expect(bed.countMovesLeft()).to.equal(0);
+  });
+
+  it('an order that was never taken is sent again', async () => {
+    const bed = createPlaced(true);
+    bed.setFaults('e003', { losesOrders: true });
+    bed.start('a');
+    bed.setManifest(createManifests(true).next);
+    await bed.run(400_000);
+    expect(countDecisions(bed, DecisionKind.NotTaken)).to.be.above(0);
+    bed.setFaults('e003', { losesOrders: false });
+    await bed.run(900_000);
+    expect(bed.getHolding('e003')).to.include({ version: 'v2' });
+    expect(bed.countMovesLeft()).to.equal(0);
+  });
+
+  for (const [name, faults] of [
+    ['refuses orders', { refuses: true }],
+    ['half-finishes', { halfFinishes: true }],
+    ['crashes in a loop', { crashesOnLoad: true }],
+    ['leaves', { isLeaving: true }],
+    ['is gone', { isGone: true }],
+  ] as const) {
+    it(`plans around an engine that ${name}, and uses it again when it is well`, async () => {
+      const bed = createPlaced(true);
+      bed.start('a');
+      await bed.run(20_000);
+      const [first, second] = ['e000', 'e001'];
+      bed.setFaults(first, faults);
+      bed.crash(first);
+      if (name === 'refuses orders') {
+        bed.crash(second);
+      }
+      await bed.run(300_000);
+      const toSick = [...bed.taken, ...bed.refused].filter(({ engine }) => engine === first);
+      expect(toSick.length).to.be.at.most(8);
+      expect(bed.getCapacity('writer')).to.be.above(3000);
+      expect(bed.getRunner('a').getStatus().enginesPlannedAround).to.include(first);
+      bed.setFaults(first, {
+        refuses: false,
+        halfFinishes: false,
+        crashesOnLoad: false,
+        isLeaving: false,
+        isGone: false,
+      });
+      await bed.run(1_500_000);
+      expect(bed.getHolding(first)).to.not.equal(null);
+      expect(bed.countMovesLeft()).to.equal(0);
+    });
+  }
+
+  it('keeps to the weight store rate and spends it on restoring first', async () => {
+    // Symptom: a lost stage waits behind a change of version. Sequence: versions change; a stage dies.
+    // Cause: the store's rate is spent in the order in which the moves were found.
+    const rate = 1e9;
+    const bed = createPlaced(true, { deps: { weights: { bytesPerSecond: rate, burst: 60_000 } } });
+    bed.start('a');
+    await bed.run(70_000);
+    bed.setManifest(createManifests(true).next);
+    await bed.run(60_000);
+    const startedAt = bed.timers.now();
+    const before = bed.taken.length;
+    const first = bed.getHolding('e000');
+    createEngines(14, KINDS)
+      .filter(({ facts }) => bed.getHolding(facts.id)?.layers.first === first?.layers.first)
+      .forEach(({ facts }) => bed.setFaults(facts.id, { isGone: true }));
+    await bed.run(120_000);
+    const orders = bed.taken.slice(before);
+    expect(orders.length).to.be.above(0);
+    const reasons = bed.decisions
+      .filter(({ kind, at }) => kind === DecisionKind.Ordered && at > startedAt)
+      .map(({ reason }) => reason);
+    const [from, to] = [reasons.indexOf('restore'), reasons.lastIndexOf('restore')];
+    expect(to).to.be.above(from);
+    expect(new Set(reasons.slice(from, to + 1))).to.deep.equal(new Set(['restore']));
+    expect(bed.getCapacity('writer')).to.be.at.least(1000);
+    const bytes = bed.taken.reduce((sum, order) => sum + order.bytes, 0);
+    const largest = Math.max(...bed.taken.map((order) => order.bytes));
+    expect(bytes).to.be.at.most((bed.timers.now() / 1000) * rate + largest);
+  });
+
+  it('a domain cut off from the platform stops when its lease ends, and nothing reverts', async () => {
+    // Symptom: after a partition, engines go back and forth. Sequence: the holder cannot renew; another
+    // instance that can takes the lease under a newer manifest; the first comes back. Cause: the first
+    // goes on placing under its old manifest.
+    const bed = createPlaced(false);
+    bed.start('a');
+    await bed.run(60_000);
+    bed.setManifest(createManifests(false).first, 'a');
+    bed.platform.setFaults({ outage: true }, 'a');
+    bed.crash('e000');
+    await bed.run(9000);
+    // Within its lease it still restores what was lost.
+    expect(bed.taken.filter(({ by }) => by === 'a').length).to.be.above(0);
+    await bed.run(20_000);
+    expect(bed.getRunner('a').getStatus().phase).to.equal(PlacementPhase.Stopped);
+    bed.start('b');
+    bed.setManifest(createManifests(false).next, 'b');
+    const before = bed.taken.length;
+    await bed.run(300_000);
+    expect(bed.taken.slice(before).every(({ by }) => by === 'b')).to.equal(true);
+    bed.setManifest(createManifests(false).next);
+    bed.platform.setFaults({ outage: false }, 'a');
+    const rejoined = bed.taken.length;
+    await bed.run(120_000);
+    expect(bed.taken.length).to.equal(rejoined);
+    expect(bed.countMovesLeft()).to.equal(0);
+  });
+
+  it('an engine with a number that the platform never gave stops nobody', async () => {
+    // Symptom: a domain is never placed again. Sequence: something that is not ours gives an engine an
+    // order with a huge number; each holder takes itself for outdated. Cause: a number from an engine
+    // goes before the platform's word.
+    const bed = createPlaced(true);
+    bed.start('a');
+    await bed.run(60_000);
+    bed.setNumber('e002', Number.MAX_SAFE_INTEGER);
+    bed.addEngine(createEngine('new', 'medium'));
+    bed.crash('e001');
+    await bed.run(100_000);
+    expect(countDecisions(bed, DecisionKind.SteppedDown)).to.equal(1);
+    expect(bed.getHolding('new')).to.not.equal(null);
+    expect(bed.getHolding('e001')).to.not.equal(null);
+  });
+
+  it('a late order from a paused holder is undone at engines that ignore numbers, within its window', async () => {
+    // Symptom: an engine holds what nobody wants. Sequence: the holder looks at its lease and is paused
+    // before the bytes leave; its successor orders something else; the old order arrives at last.
+    // Cause: such an engine takes any order, and no clock of ours reaches into a pause.
+    const bed = createPlaced(false);
+    bed.start('a');
+    await bed.run(60_000);
+    bed.setManifest(createManifests(false).next);
+    bed.holdOrders('a');
+    await bed.run(1500);
+    bed.pause('a');
+    bed.start('b');
+    await bed.run(600_000);
+    expect(bed.countMovesLeft()).to.equal(0);
+    bed.setManifest(createManifests(false).first);
+    await bed.run(300_000);
+    expect(bed.countMovesLeft()).to.equal(0);
+    const before = bed.taken.length;
+    const wokenAt = bed.timers.now();
+    bed.releaseOrders('a');
+    bed.resume('a');
+    await bed.run(100);
+    const late = bed.taken.slice(before);
+    expect(late.map(({ by }) => by)).to.include('a');
+    let mendedAt = 0;
+    for (let i = 0; i < 120 && mendedAt === 0; i++) {
+      await bed.run(1000);
+      mendedAt =
+        bed.countMovesLeft() === 0 && bed.getHolding(late[0]?.engine ?? '') ? bed.timers.now() : 0;
+    }
+    // Loading what the late order says, the age of reports, a tick, and loading again.
+    const layers = (late[0]?.want?.layers.end ?? 0) - (late[0]?.want?.layers.first ?? 0);
+    expect(mendedAt - wokenAt).to.be.above(0);
+    expect(mendedAt - wokenAt).to.be.at.most(2 * layers * 200 + 3000 + 4000);
+    expect(countDecisions(bed, DecisionKind.Overwritten)).to.be.above(0);
+  });
+});
