Record what virtual engines take up and compute

The virtual fleet counted layer faults in one number, so a check of a whole history could not say which token of which attempt passed which layers, nor which attempt a leaving engine had taken up. An optional listener now hears of each attempt that an engine takes up and of each pass of tokens through a stage's layers; nothing changes without it.

--- a/packages/stand-ins/src/VirtualFleet.ts
+++ b/packages/stand-ins/src/VirtualFleet.ts
@@ -5,7 +5,7 @@
 import type { EngineFacts, EngineLoad, Holding } from '@skylarksail/core/CoreEngine';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Millis, RequestId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, LayerRange, Millis, RequestId } from '@skylarksail/core/CoreTypes';
 import type {
   AttemptFailure,
   EngineCall,
@@ -39,6 +39,22 @@
   readonly createToken: (call: EngineCall, index: number) => string;
   /** Whether a request crashes the engine that first computes it. */
   readonly isPoison: (call: EngineCall) => boolean;
+  /** Hears of each attempt that an engine takes up, and of each pass of tokens through its layers. */
+  readonly onRecord?: (record: VirtualRecord) => void;
+}
+
+/** One thing that an engine did, for checks of whole histories. */
+export type VirtualRecord = VirtualRecordPlace &
+  (
+    | { readonly kind: 'taken' }
+    /** Tokens up to position `end` of the sequence, exclusive, passed these layers. */
+    | { readonly kind: 'pass'; readonly end: number; readonly layers: LayerRange }
+  );
+
+interface VirtualRecordPlace {
+  readonly engine: EngineId;
+  readonly request: RequestId;
+  readonly attempt: number;
 }
 
 /** What ran, for the checks of tests and benches. */
@@ -135,7 +151,9 @@
       acceptedWhileLeaving += 1;
     }
     const taken = engine.admit(run, () => hop(run, stage, () => admitStage(run, stage + 1)));
-    if (!taken) {
+    if (taken) {
+      options.onRecord?.({ kind: 'taken', ...getPlace(engine, run) });
+    } else {
       failRun(run, createFailure(FailurePlace.Refused, wanted.engine, STATUS_TOO_MANY, true));
     }
   }
@@ -233,6 +251,7 @@
       return;
     }
     const { start, end, prefill } = item;
+    options.onRecord?.({ kind: 'pass', ...getPlace(engine, run), end, layers });
     const moved = { run, stage: stage + 1, start, end, layer: layers.end, prefill };
     const next = getStageEngine(run, stage + 1);
     if (!next) {
@@ -321,6 +340,10 @@
   );
 }
 
+function getPlace(engine: VirtualEngine, { call }: VirtualRun): VirtualRecordPlace {
+  return { engine: engine.facts.id, request: call.request, attempt: call.attempt };
+}
+
 function createFailure(
   place: FailurePlaceName,
   engine: EngineId,
