Name the fields of the state that each token steps

The profile of a daemon under 48 streams showed 13 of 100 samples in the step that takes a token, and 4 in the note of its gap: a spread of nineteen fields of which eleven are replaced leaves V8's fast path. The compiler still asks for each field of the state.

--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -119,20 +119,7 @@
       ? [{ kind: 'recovered', firstToken: now - machine.openedAt, pause: now - machine.progressAt }]
       : [];
   return {
-    machine: {
-      ...machine,
-      tokenCount: machine.tokenCount + 1,
-      attemptTokens: machine.attemptTokens + 1,
-      pace: isFirst ? machine.pace : addSample(machine.pace, now - machine.signAt),
-      run: RunState.Ran,
-      fruitless: 0,
-      avoid: machine.avoid.length > 0 ? [] : machine.avoid,
-      borne: 0,
-      firstTokenAt: isFirst ? now : machine.firstTokenAt,
-      signAt: now,
-      progressAt: now,
-      failedAt: null,
-    },
+    machine: advance(machine, isFirst, now),
     effects: [
       { kind: 'token', index, token, since: isFirst ? machine.openedAt : machine.signAt, isFirst },
       ...recovered,
@@ -140,6 +127,34 @@
   };
 }
 
+/**
+ * The state after one more token. Every field is named: copying so many by spread and then replacing
+ * some costs forty times as much, and this runs once for each token.
+ */
+function advance(machine: RequestMachine, isFirst: boolean, now: Millis): RequestMachine {
+  return {
+    phase: machine.phase,
+    idempotent: machine.idempotent,
+    maxTokens: machine.maxTokens,
+    attempt: machine.attempt,
+    chain: machine.chain,
+    acknowledged: machine.acknowledged,
+    tokenCount: machine.tokenCount + 1,
+    attemptTokens: machine.attemptTokens + 1,
+    run: RunState.Ran,
+    fruitless: 0,
+    avoid: machine.avoid.length > 0 ? [] : machine.avoid,
+    limits: machine.limits,
+    pace: isFirst ? machine.pace : addSample(machine.pace, now - machine.signAt),
+    openedAt: machine.openedAt,
+    firstTokenAt: isFirst ? now : machine.firstTokenAt,
+    progressAt: now,
+    signAt: now,
+    borne: 0,
+    failedAt: null,
+  };
+}
+
 /** Takes a tick: waits on, or finds the attempt silent. */
 export function checkSilence(machine: RequestMachine, dueAt: Millis, now: Millis): MachineStep {
   if (machine.phase !== RequestPhase.Running) {
--- a/packages/requests/src/RequestLimits.ts
+++ b/packages/requests/src/RequestLimits.ts
@@ -74,11 +74,19 @@
   const allowed = Number.isFinite(limit.baseGap)
     ? Math.max(cfg.gapTarget, limit.baseGap * BASE_GAPS)
     : cfg.gapTarget;
+  // Once a token: naming the fields is many times cheaper than a spread with some replaced.
   return {
-    ...limit,
+    limit: limit.limit,
+    isStarting: limit.isStarting,
+    baseGap: limit.baseGap,
+    windowStart: limit.windowStart,
     gaps: limit.gaps + 1,
     gapSum: limit.gapSum + gap,
     lateGaps: limit.lateGaps + (gap > allowed ? 1 : 0),
+    firsts: limit.firsts,
+    lateFirsts: limit.lateFirsts,
+    refusals: limit.refusals,
+    reached: limit.reached,
   };
 }
 
--- a/packages/requests/src/RouterMeters.ts
+++ b/packages/requests/src/RouterMeters.ts
@@ -73,7 +73,14 @@
       change(model, { firstPerUnit: addSample(getMeters(model).firstPerUnit, perUnit) });
     },
     noteGap(model, gap) {
-      change(model, { gap: addSample(getMeters(model).gap, gap) });
+      const { acknowledgement, firstPerUnit, gap: pace, lengthShare } = getMeters(model);
+      // Once a token: naming the fields is cheaper than the two spreads of `change`.
+      models.set(model, {
+        acknowledgement,
+        firstPerUnit,
+        gap: addSample(pace, gap),
+        lengthShare,
+      });
     },
     noteLength(model, tokens, maxTokens) {
       const { lengthShare } = getMeters(model);
