Check lease, fencing and orders with Spin, and replay its steps against the code

Cause: two holders, late orders and lost answers meet in orders that no test can list.

Change: orders.pml with engines that check fencing numbers and engines that ignore them, pauses of any length between a look at the lease and the write, lost calls and answers, old reports; three right runs and six seeded mistakes in the table; OrdersModel.test.ts replays Spin's simulations against stepOrders.

Conclusion: without a pause after the look, or at engines that check, nothing of an older lease is ever taken. A lease counted without a margin but from before the call is not caught: the successor's wait covers it, so one guards the other.

--- a/packages/proof/bin/models.mjs
+++ b/packages/proof/bin/models.mjs
@@ -100,4 +100,58 @@
     expect: 'mistake',
     defines: { STALE_KEEPER: 1 },
   },
+  {
+    spec: 'orders.pml',
+    name: 'an engine that ignores numbers, no pause after a look',
+    expect: 'right',
+    defines: { CHECKS: 0, MAX_FENCING: 2 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'an engine that checks numbers, any pause',
+    expect: 'right',
+    defines: { CHECKS: 1, PAUSES: 1, MAX_FENCING: 2 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'an engine that ignores numbers, any pause: mended within the window',
+    expect: 'right',
+    defines: { CHECKS: 0, PAUSES: 1, URGENT: 1, MAX_LOST: 0, MAX_FENCING: 2 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'lease counted from a late answer',
+    expect: 'mistake',
+    defines: { MAX_FENCING: 2, MISTAKE_LATE_DEADLINE: 1 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'successor does not wait',
+    expect: 'mistake',
+    defines: { MAX_FENCING: 2, MISTAKE_NO_QUIET: 1 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'order numbers without the fencing number',
+    expect: 'mistake',
+    defines: { CHECKS: 1, MAX_FENCING: 2, MISTAKE_COUNT_ONLY: 1 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'order without an answer taken for done',
+    expect: 'mistake',
+    defines: { MAX_FENCING: 2, MISTAKE_UNKNOWN_IS_DONE: 1 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'older report settles an order',
+    expect: 'mistake',
+    defines: { MAX_FENCING: 2, MISTAKE_EARLY_REPORT: 1 },
+  },
+  {
+    spec: 'orders.pml',
+    name: 'done order believed for ever',
+    expect: 'mistake',
+    defines: { PAUSES: 1, URGENT: 1, MAX_LOST: 0, MAX_FENCING: 2, MISTAKE_NO_READ_BACK: 1 },
+  },
 ];
