--- a/packages/placement/src/__tests__/PlacementBed.ts
+++ b/packages/placement/src/__tests__/PlacementBed.ts
@@ -38,6 +38,7 @@
   readonly by: string;
   readonly want: Holding | null;
   readonly bytes: number;
+  readonly boot: number;
 }
 
 export interface BedOptions {
@@ -139,7 +140,15 @@
       return;
     }
     const { number, want } = order;
-    const record = { engine, number, at: timers.now(), by, want, bytes: countBytes(want) };
+    const record = {
+      engine,
+      number,
+      at: timers.now(),
+      by,
+      want,
+      bytes: countBytes(want),
+      boot: boots,
+    };
     const accelerator = engines.find(({ facts }) => facts.id === engine)?.facts.accelerator ?? '';
     const checks = manifest.getAccelerator(accelerator)?.checksFencing ?? false;
     if (faults.refuses || (checks && number < state.highest)) {
