--- a/packages/daemon/src/DaemonClaims.ts
+++ b/packages/daemon/src/DaemonClaims.ts
@@ -19,7 +19,7 @@
 /** Slots of the whole fleet. Changing it would part the claims of one key, so it never changes. */
 export const CLAIM_SLOTS = 64;
 
-/** Longer than any deadline a caller may set: how long a peer may take to answer an ask. */
+/** When a call to a peer is given up. The router of claims asks again sooner, perhaps another owner. */
 const PEER_TIMEOUT: Millis = 5000;
 
 /** The name of a process stands in each stored claim, so it is kept short. */
--- a/packages/platform/src/PlatformPort.ts
+++ b/packages/platform/src/PlatformPort.ts
@@ -1,6 +1,7 @@
 /**
- * The port to the platform: its configuration service (get, compare-and-swap, lease, long watch), its
- * lagging instance list and its rate-limited weight store. Adapters and fakes implement it.
+ * The port to the platform: its configuration service (get, compare-and-swap, lease, long watch) and its
+ * lagging instance list. Adapters and fakes implement it.
+ * The weight store is not behind it: placement reckons with its rate alone.
  */
 import type { InstanceRoleName, LifeStateName } from '@skylarksail/core/CoreConstants';
 import type { DomainId, HostPort, Millis } from '@skylarksail/core/CoreTypes';
