Learn slow links from streams that share a hop

Trials binned by half a second showed that generated tokens fill about half of what the link still carries; prompts hold up all streams, and recoveries of silent streams read prompts again over the same link.

Change: the router tells the paces of its streams every 100 ms. Where streams are late that share a hop between two racks, but no one engine, the hop is held to be slow: choice and repair keep off it; where all ways cross it, it takes one prompt at a time, and none while streams on it are late; silence on it is borne and no stream is moved over it. It is probed with twice as many prompts every 2 s. Repair now also weighs the link from the stage that it keeps.

The daemon does not pass `links` to the router yet.

--- a/packages/bench/src/RecoveryInstance.ts
+++ b/packages/bench/src/RecoveryInstance.ts
@@ -1,4 +1,5 @@
 /** Entry instances of the recovery bench: the product's router, and the baseline that starts anew. */
+import type { Chain } from '@skylarksail/core/CoreChain';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
@@ -21,6 +22,8 @@
 } from '@skylarksail/routing/RoutingCalls';
 import type { ChainAsk } from '@skylarksail/routing/RoutingChoice';
 import { selectChain } from '@skylarksail/routing/RoutingChoice';
+import type { StreamPace } from '@skylarksail/routing/RoutingHops';
+import { isOnSlowHop, recordPaces } from '@skylarksail/routing/RoutingHops';
 import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
 import { selectRepair } from '@skylarksail/routing/RoutingRepair';
 import { setLoad } from '@skylarksail/routing/RoutingState';
@@ -53,6 +56,8 @@
   chooseChain(wish: ChainWish): ChainChoice;
   chooseRepair(wish: RepairWish): ChainChoice;
   getBootId(engine: EngineId): string | null;
+  notePaces(paces: readonly StreamPace[]): void;
+  isSlow(chain: Chain): boolean;
   stop(): void;
 }
 
@@ -134,6 +139,10 @@
       return { kind: 'chain', chain, importFrom, hold: hold({ chain, promptTokens, maxTokens }) };
     },
     getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
+    notePaces(paces) {
+      state = recordPaces(state, paces, timers.now());
+    },
+    isSlow: (chain) => isOnSlowHop(state, chain),
     stop,
   };
 }
@@ -168,6 +177,7 @@
     chooseServer: () => null,
     openServiceCall: () => () => undefined,
     claims: options.claims,
+    links: routing,
     getTeamLimits: () => ({ share: 1, queueLimit: 256 }),
     getKvCapacity: () => null,
     getBootId: (engine) => routing.getBootId(engine),
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -52,11 +52,19 @@
   let claim: ClaimHold | null = null;
   let undoWatch: Unregister | null = null;
   let slowSince: Millis | null = null;
+  let longestGap: Millis = 0;
 
   const run: ModelRun = {
     fingerprint,
     getEngines: () => attempts.getEngines(),
     isStill: (now) => isStandingStill(machine, now),
+    takePace(now) {
+      const chain = attempts.getChain();
+      const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
+      const gap = Math.max(longestGap, now - machine.signAt);
+      longestGap = 0;
+      return chain && isBegun ? { chain, gap } : null;
+    },
     startRecovery: () => {
       countMetric(shared, 'recoveries');
       send({ kind: 'retry-granted', failed: lastFailed });
@@ -188,6 +196,7 @@
     if (effect.isFirst) {
       noteFirstOfAttempt(effect.index, wait);
     } else {
+      longestGap = Math.max(longestGap, wait);
       meters.noteGap(spec.model, wait);
       admission.noteGap(wait);
       countMetric(shared, 'gapMs', wait);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -7,6 +7,7 @@
 import { startModelRun } from './ModelRunner.js';
 import type { Admission } from './RequestAdmission.js';
 import { createAdmission } from './RequestAdmission.js';
+import { LATE_TICK } from './RequestAttempt.js';
 import { createRetryBudget } from './RequestBudget.js';
 import type { PoisonDigest } from './RequestPoison.js';
 import {
@@ -72,6 +73,7 @@
   let isDraining = false;
   let stillShare = 0;
   let stillAt = -Infinity;
+  let sweptAt = timers.now();
 
   const shared: RouterShared = {
     deps,
@@ -130,6 +132,7 @@
     const now = timers.now();
     shared.admission.sweep(now);
     services.forEach((admission) => admission.sweep(now));
+    tellPaces(now);
     const usualGap = shared.progress.getUsualGap(now);
     if (usualGap !== null) {
       [...shared.runs.values()].forEach((run) => run.checkSlow(usualGap));
@@ -137,6 +140,17 @@
     resolveDrained();
   }
 
+  function tellPaces(now: Millis): void {
+    const paces = [...shared.runs.values()]
+      .map((run) => run.takePace(now))
+      .filter((pace) => pace !== null);
+    // After a pause of our own all streams look late, and no link is to blame.
+    if (now - sweptAt < SWEEP_PERIOD + LATE_TICK) {
+      deps.links?.notePaces(paces);
+    }
+    sweptAt = now;
+  }
+
   function resolveDrained(): void {
     if (isDraining && shared.runs.size === 0 && serviceRuns.size === 0) {
       drained.splice(0).forEach((resolve) => resolve());
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -9,7 +9,7 @@
 import type { RecoveryQueue } from './RequestRecovery.js';
 import type { PostWork } from './RouterEvents.js';
 import type { RouterMeters } from './RouterMeters.js';
-import type { DecisionRecord, RouterDeps, RouterMetricName } from './RouterTypes.js';
+import type { DecisionRecord, RouterDeps, RouterMetricName, StreamPace } from './RouterTypes.js';
 
 /** A running request as the others see it. */
 export interface ModelRun {
@@ -18,6 +18,8 @@
   getEngines(): readonly EngineId[];
   /** Whether its answer has begun and stands still now. */
   isStill(now: Millis): boolean;
+  /** How its answer got on since this was last asked; null if it has not begun. */
+  takePace(now: Millis): StreamPace | null;
   /** A slot for its recovery is free. */
   startRecovery(): void;
   /** Moves it if its stream is slow and moving pays. */
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -1,4 +1,5 @@
 /** What the router of requests is given, and what it reports. */
+import type { Chain } from '@skylarksail/core/CoreChain';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, RequestId, ServiceId, TeamId } from '@skylarksail/core/CoreTypes';
@@ -91,6 +92,20 @@
 /** Chooses a backend server of a plain service, or null if none can take the call. */
 export type ChooseServer = (service: ServiceId, avoid: readonly EngineId[]) => ServerChoice | null;
 
+/** What running streams tell of the links that they share, and what is made of it. */
+export interface LinkWatch {
+  /** Takes in how all running streams got on since the last time; called every 100 ms. */
+  notePaces(paces: readonly StreamPace[]): void;
+  /** Whether a chain crosses a link that is held to be slow. */
+  isSlow(chain: Chain): boolean;
+}
+
+/** Longest time between tokens of a running stream since it was last told, its silence included. */
+export interface StreamPace {
+  readonly chain: Chain;
+  readonly gap: Millis;
+}
+
 /** What the router stands on. */
 export interface RouterDeps {
   readonly cfg: RouterConfig;
@@ -102,6 +117,8 @@
   readonly chooseServer: ChooseServer;
   readonly openServiceCall: OpenServiceCall;
   readonly claims: ClaimPort;
+  /** Without it silence on a slow link is taken for silence of engines. */
+  readonly links?: LinkWatch;
   readonly getTeamLimits: (team: TeamId) => TeamLimits;
   /** KV-cache memory that this instance may count on, in tokens; null if not known. */
   readonly getKvCapacity: () => number | null;
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -52,6 +52,8 @@
   const pays = left * (pace.mean - usualGap) > MOVE_GAIN * cost;
   const slowest = shared.progress.findSlowest(chain, now);
   const isClear = slowest !== null && slowest.bestGap > BLAME_FACTOR * usualGap;
-  const isDue = isClear || now - since >= LINK_PATIENCE;
+  // Where it is known that a link is slow, a move by way of the same link would only add to its load.
+  const isLinkSlow = shared.deps.links?.isSlow(chain) ?? false;
+  const isDue = !isLinkSlow && (isClear || now - since >= LINK_PATIENCE);
   return { slowSince: since, engine: pays && isDue && slowest ? slowest.engine : null };
 }
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -9,6 +9,8 @@
 const STILL_AFTER: Millis = 80;
 /** Silences that are borne where the other streams do not tell which engine is to blame. */
 const UNCLEAR_SILENCES = 3;
+/** Silences that are borne on a link that is known to be slow. */
+const SLOW_LINK_SILENCES = 6;
 /** Share of answers that may stand still at once while one engine is held to be the cause. */
 const MOST_STILL = 0.7;
 
@@ -29,6 +31,10 @@
     // Nothing could follow but giving up; the attempt may only be slow.
     return null;
   }
+  if (shared.deps.links?.isSlow(chain) && machine.borne < SLOW_LINK_SILENCES) {
+    // A prompt that is read again would cross the slow link once more, and hold up all that is on it.
+    return null;
+  }
   const all = chain.stages.map((stage) => stage.engine);
   // The later half of the silence: an engine that hung may have served another stream just before.
   const since = (machine.signAt + shared.deps.timers.now()) / 2;
--- a/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import { FailurePlace } from '../../RequestPorts.js';
 import {
   acknowledge,
@@ -63,6 +64,53 @@
     expect(hung.tokens).to.deep.equal(listWords(12));
   });
 
+  it('bears silence on a slow link, but not for ever', () => {
+    // Symptom: a slow link gets slower still, since every answer on it is read again and again.
+    // Sequence: a stream is silent for a few gaps while its link is known to be slow.
+    // Cause: silence is taken for a failed engine, and the prompt crosses the same link once more.
+    const links = { notePaces: () => undefined, isSlow: () => true };
+    const world = createFakeWorld({ links });
+    world.submit('r');
+    const call = world.last();
+    acknowledge(call);
+    giveTokens(world, call, 0, 10);
+    world.timers.advanceTo(world.timers.now() + 1000);
+    expect(world.last()).to.equal(call);
+    world.timers.advanceTo(world.timers.now() + 10_000);
+    expect(call.isCancelled).to.equal(true);
+  });
+
+  it('tells the paces of begun streams, but none after a pause of its own', () => {
+    // Symptom: after a pause of the instance every link is held to be slow, and all work is refused.
+    // Sequence: a stream gives a token each 20 ms; then the whole process sleeps for a second.
+    // Cause: the time that we slept is counted as silence of the streams.
+    const told: number[][] = [];
+    const clock = createVirtualTimers();
+    let slept = 0;
+    const world = createFakeWorld({
+      timers: { ...clock, now: () => clock.now() + slept },
+      links: {
+        notePaces: (paces) => told.push(paces.map(({ gap }) => gap)),
+        isSlow: () => false,
+      },
+    });
+    world.submit('r');
+    const call = world.last();
+    acknowledge(call);
+    for (let i = 0; i < 15; i++) {
+      clock.advanceTo(clock.now() + 20);
+      call.listener.onToken(i, `t${i} `);
+    }
+    expect(told.flat().length).to.be.above(1);
+    expect(Math.max(...told.flat())).to.be.within(20, 40);
+    const before = told.length;
+    slept = 1000;
+    clock.advanceTo(clock.now() + 100);
+    expect(told.length).to.equal(before);
+    clock.advanceTo(clock.now() + 100);
+    expect(told.length).to.equal(before + 1);
+  });
+
   it('bears a replacement that dies too, and a third that refuses', () => {
     // Symptom: an answer is lost although engines that could finish it are left.
     // Sequence: b1 dies after tokens, b2 is dead when it is asked, a1 refuses once with a wait.
--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -12,6 +12,7 @@
   recordGap,
   recordSuccess,
 } from './RoutingHealth.js';
+import { countHopPrompts } from './RoutingHops.js';
 import { addSightings } from './RoutingPrefixes.js';
 import { getPoolKey } from './RoutingPools.js';
 import { getEntry, withEntry } from './RoutingTable.js';
@@ -50,7 +51,8 @@
 export function recordCallStart(state: RoutingState, call: RoutedCall): RoutingState {
   const kvTokens = call.promptTokens + call.maxTokens;
   const change = { calls: 1, kvTokens, prefillTokens: call.promptTokens };
-  return countCall(changeOwnWork(state, call.chain, change), call, 1);
+  const next = countHopPrompts(state, call.chain, 1);
+  return countCall(changeOwnWork(next, call.chain, change), call, 1);
 }
 
 /** The first token came: the prompt is prefilled, and its prefixes are cached. */
@@ -60,7 +62,7 @@
   now: Millis = 0,
 ): RoutingState {
   const change = { calls: 0, kvTokens: 0, prefillTokens: -call.promptTokens };
-  const next = changeOwnWork(state, call.chain, change);
+  const next = changeOwnWork(countHopPrompts(state, call.chain, -1), call.chain, change);
   const sightings = call.chain.stages.map(({ engine }) => ({
     engine,
     bootId: getHealth(state, engine).bootId,
@@ -108,7 +110,8 @@
   const kvTokens = -(call.promptTokens + call.maxTokens);
   const prefillTokens = hadFirstToken ? 0 : -call.promptTokens;
   const change = { calls: -1, kvTokens, prefillTokens };
-  const next = countCall(changeOwnWork(state, call.chain, change), call, -1);
+  const read = hadFirstToken ? state : countHopPrompts(state, call.chain, -1);
+  const next = countCall(changeOwnWork(read, call.chain, change), call, -1);
   if (outcome.kind === 'answered') {
     return recordAnswered(next, call, outcome, now);
   }
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -9,6 +9,7 @@
 import { coverLayers } from './RoutingCover.js';
 import { getHealedShare, getLentCalls, orderForeignDomains } from './RoutingDomains.js';
 import { isEjected } from './RoutingHealth.js';
+import { isHopOpen } from './RoutingHops.js';
 import type { LinkCost } from './RoutingLinks.js';
 import { FREE_LINK, getLinkBetween } from './RoutingLinks.js';
 import type { PoolMember } from './RoutingPools.js';
@@ -112,15 +113,20 @@
   state: RoutingState,
   ask: ChainAsk,
   options: readonly PoolMember[],
-  previous: PoolMember | null,
+  previous: Pick<PoolMember, 'facts'> | null,
   random: Random,
 ): PoolMember {
-  const a = options[random.nextInt(options.length)];
-  const b = options[random.nextInt(options.length)];
+  const open = previous
+    ? options.filter(({ facts }) => isHopOpen(state, previous.facts, facts))
+    : options;
+  const drawn = open.length > 0 ? open : options;
+  const a = drawn[random.nextInt(drawn.length)];
+  const b = drawn[random.nextInt(drawn.length)];
   invariant(a && b, 'there is an option to pick');
   const weigh = (member: PoolMember) => {
     const link = previous ? getLinkBetween(state, previous.facts, member.facts) : FREE_LINK;
-    return weighMember(state, ask, member, link);
+    const isOpen = !previous || isHopOpen(state, previous.facts, member.facts);
+    return isOpen ? weighMember(state, ask, member, link) : Infinity;
   };
   return weigh(b) < weigh(a) ? b : a;
 }
@@ -144,6 +150,7 @@
     if (next) {
       const link = getLinkBetween(state, facts, next);
       const transfer = estimateTransfer(link, bytes, ask.promptTokens - cost.cachedTokens);
+      gap = isHopOpen(state, facts, next) ? gap : Infinity;
       path += transfer.gap;
       first += transfer.prefill;
     }
@@ -248,8 +255,15 @@
     : createFailed({ kind: 'layers-missing', retryAfter: MISSING_RETRY_MS });
 }
 
-function weighOption(state: RoutingState, ask: ChainAsk, { member, hop }: WalkOption): number {
-  return mayServe(state, ask, member) ? weighMember(state, ask, member, hop.link) : Infinity;
+function weighOption(
+  state: RoutingState,
+  ask: ChainAsk,
+  { member, hop, previous }: WalkOption,
+): number {
+  const isOpen = !previous || isHopOpen(state, previous.facts, member.facts);
+  return isOpen && mayServe(state, ask, member)
+    ? weighMember(state, ask, member, hop.link)
+    : Infinity;
 }
 
 function weighMember(
--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -95,8 +95,10 @@
     // A chain that runs in another domain stays there: mixing domains would send each token across.
     const domain = state.engines.get(stage.engine)?.domain ?? ask.domain;
     const free = selectMembers(state, ask, domain).filter(({ id }) => !used.has(id));
+    const facts = state.engines.get(stages.at(-1)?.engine ?? '');
+    const kept = facts ? { facts } : null;
     const cover = coverLayers(free, stage.layers, (options, previous) =>
-      pickOfTwo(state, ask, options, previous, random),
+      pickOfTwo(state, ask, options, previous ?? kept, random),
     );
     if (!cover) {
       return null;
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -44,6 +44,8 @@
     plans: new Map(),
     poolCalls: new Map(),
     crossing: new Map(),
+    hops: new Map(),
+    hopPrompts: createTable(),
     mix: {
       promptTokens: whole.promptTokensPerToken * PRIOR_MIX_TOKENS,
       answerTokens: PRIOR_MIX_TOKENS,
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -4,6 +4,7 @@
 import type { DomainId, EngineId, Millis, ModelId, RegionId } from '@skylarksail/core/CoreTypes';
 import type { DomainReach } from './RoutingDomains.js';
 import type { EngineHealth } from './RoutingHealth.js';
+import type { HopHealth } from './RoutingHops.js';
 import type { LinkFacts } from './RoutingLinks.js';
 import type { CapacityPlan } from './RoutingPlanTypes.js';
 import type { Pool, PoolIndex } from './RoutingPools.js';
@@ -73,6 +74,9 @@
   readonly poolCalls: ReadonlyMap<string, number>;
   /** Own calls in other domains. */
   readonly crossing: ReadonlyMap<DomainId, number>;
+  /** Hops between racks that were late lately, and prompts of ours that cross any hop now. */
+  readonly hops: ReadonlyMap<string, HopHealth>;
+  readonly hopPrompts: RoutingTable<number>;
   readonly mix: WorkMix;
   readonly tuning: RoutingTuning;
 }
--- a/packages/routing/src/RoutingWalk.ts
+++ b/packages/routing/src/RoutingWalk.ts
@@ -10,6 +10,8 @@
 export interface WalkOption {
   readonly member: PoolMember;
   readonly hop: PlanHop;
+  /** Engine of the stage before it; null at the first. */
+  readonly previous: PoolMember | null;
 }
 
 /** Engines that are drawn at each hop. More balance better, fewer keep instances from herding. */
@@ -27,14 +29,16 @@
   const stages: Stage[] = [];
   const used = new Set<EngineId>();
   let hops: PlanHops | undefined = plan.starts;
+  let previous: PoolMember | null = null;
   while (hops) {
-    const best = drawBest(hops, used, weigh, random);
+    const best: WalkOption | null = drawBest(hops, previous, used, weigh, random);
     if (!best) {
       return null;
     }
     const { id, holding } = best.member;
     stages.push({ engine: id, layers: holding.layers });
     used.add(id);
+    previous = best.member;
     if (holding.layers.end === plan.layerCount) {
       return stages;
     }
@@ -45,6 +49,7 @@
 
 function drawBest(
   hops: PlanHops,
+  previous: PoolMember | null,
   used: ReadonlySet<EngineId>,
   weigh: (option: WalkOption) => number,
   random: Random,
@@ -55,10 +60,10 @@
     const hop = hops.hops[drawIndex(hops.sums, random)];
     const member = hop?.group.members[drawIndex(hop.group.rates, random)];
     if (hop && member && !used.has(member.id)) {
-      const weight = weigh({ member, hop });
+      const weight = weigh({ member, hop, previous });
       if (weight < least) {
         least = weight;
-        best = { member, hop };
+        best = { member, hop, previous };
       }
     }
   }
