Let begun answers use all that another domain lends

Cause: after the loss of a rack that held a whole layer range, all answers of its domain go abroad. Binned by half a second, those that waited were of low and normal priority: they may fill only 70 and 85 in 100 of the lent share, so they waited until answers of others had ended. Ruled out: the bound on recoveries at once and the retry budget (no recovery was held back by them while chains were refused).

Change: a wish says whether the caller has part of the answer; if so the whole lent share is open to it.

--- a/packages/bench/src/RecoveryInstance.ts
+++ b/packages/bench/src/RecoveryInstance.ts
@@ -67,7 +67,7 @@
   let state = options.routing;
   let nextPlanAt = 0;
 
-  function createAsk({ spec, contextTokens, avoid }: ChainWish): ChainAsk {
+  function createAsk({ spec, contextTokens, isBegun, avoid }: ChainWish): ChainAsk {
     return {
       variant: spec.variant,
       layerCount,
@@ -76,6 +76,7 @@
       promptTokens: contextTokens,
       maxTokens: spec.maxTokens,
       prefixKeys: [],
+      isBegun,
       avoidEngines: new Set(avoid),
       now: timers.now(),
     };
@@ -228,6 +229,7 @@
       const choice = routing.chooseChain({
         spec,
         contextTokens: spec.promptTokens ?? 0,
+        isBegun: seen > 0,
         avoid: [],
       });
       if (choice.kind === 'none') {
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -69,7 +69,8 @@
     choose({ broken, failed, avoid }) {
       const contextTokens = promptTokens + tokens.length;
       const choice = chooseSpread((others) => {
-        const wish = { spec, contextTokens, avoid: [...new Set([...avoid, ...others])] };
+        const isBegun = tokens.length > 0;
+        const wish = { spec, contextTokens, isBegun, avoid: [...new Set([...avoid, ...others])] };
         const engines = broken?.stages.map((stage) => stage.engine) ?? [];
         // Stages that other requests have lost meanwhile are replaced in the same stroke.
         const lost = engines.filter((id) => failed.includes(id) || wish.avoid.includes(id));
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -89,6 +89,8 @@
   readonly spec: RequestSpec;
   /** Tokens that the engines must read before the next one: the prompt and the answer so far. */
   readonly contextTokens: number;
+  /** Whether the caller has a part of the answer, and waits for the rest. */
+  readonly isBegun: boolean;
   /** Engines that must not be in the chain. */
   readonly avoid: readonly EngineId[];
 }
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -177,7 +177,10 @@
     const { model, version } = ask.variant;
     const planned = state.plans.get(getPoolKey(model, version, domain));
     const healed = getHealedShare(state.domains.get(domain), ask.now);
-    const lent = planned ? getLentCalls(planned.plan, state.tuning, ask.priority, healed) : 0;
+    const begun = ask.isBegun ?? false;
+    const lent = planned
+      ? getLentCalls(planned.plan, state.tuning, ask.priority, begun, healed)
+      : 0;
     if ((state.crossing.get(domain) ?? 0) + 1 <= lent) {
       const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
       if (choice.ok) {
--- a/packages/routing/src/RoutingDomains.ts
+++ b/packages/routing/src/RoutingDomains.ts
@@ -18,7 +18,11 @@
 /** Time over which a domain that can be reached again lends up to its full share. */
 const HEALING_MS = 20000;
 
-/** The part of the lent share that each priority may fill: what waits worst goes first. */
+/**
+ * The part of the lent share that new requests of each priority may fill: what waits worst goes first.
+ * Begun answers may fill all of it. Without that, those of low priority wait for a part that they may
+ * not have until others have ended, while a caller has half an answer before him.
+ */
 const CROSSING_SHARE: Readonly<Record<PriorityName, number>> = {
   [Priority.Low]: 0.7,
   [Priority.Normal]: 0.85,
@@ -39,11 +43,12 @@
   plan: CapacityPlan,
   tuning: RoutingTuning,
   priority: PriorityName,
+  isBegun: boolean,
   healedShare: number,
 ): number {
   const atFullUse = (plan.tokensPerSecond * tuning.tokenGapMs) / MILLIS_PER_SECOND;
   const lent = (atFullUse * tuning.crossDomainShare) / Math.max(1, tuning.foreignInstanceCount);
-  return lent * CROSSING_SHARE[priority] * healedShare;
+  return lent * (isBegun ? 1 : CROSSING_SHARE[priority]) * healedShare;
 }
 
 /** Domains other than the own one, in the order of `names` turned by a random start. */
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -22,6 +22,8 @@
   readonly maxTokens: number;
   /** From the shortest prefix to the longest. */
   readonly prefixKeys: readonly PrefixKey[];
+  /** Whether a caller has part of the answer: it may use all that another domain lends. */
+  readonly isBegun?: boolean;
   /** Engines not to be used, such as those that have just failed this request. */
   readonly avoidEngines: ReadonlySet<EngineId>;
   readonly now: Millis;
