Spread the answers of a lost rack over all engines that are left

Cause: the log of each request that paused longest showed two waits. Ruled out: the order of recoveries and the retry budget.

Change: begun answers may use one and a half times the lent share (they are a bounded number; new requests may not go beyond it). A repair whose engine is full, or has 300 ms of prompts to read, is passed over for a whole chain that is sooner, also in another domain.

--- a/packages/routing/src/RoutingDomains.ts
+++ b/packages/routing/src/RoutingDomains.ts
@@ -18,11 +18,7 @@
 /** Time over which a domain that can be reached again lends up to its full share. */
 const HEALING_MS = 20000;
 
-/**
- * The part of the lent share that new requests of each priority may fill: what waits worst goes first.
- * Begun answers may fill all of it. Without that, those of low priority wait for a part that they may
- * not have until others have ended, while a caller has half an answer before him.
- */
+/** The part of the lent share that new requests of each priority may fill: what waits worst goes first. */
 const CROSSING_SHARE: Readonly<Record<PriorityName, number>> = {
   [Priority.Low]: 0.7,
   [Priority.Normal]: 0.85,
@@ -30,6 +26,13 @@
   [Priority.Urgent]: 1,
 };
 
+/**
+ * The part that begun answers may fill. Without one of their own, they wait until others have ended while
+ * a caller has half an answer before him. They may go beyond the share, since they are a bounded number
+ * that was running anyway: new requests, which could follow without end, may not.
+ */
+const BEGUN_SHARE = 1.5;
+
 /** Share of the lending limit that holds now: it grows from nothing after a cut has healed. */
 export function getHealedShare(reach: DomainReach | undefined, now: Millis): number {
   if (!reach) {
@@ -48,7 +51,7 @@
 ): number {
   const atFullUse = (plan.tokensPerSecond * tuning.tokenGapMs) / MILLIS_PER_SECOND;
   const lent = (atFullUse * tuning.crossDomainShare) / Math.max(1, tuning.foreignInstanceCount);
-  return lent * (isBegun ? 1 : CROSSING_SHARE[priority]) * healedShare;
+  return lent * (isBegun ? BEGUN_SHARE : CROSSING_SHARE[priority]) * healedShare;
 }
 
 /** Domains other than the own one, in the order of `names` turned by a random start. */
--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -1,12 +1,15 @@
 /** Replaces the failed stages of a running request's chain, or the whole chain where that fails. */
 import type { Chain, Stage } from '@skylarksail/core/CoreChain';
 import { formatChain } from '@skylarksail/core/CoreChain';
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { EngineId, Millis, Result } from '@skylarksail/core/CoreTypes';
 import { createOk } from '@skylarksail/core/CoreTypes';
+import { getOwnWork } from './RoutingCalls.js';
 import type { ChainAsk, ChainCandidate, ChainScore, RoutingRefusal } from './RoutingChoice.js';
 import { buildChain, pickOfTwo, scoreChain, selectChain, selectMembers } from './RoutingChoice.js';
 import { coverLayers } from './RoutingCover.js';
+import { getGapLimit } from './RoutingScore.js';
 import type { RoutingState } from './RoutingState.js';
 
 export interface RepairChoice {
@@ -19,12 +22,26 @@
   readonly crossedDomain: boolean;
 }
 
+/** A chain with its failed stages replaced, and what it is expected to cost. */
+interface Repair {
+  readonly choice: RepairChoice;
+  readonly gap: Millis;
+  /** Time until its new stages have read the prompt. */
+  readonly wait: Millis;
+}
+
+/**
+ * Wait for a repair's first token beyond which a whole chain elsewhere is looked for. When a rack is lost,
+ * the one engine left of its layers gets the prompts of all its answers, one behind the other.
+ */
+const PATIENCE_MS = 300;
 /** Replacements that are drawn and weighed against each other. */
 const CANDIDATE_COUNT = 3;
 
 /**
  * A chain without the failed engines that keeps every other stage if it can. Engines that are full are
  * passed over only if a whole new chain can be had: work that runs goes before work that waits.
+ * A chain whose new stages have many prompts to read is passed over for a whole one that is sooner.
  */
 export function selectRepair(
   state: RoutingState,
@@ -35,15 +52,33 @@
 ): Result<RepairChoice, RoutingRefusal> {
   const avoidEngines = new Set([...ask.avoidEngines, ...failedEngines]);
   const repair = repairStages(state, chain, { ...ask, avoidEngines }, random);
-  if (repair && repair.gap < Infinity) {
+  const isFull = repair !== null && repair.gap > getGapLimit(state, ask.priority);
+  if (repair && !isFull && repair.wait <= PATIENCE_MS) {
     return createOk(repair.choice);
   }
-  const whole = selectChain(state, { ...ask, avoidEngines }, random);
-  if (whole.ok) {
-    const newStages = selectNewStages(chain, whole.value.chain);
-    return createOk({ ...whole.value, kind: 'whole', newStages });
+  // Without the engines that are crowded, another domain is asked if this one has no others.
+  const crowded = repair && !isFull ? repair.choice.newStages.map(({ engine }) => engine) : [];
+  const others = { ...ask, avoidEngines: new Set([...avoidEngines, ...crowded]) };
+  const whole = selectChain(state, others, random);
+  if (!whole.ok) {
+    return repair ? createOk(repair.choice) : whole;
   }
-  return repair ? createOk(repair.choice) : whole;
+  if (repair && !isFull && estimateWait(state, ask, whole.value.chain.stages) >= repair.wait) {
+    return createOk(repair.choice);
+  }
+  const newStages = selectNewStages(chain, whole.value.chain);
+  return createOk({ ...whole.value, kind: 'whole', newStages });
+}
+
+/** Time until the slowest of these stages has read the prompts that it has of us, and this one. */
+function estimateWait(state: RoutingState, ask: ChainAsk, stages: readonly Stage[]): Millis {
+  const waits = stages.map(({ engine, layers }) => {
+    const speed = state.engines.get(engine)?.prefillLayerTokensPerSecond ?? Infinity;
+    const ahead = getOwnWork(state, engine).prefillTokens * state.tuning.instanceCount;
+    const work = (ahead + ask.promptTokens) * (layers.end - layers.first);
+    return (work * MILLIS_PER_SECOND) / speed;
+  });
+  return Math.max(0, ...waits);
 }
 
 /** The best of few ways to replace what failed, or null if the layers cannot be covered. */
@@ -52,16 +87,17 @@
   chain: Chain,
   ask: ChainAsk,
   random: Random,
-): { readonly choice: RepairChoice; readonly gap: Millis } | null {
-  const found: (ChainScore & { readonly chain: Chain })[] = [];
+): Repair | null {
+  const found: (ChainScore & { readonly chain: Chain; readonly wait: Millis })[] = [];
   for (let i = 0; i < CANDIDATE_COUNT; i++) {
     const repaired = replaceStages(state, chain, ask, random);
     if (!repaired) {
       return null;
     }
-    found.push({ chain: repaired, ...scoreChain(state, ask, repaired) });
+    const wait = estimateWait(state, ask, selectNewStages(chain, repaired));
+    found.push({ chain: repaired, wait, ...scoreChain(state, ask, repaired) });
   }
-  const best = found.reduce((a, b) => (b.finish < a.finish ? b : a));
+  const best = found.reduce((a, b) => (b.finish + b.wait < a.finish + a.wait ? b : a));
   const candidates = found.map((scored) => ({
     chain: formatChain(scored.chain),
     score: scored.finish,
@@ -76,7 +112,7 @@
       ({ engine }) => state.engines.get(engine)?.domain !== ask.domain,
     ),
   };
-  return { choice, gap: best.gap };
+  return { choice, gap: best.gap, wait: best.wait };
 }
 
 function replaceStages(
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -1,8 +1,11 @@
 import { expect } from 'chai';
 import { createChain, formatChain } from '@skylarksail/core/CoreChain';
 import { createRandom } from '@skylarksail/core/CoreRandom';
+import { recordCallStart } from '../../RoutingCalls.js';
+import { selectChain } from '../../RoutingChoice.js';
+import { refreshPlans } from '../../RoutingPlans.js';
 import { selectRepair } from '../../RoutingRepair.js';
-import { setLoad } from '../../RoutingState.js';
+import { setLoad, setRoutingFacts } from '../../RoutingState.js';
 import {
   createAsk,
   createFacts,
@@ -87,4 +90,61 @@
     expect(repair.ok && formatChain(repair.value.chain)).to.equal('a[0-10) > free[10-20)');
     expect(repair.ok && repair.value.crossedDomain).to.equal(true);
   });
+
+  /** The domain `a` with a slow engine `s` beside `b`, and a domain `z` that lends. */
+  function createTwoDomains() {
+    const state = createFilledState([
+      { facts: createFacts('a'), layers: [0, 10] },
+      { facts: createFacts('b'), layers: [10, 20] },
+      { facts: createFacts('s', { speed: 4000 }), layers: [10, 20] },
+      { facts: createFacts('y', { domain: 'z', rack: 'z1' }), layers: [0, 10] },
+      { facts: createFacts('z', { domain: 'z', rack: 'z1' }), layers: [10, 20] },
+    ]);
+    const tuning = { ...state.tuning, domain: 'a' };
+    return refreshPlans(setRoutingFacts(state, { tuning }), 0);
+  }
+
+  it('does not send all answers of a lost rack to the one engine that is left', () => {
+    // Symptom: after the loss of a rack half of its answers stand still for two seconds.
+    // Sequence: the rack held the last layers but for one slow engine; all answers are repaired at once,
+    // each with that engine, which reads their prompts one behind the other.
+    // Cause: a repair was taken if its engine had room, however many prompts it had yet to read.
+    const start = createTwoDomains();
+    const ask = createAsk({ isBegun: true });
+    let state = start;
+    const engines: string[] = [];
+    for (let i = 0; i < 16; i++) {
+      const repair = selectRepair(state, createTestChain(), new Set(['b']), ask, createRandom(i));
+      if (!repair.ok) {
+        throw new Error('there is a repair');
+      }
+      const { chain } = repair.value;
+      engines.push(chain.stages[1]?.engine ?? '');
+      state = recordCallStart(state, { chain, promptTokens: 100, maxTokens: 50 });
+    }
+    expect(engines[0]).to.equal('s');
+    expect(engines.filter((engine) => engine === 'z')).to.have.length.above(3);
+  });
+
+  it('keeps a part of what another domain lends for begun answers, and a bound on it', () => {
+    // Symptom: answers of low priority that lost their rack wait until others have ended.
+    // Sequence: new requests have filled what they may of the lent share; a begun answer asks.
+    // Cause: begun answers had the same part as new requests of their priority.
+    let state = createTwoDomains();
+    const avoidEngines = new Set(['b', 's']);
+    const fill = (isBegun: boolean): number => {
+      const ask = createAsk({ priority: 'low', avoidEngines, isBegun });
+      for (let count = 0; ; count++) {
+        const choice = selectChain(state, ask, createRandom(count));
+        if (!choice.ok) {
+          return count;
+        }
+        const call = { chain: choice.value.chain, promptTokens: 100, maxTokens: 50 };
+        state = recordCallStart(state, call);
+      }
+    };
+    const counts = [fill(false), fill(true)];
+    expect(counts[0]).to.be.above(0);
+    expect(counts[1]).to.be.within(counts[0] ?? 0, 2 * (counts[0] ?? 0));
+  });
 });
