Place a domain's engines from the daemon, emptying each before it loads

Cause: placement was not called, and new requests ran the manifest's version whether or not any whole chain held it. The first run of a version change under load then showed two faults. Requests hung until their deadline: an engine was ordered to load v2 while v1 requests ran on it, and no v1 chain was left. Then every request was refused for seconds: a 409 that a stage passed on was taken for the engine's death, so the only engine with its layers was kept off. Ruled out: silence (no engine was silent) and the routing state (a replay of the same reports chose rightly). Change: the placement duty, orders over HTTP, servable versions; the holder tells the domain to give an engine no new work and orders once nothing runs there; a refusal by a later stage is no loss, no crash and no ill health; the weight store's rate is a setting.

--- a/packages/bench/src/DaemonsBench.ts
+++ b/packages/bench/src/DaemonsBench.ts
@@ -69,7 +69,7 @@
   const after = await readCounts(stack);
   const seconds = (performance.now() - startedAt) / 1000;
   const resident = stack.daemons.map(({ process }) => readResidentBytes(process.child.pid ?? 0));
-  const total = resident.reduce((sum, bytes) => sum + bytes, 0);
+  const total = sum(resident);
   return {
     bench: 'daemons',
     nodes,
--- a/packages/daemon/src/DaemonAdminGateway.ts
+++ b/packages/daemon/src/DaemonAdminGateway.ts
@@ -1,4 +1,5 @@
 /** What the admin port shows, read from the parts that know it. */
+import type { PlacementStatus } from '@skylarksail/placement/PlacementRunner';
 import type { AdminGateway } from './DaemonAdmin.js';
 import type { DecisionLog } from './DaemonDecisions.js';
 import type { DaemonMetrics } from './DaemonMetrics.js';
@@ -64,8 +65,10 @@
         engines: {
           live: known.filter(({ id }) => !leaving.has(id)).length,
           known: known.length,
+          silent: [...routing.getState().silent],
         },
         members: fleet.listLive().length,
+        placement: describePlacement(options.parts.placement.getStatus()),
         claim_slot_share: claims.owner.getSlotShare(),
         platform: { held_back: platform.isHeldBack(), ...platform.getCounts() },
         peers: { ...fleet.link.readCounts(), garbage: fleet.countGarbage() },
@@ -93,3 +96,14 @@
     },
   };
 }
+
+function describePlacement(status: PlacementStatus): Readonly<Record<string, unknown>> {
+  return {
+    phase: status.phase,
+    fencing: status.fencing,
+    orders_under_way: status.ordersUnderWay,
+    moves_left: status.movesLeft,
+    engines_planned_around: status.enginesPlannedAround,
+    tokens_per_second: Object.fromEntries(status.capacities),
+  };
+}
--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -63,6 +63,7 @@
       wallNow,
       manifest: parts.manifest,
       router: parts.router,
+      chooseVersion: parts.placement.chooseVersion,
       isAccepting: () => isAccepting,
     });
     const adminGateway = createAdminGateway({
--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -1,7 +1,8 @@
 /** The callers' port joined to the manifest in force and the router of requests. */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { VersionId } from '@skylarksail/core/CoreTypes';
 import { hash64Hex } from '@skylarksail/core/CoreHash';
-import type { ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import type { ManifestModel, ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import { isIdempotentCall } from '@skylarksail/manifest/ManifestView';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
@@ -19,6 +20,8 @@
   readonly wallNow: () => number;
   readonly manifest: DaemonManifest;
   readonly router: RequestRouter;
+  /** Version that a new request shall run. */
+  readonly chooseVersion: (model: ManifestModel) => VersionId;
   /** Whether new requests are still taken. */
   readonly isAccepting: () => boolean;
 }
@@ -80,7 +83,11 @@
           id,
           team: team.id,
           model: model.id,
-          variant: { model: model.id, version: model.serve, adapter: ask.adapter },
+          variant: {
+            model: model.id,
+            version: options.chooseVersion(model),
+            adapter: ask.adapter,
+          },
           layerCount: model.layers,
           prompt,
           maxTokens: Math.min(ask.maxTokens, model.maxContextTokens),
--- /dev/null
+++ b/packages/daemon/src/DaemonOrderHttp.ts
@@ -0,0 +1,70 @@
+/** Orders to engines over HTTP: the adapter behind placement's `sendOrder`. */
+import { Agent } from 'undici';
+import { z } from 'zod';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { Order, OrderAnswer } from '@skylarksail/placement/PlacementOrderTypes';
+import type { FindEngineAddress } from './DaemonEngineHttp.js';
+import { createTimeoutSignal } from './DaemonSignals.js';
+
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+
+/** Loading weights takes long; an order without an answer is settled by the engine's own report. */
+const ORDER_TIMEOUT: Millis = 120_000;
+
+const doneSchema = z.object({
+  holding: z
+    .object({
+      model: z.string(),
+      version: z.string(),
+      adapters: z.array(z.string()),
+      layers: z.object({ first: z.int(), end: z.int() }),
+      duty: z.enum(['mixed', 'prefill', 'decode']),
+    })
+    .nullable(),
+});
+const refusedSchema = z.object({ highest: z.int() });
+
+/** Creates the adapter; `close` ends its connections. */
+export function createOrderHttp(findAddress: FindEngineAddress): {
+  readonly send: (engine: EngineId, order: Order) => Promise<OrderAnswer>;
+  readonly close: () => Promise<void>;
+} {
+  const agent = new Agent({ connections: 2, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+
+  async function send(engine: EngineId, order: Order): Promise<OrderAnswer> {
+    const address = findAddress(engine);
+    if (!address) {
+      return { kind: 'unknown' };
+    }
+    const res = await agent.request({
+      origin: `http://${address.host}:${address.port}`,
+      path: '/v1/orders',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      signal: createTimeoutSignal(ORDER_TIMEOUT),
+    });
+    const json: unknown = await res.body.json();
+    return readAnswer(res.statusCode, json);
+  }
+
+  return {
+    send: (engine, order) => send(engine, order).catch(() => ({ kind: 'unknown' })),
+    close: () => agent.destroy(),
+  };
+}
+
+function readAnswer(status: number, json: unknown): OrderAnswer {
+  if (status === STATUS_OK) {
+    const done = doneSchema.safeParse(json);
+    return done.success ? { kind: 'done', holding: done.data.holding } : { kind: 'unknown' };
+  }
+  if (status === STATUS_CONFLICT) {
+    const refused = refusedSchema.safeParse(json);
+    return refused.success
+      ? { kind: 'refused', highest: refused.data.highest }
+      : { kind: 'unknown' };
+  }
+  return { kind: 'unknown' };
+}
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -1,7 +1,7 @@
 /** The parts of a daemon behind its HTTP ports, joined to each other. */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
 import type { MembershipChange } from '@skylarksail/membership/MembershipService';
 import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
@@ -11,6 +11,7 @@
 import { DEFAULT_ROUTER_CONFIG } from '@skylarksail/requests/RouterTypes';
 import type { DaemonClaims } from './DaemonClaims.js';
 import { createDaemonClaims } from './DaemonClaims.js';
+import { createDaemonDrains } from './DaemonDrains.js';
 import type { DecisionLog } from './DaemonDecisions.js';
 import { createEngineHttp } from './DaemonEngineHttp.js';
 import type { EngineDirectory } from './DaemonEngines.js';
@@ -22,6 +23,9 @@
 import type { DaemonManifest } from './DaemonManifest.js';
 import { MANIFEST_DUTIES, startDaemonManifest } from './DaemonManifest.js';
 import type { DaemonMetrics } from './DaemonMetrics.js';
+import { createOrderHttp } from './DaemonOrderHttp.js';
+import type { DaemonPlacement } from './DaemonPlacement.js';
+import { PLACEMENT_DUTY, startDaemonPlacement } from './DaemonPlacement.js';
 import { createPlatformHttp } from './DaemonPlatformHttp.js';
 import { startDaemonPoison } from './DaemonPoison.js';
 import type { DaemonRouting } from './DaemonRouting.js';
@@ -39,6 +43,7 @@
   readonly directory: EngineDirectory;
   readonly claims: DaemonClaims;
   readonly router: RequestRouter;
+  readonly placement: DaemonPlacement;
   /** Duties go to others; running work and the callers' port go on. */
   startLeaving(): void;
   stop(): Promise<void>;
@@ -61,6 +66,7 @@
 
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
+  let listDraining = (): readonly EngineId[] => [];
   const platformHttp = createPlatformHttp(settings.platform);
   const platform = createPlatformClient({
     port: platformHttp,
@@ -80,7 +86,13 @@
   });
   countInstances = () => Math.max(1, fleet.listLive().length);
 
-  const routing = createDaemonRouting({ domain: settings.domain, timers, random, decisions });
+  const routing = createDaemonRouting({
+    domain: settings.domain,
+    timers,
+    random,
+    decisions,
+    listDraining: () => listDraining(),
+  });
   const status = createEngineStatusHttp(STATUS_TIMEOUT);
   const directory = createEngineDirectory({
     domain: settings.domain,
@@ -88,7 +100,7 @@
     random,
     fleet,
     fetchStatus: status.fetch,
-    otherDuties: MANIFEST_DUTIES,
+    otherDuties: [...MANIFEST_DUTIES, PLACEMENT_DUTY],
   });
   fleet.registerListListener(directory.setRecords);
 
@@ -108,6 +120,7 @@
   getClaimShare = claims.owner.getSlotShare;
   const engineHttp = createEngineHttp(directory.findAddress);
   const serviceHttp = createServiceHttp(directory.findAddress);
+  const orderHttp = createOrderHttp(directory.findAddress);
   const router: RequestRouter = createRequestRouter({
     cfg: DEFAULT_ROUTER_CONFIG,
     timers,
@@ -160,14 +173,35 @@
     }
   }
 
+  const drains = createDaemonDrains({ timers, fleet, directory });
+  listDraining = drains.listDraining;
+  const placement = startDaemonPlacement({
+    domain: settings.domain,
+    instance: self.id,
+    timers,
+    random,
+    platform,
+    fleet,
+    manifest,
+    directory,
+    sendOrder: orderHttp.send,
+    logger,
+    drains,
+    weightStore: settings.weightStore,
+  });
+
   async function stop(): Promise<void> {
+    placement.stop();
+    drains.stop();
     undo.forEach((stopPart) => stopPart());
     router.stop();
     manifest.stop();
     claims.owner.stop();
     fleet.membership.stop();
     await fleet.link.close();
-    await Promise.all([platformHttp, status, engineHttp, serviceHttp].map((http) => http.close()));
+    await Promise.all(
+      [platformHttp, status, engineHttp, serviceHttp, orderHttp].map((http) => http.close()),
+    );
   }
 
   return {
@@ -178,6 +212,7 @@
     directory,
     claims,
     router,
+    placement,
     startLeaving: fleet.membership.startLeaving,
     stop,
   };
--- /dev/null
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -0,0 +1,97 @@
+/** Placement of this instance's domain, and the versions that new requests may run there. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, InstanceId, Millis, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
+import type { ManifestModel } from '@skylarksail/manifest/ManifestSchema';
+import type { PlacementStatus } from '@skylarksail/placement/PlacementRunner';
+import { startPlacementRunner } from '@skylarksail/placement/PlacementRunner';
+import type { ServableVersion } from '@skylarksail/placement/PlacementVersions';
+import { getServableVersion, getServableVersions } from '@skylarksail/placement/PlacementVersions';
+import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import type { DaemonLogger } from './DaemonLog.js';
+import type { DaemonDrains } from './DaemonDrains.js';
+import type { EngineDirectory } from './DaemonEngines.js';
+import type { DaemonFleet } from './DaemonFleet.js';
+import type { DaemonManifest } from './DaemonManifest.js';
+import type { Settings } from './DaemonSettings.js';
+import type { createOrderHttp } from './DaemonOrderHttp.js';
+
+/** The duty of placing the own domain. */
+export const PLACEMENT_DUTY = 'placement';
+
+const VERSIONS_PERIOD: Millis = 500;
+
+export interface DaemonPlacement {
+  getStatus(): PlacementStatus;
+  /** Version that a new request shall run; the manifest's own while no whole chain holds any. */
+  chooseVersion(model: ManifestModel): VersionId;
+  stop(): void;
+}
+
+export interface DaemonPlacementOptions {
+  readonly domain: DomainId;
+  readonly instance: InstanceId;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly platform: PlatformClient;
+  readonly fleet: DaemonFleet;
+  readonly manifest: DaemonManifest;
+  readonly directory: EngineDirectory;
+  readonly sendOrder: ReturnType<typeof createOrderHttp>['send'];
+  readonly drains: DaemonDrains;
+  readonly logger: DaemonLogger;
+  readonly weightStore: Settings['weightStore'];
+}
+
+export function startDaemonPlacement(options: DaemonPlacementOptions): DaemonPlacement {
+  const { domain, timers, random, manifest, directory, fleet, logger } = options;
+  let versions: ReadonlyMap<ModelId, readonly ServableVersion[]> = new Map();
+
+  const listOwnReports = (): ReturnType<EngineDirectory['listReports']> =>
+    directory.listReports().filter(({ facts }) => facts.domain === domain);
+
+  function refreshVersions(): void {
+    const view = manifest.getView();
+    const reports = listOwnReports();
+    const serves = view?.getDomain(domain)?.serves ?? [];
+    versions = new Map(
+      (view?.models ?? []).map((model) => {
+        const least = serves.find((served) => served.model === model.id)?.minTokensPerSecond ?? 0;
+        return [model.id, getServableVersions(model, least, reports)];
+      }),
+    );
+  }
+
+  const runner = startPlacementRunner({
+    domain,
+    timers,
+    random,
+    platform: options.platform.forUse(PlatformUse.Leases),
+    instance: options.instance,
+    isOwnDuty: () => fleet.duties.isOwn(PLACEMENT_DUTY),
+    getManifest: manifest.getView,
+    listReports: listOwnReports,
+    sendOrder: options.sendOrder,
+    isReadyForOrder: options.drains.isReadyForOrder,
+    weights: {
+      bytesPerSecond: options.weightStore.bytesPerSecond,
+      burst: options.weightStore.burstMs,
+    },
+    onDecision: (decision) => logger.info({ placement: decision }, 'placement decision'),
+  });
+  const undo = [
+    timers.registerInterval(VERSIONS_PERIOD, refreshVersions),
+    manifest.registerListener(refreshVersions),
+  ];
+
+  return {
+    getStatus: runner.getStatus,
+    chooseVersion: (model) =>
+      getServableVersion(versions.get(model.id) ?? [], random.nextFloat()) ?? model.serve,
+    stop() {
+      undo.forEach((stop) => stop());
+      runner.stop();
+    },
+  };
+}
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -3,7 +3,7 @@
 import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, Millis, Result, Unregister } from '@skylarksail/core/CoreTypes';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type {
   AttemptOutcome,
@@ -65,6 +65,8 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly decisions: DecisionLog;
+  /** Engines that get no new work while others can take it. */
+  readonly listDraining: () => readonly EngineId[];
 }
 
 export function createDaemonRouting(options: DaemonRoutingOptions): DaemonRouting {
@@ -89,6 +91,20 @@
     };
   }
 
+  /** Keeps off engines that are being emptied, but takes them rather than refuse the request. */
+  function avoidDraining<T>(
+    ask: ChainAsk,
+    select: (wished: ChainAsk) => Result<T, RoutingRefusal>,
+  ): Result<T, RoutingRefusal> {
+    const draining = options.listDraining();
+    if (draining.length === 0) {
+      return select(ask);
+    }
+    const avoidEngines = new Set([...ask.avoidEngines, ...draining]);
+    const choice = select({ ...ask, avoidEngines });
+    return choice.ok ? choice : select(ask);
+  }
+
   /** Records the chosen chain's work, and takes it off again when the attempt is over. */
   function startCall(
     chain: Chain,
@@ -157,7 +173,7 @@
   return {
     chooseChain(wish) {
       const ask = createAsk(wish);
-      const choice = selectChain(state, ask, random);
+      const choice = avoidDraining(ask, (wished) => selectChain(state, wished, random));
       if (!choice.ok) {
         return refuse(wish.spec.id, choice.error);
       }
@@ -167,7 +183,10 @@
     },
     chooseRepair(wish) {
       const ask = createAsk(wish);
-      const choice = selectRepair(state, wish.broken, new Set(wish.failed), ask, random);
+      const failed = new Set(wish.failed);
+      const choice = avoidDraining(ask, (wished) =>
+        selectRepair(state, wish.broken, failed, wished, random),
+      );
       if (!choice.ok) {
         return refuse(wish.spec.id, choice.error);
       }
@@ -226,7 +245,10 @@
         tokenGapMs: outcome.meanGap,
       };
     case 'failed':
-      return { kind: 'failed', engine: outcome.engine };
+      // An engine that refuses is well: it is full, or has loaded something else since its last report.
+      return outcome.cause === 'refused'
+        ? { kind: 'cancelled' }
+        : { kind: 'failed', engine: outcome.engine };
     default:
       return { kind: 'cancelled' };
   }
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -47,6 +47,14 @@
         maxRunning: z.int().positive().default(2000),
       })
       .prefault({}),
+    /** What the weight store gives to all domains together; the same on every instance. */
+    weightStore: z
+      .strictObject({
+        bytesPerSecond: z.number().positive().default(4e9),
+        /** Unused bytes are saved up for this long; half of it is kept for restoring capacity. */
+        burstMs: z.int().positive().default(60000),
+      })
+      .prefault({}),
     shutdown: z
       .strictObject({
         /** How long the balancer may go on sending after readiness is withdrawn. */
--- a/packages/daemon/src/__tests__/unit/DaemonHarness.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonHarness.ts
@@ -15,7 +15,7 @@
 const HOST = '127.0.0.1';
 const DOMAIN = 'domain-a';
 const POLL_MS = 20;
-const GIVE_UP_POLLS = 500;
+const GIVE_UP_POLLS = 2500;
 const OPERATOR_TOKEN = 'test-operator';
 export const PEER_SECRET = 'test-peer';
 export const TEAM_KEY = 'key-one';
@@ -64,7 +64,8 @@
   throw new Error('waited in vain');
 }
 
-function createManifest(): unknown {
+/** The manifest of the tests, serving `version` of its model. */
+export function createManifest(version = 'v1'): unknown {
   const hash = (key: string): string => `sha256:${createHash('sha256').update(key).digest('hex')}`;
   return {
     schema: 1,
@@ -72,8 +73,11 @@
       {
         id: 'letters',
         layers: 4,
-        versions: [{ id: 'v1', layerBytes: 1000 }],
-        serve: 'v1',
+        versions: [
+          { id: 'v1', layerBytes: 1000 },
+          { id: 'v2', layerBytes: 1000 },
+        ],
+        serve: version,
         adapters: ['monthly'],
       },
       { id: 'hidden', layers: 4, versions: [{ id: 'v1', layerBytes: 1000 }], serve: 'v1' },
@@ -91,7 +95,17 @@
     services: [
       { id: 'accounts', routes: [{ method: 'POST', path: '/receipts', idempotent: false }] },
     ],
-    domains: [{ id: DOMAIN, serves: [{ model: 'letters' }] }],
+    domains: [{ id: DOMAIN, serves: [{ model: 'letters', minTokensPerSecond: 10_000 }] }],
+    accelerators: [
+      {
+        id: 'fast',
+        decodeLayerTokensPerSecond: 100_000,
+        prefillLayerTokensPerSecond: 1_000_000,
+        weightBytes: 1e9,
+        kvLayerTokens: 1_000_000,
+        checksFencing: true,
+      },
+    ],
   };
 }
 
@@ -166,6 +180,7 @@
         platform: platform.server.address,
         secrets: { peer: { env: 'TEST_PEER_SECRET' }, operator: { env: 'TEST_OPERATOR_TOKEN' } },
         limits: { bodyBytes: 20_000, receiveTimeoutMs: 1000 },
+        weightStore: { burstMs: 100 },
         shutdown: { balancerLagMs: 50, graceMs: 10_000 },
         log: { level: 'silent' },
       }),
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -44,6 +44,8 @@
   readonly listReports: () => readonly EngineReport[];
   /** Sends an order. Never rejects for long: no answer is `unknown`. */
   readonly sendOrder: (engine: EngineId, order: Order) => Promise<OrderAnswer>;
+  /** Whether an engine may be given another order now; without it, at once. Asked again each tick. */
+  readonly isReadyForOrder?: (engine: EngineId) => boolean;
   readonly onDecision: (decision: PlacementDecision) => void;
   readonly settings?: Partial<OrderSettings>;
   readonly weights?: WeightRates;
@@ -196,7 +198,9 @@
     );
     step({
       kind: 'planned',
-      moves: plan.moves,
+      // An engine that loads something else drops what runs on it: its answers would go on elsewhere,
+      // or nowhere, where it was the last to hold their version.
+      moves: plan.moves.filter(({ engine }) => deps.isReadyForOrder?.(engine) ?? true),
       unchecking: new Set(unchecking.map(({ facts }) => facts.id)),
     });
   }
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -15,6 +15,7 @@
   getRunState,
   isCrashLike,
   isEngineLost,
+  isStageRefusal,
   NextStep,
 } from './RequestFailures.js';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
@@ -260,7 +261,7 @@
     failureClass,
     engines: failed,
     isCrash: isCrashLike(failure),
-    isLost: isEngineLost(failure),
+    isLost: isEngineLost(failure) && !isStageRefusal(failure),
     attemptTokens: machine.attemptTokens,
     detection: now - machine.signAt,
   };
@@ -283,7 +284,7 @@
   isSlow: boolean,
 ): AttemptOutcome {
   const [engine = null] = failed.length === 1 ? failed : [];
-  return { kind: 'failed', engine, cause: isSlow ? 'slow' : describeCause(failure.place) };
+  return { kind: 'failed', engine, cause: isSlow ? 'slow' : describeCause(failure) };
 }
 
 /** Engines held to have failed: the one that is named, else the suspects, else the first stage. */
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -71,9 +71,12 @@
   return RUN_STATE_ORDER.indexOf(a) >= RUN_STATE_ORDER.indexOf(b) ? a : b;
 }
 
-/** What a failure at a place says of the backend server. */
-export function describeCause(place: FailurePlaceName): FailureCause {
-  switch (place) {
+/** What a failure says of the backend server. */
+export function describeCause(failure: AttemptFailure): FailureCause {
+  if (isStageRefusal(failure)) {
+    return 'refused';
+  }
+  switch (failure.place) {
     case FailurePlace.Refused:
       return 'refused';
     case FailurePlace.Silence:
@@ -98,13 +101,23 @@
   return LOST_ENGINE_PLACES.has(failure.place);
 }
 
+/**
+ * Whether a stage behind the first one answered the stage before it, with a refusal. It is alive: kept
+ * for lost, an engine that had just loaded another version stayed without new work for seconds, and
+ * where it was the only one with its layers every request was refused; kept for crashed, it would put
+ * the requests there under suspicion.
+ */
+export function isStageRefusal({ place, status }: AttemptFailure): boolean {
+  return place === FailurePlace.Stage && status !== null;
+}
+
 /**
  * Whether a failure looks like the death of an engine's process under the work, for the search for
  * poison requests. Work that came to an engine already dead is no suspect of its death.
  */
 export function isCrashLike(failure: AttemptFailure): boolean {
   const isBroken = failure.place === FailurePlace.Stream || failure.place === FailurePlace.Stage;
-  return isBroken && !failure.provenNotRun;
+  return isBroken && !failure.provenNotRun && !isStageRefusal(failure);
 }
 
 /** Failed attempts in a row, none of which gave a token, after which a request is given up. */
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -128,7 +128,7 @@
     const failureClass = classifyFailure(failure, evidence);
     run = combineRunStates(run, getRunState(failureClass));
     log('attempt-failed', server, `${failure.place} ${failureClass}`);
-    release({ kind: 'failed', engine: server, cause: describeCause(failure.place) });
+    release({ kind: 'failed', engine: server, cause: describeCause(failure) });
     if (failure.place === FailurePlace.Refused) {
       admission.noteRefusal();
     }
