--- a/packages/placement/src/PlacementMoves.ts
+++ b/packages/placement/src/PlacementMoves.ts
@@ -1,10 +1,9 @@
-/**
- * Which engines may change what they hold now, and in which order. An engine that loads serves nothing,
- * so a move is let through only if the models that it serves keep their floor without it.
- */
+/** Which engines are to change what they hold, why, in which version and in which order. */
 import type { Holding } from '@skylarksail/core/CoreEngine';
 import { EngineDuty } from '@skylarksail/core/CoreEngine';
 import type { EngineId, LayerRange, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
+import type { AdmittedMoves, PlannedMove } from './PlacementAdmission.js';
+import { admitMoves } from './PlacementAdmission.js';
 import type { ServingEngine } from './PlacementCapacity.js';
 import { computeCapacity, computeModelCapacity, listServing } from './PlacementCapacity.js';
 import { getLayerBytes, getRate } from './PlacementGoals.js';
@@ -14,29 +13,13 @@
   MoveReasonName,
   PlacementEngine,
   PlacementModel,
-  PlacementMove,
   PlacementState,
 } from './PlacementTypes.js';
 import { MOVE_ORDER, MoveReason } from './PlacementTypes.js';
 
-/** Where there is no minimum, or it is missed already, moves keep this share of what is served. */
-const SOFT_FLOOR = 0.5;
-/** Share of the engines that may load at a time for anything but restoring. */
-const LOADING_SHARE = 0.15;
 /** Rounding of sums of rates. */
 const ROUNDING = 1e-6;
 
-/** A move with the stage that it is for. */
-interface PlannedMove extends PlacementMove {
-  readonly from: PlacementEngine;
-  readonly urgency: number;
-}
-
-export interface ChosenMoves {
-  readonly moves: readonly PlacementMove[];
-  readonly blocked: readonly PlacementMove[];
-}
-
 export function isSameRange(a: LayerRange, b: LayerRange): boolean {
   return a.first === b.first && a.end === b.end;
 }
@@ -88,27 +71,42 @@
   state: PlacementState,
   goals: readonly ModelGoal[],
   targets: ReadonlyMap<EngineId, Holding | null>,
-): ChosenMoves {
-  const serving = listServing(state.engines);
+): AdmittedMoves {
+  const outlook = createOutlook(state, goals);
   const planned = state.engines.flatMap((engine) => {
     const want = targets.get(engine.facts.id) ?? null;
     return engine.isUsable && !isSameHolding(engine.expected, want)
-      ? [createMove(state, goals, engine, want)]
+      ? [createMove(outlook, engine, want)]
       : [];
   });
-  const ordered = orderMoves(planned, state);
-  return admitMoves(state, goals, serving, ordered);
+  return admitMoves(state, goals, orderMoves(planned, state));
+}
+
+/** How the models will stand once the orders under way are done. */
+interface Outlook {
+  readonly models: ReadonlyMap<ModelId, PlacementModel>;
+  readonly short: ReadonlySet<ModelId>;
+  readonly expected: readonly ServingEngine[];
+}
+
+function createOutlook(state: PlacementState, goals: readonly ModelGoal[]): Outlook {
+  const expected = listExpected(state);
+  const short = goals.filter((goal) => isShort(goal, computeModelCapacity(goal.model, expected)));
+  return {
+    models: new Map(goals.map(({ model }) => [model.id, model])),
+    short: new Set(short.map(({ model }) => model.id)),
+    expected,
+  };
 }
 
 function createMove(
-  state: PlacementState,
-  goals: readonly ModelGoal[],
+  outlook: Outlook,
   engine: PlacementEngine,
   target: Holding | null,
 ): PlannedMove {
-  const reason = findReason(state, goals, engine, target);
-  const want = reason === MoveReason.Restore ? chooseVersion(state, goals, target) : target;
-  const model = goals.find((goal) => goal.model.id === want?.model)?.model;
+  const reason = findReason(outlook, engine, target);
+  const want = reason === MoveReason.Restore ? chooseVersion(outlook, target) : target;
+  const model = outlook.models.get(want?.model ?? '');
   const layers = want ? want.layers.end - want.layers.first : 0;
   const isLoad = want !== null && model !== undefined && !isSameWeights(engine.expected, want);
   return {
@@ -118,12 +116,12 @@
     bytes: isLoad ? layers * getLayerBytes(model, want.version) : 0,
     from: engine,
     urgency: MOVE_ORDER.indexOf(reason),
+    stage: want && getStageName(want),
   };
 }
 
 function findReason(
-  state: PlacementState,
-  goals: readonly ModelGoal[],
+  { short }: Outlook,
   { expected }: PlacementEngine,
   want: Holding | null,
 ): MoveReasonName {
@@ -135,8 +133,7 @@
   if (isVersion) {
     return MoveReason.Version;
   }
-  const goal = goals.find(({ model }) => model.id === want?.model);
-  if (goal && isShort(goal, computeModelCapacity(goal.model, listExpected(state)))) {
+  if (want && short.has(want.model)) {
     return MoveReason.Restore;
   }
   return expected === null ? MoveReason.Join : MoveReason.Tune;
@@ -149,8 +146,7 @@
 
 /** Whether any model will have less than its minimum, or nothing, once the orders under way are done. */
 export function isAnyShort(state: PlacementState, goals: readonly ModelGoal[]): boolean {
-  const expected = listExpected(state);
-  return goals.some((goal) => isShort(goal, computeModelCapacity(goal.model, expected)));
+  return createOutlook(state, goals).short.size > 0;
 }
 
 /** Engines as they will be once the orders under way are done. */
@@ -162,16 +158,11 @@
  * The version that brings the most capacity back. Amid a change of versions that can be the old one:
  * its chain may lack one stage only, while no other engine holds the new one yet.
  */
-function chooseVersion(
-  state: PlacementState,
-  goals: readonly ModelGoal[],
-  target: Holding | null,
-): Holding | null {
-  const model = goals.find((goal) => goal.model.id === target?.model)?.model;
+function chooseVersion({ models, expected }: Outlook, target: Holding | null): Holding | null {
+  const model = models.get(target?.model ?? '');
   if (!target || !model) {
     return target;
   }
-  const expected = listExpected(state);
   const versions = model.versions.map(({ id }) => id).filter((id) => id !== model.serve);
   const getGain = (version: VersionId) => {
     const rates = expected.filter(({ holding }) => holding.version === version);
@@ -209,18 +200,14 @@
   state: PlacementState,
 ): readonly PlannedMove[] {
   const done = new Map<string, number>();
-  const key = (holding: Holding) =>
-    `${holding.model} ${holding.version} ${holding.layers.first}-${holding.layers.end}`;
-  const getDone = (holding: Holding) => done.get(key(holding)) ?? 0;
-  const add = (holding: Holding, engine: PlacementEngine) => {
-    done.set(
-      key(holding),
-      getDone(holding) + getRate(engine) / (holding.layers.end - holding.layers.first),
-    );
+  const add = (stage: string, { layers }: Holding, engine: PlacementEngine) => {
+    const rate = getRate(engine) / (layers.end - layers.first);
+    done.set(stage, (done.get(stage) ?? 0) + rate);
   };
+  const getDone = ({ stage }: PlannedMove) => done.get(stage ?? '') ?? 0;
   state.engines.forEach((engine) => {
     if (engine.isUsable && engine.expected) {
-      add(engine.expected, engine);
+      add(getStageName(engine.expected), engine.expected, engine);
     }
   });
   const rest = [...planned].sort(
@@ -228,102 +215,23 @@
       a.urgency - b.urgency || a.from.running - b.from.running || (a.engine < b.engine ? -1 : 1),
   );
   const ordered: PlannedMove[] = [];
-  while (rest.length > 0) {
-    const urgent = rest.filter(({ urgency }) => urgency === rest[0]?.urgency);
-    const next = urgent.reduce((a, b) =>
-      a.want && b.want && getDone(b.want) < getDone(a.want) - ROUNDING ? b : a,
-    );
+  for (let [first] = rest; first; [first] = rest) {
+    let next = first;
+    for (const move of rest) {
+      if (move.urgency !== first.urgency) {
+        break;
+      }
+      next = getDone(move) < getDone(next) - ROUNDING ? move : next;
+    }
     rest.splice(rest.indexOf(next), 1);
     ordered.push(next);
-    if (next.want) {
-      add(next.want, next.from);
+    if (next.want && next.stage !== null) {
+      add(next.stage, next.want, next.from);
     }
   }
   return ordered;
 }
 
-function admitMoves(
-  state: PlacementState,
-  goals: readonly ModelGoal[],
-  serving: readonly ServingEngine[],
-  ordered: readonly PlannedMove[],
-): ChosenMoves {
-  const usable = state.engines.filter(({ isUsable }) => isUsable);
-  let loading = usable.filter(({ holding, expected }) => !holding && expected).length;
-  const mostLoading = Math.max(1, Math.floor(usable.length * LOADING_SHARE));
-  let left = serving;
-  const moves: PlannedMove[] = [];
-  const blocked: PlannedMove[] = [];
-  const floors = new Map(goals.map((goal) => [goal.model.id, createFloor(goal, serving)]));
-  for (const move of ordered) {
-    const isRestore = move.reason === MoveReason.Restore;
-    const without = left.filter(({ engine }) => engine !== move.from);
-    const isTooMany = !isRestore && loading >= mostLoading;
-    if (!isTooMany && isAboveFloor(move, floors, left, without)) {
-      moves.push(move);
-      left = without;
-      loading += 1;
-    } else {
-      blocked.push(move);
-    }
-  }
-  if (moves.length === 0 && loading === 0) {
-    return forceMove(blocked, floors);
-  }
-  return { moves, blocked };
-}
-
-interface Floor {
-  readonly goal: ModelGoal;
-  readonly soft: number;
-  readonly hard: number;
-  readonly isShort: boolean;
-}
-
-function createFloor(goal: ModelGoal, serving: readonly ServingEngine[]): Floor {
-  const capacity = computeModelCapacity(goal.model, serving);
-  const { minTokensPerSecond } = goal;
-  const isMissed = capacity < minTokensPerSecond * (1 - ROUNDING);
-  return {
-    goal,
-    hard: isMissed ? 0 : minTokensPerSecond,
-    soft: Math.max(isMissed ? 0 : minTokensPerSecond, capacity * SOFT_FLOOR),
-    isShort: isMissed,
-  };
-}
-
-/** Whether the model that an engine serves keeps its floor without it. */
-function isAboveFloor(
-  move: PlannedMove,
-  floors: ReadonlyMap<ModelId, Floor>,
-  before: readonly ServingEngine[],
-  after: readonly ServingEngine[],
-): boolean {
-  const floor = floors.get(move.from.holding?.model ?? '');
-  if (!floor) {
-    return true;
-  }
-  const left = computeModelCapacity(floor.goal.model, after);
-  if (left >= computeModelCapacity(floor.goal.model, before) * (1 - ROUNDING)) {
-    return true;
-  }
-  const isAllowed = !floor.isShort || move.reason === MoveReason.Restore;
-  return isAllowed && left >= floor.soft * (1 - ROUNDING);
-}
-
-/**
- * Lets the first move through that breaks no minimum, when otherwise nothing could ever change: a stage
- * of a single engine cannot be changed without a gap, and where the manifest sets no minimum it allows one.
- */
-function forceMove(
-  blocked: readonly PlannedMove[],
-  floors: ReadonlyMap<ModelId, Floor>,
-): ChosenMoves {
-  const forced = blocked.find(
-    (move) => (floors.get(move.from.holding?.model ?? '')?.hard ?? 0) <= 0,
-  );
-  return {
-    moves: forced ? [forced] : [],
-    blocked: blocked.filter((move) => move !== forced),
-  };
+function getStageName({ model, version, layers }: Holding): string {
+  return `${model} ${version} ${layers.first}-${layers.end}`;
 }
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -31,6 +31,8 @@
 
 const TICK_PERIOD: Millis = 1000;
 const LEASE_TTL: Millis = 20_000;
+/** Most of the time that planning may take; requests run on the same thread. */
+const PLAN_TIME_SHARE = 0.05;
 
 export interface PlacementRunnerDeps {
   readonly domain: DomainId;
@@ -99,6 +101,7 @@
   let bucket = createWeightBucket(timers.now());
   let plan: PlacementPlan | null = null;
   let planKey = '';
+  let nextPlanAt: Millis = 0;
   let isStopped = false;
 
   function lookAtLease(): { readonly fencing: number } | null {
@@ -190,8 +193,14 @@
     const engines = listPlacementEngines(orders, timers.now());
     const key = createPlanKey(manifest, engines);
     if (!plan || key !== planKey) {
+      const startedAt = timers.now();
+      // An older plan's moves are not safe any more: what it counted on may be gone.
+      if (startedAt < nextPlanAt) {
+        return;
+      }
       plan = planPlacement({ domain, manifest, engines });
       planKey = key;
+      nextPlanAt = timers.now() + (timers.now() - startedAt) / PLAN_TIME_SHARE;
     }
     const unchecking = engines.filter(
       ({ facts }) => !(manifest.getAccelerator(facts.accelerator)?.checksFencing ?? false),
--- a/packages/placement/src/__tests__/PlacementMeasure.ts
+++ b/packages/placement/src/__tests__/PlacementMeasure.ts
@@ -78,6 +78,15 @@
   });
   const joined = { ...placed, engines: [...placed.engines, createEngine('zz', 'medium')] };
   const join = planPlacement(joined);
+  const models = state.manifest.getDomain('d1')?.serves.map(({ model }) => model) ?? [];
+  const manifest = createManifest({
+    models: models.flatMap((id) => {
+      const model = state.manifest.getModel(id);
+      return model ? [{ ...model, serve: 'v2' }] : [];
+    }),
+    revision: 2,
+  });
+  const roll = time(() => planPlacement({ ...placed, manifest }));
   const mean = (values: readonly number[]) =>
     round(values.reduce((a, b) => a + b, 0) / values.length);
   const line = {
@@ -93,6 +102,7 @@
     rest_moves: again.value.moves.length + again.value.blocked.length,
     empty_ms: empty.ms,
     again_ms: again.ms,
+    roll_ms: roll.ms,
     loss_ms_max: Math.max(...losses.map(({ ms }) => ms)),
   };
   console.log(JSON.stringify(line));
