Reload less for the loss of one engine

Most engines are back within minutes, and then it was cut anew again.

Change: a fresh layout must win by 18% instead of 12% for a reload of all engines, in proportion.

--- a/packages/placement/src/PlacementPlan.ts
+++ b/packages/placement/src/PlacementPlan.ts
@@ -23,7 +23,7 @@
  * of the domain for a few per cent.
  */
 const FRESH_GAIN = 0.03;
-const RELOAD_COST = 0.12;
+const RELOAD_COST = 0.18;
 /**
  * The same while a model has less than its minimum. Only what the kept cuts cannot give counts then: new
  * cuts load many engines before the first chain is whole, kept ones only those of the missing stage.
