Test minimums through a change of holder, and spare idle instances the reports

Cause: that a change of version keeps the minimum was tested for plans alone, not with reports that are late and a holder that changes half-way. Instances without the duty took in every report each second for nothing.

Change: a test with minimums of 0.4 and 0.6 of the capacity, reports 3 s old, and another holder after 4 s; the runner reads reports only while it has the duty or the lease.

Figures: capacity, looked at every 100 ms of virtual time, never below the minimum in either.

--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -182,6 +182,9 @@
       dropLease();
       hasHeld = false;
     }
+    if (!isDuty && !orders.lease) {
+      return;
+    }
     step({ kind: 'reported', reports: deps.listReports() });
     const manifest = deps.getManifest();
     if (orders.lease && manifest) {
--- a/packages/placement/src/__tests__/unit/PlacementOrders.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementOrders.test.ts
@@ -133,6 +133,30 @@
     expect(bed.countMovesLeft()).to.equal(0);
   });
 
+  for (const share of [0.4, 0.6]) {
+    it(`keeps a minimum of ${share} of the capacity while versions change and the holder does too`, async () => {
+      // Symptom: requests wait while a version changes. Sequence: orders are done; reports still show
+      // what was held before; another instance takes over half-way. Cause: engines that load already
+      // are counted as serving, and more are sent to load.
+      const serves = [{ model: 'writer', minTokensPerSecond: share * 4900, weight: 1 }];
+      const manifest = createManifest({ models: [WRITER], serves });
+      const bed = createBed({ engines: createEngines(14, KINDS), manifest, isPlaced: true });
+      bed.start('a');
+      await bed.run(60_000);
+      bed.setManifest(createManifest({ models: [NEXT], serves, revision: 2 }));
+      for (let i = 0; i < 2000 && bed.countMovesLeft() > 0; i++) {
+        await bed.run(100);
+        expect(bed.getCapacity('writer')).to.be.at.least(share * 4900);
+        if (i === 40) {
+          bed.start('b');
+          bed.getRunner('a').stop();
+        }
+      }
+      expect(bed.getHolding('e000')).to.include({ version: 'v2' });
+      expect(bed.countMovesLeft()).to.equal(0);
+    });
+  }
+
   it('an order that was never taken is sent again', async () => {
     const bed = createPlaced(true);
     bed.setFaults('e003', { losesOrders: true });
