Find a cut before membership does, and keep off what it parted

Ruled out: the budget; waiting for slots of recovery.

Change: a chain through which nothing at all came, while others go on and no link is held to be slow, is replaced after one silence. Routing keeps off its domain for 2 s or until a token comes from there. Answers that broke off may fill the own domain to 1.1 of the limit of new ones.

A test shows that borrowing after a cut grows step by step. The daemon does not pass isSilent, isBegun and links yet.

--- a/packages/bench/src/RecoveryInstance.ts
+++ b/packages/bench/src/RecoveryInstance.ts
@@ -161,7 +161,11 @@
         tokenGapMs: outcome.meanGap,
       };
     case 'failed':
-      return { kind: 'failed', engine: outcome.engine };
+      return {
+        kind: 'failed',
+        engine: outcome.engine,
+        isSilent: outcome.engine === null && outcome.cause === 'silent',
+      };
     default:
       return { kind: 'cancelled' };
   }
--- a/packages/bench/src/RecoveryWorld.ts
+++ b/packages/bench/src/RecoveryWorld.ts
@@ -57,6 +57,7 @@
   let wrongAnswers = 0;
   let count = 0;
   const dead = new Set<number>();
+  const domainOf = new Map(shape.engines.map(({ facts }) => [facts.id, facts.domain]));
   let cutDomain: string | null = null;
 
   const fleet = createVirtualFleet({
@@ -124,7 +125,7 @@
       const cancel = fleet.open(call, {
         onAcknowledged: (ack) => pass(() => listener.onAcknowledged(ack)),
         onToken: (index, token) => pass(() => listener.onToken(index, token)),
-        onEnd: (reason, count) => pass(() => listener.onEnd(reason, count)),
+        onEnd: (reason, tokenCount) => pass(() => listener.onEnd(reason, tokenCount)),
         onFailure: (failure) => pass(() => listener.onFailure(failure)),
       });
       function tryCancel(): void {
@@ -138,7 +139,6 @@
     };
   }
 
-  const domainOf = new Map(shape.engines.map(({ facts }) => [facts.id, facts.domain]));
   const instances = shape.domains.flatMap((domain, d) =>
     Array.from({ length: shape.instancesPerDomain }, (_, i) =>
       options.createInstance({
--- a/packages/bench/src/__tests__/unit/RecoveryBench.test.ts
+++ b/packages/bench/src/__tests__/unit/RecoveryBench.test.ts
@@ -7,8 +7,12 @@
 import { createBenchShapes } from '../../ThroughputShapes.js';
 
 const RATE = 25;
+const BORROWING_RATE = 87;
 
-function createWorld(wrap: (instance: RecoveryInstance) => RecoveryInstance) {
+function createWorld(
+  wrap: (instance: RecoveryInstance) => RecoveryInstance,
+  load: { requestsPerSecond?: number; firstDomainShare?: number } = {},
+) {
   const [shape] = createBenchShapes();
   if (!shape) {
     throw new Error('there is a shape');
@@ -19,6 +23,7 @@
     requestsPerSecond: RATE,
     createInstance: (options) => wrap(createRouterInstance(options)),
     onMetric: () => undefined,
+    ...load,
   });
 }
 
@@ -54,6 +59,31 @@
     expect(answered.length).to.be.above(200);
   });
 
+  it('borrows again step by step after a cut has healed', async () => {
+    // Symptom: a cut heals, and a moment later the other domains stand still.
+    // Sequence: the first domain borrows when it is cut off; callers wait; the cut heals, and all
+    // instances see the other domains free at once.
+    // Cause: the whole lent share is used from the first moment on.
+    const load = { requestsPerSecond: BORROWING_RATE, firstDomainShare: 0.9 };
+    const world = createWorld((instance) => instance, load);
+    const countAbroad = () =>
+      world.traces.filter(
+        ({ instance, engines, endedAt }) =>
+          endedAt === null &&
+          engines[0] !== undefined &&
+          !engines[0].startsWith(world.instances[instance]?.domain ?? ''),
+      ).length;
+    await world.advanceTo(7000);
+    const before = countAbroad();
+    const cut = RECOVERY_FAULTS['domain-cut']?.(world);
+    await world.advanceTo(12_000);
+    cut?.mend();
+    await world.advanceTo(16_000);
+    expect(before).to.be.above(20);
+    expect(countAbroad()).to.be.below(before / 2);
+    expect(world.tallies).to.deep.equal({ lost: 0, doubled: 0, cutOff: 0 });
+  });
+
   it('notices a token that is doubled and an answer that is cut off', async () => {
     const world = createWorld((instance) => ({
       ...instance,
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -25,7 +25,7 @@
 import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
 import { computeBudgetWait, computeRetryWait, RECHOOSE_LEAST } from './RunRetry.js';
-import { findSilenceSuspects, isStandingStill } from './RunSilence.js';
+import { findSilenceSuspects, isStandingStill, SILENCE } from './RunSilence.js';
 import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -232,14 +232,7 @@
   }
 
   function sendSilence(suspects: readonly EngineId[], isSlow: boolean): void {
-    const failure = {
-      place: FailurePlace.Silence,
-      engine: null,
-      status: null,
-      retryAfter: null,
-      provenNotRun: false,
-    };
-    send({ kind: 'failure', attempt: machine.attempt, failure, suspects, isSlow });
+    send({ kind: 'failure', attempt: machine.attempt, failure: SILENCE, suspects, isSlow });
   }
 
   function noteFailure(effect: EffectOf<'attempt-failed'>): void {
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -2,6 +2,8 @@
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { hasRetry } from './RequestBudget.js';
 import { RequestPhase } from './RequestMessages.js';
+import type { AttemptFailure } from './RequestPorts.js';
+import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
 import type { RouterShared } from './RouterShared.js';
 
@@ -11,9 +13,20 @@
 const UNCLEAR_SILENCES = 3;
 /** Silences that are borne on a link that is known to be slow. */
 const SLOW_LINK_SILENCES = 6;
+/** Silences that are borne where nothing at all came through the engines of a chain. */
+const WHOLE_SILENCES = 1;
 /** Share of answers that may stand still at once while one engine is held to be the cause. */
 const MOST_STILL = 0.7;
 
+/** What is told of an attempt that gives nothing. */
+export const SILENCE: AttemptFailure = {
+  place: FailurePlace.Silence,
+  engine: null,
+  status: null,
+  retryAfter: null,
+  provenNotRun: false,
+};
+
 /** Whether an answer has begun and stands still now. */
 export function isStandingStill(machine: RequestMachine, now: Millis): boolean {
   const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
@@ -43,6 +56,12 @@
   if (isAlone && silent.length > 0 && silent.length < all.length) {
     return silent;
   }
+  const isWhole = shared.progress.findSilent(chain, machine.signAt).length === all.length;
+  if (isAlone && isWhole && shared.deps.links && machine.borne >= WHOLE_SILENCES) {
+    // Nothing came through any of its engines, while others go on: the way to them is cut. A slow link
+    // would be known by now.
+    return all;
+  }
   // A slow link holds up many streams at once, and prompts read again would hold them up longer.
   return machine.borne < UNCLEAR_SILENCES ? null : all;
 }
--- a/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
@@ -64,6 +64,30 @@
     expect(hung.tokens).to.deep.equal(listWords(12));
   });
 
+  it('finds soon that the way to all engines of a chain is cut', () => {
+    // Symptom: streams into a domain that was cut off stand still for more than a second.
+    // Sequence: nothing comes through either engine of a chain; a stream over other engines goes on.
+    // Cause: silence of a whole chain was always borne as if a slow link might be the cause.
+    const links = { notePaces: () => undefined, isSlow: () => false };
+    const world = createFakeWorld({ links });
+    world.submit('cut');
+    const call = world.last();
+    acknowledge(call);
+    world.submit('other', { prompt: 'other' });
+    world.last().listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    world.last().listener.onFailure(createFailure({ place: FailurePlace.Connect, engine: 'a1' }));
+    const other = world.last();
+    acknowledge(other);
+    expect(listEngines(other)).to.deep.equal(['a2', 'b2']);
+    giveTokens(world, call, 0, 10);
+    const silentFrom = world.timers.now();
+    for (let i = 0; world.last() === other && i < 100; i++) {
+      giveTokens(world, other, i, i + 1);
+    }
+    expect(world.last().openedAt - silentFrom).to.be.within(200, 500);
+    expect(listEngines(world.last())).to.deep.equal(['a2', 'b2']);
+  });
+
   it('bears silence on a slow link, but not for ever', () => {
     // Symptom: a slow link gets slower still, since every answer on it is read again and again.
     // Sequence: a stream is silent for a few gaps while its link is known to be slow.
--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -1,6 +1,6 @@
 /** Records of our own calls: what they keep busy, and what they tell of the engines' health. */
 import type { Chain } from '@skylarksail/core/CoreChain';
-import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { EngineHealth } from './RoutingHealth.js';
 import {
   eject,
@@ -23,6 +23,8 @@
 /** How much of the learned mix remains after one more call. */
 const MIX_MEMORY = 0.995;
 const PEERS_COMPARED = 24;
+/** Time for which another domain is kept off after a chain there stayed silent. */
+const DOUBT_MS = 2000;
 
 /** Work of this instance on an engine. */
 export function getOwnWork(state: RoutingState, engine: EngineId): OwnWork {
@@ -62,7 +64,8 @@
   now: Millis = 0,
 ): RoutingState {
   const change = { calls: 0, kvTokens: 0, prefillTokens: -call.promptTokens };
-  const next = changeOwnWork(countHopPrompts(state, call.chain, -1), call.chain, change);
+  const read = countHopPrompts(clearDoubt(state, call.chain), call.chain, -1);
+  const next = changeOwnWork(read, call.chain, change);
   const sightings = call.chain.stages.map(({ engine }) => ({
     engine,
     bootId: getHealth(state, engine).bootId,
@@ -118,9 +121,38 @@
   if (outcome.kind === 'failed' && outcome.engine !== null) {
     return recordEngineFailure(next, outcome.engine, now);
   }
+  if (outcome.kind === 'failed' && outcome.isSilent) {
+    return doubtDomain(next, call.chain, now);
+  }
   return next;
 }
 
+/**
+ * Keeps off another domain from which nothing comes. Membership tells of a cut only after seconds, and
+ * until then each request would find out for itself.
+ */
+function doubtDomain(state: RoutingState, chain: Chain, now: Millis): RoutingState {
+  const domain = getForeignDomain(state, chain);
+  return domain === null
+    ? state
+    : { ...state, doubted: new Map(state.doubted).set(domain, now + DOUBT_MS) };
+}
+
+/** A token from a domain clears it. */
+function clearDoubt(state: RoutingState, chain: Chain): RoutingState {
+  const domain = state.doubted.size > 0 ? getForeignDomain(state, chain) : null;
+  if (domain === null || !state.doubted.has(domain)) {
+    return state;
+  }
+  return { ...state, doubted: new Map([...state.doubted].filter(([other]) => other !== domain)) };
+}
+
+/** Domain of a chain's first stage, which is where our own connection goes; null if it is ours. */
+function getForeignDomain(state: RoutingState, chain: Chain): DomainId | null {
+  const domain = state.engines.get(chain.stages[0]?.engine ?? '')?.domain ?? null;
+  return state.tuning.domain === null || domain === state.tuning.domain ? null : domain;
+}
+
 function recordAnswered(
   state: RoutingState,
   call: RoutedCall,
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -68,6 +68,8 @@
 const MISSING_RETRY_MS = 5000;
 /** Engines of another domain may be filled so far by us: its own callers come first. */
 const FOREIGN_FILL = 0.9;
+/** Answers that broke off may fill the own domain so far: nothing new is let in while they wait. */
+const BEGUN_FILL = 1.1;
 const DEFAULT_ACTIVATION_BYTES = 16384;
 
 /**
@@ -79,7 +81,7 @@
   ask: ChainAsk,
   random: Random,
 ): Result<ChainChoice, RoutingRefusal> {
-  const own = selectInDomain(state, ask, ask.domain, 1, random);
+  const own = selectInDomain(state, ask, ask.domain, ask.isBegun ? BEGUN_FILL : 1, random);
   if (own.ok) {
     return own;
   }
@@ -181,7 +183,8 @@
     const lent = planned
       ? getLentCalls(planned.plan, state.tuning, ask.priority, begun, healed)
       : 0;
-    if ((state.crossing.get(domain) ?? 0) + 1 <= lent) {
+    const isDoubted = (state.doubted.get(domain) ?? -Infinity) > ask.now;
+    if (!isDoubted && (state.crossing.get(domain) ?? 0) + 1 <= lent) {
       const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
       if (choice.ok) {
         return choice.value;
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -37,6 +37,7 @@
     links: [],
     regions: new Map(),
     domains: new Map(),
+    doubted: new Map(),
     own: createTable(),
     health: createTable(),
     prefixes: createTable(),
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -65,6 +65,8 @@
   readonly links: readonly LinkFacts[];
   readonly regions: ReadonlyMap<DomainId, RegionId>;
   readonly domains: ReadonlyMap<DomainId, DomainReach>;
+  /** Other domains of which nothing came over a whole chain: until when we keep off them. */
+  readonly doubted: ReadonlyMap<DomainId, Millis>;
   readonly own: RoutingTable<OwnWork>;
   readonly health: RoutingTable<EngineHealth>;
   readonly prefixes: PrefixTable;
@@ -100,5 +102,6 @@
       /** Tokens of the answer, if known. */
       readonly tokens?: number;
     }
-  | { readonly kind: 'failed'; readonly engine: EngineId | null }
+  /** `isSilent`: nothing came over any engine of the chain, though others went on. */
+  | { readonly kind: 'failed'; readonly engine: EngineId | null; readonly isSilent?: boolean }
   | { readonly kind: 'cancelled' };
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai';
 import { createChain, formatChain } from '@skylarksail/core/CoreChain';
 import { createRandom } from '@skylarksail/core/CoreRandom';
-import { recordCallStart } from '../../RoutingCalls.js';
+import { recordCallEnd, recordCallStart, recordFirstToken } from '../../RoutingCalls.js';
 import { selectChain } from '../../RoutingChoice.js';
 import { refreshPlans } from '../../RoutingPlans.js';
 import { selectRepair } from '../../RoutingRepair.js';
+import type { RoutingState } from '../../RoutingState.js';
 import { setLoad, setRoutingFacts } from '../../RoutingState.js';
 import {
   createAsk,
@@ -147,4 +148,24 @@
     expect(counts[0]).to.be.above(0);
     expect(counts[1]).to.be.within(counts[0] ?? 0, 2 * (counts[0] ?? 0));
   });
+
+  it('keeps off another domain after a chain there stayed silent, until it gives a token', () => {
+    // Symptom: after a cut each request tries the lost domain for itself, again and again.
+    // Sequence: a chain in z gives nothing, while others go on; membership tells of the cut 2 s later.
+    // Cause: a failure that is laid to no single engine was forgotten.
+    const avoidEngines = new Set(['b', 's']);
+    const choose = (from: RoutingState, now: number) =>
+      selectChain(from, createAsk({ avoidEngines, now }), createRandom(1));
+    const start = createTwoDomains();
+    const choice = choose(start, 0);
+    if (!choice.ok) {
+      throw new Error('z lends');
+    }
+    const call = { chain: choice.value.chain, promptTokens: 100, maxTokens: 50 };
+    const outcome = { kind: 'failed', engine: null, isSilent: true } as const;
+    const running = recordCallStart(recordCallStart(start, call), call);
+    const doubting = recordCallEnd(running, call, outcome, false, 0);
+    expect([choose(doubting, 1900).ok, choose(doubting, 2100).ok]).to.deep.equal([false, true]);
+    expect(choose(recordFirstToken(doubting, call, 100), 200).ok).to.equal(true);
+  });
 });
