Read engines' answers by the bare handler and keep their connections

At the end of each answer the adapter aborted its call, though the last frame had come: the connection to the engine was torn down, a DOMException with a stack made, and the next request set up a new connection. Now the answer ends by itself and its connection serves on; an engine that leaves it open for more than a second is cut off. The answer is read by undici's bare handler, without a readable stream, an iterator and an abort signal for each call, and a refusal is kept to 64 KB.

--- a/packages/daemon/src/DaemonEngineFrames.ts
+++ b/packages/daemon/src/DaemonEngineFrames.ts
@@ -1,4 +1,5 @@
 /** Reads the engines' stream: bytes to lines to typed frames, with a bound on the length of a line. */
+import { StringDecoder } from 'node:string_decoder';
 import { z } from 'zod';
 
 /** A line longer than this is not a frame of any engine that works. */
@@ -58,11 +59,11 @@
 
 /** Joins chunks of bytes into lines. `push` gives null once a line exceeds the bound. */
 export function createLineReader(): { push(chunk: Buffer): readonly string[] | null } {
-  const decoder = new TextDecoder();
+  const decoder = new StringDecoder('utf8');
   let rest = '';
   return {
     push(chunk) {
-      const lines = (rest + decoder.decode(chunk, { stream: true })).split('\n');
+      const lines = (rest + decoder.write(chunk)).split('\n');
       rest = lines.pop() ?? '';
       return rest.length > MAX_FRAME_BYTES ? null : lines;
     },
--- a/packages/daemon/src/DaemonEngineHttp.ts
+++ b/packages/daemon/src/DaemonEngineHttp.ts
@@ -2,7 +2,8 @@
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Chain } from '@skylarksail/core/CoreChain';
-import type { EngineId, HostPort, Unregister } from '@skylarksail/core/CoreTypes';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type {
   AttemptFailure,
   EngineCall,
@@ -16,12 +17,19 @@
 const STATUS_OK = 200;
 const CONNECTIONS_PER_ENGINE = 512;
 const KEEP_ALIVE_MS = 10_000;
+/** A refusal is short; what goes beyond is not kept. */
+const MAX_REFUSAL_CHARACTERS = 64 * 1024;
+/** An engine that gave its last frame but leaves the stream open would hold a connection for ever. */
+const END_TIMEOUT: Millis = 1000;
 
 /** Gives an engine's address, or null if it is no longer known. */
 export type FindEngineAddress = (engine: EngineId) => HostPort | null;
 
 /** Creates the adapter; `close` ends its connections. */
-export function createEngineHttp(findAddress: FindEngineAddress): {
+export function createEngineHttp(
+  findAddress: FindEngineAddress,
+  timers: TimerService,
+): {
   readonly open: OpenEngineCall;
   readonly close: () => Promise<void>;
 } {
@@ -33,13 +41,14 @@
     bodyTimeout: 0,
   });
   return {
-    open: (call, listener) => openCall(agent, findAddress, call, listener),
+    open: (call, listener) => openCall(agent, timers, findAddress, call, listener),
     close: () => agent.destroy(),
   };
 }
 
 function openCall(
   agent: Agent,
+  timers: TimerService,
   findAddress: FindEngineAddress,
   call: EngineCall,
   listener: EngineCallListener,
@@ -75,49 +84,80 @@
     };
   }
 
-  const controller = new AbortController();
-  agent
-    .request({
+  let controller: Dispatcher.DispatchController | null = null;
+  let isAborted = false;
+  let status: number | null = null;
+  let refusal = '';
+  let cancelLinger: Unregister | null = null;
+  const reader = createLineReader();
+
+  function abort(): void {
+    isAborted = true;
+    controller?.abort(new Error('the attempt is over'));
+  }
+
+  /** The attempt's last frame has come: the stream ends by itself, and its connection serves on. */
+  function linger(): void {
+    cancelLinger = timers.registerTimeout(END_TIMEOUT, abort);
+  }
+
+  function handleData(chunk: Buffer): void {
+    if (status !== STATUS_OK) {
+      refusal += refusal.length < MAX_REFUSAL_CHARACTERS ? chunk.toString() : '';
+      return;
+    }
+    const lines = ended ? [] : reader.push(chunk);
+    if (lines === null) {
+      failGarbage();
+    } else {
+      lines.forEach(handleLine);
+    }
+  }
+
+  function failRefused(): void {
+    const { notRun, retryAfter } = parseRefusal(refusal);
+    fail({ place: FailurePlace.Refused, status, retryAfter, provenNotRun: notRun });
+  }
+
+  // The bare handler: a readable stream, its iterator and an abort signal for each call cost more
+  // memory and time than all that is done with a token.
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart(started) {
+      controller = started;
+      if (isAborted) {
+        abort();
+      }
+    },
+    onResponseStart(_controller, statusCode) {
+      status = statusCode >= STATUS_OK ? statusCode : null;
+    },
+    onResponseData(_controller, chunk) {
+      handleData(chunk);
+    },
+    onResponseEnd() {
+      cancelLinger?.();
+      if (status === STATUS_OK) {
+        // An answer is whole only with its end frame: a stream that just stops is a failure.
+        fail({ place: FailurePlace.Stream });
+      } else {
+        failRefused();
+      }
+    },
+    onResponseError(_controller, err) {
+      cancelLinger?.();
+      fail(status === null ? describeSocketError(err) : { place: FailurePlace.Stream });
+    },
+  };
+  agent.dispatch(
+    {
       origin: `http://${address.host}:${address.port}`,
       path: '/v1/generate',
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
-      signal: controller.signal,
-    })
-    .then((res) => (res.statusCode === STATUS_OK ? readStream(res) : readRefusal(res)))
-    .catch((err: unknown) => fail(describeSocketError(err)));
-
-  async function readRefusal(res: Dispatcher.ResponseData): Promise<void> {
-    const told = parseRefusal(await res.body.text());
-    fail({
-      place: FailurePlace.Refused,
-      status: res.statusCode,
-      retryAfter: told.retryAfter,
-      provenNotRun: told.notRun,
-    });
-  }
-
-  async function readStream(res: Dispatcher.ResponseData): Promise<void> {
-    const reader = createLineReader();
-    try {
-      for await (const chunk of res.body as AsyncIterable<Buffer>) {
-        const lines = reader.push(chunk);
-        if (ended) {
-          return;
-        }
-        if (lines === null) {
-          failGarbage();
-          return;
-        }
-        lines.forEach(handleLine);
-      }
-    } catch {
-      fail({ place: FailurePlace.Stream });
-    }
-    // An answer is whole only with its end frame: a stream that just stops is a failure.
-    fail({ place: FailurePlace.Stream });
-  }
+    },
+    handler,
+  );
 
   function handleLine(line: string): void {
     if (ended || line === '') {
@@ -133,7 +173,7 @@
 
   function failGarbage(): void {
     fail({ place: FailurePlace.Garbage });
-    controller.abort();
+    abort();
   }
 
   function handleFrame(frame: EngineFrame): void {
@@ -145,9 +185,11 @@
         listener.onToken(frame.index, frame.token);
         break;
       case 'end':
+        linger();
         end(() => listener.onEnd(frame.reason, frame.tokens));
         break;
       case 'failed':
+        linger();
         fail({ place: FailurePlace.Stage, engine: frame.engine, status: frame.status });
         break;
       default:
@@ -156,7 +198,9 @@
 
   return () => {
     ended = true;
-    controller.abort();
+    if (cancelLinger === null) {
+      abort();
+    }
   };
 }
 
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -118,7 +118,7 @@
     wallNow,
   });
   getClaimShare = claims.owner.getSlotShare;
-  const engineHttp = createEngineHttp(directory.findAddress);
+  const engineHttp = createEngineHttp(directory.findAddress, timers);
   const serviceHttp = createServiceHttp(directory.findAddress);
   const orderHttp = createOrderHttp(directory.findAddress);
   const router: RequestRouter = createRequestRouter({
