Measure many steady streams and callers that do not read

The closed loop of 48 streams says little of a daemon's usual load: many streams that each get a token every 50 ms. The overhead bench now also holds 500 and then 1,000 of those, on engines spread over five processes, since one process of stand-ins gave at most about 6,000 tokens a second. A further case asks for long answers on sockets that are never read, and looks at the daemon's memory and at the gaps of the streams beside them.

--- /dev/null
+++ b/packages/bench/src/OverheadCases.ts
@@ -0,0 +1,202 @@
+/** Cases of the overhead bench with many streams at the pace of real engines, and with slow readers. */
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { build } from 'hdr-histogram-js';
+import { Agent } from 'undici';
+import type { StreamTimes } from './OverheadStreams.js';
+import {
+  createDaemonAsk,
+  getMillis,
+  getPid,
+  readCpuSeconds,
+  readResidentBytes,
+  readStream,
+  round,
+  wait,
+} from './OverheadStreams.js';
+import type { Stack } from './StackLauncher.js';
+
+/** So many streams at the pace of the engines. `short` counts streams that broke off. */
+export interface SteadyLine {
+  readonly bench: 'overhead';
+  readonly case: string;
+  readonly streams: number;
+  readonly tokens_s: number;
+  readonly daemon_cores: number;
+  readonly us_per_token: number;
+  readonly gap_p95_ms: number;
+  readonly stream_bytes: number;
+  readonly short: number;
+}
+
+/** Callers that read nothing beside callers that do: memory, and what the others feel. */
+export interface PausedLine {
+  readonly bench: 'overhead';
+  readonly case: 'paused-readers';
+  readonly paused: number;
+  /** Resident memory that each paused stream added between the two looks. */
+  readonly bytes_per_paused: number;
+  readonly gap_p95_alone_ms: number;
+  readonly gap_p95_beside_ms: number;
+  readonly short: number;
+}
+
+const STEADY_TOKENS = 3000;
+const STARTS_PER_BURST = 25;
+const BURST_PERIOD_MS = 100;
+const SETTLE_MS = 1500;
+const STEADY_MS = 4000;
+const RETRY_MS = 1000;
+const READERS = 12;
+const READER_TOKENS = 4000;
+const PAUSED_READERS = 40;
+const PAUSED_TOKENS = 20_000;
+const PAUSED_MS = 3000;
+
+/** Streams that go on until they are told to stop; counts what comes. */
+interface StreamCrowd {
+  start(): void;
+  /** From here on tokens and gaps are counted anew. */
+  reset(): { tokens: number; readonly times: StreamTimes };
+  getShort(): number;
+  stop(): Promise<void>;
+}
+
+function createCrowd(stack: Stack, tokensEach: number): StreamCrowd {
+  const agent = new Agent({ connections: null });
+  const running: Promise<void>[] = [];
+  let isOver = false;
+  let short = 0;
+  let times: StreamTimes = { first: build(), gap: build() };
+  let counted = { tokens: 0, times };
+
+  const getTimes = (): StreamTimes => times;
+  const countTokens = (count: number): void => {
+    counted.tokens += count;
+  };
+
+  async function run(number: number): Promise<void> {
+    const ask = createDaemonAsk(stack, tokensEach, number);
+    while (!isOver) {
+      const got = await readStream(agent, ask, getTimes, countTokens).catch(() => -1);
+      short += isOver || got === tokensEach ? 0 : 1;
+      // A refusal while the daemon's limit still rises is asked again, as a caller would.
+      await wait(RETRY_MS);
+    }
+  }
+
+  return {
+    start() {
+      running.push(run(running.length));
+    },
+    reset() {
+      times = { first: build(), gap: build() };
+      counted = { tokens: 0, times };
+      short = 0;
+      return counted;
+    },
+    getShort: () => short,
+    async stop() {
+      isOver = true;
+      await agent.destroy();
+      await Promise.all(running);
+    },
+  };
+}
+
+/** Adds streams up to each count in turn, and measures once they have settled. */
+export async function measureSteadyStreams(
+  stack: Stack,
+  counts: readonly number[],
+  print: (line: SteadyLine) => void,
+): Promise<readonly SteadyLine[]> {
+  const pid = getPid(stack);
+  const crowd = createCrowd(stack, STEADY_TOKENS);
+  const lines: SteadyLine[] = [];
+  let started = 0;
+  const idleBytes = readResidentBytes(pid);
+  for (const count of counts) {
+    while (started < count) {
+      for (let i = 0; i < STARTS_PER_BURST; i++) {
+        crowd.start();
+      }
+      started += STARTS_PER_BURST;
+      await wait(BURST_PERIOD_MS);
+    }
+    await wait(SETTLE_MS);
+    const counted = crowd.reset();
+    const cpuBefore = readCpuSeconds(pid);
+    const startedAt = performance.now();
+    await wait(STEADY_MS);
+    const seconds = (performance.now() - startedAt) / 1000;
+    const cpu = readCpuSeconds(pid) - cpuBefore;
+    const line: SteadyLine = {
+      bench: 'overhead',
+      case: `${count} streams at 20 tokens/s`,
+      streams: count,
+      tokens_s: round(counted.tokens / seconds),
+      daemon_cores: round(cpu / seconds),
+      us_per_token: round((cpu * 1e6) / counted.tokens),
+      gap_p95_ms: getMillis(counted.times.gap, 95),
+      stream_bytes: Math.round((readResidentBytes(pid) - idleBytes) / count),
+      short: crowd.getShort(),
+    };
+    lines.push(line);
+    print(line);
+  }
+  await crowd.stop();
+  return lines;
+}
+
+/** Readers alone, then beside callers that ask for long answers and read none of them. */
+export async function measurePausedReaders(stack: Stack): Promise<PausedLine> {
+  const pid = getPid(stack);
+  const crowd = createCrowd(stack, READER_TOKENS);
+  for (let i = 0; i < READERS; i++) {
+    crowd.start();
+  }
+  await wait(SETTLE_MS);
+  const alone = crowd.reset();
+  await wait(PAUSED_MS);
+  const gapAlone = getMillis(alone.times.gap, 95);
+  const sockets = await Promise.all(
+    Array.from({ length: PAUSED_READERS }, (_, i) => openPausedReader(stack, i)),
+  );
+  await wait(SETTLE_MS);
+  const before = readResidentBytes(pid);
+  const beside = crowd.reset();
+  await wait(PAUSED_MS);
+  const line: PausedLine = {
+    bench: 'overhead',
+    case: 'paused-readers',
+    paused: PAUSED_READERS,
+    bytes_per_paused: Math.round((readResidentBytes(pid) - before) / PAUSED_READERS),
+    gap_p95_alone_ms: gapAlone,
+    gap_p95_beside_ms: getMillis(beside.times.gap, 95),
+    short: crowd.getShort(),
+  };
+  sockets.forEach((socket) => socket.destroy());
+  await crowd.stop();
+  return line;
+}
+
+/** Asks for a long answer on a socket of its own and never reads it. */
+async function openPausedReader(stack: Stack, number: number): Promise<Socket> {
+  const { url, headers, body } = createDaemonAsk(stack, PAUSED_TOKENS, number);
+  const { hostname, port, pathname } = new URL(url);
+  const socket = connect(Number(port), hostname);
+  socket.pause();
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  const text = JSON.stringify(body);
+  const lines = [
+    `POST ${pathname} HTTP/1.1`,
+    `host: ${hostname}`,
+    'content-type: application/json',
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${Buffer.byteLength(text)}`,
+  ];
+  socket.write(`${lines.join('\r\n')}\r\n\r\n${text}`);
+  return socket;
+}
--- /dev/null
+++ b/packages/bench/src/OverheadStreams.ts
@@ -0,0 +1,154 @@
+/** What the overhead bench asks, reads and measures: streams, their times, and a process's use. */
+import { readFileSync } from 'node:fs';
+import type { Histogram } from 'hdr-histogram-js';
+import type { Agent } from 'undici';
+import type { Stack } from './StackLauncher.js';
+import { STACK_TEAMS } from './StackPlan.js';
+
+const TICKS_PER_SECOND = 100;
+const HISTOGRAM_UNITS_PER_MS = 100;
+const CPU_USER_FIELD = 11;
+const STAT_FIELDS_BEFORE_COMM_END = 2;
+const DEADLINE_MS = 600_000;
+const SHORT_ANSWER_KEY = STACK_TEAMS[0].key;
+
+export interface StreamTimes {
+  readonly first: Histogram;
+  readonly gap: Histogram;
+}
+
+export interface StreamAsk {
+  readonly url: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: unknown;
+  /** Text that stands once in each token's part of the stream. */
+  readonly tokenMark: string;
+  /** Text that ends a whole stream. */
+  readonly endMark: string;
+}
+
+/**
+ * Reads one stream; gives its tokens, or -1 if it was not whole. Times go into the histograms that
+ * `getTimes` gives then; `onTokens` hears how many tokens came at once.
+ */
+export async function readStream(
+  agent: Agent,
+  ask: StreamAsk,
+  getTimes?: () => StreamTimes,
+  onTokens?: (count: number) => void,
+): Promise<number> {
+  const { origin, pathname } = new URL(ask.url);
+  const startedAt = performance.now();
+  const res = await agent.request({
+    origin,
+    path: pathname,
+    method: 'POST',
+    headers: { 'content-type': 'application/json', ...ask.headers },
+    body: JSON.stringify(ask.body),
+  });
+  let tokens = 0;
+  let lastAt = startedAt;
+  let tail = '';
+  let rest = '';
+  for await (const chunk of res.body as AsyncIterable<Buffer>) {
+    const text = rest + chunk.toString();
+    const parts = text.split(ask.tokenMark);
+    const count = parts.length - 1;
+    // A mark that is cut between two chunks counts with the second one.
+    rest = (parts.at(-1) ?? '').slice(1 - ask.tokenMark.length);
+    if (count > 0) {
+      const now = performance.now();
+      const times = getTimes?.();
+      const histogram = tokens === 0 ? times?.first : times?.gap;
+      histogram?.recordValue(Math.round((now - lastAt) * HISTOGRAM_UNITS_PER_MS));
+      lastAt = now;
+      onTokens?.(count);
+    }
+    tokens += count;
+    tail = (tail + text).slice(-ask.endMark.length * 4);
+  }
+  return res.statusCode === 200 && tail.includes(ask.endMark) ? tokens : -1;
+}
+
+export function createDaemonAsk(stack: Stack, tokens: number, number: number): StreamAsk {
+  return {
+    url: `${stack.daemons[0]?.callers}/v1/chat/completions`,
+    headers: {
+      authorization: `Bearer ${SHORT_ANSWER_KEY}`,
+      // A long answer would be refused at once if it could not end in time.
+      'x-deadline-ms': String(DEADLINE_MS),
+    },
+    body: {
+      model: 'letters',
+      stream: true,
+      max_tokens: tokens,
+      messages: [{ role: 'user', content: `bench ${number} tokens=${tokens}` }],
+    },
+    tokenMark: '"delta":{"content":',
+    endMark: '[DONE]',
+  };
+}
+
+export function createDirectAsk(stack: Stack, tokens: number, number: number): StreamAsk {
+  const engine = stack.engines[number % stack.engines.length];
+  const { hostname, port } = new URL(engine?.url ?? '');
+  return {
+    url: `${engine?.url}/v1/generate`,
+    headers: {},
+    body: {
+      request: `direct-${number}`,
+      attempt: 1,
+      variant: { model: 'letters', version: 'v1', adapter: null },
+      stages: [
+        {
+          engine: engine?.id,
+          layers: { first: 0, end: 4 },
+          host: hostname,
+          port: Number(port),
+        },
+      ],
+      prompt: `bench ${number} tokens=${tokens}`,
+      resumeTokens: [],
+      maxTokens: tokens,
+      priority: 'normal',
+      timeLeftMs: 60_000,
+      importFrom: [],
+    },
+    tokenMark: '"token",',
+    endMark: '"end"',
+  };
+}
+
+/** Process id of the stack's first daemon. */
+export function getPid(stack: Stack): number {
+  return stack.daemons[0]?.process.child.pid ?? 0;
+}
+
+/** Processor time of a process, from what the system counts. */
+export function readCpuSeconds(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + STAT_FIELDS_BEFORE_COMM_END).split(' ');
+  const user = Number(fields[CPU_USER_FIELD]);
+  const system = Number(fields[CPU_USER_FIELD + 1]);
+  return (user + system) / TICKS_PER_SECOND;
+}
+
+export function readResidentBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const found = /VmRSS:\s+(\d+) kB/.exec(status);
+  return Number(found?.[1] ?? 0) * 1024;
+}
+
+export function getMillis(histogram: Histogram, percentile: number): number {
+  return round(histogram.getValueAtPercentile(percentile) / HISTOGRAM_UNITS_PER_MS);
+}
+
+export function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+export function wait(delay: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delay);
+  });
+}
--- a/packages/bench/src/StackLauncher.ts
+++ b/packages/bench/src/StackLauncher.ts
@@ -73,12 +73,17 @@
   const platformUrl = formatUrl(platformAddress);
 
   const engines = (
-    await Promise.all(listDomains(size).map((domain) => startEngines(domain)))
+    await Promise.all(
+      listDomains(size).flatMap((domain) =>
+        Array.from({ length: size.engineProcesses ?? 1 }, (_, i) => startEngines(domain, i)),
+      ),
+    )
   ).flat();
   const services = await startServices();
 
-  async function startEngines(domain: string): Promise<readonly StackServer[]> {
-    const planned = planEngines(size, domain);
+  async function startEngines(domain: string, part: number): Promise<readonly StackServer[]> {
+    const parts = size.engineProcesses ?? 1;
+    const planned = planEngines(size, domain).filter((_, i) => i % parts === part);
     const started = await startStandIns('engines', planned);
     processes.push(started.process);
     await Promise.all(
--- a/packages/bench/src/StackPlan.ts
+++ b/packages/bench/src/StackPlan.ts
@@ -16,6 +16,8 @@
   /** Engines that a chain passes through. */
   readonly stages: number;
   readonly stepMsPerLayer: number;
+  /** Processes over which a domain's stand-in engines are spread; 1 if not given. */
+  readonly engineProcesses?: number;
 }
 
 export const DEFAULT_STACK_SIZE: StackSize = {
