Run seeded histories of the real core and check them whole

Change: three instances of the real core over one virtual time, eight virtual engines, plain services with counted effects, and 23 kinds of faults drawn and shrunk by fast-check. What callers, engines, services and instances do is recorded, and a checker that knows nothing of the router judges the record by eleven rules.

--- /dev/null
+++ b/packages/proof/src/HistoryPlan.ts
@@ -0,0 +1,159 @@
+/** What a run of a history consists of: the fleet, the requests, the changes and the faults. */
+import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { EngineId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import { checkManifest } from '@skylarksail/manifest/ManifestCheck';
+import type { SpreadMember } from '@skylarksail/manifest/ManifestPeers';
+import type { Manifest } from '@skylarksail/manifest/ManifestSchema';
+import { invariant } from '@skylarksail/core/CoreErrors';
+import type { VirtualEngineSpec } from '@skylarksail/stand-ins/VirtualFleet';
+
+/** Kinds of faults that a schedule may hold. */
+export const HistoryFaultKind = {
+  EngineCrash: 'engine-crash',
+  EngineHang: 'engine-hang',
+  EngineSlow: 'engine-slow',
+  EngineLeaving: 'engine-leaving',
+  LinkCut: 'link-cut',
+  LinkSlow: 'link-slow',
+  FramesRepeated: 'frames-repeated',
+  FramesReordered: 'frames-reordered',
+  FramesLost: 'frames-lost',
+  FramesLate: 'frames-late',
+  FramesGarbage: 'frames-garbage',
+  WrongAcknowledgement: 'wrong-acknowledgement',
+  InstanceKill: 'instance-kill',
+  PlannedStop: 'planned-stop',
+  PlatformOutage: 'platform-outage',
+  LostAnswers: 'lost-answers',
+  LateWrites: 'late-writes',
+  DomainCut: 'domain-cut',
+  ServiceAnswersLost: 'service-answers-lost',
+  ServiceDown: 'service-down',
+  Poison: 'poison',
+  Resend: 'resend',
+  HangUp: 'hang-up',
+} as const;
+
+export type HistoryFaultName = (typeof HistoryFaultKind)[keyof typeof HistoryFaultKind];
+
+/** One fault. `target` picks an engine, an instance, a domain or a request among those there are. */
+export interface HistoryFault {
+  readonly kind: HistoryFaultName;
+  readonly at: Millis;
+  readonly duration: Millis;
+  readonly target: number;
+}
+
+/** Kinds of requests: to a model or a plain service, that may or may not be repeated. */
+export const HistoryWork = {
+  Model: 'model',
+  KeyedModel: 'keyed-model',
+  OnceModel: 'once-model',
+  Read: 'read',
+  KeyedWrite: 'keyed-write',
+  OnceWrite: 'once-write',
+} as const;
+
+export type HistoryWorkName = (typeof HistoryWork)[keyof typeof HistoryWork];
+
+/** A request as its caller first sends it. */
+export interface HistoryRequest {
+  readonly work: HistoryWorkName;
+  readonly at: Millis;
+  readonly tokens: number;
+  /** Place of its instance in `HISTORY_MEMBERS`. */
+  readonly instance: number;
+}
+
+/** Changes of the manifest, by the times at which they are submitted; near ones race. */
+export interface HistorySchedule {
+  readonly seed: number;
+  readonly requests: readonly HistoryRequest[];
+  readonly changes: readonly Millis[];
+  readonly faults: readonly HistoryFault[];
+}
+
+export const HISTORY_DOMAINS = ['d0', 'd1'] as const;
+export const HISTORY_MEMBERS: readonly SpreadMember[] = [
+  { id: 'd0-0', domain: 'd0' },
+  { id: 'd0-1', domain: 'd0' },
+  { id: 'd1-0', domain: 'd1' },
+];
+export const HISTORY_LAYERS = 8;
+export const HISTORY_VARIANT = { model: 'notes', version: 'v1', adapter: null };
+export const HISTORY_PROMPT_TOKENS = 24;
+export const HISTORY_SERVICE = 'accounts';
+export const HISTORY_SERVERS: readonly EngineId[] = ['accounts/d0', 'accounts/d1'];
+export const HISTORY_ACTIVATION_BYTES = 16384;
+/** Time that a caller gives for its answer, resends included. */
+export const HISTORY_DEADLINE: Millis = 8000;
+
+const STAGES = [
+  { first: 0, end: 4 },
+  { first: 4, end: HISTORY_LAYERS },
+];
+const COPIES = 2;
+
+/** The engines: two copies of each stage in each domain, one of them on slower accelerators. */
+export const HISTORY_ENGINES: readonly VirtualEngineSpec[] = HISTORY_DOMAINS.flatMap((domain) =>
+  STAGES.flatMap((layers, stage) =>
+    Array.from({ length: COPIES }, (_, copy) => ({
+      facts: createFacts(domain, `${domain}-s${stage}-${copy}`, copy),
+      holding: { model: 'notes', version: 'v1', adapters: [], layers, duty: 'mixed' as const },
+    })),
+  ),
+);
+
+function createFacts(domain: string, id: EngineId, copy: number): EngineFacts {
+  return {
+    id,
+    domain,
+    rack: `${domain}-r${copy}`,
+    address: { host: '127.0.0.1', port: 1 },
+    accelerator: copy === 0 ? 'fast' : 'slow',
+    decodeLayerTokensPerSecond: copy === 0 ? 900 : 600,
+    prefillLayerTokensPerSecond: copy === 0 ? 9000 : 6000,
+    weightBytes: 8e9,
+    kvLayerTokens: 8000,
+    maxBatch: 8,
+  };
+}
+
+/** The member at a place, which may be any number. */
+export function getHistoryMember(place: number): SpreadMember {
+  const member = HISTORY_MEMBERS[place % HISTORY_MEMBERS.length];
+  invariant(member, 'a history has members');
+  return member;
+}
+
+/** The engine at a place, which may be any number. */
+export function getHistoryEngine(place: number): EngineFacts {
+  const engine = HISTORY_ENGINES[place % HISTORY_ENGINES.length];
+  invariant(engine, 'a history has engines');
+  return engine.facts;
+}
+
+export function getInstanceDomain(instance: InstanceId): string {
+  return HISTORY_MEMBERS.find(({ id }) => id === instance)?.domain ?? '';
+}
+
+/** The manifest after so many changes. */
+export function createHistoryManifest(change: number): Manifest {
+  const checked = checkManifest({
+    schema: 1,
+    models: [
+      { id: 'notes', layers: HISTORY_LAYERS, versions: [{ id: 'v1', layerBytes: 1 }], serve: 'v1' },
+    ],
+    teams: [
+      {
+        id: 'schools',
+        keyHashes: [`sha256:${'0'.repeat(64)}`],
+        models: ['notes'],
+        queueLimit: 64 + change,
+      },
+    ],
+    domains: HISTORY_DOMAINS.map((id) => ({ id, serves: [{ model: 'notes' }] })),
+  });
+  invariant(checked.ok, 'the manifest of a history is valid');
+  return checked.value;
+}
--- /dev/null
+++ b/packages/proof/src/__tests__/unit/HistoryRuns.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { checkHistory } from '../../HistoryChecker.js';
+import { HistoryFaultKind } from '../../HistoryPlan.js';
+import { runHistory } from '../../HistoryRunner.js';
+import type { HistoryEvent, HistoryRuleName } from '../../HistoryTypes.js';
+import { HistoryRule } from '../../HistoryTypes.js';
+import { createScheduleArbitrary } from '../HistorySchedules.js';
+
+const RUNS = Number(process.env.HISTORY_RUNS ?? 1002);
+const SEED = Number(process.env.HISTORY_SEED ?? 6);
+/**
+ * What a resend is told that is refused before its claim is looked at is an open question of the design,
+ * told in docs/proof/histories.md; HISTORY_STRICT=1 holds the runs to this rule too.
+ */
+const OPEN_RULES: ReadonlySet<HistoryRuleName> = new Set(
+  process.env.HISTORY_STRICT === '1' ? [] : [HistoryRule.TrueRunOfKey],
+);
+const CASES = [
+  { name: 'one fault', count: 1 },
+  { name: 'two faults', count: 2 },
+  { name: 'three faults', count: 3 },
+] as const;
+
+describe('histories of concurrent runs', function describeHistories() {
+  this.timeout(60_000 + RUNS * 1000);
+
+  CASES.forEach(({ name, count }, i) => {
+    const runs = Math.ceil(RUNS / CASES.length);
+
+    it(`holds every rule in ${runs} seeded runs with ${name}`, async () => {
+      // Symptom: a caller is left without its one whole answer or told an untruth, or a change reverts.
+      // Sequence: any mix of the schedule's faults. Cause: whatever it is, fast-check prints the seed,
+      // the path and the shrunk schedule; HISTORY_SEED and HISTORY_PATH repeat it.
+      const seen = new Map<string, number>();
+      const path = process.env.HISTORY_PATH;
+      await fc.assert(
+        fc.asyncProperty(createScheduleArbitrary(count), async (schedule) => {
+          const events = await runHistory(schedule);
+          countKinds(seen, events);
+          schedule.faults.forEach(({ kind }) => seen.set(kind, (seen.get(kind) ?? 0) + 1));
+          const broken = checkHistory(events)
+            .filter(({ rule }) => !OPEN_RULES.has(rule))
+            .map(({ rule, detail }) => `${rule}: ${detail}`);
+          expect(broken.join('\n')).to.equal('');
+        }),
+        { seed: SEED + i, numRuns: runs, ...(path === undefined ? {} : { path }) },
+      );
+      // Runs that reach nothing would show nothing.
+      if (runs > 300) {
+        expect(seen.get('answered')).to.be.above(5 * runs);
+        expect(seen.get('failed')).to.be.above(runs / 10);
+        expect(seen.get('in-force')).to.be.above(3 * runs);
+        Object.values(HistoryFaultKind).forEach((kind) => {
+          expect(seen.get(kind), kind).to.be.above(count);
+        });
+      }
+    });
+  });
+});
+
+function countKinds(seen: Map<string, number>, events: readonly HistoryEvent[]): void {
+  events.forEach(({ kind }) => seen.set(kind, (seen.get(kind) ?? 0) + 1));
+}
