Give a demo caller's listener the token as well as the count

A check of a whole history over loopback must see each token as its caller got it, to find one that was repeated, lost or another caller's. The listener of a streamed completion heard only how many there had been; it now hears the token too. Existing listeners take one argument and are not touched.

--- a/packages/bench/src/DemoCallers.ts
+++ b/packages/bench/src/DemoCallers.ts
@@ -20,8 +20,8 @@
   readonly key: string;
   readonly content: string;
   readonly maxTokens: number;
-  /** Called after each token with the number so far. */
-  readonly onToken?: (count: number) => void;
+  /** Called after each token with the number so far, and with the token. */
+  readonly onToken?: (count: number, token: string) => void;
 }
 
 interface ProblemShape {
@@ -76,7 +76,7 @@
       tokens += 1;
       longestPauseMs = Math.max(longestPauseMs, performance.now() - lastAt);
       lastAt = performance.now();
-      call.onToken?.(tokens);
+      call.onToken?.(tokens, content);
     }
   }
 
