Claim a key before admission is asked

Cause: a keyed request was weighed by admission before its claim was looked at. A caller that lost its answer and asked again with less time left than a run takes was told 'overloaded, not run', though the key had run and its answer was held.

Change: both runners claim first and ask admission once the claim is granted; a refusal then gives the claim back. The price is a claim, batched with others, for each keyed request that is refused for want of room.

Shown by RequestRouter 'gives a resend the answer that is held though no time is left to run it', which fails without the change.

Conclusion: a held answer is given whatever the load; 'not run' for want of room is proven for the key and not only for the resend.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -352,8 +352,20 @@
     admission.enqueue(createAdmissionAsk(spec, meters), { onAdmitted, onRefused }, timers.now());
   }
 
+  /**
+   * A key is claimed first: an answer that is held needs no engine, and a refusal ahead of the claim
+   * would tell the caller "not run" of a key that had run.
+   */
+  function askAdmission(): void {
+    const retryAfter = admission.check(createAdmissionAsk(spec, meters), timers.now());
+    if (retryAfter === null) {
+      enqueue();
+    } else {
+      refuse(ProblemKind.Overloaded, retryAfter);
+    }
+  }
+
   function begin(): void {
-    const retryAfter = admission.check(createAdmissionAsk(spec, meters), submittedAt);
     if (spec.deadline <= submittedAt) {
       refuse(ProblemKind.Deadline, null);
     } else if (shared.isDraining()) {
@@ -361,14 +373,12 @@
     } else if (judgeRun(shared, fingerprint) === PoisonVerdict.Condemned) {
       countMetric(shared, 'poisonRefused');
       refuse(ProblemKind.Poison, null);
-    } else if (retryAfter !== null) {
-      refuse(ProblemKind.Overloaded, retryAfter);
     } else if (spec.idempotent || spec.idempotencyKey === null) {
-      enqueue();
+      askAdmission();
     } else {
       const work = { ...spec, key: spec.idempotencyKey, fingerprint };
       claim = claimKey(shared, work, {
-        onGranted: enqueue,
+        onGranted: askAdmission,
         onHeld: (answer) => send({ kind: 'answer-held', answer }),
         onRefused: (problem) => send({ kind: 'refused', problem }),
       });
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -223,16 +223,23 @@
     );
   }
 
+  /** A key is claimed first, as with model requests: an answer that is held needs no server. */
+  function askAdmission(): void {
+    const retryAfter = admission.check(getAsk(), timers.now());
+    if (retryAfter === null) {
+      enqueue();
+    } else {
+      fail(ProblemKind.Overloaded, retryAfter);
+    }
+  }
+
   function begin(): void {
-    const retryAfter = admission.check(getAsk(), submittedAt);
     if (spec.deadline <= submittedAt) {
       fail(ProblemKind.Deadline, null);
     } else if (shared.isDraining()) {
       fail(ProblemKind.Draining, 0);
-    } else if (retryAfter !== null) {
-      fail(ProblemKind.Overloaded, retryAfter);
     } else if (spec.idempotent || spec.idempotencyKey === null) {
-      enqueue();
+      askAdmission();
     } else {
       const content = Buffer.from(spec.body).toString('base64');
       const fingerprint = hash64Hex(`${spec.service} ${spec.method} ${spec.path} ${content}`);
@@ -240,7 +247,7 @@
         shared,
         { ...spec, key: spec.idempotencyKey, fingerprint },
         {
-          onGranted: enqueue,
+          onGranted: askAdmission,
           onHeld: (answer) => finish(decodeServiceAnswer(answer)),
           onRefused: failWith,
         },
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -85,6 +85,29 @@
     }
   });
 
+  it('gives a resend the answer that is held though no time is left to run it', async () => {
+    // Symptom: "overloaded, not run" to the resend of a bulletin that was sent out.
+    // Sequence: the bulletin is answered; its caller loses the answer and asks again just before its
+    // deadline. Cause: admission weighed the time that a run would need before the claim was looked at.
+    const world = createFakeWorld();
+    world.submit('r0');
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 4);
+    world.last().listener.onEnd('stop', 4);
+    const late = { ...KEYED, deadline: world.timers.now() + 1 };
+    const resent = world.submit('r1', late);
+    const answer = '{"reason":"stop","text":"w0w1"}';
+    await answerClaim(world, { kind: 'ended', record: { run: RunState.Ran, answer } });
+    expect([resent.tokens, resent.ends]).to.deep.equal([['w0w1'], ['stop']]);
+    const first = world.submit('r2', late);
+    await answerClaim(world, { kind: 'granted', token: 'c' });
+    expect(first.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['overloaded', RunState.NotRun],
+    ]);
+    expect(world.claimLog).to.deep.equal(['release c']);
+    expect(world.calls).to.have.length(1);
+  });
+
   it('gives back a claim that is granted after its request was given up', async () => {
     // Symptom: a resend is told "unknown" of work that never ran, for as long as claims are kept.
     // Sequence: the caller hangs up while the platform is slow; then the claim is granted.
