--- a/packages/claims/src/ClaimOwner.ts
+++ b/packages/claims/src/ClaimOwner.ts
@@ -128,14 +128,25 @@
           );
         break;
       case 'remove-segment':
-        // A segment is written once, so its revision is 1. If this fails the value only takes room.
-        void housekeeping.remove(key(effect.name), 1, callOptions);
+        void removeSegment(key(effect.name));
         break;
       default:
         answer(target, effect.askId, effect.reply);
     }
   }
 
+  /**
+   * Removes a segment that no head names any more; if this fails the value only takes room. Services
+   * differ in how they count revisions, so it is read first: with a guessed one each removal met a
+   * conflict at a service that counts over all its keys, and segments stayed for ever.
+   */
+  async function removeSegment(segmentKey: string): Promise<void> {
+    const found = await housekeeping.get(segmentKey, callOptions);
+    if (found.kind === 'done' && found.value.revision > 0) {
+      await housekeeping.remove(segmentKey, found.value.revision, callOptions);
+    }
+  }
+
   /** Removes left-over segments once after the slot was taken; what fails is left to the next owner. */
   async function collect(target: RunningSlot): Promise<void> {
     const { slot } = target.state;
@@ -147,7 +158,7 @@
     }
     const names = listed.value.map((key) => key.slice(prefix.length));
     for (const name of findOrphans(names, head)) {
-      await housekeeping.remove(getSlotKey(slots, slot, name), 1, callOptions);
+      await removeSegment(getSlotKey(slots, slot, name));
     }
   }
 
--- a/packages/proof/src/HistoryInstance.ts
+++ b/packages/proof/src/HistoryInstance.ts
@@ -65,6 +65,7 @@
     timers,
     random,
     decisions: { record: () => undefined, read: () => [] },
+    listDraining: () => [],
   });
 
   const openEngineCall: OpenEngineCall = (call, listener) => {
