Bind a key to all that its caller chose, and drop settings without effect

Cause: reading the docs against the code showed that a keyed completion sent again with another adapter or max_tokens got the first answer, and that two settings did nothing. Change: the claim's fingerprint takes in adapter and max_tokens; limits.maxRunning and region are gone from the settings (unknown keys are refused); a test for the removal of segments whose first revision is not 1, and one for the adapter.

--- a/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
@@ -258,6 +258,19 @@
     }
   });
 
+  it('removes a segment whatever revision the service has given it', async () => {
+    // Symptom: sealed segments stay for ever. Sequence: a service counts revisions over all its keys, so
+    // that a segment's first revision is not 1. Cause: a removal with a guessed revision is a conflict.
+    const { timers, platform, owner, other, claim } = createStand({ sealAt: 3 });
+    getToken(await waitFor(timers, claim(owner, 'k')));
+    platform.store.swap('claims/1/0/1-998', 0, '[]');
+    platform.store.swap('claims/1/0/1-998', 1, '[]');
+    owner.kill();
+    getToken(await waitFor(timers, claim(other, 'after')));
+    await timers.advanceToAsync(timers.now() + 40_000);
+    expect(platform.store.list('claims/1/0/')).to.not.include('claims/1/0/1-998');
+  });
+
   it('refuses as not run, and lives on, while a slot holds a value that nobody can read', async () => {
     // Symptom: one instance after the other ends. Sequence: a slot's head is overwritten by hand, each
     // next owner reads it and throws. Cause: an error of decoding that left its promise.
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -24,7 +24,6 @@
     instance: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/),
     domain: z.string().min(1),
     rack: z.string().min(1).default('rack-0'),
-    region: z.string().min(1).default('local'),
     callers: addressSchema,
     admin: addressSchema,
     peers: addressSchema,
@@ -44,7 +43,6 @@
           .default(1024 * 1024),
         /** Slow senders are cut off after this. */
         receiveTimeoutMs: z.int().min(100).default(10000),
-        maxRunning: z.int().positive().default(2000),
       })
       .prefault({}),
     /** What the weight store gives to all domains together; the same on every instance. */
--- a/packages/daemon/src/__tests__/unit/DaemonCallers.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonCallers.test.ts
@@ -89,6 +89,22 @@
     expect(receipts).to.have.length(2);
   });
 
+  // Symptom: a caller that asks for a letter with an adapter gets the one made without it.
+  // Sequence: the same idempotency key is sent again with another adapter.
+  // Cause: a fingerprint of the prompt alone.
+  it('takes another adapter under the same key for another request', async () => {
+    const post = (model: string): Promise<Response> =>
+      postJson(
+        `${callers}/v1/chat/completions`,
+        { model, messages: MESSAGES },
+        { authorization: `Bearer ${TEAM_KEY}`, 'idempotency-key': 'letter-9' },
+      );
+    expect((await post('letters')).status).to.equal(200);
+    expect((await post('letters')).status).to.equal(200);
+    const other = await post('letters:monthly');
+    expect(await describe(other)).to.include({ type: 'urn:skylarksail:problem:key-mismatch' });
+  });
+
   async function describe(res: Response): Promise<Record<string, unknown>> {
     const { request_id: id, ...rest } = (await res.json()) as Record<string, unknown>;
     expect(id).to.be.a('string');
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -376,7 +376,13 @@
     } else if (spec.idempotent || spec.idempotencyKey === null) {
       askAdmission();
     } else {
-      const work = { ...spec, key: spec.idempotencyKey, fingerprint };
+      // A resend may meet a newer version of the model; all that its caller chose must be the same.
+      const asked = JSON.stringify([spec.prompt, spec.variant.adapter, spec.maxTokens]);
+      const work = {
+        ...spec,
+        key: spec.idempotencyKey,
+        fingerprint: computeFingerprint(spec.team, spec.model, asked),
+      };
       claim = claimKey(shared, work, {
         onGranted: askAdmission,
         onHeld: (answer) => send({ kind: 'answer-held', answer }),
