Aim at 62 ms between tokens, and tell unkeyed work in an outage apart

The recovery bench gave only keyed requests for platform-outage.

Change: chains are filled up to 62 ms in place of 63. The outage also reports first tokens of requests without a key.

--- a/packages/bench/src/RecoveryBench.ts
+++ b/packages/bench/src/RecoveryBench.ts
@@ -45,6 +45,10 @@
   readonly lost: number;
   readonly doubled: number;
   readonly cut_off: number;
+  /** Where the platform is out: from submission to first token of requests without a key, before and while. */
+  readonly unkeyed_before_p99_ms?: number;
+  readonly unkeyed_p50_ms?: number;
+  readonly unkeyed_p99_ms?: number;
   readonly engines_lost?: number;
   readonly bystanders_refused?: number;
 }
@@ -55,6 +59,9 @@
   readonly detections: readonly Millis[];
   readonly replacements: readonly Millis[];
   readonly firstTokens: readonly Millis[];
+  /** From submission to first token of requests without a key, sent before the fault and while it lasted. */
+  readonly unkeyedBefore: readonly Millis[];
+  readonly unkeyed: readonly Millis[];
   readonly dip: number;
   readonly tallies: RecoveryTallies;
 }
@@ -119,6 +126,11 @@
     lost: result.tallies.lost,
     doubled: result.tallies.doubled,
     cut_off: result.tallies.cutOff,
+    ...(name === 'platform-outage' && {
+      unkeyed_before_p99_ms: getPercentile(result.unkeyedBefore, 99),
+      unkeyed_p50_ms: getPercentile(result.unkeyed, 50),
+      unkeyed_p99_ms: getPercentile(result.unkeyed, 99),
+    }),
   };
 }
 
@@ -168,6 +180,8 @@
     detections: rounds.flatMap((result) => result.detections),
     replacements: rounds.flatMap((result) => result.replacements),
     firstTokens: rounds.flatMap((result) => result.firstTokens),
+    unkeyedBefore: rounds.flatMap((result) => result.unkeyedBefore),
+    unkeyed: rounds.flatMap((result) => result.unkeyed),
     dip: Math.max(...rounds.map((result) => result.dip)),
     tallies: {
       lost: sum(({ lost }) => lost),
@@ -224,11 +238,20 @@
       .filter((time) => time !== null),
     replacements,
     firstTokens,
+    unkeyedBefore: listFirstTokens(world.traces, FAULT_AT - MEND_AFTER, FAULT_AT),
+    unkeyed: listFirstTokens(world.traces, FAULT_AT, FAULT_AT + MEND_AFTER),
     dip: measureDip(world.traces),
     tallies: world.tallies,
   };
 }
 
+/** Times to the first token of requests without a key; one that has none by the end counts as waiting so long. */
+function listFirstTokens(traces: readonly RequestTrace[], from: Millis, to: Millis): Millis[] {
+  return traces
+    .filter((trace) => !trace.isKeyed && trace.submittedAt >= from && trace.submittedAt < to)
+    .map((trace) => (trace.tokenTimes[0] ?? FAULT_AT + END_AFTER) - trace.submittedAt);
+}
+
 function clearDetection(trace: RequestTrace): void {
   Object.assign(trace, { detectedAt: null });
 }
--- a/packages/routing/src/RoutingTuning.ts
+++ b/packages/routing/src/RoutingTuning.ts
@@ -18,7 +18,7 @@
 
 export const DEFAULT_TUNING: RoutingTuning = {
   domain: null,
-  tokenGapMs: 63,
+  tokenGapMs: 62,
   promptTokensPerToken: 1,
   instanceCount: 1,
   foreignInstanceCount: 4,
