--- a/packages/daemon/src/__tests__/unit/DaemonEventStream.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonEventStream.test.ts
@@ -76,7 +76,7 @@
   it('renders no more for a caller that does not read, and all of it once it does', async () => {
     // Symptom: the memory of an instance grows with the answers of callers that read slowly.
     // Sequence: a caller stops reading while its engine goes on; the response takes no more.
-    // Cause: rendered events, twenty times the size of their tokens, pile up in the response.
+    // Cause: rendered events, many times the size of their tokens, pile up in the response.
     const { res, stream, writeLarge, countRendered } = setUp(1);
     for (let i = 0; i < EVENTS; i++) {
       writeLarge();
