--- a/packages/bench/src/OverheadBench.ts
+++ b/packages/bench/src/OverheadBench.ts
@@ -13,11 +13,11 @@
   createDirectAsk,
   getMillis,
   getPid,
-  readCpuSeconds,
   readStream,
   round,
   wait,
 } from './OverheadStreams.js';
+import { readCpuSeconds } from './BenchProcess.js';
 import type { Stack } from './StackLauncher.js';
 import { launchStack } from './StackLauncher.js';
 import { DEFAULT_STACK_SIZE } from './StackPlan.js';
--- a/packages/bench/src/OverheadCases.ts
+++ b/packages/bench/src/OverheadCases.ts
@@ -5,16 +5,8 @@
 import { build } from 'hdr-histogram-js';
 import { Agent } from 'undici';
 import type { StreamTimes } from './OverheadStreams.js';
-import {
-  createDaemonAsk,
-  getMillis,
-  getPid,
-  readCpuSeconds,
-  readResidentBytes,
-  readStream,
-  round,
-  wait,
-} from './OverheadStreams.js';
+import { createDaemonAsk, getMillis, getPid, readStream, round, wait } from './OverheadStreams.js';
+import { readCpuSeconds, readResidentBytes } from './BenchProcess.js';
 import type { Stack } from './StackLauncher.js';
 
 /** So many streams at the pace of the engines. `short` counts streams that broke off. */
--- a/packages/bench/src/OverheadStreams.ts
+++ b/packages/bench/src/OverheadStreams.ts
@@ -1,14 +1,10 @@
 /** What the overhead bench asks, reads and measures: streams, their times, and a process's use. */
-import { readFileSync } from 'node:fs';
 import type { Histogram } from 'hdr-histogram-js';
 import type { Agent } from 'undici';
 import type { Stack } from './StackLauncher.js';
 import { STACK_TEAMS } from './StackPlan.js';
 
-const TICKS_PER_SECOND = 100;
 const HISTOGRAM_UNITS_PER_MS = 100;
-const CPU_USER_FIELD = 11;
-const STAT_FIELDS_BEFORE_COMM_END = 2;
 const DEADLINE_MS = 600_000;
 const SHORT_ANSWER_KEY = STACK_TEAMS[0].key;
 
@@ -124,21 +120,6 @@
   return stack.daemons[0]?.process.child.pid ?? 0;
 }
 
-/** Processor time of a process, from what the system counts. */
-export function readCpuSeconds(pid: number): number {
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + STAT_FIELDS_BEFORE_COMM_END).split(' ');
-  const user = Number(fields[CPU_USER_FIELD]);
-  const system = Number(fields[CPU_USER_FIELD + 1]);
-  return (user + system) / TICKS_PER_SECOND;
-}
-
-export function readResidentBytes(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const found = /VmRSS:\s+(\d+) kB/.exec(status);
-  return Number(found?.[1] ?? 0) * 1024;
-}
-
 export function getMillis(histogram: Histogram, percentile: number): number {
   return round(histogram.getValueAtPercentile(percentile) / HISTOGRAM_UNITS_PER_MS);
 }
