--- a/packages/claims/src/ClaimPort.ts
+++ b/packages/claims/src/ClaimPort.ts
@@ -1,7 +1,4 @@
-/**
- * The port through which requests claim the right to run, once, what must not run twice. Its shapes
- * are those that the requests package names in its own ports.
- */
+/** The port through which requests claim the right to run, once, what must not run twice. */
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
 import type { Millis, RequestId, TeamId } from '@skylarksail/core/CoreTypes';
 
