Decide in one place whether a service call may be repeated, and share a bench's links

Cause: isIdempotentCall stood in the manifest, by the first matching route, and in requests, by the closest one; the daemon used the former. With /x* idempotent listed before /x/receipts not idempotent, a receipt could have been repeated after a lost answer. The benches' look-up of links stood twice to the letter. Change: the daemon uses the one that takes the closest route, which has its test; the other is gone. BenchLinks holds the look-up.

--- /dev/null
+++ b/packages/bench/src/BenchLinks.ts
@@ -0,0 +1,27 @@
+/** Costs of a bench's links, worked out once for each pair of racks. */
+import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
+import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
+import type { BenchShape } from './ThroughputShapes.js';
+
+/** Gives the cost of the link between two engines of a shape. */
+export function createLinkLookup(
+  shape: BenchShape,
+): (from: EngineFacts, to: EngineFacts) => LinkCost {
+  const known = new Map<string, LinkCost>();
+  const regions = new Map<string, string>();
+  return (from, to) => {
+    const name = `${from.rack}>${to.rack}`;
+    const cached = known.get(name);
+    if (cached) {
+      return cached;
+    }
+    const cost = getLinkCost(
+      shape.links,
+      getEnginePlace(from, regions),
+      getEnginePlace(to, regions),
+    );
+    known.set(name, cost);
+    return cost;
+  };
+}
--- a/packages/bench/src/RecoveryWorld.ts
+++ b/packages/bench/src/RecoveryWorld.ts
@@ -1,6 +1,5 @@
 /** A fleet under steady load for the recovery bench, with callers that check every token they get. */
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
-import type { EngineFacts } from '@skylarksail/core/CoreEngine';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
@@ -8,11 +7,10 @@
 import type { ClaimOutcome, ClaimPort, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { RequestSpec } from '@skylarksail/requests/RequestTypes';
 import type { DecisionRecord, RouterMetric } from '@skylarksail/requests/RouterTypes';
-import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
-import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
 import { createRoutingState, setEngines, setRoutingFacts } from '@skylarksail/routing/RoutingState';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
+import { createLinkLookup } from './BenchLinks.js';
 import type { InstanceOptions } from './RecoveryInstance.js';
 import type { RecoveryInstance, RecoveryWorld, RequestTrace } from './RecoveryTypes.js';
 import type { BenchShape, BenchWork } from './ThroughputShapes.js';
@@ -349,22 +347,3 @@
     shape.engines.map(({ facts }) => facts),
   );
 }
-
-function createLinkLookup(shape: BenchShape): (from: EngineFacts, to: EngineFacts) => LinkCost {
-  const known = new Map<string, LinkCost>();
-  const regions = new Map<string, string>();
-  return (from, to) => {
-    const name = `${from.rack}>${to.rack}`;
-    const cached = known.get(name);
-    if (cached) {
-      return cached;
-    }
-    const cost = getLinkCost(
-      shape.links,
-      getEnginePlace(from, regions),
-      getEnginePlace(to, regions),
-    );
-    known.set(name, cost);
-    return cost;
-  };
-}
--- a/packages/bench/src/ThroughputBench.ts
+++ b/packages/bench/src/ThroughputBench.ts
@@ -10,12 +10,12 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
 import type { LinkCost } from '@skylarksail/routing/RoutingLinks';
-import { getEnginePlace, getLinkCost } from '@skylarksail/routing/RoutingLinks';
 import type { RoutingState } from '@skylarksail/routing/RoutingState';
 import { createRoutingState, setEngines, setRoutingFacts } from '@skylarksail/routing/RoutingState';
 import type { RoutingTuning } from '@skylarksail/routing/RoutingTuning';
 import type { VirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
 import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
+import { createLinkLookup } from './BenchLinks.js';
 import { computeBound } from './ThroughputBound.js';
 import { createBenchEntry } from './ThroughputEntry.js';
 import { FULL_TOKEN_GAP_MS, readBenchPrompt, sendRequests } from './ThroughputLoad.js';
@@ -228,25 +228,6 @@
   );
 }
 
-function createLinkLookup(shape: BenchShape): (from: EngineFacts, to: EngineFacts) => LinkCost {
-  const known = new Map<string, LinkCost>();
-  const regions = new Map<string, string>();
-  return (from, to) => {
-    const name = `${from.rack}>${to.rack}`;
-    const cached = known.get(name);
-    if (cached) {
-      return cached;
-    }
-    const cost = getLinkCost(
-      shape.links,
-      getEnginePlace(from, regions),
-      getEnginePlace(to, regions),
-    );
-    known.set(name, cost);
-    return cost;
-  };
-}
-
 /** The worst of the cases in each field; the ratio is over all tokens. */
 function createTotal(lines: readonly ThroughputLine[]): ThroughputLine {
   const sum = (read: (line: ThroughputLine) => number) =>
--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -4,8 +4,8 @@
 import { hash64Hex } from '@skylarksail/core/CoreHash';
 import type { ManifestModel, ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
-import { isIdempotentCall } from '@skylarksail/manifest/ManifestView';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import { isIdempotentCall } from '@skylarksail/requests/ServiceTypes';
 import type { CallerGateway } from './DaemonGateway.js';
 import type { DaemonManifest } from './DaemonManifest.js';
 import { ProblemKind, createNotRunError } from './DaemonProblems.js';
@@ -115,7 +115,7 @@
           priority: wishes.priority,
           deadline: timers.now() + Math.min(wishes.timeLeft, service.timeoutMs),
           idempotencyKey: wishes.idempotencyKey,
-          idempotent: isIdempotentCall(service, method, path.split('?')[0] ?? path),
+          idempotent: isIdempotentCall(method, path, service.routes),
         },
         sink,
       );
--- a/packages/manifest/src/ManifestView.ts
+++ b/packages/manifest/src/ManifestView.ts
@@ -22,8 +22,6 @@
 /** Parsed leaves that are kept; the teams that call often are few. */
 const MAX_PARSED_LEAVES = 128;
 const ANY = '*';
-/** Methods that HTTP itself calls idempotent. */
-const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'PUT', 'DELETE']);
 
 /** A whole manifest with its chunks. */
 export interface HeldManifest {
@@ -153,16 +151,3 @@
   }
   return undefined;
 }
-
-/** Whether a call to a plain service may be repeated: its first matching route says, else its method. */
-export function isIdempotentCall(service: ManifestService, method: string, path: string): boolean {
-  const name = method.toUpperCase();
-  const route = service.routes.find(
-    (candidate) => candidate.method === name && isPathMatch(candidate.path, path),
-  );
-  return route ? route.idempotent : IDEMPOTENT_METHODS.has(name);
-}
-
-function isPathMatch(pattern: string, path: string): boolean {
-  return pattern.endsWith(ANY) ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
-}
