--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,7 +54,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/bench/src/ClaimsBench.ts
+++ b/packages/bench/src/ClaimsBench.ts
@@ -7,7 +7,7 @@
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import { createFakeClaimFleet, type FakeClaimInstance } from '@skylarksail/claims/FakeClaimFleet';
 import { DEFAULT_SLOT_SETTINGS, type ClaimSlotSettings } from '@skylarksail/claims/ClaimSlotTypes';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
 import * as hdr from 'hdr-histogram-js';
 
 /** Slots of the whole fleet, as the daemon sets them. */
@@ -64,7 +64,7 @@
 ): Promise<ClaimsBenchLine> {
   const random = createRandom(seed);
   const timers = createVirtualTimers(MILLIS_PER_SECOND);
-  const platform = createFakePlatform({ timers, random: createRandom(seed + 1) });
+  const platform = createFakeStore({ timers, random: createRandom(seed + 1) });
   const fleet = createFakeClaimFleet({
     timers,
     random: createRandom(seed + 2),
--- a/packages/bench/src/ConfigFleet.ts
+++ b/packages/bench/src/ConfigFleet.ts
@@ -18,11 +18,11 @@
 import { parseRoot, ROOT_KEY } from '@skylarksail/manifest/ManifestRoot';
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
 import { submitManifest } from '@skylarksail/manifest/ManifestStore';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
-import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
-import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { FakeStore } from '@skylarksail/store/FakeStore';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
+import { StoreUse } from '@skylarksail/store/StoreBudget';
+import { createStoreClient } from '@skylarksail/store/StoreClient';
+import type { StorePort } from '@skylarksail/store/StorePort';
 
 /** One fleet of the bench. */
 export interface ConfigShape {
@@ -76,7 +76,7 @@
   readonly shape: ConfigShape;
   readonly timers: VirtualTimers;
   readonly random: Random;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly fleet: FakeFleet;
   readonly members: readonly InstanceId[];
   readonly record: FleetRecord;
@@ -102,7 +102,7 @@
 export function createRun(shape: ConfigShape, seed: number): Run {
   const timers = createVirtualTimers();
   const random = createRandom(seed);
-  const platform = createFakePlatform({ timers, random });
+  const platform = createFakeStore({ timers, random });
   const packr = new Packr();
   let bytes = 0;
   const record = createRecord();
@@ -136,8 +136,8 @@
   };
 }
 
-function wrapPort(port: PlatformPort, timers: VirtualTimers, random: Random): PlatformPort {
-  const client = createPlatformClient({
+function wrapPort(port: StorePort, timers: VirtualTimers, random: Random): StorePort {
+  const client = createStoreClient({
     port,
     timers,
     random,
@@ -145,7 +145,7 @@
     rates: MANIFEST_BUDGET_RATES,
     circuit: MANIFEST_CIRCUIT_SETTINGS,
   });
-  return client.forUse(PlatformUse.Manifest);
+  return client.forUse(StoreUse.Manifest);
 }
 
 /** Records that an instance has put a revision into force. */
--- a/packages/bench/src/PlatformBench.ts
+++ b/packages/bench/src/PlatformBench.ts
@@ -5,8 +5,8 @@
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
+import { createStoreClient } from '@skylarksail/store/StoreClient';
 
 /** One line of the bench. Rates are of the whole fleet. */
 export interface PlatformBenchLine {
@@ -39,9 +39,9 @@
 async function runSize(instances: number, seed: number): Promise<PlatformBenchLine> {
   const random = createRandom(seed);
   const timers = createVirtualTimers();
-  const platform = createFakePlatform({ timers, random: createRandom(seed + 1) });
+  const platform = createFakeStore({ timers, random: createRandom(seed + 1) });
   for (let i = 0; i < instances; i++) {
-    const client = createPlatformClient({
+    const client = createStoreClient({
       port: platform.connect(`i${i}`),
       timers,
       random: createRandom(seed + 2 + i),
--- a/packages/claims/src/ClaimOwner.ts
+++ b/packages/claims/src/ClaimOwner.ts
@@ -5,7 +5,7 @@
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Unregister } from '@skylarksail/core/CoreTypes';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { StorePort } from '@skylarksail/store/StorePort';
 import { findOrphans } from './ClaimCollector.js';
 import { encodeClaims, encodeHead } from './ClaimHead.js';
 import { createClaimSlot, stepSlot } from './ClaimSlot.js';
@@ -24,9 +24,9 @@
 export interface ClaimOwnerOptions {
   /** Name of this process, unique to one start of it. */
   readonly processName: string;
-  readonly platform: PlatformPort;
+  readonly platform: StorePort;
   /** The port for removing segments that nothing names any more. */
-  readonly housekeeping: PlatformPort;
+  readonly housekeeping: StorePort;
   readonly timers: TimerService;
   /** Milliseconds since 1970; only retention looks at it. */
   readonly wallClock: () => number;
--- a/packages/claims/src/ClaimSlot.ts
+++ b/packages/claims/src/ClaimSlot.ts
@@ -5,7 +5,7 @@
  * from the same revision that did win. No clock is trusted: a paused owner loses its next swap.
  */
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
-import type { PlatformEntry, PlatformOutcome } from '@skylarksail/platform/PlatformPort';
+import type { StoreEntry, StoreOutcome } from '@skylarksail/store/StorePort';
 import { decodeClaims, decodeHead, tryDecode, type SlotHead } from './ClaimHead.js';
 import { adoptHead, indexClaims } from './ClaimSlotBatch.js';
 import { advance } from './ClaimSlotCalls.js';
@@ -116,7 +116,7 @@
 
 function handleHeadRead(
   state: ClaimSlotState,
-  outcome: PlatformOutcome<PlatformEntry>,
+  outcome: StoreOutcome<StoreEntry>,
   clock: SlotClock,
 ): SlotStep {
   if (outcome.kind !== 'done') {
@@ -146,7 +146,7 @@
 
 function handleSwapped(
   state: ClaimSlotState,
-  outcome: PlatformOutcome<number>,
+  outcome: StoreOutcome<number>,
   clock: SlotClock,
 ): SlotStep {
   const { swapping } = state;
@@ -196,7 +196,7 @@
 function handleSegmentRead(
   state: ClaimSlotState,
   name: string,
-  outcome: PlatformOutcome<PlatformEntry>,
+  outcome: StoreOutcome<StoreEntry>,
   clock: SlotClock,
 ): ClaimSlotState {
   const readingSegments = new Set([...state.readingSegments].filter((other) => other !== name));
@@ -213,7 +213,7 @@
 
 function handleSegmentWritten(
   state: ClaimSlotState,
-  { name, outcome }: { readonly name: string; readonly outcome: PlatformOutcome<number> },
+  { name, outcome }: { readonly name: string; readonly outcome: StoreOutcome<number> },
   clock: SlotClock,
 ): ClaimSlotState {
   const { work } = state;
@@ -230,7 +230,7 @@
 
 function pause(
   state: ClaimSlotState,
-  outcome: PlatformOutcome<unknown>,
+  outcome: StoreOutcome<unknown>,
   { now }: SlotClock,
 ): ClaimSlotState {
   const asked =
--- a/packages/claims/src/ClaimSlotTypes.ts
+++ b/packages/claims/src/ClaimSlotTypes.ts
@@ -1,7 +1,7 @@
 /** State, events and effects of a slot's state machine. */
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { PlatformEntry, PlatformOutcome } from '@skylarksail/platform/PlatformPort';
+import type { StoreEntry, StoreOutcome } from '@skylarksail/store/StorePort';
 import type { SlotClaim, SlotHead } from './ClaimHead.js';
 
 export interface ClaimSlotSettings {
@@ -127,17 +127,17 @@
   /** The asker will never dispatch it, or it is proven that nothing ran. */
   | { readonly kind: 'release'; readonly askId: string; readonly keyHash: string }
   | { readonly kind: 'settle'; readonly askId: string; readonly outcome: RunStateName }
-  | { readonly kind: 'head-read'; readonly outcome: PlatformOutcome<PlatformEntry> }
-  | { readonly kind: 'head-swapped'; readonly outcome: PlatformOutcome<number> }
+  | { readonly kind: 'head-read'; readonly outcome: StoreOutcome<StoreEntry> }
+  | { readonly kind: 'head-swapped'; readonly outcome: StoreOutcome<number> }
   | {
       readonly kind: 'segment-read';
       readonly name: string;
-      readonly outcome: PlatformOutcome<PlatformEntry>;
+      readonly outcome: StoreOutcome<StoreEntry>;
     }
   | {
       readonly kind: 'segment-written';
       readonly name: string;
-      readonly outcome: PlatformOutcome<number>;
+      readonly outcome: StoreOutcome<number>;
     }
   | { readonly kind: 'tick' };
 
--- a/packages/claims/src/FakeClaimFleet.ts
+++ b/packages/claims/src/FakeClaimFleet.ts
@@ -5,9 +5,9 @@
 import { createRandom, type Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { FakeStore } from '@skylarksail/store/FakeStore';
+import { createStoreClient } from '@skylarksail/store/StoreClient';
+import type { StorePort } from '@skylarksail/store/StorePort';
 import { ClaimError } from './ClaimErrors.js';
 import { createProcessName, type ClaimPeerMessage, type ClaimPeerReply } from './ClaimMessages.js';
 import { createClaimOwner, type ClaimOwner } from './ClaimOwner.js';
@@ -17,7 +17,7 @@
 export interface FakeClaimFleetOptions {
   readonly timers: TimerService;
   readonly random: Random;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly slots: number;
   readonly settings: ClaimSlotSettings;
   /** Time of a message between instances, one way. */
@@ -100,7 +100,7 @@
     const gate = createGate();
     const ownTimers = gateTimers(timers, gate);
     let getSlotShare = (): number => 0;
-    const client = createPlatformClient({
+    const client = createStoreClient({
       port: gatePlatform(platform.connect(name), gate),
       timers: ownTimers,
       random: createRandom(random.nextInt(2 ** 30)),
@@ -206,7 +206,7 @@
   };
 }
 
-function gatePlatform(port: PlatformPort, gate: Gate): PlatformPort {
+function gatePlatform(port: StorePort, gate: Gate): StorePort {
   function hold<T>(answer: Promise<T>): Promise<T> {
     return new Promise((resolve) => {
       void answer.then((outcome) => gate.run(() => resolve(outcome)));
--- a/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
@@ -2,7 +2,7 @@
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers, type VirtualTimers } from '@skylarksail/core/CoreTimers';
 import { selectOwners } from '@skylarksail/core/CoreHash';
-import { createFakePlatform, type FakePlatform } from '@skylarksail/platform/FakePlatform';
+import { createFakeStore, type FakeStore } from '@skylarksail/store/FakeStore';
 import type { ClaimOutcome } from '../../ClaimPort.js';
 import {
   createFakeClaimFleet,
@@ -15,7 +15,7 @@
 
 interface Stand {
   readonly timers: VirtualTimers;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly fleet: FakeClaimFleet;
   readonly instances: readonly FakeClaimInstance[];
   /** The instance that owns the only slot, and one that does not. */
@@ -26,7 +26,7 @@
 
 function createStand(settings: Partial<ClaimSlotSettings> = {}, names = ['a', 'b', 'c']): Stand {
   const timers = createVirtualTimers(10 * DAY_MS);
-  const platform = createFakePlatform({ timers, random: createRandom(1) });
+  const platform = createFakeStore({ timers, random: createRandom(1) });
   const fleet = createFakeClaimFleet({
     timers,
     random: createRandom(2),
--- a/packages/claims/src/__tests__/unit/ClaimHistory.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimHistory.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { createRandom, type Random } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
 import { createFakeClaimFleet, type FakeClaimInstance } from '../../FakeClaimFleet.js';
 import { DEFAULT_SLOT_SETTINGS } from '../../ClaimSlotTypes.js';
 
@@ -22,7 +22,7 @@
 async function runHistory(seed: number): Promise<History> {
   const random = createRandom(seed);
   const timers = createVirtualTimers(1_000_000);
-  const platform = createFakePlatform({ timers, random: createRandom(seed + 1) });
+  const platform = createFakeStore({ timers, random: createRandom(seed + 1) });
   const fleet = createFakeClaimFleet({
     timers,
     random: createRandom(seed + 2),
--- a/packages/daemon/src/DaemonClaims.ts
+++ b/packages/daemon/src/DaemonClaims.ts
@@ -11,8 +11,8 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createCallTopic } from '@skylarksail/membership/MembershipCalls';
-import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
-import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { StoreUse } from '@skylarksail/store/StoreBudget';
+import type { StoreClient } from '@skylarksail/store/StoreClient';
 import { DaemonError } from './DaemonErrors.js';
 import type { DaemonFleet } from './DaemonFleet.js';
 
@@ -64,7 +64,7 @@
 
 export interface DaemonClaimsOptions {
   readonly instance: string;
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly fleet: DaemonFleet;
   readonly timers: TimerService;
   readonly random: Random;
@@ -76,8 +76,8 @@
   const bootId = randomBytes(BOOT_ID_BYTES).toString('hex');
   const owner = createClaimOwner({
     processName: createProcessName(instance, bootId),
-    platform: platform.forUse(PlatformUse.Claims),
-    housekeeping: platform.forUse(PlatformUse.Housekeeping),
+    platform: platform.forUse(StoreUse.Claims),
+    housekeeping: platform.forUse(StoreUse.Housekeeping),
     timers,
     wallClock: wallNow,
     slots: CLAIM_SLOTS,
--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -12,7 +12,7 @@
 import type { DomainId, EngineId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createCallTopic, createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
 import { createLoadSpread } from '@skylarksail/membership/MembershipLoad';
-import type { InstanceRecord } from '@skylarksail/platform/PlatformPort';
+import type { InstanceRecord } from '@skylarksail/store/StorePort';
 import type { EngineStatus, FetchEngineStatus } from './DaemonEngineStatus.js';
 import { engineStatusSchema, isReportNews } from './DaemonEngineStatus.js';
 import type { DaemonFleet } from './DaemonFleet.js';
--- a/packages/daemon/src/DaemonFleet.ts
+++ b/packages/daemon/src/DaemonFleet.ts
@@ -12,7 +12,7 @@
 import { EnvelopeKind, decodeEnvelope } from '@skylarksail/membership/MembershipEnvelope';
 import { createMembership } from '@skylarksail/membership/MembershipService';
 import type { Membership } from '@skylarksail/membership/MembershipService';
-import type { InstanceRecord, PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { InstanceRecord, StorePort } from '@skylarksail/store/StorePort';
 import type { PeerLink } from './DaemonPeers.js';
 import { startPeerLink } from './DaemonPeers.js';
 import type { Settings } from './DaemonSettings.js';
@@ -52,7 +52,7 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly wallNow: () => number;
-  readonly platform: PlatformPort;
+  readonly platform: StorePort;
 }
 
 export async function startDaemonFleet(options: DaemonFleetOptions): Promise<DaemonFleet> {
--- a/packages/daemon/src/DaemonManifest.ts
+++ b/packages/daemon/src/DaemonManifest.ts
@@ -24,9 +24,9 @@
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import { createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
-import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
-import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import { StoreUse } from '@skylarksail/store/StoreBudget';
+import { createStoreClient } from '@skylarksail/store/StoreClient';
+import type { StorePort } from '@skylarksail/store/StorePort';
 import { DaemonError } from './DaemonErrors.js';
 import type { DaemonFleet } from './DaemonFleet.js';
 
@@ -66,7 +66,7 @@
 export interface DaemonManifestOptions {
   readonly self: { readonly id: string; readonly domain: string };
   /** The platform itself; the manifest's calls have rates of their own. */
-  readonly port: PlatformPort;
+  readonly port: StorePort;
   readonly fleet: DaemonFleet;
   readonly timers: TimerService;
   readonly random: Random;
@@ -76,7 +76,7 @@
   const { self, fleet, timers, random } = options;
   // The rates of other uses are shared over all instances; of the manifest's calls few instances make
   // nearly all, and a share of a 680th would let none of them submit.
-  const client = createPlatformClient({
+  const client = createStoreClient({
     port: options.port,
     timers,
     random,
@@ -84,7 +84,7 @@
     rates: MANIFEST_BUDGET_RATES,
     circuit: MANIFEST_CIRCUIT_SETTINGS,
   });
-  const platform = client.forUse(PlatformUse.Manifest);
+  const platform = client.forUse(StoreUse.Manifest);
   const ctx: StoreContext = {
     platform,
     timers,
@@ -118,7 +118,7 @@
   ];
 
   function removeGarbage(): Promise<unknown> {
-    const housekeeping = client.forUse(PlatformUse.Housekeeping);
+    const housekeeping = client.forUse(StoreUse.Housekeeping);
     return collectGarbage(
       { ...ctx, platform: housekeeping },
       { deadline: timers.now() + GARBAGE_DEADLINE, maxRemovals: GARBAGE_REMOVALS },
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -2,10 +2,10 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
+import { StoreUse } from '@skylarksail/store/StoreBudget';
 import type { MembershipChange } from '@skylarksail/membership/MembershipService';
-import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
-import { createPlatformClient } from '@skylarksail/platform/PlatformClient';
+import type { StoreClient } from '@skylarksail/store/StoreClient';
+import { createStoreClient } from '@skylarksail/store/StoreClient';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { DEFAULT_ROUTER_CONFIG } from '@skylarksail/requests/RouterTypes';
@@ -36,7 +36,7 @@
 const STATUS_TIMEOUT: Millis = 1000;
 
 export interface DaemonParts {
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly fleet: DaemonFleet;
   readonly manifest: DaemonManifest;
   readonly routing: DaemonRouting;
@@ -68,7 +68,7 @@
   let getClaimShare = (): number => 0;
   let listDraining = (): readonly EngineId[] => [];
   const platformHttp = createPlatformHttp(settings.platform);
-  const platform = createPlatformClient({
+  const platform = createStoreClient({
     port: platformHttp,
     timers,
     random,
@@ -82,7 +82,7 @@
     timers,
     random,
     wallNow,
-    platform: platform.forUse(PlatformUse.Membership),
+    platform: platform.forUse(StoreUse.Membership),
   });
   countInstances = () => Math.max(1, fleet.listLive().length);
 
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -7,8 +7,8 @@
 import { startPlacementRunner } from '@skylarksail/placement/PlacementRunner';
 import type { ServableVersion } from '@skylarksail/placement/PlacementVersions';
 import { getServableVersion, getServableVersions } from '@skylarksail/placement/PlacementVersions';
-import { PlatformUse } from '@skylarksail/platform/PlatformBudget';
-import type { PlatformClient } from '@skylarksail/platform/PlatformClient';
+import { StoreUse } from '@skylarksail/store/StoreBudget';
+import type { StoreClient } from '@skylarksail/store/StoreClient';
 import type { DaemonLogger } from './DaemonLog.js';
 import type { DaemonDrains } from './DaemonDrains.js';
 import type { EngineDirectory } from './DaemonEngines.js';
@@ -34,7 +34,7 @@
   readonly instance: InstanceId;
   readonly timers: TimerService;
   readonly random: Random;
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly fleet: DaemonFleet;
   readonly manifest: DaemonManifest;
   readonly directory: EngineDirectory;
@@ -67,7 +67,7 @@
     domain,
     timers,
     random,
-    platform: options.platform.forUse(PlatformUse.Leases),
+    platform: options.platform.forUse(StoreUse.Leases),
     instance: options.instance,
     isOwnDuty: () => fleet.duties.isOwn(PLACEMENT_DUTY),
     getManifest: manifest.getView,
--- a/packages/daemon/src/DaemonPlatformHttp.ts
+++ b/packages/daemon/src/DaemonPlatformHttp.ts
@@ -1,15 +1,15 @@
-/** The platform's services over HTTP: the adapter behind the PlatformPort. */
+/** The platform's services over HTTP: the adapter behind the StorePort. */
 import { Agent } from 'undici';
 import { z } from 'zod';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type {
   InstanceRecord,
-  PlatformEntry,
-  PlatformLease,
-  PlatformOutcome,
-  PlatformPort,
-  PlatformRefusal,
-} from '@skylarksail/platform/PlatformPort';
+  StoreEntry,
+  StoreLease,
+  StoreOutcome,
+  StorePort,
+  StoreRefusal,
+} from '@skylarksail/store/StorePort';
 import { createTimeoutSignal } from './DaemonSignals.js';
 
 const CONNECTIONS = 16;
@@ -58,7 +58,7 @@
 /** Creates the adapter; `close` ends its connections. */
 export function createPlatformHttp(
   address: HostPort,
-): PlatformPort & { readonly close: () => Promise<void> } {
+): StorePort & { readonly close: () => Promise<void> } {
   const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
   const origin = `http://${address.host}:${address.port}`;
 
@@ -66,7 +66,7 @@
    * A write whose answer is lost may have taken effect. Whatever is not a clear answer of the service
    * is therefore `unknown`, also a status that only something between us and the service would send.
    */
-  async function send<T>(call: HttpCall<T>): Promise<PlatformOutcome<T>> {
+  async function send<T>(call: HttpCall<T>): Promise<StoreOutcome<T>> {
     try {
       const res = await agent.request({
         origin,
@@ -152,7 +152,7 @@
   };
 }
 
-function parseEntry(json: unknown): PlatformEntry {
+function parseEntry(json: unknown): StoreEntry {
   return entrySchema.parse(json);
 }
 
@@ -160,7 +160,7 @@
   return revisionSchema.parse(json).revision;
 }
 
-function parseLease(json: unknown): PlatformLease {
+function parseLease(json: unknown): StoreLease {
   return leaseSchema.parse(json);
 }
 
@@ -168,7 +168,7 @@
   return instancesSchema.parse(json).instances;
 }
 
-function createRefusal(status: number, json: unknown): PlatformRefusal | null {
+function createRefusal(status: number, json: unknown): StoreRefusal | null {
   const body = (json ?? {}) as { revision?: number; holder?: string; retryAfterMs?: number };
   switch (status) {
     case STATUS_CONFLICT:
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -42,6 +42,11 @@
 /** Tokens after which the mean time between them is noted; each one would cost more than it tells. */
 const GAP_SAMPLE_TOKENS = 16;
 
+/** What routing is told of models, links, regions and limits. */
+export type FleetFacts = Partial<Pick<RoutingState, 'models' | 'links' | 'regions'>> & {
+  readonly tuning?: Partial<RoutingState['tuning']>;
+};
+
 export interface DaemonRouting {
   readonly chooseChain: ChooseChain;
   readonly chooseRepair: ChooseRepair;
@@ -52,6 +57,8 @@
   setEngineLoads(reports: readonly SeenEngineLoad[]): void;
   setLeaving(engine: EngineId): void;
   setManifest(view: ManifestView): void;
+  /** The same facts where they come from elsewhere; what is left out stays. */
+  setFleetFacts(facts: FleetFacts): void;
   /** Instances of the own domain, and of all others. */
   setInstanceCounts(own: number, foreign: number): void;
   setDomainReach(domain: DomainId, reachable: boolean): void;
@@ -220,6 +227,9 @@
         tuning: { ...state.tuning, crossDomainShare: view.limits.crossDomainShare },
       });
     },
+    setFleetFacts: ({ tuning, ...facts }) => {
+      state = setRoutingFacts(state, { ...facts, tuning: { ...state.tuning, ...tuning } });
+    },
     setInstanceCounts: (own, foreign) => {
       state = setRoutingFacts(state, {
         tuning: {
--- a/packages/manifest/src/FakeFleet.ts
+++ b/packages/manifest/src/FakeFleet.ts
@@ -6,8 +6,8 @@
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { FakeStore } from '@skylarksail/store/FakeStore';
+import type { StorePort } from '@skylarksail/store/StorePort';
 import type { SpreadMessage } from './ManifestMessages.js';
 import type { SpreadMember } from './ManifestPeers.js';
 import type { ManifestRunner } from './ManifestRunner.js';
@@ -17,7 +17,7 @@
 export interface FakeFleetOptions {
   readonly timers: TimerService;
   readonly random: Random;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly members: readonly SpreadMember[];
   /** One way between instances of one domain, and of two. */
   readonly nearDelay?: Millis;
@@ -25,7 +25,7 @@
   /** Until the rest of the fleet knows of an instance that died or started. */
   readonly memberLag?: Millis;
   /** Wraps the platform's port of an instance, as a budgeted client does. */
-  readonly wrapPlatform?: (id: InstanceId, port: PlatformPort) => PlatformPort;
+  readonly wrapPlatform?: (id: InstanceId, port: StorePort) => StorePort;
   readonly onInForce?: (id: InstanceId, revision: number) => void;
   readonly onMessage?: (from: InstanceId, to: InstanceId, message: SpreadMessage) => void;
 }
--- a/packages/manifest/src/ManifestCalls.ts
+++ b/packages/manifest/src/ManifestCalls.ts
@@ -3,16 +3,12 @@
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type {
-  CallOptions,
-  PlatformOutcome,
-  PlatformPort,
-} from '@skylarksail/platform/PlatformPort';
+import type { CallOptions, StoreOutcome, StorePort } from '@skylarksail/store/StorePort';
 import type { Pause } from './ManifestSlices.js';
 
 /** What the manifest's store needs from outside. */
 export interface StoreContext {
-  readonly platform: PlatformPort;
+  readonly platform: StorePort;
   readonly timers: TimerService;
   readonly random: Random;
   /** Limit of a single call. */
@@ -34,7 +30,7 @@
 
 /** The last outcome of a repeated call. */
 export interface RepeatedOutcome<T> {
-  readonly outcome: PlatformOutcome<T>;
+  readonly outcome: StoreOutcome<T>;
   /** True if the outcome of any of the calls was unknown, so that one may have taken effect. */
   readonly isUnsure: boolean;
 }
@@ -46,11 +42,11 @@
 export async function callUntil<T>(
   ctx: StoreContext,
   deadline: Millis,
-  call: (options: CallOptions) => Promise<PlatformOutcome<T>>,
+  call: (options: CallOptions) => Promise<StoreOutcome<T>>,
 ): Promise<RepeatedOutcome<T>> {
   let backoff = FIRST_BACKOFF;
   let isUnsure = false;
-  let outcome: PlatformOutcome<T> = NOT_CALLED;
+  let outcome: StoreOutcome<T> = NOT_CALLED;
   for (;;) {
     const timeLeft = deadline - ctx.timers.now();
     if (timeLeft <= 0) {
@@ -67,7 +63,7 @@
   }
 }
 
-function getWait<T>(outcome: PlatformOutcome<T>): Millis | null {
+function getWait<T>(outcome: StoreOutcome<T>): Millis | null {
   if (outcome.kind === 'unknown') {
     return 0;
   }
--- a/packages/manifest/src/ManifestRates.ts
+++ b/packages/manifest/src/ManifestRates.ts
@@ -3,10 +3,10 @@
  * instances of the fleet read a revision's chunks at a time, and submissions are few. Divided by 680, a
  * budget would let a change of a hundred teams take minutes.
  */
-import type { BudgetRates } from '@skylarksail/platform/PlatformBudget';
-import type { CircuitSettings } from '@skylarksail/platform/PlatformCircuit';
-import { DEFAULT_CIRCUIT_SETTINGS } from '@skylarksail/platform/PlatformCircuit';
-import { DEFAULT_BUDGET_RATES } from '@skylarksail/platform/PlatformBudget';
+import type { BudgetRates } from '@skylarksail/store/StoreBudget';
+import type { CircuitSettings } from '@skylarksail/store/StoreCircuit';
+import { DEFAULT_CIRCUIT_SETTINGS } from '@skylarksail/store/StoreCircuit';
+import { DEFAULT_BUDGET_RATES } from '@skylarksail/store/StoreBudget';
 
 /** Instances that use the manifest's rates at the same time, at the most, on an ordinary day. */
 export const MANIFEST_SHARERS = 4;
--- a/packages/manifest/src/ManifestRunner.ts
+++ b/packages/manifest/src/ManifestRunner.ts
@@ -2,11 +2,7 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type {
-  PlatformEntry,
-  PlatformOutcome,
-  PlatformPort,
-} from '@skylarksail/platform/PlatformPort';
+import type { StoreEntry, StoreOutcome, StorePort } from '@skylarksail/store/StorePort';
 import { mapBounded } from './ManifestCalls.js';
 import type { ChunkRef } from './ManifestChunks.js';
 import { isChunkText } from './ManifestChunks.js';
@@ -38,7 +34,7 @@
 export interface ManifestRunnerOptions {
   readonly self: SpreadMember;
   readonly members: readonly SpreadMember[];
-  readonly platform: PlatformPort;
+  readonly platform: StorePort;
   readonly timers: TimerService;
   readonly random: Random;
   readonly settings?: SpreadSettings;
@@ -122,7 +118,7 @@
 
   async function readRootVia(
     via: 'watch' | 'poll',
-    read: () => Promise<PlatformOutcome<PlatformEntry>>,
+    read: () => Promise<StoreOutcome<StoreEntry>>,
   ): Promise<void> {
     const reading = toReading(await read());
     enqueue({ type: 'root-read', at: timers.now(), via, reading });
@@ -175,7 +171,7 @@
   };
 }
 
-function toReading(outcome: PlatformOutcome<PlatformEntry>): RootReading {
+function toReading(outcome: StoreOutcome<StoreEntry>): RootReading {
   if (outcome.kind !== 'done') {
     return { kind: 'failed' };
   }
--- a/packages/manifest/src/__tests__/ManifestBed.ts
+++ b/packages/manifest/src/__tests__/ManifestBed.ts
@@ -4,8 +4,8 @@
 import type { VirtualTimers } from '@skylarksail/core/CoreTimers';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import type { FakeStore } from '@skylarksail/store/FakeStore';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
 import type { FakeFleet } from '../FakeFleet.js';
 import { createFakeFleet, createFleetMembers } from '../FakeFleet.js';
 import type { StoreContext } from '../ManifestCalls.js';
@@ -17,7 +17,7 @@
 
 export interface Bed {
   readonly timers: VirtualTimers;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly fleet: FakeFleet;
   /** Revisions in the order in which each instance, over all its processes, put them into force. */
   readonly applied: Map<InstanceId, number[]>;
@@ -40,7 +40,7 @@
 export function createBed(seed = 5, domains = 2, perDomain = 3): Bed {
   const timers = createVirtualTimers();
   const random = createRandom(seed);
-  const platform = createFakePlatform({ timers, random });
+  const platform = createFakeStore({ timers, random });
   const applied = new Map<InstanceId, number[]>();
   const members = createFleetMembers(domains, perDomain);
   const fleet = createFakeFleet({
--- /dev/null
+++ b/packages/placement/src/PlacementRanges.ts
@@ -0,0 +1,180 @@
+/**
+ * Cuts one model's layers over the engines of a failure domain where memory binds: every engine gets
+ * layers in proportion to its memory, so that the KV cache that is left holds as many requests at each.
+ * One chain a domain stands; a domain that loses an engine is served by the others until it is mended,
+ * which is cheap as prompts are read in some tens of milliseconds.
+ */
+import type { EngineId, LayerRange } from '@skylarksail/core/CoreTypes';
+
+/** An engine as this planner sees it. */
+export interface RangeEngine {
+  readonly id: EngineId;
+  readonly memoryBytes: number;
+  /** Layers that it holds or was ordered to hold; null if none. */
+  readonly held: LayerRange | null;
+}
+
+export interface RangeModel {
+  readonly layers: number;
+  readonly layerBytes: number;
+}
+
+/** What each engine should hold; an engine that is not in it keeps what it has. */
+export type RangePlan = ReadonlyMap<EngineId, LayerRange>;
+
+/** Weights may take this part of an engine's memory: without KV cache it could serve no request. */
+const MOST_WEIGHTS = 0.85;
+/** A mended gap may leave an engine with so little KV cache, as a part of its memory, for a while. */
+const MOST_WEIGHTS_IN_NEED = 0.8;
+/**
+ * How much more KV cache the tightest engine must get for a domain to be cut anew. Below it, the loads
+ * and the refusals amid the change cost more than the memory brings.
+ */
+const RECUT_GAIN = 1.3;
+
+/** Plans a domain. Null if its engines cannot hold the model, so that nothing is to be ordered. */
+export function planRanges(engines: readonly RangeEngine[], model: RangeModel): RangePlan | null {
+  const sorted = sortByRange(engines);
+  const holders = sorted.filter(({ held }) => held !== null);
+  const fresh = cutByMemory(placeSpares(sorted, model), model);
+  if (findGaps(holders, model).length === 0) {
+    const isBetter =
+      fresh !== null && getRoom(engines, fresh, model) > RECUT_GAIN * getHeldRoom(holders, model);
+    return isBetter ? fresh : new Map();
+  }
+  return fillGaps(sorted, model) ?? fresh;
+}
+
+/** Ranges of layers that no engine holds. */
+export function findGaps(
+  engines: readonly RangeEngine[],
+  { layers }: Pick<RangeModel, 'layers'>,
+): readonly LayerRange[] {
+  const gaps: LayerRange[] = [];
+  let covered = 0;
+  for (const { held } of sortByRange(engines)) {
+    if (held && held.first > covered) {
+      gaps.push({ first: covered, end: held.first });
+    }
+    covered = Math.max(covered, held?.end ?? 0);
+  }
+  if (covered < layers) {
+    gaps.push({ first: covered, end: layers });
+  }
+  return gaps;
+}
+
+function sortByRange(engines: readonly RangeEngine[]): readonly RangeEngine[] {
+  const key = ({ held }: RangeEngine): number => held?.first ?? Infinity;
+  return [...engines].sort((a, b) => {
+    const [x, y] = [key(a), key(b)];
+    return x === y ? compareIds(a, b) : x - y;
+  });
+}
+
+function compareIds(a: RangeEngine, b: RangeEngine): number {
+  return a.id < b.id ? -1 : 1;
+}
+
+/** Gives each gap to an engine that holds nothing, if there is one for each; nothing else moves then. */
+function fillGaps(sorted: readonly RangeEngine[], model: RangeModel): RangePlan | null {
+  const spares = sorted.filter(({ held }) => held === null);
+  const plan = new Map<EngineId, LayerRange>();
+  for (const gap of findGaps(sorted, model)) {
+    const bytes = (gap.end - gap.first) * model.layerBytes;
+    const fitting = spares
+      .filter(({ id, memoryBytes }) => !plan.has(id) && bytes <= MOST_WEIGHTS_IN_NEED * memoryBytes)
+      .sort((a, b) => a.memoryBytes - b.memoryBytes || compareIds(a, b));
+    const [spare] = fitting;
+    if (!spare) {
+      return null;
+    }
+    plan.set(spare.id, gap);
+  }
+  return plan;
+}
+
+/** The order of the chain: holders by their layers, each engine without any put where layers are missing. */
+function placeSpares(sorted: readonly RangeEngine[], model: RangeModel): readonly RangeEngine[] {
+  const spares = sorted.filter(({ held }) => held === null);
+  const order = sorted.filter(({ held }) => held !== null);
+  const gaps = findGaps(order, model);
+  spares.forEach((spare, i) => {
+    const gap = gaps[i % Math.max(1, gaps.length)];
+    const at = order.findIndex(
+      ({ held }) => gap !== undefined && held !== null && held.first >= gap.end,
+    );
+    order.splice(at < 0 ? order.length : at, 0, spare);
+  });
+  return order;
+}
+
+/** Cuts the layers in the order given, by memory. */
+function cutByMemory(order: readonly RangeEngine[], model: RangeModel): RangePlan | null {
+  const most = order.map(({ memoryBytes }) =>
+    Math.floor((MOST_WEIGHTS * memoryBytes) / model.layerBytes),
+  );
+  const total = order.reduce((sum, { memoryBytes }) => sum + memoryBytes, 0);
+  if (most.reduce((sum, count) => sum + count, 0) < model.layers) {
+    return null;
+  }
+  const wished = order.map(({ memoryBytes }) => (model.layers * memoryBytes) / total);
+  const counts = wished.map((wish, i) => Math.min(most[i] ?? 0, Math.floor(wish)));
+  let left = model.layers - counts.reduce((sum, count) => sum + count, 0);
+  while (left > 0) {
+    const next = findNeediest(order, counts, most, model);
+    counts[next] = (counts[next] ?? 0) + 1;
+    left -= 1;
+  }
+  const plan = new Map<EngineId, LayerRange>();
+  let first = 0;
+  order.forEach(({ id }, i) => {
+    const end = first + (counts[i] ?? 0);
+    if (end > first) {
+      plan.set(id, { first, end });
+    }
+    first = end;
+  });
+  return plan;
+}
+
+/** The engine that one more layer leaves with the most KV cache a layer. */
+function findNeediest(
+  order: readonly RangeEngine[],
+  counts: readonly number[],
+  most: readonly number[],
+  model: RangeModel,
+): number {
+  let best = -1;
+  let bestRoom = -Infinity;
+  order.forEach(({ memoryBytes }, i) => {
+    const count = (counts[i] ?? 0) + 1;
+    const room = getLayerRoom(memoryBytes, count, model);
+    if (count <= (most[i] ?? 0) && room > bestRoom) {
+      best = i;
+      bestRoom = room;
+    }
+  });
+  return best;
+}
+
+/** KV-cache bytes for each layer held. */
+function getLayerRoom(memoryBytes: number, count: number, { layerBytes }: RangeModel): number {
+  return memoryBytes / count - layerBytes;
+}
+
+/** The same at the tightest engine of a plan. */
+function getRoom(engines: readonly RangeEngine[], plan: RangePlan, model: RangeModel): number {
+  const rooms = engines.flatMap(({ id, memoryBytes }) => {
+    const range = plan.get(id);
+    return range ? [getLayerRoom(memoryBytes, range.end - range.first, model)] : [];
+  });
+  return Math.min(...rooms);
+}
+
+function getHeldRoom(holders: readonly RangeEngine[], model: RangeModel): number {
+  const rooms = holders.flatMap(({ memoryBytes, held }) =>
+    held ? [getLayerRoom(memoryBytes, held.end - held.first, model)] : [],
+  );
+  return Math.min(...rooms);
+}
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -5,9 +5,9 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, EngineId, InstanceId, Millis, ModelId } from '@skylarksail/core/CoreTypes';
-import type { LeaseHolder } from '@skylarksail/platform/PlatformLeaseHolder';
-import { createLeaseHolder } from '@skylarksail/platform/PlatformLeaseHolder';
-import type { PlatformPort } from '@skylarksail/platform/PlatformPort';
+import type { LeaseHolder } from '@skylarksail/store/StoreLeaseHolder';
+import { createLeaseHolder } from '@skylarksail/store/StoreLeaseHolder';
+import type { StorePort } from '@skylarksail/store/StorePort';
 import {
   createOrders,
   getQuietUntil,
@@ -38,7 +38,7 @@
   readonly domain: DomainId;
   readonly timers: TimerService;
   readonly random: Random;
-  readonly platform: PlatformPort;
+  readonly platform: StorePort;
   readonly instance: InstanceId;
   /** Whether this instance should place the domain; the lease decides between two that think so. */
   readonly isOwnDuty: () => boolean;
--- a/packages/placement/src/__tests__/PlacementBed.ts
+++ b/packages/placement/src/__tests__/PlacementBed.ts
@@ -4,7 +4,7 @@
 import type { TimerService, VirtualTimers } from '@skylarksail/core/CoreTimers';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
 import { computeModelCapacity } from '../PlacementCapacity.js';
 import type {
   EngineReport,
@@ -71,7 +71,7 @@
 export function createBed(options: BedOptions) {
   const timers: VirtualTimers = createVirtualTimers(0);
   const random = createRandom(options.seed ?? 1);
-  const platform = createFakePlatform({ timers, random });
+  const platform = createFakeStore({ timers, random });
   const perLayer = options.loadMsPerLayer ?? 200;
   const lag = options.reportLag ?? 3000;
   const taken: TakenOrder[] = [];
--- a/packages/proof/src/HistoryFaults.ts
+++ b/packages/proof/src/HistoryFaults.ts
@@ -1,6 +1,6 @@
 /** Brings the faults of a schedule about, and mends them. */
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { PlatformFaults } from '@skylarksail/platform/FakePlatform';
+import type { StoreFaults } from '@skylarksail/store/FakeStore';
 import type { VirtualFault } from '@skylarksail/stand-ins/VirtualEngine';
 import type { VirtualLinkFault } from '@skylarksail/stand-ins/VirtualLinks';
 import { getCutDomain } from './HistoryConditions.js';
@@ -35,7 +35,7 @@
 
 /** Faults that the configuration's spread suffers from, and for how long after they end. */
 const CONFIG_FAULTS: ReadonlyMap<HistoryFaultName, Millis> = new Map([
-  [HistoryFaultKind.PlatformOutage, 0],
+  [HistoryFaultKind.StoreOutage, 0],
   [HistoryFaultKind.LostAnswers, 0],
   [HistoryFaultKind.LateWrites, LATE_BY],
   [HistoryFaultKind.DomainCut, 0],
@@ -167,9 +167,9 @@
   platform.setFaults(getPlatformFaults(world, false), HISTORY_PIPELINE);
 }
 
-function getPlatformFaults({ conditions }: HistoryWorld, isCut: boolean): Partial<PlatformFaults> {
+function getPlatformFaults({ conditions }: HistoryWorld, isCut: boolean): Partial<StoreFaults> {
   return {
-    outage: isCut || conditions.has(HistoryFaultKind.PlatformOutage),
+    outage: isCut || conditions.has(HistoryFaultKind.StoreOutage),
     lostAnswers: conditions.has(HistoryFaultKind.LostAnswers) ? FAULT_SHARE : 0,
     lateEffects: conditions.has(HistoryFaultKind.LateWrites) ? FAULT_SHARE : 0,
     lateDelay: LATE_BY,
--- a/packages/proof/src/HistoryPlan.ts
+++ b/packages/proof/src/HistoryPlan.ts
@@ -23,7 +23,7 @@
   WrongAcknowledgement: 'wrong-acknowledgement',
   InstanceKill: 'instance-kill',
   PlannedStop: 'planned-stop',
-  PlatformOutage: 'platform-outage',
+  StoreOutage: 'platform-outage',
   LostAnswers: 'lost-answers',
   LateWrites: 'late-writes',
   DomainCut: 'domain-cut',
--- a/packages/proof/src/HistoryWorld.ts
+++ b/packages/proof/src/HistoryWorld.ts
@@ -11,8 +11,8 @@
 import { createFakeFleet } from '@skylarksail/manifest/FakeFleet';
 import type { SpreadMember } from '@skylarksail/manifest/ManifestPeers';
 import { parseRoot, ROOT_KEY } from '@skylarksail/manifest/ManifestRoot';
-import type { FakePlatform } from '@skylarksail/platform/FakePlatform';
-import { createFakePlatform } from '@skylarksail/platform/FakePlatform';
+import type { FakeStore } from '@skylarksail/store/FakeStore';
+import { createFakeStore } from '@skylarksail/store/FakeStore';
 import type { VirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
 import { createVirtualFleet } from '@skylarksail/stand-ins/VirtualFleet';
 import type { HistoryCallers } from './HistoryCallers.js';
@@ -46,7 +46,7 @@
 export interface HistoryWorld {
   readonly timers: VirtualTimers;
   readonly random: Random;
-  readonly platform: FakePlatform;
+  readonly platform: FakeStore;
   readonly manifests: FakeFleet;
   readonly engines: VirtualFleet;
   readonly callers: HistoryCallers;
@@ -74,7 +74,7 @@
   const events: HistoryEvent[] = [];
   const processes = new Map<InstanceId, HistoryProcess>();
   const conditions = createHistoryConditions();
-  const platform = createFakePlatform({ timers, random });
+  const platform = createFakeStore({ timers, random });
   const record = (event: HistoryEvent): void => {
     events.push(event);
   };
--- /dev/null
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -0,0 +1,94 @@
+/**
+ * The backend servers that are registered. While the store is out, the last known stay; an entry that
+ * lapsed meanwhile gets time to come back, since its server may be alive and only its heartbeats lost.
+ */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { BackendEntry } from './RelayTypes.js';
+
+/**
+ * Time after the store's return within which a living server's entry is back, as the platform says.
+ * Without it, all servers would be taken for gone at once when an outage ends.
+ */
+export const RETURN_TIME: Millis = 2000;
+
+export interface Catalogue {
+  /** The whole range was read; entries that are not in it are missing. */
+  replaceAll(entries: readonly BackendEntry[]): void;
+  put(entry: BackendEntry): void;
+  remove(id: EngineId): void;
+  noteStoreLost(): void;
+  noteStoreRegained(): void;
+  list(): readonly BackendEntry[];
+  get(id: EngineId): BackendEntry | null;
+  registerListener(listener: () => void): Unregister;
+}
+
+/** Creates an empty catalogue. */
+export function createCatalogue(timers: TimerService): Catalogue {
+  const entries = new Map<EngineId, BackendEntry>();
+  const missing = new Map<EngineId, Unregister>();
+  const listeners = new Set<() => void>();
+  let returnUntil = -Infinity;
+
+  function tell(): void {
+    listeners.forEach((listener) => listener());
+  }
+
+  function drop(id: EngineId): void {
+    missing.get(id)?.();
+    missing.delete(id);
+    entries.delete(id);
+  }
+
+  function miss(id: EngineId): void {
+    if (!entries.has(id) || missing.has(id)) {
+      return;
+    }
+    const grace = returnUntil - timers.now();
+    if (grace <= 0) {
+      drop(id);
+      return;
+    }
+    const undo = timers.registerTimeout(grace, () => {
+      drop(id);
+      tell();
+    });
+    missing.set(id, undo);
+  }
+
+  function keep(entry: BackendEntry): void {
+    missing.get(entry.id)?.();
+    missing.delete(entry.id);
+    entries.set(entry.id, entry);
+  }
+
+  return {
+    replaceAll(found) {
+      const ids = new Set(found.map(({ id }) => id));
+      found.forEach(keep);
+      [...entries.keys()].filter((id) => !ids.has(id)).forEach(miss);
+      tell();
+    },
+    put(entry) {
+      keep(entry);
+      tell();
+    },
+    remove(id) {
+      miss(id);
+      tell();
+    },
+    noteStoreLost() {
+      returnUntil = Infinity;
+    },
+    noteStoreRegained() {
+      returnUntil = timers.now() + RETURN_TIME;
+    },
+    list: () => [...entries.values()],
+    get: (id) => entries.get(id) ?? null,
+    registerListener(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/RelayIntake.ts
@@ -0,0 +1,209 @@
+/**
+ * Takes callers' requests: finds route, team and service, hands the work to the router, and turns what
+ * the router says of it into an answer.
+ */
+import { Priority, RunState } from '@skylarksail/core/CoreConstants';
+import type { PriorityName } from '@skylarksail/core/CoreConstants';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis, TeamId } from '@skylarksail/core/CoreTypes';
+import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import type { RequestHandle, RequestProblem } from '@skylarksail/requests/RequestTypes';
+import { ProblemKind } from '@skylarksail/requests/RequestTypes';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { drawService } from '@skylarksail/routes/RouteTable';
+import type { PipelineFacts, Route, RoutedService } from '@skylarksail/routes/RouteTypes';
+import { RouteKind } from '@skylarksail/routes/RouteTypes';
+import { ONLY_VERSION } from './RelayFacts.js';
+import type { RelayCall, RelayListener, RelayRefusal } from './RelayTypes.js';
+
+export interface RelayIntakeOptions {
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly router: RequestRouter;
+  readonly getTable: () => RouteTable | null;
+  readonly onDecision: (decision: {
+    readonly request: string;
+    readonly decision: string;
+    readonly [field: string]: unknown;
+  }) => void;
+}
+
+export interface RelayIntake {
+  /** Takes a request; the handle is for a caller that leaves. */
+  submit(call: RelayCall, listener: RelayListener): RequestHandle;
+}
+
+/** What was found out about a call before it goes to the router. */
+interface RoutedCall {
+  readonly call: RelayCall;
+  readonly route: Route;
+  readonly team: TeamId;
+  readonly priority: PriorityName;
+  readonly service: RoutedService;
+  readonly deadline: Millis;
+}
+
+/** Callers without a key belong to no team. */
+const NO_TEAM: TeamId = '';
+/** Time left to answer within the caller's own deadline, so that the answer still reaches it. */
+const ANSWER_TIME: Millis = 20;
+/** When to come back while no configuration is known: it comes within a second or two of a start. */
+const NO_CONFIG_RETRY: Millis = 500;
+const DEFAULT_RETRY: Millis = 500;
+const DRAIN_RETRY: Millis = 50;
+/** A request that crashes engines is not worth a resend soon. */
+const POISON_RETRY: Millis = 30_000;
+/** Ranks of routes, 0 first, to our priorities. */
+const PRIORITIES: readonly PriorityName[] = [
+  Priority.Urgent,
+  Priority.High,
+  Priority.Normal,
+  Priority.Low,
+];
+
+const NO_HANDLE: RequestHandle = { cancel: () => undefined };
+
+export function createRelayIntake(options: RelayIntakeOptions): RelayIntake {
+  const { timers, random, router, getTable, onDecision } = options;
+
+  function refuse(call: RelayCall, listener: RelayListener, refusal: RelayRefusal): RequestHandle {
+    onDecision({ request: call.id, decision: 'refused', ...refusal });
+    listener.onRefused(refusal);
+    return NO_HANDLE;
+  }
+
+  function submit(call: RelayCall, listener: RelayListener): RequestHandle {
+    const routed = findRoute(call);
+    if ('status' in routed) {
+      return refuse(call, listener, routed);
+    }
+    const { route, service } = routed;
+    onDecision({
+      request: call.id,
+      decision: 'routed',
+      route: route.name,
+      version: getTable()?.config.version,
+      service: service.id,
+      team: routed.team,
+    });
+    const { pipeline } = service;
+    return pipeline ? submitStream(routed, pipeline, listener) : submitService(routed, listener);
+  }
+
+  function findRoute(call: RelayCall): RoutedCall | RelayRefusal {
+    const table = getTable();
+    if (table === null) {
+      return { status: 503, retryAfter: NO_CONFIG_RETRY, reason: 'no configuration yet' };
+    }
+    const [path = ''] = call.path.split('?');
+    const route = table.findRoute(call.host, path);
+    if (route === null) {
+      return { status: 404, retryAfter: null, reason: 'no route' };
+    }
+    const team = call.key === null ? null : table.findTeam(call.key);
+    if (table.config.teams !== null && team === null && !route.isPublic) {
+      return { status: 401, retryAfter: null, reason: 'unknown key' };
+    }
+    const drawn = drawService(route, random);
+    const service = drawn === null ? null : table.findService(drawn);
+    if (service === null) {
+      return { status: 503, retryAfter: DEFAULT_RETRY, reason: 'no service' };
+    }
+    const patience = Math.min(call.timeLeft ?? Infinity, route.timeout);
+    return {
+      call,
+      route,
+      team: team?.id ?? NO_TEAM,
+      priority: PRIORITIES[team?.priority ?? route.priority] ?? Priority.Low,
+      service,
+      deadline: timers.now() + Math.max(0, patience - ANSWER_TIME),
+    };
+  }
+
+  function submitStream(
+    { call, route, team, priority, service, deadline }: RoutedCall,
+    pipeline: PipelineFacts,
+    listener: RelayListener,
+  ): RequestHandle {
+    const spec = {
+      id: call.id,
+      team,
+      model: service.id,
+      variant: { model: service.id, version: ONLY_VERSION, adapter: null },
+      layerCount: pipeline.layers,
+      prompt: `${call.path}\n${Buffer.from(call.body).toString('latin1')}`,
+      promptTokens: call.promptTokens,
+      maxTokens: call.maxTokens,
+      priority,
+      deadline,
+      idempotencyKey: null,
+      idempotent: route.kind === RouteKind.Safe || route.isResumable,
+      maxAttempts: route.maxAttempts,
+      prefixKeys: [],
+    };
+    let hasBegun = false;
+    return router.submit(spec, {
+      onStart: (head) => {
+        hasBegun = true;
+        listener.onHead(head ?? { status: 200, headers: {} });
+      },
+      onToken: (_index, event) => listener.onEvent(event),
+      onEnd: () => listener.onEnd(),
+      onError: (problem) => {
+        if (hasBegun) {
+          listener.onBroken();
+        } else {
+          refuse(call, listener, toRefusal(problem));
+        }
+      },
+    });
+  }
+
+  function submitService(
+    { call, route, team, priority, service, deadline }: RoutedCall,
+    listener: RelayListener,
+  ): RequestHandle {
+    const spec = {
+      id: call.id,
+      team,
+      service: service.id,
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      priority,
+      deadline,
+      idempotencyKey: null,
+      idempotent: route.kind === RouteKind.Safe,
+      maxAttempts: route.maxAttempts,
+    };
+    return router.submitService(spec, {
+      onAnswer: (answer) => listener.onAnswer(answer),
+      onError: (problem) => refuse(call, listener, toRefusal(problem)),
+    });
+  }
+
+  return { submit };
+}
+
+/** A status that promises no more than is known: 503 only of what has not run and never will. */
+function toRefusal(problem: RequestProblem): RelayRefusal {
+  const reason = `${problem.kind} ${problem.run}`;
+  if (problem.run === RunState.NotRun) {
+    return { status: 503, retryAfter: getRetryAfter(problem), reason };
+  }
+  const status = problem.kind === ProblemKind.Deadline ? 504 : 502;
+  return { status, retryAfter: null, reason };
+}
+
+function getRetryAfter({ kind, retryAfter }: RequestProblem): Millis {
+  switch (kind) {
+    case ProblemKind.Draining:
+      return DRAIN_RETRY;
+    case ProblemKind.Poison:
+      return POISON_RETRY;
+    default:
+      return retryAfter ?? DEFAULT_RETRY;
+  }
+}
--- /dev/null
+++ b/packages/relay/src/RelayLease.ts
@@ -0,0 +1,158 @@
+/**
+ * An instance's own entry in the store and the duties that it holds there. All of its keys hang on one
+ * lease: if the instance dies, they go together. Whoever acts under a duty asks `holds` just before, which
+ * says no well before the lease could have lapsed, also to an instance that was paused.
+ */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { jitter } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { InstanceEntry } from './RelayTypes.js';
+
+export interface RelayLeaseOptions {
+  readonly port: StoreRangePort;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly self: InstanceEntry;
+  /** Failure domains whose placement is a duty. */
+  readonly listDomains: () => readonly DomainId[];
+  readonly onError: (what: string) => void;
+}
+
+export interface RelayLease {
+  /** Takes in the whole of our own keys, or a change of one. */
+  takeSnapshot(items: readonly StoreItem[]): void;
+  takeEvent(event: StoreEvent): void;
+  /** Whether this instance may act on a domain's placement now. */
+  holds(domain: DomainId): boolean;
+  listInstances(): readonly InstanceEntry[];
+  start(): void;
+  /** Ends the lease, by which duties become free at once. */
+  stop(): void;
+}
+
+/** Everything that the relay itself keeps in the store begins so. */
+export const OWN_PREFIX = 'skylarksail/';
+const INSTANCES = `${OWN_PREFIX}instances/`;
+const PLACEMENT = `${OWN_PREFIX}placement/`;
+
+/**
+ * How long the entry and the duties of a dead instance stand. Shorter, and a pause of a second would
+ * cost them; longer, and a domain that lost an engine with its placer would wait for the mending.
+ */
+const LEASE_TIME: Millis = 3000;
+const KEEP_PERIOD: Millis = 900;
+/** The lease is not acted on in its last part, since an order takes time to arrive. */
+const LEASE_MARGIN: Millis = 800;
+const CALL_TIMEOUT: Millis = 800;
+/** Lead of a domain's own instances in taking its placement: they still reach it if it is cut off. */
+const FOREIGN_DELAY: Millis = 1500;
+const CLAIM_PERIOD: Millis = 400;
+const JITTER_SHARE = 0.3;
+
+export function createRelayLease(options: RelayLeaseOptions): RelayLease {
+  const { port, timers, random, self } = options;
+  const callOptions = { timeout: CALL_TIMEOUT };
+  const keys = new Map<string, string>();
+  const vacantSince = new Map<DomainId, Millis>();
+  let lease: { readonly id: number; safeUntil: Millis } | null = null;
+  let stopped = false;
+
+  function isSafe(): boolean {
+    return lease !== null && !stopped && timers.now() < lease.safeUntil;
+  }
+
+  async function grant(): Promise<void> {
+    const askedAt = timers.now();
+    const granted = await port.grantLease(LEASE_TIME, callOptions);
+    if (granted.kind !== 'done' || stopped) {
+      return;
+    }
+    const entry = { key: `${INSTANCES}${self.id}`, value: self.domain, lease: granted.value };
+    const written = await port.write([], [entry], [], callOptions);
+    if (written.kind === 'done') {
+      lease = { id: granted.value, safeUntil: askedAt + LEASE_TIME - LEASE_MARGIN };
+    } else {
+      options.onError(`registration ${written.kind}`);
+    }
+  }
+
+  async function keep(): Promise<void> {
+    if (lease === null) {
+      await grant();
+      return;
+    }
+    const kept = lease;
+    const askedAt = timers.now();
+    const outcome = await port.keepLease(kept.id, callOptions);
+    if (outcome.kind === 'done') {
+      kept.safeUntil = askedAt + LEASE_TIME - LEASE_MARGIN;
+    } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
+      lease = null;
+      await grant();
+    }
+  }
+
+  async function claim(domain: DomainId): Promise<void> {
+    const key = `${PLACEMENT}${domain}`;
+    if (keys.has(key)) {
+      vacantSince.delete(domain);
+      return;
+    }
+    const since = vacantSince.get(domain) ?? timers.now();
+    vacantSince.set(domain, since);
+    const isDue = domain === self.domain || timers.now() - since >= FOREIGN_DELAY;
+    if (isDue && lease !== null && isSafe()) {
+      vacantSince.set(domain, timers.now());
+      const conditions = [{ key, revision: 0 }];
+      await port.write(conditions, [{ key, value: self.id, lease: lease.id }], [], callOptions);
+    }
+  }
+
+  function schedule(period: Millis, work: () => Promise<void>): void {
+    timers.registerTimeout(jitter(random, period, JITTER_SHARE), () => {
+      if (!stopped) {
+        void work().finally(() => schedule(period, work));
+      }
+    });
+  }
+
+  async function claimAll(): Promise<void> {
+    await Promise.all(options.listDomains().map(claim));
+  }
+
+  return {
+    takeSnapshot(items) {
+      keys.clear();
+      items.forEach(({ key, value }) => keys.set(key, value));
+    },
+    takeEvent(event) {
+      if (event.kind === 'written') {
+        keys.set(event.item.key, event.item.value);
+      } else {
+        keys.delete(event.key);
+      }
+    },
+    holds: (domain) => isSafe() && keys.get(`${PLACEMENT}${domain}`) === self.id,
+    listInstances() {
+      const others = [...keys]
+        .filter(([key]) => key.startsWith(INSTANCES))
+        .map(([key, domain]) => ({ id: key.slice(INSTANCES.length), domain }));
+      return others.some(({ id }) => id === self.id) ? others : [...others, self];
+    },
+    start() {
+      void keep().finally(() => schedule(KEEP_PERIOD, keep));
+      schedule(CLAIM_PERIOD, claimAll);
+    },
+    stop() {
+      stopped = true;
+      if (lease) {
+        void port.endLease(lease.id, callOptions);
+      }
+    },
+  };
+}
+
+/** Ids of instances are new at each start, so that a restarted one is not taken for the one before. */
+export type { InstanceId };
--- /dev/null
+++ b/packages/relay/src/RelayParts.ts
@@ -0,0 +1,274 @@
+/** The parts of an instance that serves by routes, joined to each other round the router of requests. */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DecisionLog } from '@skylarksail/daemon/DaemonDecisions';
+import type { DaemonLogger } from '@skylarksail/daemon/DaemonLog';
+import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import { createDaemonRouting } from '@skylarksail/daemon/DaemonRouting';
+import type {
+  ClaimPort,
+  OpenEngineCall,
+  OpenServiceCall,
+} from '@skylarksail/requests/RequestPorts';
+import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
+import type { RouterConfig } from '@skylarksail/requests/RouterTypes';
+import { DEFAULT_ROUTER_CONFIG } from '@skylarksail/requests/RouterTypes';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { createRouteTable } from '@skylarksail/routes/RouteTable';
+import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
+import { registerFollow } from '@skylarksail/store/StoreFollow';
+import type { Catalogue } from './RelayCatalogue.js';
+import { createCatalogue } from './RelayCatalogue.js';
+import { createRelayEngines } from './RelayEngines.js';
+import type { RelayIntake } from './RelayIntake.js';
+import { createRelayIntake } from './RelayIntake.js';
+import { createRelayLease, OWN_PREFIX } from './RelayLease.js';
+import type { RangeOrderPort } from './RelayPlacement.js';
+import { createRelayPlacement } from './RelayPlacement.js';
+import { createServerChooser } from './RelayServers.js';
+import type { InstanceEntry, ReadBackendKey, ReadContent } from './RelayTypes.js';
+
+/** Bounds that the deployment sets for the whole fleet. */
+export interface RelayBounds {
+  /** Repeated arrivals at a service, as a share of its requests, that the whole fleet may cause. */
+  readonly retryShare: number;
+  /** Repeated arrivals beyond that share, for the whole fleet. */
+  readonly retrySlack: number;
+}
+
+export interface RelayPartsOptions {
+  readonly self: InstanceEntry;
+  readonly bounds: RelayBounds;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly store: StoreRangePort;
+  readonly readContent: ReadContent;
+  readonly readBackendKey: ReadBackendKey;
+  readonly openEngineCall: OpenEngineCall;
+  readonly openServiceCall: OpenServiceCall;
+  readonly orders: RangeOrderPort;
+  readonly logger: DaemonLogger;
+  readonly decisions: DecisionLog;
+  readonly metrics: DaemonMetrics;
+}
+
+export interface RelayParts {
+  readonly intake: RelayIntake;
+  readonly router: RequestRouter;
+  readonly catalogue: Catalogue;
+  getTable(): RouteTable | null;
+  /** Whether callers should be sent here. */
+  isReady(): boolean;
+  /** Gives duties up; running work goes on. */
+  startLeaving(): void;
+  stop(): void;
+}
+
+/** A watch is renewed this often: a connection that went silent must not hide a change for long. */
+const WATCH_TIME: Millis = 2500;
+const STORE_TIMEOUT: Millis = 700;
+/** The slack is for the whole fleet; instances may see very unequal parts of a trouble. */
+const FLEET_SHARES = 6;
+const RETRY_CAUTION = 0.6;
+/** Waiting requests of one team at one instance. */
+const TEAM_QUEUE = 400;
+
+/** No caller of these routes shows an idempotency key, so nothing is ever claimed. */
+const NO_CLAIMS: ClaimPort = {
+  claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 0 }),
+  settle: () => undefined,
+  release: () => undefined,
+};
+
+export function startRelayParts(options: RelayPartsOptions): RelayParts {
+  const { self, timers, random, logger, decisions, metrics } = options;
+  let table: RouteTable | null = null;
+  let isLeaving = false;
+  const catalogue = createCatalogue(timers);
+  const routing = createDaemonRouting({
+    domain: self.domain,
+    timers,
+    random,
+    decisions,
+    listDraining: () => [],
+  });
+  const lease = createRelayLease({
+    port: options.store,
+    timers,
+    random,
+    self,
+    listDomains: () => listDomains(catalogue),
+    onError: (what) => logger.warn({ what }, 'store'),
+  });
+  const engines = createRelayEngines({
+    timers,
+    catalogue,
+    routing,
+    getTable: () => table,
+    countOwnInstances: () =>
+      lease.listInstances().filter(({ domain }) => domain === self.domain).length,
+  });
+  const router = createRequestRouter({
+    cfg: createRouterConfig(options.bounds),
+    timers,
+    random,
+    chooseChain: routing.chooseChain,
+    chooseRepair: routing.chooseRepair,
+    openEngineCall: routing.watchGaps(options.openEngineCall),
+    chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }),
+    openServiceCall: options.openServiceCall,
+    claims: NO_CLAIMS,
+    links: routing.links,
+    getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
+    getKvCapacity: () => null,
+    getBootId: routing.getBootId,
+    onDecision: (record) => decisions.record({ ...record }),
+    onCount: metrics.countRouter,
+  });
+  const intake = createRelayIntake({
+    timers,
+    random,
+    router,
+    getTable: () => table,
+    onDecision: decisions.record,
+  });
+  const placement = createRelayPlacement({
+    timers,
+    catalogue,
+    getTable: () => table,
+    holds: lease.holds,
+    port: options.orders,
+    onDecision: (decision) => logger.info(decision, 'placement'),
+  });
+
+  function takeItem(item: StoreItem): void {
+    if (item.key.startsWith(OWN_PREFIX)) {
+      lease.takeEvent({ kind: 'written', item });
+      return;
+    }
+    const content = options.readContent(item);
+    if (content.kind === 'backend') {
+      catalogue.put(content.entry);
+    } else if (content.kind === 'config') {
+      takeConfig(createRouteTable(content.config));
+    }
+  }
+
+  function takeConfig(next: RouteTable): void {
+    if (table !== null && next.config.version <= table.config.version) {
+      return;
+    }
+    logger.info(
+      { version: next.config.version, before: table?.config.version ?? null },
+      'configuration in force',
+    );
+    table = next;
+    const pipelines = next.config.services.filter(({ pipeline }) => pipeline !== null);
+    routing.setFleetFacts({
+      models: new Map(
+        pipelines.map(({ id, pipeline }) => [
+          id,
+          { id, activationBytes: pipeline?.activationBytes ?? 0 },
+        ]),
+      ),
+      tuning: ROUTING_TUNING,
+    });
+    engines.refresh();
+  }
+
+  function takeSnapshot(items: readonly StoreItem[]): void {
+    lease.takeSnapshot(items.filter(({ key }) => key.startsWith(OWN_PREFIX)));
+    const contents = items
+      .filter(({ key }) => !key.startsWith(OWN_PREFIX))
+      .map((item) => options.readContent(item));
+    contents.forEach((content) => {
+      if (content.kind === 'config') {
+        takeConfig(createRouteTable(content.config));
+      }
+    });
+    catalogue.replaceAll(
+      contents.flatMap((content) => (content.kind === 'backend' ? [content.entry] : [])),
+    );
+  }
+
+  function takeEvent(event: StoreEvent): void {
+    if (event.kind === 'written') {
+      takeItem(event.item);
+      return;
+    }
+    lease.takeEvent(event);
+    const backend = options.readBackendKey(event.key);
+    if (backend !== null) {
+      catalogue.remove(backend);
+    }
+  }
+
+  const undo: Unregister[] = [
+    catalogue.registerListener(engines.refresh),
+    registerFollow({
+      port: options.store,
+      timers,
+      random,
+      prefix: '',
+      wait: WATCH_TIME,
+      timeout: STORE_TIMEOUT,
+      listener: {
+        onSnapshot: takeSnapshot,
+        onEvent: takeEvent,
+        onLost: () => {
+          catalogue.noteStoreLost();
+          logger.warn('store lost');
+        },
+        onRegained: () => {
+          catalogue.noteStoreRegained();
+          logger.info('store regained');
+        },
+      },
+    }),
+    engines.start(),
+    routing.start(),
+    placement.start(),
+  ];
+  lease.start();
+
+  return {
+    intake,
+    router,
+    catalogue,
+    getTable: () => table,
+    isReady: () => table !== null && !isLeaving,
+    startLeaving() {
+      isLeaving = true;
+      lease.stop();
+    },
+    stop() {
+      undo.forEach((stopPart) => stopPart());
+      router.stop();
+    },
+  };
+}
+
+/** Chains are filled by memory and not by pace; other domains lend all that they have. */
+const ROUTING_TUNING = { tokenGapMs: 150, crossDomainShare: 3 };
+
+function createRouterConfig({ retryShare, retrySlack }: RelayBounds): RouterConfig {
+  return {
+    ...DEFAULT_ROUTER_CONFIG,
+    limits: { initial: 512, least: 64, most: 4096, gapTarget: 180, firstTokenTarget: 1000 },
+    retryShare: retryShare * RETRY_CAUTION,
+    retryBurst: (retrySlack * RETRY_CAUTION) / FLEET_SHARES,
+  };
+}
+
+function listDomains(catalogue: Catalogue): readonly DomainId[] {
+  return [
+    ...new Set(
+      catalogue
+        .list()
+        .filter(({ accelerator }) => accelerator !== null)
+        .map(({ domain }) => domain),
+    ),
+  ];
+}
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -3,7 +3,7 @@
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
-import type { EngineCallListener } from './RequestPorts.js';
+import type { AnswerHead, EngineCallListener } from './RequestPorts.js';
 import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -28,6 +28,8 @@
   /** Takes in the attempt's first token, `wait` after it was opened. */
   noteFirstToken(wait: Millis): void;
   getChain(): Chain | null;
+  /** Head of the present attempt's answer, if it has one. */
+  getHead(): AnswerHead | null;
   getEngines(): readonly EngineId[];
 }
 
@@ -43,11 +45,16 @@
   const promptTokens = getPromptTokens(spec);
   let current: OpenAttempt | null = null;
   let hold: ChainHold | null = null;
+  let head: { readonly attempt: number; readonly value: AnswerHead } | null = null;
+  let opened = 0;
 
   function createListener(attempt: number, openedAt: Millis): EngineCallListener {
     return {
       onAcknowledged: (acknowledgement) => {
         meters.noteAcknowledgement(spec.model, deps.timers.now() - openedAt);
+        if (acknowledgement.head) {
+          head = { attempt, value: acknowledgement.head };
+        }
         send({ kind: 'acknowledged', attempt, acknowledgement });
       },
       onToken: (index, token) => send({ kind: 'token', attempt, index, token }),
@@ -89,6 +96,7 @@
     },
     open({ attempt, chain, importFrom }) {
       const now = deps.timers.now();
+      opened = attempt;
       const cancel = deps.openEngineCall(
         {
           request: spec.id,
@@ -120,6 +128,7 @@
       }
     },
     getChain: () => current?.chain ?? null,
+    getHead: () => (head?.attempt === opened ? head.value : null),
     getEngines: () => current?.chain.stages.map((stage) => stage.engine) ?? [],
   };
 }
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -45,7 +45,7 @@
   const undoDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
     send({ kind: 'deadline' }),
   );
-  let machine = createRequestMachine(spec.idempotent, spec.maxTokens, submittedAt);
+  let machine = createRequestMachine(spec, submittedAt);
   let listener: RequestSink | null = sink;
   let isStarted = false;
   let lastFailed: readonly EngineId[] = [];
@@ -218,7 +218,7 @@
   function start(): void {
     if (!isStarted) {
       isStarted = true;
-      listener?.onStart();
+      listener?.onStart(attempts.getHead());
     }
   }
 
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -13,6 +13,7 @@
   decideNextStep,
   describeCause,
   getRunState,
+  isAttemptSpent,
   isCrashLike,
   isEngineLost,
   isStageRefusal,
@@ -137,6 +138,7 @@
     phase: machine.phase,
     idempotent: machine.idempotent,
     maxTokens: machine.maxTokens,
+    attemptsLeft: machine.attemptsLeft,
     attempt: machine.attempt,
     chain: machine.chain,
     acknowledged: machine.acknowledged,
@@ -215,8 +217,10 @@
   const failed = nameFailed(machine, failure, suspects);
   const fruitless = machine.attemptTokens > 0 ? 1 : machine.fruitless + 1;
   const run = combineRunStates(machine.run, getRunState(failureClass));
+  const isSpent = isAttemptSpent(failure, failureClass);
   const closed: RequestMachine = {
     ...machine,
+    attemptsLeft: machine.attemptsLeft - (isSpent ? 1 : 0),
     run,
     fruitless,
     failedAt: now,
@@ -231,7 +235,7 @@
     fruitless,
     hasTokens: machine.tokenCount > 0,
   });
-  if (next === NextStep.Stop) {
+  if (next === NextStep.Stop || closed.attemptsLeft <= 0) {
     const ended = endWith(
       { ...closed, phase: RequestPhase.Pausing },
       createProblem(ProblemKind.EngineFailed, run, failure.retryAfter),
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -120,6 +120,20 @@
   return isBroken && !failure.provenNotRun && !isStageRefusal(failure);
 }
 
+const ENDED_ENGINE_PLACES: ReadonlySet<FailurePlaceName> = new Set([
+  FailurePlace.Connect,
+  FailurePlace.Stream,
+  FailurePlace.Stage,
+]);
+
+/**
+ * Whether a failed attempt counts against the engines that a request may run on: the engine may have
+ * run it, and is not known to have ended. Silence proves no end.
+ */
+export function isAttemptSpent(failure: AttemptFailure, failureClass: FailureClassName): boolean {
+  return failureClass !== FailureClass.NotRun && !ENDED_ENGINE_PLACES.has(failure.place);
+}
+
 /** Failed attempts in a row, none of which gave a token, after which a request is given up. */
 export const MAX_FRUITLESS_ATTEMPTS = 4;
 
--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -66,10 +66,18 @@
   readonly importFrom: readonly Stage[];
 }
 
+/** Status and headers of a backend server's answer, for callers that get them unchanged. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
 /** What the first stage says before the first token. */
 export interface ChainAcknowledgement {
   readonly variant: ModelVariant;
   readonly stages: readonly Stage[];
+  /** Head of the engine's answer, where the caller speaks the engine's own protocol. */
+  readonly head?: AnswerHead;
 }
 
 /** Why a whole answer ended. */
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -8,13 +8,15 @@
 import { RequestPhase } from './RequestMessages.js';
 import type { Pace } from './RequestPace.js';
 import { createPace } from './RequestPace.js';
-import type { ProblemKindName, RequestProblem } from './RequestTypes.js';
+import type { ProblemKindName, RequestProblem, RequestSpec } from './RequestTypes.js';
 
 /** State of one request. */
 export interface RequestMachine {
   readonly phase: RequestPhaseName;
   readonly idempotent: boolean;
   readonly maxTokens: number;
+  /** Engines that it may still run on. One that was lost under it does not count. */
+  readonly attemptsLeft: number;
   /** Number of the running attempt, or of the last one; 0 before the first. */
   readonly attempt: number;
   readonly chain: Chain | null;
@@ -54,14 +56,14 @@
 
 /** The state of a request that has just been submitted. */
 export function createRequestMachine(
-  idempotent: boolean,
-  maxTokens: number,
+  spec: Pick<RequestSpec, 'idempotent' | 'maxTokens' | 'maxAttempts'>,
   now: Millis,
 ): RequestMachine {
   return {
     phase: RequestPhase.Waiting,
-    idempotent,
-    maxTokens,
+    idempotent: spec.idempotent,
+    maxTokens: spec.maxTokens,
+    attemptsLeft: spec.maxAttempts ?? Infinity,
     attempt: 0,
     chain: null,
     acknowledged: false,
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -2,7 +2,7 @@
 import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import type { PriorityName, RunStateName } from '@skylarksail/core/CoreConstants';
 import type { EngineId, Millis, ModelId, RequestId, TeamId } from '@skylarksail/core/CoreTypes';
-import type { FinishReason } from './RequestPorts.js';
+import type { AnswerHead, FinishReason } from './RequestPorts.js';
 
 /** A model request as the router takes it. */
 export interface RequestSpec {
@@ -21,6 +21,8 @@
   readonly idempotencyKey: string | null;
   /** Whether running it twice does no harm. */
   readonly idempotent: boolean;
+  /** Engines that it may run on, those that were lost under it not counted; no bound if left out. */
+  readonly maxAttempts?: number;
   /** Hashes of the prompt's prefixes, shortest first, for engines' prefix caches. */
   readonly prefixKeys: readonly string[];
 }
@@ -70,8 +72,8 @@
 
 /** Hears of one request. Exactly one of `onEnd` and `onError` comes last, then nothing more. */
 export interface RequestSink {
-  /** Once, before the first token. */
-  onStart(): void;
+  /** Once, before the first token, with the head of the attempt that gave it if it had one. */
+  onStart(head: AnswerHead | null): void;
   /** Tokens in order from index 0, each once. */
   onToken(index: number, token: string): void;
   onEnd(reason: FinishReason): void;
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -29,7 +29,8 @@
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
-const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+/** Answers after which an idempotent call is worth another server: this one failed, the next may not. */
+const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 const NO_SERVER_RETRY: Millis = 1000;
 
 /** A running call. */
@@ -145,6 +146,9 @@
   /** Plans another try if the deadline and the budget allow it. */
   function retry(server: EngineId, retryAfter: Millis | null): boolean {
     fruitless += 1;
+    if (fruitless >= (spec.maxAttempts ?? Infinity)) {
+      return false;
+    }
     const delay = computeBackoff(deps.random, fruitless, retryAfter);
     if (timers.now() + delay >= spec.deadline || !takeFromBudget(shared)) {
       return false;
--- a/packages/requests/src/ServiceTypes.ts
+++ b/packages/requests/src/ServiceTypes.ts
@@ -18,6 +18,8 @@
   readonly deadline: Millis;
   readonly idempotencyKey: string | null;
   readonly idempotent: boolean;
+  /** Backend servers that it may be sent to; no bound if left out. */
+  readonly maxAttempts?: number;
 }
 
 /** Hears of one call: exactly one of the two, once. */
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -55,7 +55,7 @@
 
 /** Steps a machine through events, a token or two at a time to get far enough. */
 function run(idempotent: boolean, events: readonly RequestEvent[]) {
-  let machine: RequestMachine = createRequestMachine(idempotent, MAX_TOKENS, 0);
+  let machine: RequestMachine = createRequestMachine({ idempotent, maxTokens: MAX_TOKENS }, 0);
   const effects: RequestEffect[] = [];
   const states: RequestMachine[] = [];
   events.forEach((event, i) => {
--- a/packages/platform/src/FakePlatform.ts
+++ b/packages/store/src/FakeStore.ts
@@ -6,17 +6,17 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import { createFakePlatformStore, type FakePlatformStore } from './FakePlatformStore.js';
+import { createFakeStoreItems, type FakeStoreItems } from './FakeStoreItems.js';
 import type {
   CallOptions,
   InstanceRecord,
-  PlatformEntry,
-  PlatformOutcome,
-  PlatformPort,
-} from './PlatformPort.js';
+  StoreEntry,
+  StoreOutcome,
+  StorePort,
+} from './StorePort.js';
 
 /** How the platform misbehaves. Shares are probabilities from 0 to 1, drawn for each call. */
-export interface PlatformFaults {
+export interface StoreFaults {
   /** No call arrives and none is answered. */
   readonly outage: boolean;
   /** Calls fail at once instead of after their timeout, as with a refused connection. */
@@ -38,7 +38,7 @@
   readonly instanceLag: Millis;
 }
 
-export const NO_FAULTS: PlatformFaults = {
+export const NO_FAULTS: StoreFaults = {
   outage: false,
   refusesConnections: false,
   extraLatency: 0,
@@ -57,10 +57,10 @@
   | { readonly kind: 'lost-answer' }
   | { readonly kind: 'late'; readonly delay: Millis };
 
-export type PlatformOperation = keyof PlatformPort;
+export type StoreOperation = keyof StorePort;
 
 /** Calls that were made, answered or not. */
-export interface PlatformCallCounts {
+export interface StoreCallCounts {
   readonly reads: number;
   readonly writes: number;
   readonly watches: number;
@@ -69,28 +69,28 @@
   readonly byOperation: Readonly<Record<string, number>>;
 }
 
-export interface FakePlatformOptions {
+export interface FakeStoreOptions {
   readonly timers: TimerService;
   readonly random: Random;
   /** Time of a call there and back. */
   readonly latency?: Millis;
 }
 
-export interface FakePlatform {
+export interface FakeStore {
   /** The port as `client` sees it. */
-  connect(client: string): PlatformPort;
+  connect(client: string): StorePort;
   /** Sets some of everybody's faults, or of one client's, which then go before everybody's. */
-  setFaults(faults: Partial<PlatformFaults>, client?: string): void;
+  setFaults(faults: Partial<StoreFaults>, client?: string): void;
   /** Decides the fate of the client's next call of that operation; several are taken in order. */
-  decideNext(client: string, operation: PlatformOperation, fate: CallFate): void;
+  decideNext(client: string, operation: StoreOperation, fate: CallFate): void;
   setInstances(instances: readonly InstanceRecord[]): void;
-  countCalls(): PlatformCallCounts;
+  countCalls(): StoreCallCounts;
   /** What is stored now, without a call. */
-  readonly store: FakePlatformStore;
+  readonly store: FakeStoreItems;
 }
 
 const DEFAULT_LATENCY: Millis = 4;
-const WRITES: ReadonlySet<string> = new Set<PlatformOperation>([
+const WRITES: ReadonlySet<string> = new Set<StoreOperation>([
   'swap',
   'remove',
   'acquireLease',
@@ -104,22 +104,22 @@
 }
 
 /** Creates an empty platform without faults. */
-export function createFakePlatform(options: FakePlatformOptions): FakePlatform {
+export function createFakeStore(options: FakeStoreOptions): FakeStore {
   const { timers, random } = options;
   const latency = options.latency ?? DEFAULT_LATENCY;
-  const store = createFakePlatformStore();
-  const faultsOf = new Map<string, Partial<PlatformFaults>>();
+  const store = createFakeStoreItems();
+  const faultsOf = new Map<string, Partial<StoreFaults>>();
   const fates = new Map<string, CallFate[]>();
   const counts = new Map<string, number>();
-  let faultsOfAll: PlatformFaults = NO_FAULTS;
+  let faultsOfAll: StoreFaults = NO_FAULTS;
   let bytesWritten = 0;
   let lists: InstanceListVersion[] = [{ since: -Infinity, instances: [] }];
 
-  function getFaults(client: string): PlatformFaults {
+  function getFaults(client: string): StoreFaults {
     return { ...faultsOfAll, ...faultsOf.get(client) };
   }
 
-  function chooseFate(client: string, operation: PlatformOperation): CallFate | null {
+  function chooseFate(client: string, operation: StoreOperation): CallFate | null {
     const decided = fates.get(`${client} ${operation}`)?.shift();
     const faults = getFaults(client);
     if (faults.outage) {
@@ -142,10 +142,10 @@
 
   function call<T>(
     client: string,
-    operation: PlatformOperation,
+    operation: StoreOperation,
     { timeout }: CallOptions,
-    effect: (answer: (outcome: PlatformOutcome<T>) => void) => void,
-  ): Promise<PlatformOutcome<T>> {
+    effect: (answer: (outcome: StoreOutcome<T>) => void) => void,
+  ): Promise<StoreOutcome<T>> {
     counts.set(operation, (counts.get(operation) ?? 0) + 1);
     const faults = getFaults(client);
     const fate = chooseFate(client, operation);
@@ -180,7 +180,7 @@
     key: string,
     known: number,
     timeout: Millis,
-    answer: (outcome: PlatformOutcome<PlatformEntry>) => void,
+    answer: (outcome: StoreOutcome<StoreEntry>) => void,
   ): void {
     const current = store.read(key);
     const repeats = random.nextFloat() < getFaults(client).repeatedWatches;
@@ -196,7 +196,7 @@
       }),
       timers.registerTimeout(timeout - latency, () => finish(store.read(key))),
     ];
-    function finish(entry: PlatformEntry): void {
+    function finish(entry: StoreEntry): void {
       undo.forEach((unregister) => unregister());
       answer({ kind: 'done', value: entry });
     }
@@ -207,7 +207,7 @@
     return lists.findLast((version) => version.since <= asOf)?.instances ?? [];
   }
 
-  function connect(client: string): PlatformPort {
+  function connect(client: string): StorePort {
     return {
       get: (key, opts) =>
         call(client, 'get', opts, (answer) => answer({ kind: 'done', value: store.read(key) })),
--- a/packages/platform/src/FakePlatformStore.ts
+++ b/packages/store/src/FakeStoreItems.ts
@@ -3,7 +3,7 @@
  * own passes here; each call names the time at which it takes effect.
  */
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { PlatformEntry, PlatformLease, PlatformOutcome } from './PlatformPort.js';
+import type { StoreEntry, StoreLease, StoreOutcome } from './StorePort.js';
 
 /** Largest value that the service holds, in bytes. */
 export const MAX_VALUE_BYTES = 1024 * 1024;
@@ -14,20 +14,20 @@
   readonly lapsesAt: Millis;
 }
 
-type ChangeListener = (entry: PlatformEntry) => void;
+type ChangeListener = (entry: StoreEntry) => void;
 
-const NO_ENTRY: PlatformEntry = { revision: 0, value: '' };
+const NO_ENTRY: StoreEntry = { revision: 0, value: '' };
 
 /** Values and leases of the fake platform. */
-export interface FakePlatformStore {
-  read(key: string): PlatformEntry;
-  swap(key: string, expected: number, value: string): PlatformOutcome<number>;
-  remove(key: string, expected: number): PlatformOutcome<number>;
+export interface FakeStoreItems {
+  read(key: string): StoreEntry;
+  swap(key: string, expected: number, value: string): StoreOutcome<number>;
+  remove(key: string, expected: number): StoreOutcome<number>;
   list(prefix: string): readonly string[];
   registerChange(key: string, listener: ChangeListener): Unregister;
-  acquire(key: string, holder: string, ttl: Millis, now: Millis): PlatformOutcome<PlatformLease>;
-  renew(lease: PlatformLease, now: Millis): PlatformOutcome<PlatformLease>;
-  release(lease: PlatformLease, now: Millis): PlatformOutcome<null>;
+  acquire(key: string, holder: string, ttl: Millis, now: Millis): StoreOutcome<StoreLease>;
+  renew(lease: StoreLease, now: Millis): StoreOutcome<StoreLease>;
+  release(lease: StoreLease, now: Millis): StoreOutcome<null>;
   /** Bytes of all values. */
   countBytes(): number;
 }
@@ -36,13 +36,13 @@
  * Creates an empty store. Revisions start again at 1 when a removed key is created anew, as some
  * services do: a user who relies on revisions that never repeat is found out here.
  */
-export function createFakePlatformStore(): FakePlatformStore {
-  const entries = new Map<string, PlatformEntry>();
+export function createFakeStoreItems(): FakeStoreItems {
+  const entries = new Map<string, StoreEntry>();
   const leases = new Map<string, HeldLease>();
   const listeners = new Map<string, Set<ChangeListener>>();
   let lastFencing = 0;
 
-  function read(key: string): PlatformEntry {
+  function read(key: string): StoreEntry {
     return entries.get(key) ?? NO_ENTRY;
   }
 
@@ -56,7 +56,7 @@
     return lease && lease.lapsesAt > now ? lease : undefined;
   }
 
-  function isHeldBy(lease: PlatformLease, now: Millis): boolean {
+  function isHeldBy(lease: StoreLease, now: Millis): boolean {
     const held = findLease(lease.key, now);
     return held?.holder === lease.holder && held.fencing === lease.fencing;
   }
--- a/packages/platform/src/PlatformBudget.ts
+++ b/packages/store/src/StoreBudget.ts
@@ -6,7 +6,7 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 
 /** What a call is made for, from the most to the least urgent. */
-export const PlatformUse = {
+export const StoreUse = {
   Claims: 'claims',
   Leases: 'leases',
   Manifest: 'manifest',
@@ -14,7 +14,7 @@
   Housekeeping: 'housekeeping',
 } as const;
 
-export type PlatformUseName = (typeof PlatformUse)[keyof typeof PlatformUse];
+export type StoreUseName = (typeof StoreUse)[keyof typeof StoreUse];
 
 /** Which of the service's two rates a call counts against. */
 export type CallKind = 'read' | 'write';
@@ -54,12 +54,12 @@
  * Part of a bucket that a use leaves for the more urgent ones. Without it, collecting garbage could
  * use up what the next claim needs, which would show as keyed requests waiting during a clean-up.
  */
-const RESERVED_SHARE: Readonly<Record<PlatformUseName, number>> = {
-  [PlatformUse.Claims]: 0,
-  [PlatformUse.Leases]: 0,
-  [PlatformUse.Manifest]: 0.15,
-  [PlatformUse.Membership]: 0.3,
-  [PlatformUse.Housekeeping]: 0.5,
+const RESERVED_SHARE: Readonly<Record<StoreUseName, number>> = {
+  [StoreUse.Claims]: 0,
+  [StoreUse.Leases]: 0,
+  [StoreUse.Manifest]: 0.15,
+  [StoreUse.Membership]: 0.3,
+  [StoreUse.Housekeeping]: 0.5,
 };
 
 interface Bucket {
@@ -78,24 +78,24 @@
 type BucketName = CallKind | 'claim-read' | 'claim-write' | 'lease-write';
 
 /** The buckets of an instance. One that was never drawn from is full. */
-export type PlatformBudget = ReadonlyMap<BucketName, Bucket>;
+export type StoreBudget = ReadonlyMap<BucketName, Bucket>;
 
 /** A budget with full buckets. */
-export const FULL_BUDGET: PlatformBudget = new Map();
+export const FULL_BUDGET: StoreBudget = new Map();
 
 /** A call's share of the budget: `wait` is 0 if the call was taken from it. */
 export interface BudgetDraw {
-  readonly budget: PlatformBudget;
+  readonly budget: StoreBudget;
   readonly wait: Millis;
 }
 
 /** Takes one call from the budget, or tells how long there will be none for this use. */
 export function drawCall(
-  budget: PlatformBudget,
+  budget: StoreBudget,
   rates: BudgetRates,
   shares: BudgetShares,
   kind: CallKind,
-  use: PlatformUseName,
+  use: StoreUseName,
   now: Millis,
 ): BudgetDraw {
   const name = getBucketName(kind, use);
@@ -112,11 +112,11 @@
   };
 }
 
-function getBucketName(kind: CallKind, use: PlatformUseName): BucketName {
-  if (use === PlatformUse.Claims) {
+function getBucketName(kind: CallKind, use: StoreUseName): BucketName {
+  if (use === StoreUse.Claims) {
     return `claim-${kind}`;
   }
-  return use === PlatformUse.Leases && kind === 'write' ? 'lease-write' : kind;
+  return use === StoreUse.Leases && kind === 'write' ? 'lease-write' : kind;
 }
 
 function getRate(rates: BudgetRates, name: BucketName, shares: BudgetShares): number {
--- a/packages/platform/src/PlatformCircuit.ts
+++ b/packages/store/src/StoreCircuit.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from '@skylarksail/core/CoreTypes';
 
-export interface PlatformCircuit {
+export interface StoreCircuit {
   /** Calls in a row that had no answer. */
   readonly unanswered: number;
   /** Time of the next probe while the circuit is open. */
@@ -25,19 +25,19 @@
   longestPause: 5000,
 };
 
-export const CLOSED_CIRCUIT: PlatformCircuit = { unanswered: 0, probeAt: 0 };
+export const CLOSED_CIRCUIT: StoreCircuit = { unanswered: 0, probeAt: 0 };
 
 /** Whether calls are being held back. */
-export function isCircuitOpen(circuit: PlatformCircuit, settings: CircuitSettings): boolean {
+export function isCircuitOpen(circuit: StoreCircuit, settings: CircuitSettings): boolean {
   return circuit.unanswered >= settings.openAfter;
 }
 
 /** The circuit once a call asks to go out, and how long it must wait; 0 lets it through. */
 export function askCircuit(
-  circuit: PlatformCircuit,
+  circuit: StoreCircuit,
   settings: CircuitSettings,
   now: Millis,
-): { readonly circuit: PlatformCircuit; readonly wait: Millis } {
+): { readonly circuit: StoreCircuit; readonly wait: Millis } {
   if (!isCircuitOpen(circuit, settings)) {
     return { circuit, wait: 0 };
   }
@@ -50,12 +50,12 @@
 
 /** The circuit after a call; `spread` in [0, 1) is its random part of the next pause. */
 export function recordAnswer(
-  circuit: PlatformCircuit,
+  circuit: StoreCircuit,
   settings: CircuitSettings,
   answered: boolean,
   now: Millis,
   spread: number,
-): PlatformCircuit {
+): StoreCircuit {
   if (answered) {
     return CLOSED_CIRCUIT;
   }
@@ -64,7 +64,7 @@
   return { ...next, probeAt: Math.max(circuit.probeAt, now + pause) };
 }
 
-function getPause(circuit: PlatformCircuit, settings: CircuitSettings): Millis {
+function getPause(circuit: StoreCircuit, settings: CircuitSettings): Millis {
   const doublings = Math.max(0, circuit.unanswered - settings.openAfter);
   return Math.min(settings.longestPause, settings.firstPause * 2 ** Math.min(doublings, 16));
 }
--- a/packages/platform/src/PlatformClient.ts
+++ b/packages/store/src/StoreClient.ts
@@ -12,8 +12,8 @@
   FULL_BUDGET,
   type BudgetRates,
   type CallKind,
-  type PlatformUseName,
-} from './PlatformBudget.js';
+  type StoreUseName,
+} from './StoreBudget.js';
 import {
   askCircuit,
   CLOSED_CIRCUIT,
@@ -21,11 +21,11 @@
   isCircuitOpen,
   recordAnswer,
   type CircuitSettings,
-} from './PlatformCircuit.js';
-import type { CallOptions, PlatformOutcome, PlatformPort } from './PlatformPort.js';
+} from './StoreCircuit.js';
+import type { CallOptions, StoreOutcome, StorePort } from './StorePort.js';
 
-export interface PlatformClientOptions {
-  readonly port: PlatformPort;
+export interface StoreClientOptions {
+  readonly port: StorePort;
   readonly timers: TimerService;
   readonly random: Random;
   /** Live instances as far as is known, ourselves included; read at each call. */
@@ -37,7 +37,7 @@
 }
 
 /** What an instance's calls came to, for metrics. */
-export interface PlatformClientCounts {
+export interface StoreClientCounts {
   readonly sent: number;
   readonly done: number;
   readonly refused: number;
@@ -46,12 +46,12 @@
   readonly heldBack: number;
 }
 
-export interface PlatformClient {
+export interface StoreClient {
   /** The port for one use; all uses share the budget and the circuit. */
-  forUse(use: PlatformUseName): PlatformPort;
+  forUse(use: StoreUseName): StorePort;
   /** Whether the service is taken to be in outage. */
   isHeldBack(): boolean;
-  getCounts(): PlatformClientCounts;
+  getCounts(): StoreClientCounts;
 }
 
 /** A call waits in our own queue for at most this part of its timeout. */
@@ -59,16 +59,16 @@
 /** A long watch is given up this long after the service should have answered it. */
 const WATCH_GRACE: Millis = 1000;
 
-type SendCall<T> = (options: CallOptions) => Promise<PlatformOutcome<T>>;
+type SendCall<T> = (options: CallOptions) => Promise<StoreOutcome<T>>;
 
 /** Creates the client. Nothing is sent until a call is made. */
-export function createPlatformClient(options: PlatformClientOptions): PlatformClient {
+export function createStoreClient(options: StoreClientOptions): StoreClient {
   const { port, timers, random, countInstances } = options;
   const rates = options.rates ?? DEFAULT_BUDGET_RATES;
   const circuitSettings = options.circuit ?? DEFAULT_CIRCUIT_SETTINGS;
   let budget = FULL_BUDGET;
   let circuit = CLOSED_CIRCUIT;
-  let counts: PlatformClientCounts = {
+  let counts: StoreClientCounts = {
     sent: 0,
     done: 0,
     refused: 0,
@@ -77,7 +77,7 @@
     heldBack: 0,
   };
 
-  function count(name: keyof PlatformClientCounts): void {
+  function count(name: keyof StoreClientCounts): void {
     counts = { ...counts, [name]: counts[name] + 1 };
   }
 
@@ -90,7 +90,7 @@
   /** Waits for the budget; gives the wait that is still needed if it is longer than `patience`. */
   async function waitForBudget(
     kind: CallKind,
-    use: PlatformUseName,
+    use: StoreUseName,
     patience: Millis,
   ): Promise<Millis> {
     const giveUpAt = timers.now() + patience;
@@ -109,10 +109,10 @@
     send: SendCall<T>,
     timeout: Millis,
     grace: Millis,
-  ): Promise<PlatformOutcome<T>> {
+  ): Promise<StoreOutcome<T>> {
     return new Promise((resolve) => {
       const cancel = timers.registerTimeout(timeout + grace, () => resolve({ kind: 'unknown' }));
-      const finish = (outcome: PlatformOutcome<T>): void => {
+      const finish = (outcome: StoreOutcome<T>): void => {
         cancel();
         resolve(outcome);
       };
@@ -123,11 +123,11 @@
 
   async function call<T>(
     kind: CallKind,
-    use: PlatformUseName,
+    use: StoreUseName,
     { timeout }: CallOptions,
     send: SendCall<T>,
     grace: Millis = 0,
-  ): Promise<PlatformOutcome<T>> {
+  ): Promise<StoreOutcome<T>> {
     const startedAt = timers.now();
     const asked = askCircuit(circuit, circuitSettings, startedAt);
     circuit = asked.circuit;
@@ -154,7 +154,7 @@
     return outcome;
   }
 
-  function forUse(use: PlatformUseName): PlatformPort {
+  function forUse(use: StoreUseName): StorePort {
     return {
       get: (key, opts) => call('read', use, opts, (o) => port.get(key, o)),
       swap: (key, expected, value, opts) =>
--- a/packages/platform/src/PlatformErrors.ts
+++ b/packages/store/src/StoreErrors.ts
@@ -2,4 +2,4 @@
 import { SkylarkError } from '@skylarksail/core/CoreErrors';
 
 /** Any failure that this package reports by throwing. */
-export const PlatformError = SkylarkError.subclass('PlatformError');
+export const StoreError = SkylarkError.subclass('StoreError');
--- a/packages/platform/src/PlatformLeaseHolder.ts
+++ b/packages/store/src/StoreLeaseHolder.ts
@@ -6,10 +6,10 @@
 import { jitter, type Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { PlatformLease, PlatformPort } from './PlatformPort.js';
+import type { StoreLease, StorePort } from './StorePort.js';
 
 export interface LeaseHolderOptions {
-  readonly port: PlatformPort;
+  readonly port: StorePort;
   readonly timers: TimerService;
   readonly random: Random;
   readonly key: string;
@@ -17,14 +17,14 @@
   readonly ttl: Millis;
   /** How long before the lease could lapse the holder stops relying on it. */
   readonly margin: Millis;
-  readonly onAcquired: (lease: PlatformLease) => void;
+  readonly onAcquired: (lease: StoreLease) => void;
   /** The lease is lost or may be; called once for each time that it was acquired. */
   readonly onLost: () => void;
 }
 
 export interface LeaseHolder {
   /** The lease if it is safe to act under it now, else null. Never act on an older answer. */
-  getLease(): PlatformLease | null;
+  getLease(): StoreLease | null;
   /** Gives the lease back, if it is held, and stops asking for it. */
   stop(): void;
 }
@@ -38,7 +38,7 @@
 const JITTER_SHARE = 0.3;
 
 interface HeldLease {
-  readonly lease: PlatformLease;
+  readonly lease: StoreLease;
   readonly safeUntil: Millis;
 }
 
@@ -61,7 +61,7 @@
     }
   }
 
-  function hold(lease: PlatformLease, askedAt: Millis): void {
+  function hold(lease: StoreLease, askedAt: Millis): void {
     const wasHeld = held !== null;
     held = { lease, safeUntil: askedAt + safeTime };
     cancelLoss();
--- a/packages/platform/src/PlatformPort.ts
+++ b/packages/store/src/StorePort.ts
@@ -10,16 +10,18 @@
  * What came of a call. `refused`: the service answered and took no effect. `unknown`: no answer came;
  * the effect may have happened, may yet happen, or never will.
  */
-export type PlatformOutcome<T> =
+export type StoreOutcome<T> =
   | { readonly kind: 'done'; readonly value: T }
-  | { readonly kind: 'refused'; readonly reason: PlatformRefusal }
+  | { readonly kind: 'refused'; readonly reason: StoreRefusal }
   | { readonly kind: 'unknown' };
 
 /** Why the service, or our own budget, refused a call. */
-export type PlatformRefusal =
+export type StoreRefusal =
   | { readonly kind: 'conflict'; readonly revision: number }
   | { readonly kind: 'held'; readonly holder: string }
   | { readonly kind: 'lapsed' }
+  /** The history that was asked for is no longer kept. */
+  | { readonly kind: 'compacted' }
   | { readonly kind: 'rate-limited'; readonly retryAfter: Millis }
   | { readonly kind: 'over-budget'; readonly retryAfter: Millis }
   /** Held back by our own client while the service does not answer; nothing was sent. */
@@ -28,13 +30,13 @@
   | { readonly kind: 'invalid'; readonly detail: string };
 
 /** A stored value. Revision 0 stands for a key that does not exist. */
-export interface PlatformEntry {
+export interface StoreEntry {
   readonly revision: number;
   readonly value: string;
 }
 
 /** A lease that we hold, as far as we know. */
-export interface PlatformLease {
+export interface StoreLease {
   readonly key: string;
   readonly holder: string;
   /** Rises with every new holder; the service never gives a number twice. */
@@ -59,28 +61,28 @@
   readonly timeout: Millis;
 }
 
-export interface PlatformPort {
-  get(key: string, options: CallOptions): Promise<PlatformOutcome<PlatformEntry>>;
+export interface StorePort {
+  get(key: string, options: CallOptions): Promise<StoreOutcome<StoreEntry>>;
   /** Writes `value` if the key's revision is `expected`; 0 creates it. Gives the new revision. */
   swap(
     key: string,
     expected: number,
     value: string,
     options: CallOptions,
-  ): Promise<PlatformOutcome<number>>;
+  ): Promise<StoreOutcome<number>>;
   /** Removes a key if its revision is `expected`. */
-  remove(key: string, expected: number, options: CallOptions): Promise<PlatformOutcome<number>>;
+  remove(key: string, expected: number, options: CallOptions): Promise<StoreOutcome<number>>;
   /** Keys with a prefix, in order; for the collection of garbage only. */
-  list(prefix: string, options: CallOptions): Promise<PlatformOutcome<readonly string[]>>;
+  list(prefix: string, options: CallOptions): Promise<StoreOutcome<readonly string[]>>;
   /** Waits until the key's revision differs from `known`; gives the entry, changed or not. */
-  watch(key: string, known: number, options: CallOptions): Promise<PlatformOutcome<PlatformEntry>>;
+  watch(key: string, known: number, options: CallOptions): Promise<StoreOutcome<StoreEntry>>;
   acquireLease(
     key: string,
     holder: string,
     ttl: Millis,
     options: CallOptions,
-  ): Promise<PlatformOutcome<PlatformLease>>;
-  renewLease(lease: PlatformLease, options: CallOptions): Promise<PlatformOutcome<PlatformLease>>;
-  releaseLease(lease: PlatformLease, options: CallOptions): Promise<PlatformOutcome<null>>;
-  listInstances(options: CallOptions): Promise<PlatformOutcome<readonly InstanceRecord[]>>;
+  ): Promise<StoreOutcome<StoreLease>>;
+  renewLease(lease: StoreLease, options: CallOptions): Promise<StoreOutcome<StoreLease>>;
+  releaseLease(lease: StoreLease, options: CallOptions): Promise<StoreOutcome<null>>;
+  listInstances(options: CallOptions): Promise<StoreOutcome<readonly InstanceRecord[]>>;
 }
--- a/packages/platform/src/PlatformSettle.ts
+++ b/packages/store/src/StoreSettle.ts
@@ -6,10 +6,10 @@
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { PlatformEntry, PlatformPort, PlatformRefusal } from './PlatformPort.js';
+import type { StoreEntry, StorePort, StoreRefusal } from './StorePort.js';
 
 export interface SettledSwapOptions {
-  readonly port: PlatformPort;
+  readonly port: StorePort;
   readonly timers: TimerService;
   readonly key: string;
   readonly expected: number;
@@ -27,12 +27,12 @@
   /** It took effect; `revision` is that at which it was found. */
   | { readonly kind: 'done'; readonly revision: number }
   /** The service refused it and no try can take effect any more. */
-  | { readonly kind: 'refused'; readonly reason: PlatformRefusal }
+  | { readonly kind: 'refused'; readonly reason: StoreRefusal }
   /**
    * After an unanswered try another value is found. No try can take effect any more, but one may have
    * done so before that value came, unless values keep a trace of those before them.
    */
-  | { readonly kind: 'overtaken'; readonly entry: PlatformEntry }
+  | { readonly kind: 'overtaken'; readonly entry: StoreEntry }
   /** The deadline came. A try may have taken effect, or may yet. */
   | { readonly kind: 'open' };
 
@@ -43,7 +43,7 @@
   const { port, timers, key, expected, value, carriesWrite, callTimeout } = options;
   const deadline = timers.now() + options.timeLeft;
   let unanswered = 0;
-  let lastRefusal: PlatformRefusal | null = null;
+  let lastRefusal: StoreRefusal | null = null;
 
   function getCallOptions(): { readonly timeout: Millis } {
     return { timeout: Math.max(1, Math.min(callTimeout, deadline - timers.now())) };
--- a/packages/platform/src/PlatformWatch.ts
+++ b/packages/store/src/StoreWatch.ts
@@ -6,10 +6,10 @@
 import { jitter, type Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { PlatformEntry, PlatformOutcome, PlatformPort } from './PlatformPort.js';
+import type { StoreEntry, StoreOutcome, StorePort } from './StorePort.js';
 
 export interface WatchOptions {
-  readonly port: PlatformPort;
+  readonly port: StorePort;
   readonly timers: TimerService;
   readonly random: Random;
   readonly key: string;
@@ -18,7 +18,7 @@
   /** How long the service holds a watch on which nothing happens. */
   readonly waitTime: Millis;
   /** Hears each value whose revision differs from the one before; values in between may be missed. */
-  readonly onEntry: (entry: PlatformEntry) => void;
+  readonly onEntry: (entry: StoreEntry) => void;
 }
 
 const FIRST_PAUSE_MS = 200;
@@ -38,7 +38,7 @@
     });
   }
 
-  function handle(outcome: PlatformOutcome<PlatformEntry>, startedAt: Millis): void {
+  function handle(outcome: StoreOutcome<StoreEntry>, startedAt: Millis): void {
     if (outcome.kind !== 'done') {
       const asked =
         outcome.kind === 'refused' && 'retryAfter' in outcome.reason
--- a/packages/platform/src/__tests__/unit/PlatformClient.test.ts
+++ b/packages/store/src/__tests__/unit/StoreClient.test.ts
@@ -1,19 +1,19 @@
 import { expect } from 'chai';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers, type VirtualTimers } from '@skylarksail/core/CoreTimers';
-import { createFakePlatform, type FakePlatform } from '../../FakePlatform.js';
-import { createPlatformClient, type PlatformClient } from '../../PlatformClient.js';
+import { createFakeStore, type FakeStore } from '../../FakeStore.js';
+import { createStoreClient, type StoreClient } from '../../StoreClient.js';
 
 interface Stand {
   readonly timers: VirtualTimers;
-  readonly platform: FakePlatform;
-  readonly client: PlatformClient;
+  readonly platform: FakeStore;
+  readonly client: StoreClient;
 }
 
 function createStand(instances = 6): Stand {
   const timers = createVirtualTimers();
-  const platform = createFakePlatform({ timers, random: createRandom(1) });
-  const client = createPlatformClient({
+  const platform = createFakeStore({ timers, random: createRandom(1) });
+  const client = createStoreClient({
     port: platform.connect('a'),
     timers,
     random: createRandom(2),
@@ -22,7 +22,7 @@
   return { timers, platform, client };
 }
 
-describe('PlatformClient', () => {
+describe('StoreClient', () => {
   it('tells done, refused and unknown apart', async () => {
     // Symptom: a write reported as failed is found in the store. Sequence: the service applies the
     // swap, its answer is lost. Cause: no answer is not a refusal; the outcome must say unknown.
--- a/packages/platform/src/__tests__/unit/PlatformHelpers.test.ts
+++ b/packages/store/src/__tests__/unit/StoreHelpers.test.ts
@@ -1,17 +1,17 @@
 import { expect } from 'chai';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers, type VirtualTimers } from '@skylarksail/core/CoreTimers';
-import { createFakePlatform, type FakePlatform } from '../../FakePlatform.js';
-import { createLeaseHolder, type LeaseHolder } from '../../PlatformLeaseHolder.js';
-import { swapSettled, type SettledSwap } from '../../PlatformSettle.js';
-import { registerWatch } from '../../PlatformWatch.js';
+import { createFakeStore, type FakeStore } from '../../FakeStore.js';
+import { createLeaseHolder, type LeaseHolder } from '../../StoreLeaseHolder.js';
+import { swapSettled, type SettledSwap } from '../../StoreSettle.js';
+import { registerWatch } from '../../StoreWatch.js';
 
 const TTL = 10_000;
 const MARGIN = 4000;
 
-function createStand(): { timers: VirtualTimers; platform: FakePlatform } {
+function createStand(): { timers: VirtualTimers; platform: FakeStore } {
   const timers = createVirtualTimers();
-  return { timers, platform: createFakePlatform({ timers, random: createRandom(1) }) };
+  return { timers, platform: createFakeStore({ timers, random: createRandom(1) }) };
 }
 
 function startSwap(
