Hand a caller's own request through the router, and gather the store's changes

Cause: the adapter kept a table of running requests beside the router, and forty entries that came within two seconds woke each instance's watch forty times.

Change: EngineCall and ServiceCall carry the original request, team and priority, so the adapter keeps nothing; the relay owns the number of connections; changes that come within 120 ms are taken with one call.

--- a/packages/bench/src/RecoveryInstance.ts
+++ b/packages/bench/src/RecoveryInstance.ts
@@ -344,6 +344,8 @@
     request: spec.id,
     attempt,
     chain: choice.chain,
+    team: spec.team,
+    original: null,
     prompt: spec.prompt,
     resumeTokens: [],
     maxTokens: spec.maxTokens,
--- a/packages/bench/src/ThroughputEntry.ts
+++ b/packages/bench/src/ThroughputEntry.ts
@@ -116,6 +116,8 @@
       request: req.id,
       attempt: 1,
       chain: routed.chain,
+      team: 'bench',
+      original: null,
       prompt: req.prompt,
       resumeTokens: [],
       maxTokens: req.answerTokens,
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -132,6 +132,7 @@
       model: service.id,
       variant: { model: service.id, version: ONLY_VERSION, adapter: null },
       layerCount: pipeline.layers,
+      original: { method: call.method, path: call.path, headers: call.headers, body: call.body },
       prompt: `${call.path}\n${Buffer.from(call.body).toString('latin1')}`,
       promptTokens: call.promptTokens,
       maxTokens: call.maxTokens,
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -1,16 +1,12 @@
 /** The parts of an instance that serves by routes, joined to each other round the router of requests. */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { DecisionLog } from '@skylarksail/daemon/DaemonDecisions';
 import type { DaemonLogger } from '@skylarksail/daemon/DaemonLog';
 import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import { createDaemonRouting } from '@skylarksail/daemon/DaemonRouting';
-import type {
-  ClaimPort,
-  OpenEngineCall,
-  OpenServiceCall,
-} from '@skylarksail/requests/RequestPorts';
+import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { RouterConfig } from '@skylarksail/requests/RouterTypes';
@@ -25,10 +21,16 @@
 import type { RelayIntake } from './RelayIntake.js';
 import { createRelayIntake } from './RelayIntake.js';
 import { createRelayLease, OWN_PREFIX } from './RelayLease.js';
-import type { RangeOrderPort } from './RelayPlacement.js';
 import { createRelayPlacement } from './RelayPlacement.js';
 import { createServerChooser } from './RelayServers.js';
-import type { InstanceEntry, ReadBackendKey, ReadContent } from './RelayTypes.js';
+import type {
+  BackendEntry,
+  BackendPorts,
+  BackendView,
+  InstanceEntry,
+  ReadBackendKey,
+  ReadContent,
+} from './RelayTypes.js';
 
 /** Bounds that the deployment sets for the whole fleet. */
 export interface RelayBounds {
@@ -46,9 +48,7 @@
   readonly store: StoreRangePort;
   readonly readContent: ReadContent;
   readonly readBackendKey: ReadBackendKey;
-  readonly openEngineCall: OpenEngineCall;
-  readonly openServiceCall: OpenServiceCall;
-  readonly orders: RangeOrderPort;
+  readonly createBackends: (view: BackendView) => BackendPorts;
   readonly logger: DaemonLogger;
   readonly decisions: DecisionLog;
   readonly metrics: DaemonMetrics;
@@ -72,6 +72,12 @@
 /** The slack is for the whole fleet; instances may see very unequal parts of a trouble. */
 const FLEET_SHARES = 6;
 const RETRY_CAUTION = 0.6;
+/** Connections are limited for all instances together; so many are reckoned with before they are seen. */
+const INSTANCES_ASSUMED = 6;
+const CONNECTION_SHARE = 0.9;
+const LEAST_CONNECTIONS = 2;
+/** Chains are filled by memory and not by pace; other domains lend all that they have. */
+const ROUTING_TUNING = { tokenGapMs: 150, crossDomainShare: 3 };
 /** Waiting requests of one team at one instance. */
 const TEAM_QUEUE = 400;
 
@@ -110,15 +116,25 @@
     countOwnInstances: () =>
       lease.listInstances().filter(({ domain }) => domain === self.domain).length,
   });
+  const backends = options.createBackends({
+    getBackend: catalogue.get,
+    findByAddress: (address) => findEntry(catalogue, address)?.id ?? null,
+    getMostConnections: (address) => {
+      const service = findEntry(catalogue, address)?.service ?? '';
+      const most = table?.findService(service)?.maxConnections ?? 0;
+      const instances = Math.max(INSTANCES_ASSUMED, lease.listInstances().length);
+      return Math.max(LEAST_CONNECTIONS, Math.floor((most * CONNECTION_SHARE) / instances));
+    },
+  });
   const router = createRequestRouter({
     cfg: createRouterConfig(options.bounds),
     timers,
     random,
     chooseChain: routing.chooseChain,
     chooseRepair: routing.chooseRepair,
-    openEngineCall: routing.watchGaps(options.openEngineCall),
+    openEngineCall: routing.watchGaps(backends.openEngineCall),
     chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }),
-    openServiceCall: options.openServiceCall,
+    openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
@@ -139,7 +155,7 @@
     catalogue,
     getTable: () => table,
     holds: lease.holds,
-    port: options.orders,
+    port: backends.orders,
     onDecision: (decision) => logger.info(decision, 'placement'),
   });
 
@@ -250,9 +266,6 @@
   };
 }
 
-/** Chains are filled by memory and not by pace; other domains lend all that they have. */
-const ROUTING_TUNING = { tokenGapMs: 150, crossDomainShare: 3 };
-
 function createRouterConfig({ retryShare, retrySlack }: RelayBounds): RouterConfig {
   return {
     ...DEFAULT_ROUTER_CONFIG,
@@ -262,6 +275,13 @@
   };
 }
 
+function findEntry(catalogue: Catalogue, { host, port }: HostPort): BackendEntry | null {
+  const found = catalogue
+    .list()
+    .find(({ address }) => address.host === host && address.port === port);
+  return found ?? null;
+}
+
 function listDomains(catalogue: Catalogue): readonly DomainId[] {
   return [
     ...new Set(
--- a/packages/relay/src/RelayServers.ts
+++ b/packages/relay/src/RelayServers.ts
@@ -25,6 +25,10 @@
 /** What a call in another domain weighs against one in the own: a quarter more, as its way is longer. */
 const FOREIGN_WEIGHT = 1.25;
 
+/** Part of a new time in the smoothed one: some ten answers are remembered. */
+const TIME_WEIGHT = 0.1;
+const TIE_SPREAD = 0.1;
+
 export function createServerChooser(options: RelayServersOptions): ChooseServer {
   const { timers, random, domain, catalogue } = options;
   const running = new Map<EngineId, number>();
@@ -77,10 +81,6 @@
   };
 }
 
-/** Part of a new time in the smoothed one: some ten answers are remembered. */
-const TIME_WEIGHT = 0.1;
-const TIE_SPREAD = 0.1;
-
 /** Instances that know the same would all choose the same server without it. */
 function tieBreak(random: Random): number {
   return 1 + TIE_SPREAD * random.nextFloat();
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -102,6 +102,8 @@
           request: spec.id,
           attempt,
           chain,
+          team: spec.team,
+          original: spec.original ?? null,
           prompt: spec.prompt,
           resumeTokens: [...tokens],
           maxTokens: spec.maxTokens,
--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -9,6 +9,7 @@
   Millis,
   RequestId,
   ServiceId,
+  TeamId,
   Unregister,
 } from '@skylarksail/core/CoreTypes';
 
@@ -47,12 +48,24 @@
   readonly provenNotRun: boolean;
 }
 
+/** A request as its caller sent it, for engines that take it unchanged in place of a prompt. */
+export interface OriginalRequest {
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
 /** One attempt to run a request, or the rest of it, on a chain of engines. */
 export interface EngineCall {
   readonly request: RequestId;
   /** Counts up from 1; frames of another attempt are dropped. */
   readonly attempt: number;
   readonly chain: Chain;
+  readonly team: TeamId;
+  /** Null where the engines speak our own protocol. */
+  readonly original: OriginalRequest | null;
   /** What the model reads, as the engines take it. */
   readonly prompt: string;
   /** Tokens already given to the caller; generation goes on after them. */
@@ -102,6 +115,8 @@
   readonly service: ServiceId;
   /** Backend server that takes it. */
   readonly server: EngineId;
+  readonly team: TeamId;
+  readonly priority: PriorityName;
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -2,7 +2,7 @@
 import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import type { PriorityName, RunStateName } from '@skylarksail/core/CoreConstants';
 import type { EngineId, Millis, ModelId, RequestId, TeamId } from '@skylarksail/core/CoreTypes';
-import type { AnswerHead, FinishReason } from './RequestPorts.js';
+import type { AnswerHead, FinishReason, OriginalRequest } from './RequestPorts.js';
 
 /** A model request as the router takes it. */
 export interface RequestSpec {
@@ -21,6 +21,8 @@
   readonly idempotencyKey: string | null;
   /** Whether running it twice does no harm. */
   readonly idempotent: boolean;
+  /** The caller's own request, where engines take it unchanged. */
+  readonly original?: OriginalRequest;
   /** Engines that it may run on, those that were lost under it not counted; no bound if left out. */
   readonly maxAttempts?: number;
   /** Hashes of the prompt's prefixes, shortest first, for engines' prefix caches. */
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -85,10 +85,22 @@
     log('server', server, null);
     const current = attempt;
     const openedAt = timers.now();
-    const { id: request, service, method, path, headers, body } = spec;
+    const { id: request, team, priority, service, method, path, headers, body } = spec;
     const timeLeft = spec.deadline - openedAt;
     cancelCall = deps.openServiceCall(
-      { request, attempt, service, server, method, path, headers, body, timeLeft },
+      {
+        request,
+        attempt,
+        service,
+        server,
+        team,
+        priority,
+        method,
+        path,
+        headers,
+        body,
+        timeLeft,
+      },
       {
         onAnswer: (answer) =>
           shared.post(() => takeIfCurrent(current, () => takeAnswer(answer, server, openedAt))),
--- a/packages/stand-ins/src/__tests__/unit/VirtualFleet.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/VirtualFleet.test.ts
@@ -45,6 +45,8 @@
     request: 'r1',
     attempt: 1,
     chain: chain.value,
+    team: 'letters',
+    original: null,
     prompt: 'x'.repeat(640),
     resumeTokens: [],
     maxTokens: 20,
--- a/packages/store/src/StoreFollow.ts
+++ b/packages/store/src/StoreFollow.ts
@@ -35,6 +35,11 @@
 const FIRST_PAUSE: Millis = 50;
 /** Short beside the bound of two seconds within which a change must be in force after an outage. */
 const LONGEST_PAUSE: Millis = 400;
+/**
+ * Changes seldom come alone: forty servers that register within two seconds would be forty calls of each
+ * instance. What comes in this time comes with one call.
+ */
+const GATHER_TIME: Millis = 120;
 const JITTER_SHARE = 0.5;
 
 /** Starts to follow; the returned function ends it. */
@@ -47,6 +52,10 @@
   function pause(): Promise<void> {
     const delay = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** Math.min(failures, 8));
     failures += 1;
+    return sleep(delay);
+  }
+
+  function sleep(delay: Millis): Promise<void> {
     return new Promise((resolve) => {
       timers.registerTimeout(jitter(random, delay, JITTER_SHARE), resolve);
     });
@@ -98,6 +107,9 @@
       return null;
     }
     changes.events.forEach((event) => listener.onEvent(event));
+    if (changes.events.length > 0) {
+      await sleep(GATHER_TIME);
+    }
     return changes.revision;
   }
 
