Keep repeats within the fleet's budget, and keep off engines that refuse

A process ended on an invariant: a repair kept a stage whose engine was no longer registered. A recut of a domain chased the engines' reports and never settled.

Change: the budget counts repeats in any ten seconds, by model and service, and recoveries take from it where so set; an engine that refuses is kept off for growing times; a repair replaces stages whose engines are gone or hold others; a domain's goal stays until its engines change, and a gap waits 1.5 s for an engine to fill it. Bounds of silence are settings. The limit of running requests no longer falls with late events here.

--- a/packages/placement/src/PlacementRanges.ts
+++ b/packages/placement/src/PlacementRanges.ts
@@ -32,17 +32,27 @@
  */
 const RECUT_GAIN = 1.3;
 
-/** Plans a domain. Null if its engines cannot hold the model, so that nothing is to be ordered. */
-export function planRanges(engines: readonly RangeEngine[], model: RangeModel): RangePlan | null {
+/**
+ * Plans a domain whose layers are partly missing or badly cut. Null if there is nothing to be done, or
+ * nothing that can be. `mayCut` says whether engines that hold layers may be given others: a lost engine
+ * is often back within seconds, and then takes its layers again without a move of any other.
+ */
+export function planRanges(
+  engines: readonly RangeEngine[],
+  model: RangeModel,
+  mayCut: boolean,
+): RangePlan | null {
   const sorted = sortByRange(engines);
-  const holders = sorted.filter(({ held }) => held !== null);
-  const fresh = cutByMemory(placeSpares(sorted, model), model);
-  if (findGaps(holders, model).length === 0) {
-    const isBetter =
-      fresh !== null && getRoom(engines, fresh, model) > RECUT_GAIN * getHeldRoom(holders, model);
-    return isBetter ? fresh : new Map();
+  const isWhole = findGaps(sorted, model).length === 0;
+  const filled = isWhole ? null : fillGaps(sorted, model);
+  if (filled !== null || !mayCut) {
+    return filled;
   }
-  return fillGaps(sorted, model) ?? fresh;
+  const fresh = cutByMemory(placeSpares(sorted, model), model);
+  const isWorthwhile =
+    fresh !== null &&
+    (!isWhole || getRoom(engines, fresh, model) > RECUT_GAIN * getHeldRoom(sorted, model));
+  return isWorthwhile ? fresh : null;
 }
 
 /** Ranges of layers that no engine holds. */
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -143,16 +143,29 @@
       maxAttempts: route.maxAttempts,
       prefixKeys: [],
     };
+    const times = createEventTimes(timers.now());
     let hasBegun = false;
     return router.submit(spec, {
       onStart: (head) => {
         hasBegun = true;
         listener.onHead(head ?? { status: 200, headers: {} });
       },
-      onToken: (_index, event) => listener.onEvent(event),
-      onEnd: () => listener.onEnd(),
+      onToken: (_index, event) => {
+        times.note(timers.now());
+        listener.onEvent(event);
+      },
+      onEnd: () => {
+        onDecision({ request: call.id, decision: 'answered', ...times.read() });
+        listener.onEnd();
+      },
       onError: (problem) => {
         if (hasBegun) {
+          onDecision({
+            request: call.id,
+            decision: 'broken-off',
+            reason: problem.kind,
+            ...times.read(),
+          });
           listener.onBroken();
         } else {
           refuse(call, listener, toRefusal(problem));
@@ -188,6 +201,35 @@
   return { submit };
 }
 
+/** How an answer's events came, so that a late one can be told from the log. */
+interface EventTimes {
+  note(now: Millis): void;
+  read(): { readonly events: number; readonly firstMs: Millis; readonly longestPauseMs: Millis };
+}
+
+function createEventTimes(start: Millis): EventTimes {
+  let events = 0;
+  let first = 0;
+  let last = start;
+  let longestPause = 0;
+  return {
+    note(now) {
+      if (events === 0) {
+        first = now - start;
+      } else {
+        longestPause = Math.max(longestPause, now - last);
+      }
+      events += 1;
+      last = now;
+    },
+    read: () => ({
+      events,
+      firstMs: Math.round(first),
+      longestPauseMs: Math.round(longestPause),
+    }),
+  };
+}
+
 /** A status that promises no more than is known: 503 only of what has not run and never will. */
 function toRefusal(problem: RequestProblem): RelayRefusal {
   const reason = `${problem.kind} ${problem.run}`;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -7,6 +7,8 @@
 import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import { createDaemonRouting } from '@skylarksail/daemon/DaemonRouting';
 import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
+import type { SilenceConfig } from '@skylarksail/requests/RequestPace';
+import type { LimitConfig } from '@skylarksail/requests/RequestLimits';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { RouterConfig } from '@skylarksail/requests/RouterTypes';
@@ -69,9 +71,31 @@
 /** A watch is renewed this often: a connection that went silent must not hide a change for long. */
 const WATCH_TIME: Millis = 2500;
 const STORE_TIMEOUT: Millis = 700;
-/** The slack is for the whole fleet; instances may see very unequal parts of a trouble. */
-const FLEET_SHARES = 6;
-const RETRY_CAUTION = 0.6;
+/** A part of the fleet's retries stays unused: instances may count each other late. */
+const RETRY_CAUTION = 0.9;
+/**
+ * An answer that is moved pauses for longer than is on time, so a chain is given up only when it is most
+ * likely dead, and soon enough for the rest to come before the caller leaves, two seconds after the last
+ * event. Bounds of 120 ms moved one in four answers of a sound fleet that was reading long prompts.
+ */
+const SILENCE: SilenceConfig = {
+  acknowledgement: { least: 900, most: 3000 },
+  firstToken: { least: 900, most: 3000 },
+  gap: { least: 500, most: 900 },
+  leastSlowGap: 150,
+};
+/**
+ * Engines bound what runs, by memory and by the requests that they take at once; they refuse what is too
+ * much before it has run. A limit that falls with late events refused requests that engines had room for
+ * whenever one domain's answers were held up by a fault.
+ */
+const LIMITS: LimitConfig = {
+  initial: 1024,
+  least: 1024,
+  most: 1024,
+  gapTarget: 200,
+  firstTokenTarget: 2000,
+};
 /** Connections are limited for all instances together; so many are reckoned with before they are seen. */
 const INSTANCES_ASSUMED = 6;
 const CONNECTION_SHARE = 0.9;
@@ -113,8 +137,7 @@
     catalogue,
     routing,
     getTable: () => table,
-    countOwnInstances: () =>
-      lease.listInstances().filter(({ domain }) => domain === self.domain).length,
+    countOwnInstances,
   });
   const backends = options.createBackends({
     getBackend: catalogue.get,
@@ -137,6 +160,7 @@
     openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
+    getRetryBurst,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
@@ -159,6 +183,21 @@
     onDecision: (decision) => logger.info(decision, 'placement'),
   });
 
+  /**
+   * This instance's part of the fleet's slack: first by domain, since trouble comes to a domain as a whole
+   * and its answers break at its own instances, however few they are.
+   */
+  function getRetryBurst(): number {
+    const instances = lease.listInstances();
+    const domains = new Set([...listDomains(catalogue), ...instances.map(({ domain }) => domain)]);
+    const share = 1 / (Math.max(1, domains.size) * countOwnInstances());
+    return options.bounds.retrySlack * RETRY_CAUTION * share;
+  }
+
+  function countOwnInstances(): number {
+    return lease.listInstances().filter(({ domain }) => domain === self.domain).length;
+  }
+
   function takeItem(item: StoreItem): void {
     if (item.key.startsWith(OWN_PREFIX)) {
       lease.takeEvent({ kind: 'written', item });
@@ -266,12 +305,14 @@
   };
 }
 
-function createRouterConfig({ retryShare, retrySlack }: RelayBounds): RouterConfig {
+function createRouterConfig({ retryShare }: RelayBounds): RouterConfig {
   return {
     ...DEFAULT_ROUTER_CONFIG,
-    limits: { initial: 512, least: 64, most: 4096, gapTarget: 180, firstTokenTarget: 1000 },
+    limits: LIMITS,
+    silence: SILENCE,
     retryShare: retryShare * RETRY_CAUTION,
-    retryBurst: (retrySlack * RETRY_CAUTION) / FLEET_SHARES,
+    retryBurst: 0,
+    isRecoveryBudgeted: true,
   };
 }
 
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -68,21 +68,42 @@
 const ORDER_PATIENCE: Millis = 4000;
 const RETRY_PAUSE: Millis = 600;
 
+/** Time that a lost engine has to come back, or a new one to come, before all others are cut anew. */
+const GAP_PATIENCE: Millis = 1500;
+
 interface PendingOrder {
   readonly range: LayerRange;
   readonly until: Millis;
 }
 
+/** What a domain is being brought to. Kept until its engines change, so that orders do not chase reports. */
+type DomainGoal = Map<EngineId, LayerRange>;
+
 export function createRelayPlacement(options: RelayPlacementOptions): RelayPlacement {
   const { timers, catalogue, getTable, holds, port } = options;
   const pending = new Map<EngineId, PendingOrder>();
   const paused = new Map<EngineId, Millis>();
+  const goals = new Map<string, DomainGoal>();
+  /** Since when layers of a domain are missing. */
+  const gapSince = new Map<string, Millis>();
   let changedAt = timers.now();
   let known = '';
 
-  /** What an engine will hold when its order is done, else what it holds. */
-  function getExpected(entry: BackendEntry): LayerRange | null {
-    return pending.get(entry.id)?.range ?? entry.layers;
+  function getGoal(key: string): DomainGoal {
+    const goal: DomainGoal = goals.get(key) ?? new Map<EngineId, LayerRange>();
+    goals.set(key, goal);
+    return goal;
+  }
+
+  function getGapAge(key: string, hasGap: boolean): Millis {
+    const now = timers.now();
+    const since = hasGap ? (gapSince.get(key) ?? now) : null;
+    if (since === null) {
+      gapSince.delete(key);
+      return 0;
+    }
+    gapSince.set(key, since);
+    return now - since;
   }
 
   async function sendOrder(
@@ -134,25 +155,42 @@
       .list()
       .filter((entry) => entry.service === service.id && entry.domain === domain)
       .filter((entry) => entry.state === LifeState.Live);
+    const key = `${service.id}/${domain}`;
+    const goal = getGoal(key);
+    const live = new Set(entries.map(({ id }) => id));
+    [...goal.keys()].filter((id) => !live.has(id)).forEach((id) => goal.delete(id));
+    replan(key, goal, entries, pipeline);
+    for (const entry of entries) {
+      const range = goal.get(entry.id);
+      const isWaiting = pending.has(entry.id) || (paused.get(entry.id) ?? 0) > timers.now();
+      if (range && !isSame(entry.layers, range) && !isWaiting) {
+        void sendOrder(entry, range, pipeline);
+      }
+    }
+  }
+
+  function replan(
+    key: string,
+    goal: DomainGoal,
+    entries: readonly BackendEntry[],
+    pipeline: PipelineFacts,
+  ): void {
     const engines: RangeEngine[] = entries.map((entry) => ({
       id: entry.id,
       memoryBytes: pipeline.accelerators.get(entry.accelerator ?? '')?.memoryBytes ?? 0,
-      held: getExpected(entry),
+      held: goal.get(entry.id) ?? entry.layers,
     }));
-    const isBroken = findGaps(engines, pipeline).length > 0;
+    const now = timers.now();
     const isFresh = engines.every(({ held }) => held === null);
-    const isSettled = timers.now() - changedAt >= SETTLE_TIME;
-    if (!isSettled && (!isBroken || isFresh)) {
+    const isSettled = now - changedAt >= SETTLE_TIME;
+    if (isFresh && !isSettled) {
       return;
     }
-    const plan = planRanges(engines, pipeline);
-    for (const entry of entries) {
-      const range = plan?.get(entry.id);
-      const isWaiting = pending.has(entry.id) || (paused.get(entry.id) ?? 0) > timers.now();
-      if (range && !isSame(entry.layers, range) && !isWaiting) {
-        void sendOrder(entry, range, pipeline);
-      }
-    }
+    const hasGap = findGaps(engines, pipeline).length > 0;
+    const isGapOld = getGapAge(key, hasGap) >= GAP_PATIENCE;
+    const mayCut = isFresh || isGapOld || (isSettled && !hasGap);
+    const plan = planRanges(engines, pipeline, mayCut);
+    plan?.forEach((range, id) => goal.set(id, range));
   }
 
   function tick(): void {
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -11,7 +11,7 @@
 import { claimKey } from './ClaimRunner.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
-import type { RequestEffect, RequestEvent } from './RequestMessages.js';
+import type { RequestEffect, RequestEvent, RetryMode } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
@@ -20,7 +20,14 @@
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
-import { countMetric, feedBudget, judgeRun, logDecision, takeFromBudget } from './RouterShared.js';
+import {
+  countMetric,
+  feedBudget,
+  judgeRun,
+  logDecision,
+  returnToBudget,
+  takeFromBudget,
+} from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
@@ -242,11 +249,16 @@
     if (effect.place === FailurePlace.Refused) {
       admission.noteRefusal();
     }
+    if (effect.place === FailurePlace.Connect && effect.attempt > 1) {
+      returnToBudget(shared, spec.model);
+    }
     const [engine] = effect.engines;
     if (engine === undefined || effect.engines.length > 1) {
       return;
     }
-    if (effect.isLost) {
+    if (effect.isRefusal) {
+      shared.progress.noteRefused(engine, timers.now());
+    } else if (effect.isLost) {
       shared.progress.noteLost(engine, effect.place !== FailurePlace.Silence, timers.now());
     }
     if (effect.isCrash) {
@@ -256,25 +268,25 @@
 
   function askRetry(effect: EffectOf<'ask-retry'>): void {
     const { mode, failed, retryAfter } = effect;
+    const delay = mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
     lastFailed = failed;
-    if (mode === 'recover') {
+    if (timers.now() + delay >= spec.deadline) {
+      send({ kind: 'retry-refused', retryAfter });
+    } else if (isBudgeted(mode) && !takeFromBudget(shared, spec.model)) {
+      waitForBudget(effect);
+    } else if (mode === 'recover') {
       log('recover', failed.join(','));
       recovery.push({ id: spec.id, waitingSince: machine.progressAt });
       shared.pumpRecoveries();
-      return;
-    }
-    const delay = computeRetryWait(deps.random, effect);
-    const isInTime = timers.now() + delay < spec.deadline;
-    if (!isInTime) {
-      send({ kind: 'retry-refused', retryAfter });
-      return;
-    }
-    if (mode === 'retry' && !takeFromBudget(shared)) {
-      waitForBudget(effect);
-      return;
+    } else {
+      log('retry', mode);
+      timers.registerTimeout(delay, () => send({ kind: 'retry-granted', failed }));
     }
-    log('retry', mode);
-    timers.registerTimeout(delay, () => send({ kind: 'retry-granted', failed }));
+  }
+
+  /** Looking for a chain once more reaches no engine by itself. */
+  function isBudgeted(mode: RetryMode): boolean {
+    return mode === 'retry' || (mode === 'recover' && deps.cfg.isRecoveryBudgeted);
   }
 
   /** A caller that has part of its answer waits for the rest; any other is told at once. */
@@ -344,7 +356,7 @@
   function enqueue(): void {
     const onAdmitted = (): void => {
       countMetric(shared, 'admitted');
-      feedBudget(shared);
+      feedBudget(shared, spec.model);
       log('admit', null);
       send({ kind: 'admitted' });
     };
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -16,12 +16,13 @@
   isAttemptSpent,
   isCrashLike,
   isEngineLost,
+  isRefusal,
   isStageRefusal,
   NextStep,
 } from './RequestFailures.js';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
-import { addSample, computeSilenceLimit, createPace, GAP_BOUNDS } from './RequestPace.js';
+import { addSample, computeSilenceLimit, createPace } from './RequestPace.js';
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { MachineStep, RequestMachine } from './RequestState.js';
@@ -199,7 +200,7 @@
   if (machine.attemptTokens === 0) {
     return doubled * machine.limits.firstToken;
   }
-  return doubled * computeSilenceLimit(machine.pace, GAP_BOUNDS);
+  return doubled * computeSilenceLimit(machine.pace, machine.limits.gapBounds);
 }
 
 function failAttempt(
@@ -265,6 +266,7 @@
     failureClass,
     engines: failed,
     isCrash: isCrashLike(failure),
+    isRefusal: isRefusal(failure),
     isLost: isEngineLost(failure) && !isStageRefusal(failure),
     attemptTokens: machine.attemptTokens,
     detection: now - machine.signAt,
--- a/packages/requests/src/RequestBudget.ts
+++ b/packages/requests/src/RequestBudget.ts
@@ -1,32 +1,78 @@
 /**
- * The retry budget: retries are a bounded share of first tries, so that an outage is not multiplied by
- * those who wait it out. Each instance keeps its share of its own first tries, and with that the fleet
- * does, without a word between them.
+ * The retry budget: repeats are a bounded share of first tries, and a few more, in any window of time, so
+ * that an outage is not multiplied by those who wait it out. Each instance keeps its part, and with that
+ * the fleet does, without a word between them.
  */
+import type { Millis } from '@skylarksail/core/CoreTypes';
+
+/** What was counted in one slice of time. */
+interface BudgetSlice {
+  readonly index: number;
+  readonly firstTries: number;
+  readonly repeats: number;
+}
 
-/** Tokens left; each retry takes one, each first try puts back a share of one. */
 export interface RetryBudget {
-  readonly tokens: number;
+  /** Repeats for each first try in a window. */
   readonly share: number;
+  /** Repeats beyond that in a window. */
   readonly burst: number;
+  readonly slices: readonly BudgetSlice[];
 }
 
-/** A budget that starts full. */
+/** Any span of this length is kept within the budget. */
+const WINDOW: Millis = 10_000;
+const SLICE: Millis = 500;
+const WINDOW_SLICES = WINDOW / SLICE;
+
+/** A budget of which nothing is used. */
 export function createRetryBudget(share: number, burst: number): RetryBudget {
-  return { tokens: burst, share, burst };
+  return { share, burst, slices: [] };
+}
+
+/** The same counts under another burst, as instances come and go. */
+export function setBurst(budget: RetryBudget, burst: number): RetryBudget {
+  return burst === budget.burst ? budget : { ...budget, burst };
 }
 
 /** Notes a first try. */
-export function noteFirstTry(budget: RetryBudget): RetryBudget {
-  return { ...budget, tokens: Math.min(budget.burst, budget.tokens + budget.share) };
+export function noteFirstTry(budget: RetryBudget, now: Millis): RetryBudget {
+  return count(budget, now, 1, 0);
+}
+
+/** Whether a repeat could be had now. */
+export function hasRetry(budget: RetryBudget, now: Millis): boolean {
+  const index = Math.floor(now / SLICE);
+  // The slice that the window begins in counts whole against us and not at all for us.
+  const repeats = sum(budget, index - WINDOW_SLICES, ({ repeats: seen }) => seen);
+  const firstTries = sum(budget, index - WINDOW_SLICES + 1, ({ firstTries: seen }) => seen);
+  return repeats + 1 <= budget.burst + budget.share * firstTries;
+}
+
+/** Takes a repeat, or null if there is none. */
+export function takeRetry(budget: RetryBudget, now: Millis): RetryBudget | null {
+  return hasRetry(budget, now) ? count(budget, now, 0, 1) : null;
+}
+
+/** Gives a repeat back that never reached an engine. */
+export function returnRetry(budget: RetryBudget, now: Millis): RetryBudget {
+  return count(budget, now, 0, -1);
 }
 
-/** Whether a retry could be had now. */
-export function hasRetry(budget: RetryBudget): boolean {
-  return budget.tokens >= 1;
+function sum({ slices }: RetryBudget, from: number, read: (slice: BudgetSlice) => number): number {
+  return slices.reduce((total, slice) => total + (slice.index >= from ? read(slice) : 0), 0);
 }
 
-/** Takes a token for a retry, or null if there is none. */
-export function takeRetry(budget: RetryBudget): RetryBudget | null {
-  return budget.tokens >= 1 ? { ...budget, tokens: budget.tokens - 1 } : null;
+function count(budget: RetryBudget, now: Millis, firstTries: number, repeats: number): RetryBudget {
+  const index = Math.floor(now / SLICE);
+  const kept = budget.slices.filter((slice) => slice.index >= index - WINDOW_SLICES);
+  const last = kept.at(-1);
+  const isCurrent = last !== undefined && last.index >= index;
+  const before = isCurrent ? last : { index, firstTries: 0, repeats: 0 };
+  const slice = {
+    index: before.index,
+    firstTries: before.firstTries + firstTries,
+    repeats: before.repeats + repeats,
+  };
+  return { ...budget, slices: [...(isCurrent ? kept.slice(0, -1) : kept), slice] };
 }
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -111,6 +111,13 @@
   return place === FailurePlace.Stage && status !== null;
 }
 
+/** Whether a backend server said that it does not take the work, as one does that is full or leaving. */
+export function isRefusal(failure: AttemptFailure): boolean {
+  return (
+    failure.provenNotRun && (failure.place === FailurePlace.Refused || isStageRefusal(failure))
+  );
+}
+
 /**
  * Whether a failure looks like the death of an engine's process under the work, for the search for
  * poison requests. Work that came to an engine already dead is no suspect of its death.
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -8,6 +8,7 @@
   FailurePlaceName,
   FinishReason,
 } from './RequestPorts.js';
+import type { SilenceBounds } from './RequestPace.js';
 import type { AttemptOutcome, RequestProblem } from './RequestTypes.js';
 
 /** Where a request stands. */
@@ -30,6 +31,8 @@
   readonly acknowledgement: Millis;
   readonly firstToken: Millis;
   readonly gap: Millis;
+  /** Bounds of the silence between tokens. */
+  readonly gapBounds: SilenceBounds;
 }
 
 /** What happened. Events with an attempt number come from an attempt; the others from ourselves. */
@@ -129,6 +132,8 @@
       readonly engines: readonly EngineId[];
       /** Whether an engine's process seems to have died while it ran the request. */
       readonly isCrash: boolean;
+      /** Whether the engine answered that it does not take the work. */
+      readonly isRefusal: boolean;
       readonly isLost: boolean;
       /** Tokens that the attempt gave. */
       readonly attemptTokens: number;
--- a/packages/requests/src/RequestPace.ts
+++ b/packages/requests/src/RequestPace.ts
@@ -22,12 +22,24 @@
 const DEVIATIONS = 6;
 const MEANS = 3;
 
-/** Limits of the gap between tokens. */
-export const GAP_BOUNDS: SilenceBounds = { least: 120, most: 2000 };
-/** Limits of the time to the first token of an attempt. */
-export const FIRST_TOKEN_BOUNDS: SilenceBounds = { least: 400, most: 4000 };
-/** Limits of the time to the acknowledgement. */
-export const ACKNOWLEDGEMENT_BOUNDS: SilenceBounds = { least: 250, most: 1500 };
+/** Bounds of the silence that an attempt is allowed, by how far it got. */
+export interface SilenceConfig {
+  /** Until the acknowledgement. */
+  readonly acknowledgement: SilenceBounds;
+  /** From there to the first token. */
+  readonly firstToken: SilenceBounds;
+  /** Between tokens. */
+  readonly gap: SilenceBounds;
+  /** A stream whose tokens come faster than this is never moved for being slow. */
+  readonly leastSlowGap: Millis;
+}
+
+export const DEFAULT_SILENCE_CONFIG: SilenceConfig = {
+  acknowledgement: { least: 250, most: 1500 },
+  firstToken: { least: 400, most: 4000 },
+  gap: { least: 120, most: 2000 },
+  leastSlowGap: 20,
+};
 
 /** A pace before the first sample, guessed from `mean`. */
 export function createPace(mean: Millis): Pace {
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -13,6 +13,12 @@
   windowStart: Millis;
 }
 
+/** An engine that is kept off. */
+interface LostEngine {
+  readonly until: Millis;
+  readonly isDead: boolean;
+}
+
 /** An engine with the least gap that any stream had through it lately. */
 export interface SlowEngine {
   readonly engine: EngineId;
@@ -31,6 +37,11 @@
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
   /** An engine was lost under a request, or could not be reached; `isDead` unless it was only silent. */
   noteLost(engine: EngineId, isDead: boolean, now: Millis): void;
+  /**
+   * An engine refused work. The more often in a row, the longer it is kept off: one that leaves refuses
+   * everything, and while its leaving is not known each request would find that out again.
+   */
+  noteRefused(engine: EngineId, now: Millis): void;
   /**
    * Engines lost a short while ago that have given nothing since. Without this list each request of a
    * lost rack would find out for itself, engine by engine, that they are dead.
@@ -51,11 +62,15 @@
 const FORGET_AFTER: Millis = 10_000;
 const LEAST_ENGINES = 3;
 const DOWN_TIME: Millis = 2000;
+/** Refusals of requests that were under way together are one. */
+const REFUSED_TIME: Millis = 250;
+const MOST_REFUSALS = 4;
 
 /** Creates a tracker that knows nothing. */
 export function createProgressTracker(): ProgressTracker {
   const engines = new Map<EngineId, EngineProgress>();
-  const lost = new Map<EngineId, { readonly at: Millis; readonly isDead: boolean }>();
+  const lost = new Map<EngineId, LostEngine>();
+  const refusals = new Map<EngineId, number>();
 
   function getBest(progress: EngineProgress, now: Millis): Millis {
     return now - progress.windowStart > 2 * WINDOW
@@ -83,17 +98,27 @@
         }
         progress.lastAt = now;
         lost.delete(engine);
+        refusals.delete(engine);
         progress.best = Math.min(progress.best, gap ?? Infinity);
       }
     },
     noteLost(engine, isDead, now) {
-      lost.set(engine, { at: now, isDead });
+      lost.set(engine, { until: now + DOWN_TIME, isDead });
+    },
+    noteRefused(engine, now) {
+      const before = lost.get(engine);
+      if (before && before.until > now) {
+        return;
+      }
+      const count = Math.min(MOST_REFUSALS, (refusals.get(engine) ?? 0) + 1);
+      refusals.set(engine, count);
+      lost.set(engine, { until: now + REFUSED_TIME * 2 ** (count - 1), isDead: true });
     },
     listDown(now) {
       const dead: EngineId[] = [];
       const silent: EngineId[] = [];
-      for (const [engine, { at, isDead }] of lost) {
-        if (now - at >= DOWN_TIME) {
+      for (const [engine, { until, isDead }] of lost) {
+        if (now >= until) {
           lost.delete(engine);
         } else {
           (isDead ? dead : silent).push(engine);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -8,7 +8,8 @@
 import type { Admission } from './RequestAdmission.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK } from './RequestAttempt.js';
-import { createRetryBudget } from './RequestBudget.js';
+import type { RetryBudget } from './RequestBudget.js';
+import { createRetryBudget, setBurst } from './RequestBudget.js';
 import type { PoisonDigest } from './RequestPoison.js';
 import {
   createCrashId,
@@ -69,7 +70,7 @@
   const serviceRuns = new Map<string, ServiceRun>();
   const drained: (() => void)[] = [];
   let poison = createPoisonState(cfg.poisonCrashes);
-  let budget = createRetryBudget(cfg.retryShare, cfg.retryBurst);
+  const budgets = new Map<string, RetryBudget>();
   let isDraining = false;
   let stillShare = 0;
   let stillAt = -Infinity;
@@ -83,7 +84,7 @@
     ),
     recovery: createRecoveryQueue(),
     progress: createProgressTracker(),
-    meters: createRouterMeters(),
+    meters: createRouterMeters(cfg.silence),
     starved: createStarvedModels(),
     runs: new Map(),
     post: createWorkQueue(),
@@ -91,9 +92,12 @@
     setPoison: (state) => {
       poison = state;
     },
-    getBudget: () => budget,
-    setBudget: (next) => {
-      budget = next;
+    getBudget: (name) => {
+      const burst = deps.getRetryBurst?.() ?? cfg.retryBurst;
+      return setBurst(budgets.get(name) ?? createRetryBudget(cfg.retryShare, burst), burst);
+    },
+    setBudget: (name, next) => {
+      budgets.set(name, next);
     },
     isDraining: () => isDraining,
     getStillShare,
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -7,7 +7,7 @@
 import type { RequestEffect, RequestPhaseName, SilenceLimits } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import type { Pace } from './RequestPace.js';
-import { createPace } from './RequestPace.js';
+import { createPace, DEFAULT_SILENCE_CONFIG } from './RequestPace.js';
 import type { ProblemKindName, RequestProblem, RequestSpec } from './RequestTypes.js';
 
 /** State of one request. */
@@ -52,7 +52,12 @@
   readonly effects: readonly RequestEffect[];
 }
 
-const DEFAULT_LIMITS: SilenceLimits = { acknowledgement: 1500, firstToken: 4000, gap: 40 };
+const DEFAULT_LIMITS: SilenceLimits = {
+  acknowledgement: 1500,
+  firstToken: 4000,
+  gap: 40,
+  gapBounds: DEFAULT_SILENCE_CONFIG.gap,
+};
 
 /** The state of a request that has just been submitted. */
 export function createRequestMachine(
--- a/packages/requests/src/RouterMeters.ts
+++ b/packages/requests/src/RouterMeters.ts
@@ -1,14 +1,8 @@
 /** What this instance has measured of each model: times to first token and between tokens, lengths. */
 import type { Millis, ModelId } from '@skylarksail/core/CoreTypes';
 import type { SilenceLimits } from './RequestMessages.js';
-import type { Pace } from './RequestPace.js';
-import {
-  ACKNOWLEDGEMENT_BOUNDS,
-  addSample,
-  computeSilenceLimit,
-  createPace,
-  FIRST_TOKEN_BOUNDS,
-} from './RequestPace.js';
+import type { Pace, SilenceConfig } from './RequestPace.js';
+import { addSample, computeSilenceLimit, createPace } from './RequestPace.js';
 
 interface ModelMeters {
   readonly acknowledgement: Pace;
@@ -45,7 +39,7 @@
 const LENGTH_WEIGHT = 0.05;
 
 /** Creates meters that have measured nothing. */
-export function createRouterMeters(): RouterMeters {
+export function createRouterMeters(silence: SilenceConfig): RouterMeters {
   const models = new Map<ModelId, ModelMeters>();
 
   function getMeters(model: ModelId): ModelMeters {
@@ -96,9 +90,10 @@
         samples: firstPerUnit.samples,
       };
       return {
-        acknowledgement: computeSilenceLimit(acknowledgement, ACKNOWLEDGEMENT_BOUNDS),
-        firstToken: computeSilenceLimit(first, FIRST_TOKEN_BOUNDS),
+        acknowledgement: computeSilenceLimit(acknowledgement, silence.acknowledgement),
+        firstToken: computeSilenceLimit(first, silence.firstToken),
         gap: gap.mean,
+        gapBounds: silence.gap,
       };
     },
     estimateDuration(model, contextTokens, maxTokens) {
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -2,7 +2,7 @@
 import type { EngineId, Millis, ModelId } from '@skylarksail/core/CoreTypes';
 import type { Admission } from './RequestAdmission.js';
 import type { RetryBudget } from './RequestBudget.js';
-import { noteFirstTry, takeRetry } from './RequestBudget.js';
+import { hasRetry, noteFirstTry, returnRetry, takeRetry } from './RequestBudget.js';
 import type { Fingerprint, PoisonState, PoisonVerdictName } from './RequestPoison.js';
 import { judgeRequest } from './RequestPoison.js';
 import type { ProgressTracker } from './RequestProgress.js';
@@ -59,8 +59,9 @@
   readonly post: PostWork;
   readonly getPoison: () => PoisonState;
   readonly setPoison: (state: PoisonState) => void;
-  readonly getBudget: () => RetryBudget;
-  readonly setBudget: (budget: RetryBudget) => void;
+  /** Budgets by model or service: repeats at one must not be paid for by calls to another. */
+  readonly getBudget: (name: string) => RetryBudget;
+  readonly setBudget: (name: string, budget: RetryBudget) => void;
   readonly isDraining: () => boolean;
   /** Share of the begun answers that stand still now. */
   readonly getStillShare: () => number;
@@ -78,19 +79,29 @@
   shared.deps.onDecision({ at: shared.deps.timers.now(), ...record });
 }
 
-/** Takes a retry out of the budget, if it has one left. */
-export function takeFromBudget(shared: RouterShared): boolean {
-  const left = takeRetry(shared.getBudget());
+/** Takes a retry out of the budget of a model or service, if it has one left. */
+export function takeFromBudget(shared: RouterShared, name: string): boolean {
+  const left = takeRetry(shared.getBudget(name), shared.deps.timers.now());
   countMetric(shared, left ? 'retries' : 'retriesDenied');
   if (left) {
-    shared.setBudget(left);
+    shared.setBudget(name, left);
   }
   return left !== null;
 }
 
+/** Whether the budget of a model or service has a retry left. */
+export function hasBudget(shared: RouterShared, name: string): boolean {
+  return hasRetry(shared.getBudget(name), shared.deps.timers.now());
+}
+
+/** Gives back a retry that reached no engine. */
+export function returnToBudget(shared: RouterShared, name: string): void {
+  shared.setBudget(name, returnRetry(shared.getBudget(name), shared.deps.timers.now()));
+}
+
 /** Lets a first try add its share to the budget. */
-export function feedBudget(shared: RouterShared): void {
-  shared.setBudget(noteFirstTry(shared.getBudget()));
+export function feedBudget(shared: RouterShared, name: string): void {
+  shared.setBudget(name, noteFirstTry(shared.getBudget(name), shared.deps.timers.now()));
 }
 
 /** How a request stands now. */
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -6,18 +6,26 @@
 import type { TeamLimits } from './RequestAdmission.js';
 import type { LimitConfig } from './RequestLimits.js';
 import { DEFAULT_LIMIT_CONFIG } from './RequestLimits.js';
+import type { SilenceConfig } from './RequestPace.js';
+import { DEFAULT_SILENCE_CONFIG } from './RequestPace.js';
 import type { ClaimPort, OpenEngineCall, OpenServiceCall } from './RequestPorts.js';
 import type { AttemptOutcome, ChooseChain, ChooseRepair } from './RequestTypes.js';
 
 /** Settings of the router. */
 export interface RouterConfig {
   readonly limits: LimitConfig;
+  readonly silence: SilenceConfig;
   /** Requests of all teams that may wait at this instance. */
   readonly queueBound: number;
   /** Retries as a share of first tries. */
   readonly retryShare: number;
-  /** Retries that may come at once. */
+  /** Retries beyond that share in any ten seconds. */
   readonly retryBurst: number;
+  /**
+   * Whether going on after an engine was lost takes from the same budget. Off where engines can bear
+   * it: a lost rack's answers then go on at once.
+   */
+  readonly isRecoveryBudgeted: boolean;
   /** Share of the running requests that may be in recovery at once. */
   readonly recoveryShare: number;
   /** Crashes after which a request is refused. */
@@ -26,9 +34,11 @@
 
 export const DEFAULT_ROUTER_CONFIG: RouterConfig = {
   limits: DEFAULT_LIMIT_CONFIG,
+  silence: DEFAULT_SILENCE_CONFIG,
   queueBound: 4096,
   retryShare: 0.1,
   retryBurst: 20,
+  isRecoveryBudgeted: false,
   recoveryShare: 0.25,
   poisonCrashes: 2,
 };
@@ -119,6 +129,8 @@
   readonly claims: ClaimPort;
   /** Without it silence on a slow link is taken for silence of engines. */
   readonly links?: LinkWatch;
+  /** This instance's part of the burst as the fleet is now; the setting's if left out. */
+  readonly getRetryBurst?: () => number;
   readonly getTeamLimits: (team: TeamId) => TeamLimits;
   /** KV-cache memory that this instance may count on, in tokens; null if not known. */
   readonly getKvCapacity: () => number | null;
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -8,7 +8,6 @@
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
 const SLOW_FACTOR = 2.5;
-const SLOW_LEAST_GAP: Millis = 20;
 const SLOW_SAMPLES = 6;
 /** Least time between an attempt's start and its move, so that streams do not wander. */
 const MOVE_AFTER: Millis = 300;
@@ -38,7 +37,7 @@
   const now = shared.deps.timers.now();
   const { pace, chain, tokenCount } = machine;
   const isSettled = pace.samples >= SLOW_SAMPLES && now - machine.openedAt >= MOVE_AFTER;
-  const isSlow = pace.mean > Math.max(SLOW_LEAST_GAP, usualGap * SLOW_FACTOR);
+  const isSlow = pace.mean > Math.max(shared.deps.cfg.silence.leastSlowGap, usualGap * SLOW_FACTOR);
   // Few at a time: a stream gives up what it has, and its prompt is read again.
   const isRoom = shared.recovery.countRunning() + shared.recovery.countWaiting() < MAX_MOVES;
   const isMovable = isRoom && spec.idempotent && machine.phase === RequestPhase.Running;
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -1,11 +1,11 @@
 /** Decides what the silence of an attempt means: one engine's failure, all engines', or nothing yet. */
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import { hasRetry } from './RequestBudget.js';
 import { RequestPhase } from './RequestMessages.js';
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
 import type { RouterShared } from './RouterShared.js';
+import { hasBudget } from './RouterShared.js';
 
 /** Time without a token after which an answer counts as standing still. */
 const STILL_AFTER: Millis = 80;
@@ -40,7 +40,7 @@
 ): readonly EngineId[] | null {
   const { chain } = machine;
   const isRetry = machine.attemptTokens === 0 && machine.fruitless > 0;
-  if (!chain || (isRetry && !hasRetry(shared.getBudget()))) {
+  if (!chain || (isRetry && !hasBudget(shared, chain.variant.model))) {
     // Nothing could follow but giving up; the attempt may only be slow.
     return null;
   }
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -162,7 +162,7 @@
       return false;
     }
     const delay = computeBackoff(deps.random, fruitless, retryAfter);
-    if (timers.now() + delay >= spec.deadline || !takeFromBudget(shared)) {
+    if (timers.now() + delay >= spec.deadline || !takeFromBudget(shared, spec.service)) {
       return false;
     }
     avoid = [...avoid, server];
@@ -230,7 +230,7 @@
       {
         onAdmitted: () => {
           countMetric(shared, 'admitted');
-          feedBudget(shared);
+          feedBudget(shared, spec.service);
           shared.post(dispatch);
         },
         onRefused: (retryAfter) => shared.post(() => fail(ProblemKind.Overloaded, retryAfter)),
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -5,6 +5,7 @@
 import { invariant } from '@skylarksail/core/CoreErrors';
 import { classifyFailure, FailureClass } from '../../RequestFailures.js';
 import { stepRequest } from '../../RequestMachine.js';
+import { DEFAULT_SILENCE_CONFIG } from '../../RequestPace.js';
 import type { RequestEffect, RequestEvent } from '../../RequestMessages.js';
 import { FailurePlace } from '../../RequestPorts.js';
 import type { RequestMachine } from '../../RequestState.js';
@@ -18,7 +19,12 @@
 ]);
 invariant(made.ok, 'the stages form a chain');
 const chain = made.value;
-const limits = { acknowledgement: 300, firstToken: 400, gap: 30 };
+const limits = {
+  acknowledgement: 300,
+  firstToken: 400,
+  gap: 30,
+  gapBounds: DEFAULT_SILENCE_CONFIG.gap,
+};
 
 const attempt = fc.integer({ min: 1, max: 3 });
 const place = fc.constantFrom(...Object.values(FailurePlace));
--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -124,7 +124,7 @@
   const used = new Set(chain.stages.map(({ engine }) => engine));
   const stages: Stage[] = [];
   for (const stage of chain.stages) {
-    if (!ask.avoidEngines.has(stage.engine)) {
+    if (!ask.avoidEngines.has(stage.engine) && isStillHeld(state, stage)) {
       stages.push(stage);
       continue;
     }
@@ -145,6 +145,15 @@
   return buildChain(ask, stages);
 }
 
+/**
+ * Whether a stage's engine is still there with its layers. An engine that was unregistered or ordered to
+ * hold others since the chain was chosen cannot be kept, even if nothing was said of a failure.
+ */
+function isStillHeld(state: RoutingState, { engine, layers }: Stage): boolean {
+  const held = state.engines.has(engine) ? state.loads.get(engine)?.load.holding?.layers : null;
+  return held ? held.first <= layers.first && layers.end <= held.end : false;
+}
+
 function selectNewStages(before: Chain, after: Chain): readonly Stage[] {
   return after.stages.filter(
     (stage) =>
