Wait for the platform's answer at a start before the peers' word is taken

Cause: all peers that a starting instance knew were of a domain that had been cut off and lagged together; their answers were complete at once, so their older revision was put in force 38 ms before the platform's answer came.

Change: the peers' word is enough only once a read of the platform has failed or the start's time is up. The specification allowed more than this and stays; the walk that is held against it now tells the machine of the failed read.

--- a/packages/manifest/src/ManifestSpreadTypes.ts
+++ b/packages/manifest/src/ManifestSpreadTypes.ts
@@ -102,6 +102,8 @@
   readonly ask: number;
   readonly askedPeers: readonly InstanceId[];
   readonly answers: ReadonlyMap<InstanceId, number>;
+  /** Whether a read of the platform got no answer since the start began. */
+  readonly isPlatformOut: boolean;
   /**
    * Highest answer, once it is decided on; the start ends when it is held. Were it to end before, and
    * the peer with the highest die, a lower revision would be taken from another.
--- a/packages/manifest/src/ManifestStart.ts
+++ b/packages/manifest/src/ManifestStart.ts
@@ -16,7 +16,10 @@
   const revision = getRevisionOf(state.held);
   const ask = drawAsk(ctx);
   return createStep(
-    { ...state, start: { ask, askedPeers, answers: new Map(), goal: null, endsAt } },
+    {
+      ...state,
+      start: { ask, askedPeers, answers: new Map(), isPlatformOut: false, goal: null, endsAt },
+    },
     askedPeers.map((to) => createTold(to, revision, { ask })),
   );
 }
@@ -54,8 +57,23 @@
   return at < start.endsAt ? createStep(state) : beginStart(ctx, state, at);
 }
 
-function isAnswered({ askedPeers, answers, endsAt }: SpreadStart, at: Millis): boolean {
-  return answers.size > 0 && (answers.size === askedPeers.length || at >= endsAt);
+/** Notes that the platform did not answer, so that the peers' word has to do. */
+export function noteRootFailure(state: SpreadState): SpreadState {
+  const { start } = state;
+  return start && !start.isPlatformOut
+    ? { ...state, start: { ...start, isPlatformOut: true } }
+    : state;
+}
+
+/**
+ * Whether the peers' answers are enough. While the platform may still answer they are not: all peers that
+ * are known may be of a domain that was cut off and lag together, and an instance that took their word
+ * served an older revision than it had before its restart until the platform's answer came.
+ */
+function isAnswered(start: SpreadStart, at: Millis): boolean {
+  const { askedPeers, answers, endsAt, isPlatformOut } = start;
+  const isComplete = isPlatformOut && answers.size === askedPeers.length;
+  return answers.size > 0 && (isComplete || at >= endsAt);
 }
 
 function decideGoal(
--- a/packages/manifest/src/ManifestWatch.ts
+++ b/packages/manifest/src/ManifestWatch.ts
@@ -4,6 +4,7 @@
 import { advanceTarget, choosePeerSource, learnRoot, receiveChunks } from './ManifestFetch.js';
 import type { ChunkRef } from './ManifestChunks.js';
 import { getReaderDelay } from './ManifestPeers.js';
+import { advanceStart, noteRootFailure } from './ManifestStart.js';
 import type { ManifestRoot } from './ManifestRoot.js';
 import type {
   ChunkSource,
@@ -53,7 +54,9 @@
 ): SpreadStep {
   const watched = via === 'watch' ? endWatch(ctx, state, reading, at) : state;
   if (reading.kind === 'failed') {
-    return createStep(state.platformSeen === null ? pollSoon(ctx, watched, at) : watched);
+    const failed = noteRootFailure(watched);
+    const next = state.platformSeen === null ? pollSoon(ctx, failed, at) : failed;
+    return advanceStart(ctx, next, at);
   }
   const seen = noteReading(watched, reading.root, at);
   const source = chooseSource(ctx, state, via, reading.root);
--- a/packages/manifest/src/__tests__/unit/ManifestSpec.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestSpec.test.ts
@@ -114,6 +114,8 @@
     } else {
       const best = Math.max(...states.map((_, j) => (j === i ? 0 : held(j))));
       deliver(i, { type: 'started', at });
+      // The peers' word is taken once the platform is known not to answer.
+      deliver(i, { type: 'root-read', at, via: 'poll', reading: { kind: 'failed' } });
       expect(held(i)).to.be.at.least(best);
       // Without any revision at the peers the machine asks on, where the specification starts empty.
       seen.add(best > 0 ? 'start-peers' : 'restart');
