Hold requests while chains are mended, and test routes, store, placement and relay

Each caller comes back once at most. A store that was back was known only when a watch without news ran out, found by the test of StoreFollow.

Change: a request without an answer waits up to five seconds for engines; the share of the allowed tokens that answers come to is a setting; a lost store is asked without a wait.

--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -51,6 +51,13 @@
 /** When to come back while no configuration is known: it comes within a second or two of a start. */
 const NO_CONFIG_RETRY: Millis = 500;
 const DEFAULT_RETRY: Millis = 500;
+/**
+ * A lost chain is mended within some five seconds. A caller may come back once at most, so a request waits
+ * that long for it here before it is refused, and again when it comes back.
+ */
+const MOST_PATIENCE: Millis = 5000;
+const PATIENCE_SHARE = 0.3;
+const CHAIN_RETRY: Millis = 2000;
 const DRAIN_RETRY: Millis = 50;
 /** A request that crashes engines is not worth a resend soon. */
 const POISON_RETRY: Millis = 30_000;
@@ -141,6 +148,7 @@
       idempotencyKey: null,
       idempotent: route.kind === RouteKind.Safe || route.isResumable,
       maxAttempts: route.maxAttempts,
+      patience: Math.min(MOST_PATIENCE, PATIENCE_SHARE * (deadline - timers.now())),
       prefixKeys: [],
     };
     const times = createEventTimes(timers.now());
@@ -244,6 +252,9 @@
   switch (kind) {
     case ProblemKind.Draining:
       return DRAIN_RETRY;
+    case ProblemKind.NoChain:
+    case ProblemKind.EngineFailed:
+      return CHAIN_RETRY;
     case ProblemKind.Poison:
       return POISON_RETRY;
     default:
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -96,6 +96,11 @@
   gapTarget: 200,
   firstTokenTarget: 2000,
 };
+/**
+ * Answers come to a fifth of what is allowed, as events hold two tokens. Reckoned at their full length,
+ * requests of a sound fleet were refused as too late for their deadline.
+ */
+const LENGTH_SHARE = 0.2;
 /** Connections are limited for all instances together; so many are reckoned with before they are seen. */
 const INSTANCES_ASSUMED = 6;
 const CONNECTION_SHARE = 0.9;
@@ -310,6 +315,7 @@
     ...DEFAULT_ROUTER_CONFIG,
     limits: LIMITS,
     silence: SILENCE,
+    lengthShare: LENGTH_SHARE,
     retryShare: retryShare * RETRY_CAUTION,
     retryBurst: 0,
     isRecoveryBudgeted: true,
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayLease.test.ts
@@ -0,0 +1,80 @@
+import { expect } from 'chai';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import { registerFollow } from '@skylarksail/store/StoreFollow';
+import { createRelayLease, OWN_PREFIX } from '../../RelayLease.js';
+
+const DOMAINS = ['d1', 'd2'];
+
+function createBed() {
+  const timers = createVirtualTimers();
+  const store = createFakeRangeStore(timers);
+  const create = (id: string, domain: string) => {
+    const random = createRandom(id.length);
+    const lease = createRelayLease({
+      port: store,
+      timers,
+      random,
+      self: { id, domain },
+      listDomains: () => DOMAINS,
+      onError: () => undefined,
+    });
+    registerFollow({
+      port: store,
+      timers,
+      random,
+      prefix: OWN_PREFIX,
+      wait: 500,
+      timeout: 300,
+      listener: {
+        onSnapshot: lease.takeSnapshot,
+        onEvent: lease.takeEvent,
+        onLost: () => undefined,
+        onRegained: () => undefined,
+      },
+    });
+    lease.start();
+    return lease;
+  };
+  return { timers, store, create };
+}
+
+describe('RelayLease', () => {
+  it('gives each domain one placer, of its own instances if it has any', async () => {
+    const { timers, create } = createBed();
+    const leases = [create('one', 'd1'), create('three', 'd1'), create('other', 'd2')];
+    await timers.advanceToAsync(4000);
+    for (const domain of DOMAINS) {
+      expect(leases.filter((lease) => lease.holds(domain))).to.have.length(1);
+    }
+    expect(leases[2]?.holds('d2')).to.equal(true);
+    expect(leases[0]?.listInstances()).to.have.length(3);
+  });
+
+  it('passes a dead holder’s duty on, and lets the holder act no more before that', async () => {
+    // Symptom: two instances order the same engines about.
+    // Sequence: the holder is cut off from the store; its lease ends; another takes the duty.
+    // Cause: a holder that finds its own name in what it last read.
+    const { timers, store, create } = createBed();
+    const first = create('one', 'd1');
+    await timers.advanceToAsync(2000);
+    expect(first.holds('d1')).to.equal(true);
+    store.setUp(false);
+    await timers.advanceToAsync(5000);
+    expect(first.holds('d1')).to.equal(false);
+    first.stop();
+    store.setUp(true);
+    const second = create('third', 'd1');
+    await timers.advanceToAsync(10_000);
+    expect(second.holds('d1')).to.equal(true);
+    expect(second.listInstances().map(({ id }) => id)).to.deep.equal(['third']);
+  });
+
+  it('lets another domain’s instance place where there is none of its own', async () => {
+    const { timers, create } = createBed();
+    const lease = create('one', 'd1');
+    await timers.advanceToAsync(6000);
+    expect(lease.holds('d2')).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -0,0 +1,124 @@
+import { expect } from 'chai';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { LayerRange } from '@skylarksail/core/CoreTypes';
+import { createRouteTable } from '@skylarksail/routes/RouteTable';
+import { createCatalogue } from '../../RelayCatalogue.js';
+import type { RangeOrderAnswer } from '../../RelayPlacement.js';
+import { createRelayPlacement } from '../../RelayPlacement.js';
+import { createBackend, createConfig } from './RelayFixtures.js';
+
+interface SentOrder {
+  readonly engine: string;
+  readonly range: LayerRange;
+  readonly orderCount: number;
+}
+
+function createBed() {
+  const timers = createVirtualTimers();
+  const catalogue = createCatalogue(timers);
+  const table = createRouteTable(createConfig());
+  const orders: SentOrder[] = [];
+  let isHolder = true;
+  let answer: RangeOrderAnswer = 'accepted';
+  createRelayPlacement({
+    timers,
+    catalogue,
+    getTable: () => table,
+    holds: () => isHolder,
+    port: {
+      readStatus: () => Promise.resolve({ orderCount: 7, isBusy: false }),
+      order: (entry, range, orderCount) => {
+        orders.push({ engine: entry.id, range, orderCount });
+        if (answer === 'accepted') {
+          catalogue.put({ ...entry, layers: range });
+        }
+        return Promise.resolve(answer);
+      },
+    },
+    onDecision: () => undefined,
+  }).start();
+  return {
+    timers,
+    catalogue,
+    orders,
+    setHolder: (next: boolean) => {
+      isHolder = next;
+    },
+    setAnswer: (next: RangeOrderAnswer) => {
+      answer = next;
+    },
+  };
+}
+
+const fill = (bed: ReturnType<typeof createBed>, count: number): void => {
+  for (let i = 0; i < count; i++) {
+    bed.catalogue.put(createBackend(`e${i}`));
+  }
+};
+
+describe('RelayPlacement', () => {
+  it('waits until all engines of a start are there, then orders each once', async () => {
+    const bed = createBed();
+    bed.catalogue.put(createBackend('e0'));
+    await bed.timers.advanceToAsync(700);
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(1500);
+    expect(bed.orders).to.deep.equal([]);
+    await bed.timers.advanceToAsync(6000);
+    expect(bed.orders.map(({ range }) => range)).to.deep.equal([
+      { first: 0, end: 2 },
+      { first: 2, end: 4 },
+      { first: 4, end: 6 },
+      { first: 6, end: 8 },
+    ]);
+    expect(bed.orders.every(({ orderCount }) => orderCount === 7)).to.equal(true);
+  });
+
+  it('orders nothing without the duty', async () => {
+    const bed = createBed();
+    bed.setHolder(false);
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(5000);
+    expect(bed.orders).to.deep.equal([]);
+  });
+
+  it('fills a gap with an engine that comes, and cuts anew if none does', async () => {
+    // Symptom: the loss of one engine reloads all others, again and again, and none serves meanwhile.
+    // Sequence: an engine crashes and is back after a second; later one is lost for good.
+    // Cause: each report of what an engine holds was planned from anew.
+    const bed = createBed();
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(4000);
+    bed.orders.length = 0;
+    bed.catalogue.remove('e1');
+    await bed.timers.advanceToAsync(5000);
+    expect(bed.orders).to.deep.equal([]);
+    bed.catalogue.put(createBackend('new'));
+    await bed.timers.advanceToAsync(6000);
+    expect(bed.orders).to.have.length(1);
+    expect(bed.orders[0]).to.deep.include({ engine: 'new', range: { first: 2, end: 4 } });
+
+    bed.orders.length = 0;
+    bed.catalogue.remove('e2');
+    await bed.timers.advanceToAsync(12_000);
+    expect(bed.orders.length).to.be.within(1, 3);
+    const held = bed.catalogue.list().map(({ layers }) => layers);
+    expect(held.reduce((sum, range) => sum + (range ? range.end - range.first : 0), 0)).to.equal(8);
+  });
+
+  it('asks again after an order that came too late or was lost, but not at once', async () => {
+    const bed = createBed();
+    bed.setAnswer('stale');
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(3400);
+    expect(bed.orders.length).to.be.within(4, 16);
+    bed.setAnswer('unknown');
+    await bed.timers.advanceToAsync(4500);
+    const sent = bed.orders.length;
+    await bed.timers.advanceToAsync(6500);
+    expect(bed.orders.length).to.equal(sent);
+    bed.setAnswer('accepted');
+    await bed.timers.advanceToAsync(12_000);
+    expect(bed.catalogue.list().every(({ layers }) => layers !== null)).to.equal(true);
+  });
+});
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -291,7 +291,8 @@
 
   /** A caller that has part of its answer waits for the rest; any other is told at once. */
   function waitForBudget(effect: EffectOf<'ask-retry'>): void {
-    if (machine.tokenCount === 0) {
+    const isPatient = machine.patientUntil !== null && timers.now() < machine.patientUntil;
+    if (machine.tokenCount === 0 && !isPatient) {
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
       return;
     }
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -140,6 +140,7 @@
     idempotent: machine.idempotent,
     maxTokens: machine.maxTokens,
     attemptsLeft: machine.attemptsLeft,
+    patientUntil: machine.patientUntil,
     attempt: machine.attempt,
     chain: machine.chain,
     acknowledged: machine.acknowledged,
@@ -235,6 +236,7 @@
     idempotent: machine.idempotent,
     fruitless,
     hasTokens: machine.tokenCount > 0,
+    isPatient: machine.patientUntil === null ? null : now < machine.patientUntil,
   });
   if (next === NextStep.Stop || closed.attemptsLeft <= 0) {
     const ended = endWith(
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -165,6 +165,8 @@
   readonly fruitless: number;
   /** Whether the caller has a part of the answer. */
   readonly hasTokens: boolean;
+  /** Whether it still waits for engines; null if the count of its attempts decides. */
+  readonly isPatient?: boolean | null;
 }
 
 /**
@@ -174,7 +176,7 @@
 export function decideNextStep(
   failure: AttemptFailure,
   failureClass: FailureClassName,
-  { idempotent, fruitless, hasTokens }: RetryState,
+  { idempotent, fruitless, hasTokens, isPatient = null }: RetryState,
 ): NextStepName {
   if (failureClass === FailureClass.Answered) {
     return NextStep.Stop;
@@ -187,8 +189,8 @@
   if (isEngineLost(failure) && fruitless <= freeAttempts) {
     return NextStep.Recover;
   }
-  const isGivenUp = fruitless >= MAX_FRUITLESS_ATTEMPTS && !hasTokens;
-  return isGivenUp ? NextStep.Stop : NextStep.Retry;
+  const isTooOften = isPatient === null ? fruitless >= MAX_FRUITLESS_ATTEMPTS : !isPatient;
+  return isTooOften && !hasTokens ? NextStep.Stop : NextStep.Retry;
 }
 
 const BACKOFF_BASE: Millis = 25;
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -40,7 +40,7 @@
     case 'chosen':
       return openAttempt(machine, event, now);
     case 'no-chain':
-      return waitForChain(machine, event);
+      return waitForChain(machine, event, now);
     case 'retry-granted':
       return chooseAgain(machine, event.failed);
     case 'retry-refused':
@@ -86,11 +86,12 @@
 function waitForChain(
   machine: RequestMachine,
   { isFull, retryAfter }: Extract<RequestEvent, { kind: 'no-chain' }>,
+  now: Millis,
 ): MachineStep {
   if (machine.phase !== RequestPhase.Choosing) {
     return stay(machine);
   }
-  if (machine.attempt === 0 && !isFull) {
+  if (machine.tokenCount === 0 && !mayWait(machine, isFull, now)) {
     return failWith(machine, ProblemKind.NoChain, retryAfter);
   }
   // Avoiding every engine that failed may leave none at all; a paused answer is then better served by
@@ -100,3 +101,8 @@
     effects: [{ kind: 'ask-retry', mode: 'rechoose', failed: [], retryAfter, fruitless: 1 }],
   };
 }
+
+/** Whether a request without an answer looks for a chain once more. */
+function mayWait(machine: RequestMachine, isFull: boolean, now: Millis): boolean {
+  return machine.patientUntil === null ? isFull || machine.attempt > 0 : now < machine.patientUntil;
+}
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -84,7 +84,7 @@
     ),
     recovery: createRecoveryQueue(),
     progress: createProgressTracker(),
-    meters: createRouterMeters(cfg.silence),
+    meters: createRouterMeters(cfg.silence, cfg.lengthShare),
     starved: createStarvedModels(),
     runs: new Map(),
     post: createWorkQueue(),
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -17,6 +17,8 @@
   readonly maxTokens: number;
   /** Engines that it may still run on. One that was lost under it does not count. */
   readonly attemptsLeft: number;
+  /** Until when it waits for engines that can take it; null if it has no patience of its own. */
+  readonly patientUntil: Millis | null;
   /** Number of the running attempt, or of the last one; 0 before the first. */
   readonly attempt: number;
   readonly chain: Chain | null;
@@ -61,7 +63,7 @@
 
 /** The state of a request that has just been submitted. */
 export function createRequestMachine(
-  spec: Pick<RequestSpec, 'idempotent' | 'maxTokens' | 'maxAttempts'>,
+  spec: Pick<RequestSpec, 'idempotent' | 'maxTokens' | 'maxAttempts' | 'patience'>,
   now: Millis,
 ): RequestMachine {
   return {
@@ -69,6 +71,7 @@
     idempotent: spec.idempotent,
     maxTokens: spec.maxTokens,
     attemptsLeft: spec.maxAttempts ?? Infinity,
+    patientUntil: spec.patience === undefined ? null : now + spec.patience,
     attempt: 0,
     chain: null,
     acknowledged: false,
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -21,6 +21,11 @@
   readonly idempotencyKey: string | null;
   /** Whether running it twice does no harm. */
   readonly idempotent: boolean;
+  /**
+   * How long from its submission a request without any answer waits for engines that can take it. Left
+   * out, it is refused at once where its layers are missing, and after a few fruitless attempts.
+   */
+  readonly patience?: Millis;
   /** The caller's own request, where engines take it unchanged. */
   readonly original?: OriginalRequest;
   /** Engines that it may run on, those that were lost under it not counted; no bound if left out. */
--- a/packages/requests/src/RouterMeters.ts
+++ b/packages/requests/src/RouterMeters.ts
@@ -39,11 +39,14 @@
 const LENGTH_WEIGHT = 0.05;
 
 /** Creates meters that have measured nothing. */
-export function createRouterMeters(silence: SilenceConfig): RouterMeters {
+export function createRouterMeters(
+  silence: SilenceConfig,
+  lengthShareAtFirst: number,
+): RouterMeters {
   const models = new Map<ModelId, ModelMeters>();
 
   function getMeters(model: ModelId): ModelMeters {
-    return models.get(model) ?? GUESS;
+    return models.get(model) ?? { ...GUESS, lengthShare: lengthShareAtFirst };
   }
 
   function change(model: ModelId, part: Partial<ModelMeters>): void {
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -15,6 +15,8 @@
 export interface RouterConfig {
   readonly limits: LimitConfig;
   readonly silence: SilenceConfig;
+  /** Part of the tokens allowed that answers come to, until some have been seen. */
+  readonly lengthShare: number;
   /** Requests of all teams that may wait at this instance. */
   readonly queueBound: number;
   /** Retries as a share of first tries. */
@@ -35,6 +37,7 @@
 export const DEFAULT_ROUTER_CONFIG: RouterConfig = {
   limits: DEFAULT_LIMIT_CONFIG,
   silence: DEFAULT_SILENCE_CONFIG,
+  lengthShare: 1,
   queueBound: 4096,
   retryShare: 0.1,
   retryBurst: 20,
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestBudget.test.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { RetryBudget } from '../../RequestBudget.js';
+import {
+  createRetryBudget,
+  hasRetry,
+  noteFirstTry,
+  returnRetry,
+  setBurst,
+  takeRetry,
+} from '../../RequestBudget.js';
+
+const WINDOW = 10_000;
+
+describe('RequestBudget', () => {
+  it('keeps repeats within share and burst in any ten seconds', () => {
+    // Symptom: a service gets more repeats in some window than the fleet may cause.
+    // Sequence: bursts of failures at any times. Cause: a bucket that fills up by itself, or that
+    // counts first tries of an earlier window.
+    const steps = fc.array(
+      fc.record({ wait: fc.integer({ min: 0, max: 3000 }), isRetry: fc.boolean() }),
+      { maxLength: 300 },
+    );
+    fc.assert(
+      fc.property(steps, (list) => {
+        let budget: RetryBudget = createRetryBudget(0.2, 5);
+        let now = 0;
+        const tries: number[] = [];
+        const repeats: number[] = [];
+        for (const { wait, isRetry } of list) {
+          now += wait;
+          const taken = isRetry ? takeRetry(budget, now) : null;
+          if (taken) {
+            repeats.push(now);
+            budget = taken;
+          } else if (!isRetry) {
+            tries.push(now);
+            budget = noteFirstTry(budget, now);
+          }
+        }
+        for (const start of repeats) {
+          const isIn = (at: number): boolean => at >= start && at < start + WINDOW;
+          const allowed =
+            5 + 0.2 * tries.filter((at) => at < start + WINDOW && at >= start - WINDOW).length;
+          expect(repeats.filter(isIn).length).to.be.at.most(allowed);
+        }
+      }),
+    );
+  });
+
+  it('gives back what reached no engine, and follows the fleet in its burst', () => {
+    let budget = createRetryBudget(0, 1);
+    budget = takeRetry(budget, 0) ?? budget;
+    expect(hasRetry(budget, 0)).to.equal(false);
+    expect(hasRetry(returnRetry(budget, 0), 0)).to.equal(true);
+    expect(hasRetry(setBurst(budget, 2), 0)).to.equal(true);
+    expect(hasRetry(budget, WINDOW + 1000)).to.equal(true);
+  });
+});
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -74,6 +74,57 @@
 }
 
 describe('RequestMachine', () => {
+  it('runs on no more engines than it may, those that died under it not counted', () => {
+    // Symptom: a request ran on three engines of a route that allows two.
+    // Sequence: a chain falls silent, and so does the next. Cause: only tries without a token counted.
+    const silent = (n: number): RequestEvent => ({
+      kind: 'failure',
+      attempt: n,
+      failure: createFailure({ place: FailurePlace.Silence }),
+      suspects: [],
+      isSlow: false,
+    });
+    const died = (n: number): RequestEvent => ({
+      kind: 'failure',
+      attempt: n,
+      failure: createFailure({ place: FailurePlace.Stream }),
+      suspects: [],
+      isSlow: false,
+    });
+    const play = (failures: readonly ((n: number) => RequestEvent)[]): RequestMachine => {
+      const spec = { idempotent: true, maxTokens: MAX_TOKENS, maxAttempts: 2 };
+      let machine = stepRequest(createRequestMachine(spec, 0), { kind: 'admitted' }, 0).machine;
+      failures.forEach((fail, i) => {
+        const events: readonly RequestEvent[] = [
+          { kind: 'chosen', chain, importFrom: [], limits },
+          fail(i + 1),
+          { kind: 'retry-granted', failed: [] },
+        ];
+        events.forEach((event) => {
+          machine = stepRequest(machine, event, 10 * i).machine;
+        });
+      });
+      return machine;
+    };
+    expect(play([silent, silent]).phase).to.equal('ended');
+    expect(play([died, silent]).phase).to.equal('choosing');
+  });
+
+  it('waits for engines as long as it has patience, and then says that it has not run', () => {
+    const spec = { idempotent: true, maxTokens: MAX_TOKENS, patience: 100 };
+    const none: RequestEvent = { kind: 'no-chain', isFull: false, retryAfter: 10 };
+    const admitted = stepRequest(createRequestMachine(spec, 0), { kind: 'admitted' }, 0).machine;
+    const waiting = stepRequest(admitted, none, 50).machine;
+    expect(waiting.phase).to.equal('pausing');
+    const again = stepRequest(waiting, { kind: 'retry-granted', failed: [] }, 90).machine;
+    const ended = stepRequest(again, none, 110);
+    expect(ended.machine.phase).to.equal('ended');
+    expect(ended.effects).to.deep.include({
+      kind: 'fail',
+      problem: { kind: 'no-chain', run: 'not-run', retryAfter: 10, instance: null },
+    });
+  });
+
   it('keeps its promises whatever comes, in whatever order', () => {
     fc.assert(
       fc.property(fc.boolean(), fc.array(anyEvent, { maxLength: 60 }), (idempotent, tail) => {
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -28,6 +28,37 @@
 }
 
 describe('RoutingRepair', () => {
+  it('replaces a stage whose engine is gone or holds other layers, though nobody named it', () => {
+    // Symptom: a process ended with "a chosen engine is known", and with it every answer that it ran.
+    // Sequence: engine b is unregistered while a chain runs on it; then stage a of that chain fails.
+    // Cause: stages that nobody named as failed were kept without a look at what their engines hold.
+    const state = createFilledState([
+      { facts: createFacts('a2'), layers: [0, 10] },
+      { facts: createFacts('b2'), layers: [10, 20] },
+    ]);
+    const gone = selectRepair(
+      state,
+      createTestChain(),
+      new Set(['a']),
+      createAsk(),
+      createRandom(1),
+    );
+    expect(gone.ok && formatChain(gone.value.chain)).to.equal('a2[0-10) > b2[10-20)');
+    const moved = createFilledState([
+      { facts: createFacts('a2'), layers: [0, 10] },
+      { facts: createFacts('b'), layers: [0, 10] },
+      { facts: createFacts('b2'), layers: [10, 20] },
+    ]);
+    const recut = selectRepair(
+      moved,
+      createTestChain(),
+      new Set(['a']),
+      createAsk(),
+      createRandom(1),
+    );
+    expect(recut.ok && formatChain(recut.value.chain)).to.match(/ > b2\[10-20\)$/);
+  });
+
   // Symptom: an answer whose second stage died was prefilled anew on every stage.
   // Sequence: stage b dies; no single engine holds its layers, two small ones together do.
   // Cause: only one-for-one replacements were looked for.
--- a/packages/store/src/StoreFollow.ts
+++ b/packages/store/src/StoreFollow.ts
@@ -98,7 +98,9 @@
   }
 
   async function watchOnce(revision: number): Promise<number | null> {
-    const outcome = await port.watchRange(prefix, revision, wait, { timeout: wait + timeout });
+    // A store that is back is to be known at once, and not when a watch without news has run out.
+    const held = isLost ? 0 : wait;
+    const outcome = await port.watchRange(prefix, revision, held, { timeout: held + timeout });
     const changes = stopped ? null : take(outcome);
     if (changes === null) {
       return revision;
