--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -0,0 +1,178 @@
+import { expect } from 'chai';
+import { RunState } from '@skylarksail/core/CoreConstants';
+import type { RunStateName } from '@skylarksail/core/CoreConstants';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import type { ProblemKindName, RequestSink, RequestSpec } from '@skylarksail/requests/RequestTypes';
+import type { ServiceSink, ServiceSpec } from '@skylarksail/requests/ServiceTypes';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { createRouteTable } from '@skylarksail/routes/RouteTable';
+import { createRelayIntake } from '../../RelayIntake.js';
+import type { RelayCall, RelayRefusal } from '../../RelayTypes.js';
+import { createConfig, createRoute } from './RelayFixtures.js';
+
+const ACCOUNTS = createRoute({
+  prefix: '/accounts/',
+  kind: 'unsafe',
+  timeout: 2000,
+  targets: [{ service: 'accounts', weight: 1 }],
+});
+
+function createBed() {
+  const timers = createVirtualTimers();
+  const streams: { spec: RequestSpec; sink: RequestSink }[] = [];
+  const calls: { spec: ServiceSpec; sink: ServiceSink }[] = [];
+  const decisions: Record<string, unknown>[] = [];
+  let table: RouteTable | null = createRouteTable(
+    createConfig({ routes: [createRoute(), ACCOUNTS] }),
+  );
+  const router = {
+    submit: (spec: RequestSpec, sink: RequestSink) => {
+      streams.push({ spec, sink });
+      return { cancel: () => undefined };
+    },
+    submitService: (spec: ServiceSpec, sink: ServiceSink) => {
+      calls.push({ spec, sink });
+      return { cancel: () => undefined };
+    },
+  } as unknown as RequestRouter;
+  const intake = createRelayIntake({
+    timers,
+    random: createRandom(1),
+    router,
+    getTable: () => table,
+    onDecision: (decision) => decisions.push({ ...decision }),
+  });
+  const submit = (change: Partial<RelayCall> = {}) => {
+    const heard: string[] = [];
+    const refusals: RelayRefusal[] = [];
+    intake.submit(
+      {
+        id: 'r',
+        host: 'h',
+        method: 'POST',
+        path: '/letters/1?a=/accounts/',
+        headers: {},
+        key: 'key',
+        timeLeft: 5000,
+        body: Buffer.from('body'),
+        promptTokens: 100,
+        maxTokens: 50,
+        ...change,
+      },
+      {
+        onHead: ({ status }) => heard.push(`head ${status}`),
+        onEvent: (event) => heard.push(event),
+        onEnd: () => heard.push('end'),
+        onBroken: () => heard.push('broken'),
+        onAnswer: ({ status }) => heard.push(`answer ${status}`),
+        onRefused: (refusal) => refusals.push(refusal),
+      },
+    );
+    return { heard, refusals };
+  };
+  return {
+    timers,
+    streams,
+    calls,
+    decisions,
+    submit,
+    setTable: (next: RouteTable | null) => {
+      table = next;
+    },
+  };
+}
+
+describe('RelayIntake', () => {
+  it('answers 503 with a time to come back while it knows no configuration', () => {
+    // Symptom: callers are told for good that their route does not exist.
+    // Sequence: a restarted instance takes requests before it has read the configuration.
+    // Cause: no configuration is taken for an empty one.
+    const bed = createBed();
+    bed.setTable(null);
+    const [refusal] = bed.submit().refusals;
+    expect(refusal).to.include({ status: 503 });
+    expect(refusal?.retryAfter).to.be.greaterThan(0);
+  });
+
+  it('refuses unknown routes and keys, and lets public routes in without a key', () => {
+    const bed = createBed();
+    expect(bed.submit({ path: '/other/' }).refusals[0]?.status).to.equal(404);
+    expect(bed.submit({ host: 'other' }).refusals[0]?.status).to.equal(404);
+    expect(bed.submit({ key: 'wrong' }).refusals[0]?.status).to.equal(401);
+    expect(bed.submit({ key: null }).refusals[0]?.status).to.equal(401);
+    const routes = [createRoute({ isPublic: true })];
+    bed.setTable(createRouteTable(createConfig({ routes })));
+    expect(bed.submit({ key: null }).refusals).to.deep.equal([]);
+    expect(bed.streams[0]?.spec.team).to.equal('');
+  });
+
+  it('bounds the time by the caller and by the route, whichever ends first', () => {
+    const bed = createBed();
+    bed.submit({ timeLeft: 3000 });
+    bed.submit({ timeLeft: 60_000 });
+    bed.submit({ path: '/accounts/1', timeLeft: null });
+    expect(bed.streams[0]?.spec.deadline).to.be.within(2900, 3000);
+    expect(bed.streams[1]?.spec.deadline).to.be.within(9900, 10_000);
+    expect(bed.calls[0]?.spec.deadline).to.be.within(1900, 2000);
+  });
+
+  it('lets only what may be repeated run again', () => {
+    const bed = createBed();
+    const kinds = [
+      createRoute({ prefix: '/resumable/', isResumable: true }),
+      createRoute({ prefix: '/stream/', isResumable: false }),
+      { ...ACCOUNTS, prefix: '/safe/', kind: 'safe' as const },
+      { ...ACCOUNTS, prefix: '/unsafe/', kind: 'unsafe' as const },
+    ];
+    bed.setTable(createRouteTable(createConfig({ routes: kinds })));
+    kinds.forEach(({ prefix }) => bed.submit({ path: prefix }));
+    expect(bed.streams.map(({ spec }) => spec.idempotent)).to.deep.equal([true, false]);
+    expect(bed.calls.map(({ spec }) => spec.idempotent)).to.deep.equal([true, false]);
+  });
+
+  it('promises "not run" only where it is known', () => {
+    const bed = createBed();
+    const refuse = (kind: ProblemKindName, run: RunStateName): RelayRefusal | undefined => {
+      const { refusals } = bed.submit({ path: '/accounts/1' });
+      bed.calls.at(-1)?.sink.onError({ kind, run, retryAfter: null, instance: null });
+      return refusals[0];
+    };
+    expect(refuse('engine-failed', RunState.Unknown)?.status).to.equal(502);
+    expect(refuse('engine-failed', RunState.Ran)?.status).to.equal(502);
+    expect(refuse('deadline', RunState.Unknown)?.status).to.equal(504);
+    const notRun = refuse('no-chain', RunState.NotRun);
+    expect(notRun?.status).to.equal(503);
+    expect(notRun?.retryAfter).to.be.greaterThan(0);
+  });
+
+  it('breaks a stream off that has begun, and never lets it look whole', () => {
+    const bed = createBed();
+    const { heard, refusals } = bed.submit();
+    const sink = bed.streams[0]?.sink;
+    sink?.onStart({ status: 200, headers: {} });
+    sink?.onToken(0, 'event');
+    sink?.onError({ kind: 'engine-failed', run: 'ran', retryAfter: null, instance: null });
+    expect(heard).to.deep.equal(['head 200', 'event', 'broken']);
+    expect(refusals).to.deep.equal([]);
+  });
+
+  it('logs how a stream’s events came', () => {
+    const bed = createBed();
+    bed.submit();
+    const sink = bed.streams[0]?.sink;
+    bed.timers.advanceTo(70);
+    sink?.onToken(0, 'a');
+    bed.timers.advanceTo(370);
+    sink?.onToken(1, 'b');
+    sink?.onEnd('stop');
+    expect(bed.decisions.at(-1)).to.deep.equal({
+      request: 'r',
+      decision: 'answered',
+      events: 2,
+      firstMs: 70,
+      longestPauseMs: 300,
+    });
+  });
+});
