--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -67,6 +67,24 @@
     languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
     rules: { 'import-x/no-default-export': 'off', 'no-console': 'off' },
   },
+  {
+    // The names of the users' platform are decoded in platform/ and nowhere else.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        ...['Literal[value=/PATTERN/i]', 'TemplateElement[value.raw=/PATTERN/i]'].map(
+          (selector) => ({
+            selector: selector.replace(
+              'PATTERN',
+              'x-skylarksail-|\\bkv-(key|range|watch|txn|lease|keep)|SKYLARKSAIL_BOOT|^op\\u002fconfig|^servers\\u002f',
+            ),
+            message: 'Names of the platform belong into platform/.',
+          }),
+        ),
+      ],
+    },
+  },
   {
     // Chai's assertions are property reads.
     files: ['**/__tests__/**'],
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -93,7 +93,7 @@
     });
     const play = (failures: readonly ((n: number) => RequestEvent)[]): RequestMachine => {
       const spec = { idempotent: true, maxTokens: MAX_TOKENS, maxAttempts: 2 };
-      let machine = stepRequest(createRequestMachine(spec, 0), { kind: 'admitted' }, 0).machine;
+      let { machine } = stepRequest(createRequestMachine(spec, 0), { kind: 'admitted' }, 0);
       failures.forEach((fail, i) => {
         const events: readonly RequestEvent[] = [
           { kind: 'chosen', chain, importFrom: [], limits },
