Send an idempotent call to another server when one stays silent

Cause: a server that loses an answer held the caller of a safe call until its deadline though others were idle.

Change: a call that may be repeated gives a silent server up after the time that is on time, if the budget has a retry; the last server is waited for.

--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -58,6 +58,8 @@
 const MOST_PATIENCE: Millis = 5000;
 const PATIENCE_SHARE = 0.3;
 const CHAIN_RETRY: Millis = 2000;
+/** An idempotent call goes to another server after so many times the time that is on time. */
+const ATTEMPT_GOALS = 1;
 const DRAIN_RETRY: Millis = 50;
 /** A request that crashes engines is not worth a resend soon. */
 const POISON_RETRY: Millis = 30_000;
@@ -199,6 +201,7 @@
       idempotencyKey: null,
       idempotent: route.kind === RouteKind.Safe,
       maxAttempts: route.maxAttempts,
+      attemptTimeout: ATTEMPT_GOALS * route.firstAnswerGoal,
     };
     return router.submitService(spec, {
       onAnswer: (answer) => listener.onAnswer(answer),
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -24,8 +24,9 @@
 import { FailurePlace } from './RequestPorts.js';
 import type { AttemptOutcome, ProblemKindName, RequestHandle } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
+import { SILENCE } from './RunSilence.js';
 import type { RouterShared } from './RouterShared.js';
-import { countMetric, feedBudget, logDecision, takeFromBudget } from './RouterShared.js';
+import { countMetric, feedBudget, hasBudget, logDecision, takeFromBudget } from './RouterShared.js';
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
@@ -61,6 +62,7 @@
   let run: RunStateName = RunState.NotRun;
   let avoid: readonly EngineId[] = [];
   let cancelCall: Unregister | null = null;
+  let undoTimeout: Unregister = () => undefined;
   let choice: ServerChoice | null = null;
   let claim: ClaimHold | null = null;
 
@@ -87,6 +89,7 @@
     const openedAt = timers.now();
     const { id: request, team, priority, service, method, path, headers, body } = spec;
     const timeLeft = spec.deadline - openedAt;
+    watchSilence(current, server);
     cancelCall = deps.openServiceCall(
       {
         request,
@@ -110,6 +113,22 @@
     );
   }
 
+  /** Gives a silent server up if another may be tried. */
+  function watchSilence(of: number, server: EngineId): void {
+    const mayRetry = spec.idempotent && fruitless + 1 < (spec.maxAttempts ?? Infinity);
+    if (spec.attemptTimeout === undefined || !mayRetry) {
+      return;
+    }
+    undoTimeout = timers.registerTimeout(spec.attemptTimeout, () =>
+      shared.post(() => {
+        if (isOpen && of === attempt && hasBudget(shared, spec.service)) {
+          cancelCall?.();
+          takeIfCurrent(of, () => takeFailure(SILENCE, server));
+        }
+      }),
+    );
+  }
+
   function takeIfCurrent(of: number, take: () => void): void {
     if (isEnded || !isOpen || of !== attempt) {
       countMetric(shared, 'lateFrames');
@@ -117,6 +136,7 @@
     }
     isOpen = false;
     cancelCall = null;
+    undoTimeout();
     take();
   }
 
@@ -213,6 +233,7 @@
     isEnded = true;
     listener = null;
     undoDeadline();
+    undoTimeout();
     cancelCall?.();
     release({ kind: 'cancelled' });
     admission.leave(spec.id, timers.now());
--- a/packages/requests/src/ServiceTypes.ts
+++ b/packages/requests/src/ServiceTypes.ts
@@ -18,6 +18,11 @@
   readonly deadline: Millis;
   readonly idempotencyKey: string | null;
   readonly idempotent: boolean;
+  /**
+   * How long an idempotent call waits for one server while another may still be tried; for ever if left
+   * out. A server that loses an answer would hold its caller until the deadline.
+   */
+  readonly attemptTimeout?: Millis;
   /** Backend servers that it may be sent to; no bound if left out. */
   readonly maxAttempts?: number;
 }
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -252,4 +252,24 @@
       true,
     ]);
   });
+
+  it('sends an idempotent call to another server when one stays silent, and no other call', () => {
+    // Symptom: a look-up hears nothing until its deadline though two other servers are idle.
+    // Sequence: a server runs the call and its answer is lost. Cause: only answers and resets count.
+    const world = createFakeWorld();
+    const safe = callService(world, 'safe', {
+      idempotent: true,
+      attemptTimeout: 300,
+      maxAttempts: 2,
+    });
+    const unsafe = callService(world, 'unsafe', { attemptTimeout: 300, maxAttempts: 2 });
+    const sent = world.serviceCalls.length;
+    world.timers.advanceTo(world.timers.now() + 1000);
+    expect(world.serviceCalls.length).to.equal(sent + 1);
+    const last = world.serviceCalls.at(-1);
+    expect(last?.call.request).to.equal('safe');
+    last?.listener.onAnswer({ status: 200, headers: {}, body: new Uint8Array() });
+    expect(safe.answers).to.have.length(1);
+    expect(unsafe.answers.length + unsafe.problems.length).to.equal(0);
+  });
 });
