Pass answers without a length on without one, and leave silent chains sooner

A plain service answers without a length (garble, unframed) and ends its connection in the middle with an orderly end: no reset, so nobody can tell it from a whole answer, and we gave it a length. Also: with one chain a domain, silence never tells which engine is to blame, so an answer was moved after four silences, three seconds, when its caller had left; new requests went on to the dead chain until the entry lapsed.

All as settings; the defaults of the product stay.

--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -84,9 +84,10 @@
  * event. Bounds of 120 ms moved one in four answers of a sound fleet that was reading long prompts.
  */
 const SILENCE: SilenceConfig = {
-  acknowledgement: { least: 900, most: 3000 },
-  firstToken: { least: 900, most: 3000 },
+  acknowledgement: { least: 350, most: 3000 },
+  firstToken: { least: 350, most: 3000 },
   gap: { least: 500, most: 900 },
+  mostUnclear: 0,
   leastSlowGap: 150,
 };
 /**
@@ -110,8 +111,15 @@
 const INSTANCES_ASSUMED = 6;
 const CONNECTION_SHARE = 0.9;
 const LEAST_CONNECTIONS = 2;
+/** A dead engine's entry lapses after three heartbeats of 1.2 s; until then its chain is kept off. */
+const DOUBT_TIME: Millis = 4000;
 /** Chains are filled by memory and not by pace; other domains lend all that they have. */
-const ROUTING_TUNING = { tokenGapMs: 150, crossDomainShare: 3 };
+const ROUTING_TUNING = {
+  tokenGapMs: 150,
+  crossDomainShare: 3,
+  isOwnDoubted: true,
+  doubtTime: DOUBT_TIME,
+};
 /** Waiting requests of one team at one instance. */
 const TEAM_QUEUE = 400;
 
--- a/packages/requests/src/RequestPace.ts
+++ b/packages/requests/src/RequestPace.ts
@@ -30,6 +30,11 @@
   readonly firstToken: SilenceBounds;
   /** Between tokens. */
   readonly gap: SilenceBounds;
+  /**
+   * Silences that are borne where the other streams do not tell which engine is to blame. With one chain
+   * a domain they never do, and an answer must go on elsewhere before its caller leaves.
+   */
+  readonly mostUnclear: number;
   /** A stream whose tokens come faster than this is never moved for being slow. */
   readonly leastSlowGap: Millis;
 }
@@ -38,6 +43,7 @@
   acknowledgement: { least: 250, most: 1500 },
   firstToken: { least: 400, most: 4000 },
   gap: { least: 120, most: 2000 },
+  mostUnclear: 3,
   leastSlowGap: 20,
 };
 
--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -83,6 +83,11 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
+  /**
+   * True if the answer has neither a length nor chunks, so that only the end of its connection ends it.
+   * Nobody can tell whether such an answer is whole, and it must not be passed on as if it were known.
+   */
+  readonly isUnframed?: boolean;
 }
 
 /** What the first stage says before the first token. */
@@ -124,9 +129,7 @@
   readonly timeLeft: Millis;
 }
 
-export interface ServiceAnswer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
+export interface ServiceAnswer extends AnswerHead {
   readonly body: Uint8Array;
 }
 
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -9,8 +9,6 @@
 
 /** Time without a token after which an answer counts as standing still. */
 const STILL_AFTER: Millis = 80;
-/** Silences that are borne where the other streams do not tell which engine is to blame. */
-const UNCLEAR_SILENCES = 3;
 /** Silences that are borne on a link that is known to be slow. */
 const SLOW_LINK_SILENCES = 6;
 /** Silences that are borne where nothing at all came through the engines of a chain. */
@@ -63,5 +61,5 @@
     return all;
   }
   // A slow link holds up many streams at once, and prompts read again would hold them up longer.
-  return machine.borne < UNCLEAR_SILENCES ? null : all;
+  return machine.borne < shared.deps.cfg.silence.mostUnclear ? null : all;
 }
--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -23,8 +23,6 @@
 /** How much of the learned mix remains after one more call. */
 const MIX_MEMORY = 0.995;
 const PEERS_COMPARED = 24;
-/** Time for which another domain is kept off after a chain there stayed silent. */
-const DOUBT_MS = 2000;
 
 /** Work of this instance on an engine. */
 export function getOwnWork(state: RoutingState, engine: EngineId): OwnWork {
@@ -128,29 +126,30 @@
 }
 
 /**
- * Keeps off another domain from which nothing comes. Membership tells of a cut only after seconds, and
+ * Keeps off a domain from which nothing comes. Membership tells of a cut only after seconds, and
  * until then each request would find out for itself.
  */
 function doubtDomain(state: RoutingState, chain: Chain, now: Millis): RoutingState {
-  const domain = getForeignDomain(state, chain);
+  const domain = getDoubtedDomain(state, chain);
   return domain === null
     ? state
-    : { ...state, doubted: new Map(state.doubted).set(domain, now + DOUBT_MS) };
+    : { ...state, doubted: new Map(state.doubted).set(domain, now + state.tuning.doubtTime) };
 }
 
 /** A token from a domain clears it. */
 function clearDoubt(state: RoutingState, chain: Chain): RoutingState {
-  const domain = state.doubted.size > 0 ? getForeignDomain(state, chain) : null;
+  const domain = state.doubted.size > 0 ? getDoubtedDomain(state, chain) : null;
   if (domain === null || !state.doubted.has(domain)) {
     return state;
   }
   return { ...state, doubted: new Map([...state.doubted].filter(([other]) => other !== domain)) };
 }
 
-/** Domain of a chain's first stage, which is where our own connection goes; null if it is ours. */
-function getForeignDomain(state: RoutingState, chain: Chain): DomainId | null {
+/** Domain of a chain's first stage, which is where our own connection goes; null if it is never doubted. */
+function getDoubtedDomain(state: RoutingState, chain: Chain): DomainId | null {
+  const { domain: own, isOwnDoubted } = state.tuning;
   const domain = state.engines.get(chain.stages[0]?.engine ?? '')?.domain ?? null;
-  return state.tuning.domain === null || domain === state.tuning.domain ? null : domain;
+  return own === null || (domain === own && !isOwnDoubted) ? null : domain;
 }
 
 function recordAnswered(
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -82,13 +82,16 @@
   random: Random,
 ): Result<ChainChoice, RoutingRefusal> {
   const own = selectInDomain(state, ask, ask.domain, ask.isBegun ? BEGUN_FILL : 1, random);
-  if (own.ok) {
+  if (own.ok && !isDoubted(state, ask.domain, ask.now)) {
     return own;
   }
   const crossed = selectAbroad(state, ask, random);
   if (crossed) {
     return createOk(crossed);
   }
+  if (own.ok) {
+    return own;
+  }
   const isHeldElsewhere =
     own.error.kind !== 'no-capacity' &&
     [...state.pools.values()].some(
@@ -100,6 +103,11 @@
   return isHeldElsewhere ? createFailed({ kind: 'cut-off', retryAfter: FULL_RETRY_MS }) : own;
 }
 
+/** Whether chains of a domain stayed silent a short while ago. */
+function isDoubted({ doubted }: RoutingState, domain: DomainId, now: Millis): boolean {
+  return (doubted.get(domain) ?? -Infinity) > now;
+}
+
 /** Members of the domain's pool that may take new work of this ask. */
 export function selectMembers(
   state: RoutingState,
@@ -183,8 +191,7 @@
     const lent = planned
       ? getLentCalls(planned.plan, state.tuning, ask.priority, begun, healed)
       : 0;
-    const isDoubted = (state.doubted.get(domain) ?? -Infinity) > ask.now;
-    if (!isDoubted && (state.crossing.get(domain) ?? 0) + 1 <= lent) {
+    if (!isDoubted(state, domain, ask.now) && (state.crossing.get(domain) ?? 0) + 1 <= lent) {
       const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
       if (choice.ok) {
         return choice.value;
--- a/packages/routing/src/RoutingTuning.ts
+++ b/packages/routing/src/RoutingTuning.ts
@@ -14,6 +14,10 @@
   readonly foreignInstanceCount: number;
   /** Share of a domain's capacity that may be lent to other domains. */
   readonly crossDomainShare: number;
+  /** Whether the own domain is kept off too when a whole chain there stays silent, if others serve. */
+  readonly isOwnDoubted: boolean;
+  /** Time for which a domain is kept off after a chain there stayed silent. */
+  readonly doubtTime: Millis;
 }
 
 export const DEFAULT_TUNING: RoutingTuning = {
@@ -23,4 +27,6 @@
   instanceCount: 1,
   foreignInstanceCount: 4,
   crossDomainShare: 0.2,
+  isOwnDoubted: false,
+  doubtTime: 2000,
 };
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -199,4 +199,37 @@
     expect([choose(doubting, 1900).ok, choose(doubting, 2100).ok]).to.deep.equal([false, true]);
     expect(choose(recordFirstToken(doubting, call, 100), 200).ok).to.equal(true);
   });
+
+  it('keeps off the own domain too where it has one chain, and takes it if no other serves', () => {
+    // Symptom: for seconds each new request waits for a chain of which one engine is dead.
+    // Sequence: the only chain of the own domain falls silent; the dead engine's entry stands on.
+    // Cause: only other domains were doubted, since the own one had spare engines.
+    const tuning = { isOwnDoubted: true, doubtTime: 4000 };
+    const before = createTwoDomains();
+    const start = setRoutingFacts(before, { tuning: { ...before.tuning, ...tuning } });
+    const domainOf = (from: RoutingState, now: number, avoid: readonly string[] = []) => {
+      const ask = createAsk({ now, avoidEngines: new Set(avoid) });
+      const choice = selectChain(from, ask, createRandom(1));
+      return choice.ok
+        ? from.engines.get(choice.value.chain.stages[0]?.engine ?? '')?.domain
+        : null;
+    };
+    expect(domainOf(start, 0)).to.equal('a');
+    const choice = selectChain(start, createAsk(), createRandom(1));
+    if (!choice.ok) {
+      throw new Error('a serves');
+    }
+    const call = { chain: choice.value.chain, promptTokens: 100, maxTokens: 50 };
+    const silent = { kind: 'failed', engine: null, isSilent: true } as const;
+    const doubting = recordCallEnd(recordCallStart(start, call), call, silent, false, 0);
+    expect([domainOf(doubting, 3900), domainOf(doubting, 4100)]).to.deep.equal(['z', 'a']);
+    const others = [...start.engines.values()].filter(({ domain }) => domain === 'z');
+    expect(
+      domainOf(
+        doubting,
+        100,
+        others.map(({ id }) => id),
+      ),
+    ).to.equal('a');
+  });
 });
