--- a/packages/daemon/src/DaemonPeers.ts
+++ b/packages/daemon/src/DaemonPeers.ts
@@ -2,6 +2,7 @@
  * Messages between instances over ws. A peer proves the shared secret before any message of its is
  * read; what the bytes mean is for the packages above, which count and drop garbage.
  */
+import type { AddressInfo } from 'node:net';
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 import { WebSocket, WebSocketServer } from 'ws';
 import type { RawData } from 'ws';
@@ -11,6 +12,8 @@
 const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 3000;
 const NONCE_BYTES = 16;
+/** Messages to one peer that wait for its connection; gossip repeats what is dropped. */
+const MAX_WAITING = 256;
 const PROOF_HEADER = 'x-peer-proof';
 const NONCE_HEADER = 'x-peer-nonce';
 const NAME_HEADER = 'x-peer-name';
@@ -20,6 +23,8 @@
 const MAX_CLOCK_SKEW_MS = 120_000;
 
 export interface PeerLink {
+  /** The port that it listens on. */
+  readonly port: number;
   /** Sends if it can; false if the message was dropped. */
   send(address: HostPort, bytes: Uint8Array): boolean;
   /** Bytes sent and received since the start, and messages dropped. */
@@ -47,6 +52,11 @@
 /** Starts listening for peers and dials them as messages are sent. */
 export async function startPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
   const dialled = new Map<string, WebSocket>();
+  /**
+   * What waits for connections that are being made. A listener for each message would be one for each
+   * of the hundreds that a lost peer is sent, which Node takes for a leak.
+   */
+  const waiting = new Map<WebSocket, Uint8Array[]>();
   const seenNonces = new Map<string, Millis>();
   let sentBytes = 0;
   let receivedBytes = 0;
@@ -96,7 +106,14 @@
     });
     dialled.set(name, socket);
     readFrom(socket);
+    waiting.set(socket, []);
+    socket.once('open', () => {
+      waiting.get(socket)?.forEach((bytes) => socket.send(bytes));
+      waiting.delete(socket);
+    });
     socket.on('close', () => {
+      dropped += waiting.get(socket)?.length ?? 0;
+      waiting.delete(socket);
       if (dialled.get(name) === socket) {
         dialled.delete(name);
       }
@@ -108,6 +125,7 @@
   }
 
   return {
+    port: (server.address() as AddressInfo).port,
     send(address, bytes) {
       const name = `${address.host}:${address.port}`;
       const socket = dialled.get(name) ?? dial(address, name);
@@ -118,8 +136,8 @@
       sentBytes += bytes.byteLength;
       if (socket.readyState === WebSocket.OPEN) {
         socket.send(bytes);
-      } else if (socket.readyState === WebSocket.CONNECTING) {
-        socket.once('open', () => socket.send(bytes));
+      } else if ((waiting.get(socket)?.length ?? MAX_WAITING) < MAX_WAITING) {
+        waiting.get(socket)?.push(bytes);
       } else {
         dropped += 1;
         return false;
