Split the relay's knowledge, tuning and stop, and the adapter's exchanges

Change: RelayKnowledge, RelayTuning, RelayStop and PlatformExchanges; no behaviour changes. A test of the stop's order and times.

--- /dev/null
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -0,0 +1,137 @@
+/**
+ * What this instance knows of the store: follows it, or its peers while it does not answer, and tells the
+ * parts what is new of backend servers, of its own keys, and of the configuration.
+ */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DaemonLogger } from '@skylarksail/daemon/DaemonLog';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { createRouteTable } from '@skylarksail/routes/RouteTable';
+import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
+import { registerFollow } from '@skylarksail/store/StoreFollow';
+import type { Catalogue } from './RelayCatalogue.js';
+import type { RelayLease } from './RelayLease.js';
+import { OWN_PREFIX } from './RelayLease.js';
+import { createMirror } from './RelayMirror.js';
+import type { AskPeer, RelayPeers } from './RelayPeers.js';
+import { createRelayPeers } from './RelayPeers.js';
+import type { InstanceEntry, ReadBackendKey, ReadContent, StoreContent } from './RelayTypes.js';
+
+export interface RelayKnowledgeOptions {
+  readonly self: InstanceEntry;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly store: StoreRangePort;
+  readonly readContent: ReadContent;
+  readonly readBackendKey: ReadBackendKey;
+  readonly askPeer: AskPeer;
+  readonly catalogue: Catalogue;
+  readonly lease: RelayLease;
+  readonly logger: DaemonLogger;
+  /** A newer configuration is in force from now on. */
+  readonly onTable: (table: RouteTable) => void;
+}
+
+export interface RelayKnowledge {
+  readonly peers: RelayPeers;
+  readonly stop: Unregister;
+}
+
+/** A watch is renewed this often: a connection that went silent must not hide a change for long. */
+const WATCH_TIME: Millis = 2500;
+const STORE_TIMEOUT: Millis = 700;
+
+/** Starts to follow. */
+export function startRelayKnowledge(options: RelayKnowledgeOptions): RelayKnowledge {
+  const { timers, random, catalogue, lease, logger } = options;
+  const mirror = createMirror();
+  let version: number | null = null;
+
+  /** Takes in what the store or a peer told, unless something newer is known already. */
+  function takeEvent(event: StoreEvent): void {
+    if (!mirror.take(event)) {
+      return;
+    }
+    const key = event.kind === 'written' ? event.item.key : event.key;
+    if (key.startsWith(OWN_PREFIX)) {
+      lease.takeEvent(event);
+    } else if (event.kind === 'written') {
+      takeItem(event.item);
+    } else {
+      const backend = options.readBackendKey(key);
+      if (backend !== null) {
+        catalogue.remove(backend);
+      }
+    }
+  }
+
+  function takeItem(item: StoreItem): void {
+    const content = readItem(item);
+    if (content?.kind === 'backend') {
+      catalogue.put(content.entry);
+    } else if (content?.kind === 'config') {
+      takeConfig(createRouteTable(content.config));
+    }
+  }
+
+  /** One value that makes no sense must not end the following of all others. */
+  function readItem(item: StoreItem): StoreContent | null {
+    try {
+      return options.readContent(item);
+    } catch (err) {
+      logger.error({ err, key: item.key, revision: item.revision }, 'value not understood');
+      return null;
+    }
+  }
+
+  /** Versions only rise: nothing that comes late takes an instance back. */
+  function takeConfig(next: RouteTable): void {
+    const { config } = next;
+    if (version !== null && config.version <= version) {
+      return;
+    }
+    logger.info({ version: config.version, before: version }, 'configuration in force');
+    version = config.version;
+    options.onTable(next);
+  }
+
+  const peers = createRelayPeers({
+    timers,
+    random,
+    self: options.self,
+    mirror,
+    askPeer: options.askPeer,
+    listInstances: lease.listInstances,
+    onEvent: takeEvent,
+    onHeard: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
+  });
+  const stop = registerFollow({
+    port: options.store,
+    timers,
+    random,
+    prefix: '',
+    wait: WATCH_TIME,
+    timeout: STORE_TIMEOUT,
+    listener: {
+      onSnapshot: (items, revision) => mirror.diffSnapshot(items, revision).forEach(takeEvent),
+      onEvent: takeEvent,
+      onLost: () => {
+        peers.noteStoreLost();
+        logger.warn('store lost');
+      },
+      onRegained: () => {
+        catalogue.noteStoreRegained();
+        peers.noteStoreRegained();
+        logger.info('store regained');
+      },
+    },
+  });
+  return {
+    peers,
+    stop() {
+      peers.noteStoreRegained();
+      stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayStop.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { RelayParts } from '../../RelayParts.js';
+import { stopRelay } from '../../RelayStop.js';
+
+describe('RelayStop', () => {
+  it('serves on through the balancer’s lag, drains within the grace, and cuts only then', async () => {
+    // Symptom: callers lose requests at a planned stop.
+    // Sequence: the balancer sends new connections for two seconds after readiness is withdrawn.
+    // Cause: the port is closed with the first signal.
+    const timers = createVirtualTimers();
+    const steps: string[] = [];
+    const note = (what: string) => () => steps.push(`${timers.now()} ${what}`);
+    const parts = {
+      startLeaving: note('leaving'),
+      stop: note('stopped'),
+      router: {
+        drain: (limit: number) => {
+          steps.push(`${timers.now()} drain ${limit}`);
+          return new Promise<void>((resolve) => {
+            timers.registerTimeout(limit, resolve);
+          });
+        },
+      },
+    } as unknown as RelayParts;
+    const port = {
+      startClosing: note('closing'),
+      stopAccepting: note('no new'),
+      close: note('cut'),
+    };
+    void stopRelay({ timers, parts, port, grace: 8000 });
+    await timers.advanceToAsync(8000);
+    expect(steps).to.deep.equal([
+      '0 leaving',
+      '0 closing',
+      '2600 no new',
+      '2600 drain 5000',
+      '7600 cut',
+      '7600 stopped',
+    ]);
+  });
+});
