--- a/packages/relay/src/RelayTuning.ts
+++ b/packages/relay/src/RelayTuning.ts
@@ -18,7 +18,8 @@
 /**
  * An answer that is moved pauses for longer than is on time, so a chain is given up only when it is most
  * likely dead, and soon enough for the rest to come before the caller leaves, two seconds after the last
- * event. Bounds of 120 ms moved one in four answers of a sound fleet that was reading long prompts.
+ * event. Bounds of 120 ms moved dozens of answers in two seconds of a sound fleet
+ * that was reading long prompts.
  */
 const SILENCE: SilenceConfig = {
   acknowledgement: { least: 350, most: 3000 },
