--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -1,6 +1,6 @@
 /**
  * Asks peers for what is new in the store while the store does not answer this instance. The store may
- * turn some machines away and serve the others: without this, such an instance would serve dropped keys
+ * turn some instances away and serve the others: without this, one that is turned away would serve dropped keys
  * and engines that are gone for as long as that lasts.
  */
 import type { Random } from '@skylarksail/core/CoreRandom';
