--- a/packages/relay/src/RelayTuning.ts
+++ b/packages/relay/src/RelayTuning.ts
@@ -64,5 +64,6 @@
     retryShare: retryShare * RETRY_CAUTION,
     retryBurst: 0,
     isRecoveryBudgeted: true,
+    keepsOffRefusing: true,
   };
 }
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -256,7 +256,7 @@
     if (engine === undefined || effect.engines.length > 1) {
       return;
     }
-    if (effect.isRefusal) {
+    if (effect.isRefusal && deps.cfg.keepsOffRefusing) {
       shared.progress.noteRefused(engine, timers.now());
     } else if (effect.isLost) {
       shared.progress.noteLost(engine, effect.place !== FailurePlace.Silence, timers.now());
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -28,6 +28,11 @@
    * it: a lost rack's answers then go on at once.
    */
   readonly isRecoveryBudgeted: boolean;
+  /**
+   * Whether an engine that refuses work is kept off for growing times. Off where engines refuse in
+   * passing, such as one that has just loaded another version and may be the only one with its layers.
+   */
+  readonly keepsOffRefusing: boolean;
   /** Share of the running requests that may be in recovery at once. */
   readonly recoveryShare: number;
   /** Crashes after which a request is refused. */
@@ -42,6 +47,7 @@
   retryShare: 0.1,
   retryBurst: 20,
   isRecoveryBudgeted: false,
+  keepsOffRefusing: false,
   recoveryShare: 0.25,
   poisonCrashes: 2,
 };
