Make the retry budget's window a setting, and keep off refusing engines only where that is set

Cause: the budget's window of ten seconds was a constant. In the product's own fleets it renewed the burst six times a minute, which its test of an outage bore only while refusing engines were kept off; that in turn is suspected of broken answers while a version changes. New test: one burst in a window of a minute, five or six in ten seconds' windows (written with the change, not run against the old code, which has no window to set). Conclusion: the two no longer depend on each other.

--- a/packages/relay/src/RelayTuning.ts
+++ b/packages/relay/src/RelayTuning.ts
@@ -11,6 +11,8 @@
   readonly retryShare: number;
   /** Repeated arrivals beyond that share, for the whole fleet. */
   readonly retrySlack: number;
+  /** Any span of this length, in ms, is to be kept within both. */
+  readonly retryWindow: Millis;
 }
 
 /** A part of the fleet's retries stays unused: instances may count each other late. */
@@ -55,7 +57,7 @@
   doubtTime: DOUBT_TIME,
 };
 /** Settings of the router under the deployment's bounds. */
-export function createRouterConfig({ retryShare }: RelayBounds): RouterConfig {
+export function createRouterConfig({ retryShare, retryWindow }: RelayBounds): RouterConfig {
   return {
     ...DEFAULT_ROUTER_CONFIG,
     limits: LIMITS,
@@ -63,6 +65,7 @@
     lengthShare: LENGTH_SHARE,
     retryShare: retryShare * RETRY_CAUTION,
     retryBurst: 0,
+    retryWindow,
     isRecoveryBudgeted: true,
     keepsOffRefusing: true,
   };
--- a/packages/requests/src/RequestBudget.ts
+++ b/packages/requests/src/RequestBudget.ts
@@ -12,22 +12,26 @@
   readonly repeats: number;
 }
 
-export interface RetryBudget {
+/** What a budget allows. */
+export interface BudgetTerms {
   /** Repeats for each first try in a window. */
   readonly share: number;
   /** Repeats beyond that in a window. */
   readonly burst: number;
+  /** Any span of this length is kept within the budget. */
+  readonly window: Millis;
+}
+
+export interface RetryBudget extends BudgetTerms {
   readonly slices: readonly BudgetSlice[];
 }
 
-/** Any span of this length is kept within the budget. */
-const WINDOW: Millis = 10_000;
+/** Counts are kept by slices of this length: one more or less in a window is the error that is borne. */
 const SLICE: Millis = 500;
-const WINDOW_SLICES = WINDOW / SLICE;
 
 /** A budget of which nothing is used. */
-export function createRetryBudget(share: number, burst: number): RetryBudget {
-  return { share, burst, slices: [] };
+export function createRetryBudget(terms: BudgetTerms): RetryBudget {
+  return { ...terms, slices: [] };
 }
 
 /** The same counts under another burst, as instances come and go. */
@@ -44,8 +48,9 @@
 export function hasRetry(budget: RetryBudget, now: Millis): boolean {
   const index = Math.floor(now / SLICE);
   // The slice that the window begins in counts whole against us and not at all for us.
-  const repeats = sum(budget, index - WINDOW_SLICES, ({ repeats: seen }) => seen);
-  const firstTries = sum(budget, index - WINDOW_SLICES + 1, ({ firstTries: seen }) => seen);
+  const first = index - countSlices(budget);
+  const repeats = sum(budget, first, ({ repeats: seen }) => seen);
+  const firstTries = sum(budget, first + 1, ({ firstTries: seen }) => seen);
   return repeats + 1 <= budget.burst + budget.share * firstTries;
 }
 
@@ -59,13 +64,17 @@
   return count(budget, now, 0, -1);
 }
 
+function countSlices({ window }: RetryBudget): number {
+  return Math.ceil(window / SLICE);
+}
+
 function sum({ slices }: RetryBudget, from: number, read: (slice: BudgetSlice) => number): number {
   return slices.reduce((total, slice) => total + (slice.index >= from ? read(slice) : 0), 0);
 }
 
 function count(budget: RetryBudget, now: Millis, firstTries: number, repeats: number): RetryBudget {
   const index = Math.floor(now / SLICE);
-  const kept = budget.slices.filter((slice) => slice.index >= index - WINDOW_SLICES);
+  const kept = budget.slices.filter((slice) => slice.index >= index - countSlices(budget));
   const last = kept.at(-1);
   const isCurrent = last !== undefined && last.index >= index;
   const before = isCurrent ? last : { index, firstTries: 0, repeats: 0 };
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -94,7 +94,8 @@
     },
     getBudget: (name) => {
       const burst = deps.getRetryBurst?.() ?? cfg.retryBurst;
-      return setBurst(budgets.get(name) ?? createRetryBudget(cfg.retryShare, burst), burst);
+      const terms = { share: cfg.retryShare, burst, window: cfg.retryWindow };
+      return setBurst(budgets.get(name) ?? createRetryBudget(terms), burst);
     },
     setBudget: (name, next) => {
       budgets.set(name, next);
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -21,8 +21,13 @@
   readonly queueBound: number;
   /** Retries as a share of first tries. */
   readonly retryShare: number;
-  /** Retries beyond that share in any ten seconds. */
+  /** Retries beyond that share in any window. */
   readonly retryBurst: number;
+  /**
+   * The window, in ms. The burst is renewed with each, so a short one lets an outage be multiplied by
+   * more than the share.
+   */
+  readonly retryWindow: Millis;
   /**
    * Whether going on after an engine was lost takes from the same budget. Off where engines can bear
    * it: a lost rack's answers then go on at once.
@@ -46,8 +51,9 @@
   queueBound: 4096,
   retryShare: 0.1,
   retryBurst: 20,
+  retryWindow: 60_000,
   isRecoveryBudgeted: false,
-  keepsOffRefusing: true,
+  keepsOffRefusing: false,
   recoveryShare: 0.25,
   poisonCrashes: 2,
 };
--- a/packages/requests/src/__tests__/unit/RequestBudget.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestBudget.test.ts
@@ -23,7 +23,7 @@
     );
     fc.assert(
       fc.property(steps, (list) => {
-        let budget: RetryBudget = createRetryBudget(0.2, 5);
+        let budget: RetryBudget = createRetryBudget({ share: 0.2, burst: 5, window: WINDOW });
         let now = 0;
         const tries: number[] = [];
         const repeats: number[] = [];
@@ -49,11 +49,29 @@
   });
 
   it('gives back what reached no engine, and follows the fleet in its burst', () => {
-    let budget = createRetryBudget(0, 1);
+    let budget = createRetryBudget({ share: 0, burst: 1, window: WINDOW });
     budget = takeRetry(budget, 0) ?? budget;
     expect(hasRetry(budget, 0)).to.equal(false);
     expect(hasRetry(returnRetry(budget, 0), 0)).to.equal(true);
     expect(hasRetry(setBurst(budget, 2), 0)).to.equal(true);
     expect(hasRetry(budget, WINDOW + 1000)).to.equal(true);
   });
+
+  it('renews the burst no sooner than the window says', () => {
+    // Symptom: an outage of a minute is multiplied by far more than the share of repeats.
+    // Sequence: all engines refuse for a minute, and each request asks for a repeat.
+    // Cause: a window of ten seconds for a deployment that sets a longer one: six bursts instead of one.
+    const countRepeats = (window: number): number => {
+      let budget = createRetryBudget({ share: 0, burst: 5, window });
+      let repeats = 0;
+      for (let now = 0; now < 60_000; now += 100) {
+        const taken = takeRetry(budget, now);
+        repeats += taken ? 1 : 0;
+        budget = taken ?? budget;
+      }
+      return repeats;
+    };
+    expect(countRepeats(60_000)).to.equal(5);
+    expect(countRepeats(10_000)).to.be.within(25, 30);
+  });
 });
