--- a/packages/daemon/src/DaemonDecisions.ts
+++ b/packages/daemon/src/DaemonDecisions.ts
@@ -8,6 +8,19 @@
   readonly [field: string]: unknown;
 }
 
+/**
+ * Decisions that every request that goes well has, logged at level info. All others are logged as
+ * warnings, so that they are kept where the reader of the lines is too slow for all.
+ */
+const ORDINARY: ReadonlySet<string> = new Set([
+  'routed',
+  'admit',
+  'chain-chosen',
+  'chain',
+  'server',
+  'complete',
+  'answered',
+]);
 const KEPT_REQUESTS = 4096;
 const KEPT_PER_REQUEST = 64;
 
@@ -21,7 +34,7 @@
   const kept = new Map<string, Decision[]>();
   return {
     record(decision) {
-      logger.info(decision, 'decision');
+      logger[ORDINARY.has(decision.decision) ? 'info' : 'warn'](decision, 'decision');
       const stamped = { ...decision, at: new Date(wallNow()).toISOString() };
       const known = kept.get(decision.request) ?? [];
       if (known.length < KEPT_PER_REQUEST) {
--- /dev/null
+++ b/packages/relay/src/RelayMetrics.ts
@@ -0,0 +1,74 @@
+/** Metrics of the relay: calls to the store, what the instance knows, and the log itself. */
+import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import type { LogSink } from '@skylarksail/daemon/DaemonLogSink';
+import type { StoreOutcome } from '@skylarksail/store/StorePort';
+import type { StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { RelayParts } from './RelayParts.js';
+
+/** The same port, with its calls counted by how they ended. */
+export function countStoreCalls(port: StoreRangePort, metrics: DaemonMetrics): StoreRangePort {
+  async function count<T>(outcome: Promise<StoreOutcome<T>>): Promise<StoreOutcome<T>> {
+    const ended = await outcome;
+    const { kind } = ended;
+    metrics.count(`store_calls_${kind}`, `calls to the store that ended ${kind}`);
+    return ended;
+  }
+  return {
+    readRange: (...args) => count(port.readRange(...args)),
+    watchRange: (...args) => count(port.watchRange(...args)),
+    write: (...args) => count(port.write(...args)),
+    grantLease: (...args) => count(port.grantLease(...args)),
+    keepLease: (...args) => count(port.keepLease(...args)),
+    endLease: (...args) => count(port.endLease(...args)),
+  };
+}
+
+/** Shows what an instance knows. */
+export function registerRelayMetrics(
+  metrics: DaemonMetrics,
+  parts: Pick<RelayParts, 'readState' | 'router' | 'isReady'>,
+): void {
+  const { readState, router } = parts;
+  const gauges: readonly (readonly [string, string, () => number])[] = [
+    ['config_version', 'version of the configuration in force', () => readState().version],
+    ['instances', 'live instances known', () => readState().instances],
+    ['backends', 'backend servers known', () => readState().backends],
+    [
+      'backends_observed',
+      'backend servers seen otherwise than the store tells',
+      () => readState().observed,
+    ],
+    ['duties', 'failure domains that this instance places', () => readState().duties],
+    [
+      'blind',
+      '1 while neither the store nor a peer that hears it answers',
+      () => Number(readState().isBlind),
+    ],
+    ['ready', '1 while callers should be sent here', () => Number(parts.isReady())],
+    ['requests_running', 'requests that run', () => router.getCounts().running],
+    ['requests_waiting', 'requests that wait to be admitted', () => router.getCounts().waiting],
+    [
+      'recoveries_waiting',
+      'broken answers that wait to go on',
+      () => router.getCounts().recoveriesWaiting,
+    ],
+  ];
+  gauges.forEach(([name, help, read]) => metrics.registerGauge(name, help, read));
+}
+
+/** Shows how many log lines were dropped since the start. */
+export function registerLogMetrics(
+  metrics: DaemonMetrics,
+  sink: Pick<LogSink, 'getDropped'>,
+): void {
+  metrics.registerGauge(
+    'log_dropped_ordinary',
+    'ordinary log lines dropped',
+    () => sink.getDropped().ordinary,
+  );
+  metrics.registerGauge(
+    'log_dropped_unusual',
+    'unusual log lines dropped',
+    () => sink.getDropped().unusual,
+  );
+}
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -56,6 +56,8 @@
   readonly router: RequestRouter;
   readonly peers: RelayPeers;
   getTable(): RouteTable | null;
+  /** What the metrics show of this instance's knowledge. */
+  readState(): RelayState;
   /** Whether callers should be sent here. */
   isReady(): boolean;
   /** Gives duties up; running work goes on. */
@@ -63,6 +65,20 @@
   stop(): void;
 }
 
+/** What an instance knows, in numbers. */
+export interface RelayState {
+  /** Version of the configuration in force; 0 if none is. */
+  readonly version: number;
+  readonly instances: number;
+  readonly backends: number;
+  /** Backend servers of which something was seen that the store has not told. */
+  readonly observed: number;
+  /** Failure domains whose layers this instance places. */
+  readonly duties: number;
+  /** Whether neither the store nor a peer that hears it can be reached. */
+  readonly isBlind: boolean;
+}
+
 /** Connections are limited for all instances together; so many are reckoned with before they are seen. */
 const INSTANCES_ASSUMED = 6;
 const CONNECTION_SHARE = 0.9;
@@ -141,7 +157,10 @@
     catalogue,
     port: { readHealth: backends.readHealth, readStatus: backends.orders.readStatus },
     isBlind: () => knowledge.peers.isBlind(),
-    onSeen: (seen) => logger.info(seen, 'engine asked about its health'),
+    onSeen: (seen) => {
+      metrics.count(`health_${seen.health}`, `engines that answered ${seen.health} when asked`);
+      logger.warn(seen, 'engine asked about its health');
+    },
   });
   const router = createRequestRouter({
     cfg: createRouterConfig(options.bounds),
@@ -172,9 +191,15 @@
     timers,
     catalogue,
     getTable: () => table,
-    holds: (domain) => lease.holds(domain) || isStandIn(domain),
+    holds: isPlacing,
     port: backends.orders,
-    onDecision: (decision) => logger.info(decision, 'placement'),
+    onDecision: (decision) => {
+      metrics.count(
+        `orders_${decision.outcome}`,
+        `orders to engines that ended ${decision.outcome}`,
+      );
+      logger.info(decision, 'placement');
+    },
   });
 
   /**
@@ -188,6 +213,10 @@
     return options.bounds.retrySlack * RETRY_CAUTION * share;
   }
 
+  function isPlacing(domain: DomainId): boolean {
+    return lease.holds(domain) || isStandIn(domain);
+  }
+
   /**
    * Whether this instance places its domain's layers while nobody hears the store: the last holder goes on,
    * or, if it does not answer its peers, the first of the domain's instances. Two that cannot hear each
@@ -225,6 +254,14 @@
     router,
     peers: knowledge.peers,
     getTable: () => table,
+    readState: () => ({
+      version: table?.config.version ?? 0,
+      instances: lease.listInstances().length,
+      backends: catalogue.list().length,
+      observed: catalogue.listObserved().length,
+      duties: listDomains(catalogue).filter(isPlacing).length,
+      isBlind: knowledge.peers.isBlind(),
+    }),
     isReady: () => table !== null && !isLeaving,
     startLeaving() {
       isLeaving = true;
