Split the retry slack among all instances seen lately, and break answers off before callers leave

A begun answer that found the budget used up waited until its caller left for good after two seconds.

--- a/packages/cli/src/CliMain.ts
+++ b/packages/cli/src/CliMain.ts
@@ -4,6 +4,7 @@
 import type { CliTarget } from './CliClient.js';
 import { createCompletionScript } from './CliCompletion.js';
 import { ExitCode, createCliError, getExitCode } from './CliErrors.js';
+import { explainFromLogs } from './CliLogs.js';
 import type { CliContext } from './CliManifest.js';
 import {
   diffManifest,
@@ -26,6 +27,7 @@
   skylarksail manifest wait 12 --timeout 30
   skylarksail status --server http://10.0.0.1:8081,http://10.0.1.1:8081
   skylarksail explain 0b7e… --json
+  skylarksail explain 0b7e… --logs edge-1.log edge-2.log
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 manifest refused, 4 another submission won,
 5 not in force everywhere in time, 6 no instance answered, 7 operator token refused.`;
@@ -78,7 +80,10 @@
   program
     .command('explain <request-id>')
     .description('the decisions that were taken for a request')
-    .action((id: string) => explainRequest(context, id));
+    .option('--logs <files...>', 'saved logs of any instances ("-" reads standard input)')
+    .action((id: string, options: { logs?: readonly string[] }) =>
+      options.logs ? explainFromLogs(context, id, options.logs) : explainRequest(context, id),
+    );
   program
     .command('completion')
     .description('print a completion script for bash')
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -159,6 +159,9 @@
         CALLER_PATIENCE_SHARE * (route.callerPatience ?? Infinity),
       ),
       prefixKeys: [],
+      ...(route.isResumable && route.callerPatience !== null
+        ? { breakAfter: CALLER_PATIENCE_SHARE * route.callerPatience }
+        : {}),
     };
     const times = createEventTimes(timers.now());
     let hasBegun = false;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -22,6 +22,7 @@
 import { startRelayKnowledge } from './RelayKnowledge.js';
 import { createRelayLease } from './RelayLease.js';
 import { createRelayPlacement } from './RelayPlacement.js';
+import { createRetryShare } from './RelayRetryShare.js';
 import { createServerChooser } from './RelayServers.js';
 import type { RelayBounds } from './RelayTuning.js';
 import { createRouterConfig, RETRY_CAUTION, ROUTING_TUNING } from './RelayTuning.js';
@@ -37,6 +38,8 @@
 export interface RelayPartsOptions {
   readonly self: InstanceEntry;
   readonly bounds: RelayBounds;
+  /** All failure domains of the deployment. */
+  readonly domains: readonly DomainId[];
   /** Shortest lease that the store grants. */
   readonly leaseLeast: Millis;
   readonly timers: TimerService;
@@ -83,6 +86,8 @@
 const INSTANCES_ASSUMED = 6;
 const CONNECTION_SHARE = 0.9;
 const LEAST_CONNECTIONS = 2;
+/** How often the instances among which the retry budget is split are counted anew. */
+const SHARE_PERIOD: Millis = 500;
 /** Waiting requests of one team at one instance. */
 const TEAM_QUEUE = 400;
 
@@ -162,6 +167,14 @@
       logger.warn(seen, 'engine asked about its health');
     },
   });
+  const retryShare = createRetryShare({
+    timers,
+    self,
+    slack: options.bounds.retrySlack * RETRY_CAUTION,
+    window: options.bounds.retryWindow,
+    domains: options.domains,
+    listInstances: lease.listInstances,
+  });
   const router = createRequestRouter({
     cfg: createRouterConfig(options.bounds),
     timers,
@@ -173,7 +186,7 @@
     openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
-    getRetryBurst,
+    getRetryBurst: retryShare.getBurst,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
@@ -202,17 +215,6 @@
     },
   });
 
-  /**
-   * This instance's part of the fleet's slack: first by domain, since trouble comes to a domain as a whole
-   * and its answers break at its own instances, however few they are.
-   */
-  function getRetryBurst(): number {
-    const instances = lease.listInstances();
-    const domains = new Set([...listDomains(catalogue), ...instances.map(({ domain }) => domain)]);
-    const share = 1 / (Math.max(1, domains.size) * countOwnInstances());
-    return options.bounds.retrySlack * RETRY_CAUTION * share;
-  }
-
   function isPlacing(domain: DomainId): boolean {
     return lease.holds(domain) || isStandIn(domain);
   }
@@ -246,6 +248,7 @@
     routing.start(),
     placement.start(),
     health.start(),
+    timers.registerInterval(SHARE_PERIOD, retryShare.observe),
   ];
   lease.start();
 
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -270,7 +270,7 @@
     const { mode, failed, retryAfter } = effect;
     const delay = mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
     lastFailed = failed;
-    if (timers.now() + delay >= spec.deadline) {
+    if (timers.now() + delay >= Math.min(spec.deadline, getBreakTime())) {
       send({ kind: 'retry-refused', retryAfter });
     } else if (isBudgeted(mode) && !takeFromBudget(shared, spec.model)) {
       waitForBudget(effect);
@@ -284,6 +284,14 @@
     }
   }
 
+  /** When a begun answer that stands still is broken off. */
+  function getBreakTime(): Millis {
+    const isBegun = machine.tokenCount > 0;
+    return isBegun && spec.breakAfter !== undefined
+      ? machine.progressAt + spec.breakAfter
+      : Infinity;
+  }
+
   /** Looking for a chain once more reaches no engine by itself. */
   function isBudgeted(mode: RetryMode): boolean {
     return mode === 'retry' || (mode === 'recover' && deps.cfg.isRecoveryBudgeted);
@@ -297,6 +305,7 @@
       return;
     }
     const { attempt } = machine;
+    log('wait', 'retry budget');
     timers.registerTimeout(computeBudgetWait(deps.random), () =>
       shared.post(() => {
         if (machine.phase === RequestPhase.Pausing && machine.attempt === attempt) {
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -26,6 +26,11 @@
    * out, it is refused at once where its layers are missing, and after a few fruitless attempts.
    */
   readonly patience?: Millis;
+  /**
+   * Silence in a begun answer after which it is broken off, so that its caller can go on elsewhere; left
+   * out, it waits until its deadline.
+   */
+  readonly breakAfter?: Millis;
   /** The caller's own request, where engines take it unchanged. */
   readonly original?: OriginalRequest;
   /** Engines that it may run on, those that were lost under it not counted; no bound if left out. */
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -68,6 +68,7 @@
   | 'attempt-failed'
   | 'recover'
   | 'retry'
+  | 'wait'
   | 'server'
   | 'complete'
   | 'fail';
