Empty the list of known red tests: both are traced

The test took it for granted that it runs. An engine that just loaded another version refuses in passing and may be the only one with its layers. Conclusion: both tests count again.

--- a/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
@@ -6,6 +6,8 @@
 import { TEAM_KEY, formatUrl, postJson, startHarness, waitUntil } from './DaemonHarness.js';
 
 const CHAT = { model: 'letters', messages: [{ role: 'user', content: 'note tokens=4' }] };
+/** What the manifest allows: a slow machine needs more than the default for 20,000 tokens, and says so. */
+const LONGEST_DEADLINE = '600000';
 const AUTH = { authorization: `Bearer ${TEAM_KEY}` };
 
 interface BadInput {
@@ -126,15 +128,6 @@
   },
 ];
 
-/** A test that stands in KNOWN-RED.txt, since it fails on a busy machine: it runs, and says if it fails. */
-function itKnownRed(title: string, run: () => Promise<void>): void {
-  it(`${title} (known red)`, async () => {
-    await run().catch((err: unknown) => {
-      process.stdout.write(`known red, see KNOWN-RED.txt: ${title}: ${String(err)}\n`);
-    });
-  });
-}
-
 describe('DaemonBadInput', () => {
   let harness: Harness;
   let callers: string;
@@ -193,11 +186,11 @@
   // Symptom: engines go on generating for callers that have gone.
   // Sequence: a caller hangs up in the middle of a stream.
   // Cause: the hang-up is not carried on. Here the engine's count of running requests must fall to 0.
-  itKnownRed('carries a hang-up in the middle of an answer to the engines', async () => {
+  it('carries a hang-up in the middle of an answer to the engines', async () => {
     const controller = new AbortController();
     const res = await fetch(`${callers}/v1/chat/completions`, {
       method: 'POST',
-      headers: { 'content-type': 'application/json', ...AUTH },
+      headers: { 'content-type': 'application/json', 'x-deadline-ms': LONGEST_DEADLINE, ...AUTH },
       body: JSON.stringify({
         model: 'letters',
         stream: true,
@@ -206,6 +199,7 @@
       }),
       signal: controller.signal,
     });
+    expect(res.status).to.equal(200);
     await res.body?.getReader().read();
     expect(countRunning()).to.be.greaterThan(0);
     controller.abort();
--- a/packages/daemon/src/__tests__/unit/DaemonPlacement.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonPlacement.test.ts
@@ -6,15 +6,6 @@
 const MESSAGES = [{ role: 'user', content: 'a letter during the change tokens=30' }];
 const RIGHT_ANSWER = computeAnswer(renderPrompt(MESSAGES), 256).text;
 
-/** A test that stands in KNOWN-RED.txt, since it fails on a busy machine: it runs, and says if it fails. */
-function itKnownRed(title: string, run: () => Promise<void>): void {
-  it(`${title} (known red)`, async () => {
-    await run().catch((err: unknown) => {
-      process.stdout.write(`known red, see KNOWN-RED.txt: ${title}: ${String(err)}\n`);
-    });
-  });
-}
-
 describe('DaemonPlacement', () => {
   let harness: Harness;
 
@@ -36,7 +27,7 @@
   // Symptom: callers are refused, or get answers of two versions mixed, while a version is changed.
   // Sequence: a manifest that serves v2 is accepted while callers go on calling every daemon.
   // Cause: all engines reloaded at once, or chains made of engines that hold different versions.
-  itKnownRed('changes the version under load, and every answer is whole', async () => {
+  it('changes the version under load, and every answer is whole', async () => {
     let isOver = false;
     const answers: string[] = [];
     const callers = harness.daemons
