Test who places a domain's layers while nobody hears the store

Whole instances on one fake store: the last placer goes on after its lease; another one places where it was stopped or killed; none does while a peer hears the store.

--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -0,0 +1,224 @@
+import { expect } from 'chai';
+import { pino } from 'pino';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { LayerRange } from '@skylarksail/core/CoreTypes';
+import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import { FailurePlace } from '@skylarksail/requests/RequestPorts';
+import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import type { StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { RelayParts } from '../../RelayParts.js';
+import { startRelayParts } from '../../RelayParts.js';
+import type { BackendEntry, BackendPorts, RelayCall, StoreContent } from '../../RelayTypes.js';
+import { createBackend, createConfig } from './RelayFixtures.js';
+
+const CONFIG_KEY = 'config';
+const BACKENDS = 'backends/';
+const GRACE = 1000;
+const LEASE_TIME = 3000;
+
+interface SentOrder {
+  readonly by: string;
+  readonly engine: string;
+  readonly range: LayerRange;
+  readonly at: number;
+}
+
+/** Instances of one failure domain and its four engines, on one store. */
+function createBed() {
+  const timers = createVirtualTimers();
+  const store = createFakeRangeStore(timers);
+  const parts = new Map<string, RelayParts>();
+  const layers = new Map<string, LayerRange>();
+  const leaving = new Set<string>();
+  const gone = new Set<string>();
+  const orders: SentOrder[] = [];
+
+  const createBackends = (by: string): BackendPorts => ({
+    openEngineCall: (call, listener) => {
+      const refusing = call.chain.stages.find(({ engine }) => leaving.has(engine));
+      queueMicrotask(() =>
+        listener.onFailure({
+          place: FailurePlace.Stage,
+          engine: refusing?.engine ?? null,
+          status: 503,
+          retryAfter: null,
+          provenNotRun: true,
+        }),
+      );
+      return () => undefined;
+    },
+    openServiceCall: () => () => undefined,
+    orders: {
+      readStatus: ({ id }) =>
+        Promise.resolve({ orderCount: 0, isBusy: false, layers: layers.get(id) ?? null }),
+      order: ({ id }, range) => {
+        orders.push({ by, engine: id, range, at: timers.now() });
+        layers.set(id, range);
+        return Promise.resolve('accepted');
+      },
+    },
+    readHealth: ({ id }) =>
+      Promise.resolve(leaving.has(id) ? { kind: 'leaving' } : { kind: 'well', id }),
+  });
+
+  function readContent({ key, value }: { key: string; value: string }): StoreContent {
+    if (key === CONFIG_KEY) {
+      return { kind: 'config', config: createConfig() };
+    }
+    return key.startsWith(BACKENDS)
+      ? { kind: 'backend', entry: JSON.parse(value) as BackendEntry }
+      : { kind: 'other' };
+  }
+
+  function start(id: string, port: StoreRangePort = store): void {
+    const address = { host: '127.0.0.1', port: parts.size + 1 };
+    const ids = [...parts.keys(), id];
+    parts.set(
+      id,
+      startRelayParts({
+        self: { id, domain: 'd1', address },
+        bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
+        domains: ['d1'],
+        leaseLeast: 1000,
+        timers,
+        random: createRandom(ids.length),
+        store: port,
+        readContent,
+        readBackendKey: (key) => (key.startsWith(BACKENDS) ? key.slice(BACKENDS.length) : null),
+        askPeer: ({ port: to }, since) => {
+          const peer = [...parts.keys()][to - 1] ?? '';
+          const answer = gone.has(peer) ? undefined : parts.get(peer)?.peers.answer(since);
+          return Promise.resolve(answer ?? { kind: 'silent' });
+        },
+        createBackends: () => createBackends(id),
+        logger: pino({ level: 'silent' }),
+        decisions: { record: () => undefined, read: () => [] },
+        metrics: createDaemonMetrics(),
+      }),
+    );
+  }
+
+  store.put(CONFIG_KEY, '');
+  [0, 2, 4, 6].forEach((first, i) => {
+    const id = `e${i}`;
+    layers.set(id, { first, end: first + 2 });
+    store.put(`${BACKENDS}${id}`, JSON.stringify(createBackend(id, { layers: layers.get(id) })));
+  });
+
+  return {
+    timers,
+    store,
+    parts,
+    orders,
+    leaving,
+    gone,
+    start,
+    /** Sends a request to an instance, so that it finds out what its engines refuse. */
+    call: (id: string) => {
+      const call: RelayCall = {
+        id: `${timers.now()}`,
+        host: 'h',
+        method: 'POST',
+        path: '/letters/1',
+        headers: {},
+        key: 'key',
+        timeLeft: 5000,
+        body: Buffer.from('x'),
+        promptTokens: 10,
+        maxTokens: 10,
+      };
+      const ignore = () => undefined;
+      parts.get(id)?.intake.submit(call, {
+        onHead: ignore,
+        onEvent: ignore,
+        onEnd: ignore,
+        onBroken: ignore,
+        onAnswer: ignore,
+        onRefused: ignore,
+      });
+    },
+    findPlacer: () => [...parts].find(([, { readState }]) => readState().duties === 1)?.[0] ?? '',
+  };
+}
+
+/** Three seconds of an outage in which an engine leaves and each instance serves requests. */
+async function loseEngine(bed: ReturnType<typeof createBed>): Promise<void> {
+  const start = bed.timers.now();
+  bed.store.setUp(false);
+  bed.leaving.add('e1');
+  for (let at = start; at <= start + 8000; at += 500) {
+    await bed.timers.advanceToAsync(at);
+    bed.parts.forEach((_parts, id) => bed.call(id));
+  }
+}
+
+describe('RelayParts', () => {
+  it('lets the last placer go on while nobody hears the store, and no other', async () => {
+    // Symptom: a domain that loses an engine while the store is out has no chain until it is back.
+    // Sequence: the store is out for all; an engine begins to leave.
+    // Cause: the placer's duty ends with its lease, and nobody can take it.
+    const bed = createBed();
+    ['one', 'two'].forEach((id) => bed.start(id));
+    await bed.timers.advanceToAsync(6000);
+    const placer = bed.findPlacer();
+    expect(placer).to.not.equal('');
+    expect(bed.orders).to.deep.equal([]);
+    bed.store.setUp(false);
+    await bed.timers.advanceToAsync(6000 + LEASE_TIME);
+    await loseEngine(bed);
+    expect(new Set(bed.orders.map(({ by }) => by))).to.deep.equal(new Set([placer]));
+    expect(bed.orders.some(({ engine }) => engine === 'e1')).to.equal(false);
+    expect(bed.parts.get(placer)?.readState().isBlind).to.equal(true);
+  });
+
+  it('lets another one place where the last placer is gone or leaves', async () => {
+    // Symptom: the same, where the placer is stopped in the outage.
+    // Sequence: the placer is told to stop, or is killed, just before an engine leaves.
+    // Cause: the duty stays with an instance that does not act.
+    for (const isKilled of [true, false]) {
+      const bed = createBed();
+      ['one', 'two', 'three'].forEach((id) => bed.start(id));
+      await bed.timers.advanceToAsync(6000);
+      const placer = bed.findPlacer();
+      bed.store.setUp(false);
+      await bed.timers.advanceToAsync(6000 + GRACE);
+      bed.parts.get(placer)?.startLeaving();
+      if (isKilled) {
+        bed.gone.add(placer);
+      }
+      await loseEngine(bed);
+      const by = new Set(bed.orders.map((order) => order.by));
+      expect(by.size).to.equal(1);
+      expect(by.has(placer)).to.equal(false);
+    }
+  });
+
+  it('leaves placing to the lease while a peer hears the store', async () => {
+    // Symptom: two instances order the same engines about.
+    // Sequence: the store turns one instance away and serves the other; an engine leaves.
+    // Cause: an instance that does not hear the store itself takes it for out.
+    const bed = createBed();
+    const deaf = createFakeRangeStore(bed.timers);
+    deaf.setUp(false);
+    let isDeaf = false;
+    const port = new Proxy(bed.store, {
+      get: (target, name: keyof StoreRangePort) => (isDeaf ? deaf[name] : target[name]),
+    });
+    bed.start('one', port);
+    await bed.timers.advanceToAsync(3000);
+    bed.start('two');
+    await bed.timers.advanceToAsync(6000);
+    isDeaf = true;
+    bed.leaving.add('e1');
+    for (let at = 6000; at <= 14_000; at += 500) {
+      await bed.timers.advanceToAsync(at);
+      bed.call('one');
+    }
+    expect(bed.parts.get('one')?.readState()).to.include({ isBlind: false, duties: 0 });
+    expect(bed.parts.get('two')?.readState()).to.include({ duties: 1 });
+    // Until its lease could have lapsed the first one is the placer.
+    const later = bed.orders.filter(({ at }) => at > 6000 + LEASE_TIME);
+    expect(later.every(({ by }) => by === 'two')).to.equal(true);
+  });
+});
