Hold most layers at several engines, with room for the loss of one

Cause: each domain had one chain over all its engines, so any engine that left, crashed or restarted ended all of the domain's answers for 5 to 8 seconds.

--- a/packages/placement/src/PlacementRanges.ts
+++ b/packages/placement/src/PlacementRanges.ts
@@ -25,7 +25,7 @@
 /** Weights may take this part of an engine's memory: without KV cache it could serve no request. */
 export const MOST_WEIGHTS = 0.85;
 /** A mended gap may leave an engine with so little KV cache, as a part of its memory, for a while. */
-const MOST_WEIGHTS_IN_NEED = 0.8;
+export const MOST_WEIGHTS_IN_NEED = 0.8;
 /**
  * How much more KV cache the tightest engine must get for a whole domain to be cut anew. Chains through
  * layers that are being given up are refused until the answers there have ended, eight seconds under load,
@@ -61,7 +61,7 @@
     return filled;
   }
   const whole: LayerRange = { first: 0, end: model.layers };
-  const fresh = cutByMemory(placeSpares(sorted, model), whole, model);
+  const fresh = splitByMemory(placeSpares(sorted, model), whole, model);
   if (fresh === null) {
     return null;
   }
@@ -138,7 +138,7 @@
 ): RangePlan | null {
   for (let reach = 1; reach <= holders.length; reach++) {
     const window = selectWindow(holders, gap, reach);
-    const plan = window && cutByMemory(window.engines, window.range, model);
+    const plan = window && splitByMemory(window.engines, window.range, model);
     if (window && plan && getRoom(window.engines, plan, model) >= leastRoom) {
       return plan;
     }
@@ -227,8 +227,8 @@
   return order;
 }
 
-/** Cuts a range of layers in the order given, by memory. */
-function cutByMemory(
+/** Cuts a range of layers in the order given, by memory; null if these engines cannot hold it. */
+export function splitByMemory(
   order: readonly RangeEngine[],
   range: LayerRange,
   model: RangeModel,
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -40,6 +40,8 @@
   readonly bounds: RelayBounds;
   /** All failure domains of the deployment. */
   readonly domains: readonly DomainId[];
+  /** Copies of each layer that a domain may hold where its memory allows. */
+  readonly mostCopies: number;
   /** Shortest lease that the store grants. */
   readonly leaseLeast: Millis;
   readonly timers: TimerService;
@@ -206,6 +208,7 @@
     getTable: () => table,
     holds: isPlacing,
     port: backends.orders,
+    mostCopies: options.mostCopies,
     onDecision: (decision) => {
       metrics.count(
         `orders_${decision.outcome}`,
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -13,6 +13,7 @@
   Unregister,
 } from '@skylarksail/core/CoreTypes';
 import type { RangeEngine } from '@skylarksail/placement/PlacementRanges';
+import { hasCopies, planCopies } from '@skylarksail/placement/PlacementCopies';
 import { findGaps, planRanges } from '@skylarksail/placement/PlacementRanges';
 import { isSameRange, planStep } from '@skylarksail/placement/PlacementSteps';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
@@ -52,6 +53,8 @@
   readonly getTable: () => RouteTable | null;
   readonly holds: (domain: DomainId) => boolean;
   readonly port: RangeOrderPort;
+  /** Copies of each layer that a domain may hold where its memory allows; 1 for one chain a domain. */
+  readonly mostCopies: number;
   readonly onDecision: (decision: {
     readonly domain: DomainId;
     readonly engine: EngineId;
@@ -88,7 +91,7 @@
 const NO_GOAL: DomainGoal = new Map();
 
 export function createRelayPlacement(options: RelayPlacementOptions): RelayPlacement {
-  const { timers, catalogue, getTable, holds, port } = options;
+  const { timers, catalogue, getTable, holds, port, mostCopies } = options;
   const pending = new Map<EngineId, PendingOrder>();
   const paused = new Map<EngineId, Millis>();
   const goals = new Map<string, DomainGoal>();
@@ -181,8 +184,11 @@
       return;
     }
     const hasGap = findGaps(engines, pipeline).length > 0;
-    const isDue = patience.isGapDue(key, hasGap) || (!hasGap && mayTune(placed, domain));
-    const plan = planRanges(engines, pipeline, isFresh || isDue);
+    const plan = planCopies(engines, pipeline, mostCopies, {
+      mayMend: patience.isGapDue(key, hasGap),
+      mayBalance: patience.isCalm(key),
+      mayRecut: !hasGap && mayTune(placed, domain),
+    });
     plan?.forEach((range, id) => goal.set(id, range));
   }
 
@@ -200,7 +206,7 @@
       return {
         name,
         isWhole: findGaps(engines, pipeline).length === 0,
-        gains: planRanges(engines, pipeline, true) !== null,
+        gains: !hasCopies(engines) && planRanges(engines, pipeline, true) !== null,
       };
     });
     const others = views.filter(({ name }) => name !== domain);
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -78,6 +78,7 @@
       id,
       startRelayParts({
         self: { id, domain: 'd1', address },
+        mostCopies: 1,
         bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
         domains: ['d1'],
         leaseLeast: 1000,
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -13,7 +13,7 @@
   readonly orderCount: number;
 }
 
-function createBed() {
+function createBed(mostCopies = 1) {
   const timers = createVirtualTimers();
   const catalogue = createCatalogue(timers);
   const table = createRouteTable(createConfig());
@@ -35,6 +35,7 @@
         return Promise.resolve(answer);
       },
     },
+    mostCopies,
     onDecision: () => undefined,
   }).start();
   return {
