Keep new requests off engines that refuse, and end waits with the caller's patience

Cause: an engine that refused was kept off only until the next token of any answer through it, so a full one refused a quarter of all arrivals and used up the retry budget; and requests that waited for that budget asked every half second, the last time after their caller had gone. Change: only a new answer that begins ends the pause; a wait ends with the caller's patience. Three tests replay a full engine with running answers; all three failed before.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -299,14 +299,17 @@
 
   /** A caller that has part of its answer waits for the rest; any other is told at once. */
   function waitForBudget(effect: EffectOf<'ask-retry'>): void {
-    const isPatient = machine.patientUntil !== null && timers.now() < machine.patientUntil;
-    if (machine.tokenCount === 0 && !isPatient) {
+    const isBegun = machine.tokenCount > 0;
+    const patience = isBegun ? Infinity : (machine.patientUntil ?? -Infinity) - timers.now();
+    if (patience <= 0) {
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
       return;
     }
     const { attempt } = machine;
     log('wait', 'retry budget');
-    timers.registerTimeout(computeBudgetWait(deps.random), () =>
+    // A wait that ends after the caller's patience is no answer: it leaves without a time to come back.
+    const delay = Math.min(computeBudgetWait(deps.random), Math.ceil(patience));
+    timers.registerTimeout(delay, () =>
       shared.post(() => {
         if (machine.phase === RequestPhase.Pausing && machine.attempt === attempt) {
           askRetry(effect);
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -19,6 +19,12 @@
   readonly isDead: boolean;
 }
 
+/** Refusals of an engine in a row, and until when it is kept off for them. */
+interface Refusals {
+  readonly count: number;
+  readonly until: Millis;
+}
+
 /** An engine with the least gap that any stream had through it lately. */
 export interface SlowEngine {
   readonly engine: EngineId;
@@ -33,13 +39,14 @@
 
 /** Progress of engines as seen from this instance. */
 export interface ProgressTracker {
-  /** A token came over the chain, `gap` after the one before it. */
+  /** A token came over the chain, `gap` after the one before it; null for the first of an attempt. */
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
   /** An engine was lost under a request, or could not be reached; `isDead` unless it was only silent. */
   noteLost(engine: EngineId, isDead: boolean, now: Millis): void;
   /**
    * An engine refused work. The more often in a row, the longer it is kept off: one that leaves refuses
-   * everything, and while its leaving is not known each request would find that out again.
+   * everything, one whose memory is full all that is new, and each request would find that out again. Answers
+   * that run there go on and say nothing of room for others; only a new one that begins does.
    */
   noteRefused(engine: EngineId, now: Millis): void;
   /**
@@ -70,7 +77,7 @@
 export function createProgressTracker(): ProgressTracker {
   const engines = new Map<EngineId, EngineProgress>();
   const lost = new Map<EngineId, LostEngine>();
-  const refusals = new Map<EngineId, number>();
+  const refusals = new Map<EngineId, Refusals>();
 
   function getBest(progress: EngineProgress, now: Millis): Millis {
     return now - progress.windowStart > 2 * WINDOW
@@ -78,6 +85,19 @@
       : Math.min(progress.best, progress.lastBest);
   }
 
+  /** Engines that refuse; what was refused long ago is forgotten. */
+  function listRefusing(now: Millis): EngineId[] {
+    const refusing: EngineId[] = [];
+    for (const [engine, { until }] of refusals) {
+      if (now < until) {
+        refusing.push(engine);
+      } else if (now - until > FORGET_AFTER) {
+        refusals.delete(engine);
+      }
+    }
+    return refusing;
+  }
+
   return {
     noteToken(chain, gap, now) {
       for (const { engine } of chain.stages) {
@@ -98,7 +118,9 @@
         }
         progress.lastAt = now;
         lost.delete(engine);
-        refusals.delete(engine);
+        if (gap === null) {
+          refusals.delete(engine);
+        }
         progress.best = Math.min(progress.best, gap ?? Infinity);
       }
     },
@@ -106,16 +128,15 @@
       lost.set(engine, { until: now + DOWN_TIME, isDead });
     },
     noteRefused(engine, now) {
-      const before = lost.get(engine);
+      const before = refusals.get(engine);
       if (before && before.until > now) {
         return;
       }
-      const count = Math.min(MOST_REFUSALS, (refusals.get(engine) ?? 0) + 1);
-      refusals.set(engine, count);
-      lost.set(engine, { until: now + REFUSED_TIME * 2 ** (count - 1), isDead: true });
+      const count = Math.min(MOST_REFUSALS, (before?.count ?? 0) + 1);
+      refusals.set(engine, { count, until: now + REFUSED_TIME * 2 ** (count - 1) });
     },
     listDown(now) {
-      const dead: EngineId[] = [];
+      const dead = listRefusing(now);
       const silent: EngineId[] = [];
       for (const [engine, { until, isDead }] of lost) {
         if (now >= until) {
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestFull.test.ts
@@ -0,0 +1,80 @@
+import { expect } from 'chai';
+import { FailurePlace } from '../../RequestPorts.js';
+import { createProgressTracker } from '../../RequestProgress.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { FakeWorld, OpenedCall } from './RequestFakes.js';
+import { acknowledge, createFailure, createFakeWorld, giveTokens } from './RequestFakes.js';
+
+const PATIENCE = 1700;
+/** Engines `a1` and `a2` hold the first half of the layers, `b1` the second. */
+const ENGINES = [['a1', 'a2'], ['b1']];
+
+function refuse({ listener }: OpenedCall, engine: string): void {
+  listener.onFailure(
+    createFailure({ place: FailurePlace.Stage, engine, status: 503, provenNotRun: true }),
+  );
+}
+
+/** A world in which no request may be sent twice. */
+function createWorldWithoutRetries(): FakeWorld {
+  const cfg = {
+    ...DEFAULT_ROUTER_CONFIG,
+    retryShare: 0,
+    retryBurst: 0,
+    isRecoveryBudgeted: true,
+    keepsOffRefusing: true,
+  };
+  return createFakeWorld({ cfg }, ENGINES);
+}
+
+describe('Engines that are full', () => {
+  it('tells a refused caller to come back when its patience ends, however long that is', () => {
+    // Symptom: callers leave after two seconds with nothing decided and no time to come back.
+    // Sequence: under a burst a full engine refuses; the retry budget is spent; the wait for it is begun
+    // anew just before the caller's patience ends.
+    // Cause: the budget was asked every half second, without regard to when the caller leaves.
+    for (let patience = 50; patience <= 2000; patience += 50) {
+      const world = createWorldWithoutRetries();
+      const heard = world.submit('r', { patience });
+      refuse(world.last(), 'b1');
+      world.timers.advanceTo(patience - 1);
+      expect(heard.problems).to.deep.equal([]);
+      world.timers.advanceTo(patience + 1);
+      expect(heard.problems.map(({ run }) => run)).to.deep.equal(['not-run']);
+    }
+  });
+
+  it('keeps new requests off a full engine though answers that it runs go on', () => {
+    // Symptom: under a burst a quarter of all arrivals is refused, and the retry budget is spent on them.
+    // Sequence: an engine whose memory is full refuses a request; the answers that run there give tokens.
+    // Cause: any token was taken for a sign that the engine takes work again.
+    const world = createWorldWithoutRetries();
+    world.submit('running');
+    const running = world.last();
+    acknowledge(running);
+    giveTokens(world, running, 0, 3);
+    world.submit('refused', { prompt: 'refused', patience: PATIENCE });
+    const refused = world.last();
+    refuse(refused, 'a1');
+    giveTokens(world, running, 3, 6);
+    world.submit('next', { prompt: 'next', patience: PATIENCE });
+    expect(world.last().call.chain.stages[0]?.engine).to.equal('a2');
+  });
+
+  it('keeps off longer the more often an engine refuses, until it takes something new', () => {
+    const progress = createProgressTracker();
+    const isOff = (now: number): boolean => progress.listDown(now).dead.includes('e');
+    const chain = {
+      variant: { model: 'm', version: '1', adapter: null },
+      stages: [{ engine: 'e', layers: { first: 0, end: 2 } }],
+    } as unknown as Parameters<typeof progress.noteToken>[0];
+    progress.noteRefused('e', 0);
+    progress.noteToken(chain, 40, 100);
+    expect([isOff(100), isOff(260)]).to.deep.equal([true, false]);
+    progress.noteRefused('e', 300);
+    expect([isOff(700), isOff(810)]).to.deep.equal([true, false]);
+    progress.noteToken(chain, null, 900);
+    progress.noteRefused('e', 1000);
+    expect([isOff(1200), isOff(1260)]).to.deep.equal([true, false]);
+  });
+});
