Reckon memory by the usual answer, and log why other domains are passed over

Cause: memory was reckoned for all that callers allow, three times the usual answer; and a request without a chain said 'cut-off' without saying why. Change: the service's usual answer bounds what is reckoned; no-chain-found names the own domain's reason and each other domain's; 'layers held' tells when layers go without an engine.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -91,6 +91,7 @@
 
   function createAsk({ spec, contextTokens, avoid, isBegun }: ChainWish): ChainAsk {
     const { variant, layerCount, priority, maxTokens } = spec;
+    const answerTokens = state.models.get(variant.model)?.usualAnswerTokens;
     return {
       variant,
       layerCount,
@@ -99,6 +100,7 @@
       isBegun,
       promptTokens: contextTokens,
       maxTokens,
+      ...(answerTokens === undefined ? {} : { answerTokens }),
       prefixKeys: spec.prefixKeys.map((key, i) => ({
         key,
         tokens: Math.floor((contextTokens * (i + 1)) / spec.prefixKeys.length),
@@ -129,8 +131,9 @@
     cachedTokens: number,
     importFrom: readonly Stage[],
   ): RequestChoice {
-    const { promptTokens, maxTokens, prefixKeys } = ask;
-    const call = { chain, promptTokens, maxTokens, prefixKeys, cachedTokens };
+    const { promptTokens, maxTokens, answerTokens, prefixKeys } = ask;
+    const expected = answerTokens === undefined ? {} : { answerTokens };
+    const call = { chain, promptTokens, maxTokens, ...expected, prefixKeys, cachedTokens };
     let hadFirstToken = false;
     state = recordCallStart(state, call);
     return {
@@ -185,8 +188,16 @@
     decisions.record({ request, decision, ...weighed });
   }
 
-  function refuse(request: string, { kind, retryAfter }: RoutingRefusal): RequestChoice {
-    decisions.record({ request, decision: 'no-chain-found', reason: kind });
+  function refuse(request: string, refusal: RoutingRefusal): RequestChoice {
+    const { kind, retryAfter } = refusal;
+    const weighed =
+      refusal.kind === 'cut-off'
+        ? {
+            own: refusal.own,
+            abroad: refusal.abroad.map(({ domain: name, why }) => `${name} ${why}`).join(', '),
+          }
+        : {};
+    decisions.record({ request, decision: 'no-chain-found', reason: kind, ...weighed });
     return { kind: 'none', isFull: kind === 'no-capacity', retryAfter };
   }
 
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -16,10 +16,12 @@
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { RoutedModel } from '@skylarksail/routing/RoutingTypes';
+import type { PipelineFacts } from '@skylarksail/routes/RouteTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createCatalogue } from './RelayCatalogue.js';
+import { registerCoverage } from './RelayCoverage.js';
 import { createRelayEngines } from './RelayEngines.js';
 import { createRelayHealth } from './RelayHealth.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
@@ -272,6 +274,12 @@
 
   const undo: Unregister[] = [
     catalogue.registerListener(engines.refresh),
+    registerCoverage({
+      domain: self.domain,
+      catalogue,
+      getTable: () => table,
+      onChange: (coverage) => logger.info(coverage, 'layers held'),
+    }),
     engines.start(),
     routing.start(),
     placement.start(),
@@ -311,11 +319,16 @@
 function listModels({ config }: RouteTable): ReadonlyMap<string, RoutedModel> {
   return new Map(
     config.services.flatMap(({ id, pipeline }) =>
-      pipeline ? [[id, { id, activationBytes: pipeline.activationBytes }] as const] : [],
+      pipeline ? [[id, createModel(id, pipeline)] as const] : [],
     ),
   );
 }
 
+function createModel(id: ServiceId, pipeline: PipelineFacts): RoutedModel {
+  const { activationBytes, usualAnswerTokens } = pipeline;
+  return { id, activationBytes, usualAnswerTokens };
+}
+
 function findEntry(catalogue: Catalogue, { host, port }: HostPort): BackendEntry | null {
   const found = catalogue
     .list()
--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -48,8 +48,17 @@
 }
 
 /** Counts a call's work on each engine of its chain. */
+/** Tokens that a call is expected to hold in the KV cache. */
+export function getKvTokens({
+  promptTokens,
+  answerTokens,
+  maxTokens,
+}: Pick<RoutedCall, 'promptTokens' | 'answerTokens' | 'maxTokens'>): number {
+  return promptTokens + Math.min(maxTokens, answerTokens ?? maxTokens);
+}
+
 export function recordCallStart(state: RoutingState, call: RoutedCall): RoutingState {
-  const kvTokens = call.promptTokens + call.maxTokens;
+  const kvTokens = getKvTokens(call);
   const change = { calls: 1, kvTokens, prefillTokens: call.promptTokens };
   const next = countHopPrompts(state, call.chain, 1);
   return countCall(changeOwnWork(next, call.chain, change), call, 1);
@@ -108,7 +117,7 @@
   hadFirstToken: boolean,
   now: Millis,
 ): RoutingState {
-  const kvTokens = -(call.promptTokens + call.maxTokens);
+  const kvTokens = -getKvTokens(call);
   const prefillTokens = hadFirstToken ? 0 : -call.promptTokens;
   const change = { calls: -1, kvTokens, prefillTokens };
   const read = hadFirstToken ? state : countHopPrompts(state, call.chain, -1);
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -48,7 +48,19 @@
   /** Engines hold it, but leave a gap somewhere. */
   | { readonly kind: 'layers-missing'; readonly retryAfter: Millis }
   /** Only other domains hold it, and they are cut off or lend no more. */
-  | { readonly kind: 'cut-off'; readonly retryAfter: Millis };
+  | {
+      readonly kind: 'cut-off';
+      readonly retryAfter: Millis;
+      /** Why the own domain has no chain. */
+      readonly own: RoutingRefusal['kind'];
+      readonly abroad: readonly ForeignRefusal[];
+    };
+
+/** Why a foreign domain was passed over: kept off, at its lending limit, or without a chain itself. */
+export interface ForeignRefusal {
+  readonly domain: DomainId;
+  readonly why: 'doubted' | 'lends-no-more' | RoutingRefusal['kind'];
+}
 
 /** What a chain is expected to cost. */
 export interface ChainScore {
@@ -86,8 +98,8 @@
     return own;
   }
   const crossed = selectAbroad(state, ask, random);
-  if (crossed) {
-    return createOk(crossed);
+  if (crossed.ok) {
+    return crossed;
   }
   if (own.ok) {
     return own;
@@ -100,7 +112,14 @@
         pool.version === ask.variant.version &&
         pool.domain !== ask.domain,
     );
-  return isHeldElsewhere ? createFailed({ kind: 'cut-off', retryAfter: FULL_RETRY_MS }) : own;
+  return isHeldElsewhere
+    ? createFailed({
+        kind: 'cut-off',
+        retryAfter: FULL_RETRY_MS,
+        own: own.error.kind,
+        abroad: crossed.error,
+      })
+    : own;
 }
 
 /** Whether chains of a domain stayed silent a short while ago. */
@@ -175,8 +194,13 @@
   return chain.value;
 }
 
-/** A whole chain in another domain that can be reached and still lends to us, or null. */
-function selectAbroad(state: RoutingState, ask: ChainAsk, random: Random): ChainChoice | null {
+/** A whole chain in another domain that can be reached and still lends to us, or why each has none. */
+function selectAbroad(
+  state: RoutingState,
+  ask: ChainAsk,
+  random: Random,
+): Result<ChainChoice, readonly ForeignRefusal[]> {
+  const refusals: ForeignRefusal[] = [];
   const names = [...new Set([...state.pools.values()].map(({ domain }) => domain))].sort();
   const order = orderForeignDomains(
     names,
@@ -191,14 +215,19 @@
     const lent = planned
       ? getLentCalls(planned.plan, state.tuning, ask.priority, begun, healed)
       : 0;
-    if (!isDoubted(state, domain, ask.now) && (state.crossing.get(domain) ?? 0) + 1 <= lent) {
+    if (isDoubted(state, domain, ask.now)) {
+      refusals.push({ domain, why: 'doubted' });
+    } else if ((state.crossing.get(domain) ?? 0) + 1 > lent) {
+      refusals.push({ domain, why: 'lends-no-more' });
+    } else {
       const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
       if (choice.ok) {
-        return choice.value;
+        return choice;
       }
+      refusals.push({ domain, why: choice.error.kind });
     }
   }
-  return null;
+  return createFailed(refusals);
 }
 
 /** The best of few chains in one domain, if its engines are filled to less than `fill` of the limit. */
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -4,7 +4,7 @@
 import { MILLIS_PER_SECOND, Priority } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts } from '@skylarksail/core/CoreEngine';
 import type { DomainId, EngineId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
-import { getHealth, getOwnWork, getPoolCalls } from './RoutingCalls.js';
+import { getHealth, getKvTokens, getOwnWork, getPoolCalls } from './RoutingCalls.js';
 import { getHealthShare } from './RoutingHealth.js';
 import type { LinkCost } from './RoutingLinks.js';
 import type { PrefixKey } from './RoutingPrefixes.js';
@@ -20,6 +20,8 @@
   readonly priority: PriorityName;
   readonly promptTokens: number;
   readonly maxTokens: number;
+  /** Tokens of the answer for which memory is reckoned, where fewer than all. */
+  readonly answerTokens?: number;
   /** From the shortest prefix to the longest. */
   readonly prefixKeys: readonly PrefixKey[];
   /** Whether a caller has part of the answer: it may use all that another domain lends. */
@@ -169,5 +171,5 @@
   }
   const since = (getOwnWork(state, facts.id).kvTokens - known.own.kvTokens) * depth;
   const free = (1 - known.load.kvUsed) * facts.kvLayerTokens - since;
-  return free >= (ask.promptTokens + ask.maxTokens) * depth;
+  return free >= getKvTokens(ask) * depth;
 }
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -15,7 +15,7 @@
 /** Work that this instance itself has on an engine. */
 export interface OwnWork {
   readonly calls: number;
-  /** Tokens that its calls may come to hold in the KV cache. */
+  /** Tokens that its calls are expected to hold in the KV cache. */
   readonly kvTokens: number;
   /** Prompt tokens of calls that have not yet given a first token. */
   readonly prefillTokens: number;
@@ -33,6 +33,11 @@
 /** Facts of a model that routing needs. */
 export interface RoutedModel {
   readonly id: ModelId;
+  /**
+   * Mean tokens of its answers, where they are known. Answers come to a third of what callers allow: memory
+   * reckoned for all of that refused one request in three of a cut-off domain that had room for 82.
+   */
+  readonly usualAnswerTokens?: number;
   readonly activationBytes: number;
 }
 
@@ -88,6 +93,8 @@
   readonly chain: Chain;
   readonly promptTokens: number;
   readonly maxTokens: number;
+  /** Tokens of the answer for which memory is reckoned, where fewer than all. */
+  readonly answerTokens?: number;
   /** Prefixes that the engines will have cached, and the tokens that were expected to be. */
   readonly prefixKeys?: readonly PrefixKey[];
   readonly cachedTokens?: number;
