Split the placement duty and the models out of RelayParts

Change: RelayDuty decides which instance places a domain's layers; what routing needs of the models stands with the other facts. No change of behaviour; the relay's tests are unchanged.

--- a/packages/relay/src/RelayFacts.ts
+++ b/packages/relay/src/RelayFacts.ts
@@ -2,8 +2,10 @@
 import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
 import { EngineDuty } from '@skylarksail/core/CoreEngine';
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
-import type { LayerRange, VersionId } from '@skylarksail/core/CoreTypes';
+import type { LayerRange, ServiceId, VersionId } from '@skylarksail/core/CoreTypes';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { AcceleratorFacts, PipelineFacts } from '@skylarksail/routes/RouteTypes';
+import type { RoutedModel } from '@skylarksail/routing/RoutingTypes';
 import type { BackendEntry } from './RelayTypes.js';
 
 /** The one version of weights that these deployments have. */
@@ -80,3 +82,17 @@
 function createHolding(model: string, layers: LayerRange): EngineLoad['holding'] {
   return { model, version: ONLY_VERSION, adapters: [], layers, duty: EngineDuty.Mixed };
 }
+
+/** What routing needs of each service that is a pipeline. */
+export function listModels({ config }: RouteTable): ReadonlyMap<string, RoutedModel> {
+  return new Map(
+    config.services.flatMap(({ id, pipeline }) =>
+      pipeline ? [[id, createModel(id, pipeline)] as const] : [],
+    ),
+  );
+}
+
+function createModel(id: ServiceId, pipeline: PipelineFacts): RoutedModel {
+  const { activationBytes, usualAnswerTokens } = pipeline;
+  return { id, activationBytes, usualAnswerTokens };
+}
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -15,14 +15,14 @@
 import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
-import type { RoutedModel } from '@skylarksail/routing/RoutingTypes';
-import type { PipelineFacts } from '@skylarksail/routes/RouteTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createCatalogue } from './RelayCatalogue.js';
 import { registerCoverage } from './RelayCoverage.js';
+import { createPlacementDuty } from './RelayDuty.js';
 import { createRelayEngines } from './RelayEngines.js';
+import { listModels } from './RelayFacts.js';
 import { createRelayHealth } from './RelayHealth.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import type { RelayIntake } from './RelayIntake.js';
@@ -215,6 +215,12 @@
     getTable: () => table,
     onDecision: decisions.record,
   });
+  const isPlacing = createPlacementDuty({
+    self,
+    lease,
+    peers: knowledge.peers,
+    isLeaving: () => isLeaving,
+  });
   const placement = createRelayPlacement({
     timers,
     catalogue,
@@ -245,29 +251,6 @@
     }
   }
 
-  function isPlacing(domain: DomainId): boolean {
-    return lease.holds(domain) || isStandIn(domain);
-  }
-
-  /**
-   * Whether this instance places its domain's layers while nobody hears the store: the last holder goes on,
-   * or, if it does not answer its peers, the first of the domain's instances. Two that cannot hear each
-   * other may both act; an order that names another count of orders than the engine's is then refused.
-   */
-  function isStandIn(domain: DomainId): boolean {
-    if (domain !== self.domain || isLeaving || !knowledge.peers.isBlind()) {
-      return false;
-    }
-    const ids = lease
-      .listInstances()
-      .filter((instance) => instance.domain === domain)
-      .map(({ id }) => id)
-      .filter((id) => id === self.id || !knowledge.peers.isSilent(id))
-      .sort();
-    const last = lease.getLastHolder(domain);
-    return (last !== null && ids.includes(last) ? last : ids[0]) === self.id;
-  }
-
   function countOwnInstances(): number {
     return lease.listInstances().filter(({ domain }) => domain === self.domain).length;
   }
@@ -315,20 +298,6 @@
   };
 }
 
-/** What routing needs of each service that is a pipeline. */
-function listModels({ config }: RouteTable): ReadonlyMap<string, RoutedModel> {
-  return new Map(
-    config.services.flatMap(({ id, pipeline }) =>
-      pipeline ? [[id, createModel(id, pipeline)] as const] : [],
-    ),
-  );
-}
-
-function createModel(id: ServiceId, pipeline: PipelineFacts): RoutedModel {
-  const { activationBytes, usualAnswerTokens } = pipeline;
-  return { id, activationBytes, usualAnswerTokens };
-}
-
 function findEntry(catalogue: Catalogue, { host, port }: HostPort): BackendEntry | null {
   const found = catalogue
     .list()
