Make engines' facts once for all news that come together, and gather longer in larger fleets

A profile of one instance over 38 s: 0.8 of 2.8 busy seconds in the catalogue's listeners, 0.6 of them reading the entries of all instances again for every engine, and 0.9 in the garbage collector. Change: the list of instances is kept until it changes; engines' facts are made once for all news that come together; the store's news are gathered for 7 ms an instance, 120 to 500 ms.

--- a/packages/relay/src/RelayCoverage.ts
+++ b/packages/relay/src/RelayCoverage.ts
@@ -3,7 +3,7 @@
  * a line a bad span of time can be told only from the requests that it cost.
  */
 import { LifeState } from '@skylarksail/core/CoreConstants';
-import type { DomainId, ServiceId, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, ServiceId } from '@skylarksail/core/CoreTypes';
 import { findGaps } from '@skylarksail/placement/PlacementRanges';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { Catalogue } from './RelayCatalogue.js';
@@ -24,12 +24,12 @@
   readonly onChange: (coverage: LayerCoverage) => void;
 }
 
-/** Watches the catalogue; the returned function ends it. */
-export function registerCoverage(options: RelayCoverageOptions): Unregister {
+/** The returned function looks at the catalogue as it is now, and tells of what has changed since. */
+export function createCoverage(options: RelayCoverageOptions): () => void {
   const { domain, catalogue, getTable, onChange } = options;
   const known = new Map<ServiceId, number>();
 
-  function look(): void {
+  return () => {
     for (const { id, pipeline } of getTable()?.config.services ?? []) {
       if (pipeline !== null) {
         const live = catalogue
@@ -49,7 +49,5 @@
         }
       }
     }
-  }
-
-  return catalogue.registerListener(look);
+  };
 }
--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -32,9 +32,8 @@
   const { timers, catalogue, routing, getTable, countOwnInstances } = options;
 
   /** Callers spread over the instances, so the others are reckoned to have as much on it as we do. */
-  function expectWork(entry: BackendEntry, kvLayerTokens: number): ExpectedWork {
+  function expectWork(entry: BackendEntry, kvLayerTokens: number, instances: number): ExpectedWork {
     const own = getOwnWork(routing.getState(), entry.id);
-    const instances = countOwnInstances();
     const layers = entry.layers ? entry.layers.end - entry.layers.first : 0;
     const used = own.kvTokens * instances * layers;
     return {
@@ -46,6 +45,7 @@
   function refresh(): void {
     const table = getTable();
     const now = timers.now();
+    const instances = countOwnInstances();
     const found = catalogue.list().flatMap((entry) => {
       const pipeline = table?.findService(entry.service)?.pipeline;
       const facts = pipeline ? createEngineFacts(entry, pipeline) : null;
@@ -54,7 +54,7 @@
     routing.setFacts(found.map(({ facts }) => facts));
     routing.setEngineLoads(
       found.map(({ entry, facts }) => ({
-        load: createEngineLoad(entry, expectWork(entry, facts.kvLayerTokens)),
+        load: createEngineLoad(entry, expectWork(entry, facts.kvLayerTokens, instances)),
         seenAt: now,
       })),
     );
--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -120,6 +120,7 @@
     prefix: '',
     wait: WATCH_TIME,
     timeout: STORE_TIMEOUT,
+    countFollowers: () => lease.listInstances().length,
     listener: {
       onSnapshot: (items, revision) => mirror.diffSnapshot(items, revision).forEach(takeEvent),
       onEvent: takeEvent,
--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -58,6 +58,8 @@
   const { port, timers, random, self } = options;
   const callOptions = { timeout: CALL_TIMEOUT };
   const keys = new Map<string, Pick<StoreItem, 'value' | 'revision'>>();
+  /** Read from `keys` when they have changed: parsing 64 entries for each engine took a quarter of all time. */
+  let known: readonly InstanceEntry[] | null = null;
   const vacantSince = new Map<DomainId, Millis>();
   let lease: { readonly id: number; safeUntil: Millis } | null = null;
   const leaseTime = Math.max(LEASE_TIME, options.leaseLeast);
@@ -115,9 +117,10 @@
   }
 
   function listKnown(): readonly InstanceEntry[] {
-    return [...keys]
+    known ??= [...keys]
       .filter(([key]) => key.startsWith(INSTANCES))
       .flatMap(([key, { value }]) => readInstance(key.slice(INSTANCES.length), value) ?? []);
+    return known;
   }
 
   async function claim(domain: DomainId): Promise<void> {
@@ -156,6 +159,7 @@
 
   return {
     takeEvent(event) {
+      known = null;
       if (event.kind === 'written') {
         keys.set(event.item.key, event.item);
       } else {
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -19,7 +19,8 @@
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createCatalogue } from './RelayCatalogue.js';
-import { registerCoverage } from './RelayCoverage.js';
+import { coalesce } from './RelayCoalesce.js';
+import { createCoverage } from './RelayCoverage.js';
 import { createPlacementDuty } from './RelayDuty.js';
 import { createRelayEngines } from './RelayEngines.js';
 import { listModels } from './RelayFacts.js';
@@ -255,14 +256,19 @@
     return lease.listInstances().filter(({ domain }) => domain === self.domain).length;
   }
 
+  const lookAtCoverage = createCoverage({
+    domain: self.domain,
+    catalogue,
+    getTable: () => table,
+    onChange: (coverage) => logger.info(coverage, 'layers held'),
+  });
   const undo: Unregister[] = [
-    catalogue.registerListener(engines.refresh),
-    registerCoverage({
-      domain: self.domain,
-      catalogue,
-      getTable: () => table,
-      onChange: (coverage) => logger.info(coverage, 'layers held'),
-    }),
+    catalogue.registerListener(
+      coalesce(timers, () => {
+        engines.refresh();
+        lookAtCoverage();
+      }),
+    ),
     engines.start(),
     routing.start(),
     placement.start(),
--- a/packages/store/src/StoreFollow.ts
+++ b/packages/store/src/StoreFollow.ts
@@ -29,6 +29,8 @@
   readonly wait: Millis;
   /** How long any other answer may take. */
   readonly timeout: Millis;
+  /** Instances that follow as this one does; 1 if it is not known. */
+  readonly countFollowers?: () => number;
   readonly listener: FollowListener;
 }
 
@@ -40,6 +42,12 @@
  * instance. What comes in this time comes with one call.
  */
 const GATHER_TIME: Millis = 120;
+/**
+ * Each change costs the store a call of every instance that follows, so larger fleets gather longer: so long
+ * for each instance, to half a second at the most, a quarter of the time in which a change must be in force.
+ */
+const GATHER_TIME_EACH: Millis = 7;
+const LONGEST_GATHER_TIME: Millis = 500;
 const JITTER_SHARE = 0.5;
 
 /** Starts to follow; the returned function ends it. */
@@ -110,7 +118,7 @@
     }
     changes.events.forEach((event) => listener.onEvent(event));
     if (changes.events.length > 0) {
-      await sleep(GATHER_TIME);
+      await sleep(getGatherTime(options.countFollowers?.() ?? 1));
     }
     return changes.revision;
   }
@@ -130,3 +138,8 @@
     stopped = true;
   };
 }
+
+/** How long changes that come together are gathered. */
+function getGatherTime(followers: number): Millis {
+  return Math.min(LONGEST_GATHER_TIME, Math.max(GATHER_TIME, GATHER_TIME_EACH * followers));
+}
