--- a/packages/store/src/__tests__/unit/StoreFollow.test.ts
+++ b/packages/store/src/__tests__/unit/StoreFollow.test.ts
@@ -9,7 +9,7 @@
   const store = createFakeRangeStore(timers);
   const known = new Map<string, string>();
   const heard: string[] = [];
-  const follow = () =>
+  const follow = (followers = 1) =>
     registerFollow({
       port: store,
       timers,
@@ -17,6 +17,7 @@
       prefix: 'a/',
       wait: 1000,
       timeout: 300,
+      countFollowers: () => followers,
       listener: {
         onSnapshot: (items) => {
           heard.push('snapshot');
@@ -70,6 +71,29 @@
     stop();
   });
 
+  it('asks less often the more instances follow, and still hears a change within a second', async () => {
+    // Symptom: calls to the store cost a large fleet a tenth of what it earns.
+    // Sequence: engines and instances come one after the other; each is a call of every instance.
+    // Cause: news were gathered for as short a time as in a small fleet.
+    const calls = [1, 64].map(async (followers) => {
+      const { timers, store, known, follow } = createBed();
+      const stop = follow(followers);
+      await timers.advanceToAsync(50);
+      const before = store.countCalls();
+      for (let i = 0; i < 100; i++) {
+        store.put(`a/${i}`, `${i}`);
+        await timers.advanceToAsync(timers.now() + 100);
+      }
+      store.put('a/last', 'x');
+      await timers.advanceToAsync(timers.now() + 1000);
+      expect(known.has('a/last')).to.equal(true);
+      stop();
+      return store.countCalls() - before;
+    });
+    const [few, many] = await Promise.all(calls);
+    expect(many).to.be.at.most((few ?? 0) / 2);
+  });
+
   it('reads the whole range again when its history is gone', async () => {
     // Symptom: an instance serves a removed key for ever.
     // Sequence: the store drops its history while a change was not yet heard.
