Do not take engines that leave or live for engines that crash

Change: the end of an engine that leaves is no crash; an engine that answers well when it is asked did not crash. Beside it: such an answer no longer replaces an entry that came after the question, by which an engine that leaves would have got work again. Tests: one for each; that for engines that leave was seen to fail without the change. Ruled out: the limit of tries (streams that break do not count), the retry budget (waits 1.7 s).

--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -32,6 +32,8 @@
   readonly port: BackendProbePort;
   /** Whether neither the store nor a peer that hears it can be reached. */
   readonly isBlind: () => boolean;
+  /** An engine answered in the life that calls failed at: it did not crash under them. */
+  readonly onWell: (engine: EngineId) => void;
   readonly onSeen: (seen: {
     readonly engine: EngineId;
     readonly health: HealthAnswer['kind'];
@@ -115,7 +117,11 @@
 
   function takeWell(entry: BackendEntry, id: EngineId): void {
     if (id === entry.server) {
-      catalogue.observe({ ...entry, state: LifeState.Live });
+      options.onWell(entry.id);
+      // Its entry may have told since that it leaves or holds other layers: the answer is older than that.
+      if (catalogue.get(entry.id) === entry) {
+        catalogue.observe({ ...entry, state: LifeState.Live });
+      }
       return;
     }
     // Another incarnation answered: the one that was registered has ended, and this one holds nothing.
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -1,8 +1,10 @@
 /** The parts of an instance that serves by routes, joined to each other round the router of requests. */
 import type { Random } from '@skylarksail/core/CoreRandom';
+import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type {
   DomainId,
+  EngineId,
   HostPort,
   Millis,
   ServiceId,
@@ -178,6 +180,7 @@
     catalogue,
     port: { readHealth: backends.readHealth, readStatus: backends.orders.readStatus },
     isBlind: () => knowledge.peers.isBlind(),
+    onWell: noteAlive,
     onSeen: (seen) => {
       metrics.count(`health_${seen.health}`, `engines that answered ${seen.health} when asked`);
       logger.warn(seen, 'engine asked about its health');
@@ -206,6 +209,7 @@
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
+    isEnding: (engine) => catalogue.get(engine)?.state !== LifeState.Live,
     onDecision: (record) => decisions.record({ ...record }),
     onCount: metrics.countRouter,
   });
@@ -238,6 +242,10 @@
     },
   });
 
+  function noteAlive(engine: EngineId): void {
+    router.noteEngineAlive(engine, routing.getBootId(engine) ?? engine);
+  }
+
   /** A server of a service that the configuration does not name is not used, whoever wrote its entry. */
   function isServed(service: ServiceId): boolean {
     return table === null || table.findService(service) !== null;
--- a/packages/relay/src/__tests__/unit/RelayHealth.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayHealth.test.ts
@@ -7,6 +7,7 @@
 import { createCatalogue } from '../../RelayCatalogue.js';
 import type { HealthAnswer } from '../../RelayHealth.js';
 import { createRelayHealth } from '../../RelayHealth.js';
+import type { BackendEntry } from '../../RelayTypes.js';
 import { createBackend } from './RelayFixtures.js';
 
 const VARIANT = { model: 'letters', version: '1', adapter: null };
@@ -22,6 +23,7 @@
   const layers = new Map<string, LayerRange>();
   const asked: string[] = [];
   let isBlind = true;
+  const well: string[] = [];
   let delay = 1;
   RANGES.forEach((range, i) => catalogue.put(createBackend(`e${i}`, { layers: range })));
   catalogue.put(createBackend('far', { domain: 'd2', layers: { first: 0, end: 8 } }));
@@ -46,6 +48,7 @@
       },
     },
     isBlind: () => isBlind,
+    onWell: (engine) => well.push(engine),
     onSeen: () => undefined,
   });
   watch.start();
@@ -70,6 +73,7 @@
     health,
     layers,
     asked,
+    well,
     start,
     fail: (engine: string) => {
       start();
@@ -91,6 +95,22 @@
 }
 
 describe('RelayHealth', () => {
+  it('takes an engine that answers well for alive, but not for staying if its entry said so since', async () => {
+    // Symptom: requests go to an engine that said seconds ago that it leaves.
+    // Sequence: a call fails at an engine; it is asked, and answers well; before that answer is here its entry
+    // says that it leaves.
+    // Cause: the older answer replaced what the newer entry said.
+    const bed = createBed();
+    bed.setDelay(100);
+    bed.fail('e1');
+    await bed.timers.advanceToAsync(350);
+    expect(bed.asked).to.include('health e1');
+    bed.catalogue.put({ ...(bed.catalogue.get('e1') as BackendEntry), state: 'leaving' });
+    await bed.timers.advanceToAsync(600);
+    expect(bed.well).to.deep.equal(['e1']);
+    expect(bed.catalogue.get('e1')).to.include({ state: 'leaving' });
+  });
+
   it('finds an engine that leaves while the store is out, and follows the layers of the others', async () => {
     // Symptom: a domain refuses everything until the store is back, eight seconds later.
     // Sequence: the store is out; an engine of the domain begins to leave and refuses new work.
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -152,6 +152,8 @@
   readonly getKvCapacity: () => number | null;
   /** Boot id of an engine as last reported, or null. */
   readonly getBootId: (engine: EngineId) => string | null;
+  /** Whether an engine has said that it leaves, or is no longer registered; nobody has if left out. */
+  readonly isEnding?: (engine: EngineId) => boolean;
   readonly onDecision: (record: DecisionRecord) => void;
   readonly onCount: (metric: RouterMetric) => void;
 }
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -48,6 +48,11 @@
   engine: EngineId,
   attemptTokens: number,
 ): void {
+  // An engine that leaves ends its streams by itself. Counted as crashes, two that were replaced within a second
+  // had the request that ran on both broken off as one that crashes engines.
+  if (shared.deps.isEnding?.(engine)) {
+    return;
+  }
   const now = shared.deps.timers.now();
   const bootId = shared.deps.getBootId(engine) ?? 'unknown';
   const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -120,6 +120,27 @@
     expect(judgeRequest(other, 'p', 11)).to.equal(PoisonVerdict.Clean);
   });
 
+  it('does not take engines that leave for engines that crash', () => {
+    // Symptom: an answer is broken off as one that crashes engines, while engines are replaced in series.
+    // Sequence: its engine leaves and ends its streams; the next one, too, within a second.
+    // Cause: a stream that ended was a crash of its engine, whatever that had said before.
+    const leaving = new Set(['a1', 'a2']);
+    const world = createFakeWorld({ isEnding: (engine) => leaving.has(engine) });
+    const heard = world.submit('r');
+    for (const engine of leaving) {
+      const opened = world.last();
+      expect(listEngines(opened)[0]).to.equal(engine);
+      acknowledge(opened);
+      giveTokens(world, opened, heard.tokens.length, heard.tokens.length + 3);
+      opened.listener.onFailure(createFailure({ place: FailurePlace.Stream, engine }));
+    }
+    const last = world.last();
+    acknowledge(last);
+    giveTokens(world, last, 6, 8);
+    last.listener.onEnd('stop', 8);
+    expect([heard.ends, heard.problems]).to.deep.equal([['stop'], []]);
+  });
+
   it('stops at the second engine, there and at the instance that its caller turns to', () => {
     // Symptom: one request takes the whole fleet down, engine by engine.
     // Sequence: it crashes its engine, is recovered, crashes the next; its caller sends it again.
