Name callers who left and deadlines in the ledger, and read logs of any size

Cause: a fifth of the lost requests had no cause; 200,000 requests took more than a minute, as each group was copied for each of its requests, and more arguments than a call takes. Change: both are named where nothing else was seen; groups grow in place. Nothing of this is in the program that instances run.

--- a/packages/cli/src/CliLedger.ts
+++ b/packages/cli/src/CliLedger.ts
@@ -75,7 +75,9 @@
   const groups = new Map<string, LedgerRequest[]>();
   for (const request of lost) {
     const key = `${request.end}/${request.cause}`;
-    groups.set(key, [...(groups.get(key) ?? []), request]);
+    const group = groups.get(key) ?? [];
+    group.push(request);
+    groups.set(key, group);
   }
   return [...groups.values()]
     .flatMap((group) => {
@@ -102,8 +104,12 @@
   requests: readonly LedgerRequest[],
 ): readonly LedgerSecond[] {
   const domains = readDomains(lines);
-  const first = Math.min(...requests.map(({ startAt }) => startAt));
-  const last = Math.max(...requests.map(({ startAt }) => startAt));
+  // Logs of a day hold more requests than a call takes arguments.
+  const first = requests.reduce((least, { startAt }) => Math.min(least, startAt), Infinity);
+  const last = requests.reduce((most, { startAt }) => Math.max(most, startAt), -Infinity);
+  if (requests.length === 0) {
+    return [];
+  }
   return [...new Set(domains.values())].sort().flatMap((domain) => {
     const own = requests.filter(({ instance }) => domains.get(instance) === domain);
     const said = lines.filter((line) => line.msg === 'layers held' && line.domain === domain);
--- a/packages/cli/src/LedgerRequests.ts
+++ b/packages/cli/src/LedgerRequests.ts
@@ -24,6 +24,9 @@
   Stopping: 'instance stopping',
   Poison: 'request that crashes engines',
   Rejected: 'not allowed (route or key)',
+  /** The next two count only where nothing else was seen. */
+  CallerLeft: 'its caller left',
+  Deadline: 'its deadline passed',
 } as const;
 
 export type LedgerCauseName = (typeof LedgerCause)[keyof typeof LedgerCause];
@@ -71,6 +74,9 @@
       open.set(key, known);
       known.endAt = time;
       known.cause = readCause(decision, line) ?? known.cause;
+      if (known.cause === LedgerCause.None) {
+        known.cause = readPlainCause(line);
+      }
       known.end = readEnd(decision, line) ?? known.end;
     }
   }
@@ -125,6 +131,17 @@
   return reason.startsWith('refused') || reason.startsWith('stage not-run');
 }
 
+/** What ends a request that nothing has held up. */
+function readPlainCause({ decision, reason }: LogLine): LedgerCauseName {
+  const isOwnEnd = decision === 'refused' || decision === 'broken-off';
+  if (isOwnEnd && String(reason).startsWith('hung-up')) {
+    return LedgerCause.CallerLeft;
+  }
+  return isOwnEnd && String(reason).startsWith('deadline')
+    ? LedgerCause.Deadline
+    : LedgerCause.None;
+}
+
 const REJECTED: readonly unknown[] = [400, 401, 404];
 
 /** What our own answer says beyond the lines before it. */
--- a/packages/cli/src/__tests__/unit/CliLedger.test.ts
+++ b/packages/cli/src/__tests__/unit/CliLedger.test.ts
@@ -48,22 +48,26 @@
   ...tell('e/1', 'i2', 1200, [ROUTED, SILENT, { ...ANSWERED, lateBy: 'pause' }]),
   ...tell('f/1', 'i2', 1300, [ROUTED, { decision: 'broken-off', reason: 'draining' }]),
   ...tell('g/1', 'i2', 1400, [ROUTED, FULL]),
+  ...tell('k/1', 'i2', 1450, [ROUTED, { decision: 'refused', reason: 'hung-up not-run' }]),
+  ...tell('l/1', 'i2', 1460, [ROUTED, { decision: 'refused', reason: 'deadline unknown' }]),
   ...tell('h/1', 'i2', 1500, [{ decision: 'refused', status: 404, reason: 'no route' }]),
 ];
 
 describe('CliLedger', () => {
   it('names one end and one cause of each request that was not on time, and adds up', () => {
     const ledger = createLedger([...LINES].reverse());
-    expect([ledger.requests, ledger.lost]).to.deep.equal([7, 5]);
+    expect([ledger.requests, ledger.lost]).to.deep.equal([9, 7]);
     expect(ledger.rows.map(({ end, cause }) => `${end}: ${cause}`)).to.have.members([
       'refused: no whole chain',
       'refused: waited for the retry budget',
       'late by a pause: engine lost or silent',
       'broken off: instance stopping',
       'end not told: refused by an engine',
+      'refused: its caller left',
+      'refused: its deadline passed',
     ]);
     expect(ledger.rows.reduce((sum, { requests }) => sum + requests, 0)).to.equal(ledger.lost);
-    expect(ledger.rows.reduce((sum, { share }) => sum + share, 0)).to.be.closeTo(5 / 7, 1e-9);
+    expect(ledger.rows.reduce((sum, { share }) => sum + share, 0)).to.be.closeTo(7 / 9, 1e-9);
   });
 
   it('tells for each domain and second what was on time, and whether its layers were held', () => {
@@ -83,6 +87,13 @@
     expect(picture).to.contain('d1: share').and.to.contain('d2: share');
   });
 
+  it('reads logs of more requests than a call takes arguments', () => {
+    const many = Array.from({ length: 200_000 }, (_, i) =>
+      tell(`m${i}/1`, 'i1', i % 500, [ROUTED]),
+    );
+    expect(createLedger(many.flat()).lost).to.equal(200_000);
+  });
+
   it('has nothing to tell of logs without a request', () => {
     expect(createLedger([start('i1', 'd1')])).to.deep.include({ requests: 0, lost: 0, rows: [] });
   });
