Keep no stage on an engine that leaves when a chain is repaired

Change: a stage on an engine that leaves is replaced with the failed one. Test: RoutingRepair, failed before.

--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -124,7 +124,7 @@
   const used = new Set(chain.stages.map(({ engine }) => engine));
   const stages: Stage[] = [];
   for (const stage of chain.stages) {
-    if (!ask.avoidEngines.has(stage.engine) && isStillHeld(state, stage)) {
+    if (!ask.avoidEngines.has(stage.engine) && canKeep(state, stage)) {
       stages.push(stage);
       continue;
     }
@@ -147,9 +147,13 @@
 
 /**
  * Whether a stage's engine is still there with its layers. An engine that was unregistered or ordered to
- * hold others since the chain was chosen cannot be kept, even if nothing was said of a failure.
+ * hold others since the chain was chosen cannot be kept, even if nothing was said of a failure. Nor can one
+ * that leaves: the repaired chain is new work to it, which it got 3.5 s after it had said that it leaves.
  */
-function isStillHeld(state: RoutingState, { engine, layers }: Stage): boolean {
+function canKeep(state: RoutingState, { engine, layers }: Stage): boolean {
+  if (state.leaving.has(engine)) {
+    return false;
+  }
   const held = state.engines.has(engine) ? state.loads.get(engine)?.load.holding?.layers : null;
   return held ? held.first <= layers.first && layers.end <= held.end : false;
 }
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -6,7 +6,7 @@
 import { refreshPlans } from '../../RoutingPlans.js';
 import { selectRepair } from '../../RoutingRepair.js';
 import type { RoutingState } from '../../RoutingState.js';
-import { setLoad, setRoutingFacts } from '../../RoutingState.js';
+import { markLeaving, setLoad, setRoutingFacts } from '../../RoutingState.js';
 import {
   createAsk,
   createFacts,
@@ -59,6 +59,26 @@
     expect(recut.ok && formatChain(recut.value.chain)).to.match(/ > b2\[10-20\)$/);
   });
 
+  it('keeps no stage on an engine that leaves: to it the repaired chain is new work', () => {
+    // Symptom: a request reaches an engine 3.5 s after that had said that it leaves.
+    // Sequence: an answer runs on a and b; a says that it leaves; then b falls silent and is replaced.
+    // Cause: a was kept as it had not failed, and the rest of the answer was sent to it as a new call.
+    const state = createFilledState([
+      { facts: createFacts('a'), layers: [0, 10] },
+      { facts: createFacts('a2'), layers: [0, 10] },
+      { facts: createFacts('b'), layers: [10, 20] },
+      { facts: createFacts('b2'), layers: [10, 20] },
+    ]);
+    const repair = selectRepair(
+      markLeaving(state, 'a'),
+      createTestChain(),
+      new Set(['b']),
+      createAsk(),
+      createRandom(1),
+    );
+    expect(repair.ok && formatChain(repair.value.chain)).to.equal('a2[0-10) > b2[10-20)');
+  });
+
   // Symptom: an answer whose second stage died was prefilled anew on every stage.
   // Sequence: stage b dies; no single engine holds its layers, two small ones together do.
   // Cause: only one-for-one replacements were looked for.
