--- a/packages/proof/src/__tests__/unit/ClaimModel.test.ts
+++ b/packages/proof/src/__tests__/unit/ClaimModel.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
 import { execFileSync } from 'node:child_process';
-import { readFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { decodeHead, EMPTY_HEAD, encodeHead, type SlotHead } from '@skylarksail/claims/ClaimHead';
 import { createClaimSlot, stepSlot } from '@skylarksail/claims/ClaimSlot';
 import {
@@ -221,15 +223,22 @@
   return steps;
 }
 
+/**
+ * Spin writes a temporary file of one name into the folder where it runs. In a folder shared with another run
+ * of the checks more than half of all traces were empty.
+ */
 function simulate(seed: number): string | null {
   const options = [`-n${seed}`, '-u1500', '-T', '-DMAX_REVISION=40', '-DMAX_UNANSWERED=30'];
+  const folder = mkdtempSync(join(tmpdir(), 'skylarksail-trace-'));
   try {
     const spec = new URL('claim.pml', SPECS).pathname;
-    const output = execFileSync('spin', [...options, spec], { encoding: 'utf8', cwd: '/tmp' });
+    const output = execFileSync('spin', [...options, spec], { encoding: 'utf8', cwd: folder });
     const lines = output.split('\n').filter((line) => /STEP|STATE/.test(line));
     return `${lines.join('\n')}\n`;
   } catch {
     return null;
+  } finally {
+    rmSync(folder, { recursive: true });
   }
 }
 
