--- a/packages/proof/src/__tests__/unit/ClaimModel.test.ts
+++ b/packages/proof/src/__tests__/unit/ClaimModel.test.ts
@@ -1,8 +1,5 @@
 import { expect } from 'chai';
-import { execFileSync } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { readFileSync } from 'node:fs';
 import { decodeHead, EMPTY_HEAD, encodeHead, type SlotHead } from '@skylarksail/claims/ClaimHead';
 import { createClaimSlot, stepSlot } from '@skylarksail/claims/ClaimSlot';
 import {
@@ -13,6 +10,7 @@
   type SlotEffect,
   type SlotEvent,
 } from '@skylarksail/claims/ClaimSlotTypes';
+import { simulateSpec } from './SpinTraces.js';
 
 // Spin's random simulations of claim.pml, replayed step for step against ClaimSlot. The committed traces
 // are always replayed; where Spin is installed, they are made anew and compared, and more are replayed.
@@ -223,23 +221,9 @@
   return steps;
 }
 
-/**
- * Spin writes a temporary file of one name into the folder where it runs. In a folder shared with another run
- * of the checks more than half of all traces were empty.
- */
 function simulate(seed: number): string | null {
   const options = [`-n${seed}`, '-u1500', '-T', '-DMAX_REVISION=40', '-DMAX_UNANSWERED=30'];
-  const folder = mkdtempSync(join(tmpdir(), 'skylarksail-trace-'));
-  try {
-    const spec = new URL('claim.pml', SPECS).pathname;
-    const output = execFileSync('spin', [...options, spec], { encoding: 'utf8', cwd: folder });
-    const lines = output.split('\n').filter((line) => /STEP|STATE/.test(line));
-    return `${lines.join('\n')}\n`;
-  } catch {
-    return null;
-  } finally {
-    rmSync(folder, { recursive: true });
-  }
+  return simulateSpec(options, new URL('claim.pml', SPECS));
 }
 
 function readTrace(seed: number): string {
@@ -258,6 +242,10 @@
       this.skip();
     }
     COMMITTED_SEEDS.forEach((seed) => expect(simulate(seed)).to.equal(readTrace(seed)));
-    FURTHER_SEEDS.forEach((seed) => replayTrace(simulate(seed) ?? ''));
+    FURTHER_SEEDS.forEach((seed) => {
+      const trace = simulate(seed);
+      expect(trace, `trace ${seed}`).to.match(/STEP/);
+      replayTrace(trace ?? '');
+    });
   });
 });
--- a/packages/proof/src/__tests__/unit/OrdersModel.test.ts
+++ b/packages/proof/src/__tests__/unit/OrdersModel.test.ts
@@ -1,5 +1,4 @@
 import { expect } from 'chai';
-import { execFileSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 import type { EngineFacts, EngineLoad, Holding } from '@skylarksail/core/CoreEngine';
 import type { OrdersContext } from '@skylarksail/placement/PlacementOrders';
@@ -15,6 +14,7 @@
   getOrderFencing,
   ORDERS_PER_LEASE,
 } from '@skylarksail/placement/PlacementOrderTypes';
+import { simulateSpec } from './SpinTraces.js';
 
 // Spin's random simulations of orders.pml, replayed step for step against PlacementOrders. The committed
 // traces are always replayed; where Spin is installed, they are made anew and compared, and more replayed.
@@ -192,15 +192,8 @@
 function simulate(seed: number): string | null {
   const bounds = ['MAX_FENCING=60', 'MAX_COUNT=3', 'MAX_LOST=40', 'TTL=9', 'ORDERLY=1', 'PAUSES=1'];
   const macros = [...bounds, `CHECKS=${Number(isCheckingSeed(seed))}`].map((macro) => `-D${macro}`);
-  const spec = new URL('orders.pml', SPECS).pathname;
-  try {
-    const options = { encoding: 'utf8', cwd: '/tmp' } as const;
-    const output = execFileSync('spin', [`-n${seed}`, '-u4000', '-T', ...macros, spec], options);
-    const lines = output.split('\n').filter((line) => /STEP|STATE/.test(line));
-    return `${lines.join('\n')}\n`;
-  } catch {
-    return null;
-  }
+  const options = [`-n${seed}`, '-u4000', '-T', ...macros];
+  return simulateSpec(options, new URL('orders.pml', SPECS));
 }
 
 function readTrace(seed: number): string {
@@ -224,6 +217,10 @@
       this.skip();
     }
     COMMITTED_SEEDS.forEach((seed) => expect(simulate(seed)).to.equal(readTrace(seed)));
-    FURTHER_SEEDS.forEach((seed) => replayTrace(simulate(seed) ?? '', isCheckingSeed(seed)));
+    FURTHER_SEEDS.forEach((seed) => {
+      const trace = simulate(seed);
+      expect(trace, `trace ${seed}`).to.match(/STEP/);
+      replayTrace(trace ?? '', isCheckingSeed(seed));
+    });
   });
 });
