--- a/packages/cli/src/CliLedger.ts
+++ b/packages/cli/src/CliLedger.ts
@@ -1,5 +1,6 @@
 /** `ledger`: where a bad span of time went, from the saved logs of several instances. */
 import { writeFileSync } from 'node:fs';
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import { ExitCode, createCliError } from './CliErrors.js';
 import { parseLog, readLog } from './CliLogs.js';
 import type { CliContext } from './CliManifest.js';
@@ -39,7 +40,6 @@
   readonly seconds: readonly LedgerSecond[];
 }
 
-const MILLIS = 1000;
 const UNKNOWN_DOMAIN = 'unknown';
 
 /** Prints the ledger of the files, and draws it if a file for the picture is named. */
@@ -89,7 +89,7 @@
               end: first.end,
               cause: first.cause,
               requests: group.length,
-              seconds: time / MILLIS,
+              seconds: time / MILLIS_PER_SECOND,
               share: group.length / total,
             },
           ]
@@ -113,12 +113,14 @@
   return [...new Set(domains.values())].sort().flatMap((domain) => {
     const own = requests.filter(({ instance }) => domains.get(instance) === domain);
     const said = lines.filter((line) => line.msg === 'layers held' && line.domain === domain);
-    const count = Math.floor((last - first) / MILLIS) + 1;
+    const count = Math.floor((last - first) / MILLIS_PER_SECOND) + 1;
     return Array.from({ length: count }, (_, second) => {
-      const from = first + second * MILLIS;
-      const here = own.filter(({ startAt }) => startAt >= from && startAt < from + MILLIS);
+      const from = first + second * MILLIS_PER_SECOND;
+      const here = own.filter(
+        ({ startAt }) => startAt >= from && startAt < from + MILLIS_PER_SECOND,
+      );
       const onTime = here.filter(({ end }) => end === LedgerEnd.OnTime).length;
-      const latest = said.findLast(({ time }) => Number(time) < from + MILLIS);
+      const latest = said.findLast(({ time }) => Number(time) < from + MILLIS_PER_SECOND);
       return {
         domain,
         second,
--- a/packages/placement/src/PlacementCopies.ts
+++ b/packages/placement/src/PlacementCopies.ts
@@ -9,12 +9,14 @@
 import { createGroupLayout, createGroupPlan, getEngineRoom } from './PlacementGroups.js';
 import type { RangeEngine, RangeModel, RangePlan } from './PlacementRanges.js';
 import {
+  compareIds,
   findGaps,
   MOST_WEIGHTS,
   MOST_WEIGHTS_IN_NEED,
   planRanges,
   splitByMemory,
 } from './PlacementRanges.js';
+import { isHeldBy } from './PlacementSteps.js';
 
 /** What may be done beside giving layers to engines that hold none. */
 export interface CopyPatience {
@@ -173,7 +175,7 @@
   let left = engines;
   for (const engine of engines) {
     const others = left.filter((other) => other !== engine);
-    if (engine.held && isHeld(others, engine.held)) {
+    if (engine.held && isHeldBy(others, engine.held)) {
       movable.push(engine);
       left = others;
     }
@@ -277,22 +279,6 @@
   return (end - first) * layerBytes <= share * memoryBytes;
 }
 
-function isHeld(engines: readonly RangeEngine[], range: LayerRange): boolean {
-  const { first, end } = range;
-  const clipped = engines.flatMap(({ held }) =>
-    held ? [{ first: Math.max(first, held.first), end: Math.min(end, held.end) }] : [],
-  );
-  let covered = first;
-  for (const part of clipped.sort((a, b) => a.first - b.first)) {
-    covered = part.first <= covered ? Math.max(covered, part.end) : covered;
-  }
-  return covered >= end;
-}
-
 function isWithin(inner: LayerRange, outer: LayerRange): boolean {
   return outer.first <= inner.first && inner.end <= outer.end;
 }
-
-function compareIds(a: RangeEngine, b: RangeEngine): number {
-  return a.id < b.id ? -1 : 1;
-}
--- a/packages/placement/src/PlacementRanges.ts
+++ b/packages/placement/src/PlacementRanges.ts
@@ -190,7 +190,8 @@
   });
 }
 
-function compareIds(a: RangeEngine, b: RangeEngine): number {
+/** Orders engines that are alike, the same way every time. */
+export function compareIds(a: RangeEngine, b: RangeEngine): number {
   return a.id < b.id ? -1 : 1;
 }
 
--- a/packages/placement/src/PlacementSteps.ts
+++ b/packages/placement/src/PlacementSteps.ts
@@ -54,7 +54,7 @@
 }
 
 /** Whether these engines together hold every layer of a range. */
-function isHeldBy(engines: readonly RangeEngine[], { first, end }: LayerRange): boolean {
+export function isHeldBy(engines: readonly RangeEngine[], { first, end }: LayerRange): boolean {
   for (let layer = first; layer < end; layer++) {
     if (!engines.some(({ held }) => held !== null && held.first <= layer && layer < held.end)) {
       return false;
