Wake an idle instance for little, and plan nothing anew that has not changed

One instance beside as many entries took, with nothing to do, 2.9 % of a real core (the bundle against a stand-in of the store, 30 s): each second the facts of all engines were made anew, which read as a change of every engine and had all domains planned again; timers of 100 to 500 ms only looked whether there was work; a sample of the loop's delay was taken ten times a second.

The fake store wakes its watches instead of being polled.

A request still takes some 50 ms of processor time on a process that has run few; next.

--- a/packages/bench/src/BenchMain.ts
+++ b/packages/bench/src/BenchMain.ts
@@ -4,6 +4,7 @@
 import { runConfigBench } from './ConfigBench.js';
 import { runControlBench } from './ControlBench.js';
 import { runDaemonsBench } from './DaemonsBench.js';
+import { runIdleBench } from './IdleBench.js';
 import { runOverheadBench } from './OverheadBench.js';
 import { runRecoveryBench } from './RecoveryBench.js';
 import { runThroughputBench } from './ThroughputBench.js';
@@ -37,6 +38,9 @@
   daemons: async ({ seed, sizes }: BenchOptions, print: Print) => {
     await runDaemonsBench({ seed, ...(sizes && { sizes }) }, print);
   },
+  idle: async ({ seed, sizes }: BenchOptions, print: Print) => {
+    await runIdleBench({ seed, ...(sizes && { sizes }) }, print);
+  },
   claims: async ({ seed }: BenchOptions, print: Print) => {
     (await runClaimsBench(seed)).forEach(print);
   },
@@ -52,7 +56,7 @@
   const program = new Command('bench')
     .addArgument(new Argument('<name>', 'bench').choices(Object.keys(BENCHES)))
     .option('--seed <n>', 'seed of all that is random', Number, 1)
-    .option('--sizes <n,n>', 'fleet sizes, for config and control', parseSizes)
+    .option('--sizes <n,n>', 'fleet sizes, for config, control, daemons and idle', parseSizes)
     .parse([...argv]);
   const [name] = program.args as [BenchName];
   await BENCHES[name](program.opts<BenchOptions>(), (line) => {
--- /dev/null
+++ b/packages/bench/src/IdleBench.ts
@@ -0,0 +1,149 @@
+/**
+ * What an instance of the users' platform takes while it has next to nothing to do: the real relay over
+ * virtual time, beside as many others as a fleet has. Sockets and the processes of others are left out, so
+ * what is measured is the product's own code and its garbage.
+ */
+import { performance } from 'node:perf_hooks';
+import { setFlagsFromString } from 'node:v8';
+import { pino } from 'pino';
+import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import { startRelayParts } from '@skylarksail/relay/RelayParts';
+import type { BackendEntry, BackendPorts, StoreContent } from '@skylarksail/relay/RelayTypes';
+import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import { BACKENDS, CONFIG_KEY, createIdleConfig, createIdleEngine } from './IdleFleet.js';
+
+/** What happens while an instance is measured. */
+const IdleLoad = {
+  Rest: 'rest',
+  /** An engine's entry changes each second. */
+  News: 'news',
+} as const;
+
+type IdleLoadName = (typeof IdleLoad)[keyof typeof IdleLoad];
+
+export interface IdleBenchOptions {
+  readonly seed: number;
+  /** Instances of the fleet; it has as many engines. */
+  readonly sizes?: readonly number[];
+}
+
+/** Cost of one instance at one size of the fleet. */
+export interface IdleLine {
+  readonly bench: 'idle';
+  readonly load: IdleLoadName;
+  readonly instances: number;
+  readonly engines: number;
+  /** Processor time of the product's code, in percent of a core. */
+  readonly cpu_pct: number;
+  /** Calls to the store of this one instance. */
+  readonly store_calls_s: number;
+}
+
+const DEFAULT_SIZES = [30, 100, 195, 300];
+const DOMAINS = 5;
+/** Time in which the instance takes in the fleet and settles. */
+const SETTLE_TIME: Millis = 15_000;
+const MEASURE_TIME: Millis = 30_000;
+const NEWS_PERIOD: Millis = 1000;
+const PERCENT = 100;
+
+/** Runs each size under each load and prints a line for each. */
+export async function runIdleBench(
+  { seed, sizes = DEFAULT_SIZES }: IdleBenchOptions,
+  print: (line: IdleLine) => void,
+): Promise<void> {
+  // Without it the first case is charged for the compiling of all.
+  setFlagsFromString('--no-lazy-feedback-allocation');
+  for (const instances of sizes) {
+    for (const load of Object.values(IdleLoad)) {
+      print(await measure(seed, instances, load));
+    }
+  }
+}
+
+async function measure(seed: number, instances: number, load: IdleLoadName): Promise<IdleLine> {
+  const timers = createVirtualTimers();
+  const random = createRandom(seed);
+  const store = createFakeRangeStore(timers);
+  const engines = Array.from({ length: instances }, (_, i) => createIdleEngine(i, DOMAINS));
+  store.put(CONFIG_KEY, '');
+  engines.forEach((engine) => putEngine(engine));
+  for (let i = 1; i < instances; i += 1) {
+    store.put(`skylarksail/instances/i${i}`, `d${i % DOMAINS} 127.0.0.1 ${i}`);
+  }
+
+  function putEngine(engine: BackendEntry): void {
+    store.put(`${BACKENDS}${engine.server}`, JSON.stringify(engine));
+  }
+
+  const parts = startRelayParts({
+    self: { id: 'i0', domain: 'd0', address: { host: '127.0.0.1', port: instances } },
+    bounds: { retryShare: 0.2, retrySlack: 500, retryWindow: 10_000 },
+    domains: Array.from({ length: DOMAINS }, (_, i) => `d${i}`),
+    mostCopies: 2,
+    leaseLeast: 1000,
+    timers,
+    random,
+    store,
+    readContent,
+    readBackendKey: (key) => (key.startsWith(BACKENDS) ? key.slice(BACKENDS.length) : null),
+    askPeer: () => Promise.resolve({ kind: 'silent' }),
+    createBackends: createIdleBackends,
+    logger: pino({ level: 'silent' }),
+    decisions: { record: () => undefined, read: () => [] },
+    metrics: createDaemonMetrics(),
+  });
+  await timers.advanceToAsync(SETTLE_TIME);
+  const undo =
+    load === IdleLoad.News
+      ? timers.registerInterval(NEWS_PERIOD, () => {
+          const engine = engines[random.nextInt(engines.length)];
+          if (engine) {
+            putEngine({ ...engine, state: random.nextInt(2) === 0 ? 'live' : 'leaving' });
+          }
+        })
+      : () => undefined;
+  const calls = store.countCalls();
+  const startedAt = performance.now();
+  await timers.advanceToAsync(SETTLE_TIME + MEASURE_TIME);
+  const spent = performance.now() - startedAt;
+  undo();
+  parts.stop();
+  return {
+    bench: 'idle',
+    load,
+    instances,
+    engines: engines.length,
+    cpu_pct: round((PERCENT * spent) / MEASURE_TIME),
+    store_calls_s: round(((store.countCalls() - calls) * MILLIS_PER_SECOND) / MEASURE_TIME),
+  };
+}
+
+function readContent({ key, value }: { key: string; value: string }): StoreContent {
+  if (key === CONFIG_KEY) {
+    return { kind: 'config', config: createIdleConfig() };
+  }
+  return key.startsWith(BACKENDS)
+    ? { kind: 'backend', entry: JSON.parse(value) as BackendEntry }
+    : { kind: 'other' };
+}
+
+function createIdleBackends(): BackendPorts {
+  return {
+    openEngineCall: () => () => undefined,
+    openServiceCall: () => () => undefined,
+    orders: {
+      readStatus: () => Promise.resolve(null),
+      order: () => Promise.resolve('refused'),
+    },
+    readHealth: () => Promise.resolve({ kind: 'silent' }),
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -2,8 +2,8 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
 import type { RouterMetric, RouterMetricName } from '@skylarksail/requests/RouterTypes';
 
-/** The default of 10 ms would wake an idle process a hundred times a second. */
-const LOOP_PRECISION_MS = 100;
+/** Each sample wakes the process, also an idle one; delays that callers notice are longer than this anyway. */
+const LOOP_PRECISION_MS = 1000;
 
 const TIME_BUCKETS_MS = [1, 2, 5, 10, 20, 40, 78, 150, 300, 600, 1000, 2000, 4000, 8000, 16000];
 
--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -27,6 +27,8 @@
   /** The store answers again after it did not: what it removed meanwhile may come back. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
+  /** Other services are in use than before. */
+  noteServicesChanged(): void;
   /** The server in the life that the id names, or null if that is over. */
   get(id: EngineId): BackendEntry | null;
   registerListener(listener: () => void): Unregister;
@@ -43,7 +45,11 @@
   const listeners = new Set<() => void>();
   let returnUntil = -Infinity;
 
+  /** What `list` gave last, until something changes: it is asked for many times a second. */
+  let listed: readonly BackendEntry[] | null = null;
+
   function tell(): void {
+    listed = null;
     listeners.forEach((listener) => listener());
   }
 
@@ -118,8 +124,15 @@
       returnUntil = timers.now() + RETURN_TIME;
       timers.registerTimeout(RETURN_TIME, forgetSightings);
     },
-    list: () =>
-      [...new Map([...entries, ...sightings]).values()].filter(({ service }) => isServed(service)),
+    list() {
+      listed ??= [...new Map([...entries, ...sightings]).values()].filter(({ service }) =>
+        isServed(service),
+      );
+      return listed;
+    },
+    noteServicesChanged() {
+      listed = null;
+    },
     get(id) {
       const known = getKnown(getServerOf(id));
       return known?.id === id && isServed(known.service) ? known : null;
--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -4,9 +4,10 @@
  * the store is out it says nothing at all, and a domain that lost an engine had no chain until the store was
  * back. What is seen here stands in for the entry until the store tells of it.
  */
+import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import { LifeState } from '@skylarksail/core/CoreConstants';
-import type { DomainId, EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createLifeId } from './RelayLives.js';
@@ -44,7 +45,7 @@
 export interface RelayHealth {
   /** The same calls; those that fail or stay silent put their engines under suspicion. */
   watchCalls(open: OpenEngineCall): OpenEngineCall;
-  start(): Unregister;
+  stop(): void;
 }
 
 /** An engine that calls failed at. */
@@ -76,6 +77,10 @@
   const asking = new Set<EngineId>();
   /** Whether an engine was found out while nobody hears the store: then layers move untold. */
   let isMoving = false;
+  const ticking = createActiveInterval(timers, TICK, () => {
+    tick();
+    return suspects.size > 0 || isMoving;
+  });
 
   function suspect(id: EngineId): void {
     const now = timers.now();
@@ -83,6 +88,7 @@
     const isOwn = entry?.domain === domain && entry.accelerator !== null;
     if (isOwn && !suspects.has(id) && (cleared.get(id) ?? -Infinity) <= now) {
       suspects.set(id, { misses: 0, dueAt: now });
+      ticking.start();
     }
   }
 
@@ -136,6 +142,7 @@
   function takeLeaving(entry: BackendEntry): void {
     isMoving = isBlind();
     catalogue.observe({ ...entry, state: LifeState.Leaving });
+    ticking.start();
   }
 
   async function askLayers(entry: BackendEntry): Promise<void> {
@@ -206,6 +213,6 @@
         cancel();
       };
     },
-    start: () => timers.registerInterval(TICK, tick),
+    stop: ticking.stop,
   };
 }
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -100,7 +100,7 @@
 const CONNECTION_SHARE = 0.9;
 const LEAST_CONNECTIONS = 2;
 /** How often the instances among which the retry budget is split are counted anew. */
-const SHARE_PERIOD: Millis = 500;
+const SHARE_PERIOD: Millis = 2000;
 /** Waiting requests of one team at one instance. */
 const TEAM_QUEUE = 400;
 
@@ -158,6 +158,7 @@
     onUnreadable: noteUnreadable,
     onTable: (next) => {
       table = next;
+      catalogue.noteServicesChanged();
       routing.setFleetFacts({ models: listModels(next), tuning: ROUTING_TUNING });
       engines.refresh();
     },
@@ -231,6 +232,7 @@
     catalogue,
     getTable: () => table,
     holds: isPlacing,
+    domains: options.domains,
     port: backends.orders,
     mostCopies: options.mostCopies,
     onDecision: (decision) => {
@@ -280,7 +282,7 @@
     engines.start(),
     routing.start(),
     placement.start(),
-    health.start(),
+    health.stop,
     timers.registerInterval(SHARE_PERIOD, retryShare.observe),
   ];
   lease.start();
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -54,6 +54,8 @@
   readonly catalogue: Catalogue;
   readonly getTable: () => RouteTable | null;
   readonly holds: (domain: DomainId) => boolean;
+  /** All failure domains of the deployment. */
+  readonly domains: readonly DomainId[];
   readonly port: RangeOrderPort;
   /** Copies of each layer that a domain may hold where its memory allows; 1 for one chain a domain. */
   readonly mostCopies: number;
@@ -70,6 +72,8 @@
 }
 
 const TICK: Millis = 200;
+/** The same while this instance places nothing, as most do: it only has to notice a duty that is new. */
+const IDLE_TICK: Millis = 600;
 const ORDER_TIMEOUT: Millis = 1000;
 /** Time beyond the load itself after which an order without effect is taken for lost. */
 const ORDER_PATIENCE: Millis = 4000;
@@ -231,8 +235,13 @@
     });
   }
 
-  function tick(): void {
+  function tick(): boolean {
     settlePending();
+    const isPlacing = options.domains.some(holds);
+    if (!isPlacing) {
+      goals.clear();
+      return false;
+    }
     for (const placed of listPlaced()) {
       [...placed.byDomain.keys()].forEach((domain) => {
         if (holds(domain)) {
@@ -243,9 +252,17 @@
         }
       });
     }
+    return true;
+  }
+
+  function start(): Unregister {
+    let undo = timers.registerTimeout(TICK, function fire() {
+      undo = timers.registerTimeout(tick() ? TICK : IDLE_TICK, fire);
+    });
+    return () => undo();
   }
 
-  return { start: () => timers.registerInterval(TICK, tick) };
+  return { start };
 }
 
 function isAnotherLife({ born }: EngineStatus, entry: BackendEntry): boolean {
--- a/packages/relay/src/__tests__/unit/RelayHealth.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayHealth.test.ts
@@ -51,7 +51,6 @@
     onWell: (engine) => well.push(engine),
     onSeen: () => undefined,
   });
-  watch.start();
   let listener: EngineCallListener | null = null;
   const open = watch.watchCalls((_call, heard) => {
     listener = heard;
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -29,6 +29,7 @@
     catalogue,
     getTable: () => table,
     holds: () => isHolder,
+    domains: ['d1', 'd2', 'd3'],
     port: {
       readStatus: () => Promise.resolve({ born, orderCount: 7, isBusy: false, layers: null }),
       order: (entry, range, orderCount) => {
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -2,6 +2,7 @@
  * Owns all running requests of an instance. The daemon turns calls from outside into `submit` and
  * `submitService`, hears the answers through sinks, and lends the ports; nothing else is shared.
  */
+import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { Millis, ServiceId } from '@skylarksail/core/CoreTypes';
 import { startModelRun } from './ModelRunner.js';
@@ -75,6 +76,10 @@
   let stillShare = 0;
   let stillAt = -Infinity;
   let sweptAt = timers.now();
+  const sweeping = createActiveInterval(timers, SWEEP_PERIOD, () => {
+    shared.post(sweep);
+    return !isIdle();
+  });
 
   const shared: RouterShared = {
     deps,
@@ -145,6 +150,17 @@
     resolveDrained();
   }
 
+  function isIdle(): boolean {
+    return shared.runs.size === 0 && serviceRuns.size === 0;
+  }
+
+  function startSweeping(): void {
+    if (isIdle()) {
+      sweptAt = timers.now();
+      sweeping.start();
+    }
+  }
+
   function tellPaces(now: Millis): void {
     const paces = [...shared.runs.values()]
       .map((run) => run.takePace(now))
@@ -157,20 +173,21 @@
   }
 
   function resolveDrained(): void {
-    if (isDraining && shared.runs.size === 0 && serviceRuns.size === 0) {
+    if (isDraining && isIdle()) {
       drained.splice(0).forEach((resolve) => resolve());
     }
   }
 
-  const undoSweep = timers.registerInterval(SWEEP_PERIOD, () => shared.post(sweep));
 
   return {
     submit(spec, sink) {
       invariant(!shared.runs.has(spec.id), `request ${spec.id} is submitted once`);
+      startSweeping();
       return startModelRun(shared, spec, sink);
     },
     submitService(spec, sink) {
       invariant(!serviceRuns.has(spec.id), `request ${spec.id} is submitted once`);
+      startSweeping();
       const admission = getServiceAdmission(spec.service);
       let isGone = false;
       const handle = startServiceRun(shared, admission, spec, sink, () => {
@@ -214,6 +231,6 @@
       recoveriesWaiting: shared.recovery.countWaiting(),
       limit: shared.admission.getLimit(),
     }),
-    stop: undoSweep,
+    stop: sweeping.stop,
   };
 }
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -57,6 +57,12 @@
 
 /** Sets the engines that exist, from the instance list and the manifest. */
 export function setEngines(state: RoutingState, facts: readonly EngineFacts[]): RoutingState {
+  if (
+    facts.length === state.engines.size &&
+    facts.every((engine) => state.engines.get(engine.id) === engine)
+  ) {
+    return state;
+  }
   const engines = new Map(facts.map((engine) => [engine.id, engine]));
   let { pools } = state;
   const loads = new Map(state.loads);
--- a/packages/store/src/FakeRangeStore.ts
+++ b/packages/store/src/FakeRangeStore.ts
@@ -22,7 +22,6 @@
 }
 
 const PAGE = 10;
-const POLL: Millis = 5;
 
 export function createFakeRangeStore(timers: TimerService): FakeRangeStore {
   const items = new Map<string, StoreItem & { readonly lease: number }>();
@@ -32,18 +31,40 @@
   let compactedAt = 0;
   let isUp = true;
   let calls = 0;
+  /** Watches that wait for something to happen. */
+  const waiting = new Set<() => void>();
+
+  function wakeWatches(): void {
+    [...waiting].forEach((wake) => wake());
+  }
+
+  /** Resolves with the next change, and at the latest when the first lease ends or the wait is over. */
+  function waitForChange(until: Millis): Promise<void> {
+    const firstEnd = Math.min(until, ...[...leases.values()].map((lease) => lease.until));
+    return new Promise((resolve) => {
+      const undo = timers.registerTimeout(Math.max(0, firstEnd - timers.now()), wake);
+      function wake(): void {
+        undo();
+        waiting.delete(wake);
+        resolve();
+      }
+      waiting.add(wake);
+    });
+  }
 
   function put(key: string, value: string, lease = 0): void {
     revision += 1;
     const item = { key, value, revision, lease };
     items.set(key, item);
     log.push({ kind: 'written', item });
+    wakeWatches();
   }
 
   function remove(key: string): void {
     if (items.delete(key)) {
       revision += 1;
       log.push({ kind: 'removed', key, revision });
+      wakeWatches();
     }
   }
 
@@ -80,10 +101,12 @@
     get: (key) => items.get(key)?.value ?? null,
     setUp(next) {
       isUp = next;
+      wakeWatches();
     },
     compact() {
       compactedAt = revision;
       log = [];
+      wakeWatches();
     },
     countCalls: () => calls,
     readRange: (prefix, after) =>
@@ -112,9 +135,7 @@
         if (events.length > 0 || timers.now() >= endsAt) {
           return { kind: 'done', value: { kind: 'events', events, revision } };
         }
-        await new Promise<void>((resolve) => {
-          timers.registerTimeout(POLL, resolve);
-        });
+        await waitForChange(endsAt);
       }
     },
     write: (conditions, writes, removals) =>
