--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -76,10 +76,6 @@
   let stillShare = 0;
   let stillAt = -Infinity;
   let sweptAt = timers.now();
-  const sweeping = createActiveInterval(timers, SWEEP_PERIOD, () => {
-    shared.post(sweep);
-    return !isIdle();
-  });
 
   const shared: RouterShared = {
     deps,
@@ -109,6 +105,10 @@
     getStillShare,
     pumpRecoveries,
   };
+  const sweeping = createActiveInterval(timers, SWEEP_PERIOD, () => {
+    shared.post(sweep);
+    return !isIdle();
+  });
 
   function pumpRecoveries(): void {
     const bound = Math.max(
@@ -178,7 +178,6 @@
     }
   }
 
-
   return {
     submit(spec, sink) {
       invariant(!shared.runs.has(spec.id), `request ${spec.id} is submitted once`);
