Let three instances of the whole fleet watch the store, and two of each domain pass the news on

Change: three watchers in different domains; two heads of each domain ask them, all others ask their heads. Each question names its asker's level and is answered only from nearer the store, so that no two instances can hear each other and nobody else. A watcher that others hear by renews its watch each second. Fleets of ten and fewer watch as before.

--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -18,7 +18,7 @@
 import { createRelayNews } from './RelayNews.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import { createRelayPeers } from './RelayPeers.js';
-import { createSourceList } from './RelaySources.js';
+import { createNewsRole } from './RelaySources.js';
 import type { InstanceEntry, ReadBackendKey, ReadContent, StoreContent } from './RelayTypes.js';
 
 export interface RelayKnowledgeOptions {
@@ -53,7 +53,7 @@
 export function startRelayKnowledge(options: RelayKnowledgeOptions): RelayKnowledge {
   const { timers, random, catalogue, lease, logger } = options;
   const mirror = createMirror();
-  const sources = createSourceList(options.self, lease.listInstances);
+  const role = createNewsRole(options.self, lease.listInstances);
   let version: number | null = null;
 
   /** Takes in what the store or a peer told, unless something newer is known already. */
@@ -124,7 +124,7 @@
     store: options.store,
     mirror,
     askNews: options.askNews,
-    listSources: sources.list,
+    getPart: role.get,
     onDirect: (asked) =>
       logger.info({ asked }, 'no source has news: the store is watched directly'),
   });
@@ -135,7 +135,7 @@
     prefix: '',
     wait: WATCH_TIME,
     timeout: STORE_TIMEOUT,
-    countFollowers: sources.countSharing,
+    getGatherTime: role.getGatherTime,
     listener: {
       onSnapshot: (items, revision) => mirror.diffSnapshot(items, revision).forEach(takeEvent),
       onEvent: takeEvent,
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -1,14 +1,16 @@
 /**
  * News of the store by way of peers. Each change costs the store a call of every instance that watches it, and
  * each watch is renewed every few seconds: with 195 instances these calls cost more than all requests that
- * failed. So two instances of a domain watch the store and the others ask them in turn; whoever gets no good
- * answer from either asks the store itself, within the same call.
+ * failed. So a few instances watch the store and the others ask them, or each other, in turn (RelaySources);
+ * whoever gets no good answer asks the store itself, within the same call.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
 import type { StoreChanges, StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Mirror, MirrorChanges } from './RelayMirror.js';
+import type { NewsLevelValue, NewsPart } from './RelaySources.js';
+import { NewsLevel } from './RelaySources.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
 /** What an instance asks a source, which may hold the answer until there is news. */
@@ -16,6 +18,8 @@
   /** Everything up to this revision is known. */
   readonly since: number;
   readonly hold: Millis;
+  /** How far the asking instance is from the store. */
+  readonly level: NewsLevelValue;
 }
 
 /** What a source says. `deaf`: it does not hear the store, or not since that revision; `silent`: nothing came. */
@@ -32,8 +36,8 @@
   readonly store: StoreRangePort;
   readonly mirror: Mirror;
   readonly askNews: AskNews;
-  /** Instances that watch the store for this one; none if it watches itself. */
-  readonly listSources: () => readonly InstanceEntry[];
+  /** From whom this instance hears; it watches the store itself if there is nobody. */
+  readonly getPart: () => NewsPart;
   /** No source had news to give, and the store is watched directly for a while. */
   readonly onDirect: (sources: readonly InstanceId[]) => void;
 }
@@ -57,10 +61,12 @@
  * a change is heard, of the two to four seconds that it may take.
  */
 const HOLD: Millis = 600;
+/** Longest watch of the store by an instance that others hear by. */
+const SHARED_WATCH: Millis = 1000;
 /** Time beyond the hold after which a source is taken for gone. */
 const ASK_MARGIN: Millis = 300;
 /** A source that gave no answer is not asked again for so long: its entry lapses meanwhile if it is dead. */
-const SILENT_PAUSE: Millis = 3000;
+const SILENT_PAUSE: Millis = 6000;
 /**
  * After neither source gave news, the store is watched for so long before they are asked again. Sources that
  * come and go would otherwise cost a call to each of them and one to the store for every piece of news.
@@ -77,6 +83,8 @@
   let caughtUpTo = 0;
   let isHearing = true;
   let isLeaving = false;
+  /** Whether anyone hears by this instance. */
+  let isTold = false;
 
   function wakeWaiting(): void {
     [...waiting].forEach((wake) => wake());
@@ -85,13 +93,25 @@
   /** Those that are worth asking, the one whose turn it is first. */
   function listAsked(): readonly InstanceEntry[] {
     const now = timers.now();
-    const sources = options.listSources();
-    const [first, ...rest] = sources.filter(({ id }) => (pausedUntil.get(id) ?? -Infinity) <= now);
-    if (now < directUntil || first === undefined) {
+    if (now < directUntil) {
       return [];
     }
+    const sources = options
+      .getPart()
+      .sources.filter(({ id }) => (pausedUntil.get(id) ?? -Infinity) <= now);
     turn += 1;
-    return turn % 2 === 0 ? [first, ...rest] : [...rest, first];
+    const first = turn % Math.max(1, sources.length);
+    return [...sources.slice(first), ...sources.slice(0, first)];
+  }
+
+  /** A head that watches the store for a while, since no watcher has news, may tell other heads too. */
+  function getLevel(): NewsLevelValue {
+    return timers.now() < directUntil ? NewsLevel.Watcher : options.getPart().level;
+  }
+
+  function forgetFormerSources(): void {
+    const ids = new Set(options.getPart().sources.map(({ id }) => id));
+    [...pausedUntil.keys()].filter((id) => !ids.has(id)).forEach((id) => pausedUntil.delete(id));
   }
 
   async function askSource(
@@ -99,15 +119,26 @@
     since: number,
     wait: Millis,
   ): Promise<StoreChanges | null> {
-    const hold = Math.min(wait, HOLD);
-    const answer = await options.askNews(source, { since, hold }, hold + ASK_MARGIN);
-    if (answer.kind === 'news') {
-      return toStoreChanges(answer.changes);
-    }
+    // One that was silent is to say that it is back, and not to hold up whoever waits for news once more.
+    const hold = pausedUntil.has(source.id) ? 0 : Math.min(wait, HOLD);
+    const ask = { since, hold, level: options.getPart().level };
+    const answer = await options.askNews(source, ask, hold + ASK_MARGIN);
     if (answer.kind === 'silent') {
       pausedUntil.set(source.id, timers.now() + SILENT_PAUSE);
+      forgetFormerSources();
+    } else {
+      pausedUntil.delete(source.id);
     }
-    return null;
+    return answer.kind === 'news' ? toStoreChanges(answer.changes) : null;
+  }
+
+  /** Others hear by this watch: if its connection went silent, it is to be known soon. */
+  function watchStore(
+    ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
+  ): Promise<StoreOutcome<StoreChanges>> {
+    const isShared = options.getPart().level === NewsLevel.Watcher && isTold;
+    const held = isShared ? Math.min(wait, SHARED_WATCH) : wait;
+    return store.watchRange(prefix, since, held, { timeout: timeout - wait + held });
   }
 
   async function watchRange(
@@ -125,7 +156,7 @@
       directUntil = timers.now() + DIRECT_TIME;
       options.onDirect(asked.map(({ id }) => id));
     }
-    return store.watchRange(...args);
+    return watchStore(...args);
   }
 
   function waitForNews(hold: Millis): Promise<void> {
@@ -141,14 +172,14 @@
   }
 
   /**
-   * Only an instance that hears the store itself is a source. One that began later than what is asked for has not
-   * heard what was removed before, and would leave the asker with keys that are gone.
+   * Only an instance nearer to the store is a source: two that asked each other would both hear nothing, and not
+   * know it. One that began later than what is asked for has not heard what was removed before, and would leave
+   * the asker with keys that are gone.
    */
-  function mayAnswer(since: number): boolean {
-    const isSource = options.listSources().length === 0 || timers.now() < directUntil;
+  function mayAnswer({ since, level }: NewsAsk): boolean {
     return (
       isHearing &&
-      isSource &&
+      getLevel() < level &&
       !isLeaving &&
       firstKnown !== null &&
       since >= firstKnown &&
@@ -156,8 +187,9 @@
     );
   }
 
-  function readAnswer(since: number): NewsAnswer {
-    if (!mayAnswer(since)) {
+  function readAnswer(ask: NewsAsk): NewsAnswer {
+    const { since } = ask;
+    if (!mayAnswer(ask)) {
       return { kind: 'deaf' };
     }
     if (caughtUpTo <= since) {
@@ -176,11 +208,13 @@
       keepLease: (...args) => store.keepLease(...args),
       endLease: (...args) => store.endLease(...args),
     },
-    async answer({ since, hold }) {
-      if (mayAnswer(since) && caughtUpTo <= since && hold > 0) {
+    async answer(ask) {
+      const { since, hold } = ask;
+      isTold = true;
+      if (mayAnswer(ask) && caughtUpTo <= since && hold > 0) {
         await waitForNews(Math.min(hold, HOLD));
       }
-      return readAnswer(since);
+      return readAnswer(ask);
     },
     noteCaughtUp(revision) {
       firstKnown ??= revision;
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -7,6 +7,8 @@
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { AskNews, NewsAnswer, NewsAsk } from './RelayNews.js';
+import type { NewsLevelValue } from './RelaySources.js';
+import { NewsLevel } from './RelaySources.js';
 import type { BackendEntry } from './RelayTypes.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 
@@ -68,8 +70,8 @@
       const raw = await get(address, `${Path.Changes}?since=${since}`, timeout);
       return readAnswer(raw, readPeerAnswer);
     },
-    async askNews({ address }, { since, hold }, timeout) {
-      const path = `${Path.News}?since=${since}&hold=${Math.round(hold)}`;
+    async askNews({ address }, { since, hold, level }, timeout) {
+      const path = `${Path.News}?since=${since}&hold=${Math.round(hold)}&level=${level}`;
       const raw = address && (await get(address, path, timeout));
       return readAnswer(raw, readNewsAnswer);
     },
@@ -104,12 +106,18 @@
     case Path.Changes:
       return answers.changes(since);
     case Path.News:
-      return answers.news({ since, hold });
+      return answers.news({ since, hold, level: readLevel(asked.get('level')) });
     default:
       return { kind: 'silent' };
   }
 }
 
+/** A level that is not known is that of those who are answered by nobody. */
+function readLevel(text: string | null): NewsLevelValue {
+  const level = Object.values(NewsLevel).find((known) => String(known) === text);
+  return level ?? NewsLevel.Watcher;
+}
+
 function writeAnswer(res: ServerResponse, said: PeerAnswer | NewsAnswer): void {
   switch (said.kind) {
     case 'news':
--- a/packages/relay/src/RelaySources.ts
+++ b/packages/relay/src/RelaySources.ts
@@ -1,69 +1,112 @@
 /**
- * Which instances of a failure domain watch the store for the others. It follows from the list of instances
- * alone, so that nobody is elected; lists that differ for a moment only let more instances watch.
+ * From whom an instance hears the store's news. It follows from the list of instances alone, so that nobody is
+ * elected: a few watch the store, two of each failure domain ask those, and all others ask the two of their own
+ * domain. Lists that differ for a moment let more instances watch; levels keep two from asking each other.
  */
 import { selectOwners } from '@skylarksail/core/CoreHash';
-import type { DomainId } from '@skylarksail/core/CoreTypes';
+import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
 import type { InstanceEntry } from './RelayTypes.js';
 
-/** With two, the loss of one costs the others a single call that is not answered. */
-const SOURCES = 2;
-/** In a domain of so few instances all watch the store: nearly all would be sources, and one call is saved. */
-const LARGEST_WITHOUT_SOURCES = 4;
+/** How far an instance is from the store. One answers only those that are farther from it than itself. */
+export const NewsLevel = {
+  /** Watches the store. */
+  Watcher: 0,
+  /** Hears the watchers and tells its own domain. */
+  Head: 1,
+  /** Hears its domain's heads. */
+  Hearer: 2,
+} as const;
+
+export type NewsLevelValue = (typeof NewsLevel)[keyof typeof NewsLevel];
+
+/** An instance's part in spreading news. */
+export interface NewsPart {
+  readonly level: NewsLevelValue;
+  /** Whom it asks; none at a watcher. */
+  readonly sources: readonly InstanceEntry[];
+}
+
+/** In a fleet of so few all watch the store: what is saved is not worth hearing of a change a moment later. */
+const LARGEST_WITHOUT_SOURCES = 10;
+/** One may be dead and one cut off, and the third still tells of the change in time. */
+const WATCHERS = 3;
+/** With two, the loss of one costs the others a single question that is not answered. */
+const HEADS = 2;
 const KEY = 'store-news';
 
-/** The instances that an instance hears the store's news from; none if it watches the store itself. */
-export function selectSources(
-  self: InstanceEntry,
+/** Works out an instance's part. */
+export function selectNewsPart(self: InstanceEntry, instances: readonly InstanceEntry[]): NewsPart {
+  const reachable = instances.filter(({ address }) => address !== null);
+  if (reachable.length <= LARGEST_WITHOUT_SOURCES || self.address === null) {
+    return { level: NewsLevel.Watcher, sources: [] };
+  }
+  const heads = selectHeads(reachable);
+  const watchers = selectWatchers(heads);
+  if (watchers.some(({ id }) => id === self.id)) {
+    return { level: NewsLevel.Watcher, sources: [] };
+  }
+  const own = heads.get(self.domain) ?? [];
+  return own.some(({ id }) => id === self.id)
+    ? { level: NewsLevel.Head, sources: watchers }
+    : { level: NewsLevel.Hearer, sources: own };
+}
+
+/** Each domain's heads, the first choice first. */
+function selectHeads(
   instances: readonly InstanceEntry[],
+): ReadonlyMap<DomainId, readonly InstanceEntry[]> {
+  const domains = new Set(instances.map(({ domain }) => domain));
+  return new Map(
+    [...domains].map((domain) => {
+      const members = instances.filter((instance) => instance.domain === domain);
+      const byId = new Map(members.map((member) => [member.id, member]));
+      const ids = selectOwners(KEY, [...byId.keys()], HEADS);
+      return [domain, ids.flatMap((id) => byId.get(id) ?? [])];
+    }),
+  );
+}
+
+/** Heads of different domains as far as there are, since a domain is lost as a whole. */
+function selectWatchers(
+  heads: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
 ): readonly InstanceEntry[] {
-  const own = instances.filter(({ domain, address }) => domain === self.domain && address !== null);
-  if (own.length <= LARGEST_WITHOUT_SOURCES) {
-    return [];
-  }
-  const ids = selectOwners(
-    KEY,
-    own.map(({ id }) => id),
-    SOURCES,
+  const domains = selectOwners(KEY, [...heads.keys()], heads.size);
+  const ranked = Array.from({ length: HEADS }, (_, rank) =>
+    domains.flatMap((domain) => heads.get(domain)?.[rank] ?? []),
   );
-  return ids.includes(self.id) ? [] : own.filter(({ id }) => ids.includes(id));
+  return ranked.flat().slice(0, WATCHERS);
 }
 
-/** The sources of one instance, worked out when the list of instances has changed. */
-export interface SourceList {
-  list(): readonly InstanceEntry[];
-  /** Instances that cost the store or their sources a call with each change, as this one does. */
-  countSharing(): number;
+/** One instance's part, worked out anew when the list of instances has changed. */
+export interface NewsRole {
+  get(): NewsPart;
+  /** How long changes that come close together are gathered. */
+  getGatherTime(): Millis;
 }
 
-export function createSourceList(
+/** Changes seldom come alone: forty engines that register within two seconds are few calls instead of forty. */
+const GATHER_TIME: Millis = 120;
+/** The same where nobody waits for this instance's word: less work for the many, and a change is in force soon. */
+const HEARER_GATHER_TIME: Millis = 300;
+
+export function createNewsRole(
   self: InstanceEntry,
   listInstances: () => readonly InstanceEntry[],
-): SourceList {
+): NewsRole {
   let instances: readonly InstanceEntry[] | null = null;
-  let sources: readonly InstanceEntry[] = [];
+  let part: NewsPart = { level: NewsLevel.Watcher, sources: [] };
 
-  function list(): readonly InstanceEntry[] {
+  function get(): NewsPart {
     const latest = listInstances();
     if (latest !== instances) {
       instances = latest;
-      sources = selectSources(self, latest);
+      part = selectNewsPart(self, latest);
     }
-    return sources;
+    return part;
   }
 
   return {
-    list,
-    countSharing: () =>
-      list().length > 0 ? listInstances().length : countWatching(listInstances()),
+    get,
+    getGatherTime: () => (get().level === NewsLevel.Hearer ? HEARER_GATHER_TIME : GATHER_TIME),
   };
 }
-
-/** Instances of all domains that watch the store. */
-function countWatching(instances: readonly InstanceEntry[]): number {
-  const counts = new Map<DomainId, number>();
-  instances.forEach(({ domain }) => counts.set(domain, (counts.get(domain) ?? 0) + 1));
-  return [...counts.values()]
-    .map((count) => (count <= LARGEST_WITHOUT_SOURCES ? count : SOURCES))
-    .reduce((sum, count) => sum + count, 0);
-}
--- a/packages/relay/src/__tests__/unit/RelayLease.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLease.test.ts
@@ -28,6 +28,7 @@
       prefix: OWN_PREFIX,
       wait: 500,
       timeout: 300,
+      getGatherTime: () => 120,
       listener: {
         onSnapshot: (items) => items.forEach((item) => lease.takeEvent({ kind: 'written', item })),
         onEvent: lease.takeEvent,
--- a/packages/store/src/StoreFollow.ts
+++ b/packages/store/src/StoreFollow.ts
@@ -31,25 +31,14 @@
   readonly wait: Millis;
   /** How long any other answer may take. */
   readonly timeout: Millis;
-  /** Instances that follow as this one does; 1 if it is not known. */
-  readonly countFollowers?: () => number;
+  /** How long changes that come close together are gathered, so that they cost one call. */
+  readonly getGatherTime: () => Millis;
   readonly listener: FollowListener;
 }
 
 const FIRST_PAUSE: Millis = 50;
 /** Short beside the bound of two seconds within which a change must be in force after an outage. */
 const LONGEST_PAUSE: Millis = 400;
-/**
- * Changes seldom come alone: forty servers that register within two seconds would be forty calls of each
- * instance. What comes in this time comes with one call.
- */
-const GATHER_TIME: Millis = 120;
-/**
- * Each change costs the store a call of every instance that follows, so larger fleets gather longer: so long
- * for each instance, to half a second at the most, a quarter of the time in which a change must be in force.
- */
-const GATHER_TIME_EACH: Millis = 7;
-const LONGEST_GATHER_TIME: Millis = 500;
 const JITTER_SHARE = 0.5;
 
 /** Starts to follow; the returned function ends it. */
@@ -122,7 +111,7 @@
     changes.events.forEach((event) => listener.onEvent(event));
     listener.onCaughtUp?.(changes.revision);
     if (changes.events.length > 0) {
-      await sleep(getGatherTime(options.countFollowers?.() ?? 1));
+      await sleep(options.getGatherTime());
     }
     return changes.revision;
   }
@@ -142,8 +131,3 @@
     stopped = true;
   };
 }
-
-/** How long changes that come together are gathered. */
-function getGatherTime(followers: number): Millis {
-  return Math.min(LONGEST_GATHER_TIME, Math.max(GATHER_TIME, GATHER_TIME_EACH * followers));
-}
