--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -4,6 +4,7 @@
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { RelayParts } from './RelayParts.js';
+import type { PeerHttp } from './RelayPeerHttp.js';
 
 /** The same port, with its calls counted by how they ended. */
 export function countStoreCalls(port: StoreRangePort, metrics: DaemonMetrics): StoreRangePort {
@@ -23,6 +24,25 @@
   };
 }
 
+/** The same questions to peers, counted by how they ended. */
+export function countPeerCalls(
+  peers: Pick<PeerHttp, 'askNews' | 'askGrant'>,
+  metrics: DaemonMetrics,
+): Pick<PeerHttp, 'askNews' | 'askGrant'> {
+  return {
+    async askNews(...args) {
+      const answer = await peers.askNews(...args);
+      metrics.count(`news_${answer.kind}`, `questions for news that ended ${answer.kind}`);
+      return answer;
+    },
+    async askGrant(...args) {
+      const granted = await peers.askGrant(...args);
+      metrics.count('retries_lent', 'repeats that other instances lent to this one', granted);
+      return granted;
+    },
+  };
+}
+
 /** Shows what an instance knows. */
 export function registerRelayMetrics(
   metrics: DaemonMetrics,
