Tell a domain's instances which engines others found lost

Cause: each instance finds out by its own requests that an engine is dead, until the engine's entry lapses after some four seconds; with 39 instances a domain that is 39 requests an engine, paid for out of few repeats.

Change: what instances tell of their work carries the engines that calls failed at and that did not answer well when they were asked then.

Tests: a head and a hearer hear of a lost engine (RelayWork).

--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -45,6 +45,8 @@
 export interface RelayHealth {
   /** The same calls; those that fail or stay silent put their engines under suspicion. */
   watchCalls(open: OpenEngineCall): OpenEngineCall;
+  /** Engines that calls failed at, and that did not answer well when they were asked then. */
+  listLost(): readonly EngineId[];
   stop(): void;
 }
 
@@ -213,6 +215,7 @@
         cancel();
       };
     },
+    listLost: () => [...suspects].filter(([, { misses }]) => misses > 0).map(([id]) => id),
     stop: ticking.stop,
   };
 }
--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -19,7 +19,7 @@
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import { createRelayPeers } from './RelayPeers.js';
 import { createNewsRole, NewsLevel } from './RelaySources.js';
-import type { EngineWork, RelayWork } from './RelayWork.js';
+import type { RelayWork, RelayWorkOptions, ToldWork } from './RelayWork.js';
 import { createRelayWork } from './RelayWork.js';
 import type { InstanceEntry, ReadBackendKey, ReadContent, StoreContent } from './RelayTypes.js';
 
@@ -32,9 +32,10 @@
   readonly readBackendKey: ReadBackendKey;
   readonly askPeer: AskPeer;
   readonly askNews: AskNews;
-  readonly readOwnWork: () => readonly EngineWork[];
+  readonly readOwnWork: () => ToldWork;
   /** Others told what they have running. */
   readonly onWork: () => void;
+  readonly onLost: RelayWorkOptions['onLost'];
   readonly catalogue: Catalogue;
   readonly lease: RelayLease;
   readonly logger: DaemonLogger;
@@ -131,6 +132,7 @@
     readOwn: options.readOwnWork,
     isHead: () => role.get().level !== NewsLevel.Hearer,
     onHeard: options.onWork,
+    onLost: options.onLost,
   });
   const news = createRelayNews({
     self: options.self.id,
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -12,7 +12,7 @@
 import type { NewsLevelValue, NewsPart } from './RelaySources.js';
 import { NewsLevel } from './RelaySources.js';
 import type { InstanceEntry } from './RelayTypes.js';
-import type { EngineWork, RelayWork } from './RelayWork.js';
+import type { RelayWork, ToldWork } from './RelayWork.js';
 
 /** What an instance asks a source, which may hold the answer until there is news. */
 export interface NewsAsk {
@@ -22,8 +22,7 @@
   /** How far the asking instance is from the store. */
   readonly level: NewsLevelValue;
   readonly from: InstanceId;
-  /** What the asking instance has running. */
-  readonly work: readonly EngineWork[];
+  readonly work: ToldWork;
 }
 
 /** What a source says. `deaf`: it does not hear the store, or not since that revision; `silent`: nothing came. */
@@ -31,8 +30,8 @@
   | {
       readonly kind: 'news';
       readonly changes: MirrorChanges;
-      /** What others of the source's domain have running. */
-      readonly others: readonly EngineWork[];
+      /** What others of the source's domain tell. */
+      readonly others: ToldWork;
     }
   | { readonly kind: 'deaf' }
   | { readonly kind: 'silent' };
@@ -49,7 +48,7 @@
   /** From whom this instance hears; it watches the store itself if there is nobody. */
   readonly getPart: () => NewsPart;
   readonly work: Pick<RelayWork, 'take' | 'sumFor' | 'hear'>;
-  readonly readOwnWork: () => readonly EngineWork[];
+  readonly readOwnWork: () => ToldWork;
   /** No source had news to give, and the store is watched directly for a while. */
   readonly onDirect: (sources: readonly InstanceId[]) => void;
 }
@@ -140,7 +139,7 @@
   ): Promise<StoreChanges | null> {
     // One that was silent is to say that it is back, and not to hold up whoever waits for news once more.
     const work = options.readOwnWork();
-    const longest = Math.min(wait, work.length > 0 ? BUSY_HOLD : HOLD);
+    const longest = Math.min(wait, work.running.length > 0 ? BUSY_HOLD : HOLD);
     const hold = pausedUntil.has(source.id) ? 0 : longest;
     const ask = { since, hold, level: options.getPart().level, from: options.self, work };
     const answer = await options.askNews(source, ask, hold + ASK_MARGIN);
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -38,7 +38,7 @@
 import { createRelayPlacement } from './RelayPlacement.js';
 import { createRetryShare } from './RelayRetryShare.js';
 import { createServerChooser } from './RelayServers.js';
-import type { OthersWork } from './RelayWork.js';
+import type { OthersWork, ToldWork } from './RelayWork.js';
 import type { RelayBounds } from './RelayTuning.js';
 import { createRouterConfig, POOL_SHARE, RETRY_CAUTION, ROUTING_TUNING } from './RelayTuning.js';
 import type {
@@ -163,7 +163,8 @@
     readBackendKey: options.readBackendKey,
     askPeer: options.askPeer,
     askNews: options.askNews,
-    readOwnWork: () => engines.readOwnWork(),
+    readOwnWork,
+    onLost: noteLost,
     onWork: () => engines.refreshOwnLoads(),
     catalogue,
     lease,
@@ -286,6 +287,14 @@
     }
   }
 
+  function readOwnWork(): ToldWork {
+    return { running: engines.readOwnWork(), lost: health.listLost() };
+  }
+
+  function noteLost(engine: EngineId): void {
+    router.noteEngineLost(engine);
+  }
+
   function getOthersWork(engine: EngineId): OthersWork | null {
     return knowledge.work.getOthers(engine);
   }
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -8,12 +8,14 @@
 
 const engineWork = z.object({ engine: z.string(), calls: count, kvTokens: count });
 
+const toldWork = z.object({ running: z.array(engineWork), lost: z.array(z.string()) });
+
 const newsAsk = z.object({
   since: count,
   hold: count,
   level: z.enum(NewsLevel),
   from: z.string(),
-  work: z.array(engineWork),
+  work: toldWork,
 });
 
 const storeItem = z.object({ key: z.string(), value: z.string(), revision: count });
@@ -25,7 +27,7 @@
     removed: z.array(z.object({ key: z.string(), revision: count })),
     revision: count,
   }),
-  others: z.array(engineWork),
+  others: toldWork,
 });
 
 /** Reads a question for news; null if it makes no sense. */
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -18,13 +18,20 @@
 /** Work on an engine that is known from the context. */
 export type OthersWork = Omit<EngineWork, 'engine'>;
 
+/** What an instance tells of engines, or a head of those of the whole domain. */
+export interface ToldWork {
+  readonly running: readonly EngineWork[];
+  /** Engines that calls failed at, and that did not answer well when they were asked then. */
+  readonly lost: readonly EngineId[];
+}
+
 export interface RelayWork {
-  /** An instance told what it has running. */
-  take(from: InstanceId, work: readonly EngineWork[]): void;
-  /** What this instance and all that told it have running, but for the one that asks. */
-  sumFor(asker: InstanceId): readonly EngineWork[];
-  /** A head told what the others have running. */
-  hear(others: readonly EngineWork[]): void;
+  /** An instance told its work. */
+  take(from: InstanceId, work: ToldWork): void;
+  /** What this instance and all that told it have, but for the one that asks. */
+  sumFor(asker: InstanceId): ToldWork;
+  /** A head told what the others have. */
+  hear(others: ToldWork): void;
   /** Work of the others on an engine; null if nobody told of it lately. */
   getOthers(engine: EngineId): OthersWork | null;
 }
@@ -32,25 +39,30 @@
 export interface RelayWorkOptions {
   readonly timers: TimerService;
   readonly self: InstanceId;
-  readonly readOwn: () => readonly EngineWork[];
+  readonly readOwn: () => ToldWork;
   /** Whether the others tell this instance, and not a head. */
   readonly isHead: () => boolean;
   /** A head told of the others anew. */
   readonly onHeard: () => void;
+  /**
+   * Others found an engine lost. Without this word each of 39 instances would send it requests of its own to find
+   * out, and spend its few repeats on them.
+   */
+  readonly onLost: (engine: EngineId) => void;
 }
 
 /** Answers take some two seconds: what was told longer ago has ended for the most part. */
 const LONGEST_AGE: Millis = 3000;
 const NO_WORK = { calls: 0, kvTokens: 0 };
 
-interface ToldWork {
-  readonly work: readonly EngineWork[];
+interface DatedWork {
+  readonly work: ToldWork;
   readonly at: Millis;
 }
 
 export function createRelayWork(options: RelayWorkOptions): RelayWork {
   const { timers, self } = options;
-  const told = new Map<InstanceId, ToldWork>();
+  const told = new Map<InstanceId, DatedWork>();
   let heard: { readonly others: ReadonlyMap<EngineId, EngineWork>; readonly at: Millis } | null =
     null;
   let sums: { readonly others: ReadonlyMap<EngineId, EngineWork>; readonly at: Millis } | null =
@@ -64,15 +76,18 @@
     [...told].filter(([, { at }]) => !isFresh(at)).forEach(([id]) => told.delete(id));
   }
 
-  function listTold(asker: InstanceId): readonly EngineWork[] {
-    return [...told].flatMap(([id, { work }]) => (id === asker ? [] : work));
+  function listTold(asker: InstanceId): readonly ToldWork[] {
+    return [...told].flatMap(([id, { work }]) => (id === asker ? [] : [work]));
   }
 
   /** At a head the others' work is what they told it. */
   function sumTold(): ReadonlyMap<EngineId, EngineWork> | null {
     if (sums === null || sums.at !== timers.now()) {
       forgetOld();
-      sums = { others: sumWork(listTold(self)), at: timers.now() };
+      sums = {
+        others: sumWork(listTold(self).flatMap(({ running }) => running)),
+        at: timers.now(),
+      };
     }
     return told.size > 0 ? sums.others : null;
   }
@@ -85,14 +100,20 @@
     take(from, work) {
       told.set(from, { work, at: timers.now() });
       sums = null;
+      work.lost.forEach(options.onLost);
     },
     sumFor(asker) {
       forgetOld();
-      return [...sumWork([...listTold(asker), ...options.readOwn()]).values()];
+      const all = [...listTold(asker), options.readOwn()];
+      return {
+        running: [...sumWork(all.flatMap(({ running }) => running)).values()],
+        lost: [...new Set(all.flatMap(({ lost }) => lost))],
+      };
     },
     hear(others) {
-      heard = { others: sumWork(others), at: timers.now() };
+      heard = { others: sumWork(others.running), at: timers.now() };
       options.onHeard();
+      others.lost.forEach(options.onLost);
     },
     getOthers(engine) {
       const others = options.isHead() ? sumTold() : getHeard();
--- a/packages/relay/src/__tests__/unit/RelayNews.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayNews.test.ts
@@ -19,9 +19,10 @@
 const WATCH = 2500;
 const TIMEOUT = 700;
 
+const IDLE = { running: [], lost: [] };
 const NO_WORK = {
-  work: { take: () => undefined, sumFor: () => [], hear: () => undefined },
-  readOwnWork: () => [],
+  work: { take: () => undefined, sumFor: () => IDLE, hear: () => undefined },
+  readOwnWork: () => IDLE,
 };
 
 /** An instance with what it knows of the store, and the faults that it may have. */
@@ -254,7 +255,7 @@
       onDirect: () => undefined,
       askNews: () => Promise.resolve({ kind: 'silent' }),
     });
-    const ask = { hold: 0, level: NewsLevel.Hearer, from: 'two', work: [] };
+    const ask = { hold: 0, level: NewsLevel.Hearer, from: 'two', work: IDLE };
     news.noteCaughtUp(1);
     news.noteCaughtUp(2100);
     expect((await news.answer({ since: 2, ...ask })).kind).to.equal('deaf');
--- a/packages/relay/src/__tests__/unit/RelayWork.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayWork.test.ts
@@ -4,7 +4,7 @@
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import { readNewsAsk } from '../../RelayPeerMessages.js';
-import type { EngineWork } from '../../RelayWork.js';
+import type { ToldWork } from '../../RelayWork.js';
 import { createRelayWork } from '../../RelayWork.js';
 
 const INSTANCES = 39;
@@ -17,6 +17,8 @@
 /** As often as an instance that serves asks, in ms. */
 const TELL_PERIOD = 200;
 
+const IDLE: ToldWork = { running: [], lost: [] };
+
 type Believe = (instance: number, engine: string) => number;
 
 /** Replays twenty seconds of a burst; gives the share of arrivals that found their engine full. */
@@ -60,8 +62,9 @@
   return refused / arrivals;
 }
 
-function toWork(table: ReadonlyMap<string, number>): readonly EngineWork[] {
-  return [...table].map(([engine, calls]) => ({ engine, calls, kvTokens: calls * 900 }));
+function toWork(table: ReadonlyMap<string, number>): ToldWork {
+  const running = [...table].map(([engine, calls]) => ({ engine, calls, kvTokens: calls * 900 }));
+  return { running, lost: [] };
 }
 
 describe('RelayWork', () => {
@@ -85,6 +88,7 @@
           readOwn: () => toWork(table),
           isHead: () => i === 0,
           onHeard: () => undefined,
+          onLost: () => undefined,
         }),
       );
       const toldAt = own.map(() => -Infinity);
@@ -95,7 +99,7 @@
           if (due) {
             toldAt[i] = now() - (i * TELL_PERIOD) / INSTANCES / 2;
             heads[0]?.take(`i${i}`, toWork(table));
-            heads[i]?.hear(heads[0]?.sumFor(`i${i}`) ?? []);
+            heads[i]?.hear(heads[0]?.sumFor(`i${i}`) ?? IDLE);
           }
         });
         const others = heads[instance]?.getOthers(engine)?.calls ?? 0;
@@ -109,35 +113,39 @@
 
   it('forgets what was told too long ago, and says that nothing is known', () => {
     const timers = createVirtualTimers();
+    const lost: string[] = [];
     const create = (self: string, isHead: boolean) =>
       createRelayWork({
         timers,
         self,
-        readOwn: () => [],
+        readOwn: () => IDLE,
         isHead: () => isHead,
         onHeard: () => undefined,
+        onLost: (engine) => lost.push(`${self} ${engine}`),
       });
     const [head, hearer] = [create('head', true), create('hearer', false)];
     expect(head.getOthers('e')).to.equal(null);
-    head.take('one', [{ engine: 'e', calls: 2, kvTokens: 100 }]);
-    head.take('two', [{ engine: 'e', calls: 1, kvTokens: 50 }]);
+    head.take('one', { running: [{ engine: 'e', calls: 2, kvTokens: 100 }], lost: ['dead'] });
+    head.take('two', { running: [{ engine: 'e', calls: 1, kvTokens: 50 }], lost: [] });
     hearer.hear(head.sumFor('two'));
     expect(head.getOthers('e')).to.deep.include({ calls: 3, kvTokens: 150 });
     expect(hearer.getOthers('e')).to.deep.include({ calls: 2, kvTokens: 100 });
+    expect(lost).to.deep.equal(['head dead', 'hearer dead']);
     expect(hearer.getOthers('other')).to.deep.include({ calls: 0 });
     timers.advanceTo(4000);
     expect([head.getOthers('e'), hearer.getOthers('e')]).to.deep.equal([null, null]);
   });
 
   it('reads no question that makes no sense, whatever bytes come', () => {
-    const ask = { since: 1, hold: 600, level: 2, from: 'i', work: [] };
+    const ask = { since: 1, hold: 600, level: 2, from: 'i', work: IDLE };
     expect(readNewsAsk(pack(ask))).to.deep.equal(ask);
     const wrong = [
       { ...ask, since: 'x' },
       { ...ask, hold: NaN },
       { ...ask, level: 7 },
-      { ...ask, work: [{ engine: 'e', calls: -1, kvTokens: 0 }] },
+      { ...ask, work: { running: [{ engine: 'e', calls: -1, kvTokens: 0 }], lost: [] } },
       { ...ask, work: 'none' },
+      { ...ask, work: { running: [], lost: [1] } },
       null,
     ];
     wrong.forEach((value) => expect(readNewsAsk(pack(value))).to.equal(null));
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -4,7 +4,7 @@
  */
 import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
-import type { Millis, ServiceId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, ServiceId } from '@skylarksail/core/CoreTypes';
 import { startModelRun } from './ModelRunner.js';
 import type { Admission } from './RequestAdmission.js';
 import { createAdmission } from './RequestAdmission.js';
@@ -50,6 +50,8 @@
   mergePoison(digest: PoisonDigest): boolean;
   /** An engine was seen alive with this boot id: it had not crashed. */
   noteEngineAlive(engine: string, bootId: string): void;
+  /** Another instance found an engine lost: it is kept off for a moment, where there are others. */
+  noteEngineLost(engine: EngineId): void;
   getCounts(): RouterCounts;
   /** Stops the router's own timers. */
   stop(): void;
@@ -223,6 +225,7 @@
         poison = noteAlive(poison, createCrashId(engine, bootId, ranLong));
       }
     },
+    noteEngineLost: (engine) => shared.progress.noteLost(engine, false, timers.now()),
     getCounts: () => ({
       waiting: shared.admission.countWaiting(),
       running: shared.admission.countRunning(),
