Split RelayParts, and give the ways to backend servers a module of their own

RelayTypes and the modules of health and placement named each other's types in a circle; what adapters implement stands in RelayPorts now. No change of what it does.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -12,7 +12,8 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import { startRelayParts } from '@skylarksail/relay/RelayParts';
-import type { BackendEntry, BackendPorts, StoreContent } from '@skylarksail/relay/RelayTypes';
+import type { BackendEntry, StoreContent } from '@skylarksail/relay/RelayTypes';
+import type { BackendPorts } from '@skylarksail/relay/RelayPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import { BACKENDS, CONFIG_KEY, createIdleConfig, createIdleEngine } from './IdleFleet.js';
 
--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -11,21 +11,9 @@
 import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createLifeId } from './RelayLives.js';
-import type { EngineStatus } from './RelayPlacement.js';
+import type { BackendProbePort, HealthAnswer } from './RelayPorts.js';
 import type { BackendEntry } from './RelayTypes.js';
 
-/** What a server says of its health. `id` is that of the incarnation that answered. */
-export type HealthAnswer =
-  | { readonly kind: 'well'; readonly id: EngineId }
-  | { readonly kind: 'leaving' }
-  | { readonly kind: 'silent' };
-
-/** Questions to backend servers. */
-export interface BackendProbePort {
-  readHealth(entry: BackendEntry, timeout: Millis): Promise<HealthAnswer>;
-  readStatus(entry: BackendEntry, timeout: Millis): Promise<EngineStatus | null>;
-}
-
 export interface RelayHealthOptions {
   readonly timers: TimerService;
   readonly domain: DomainId;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -5,7 +5,6 @@
 import type {
   DomainId,
   EngineId,
-  HostPort,
   Millis,
   ServiceId,
   Unregister,
@@ -27,8 +26,7 @@
 import { createRelayEngines } from './RelayEngines.js';
 import { listModels } from './RelayFacts.js';
 import { createRelayHealth } from './RelayHealth.js';
-import type { AskGrant, RelayGrants } from './RelayGrants.js';
-import { createRelayGrants } from './RelayGrants.js';
+import type { AskGrant } from './RelayGrants.js';
 import type { AskNews, RelayNews } from './RelayNews.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import type { RelayIntake } from './RelayIntake.js';
@@ -36,19 +34,16 @@
 import { startRelayKnowledge } from './RelayKnowledge.js';
 import { createRelayLease } from './RelayLease.js';
 import { createRelayPlacement } from './RelayPlacement.js';
-import { createRetryShare } from './RelayRetryShare.js';
+import type { RelayRepeats } from './RelayRepeats.js';
+import { createRelayRepeats } from './RelayRepeats.js';
+import { createUnreadableLog } from './RelayUnreadable.js';
+import { createBackendView } from './RelayView.js';
 import { createServerChooser } from './RelayServers.js';
 import type { OthersWork, ToldWork } from './RelayWork.js';
 import type { RelayBounds } from './RelayTuning.js';
-import { createRouterConfig, POOL_SHARE, RETRY_CAUTION, ROUTING_TUNING } from './RelayTuning.js';
-import type {
-  BackendEntry,
-  BackendPorts,
-  BackendView,
-  InstanceEntry,
-  ReadBackendKey,
-  ReadContent,
-} from './RelayTypes.js';
+import { createRouterConfig, ROUTING_TUNING } from './RelayTuning.js';
+import type { InstanceEntry, ReadBackendKey, ReadContent } from './RelayTypes.js';
+import type { BackendPorts, BackendView } from './RelayPorts.js';
 
 export interface RelayPartsOptions {
   readonly self: InstanceEntry;
@@ -78,7 +73,7 @@
   readonly router: RequestRouter;
   readonly peers: RelayPeers;
   readonly news: RelayNews;
-  readonly grants: RelayGrants;
+  readonly repeats: RelayRepeats;
   getTable(): RouteTable | null;
   /** What the metrics show of this instance's knowledge. */
   readState(): RelayState;
@@ -103,18 +98,9 @@
   readonly isBlind: boolean;
 }
 
-/** Connections are limited for all instances together; so many are reckoned with before they are seen. */
-const INSTANCES_ASSUMED = 6;
-const CONNECTION_SHARE = 0.9;
-const LEAST_CONNECTIONS = 2;
-/** How often the instances among which the retry budget is split are counted anew. */
-const SHARE_PERIOD: Millis = 2000;
 /** Waiting requests of one team at one instance. */
 const TEAM_QUEUE = 400;
 
-/** Keys whose entries could not be read that are named in the log; more would crowd out other lines. */
-const MOST_UNREADABLE_LOGGED = 100;
-
 /** No caller of these routes shows an idempotency key, so nothing is ever claimed. */
 const NO_CLAIMS: ClaimPort = {
   claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 0 }),
@@ -127,7 +113,6 @@
   let table: RouteTable | null = null;
   let isLeaving = false;
   const catalogue = createCatalogue(timers, isServed);
-  const unreadableKeys = new Set<string>();
   const routing = createDaemonRouting({
     domain: self.domain,
     timers,
@@ -169,7 +154,7 @@
     catalogue,
     lease,
     logger,
-    onUnreadable: noteUnreadable,
+    onUnreadable: createUnreadableLog(logger, metrics),
     onTable: (next) => {
       table = next;
       catalogue.noteServicesChanged();
@@ -178,17 +163,13 @@
     },
   });
 
-  const backends = options.createBackends({
-    getBackend: catalogue.get,
-    findByAddress: (address) => findEntry(catalogue, address)?.id ?? null,
-    getHealthPath: (service) => table?.findService(service)?.healthPath ?? null,
-    getMostConnections: (address) => {
-      const service = findEntry(catalogue, address)?.service ?? '';
-      const most = table?.findService(service)?.maxConnections ?? 0;
-      const instances = Math.max(INSTANCES_ASSUMED, lease.listInstances().length);
-      return Math.max(LEAST_CONNECTIONS, Math.floor((most * CONNECTION_SHARE) / instances));
-    },
-  });
+  const backends = options.createBackends(
+    createBackendView(
+      catalogue,
+      () => table,
+      () => lease.listInstances().length,
+    ),
+  );
   const health = createRelayHealth({
     timers,
     domain: self.domain,
@@ -201,21 +182,12 @@
       logger.warn(seen, 'engine asked about its health');
     },
   });
-  const slack = options.bounds.retrySlack * RETRY_CAUTION;
-  const retryShare = createRetryShare({
+  const repeats = createRelayRepeats({
     timers,
     self,
-    slack: slack * (1 - POOL_SHARE),
-    window: options.bounds.retryWindow,
+    bounds: options.bounds,
     domains: options.domains,
     listInstances: lease.listInstances,
-  });
-  const grants = createRelayGrants({
-    timers,
-    self,
-    window: options.bounds.retryWindow,
-    poolSize: (slack * POOL_SHARE) / Math.max(1, options.domains.length),
-    listInstances: lease.listInstances,
     isHearing: knowledge.news.isHearing,
     askGrant: options.askGrant,
   });
@@ -230,8 +202,8 @@
     openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
-    getRetryBurst: (name) => retryShare.getBurst() + grants.count(name),
-    requestRetries: grants.request,
+    getRetryBurst: repeats.getBurst,
+    requestRetries: repeats.request,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
@@ -278,15 +250,6 @@
     return table === null || table.findService(service) !== null;
   }
 
-  /** Entries of another writer may come in any number: each is counted, and few are logged. */
-  function noteUnreadable(key: string, reason: string): void {
-    metrics.count('entries_unreadable', 'entries of backend servers that could not be read');
-    if (!unreadableKeys.has(key) && unreadableKeys.size < MOST_UNREADABLE_LOGGED) {
-      unreadableKeys.add(key);
-      logger.warn({ key, reason }, 'entry not understood');
-    }
-  }
-
   function readOwnWork(): ToldWork {
     return { running: engines.readOwnWork(), lost: health.listLost() };
   }
@@ -320,10 +283,7 @@
     routing.start(),
     placement.start(),
     health.stop,
-    timers.registerInterval(SHARE_PERIOD, () => {
-      retryShare.observe();
-      grants.observe();
-    }),
+    repeats.start(),
   ];
   lease.start();
 
@@ -332,7 +292,7 @@
     router,
     peers: knowledge.peers,
     news: knowledge.news,
-    grants,
+    repeats,
     getTable: () => table,
     readState: () => ({
       version: table?.config.version ?? 0,
@@ -357,13 +317,6 @@
   };
 }
 
-function findEntry(catalogue: Catalogue, { host, port }: HostPort): BackendEntry | null {
-  const found = catalogue
-    .list()
-    .find(({ address }) => address.host === host && address.port === port);
-  return found ?? null;
-}
-
 function listDomains(catalogue: Catalogue): readonly DomainId[] {
   return [
     ...new Set(
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -20,35 +20,9 @@
 import type { PipelineFacts, RoutedService } from '@skylarksail/routes/RouteTypes';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createCutPatience } from './RelayPatience.js';
+import type { EngineStatus, RangeOrderAnswer, RangeOrderPort } from './RelayPorts.js';
 import type { BackendEntry } from './RelayTypes.js';
 
-/** What an engine says of its orders. */
-export interface EngineStatus {
-  /** When the life that answered began, in Unix ms; null where it does not say. */
-  readonly born: number | null;
-  /** Orders that it has accepted since its start. */
-  readonly orderCount: number;
-  /** Whether one is being carried out. */
-  readonly isBusy: boolean;
-  /** Layers that it serves now; null if it holds none. */
-  readonly layers: LayerRange | null;
-}
-
-/** `stale`: another order came first. `refused`: it does not fit. */
-export type RangeOrderAnswer = 'accepted' | 'stale' | 'refused' | 'unknown';
-
-/** The orders' way to the engines. */
-export interface RangeOrderPort {
-  readStatus(entry: BackendEntry, timeout: Millis): Promise<EngineStatus | null>;
-  /** Orders an engine to hold `range`, provided that it has accepted `orderCount` orders so far. */
-  order(
-    entry: BackendEntry,
-    range: LayerRange,
-    orderCount: number,
-    timeout: Millis,
-  ): Promise<RangeOrderAnswer>;
-}
-
 export interface RelayPlacementOptions {
   readonly timers: TimerService;
   readonly catalogue: Catalogue;
--- /dev/null
+++ b/packages/relay/src/RelayRepeats.ts
@@ -0,0 +1,68 @@
+/** Repeats that this instance may cause: its own part of the fleet's slack, and what others lend it. */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { AskGrant } from './RelayGrants.js';
+import { createRelayGrants } from './RelayGrants.js';
+import { createRetryShare } from './RelayRetryShare.js';
+import type { RelayBounds } from './RelayTuning.js';
+import { POOL_SHARE, RETRY_CAUTION } from './RelayTuning.js';
+import type { InstanceEntry } from './RelayTypes.js';
+
+export interface RelayRepeatsOptions {
+  readonly timers: TimerService;
+  readonly self: InstanceEntry;
+  readonly bounds: RelayBounds;
+  /** All failure domains of the deployment. */
+  readonly domains: readonly DomainId[];
+  readonly listInstances: () => readonly InstanceEntry[];
+  /** Whether this instance hears who is there. */
+  readonly isHearing: () => boolean;
+  readonly askGrant: AskGrant;
+}
+
+export interface RelayRepeats {
+  /** Repeats in a window at a service, beyond the share of this instance's own requests. */
+  getBurst(service: string): number;
+  /** Asks others for repeats at a service; hears whether any were lent. */
+  request(service: string, done: (isGranted: boolean) => void): void;
+  /** Lends to another instance; 0 if this one lends nothing. */
+  grant(service: string, wanted: number): number;
+  start(): Unregister;
+}
+
+/** How often the instances among which the slack is parted are counted anew. */
+const OBSERVE_PERIOD: Millis = 2000;
+
+export function createRelayRepeats(options: RelayRepeatsOptions): RelayRepeats {
+  const { timers, self, bounds, domains, listInstances } = options;
+  const slack = bounds.retrySlack * RETRY_CAUTION;
+  const window = bounds.retryWindow;
+  const share = createRetryShare({
+    timers,
+    self,
+    slack: slack * (1 - POOL_SHARE),
+    window,
+    domains,
+    listInstances,
+  });
+  const grants = createRelayGrants({
+    timers,
+    self,
+    window,
+    poolSize: (slack * POOL_SHARE) / Math.max(1, domains.length),
+    listInstances,
+    isHearing: options.isHearing,
+    askGrant: options.askGrant,
+  });
+
+  return {
+    getBurst: (service) => share.getBurst() + grants.count(service),
+    request: grants.request,
+    grant: grants.grant,
+    start: () =>
+      timers.registerInterval(OBSERVE_PERIOD, () => {
+        share.observe();
+        grants.observe();
+      }),
+  };
+}
--- a/packages/relay/src/RelayTypes.ts
+++ b/packages/relay/src/RelayTypes.ts
@@ -10,16 +10,9 @@
   RequestId,
   ServiceId,
 } from '@skylarksail/core/CoreTypes';
-import type {
-  AnswerHead,
-  OpenEngineCall,
-  OpenServiceCall,
-  ServiceAnswer,
-} from '@skylarksail/requests/RequestPorts';
+import type { AnswerHead, ServiceAnswer } from '@skylarksail/requests/RequestPorts';
 import type { RouteConfig } from '@skylarksail/routes/RouteTypes';
 import type { StoreItem } from '@skylarksail/store/StoreRange';
-import type { BackendProbePort } from './RelayHealth.js';
-import type { RangeOrderPort } from './RelayPlacement.js';
 
 /** A backend server as it registered itself. */
 export interface BackendEntry {
@@ -47,24 +40,6 @@
   readonly address: HostPort | null;
 }
 
-/** What the adapter of calls may ask about backend servers. */
-export interface BackendView {
-  getBackend(id: EngineId): BackendEntry | null;
-  findByAddress(address: HostPort): EngineId | null;
-  /** Path that a service's backend servers answer about their health; null if it is not known. */
-  getHealthPath(service: ServiceId): string | null;
-  /** Connections that this instance may have to the backend server at an address. */
-  getMostConnections(address: HostPort): number;
-}
-
-/** The ways to backend servers, with sockets behind them. */
-export interface BackendPorts {
-  readonly openEngineCall: OpenEngineCall;
-  readonly openServiceCall: OpenServiceCall;
-  readonly orders: RangeOrderPort;
-  readonly readHealth: BackendProbePort['readHealth'];
-}
-
 /** What a key of the store holds, told by the adapter that knows how the store is laid out. */
 export type StoreContent =
   | { readonly kind: 'config'; readonly config: RouteConfig }
--- a/packages/relay/src/__tests__/unit/RelayHealth.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayHealth.test.ts
@@ -5,7 +5,7 @@
 import type { EngineCall, EngineCallListener } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createCatalogue } from '../../RelayCatalogue.js';
-import type { HealthAnswer } from '../../RelayHealth.js';
+import type { HealthAnswer } from '../../RelayPorts.js';
 import { createRelayHealth } from '../../RelayHealth.js';
 import type { BackendEntry } from '../../RelayTypes.js';
 import { createBackend } from './RelayFixtures.js';
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -9,7 +9,8 @@
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
-import type { BackendEntry, BackendPorts, RelayCall, StoreContent } from '../../RelayTypes.js';
+import type { BackendEntry, RelayCall, StoreContent } from '../../RelayTypes.js';
+import type { BackendPorts } from '../../RelayPorts.js';
 import { createBackend, createConfig } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
@@ -103,7 +104,7 @@
         },
         askGrant: ({ id: peer }, service, wanted) =>
           Promise.resolve(
-            gone.has(peer) ? 0 : (parts.get(peer)?.grants.grant(service, wanted) ?? 0),
+            gone.has(peer) ? 0 : (parts.get(peer)?.repeats.grant(service, wanted) ?? 0),
           ),
         createBackends: () => createBackends(id),
         logger: pino({ level: 'silent' }),
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -4,7 +4,7 @@
 import type { PipelineFacts, RoutedService } from '@skylarksail/routes/RouteTypes';
 import { createRouteTable } from '@skylarksail/routes/RouteTable';
 import { createCatalogue } from '../../RelayCatalogue.js';
-import type { RangeOrderAnswer } from '../../RelayPlacement.js';
+import type { RangeOrderAnswer } from '../../RelayPorts.js';
 import { createLifeId } from '../../RelayLives.js';
 import { createRelayPlacement } from '../../RelayPlacement.js';
 import { createBackend, createConfig, PIPELINE } from './RelayFixtures.js';
