--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -27,6 +27,8 @@
 
 /** How often the work on engines is reckoned anew: as often as others' is heard of. */
 const REFRESH_PERIOD: Millis = 600;
+/** Half of the time after which routing takes an engine that it is told nothing of for silent, and less. */
+const IDLE_PERIOD: Millis = 2000;
 
 /** An engine's facts with what they were made of. */
 interface KnownFacts {
@@ -58,6 +60,8 @@
    * changed would have routing plan all domains anew each second.
    */
   const known = new Map<EngineId, KnownFacts>();
+  /** When engines without work were last told of, and what their entries said then. */
+  const idleSince = new Map<EngineId, { readonly entry: BackendEntry; readonly at: Millis }>();
 
   function getFacts(entry: BackendEntry, pipeline: PipelineFacts): EngineFacts | null {
     const before = known.get(entry.id);
@@ -70,7 +74,11 @@
   }
 
   function forgetGone(): void {
-    [...known.keys()].filter((id) => catalogue.get(id) === null).forEach((id) => known.delete(id));
+    const gone = [...known.keys()].filter((id) => catalogue.get(id) === null);
+    gone.forEach((id) => {
+      known.delete(id);
+      idleSince.delete(id);
+    });
   }
 
   /** What others told of, or, where nobody did, as much for each of them as we have: callers spread over all. */
@@ -110,12 +118,26 @@
   function setLoads(found: readonly FoundEngine[]): void {
     const seenAt = timers.now();
     const instances = countOwnInstances();
-    routing.setEngineLoads(
-      found.map(({ entry, facts }) => ({
-        load: createEngineLoad(entry, expectWork(entry, facts.kvLayerTokens, instances)),
-        seenAt,
-      })),
-    );
+    const loads = found.flatMap((engine) => {
+      const { entry, facts } = engine;
+      const work = expectWork(entry, facts.kvLayerTokens, instances);
+      return isNews(entry, work, seenAt) ? [{ load: createEngineLoad(entry, work), seenAt }] : [];
+    });
+    routing.setEngineLoads(loads);
+  }
+
+  /** An engine with no work that had none before is told of seldom: most are so, at most instances. */
+  function isNews(entry: BackendEntry, work: ExpectedWork, now: Millis): boolean {
+    const before = idleSince.get(entry.id);
+    if (work.running > 0) {
+      idleSince.delete(entry.id);
+      return true;
+    }
+    if (before?.entry === entry && now - before.at < IDLE_PERIOD) {
+      return false;
+    }
+    idleSince.set(entry.id, { entry, at: now });
+    return true;
   }
 
   function refresh(): void {
--- a/packages/relay/src/__tests__/unit/RelayEngines.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayEngines.test.ts
@@ -72,6 +72,20 @@
     expect(getRunning()).to.deep.equal([7, 0, 9]);
   });
 
+  it('tells routing of engines without work often enough that none is taken for silent', async () => {
+    const { timers, routing, engines, others } = createBed();
+    others.set('d1-0', { calls: 7, kvTokens: 100 });
+    for (let at = 100; at <= 20_000; at += 100) {
+      await timers.advanceToAsync(at);
+      engines.refreshOwnLoads();
+      expect([...routing.getState().silent]).to.deep.equal([]);
+    }
+    // Work that ends is told of at once.
+    others.clear();
+    engines.refreshOwnLoads();
+    expect(routing.getState().loads.get('d1-0')?.load.running).to.equal(0);
+  });
+
   it('forgets engines that are gone', () => {
     const { catalogue, routing, engines } = createBed();
     catalogue.remove('d1-0');
