Give the retries of a model request a module of their own

ModelRunner decided what follows a failed attempt among all else that it does; RunRetries does that now, 478 to 383 lines. The delay that is weighed against the deadline is the one that is waited for; it was drawn twice. No other change of what it does.

--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -88,7 +88,7 @@
 /** A source that gave no answer is not asked again for so long: its entry lapses meanwhile if it is dead. */
 const SILENT_PAUSE: Millis = 6000;
 /**
- * After neither source gave news, the store is watched for so long before they are asked again. Sources that
+ * After no source gave news, the store is watched for so long before they are asked again. Sources that
  * come and go would otherwise cost a call to each of them and one to the store for every piece of news.
  */
 const DIRECT_TIME: Millis = 2000;
@@ -103,8 +103,8 @@
   let caughtUpTo = 0;
   let isHearing = true;
   let isLeaving = false;
-  /** Whether anyone hears by this instance. */
-  let isTold = false;
+  /** Whether any instance has asked this one, and so hears by it. */
+  let isAsked = false;
 
   function wakeWaiting(): void {
     [...waiting].forEach((wake) => wake());
@@ -162,7 +162,7 @@
   function watchStore(
     ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
-    const isShared = options.getPart().level === NewsLevel.Watcher && isTold;
+    const isShared = options.getPart().level === NewsLevel.Watcher && isAsked;
     const held = isShared ? Math.min(wait, SHARED_WATCH) : wait;
     return store.watchRange(prefix, since, held, { timeout: timeout - wait + held });
   }
@@ -238,7 +238,7 @@
     },
     async answer(ask) {
       const { since, hold } = ask;
-      isTold = true;
+      isAsked = true;
       options.work.take(ask.from, ask.work);
       if (mayAnswer(ask) && caughtUpTo <= since && hold > 0) {
         await waitForNews(Math.min(hold, HOLD));
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -11,7 +11,7 @@
 import { claimKey } from './ClaimRunner.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
-import type { RequestEffect, RequestEvent, RetryMode } from './RequestMessages.js';
+import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
@@ -20,23 +20,12 @@
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
-import {
-  countMetric,
-  feedBudget,
-  judgeRun,
-  logDecision,
-  returnToBudget,
-  takeFromBudget,
-} from './RouterShared.js';
+import { countMetric, feedBudget, judgeRun, logDecision, returnToBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
-import {
-  computeBudgetWait,
-  computeReturnWait,
-  computeRetryWait,
-  RECHOOSE_LEAST,
-} from './RunRetry.js';
+import { createRunRetries } from './RunRetries.js';
+import { RECHOOSE_LEAST } from './RunRetry.js';
 import { findSilenceSuspects, isStandingStill, SILENCE } from './RunSilence.js';
 import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
 
@@ -60,12 +49,13 @@
   let machine = createRequestMachine(spec, submittedAt);
   let listener: RequestSink | null = sink;
   let isStarted = false;
-  let lastFailed: readonly EngineId[] = [];
   let claim: ClaimHold | null = null;
   let undoWatch: Unregister | null = null;
   let slowSince: Millis | null = null;
   let longestGap: Millis = 0;
 
+  const retries = createRunRetries(shared, { spec, getMachine: () => machine, send, log });
+
   const run: ModelRun = {
     fingerprint,
     getEngines: () => attempts.getEngines(),
@@ -79,7 +69,7 @@
     },
     startRecovery: () => {
       countMetric(shared, 'recoveries');
-      send({ kind: 'retry-granted', failed: lastFailed });
+      send({ kind: 'retry-granted', failed: retries.getFailed() });
     },
     checkSlow: (usualGap) => {
       const move = decideMove(shared, spec, machine, usualGap, slowSince);
@@ -122,7 +112,7 @@
         reportSilence();
         break;
       case 'ask-retry':
-        askRetry(effect);
+        retries.ask(effect);
         break;
       case 'attempt-failed':
         noteFailure(effect);
@@ -271,91 +261,6 @@
     }
   }
 
-  function askRetry(effect: EffectOf<'ask-retry'>): void {
-    const { mode, failed, retryAfter } = effect;
-    lastFailed = failed;
-    if (timers.now() + getRetryDelay(effect) >= Math.min(spec.deadline, getBreakTime())) {
-      send({ kind: 'retry-refused', retryAfter });
-    } else if (isBudgeted(mode) && !takeFromBudget(shared, spec.model)) {
-      askForBudget(effect);
-    } else {
-      goOn(effect);
-    }
-  }
-
-  function getRetryDelay(effect: EffectOf<'ask-retry'>): Millis {
-    return effect.mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
-  }
-
-  function goOn(effect: EffectOf<'ask-retry'>): void {
-    const { mode, failed } = effect;
-    if (mode === 'recover') {
-      log('recover', failed.join(','));
-      recovery.push({ id: spec.id, waitingSince: machine.progressAt });
-      shared.pumpRecoveries();
-    } else {
-      log('retry', mode);
-      timers.registerTimeout(getRetryDelay(effect), () => send({ kind: 'retry-granted', failed }));
-    }
-  }
-
-  /** When a begun answer that stands still is broken off. */
-  function getBreakTime(): Millis {
-    const isBegun = machine.tokenCount > 0;
-    const mayBreak = deps.mayBreakOff?.() ?? true;
-    return isBegun && mayBreak && spec.breakAfter !== undefined
-      ? machine.progressAt + spec.breakAfter
-      : Infinity;
-  }
-
-  /** Looking for a chain once more reaches no engine by itself. */
-  function isBudgeted(mode: RetryMode): boolean {
-    return mode === 'retry' || (mode === 'recover' && deps.cfg.isRecoveryBudgeted);
-  }
-
-  /** Others of the fleet may have repeats left, and answer within some milliseconds. */
-  function askForBudget(effect: EffectOf<'ask-retry'>): void {
-    const { attempt } = machine;
-    const request = deps.requestRetries ?? ((_name, done) => done(false));
-    request(spec.model, (isGranted) =>
-      shared.post(() => {
-        if (!isPausing(attempt)) {
-          return;
-        }
-        if (isGranted && takeFromBudget(shared, spec.model)) {
-          goOn(effect);
-        } else {
-          waitForBudget(effect);
-        }
-      }),
-    );
-  }
-
-  function isPausing(attempt: number): boolean {
-    return machine.phase === RequestPhase.Pausing && machine.attempt === attempt;
-  }
-
-  /**
-   * A caller that has part of its answer waits for the rest. Any other is told at once: where it waited here, 39
-   * requests of a fleet of 22 instances that lost nine engines stood for 2 s each and were refused then, while a
-   * next try of their callers takes nothing from the budget and reaches another instance.
-   */
-  function waitForBudget(effect: EffectOf<'ask-retry'>): void {
-    if (machine.tokenCount === 0) {
-      send({ kind: 'budget-spent', retryAfter: computeReturnWait(deps.random) });
-      return;
-    }
-    const { attempt } = machine;
-    log('wait', 'retry budget');
-    timers.registerTimeout(computeBudgetWait(deps.random), () =>
-      shared.post(() => {
-        if (isPausing(attempt)) {
-          askRetry(effect);
-        }
-      }),
-    );
-  }
-
   function complete(reason: FinishReason): void {
     meters.noteLength(spec.model, tokens.length, spec.maxTokens);
     clearRun(shared, fingerprint);
--- /dev/null
+++ b/packages/requests/src/RunRetries.ts
@@ -0,0 +1,121 @@
+/**
+ * What follows when an attempt of a model request has failed: another one, a wait for the retry budget, or the end.
+ * An outage that engines are lost in must not be multiplied by those who wait it out, and a caller who can be
+ * served elsewhere must not wait for what this instance has no repeat left for.
+ */
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { RequestEffect, RequestEvent, RetryMode } from './RequestMessages.js';
+import { RequestPhase } from './RequestMessages.js';
+import type { RequestMachine } from './RequestState.js';
+import type { RequestSpec } from './RequestTypes.js';
+import type { RouterShared } from './RouterShared.js';
+import { takeFromBudget } from './RouterShared.js';
+import type { DecisionName } from './RouterTypes.js';
+import { computeBudgetWait, computeRetryWait, computeReturnWait } from './RunRetry.js';
+
+type AskRetry = Extract<RequestEffect, { kind: 'ask-retry' }>;
+
+/** The request as its retries see it. */
+export interface RetriedRun {
+  readonly spec: RequestSpec;
+  readonly getMachine: () => RequestMachine;
+  readonly send: (event: RequestEvent) => void;
+  readonly log: (decision: DecisionName, reason: string) => void;
+}
+
+export interface RunRetries {
+  /** Decides what follows a failed attempt. */
+  ask(effect: AskRetry): void;
+  /** Engines that failed in the attempt before. */
+  getFailed(): readonly EngineId[];
+}
+
+export function createRunRetries(shared: RouterShared, run: RetriedRun): RunRetries {
+  const { deps } = shared;
+  const { timers } = deps;
+  const { spec, getMachine, send, log } = run;
+  let lastFailed: readonly EngineId[] = [];
+
+  function ask(effect: AskRetry): void {
+    const delay = effect.mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
+    lastFailed = effect.failed;
+    if (timers.now() + delay >= Math.min(spec.deadline, getBreakTime())) {
+      send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
+    } else if (isBudgeted(effect.mode) && !takeFromBudget(shared, spec.model)) {
+      askForBudget(effect, delay);
+    } else {
+      goOn(effect, delay);
+    }
+  }
+
+  function goOn({ mode, failed }: AskRetry, delay: Millis): void {
+    if (mode === 'recover') {
+      log('recover', failed.join(','));
+      shared.recovery.push({ id: spec.id, waitingSince: getMachine().progressAt });
+      shared.pumpRecoveries();
+    } else {
+      log('retry', mode);
+      timers.registerTimeout(delay, () => send({ kind: 'retry-granted', failed }));
+    }
+  }
+
+  /** When a begun answer that stands still is broken off. */
+  function getBreakTime(): Millis {
+    const { tokenCount, progressAt } = getMachine();
+    const mayBreak = deps.mayBreakOff?.() ?? true;
+    return tokenCount > 0 && mayBreak && spec.breakAfter !== undefined
+      ? progressAt + spec.breakAfter
+      : Infinity;
+  }
+
+  /** Looking for a chain once more reaches no engine by itself. */
+  function isBudgeted(mode: RetryMode): boolean {
+    return mode === 'retry' || (mode === 'recover' && deps.cfg.isRecoveryBudgeted);
+  }
+
+  /** Others of the fleet may have repeats left, and answer within some milliseconds. */
+  function askForBudget(effect: AskRetry, delay: Millis): void {
+    const { attempt } = getMachine();
+    const request = deps.requestRetries ?? ((_name, done) => done(false));
+    request(spec.model, (isGranted) =>
+      shared.post(() => {
+        if (!isPausing(attempt)) {
+          return;
+        }
+        if (isGranted && takeFromBudget(shared, spec.model)) {
+          goOn(effect, delay);
+        } else {
+          waitForBudget(effect);
+        }
+      }),
+    );
+  }
+
+  function isPausing(attempt: number): boolean {
+    const machine = getMachine();
+    return machine.phase === RequestPhase.Pausing && machine.attempt === attempt;
+  }
+
+  /**
+   * A caller that has part of its answer waits for the rest. Any other is told at once: where it waited here, 39
+   * requests of a fleet of 22 instances that lost nine engines stood for 2 s each and were refused then, while a
+   * next try of their callers takes nothing from the budget and reaches another instance.
+   */
+  function waitForBudget(effect: AskRetry): void {
+    const { attempt, tokenCount } = getMachine();
+    if (tokenCount === 0) {
+      send({ kind: 'budget-spent', retryAfter: computeReturnWait(deps.random) });
+      return;
+    }
+    log('wait', 'retry budget');
+    timers.registerTimeout(computeBudgetWait(deps.random), () =>
+      shared.post(() => {
+        if (isPausing(attempt)) {
+          ask(effect);
+        }
+      }),
+    );
+  }
+
+  return { ask, getFailed: () => lastFailed };
+}
