--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -131,7 +131,7 @@
     timers,
     self: options.self.id,
     readOwn: options.readOwnWork,
-    isHead: () => role.get().level !== NewsLevel.Hearer,
+    isAggregator: () => role.get().level !== NewsLevel.Subscriber,
     onHeard: options.onWork,
     onLost: options.onLost,
   });
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -124,7 +124,7 @@
     return [...sources.slice(first), ...sources.slice(0, first)];
   }
 
-  /** A head that watches the store for a while, since no watcher has news, may tell other heads too. */
+  /** An aggregator that watches the store for a while, since no watcher has news, may tell other aggregators too. */
   function getLevel(): NewsLevelValue {
     return timers.now() < directUntil ? NewsLevel.Watcher : options.getPart().level;
   }
--- a/packages/relay/src/RelaySources.ts
+++ b/packages/relay/src/RelaySources.ts
@@ -12,9 +12,9 @@
   /** Watches the store. */
   Watcher: 0,
   /** Hears the watchers and tells its own domain. */
-  Head: 1,
-  /** Hears its domain's heads. */
-  Hearer: 2,
+  Aggregator: 1,
+  /** Hears its domain's aggregators. */
+  Subscriber: 2,
 } as const;
 
 export type NewsLevelValue = (typeof NewsLevel)[keyof typeof NewsLevel];
@@ -31,7 +31,7 @@
 /** One may be dead and one cut off, and the third still tells of the change in time. */
 const WATCHERS = 3;
 /** With two, the loss of one costs the others a single question that is not answered. */
-const HEADS = 2;
+const AGGREGATORS = 2;
 const KEY = 'store-news';
 
 /** Works out an instance's part. */
@@ -40,19 +40,19 @@
   if (reachable.length <= LARGEST_WITHOUT_SOURCES || self.address === null) {
     return { level: NewsLevel.Watcher, sources: [] };
   }
-  const heads = selectHeads(reachable);
-  const watchers = selectWatchers(heads);
+  const aggregators = selectAggregators(reachable);
+  const watchers = selectWatchers(aggregators);
   if (watchers.some(({ id }) => id === self.id)) {
     return { level: NewsLevel.Watcher, sources: [] };
   }
-  const own = heads.get(self.domain) ?? [];
+  const own = aggregators.get(self.domain) ?? [];
   return own.some(({ id }) => id === self.id)
-    ? { level: NewsLevel.Head, sources: watchers }
-    : { level: NewsLevel.Hearer, sources: own };
+    ? { level: NewsLevel.Aggregator, sources: watchers }
+    : { level: NewsLevel.Subscriber, sources: own };
 }
 
-/** Each domain's heads, the first choice first. */
-function selectHeads(
+/** Each domain's aggregators, the first choice first. */
+function selectAggregators(
   instances: readonly InstanceEntry[],
 ): ReadonlyMap<DomainId, readonly InstanceEntry[]> {
   const domains = new Set(instances.map(({ domain }) => domain));
@@ -60,7 +60,7 @@
     [...domains].map((domain) => {
       const members = instances.filter((instance) => instance.domain === domain);
       const byId = new Map(members.map((member) => [member.id, member]));
-      const ids = selectOwners(KEY, [...byId.keys()], HEADS);
+      const ids = selectOwners(KEY, [...byId.keys()], AGGREGATORS);
       return [domain, ids.flatMap((id) => byId.get(id) ?? [])];
     }),
   );
@@ -68,11 +68,11 @@
 
 /** Heads of different domains as far as there are, since a domain is lost as a whole. */
 function selectWatchers(
-  heads: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
+  aggregators: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
 ): readonly InstanceEntry[] {
-  const domains = selectOwners(KEY, [...heads.keys()], heads.size);
-  const ranked = Array.from({ length: HEADS }, (_, rank) =>
-    domains.flatMap((domain) => heads.get(domain)?.[rank] ?? []),
+  const domains = selectOwners(KEY, [...aggregators.keys()], aggregators.size);
+  const ranked = Array.from({ length: AGGREGATORS }, (_, rank) =>
+    domains.flatMap((domain) => aggregators.get(domain)?.[rank] ?? []),
   );
   return ranked.flat().slice(0, WATCHERS);
 }
@@ -87,7 +87,7 @@
 /** Changes seldom come alone: forty engines that register within two seconds are few calls instead of forty. */
 const GATHER_TIME: Millis = 120;
 /** The same where nobody waits for this instance's word: less work for the many, and a change is in force soon. */
-const HEARER_GATHER_TIME: Millis = 300;
+const SUBSCRIBER_GATHER_TIME: Millis = 300;
 
 export function createNewsRole(
   self: InstanceEntry,
@@ -107,6 +107,7 @@
 
   return {
     get,
-    getGatherTime: () => (get().level === NewsLevel.Hearer ? HEARER_GATHER_TIME : GATHER_TIME),
+    getGatherTime: () =>
+      get().level === NewsLevel.Subscriber ? SUBSCRIBER_GATHER_TIME : GATHER_TIME,
   };
 }
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -1,5 +1,5 @@
 /**
- * What the instances of a failure domain have running on its engines. Each tells its own work to the domain's heads
+ * What the instances of a failure domain have running on its engines. Each tells its own work to the domain's aggregators
  * with every question for news, and hears the sum of the others' with the answer. Reckoned from its own work alone, an
  * instance of 39 with one or two requests took an engine to have none or 39: engines refused a third of all
  * arrivals of a fleet of 64 in a burst, and the busiest had twelve times the mean.
@@ -18,7 +18,7 @@
 /** Work on an engine that is known from the context. */
 export type OthersWork = Omit<EngineWork, 'engine'>;
 
-/** What an instance tells of engines, or a head of those of the whole domain. */
+/** What an instance tells of engines, or an aggregator of those of the whole domain. */
 export interface ToldWork {
   readonly running: readonly EngineWork[];
   /** Engines that calls failed at, and that did not answer well when they were asked then. */
@@ -30,7 +30,7 @@
   take(from: InstanceId, work: ToldWork): void;
   /** What this instance and all that told it have, but for the one that asks. */
   sumFor(asker: InstanceId): ToldWork;
-  /** A head told what the others have. */
+  /** An aggregator told what the others have. */
   hear(others: ToldWork): void;
   /** Work of the others on an engine; null if nobody told of it lately. */
   getOthers(engine: EngineId): OthersWork | null;
@@ -40,9 +40,9 @@
   readonly timers: TimerService;
   readonly self: InstanceId;
   readonly readOwn: () => ToldWork;
-  /** Whether the others tell this instance, and not a head. */
-  readonly isHead: () => boolean;
-  /** A head told of the others anew. */
+  /** Whether the others tell this instance, and not an aggregator. */
+  readonly isAggregator: () => boolean;
+  /** An aggregator told of the others anew. */
   readonly onHeard: () => void;
   /**
    * Others found an engine lost. Without this word each of 39 instances would send it requests of its own to find
@@ -80,7 +80,7 @@
     return [...told].flatMap(([id, { work }]) => (id === asker ? [] : [work]));
   }
 
-  /** At a head the others' work is what they told it. */
+  /** At an aggregator the others' work is what they told it. */
   function sumTold(): ReadonlyMap<EngineId, EngineWork> | null {
     if (sums === null || sums.at !== timers.now()) {
       forgetOld();
@@ -116,7 +116,7 @@
       others.lost.forEach(options.onLost);
     },
     getOthers(engine) {
-      const others = options.isHead() ? sumTold() : getHeard();
+      const others = options.isAggregator() ? sumTold() : getHeard();
       return others === null ? null : (others.get(engine) ?? NO_WORK);
     },
   };
--- a/packages/relay/src/__tests__/unit/RelayNews.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayNews.test.ts
@@ -256,7 +256,7 @@
       onDirect: () => undefined,
       askNews: () => Promise.resolve({ kind: 'silent' }),
     });
-    const ask = { hold: 0, level: NewsLevel.Hearer, from: 'two', work: IDLE };
+    const ask = { hold: 0, level: NewsLevel.Subscriber, from: 'two', work: IDLE };
     news.noteCaughtUp(1);
     news.noteCaughtUp(2100);
     expect((await news.answer({ since: 2, ...ask })).kind).to.equal('deaf');
--- a/packages/relay/src/__tests__/unit/RelayWork.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayWork.test.ts
@@ -81,28 +81,28 @@
         registerTimeout: () => () => undefined,
         registerInterval: () => () => undefined,
       };
-      const heads = own.map((table, i) =>
+      const aggregators = own.map((table, i) =>
         createRelayWork({
           timers,
           self: `i${i}`,
           readOwn: () => toWork(table),
-          isHead: () => i === 0,
+          isAggregator: () => i === 0,
           onHeard: () => undefined,
           onLost: () => undefined,
         }),
       );
       const toldAt = own.map(() => -Infinity);
       return (instance, engine) => {
-        // Each instance tells the head and hears the others once a period, at its own time.
+        // Each instance tells the aggregator and hears the others once a period, at its own time.
         own.forEach((table, i) => {
           const due = (toldAt[i] ?? 0) + TELL_PERIOD <= now();
           if (due) {
             toldAt[i] = now() - (i * TELL_PERIOD) / INSTANCES / 2;
-            heads[0]?.take(`i${i}`, toWork(table));
-            heads[i]?.hear(heads[0]?.sumFor(`i${i}`) ?? IDLE);
+            aggregators[0]?.take(`i${i}`, toWork(table));
+            aggregators[i]?.hear(aggregators[0]?.sumFor(`i${i}`) ?? IDLE);
           }
         });
-        const others = heads[instance]?.getOthers(engine)?.calls ?? 0;
+        const others = aggregators[instance]?.getOthers(engine)?.calls ?? 0;
         return (own[instance]?.get(engine) ?? 0) + others;
       };
     });
@@ -114,26 +114,26 @@
   it('forgets what was told too long ago, and says that nothing is known', () => {
     const timers = createVirtualTimers();
     const lost: string[] = [];
-    const create = (self: string, isHead: boolean) =>
+    const create = (self: string, isAggregator: boolean) =>
       createRelayWork({
         timers,
         self,
         readOwn: () => IDLE,
-        isHead: () => isHead,
+        isAggregator: () => isAggregator,
         onHeard: () => undefined,
         onLost: (engine) => lost.push(`${self} ${engine}`),
       });
-    const [head, hearer] = [create('head', true), create('hearer', false)];
-    expect(head.getOthers('e')).to.equal(null);
-    head.take('one', { running: [{ engine: 'e', calls: 2, kvTokens: 100 }], lost: ['dead'] });
-    head.take('two', { running: [{ engine: 'e', calls: 1, kvTokens: 50 }], lost: [] });
-    hearer.hear(head.sumFor('two'));
-    expect(head.getOthers('e')).to.deep.include({ calls: 3, kvTokens: 150 });
-    expect(hearer.getOthers('e')).to.deep.include({ calls: 2, kvTokens: 100 });
-    expect(lost).to.deep.equal(['head dead', 'hearer dead']);
-    expect(hearer.getOthers('other')).to.deep.include({ calls: 0 });
+    const [aggregator, subscriber] = [create('aggregator', true), create('subscriber', false)];
+    expect(aggregator.getOthers('e')).to.equal(null);
+    aggregator.take('one', { running: [{ engine: 'e', calls: 2, kvTokens: 100 }], lost: ['dead'] });
+    aggregator.take('two', { running: [{ engine: 'e', calls: 1, kvTokens: 50 }], lost: [] });
+    subscriber.hear(aggregator.sumFor('two'));
+    expect(aggregator.getOthers('e')).to.deep.include({ calls: 3, kvTokens: 150 });
+    expect(subscriber.getOthers('e')).to.deep.include({ calls: 2, kvTokens: 100 });
+    expect(lost).to.deep.equal(['aggregator dead', 'subscriber dead']);
+    expect(subscriber.getOthers('other')).to.deep.include({ calls: 0 });
     timers.advanceTo(4000);
-    expect([head.getOthers('e'), hearer.getOthers('e')]).to.deep.equal([null, null]);
+    expect([aggregator.getOthers('e'), subscriber.getOthers('e')]).to.deep.equal([null, null]);
   });
 
   it('reads no question that makes no sense, whatever bytes come', () => {
