--- a/packages/cli/src/CliLedger.ts
+++ b/packages/cli/src/CliLedger.ts
@@ -104,7 +104,7 @@
   requests: readonly LedgerRequest[],
 ): readonly LedgerSecond[] {
   const domains = readDomains(lines);
-  // Logs of a day hold more requests than a call takes arguments.
+  // Logs of a busy span hold more requests than a call takes arguments.
   const first = requests.reduce((least, { startAt }) => Math.min(least, startAt), Infinity);
   const last = requests.reduce((most, { startAt }) => Math.max(most, startAt), -Infinity);
   if (requests.length === 0) {
--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -37,7 +37,7 @@
 /**
  * Requests for which every group must keep room when one of its engines is gone, as a share of what fits
  * beside one copy of the weights. Copies without such room are worth little: where the second holder of a range
- * had room for 45 requests, for 75 by reckoning, engines refused one arrival in three of a day with losses.
+ * had room for 45 requests, for 75 by reckoning, engines refused one arrival in three while others were lost.
  */
 const ROOM_SHARE = 0.25;
 /**
--- a/packages/placement/src/__tests__/unit/PlacementGroups.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementGroups.test.ts
@@ -25,7 +25,7 @@
 
 describe('PlacementGroups', () => {
   it('keeps a whole chain with room for the load when any but few engines are lost', () => {
-    // Symptom: a domain of a dozen engines serves nothing for 5 to 8 seconds, several times a day.
+    // Symptom: a domain of a dozen engines serves nothing for 5 to 8 seconds, again and again.
     // Sequence: an engine leaves, another crashes, a third is replaced, each of them in a chain of all.
     // Cause: each layer had one holder; and where it had two, the one that was left had no room for both
     // loads, so that it refused one arrival in three.
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -110,7 +110,7 @@
     [...waiting].forEach((wake) => wake());
   }
 
-  /** Those that are worth asking, the one whose turn it is first. */
+  /** Sources that may answer, the one whose turn it is first. */
   function listAsked(): readonly InstanceEntry[] {
     const now = timers.now();
     if (now < directUntil) {
