Show from whom a configuration was heard, how old news is, and by what a call was refused

Cause: when proper requests were answered 404, nobody could see which version an instance had in force, when it came and from whom; scrapes that keep their first 4 kB held the runtime's figures alone. Change: 'refused' without a route or with an unknown key names version and age of the news; 'configuration in force' names source, age, bytes and the time to read it; metric news_age_ms; the instance's own metrics come before the runtime's.

--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -41,8 +41,9 @@
 }
 
 export function createDaemonMetrics(): DaemonMetrics {
-  const registry = new Registry();
-  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: LOOP_PRECISION_MS });
+  const registries = { gauges: new Registry(), counters: new Registry(), times: new Registry() };
+  const runtime = new Registry();
+  collectDefaultMetrics({ register: runtime, eventLoopMonitoringPrecision: LOOP_PRECISION_MS });
   const counters = new Map<string, Counter>();
   const times = new Map<string, Histogram>();
 
@@ -54,7 +55,7 @@
     const created = new Counter({
       name: `skylarksail_${name}_total`,
       help,
-      registers: [registry],
+      registers: [registries.counters],
     });
     counters.set(name, created);
     return created;
@@ -69,7 +70,7 @@
       name: `skylarksail_${name}_ms`,
       help: `${name.replaceAll('_', ' ')} in milliseconds`,
       buckets: TIME_BUCKETS_MS,
-      registers: [registry],
+      registers: [registries.times],
     });
     times.set(name, created);
     return created;
@@ -93,14 +94,21 @@
       const gauge = new Gauge({
         name: `skylarksail_${name}`,
         help,
-        registers: [registry],
+        registers: [registries.gauges],
         collect() {
           this.set(read());
         },
       });
       gauge.set(read());
     },
-    write: () => registry.metrics(),
-    contentType: registry.contentType,
+    async write() {
+      // A collector that keeps the beginning only is to see what the instance knows, not the runtime's figures.
+      const { gauges, counters: counts, times: histograms } = registries;
+      const texts = await Promise.all(
+        [gauges, counts, histograms, runtime].map((registry) => registry.metrics()),
+      );
+      return texts.join('\n');
+    },
+    contentType: runtime.contentType,
   };
 }
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -22,6 +22,8 @@
   readonly random: Random;
   readonly router: RequestRouter;
   readonly getTable: () => RouteTable | null;
+  /** Time since this instance last knew all that the store held. */
+  readonly getNewsAge: () => Millis;
   readonly onDecision: (decision: {
     readonly request: string;
     readonly decision: string;
@@ -44,6 +46,12 @@
   readonly deadline: Millis;
 }
 
+/** By what configuration a call was refused: a 404 or 401 may mean that it is behind. */
+interface RefusalBasis {
+  readonly version: number | null;
+  readonly newsAge: Millis;
+}
+
 /** Callers without a key belong to no team. */
 const NO_TEAM: TeamId = '';
 /** Time left to answer within the caller's own deadline, so that the answer still reaches it. */
@@ -77,10 +85,15 @@
 const NO_HANDLE: RequestHandle = { cancel: () => undefined };
 
 export function createRelayIntake(options: RelayIntakeOptions): RelayIntake {
-  const { timers, random, router, getTable, onDecision } = options;
+  const { timers, random, router, getTable, getNewsAge, onDecision } = options;
 
-  function refuse(call: RelayCall, listener: RelayListener, refusal: RelayRefusal): RequestHandle {
-    onDecision({ request: call.id, decision: 'refused', ...refusal });
+  function refuse(
+    call: RelayCall,
+    listener: RelayListener,
+    refusal: RelayRefusal,
+    judgedBy: Partial<RefusalBasis> = {},
+  ): RequestHandle {
+    onDecision({ request: call.id, decision: 'refused', ...refusal, ...judgedBy });
     listener.onRefused(refusal);
     return NO_HANDLE;
   }
@@ -88,7 +101,10 @@
   function submit(call: RelayCall, listener: RelayListener): RequestHandle {
     const routed = findRoute(call);
     if ('status' in routed) {
-      return refuse(call, listener, routed);
+      return refuse(call, listener, routed, {
+        version: getTable()?.config.version ?? null,
+        newsAge: Math.round(getNewsAge()),
+      });
     }
     const { route, service } = routed;
     onDecision({
--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -14,7 +14,7 @@
 import type { RelayLease } from './RelayLease.js';
 import { OWN_PREFIX } from './RelayLease.js';
 import { createMirror } from './RelayMirror.js';
-import type { AskNews, RelayNews } from './RelayNews.js';
+import type { AskNews, NewsState, RelayNews } from './RelayNews.js';
 import { createRelayNews } from './RelayNews.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import { createRelayPeers } from './RelayPeers.js';
@@ -57,6 +57,16 @@
 const WATCH_TIME: Millis = 2500;
 const STORE_TIMEOUT: Millis = 700;
 
+/** How a configuration reached an instance. */
+interface ConfigArrival {
+  readonly source: NewsState['source'];
+  /** Time since this instance last knew all that there was; null at a start. */
+  readonly newsAge: Millis | null;
+  readonly bytes: number;
+  /** Time to read and compile it. */
+  readonly readTime: Millis | null;
+}
+
 /** Starts to follow. */
 export function startRelayKnowledge(options: RelayKnowledgeOptions): RelayKnowledge {
   const { timers, random, catalogue, lease, logger } = options;
@@ -65,7 +75,7 @@
   let version: number | null = null;
 
   /** Takes in what the store or a peer told, unless something newer is known already. */
-  function takeEvent(event: StoreEvent): void {
+  function takeEvent(event: StoreEvent, heard: NewsState): void {
     if (!mirror.take(event)) {
       return;
     }
@@ -73,7 +83,7 @@
     if (key.startsWith(OWN_PREFIX)) {
       lease.takeEvent(event);
     } else if (event.kind === 'written') {
-      takeItem(event.item);
+      takeItem(event.item, heard);
     } else {
       const backend = options.readBackendKey(key);
       if (backend !== null) {
@@ -82,7 +92,8 @@
     }
   }
 
-  function takeItem(item: StoreItem): void {
+  function takeItem(item: StoreItem, heard: NewsState): void {
+    const began = timers.now();
     const content = readItem(item);
     if (content?.kind === 'backend') {
       catalogue.put(content.entry);
@@ -90,7 +101,12 @@
       options.onUnreadable(item.key, content.reason);
       catalogue.drop(content.server);
     } else if (content?.kind === 'config') {
-      takeConfig(createRouteTable(content.config));
+      takeConfig(createRouteTable(content.config), {
+        source: heard.source,
+        newsAge: toWholeMillis(heard.age),
+        bytes: item.value.length,
+        readTime: toWholeMillis(timers.now() - began),
+      });
     }
   }
 
@@ -105,28 +121,16 @@
   }
 
   /** Versions only rise: nothing that comes late takes an instance back. */
-  function takeConfig(next: RouteTable): void {
+  function takeConfig(next: RouteTable, arrival: ConfigArrival): void {
     const { config } = next;
     if (version !== null && config.version <= version) {
       return;
     }
-    logger.info({ version: config.version, before: version }, 'configuration in force');
+    logger.info({ version: config.version, before: version, ...arrival }, 'configuration in force');
     version = config.version;
     options.onTable(next);
   }
 
-  const peers = createRelayPeers({
-    timers,
-    random,
-    self: options.self,
-    mirror,
-    askPeer: options.askPeer,
-    listInstances: lease.listInstances,
-    onEvent: takeEvent,
-    listSeen: catalogue.listObserved,
-    onSeen: catalogue.observe,
-    onHeard: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
-  });
   const work = createRelayWork({
     timers,
     self: options.self.id,
@@ -148,6 +152,18 @@
     onDirect: (asked) =>
       logger.info({ asked }, 'no source has news: the store is watched directly'),
   });
+  const peers = createRelayPeers({
+    timers,
+    random,
+    self: options.self,
+    mirror,
+    askPeer: options.askPeer,
+    listInstances: lease.listInstances,
+    onEvent: (event, peer) => takeEvent(event, { ...news.readState(), source: peer }),
+    listSeen: catalogue.listObserved,
+    onSeen: catalogue.observe,
+    onHeard: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
+  });
   const stop = registerFollow({
     port: news.port,
     timers,
@@ -157,8 +173,9 @@
     timeout: STORE_TIMEOUT,
     getGatherTime: role.getGatherTime,
     listener: {
-      onSnapshot: (items, revision) => mirror.diffSnapshot(items, revision).forEach(takeEvent),
-      onEvent: takeEvent,
+      onSnapshot: (items, revision) =>
+        mirror.diffSnapshot(items, revision).forEach((event) => takeEvent(event, news.readState())),
+      onEvent: (event) => takeEvent(event, news.readState()),
       onCaughtUp: news.noteCaughtUp,
       onLost: () => {
         news.setHearing(false);
@@ -183,3 +200,8 @@
     },
   };
 }
+
+/** For the log; null for a time that has no end. */
+function toWholeMillis(time: Millis): Millis | null {
+  return Number.isFinite(time) ? Math.round(time) : null;
+}
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -51,6 +51,11 @@
   const { readState, router } = parts;
   const gauges: readonly (readonly [string, string, () => number])[] = [
     ['config_version', 'version of the configuration in force', () => readState().version],
+    [
+      'news_age_ms',
+      'time since all that the store held was known',
+      () => Math.round(readState().newsAge),
+    ],
     ['instances', 'live instances known', () => readState().instances],
     ['backends', 'backend servers known', () => readState().backends],
     [
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -36,9 +36,20 @@
   | { readonly kind: 'deaf' }
   | { readonly kind: 'silent' };
 
+/** From whom an instance heard last, and how long ago it heard all that there was. */
+export interface NewsState {
+  /** An instance, or the store; null before the first answer. */
+  readonly source: InstanceId | typeof STORE_SOURCE | null;
+  /** Time since a source, or the store, last told all that it held; infinite before the first answer. */
+  readonly age: Millis;
+}
+
 /** Asks a peer for news. */
 export type AskNews = (peer: InstanceEntry, ask: NewsAsk, timeout: Millis) => Promise<NewsAnswer>;
 
+/** Stands for the store itself among the sources. */
+export const STORE_SOURCE = 'store';
+
 export interface RelayNewsOptions {
   readonly self: InstanceId;
   readonly timers: TimerService;
@@ -65,6 +76,7 @@
   /** Whether the store, or a source that hears it, answers. */
   setHearing(isHearing: boolean): void;
   isHearing(): boolean;
+  readState(): NewsState;
   /** This instance leaves, and is no source any longer. */
   noteLeaving(): void;
 }
@@ -101,6 +113,8 @@
   let turn = 0;
   let firstKnown: number | null = null;
   let caughtUpTo = 0;
+  let caughtUpAt = -Infinity;
+  let lastSource: NewsState['source'] = null;
   let isHearing = true;
   let isLeaving = false;
   /** Whether any instance has asked this one, and so hears by it. */
@@ -154,17 +168,30 @@
     if (answer.kind !== 'news') {
       return null;
     }
+    lastSource = source.id;
     options.work.hear(answer.others);
     return toStoreChanges(answer.changes);
   }
 
   /** Others hear by this watch: if its connection went silent, it is to be known soon. */
-  function watchStore(
+  async function watchStore(
     ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
     const isShared = options.getPart().level === NewsLevel.Watcher && isAsked;
     const held = isShared ? Math.min(wait, SHARED_WATCH) : wait;
-    return store.watchRange(prefix, since, held, { timeout: timeout - wait + held });
+    const outcome = await store.watchRange(prefix, since, held, {
+      timeout: timeout - wait + held,
+    });
+    lastSource = outcome.kind === 'done' ? STORE_SOURCE : lastSource;
+    return outcome;
+  }
+
+  async function readRange(
+    ...args: Parameters<StoreRangePort['readRange']>
+  ): ReturnType<StoreRangePort['readRange']> {
+    const outcome = await store.readRange(...args);
+    lastSource = outcome.kind === 'done' ? STORE_SOURCE : lastSource;
+    return outcome;
   }
 
   async function watchRange(
@@ -229,7 +256,7 @@
 
   return {
     port: {
-      readRange: (...args) => store.readRange(...args),
+      readRange,
       watchRange,
       write: (...args) => store.write(...args),
       grantLease: (...args) => store.grantLease(...args),
@@ -247,6 +274,7 @@
     },
     noteCaughtUp(revision) {
       firstKnown ??= revision;
+      caughtUpAt = timers.now();
       if (revision > caughtUpTo) {
         caughtUpTo = revision;
         wakeWaiting();
@@ -259,6 +287,7 @@
       }
     },
     isHearing: () => isHearing,
+    readState: () => ({ source: lastSource, age: timers.now() - caughtUpAt }),
     noteLeaving() {
       isLeaving = true;
       wakeWaiting();
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -99,6 +99,8 @@
   readonly duties: number;
   /** Whether neither the store nor a peer that hears it can be reached. */
   readonly isBlind: boolean;
+  /** Time since this instance last knew all that the store held. */
+  readonly newsAge: Millis;
 }
 
 /** Waiting requests of one team at one instance. */
@@ -223,6 +225,7 @@
     random,
     router,
     getTable: () => table,
+    getNewsAge: () => knowledge.news.readState().age,
     onDecision: decisions.record,
   });
   const isPlacing = createPlacementDuty({
@@ -308,6 +311,7 @@
       observed: catalogue.listObserved().length,
       duties: listDomains(catalogue).filter(isPlacing).length,
       isBlind: knowledge.peers.isBlind(),
+      newsAge: knowledge.news.readState().age,
     }),
     isReady: () => table !== null && !isLeaving,
     noteSettingsChanged: calm.noteChange,
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -30,7 +30,7 @@
   readonly mirror: Mirror;
   readonly askPeer: AskPeer;
   readonly listInstances: () => readonly InstanceEntry[];
-  readonly onEvent: (event: StoreEvent) => void;
+  readonly onEvent: (event: StoreEvent, peer: InstanceId) => void;
   /** Engines as this instance has seen them itself. */
   readonly listSeen: () => readonly BackendEntry[];
   /** An engine as a peer of its domain has seen it. */
@@ -103,8 +103,8 @@
 
   function takeNews(peer: InstanceEntry, changes: MirrorChanges): void {
     const isNews = changes.revision > mirror.getRevision();
-    changes.items.forEach((item) => options.onEvent({ kind: 'written', item }));
-    changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }));
+    changes.items.forEach((item) => options.onEvent({ kind: 'written', item }, peer.id));
+    changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }, peer.id));
     if (isNews) {
       options.onHeard(peer.id, changes.revision);
     }
--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -42,6 +42,7 @@
     random: createRandom(1),
     router,
     getTable: () => table,
+    getNewsAge: () => 400,
     onDecision: (decision) => decisions.push({ ...decision }),
   });
   const submit = (change: Partial<RelayCall> = {}) => {
@@ -102,6 +103,8 @@
     expect(bed.submit({ host: 'other' }).refusals[0]?.status).to.equal(404);
     expect(bed.submit({ key: 'wrong' }).refusals[0]?.status).to.equal(401);
     expect(bed.submit({ key: null }).refusals[0]?.status).to.equal(401);
+    // What it was judged by: an instance that is behind is told from one that is right.
+    expect(bed.decisions[0]).to.include({ reason: 'no route', version: 1, newsAge: 400 });
     const routes = [createRoute({ isPublic: true })];
     bed.setTable(createRouteTable(createConfig({ routes })));
     expect(bed.submit({ key: null }).refusals).to.deep.equal([]);
