Show by a fleet on narrow links that a large configuration is not in force in time

Cause: not mended here. A configuration with 1,400 routes more was in force seconds late, or never after an outage, and proper requests for its routes got 404.

--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -0,0 +1,224 @@
+/** A fleet of instances that know the store through links of a limited rate, for tests of large configurations. */
+import { pack } from 'msgpackr';
+import { pino } from 'pino';
+import type { Random } from '@skylarksail/core/CoreRandom';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { VirtualTimers } from '@skylarksail/core/CoreTimers';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { RouteConfig } from '@skylarksail/routes/RouteTypes';
+import type { FakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import type { StoreRangePort } from '@skylarksail/store/StoreRange';
+import { createCatalogue } from '../../RelayCatalogue.js';
+import type { RelayKnowledge } from '../../RelayKnowledge.js';
+import { startRelayKnowledge } from '../../RelayKnowledge.js';
+import { createRelayLease } from '../../RelayLease.js';
+import type { RelayLease } from '../../RelayLease.js';
+import type { NewsAnswer } from '../../RelayNews.js';
+import type { PeerAnswer } from '../../RelayPeers.js';
+import type { StoreContent } from '../../RelayTypes.js';
+import { createConfig, createRoute } from './RelayFixtures.js';
+import type { FakeLinks, LinkRate } from './RelayLinks.js';
+import { createFakeLinks, createLinkedPort } from './RelayLinks.js';
+
+export const CONFIG_KEY = 'config';
+export const STORE = 'store';
+const ANSWER_BYTES = 120;
+const DOMAINS = 3;
+const NAME_RANGE = 36 ** 6;
+const NO_WORK = { running: [], lost: [] };
+
+/** One instance, with the configurations that it put in force. */
+export interface KnowingMember {
+  readonly id: string;
+  readonly knowledge: RelayKnowledge;
+  readonly lease: RelayLease;
+  /** When each version came in force. */
+  readonly inForceAt: Map<number, Millis>;
+}
+
+export interface KnowledgeBedOptions {
+  readonly instances: number;
+  /** Bytes a millisecond; that of the store where the place is the store. */
+  readonly getRate: (place: string) => LinkRate;
+}
+
+export interface KnowledgeBed {
+  readonly timers: VirtualTimers;
+  readonly store: FakeRangeStore;
+  readonly links: FakeLinks;
+  readonly members: readonly KnowingMember[];
+  /** Turns some instances away from the store without a word. */
+  setCut(isCut: (id: string) => boolean): void;
+  /** Instances at which a version, or a later one, came in force no later than a time. */
+  listKnowing(version: number, by: Millis): readonly string[];
+}
+
+/** The text of a configuration with so many routes, as long as the operators' own. */
+export function writeConfig(version: number, routes: number, seed = 1): string {
+  const random = createRandom(seed);
+  return JSON.stringify({
+    version,
+    routes: Array.from({ length: routes }, () => ({
+      name: `r-${drawName(random)}`,
+      host: `${drawName(random)}.example`,
+      prefix: `/${drawName(random)}/`,
+      route_kind: 'safe',
+      timeout_ms: 2000 + version,
+      latency_goal_ms: 305,
+      priority: 2,
+      service: 'accounts',
+      max_attempts: 2,
+      public: false,
+      sticky: false,
+      resumable: false,
+    })),
+  });
+}
+
+function drawName(random: Random): string {
+  return random.nextInt(NAME_RANGE).toString(36);
+}
+
+/** Values are read by many instances: each text is parsed once. */
+function createReader(): (item: { key: string; value: string }) => StoreContent {
+  const read = new Map<string, RouteConfig>();
+  return ({ key, value }) => {
+    if (key !== CONFIG_KEY) {
+      return { kind: 'other' };
+    }
+    const known = read.get(value) ?? parseConfig(value);
+    read.set(value, known);
+    return { kind: 'config', config: known };
+  };
+}
+
+function parseConfig(value: string): RouteConfig {
+  const { version, routes } = JSON.parse(value) as {
+    version: number;
+    routes: readonly { name: string; host: string; prefix: string }[];
+  };
+  return createConfig({
+    version,
+    routes: routes.map(({ name, host, prefix }) => createRoute({ name, host, prefix })),
+  });
+}
+
+/** Bytes of an answer as peers send it. */
+function countAnswerBytes(answer: PeerAnswer | NewsAnswer | undefined): number {
+  return ANSWER_BYTES + (answer?.kind === 'news' ? pack(answer).byteLength : 0);
+}
+
+/** Starts the fleet. */
+export function createKnowledgeBed({ instances, getRate }: KnowledgeBedOptions): KnowledgeBed {
+  const timers = createVirtualTimers();
+  const store = createFakeRangeStore(timers);
+  const links = createFakeLinks(timers, getRate);
+  const readContent = createReader();
+  const members: KnowingMember[] = [];
+  let isCut: (id: string) => boolean = () => false;
+
+  /** An answer of a peer, if it comes in time. */
+  async function carry<T>(
+    from: string,
+    to: string,
+    bytes: number,
+    until: Millis,
+    answer: T,
+  ): Promise<T | { readonly kind: 'silent' }> {
+    const isThere = await links.carry(from, to, bytes, until - timers.now());
+    return isThere ? answer : { kind: 'silent' };
+  }
+
+  function createPort(id: string): StoreRangePort {
+    const port = createLinkedPort(links, timers, id, store);
+    const lose = async (timeout: Millis): Promise<{ kind: 'unknown' }> => {
+      await new Promise<void>((resolve) => {
+        timers.registerTimeout(timeout, resolve);
+      });
+      return { kind: 'unknown' };
+    };
+    return {
+      ...port,
+      readRange: (prefix, after, options) =>
+        isCut(id) ? lose(options.timeout) : port.readRange(prefix, after, options),
+      watchRange: async (prefix, since, wait, options) => {
+        const endsAt = timers.now() + options.timeout;
+        const changes = isCut(id) ? null : await port.watchRange(prefix, since, wait, options);
+        return changes === null || isCut(id) ? lose(endsAt - timers.now()) : changes;
+      },
+    };
+  }
+
+  function start(index: number): KnowingMember {
+    const id = `i${index}`;
+    const self = {
+      id,
+      domain: `d${index % DOMAINS}`,
+      address: { host: '127.0.0.1', port: index + 1 },
+    };
+    const random = createRandom(index + 1);
+    const port = createPort(id);
+    const inForceAt = new Map<number, Millis>();
+    const lease = createRelayLease({
+      port,
+      timers,
+      random,
+      self,
+      leaseLeast: 1000,
+      listDomains: () => [],
+      onError: () => undefined,
+    });
+    const knowledge = startRelayKnowledge({
+      self,
+      timers,
+      random,
+      store: port,
+      readContent,
+      readBackendKey: () => null,
+      askPeer: async ({ port: to }, since, timeout) => {
+        const until = timers.now() + timeout;
+        const peer = members[to - 1];
+        const answer = peer?.knowledge.peers.answer(since) ?? { kind: 'silent' as const };
+        return carry(`i${to - 1}`, id, countAnswerBytes(answer), until, answer);
+      },
+      askNews: async ({ id: peer }, ask, timeout) => {
+        const until = timers.now() + timeout;
+        const source = members.find((member) => member.id === peer);
+        const answer = await source?.knowledge.news.answer(ask);
+        const bytes = countAnswerBytes(answer);
+        return carry(peer, id, bytes, until, answer ?? { kind: 'silent' as const });
+      },
+      readOwnWork: () => NO_WORK,
+      isCrowded: () => false,
+      onWork: () => undefined,
+      onLost: () => undefined,
+      catalogue: createCatalogue(timers),
+      lease,
+      logger: pino({ level: 'silent' }),
+      onUnreadable: () => undefined,
+      onTable: ({ config }) => inForceAt.set(config.version, timers.now()),
+    });
+    lease.start();
+    return { id, knowledge, lease, inForceAt };
+  }
+
+  store.put(CONFIG_KEY, writeConfig(1, 1));
+  Array.from({ length: instances }, (_, index) => members.push(start(index)));
+  return {
+    timers,
+    store,
+    links,
+    members,
+    setCut(next) {
+      isCut = next;
+    },
+    listKnowing: (version, by) =>
+      members
+        .filter(({ inForceAt }) =>
+          [...inForceAt].some(([known, at]) => known >= version && at <= by),
+        )
+        .map(({ id }) => id),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayLargeConfig.test.ts
@@ -0,0 +1,92 @@
+import { expect } from 'chai';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { KnowledgeBed } from './RelayKnowledgeBed.js';
+import { CONFIG_KEY, createKnowledgeBed, STORE, writeConfig } from './RelayKnowledgeBed.js';
+
+/** Within so long a change is to be in force at the deployments with the tightest bound. */
+const IN_FORCE: Millis = 2000;
+/** So long after the end of a disturbance of the store a calm instance is to know what it holds. */
+const STABLE_AGAIN: Millis = 3000;
+const INSTANCES = 75;
+/** 1,400 more than usual. */
+const ROUTES = 1640;
+/** Bytes a millisecond: 14 Mbit/s, the narrowest links that are served, and 1,000 Mbit/s. */
+const NARROW_LINK = 1750;
+const STORE_LINK = 125_000;
+const SETTLED: Millis = 6000;
+const STORM_GAP: Millis = 330;
+
+async function startFleet(share = 1): Promise<KnowledgeBed> {
+  const bed = createKnowledgeBed({
+    instances: INSTANCES,
+    getRate: (place) => (place === STORE ? STORE_LINK : share * NARROW_LINK),
+  });
+  await bed.timers.advanceToAsync(SETTLED);
+  return bed;
+}
+
+/** Writes versions one after the other; the time of the last is returned. */
+async function writeSeries(
+  { timers, store }: KnowledgeBed,
+  first: number,
+  count: number,
+  gap: Millis,
+): Promise<Millis> {
+  for (let i = 0; i < count; i++) {
+    store.put(CONFIG_KEY, writeConfig(first + i, ROUTES));
+    await timers.advanceToAsync(timers.now() + (i < count - 1 ? gap : 0));
+  }
+  return timers.now();
+}
+
+describe('RelayKnowledge with a large configuration', () => {
+  it('puts it in force everywhere in time on narrow links', async () => {
+    // Instances answered 404 for proper requests seconds after the store had accepted a configuration with 1,400
+    // routes more. Its 366 kB take 0.2 s on a link of 14 Mbit/s, and two aggregators of a domain have to send them
+    // to twelve instances each, but an answer was cut off 0.3 s after the hold, wherever it stood, and asked for
+    // again from the beginning elsewhere. In this run 6 of 75 instances knew the version after 2 s, 50 after 3 s.
+    const bed = await startFleet();
+    const at = await writeSeries(bed, 2, 1, 0);
+    await bed.timers.advanceToAsync(at + IN_FORCE);
+    expect(bed.listKnowing(2, at + IN_FORCE)).to.have.length(INSTANCES);
+  });
+
+  it('is in time where half of each link is taken', async () => {
+    const bed = await startFleet(0.5);
+    const at = await writeSeries(bed, 2, 1, 0);
+    await bed.timers.advanceToAsync(at + IN_FORCE);
+    expect(bed.listKnowing(2, at + IN_FORCE)).to.have.length(INSTANCES);
+  });
+
+  it('is in time at the end of a series', async () => {
+    const bed = await startFleet();
+    const at = await writeSeries(bed, 2, 12, STORM_GAP);
+    await bed.timers.advanceToAsync(at + IN_FORCE);
+    expect(bed.listKnowing(13, at + IN_FORCE)).to.have.length(INSTANCES);
+  });
+
+  it('is known again soon after the store was out of reach for all', async () => {
+    // The same requests were refused for as long as anybody looked. Whoever had lost the store asked for all
+    // versions since then at once, at the store and at two peers beside it; each answer was cut off after 0.7 s or
+    // 0.25 s, and the next ones took the links from each other. In this run nobody knew the newest version
+    // 3 s after the store was back.
+    const bed = await startFleet();
+    bed.setCut(() => true);
+    await bed.timers.advanceToAsync(bed.timers.now() + 5000);
+    await writeSeries(bed, 2, 8, 0);
+    const at = bed.timers.now();
+    bed.setCut(() => false);
+    await bed.timers.advanceToAsync(at + STABLE_AGAIN);
+    expect(bed.listKnowing(9, at + STABLE_AGAIN)).to.have.length(INSTANCES);
+  });
+
+  it('reaches instances that the store turns away', async () => {
+    const bed = await startFleet();
+    const isAway = (id: string): boolean => Number(id.slice(1)) % 3 === 0;
+    bed.setCut(isAway);
+    await bed.timers.advanceToAsync(bed.timers.now() + 5000);
+    const at = await writeSeries(bed, 2, 1, 0);
+    await bed.timers.advanceToAsync(at + IN_FORCE);
+    expect(bed.listKnowing(2, at + IN_FORCE)).to.have.length(INSTANCES);
+  });
+});
