Send large values compressed between instances

Cause: callers got 404 for routes that the store had accepted seconds before. Two aggregators of a domain tell all others; a configuration of 366 kB took their links for longer than a change may take to be in force, and answers were cut off midway. Conclusion: holds for aggregators and peers; whoever hears the store itself still gets the whole text. An instance of an earlier version cannot read such an answer and asks the store.

--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -6,9 +6,10 @@
 import { pack, unpack } from 'msgpackr';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { AskGrant } from './RelayGrants.js';
-import type { MirrorChanges } from './RelayMirror.js';
 import type { AskNews, NewsAnswer, NewsAsk } from './RelayNews.js';
-import { readNewsAsk, readNewsContent } from './RelayPeerMessages.js';
+import type { PeerCodec } from './RelayPeerCodec.js';
+import { createPeerCodec } from './RelayPeerCodec.js';
+import { readNewsAsk } from './RelayPeerMessages.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 import type { BackendEntry } from './RelayTypes.js';
 
@@ -46,6 +47,7 @@
 
 export function createPeerHttp(): PeerHttp {
   const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  const codec = createPeerCodec();
   let stop = (): void => undefined;
 
   /** Null whatever went wrong on the way: this peer has told nothing, and the next one is asked. */
@@ -72,11 +74,11 @@
   return {
     async ask(address, since, timeout) {
       const raw = await send(address, `${Path.Changes}?since=${since}`, timeout);
-      return readAnswer(raw, readPeerAnswer);
+      return readAnswer(raw, (got) => readPeerAnswer(got, codec));
     },
     async askNews({ address }, ask, timeout) {
       const raw = address && (await send(address, Path.News, timeout, pack(ask)));
-      return readAnswer(raw, readNewsAnswer);
+      return readAnswer(raw, (got) => readNewsAnswer(got, codec));
     },
     async askGrant({ address }, service, wanted, timeout) {
       const query = new URLSearchParams({ service, wanted: String(wanted) });
@@ -88,7 +90,7 @@
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
-          void readBody(req).then((body) => serve(req.url ?? '', body, answers, res));
+          void readBody(req).then((body) => serve(req.url ?? '', body, { answers, codec }, res));
         });
         stop = () => {
           server.close();
@@ -125,17 +127,17 @@
 async function serve(
   url: string,
   body: Buffer,
-  answers: PeerAnswers,
+  { answers, codec }: { readonly answers: PeerAnswers; readonly codec: PeerCodec },
   res: ServerResponse,
 ): Promise<void> {
   const [path, query] = url.split('?');
   const asked = new URLSearchParams(query);
   switch (path) {
     case Path.Changes:
-      writeChanges(res, answerChanges(asked, answers));
+      writeChanges(res, answerChanges(asked, answers), codec);
       break;
     case Path.News:
-      writeNews(res, await answerNews(body, answers));
+      writeNews(res, await answerNews(body, answers), codec);
       break;
     case Path.Grants:
       res.end(String(answerGrant(asked, answers)));
@@ -161,10 +163,10 @@
   return Number.isSafeInteger(wanted) && wanted > 0 ? answers.grant(service, wanted) : 0;
 }
 
-function writeChanges(res: ServerResponse, said: PeerAnswer): void {
+function writeChanges(res: ServerResponse, said: PeerAnswer, codec: PeerCodec): void {
   switch (said.kind) {
     case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(pack(said.changes));
+      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packChanges(said.changes));
       break;
     case 'deaf':
       res.writeHead(Status.Unavailable, CONTENT_TYPE).end(pack(said.seen));
@@ -174,10 +176,10 @@
   }
 }
 
-function writeNews(res: ServerResponse, said: NewsAnswer): void {
+function writeNews(res: ServerResponse, said: NewsAnswer, codec: PeerCodec): void {
   switch (said.kind) {
     case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(pack(said));
+      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packNews(said));
       break;
     case 'deaf':
       res.writeHead(Status.Unavailable).end();
@@ -196,10 +198,10 @@
   }
 }
 
-function readPeerAnswer({ status, body }: RawAnswer): PeerAnswer {
+function readPeerAnswer({ status, body }: RawAnswer, codec: PeerCodec): PeerAnswer {
   switch (status) {
     case Status.Ok:
-      return { kind: 'news', changes: unpack(body) as MirrorChanges };
+      return { kind: 'news', changes: codec.readChanges(body) };
     case Status.Unavailable:
       return { kind: 'deaf', seen: unpack(body) as readonly BackendEntry[] };
     default:
@@ -207,10 +209,10 @@
   }
 }
 
-function readNewsAnswer({ status, body }: RawAnswer): NewsAnswer {
+function readNewsAnswer({ status, body }: RawAnswer, codec: PeerCodec): NewsAnswer {
   switch (status) {
     case Status.Ok:
-      return { kind: 'news', ...readNewsContent(body) };
+      return { kind: 'news', ...codec.readNews(body) };
     case Status.Unavailable:
       return { kind: 'deaf' };
     default:
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -1,8 +1,11 @@
 /** What peers send each other, as it is checked when it arrives: a peer may be of another version, or broken. */
 import { unpack } from 'msgpackr';
 import * as z from 'zod/mini';
+import type { StoreItem } from '@skylarksail/store/StoreRange';
+import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsAsk } from './RelayNews.js';
 import { NewsLevel } from './RelaySources.js';
+import type { ToldWork } from './RelayWork.js';
 
 const count = z.number().check(z.nonnegative());
 
@@ -18,18 +21,41 @@
   work: toldWork,
 });
 
-const storeItem = z.object({ key: z.string(), value: z.string(), revision: count });
+const sentItem = z.union([
+  z.object({ key: z.string(), value: z.string(), revision: count }),
+  z.object({ key: z.string(), deflated: z.instanceof(Uint8Array), revision: count }),
+]);
 
-/** Changes of the store, with the work of the others. */
-const newsContent = z.object({
-  changes: z.object({
-    items: z.array(storeItem),
-    removed: z.array(z.object({ key: z.string(), revision: count })),
-    revision: count,
-  }),
-  others: toldWork,
+const sentChanges = z.object({
+  items: z.array(sentItem),
+  removed: z.array(z.object({ key: z.string(), revision: count })),
+  revision: count,
 });
 
+/** Changes of the store, with the work of the others. */
+const newsMessage = z.object({ changes: sentChanges, others: toldWork });
+
+/** An item as it is sent: its value as text, or compressed. */
+export type SentItem =
+  StoreItem | { readonly key: string; readonly revision: number; readonly deflated: Uint8Array };
+
+/** Changes as they are sent. */
+export interface SentChanges extends Omit<MirrorChanges, 'items'> {
+  readonly items: readonly SentItem[];
+}
+
+/** What a source tells, as it is sent. */
+export interface SentNews extends Omit<NewsContent, 'changes'> {
+  readonly changes: SentChanges;
+}
+
+/** What a source tells, as it is used. */
+export interface NewsContent {
+  readonly changes: MirrorChanges;
+  /** What others of the source's domain tell. */
+  readonly others: ToldWork;
+}
+
 /** Reads a question for news; null if it makes no sense. */
 export function readNewsAsk(body: Buffer): NewsAsk | null {
   try {
@@ -40,7 +66,12 @@
   }
 }
 
+/** Reads changes that a peer told; throws if they make no sense. */
+export function readChangesMessage(body: Buffer): SentChanges {
+  return sentChanges.parse(unpack(body));
+}
+
 /** Reads what a source told; throws if it makes no sense. */
-export function readNewsContent(body: Buffer): z.infer<typeof newsContent> {
-  return newsContent.parse(unpack(body));
+export function readNewsMessage(body: Buffer): SentNews {
+  return newsMessage.parse(unpack(body));
 }
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -1,5 +1,4 @@
 /** A fleet of instances that know the store through links of a limited rate, for tests of large configurations. */
-import { pack } from 'msgpackr';
 import { pino } from 'pino';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { createRandom } from '@skylarksail/core/CoreRandom';
@@ -16,6 +15,8 @@
 import { createRelayLease } from '../../RelayLease.js';
 import type { RelayLease } from '../../RelayLease.js';
 import type { NewsAnswer } from '../../RelayNews.js';
+import type { PeerCodec } from '../../RelayPeerCodec.js';
+import { createPeerCodec } from '../../RelayPeerCodec.js';
 import type { PeerAnswer } from '../../RelayPeers.js';
 import type { StoreContent } from '../../RelayTypes.js';
 import { createConfig, createRoute } from './RelayFixtures.js';
@@ -106,8 +107,12 @@
 }
 
 /** Bytes of an answer as peers send it. */
-function countAnswerBytes(answer: PeerAnswer | NewsAnswer | undefined): number {
-  return ANSWER_BYTES + (answer?.kind === 'news' ? pack(answer).byteLength : 0);
+function countAnswerBytes(answer: PeerAnswer | NewsAnswer | undefined, codec: PeerCodec): number {
+  if (answer?.kind !== 'news') {
+    return ANSWER_BYTES;
+  }
+  const body = 'others' in answer ? codec.packNews(answer) : codec.packChanges(answer.changes);
+  return ANSWER_BYTES + body.byteLength;
 }
 
 /** Starts the fleet. */
@@ -115,6 +120,7 @@
   const timers = createVirtualTimers();
   const store = createFakeRangeStore(timers);
   const links = createFakeLinks(timers, getRate);
+  const codec = createPeerCodec();
   const readContent = createReader();
   const members: KnowingMember[] = [];
   let isCut: (id: string) => boolean = () => false;
@@ -181,13 +187,13 @@
         const until = timers.now() + timeout;
         const peer = members[to - 1];
         const answer = peer?.knowledge.peers.answer(since) ?? { kind: 'silent' as const };
-        return carry(`i${to - 1}`, id, countAnswerBytes(answer), until, answer);
+        return carry(`i${to - 1}`, id, countAnswerBytes(answer, codec), until, answer);
       },
       askNews: async ({ id: peer }, ask, timeout) => {
         const until = timers.now() + timeout;
         const source = members.find((member) => member.id === peer);
         const answer = await source?.knowledge.news.answer(ask);
-        const bytes = countAnswerBytes(answer);
+        const bytes = countAnswerBytes(answer, codec);
         return carry(peer, id, bytes, until, answer ?? { kind: 'silent' as const });
       },
       readOwnWork: () => NO_WORK,
