Say how old news is, and be no source with news that are old

Cause: an instance was as old as the source that it heard from, and did not know it. While the store was silent for all, each level noticed only when its own watch had run out, up to eight seconds after the one before had begun, and said meanwhile that nothing was new. An instance in that state answers 404 for new routes, and 200 for dropped ones, without a sign of doubt. Change: an answer with news names their age; a source with news older than 2 s gives none; who gets none asks the store at once, with no hold; an aggregator that watches the store for others watches in short turns. Expectation changed: the test of forgotten removals lets its source read the store first, as every source does.

--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -30,6 +30,8 @@
   | {
       readonly kind: 'news';
       readonly changes: MirrorChanges;
+      /** Time since the source knew all that the store held. */
+      readonly age: Millis;
       /** What others of the source's domain tell. */
       readonly others: ToldWork;
     }
@@ -104,6 +106,12 @@
  * come and go would otherwise cost a call to each of them and one to the store for every piece of news.
  */
 const DIRECT_TIME: Millis = 2000;
+/**
+ * Age of its own news from which a source answers nothing. A watcher's are at most 1 s old and an aggregator's 1.6 s;
+ * one whose way to the store went silent would else go on to say that there is nothing new, and each level would find
+ * out only seconds after the one before it.
+ */
+const LONGEST_SOURCE_AGE: Millis = 2000;
 
 export function createRelayNews(options: RelayNewsOptions): RelayNews {
   const { timers, store, mirror } = options;
@@ -113,8 +121,11 @@
   let turn = 0;
   let firstKnown: number | null = null;
   let caughtUpTo = 0;
-  let caughtUpAt = -Infinity;
+  /** All that the store held at this time is known. */
+  let knownAsOf = -Infinity;
   let lastSource: NewsState['source'] = null;
+  /** As of when the last answer told all. */
+  let answerAsOf = -Infinity;
   let isHearing = true;
   let isLeaving = false;
   /** Whether any instance has asked this one, and so hears by it. */
@@ -148,6 +159,21 @@
     [...pausedUntil.keys()].filter((id) => !ids.has(id)).forEach((id) => pausedUntil.delete(id));
   }
 
+  function noteAnswer(source: NewsState['source'], age: Millis): void {
+    lastSource = source;
+    answerAsOf = timers.now() - age;
+  }
+
+  function noteStoreAnswer({ kind }: StoreOutcome<unknown>): void {
+    if (kind === 'done') {
+      noteAnswer(STORE_SOURCE, 0);
+    }
+  }
+
+  function getAge(): Millis {
+    return timers.now() - knownAsOf;
+  }
+
   async function askSource(
     source: InstanceEntry,
     since: number,
@@ -168,7 +194,7 @@
     if (answer.kind !== 'news') {
       return null;
     }
-    lastSource = source.id;
+    noteAnswer(source.id, answer.age);
     options.work.hear(answer.others);
     return toStoreChanges(answer.changes);
   }
@@ -177,12 +203,12 @@
   async function watchStore(
     ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
-    const isShared = options.getPart().level === NewsLevel.Watcher && isAsked;
+    const isShared = getLevel() === NewsLevel.Watcher && isAsked;
     const held = isShared ? Math.min(wait, SHARED_WATCH) : wait;
     const outcome = await store.watchRange(prefix, since, held, {
       timeout: timeout - wait + held,
     });
-    lastSource = outcome.kind === 'done' ? STORE_SOURCE : lastSource;
+    noteStoreAnswer(outcome);
     return outcome;
   }
 
@@ -190,14 +216,14 @@
     ...args: Parameters<StoreRangePort['readRange']>
   ): ReturnType<StoreRangePort['readRange']> {
     const outcome = await store.readRange(...args);
-    lastSource = outcome.kind === 'done' ? STORE_SOURCE : lastSource;
+    noteStoreAnswer(outcome);
     return outcome;
   }
 
   async function watchRange(
     ...args: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
-    const [, since, wait] = args;
+    const [prefix, since, wait, { timeout }] = args;
     const asked = listAsked();
     for (const source of asked) {
       const value = await askSource(source, since, wait);
@@ -208,6 +234,8 @@
     if (asked.length > 0) {
       directUntil = timers.now() + DIRECT_TIME;
       options.onDirect(asked.map(({ id }) => id));
+      // Whether the store itself answers is to be known at once, and not when a watch without news has run out.
+      return watchStore(prefix, since, 0, { timeout: timeout - wait });
     }
     return watchStore(...args);
   }
@@ -232,6 +260,7 @@
   function mayAnswer({ since, level }: NewsAsk): boolean {
     return (
       isHearing &&
+      getAge() <= LONGEST_SOURCE_AGE &&
       getLevel() < level &&
       !isLeaving &&
       firstKnown !== null &&
@@ -251,7 +280,12 @@
     if (!mayAnswer(ask)) {
       return { kind: 'deaf' };
     }
-    return { kind: 'news', changes: readChanges(ask.since), others: options.work.sumFor(ask.from) };
+    return {
+      kind: 'news',
+      changes: readChanges(ask.since),
+      age: getAge(),
+      others: options.work.sumFor(ask.from),
+    };
   }
 
   return {
@@ -274,7 +308,7 @@
     },
     noteCaughtUp(revision) {
       firstKnown ??= revision;
-      caughtUpAt = timers.now();
+      knownAsOf = Math.max(knownAsOf, answerAsOf);
       if (revision > caughtUpTo) {
         caughtUpTo = revision;
         wakeWaiting();
@@ -287,7 +321,7 @@
       }
     },
     isHearing: () => isHearing,
-    readState: () => ({ source: lastSource, age: timers.now() - caughtUpAt }),
+    readState: () => ({ source: lastSource, age: getAge() }),
     noteLeaving() {
       isLeaving = true;
       wakeWaiting();
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -66,7 +66,7 @@
 
   return {
     packChanges: (changes) => pack(toSentChanges(changes)),
-    packNews: ({ changes, others }) => pack({ changes: toSentChanges(changes), others }),
+    packNews: ({ changes, ...rest }) => pack({ ...rest, changes: toSentChanges(changes) }),
     readChanges: (body) => fromSentChanges(readChangesMessage(body)),
     readNews(body) {
       const { changes, ...rest } = readNewsMessage(body);
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -1,6 +1,7 @@
 /** What peers send each other, as it is checked when it arrives: a peer may be of another version, or broken. */
 import { unpack } from 'msgpackr';
 import * as z from 'zod/mini';
+import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsAsk } from './RelayNews.js';
@@ -33,7 +34,7 @@
 });
 
 /** Changes of the store, with the work of the others. */
-const newsMessage = z.object({ changes: sentChanges, others: toldWork });
+const newsMessage = z.object({ changes: sentChanges, age: count, others: toldWork });
 
 /** An item as it is sent: its value as text, or compressed. */
 export type SentItem =
@@ -52,6 +53,8 @@
 /** What a source tells, as it is used. */
 export interface NewsContent {
   readonly changes: MirrorChanges;
+  /** Time since the source knew all that the store held, in ms. */
+  readonly age: Millis;
   /** What others of the source's domain tell. */
   readonly others: ToldWork;
 }
--- a/packages/relay/src/__tests__/unit/RelayNews.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayNews.test.ts
@@ -240,6 +240,22 @@
     members.forEach(({ known }) => expect(known.has('engine')).to.equal(false));
   });
 
+  it('takes no news for younger than they are while the store is silent for all', async () => {
+    // An instance is as old as the source that it hears from, and did not know it. When the way to the store went silent
+    // for all, watchers noticed after 1.7 s, but aggregators began a watch of 3.2 s then and told the others meanwhile
+    // that nothing was new: 72 of 75 took themselves for up to date 4 s later, and hung in watches of their own when the
+    // store was back.
+    const { timers, members } = await startFleet();
+    const at = timers.now();
+    members.forEach((member) => Object.assign(member, { isCut: true }));
+    for (let after = 500; after <= 8000; after += 500) {
+      await timers.advanceToAsync(at + after);
+      const ages = [...members.values()].map(({ news }) => news.readState().age);
+      expect(Math.min(...ages), `after ${after}`).to.be.at.least(after);
+    }
+    expect([...members.values()].filter(({ news }) => news.isHearing())).to.deep.equal([]);
+  });
+
   it('says nothing of times whose removals were forgotten', async () => {
     const mirror = createMirror();
     for (let i = 1; i <= 2100; i++) {
@@ -257,6 +273,7 @@
       askNews: () => Promise.resolve({ kind: 'silent' }),
     });
     const ask = { hold: 0, level: NewsLevel.Subscriber, from: 'two', work: IDLE };
+    await news.port.readRange('', null, { timeout: TIMEOUT });
     news.noteCaughtUp(1);
     news.noteCaughtUp(2100);
     expect((await news.answer({ since: 2, ...ask })).kind).to.equal('deaf');
--- a/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
@@ -12,7 +12,7 @@
 describe('RelayPeerCodec', () => {
   it('carries large and small values as they are, the large ones in a fraction of their bytes', () => {
     const sender = createPeerCodec();
-    const news = { changes: CHANGES, others: NO_WORK };
+    const news = { changes: CHANGES, age: 400, others: NO_WORK };
     expect(createPeerCodec().readChanges(sender.packChanges(CHANGES))).to.deep.equal(CHANGES);
     expect(createPeerCodec().readNews(sender.packNews(news))).to.deep.equal(news);
     // Twelve subscribers of an aggregator hear it within a quarter of a second on a link of 14 Mbit/s.
