Ask peers for all that is not known, and not for what came after the latest that is

Cause: an instance that the store turned away asked its peers for changes after the latest revision that it had seen. After a reading in two pages, or news told in part, an earlier change could be missing: a configuration written between the pages was not told until the store was back, and its new routes got 404 there. A peer that began later, or had forgotten removals, was taken to have told all. Change: the mirror keeps the revision up to which everything is known; peers are asked since then, and name such a revision only if they can tell all since the one asked for. RelayNews uses the same, in place of its own.

--- a/packages/relay/src/RelayMirror.ts
+++ b/packages/relay/src/RelayMirror.ts
@@ -17,10 +17,16 @@
   take(event: StoreEvent): boolean;
   /** Events that bring what is known to a snapshot as of `revision`. */
   diffSnapshot(items: readonly StoreItem[], revision: number): readonly StoreEvent[];
+  /** The revision that it names is the last that is known in full, or the one given if not all since then is known. */
   readSince(revision: number): MirrorChanges;
+  /** Latest revision of anything known. Earlier changes may be missing. */
   getRevision(): number;
-  /** Removals up to this revision may have been forgotten: nobody who knows less can be told of them. */
-  getForgottenTo(): number;
+  /** All that happened up to a revision has been taken in; says whether that is more than before. */
+  noteComplete(revision: number): boolean;
+  /** The revision up to which everything is known. */
+  getComplete(): number;
+  /** Whether all that happened after a revision can be told, removals included. */
+  canTellSince(revision: number): boolean;
 }
 
 /** Removed keys that are remembered. Servers come and go by the dozen; older ones are long forgotten. */
@@ -30,8 +36,16 @@
   const items = new Map<string, StoreItem>();
   const removed = new Map<string, number>();
   let revision = 0;
+  let complete = 0;
+  /** What was removed before the first whole reading was never heard of. */
+  let firstComplete = Infinity;
+  /** Removals up to this revision may have been forgotten. */
   let forgottenTo = 0;
 
+  function canTellSince(since: number): boolean {
+    return since >= firstComplete && since >= forgottenTo;
+  }
+
   function getKnown(key: string): number {
     return items.get(key)?.revision ?? removed.get(key) ?? 0;
   }
@@ -78,9 +92,18 @@
       removed: [...removed]
         .filter(([, at]) => at > since)
         .map(([key, at]) => ({ key, revision: at })),
-      revision,
+      revision: canTellSince(since) ? Math.max(since, complete) : since,
     }),
     getRevision: () => revision,
-    getForgottenTo: () => forgottenTo,
+    noteComplete(next) {
+      if (next <= complete) {
+        return false;
+      }
+      complete = next;
+      firstComplete = Math.min(firstComplete, next);
+      return true;
+    },
+    getComplete: () => complete,
+    canTellSince,
   };
 }
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -119,8 +119,6 @@
   const waiting = new Set<() => void>();
   let directUntil = -Infinity;
   let turn = 0;
-  let firstKnown: number | null = null;
-  let caughtUpTo = 0;
   /** All that the store held at this time is known. */
   let knownAsOf = -Infinity;
   let lastSource: NewsState['source'] = null;
@@ -263,17 +261,14 @@
       getAge() <= LONGEST_SOURCE_AGE &&
       getLevel() < level &&
       !isLeaving &&
-      firstKnown !== null &&
-      since >= firstKnown &&
-      since >= mirror.getForgottenTo()
+      mirror.canTellSince(since)
     );
   }
 
   function readChanges(since: number): MirrorChanges {
-    // The mirror may hold later news in part; the revision that is named is the last that it holds in full.
-    return caughtUpTo <= since
+    return mirror.getComplete() <= since
       ? { items: [], removed: [], revision: since }
-      : { ...mirror.readSince(since), revision: caughtUpTo };
+      : mirror.readSince(since);
   }
 
   function readAnswer(ask: NewsAsk): NewsAnswer {
@@ -301,16 +296,14 @@
       const { since, hold } = ask;
       isAsked = true;
       options.work.take(ask.from, ask.work);
-      if (mayAnswer(ask) && caughtUpTo <= since && hold > 0) {
+      if (mayAnswer(ask) && mirror.getComplete() <= since && hold > 0) {
         await waitForNews(Math.min(hold, HOLD));
       }
       return readAnswer(ask);
     },
     noteCaughtUp(revision) {
-      firstKnown ??= revision;
       knownAsOf = Math.max(knownAsOf, answerAsOf);
-      if (revision > caughtUpTo) {
-        caughtUpTo = revision;
+      if (mirror.noteComplete(revision)) {
         wakeWaiting();
       }
     },
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -83,7 +83,8 @@
     if (!peer?.address) {
       return;
     }
-    const answer = await options.askPeer(peer.address, mirror.getRevision(), ASK_TIMEOUT);
+    // Not since the latest revision known: before that there may be changes that were never heard of.
+    const answer = await options.askPeer(peer.address, mirror.getComplete(), ASK_TIMEOUT);
     if (undo === null) {
       return;
     }
@@ -102,10 +103,9 @@
   }
 
   function takeNews(peer: InstanceEntry, changes: MirrorChanges): void {
-    const isNews = changes.revision > mirror.getRevision();
     changes.items.forEach((item) => options.onEvent({ kind: 'written', item }, peer.id));
     changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }, peer.id));
-    if (isNews) {
+    if (mirror.noteComplete(changes.revision)) {
       options.onHeard(peer.id, changes.revision);
     }
   }
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -99,6 +99,37 @@
   });
 });
 
+describe('RelayPeers after a reading in parts', () => {
+  it('hears of a key that changed between two pages, though a later one is known', async () => {
+    // An instance answers 404 for a new route for as long as the store turns it away, while all others know the route.
+    // It read the store in two pages; the configuration was written after the first, an engine registered before the
+    // second, and then the store was lost. It asked its peers for what came after the latest revision that it had seen,
+    // the engine's, and the configuration came before that.
+    const { timers, mirrors, peers } = createPeersBed();
+    mirrors.forEach((mirror) => mirror.noteComplete(5));
+    mirrors[0]?.take(write('engine', 'registered', 8));
+    mirrors[2]?.take(write('config', 'next', 7));
+    mirrors[2]?.take(write('engine', 'registered', 8));
+    mirrors[2]?.noteComplete(8);
+    peers[0]?.noteStoreLost();
+    await timers.advanceToAsync(1200);
+    expect(mirrors[0]?.readSince(0).items.map(({ key }) => key)).to.include('config');
+    expect(mirrors[0]?.getComplete()).to.equal(8);
+  });
+
+  it('does not take all for told by a peer that began later or forgot what was removed', async () => {
+    const { timers, mirrors, peers } = createPeersBed();
+    mirrors[0]?.noteComplete(5);
+    mirrors[0]?.take(write('engine', 'registered', 5));
+    mirrors[2]?.noteComplete(9);
+    mirrors[2]?.take(write('config', 'next', 8));
+    peers[0]?.noteStoreLost();
+    await timers.advanceToAsync(1200);
+    expect(mirrors[0]?.readSince(5).items.map(({ key }) => key)).to.deep.equal(['config']);
+    expect(mirrors[0]?.getComplete()).to.equal(5);
+  });
+});
+
 describe('RelayPeers in an outage', () => {
   it('knows after a while that nobody hears the store, who is silent, and what others saw', async () => {
     // Symptom: two instances move a domain's layers, or none does; other domains send requests to engines
