Answer 503, and not 404 or 401, while the configuration may be behind

Cause: an instance that had not heard of a new route answered 404, after which no caller comes back; another instance would have served the request. The same held for new keys and 401. Change: what is not known is refused as not run, with a time to come back, while the instance last knew all that the store held more than three seconds ago. Peers beside the sources tell how old their news are, so that one that hears by them while the store turns it away goes on answering 404 and 401. Conclusion: 404 and 401 are said only of what the store held no more than three seconds before.

--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -52,6 +52,7 @@
   readonly newsAge: Millis;
 }
 
+const Status = { Unauthorized: 401, NotFound: 404 } as const;
 /** Callers without a key belong to no team. */
 const NO_TEAM: TeamId = '';
 /** Time left to answer within the caller's own deadline, so that the answer still reaches it. */
@@ -59,6 +60,13 @@
 /** When to come back while no configuration is known: it comes within a second or two of a start. */
 const NO_CONFIG_RETRY: Millis = 500;
 const DEFAULT_RETRY: Millis = 500;
+/**
+ * Age of the news from which a change may have been missed. A watch without news is answered after 2.5 s, and a change
+ * has two to three seconds to be in force.
+ */
+const LONGEST_NEWS_AGE: Millis = 3000;
+/** An instance that is behind mostly catches up within a second, and others are not behind. */
+const BEHIND_RETRY: Millis = 500;
 /**
  * A lost chain is mended within some five seconds, and a caller may come back once at most. So a request
  * waits here for nearly as long as its caller bears silence; then it is refused, and told to come back
@@ -119,6 +127,16 @@
     return pipeline ? submitStream(routed, pipeline, listener) : submitService(routed, listener);
   }
 
+  /**
+   * What this instance does not know may be new to it alone. A caller gives up after 404 or 401, and after 503 it comes
+   * back, most likely at another instance.
+   */
+  function refuseUnknown(status: RelayRefusal['status'], reason: string): RelayRefusal {
+    return getNewsAge() > LONGEST_NEWS_AGE
+      ? { status: 503, retryAfter: BEHIND_RETRY, reason: `${reason}, news is old` }
+      : { status, retryAfter: null, reason };
+  }
+
   function findRoute(call: RelayCall): RoutedCall | RelayRefusal {
     const table = getTable();
     if (table === null) {
@@ -127,11 +145,11 @@
     const [path = ''] = call.path.split('?');
     const route = table.findRoute(call.host, path);
     if (route === null) {
-      return { status: 404, retryAfter: null, reason: 'no route' };
+      return refuseUnknown(Status.NotFound, 'no route');
     }
     const team = call.key === null ? null : table.findTeam(call.key);
     if (table.config.teams !== null && team === null && !route.isPublic) {
-      return { status: 401, retryAfter: null, reason: 'unknown key' };
+      return refuseUnknown(Status.Unauthorized, 'unknown key');
     }
     const drawn = drawService(route, random);
     const service = drawn === null ? null : table.findService(drawn);
--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -162,6 +162,8 @@
     onEvent: (event, peer) => takeEvent(event, { ...news.readState(), source: peer }),
     listSeen: catalogue.listObserved,
     onSeen: catalogue.observe,
+    getNewsAge: () => news.readState().age,
+    onKnown: news.noteKnown,
     onHeard: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
   });
   const stop = registerFollow({
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -75,6 +75,8 @@
   answer(ask: NewsAsk): Promise<NewsAnswer>;
   /** The mirror holds all that was told up to a revision. */
   noteCaughtUp(revision: number): void;
+  /** A peer beside the sources told all that it knew so long ago. */
+  noteKnown(age: Millis): void;
   /** Whether the store, or a source that hears it, answers. */
   setHearing(isHearing: boolean): void;
   isHearing(): boolean;
@@ -307,6 +309,9 @@
         wakeWaiting();
       }
     },
+    noteKnown(age) {
+      knownAsOf = Math.max(knownAsOf, timers.now() - age);
+    },
     setHearing(next) {
       isHearing = next;
       if (!next) {
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -8,13 +8,14 @@
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsContent, SentChanges, SentItem } from './RelayPeerMessages.js';
-import { readChangesMessage, readNewsMessage } from './RelayPeerMessages.js';
+import { readNewsMessage, readPeerMessage } from './RelayPeerMessages.js';
+import type { PeerNews } from './RelayPeers.js';
 
 export interface PeerCodec {
-  packChanges(changes: MirrorChanges): Buffer;
+  packPeerNews(news: PeerNews): Buffer;
   packNews(news: NewsContent): Buffer;
   /** Throws if the bytes make no sense. */
-  readChanges(body: Buffer): MirrorChanges;
+  readPeerNews(body: Buffer): PeerNews;
   /** Throws if the bytes make no sense. */
   readNews(body: Buffer): NewsContent;
 }
@@ -65,9 +66,12 @@
   }
 
   return {
-    packChanges: (changes) => pack(toSentChanges(changes)),
+    packPeerNews: ({ changes, age }) => pack({ changes: toSentChanges(changes), age }),
     packNews: ({ changes, ...rest }) => pack({ ...rest, changes: toSentChanges(changes) }),
-    readChanges: (body) => fromSentChanges(readChangesMessage(body)),
+    readPeerNews(body) {
+      const { changes, ...rest } = readPeerMessage(body);
+      return { ...rest, changes: fromSentChanges(changes) };
+    },
     readNews(body) {
       const { changes, ...rest } = readNewsMessage(body);
       return { ...rest, changes: fromSentChanges(changes) };
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -171,7 +171,7 @@
 function writeChanges(res: ServerResponse, said: PeerAnswer, codec: PeerCodec): void {
   switch (said.kind) {
     case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packChanges(said.changes));
+      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packPeerNews(said));
       break;
     case 'deaf':
       res.writeHead(Status.Unavailable, CONTENT_TYPE).end(pack(said.seen));
@@ -206,7 +206,7 @@
 function readPeerAnswer({ status, body }: RawAnswer, codec: PeerCodec): PeerAnswer {
   switch (status) {
     case Status.Ok:
-      return { kind: 'news', changes: codec.readChanges(body) };
+      return { kind: 'news', ...codec.readPeerNews(body) };
     case Status.Unavailable:
       return { kind: 'deaf', seen: unpack(body) as readonly BackendEntry[] };
     default:
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -5,6 +5,7 @@
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsAsk } from './RelayNews.js';
+import type { PeerNews } from './RelayPeers.js';
 import { NewsLevel } from './RelaySources.js';
 import type { ToldWork } from './RelayWork.js';
 
@@ -33,6 +34,8 @@
   revision: count,
 });
 
+const peerNews = z.object({ changes: sentChanges, age: z.nullable(count) });
+
 /** Changes of the store, with the work of the others. */
 const newsMessage = z.object({ changes: sentChanges, age: count, others: toldWork });
 
@@ -45,6 +48,11 @@
   readonly items: readonly SentItem[];
 }
 
+/** What a peer beside the sources tells, as it is sent. */
+export interface SentPeerNews extends Omit<PeerNews, 'changes'> {
+  readonly changes: SentChanges;
+}
+
 /** What a source tells, as it is sent. */
 export interface SentNews extends Omit<NewsContent, 'changes'> {
   readonly changes: SentChanges;
@@ -69,9 +77,9 @@
   }
 }
 
-/** Reads changes that a peer told; throws if they make no sense. */
-export function readChangesMessage(body: Buffer): SentChanges {
-  return sentChanges.parse(unpack(body));
+/** Reads what a peer beside the sources told; throws if it makes no sense. */
+export function readPeerMessage(body: Buffer): SentPeerNews {
+  return peerNews.parse(unpack(body));
 }
 
 /** Reads what a source told; throws if it makes no sense. */
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -16,10 +16,17 @@
  * engines itself. `silent`: it is gone, cut off or leaving.
  */
 export type PeerAnswer =
-  | { readonly kind: 'news'; readonly changes: MirrorChanges }
+  | ({ readonly kind: 'news' } & PeerNews)
   | { readonly kind: 'deaf'; readonly seen: readonly BackendEntry[] }
   | { readonly kind: 'silent' };
 
+/** What a peer that hears the store knows. */
+export interface PeerNews {
+  readonly changes: MirrorChanges;
+  /** Time since it knew all that the store held; null if it cannot tell all since the revision asked for. */
+  readonly age: Millis | null;
+}
+
 /** Asks a peer for what has changed since a revision. */
 export type AskPeer = (address: HostPort, since: number, timeout: Millis) => Promise<PeerAnswer>;
 
@@ -36,6 +43,9 @@
   /** An engine as a peer of its domain has seen it. */
   readonly onSeen: (entry: BackendEntry) => void;
   readonly onHeard: (peer: string, revision: number) => void;
+  readonly getNewsAge: () => Millis;
+  /** A peer told all that it knew so long ago. */
+  readonly onKnown: (age: Millis) => void;
 }
 
 export interface RelayPeers {
@@ -95,19 +105,22 @@
     }
     if (answer.kind === 'news') {
       heardAt = timers.now();
-      takeNews(peer, answer.changes);
+      takeNews(peer, answer);
     } else if (answer.kind === 'deaf') {
       // Of its own domain's engines an instance sees more itself.
       answer.seen.filter(({ domain }) => domain !== self.domain).forEach(options.onSeen);
     }
   }
 
-  function takeNews(peer: InstanceEntry, changes: MirrorChanges): void {
+  function takeNews(peer: InstanceEntry, { changes, age }: PeerNews): void {
     changes.items.forEach((item) => options.onEvent({ kind: 'written', item }, peer.id));
     changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }, peer.id));
     if (mirror.noteComplete(changes.revision)) {
       options.onHeard(peer.id, changes.revision);
     }
+    if (age !== null) {
+      options.onKnown(age);
+    }
   }
 
   function schedule(): void {
@@ -138,7 +151,8 @@
     },
     answer(since) {
       if (undo === null) {
-        return { kind: 'news', changes: mirror.readSince(since) };
+        const age = mirror.canTellSince(since) ? options.getNewsAge() : null;
+        return { kind: 'news', changes: mirror.readSince(since), age };
       }
       const seen = options.listSeen().filter(({ domain }) => domain === self.domain);
       return isLeaving ? { kind: 'silent' } : { kind: 'deaf', seen };
--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -24,6 +24,7 @@
   const streams: { spec: RequestSpec; sink: RequestSink }[] = [];
   const calls: { spec: ServiceSpec; sink: ServiceSink }[] = [];
   const decisions: Record<string, unknown>[] = [];
+  let newsAge = 400;
   let table: RouteTable | null = createRouteTable(
     createConfig({ routes: [createRoute(), ACCOUNTS] }),
   );
@@ -42,7 +43,7 @@
     random: createRandom(1),
     router,
     getTable: () => table,
-    getNewsAge: () => 400,
+    getNewsAge: () => newsAge,
     onDecision: (decision) => decisions.push({ ...decision }),
   });
   const submit = (change: Partial<RelayCall> = {}) => {
@@ -75,6 +76,9 @@
   };
   return {
     timers,
+    setNewsAge(age: number) {
+      newsAge = age;
+    },
     streams,
     calls,
     decisions,
@@ -111,6 +115,23 @@
     expect(bed.streams[0]?.spec.team).to.equal('');
   });
 
+  it('says that a call was not run, and when to come back, while its route or key may be new', () => {
+    // Callers got 404 for routes that the store had accepted seconds before, from instances that had not heard of them.
+    // No caller repeats a request after a 404, so each was lost, where another instance would have served it.
+    const bed = createBed();
+    bed.setNewsAge(3500);
+    for (const change of [{ path: '/new/1' }, { key: 'new' }]) {
+      const [refusal] = bed.submit(change).refusals;
+      expect(refusal?.status).to.equal(503);
+      expect(refusal?.retryAfter).to.be.within(1, 1000);
+    }
+    // What is known is served for as long as nothing newer is heard.
+    expect(bed.submit().refusals).to.deep.equal([]);
+    bed.setNewsAge(3000);
+    expect(bed.submit({ path: '/new/1' }).refusals[0]?.status).to.equal(404);
+    expect(bed.submit({ key: 'new' }).refusals[0]?.status).to.equal(401);
+  });
+
   it('bounds the time by the caller and by the route, whichever ends first', () => {
     const bed = createBed();
     bed.submit({ timeLeft: 3000 });
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -111,7 +111,7 @@
   if (answer?.kind !== 'news') {
     return ANSWER_BYTES;
   }
-  const body = 'others' in answer ? codec.packNews(answer) : codec.packChanges(answer.changes);
+  const body = 'others' in answer ? codec.packNews(answer) : codec.packPeerNews(answer);
   return ANSWER_BYTES + body.byteLength;
 }
 
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -28,6 +28,7 @@
   const deaf = new Set<number>();
   const seen: BackendEntry[][] = instances.map(() => []);
   const told: string[] = [];
+  const ages: number[][] = instances.map(() => []);
   const peers: RelayPeers[] = instances.map((self, i) => {
     const mirror = mirrors[i] as Mirror;
     return createRelayPeers({
@@ -45,9 +46,11 @@
       listSeen: () => seen[i] ?? [],
       onSeen: (entry) => told.push(`${self.id}: ${entry.id} ${entry.state}`),
       onHeard: () => undefined,
+      getNewsAge: () => 400,
+      onKnown: (age) => ages[i]?.push(age),
     });
   });
-  return { timers, mirrors, peers, deaf, seen, told };
+  return { timers, mirrors, peers, deaf, seen, told, ages };
 }
 
 describe('RelayMirror', () => {
@@ -105,7 +108,7 @@
     // It read the store in two pages; the configuration was written after the first, an engine registered before the
     // second, and then the store was lost. It asked its peers for what came after the latest revision that it had seen,
     // the engine's, and the configuration came before that.
-    const { timers, mirrors, peers } = createPeersBed();
+    const { timers, mirrors, peers, ages } = createPeersBed();
     mirrors.forEach((mirror) => mirror.noteComplete(5));
     mirrors[0]?.take(write('engine', 'registered', 8));
     mirrors[2]?.take(write('config', 'next', 7));
@@ -115,10 +118,11 @@
     await timers.advanceToAsync(1200);
     expect(mirrors[0]?.readSince(0).items.map(({ key }) => key)).to.include('config');
     expect(mirrors[0]?.getComplete()).to.equal(8);
+    expect(ages[0]).to.include(400);
   });
 
   it('does not take all for told by a peer that began later or forgot what was removed', async () => {
-    const { timers, mirrors, peers } = createPeersBed();
+    const { timers, mirrors, peers, ages } = createPeersBed();
     mirrors[0]?.noteComplete(5);
     mirrors[0]?.take(write('engine', 'registered', 5));
     mirrors[2]?.noteComplete(9);
@@ -127,6 +131,7 @@
     await timers.advanceToAsync(1200);
     expect(mirrors[0]?.readSince(5).items.map(({ key }) => key)).to.deep.equal(['config']);
     expect(mirrors[0]?.getComplete()).to.equal(5);
+    expect(ages[0]).to.deep.equal([]);
   });
 });
 
@@ -168,7 +173,7 @@
     const host = '127.0.0.1';
     const answer = (since: number): PeerAnswer =>
       hasNews
-        ? { kind: 'news', changes: mirror.readSince(since) }
+        ? { kind: 'news', changes: mirror.readSince(since), age: 400 }
         : { kind: 'deaf', seen: [createBackend('a')] };
     const address = {
       host,
