Count the age of news from the question on, and prove it under faults

Cause: an answer's own way did not count: news that took a second to arrive were taken for new, and a range of several pages for as old as its last page. Conclusion: the age of an empty answer of the store that was stalled before its first byte still counts as nothing.

--- a/packages/core/src/CoreArrival.ts
+++ b/packages/core/src/CoreArrival.ts
@@ -21,6 +21,8 @@
   readonly signal: AbortSignal;
   /** Something of the answer has come. */
   noteProgress(): void;
+  /** Time since the answer began. */
+  getTime(): Millis;
   /** The answer is there, or has failed: no limit holds any longer. */
   end(): void;
 }
@@ -31,14 +33,17 @@
   const giveUp = (): void => controller.abort(new Error('no answer in time'));
   let undoSilence: Unregister = timers.registerTimeout(limits.begin, giveUp);
   let undoWhole: Unregister | null = null;
+  let begunAt: Millis | null = null;
 
   return {
     signal: controller.signal,
     noteProgress() {
+      begunAt ??= timers.now();
       undoSilence();
       undoSilence = timers.registerTimeout(limits.gap, giveUp);
       undoWhole ??= timers.registerTimeout(limits.whole, giveUp);
     },
+    getTime: () => (begunAt === null ? 0 : timers.now() - begunAt),
     end() {
       undoSilence();
       undoWhole?.();
--- a/packages/core/src/__tests__/unit/CoreArrival.test.ts
+++ b/packages/core/src/__tests__/unit/CoreArrival.test.ts
@@ -28,6 +28,7 @@
     }
     timers.advanceTo(2099);
     expect(arrival.signal.aborted).to.equal(false);
+    expect(arrival.getTime()).to.equal(1499);
     timers.advanceTo(2100);
     expect(arrival.signal.aborted).to.equal(true);
   });
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -32,6 +32,8 @@
       readonly changes: MirrorChanges;
       /** Time since the source knew all that the store held. */
       readonly age: Millis;
+      /** How long it held the question. */
+      readonly held: Millis;
       /** What others of the source's domain tell. */
       readonly others: ToldWork;
     }
@@ -164,9 +166,9 @@
     answerAsOf = timers.now() - age;
   }
 
-  function noteStoreAnswer({ kind }: StoreOutcome<unknown>): void {
-    if (kind === 'done') {
-      noteAnswer(STORE_SOURCE, 0);
+  function noteStoreAnswer(outcome: StoreOutcome<unknown>): void {
+    if (outcome.kind === 'done') {
+      noteAnswer(STORE_SOURCE, outcome.arrivalTime ?? 0);
     }
   }
 
@@ -184,6 +186,7 @@
     const longest = Math.min(wait, options.isCrowded() ? CROWDED_HOLD : HOLD);
     const hold = pausedUntil.has(source.id) ? 0 : longest;
     const ask = { since, hold, level: options.getPart().level, from: options.self, work };
+    const askedAt = timers.now();
     const answer = await options.askNews(source, ask, hold + ASK_MARGIN);
     if (answer.kind === 'silent') {
       pausedUntil.set(source.id, timers.now() + SILENT_PAUSE);
@@ -194,7 +197,8 @@
     if (answer.kind !== 'news') {
       return null;
     }
-    noteAnswer(source.id, answer.age);
+    // The way there and back counts in full, since nobody knows when on it the answer was given.
+    noteAnswer(source.id, answer.age + Math.max(0, timers.now() - askedAt - answer.held));
     options.work.hear(answer.others);
     return toStoreChanges(answer.changes);
   }
@@ -215,8 +219,12 @@
   async function readRange(
     ...args: Parameters<StoreRangePort['readRange']>
   ): ReturnType<StoreRangePort['readRange']> {
+    const [, after] = args;
     const outcome = await store.readRange(...args);
-    noteStoreAnswer(outcome);
+    // A range is known as of its first page: what changed before a later one was read may be missing.
+    if (after === null) {
+      noteStoreAnswer(outcome);
+    }
     return outcome;
   }
 
@@ -273,7 +281,7 @@
       : mirror.readSince(since);
   }
 
-  function readAnswer(ask: NewsAsk): NewsAnswer {
+  function readAnswer(ask: NewsAsk, held: Millis): NewsAnswer {
     if (!mayAnswer(ask)) {
       return { kind: 'deaf' };
     }
@@ -281,6 +289,7 @@
       kind: 'news',
       changes: readChanges(ask.since),
       age: getAge(),
+      held,
       others: options.work.sumFor(ask.from),
     };
   }
@@ -296,12 +305,13 @@
     },
     async answer(ask) {
       const { since, hold } = ask;
+      const askedAt = timers.now();
       isAsked = true;
       options.work.take(ask.from, ask.work);
       if (mayAnswer(ask) && mirror.getComplete() <= since && hold > 0) {
         await waitForNews(Math.min(hold, HOLD));
       }
-      return readAnswer(ask);
+      return readAnswer(ask, timers.now() - askedAt);
     },
     noteCaughtUp(revision) {
       knownAsOf = Math.max(knownAsOf, answerAsOf);
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -37,7 +37,12 @@
 const peerNews = z.object({ changes: sentChanges, age: z.nullable(count) });
 
 /** Changes of the store, with the work of the others. */
-const newsMessage = z.object({ changes: sentChanges, age: count, others: toldWork });
+const newsMessage = z.object({
+  changes: sentChanges,
+  age: count,
+  held: count,
+  others: toldWork,
+});
 
 /** An item as it is sent: its value as text, or compressed. */
 export type SentItem =
@@ -63,6 +68,8 @@
   readonly changes: MirrorChanges;
   /** Time since the source knew all that the store held, in ms. */
   readonly age: Millis;
+  /** How long it held the question, in ms. */
+  readonly held: Millis;
   /** What others of the source's domain tell. */
   readonly others: ToldWork;
 }
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -94,6 +94,7 @@
       return;
     }
     // Not since the latest revision known: before that there may be changes that were never heard of.
+    const askedAt = timers.now();
     const answer = await options.askPeer(peer.address, mirror.getComplete(), ASK_TIMEOUT);
     if (undo === null) {
       return;
@@ -105,21 +106,21 @@
     }
     if (answer.kind === 'news') {
       heardAt = timers.now();
-      takeNews(peer, answer);
+      takeNews(peer, answer, askedAt);
     } else if (answer.kind === 'deaf') {
       // Of its own domain's engines an instance sees more itself.
       answer.seen.filter(({ domain }) => domain !== self.domain).forEach(options.onSeen);
     }
   }
 
-  function takeNews(peer: InstanceEntry, { changes, age }: PeerNews): void {
+  function takeNews(peer: InstanceEntry, { changes, age }: PeerNews, askedAt: Millis): void {
     changes.items.forEach((item) => options.onEvent({ kind: 'written', item }, peer.id));
     changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }, peer.id));
     if (mirror.noteComplete(changes.revision)) {
       options.onHeard(peer.id, changes.revision);
     }
     if (age !== null) {
-      options.onKnown(age);
+      options.onKnown(age + timers.now() - askedAt);
     }
   }
 
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -52,6 +52,8 @@
   readonly members: readonly KnowingMember[];
   /** Turns some instances away from the store without a word. */
   setCut(isCut: (id: string) => boolean): void;
+  /** Lets some instances answer no peer. */
+  setMute(isMute: (id: string) => boolean): void;
   /** Instances at which a version, or a later one, came in force no later than a time. */
   listKnowing(version: number, by: Millis): readonly string[];
 }
@@ -124,6 +126,13 @@
   const readContent = createReader();
   const members: KnowingMember[] = [];
   let isCut: (id: string) => boolean = () => false;
+  let isMute: (id: string) => boolean = () => false;
+
+  function sleep(time: Millis): Promise<void> {
+    return new Promise((resolve) => {
+      timers.registerTimeout(time, resolve);
+    });
+  }
 
   /** An answer of a peer, if it comes in time. */
   async function carry<T>(
@@ -133,16 +142,19 @@
     until: Millis,
     answer: T,
   ): Promise<T | { readonly kind: 'silent' }> {
-    const isThere = await links.carry(from, to, bytes, until - timers.now());
+    const begunAt = timers.now();
+    if (isMute(from)) {
+      await sleep(until - begunAt);
+      return { kind: 'silent' };
+    }
+    const isThere = await links.carry(from, to, bytes, until - begunAt);
     return isThere ? answer : { kind: 'silent' };
   }
 
   function createPort(id: string): StoreRangePort {
     const port = createLinkedPort(links, timers, id, store);
     const lose = async (timeout: Millis): Promise<{ kind: 'unknown' }> => {
-      await new Promise<void>((resolve) => {
-        timers.registerTimeout(timeout, resolve);
-      });
+      await sleep(timeout);
       return { kind: 'unknown' };
     };
     return {
@@ -220,6 +232,9 @@
     setCut(next) {
       isCut = next;
     },
+    setMute(next) {
+      isMute = next;
+    },
     listKnowing: (version, by) =>
       members
         .filter(({ inForceAt }) =>
--- a/packages/relay/src/__tests__/unit/RelayLinks.ts
+++ b/packages/relay/src/__tests__/unit/RelayLinks.ts
@@ -116,8 +116,12 @@
     const until = timers.now() + timeout;
     const outcome = await work;
     const bytes = outcome.kind === 'done' ? countBytes(outcome.value) : OVERHEAD_BYTES;
-    const isThere = await links.carry('store', self, bytes, until - timers.now());
-    return isThere ? outcome : { kind: 'unknown' };
+    const begunAt = timers.now();
+    const isThere = await links.carry('store', self, bytes, until - begunAt);
+    if (!isThere) {
+      return { kind: 'unknown' };
+    }
+    return outcome.kind === 'done' ? { ...outcome, arrivalTime: timers.now() - begunAt } : outcome;
   }
 
   return {
--- a/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
@@ -16,7 +16,7 @@
 describe('RelayPeerCodec', () => {
   it('carries large and small values as they are, the large ones in a fraction of their bytes', () => {
     const sender = createPeerCodec();
-    const news = { changes: CHANGES, age: 400, others: NO_WORK };
+    const news = { changes: CHANGES, age: 400, held: 300, others: NO_WORK };
     for (const age of [400, null]) {
       const told = { changes: CHANGES, age };
       expect(createPeerCodec().readPeerNews(sender.packPeerNews(told))).to.deep.equal(told);
--- a/packages/store/src/StorePort.ts
+++ b/packages/store/src/StorePort.ts
@@ -11,7 +11,12 @@
  * the effect may have happened, may yet happen, or never will.
  */
 export type StoreOutcome<T> =
-  | { readonly kind: 'done'; readonly value: T }
+  | {
+      readonly kind: 'done';
+      readonly value: T;
+      /** Time from the first byte of a long answer to its last: what it tells is so much older. */
+      readonly arrivalTime?: Millis;
+    }
   | { readonly kind: 'refused'; readonly reason: StoreRefusal }
   | { readonly kind: 'unknown' };
 
