Leave a peer whose answer takes over a second, and ask another

Cause: since an answer that arrives was no longer given up, instances waited up to eight seconds for a source whose link was squeezed, and asked no other; found by a review that had not seen the work. Change: a peer's answer may take a second from its beginning, and pause for 0.3 s; the store's, which nobody stands in for, eight. Conclusion: one slow source costs its askers a second; two in one domain were not tried.

--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { Agent } from 'undici';
 import { pack, unpack } from 'msgpackr';
-import { collectArrival, LARGE_ANSWER, startArrival } from '@skylarksail/core/CoreArrival';
+import { collectArrival, startArrival } from '@skylarksail/core/CoreArrival';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { AskGrant } from './RelayGrants.js';
@@ -22,6 +22,11 @@
 const CONNECTIONS = 2;
 /** Far more than the work of an instance on all engines of a domain takes. */
 const MOST_BODY_BYTES = 262_144;
+/**
+ * Limits of an answer that has begun. Its whole is half of the two seconds in which a change is to be in force, so that
+ * there is time to ask another where a peer's link is too slow.
+ */
+export const PEER_ANSWER = { gap: 300, whole: 1000 } as const;
 const SILENT = { kind: 'silent' } as const;
 
 /** What peers are told. */
@@ -59,7 +64,7 @@
     timeout: Millis,
     body: Buffer | null = null,
   ): Promise<RawAnswer | null> {
-    const arrival = startArrival(timers, { begin: timeout, ...LARGE_ANSWER });
+    const arrival = startArrival(timers, { begin: timeout, ...PEER_ANSWER });
     try {
       const res = await agent.request({
         origin: `http://${host}:${port}`,
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -15,9 +15,12 @@
 import { createRelayLease } from '../../RelayLease.js';
 import type { RelayLease } from '../../RelayLease.js';
 import type { NewsAnswer } from '../../RelayNews.js';
+import { PEER_ANSWER } from '../../RelayPeerHttp.js';
 import type { PeerCodec } from '../../RelayPeerCodec.js';
 import { createPeerCodec } from '../../RelayPeerCodec.js';
 import type { PeerAnswer } from '../../RelayPeers.js';
+import type { NewsPart } from '../../RelaySources.js';
+import { selectNewsPart } from '../../RelaySources.js';
 import type { StoreContent } from '../../RelayTypes.js';
 import { createConfig, createRoute } from './RelayFixtures.js';
 import type { FakeLinks, LinkRate } from './RelayLinks.js';
@@ -33,6 +36,8 @@
 /** One instance, with the configurations that it put in force. */
 export interface KnowingMember {
   readonly id: string;
+  /** From whom it hears now. */
+  readonly getPart: () => NewsPart;
   readonly knowledge: RelayKnowledge;
   readonly lease: RelayLease;
   /** When each version came in force. */
@@ -147,7 +152,10 @@
       await sleep(until - begunAt);
       return { kind: 'silent' };
     }
-    const isThere = await links.carry(from, to, bytes, until - begunAt);
+    const isThere = await links.carry(from, to, bytes, {
+      timeLeft: until - begunAt,
+      whole: PEER_ANSWER.whole,
+    });
     return isThere ? answer : { kind: 'silent' };
   }
 
@@ -219,7 +227,8 @@
       onTable: ({ config }) => inForceAt.set(config.version, timers.now()),
     });
     lease.start();
-    return { id, knowledge, lease, inForceAt };
+    const getPart = (): NewsPart => selectNewsPart(self, lease.listInstances());
+    return { id, getPart, knowledge, lease, inForceAt };
   }
 
   store.put(CONFIG_KEY, writeConfig(1, 1));
--- a/packages/relay/src/__tests__/unit/RelayLinks.ts
+++ b/packages/relay/src/__tests__/unit/RelayLinks.ts
@@ -13,7 +13,12 @@
    * Carries an answer between two places. False if there is no time left in which it may begin, or if it does not end
    * within the time that a whole answer may take; then the rest is not sent.
    */
-  carry(from: string, to: string, bytes: number, timeLeft: Millis): Promise<boolean>;
+  carry(
+    from: string,
+    to: string,
+    bytes: number,
+    limits: { readonly timeLeft: Millis; readonly whole: Millis },
+  ): Promise<boolean>;
   /** Bytes that a place has sent, arrived in time or not. */
   countSent(from: string): number;
 }
@@ -68,7 +73,7 @@
   }
 
   return {
-    carry: (from, to, bytes, timeLeft) =>
+    carry: (from, to, bytes, { timeLeft, whole }) =>
       new Promise((end) => {
         if (transfers.length === 0) {
           timers.registerTimeout(TICK, tick);
@@ -77,7 +82,7 @@
           from,
           to,
           rest: bytes,
-          until: timers.now() + (timeLeft > 0 ? LARGE_ANSWER.whole : 0),
+          until: timers.now() + (timeLeft > 0 ? whole : 0),
           end,
         });
       }),
@@ -117,7 +122,10 @@
     const outcome = await work;
     const bytes = outcome.kind === 'done' ? countBytes(outcome.value) : OVERHEAD_BYTES;
     const begunAt = timers.now();
-    const isThere = await links.carry('store', self, bytes, until - begunAt);
+    const isThere = await links.carry('store', self, bytes, {
+      timeLeft: until - begunAt,
+      whole: LARGE_ANSWER.whole,
+    });
     if (!isThere) {
       return { kind: 'unknown' };
     }
