Let instances of two versions understand each other's news

Cause: answers of peers had changed their shape. An instance of the version before that had lost the store ended with the first answer of a new one, and new ones took those of the version before for silent: found by a review. Change: the shape is as before, with the age beside it; who asks says that it takes compressed values, else they go as they are; an age that is not told is taken as before. No fleet of two versions was run. Conclusion: a fleet can be replaced in turn; until it is, large values go uncompressed between the versions.

--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -119,8 +119,8 @@
  */
 const DIRECT_TIME: Millis = 2000;
 /**
- * Age of its own news from which a source answers nothing. A watcher's are some 1 s old at the most, an aggregator's 1.7 s,
- * and 2.5 s beside a watcher that is dead. One whose way to the store went silent would else go on to say that there is
+ * Age of its own news from which a source answers nothing. A watcher's are some 1 s old at the most, an aggregator's 1.6 s,
+ * and 2.2 s beside two watchers that are dead. One whose way to the store went silent would else go on to say that there is
  * nothing new, and each level would find out only seconds after the one before it.
  */
 const LONGEST_SOURCE_AGE: Millis = 2600;
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -11,9 +11,14 @@
 import { readNewsMessage, readPeerMessage } from './RelayPeerMessages.js';
 import type { PeerNews } from './RelayPeers.js';
 
+/** How an answer is written: as every version reads it, or with large values compressed for those that say they can. */
+export const AnswerForm = { Plain: 'plain', Deflated: 'deflated' } as const;
+
+export type AnswerFormName = (typeof AnswerForm)[keyof typeof AnswerForm];
+
 export interface PeerCodec {
-  packPeerNews(news: PeerNews): Buffer;
-  packNews(news: NewsContent): Buffer;
+  packPeerNews(news: PeerNews, form: AnswerFormName): Buffer;
+  packNews(news: NewsContent, form: AnswerFormName): Buffer;
   /** Throws if the bytes make no sense. */
   readPeerNews(body: Buffer): PeerNews;
   /** Throws if the bytes make no sense. */
@@ -38,9 +43,9 @@
     return deflated;
   }
 
-  function toSent(item: StoreItem): SentItem {
+  function toSent(item: StoreItem, form: AnswerFormName): SentItem {
     const { key, value, revision } = item;
-    return value.length < LEAST_COMPRESSED
+    return form === AnswerForm.Plain || value.length < LEAST_COMPRESSED
       ? { key, value, revision }
       : { key, revision, deflated: compress(item) };
   }
@@ -57,8 +62,8 @@
     return item;
   }
 
-  function toSentChanges({ items, ...rest }: MirrorChanges): SentChanges {
-    return { ...rest, items: items.map(toSent) };
+  function toSentChanges({ items, ...rest }: MirrorChanges, form: AnswerFormName): SentChanges {
+    return { ...rest, items: items.map((item) => toSent(item, form)) };
   }
 
   function fromSentChanges({ items, ...rest }: SentChanges): MirrorChanges {
@@ -66,11 +71,12 @@
   }
 
   return {
-    packPeerNews: ({ changes, age }) => pack({ changes: toSentChanges(changes), age }),
-    packNews: ({ changes, ...rest }) => pack({ ...rest, changes: toSentChanges(changes) }),
+    packPeerNews: ({ changes, age }, form) => pack({ ...toSentChanges(changes, form), age }),
+    packNews: ({ changes, age, held, others }, form) =>
+      pack({ changes: toSentChanges(changes, form), age, held, others }),
     readPeerNews(body) {
-      const { changes, ...rest } = readPeerMessage(body);
-      return { ...rest, changes: fromSentChanges(changes) };
+      const { age, ...changes } = readPeerMessage(body);
+      return { age, changes: fromSentChanges(changes) };
     },
     readNews(body) {
       const { changes, ...rest } = readNewsMessage(body);
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -10,9 +10,10 @@
 import type { AskGrant } from './RelayGrants.js';
 import type { AskNews, NewsAnswer, NewsAsk } from './RelayNews.js';
 import type { PeerCodec } from './RelayPeerCodec.js';
-import { createPeerCodec } from './RelayPeerCodec.js';
+import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
+import type { NewsContent } from './RelayPeerMessages.js';
 import { readNewsAsk } from './RelayPeerMessages.js';
-import type { AskPeer, PeerAnswer } from './RelayPeers.js';
+import type { AskPeer, PeerAnswer, PeerNews } from './RelayPeers.js';
 import type { BackendEntry } from './RelayTypes.js';
 
 const Path = { Changes: '/changes', News: '/news', Grants: '/grants' } as const;
@@ -27,6 +28,8 @@
  * there is time to ask another where a peer's link is too slow.
  */
 export const PEER_ANSWER = { gap: 300, whole: 1000 } as const;
+/** Said with each question; an instance of an earlier version passes over it. */
+const FORM = `form=${AnswerForm.Deflated}`;
 const SILENT = { kind: 'silent' } as const;
 
 /** What peers are told. */
@@ -83,11 +86,11 @@
 
   return {
     async ask(address, since, timeout) {
-      const raw = await send(address, `${Path.Changes}?since=${since}`, timeout);
+      const raw = await send(address, `${Path.Changes}?since=${since}&${FORM}`, timeout);
       return readAnswer(raw, (got) => readPeerAnswer(got, codec));
     },
     async askNews({ address }, ask, timeout) {
-      const raw = address && (await send(address, Path.News, timeout, pack(ask)));
+      const raw = address && (await send(address, `${Path.News}?${FORM}`, timeout, pack(ask)));
       return readAnswer(raw, (got) => readNewsAnswer(got, codec));
     },
     async askGrant({ address }, service, wanted, timeout) {
@@ -142,12 +145,13 @@
 ): Promise<void> {
   const [path, query] = url.split('?');
   const asked = new URLSearchParams(query);
+  const form = asked.get('form') === AnswerForm.Deflated ? AnswerForm.Deflated : AnswerForm.Plain;
   switch (path) {
     case Path.Changes:
-      writeChanges(res, answerChanges(asked, answers), codec);
+      writeChanges(res, answerChanges(asked, answers), (news) => codec.packPeerNews(news, form));
       break;
     case Path.News:
-      writeNews(res, await answerNews(body, answers), codec);
+      writeNews(res, await answerNews(body, answers), (news) => codec.packNews(news, form));
       break;
     case Path.Grants:
       res.end(String(answerGrant(asked, answers)));
@@ -173,10 +177,14 @@
   return Number.isSafeInteger(wanted) && wanted > 0 ? answers.grant(service, wanted) : 0;
 }
 
-function writeChanges(res: ServerResponse, said: PeerAnswer, codec: PeerCodec): void {
+function writeChanges(
+  res: ServerResponse,
+  said: PeerAnswer,
+  packAnswer: (news: PeerNews) => Buffer,
+): void {
   switch (said.kind) {
     case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packPeerNews(said));
+      res.writeHead(Status.Ok, CONTENT_TYPE).end(packAnswer(said));
       break;
     case 'deaf':
       res.writeHead(Status.Unavailable, CONTENT_TYPE).end(pack(said.seen));
@@ -186,10 +194,14 @@
   }
 }
 
-function writeNews(res: ServerResponse, said: NewsAnswer, codec: PeerCodec): void {
+function writeNews(
+  res: ServerResponse,
+  said: NewsAnswer,
+  packAnswer: (news: NewsContent) => Buffer,
+): void {
   switch (said.kind) {
     case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(codec.packNews(said));
+      res.writeHead(Status.Ok, CONTENT_TYPE).end(packAnswer(said));
       break;
     case 'deaf':
       res.writeHead(Status.Unavailable).end();
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -28,19 +28,20 @@
   z.object({ key: z.string(), deflated: z.instanceof(Uint8Array), revision: count }),
 ]);
 
-const sentChanges = z.object({
+const changesShape = {
   items: z.array(sentItem),
   removed: z.array(z.object({ key: z.string(), revision: count })),
   revision: count,
-});
+};
 
-const peerNews = z.object({ changes: sentChanges, age: z.nullable(count) });
+/** Instances of an earlier version did not say how old what they tell is. */
+const peerNews = z.object({ ...changesShape, age: z.optional(z.nullable(count)) });
 
 /** Changes of the store, with the work of the others. */
 const newsMessage = z.object({
-  changes: sentChanges,
-  age: count,
-  held: count,
+  changes: z.object(changesShape),
+  age: z.optional(count),
+  held: z.optional(count),
   others: toldWork,
 });
 
@@ -54,8 +55,8 @@
 }
 
 /** What a peer beside the sources tells, as it is sent. */
-export interface SentPeerNews extends Omit<PeerNews, 'changes'> {
-  readonly changes: SentChanges;
+export interface SentPeerNews extends SentChanges {
+  readonly age: PeerNews['age'];
 }
 
 /** What a source tells, as it is sent. */
@@ -86,10 +87,10 @@
 
 /** Reads what a peer beside the sources told; throws if it makes no sense. */
 export function readPeerMessage(body: Buffer): SentPeerNews {
-  return peerNews.parse(unpack(body));
+  return { age: null, ...peerNews.parse(unpack(body)) };
 }
 
 /** Reads what a source told; throws if it makes no sense. */
 export function readNewsMessage(body: Buffer): SentNews {
-  return newsMessage.parse(unpack(body));
+  return { age: 0, held: 0, ...newsMessage.parse(unpack(body)) };
 }
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -17,7 +17,7 @@
 import type { NewsAnswer } from '../../RelayNews.js';
 import { PEER_ANSWER } from '../../RelayPeerHttp.js';
 import type { PeerCodec } from '../../RelayPeerCodec.js';
-import { createPeerCodec } from '../../RelayPeerCodec.js';
+import { AnswerForm, createPeerCodec } from '../../RelayPeerCodec.js';
 import type { PeerAnswer } from '../../RelayPeers.js';
 import type { NewsPart } from '../../RelaySources.js';
 import { selectNewsPart } from '../../RelaySources.js';
@@ -118,7 +118,10 @@
   if (answer?.kind !== 'news') {
     return ANSWER_BYTES;
   }
-  const body = 'others' in answer ? codec.packNews(answer) : codec.packPeerNews(answer);
+  const body =
+    'others' in answer
+      ? codec.packNews(answer, AnswerForm.Deflated)
+      : codec.packPeerNews(answer, AnswerForm.Deflated);
   return ANSWER_BYTES + body.byteLength;
 }
 
--- a/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
@@ -1,7 +1,7 @@
 import { deflateRawSync } from 'node:zlib';
 import { expect } from 'chai';
-import { pack } from 'msgpackr';
-import { createPeerCodec } from '../../RelayPeerCodec.js';
+import { pack, unpack } from 'msgpackr';
+import { AnswerForm, createPeerCodec } from '../../RelayPeerCodec.js';
 import { CONFIG_KEY, writeConfig } from './RelayKnowledgeBed.js';
 
 const NO_WORK = { running: [], lost: [] };
@@ -10,7 +10,7 @@
 const CHANGES = { items: [LARGE, SMALL], removed: [{ key: 'gone', revision: 9 }], revision: 9 };
 
 function packItem(item: object): Buffer {
-  return pack({ changes: { items: [item], removed: [], revision: 1 }, age: 0 });
+  return pack({ items: [item], removed: [], revision: 1 });
 }
 
 describe('RelayPeerCodec', () => {
@@ -19,18 +19,22 @@
     const news = { changes: CHANGES, age: 400, held: 300, others: NO_WORK };
     for (const age of [400, null]) {
       const told = { changes: CHANGES, age };
-      expect(createPeerCodec().readPeerNews(sender.packPeerNews(told))).to.deep.equal(told);
+      expect(
+        createPeerCodec().readPeerNews(sender.packPeerNews(told, AnswerForm.Deflated)),
+      ).to.deep.equal(told);
     }
-    expect(createPeerCodec().readNews(sender.packNews(news))).to.deep.equal(news);
+    expect(createPeerCodec().readNews(sender.packNews(news, AnswerForm.Deflated))).to.deep.equal(
+      news,
+    );
     // Twelve subscribers of an aggregator hear it within a quarter of a second on a link of 14 Mbit/s.
-    expect(sender.packNews(news).byteLength).to.be.below((1750 * 250) / 12);
+    expect(sender.packNews(news, AnswerForm.Deflated).byteLength).to.be.below((1750 * 250) / 12);
   });
 
   it('passes a value on as it came', () => {
-    const body = createPeerCodec().packPeerNews({ changes: CHANGES, age: 0 });
+    const body = createPeerCodec().packPeerNews({ changes: CHANGES, age: 0 }, AnswerForm.Deflated);
     const aggregator = createPeerCodec();
     const heard = aggregator.readPeerNews(body);
-    expect(aggregator.packPeerNews(heard)).to.deep.equal(body);
+    expect(aggregator.packPeerNews(heard, AnswerForm.Deflated)).to.deep.equal(body);
   });
 
   it('takes nothing that is no answer, or that would fill the memory', () => {
@@ -44,4 +48,18 @@
     const codec = createPeerCodec();
     bodies.forEach((body) => expect(() => codec.readPeerNews(body)).to.throw());
   });
+
+  it('is understood by instances of the version before, and understands them', () => {
+    // While a fleet was replaced, each instance of the version before that had lost the store ended as soon as it asked one
+    // of the new: it took an answer in another shape for changes, without a check.
+    const codec = createPeerCodec();
+    const plain = codec.packPeerNews({ changes: CHANGES, age: 400 }, AnswerForm.Plain);
+    expect(unpack(plain)).to.deep.include({ ...CHANGES });
+    expect(codec.readPeerNews(pack(CHANGES))).to.deep.equal({ changes: CHANGES, age: null });
+    const former = { changes: CHANGES, others: NO_WORK };
+    const news = codec.packNews({ ...former, age: 400, held: 300 }, AnswerForm.Plain);
+    expect(unpack(news)).to.deep.include(former);
+    const heard = codec.readNews(pack({ kind: 'news', ...former }));
+    expect(heard).to.deep.equal({ ...former, age: 0, held: 0 });
+  });
 });
