Ask peers in one round at a time, however often the store is lost

Cause: each loss of the store began a round of questions to peers, and a round that waited for an answer went on with the next loss. Five short losses left several rounds beside each other, which took the links of the instances asked; an old fault. Change: a round ends with the loss that it belongs to. Conclusion: the number of questions follows from the time lost alone.

--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -75,6 +75,7 @@
   const silent = new Set<InstanceId>();
   let undo: Unregister | null = null;
   let asked = 0;
+  let losses = 0;
   let heardAt = 0;
   let isLeaving = false;
 
@@ -124,12 +125,13 @@
     }
   }
 
-  function schedule(): void {
+  /** Asks on until the store is back. A round that belongs to an earlier loss must not go on beside that of a later one. */
+  function schedule(loss: number): void {
     undo = timers.registerTimeout(jitter(random, ASK_PERIOD, ASK_JITTER), () => {
       const asks = Array.from({ length: ASKED_AT_ONCE }, ask);
       void Promise.all(asks).finally(() => {
-        if (undo !== null) {
-          schedule();
+        if (undo !== null && loss === losses) {
+          schedule(loss);
         }
       });
     });
@@ -140,7 +142,8 @@
       if (undo === null) {
         heardAt = timers.now();
         silent.clear();
-        schedule();
+        losses += 1;
+        schedule(losses);
       }
     },
     noteStoreRegained() {
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -9,7 +9,7 @@
 import { createPeerHttp } from '../../RelayPeerHttp.js';
 import type { PeerAnswer, RelayPeers } from '../../RelayPeers.js';
 import { createRelayPeers } from '../../RelayPeers.js';
-import type { BackendEntry } from '../../RelayTypes.js';
+import type { BackendEntry, InstanceEntry } from '../../RelayTypes.js';
 import { createBackend } from './RelayFixtures.js';
 
 const write = (key: string, value: string, revision: number): StoreEvent => ({
@@ -183,6 +183,53 @@
   });
 });
 
+describe('RelayPeers with a store that comes and goes', () => {
+  it('asks no more often after many short losses than after one', async () => {
+    // Instances that lost the store for moments took their peers' links with questions: each loss began a round of asking
+    // of its own, and a round that waited for an answer went on with the next loss.
+    const countAsks = async (losses: number): Promise<number> => {
+      const timers = createVirtualTimers();
+      const instances = ['one', 'two'].map((id, i) => ({
+        id,
+        domain: 'd',
+        address: { host: '127.0.0.1', port: i + 1 },
+      }));
+      let asks = 0;
+      const peers = createRelayPeers({
+        timers,
+        random: createRandom(1),
+        self: instances[0] as InstanceEntry,
+        mirror: createMirror(),
+        askPeer: async () => {
+          asks += 1;
+          await new Promise<void>((resolve) => {
+            timers.registerTimeout(900, resolve);
+          });
+          return { kind: 'silent' };
+        },
+        listInstances: () => instances,
+        onEvent: () => undefined,
+        listSeen: () => [],
+        onSeen: () => undefined,
+        onHeard: () => undefined,
+        getNewsAge: () => 0,
+        onKnown: () => undefined,
+      });
+      for (let i = 0; i < losses; i++) {
+        peers.noteStoreLost();
+        await timers.advanceToAsync(timers.now() + 500);
+        peers.noteStoreRegained();
+        await timers.advanceToAsync(timers.now() + 10);
+      }
+      peers.noteStoreLost();
+      asks = 0;
+      await timers.advanceToAsync(timers.now() + 10_000);
+      return asks;
+    };
+    expect(await countAsks(5)).to.be.at.most(await countAsks(1));
+  });
+});
+
 describe('RelayPeerHttp', () => {
   it('carries changes to a peer, and nothing from one that has none or is gone', async () => {
     const server = createPeerHttp(createSystemTimers());
