Read what has come before an answer is given up

Cause: a process that was held up, as small instances under load are, runs the timer of a limit before it reads the bytes that came meanwhile, and gave up an answer that lay in its socket. Found by a review, by reading. Change: a limit that has passed is looked at again 20 ms later, after what has come was read.

--- a/packages/core/src/CoreArrival.ts
+++ b/packages/core/src/CoreArrival.ts
@@ -27,13 +27,23 @@
   end(): void;
 }
 
+/**
+ * A process that was held up runs its timers before it reads what has come meanwhile: a limit that has passed is looked at
+ * once more after that.
+ */
+const READING_TIME: Millis = 20;
+
 /** Starts to wait for an answer. */
 export function startArrival(timers: TimerService, limits: ArrivalLimits): Arrival {
   const controller = new AbortController();
-  const giveUp = (): void => controller.abort(new Error('no answer in time'));
-  let undoSilence: Unregister = timers.registerTimeout(limits.begin, giveUp);
+  let undoSilence: Unregister = () => undefined;
   let undoWhole: Unregister | null = null;
   let begunAt: Millis | null = null;
+  const abort = (): void => controller.abort(new Error('no answer in time'));
+  const giveUp = (): void => {
+    undoSilence = timers.registerTimeout(READING_TIME, abort);
+  };
+  undoSilence = timers.registerTimeout(limits.begin, giveUp);
 
   return {
     signal: controller.signal,
@@ -41,7 +51,7 @@
       begunAt ??= timers.now();
       undoSilence();
       undoSilence = timers.registerTimeout(limits.gap, giveUp);
-      undoWhole ??= timers.registerTimeout(limits.whole, giveUp);
+      undoWhole ??= timers.registerTimeout(limits.whole, abort);
     },
     getTime: () => (begunAt === null ? 0 : timers.now() - begunAt),
     end() {
