Tell all that there is where changes cannot be told

Cause: since nobody was told of the time before a source's latest whole reading, instances that the store went on turning away after a common outage stayed in doubt for good: all others had read anew, and sources and peers had nothing to tell them. Change: a source or peer that cannot tell the changes since a revision tells all that it holds as of the last that it knows in full. Sources are asked since what is known in full; a source that answers ends the time of direct watches; the turn to the store is logged once, and not in each round of a loss; a late answer of an earlier loss is not taken. Conclusion: an instance that hears any peer is told all. One that starts while the store turns it away knows no peer, and answers 503.

--- a/packages/relay/src/RelayMirror.ts
+++ b/packages/relay/src/RelayMirror.ts
@@ -5,8 +5,10 @@
  */
 import type { StoreEvent, StoreItem } from '@skylarksail/store/StoreRange';
 
-/** What has changed since a revision. */
+/** What has changed since a revision, or all that there is. */
 export interface MirrorChanges {
+  /** The items are all that there are as of the revision; no removals are told. */
+  readonly isWhole: boolean;
   readonly items: readonly StoreItem[];
   readonly removed: readonly { readonly key: string; readonly revision: number }[];
   readonly revision: number;
@@ -17,8 +19,13 @@
   take(event: StoreEvent): boolean;
   /** Events that bring what is known to a snapshot as of `revision`. */
   diffSnapshot(items: readonly StoreItem[], revision: number): readonly StoreEvent[];
-  /** The revision that it names is the last that is known in full, or the one given if not all since then is known. */
-  readSince(revision: number): MirrorChanges;
+  /**
+   * Changes since a revision, up to the last that is known in full. All that there is if the changes cannot be told, and
+   * what is known, as of the revision given, if that is not known either.
+   */
+  readSince(revision: number, takesWhole?: boolean): MirrorChanges;
+  /** Events that bring what is known to what another mirror told. */
+  listEvents(changes: MirrorChanges): readonly StoreEvent[];
   /** Latest revision of anything known. Earlier changes may be missing. */
   getRevision(): number;
   /** All that happened up to a revision has been taken in; says whether that is more than before. */
@@ -32,6 +39,8 @@
   getComplete(): number;
   /** Whether all that happened after a revision can be told, removals included. */
   canTellSince(revision: number): boolean;
+  /** Whether all that there is can be told. */
+  canTellWhole(): boolean;
 }
 
 /** Removed keys that are remembered. Servers come and go by the dozen; older ones are long forgotten. */
@@ -51,6 +60,10 @@
     return since >= wholeSince && since >= forgottenTo;
   }
 
+  function canTellWhole(): boolean {
+    return wholeSince < Infinity && complete > 0;
+  }
+
   function getKnown(key: string): number {
     return items.get(key)?.revision ?? removed.get(key) ?? 0;
   }
@@ -68,6 +81,15 @@
     }
   }
 
+  function diffSnapshot(found: readonly StoreItem[], at: number): readonly StoreEvent[] {
+    const keys = new Set(found.map(({ key }) => key));
+    const written = found.map((item): StoreEvent => ({ kind: 'written', item }));
+    const gone = [...items.values()]
+      .filter((item) => !keys.has(item.key) && item.revision <= at)
+      .map(({ key }): StoreEvent => ({ kind: 'removed', key, revision: at }));
+    return [...written, ...gone];
+  }
+
   return {
     take(event) {
       const key = event.kind === 'written' ? event.item.key : event.key;
@@ -84,21 +106,27 @@
       }
       return true;
     },
-    diffSnapshot(found, at) {
-      const keys = new Set(found.map(({ key }) => key));
-      const written = found.map((item): StoreEvent => ({ kind: 'written', item }));
-      const gone = [...items.values()]
-        .filter((item) => !keys.has(item.key) && item.revision <= at)
-        .map(({ key }): StoreEvent => ({ kind: 'removed', key, revision: at }));
-      return [...written, ...gone];
+    diffSnapshot,
+    readSince(since, takesWhole = true) {
+      if (takesWhole && !canTellSince(since) && canTellWhole()) {
+        return { isWhole: true, items: [...items.values()], removed: [], revision: complete };
+      }
+      return {
+        isWhole: false,
+        items: [...items.values()].filter((item) => item.revision > since),
+        removed: [...removed]
+          .filter(([, at]) => at > since)
+          .map(([key, at]) => ({ key, revision: at })),
+        revision: canTellSince(since) ? Math.max(since, complete) : since,
+      };
+    },
+    listEvents({ isWhole, items: told, removed: gone, revision: at }) {
+      if (isWhole) {
+        return diffSnapshot(told, at);
+      }
+      const written = told.map((item): StoreEvent => ({ kind: 'written', item }));
+      return [...written, ...gone.map((removal) => ({ kind: 'removed' as const, ...removal }))];
     },
-    readSince: (since) => ({
-      items: [...items.values()].filter((item) => item.revision > since),
-      removed: [...removed]
-        .filter(([, at]) => at > since)
-        .map(([key, at]) => ({ key, revision: at })),
-      revision: canTellSince(since) ? Math.max(since, complete) : since,
-    }),
     getRevision: () => revision,
     noteComplete(next) {
       if (next <= complete) {
@@ -108,9 +136,10 @@
       return true;
     },
     noteWholeReading(at) {
-      wholeSince = wholeSince === Infinity ? at : Math.max(wholeSince, at);
+      wholeSince = Math.max(at, wholeSince < Infinity ? wholeSince : 0);
     },
     getComplete: () => complete,
     canTellSince,
+    canTellWhole,
   };
 }
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -26,6 +26,8 @@
   readonly hold: Millis;
   /** How far the asking instance is from the store. */
   readonly level: NewsLevelValue;
+  /** Whether it understands an answer with all that there is. */
+  readonly takesWhole: boolean;
   readonly from: InstanceId;
   readonly work: ToldWork;
 }
@@ -119,9 +121,9 @@
  */
 const DIRECT_TIME: Millis = 2000;
 /**
- * Age of its own news from which a source answers nothing. A watcher's are some 1 s old at the most, an aggregator's 1.6 s,
- * and 2.2 s beside two watchers that are dead. One whose way to the store went silent would else go on to say that there is
- * nothing new, and each level would find out only seconds after the one before it.
+ * Age of its own news from which a source answers nothing: a watch of its own or of a watcher, two questions, one of them
+ * to a source that is dead, and the answers' way. One whose way to the store went silent would else go on to say that
+ * there is nothing new, and each level would find out only seconds after the one before it.
  */
 const LONGEST_SOURCE_AGE: Millis = 2600;
 /**
@@ -202,7 +204,8 @@
     const work = options.readOwnWork();
     const longest = Math.min(wait, options.isCrowded() ? CROWDED_HOLD : HOLD);
     const hold = pausedUntil.has(source.id) ? 0 : longest;
-    const ask = { since, hold, level: options.getPart().level, from: options.self, work };
+    const { level } = options.getPart();
+    const ask = { since, hold, level, takesWhole: true, from: options.self, work };
     const askedAt = timers.now();
     const answer = await options.askNews(source, ask, hold + ASK_MARGIN);
     if (answer.kind === 'silent') {
@@ -220,6 +223,13 @@
     return toStoreChanges(answer.changes);
   }
 
+  function toStoreChanges(changes: MirrorChanges): StoreChanges {
+    if (changes.isWhole) {
+      mirror.noteWholeReading(changes.revision);
+    }
+    return { kind: 'events', events: mirror.listEvents(changes), revision: changes.revision };
+  }
+
   async function watchStore(
     ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
@@ -274,21 +284,31 @@
   async function watchRange(
     ...args: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
-    const [prefix, since, wait, { timeout }] = args;
+    const [prefix, followed, wait, callOptions] = args;
+    // Peers beside the sources may have told more.
+    const since = Math.max(followed, mirror.getComplete());
     const asked = listAsked();
     for (const source of asked) {
       const value = await askSource(source, since, wait);
       if (value !== null) {
+        directUntil = -Infinity;
         return { kind: 'done', value };
       }
     }
-    if (asked.length > 0) {
-      directUntil = timers.now() + DIRECT_TIME;
+    if (asked.length === 0) {
+      return askStore(prefix, since, wait, callOptions);
+    }
+    noteDirect(asked);
+    // Whether the store itself answers is to be known at once, and not when a watch without news has run out.
+    return askStore(prefix, since, 0, { timeout: callOptions.timeout - wait });
+  }
+
+  /** While the store is lost, each round ends here, and the first says it for all. */
+  function noteDirect(asked: readonly InstanceEntry[]): void {
+    if (timers.now() >= directUntil) {
       options.onDirect(asked.map(({ id }) => id));
-      // Whether the store itself answers is to be known at once, and not when a watch without news has run out.
-      return askStore(prefix, since, 0, { timeout: timeout - wait });
     }
-    return askStore(...args);
+    directUntil = timers.now() + DIRECT_TIME;
   }
 
   function waitForNews(hold: Millis): Promise<void> {
@@ -308,19 +328,24 @@
    * know it. One that began later than what is asked for has not heard what was removed before, and would leave
    * the asker with keys that are gone.
    */
-  function mayAnswer({ since, level }: NewsAsk): boolean {
+  function mayAnswer({ since, level, takesWhole }: NewsAsk): boolean {
     return (
       lostAt === null &&
       getAge() <= LONGEST_SOURCE_AGE &&
       getLevel() < level &&
       !isLeaving &&
-      mirror.canTellSince(since)
+      (mirror.canTellSince(since) || (takesWhole && mirror.canTellWhole()))
     );
   }
 
+  /** Whether the asker knows all that this instance does. */
+  function isUpToDate(since: number): boolean {
+    return mirror.canTellSince(since) && mirror.getComplete() <= since;
+  }
+
   function readChanges(since: number): MirrorChanges {
-    return mirror.getComplete() <= since
-      ? { items: [], removed: [], revision: since }
+    return isUpToDate(since)
+      ? { isWhole: false, items: [], removed: [], revision: since }
       : mirror.readSince(since);
   }
 
@@ -350,7 +375,7 @@
       const { since, hold } = ask;
       const askedAt = timers.now();
       options.work.take(ask.from, ask.work);
-      if (mayAnswer(ask) && mirror.getComplete() <= since && hold > 0) {
+      if (mayAnswer(ask) && isUpToDate(since) && hold > 0) {
         await waitForNews(Math.min(hold, HOLD));
       }
       return readAnswer(ask, timers.now() - askedAt);
@@ -380,9 +405,3 @@
     },
   };
 }
-
-function toStoreChanges({ items, removed, revision }: MirrorChanges): StoreChanges {
-  const written = items.map((item) => ({ kind: 'written' as const, item }));
-  const gone = removed.map((removal) => ({ kind: 'removed' as const, ...removal }));
-  return { kind: 'events', events: [...written, ...gone], revision };
-}
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -11,7 +11,10 @@
 import { readNewsMessage, readPeerMessage } from './RelayPeerMessages.js';
 import type { PeerNews } from './RelayPeers.js';
 
-/** How an answer is written: as every version reads it, or with large values compressed for those that say they can. */
+/**
+ * How an answer is written: as every version reads it, or, for those that say they can read it, with large values
+ * compressed and all that there is where changes cannot be told.
+ */
 export const AnswerForm = { Plain: 'plain', Deflated: 'deflated' } as const;
 
 export type AnswerFormName = (typeof AnswerForm)[keyof typeof AnswerForm];
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -28,13 +28,13 @@
  * there is time to ask another where a peer's link is too slow.
  */
 export const PEER_ANSWER = { gap: 300, whole: 1000 } as const;
-/** Said with each question; an instance of an earlier version passes over it. */
-const FORM = `form=${AnswerForm.Deflated}`;
+/** A header of each question; an instance of an earlier version passes over it. */
+const FORM_HEADER = 'answer-form';
 const SILENT = { kind: 'silent' } as const;
 
 /** What peers are told. */
 export interface PeerAnswers {
-  readonly changes: (since: number) => PeerAnswer;
+  readonly changes: (since: number, takesWhole: boolean) => PeerAnswer;
   readonly news: (ask: NewsAsk) => Promise<NewsAnswer>;
   /** Repeats that are granted at a service. */
   readonly grant: (service: string, wanted: number) => number;
@@ -73,6 +73,7 @@
         origin: `http://${host}:${port}`,
         path,
         method: body === null ? 'GET' : 'POST',
+        headers: { [FORM_HEADER]: AnswerForm.Deflated },
         body,
         signal: arrival.signal,
       });
@@ -86,11 +87,11 @@
 
   return {
     async ask(address, since, timeout) {
-      const raw = await send(address, `${Path.Changes}?since=${since}&${FORM}`, timeout);
+      const raw = await send(address, `${Path.Changes}?since=${since}`, timeout);
       return readAnswer(raw, (got) => readPeerAnswer(got, codec));
     },
     async askNews({ address }, ask, timeout) {
-      const raw = address && (await send(address, `${Path.News}?${FORM}`, timeout, pack(ask)));
+      const raw = address && (await send(address, Path.News, timeout, pack(ask)));
       return readAnswer(raw, (got) => readNewsAnswer(got, codec));
     },
     async askGrant({ address }, service, wanted, timeout) {
@@ -103,7 +104,7 @@
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
-          void readBody(req).then((body) => serve(req.url ?? '', body, { answers, codec }, res));
+          void readBody(req).then((body) => serve(req, body, { answers, codec }, res));
         });
         stop = () => {
           server.close();
@@ -138,17 +139,20 @@
 }
 
 async function serve(
-  url: string,
+  { url = '', headers }: IncomingMessage,
   body: Buffer,
   { answers, codec }: { readonly answers: PeerAnswers; readonly codec: PeerCodec },
   res: ServerResponse,
 ): Promise<void> {
   const [path, query] = url.split('?');
   const asked = new URLSearchParams(query);
-  const form = asked.get('form') === AnswerForm.Deflated ? AnswerForm.Deflated : AnswerForm.Plain;
+  const isNew = headers[FORM_HEADER] === AnswerForm.Deflated;
+  const form = isNew ? AnswerForm.Deflated : AnswerForm.Plain;
   switch (path) {
     case Path.Changes:
-      writeChanges(res, answerChanges(asked, answers), (news) => codec.packPeerNews(news, form));
+      writeChanges(res, answerChanges(asked, answers, isNew), (news) =>
+        codec.packPeerNews(news, form),
+      );
       break;
     case Path.News:
       writeNews(res, await answerNews(body, answers), (news) => codec.packNews(news, form));
@@ -161,9 +165,13 @@
   }
 }
 
-function answerChanges(asked: URLSearchParams, answers: PeerAnswers): PeerAnswer {
+function answerChanges(
+  asked: URLSearchParams,
+  answers: PeerAnswers,
+  takesWhole: boolean,
+): PeerAnswer {
   const since = Number(asked.get('since') ?? NaN);
-  return Number.isFinite(since) ? answers.changes(since) : SILENT;
+  return Number.isFinite(since) ? answers.changes(since, takesWhole) : SILENT;
 }
 
 async function answerNews(body: Buffer, answers: PeerAnswers): Promise<NewsAnswer> {
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -19,6 +19,7 @@
   since: count,
   hold: count,
   level: z.enum(NewsLevel),
+  takesWhole: z.optional(z.boolean()),
   from: z.string(),
   work: toldWork,
 });
@@ -29,6 +30,7 @@
 ]);
 
 const changesShape = {
+  isWhole: z.optional(z.boolean()),
   items: z.array(sentItem),
   removed: z.array(z.object({ key: z.string(), revision: count })),
   revision: count,
@@ -78,7 +80,7 @@
 /** Reads a question for news; null if it makes no sense. */
 export function readNewsAsk(body: Buffer): NewsAsk | null {
   try {
-    return newsAsk.parse(unpack(body));
+    return { takesWhole: false, ...newsAsk.parse(unpack(body)) };
   } catch {
     // Nothing that such a peer says can be relied on; it is answered as if nobody were here.
     return null;
@@ -87,10 +89,11 @@
 
 /** Reads what a peer beside the sources told; throws if it makes no sense. */
 export function readPeerMessage(body: Buffer): SentPeerNews {
-  return { age: null, ...peerNews.parse(unpack(body)) };
+  return { age: null, isWhole: false, ...peerNews.parse(unpack(body)) };
 }
 
 /** Reads what a source told; throws if it makes no sense. */
 export function readNewsMessage(body: Buffer): SentNews {
-  return { age: 0, held: 0, ...newsMessage.parse(unpack(body)) };
+  const { changes, ...rest } = newsMessage.parse(unpack(body));
+  return { age: 0, held: 0, ...rest, changes: { isWhole: false, ...changes } };
 }
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -55,7 +55,7 @@
   /** This instance leaves: peers are not to count on it for duties. */
   noteLeaving(): void;
   /** What a peer is told. */
-  answer(since: number): PeerAnswer;
+  answer(since: number, takesWhole?: boolean): PeerAnswer;
   /** Whether neither the store nor any peer that hears it could be reached for a while. */
   isBlind(): boolean;
   /** Peers that were asked since the store was lost, and gave no answer when they were asked last. */
@@ -89,7 +89,7 @@
     return others[asked % Math.max(1, others.length)] ?? null;
   }
 
-  async function ask(): Promise<void> {
+  async function ask(loss: number): Promise<void> {
     const peer = choosePeer();
     if (!peer?.address) {
       return;
@@ -97,7 +97,7 @@
     // Not since the latest revision known: before that there may be changes that were never heard of.
     const askedAt = timers.now();
     const answer = await options.askPeer(peer.address, mirror.getComplete(), ASK_TIMEOUT);
-    if (undo === null) {
+    if (undo === null || loss !== losses) {
       return;
     }
     if (answer.kind === 'silent') {
@@ -115,8 +115,10 @@
   }
 
   function takeNews(peer: InstanceEntry, { changes, age }: PeerNews, askedAt: Millis): void {
-    changes.items.forEach((item) => options.onEvent({ kind: 'written', item }, peer.id));
-    changes.removed.forEach((removal) => options.onEvent({ kind: 'removed', ...removal }, peer.id));
+    if (changes.isWhole) {
+      mirror.noteWholeReading(changes.revision);
+    }
+    mirror.listEvents(changes).forEach((event) => options.onEvent(event, peer.id));
     if (mirror.noteComplete(changes.revision)) {
       options.onHeard(peer.id, changes.revision);
     }
@@ -128,7 +130,7 @@
   /** Asks on until the store is back. A round that belongs to an earlier loss must not go on beside that of a later one. */
   function schedule(loss: number): void {
     undo = timers.registerTimeout(jitter(random, ASK_PERIOD, ASK_JITTER), () => {
-      const asks = Array.from({ length: ASKED_AT_ONCE }, ask);
+      const asks = Array.from({ length: ASKED_AT_ONCE }, () => ask(loss));
       void Promise.all(asks).finally(() => {
         if (undo !== null && loss === losses) {
           schedule(loss);
@@ -153,10 +155,11 @@
     noteLeaving() {
       isLeaving = true;
     },
-    answer(since) {
+    answer(since, takesWhole = true) {
       if (undo === null) {
-        const age = mirror.canTellSince(since) ? options.getNewsAge() : null;
-        return { kind: 'news', changes: mirror.readSince(since), age };
+        const changes = mirror.readSince(since, takesWhole);
+        const isAll = changes.isWhole || mirror.canTellSince(since);
+        return { kind: 'news', changes, age: isAll ? options.getNewsAge() : null };
       }
       const seen = options.listSeen().filter(({ domain }) => domain === self.domain);
       return isLeaving ? { kind: 'silent' } : { kind: 'deaf', seen };
