Check what a peer says of engines that it has seen

Cause: the answer of a peer that does not hear the store was taken for a list of engines without a check; any other value ended the process that had asked. An old fault, found by a review. Change: it is checked as the other answers are; one that makes no sense counts as none.

--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Agent } from 'undici';
-import { pack, unpack } from 'msgpackr';
+import { pack } from 'msgpackr';
 import { collectArrival, startArrival } from '@skylarksail/core/CoreArrival';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
@@ -12,9 +12,8 @@
 import type { PeerCodec } from './RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
 import type { NewsContent } from './RelayPeerMessages.js';
-import { readNewsAsk } from './RelayPeerMessages.js';
+import { readNewsAsk, readSeenMessage } from './RelayPeerMessages.js';
 import type { AskPeer, PeerAnswer, PeerNews } from './RelayPeers.js';
-import type { BackendEntry } from './RelayTypes.js';
 
 const Path = { Changes: '/changes', News: '/news', Grants: '/grants' } as const;
 const CONTENT_TYPE = { 'content-type': 'application/msgpack' };
@@ -233,7 +232,7 @@
     case Status.Ok:
       return { kind: 'news', ...codec.readPeerNews(body) };
     case Status.Unavailable:
-      return { kind: 'deaf', seen: unpack(body) as readonly BackendEntry[] };
+      return { kind: 'deaf', seen: readSeenMessage(body) };
     default:
       return SILENT;
   }
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -1,12 +1,14 @@
 /** What peers send each other, as it is checked when it arrives: a peer may be of another version, or broken. */
 import { unpack } from 'msgpackr';
 import * as z from 'zod/mini';
+import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsAsk } from './RelayNews.js';
 import type { PeerNews } from './RelayPeers.js';
 import { NewsLevel } from './RelaySources.js';
+import type { BackendEntry } from './RelayTypes.js';
 import type { ToldWork } from './RelayWork.js';
 
 const count = z.number().check(z.nonnegative());
@@ -47,6 +49,20 @@
   others: toldWork,
 });
 
+const seenEntries = z.array(
+  z.object({
+    id: z.string(),
+    server: z.string(),
+    born: z.nullable(z.number()),
+    service: z.string(),
+    address: z.object({ host: z.string(), port: count }),
+    domain: z.string(),
+    state: z.enum(LifeState),
+    accelerator: z.nullable(z.string()),
+    layers: z.nullable(z.object({ first: count, end: count })),
+  }),
+);
+
 /** An item as it is sent: its value as text, or compressed. */
 export type SentItem =
   StoreItem | { readonly key: string; readonly revision: number; readonly deflated: Uint8Array };
@@ -77,6 +93,11 @@
   readonly others: ToldWork;
 }
 
+/** Reads engines that a peer has seen; throws if they make no sense. */
+export function readSeenMessage(body: Buffer): readonly BackendEntry[] {
+  return seenEntries.parse(unpack(body));
+}
+
 /** Reads a question for news; null if it makes no sense. */
 export function readNewsAsk(body: Buffer): NewsAsk | null {
   try {
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -1,4 +1,7 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
+import { pack } from 'msgpackr';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import { createSystemTimers } from '@skylarksail/daemon/DaemonTimers';
@@ -266,4 +269,21 @@
     expect(await client.ask(address, 0, 1000)).to.deep.equal({ kind: 'silent' });
     await client.close();
   });
+
+  it('takes nothing that is no list of engines from a peer that hears nothing', async () => {
+    // A peer of another make that answered with any other value ended the process that had asked it.
+    const client = createPeerHttp(createSystemTimers());
+    const server = createServer((_req, res) => {
+      res.writeHead(503).end(pack({ any: 'thing' }));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const answer = await client.ask({ host: '127.0.0.1', port }, 0, 1000);
+    expect(answer).to.deep.equal({ kind: 'silent' });
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
 });
