Give the age of news and the way to the store modules of their own

Nothing is done otherwise. Figures: unit tests of the relay's news, peers, parts, large configurations and soak pass.

--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -7,13 +7,11 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
-import type {
-  StoreChanges,
-  StoreItem,
-  StorePage,
-  StoreRangePort,
-} from '@skylarksail/store/StoreRange';
+import type { StoreChanges, StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Mirror, MirrorChanges } from './RelayMirror.js';
+import type { NewsState } from './RelayNewsAge.js';
+import { createNewsAge } from './RelayNewsAge.js';
+import { createNewsStore } from './RelayNewsStore.js';
 import type { NewsLevelValue, NewsPart } from './RelaySources.js';
 import { NewsLevel } from './RelaySources.js';
 import type { InstanceEntry } from './RelayTypes.js';
@@ -47,20 +45,9 @@
   | { readonly kind: 'deaf' }
   | { readonly kind: 'silent' };
 
-/** From whom an instance heard last, and how long ago it heard all that there was. */
-export interface NewsState {
-  /** An instance, or the store; null before the first answer. */
-  readonly source: InstanceId | typeof STORE_SOURCE | null;
-  /** Time since a source, or the store, last told all that it held; infinite before the first answer. */
-  readonly age: Millis;
-}
-
 /** Asks a peer for news. */
 export type AskNews = (peer: InstanceEntry, ask: NewsAsk, timeout: Millis) => Promise<NewsAnswer>;
 
-/** Stands for the store itself among the sources. */
-export const STORE_SOURCE = 'store';
-
 export interface RelayNewsOptions {
   readonly self: InstanceId;
   readonly timers: TimerService;
@@ -101,16 +88,10 @@
  */
 const HOLD: Millis = 600;
 /**
- * The same while engines of the own domain are near their limit: they refused 6 of 100 arrivals where the others'
- * work was heard of each 600 ms, 3 each 300 ms, and 2 each 200 ms (39 instances, six engines, 84 % full, in virtual
- * time). Asked so often at all times, 195 instances spent more on questions than on requests.
+ * The same while engines of the own domain are near their limit: instances that hear of each other's work later than this
+ * see the same room and fill it together. Asked so often at all times, questions would cost more than requests.
  */
 const CROWDED_HOLD: Millis = 200;
-/**
- * Longest watch of the store in a fleet with sources. A watcher whose connection went silent is to know it before those
- * that hear by it are late, and one that watches beside its sources is to ask them again soon.
- */
-const SHARED_WATCH: Millis = 1000;
 /** Time beyond the hold after which a source is taken for gone. */
 const ASK_MARGIN: Millis = 300;
 /** A source that gave no answer is not asked again for so long: its entry lapses meanwhile if it is dead. */
@@ -131,25 +112,25 @@
  * the time in which its answer must begin, and some more. One that lends repeats must know that others may lend for it.
  */
 const LONGEST_HEARING_AGE: Millis = 3500;
-/**
- * After a longer loss the store is read anew. A watch brings each key as often as it was written: in a series of large
- * values that is many times what the store holds, and may never arrive on a narrow link.
- */
-const LONGEST_LOSS: Millis = 1000;
 
+/** Starts with no news; nothing is asked before the port is. */
 export function createRelayNews(options: RelayNewsOptions): RelayNews {
   const { timers, store, mirror } = options;
   const pausedUntil = new Map<InstanceId, Millis>();
   const waiting = new Set<() => void>();
   let directUntil = -Infinity;
   let turn = 0;
-  /** All that the store held at this time is known. */
-  let knownAsOf = -Infinity;
-  let lastSource: NewsState['source'] = null;
-  /** As of when the last answer told all. */
-  let answerAsOf = -Infinity;
   let lostAt: Millis | null = null;
   let isLeaving = false;
+  const age = createNewsAge(timers);
+  const direct = createNewsStore({
+    timers,
+    store,
+    mirror,
+    age,
+    isShared: () => options.getPart().isShared,
+    getLostAt: () => lostAt,
+  });
 
   function wakeWaiting(): void {
     [...waiting].forEach((wake) => wake());
@@ -180,21 +161,6 @@
     [...pausedUntil.keys()].filter((id) => !ids.has(id)).forEach((id) => pausedUntil.delete(id));
   }
 
-  function noteAnswer(source: NewsState['source'], age: Millis): void {
-    lastSource = source;
-    answerAsOf = timers.now() - age;
-  }
-
-  function noteStoreAnswer(outcome: StoreOutcome<unknown>): void {
-    if (outcome.kind === 'done') {
-      noteAnswer(STORE_SOURCE, outcome.arrivalTime ?? 0);
-    }
-  }
-
-  function getAge(): Millis {
-    return timers.now() - knownAsOf;
-  }
-
   async function askSource(
     source: InstanceEntry,
     since: number,
@@ -218,7 +184,7 @@
       return null;
     }
     // The way there and back counts in full, since nobody knows when on it the answer was given.
-    noteAnswer(source.id, answer.age + Math.max(0, timers.now() - askedAt - answer.held));
+    age.noteAnswer(source.id, answer.age + Math.max(0, timers.now() - askedAt - answer.held));
     options.work.hear(answer.others);
     return toStoreChanges(answer.changes);
   }
@@ -230,57 +196,6 @@
     return { kind: 'events', events: mirror.listEvents(changes), revision: changes.revision };
   }
 
-  async function watchStore(
-    ...[prefix, since, wait, { timeout }]: Parameters<StoreRangePort['watchRange']>
-  ): Promise<StoreOutcome<StoreChanges>> {
-    const held = options.getPart().isShared ? Math.min(wait, SHARED_WATCH) : wait;
-    const outcome = await store.watchRange(prefix, since, held, {
-      timeout: timeout - wait + held,
-    });
-    noteStoreAnswer(outcome);
-    return outcome;
-  }
-
-  function askStore(
-    ...args: Parameters<StoreRangePort['watchRange']>
-  ): Promise<StoreOutcome<StoreChanges>> {
-    const [prefix, , wait, { timeout }] = args;
-    return lostAt !== null && timers.now() - lostAt > LONGEST_LOSS
-      ? readAnew(prefix, timeout - wait)
-      : watchStore(...args);
-  }
-
-  /** The whole as changes to what is known. */
-  async function readAnew(prefix: string, timeout: Millis): Promise<StoreOutcome<StoreChanges>> {
-    const items: StoreItem[] = [];
-    let revision: number | null = null;
-    let after: string | null = null;
-    do {
-      const page: StoreOutcome<StorePage> = await readRange(prefix, after, { timeout });
-      if (page.kind !== 'done') {
-        return page;
-      }
-      items.push(...page.value.items);
-      revision ??= page.value.revision;
-      after = page.value.next;
-    } while (after !== null);
-    mirror.noteWholeReading(revision);
-    const events = mirror.diffSnapshot(items, revision);
-    return { kind: 'done', value: { kind: 'events', events, revision } };
-  }
-
-  async function readRange(
-    ...args: Parameters<StoreRangePort['readRange']>
-  ): ReturnType<StoreRangePort['readRange']> {
-    const [, after] = args;
-    const outcome = await store.readRange(...args);
-    // A range is known as of its first page: what changed before a later one was read may be missing.
-    if (after === null) {
-      noteStoreAnswer(outcome);
-    }
-    return outcome;
-  }
-
   async function watchRange(
     ...args: Parameters<StoreRangePort['watchRange']>
   ): Promise<StoreOutcome<StoreChanges>> {
@@ -296,11 +211,11 @@
       }
     }
     if (asked.length === 0) {
-      return askStore(prefix, since, wait, callOptions);
+      return direct.watchRange(prefix, since, wait, callOptions);
     }
     noteDirect(asked);
     // Whether the store itself answers is to be known at once, and not when a watch without news has run out.
-    return askStore(prefix, since, 0, { timeout: callOptions.timeout - wait });
+    return direct.watchRange(prefix, since, 0, { timeout: callOptions.timeout - wait });
   }
 
   /** While the store is lost, each round ends here, and the first says it for all. */
@@ -331,7 +246,7 @@
   function mayAnswer({ since, level, takesWhole }: NewsAsk): boolean {
     return (
       lostAt === null &&
-      getAge() <= LONGEST_SOURCE_AGE &&
+      age.get() <= LONGEST_SOURCE_AGE &&
       getLevel() < level &&
       !isLeaving &&
       (mirror.canTellSince(since) || (takesWhole && mirror.canTellWhole()))
@@ -356,7 +271,7 @@
     return {
       kind: 'news',
       changes: readChanges(ask.since),
-      age: getAge(),
+      age: age.get(),
       held,
       others: options.work.sumFor(ask.from),
     };
@@ -364,7 +279,7 @@
 
   return {
     port: {
-      readRange,
+      readRange: direct.readRange,
       watchRange,
       write: (...args) => store.write(...args),
       grantLease: (...args) => store.grantLease(...args),
@@ -381,14 +296,12 @@
       return readAnswer(ask, timers.now() - askedAt);
     },
     noteCaughtUp(revision) {
-      knownAsOf = Math.max(knownAsOf, answerAsOf);
+      age.noteTaken();
       if (mirror.noteComplete(revision)) {
         wakeWaiting();
       }
     },
-    noteKnown(age) {
-      knownAsOf = Math.max(knownAsOf, timers.now() - age);
-    },
+    noteKnown: age.noteKnown,
     setHearing(next) {
       if (next) {
         lostAt = null;
@@ -397,8 +310,8 @@
         wakeWaiting();
       }
     },
-    isHearing: () => lostAt === null && getAge() <= LONGEST_HEARING_AGE,
-    readState: () => ({ source: lastSource, age: getAge() }),
+    isHearing: () => lostAt === null && age.get() <= LONGEST_HEARING_AGE,
+    readState: age.readState,
     noteLeaving() {
       isLeaving = true;
       wakeWaiting();
--- /dev/null
+++ b/packages/relay/src/RelayNewsAge.ts
@@ -0,0 +1,55 @@
+/**
+ * How old an instance's news is: the time since all that the store held was known. An instance that does not know its
+ * news to be old answers 404 for new routes, and tells others that there is nothing new.
+ */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+
+/** Stands for the store itself among the sources. */
+export const STORE_SOURCE = 'store';
+
+/** From whom an instance heard last, and how long ago it heard all that there was. */
+export interface NewsState {
+  /** An instance, or the store; null before the first answer. */
+  readonly source: InstanceId | typeof STORE_SOURCE | null;
+  /** Time since a source, or the store, last told all that it held; infinite before the first answer. */
+  readonly age: Millis;
+}
+
+export interface NewsAge {
+  /** An answer has come whose sender knew all so long ago. What it tells may not be taken in yet. */
+  noteAnswer(source: NewsState['source'], age: Millis): void;
+  /** What the last answer told has been taken in. */
+  noteTaken(): void;
+  /** A peer beside the sources told all that it knew so long ago, and that has been taken in. */
+  noteKnown(age: Millis): void;
+  get(): Millis;
+  readState(): NewsState;
+}
+
+export function createNewsAge(timers: TimerService): NewsAge {
+  let source: NewsState['source'] = null;
+  /** As of when the last answer told all. */
+  let answerAsOf = -Infinity;
+  /** All that the store held at this time is known. */
+  let knownAsOf = -Infinity;
+
+  function get(): Millis {
+    return timers.now() - knownAsOf;
+  }
+
+  return {
+    noteAnswer(next, age) {
+      source = next;
+      answerAsOf = timers.now() - age;
+    },
+    noteTaken() {
+      knownAsOf = Math.max(knownAsOf, answerAsOf);
+    },
+    noteKnown(age) {
+      knownAsOf = Math.max(knownAsOf, timers.now() - age);
+    },
+    get,
+    readState: () => ({ source, age: get() }),
+  };
+}
