Test the question for news in its present and its former form

Change: the present question is read as it is, the former one as one that does not take all; a wrong value is refused.

--- a/packages/relay/src/__tests__/unit/RelayWork.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayWork.test.ts
@@ -137,9 +137,13 @@
   });
 
   it('reads no question that makes no sense, whatever bytes come', () => {
-    const ask = { since: 1, hold: 600, level: 2, from: 'i', work: IDLE };
+    const former = { since: 1, hold: 600, level: 2, from: 'i', work: IDLE };
+    const ask = { ...former, takesWhole: true };
     expect(readNewsAsk(pack(ask))).to.deep.equal(ask);
+    // Instances of an earlier version do not say whether they take all that there is, and do not.
+    expect(readNewsAsk(pack(former))).to.deep.equal({ ...former, takesWhole: false });
     const wrong = [
+      { ...ask, takesWhole: 'yes' },
       { ...ask, since: 'x' },
       { ...ask, hold: NaN },
       { ...ask, level: 7 },
