Take a whole in by one way, and write peers' answers by one

Cause: read again as a whole, the change noted a whole reading in four places, each beside the listing of its events; a source worked out by itself what the mirror tells; two switches wrote answers alike; flags had defaults that no caller used; a getter of the mirror served tests alone. Three comments spoke of figures or of what is worth it. Change: Mirror.prepare does both for every origin of a whole; sources tell what the mirror does; one table of statuses; the getter is gone, its tests compare what is known, item by item, which is stricter. Comments say what would go wrong.

--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -177,8 +177,9 @@
     getGatherTime: role.getGatherTime,
     listener: {
       onSnapshot(items, revision) {
-        mirror.noteWholeReading(revision);
-        mirror.diffSnapshot(items, revision).forEach((event) => takeEvent(event, news.readState()));
+        mirror
+          .prepare({ isWhole: true, items, removed: [], revision })
+          .forEach((event) => takeEvent(event, news.readState()));
       },
       onEvent: (event) => takeEvent(event, news.readState()),
       onCaughtUp: news.noteCaughtUp,
--- a/packages/relay/src/RelayMirror.ts
+++ b/packages/relay/src/RelayMirror.ts
@@ -17,24 +17,18 @@
 export interface Mirror {
   /** Takes an event in; says whether it was news. */
   take(event: StoreEvent): boolean;
-  /** Events that bring what is known to a snapshot as of `revision`. */
-  diffSnapshot(items: readonly StoreItem[], revision: number): readonly StoreEvent[];
   /**
-   * Changes since a revision, up to the last that is known in full. All that there is if the changes cannot be told, and
-   * what is known, as of the revision given, if that is not known either.
+   * Changes since a revision, up to the last that is known in full. If not all of them can be told, a whole for who takes
+   * one, else what is known, as of the revision given.
    */
-  readSince(revision: number, takesWhole?: boolean): MirrorChanges;
-  /** Events that bring what is known to what another mirror told. */
-  listEvents(changes: MirrorChanges): readonly StoreEvent[];
-  /** Latest revision of anything known. Earlier changes may be missing. */
-  getRevision(): number;
-  /** All that happened up to a revision has been taken in; says whether that is more than before. */
-  noteComplete(revision: number): boolean;
+  readSince(revision: number, takesWhole: boolean): MirrorChanges;
   /**
-   * The whole was read as of a revision. What came and went since the reading before was never heard of, so nobody who
-   * knows less than this revision can be told all.
+   * The events by which what is known becomes what was told; each is then to be taken in. After a whole, nobody who knows
+   * less than its revision can be told all: what came and went since the whole before was never heard of.
    */
-  noteWholeReading(revision: number): void;
+  prepare(changes: MirrorChanges): readonly StoreEvent[];
+  /** All that happened up to a revision has been taken in; says whether that is more than before. */
+  noteComplete(revision: number): boolean;
   /** The revision up to which everything is known. */
   getComplete(): number;
   /** Whether all that happened after a revision can be told, removals included. */
@@ -49,9 +43,8 @@
 export function createMirror(): Mirror {
   const items = new Map<string, StoreItem>();
   const removed = new Map<string, number>();
-  let revision = 0;
   let complete = 0;
-  /** What was removed before the latest whole reading may never have been heard of. */
+  /** What was removed before the latest whole may never have been heard of; infinite before the first. */
   let wholeSince = Infinity;
   /** Removals up to this revision may have been forgotten. */
   let forgottenTo = 0;
@@ -81,7 +74,7 @@
     }
   }
 
-  function diffSnapshot(found: readonly StoreItem[], at: number): readonly StoreEvent[] {
+  function diffWhole(found: readonly StoreItem[], at: number): readonly StoreEvent[] {
     const keys = new Set(found.map(({ key }) => key));
     const written = found.map((item): StoreEvent => ({ kind: 'written', item }));
     const gone = [...items.values()]
@@ -97,7 +90,6 @@
       if (at <= getKnown(key)) {
         return false;
       }
-      revision = Math.max(revision, at);
       if (event.kind === 'written') {
         items.set(key, event.item);
         removed.delete(key);
@@ -106,8 +98,7 @@
       }
       return true;
     },
-    diffSnapshot,
-    readSince(since, takesWhole = true) {
+    readSince(since, takesWhole) {
       if (takesWhole && !canTellSince(since) && canTellWhole()) {
         return { isWhole: true, items: [...items.values()], removed: [], revision: complete };
       }
@@ -120,14 +111,14 @@
         revision: canTellSince(since) ? Math.max(since, complete) : since,
       };
     },
-    listEvents({ isWhole, items: told, removed: gone, revision: at }) {
+    prepare({ isWhole, items: told, removed: gone, revision: at }) {
       if (isWhole) {
-        return diffSnapshot(told, at);
+        wholeSince = Math.max(at, wholeSince < Infinity ? wholeSince : 0);
+        return diffWhole(told, at);
       }
       const written = told.map((item): StoreEvent => ({ kind: 'written', item }));
       return [...written, ...gone.map((removal) => ({ kind: 'removed' as const, ...removal }))];
     },
-    getRevision: () => revision,
     noteComplete(next) {
       if (next <= complete) {
         return false;
@@ -135,9 +126,6 @@
       complete = next;
       return true;
     },
-    noteWholeReading(at) {
-      wholeSince = Math.max(at, wholeSince < Infinity ? wholeSince : 0);
-    },
     getComplete: () => complete,
     canTellSince,
     canTellWhole,
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -186,14 +186,8 @@
     // The way there and back counts in full, since nobody knows when on it the answer was given.
     age.noteAnswer(source.id, answer.age + Math.max(0, timers.now() - askedAt - answer.held));
     options.work.hear(answer.others);
-    return toStoreChanges(answer.changes);
-  }
-
-  function toStoreChanges(changes: MirrorChanges): StoreChanges {
-    if (changes.isWhole) {
-      mirror.noteWholeReading(changes.revision);
-    }
-    return { kind: 'events', events: mirror.listEvents(changes), revision: changes.revision };
+    const { changes } = answer;
+    return { kind: 'events', events: mirror.prepare(changes), revision: changes.revision };
   }
 
   async function watchRange(
@@ -253,24 +247,18 @@
     );
   }
 
-  /** Whether the asker knows all that this instance does. */
+  /** Whether the asker knows all that this instance knows in full. */
   function isUpToDate(since: number): boolean {
     return mirror.canTellSince(since) && mirror.getComplete() <= since;
   }
 
-  function readChanges(since: number): MirrorChanges {
-    return isUpToDate(since)
-      ? { isWhole: false, items: [], removed: [], revision: since }
-      : mirror.readSince(since);
-  }
-
   function readAnswer(ask: NewsAsk, held: Millis): NewsAnswer {
     if (!mayAnswer(ask)) {
       return { kind: 'deaf' };
     }
     return {
       kind: 'news',
-      changes: readChanges(ask.since),
+      changes: mirror.readSince(ask.since, ask.takesWhole),
       age: age.get(),
       held,
       others: options.work.sumFor(ask.from),
--- a/packages/relay/src/RelayNewsStore.ts
+++ b/packages/relay/src/RelayNewsStore.ts
@@ -75,8 +75,7 @@
       revision ??= page.value.revision;
       after = page.value.next;
     } while (after !== null);
-    mirror.noteWholeReading(revision);
-    const events = mirror.diffSnapshot(items, revision);
+    const events = mirror.prepare({ isWhole: true, items, removed: [], revision });
     return { kind: 'done', value: { kind: 'events', events, revision } };
   }
 
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -9,7 +9,7 @@
 import type { MirrorChanges } from './RelayMirror.js';
 import type { NewsContent, SentChanges, SentItem } from './RelayPeerMessages.js';
 import { readNewsMessage, readPeerMessage } from './RelayPeerMessages.js';
-import type { PeerNews } from './RelayPeers.js';
+import type { PeerAnswer, PeerNews } from './RelayPeers.js';
 
 /**
  * How an answer is written: as every version reads it, or, for those that say they can read it, with large values
@@ -20,7 +20,8 @@
 export type AnswerFormName = (typeof AnswerForm)[keyof typeof AnswerForm];
 
 export interface PeerCodec {
-  packPeerNews(news: PeerNews, form: AnswerFormName): Buffer;
+  /** Null for a peer that is silent. */
+  packPeerAnswer(answer: PeerAnswer, form: AnswerFormName): Buffer | null;
   packNews(news: NewsContent, form: AnswerFormName): Buffer;
   /** Throws if the bytes make no sense. */
   readPeerNews(body: Buffer): PeerNews;
@@ -28,7 +29,7 @@
   readNews(body: Buffer): NewsContent;
 }
 
-/** Characters; shorter values take less than a packet each and are not worth the time. */
+/** Characters. Shorter values hardly delay an answer; compressing them would only take time. */
 const LEAST_COMPRESSED = 4096;
 /** Repeated field names are most of a configuration: the fastest level finds them as well as the best. */
 const LEVEL = 1;
@@ -74,7 +75,16 @@
   }
 
   return {
-    packPeerNews: ({ changes, age }, form) => pack({ ...toSentChanges(changes, form), age }),
+    packPeerAnswer(answer, form) {
+      switch (answer.kind) {
+        case 'news':
+          return pack({ ...toSentChanges(answer.changes, form), age: answer.age });
+        case 'deaf':
+          return pack(answer.seen);
+        default:
+          return null;
+      }
+    },
     packNews: ({ changes, age, held, others }, form) =>
       pack({ changes: toSentChanges(changes, form), age, held, others }),
     readPeerNews(body) {
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -9,11 +9,10 @@
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskNews, NewsAnswer, NewsAsk } from './RelayNews.js';
-import type { PeerCodec } from './RelayPeerCodec.js';
+import type { AnswerFormName, PeerCodec } from './RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
-import type { NewsContent } from './RelayPeerMessages.js';
 import { readNewsAsk, readSeenMessage } from './RelayPeerMessages.js';
-import type { AskPeer, PeerAnswer, PeerNews } from './RelayPeers.js';
+import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 
 const Path = { Changes: '/changes', News: '/news', Grants: '/grants' } as const;
 const CONTENT_TYPE = { 'content-type': 'application/msgpack' };
@@ -29,6 +28,12 @@
 export const PEER_ANSWER = { gap: 300, whole: 1000 } as const;
 /** A header of each question; an instance of an earlier version passes over it. */
 const FORM_HEADER = 'answer-form';
+/** What the status of an answer says before its body is read. */
+const ANSWER_STATUS = {
+  news: Status.Ok,
+  deaf: Status.Unavailable,
+  silent: Status.NotFound,
+} as const;
 const SILENT = { kind: 'silent' } as const;
 
 /** What peers are told. */
@@ -149,12 +154,10 @@
   const form = isNew ? AnswerForm.Deflated : AnswerForm.Plain;
   switch (path) {
     case Path.Changes:
-      writeChanges(res, answerChanges(asked, answers, isNew), (news) =>
-        codec.packPeerNews(news, form),
-      );
+      writeChanges(res, answerChanges(asked, answers, isNew), codec, form);
       break;
     case Path.News:
-      writeNews(res, await answerNews(body, answers), (news) => codec.packNews(news, form));
+      writeNews(res, await answerNews(body, answers), codec, form);
       break;
     case Path.Grants:
       res.end(String(answerGrant(asked, answers)));
@@ -187,35 +190,28 @@
 function writeChanges(
   res: ServerResponse,
   said: PeerAnswer,
-  packAnswer: (news: PeerNews) => Buffer,
+  codec: PeerCodec,
+  form: AnswerFormName,
 ): void {
-  switch (said.kind) {
-    case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(packAnswer(said));
-      break;
-    case 'deaf':
-      res.writeHead(Status.Unavailable, CONTENT_TYPE).end(pack(said.seen));
-      break;
-    default:
-      res.writeHead(Status.NotFound).end();
-  }
+  writeAnswer(res, said, codec.packPeerAnswer(said, form));
 }
 
 function writeNews(
   res: ServerResponse,
   said: NewsAnswer,
-  packAnswer: (news: NewsContent) => Buffer,
+  codec: PeerCodec,
+  form: AnswerFormName,
 ): void {
-  switch (said.kind) {
-    case 'news':
-      res.writeHead(Status.Ok, CONTENT_TYPE).end(packAnswer(said));
-      break;
-    case 'deaf':
-      res.writeHead(Status.Unavailable).end();
-      break;
-    default:
-      res.writeHead(Status.NotFound).end();
-  }
+  writeAnswer(res, said, said.kind === 'news' ? codec.packNews(said, form) : null);
+}
+
+function writeAnswer(
+  res: ServerResponse,
+  { kind }: Pick<PeerAnswer | NewsAnswer, 'kind'>,
+  body: Buffer | null,
+): void {
+  res.writeHead(ANSWER_STATUS[kind], body === null ? {} : CONTENT_TYPE);
+  res.end(body);
 }
 
 /** A peer whose answer cannot be read has told nothing, as one that does not answer. */
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -55,7 +55,7 @@
   /** This instance leaves: peers are not to count on it for duties. */
   noteLeaving(): void;
   /** What a peer is told. */
-  answer(since: number, takesWhole?: boolean): PeerAnswer;
+  answer(since: number, takesWhole: boolean): PeerAnswer;
   /** Whether neither the store nor any peer that hears it could be reached for a while. */
   isBlind(): boolean;
   /** Peers that were asked since the store was lost, and gave no answer when they were asked last. */
@@ -115,10 +115,7 @@
   }
 
   function takeNews(peer: InstanceEntry, { changes, age }: PeerNews, askedAt: Millis): void {
-    if (changes.isWhole) {
-      mirror.noteWholeReading(changes.revision);
-    }
-    mirror.listEvents(changes).forEach((event) => options.onEvent(event, peer.id));
+    mirror.prepare(changes).forEach((event) => options.onEvent(event, peer.id));
     if (mirror.noteComplete(changes.revision)) {
       options.onHeard(peer.id, changes.revision);
     }
@@ -155,7 +152,7 @@
     noteLeaving() {
       isLeaving = true;
     },
-    answer(since, takesWhole = true) {
+    answer(since, takesWhole) {
       if (undo === null) {
         const changes = mirror.readSince(since, takesWhole);
         const isAll = changes.isWhole || mirror.canTellSince(since);
--- a/packages/relay/src/RelaySources.ts
+++ b/packages/relay/src/RelaySources.ts
@@ -28,7 +28,7 @@
   readonly isShared: boolean;
 }
 
-/** In a fleet of so few all watch the store: what is saved is not worth hearing of a change a moment later. */
+/** In a fleet of so few all watch the store: sources would save few calls, and delay each change a little. */
 const LARGEST_WITHOUT_SOURCES = 10;
 /** One may be dead and one cut off, and the third still tells of the change in time. */
 const WATCHERS = 3;
--- a/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayKnowledgeBed.ts
@@ -114,15 +114,15 @@
 }
 
 /** Bytes of an answer as peers send it. */
-function countAnswerBytes(answer: PeerAnswer | NewsAnswer | undefined, codec: PeerCodec): number {
-  if (answer?.kind !== 'news') {
+function countAnswerBytes(answer: PeerAnswer | NewsAnswer, codec: PeerCodec): number {
+  if (answer.kind !== 'news') {
     return ANSWER_BYTES;
   }
   const body =
     'others' in answer
       ? codec.packNews(answer, AnswerForm.Deflated)
-      : codec.packPeerNews(answer, AnswerForm.Deflated);
-  return ANSWER_BYTES + body.byteLength;
+      : codec.packPeerAnswer(answer, AnswerForm.Deflated);
+  return ANSWER_BYTES + (body?.byteLength ?? 0);
 }
 
 /** Starts the fleet. */
@@ -209,15 +209,15 @@
       askPeer: async ({ port: to }, since, timeout) => {
         const until = timers.now() + timeout;
         const peer = members[to - 1];
-        const answer = peer?.knowledge.peers.answer(since) ?? { kind: 'silent' as const };
+        const answer = peer?.knowledge.peers.answer(since, true) ?? { kind: 'silent' as const };
         return carry(`i${to - 1}`, id, countAnswerBytes(answer, codec), until, answer);
       },
       askNews: async ({ id: peer }, ask, timeout) => {
         const until = timers.now() + timeout;
         const source = members.find((member) => member.id === peer);
-        const answer = await source?.knowledge.news.answer(ask);
-        const bytes = countAnswerBytes(answer, codec);
-        return carry(peer, id, bytes, until, answer ?? { kind: 'silent' as const });
+        const heard = await source?.knowledge.news.answer(ask);
+        const answer = heard ?? { kind: 'silent' as const };
+        return carry(peer, id, countAnswerBytes(answer, codec), until, answer);
       },
       readOwnWork: () => NO_WORK,
       isCrowded: () => false,
--- a/packages/relay/src/__tests__/unit/RelayNews.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayNews.test.ts
@@ -134,8 +134,7 @@
       getGatherTime: role.getGatherTime,
       listener: {
         onSnapshot(items, revision) {
-          mirror.noteWholeReading(revision);
-          mirror.diffSnapshot(items, revision).forEach(take);
+          mirror.prepare({ isWhole: true, items, removed: [], revision }).forEach(take);
         },
         onEvent: take,
         onCaughtUp: news.noteCaughtUp,
@@ -337,7 +336,7 @@
       work: IDLE,
     };
     await news.port.readRange('', null, { timeout: TIMEOUT });
-    mirror.noteWholeReading(1);
+    mirror.prepare({ isWhole: true, items: [], removed: [], revision: 1 });
     news.noteCaughtUp(1);
     news.noteCaughtUp(2100);
     expect((await news.answer({ since: 2, ...ask })).kind).to.equal('deaf');
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -95,7 +95,7 @@
         readBackendKey: (key) => (key.startsWith(BACKENDS) ? key.slice(BACKENDS.length) : null),
         askPeer: ({ port: to }, since) => {
           const peer = [...parts.keys()][to - 1] ?? '';
-          const answer = gone.has(peer) ? undefined : parts.get(peer)?.peers.answer(since);
+          const answer = gone.has(peer) ? undefined : parts.get(peer)?.peers.answer(since, true);
           return Promise.resolve(answer ?? { kind: 'silent' });
         },
         askNews: async ({ id: peer }, ask) => {
--- a/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeerCodec.test.ts
@@ -1,7 +1,9 @@
 import { deflateRawSync } from 'node:zlib';
 import { expect } from 'chai';
 import { pack, unpack } from 'msgpackr';
+import type { AnswerFormName, PeerCodec } from '../../RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from '../../RelayPeerCodec.js';
+import type { PeerNews } from '../../RelayPeers.js';
 import { CONFIG_KEY, writeConfig } from './RelayKnowledgeBed.js';
 
 const NO_WORK = { running: [], lost: [] };
@@ -10,6 +12,10 @@
 const FORMER = { items: [LARGE, SMALL], removed: [{ key: 'gone', revision: 9 }], revision: 9 };
 const CHANGES = { isWhole: false, ...FORMER };
 
+function packPeerNews(codec: PeerCodec, news: PeerNews, form: AnswerFormName): Buffer {
+  return codec.packPeerAnswer({ kind: 'news', ...news }, form) as Buffer;
+}
+
 function packItem(item: object): Buffer {
   return pack({ items: [item], removed: [], revision: 1 });
 }
@@ -21,7 +27,7 @@
     for (const age of [400, null]) {
       const told = { changes: CHANGES, age };
       expect(
-        createPeerCodec().readPeerNews(sender.packPeerNews(told, AnswerForm.Deflated)),
+        createPeerCodec().readPeerNews(packPeerNews(sender, told, AnswerForm.Deflated)),
       ).to.deep.equal(told);
     }
     expect(createPeerCodec().readNews(sender.packNews(news, AnswerForm.Deflated))).to.deep.equal(
@@ -32,10 +38,10 @@
   });
 
   it('passes a value on as it came', () => {
-    const body = createPeerCodec().packPeerNews({ changes: CHANGES, age: 0 }, AnswerForm.Deflated);
+    const body = packPeerNews(createPeerCodec(), { changes: CHANGES, age: 0 }, AnswerForm.Deflated);
     const aggregator = createPeerCodec();
     const heard = aggregator.readPeerNews(body);
-    expect(aggregator.packPeerNews(heard, AnswerForm.Deflated)).to.deep.equal(body);
+    expect(packPeerNews(aggregator, heard, AnswerForm.Deflated)).to.deep.equal(body);
   });
 
   it('takes nothing that is no answer, or that would fill the memory', () => {
@@ -54,7 +60,7 @@
     // While a fleet was replaced, each instance of the version before that had lost the store ended as soon as it asked one
     // of the new: it took an answer in another shape for changes, without a check.
     const codec = createPeerCodec();
-    const plain = codec.packPeerNews({ changes: CHANGES, age: 400 }, AnswerForm.Plain);
+    const plain = packPeerNews(codec, { changes: CHANGES, age: 400 }, AnswerForm.Plain);
     expect(unpack(plain)).to.deep.include(FORMER);
     expect(codec.readPeerNews(pack(FORMER))).to.deep.equal({ changes: CHANGES, age: null });
     const told = { changes: CHANGES, others: NO_WORK };
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -20,6 +20,13 @@
   item: { key, value, revision },
 });
 
+/** Takes an empty whole in, as of a revision. */
+function takeWhole(mirror: Mirror, revision: number): void {
+  const events = mirror.prepare({ isWhole: true, items: [], removed: [], revision });
+  events.forEach((event) => mirror.take(event));
+  mirror.noteComplete(revision);
+}
+
 function createPeersBed() {
   const timers = createVirtualTimers();
   const instances = ['one', 'two', 'three'].map((id, i) => ({
@@ -41,7 +48,7 @@
       mirror,
       askPeer: (address: HostPort, since) => {
         const to = address.port - 1;
-        const answer = deaf.has(to) ? undefined : peers[to]?.answer(since);
+        const answer = deaf.has(to) ? undefined : peers[to]?.answer(since, true);
         return Promise.resolve(answer ?? { kind: 'silent' as const });
       },
       listInstances: () => instances,
@@ -67,14 +74,17 @@
     expect(mirror.take({ kind: 'removed', key: 'a', revision: 8 })).to.equal(false);
     expect(mirror.take({ kind: 'removed', key: 'a', revision: 10 })).to.equal(true);
     expect(mirror.take(write('a', 'old', 9))).to.equal(false);
-    expect(mirror.getRevision()).to.equal(10);
+    expect(mirror.readSince(0, false)).to.deep.include({
+      items: [],
+      removed: [{ key: 'a', revision: 10 }],
+    });
   });
 
   it('finds in a snapshot what was removed, but nothing that was written after it', () => {
     const mirror = createMirror();
     mirror.take(write('a', '1', 3));
     mirror.take(write('b', '1', 9));
-    const events = mirror.diffSnapshot([], 5);
+    const events = mirror.prepare({ isWhole: true, items: [], removed: [], revision: 5 });
     expect(events).to.deep.equal([{ kind: 'removed', key: 'a', revision: 5 }]);
   });
 
@@ -83,14 +93,11 @@
     // store for a moment, in which the engine registered and left, and read the whole anew: it never heard of the engine
     // and had no removal to tell, but took all since before for known.
     const mirror = createMirror();
-    mirror.noteWholeReading(100);
-    mirror.noteComplete(100);
+    takeWhole(mirror, 100);
     expect(mirror.canTellSince(102)).to.equal(true);
-    mirror.noteWholeReading(110);
-    mirror.diffSnapshot([], 110).forEach((event) => mirror.take(event));
-    mirror.noteComplete(110);
+    takeWhole(mirror, 110);
     expect(mirror.canTellSince(102)).to.equal(false);
-    expect(mirror.readSince(102).isWhole).to.equal(true);
+    expect(mirror.readSince(102, true).isWhole).to.equal(true);
     expect(mirror.canTellSince(110)).to.equal(true);
   });
 });
@@ -106,7 +113,9 @@
     mirrors[2]?.take(write('config', 'next', 5));
     mirrors[2]?.take({ kind: 'removed', key: 'server', revision: 6 });
     await timers.advanceToAsync(1200);
-    expect(mirrors[0]?.getRevision()).to.equal(6);
+    const known = mirrors[0]?.readSince(0, false);
+    expect(known?.items.map(({ key, revision }) => [key, revision])).to.deep.equal([['config', 5]]);
+    expect(known?.removed).to.deep.equal([{ key: 'server', revision: 6 }]);
   });
 
   it('is told nothing by a peer that does not hear the store itself, and asks no one when it is back', async () => {
@@ -114,7 +123,7 @@
     peers.forEach((peer) => peer.noteStoreLost());
     mirrors[2]?.take(write('config', 'next', 5));
     await timers.advanceToAsync(2000);
-    expect(mirrors[0]?.getRevision()).to.equal(0);
+    expect(mirrors[0]?.readSince(0, false)).to.deep.include({ items: [], removed: [] });
     peers.forEach((peer) => peer.noteStoreRegained());
     await timers.advanceToAsync(4000);
     expect(timers.countPending()).to.equal(0);
@@ -128,17 +137,14 @@
     // second, and then the store was lost. It asked its peers for what came after the latest revision that it had seen,
     // the engine's, and the configuration came before that.
     const { timers, mirrors, peers, ages } = createPeersBed();
-    mirrors.forEach((mirror) => {
-      mirror.noteWholeReading(5);
-      mirror.noteComplete(5);
-    });
+    mirrors.forEach((mirror) => takeWhole(mirror, 5));
     mirrors[0]?.take(write('engine', 'registered', 8));
     mirrors[2]?.take(write('config', 'next', 7));
     mirrors[2]?.take(write('engine', 'registered', 8));
     mirrors[2]?.noteComplete(8);
     peers[0]?.noteStoreLost();
     await timers.advanceToAsync(1200);
-    expect(mirrors[0]?.readSince(0).items.map(({ key }) => key)).to.include('config');
+    expect(mirrors[0]?.readSince(0, true).items.map(({ key }) => key)).to.include('config');
     expect(mirrors[0]?.getComplete()).to.equal(8);
     expect(ages[0]).to.include(400);
   });
@@ -147,17 +153,15 @@
     // Instances that the store went on turning away after an outage stayed in doubt for good: all others had read the store
     // anew, and could not tell what had come and gone before.
     const { timers, mirrors, peers, ages } = createPeersBed();
-    mirrors[0]?.noteWholeReading(5);
-    mirrors[0]?.noteComplete(5);
+    takeWhole(mirrors[0] as Mirror, 5);
     mirrors[0]?.take(write('engine', 'registered', 5));
-    mirrors[2]?.noteWholeReading(9);
-    mirrors[2]?.noteComplete(9);
+    takeWhole(mirrors[2] as Mirror, 9);
     mirrors[2]?.take(write('config', 'next', 8));
     expect(mirrors[2]?.readSince(5, false).revision).to.equal(5);
     peers[0]?.noteStoreLost();
     await timers.advanceToAsync(1200);
-    expect(mirrors[0]?.readSince(9).items).to.deep.equal([]);
-    expect(mirrors[0]?.readSince(0).items.map(({ key }) => key)).to.deep.equal(['config']);
+    expect(mirrors[0]?.readSince(9, true).items).to.deep.equal([]);
+    expect(mirrors[0]?.readSince(0, true).items.map(({ key }) => key)).to.deep.equal(['config']);
     expect(mirrors[0]?.getComplete()).to.equal(9);
     expect(ages[0]).to.include(400);
   });
@@ -187,7 +191,9 @@
     deaf.delete(2);
     await timers.advanceToAsync(4000);
     expect(peers[0]?.isBlind()).to.equal(false);
-    expect(mirrors[0]?.getRevision()).to.equal(5);
+    expect(mirrors[0]?.readSince(0, false).items).to.deep.equal([
+      { key: 'config', value: 'next', revision: 5 },
+    ]);
   });
 });
 
@@ -248,7 +254,7 @@
     const host = '127.0.0.1';
     const answer = (since: number): PeerAnswer =>
       hasNews
-        ? { kind: 'news', changes: mirror.readSince(since), age: 400 }
+        ? { kind: 'news', changes: mirror.readSince(since, true), age: 400 }
         : { kind: 'deaf', seen: [createBackend('a')] };
     const address = {
       host,
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -34,8 +34,8 @@
 export interface RoutedModel {
   readonly id: ModelId;
   /**
-   * Mean tokens of its answers, where they are known. Answers come to a third of what callers allow: with
-   * memory reckoned for all of that, 1,319 looks for a chain found no room in a day that had 517 with this.
+   * Mean tokens of its answers, where they are known. Answers are mostly far shorter than callers allow: with
+   * memory reckoned for all of that, requests are turned away by engines that have room for them.
    */
   readonly usualAnswerTokens?: number;
   readonly activationBytes: number;
