Say why a model request is given up, in its log and in a metric

Cause: `fail` says "engine-failed" for every end after a failed attempt, so a log can't tell attempts that are used up from a repeat that is not allowed, from a standstill and from a deadline.

Change: each of the five ways to the end writes a `give-up` line with its reason ahead of `fail`, and counts under `skylarksail_requests_given_up_REASON_total`. No decision is changed.

--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -19,6 +19,11 @@
   retriesDenied: 'retries_denied',
   recoveries: 'recoveries',
   poisonRefused: 'poison_requests_refused',
+  gaveUpAttemptsSpent: 'requests_given_up_attempts_spent',
+  gaveUpMustNotRepeat: 'requests_given_up_must_not_repeat',
+  gaveUpFruitless: 'requests_given_up_fruitless',
+  gaveUpDeadlineNear: 'requests_given_up_deadline_near',
+  gaveUpStandstill: 'requests_given_up_standstill',
 };
 const ROUTER_TIMES: Readonly<Partial<Record<RouterMetricName, string>>> = {
   firstTokenMs: 'first_token',
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -11,7 +11,7 @@
 import { claimKey } from './ClaimRunner.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
-import type { RequestEffect, RequestEvent } from './RequestMessages.js';
+import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
@@ -20,7 +20,14 @@
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
-import { countMetric, feedBudget, judgeRun, logDecision, returnToBudget } from './RouterShared.js';
+import {
+  countGiveUp,
+  countMetric,
+  feedBudget,
+  judgeRun,
+  logDecision,
+  returnToBudget,
+} from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
@@ -54,7 +61,7 @@
   let slowSince: Millis | null = null;
   let longestGap: Millis = 0;
 
-  const retries = createRunRetries(shared, { spec, getMachine: () => machine, send, log });
+  const retries = createRunRetries(shared, { spec, getMachine: () => machine, send, giveUp, log });
 
   const run: ModelRun = {
     fingerprint,
@@ -121,6 +128,9 @@
         countMetric(shared, 'recoveryFirstTokenMs', effect.firstToken);
         countMetric(shared, 'pauseMs', effect.pause);
         break;
+      case 'given-up':
+        giveUp(effect.reason);
+        break;
       case 'complete':
         complete(effect.reason);
         break;
@@ -145,6 +155,11 @@
     logDecision(shared, { request, team, decision, attempt: machine.attempt, chain, reason });
   }
 
+  function giveUp(reason: GiveUpReasonName): void {
+    countGiveUp(shared, reason);
+    log('give-up', reason);
+  }
+
   function choose(effect: EffectOf<'choose'>): void {
     const now = timers.now();
     const verdict = judgeRun(shared, fingerprint);
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -20,8 +20,8 @@
   isStageRefusal,
   NextStep,
 } from './RequestFailures.js';
-import type { RequestEffect, RequestEvent } from './RequestMessages.js';
-import { RequestPhase } from './RequestMessages.js';
+import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
+import { GiveUpReason, RequestPhase } from './RequestMessages.js';
 import { addSample, computeSilenceLimit, createPace } from './RequestPace.js';
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
@@ -243,7 +243,11 @@
       { ...closed, phase: RequestPhase.Pausing },
       createProblem(ProblemKind.EngineFailed, run, failure.retryAfter),
     );
-    return { machine: ended.machine, effects: [...noted, ...ended.effects] };
+    const reason = closed.attemptsLeft <= 0 ? GiveUpReason.AttemptsSpent : nameStop(closed);
+    return {
+      machine: ended.machine,
+      effects: [...noted, { kind: 'given-up', reason }, ...ended.effects],
+    };
   }
   return {
     machine: { ...closed, phase: RequestPhase.Pausing },
@@ -254,6 +258,11 @@
   };
 }
 
+function nameStop({ idempotent, run }: RequestMachine): GiveUpReasonName {
+  const mustNotRepeat = !idempotent && run !== RunState.NotRun;
+  return mustNotRepeat ? GiveUpReason.MustNotRepeat : GiveUpReason.Fruitless;
+}
+
 function noteFailure(
   machine: RequestMachine,
   failure: AttemptFailure,
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -88,6 +88,22 @@
   | { readonly kind: 'deadline' }
   | { readonly kind: 'drain-limit' };
 
+/** Why a request is given up after a failed attempt. */
+export const GiveUpReason = {
+  /** It ran on as many engines as its route allows. */
+  AttemptsSpent: 'attempts-spent',
+  /** It may have run, and must not run twice. */
+  MustNotRepeat: 'must-not-repeat',
+  /** Too many attempts in a row gave nothing, or its caller's patience is over. */
+  Fruitless: 'fruitless',
+  /** The next attempt would come after its caller's deadline. */
+  DeadlineNear: 'deadline-near',
+  /** Its caller has got nothing for too long, and may be better served elsewhere. */
+  Standstill: 'standstill',
+} as const;
+
+export type GiveUpReasonName = (typeof GiveUpReason)[keyof typeof GiveUpReason];
+
 /** What is asked of the router: a recovery slot, a retry out of the budget, or another look for a chain. */
 export type RetryMode = 'recover' | 'retry' | 'rechoose';
 
@@ -144,6 +160,8 @@
     }
   /** The first token after a failure: since its attempt was opened, and since the caller's last one. */
   | { readonly kind: 'recovered'; readonly firstToken: Millis; readonly pause: Millis }
+  /** No attempt follows; `fail` comes next. */
+  | { readonly kind: 'given-up'; readonly reason: GiveUpReasonName }
   | { readonly kind: 'complete'; readonly reason: FinishReason }
   | { readonly kind: 'replay'; readonly answer: string }
   | { readonly kind: 'fail'; readonly problem: RequestProblem }
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -3,6 +3,8 @@
 import type { Admission } from './RequestAdmission.js';
 import type { RetryBudget } from './RequestBudget.js';
 import { hasRetry, noteFirstTry, returnRetry, takeRetry } from './RequestBudget.js';
+import type { GiveUpReasonName } from './RequestMessages.js';
+import { GiveUpReason } from './RequestMessages.js';
 import type { Fingerprint, PoisonState, PoisonVerdictName } from './RequestPoison.js';
 import { judgeRequest } from './RequestPoison.js';
 import type { ProgressTracker } from './RequestProgress.js';
@@ -74,6 +76,19 @@
   shared.deps.onCount({ name, value });
 }
 
+const GIVE_UP_METRICS: Readonly<Record<GiveUpReasonName, RouterMetricName>> = {
+  [GiveUpReason.AttemptsSpent]: 'gaveUpAttemptsSpent',
+  [GiveUpReason.MustNotRepeat]: 'gaveUpMustNotRepeat',
+  [GiveUpReason.Fruitless]: 'gaveUpFruitless',
+  [GiveUpReason.DeadlineNear]: 'gaveUpDeadlineNear',
+  [GiveUpReason.Standstill]: 'gaveUpStandstill',
+};
+
+/** Counts a request that no attempt follows for. */
+export function countGiveUp(shared: RouterShared, reason: GiveUpReasonName): void {
+  countMetric(shared, GIVE_UP_METRICS[reason]);
+}
+
 /** Writes a decision to the log. */
 export function logDecision(shared: RouterShared, record: Omit<DecisionRecord, 'at'>): void {
   shared.deps.onDecision({ at: shared.deps.timers.now(), ...record });
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -70,6 +70,7 @@
   | 'retry'
   | 'wait'
   | 'server'
+  | 'give-up'
   | 'complete'
   | 'fail';
 
@@ -97,6 +98,11 @@
   | 'retriesDenied'
   | 'recoveries'
   | 'poisonRefused'
+  | 'gaveUpAttemptsSpent'
+  | 'gaveUpMustNotRepeat'
+  | 'gaveUpFruitless'
+  | 'gaveUpDeadlineNear'
+  | 'gaveUpStandstill'
   | 'firstTokenMs'
   | 'gapMs'
   | 'detectionMs'
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -4,8 +4,13 @@
  * served elsewhere must not wait for what this instance has no repeat left for.
  */
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { RequestEffect, RequestEvent, RetryMode } from './RequestMessages.js';
-import { RequestPhase } from './RequestMessages.js';
+import type {
+  GiveUpReasonName,
+  RequestEffect,
+  RequestEvent,
+  RetryMode,
+} from './RequestMessages.js';
+import { GiveUpReason, RequestPhase } from './RequestMessages.js';
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -20,6 +25,7 @@
   readonly spec: RequestSpec;
   readonly getMachine: () => RequestMachine;
   readonly send: (event: RequestEvent) => void;
+  readonly giveUp: (reason: GiveUpReasonName) => void;
   readonly log: (decision: DecisionName, reason: string) => void;
 }
 
@@ -33,13 +39,15 @@
 export function createRunRetries(shared: RouterShared, run: RetriedRun): RunRetries {
   const { deps } = shared;
   const { timers } = deps;
-  const { spec, getMachine, send, log } = run;
+  const { spec, getMachine, send, giveUp, log } = run;
   let lastFailed: readonly EngineId[] = [];
 
   function ask(effect: AskRetry): void {
     const delay = effect.mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
     lastFailed = effect.failed;
-    if (timers.now() + delay >= Math.min(spec.deadline, getBreakTime())) {
+    const breakTime = getBreakTime();
+    if (timers.now() + delay >= Math.min(spec.deadline, breakTime)) {
+      giveUp(breakTime < spec.deadline ? GiveUpReason.Standstill : GiveUpReason.DeadlineNear);
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
     } else if (isBudgeted(effect.mode) && !takeFromBudget(shared, spec.model)) {
       askForBudget(effect, delay);
