Leave a begun answer with its engines when no other attempt is allowed

The same happened outside planned work.

Cause: a silence was taken for a failure whether or not another attempt could follow. Silence counts against max_attempts, as the engine may have run the request, so the second silence of a request that may run on two engines went straight from `attempt-failed` to `fail`: our own close of an answer that its engines were still writing.

RunSilence.test.ts replays it in virtual time.

Mend: silence is carried out only if something better than the end of the answer can follow (mayFollow). A begun answer without an attempt left is looked at every 250 ms; it is broken off at the time at which any answer that stands still is, for its caller to go on elsewhere, and never while planned work goes on.

Tests: two of RunSilence.test.ts fail without the mend (problem "engine-failed ran" where none was expected); the third holds what is unchanged. RequestMachine's random events got the two new ones.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -12,7 +12,7 @@
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
 import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
-import { RequestPhase } from './RequestMessages.js';
+import { GiveUpReason, RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
@@ -33,7 +33,7 @@
 import { decideMove } from './RunMove.js';
 import { createRunRetries } from './RunRetries.js';
 import { RECHOOSE_LEAST } from './RunRetry.js';
-import { findSilenceSuspects, isStandingStill, SILENCE } from './RunSilence.js';
+import { decideSilence, isStandingStill, SILENCE } from './RunSilence.js';
 import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -240,11 +240,23 @@
   }
 
   function reportSilence(): void {
-    const suspects = findSilenceSuspects(shared, machine);
-    if (suspects === null) {
-      send({ kind: 'silence-borne' });
-    } else {
-      sendSilence(suspects, false);
+    const decision = decideSilence(shared, spec, machine);
+    switch (decision.kind) {
+      case 'failed':
+        sendSilence(decision.suspects, false);
+        break;
+      case 'borne':
+        send({ kind: 'silence-borne' });
+        break;
+      case 'look-again':
+        send(decision);
+        break;
+      case 'broken-off':
+        giveUp(GiveUpReason.Standstill);
+        send({ kind: 'stood-still' });
+        break;
+      default:
+        failUnreachable(decision);
     }
   }
 
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -55,6 +55,14 @@
       return checkSilence(machine, event.dueAt, now);
     case 'silence-borne':
       return bearSilence(machine);
+    case 'look-again':
+      return machine.phase === RequestPhase.Running
+        ? { machine, effects: [{ kind: 'watch', delay: event.delay }] }
+        : stay(machine);
+    case 'stood-still':
+      return machine.phase === RequestPhase.Running
+        ? failWith(machine, ProblemKind.EngineFailed, null)
+        : stay(machine);
     case 'hang-up':
       return failWith(machine, ProblemKind.HungUp, null);
     case 'deadline':
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -80,6 +80,10 @@
   | { readonly kind: 'tick'; readonly dueAt: Millis }
   /** A silent attempt is left to go on. */
   | { readonly kind: 'silence-borne' }
+  /** The same where nothing can follow the attempt now; something may after `delay`. */
+  | { readonly kind: 'look-again'; readonly delay: Millis }
+  /** The answer has stood still for too long, and no other attempt can follow. */
+  | { readonly kind: 'stood-still' }
   | { readonly kind: 'retry-granted'; readonly failed: readonly EngineId[] }
   | { readonly kind: 'retry-refused'; readonly retryAfter: Millis | null }
   /** The retry budget is spent; the caller may come back by itself. */
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -16,6 +16,7 @@
 import type { RouterShared } from './RouterShared.js';
 import { takeFromBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
+import { getBreakTime } from './RunBreak.js';
 import { computeBudgetWait, computeRetryWait, computeReturnWait } from './RunRetry.js';
 
 type AskRetry = Extract<RequestEffect, { kind: 'ask-retry' }>;
@@ -45,7 +46,7 @@
   function ask(effect: AskRetry): void {
     const delay = effect.mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
     lastFailed = effect.failed;
-    const breakTime = getBreakTime();
+    const breakTime = getBreakTime(shared, spec, getMachine());
     if (timers.now() + delay >= Math.min(spec.deadline, breakTime)) {
       giveUp(breakTime < spec.deadline ? GiveUpReason.Standstill : GiveUpReason.DeadlineNear);
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
@@ -67,15 +68,6 @@
     }
   }
 
-  /** When a begun answer that stands still is broken off. */
-  function getBreakTime(): Millis {
-    const { tokenCount, progressAt } = getMachine();
-    const mayBreak = deps.mayBreakOff?.() ?? true;
-    return tokenCount > 0 && mayBreak && spec.breakAfter !== undefined
-      ? progressAt + spec.breakAfter
-      : Infinity;
-  }
-
   /** Looking for a chain once more reaches no engine by itself. */
   function isBudgeted(mode: RetryMode): boolean {
     return mode === 'retry' || (mode === 'recover' && deps.cfg.isRecoveryBudgeted);
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -4,8 +4,10 @@
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
+import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { hasBudget } from './RouterShared.js';
+import { getBreakTime } from './RunBreak.js';
 
 /** Time without a token after which an answer counts as standing still. */
 const STILL_AFTER: Millis = 80;
@@ -25,6 +27,45 @@
   provenNotRun: false,
 };
 
+/** Longest wait between two looks at a silent attempt that nothing can follow now. */
+const LOOK_PERIOD: Millis = 250;
+
+/** What follows from a silence. */
+export type SilenceDecision =
+  /** The attempt has failed, and these engines are to be replaced. */
+  | { readonly kind: 'failed'; readonly suspects: readonly EngineId[] }
+  /** It is given as much time again. */
+  | { readonly kind: 'borne' }
+  /** Nothing can follow it now, and something may after `delay`. */
+  | { readonly kind: 'look-again'; readonly delay: Millis }
+  /** Its caller has got nothing for so long that it is better served elsewhere. */
+  | { readonly kind: 'broken-off' };
+
+/** Decides on an attempt that was silent too long. */
+export function decideSilence(
+  shared: RouterShared,
+  spec: RequestSpec,
+  machine: RequestMachine,
+): SilenceDecision {
+  if (mayFollow(machine)) {
+    const suspects = findSilenceSuspects(shared, machine);
+    return suspects ? { kind: 'failed', suspects } : { kind: 'borne' };
+  }
+  const timeLeft = getBreakTime(shared, spec, machine) - shared.deps.timers.now();
+  return timeLeft <= 0
+    ? { kind: 'broken-off' }
+    : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft) };
+}
+
+/**
+ * Whether something better than the end of its answer can follow an attempt that is given up. A silent or slow
+ * engine may still finish it, and a caller with a part of its answer is served by nothing else. One that has
+ * nothing yet is told, and can go elsewhere.
+ */
+export function mayFollow({ attemptsLeft, tokenCount }: RequestMachine): boolean {
+  return attemptsLeft > 1 || tokenCount === 0;
+}
+
 /** Whether an answer has begun and stands still now. */
 export function isStandingStill(machine: RequestMachine, now: Millis): boolean {
   const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
@@ -32,7 +73,7 @@
 }
 
 /** Engines to replace, or null if the silence is to be borne for now. */
-export function findSilenceSuspects(
+function findSilenceSuspects(
   shared: RouterShared,
   machine: RequestMachine,
 ): readonly EngineId[] | null {
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -36,6 +36,8 @@
   fc.constant<RequestEvent>({ kind: 'retry-granted', failed: ['a'] }),
   fc.constant<RequestEvent>({ kind: 'retry-refused', retryAfter: null }),
   fc.constant<RequestEvent>({ kind: 'silence-borne' }),
+  fc.constant<RequestEvent>({ kind: 'look-again', delay: 10 }),
+  fc.constant<RequestEvent>({ kind: 'stood-still' }),
   fc.constant<RequestEvent>({ kind: 'hang-up' }),
   fc.constant<RequestEvent>({ kind: 'deadline' }),
   attempt.map((n): RequestEvent => ({ kind: 'acknowledged', attempt: n, acknowledgement: chain })),
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { RouterDeps } from '../../RouterTypes.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { FakeWorld, Heard, OpenedCall } from './RequestFakes.js';
+import { acknowledge, createFakeWorld, giveTokens, listWords } from './RequestFakes.js';
+
+const MOST_ATTEMPTS = 2;
+const BREAK_AFTER: Millis = 1700;
+/** Longer than any silence that an attempt is allowed, and shorter than a deadline. */
+const LONG_SILENCE: Millis = 15_000;
+
+const STEP: Millis = 10;
+
+/** A world whose streams do not tell which engine is to blame, and in which repeats take from a budget. */
+function createSilentWorld(deps: Partial<RouterDeps> = {}): FakeWorld {
+  const cfg = {
+    ...DEFAULT_ROUTER_CONFIG,
+    silence: { ...DEFAULT_ROUTER_CONFIG.silence, gap: { least: 500, most: 900 }, mostUnclear: 0 },
+    isRecoveryBudgeted: true,
+  };
+  return createFakeWorld({ cfg, ...deps });
+}
+
+function listGiveUps({ decisions }: FakeWorld): (string | null)[] {
+  return decisions.filter(({ decision }) => decision === 'give-up').map(({ reason }) => reason);
+}
+
+/** An answer whose first attempt gave nothing, and whose second and last one gave some events. */
+function beginOnLastAttempt(world: FakeWorld, events: number): [Heard, OpenedCall] {
+  const heard = world.submit('r', { maxAttempts: MOST_ATTEMPTS, breakAfter: BREAK_AFTER });
+  const first = world.last();
+  while (world.last() === first) {
+    world.timers.advanceTo(world.timers.now() + STEP);
+  }
+  const second = world.last();
+  expect([first.isCancelled, second.call.attempt]).to.deep.equal([true, MOST_ATTEMPTS]);
+  acknowledge(second);
+  giveTokens(world, second, 0, events);
+  return [heard, second];
+}
+
+describe('Silence of an attempt that nothing may follow', () => {
+  it('leaves a begun answer with its engines when its attempts are used up', () => {
+    // Guards against an answer that is cut beside planned work because its last engine paused.
+    const world = createSilentWorld({ mayBreakOff: () => false });
+    const [heard, last] = beginOnLastAttempt(world, 7);
+    world.timers.advanceTo(world.timers.now() + LONG_SILENCE);
+    expect([heard.problems, last.isCancelled]).to.deep.equal([[], false]);
+    giveTokens(world, last, 7, 20);
+    last.listener.onEnd('stop', 20);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(20), ['stop']]);
+    expect([world.calls.length, listGiveUps(world)]).to.deep.equal([MOST_ATTEMPTS, []]);
+  });
+
+  it('breaks it off in other times when its caller is better served elsewhere, and not before', () => {
+    // Guards against a caller that leaves by itself, and never tries elsewhere, since its answer stood still.
+    const world = createSilentWorld();
+    const [heard] = beginOnLastAttempt(world, 7);
+    world.timers.advanceTo(world.timers.now() + BREAK_AFTER - 50);
+    expect(heard.problems).to.deep.equal([]);
+    world.timers.advanceTo(world.timers.now() + 60);
+    expect(heard.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['engine-failed', 'ran'],
+    ]);
+    expect(listGiveUps(world)).to.deep.equal(['standstill']);
+  });
+
+  it('tells a caller that has nothing yet, so that it can go elsewhere', () => {
+    // Guards against a caller that waits out its deadline at engines that may be dead.
+    const world = createSilentWorld();
+    const heard = world.submit('r', { maxAttempts: MOST_ATTEMPTS });
+    world.timers.advanceTo(world.timers.now() + LONG_SILENCE);
+    expect(heard.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['engine-failed', 'unknown'],
+    ]);
+    expect(listGiveUps(world)).to.deep.equal(['attempts-spent']);
+  });
+});
