Leave a slow answer where it is when no other attempt is allowed

What callers saw: an answer whose events came slowly was closed in its middle, "engine-failed ran".

Cause: the same as with a silence, in another place: a slow stream is moved off its engine, and the move counts against max_attempts. With none left it was the end of an answer that was slow and whole.

Evidence: RunMove.test.ts, "goes on where it is if its attempts are used up", fails without the mend (one problem, call cancelled).

Mend: decideMove asks mayFollow, as decideSilence does.

--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -5,6 +5,7 @@
 import type { RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
+import { mayFollow } from './RunSilence.js';
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
 const SLOW_FACTOR = 2.5;
@@ -41,7 +42,8 @@
   // Few at a time: a stream gives up what it has, and its prompt is read again.
   const isRoom = shared.recovery.countRunning() + shared.recovery.countWaiting() < MAX_MOVES;
   const isMovable = isRoom && spec.idempotent && machine.phase === RequestPhase.Running;
-  if (!chain || !isMovable || !isSettled || !isSlow) {
+  // A slow stream that is moved with no attempt left ends there.
+  if (!chain || !isMovable || !mayFollow(machine) || !isSettled || !isSlow) {
     return { slowSince: null, engine: null };
   }
   const since = slowSince ?? now;
