Take no begun answer from its engines on a guess while the retry budget is used up

What callers saw: an answer that stood still for a moment never went on, though its engines did: it was broken off 1.7 s after its last event, with `wait` lines before it, or ended with its caller's leaving.

Silence or slowness was carried out as a failure, the call to the engines was cancelled, and only then the retry budget was asked. With none left nothing followed but the wait for it.

Not yet seen in a log to have cost a whole answer.

Mend: RunFollow has the one decision whether anything can follow (attempts, budget); silence and moves both ask it. While the budget is used up, others are asked for a repeat as before, and the answer goes on elsewhere as soon as one is lent.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -31,6 +31,7 @@
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionAsk } from './RunAsk.js';
 import { decideMove } from './RunMove.js';
+import { FollowBar } from './RunFollow.js';
 import { createRunRetries } from './RunRetries.js';
 import { RECHOOSE_LEAST } from './RunRetry.js';
 import { decideSilence, isStandingStill, SILENCE } from './RunSilence.js';
@@ -249,7 +250,10 @@
         send({ kind: 'silence-borne' });
         break;
       case 'look-again':
-        send(decision);
+        send({ kind: 'look-again', delay: decision.delay });
+        if (decision.bar === FollowBar.Budget) {
+          retries.borrow(() => send({ kind: 'look-again', delay: 0 }));
+        }
         break;
       case 'broken-off':
         giveUp(GiveUpReason.Standstill);
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -5,7 +5,7 @@
 import type { RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { mayFollow } from './RunSilence.js';
+import { findFollowBar } from './RunFollow.js';
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
 const SLOW_FACTOR = 2.5;
@@ -42,8 +42,7 @@
   // Few at a time: a stream gives up what it has, and its prompt is read again.
   const isRoom = shared.recovery.countRunning() + shared.recovery.countWaiting() < MAX_MOVES;
   const isMovable = isRoom && spec.idempotent && machine.phase === RequestPhase.Running;
-  // A slow stream that is moved with no attempt left ends there.
-  if (!chain || !isMovable || !mayFollow(machine) || !isSettled || !isSlow) {
+  if (!chain || !isMovable || !isSettled || !isSlow) {
     return { slowSince: null, engine: null };
   }
   const since = slowSince ?? now;
@@ -56,5 +55,7 @@
   // Where it is known that a link is slow, a move by way of the same link would only add to its load.
   const isLinkSlow = shared.deps.links?.isSlow(chain) ?? false;
   const isDue = !isLinkSlow && (isClear || now - since >= LINK_PATIENCE);
-  return { slowSince: since, engine: pays && isDue && slowest ? slowest.engine : null };
+  // A slow answer that is moved where nothing can follow ends there, or stands still.
+  const isBetter = pays && isDue && findFollowBar(shared, spec, machine) === null;
+  return { slowSince: since, engine: isBetter && slowest ? slowest.engine : null };
 }
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -14,7 +14,7 @@
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { takeFromBudget } from './RouterShared.js';
+import { hasBudget, takeFromBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { getBreakTime } from './RunBreak.js';
 import { computeBudgetWait, computeRetryWait, computeReturnWait } from './RunRetry.js';
@@ -33,6 +33,8 @@
 export interface RunRetries {
   /** Decides what follows a failed attempt. */
   ask(effect: AskRetry): void;
+  /** Asks others for a repeat while the present attempt goes on. */
+  borrow(onLent: () => void): void;
   /** Engines that failed in the attempt before. */
   getFailed(): readonly EngineId[];
 }
@@ -74,21 +76,31 @@
   }
 
   /** Others of the fleet may have repeats left, and answer within some milliseconds. */
+  function requestRepeat(done: (isGranted: boolean) => void): void {
+    const request = deps.requestRetries ?? ((_name, tell) => tell(false));
+    request(spec.model, (isGranted) => shared.post(() => done(isGranted)));
+  }
+
+  function borrow(onLent: () => void): void {
+    requestRepeat((isGranted) => {
+      if (isGranted && hasBudget(shared, spec.model)) {
+        onLent();
+      }
+    });
+  }
+
   function askForBudget(effect: AskRetry, delay: Millis): void {
     const { attempt } = getMachine();
-    const request = deps.requestRetries ?? ((_name, done) => done(false));
-    request(spec.model, (isGranted) =>
-      shared.post(() => {
-        if (!isPausing(attempt)) {
-          return;
-        }
-        if (isGranted && takeFromBudget(shared, spec.model)) {
-          goOn(effect, delay);
-        } else {
-          waitForBudget(effect);
-        }
-      }),
-    );
+    requestRepeat((isGranted) => {
+      if (!isPausing(attempt)) {
+        return;
+      }
+      if (isGranted && takeFromBudget(shared, spec.model)) {
+        goOn(effect, delay);
+      } else {
+        waitForBudget(effect);
+      }
+    });
   }
 
   function isPausing(attempt: number): boolean {
@@ -117,5 +129,5 @@
     );
   }
 
-  return { ask, getFailed: () => lastFailed };
+  return { ask, borrow, getFailed: () => lastFailed };
 }
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -8,6 +8,8 @@
 import type { RouterShared } from './RouterShared.js';
 import { hasBudget } from './RouterShared.js';
 import { getBreakTime } from './RunBreak.js';
+import type { FollowBarName } from './RunFollow.js';
+import { findFollowBar } from './RunFollow.js';
 
 /** Time without a token after which an answer counts as standing still. */
 const STILL_AFTER: Millis = 80;
@@ -37,7 +39,7 @@
   /** It is given as much time again. */
   | { readonly kind: 'borne' }
   /** Nothing can follow it now, and something may after `delay`. */
-  | { readonly kind: 'look-again'; readonly delay: Millis }
+  | { readonly kind: 'look-again'; readonly delay: Millis; readonly bar: FollowBarName }
   /** Its caller has got nothing for so long that it is better served elsewhere. */
   | { readonly kind: 'broken-off' };
 
@@ -47,23 +49,15 @@
   spec: RequestSpec,
   machine: RequestMachine,
 ): SilenceDecision {
-  if (mayFollow(machine)) {
+  const bar = findFollowBar(shared, spec, machine);
+  if (bar === null) {
     const suspects = findSilenceSuspects(shared, machine);
     return suspects ? { kind: 'failed', suspects } : { kind: 'borne' };
   }
   const timeLeft = getBreakTime(shared, spec, machine) - shared.deps.timers.now();
   return timeLeft <= 0
     ? { kind: 'broken-off' }
-    : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft) };
-}
-
-/**
- * Whether something better than the end of its answer can follow an attempt that is given up. A silent or slow
- * engine may still finish it, and a caller with a part of its answer is served by nothing else. One that has
- * nothing yet is told, and can go elsewhere.
- */
-export function mayFollow({ attemptsLeft, tokenCount }: RequestMachine): boolean {
-  return attemptsLeft > 1 || tokenCount === 0;
+    : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar };
 }
 
 /** Whether an answer has begun and stands still now. */
--- a/packages/requests/src/__tests__/unit/RunMove.test.ts
+++ b/packages/requests/src/__tests__/unit/RunMove.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { RequestSpec } from '../../RequestTypes.js';
 import type { RouterDeps } from '../../RouterTypes.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
 import type { FakeWorld, Heard, OpenedCall } from './RequestFakes.js';
 import {
   acknowledge,
@@ -52,4 +53,11 @@
     const { heard, slow } = playSlowAnswer({ maxAttempts: 1 });
     expect([heard.problems, slow.isCancelled]).to.deep.equal([[], false]);
   });
+
+  it('goes on where it is if the retry budget is used up', () => {
+    // Guards against a slow answer that is taken from its engine and then stands still.
+    const cfg = { ...DEFAULT_ROUTER_CONFIG, isRecoveryBudgeted: true };
+    const { heard, slow } = playSlowAnswer({}, { cfg, getRetryBurst: () => 1 });
+    expect([heard.problems, slow.isCancelled]).to.deep.equal([[], false]);
+  });
 });
--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -26,13 +26,19 @@
   return decisions.filter(({ decision }) => decision === 'give-up').map(({ reason }) => reason);
 }
 
+/** Lets time pass until something holds, for a deadline at the most. */
+function advanceUntil(world: FakeWorld, holds: () => boolean): void {
+  const end = world.timers.now() + 2 * LONG_SILENCE;
+  while (!holds() && world.timers.now() < end) {
+    world.timers.advanceTo(world.timers.now() + STEP);
+  }
+}
+
 /** An answer whose first attempt gave nothing, and whose second and last one gave some events. */
 function beginOnLastAttempt(world: FakeWorld, events: number): [Heard, OpenedCall] {
   const heard = world.submit('r', { maxAttempts: MOST_ATTEMPTS, breakAfter: BREAK_AFTER });
   const first = world.last();
-  while (world.last() === first) {
-    world.timers.advanceTo(world.timers.now() + STEP);
-  }
+  advanceUntil(world, () => world.last() !== first);
   const second = world.last();
   expect([first.isCancelled, second.call.attempt]).to.deep.equal([true, MOST_ATTEMPTS]);
   acknowledge(second);
@@ -40,6 +46,15 @@
   return [heard, second];
 }
 
+/** An answer that has begun at its first engines. */
+function begin(world: FakeWorld, events: number): [Heard, OpenedCall] {
+  const heard = world.submit('r', { breakAfter: BREAK_AFTER });
+  const only = world.last();
+  acknowledge(only);
+  giveTokens(world, only, 0, events);
+  return [heard, only];
+}
+
 describe('Silence of an attempt that nothing may follow', () => {
   it('leaves a begun answer with its engines when its attempts are used up', () => {
     // Guards against an answer that is cut beside planned work because its last engine paused.
@@ -66,6 +81,38 @@
     expect(listGiveUps(world)).to.deep.equal(['standstill']);
   });
 
+  it('leaves a begun answer with its engines when the retry budget is used up', () => {
+    // Guards against an answer that is taken from its engines and then waits, since no repeat is left for it.
+    const world = createSilentWorld({ getRetryBurst: () => 0 });
+    const [heard, only] = begin(world, 7);
+    world.timers.advanceTo(world.timers.now() + BREAK_AFTER - 100);
+    expect([heard.problems, only.isCancelled]).to.deep.equal([[], false]);
+    giveTokens(world, only, 7, 20);
+    only.listener.onEnd('stop', 20);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(20), ['stop']]);
+    expect(world.calls).to.have.length(1);
+  });
+
+  it('goes on elsewhere as soon as another instance lends a repeat', () => {
+    // Guards against an answer that stands still at dead engines though the fleet has repeats left.
+    let burst = 0;
+    let asked = 0;
+    const world = createSilentWorld({
+      getRetryBurst: () => burst,
+      requestRetries: (_model, done) => {
+        asked += 1;
+        burst = asked > 1 ? 1 : 0;
+        done(burst > 0);
+      },
+    });
+    const [heard, first] = begin(world, 7);
+    const silentFrom = world.timers.now();
+    advanceUntil(world, () => world.last() !== first);
+    expect(world.last().openedAt - silentFrom).to.be.within(500, 800);
+    expect([asked, first.isCancelled]).to.deep.equal([2, true]);
+    expect([heard.problems, world.last().call.resumeTokens]).to.deep.equal([[], listWords(7)]);
+  });
+
   it('tells a caller that has nothing yet, so that it can go elsewhere', () => {
     // Guards against a caller that waits out its deadline at engines that may be dead.
     const world = createSilentWorld();
