--- a/packages/requests/src/__tests__/unit/RunMove.test.ts
+++ b/packages/requests/src/__tests__/unit/RunMove.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { EngineId } from '@skylarksail/core/CoreTypes';
 import type { RequestSpec } from '../../RequestTypes.js';
 import type { RouterDeps } from '../../RouterTypes.js';
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
@@ -19,8 +20,13 @@
 }
 
 /** An answer whose events come ten times as late as those of another one, which has only its second engine apart. */
-function playSlowAnswer(change: Partial<RequestSpec>, deps: Partial<RouterDeps> = {}): SlowPlay {
-  const world = createFakeWorld(deps);
+function playSlowAnswer(
+  change: Partial<RequestSpec>,
+  deps: Partial<RouterDeps> = {},
+  engines?: readonly (readonly EngineId[])[],
+  onBothOpen: () => void = () => undefined,
+): SlowPlay {
+  const world = createFakeWorld(deps, engines);
   const heard = world.submit('slow', { maxTokens: 400, ...change });
   const slow = world.last();
   acknowledge(slow);
@@ -30,6 +36,7 @@
   before.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
   const well = world.last();
   acknowledge(well);
+  onBothOpen();
   let slowTokens = 0;
   for (let i = 0; i < 160 && !slow.isCancelled; i++) {
     giveTokens(world, well, i, i + 1, 10);
@@ -54,6 +61,13 @@
     expect([heard.problems, slow.isCancelled]).to.deep.equal([[], false]);
   });
 
+  it('goes on where it is if no other chain is whole', () => {
+    // Guards against a slow answer that stands still, since its engine is the only one with its layers.
+    const engines = [['a1'], ['b1', 'b2']];
+    const { heard, slow } = playSlowAnswer({}, {}, engines, () => engines[1]?.pop());
+    expect([heard.problems, slow.isCancelled]).to.deep.equal([[], false]);
+  });
+
   it('goes on where it is if the retry budget is used up', () => {
     // Guards against a slow answer that is taken from its engine and then stands still.
     const cfg = { ...DEFAULT_ROUTER_CONFIG, isRecoveryBudgeted: true };
--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -1,9 +1,15 @@
 import { expect } from 'chai';
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { RouterDeps } from '../../RouterTypes.js';
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
 import type { FakeWorld, Heard, OpenedCall } from './RequestFakes.js';
-import { acknowledge, createFakeWorld, giveTokens, listWords } from './RequestFakes.js';
+import {
+  acknowledge,
+  createFakeWorld,
+  giveTokens,
+  listEngines,
+  listWords,
+} from './RequestFakes.js';
 
 const MOST_ATTEMPTS = 2;
 const BREAK_AFTER: Millis = 1700;
@@ -13,13 +19,16 @@
 const STEP: Millis = 10;
 
 /** A world whose streams do not tell which engine is to blame, and in which repeats take from a budget. */
-function createSilentWorld(deps: Partial<RouterDeps> = {}): FakeWorld {
+function createSilentWorld(
+  deps: Partial<RouterDeps> = {},
+  engines?: readonly (readonly EngineId[])[],
+): FakeWorld {
   const cfg = {
     ...DEFAULT_ROUTER_CONFIG,
     silence: { ...DEFAULT_ROUTER_CONFIG.silence, gap: { least: 500, most: 900 }, mostUnclear: 0 },
     isRecoveryBudgeted: true,
   };
-  return createFakeWorld({ cfg, ...deps });
+  return createFakeWorld({ cfg, ...deps }, engines);
 }
 
 function listGiveUps({ decisions }: FakeWorld): (string | null)[] {
@@ -113,6 +122,23 @@
     expect([heard.problems, world.last().call.resumeTokens]).to.deep.equal([[], listWords(7)]);
   });
 
+  it('leaves a begun answer with its engines while no other chain is whole, and moves it as soon as one is', () => {
+    // Guards against an answer that is taken from the only engines that could have finished it.
+    const engines = [['a1'], ['b1']];
+    const world = createSilentWorld({}, engines);
+    const [heard, only] = begin(world, 7);
+    world.timers.advanceTo(world.timers.now() + 1000);
+    giveTokens(world, only, 7, 10);
+    const silentFrom = world.timers.now();
+    world.timers.advanceTo(silentFrom + 1000);
+    expect([heard.problems, only.isCancelled, world.calls.length]).to.deep.equal([[], false, 1]);
+    engines[0]?.push('a2');
+    engines[1]?.push('b2');
+    world.timers.advanceTo(silentFrom + 1300);
+    expect([only.isCancelled, listEngines(world.last())]).to.deep.equal([true, ['a2', 'b2']]);
+    expect(world.last().call.resumeTokens).to.deep.equal(listWords(10));
+  });
+
   it('tells a caller that has nothing yet, so that it can go elsewhere', () => {
     // Guards against a caller that waits out its deadline at engines that may be dead.
     const world = createSilentWorld();
