Ask engines about their health that are silent under an answer left with them

What callers would have seen: new requests at an engine that is dead, for as long as no other call failed there.

The search for dead engines (RelayHealth) and the list of engines to keep off lived on attempts that were given up.

Evidence: reading; RunSilence.test.ts "tells of engines that are silent", "sends nothing new to the one engine" fail without the change (checked by taking the call out of the build), RelayHealth.test.ts "asks engines that are silent" has no way to ask.

Mend: at each look at an answer that is left with its engines, the health check hears of the silent ones, and a single suspect is kept off for new requests while others are there. Both are hints: neither ends anything.

--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -33,6 +33,8 @@
 export interface RelayHealth {
   /** The same calls; those that fail or stay silent put their engines under suspicion. */
   watchCalls(open: OpenEngineCall): OpenEngineCall;
+  /** Engines are silent under a call that goes on. */
+  noteSilent(engines: readonly EngineId[]): void;
   /** Engines that calls failed at, and that did not answer well when they were asked then. */
   listLost(): readonly EngineId[];
   stop(): void;
@@ -203,6 +205,7 @@
         cancel();
       };
     },
+    noteSilent: (engines) => engines.forEach(suspect),
     listLost: () => [...suspects].filter(([, { misses }]) => misses > 0).map(([id]) => id),
     stop: ticking.stop,
   };
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -217,6 +217,7 @@
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
     isEnding: (engine) => catalogue.get(engine)?.state !== LifeState.Live,
+    onSilent: health.noteSilent,
     onDecision: (record) => decisions.record({ ...record }),
     onCount: metrics.countRouter,
   });
--- a/packages/relay/src/__tests__/unit/RelayHealth.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayHealth.test.ts
@@ -73,6 +73,7 @@
     layers,
     asked,
     well,
+    watch,
     start,
     fail: (engine: string) => {
       start();
@@ -169,6 +170,15 @@
     expect(bed.catalogue.get('e1')).to.include({ state: 'live' });
   });
 
+  it('asks engines that are silent under an answer that is left with them', async () => {
+    // Guards against a dead engine that stays in use since no call was taken from it.
+    const bed = createBed();
+    bed.start();
+    bed.watch.noteSilent(['e0', 'e1', 'far']);
+    await bed.timers.advanceToAsync(350);
+    expect(bed.asked).to.deep.equal(['health e0', 'health e1']);
+  });
+
   it('suspects all engines of a chain that was given up silent, and finds one that started anew', async () => {
     // Symptom: an engine that crashed and is back stays unused until the store is back.
     // Sequence: the store is out; an engine falls silent, and another incarnation answers at its address.
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -19,10 +19,15 @@
   readonly cancel: Unregister;
 }
 
+/** What a chain is looked for with. */
+export type ChainSearch = Pick<EffectOf<'choose'>, 'broken' | 'failed' | 'avoid'>;
+
 /** The attempts of one request, one at a time. */
 export interface AttemptRunner {
+  /** Whether there is a chain now; takes nothing. */
+  canChoose(search: ChainSearch): boolean;
   /** Asks for a chain; the answer comes as an event. Returns whether there is one. */
-  choose(effect: EffectOf<'choose'>): boolean;
+  choose(search: ChainSearch): boolean;
   open(effect: EffectOf<'open'>): void;
   close(outcome: AttemptOutcome): void;
   /** Takes in the attempt's first token, `wait` after it was opened. */
@@ -72,19 +77,31 @@
     );
   }
 
+  function select({ broken, failed, avoid }: ChainSearch): ChainChoice {
+    const contextTokens = promptTokens + tokens.length;
+    return chooseSpread((others) => {
+      const isBegun = tokens.length > 0;
+      const wish = { spec, contextTokens, isBegun, avoid: [...new Set([...avoid, ...others])] };
+      const engines = broken?.stages.map((stage) => stage.engine) ?? [];
+      // Stages that other requests have lost meanwhile are replaced in the same stroke.
+      const lost = engines.filter((id) => failed.includes(id) || wish.avoid.includes(id));
+      return broken !== null && lost.length < engines.length
+        ? deps.chooseRepair({ ...wish, broken, failed: lost })
+        : deps.chooseChain(wish);
+    });
+  }
+
   return {
-    choose({ broken, failed, avoid }) {
+    canChoose(search) {
+      const choice = select(search);
+      if (choice.kind === 'chain') {
+        choice.hold.release({ kind: 'cancelled' });
+      }
+      return choice.kind === 'chain';
+    },
+    choose(search) {
       const contextTokens = promptTokens + tokens.length;
-      const choice = chooseSpread((others) => {
-        const isBegun = tokens.length > 0;
-        const wish = { spec, contextTokens, isBegun, avoid: [...new Set([...avoid, ...others])] };
-        const engines = broken?.stages.map((stage) => stage.engine) ?? [];
-        // Stages that other requests have lost meanwhile are replaced in the same stroke.
-        const lost = engines.filter((id) => failed.includes(id) || wish.avoid.includes(id));
-        return broken !== null && lost.length < engines.length
-          ? deps.chooseRepair({ ...wish, broken, failed: lost })
-          : deps.chooseChain(wish);
-      });
+      const choice = select(search);
       if (choice.kind === 'none') {
         send({ kind: 'no-chain', isFull: choice.isFull, retryAfter: choice.retryAfter });
         return false;
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -80,7 +80,7 @@
       send({ kind: 'retry-granted', failed: retries.getFailed() });
     },
     checkSlow: (usualGap) => {
-      const move = decideMove(shared, spec, machine, usualGap, slowSince);
+      const move = decideMove(shared, spec, machine, usualGap, slowSince, hasChainWithout);
       slowSince = move.engine === null ? move.slowSince : null;
       if (move.engine !== null) {
         sendSilence([move.engine], true);
@@ -240,8 +240,22 @@
     }
   }
 
+  /** The engines keep the answer, and may be dead all the same: new requests and the health check must not wait. */
+  function noteSilent(suspects: readonly EngineId[]): void {
+    const [engine] = suspects;
+    if (engine !== undefined && suspects.length === 1) {
+      shared.progress.noteLost(engine, false, timers.now());
+    }
+    deps.onSilent?.(suspects);
+  }
+
+  function hasChainWithout(engines: readonly EngineId[]): boolean {
+    const { chain: broken, avoid } = machine;
+    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines] });
+  }
+
   function reportSilence(): void {
-    const decision = decideSilence(shared, spec, machine);
+    const decision = decideSilence(shared, spec, machine, hasChainWithout);
     switch (decision.kind) {
       case 'failed':
         sendSilence(decision.suspects, false);
@@ -250,6 +264,7 @@
         send({ kind: 'silence-borne' });
         break;
       case 'look-again':
+        noteSilent(decision.suspects);
         send({ kind: 'look-again', delay: decision.delay });
         if (decision.bar === FollowBar.Budget) {
           retries.borrow(() => send({ kind: 'look-again', delay: 0 }));
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -164,6 +164,8 @@
   readonly getBootId: (engine: EngineId) => string | null;
   /** Whether an engine has said that it leaves, or is no longer registered; nobody has if left out. */
   readonly isEnding?: (engine: EngineId) => boolean;
+  /** Hears of engines that are silent under an answer that is left with them. */
+  readonly onSilent?: (engines: readonly EngineId[]) => void;
   readonly onDecision: (record: DecisionRecord) => void;
   readonly onCount: (metric: RouterMetric) => void;
 }
--- a/packages/requests/src/RunFollow.ts
+++ b/packages/requests/src/RunFollow.ts
@@ -3,6 +3,7 @@
  * silent or slow engine may still finish the answer. A caller with a part of it is served by nothing else, and
  * one that has nothing yet is told, and can go elsewhere.
  */
+import type { EngineId } from '@skylarksail/core/CoreTypes';
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -14,15 +15,22 @@
   Attempts: 'attempts',
   /** The retry budget is used up; others may lend a repeat. */
   Budget: 'budget',
+  /** No chain is whole without the engines that are to be replaced. */
+  Chain: 'chain',
 } as const;
 
 export type FollowBarName = (typeof FollowBar)[keyof typeof FollowBar];
 
-/** Finds what keeps another attempt from following the present one; null if nothing does. */
+/** Whether a chain is whole without some engines of the present one. */
+export type HasChainWithout = (engines: readonly EngineId[]) => boolean;
+
+/** Finds what keeps an attempt without the `failed` engines from following the present one; null if nothing does. */
 export function findFollowBar(
   shared: RouterShared,
   { model }: RequestSpec,
   { attemptsLeft, tokenCount }: RequestMachine,
+  failed: readonly EngineId[],
+  hasChainWithout: HasChainWithout,
 ): FollowBarName | null {
   if (tokenCount === 0) {
     return null;
@@ -30,6 +38,8 @@
   if (attemptsLeft <= 1) {
     return FollowBar.Attempts;
   }
-  const isPaid = !shared.deps.cfg.isRecoveryBudgeted || hasBudget(shared, model);
-  return isPaid ? null : FollowBar.Budget;
+  if (shared.deps.cfg.isRecoveryBudgeted && !hasBudget(shared, model)) {
+    return FollowBar.Budget;
+  }
+  return hasChainWithout(failed) ? null : FollowBar.Chain;
 }
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -5,6 +5,7 @@
 import type { RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
+import type { HasChainWithout } from './RunFollow.js';
 import { findFollowBar } from './RunFollow.js';
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
@@ -34,6 +35,7 @@
   machine: RequestMachine,
   usualGap: Millis,
   slowSince: Millis | null,
+  hasChainWithout: HasChainWithout,
 ): MoveDecision {
   const now = shared.deps.timers.now();
   const { pace, chain, tokenCount } = machine;
@@ -55,7 +57,10 @@
   // Where it is known that a link is slow, a move by way of the same link would only add to its load.
   const isLinkSlow = shared.deps.links?.isSlow(chain) ?? false;
   const isDue = !isLinkSlow && (isClear || now - since >= LINK_PATIENCE);
+  if (!pays || !isDue || !slowest) {
+    return { slowSince: since, engine: null };
+  }
   // A slow answer that is moved where nothing can follow ends there, or stands still.
-  const isBetter = pays && isDue && findFollowBar(shared, spec, machine) === null;
-  return { slowSince: since, engine: isBetter && slowest ? slowest.engine : null };
+  const bar = findFollowBar(shared, spec, machine, [slowest.engine], hasChainWithout);
+  return { slowSince: since, engine: bar === null ? slowest.engine : null };
 }
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -8,7 +8,7 @@
 import type { RouterShared } from './RouterShared.js';
 import { hasBudget } from './RouterShared.js';
 import { getBreakTime } from './RunBreak.js';
-import type { FollowBarName } from './RunFollow.js';
+import type { FollowBarName, HasChainWithout } from './RunFollow.js';
 import { findFollowBar } from './RunFollow.js';
 
 /** Time without a token after which an answer counts as standing still. */
@@ -39,7 +39,12 @@
   /** It is given as much time again. */
   | { readonly kind: 'borne' }
   /** Nothing can follow it now, and something may after `delay`. */
-  | { readonly kind: 'look-again'; readonly delay: Millis; readonly bar: FollowBarName }
+  | {
+      readonly kind: 'look-again';
+      readonly delay: Millis;
+      readonly bar: FollowBarName;
+      readonly suspects: readonly EngineId[];
+    }
   /** Its caller has got nothing for so long that it is better served elsewhere. */
   | { readonly kind: 'broken-off' };
 
@@ -48,16 +53,20 @@
   shared: RouterShared,
   spec: RequestSpec,
   machine: RequestMachine,
+  hasChainWithout: HasChainWithout,
 ): SilenceDecision {
-  const bar = findFollowBar(shared, spec, machine);
+  const suspects = findSilenceSuspects(shared, machine);
+  if (suspects === null) {
+    return { kind: 'borne' };
+  }
+  const bar = findFollowBar(shared, spec, machine, suspects, hasChainWithout);
   if (bar === null) {
-    const suspects = findSilenceSuspects(shared, machine);
-    return suspects ? { kind: 'failed', suspects } : { kind: 'borne' };
+    return { kind: 'failed', suspects };
   }
   const timeLeft = getBreakTime(shared, spec, machine) - shared.deps.timers.now();
   return timeLeft <= 0
     ? { kind: 'broken-off' }
-    : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar };
+    : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar, suspects };
 }
 
 /** Whether an answer has begun and stands still now. */
--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import { FailurePlace } from '../../RequestPorts.js';
 import type { RouterDeps } from '../../RouterTypes.js';
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
 import type { FakeWorld, Heard, OpenedCall } from './RequestFakes.js';
 import {
   acknowledge,
+  createFailure,
   createFakeWorld,
   giveTokens,
   listEngines,
@@ -139,6 +141,32 @@
     expect(world.last().call.resumeTokens).to.deep.equal(listWords(10));
   });
 
+  it('tells of engines that are silent under an answer that is left with them', () => {
+    // Guards against new requests at a dead engine, and against one that nobody asks about its health.
+    const told: (readonly EngineId[])[] = [];
+    const world = createSilentWorld({ getRetryBurst: () => 0, onSilent: (ids) => told.push(ids) });
+    const [, only] = begin(world, 7);
+    const engines = listEngines(only);
+    world.timers.advanceTo(world.timers.now() + 1000);
+    expect(told[0]).to.deep.equal(engines);
+    expect(only.isCancelled).to.equal(false);
+  });
+
+  it('sends nothing new to the one engine that is silent under it', () => {
+    // Guards against requests that wait at a dead engine since the answers there were left with it.
+    const world = createSilentWorld({ getRetryBurst: () => 1 });
+    const [, silent] = begin(world, 7);
+    world.submit('other', { prompt: 'other' });
+    const before = world.last();
+    before.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
+    const other = world.last();
+    acknowledge(other);
+    giveTokens(world, other, 0, 40);
+    expect([listEngines(other), silent.isCancelled]).to.deep.equal([['a1', 'b2'], false]);
+    world.submit('new', { prompt: 'new' });
+    expect(listEngines(world.last())).to.deep.equal(['a1', 'b2']);
+  });
+
   it('tells a caller that has nothing yet, so that it can go elsewhere', () => {
     // Guards against a caller that waits out its deadline at engines that may be dead.
     const world = createSilentWorld();
