Let the test of requests kept off a silent engine fail without the code that it tests

Cause: says that "sends nothing new to the one engine that is silent under it" fails without the change. It didn't: the engine was still kept off for the failure that had moved the other answer away two seconds before. Found by running it with the call taken out of the build.

Change: the other answer goes on for three seconds, so only the silence can keep the engine off.

--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -58,8 +58,12 @@
 }
 
 /** An answer that has begun at its first engines. */
-function begin(world: FakeWorld, events: number): [Heard, OpenedCall] {
-  const heard = world.submit('r', { breakAfter: BREAK_AFTER });
+function begin(
+  world: FakeWorld,
+  events: number,
+  breakAfter: Millis = BREAK_AFTER,
+): [Heard, OpenedCall] {
+  const heard = world.submit('r', { breakAfter });
   const only = world.last();
   acknowledge(only);
   giveTokens(world, only, 0, events);
@@ -155,13 +159,13 @@
   it('sends nothing new to the one engine that is silent under it', () => {
     // Guards against requests that wait at a dead engine since the answers there were left with it.
     const world = createSilentWorld({ getRetryBurst: () => 1 });
-    const [, silent] = begin(world, 7);
+    const [, silent] = begin(world, 7, Infinity);
     world.submit('other', { prompt: 'other' });
     const before = world.last();
     before.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'b1' }));
     const other = world.last();
     acknowledge(other);
-    giveTokens(world, other, 0, 40);
+    giveTokens(world, other, 0, 100);
     expect([listEngines(other), silent.isCancelled]).to.deep.equal([['a1', 'b2'], false]);
     world.submit('new', { prompt: 'new' });
     expect(listEngines(world.last())).to.deep.equal(['a1', 'b2']);
