Bear a standstill for as long as planned work can be its cause

What callers would have seen: a begun answer closed beside planned work, where it stood still when the instance took the work to be over: (1) more than 5 s after a SIGHUP, for an answer that had begun before it; (2) on deployments in which a change may take 3 or 4 s, in the last one or two seconds after it.

Cause: RelayCalm knew one time for all planned work, 5 s from this instance's own news.

RelayCalm.test.ts: the two new cases fail on the code before (for 3000 and 4000 ms, and for each answer after 5 s).

Mend: the deployment's own time for a change comes with the settings (changeTimeMs); a configuration is borne for that, a second, and two for the acknowledgement; after a SIGHUP the question is asked for each answer by when it was taken. A stop was right: it is never over.

--- a/packages/relay/src/RelayCalm.ts
+++ b/packages/relay/src/RelayCalm.ts
@@ -7,26 +7,40 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 
 export interface RelayCalm {
-  /** A change was put in force. */
+  /** A configuration was put in force. */
   noteChange(): void;
+  /** The settings changed. */
+  noteSettingsChange(): void;
   /** This instance stops. */
   noteStop(): void;
-  isCalm(): boolean;
+  /** Whether no planned work goes on that touches a request which was taken at `takenAt`. */
+  isCalmFor(takenAt: Millis): boolean;
 }
 
-/** A change is in force everywhere within some four seconds; answers that began before it last a second more. */
-const CHANGE_TIME: Millis = 5000;
+/** Answers that began before a change was in force everywhere last a second more. */
+const AFTER_CHANGE: Millis = 1000;
+/** A large configuration is in force here before the store has acknowledged it, from when its time counts. */
+const ACKNOWLEDGEMENT_LAG: Millis = 2000;
+/** A request was sent by its caller before it was taken here. */
+const READING_TIME: Millis = 500;
 
-export function createRelayCalm(timers: TimerService): RelayCalm {
+/** `changeTime` is the time after its acknowledgement in which a change is to be in force everywhere. */
+export function createRelayCalm(timers: TimerService, changeTime: Millis): RelayCalm {
   let calmFrom = -Infinity;
+  /** Requests that were taken before are touched by a change of the settings, however long they last. */
+  let settledFrom = -Infinity;
 
   return {
     noteChange() {
-      calmFrom = Math.max(calmFrom, timers.now() + CHANGE_TIME);
+      const time = ACKNOWLEDGEMENT_LAG + changeTime + AFTER_CHANGE;
+      calmFrom = Math.max(calmFrom, timers.now() + time);
+    },
+    noteSettingsChange() {
+      settledFrom = timers.now() + changeTime + READING_TIME;
     },
     noteStop() {
       calmFrom = Infinity;
     },
-    isCalm: () => timers.now() >= calmFrom,
+    isCalmFor: (takenAt) => timers.now() >= calmFrom && takenAt >= settledFrom,
   };
 }
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -53,6 +53,8 @@
   readonly domains: readonly DomainId[];
   /** Copies of each layer that a domain may hold where its memory allows. */
   readonly mostCopies: number;
+  /** Time after its acknowledgement in which a change is to be in force everywhere. */
+  readonly changeTime: Millis;
   /** Shortest lease that the store grants. */
   readonly leaseLeast: Millis;
   readonly timers: TimerService;
@@ -118,7 +120,7 @@
   let table: RouteTable | null = null;
   let isLeaving = false;
   const catalogue = createCatalogue(timers, isServed);
-  const calm = createRelayCalm(timers);
+  const calm = createRelayCalm(timers, options.changeTime);
   const routing = createDaemonRouting({
     domain: self.domain,
     timers,
@@ -212,7 +214,7 @@
     links: routing.links,
     getRetryBurst: repeats.getBurst,
     requestRetries: repeats.request,
-    mayBreakOff: calm.isCalm,
+    mayBreakOff: calm.isCalmFor,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
@@ -315,7 +317,7 @@
       newsAge: knowledge.news.readState().age,
     }),
     isReady: () => table !== null && !isLeaving,
-    noteSettingsChanged: calm.noteChange,
+    noteSettingsChanged: calm.noteSettingsChange,
     startLeaving() {
       isLeaving = true;
       calm.noteStop();
--- a/packages/relay/src/__tests__/unit/RelayCalm.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayCalm.test.ts
@@ -5,18 +5,41 @@
 describe('RelayCalm', () => {
   it('is not calm for a while after each change, and never again once a stop began', () => {
     const timers = createVirtualTimers();
-    const calm = createRelayCalm(timers);
-    expect(calm.isCalm()).to.equal(true);
+    const calm = createRelayCalm(timers, 2000);
+    const isCalm = (): boolean => calm.isCalmFor(timers.now());
+    expect(isCalm()).to.equal(true);
     calm.noteChange();
     timers.advanceTo(4000);
     calm.noteChange();
     timers.advanceTo(8000);
-    expect(calm.isCalm()).to.equal(false);
+    expect(isCalm()).to.equal(false);
     timers.advanceTo(9000);
-    expect(calm.isCalm()).to.equal(true);
+    expect(isCalm()).to.equal(true);
     calm.noteStop();
     calm.noteChange();
     timers.advanceTo(60_000);
-    expect(calm.isCalm()).to.equal(false);
+    expect(isCalm()).to.equal(false);
+  });
+
+  it('is not calm until a second after a change is in force, whenever it was acknowledged', () => {
+    // Guards against an answer that is cut beside a change where changes may take longer than on small fleets.
+    const ACKNOWLEDGED_AFTER = 1500;
+    for (const changeTime of [2000, 3000, 4000]) {
+      const timers = createVirtualTimers();
+      const calm = createRelayCalm(timers, changeTime);
+      calm.noteChange();
+      timers.advanceTo(ACKNOWLEDGED_AFTER + changeTime + 1000);
+      expect(calm.isCalmFor(0), `${changeTime}`).to.equal(false);
+    }
+  });
+
+  it('is never calm for a request that was taken before a change of the settings had its time', () => {
+    // Guards against an answer that began before SIGHUP and is cut at any time after it.
+    const timers = createVirtualTimers();
+    const calm = createRelayCalm(timers, 2000);
+    timers.advanceTo(1000);
+    calm.noteSettingsChange();
+    timers.advanceTo(30_000);
+    expect([500, 2999, 4000].map(calm.isCalmFor)).to.deep.equal([false, false, true]);
   });
 });
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -87,6 +87,7 @@
         mostCopies: 1,
         bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
         domains: ['d1'],
+        changeTime: 2000,
         leaseLeast: 1000,
         timers,
         random: createRandom(ids.length),
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -139,6 +139,7 @@
     phase: machine.phase,
     idempotent: machine.idempotent,
     maxTokens: machine.maxTokens,
+    submittedAt: machine.submittedAt,
     attemptsLeft: machine.attemptsLeft,
     patientUntil: machine.patientUntil,
     attempt: machine.attempt,
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -15,6 +15,7 @@
   readonly phase: RequestPhaseName;
   readonly idempotent: boolean;
   readonly maxTokens: number;
+  readonly submittedAt: Millis;
   /** Engines that it may still run on. One that was lost under it does not count. */
   readonly attemptsLeft: number;
   /** Until when it waits for engines that can take it; null if it has no patience of its own. */
@@ -70,6 +71,7 @@
     phase: RequestPhase.Waiting,
     idempotent: spec.idempotent,
     maxTokens: spec.maxTokens,
+    submittedAt: now,
     attemptsLeft: spec.maxAttempts ?? Infinity,
     patientUntil: spec.patience === undefined ? null : now + spec.patience,
     attempt: 0,
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -154,7 +154,7 @@
   /** This instance's part of the burst at a model or service, as the fleet is now; the setting's if left out. */
   readonly getRetryBurst?: (name: string) => number;
   /** Whether a begun answer that stands still may be broken off now; it always may if left out. */
-  readonly mayBreakOff?: () => boolean;
+  readonly mayBreakOff?: (submittedAt: Millis) => boolean;
   /** Asks others for repeats at a model or service; hears whether the burst has grown. */
   readonly requestRetries?: (name: string, done: (isGranted: boolean) => void) => void;
   readonly getTeamLimits: (team: TeamId) => TeamLimits;
--- a/packages/requests/src/RunBreak.ts
+++ b/packages/requests/src/RunBreak.ts
@@ -8,9 +8,9 @@
 export function getBreakTime(
   { deps }: RouterShared,
   spec: RequestSpec,
-  { tokenCount, progressAt }: RequestMachine,
+  { tokenCount, progressAt, submittedAt }: RequestMachine,
 ): Millis {
-  const mayBreak = deps.mayBreakOff?.() ?? true;
+  const mayBreak = deps.mayBreakOff?.(submittedAt) ?? true;
   return tokenCount > 0 && mayBreak && spec.breakAfter !== undefined
     ? progressAt + spec.breakAfter
     : Infinity;
