Ask the store before a 404 or 401 that rests on old news

What callers would have seen: 404 for a route, or 401 for a key, that had been accepted two to three seconds before, from an instance whose watch of the store stood still. No caller repeats a request after either.

Cause: an instance answered 404 and 401 for as long as its news was at most 3 s old. Where a change is to be in force in 2 s (three of the deployments) that is a second too long, and the age may leave out another 0.7 s.

Mend: above the time that a change may take, less 0.7 s, the store is asked (one watch without a wait, shared by all who wait, 0.4 s at most). What it tells is taken in, so the request is served, or refused as of now. Without an answer: 503 with a time to come back, as before. The time of the question is taken off the caller's.

Tests: RelayIntake "says that a call was not run" held 404 at 3,000 ms to be right: that was the fault. It now asks for 503 at 1,301 ms and 404 at 1,300 ms for a change time of 2,000, which fails on the code before, as do the two new ones there.

--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -14,6 +14,7 @@
 import { drawService } from '@skylarksail/routes/RouteTable';
 import type { PipelineFacts, Route, RoutedService } from '@skylarksail/routes/RouteTypes';
 import { RouteKind } from '@skylarksail/routes/RouteTypes';
+import type { ConfirmNews } from './RelayConfirm.js';
 import { ONLY_VERSION } from './RelayFacts.js';
 import type { RelayCall, RelayListener, RelayRefusal } from './RelayTypes.js';
 
@@ -24,6 +25,9 @@
   readonly getTable: () => RouteTable | null;
   /** Time since this instance last knew all that the store held. */
   readonly getNewsAge: () => Millis;
+  /** Time after its acknowledgement in which a change is to be in force everywhere. */
+  readonly changeTime: Millis;
+  readonly confirmNews: ConfirmNews;
   readonly onDecision: (decision: {
     readonly request: string;
     readonly decision: string;
@@ -60,11 +64,8 @@
 /** When to come back while no configuration is known: it comes within a second or two of a start. */
 const NO_CONFIG_RETRY: Millis = 500;
 const DEFAULT_RETRY: Millis = 500;
-/**
- * Age of the news from which a change may have been missed. A watch without news is answered after 2.5 s, and a change
- * has two to three seconds to be in force.
- */
-const LONGEST_NEWS_AGE: Millis = 3000;
+/** The age of news may leave out so much: an answer of the store that stood still before its first byte. */
+const NEWS_AGE_ERROR: Millis = 700;
 /** An instance that is behind mostly catches up within a second, and others are not behind. */
 const BEHIND_RETRY: Millis = 500;
 /**
@@ -93,7 +94,8 @@
 const NO_HANDLE: RequestHandle = { cancel: () => undefined };
 
 export function createRelayIntake(options: RelayIntakeOptions): RelayIntake {
-  const { timers, random, router, getTable, getNewsAge, onDecision } = options;
+  const { timers, random, router, getTable, getNewsAge, confirmNews, onDecision } = options;
+  const longestNewsAge = Math.max(0, options.changeTime - NEWS_AGE_ERROR);
 
   function refuse(
     call: RelayCall,
@@ -108,13 +110,57 @@
 
   function submit(call: RelayCall, listener: RelayListener): RequestHandle {
     const routed = findRoute(call);
-    if ('status' in routed) {
-      return refuse(call, listener, routed, {
-        version: getTable()?.config.version ?? null,
-        newsAge: Math.round(getNewsAge()),
-      });
+    if (!('status' in routed)) {
+      return submitRouted(routed, listener);
     }
-    const { route, service } = routed;
+    return isUnknown(routed) && isBehind()
+      ? confirmUnknown(call, listener)
+      : refuseUnrouted(call, listener, routed);
+  }
+
+  function refuseUnrouted(
+    call: RelayCall,
+    listener: RelayListener,
+    refusal: RelayRefusal,
+  ): RequestHandle {
+    return refuse(call, listener, refusal, {
+      version: getTable()?.config.version ?? null,
+      newsAge: Math.round(getNewsAge()),
+    });
+  }
+
+  /** Whether a change that is to be in force by now may be missing here. */
+  function isBehind(): boolean {
+    return getNewsAge() > longestNewsAge;
+  }
+
+  /** What is not known here may be in the store already: it is asked first. */
+  function confirmUnknown(call: RelayCall, listener: RelayListener): RequestHandle {
+    const askedAt = timers.now();
+    let handle: RequestHandle | null = null;
+    let hasLeft = false;
+    confirmNews(() => {
+      if (hasLeft) {
+        return;
+      }
+      const waited = timers.now() - askedAt;
+      const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - waited);
+      const routed = findRoute({ ...call, timeLeft });
+      handle =
+        'status' in routed
+          ? refuseUnrouted(call, listener, isBehind() ? softenUnknown(routed) : routed)
+          : submitRouted(routed, listener);
+    });
+    return {
+      cancel() {
+        hasLeft = true;
+        handle?.cancel();
+      },
+    };
+  }
+
+  function submitRouted(routed: RoutedCall, listener: RelayListener): RequestHandle {
+    const { call, route, service } = routed;
     onDecision({
       request: call.id,
       decision: 'routed',
@@ -127,16 +173,6 @@
     return pipeline ? submitStream(routed, pipeline, listener) : submitService(routed, listener);
   }
 
-  /**
-   * What this instance does not know may be new to it alone. A caller gives up after 404 or 401, and after 503 it comes
-   * back, most likely at another instance.
-   */
-  function refuseUnknown(status: RelayRefusal['status'], reason: string): RelayRefusal {
-    return getNewsAge() > LONGEST_NEWS_AGE
-      ? { status: 503, retryAfter: BEHIND_RETRY, reason: `${reason}, news is old` }
-      : { status, retryAfter: null, reason };
-  }
-
   function findRoute(call: RelayCall): RoutedCall | RelayRefusal {
     const table = getTable();
     if (table === null) {
@@ -145,11 +181,11 @@
     const [path = ''] = call.path.split('?');
     const route = table.findRoute(call.host, path);
     if (route === null) {
-      return refuseUnknown(Status.NotFound, 'no route');
+      return { status: Status.NotFound, retryAfter: null, reason: 'no route' };
     }
     const team = call.key === null ? null : table.findTeam(call.key);
     if (table.config.teams !== null && team === null && !route.isPublic) {
-      return refuseUnknown(Status.Unauthorized, 'unknown key');
+      return { status: Status.Unauthorized, retryAfter: null, reason: 'unknown key' };
     }
     const drawn = drawService(route, random);
     const service = drawn === null ? null : table.findService(drawn);
@@ -256,6 +292,20 @@
   return { submit };
 }
 
+function isUnknown({ status }: RelayRefusal): boolean {
+  return status === Status.NotFound || status === Status.Unauthorized;
+}
+
+/**
+ * What this instance does not know may be new to it alone. A caller gives up after 404 or 401, and after 503 it comes
+ * back, most likely at another instance.
+ */
+function softenUnknown(refusal: RelayRefusal): RelayRefusal {
+  return isUnknown(refusal)
+    ? { status: 503, retryAfter: BEHIND_RETRY, reason: `${refusal.reason}, news is old` }
+    : refusal;
+}
+
 /** How an answer's events came, so that a late one can be told from the log. */
 interface EventTimes {
   note(now: Millis): void;
--- a/packages/relay/src/RelayKnowledge.ts
+++ b/packages/relay/src/RelayKnowledge.ts
@@ -11,12 +11,15 @@
 import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
 import { registerFollow } from '@skylarksail/store/StoreFollow';
 import type { Catalogue } from './RelayCatalogue.js';
+import type { ConfirmNews } from './RelayConfirm.js';
+import { createRelayConfirm } from './RelayConfirm.js';
 import type { RelayLease } from './RelayLease.js';
 import { OWN_PREFIX } from './RelayLease.js';
 import { createMirror } from './RelayMirror.js';
 import type { AskNews, RelayNews } from './RelayNews.js';
 import { createRelayNews } from './RelayNews.js';
 import type { NewsState } from './RelayNewsAge.js';
+import { STORE_SOURCE } from './RelayNewsAge.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import { createRelayPeers } from './RelayPeers.js';
 import { createNewsRole, NewsLevel } from './RelaySources.js';
@@ -51,6 +54,8 @@
   readonly peers: RelayPeers;
   readonly news: RelayNews;
   readonly work: RelayWork;
+  /** Asks the store whether all that it holds now is known here. */
+  readonly confirmNews: ConfirmNews;
   readonly stop: Unregister;
 }
 
@@ -167,6 +172,14 @@
     onKnown: news.noteKnown,
     onHeard: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
   });
+  const confirmNews = createRelayConfirm({
+    timers,
+    store: options.store,
+    getComplete: mirror.getComplete,
+    onEvents: (events) =>
+      events.forEach((event) => takeEvent(event, { ...news.readState(), source: STORE_SOURCE })),
+    onKnown: news.noteKnown,
+  });
   const stop = registerFollow({
     port: news.port,
     timers,
@@ -200,6 +213,7 @@
     peers,
     news,
     work,
+    confirmNews,
     stop() {
       peers.noteStoreRegained();
       stop();
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -229,6 +229,8 @@
     router,
     getTable: () => table,
     getNewsAge: () => knowledge.news.readState().age,
+    changeTime: options.changeTime,
+    confirmNews: knowledge.confirmNews,
     onDecision: decisions.record,
   });
   const isPlacing = createPlacementDuty({
--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -8,6 +8,7 @@
 import type { ServiceSink, ServiceSpec } from '@skylarksail/requests/ServiceTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import { createRouteTable } from '@skylarksail/routes/RouteTable';
+import type { ConfirmNews } from '../../RelayConfirm.js';
 import { createRelayIntake } from '../../RelayIntake.js';
 import type { RelayCall, RelayRefusal } from '../../RelayTypes.js';
 import { createConfig, createRoute } from './RelayFixtures.js';
@@ -25,6 +26,7 @@
   const calls: { spec: ServiceSpec; sink: ServiceSink }[] = [];
   const decisions: Record<string, unknown>[] = [];
   let newsAge = 400;
+  let confirm: ConfirmNews = (done) => done(false);
   let table: RouteTable | null = createRouteTable(
     createConfig({ routes: [createRoute(), ACCOUNTS] }),
   );
@@ -44,12 +46,14 @@
     router,
     getTable: () => table,
     getNewsAge: () => newsAge,
+    changeTime: 2000,
+    confirmNews: (done) => confirm(done),
     onDecision: (decision) => decisions.push({ ...decision }),
   });
   const submit = (change: Partial<RelayCall> = {}) => {
     const heard: string[] = [];
     const refusals: RelayRefusal[] = [];
-    intake.submit(
+    const handle = intake.submit(
       {
         id: 'r',
         host: 'h',
@@ -72,13 +76,16 @@
         onRefused: (refusal) => refusals.push(refusal),
       },
     );
-    return { heard, refusals };
+    return { heard, refusals, handle };
   };
   return {
     timers,
     setNewsAge(age: number) {
       newsAge = age;
     },
+    setConfirm(next: ConfirmNews) {
+      confirm = next;
+    },
     streams,
     calls,
     decisions,
@@ -127,11 +134,47 @@
     }
     // What is known is served for as long as nothing newer is heard.
     expect(bed.submit().refusals).to.deep.equal([]);
-    bed.setNewsAge(3000);
+    // A change has 2 s to be in force, and the age of news may leave out 0.7 s.
+    bed.setNewsAge(1301);
+    expect(bed.submit({ path: '/new/1' }).refusals[0]?.status).to.equal(503);
+    expect(bed.submit({ key: 'new' }).refusals[0]?.status).to.equal(503);
+    bed.setNewsAge(1300);
     expect(bed.submit({ path: '/new/1' }).refusals[0]?.status).to.equal(404);
     expect(bed.submit({ key: 'new' }).refusals[0]?.status).to.equal(401);
   });
 
+  it('asks the store before it says that a route is not there, and serves what is', () => {
+    // Guards against a 404 for a route that was to be in force, from an instance whose watch stands still.
+    const bed = createBed();
+    const answers: ((isCurrent: boolean) => void)[] = [];
+    bed.setConfirm((done) => answers.push(done));
+    bed.setNewsAge(2400);
+    const found = bed.submit({ path: '/new/1', timeLeft: 5000 });
+    const left = bed.submit({ path: '/new/2' });
+    left.handle.cancel();
+    expect([found.refusals, answers.length]).to.deep.equal([[], 2]);
+    bed.timers.advanceTo(100);
+    const routes = [createRoute(), createRoute({ name: 'new', prefix: '/new/' })];
+    bed.setTable(createRouteTable(createConfig({ routes })));
+    bed.setNewsAge(100);
+    answers.forEach((answer) => answer(true));
+    expect([found.refusals, left.refusals, bed.streams.length]).to.deep.equal([[], [], 1]);
+    // The time that the question took is the caller's.
+    expect(bed.streams[0]?.spec.deadline).to.equal(5000 - 20);
+  });
+
+  it('says at once that a route is not there once the store has said so', () => {
+    // Guards against a caller that is sent from instance to instance for a route that does not exist.
+    const bed = createBed();
+    bed.setNewsAge(2400);
+    bed.setConfirm((done) => {
+      bed.setNewsAge(5);
+      done(true);
+    });
+    expect(bed.submit({ path: '/none/1' }).refusals[0]?.status).to.equal(404);
+    expect(bed.submit({ key: 'none' }).refusals[0]?.status).to.equal(401);
+  });
+
   it('bounds the time by the caller and by the route, whichever ends first', () => {
     const bed = createBed();
     bed.submit({ timeLeft: 3000 });
