Leave a call with its silent server while there is no other

What callers saw: a look-up that its only server had taken in was taken back after its time goal, and sent there once more, behind all calls that had come meanwhile; its second time ran out at the deadline.

The next attempt fell back to the one that had just been avoided.

Evidence: RequestRouter.test.ts "leaves an idempotent call with its silent server while there is no other" fails without the mend (two calls).

Mend: the choice without the silent server is tried first, and given back.

--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -121,7 +121,7 @@
     }
     undoTimeout = timers.registerTimeout(spec.attemptTimeout, () =>
       shared.post(() => {
-        if (isOpen && of === attempt && hasBudget(shared, spec.service)) {
+        if (isOpen && of === attempt && hasBudget(shared, spec.service) && hasOther(server)) {
           cancelCall?.();
           takeIfCurrent(of, () => takeFailure(SILENCE, server));
         }
@@ -129,6 +129,13 @@
     );
   }
 
+  /** A call that is sent to the same server again waits there behind all that came meanwhile. */
+  function hasOther(server: EngineId): boolean {
+    const other = deps.chooseServer(spec.service, [...avoid, server]);
+    other?.release({ kind: 'cancelled' });
+    return other !== null;
+  }
+
   function takeIfCurrent(of: number, take: () => void): void {
     if (isEnded || !isOpen || of !== attempt) {
       countMetric(shared, 'lateFrames');
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -272,4 +272,21 @@
     expect(safe.answers).to.have.length(1);
     expect(unsafe.answers.length + unsafe.problems.length).to.equal(0);
   });
+
+  it('leaves an idempotent call with its silent server while there is no other', () => {
+    // Guards against a call that is taken from the only server, and waits there again behind all others.
+    const world = createFakeWorld({
+      chooseServer: (_service, avoid) =>
+        avoid.includes('s1') ? null : { server: 's1', release: () => undefined },
+    });
+    const safe = callService(world, 'safe', {
+      idempotent: true,
+      attemptTimeout: 300,
+      maxAttempts: 2,
+    });
+    world.timers.advanceTo(world.timers.now() + 1000);
+    expect(world.serviceCalls).to.have.length(1);
+    world.serviceCalls[0]?.listener.onAnswer({ status: 200, headers: {}, body: new Uint8Array() });
+    expect([safe.answers.length, safe.problems]).to.deep.equal([1, []]);
+  });
 });
