Give up no answer of the platform that still arrives, in the product's own daemon too

What callers would have seen: an instance that goes on with an older manifest for good, where a chunk of the new one takes longer to arrive than a call may last.

Cause: the daemon's adapter bounded the whole of an answer, as the relay's did before. Each try began at its first byte.

Mend: startArrival and collectArrival, as the relay's adapters use them: the call's time bounds the beginning, then a second without a byte, or eight in all.

--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -67,7 +67,7 @@
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
   let listDraining = (): readonly EngineId[] => [];
-  const platformHttp = createPlatformHttp(settings.platform);
+  const platformHttp = createPlatformHttp(settings.platform, timers);
   const platform = createStoreClient({
     port: platformHttp,
     timers,
--- a/packages/daemon/src/DaemonPlatformHttp.ts
+++ b/packages/daemon/src/DaemonPlatformHttp.ts
@@ -1,6 +1,8 @@
 /** The platform's services over HTTP: the adapter behind the StorePort. */
 import { Agent } from 'undici';
 import { z } from 'zod';
+import { collectArrival, LARGE_ANSWER, startArrival } from '@skylarksail/core/CoreArrival';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type {
   InstanceRecord,
@@ -10,7 +12,6 @@
   StorePort,
   StoreRefusal,
 } from '@skylarksail/store/StorePort';
-import { createTimeoutSignal } from './DaemonSignals.js';
 
 const CONNECTIONS = 16;
 const WATCH_MARGIN_MS = 2000;
@@ -58,6 +59,7 @@
 /** Creates the adapter; `close` ends its connections. */
 export function createPlatformHttp(
   address: HostPort,
+  timers: TimerService,
 ): StorePort & { readonly close: () => Promise<void> } {
   const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
   const origin = `http://${address.host}:${address.port}`;
@@ -67,12 +69,13 @@
    * is therefore `unknown`, also a status that only something between us and the service would send.
    */
   async function send<T>(call: HttpCall<T>): Promise<StoreOutcome<T>> {
+    const arrival = startArrival(timers, { begin: call.timeout, ...LARGE_ANSWER });
     try {
       const res = await agent.request({
         origin,
         path: call.path,
         method: call.method,
-        signal: createTimeoutSignal(call.timeout),
+        signal: arrival.signal,
         ...(call.body === undefined
           ? {}
           : {
@@ -80,7 +83,8 @@
               body: JSON.stringify(call.body),
             }),
       });
-      const json: unknown = await res.body.json();
+      const text = (await collectArrival(arrival, res.body)).toString('utf8');
+      const json: unknown = JSON.parse(text);
       if (res.statusCode === STATUS_OK) {
         return { kind: 'done', value: call.parse(json) };
       }
@@ -88,6 +92,8 @@
       return reason ? { kind: 'refused', reason } : { kind: 'unknown' };
     } catch {
       return { kind: 'unknown' };
+    } finally {
+      arrival.end();
     }
   }
 
