Trust no news from before a suspension for a 404 or 401

What callers would have seen: 404 for a route accepted seconds before, from an instance that had been suspended meanwhile and read their request before the change.

Cause: the age of news is counted on the steady clock, which stands still while the whole process is suspended; 5 s old news looked 0.1 s old.

Mend: the time of day and the steady clock are compared whenever the age is asked for; where the first went ahead by over 0.3 s, only what was learned since counts, and the store is asked. A time of day that is set forward costs that one question.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -86,6 +86,7 @@
     bounds: { retryShare: 0.2, retrySlack: 500, retryWindow: 10_000 },
     domains: Array.from({ length: DOMAINS }, (_, i) => `d${i}`),
     mostCopies: 2,
+    wallNow: () => Date.now(),
     changeTime: 2000,
     leaseLeast: 1000,
     timers,
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -39,6 +39,7 @@
 import { createRelayRepeats } from './RelayRepeats.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createBackendView } from './RelayView.js';
+import { createRelaySuspension } from './RelaySuspension.js';
 import { createServerChooser } from './RelayServers.js';
 import type { OthersWork, ToldWork } from './RelayWork.js';
 import type { RelayBounds } from './RelayTuning.js';
@@ -58,6 +59,8 @@
   /** Shortest lease that the store grants. */
   readonly leaseLeast: Millis;
   readonly timers: TimerService;
+  /** Time of day, in ms. */
+  readonly wallNow: () => Millis;
   readonly random: Random;
   readonly store: StoreRangePort;
   readonly readContent: ReadContent;
@@ -120,6 +123,7 @@
   let table: RouteTable | null = null;
   let isLeaving = false;
   const catalogue = createCatalogue(timers, isServed);
+  const suspension = createRelaySuspension(timers, options.wallNow);
   const calm = createRelayCalm(timers, options.changeTime);
   const routing = createDaemonRouting({
     domain: self.domain,
@@ -228,7 +232,7 @@
     random,
     router,
     getTable: () => table,
-    getNewsAge: () => knowledge.news.readState().age,
+    getNewsAge: readNewsAge,
     changeTime: options.changeTime,
     confirmNews: knowledge.confirmNews,
     onDecision: decisions.record,
@@ -265,6 +269,12 @@
     return table === null || table.findService(service) !== null;
   }
 
+  /** Infinite where all that is known may be from before a suspension of this process. */
+  function readNewsAge(): Millis {
+    const { age } = knowledge.news.readState();
+    return timers.now() - age >= suspension.getEnd() ? age : Infinity;
+  }
+
   function readOwnWork(): ToldWork {
     return { running: engines.readOwnWork(), lost: health.listLost() };
   }
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -2,14 +2,14 @@
 import { pino } from 'pino';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
-import type { LayerRange } from '@skylarksail/core/CoreTypes';
+import type { LayerRange, Millis } from '@skylarksail/core/CoreTypes';
 import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
-import type { BackendEntry, RelayCall, StoreContent } from '../../RelayTypes.js';
+import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
 import type { BackendPorts } from '../../RelayPorts.js';
 import { createBackend, createConfig } from './RelayFixtures.js';
 
@@ -34,6 +34,7 @@
   const leaving = new Set<string>();
   const gone = new Set<string>();
   const orders: SentOrder[] = [];
+  let slept = 0;
 
   const createBackends = (by: string): BackendPorts => ({
     openEngineCall: (call, listener) => {
@@ -90,6 +91,7 @@
         changeTime: 2000,
         leaseLeast: 1000,
         timers,
+        wallNow: () => timers.now() + slept,
         random: createRandom(ids.length),
         store: port,
         readContent,
@@ -130,13 +132,17 @@
     leaving,
     gone,
     start,
-    /** Sends a request to an instance, so that it finds out what its engines refuse. */
-    call: (id: string) => {
+    /** Suspends all processes; their steady clock stands still. */
+    sleep: (time: Millis) => {
+      slept += time;
+    },
+    /** Sends a request to an instance, so that it finds out what its engines refuse; gives the refusals. */
+    call: (id: string, path = '/letters/1') => {
       const call: RelayCall = {
         id: `${timers.now()}`,
         host: 'h',
         method: 'POST',
-        path: '/letters/1',
+        path,
         headers: {},
         key: 'key',
         timeLeft: 5000,
@@ -145,14 +151,16 @@
         maxTokens: 10,
       };
       const ignore = () => undefined;
+      const refusals: RelayRefusal[] = [];
       parts.get(id)?.intake.submit(call, {
         onHead: ignore,
         onEvent: ignore,
         onEnd: ignore,
         onBroken: ignore,
         onAnswer: ignore,
-        onRefused: ignore,
+        onRefused: (refusal) => refusals.push(refusal),
       });
+      return refusals;
     },
     findPlacer: () => [...parts].find(([, { readState }]) => readState().duties === 1)?.[0] ?? '',
   };
@@ -237,4 +245,24 @@
     const later = bed.orders.filter(({ at }) => at > 6000 + LEASE_TIME);
     expect(later.every(({ by }) => by === 'two')).to.equal(true);
   });
+
+  it('asks the store before it says that a route is not there, once it was suspended', async () => {
+    // Guards against a 404 from an instance that slept through the change that added the route.
+    const bed = createBed();
+    bed.start('one');
+    await bed.timers.advanceToAsync(3000);
+    bed.call('one', '/none/1');
+    await bed.timers.advanceToAsync(3050);
+    expect(bed.call('one', '/none/1')).to.have.length(1);
+    bed.sleep(5000);
+    const refusals = bed.call('one', '/none/1');
+    expect(refusals).to.deep.equal([]);
+    await bed.timers.advanceToAsync(3100);
+    expect(refusals.map(({ status }) => status)).to.deep.equal([404]);
+    bed.sleep(5000);
+    bed.store.setUp(false);
+    const behind = bed.call('one', '/none/1');
+    await bed.timers.advanceToAsync(4000);
+    expect(behind.map(({ status }) => status)).to.deep.equal([503]);
+  });
 });
