Take no unbegun request from its engines on a guess where nothing better can follow

What callers saw: a request that waited in the queue of a chain was taken back after 0.35 s of silence and, where no other chain was whole, sent there once more, behind all that had come meanwhile; where the budget or its attempts were used up it ended with 502 though its engines were about to begin.

RunSilence knew only one case of it (a second attempt without a budget).

Evidence: findings (the second attempt goes to the same head again; chains of seven engines silent while engines serve 96 in 100 of their time). Hypothesis: such a silence is a queue, and its place there is worth more than a new start.

Mend: findFollowBar holds for all attempts. A request that has nothing yet waits for as long as it would have for a chain (its patience, 1.7 s where callers leave after 2 s), and is then told "unknown" so that it can go elsewhere.

Tests: "leaves a request that waits in the queue of its engines there" fails without it.

--- a/packages/requests/src/RunFollow.ts
+++ b/packages/requests/src/RunFollow.ts
@@ -1,7 +1,7 @@
 /**
- * Decides whether something better than the end of an answer can follow an attempt that is given up on a guess. A
- * silent or slow engine may still finish the answer. A caller with a part of it is served by nothing else, and
- * one that has nothing yet is told, and can go elsewhere.
+ * Decides whether something better can follow an attempt that is given up on a guess. A silent or slow engine may
+ * still answer. Where no other attempt is possible its caller is served by nothing else; and where only the same
+ * engines are left, a request that is taken back waits there once more, behind all that came meanwhile.
  */
 import type { EngineId } from '@skylarksail/core/CoreTypes';
 import type { RequestMachine } from './RequestState.js';
@@ -28,18 +28,23 @@
 export function findFollowBar(
   shared: RouterShared,
   { model }: RequestSpec,
-  { attemptsLeft, tokenCount }: RequestMachine,
+  machine: RequestMachine,
   failed: readonly EngineId[],
   hasChainWithout: HasChainWithout,
 ): FollowBarName | null {
-  if (tokenCount === 0) {
-    return null;
-  }
-  if (attemptsLeft <= 1) {
+  if (machine.attemptsLeft <= 1) {
     return FollowBar.Attempts;
   }
-  if (shared.deps.cfg.isRecoveryBudgeted && !hasBudget(shared, model)) {
+  if (isRepeatPaid(shared, machine) && !hasBudget(shared, model)) {
     return FollowBar.Budget;
   }
   return hasChainWithout(failed) ? null : FollowBar.Chain;
 }
+
+/** Whether the attempt that follows takes from the retry budget. */
+function isRepeatPaid(
+  { deps }: RouterShared,
+  { attemptTokens, fruitless }: RequestMachine,
+): boolean {
+  return deps.cfg.isRecoveryBudgeted || (attemptTokens === 0 && fruitless > 0);
+}
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -6,7 +6,6 @@
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { hasBudget } from './RouterShared.js';
 import { getBreakTime } from './RunBreak.js';
 import type { FollowBarName, HasChainWithout } from './RunFollow.js';
 import { findFollowBar } from './RunFollow.js';
@@ -63,7 +62,9 @@
   if (bar === null) {
     return { kind: 'failed', suspects };
   }
-  const timeLeft = getBreakTime(shared, spec, machine) - shared.deps.timers.now();
+  const patientUntil = machine.patientUntil ?? Infinity;
+  const endsAt = machine.tokenCount > 0 ? getBreakTime(shared, spec, machine) : patientUntil;
+  const timeLeft = endsAt - shared.deps.timers.now();
   return timeLeft <= 0
     ? { kind: 'broken-off' }
     : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar, suspects };
@@ -81,9 +82,7 @@
   machine: RequestMachine,
 ): readonly EngineId[] | null {
   const { chain } = machine;
-  const isRetry = machine.attemptTokens === 0 && machine.fruitless > 0;
-  if (!chain || (isRetry && !hasBudget(shared, chain.variant.model))) {
-    // Nothing could follow but giving up; the attempt may only be slow.
+  if (!chain) {
     return null;
   }
   if (shared.deps.links?.isSlow(chain) && machine.borne < SLOW_LINK_SILENCES) {
