Answer all who wait for the store's word though it can't be taken in

What callers would have seen: no answer to a request of an unknown route until their deadline, from an instance that had once heard a configuration that it does not understand.

Cause: RelayConfirm cleared its list of those who wait only if what it heard was taken in without an error; after one, nobody asked again and all later callers joined the list. Found by reading the change. Mend: an error counts as no answer. RelayConfirm.test.ts "answers all who wait though what it hears cannot be taken in" fails without it (nobody hears anything).

--- a/packages/relay/src/RelayConfirm.ts
+++ b/packages/relay/src/RelayConfirm.ts
@@ -57,7 +57,7 @@
     }
     waiting.push(done);
     if (waiting.length === 1) {
-      void ask().then(answer);
+      void ask().then(answer, () => answer(false));
     }
   };
 }
--- a/packages/relay/src/__tests__/unit/RelayConfirm.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayConfirm.test.ts
@@ -12,7 +12,7 @@
 };
 const UNKNOWN: Answer = { kind: 'unknown' };
 
-function createBed() {
+function createBed(onEvents?: (list: readonly StoreEvent[]) => void) {
   const timers = createVirtualTimers();
   const questions: { revision: number; wait: number; answer: (outcome: Answer) => void }[] = [];
   const events: StoreEvent[] = [];
@@ -27,7 +27,7 @@
         }),
     },
     getComplete: () => 7,
-    onEvents: (list) => events.push(...list),
+    onEvents: onEvents ?? ((list) => events.push(...list)),
     onKnown: (age) => known.push(age),
   });
   return {
@@ -57,6 +57,17 @@
     expect(bed.questions).to.have.length(2);
   });
 
+  it('answers all who wait though what it hears cannot be taken in', async () => {
+    // Guards against callers that wait until their deadline for a question that came to nothing.
+    const bed = createBed(() => {
+      throw new Error('not understood');
+    });
+    bed.ask();
+    await bed.answer({ kind: 'done', value: { kind: 'events', events: [CHANGE], revision: 8 } });
+    bed.ask();
+    expect([bed.heard, bed.questions.length]).to.deep.equal([[false], 2]);
+  });
+
   it('says that it does not know while the store gives no answer, and lets it be for a moment', async () => {
     // Guards against a store in trouble that is asked once more by each caller.
     const compacted: Answer = { kind: 'done', value: { kind: 'compacted' } };
