Give the watch of a running attempt a module of its own

Change: RunWatch holds both, RunFollow the time between two looks. The end of a silent attempt is named "given-up", as in its log line, since a request that has nothing yet is not broken off. No other behaviour is changed.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -5,17 +5,18 @@
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
-import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHold } from './ClaimRunner.js';
 import { claimKey } from './ClaimRunner.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
 import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
-import { GiveUpReason, RequestPhase } from './RequestMessages.js';
+import { RequestPhase } from './RequestMessages.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
+import type { RequestMachine } from './RequestState.js';
 import { createRequestMachine } from './RequestState.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
@@ -30,12 +31,11 @@
 } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionAsk } from './RunAsk.js';
-import { decideMove } from './RunMove.js';
-import { FollowBar } from './RunFollow.js';
 import { createRunRetries } from './RunRetries.js';
 import { RECHOOSE_LEAST } from './RunRetry.js';
-import { decideSilence, isStandingStill, SILENCE } from './RunSilence.js';
+import { isStandingStill } from './RunSilence.js';
 import { clearRun, noteRunCrash, noteRunToken, stopCopies } from './RunSuspicion.js';
+import { createRunWatch } from './RunWatch.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
@@ -58,11 +58,11 @@
   let listener: RequestSink | null = sink;
   let isStarted = false;
   let claim: ClaimHold | null = null;
-  let undoWatch: Unregister | null = null;
-  let slowSince: Millis | null = null;
   let longestGap: Millis = 0;
 
-  const retries = createRunRetries(shared, { spec, getMachine: () => machine, send, giveUp, log });
+  const getMachine = (): RequestMachine => machine;
+  const retries = createRunRetries(shared, { spec, getMachine, send, giveUp, log });
+  const watch = createRunWatch(shared, { spec, getMachine, attempts, retries, send, giveUp });
 
   const run: ModelRun = {
     fingerprint,
@@ -79,13 +79,7 @@
       countMetric(shared, 'recoveries');
       send({ kind: 'retry-granted', failed: retries.getFailed() });
     },
-    checkSlow: (usualGap) => {
-      const move = decideMove(shared, spec, machine, usualGap, slowSince, hasChainWithout);
-      slowSince = move.engine === null ? move.slowSince : null;
-      if (move.engine !== null) {
-        sendSilence([move.engine], true);
-      }
-    },
+    checkSlow: watch.checkSlow,
     condemn: () => send({ kind: 'condemned' }),
     reachDrainLimit: () => send({ kind: 'drain-limit' }),
   };
@@ -107,17 +101,17 @@
         open(effect);
         break;
       case 'close':
-        undoWatch?.();
+        watch.stop();
         attempts.close(effect.outcome);
         break;
       case 'token':
         passToken(effect);
         break;
       case 'watch':
-        watch(effect.delay);
+        watch.lookAfter(effect.delay);
         break;
       case 'silent':
-        reportSilence();
+        watch.reportSilence();
         break;
       case 'ask-retry':
         retries.ask(effect);
@@ -197,12 +191,6 @@
     log(effect.attempt === 1 ? 'chain' : 'repair', null);
   }
 
-  function watch(delay: Millis): void {
-    const dueAt = timers.now() + delay;
-    undoWatch?.();
-    undoWatch = timers.registerTimeout(delay, () => send({ kind: 'tick', dueAt }));
-  }
-
   function passToken(effect: EffectOf<'token'>): void {
     const now = timers.now();
     const wait = now - effect.since;
@@ -240,49 +228,6 @@
     }
   }
 
-  /** The engines keep the answer, and may be dead all the same: new requests and the health check must not wait. */
-  function noteSilent(suspects: readonly EngineId[]): void {
-    const [engine] = suspects;
-    if (engine !== undefined && suspects.length === 1) {
-      shared.progress.noteLost(engine, false, timers.now());
-    }
-    deps.onSilent?.(suspects);
-  }
-
-  function hasChainWithout(engines: readonly EngineId[]): boolean {
-    const { chain: broken, avoid } = machine;
-    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines] });
-  }
-
-  function reportSilence(): void {
-    const decision = decideSilence(shared, spec, machine, hasChainWithout);
-    switch (decision.kind) {
-      case 'failed':
-        sendSilence(decision.suspects, false);
-        break;
-      case 'borne':
-        send({ kind: 'silence-borne' });
-        break;
-      case 'look-again':
-        noteSilent(decision.suspects);
-        send({ kind: 'look-again', delay: decision.delay });
-        if (decision.bar === FollowBar.Budget) {
-          retries.borrow(() => send({ kind: 'look-again', delay: 0 }));
-        }
-        break;
-      case 'broken-off':
-        giveUp(GiveUpReason.Standstill);
-        send({ kind: 'stood-still' });
-        break;
-      default:
-        failUnreachable(decision);
-    }
-  }
-
-  function sendSilence(suspects: readonly EngineId[], isSlow: boolean): void {
-    send({ kind: 'failure', attempt: machine.attempt, failure: SILENCE, suspects, isSlow });
-  }
-
   function noteFailure(effect: EffectOf<'attempt-failed'>): void {
     countMetric(shared, 'detectionMs', effect.detection);
     recovery.finish(spec.id);
@@ -341,7 +286,7 @@
     const ended = listener;
     listener = null;
     undoDeadline();
-    undoWatch?.();
+    watch.stop();
     attempts.close({ kind: 'cancelled' });
     shared.runs.delete(spec.id);
     recovery.finish(spec.id);
--- a/packages/requests/src/RunFollow.ts
+++ b/packages/requests/src/RunFollow.ts
@@ -3,7 +3,7 @@
  * still answer. Where no other attempt is possible its caller is served by nothing else; and where only the same
  * engines are left, a request that is taken back waits there once more, behind all that came meanwhile.
  */
-import type { EngineId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -21,6 +21,9 @@
 
 export type FollowBarName = (typeof FollowBar)[keyof typeof FollowBar];
 
+/** Longest wait between two looks at an attempt that nothing can follow now. */
+export const LOOK_PERIOD: Millis = 250;
+
 /** Whether a chain is whole without some engines of the present one. */
 export type HasChainWithout = (engines: readonly EngineId[]) => boolean;
 
--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -6,7 +6,7 @@
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import type { HasChainWithout } from './RunFollow.js';
-import { findFollowBar } from './RunFollow.js';
+import { findFollowBar, LOOK_PERIOD } from './RunFollow.js';
 
 /** A stream is slow if its tokens come this many times as slowly as is usual. */
 const SLOW_FACTOR = 2.5;
@@ -22,7 +22,8 @@
 const LINK_PATIENCE: Millis = 600;
 const MAX_MOVES = 4;
 
-/** Since when a stream has been slow, and the engine to replace if it is to be moved now. */
+/**
+ * Since when a stream has been slow, or when it is looked at next where nothing can follow it, and the engine to replace if it is to be moved now. */
 export interface MoveDecision {
   readonly slowSince: Millis | null;
   readonly engine: EngineId | null;
@@ -56,11 +57,13 @@
   const isClear = slowest !== null && slowest.bestGap > BLAME_FACTOR * usualGap;
   // Where it is known that a link is slow, a move by way of the same link would only add to its load.
   const isLinkSlow = shared.deps.links?.isSlow(chain) ?? false;
-  const isDue = !isLinkSlow && (isClear || now - since >= LINK_PATIENCE);
+  const isDue = !isLinkSlow && now >= since && (isClear || now - since >= LINK_PATIENCE);
   if (!pays || !isDue || !slowest) {
     return { slowSince: since, engine: null };
   }
   // A slow answer that is moved where nothing can follow ends there, or stands still.
   const bar = findFollowBar(shared, spec, machine, [slowest.engine], hasChainWithout);
-  return { slowSince: since, engine: bar === null ? slowest.engine : null };
+  return bar === null
+    ? { slowSince: since, engine: slowest.engine }
+    : { slowSince: now + LOOK_PERIOD, engine: null };
 }
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -8,7 +8,7 @@
 import type { RouterShared } from './RouterShared.js';
 import { getBreakTime } from './RunBreak.js';
 import type { FollowBarName, HasChainWithout } from './RunFollow.js';
-import { findFollowBar } from './RunFollow.js';
+import { findFollowBar, LOOK_PERIOD } from './RunFollow.js';
 
 /** Time without a token after which an answer counts as standing still. */
 const STILL_AFTER: Millis = 80;
@@ -28,9 +28,6 @@
   provenNotRun: false,
 };
 
-/** Longest wait between two looks at a silent attempt that nothing can follow now. */
-const LOOK_PERIOD: Millis = 250;
-
 /** What follows from a silence. */
 export type SilenceDecision =
   /** The attempt has failed, and these engines are to be replaced. */
@@ -45,7 +42,7 @@
       readonly suspects: readonly EngineId[];
     }
   /** Its caller has got nothing for so long that it is better served elsewhere. */
-  | { readonly kind: 'broken-off' };
+  | { readonly kind: 'given-up' };
 
 /** Decides on an attempt that was silent too long. */
 export function decideSilence(
@@ -66,7 +63,7 @@
   const endsAt = machine.tokenCount > 0 ? getBreakTime(shared, spec, machine) : patientUntil;
   const timeLeft = endsAt - shared.deps.timers.now();
   return timeLeft <= 0
-    ? { kind: 'broken-off' }
+    ? { kind: 'given-up' }
     : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar, suspects };
 }
 
--- /dev/null
+++ b/packages/requests/src/RunWatch.ts
@@ -0,0 +1,102 @@
+/** Watches the running attempt of a model request: what follows when it is silent or slow. */
+import { failUnreachable } from '@skylarksail/core/CoreErrors';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { AttemptRunner } from './AttemptRunner.js';
+import type { GiveUpReasonName, RequestEvent } from './RequestMessages.js';
+import { GiveUpReason } from './RequestMessages.js';
+import type { RequestMachine } from './RequestState.js';
+import type { RequestSpec } from './RequestTypes.js';
+import type { RouterShared } from './RouterShared.js';
+import { FollowBar } from './RunFollow.js';
+import { decideMove } from './RunMove.js';
+import type { RunRetries } from './RunRetries.js';
+import { decideSilence, SILENCE } from './RunSilence.js';
+
+/** The request as its watch sees it. */
+export interface WatchedRun {
+  readonly spec: RequestSpec;
+  readonly getMachine: () => RequestMachine;
+  readonly attempts: AttemptRunner;
+  readonly retries: RunRetries;
+  readonly send: (event: RequestEvent) => void;
+  readonly giveUp: (reason: GiveUpReasonName) => void;
+}
+
+export interface RunWatch {
+  /** Looks at the attempt once, after `delay`, and not at any time set before. */
+  lookAfter(delay: Millis): void;
+  /** The attempt was silent too long: carries out what follows. */
+  reportSilence(): void;
+  /** Moves the answer if it is slow and moving pays. */
+  checkSlow(usualGap: Millis): void;
+  stop(): void;
+}
+
+export function createRunWatch(shared: RouterShared, run: WatchedRun): RunWatch {
+  const { deps } = shared;
+  const { timers } = deps;
+  const { spec, getMachine, attempts, retries, send, giveUp } = run;
+  let undoLook: Unregister = () => undefined;
+  let slowSince: Millis | null = null;
+
+  function lookAfter(delay: Millis): void {
+    const dueAt = timers.now() + delay;
+    undoLook();
+    undoLook = timers.registerTimeout(delay, () => send({ kind: 'tick', dueAt }));
+  }
+
+  function sendSilence(suspects: readonly EngineId[], isSlow: boolean): void {
+    const { attempt } = getMachine();
+    send({ kind: 'failure', attempt, failure: SILENCE, suspects, isSlow });
+  }
+
+  /** The engines keep the answer, and may be dead all the same: new requests and the health check must not wait. */
+  function noteSilent(suspects: readonly EngineId[]): void {
+    const [engine] = suspects;
+    if (engine !== undefined && suspects.length === 1) {
+      shared.progress.noteLost(engine, false, timers.now());
+    }
+    deps.onSilent?.(suspects);
+  }
+
+  function hasChainWithout(engines: readonly EngineId[]): boolean {
+    const { chain: broken, avoid } = getMachine();
+    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines] });
+  }
+
+  return {
+    lookAfter,
+    reportSilence() {
+      const decision = decideSilence(shared, spec, getMachine(), hasChainWithout);
+      switch (decision.kind) {
+        case 'failed':
+          sendSilence(decision.suspects, false);
+          break;
+        case 'borne':
+          send({ kind: 'silence-borne' });
+          break;
+        case 'look-again':
+          noteSilent(decision.suspects);
+          send({ kind: 'look-again', delay: decision.delay });
+          if (decision.bar === FollowBar.Budget) {
+            retries.borrow(() => send({ kind: 'look-again', delay: 0 }));
+          }
+          break;
+        case 'given-up':
+          giveUp(GiveUpReason.Standstill);
+          send({ kind: 'stood-still' });
+          break;
+        default:
+          failUnreachable(decision);
+      }
+    },
+    checkSlow(usualGap) {
+      const move = decideMove(shared, spec, getMachine(), usualGap, slowSince, hasChainWithout);
+      slowSince = move.engine === null ? move.slowSince : null;
+      if (move.engine !== null) {
+        sendSilence([move.engine], true);
+      }
+    },
+    stop: () => undoLook(),
+  };
+}
