--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -36,19 +36,17 @@
 
 /**
  * Requests for which every group must keep room when one of its engines is gone, as a share of what fits
- * beside one copy of the weights. Copies without such room are worth little: where the second holder of a range
- * had room for 45 requests, for 75 by reckoning, engines refused one arrival in three while others were lost.
+ * beside one copy of the weights. A second holder without such room refuses what the first one ran when that is lost.
  */
 const ROOM_SHARE = 0.25;
 /**
- * The same as a share of what a first engine takes at once, for domains with little memory: where only 130
- * fit beside one copy, the share above would leave room for 33, less than run there at ordinary load.
+ * The same as a share of what a first engine takes at once, for domains with little memory: there the share above
+ * would leave less room than is used at ordinary load.
  */
 const SLOT_SHARE = 0.45;
 /**
  * An engine that stands alone must hold so many times the requests that a group keeps room for without its
- * largest engine. Groups that have lost none hold nearly twice as many, so engines alone were what was full
- * first: with one domain out, room for 64 to 89 requests in each of the others, for 75 by reckoning.
+ * largest engine. Groups that have lost none hold nearly twice as many, so engines alone would be full first.
  */
 const LONE_SHARE = 1.5;
 /** More stages than engines accept in one chain. */
--- a/packages/relay/src/RelayGrants.ts
+++ b/packages/relay/src/RelayGrants.ts
@@ -1,7 +1,7 @@
 /**
- * Repeats where they are needed. The fleet's slack for repeats is parted over all instances, used or not: with 195 of
- * them that is under three in ten seconds for each, at one that lost nine engines as at one with nothing to do.
- * So a part of the slack lies in a pool of each failure domain, out of which its granter lends to whoever asks.
+ * Repeats where they are needed. Parted over all instances of a large fleet, the slack for repeats is a few for each,
+ * at one that loses engines as at one with nothing to do. So a part of the slack lies in a pool of each failure
+ * domain, out of which its granter lends to whoever asks.
  *
  * A grant may be used for `GRANT_TIME`. What a window of time sees of repeats is then at most what instances hold for
  * good and what was granted in that window and `GRANT_TIME` before it, which is what a pool bounds.
--- a/packages/relay/src/RelayNews.ts
+++ b/packages/relay/src/RelayNews.ts
@@ -1,7 +1,6 @@
 /**
  * News of the store by way of peers. Each change costs the store a call of every instance that watches it, and
- * each watch is renewed every few seconds: with 195 instances these calls cost more than all requests that
- * failed. So a few instances watch the store and the others ask them, or each other, in turn (RelaySources);
+ * each watch is renewed every few seconds. So a few instances watch the store and the others ask them, or each other, in turn (RelaySources);
  * whoever gets no good answer asks the store itself, within the same call.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -181,8 +181,7 @@
   /**
    * Whether engines of a domain were found silent that are still registered. One that crashed is back within some
    * four seconds, most often just after its entry has lapsed, and loads what it held in one; a whole cut ends all
-   * answers of the domain and loads for five. A fleet of 22 instances that lost nine of 43 engines for four
-   * seconds answered 52 of its requests in the six seconds after it without such a cut, 1 with it.
+   * answers of the domain and loads for five.
    */
   function isAwaiting(domain: DomainId): boolean {
     return catalogue
--- a/packages/relay/src/RelayTuning.ts
+++ b/packages/relay/src/RelayTuning.ts
@@ -25,8 +25,7 @@
 /**
  * An answer that is moved pauses for longer than is on time, so a chain is given up only when it is most
  * likely dead, and soon enough for the rest to come before the caller leaves, two seconds after the last
- * event. Bounds of 120 ms moved dozens of answers in two seconds of a sound fleet
- * that was reading long prompts.
+ * event. Lower bounds would move answers whenever sound engines read long prompts.
  */
 const SILENCE: SilenceConfig = {
   acknowledgement: { least: 350, most: 3000 },
@@ -37,8 +36,8 @@
 };
 /**
  * Engines bound what runs, by memory and by the requests that they take at once; they refuse what is too
- * much before it has run. A limit that falls with late events refused requests that engines had room for
- * whenever one domain's answers were held up by a fault.
+ * much before it has run. A limit that falls with late events would refuse requests that engines have room for
+ * whenever one domain's answers are held up by a fault.
  */
 const LIMITS: LimitConfig = {
   initial: 1024,
@@ -48,8 +47,8 @@
   firstTokenTarget: 2000,
 };
 /**
- * Answers come to a fifth of what is allowed, as events hold two tokens. Reckoned at their full length,
- * requests of a sound fleet were refused as too late for their deadline.
+ * Answers come to a fifth of what is allowed, as events hold two tokens. Reckoned at their full length, requests of
+ * a sound fleet would be refused as too late for their deadline.
  */
 const LENGTH_SHARE = 0.2;
 /** A dead engine's entry lapses after three heartbeats of 1.2 s; until then its chain is kept off. */
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -45,8 +45,8 @@
   /** An aggregator told of the others anew. */
   readonly onHeard: () => void;
   /**
-   * Others found an engine lost. Without this word each of 39 instances would send it requests of its own to find
-   * out, and spend its few repeats on them.
+   * Others found an engine lost. Without this word each instance would send it requests of its own to find out, and
+   * spend its few repeats on them.
    */
   readonly onLost: (engine: EngineId) => void;
 }
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -102,10 +102,9 @@
 }
 
 /**
- * Whether a stage behind the first one answered the stage before it, with a refusal. It is alive: kept
- * for lost, an engine that had just loaded another version stayed without new work for seconds, and
- * where it was the only one with its layers every request was refused; kept for crashed, it would put
- * the requests there under suspicion.
+ * Whether a stage behind the first one answered the stage before it, with a refusal. It is alive: taken for lost, an
+ * engine that has just loaded another version would get no new work for seconds, though it may be the only one
+ * with its layers; taken for crashed, it would put the requests there under suspicion.
  */
 export function isStageRefusal({ place, status }: AttemptFailure): boolean {
   return place === FailurePlace.Stage && status !== null;
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -109,9 +109,8 @@
   }
 
   /**
-   * A caller that has part of its answer waits for the rest. Any other is told at once: where it waited here, 39
-   * requests of a fleet of 22 instances that lost nine engines stood for 2 s each and were refused then, while a
-   * next try of their callers takes nothing from the budget and reaches another instance.
+   * A caller that has part of its answer waits for the rest. Any other is told at once: its next try takes nothing
+   * from the budget and reaches another instance, and a wait here most often ends in a refusal all the same.
    */
   function waitForBudget(effect: AskRetry): void {
     const { attempt, tokenCount } = getMachine();
--- a/packages/requests/src/RunRetry.ts
+++ b/packages/requests/src/RunRetry.ts
@@ -12,8 +12,8 @@
 const RETRY_JITTER = 0.3;
 /**
  * When a caller that has nothing of its answer comes back after the budget was spent here. The budget is spent where
- * engines were lost, and others hold their layers some three seconds later. A caller has few tries: told to come
- * back within half a second, as many again were refused a second time, and for good.
+ * engines were lost, and others hold their layers some three seconds later. A caller has few tries: one that comes
+ * back sooner is likely to be refused again, and for good.
  */
 const RETURN_WAIT: Millis = 3000;
 /** Spread, so that callers of one lost engine do not return together. */
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -48,8 +48,8 @@
   engine: EngineId,
   attemptTokens: number,
 ): void {
-  // An engine that leaves ends its streams by itself. Counted as crashes, two that were replaced within a second
-  // had the request that ran on both broken off as one that crashes engines.
+  // An engine that leaves ends its streams by itself. Counted as crashes, two that are replaced in series would
+  // condemn a request that ran on both.
   if (shared.deps.isEnding?.(engine)) {
     return;
   }
--- a/packages/routing/src/RoutingZones.ts
+++ b/packages/routing/src/RoutingZones.ts
@@ -1,8 +1,8 @@
 /**
  * Zones: racks of the same kinds of accelerators, between which links are so fast that they never limit
- * the flow. A plan treats a zone as one place. Without zones, links grow with the square of the racks,
- * and planning a domain of 44 racks took most of a second. Racks of unlike kinds stay apart because
- * chains of like engines keep their batches together: mixing them cost 3% of the throughput.
+ * the flow. A plan treats a zone as one place. Without zones, links grow with the square of the racks, and with
+ * them the time of a plan. Racks of unlike kinds stay apart because chains of like engines keep their batches
+ * together.
  */
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts } from '@skylarksail/core/CoreEngine';
