--- a/packages/requests/src/RunMove.ts
+++ b/packages/requests/src/RunMove.ts
@@ -22,10 +22,11 @@
 const LINK_PATIENCE: Millis = 600;
 const MAX_MOVES = 4;
 
-/**
- * Since when a stream has been slow, or when it is looked at next where nothing can follow it, and the engine to replace if it is to be moved now. */
+/** Whether a stream is to be moved. */
 export interface MoveDecision {
+  /** Since when it has been slow, or when to look at it next where nothing can follow it; null if it is not slow. */
   readonly slowSince: Millis | null;
+  /** Engine to replace now; null if it stays. */
   readonly engine: EngineId | null;
 }
 
