--- a/packages/relay/src/__tests__/unit/RelayLargeConfig.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLargeConfig.test.ts
@@ -49,10 +49,7 @@
 
 describe('RelayKnowledge with a large configuration', () => {
   it('puts it in force everywhere in time on narrow links', async () => {
-    // Instances answered 404 for proper requests seconds after the store had accepted a configuration with 1,400
-    // routes more. Its 366 kB take 0.2 s on a link of 14 Mbit/s, and two aggregators of a domain have to send them
-    // to twelve instances each, but an answer was cut off 0.3 s after the hold, wherever it stood, and asked for
-    // again from the beginning elsewhere. In this run 6 of 75 instances knew the version after 2 s, 50 after 3 s.
+    // Guards against 404s for new routes, since a large answer is cut off on its way and asked for anew elsewhere.
     // Compressed it is 30 kB.
     const bed = await startFleet();
     const at = await writeSeries(bed, 2, 1, 0);
@@ -75,10 +72,7 @@
   });
 
   it('is known again soon after the store was out of reach for all', async () => {
-    // The same requests were refused for as long as anybody looked. Whoever had lost the store asked for all
-    // versions since then at once, at the store and at two peers beside it; each answer was cut off after 0.7 s or
-    // 0.25 s, and the next ones took the links from each other. In this run nobody knew the newest version
-    // 3 s after the store was back.
+    // Guards against 404s for new routes, since whoever lost the store asks for all versions at several places at once.
     const bed = await startFleet();
     bed.setCut(() => true);
     await bed.timers.advanceToAsync(bed.timers.now() + 5000);
--- a/packages/relay/src/__tests__/unit/RelayNews.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayNews.test.ts
@@ -276,10 +276,7 @@
   });
 
   it('takes no news for younger than they are while the store is silent for all', async () => {
-    // An instance is as old as the source that it hears from, and did not know it. When the way to the store went silent
-    // for all, watchers noticed after 1.7 s, but aggregators began a watch of 3.2 s then and told the others meanwhile
-    // that nothing was new: 72 of 75 took themselves for up to date 4 s later, and hung in watches of their own when the
-    // store was back.
+    // Guards against an instance that takes itself for up to date because its source, which is as old, does.
     const { timers, members } = await startFleet();
     const at = timers.now();
     members.forEach((member) => Object.assign(member, { isCut: true }));
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -132,10 +132,7 @@
 
 describe('RelayPeers after a reading in parts', () => {
   it('hears of a key that changed between two pages, though a later one is known', async () => {
-    // An instance answers 404 for a new route for as long as the store turns it away, while all others know the route.
-    // It read the store in two pages; the configuration was written after the first, an engine registered before the
-    // second, and then the store was lost. It asked its peers for what came after the latest revision that it had seen,
-    // the engine's, and the configuration came before that.
+    // Guards against a change that peers are never asked for, since a later one was seen beside it.
     const { timers, mirrors, peers, ages } = createPeersBed();
     mirrors.forEach((mirror) => takeWhole(mirror, 5));
     mirrors[0]?.take(write('engine', 'registered', 8));
