Replay the two ends of an answer within a second in virtual time, and rule the verdict out

Ruled out: such an end writes "fail poison ran", stands in none of the traces, and can't come before 0.5 s after the second crash (the record has 3 and 4 ms). Ruled out as well: two engines that do end, in each order of news, ends and configuration (60 orders, three gaps, begun and not), and a silence with an end in both orders: the answer goes on.

Change: RunEnds.test.ts. The fake engines hold twelve layers, so that chains can have six engines. On this code all five pass; 71 passing in package requests.

--- a/packages/requests/src/__tests__/unit/RequestFakes.ts
+++ b/packages/requests/src/__tests__/unit/RequestFakes.ts
@@ -30,7 +30,7 @@
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
 
 export const VARIANT = { model: 'm', version: 'v1', adapter: null };
-const LAYERS = 4;
+const LAYERS = 12;
 
 /** What the sink of a request heard. */
 export interface Heard {
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RunEnds.test.ts
@@ -0,0 +1,238 @@
+import { expect } from 'chai';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import { FailurePlace } from '../../RequestPorts.js';
+import type { RouterDeps } from '../../RouterTypes.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { FakeWorld, Heard } from './RequestFakes.js';
+import {
+  acknowledge,
+  createFailure,
+  createFakeWorld,
+  giveTokens,
+  listEngines,
+  listWords,
+} from './RequestFakes.js';
+
+const MOST_ATTEMPTS = 2;
+const CALLER_PATIENCE: Millis = 1700;
+/** Time in which instances tell each other who was at a crash. */
+const SETTLE_TIME: Millis = 500;
+const STEP: Millis = 1;
+const DEADLINE: Millis = 20_000;
+/** Bounds of silence as a deployment whose callers leave after two seconds sets them. */
+const SILENCE_BOUNDS = {
+  acknowledgement: { least: 350, most: 350 },
+  firstToken: { least: 350, most: 350 },
+  gap: { least: 500, most: 900 },
+};
+const GROUPS = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+/** Six engines to a chain, as many chains as `copies`; repeats take from a budget. */
+function createWorld(copies: number, change: Partial<RouterDeps> = {}): FakeWorld {
+  const { silence } = DEFAULT_ROUTER_CONFIG;
+  const cfg = {
+    ...DEFAULT_ROUTER_CONFIG,
+    silence: { ...silence, ...SILENCE_BOUNDS, mostUnclear: 0 },
+    isRecoveryBudgeted: true,
+  };
+  const numbers = Array.from({ length: copies }, (_, i) => i + 1);
+  const engines = GROUPS.map((group) => numbers.map((n) => `${group}${n}`));
+  return createFakeWorld({ cfg, ...change }, engines);
+}
+
+function submit(world: FakeWorld, id: string): Heard {
+  return world.submit(id, {
+    maxAttempts: MOST_ATTEMPTS,
+    patience: CALLER_PATIENCE,
+    breakAfter: CALLER_PATIENCE,
+    deadline: world.timers.now() + DEADLINE,
+  });
+}
+
+function advance(world: FakeWorld, time: Millis): void {
+  world.timers.advanceTo(world.timers.now() + time);
+}
+
+/** Lets time pass until so many calls were opened. */
+function awaitCalls(world: FakeWorld, count: number): void {
+  const end = world.timers.now() + DEADLINE;
+  while (world.calls.length < count && world.timers.now() < end) {
+    advance(world, STEP);
+  }
+}
+
+/** Why a request ended, by the line that is written of it. */
+function listLines({ decisions }: FakeWorld, id: string): (string | null)[] {
+  return decisions
+    .filter(
+      ({ request, decision }) => request === id && (decision === 'fail' || decision === 'give-up'),
+    )
+    .map(({ reason }) => reason);
+}
+
+/** Lets the newest call give the rest of an answer. */
+function finish(world: FakeWorld, heard: Heard, length: number): void {
+  const last = world.last();
+  acknowledge(last);
+  giveTokens(world, last, heard.tokens.length, length);
+  last.listener.onEnd('stop', length);
+}
+
+/** The first engine of the newest call ends with its streams. */
+function endEngine(world: FakeWorld): EngineId {
+  const opened = world.last();
+  const [engine = ''] = listEngines(opened);
+  opened.listener.onFailure(createFailure({ place: FailurePlace.Stream, engine }));
+  return engine;
+}
+
+function permute<T>(items: readonly T[]): T[][] {
+  return items.length < 2
+    ? [[...items]]
+    : items.flatMap((item, i) =>
+        permute(items.filter((_, k) => k !== i)).map((rest) => [item, ...rest]),
+      );
+}
+
+describe('Two ends of an answer within a second', () => {
+  it('leaves an answer with its second chain when one engine of it pauses beside planned work', () => {
+    // Guards against an answer that is closed at its second silence, within a second of its first, on its last attempt.
+    const world = createWorld(3, { mayBreakOff: () => false });
+    const heard = submit(world, 'r');
+    const [first] = world.calls;
+    awaitCalls(world, 2);
+    expect([first?.isCancelled, listEngines(world.last()).length]).to.deep.equal([true, 6]);
+    const second = world.last();
+    acknowledge(second);
+    giveTokens(world, second, 0, 8);
+    // Others through all engines of that chain but one go on, so that one alone is to blame.
+    submit(world, 'other');
+    const beside = world.last();
+    beside.listener.onFailure(createFailure({ place: FailurePlace.Stage, engine: 'c2' }));
+    const other = world.last();
+    acknowledge(other);
+    giveTokens(world, other, 0, 40);
+    expect([heard.problems, second.isCancelled, world.count('failed')]).to.deep.equal([
+      [],
+      false,
+      0,
+    ]);
+    giveTokens(world, second, 8, 20);
+    second.listener.onEnd('stop', 20);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(20), ['stop']]);
+    expect(listLines(world, 'r')).to.deep.equal([]);
+  });
+
+  it('leaves an answer with its engines while they are the only chain, for longer than 0.9 s', () => {
+    // Guards against an answer that is taken from the only whole chain, and ends since no other comes.
+    const world = createWorld(1);
+    const heard = submit(world, 'r');
+    const only = world.last();
+    acknowledge(only);
+    giveTokens(world, only, 0, 3);
+    advance(world, SETTLE_TIME + 900);
+    expect([heard.problems, only.isCancelled, listLines(world, 'r')]).to.deep.equal([
+      [],
+      false,
+      [],
+    ]);
+    giveTokens(world, only, 3, 20);
+    only.listener.onEnd('stop', 20);
+    expect([heard.tokens, heard.ends]).to.deep.equal([listWords(20), ['stop']]);
+  });
+
+  it('goes on after two engines that leave have ended, in each order of news and ends', () => {
+    // Guards against an answer that is refused as one that crashes engines, since two were released under it.
+    const steps = ['news of a', 'news of b', 'end', 'end', 'configuration'] as const;
+    const orders = new Map(permute(steps).map((order) => [order.join(), order]));
+    const gaps: readonly Millis[] = [1, 30, 100];
+    for (const order of orders.values()) {
+      for (const gap of gaps) {
+        for (const begun of [0, 8]) {
+          playLeaving(order, gap, begun);
+        }
+      }
+    }
+  });
+
+  function playLeaving(order: readonly string[], gap: Millis, begun: number): void {
+    const name = `${order.join(', ')}; ${gap} ms; ${begun} events`;
+    const leaving = new Set<EngineId>();
+    let isPlanned = false;
+    let ends = 0;
+    const world = createWorld(4, {
+      isEnding: (engine) => leaving.has(engine),
+      mayBreakOff: () => !isPlanned,
+    });
+    const heard = submit(world, 'r');
+    for (const step of order) {
+      if (step === 'configuration') {
+        isPlanned = true;
+      } else if (step === 'end') {
+        ends += 1;
+        awaitCalls(world, ends);
+        const opened = world.last();
+        acknowledge(opened);
+        giveTokens(world, opened, heard.tokens.length, heard.tokens.length + begun);
+        // News of an engine that leaves come before its end, if the store is heard.
+        leaving.add(listEngines(opened)[0] ?? '');
+        endEngine(world);
+      } else {
+        leaving.add(step === 'news of a' ? 'a1' : 'a2');
+      }
+      advance(world, gap);
+    }
+    awaitCalls(world, 3);
+    expect(heard.problems, name).to.deep.equal([]);
+    finish(world, heard, 30);
+    expect([heard.tokens, heard.ends], name).to.deep.equal([listWords(30), ['stop']]);
+    expect(listLines(world, 'r'), name).to.deep.equal([]);
+  }
+
+  it('goes on after one engine was silent and another has ended, in each order', () => {
+    // Guards against a silence that is counted as a crash, and against an end that takes up an attempt.
+    for (const isSilentFirst of [true, false]) {
+      for (const begun of [0, 8]) {
+        const world = createWorld(4, { mayBreakOff: () => false });
+        const heard = submit(world, 'r');
+        const acts = [() => awaitCalls(world, world.calls.length + 1), () => endEngine(world)];
+        for (const [i, act] of (isSilentFirst ? acts : [...acts].reverse()).entries()) {
+          awaitCalls(world, i + 1);
+          acknowledge(world.last());
+          giveTokens(world, world.last(), heard.tokens.length, heard.tokens.length + begun);
+          act();
+        }
+        awaitCalls(world, 3);
+        const name = `silence ${isSilentFirst ? 'first' : 'last'}, ${begun} events`;
+        expect([heard.problems, world.calls.length], name).to.deep.equal([[], 3]);
+        finish(world, heard, 30);
+        expect([heard.tokens, heard.ends], name).to.deep.equal([listWords(30), ['stop']]);
+      }
+    }
+  });
+
+  it('names a verdict in its line, and ends no answer by one before others could speak of the crash', () => {
+    // Guards against a verdict that closes an answer at once, and against one that no line tells from a silence.
+    for (const gap of [1, 30, 250, 600]) {
+      for (const begun of [0, 8]) {
+        const world = createWorld(4, { mayBreakOff: () => false });
+        const heard = submit(world, 'r');
+        for (let ends = 0; ends < 2; ends += 1) {
+          advance(world, gap);
+          acknowledge(world.last());
+          giveTokens(world, world.last(), heard.tokens.length, heard.tokens.length + begun);
+          endEngine(world);
+        }
+        const endedAt = world.timers.now();
+        advance(world, SETTLE_TIME - 2 * STEP);
+        const name = `${gap} ms, ${begun} events`;
+        expect([heard.problems, listLines(world, 'r')], name).to.deep.equal([[], []]);
+        while (heard.problems.length === 0 && world.timers.now() < endedAt + DEADLINE) {
+          advance(world, STEP);
+        }
+        const run = begun > 0 ? 'ran' : 'unknown';
+        expect(listLines(world, 'r'), name).to.deep.equal([`poison ${run}`]);
+      }
+    }
+  });
+});
