Say in the log that a silent attempt is left with its engines, and why

Cause: an attempt that is held where nothing can follow wrote no line until its end, so that a caller who leaves there could not be told from one whose engines were never silent for longer than their limit. Change: one `hold` line an attempt, with the bar (attempts, budget, chain).

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -62,7 +62,15 @@
 
   const getMachine = (): RequestMachine => machine;
   const retries = createRunRetries(shared, { spec, getMachine, send, giveUp, log });
-  const watch = createRunWatch(shared, { spec, getMachine, attempts, retries, send, giveUp });
+  const watch = createRunWatch(shared, {
+    spec,
+    getMachine,
+    attempts,
+    retries,
+    send,
+    giveUp,
+    log,
+  });
 
   const run: ModelRun = {
     fingerprint,
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -69,6 +69,7 @@
   | 'recover'
   | 'retry'
   | 'wait'
+  | 'hold'
   | 'server'
   | 'give-up'
   | 'complete'
--- a/packages/requests/src/RunWatch.ts
+++ b/packages/requests/src/RunWatch.ts
@@ -7,6 +7,8 @@
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
+import type { DecisionName } from './RouterTypes.js';
+import type { FollowBarName } from './RunFollow.js';
 import { FollowBar } from './RunFollow.js';
 import { decideMove } from './RunMove.js';
 import type { RunRetries } from './RunRetries.js';
@@ -20,6 +22,7 @@
   readonly retries: RunRetries;
   readonly send: (event: RequestEvent) => void;
   readonly giveUp: (reason: GiveUpReasonName) => void;
+  readonly log: (decision: DecisionName, reason: string) => void;
 }
 
 export interface RunWatch {
@@ -35,9 +38,11 @@
 export function createRunWatch(shared: RouterShared, run: WatchedRun): RunWatch {
   const { deps } = shared;
   const { timers } = deps;
-  const { spec, getMachine, attempts, retries, send, giveUp } = run;
+  const { spec, getMachine, attempts, retries, send, giveUp, log } = run;
   let undoLook: Unregister = () => undefined;
   let slowSince: Millis | null = null;
+  /** The attempt of which it was logged that it is left with its silent engines. */
+  let leftAttempt = 0;
 
   function lookAfter(delay: Millis): void {
     const dueAt = timers.now() + delay;
@@ -59,6 +64,14 @@
     deps.onSilent?.(suspects);
   }
 
+  function logLeft(bar: FollowBarName): void {
+    const { attempt } = getMachine();
+    if (attempt !== leftAttempt) {
+      leftAttempt = attempt;
+      log('hold', `silence ${bar}`);
+    }
+  }
+
   function hasChainWithout(engines: readonly EngineId[]): boolean {
     const { chain: broken, avoid } = getMachine();
     return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines] });
@@ -76,6 +89,7 @@
           send({ kind: 'silence-borne' });
           break;
         case 'look-again':
+          logLeft(decision.bar);
           noteSilent(decision.suspects);
           send({ kind: 'look-again', delay: decision.delay });
           if (decision.bar === FollowBar.Budget) {
