Tell a caller that has nothing before it leaves, however long its engines may be silent

Cause: the time that an attempt may be silent grows with the waits that were measured, to three seconds, and doubles with each fruitless attempt; its caller's patience ends after 1.7 s. Change: an attempt is looked at, and its caller told, when its answer must have begun. Test: "is kept where engines may be silent for longer" fails without it (no problem was told).

--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -26,7 +26,7 @@
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { MachineStep, RequestMachine } from './RequestState.js';
-import { createProblem, dropFrame, endWith, stay } from './RequestState.js';
+import { createProblem, dropFrame, endWith, getBeginBy, stay } from './RequestState.js';
 import type { AttemptOutcome } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 
@@ -142,6 +142,7 @@
     submittedAt: machine.submittedAt,
     attemptsLeft: machine.attemptsLeft,
     patientUntil: machine.patientUntil,
+    beginBy: machine.beginBy,
     attempt: machine.attempt,
     chain: machine.chain,
     acknowledged: machine.acknowledged,
@@ -194,6 +195,13 @@
 
 /** How long the present attempt may be silent from its last sign of life on. */
 function getSilenceLimit(machine: RequestMachine): Millis {
+  const beginBy = getBeginBy(machine) ?? Infinity;
+  const patience = beginBy - machine.signAt;
+  return Math.max(0, Math.min(patience, getEngineLimit(machine)));
+}
+
+/** The same by the pace of its engines alone. */
+function getEngineLimit(machine: RequestMachine): Millis {
   // Silence after silence says that all is slow: recovering ever again would make it slower.
   const doubled = 2 ** Math.min(MAX_DOUBLINGS, machine.fruitless) * (1 + machine.borne);
   if (!machine.acknowledged) {
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -20,6 +20,8 @@
   readonly attemptsLeft: number;
   /** Until when it waits for engines that can take it; null if it has no patience of its own. */
   readonly patientUntil: Millis | null;
+  /** By when its answer must begin, as its caller leaves soon after; null if the caller stays. */
+  readonly beginBy: Millis | null;
   /** Number of the running attempt, or of the last one; 0 before the first. */
   readonly attempt: number;
   readonly chain: Chain | null;
@@ -64,16 +66,18 @@
 
 /** The state of a request that has just been submitted. */
 export function createRequestMachine(
-  spec: Pick<RequestSpec, 'idempotent' | 'maxTokens' | 'maxAttempts' | 'patience'>,
+  spec: Pick<RequestSpec, 'idempotent' | 'maxTokens' | 'maxAttempts' | 'patience' | 'breakAfter'>,
   now: Millis,
 ): RequestMachine {
+  const isPatient = spec.patience !== undefined;
   return {
     phase: RequestPhase.Waiting,
     idempotent: spec.idempotent,
     maxTokens: spec.maxTokens,
     submittedAt: now,
     attemptsLeft: spec.maxAttempts ?? Infinity,
-    patientUntil: spec.patience === undefined ? null : now + spec.patience,
+    patientUntil: isPatient ? now + spec.patience : null,
+    beginBy: isPatient && spec.breakAfter !== undefined ? now + spec.breakAfter : null,
     attempt: 0,
     chain: null,
     acknowledged: false,
@@ -93,6 +97,11 @@
   };
 }
 
+/** By when an answer must begin; null if it has begun, or its caller stays. */
+export function getBeginBy({ tokenCount, beginBy }: RequestMachine): Millis | null {
+  return tokenCount === 0 ? beginBy : null;
+}
+
 /** What may be told now of whether the request ran, the open attempt included. */
 export function getMachineRun(machine: RequestMachine): RunStateName {
   if (machine.tokenCount > 0) {
--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -202,3 +202,29 @@
     expect(listGiveUps(world)).to.deep.equal(['standstill']);
   });
 });
+
+describe('Patience of a caller that has nothing yet', () => {
+  it('is kept where engines may be silent for longer, on a first attempt and on a second', () => {
+    // Guards against a caller that leaves unserved from a queue in which its request was expected to wait on.
+    const silence = {
+      ...DEFAULT_ROUTER_CONFIG.silence,
+      acknowledgement: { least: 3000, most: 3000 },
+    };
+    const cfg = { ...DEFAULT_ROUTER_CONFIG, silence, isRecoveryBudgeted: true };
+    for (const isLost of [false, true]) {
+      const world = createFakeWorld({ cfg });
+      const heard = world.submit('r', { patience: BREAK_AFTER, breakAfter: BREAK_AFTER });
+      if (isLost) {
+        const failure = createFailure({ place: FailurePlace.Connect, provenNotRun: true });
+        world.last().listener.onFailure({ ...failure, engine: 'a1' });
+      }
+      world.timers.advanceTo(BREAK_AFTER - 50);
+      expect([heard.problems, world.last().isCancelled]).to.deep.equal([[], false]);
+      world.timers.advanceTo(BREAK_AFTER + 10);
+      expect(heard.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+        ['engine-failed', 'unknown'],
+      ]);
+      expect([listGiveUps(world), world.last().isCancelled]).to.deep.equal([['standstill'], true]);
+    }
+  });
+});
