Send no request into a queue in which it would not begin before its caller leaves

What callers saw: at worst load they waited 1.7 s in the queue of a first engine and were told "unknown" then; half of those that were served began in the last 0.3 s before they would have left. Cause: nothing known of a queue kept a request from joining it; also one that had already waited for a chain and had little time left. Change: RunQueue. A request that has not begun passes by first engines where one that came before it, and is no less important, has waited for half of the time left; if it finds only such, its caller is told "not run" at once, with a time to come back.

--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -7,6 +7,7 @@
 import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
+import { isQueueTooLong } from './RunQueue.js';
 import { listSpreads } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -20,7 +21,21 @@
 }
 
 /** What a chain is looked for with. */
-export type ChainSearch = Pick<EffectOf<'choose'>, 'broken' | 'failed' | 'avoid'>;
+export interface ChainSearch extends Pick<EffectOf<'choose'>, 'broken' | 'failed' | 'avoid'> {
+  /** By when the answer must begin; null if there is no such time. */
+  readonly beginBy: Millis | null;
+}
+
+/** What a search for a chain has found. */
+interface SearchResult {
+  readonly choice: ChainChoice;
+  /** Whether there are chains, and it would begin at none in time. */
+  readonly isTooLate: boolean;
+}
+
+/** Long queues that a search passes by: each takes another search, and the next ones are as long. */
+const MOST_QUEUES = 4;
+const ALL_FULL: ChainChoice = { kind: 'none', isFull: true, retryAfter: 0 };
 
 /** The attempts of one request, one at a time. */
 export interface AttemptRunner {
@@ -91,9 +106,28 @@
     });
   }
 
+  function hasLongQueue(engine: EngineId, beginBy: Millis | null): boolean {
+    return beginBy !== null && isQueueTooLong(shared, engine, spec.priority, beginBy);
+  }
+
+  /** The same, past first engines whose queues are too long; `isTooLate` if only such were found. */
+  function selectInTime(search: ChainSearch): SearchResult {
+    const passed: EngineId[] = [];
+    while (passed.length < MOST_QUEUES) {
+      const choice = select({ ...search, avoid: [...search.avoid, ...passed] });
+      const [first] = choice.kind === 'chain' ? choice.chain.stages : [];
+      if (choice.kind === 'none' || !first || !hasLongQueue(first.engine, search.beginBy)) {
+        return { choice, isTooLate: choice.kind === 'none' && passed.length > 0 };
+      }
+      choice.hold.release({ kind: 'cancelled' });
+      passed.push(first.engine);
+    }
+    return { choice: ALL_FULL, isTooLate: true };
+  }
+
   return {
     canChoose(search) {
-      const choice = select(search);
+      const { choice } = selectInTime(search);
       if (choice.kind === 'chain') {
         choice.hold.release({ kind: 'cancelled' });
       }
@@ -101,9 +135,10 @@
     },
     choose(search) {
       const contextTokens = promptTokens + tokens.length;
-      const choice = select(search);
+      const { choice, isTooLate } = selectInTime(search);
       if (choice.kind === 'none') {
-        send({ kind: 'no-chain', isFull: choice.isFull, retryAfter: choice.retryAfter });
+        const { isFull, retryAfter } = choice;
+        send({ kind: 'no-chain', isFull, isTooLate, retryAfter });
         return false;
       }
       hold = choice.hold;
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -17,7 +17,7 @@
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
-import { createRequestMachine } from './RequestState.js';
+import { createRequestMachine, getBeginBy } from './RequestState.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
@@ -75,6 +75,13 @@
   const run: ModelRun = {
     fingerprint,
     getEngines: () => attempts.getEngines(),
+    getQueued: () => {
+      const [first] = attempts.getEngines();
+      const isQueued = machine.phase === RequestPhase.Running && machine.attemptTokens === 0;
+      return first !== undefined && isQueued
+        ? { engine: first, priority: spec.priority, since: machine.openedAt }
+        : null;
+    },
     isStill: (now) => isStandingStill(machine, now),
     takePace(now) {
       const chain = attempts.getChain();
@@ -173,14 +180,14 @@
     const isNew = machine.attempt === 0;
     if (verdict === PoisonVerdict.Doubted || (isNew && verdict === PoisonVerdict.Ambiguous)) {
       recovery.finish(spec.id);
-      send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
+      send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: RECHOOSE_LEAST });
       return;
     }
     if (isNew && shared.starved.isStarved(spec.model, now)) {
-      send({ kind: 'no-chain', isFull: true, retryAfter: RECHOOSE_LEAST });
+      send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: RECHOOSE_LEAST });
       return;
     }
-    if (!attempts.choose(effect)) {
+    if (!attempts.choose({ ...effect, beginBy: getBeginBy(machine) })) {
       log('no-chain', effect.failed.join(','));
       if (machine.tokenCount > 0) {
         shared.starved.noteStarved(spec.model, now);
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -97,13 +97,13 @@
 
 function waitForChain(
   machine: RequestMachine,
-  { isFull, retryAfter }: Extract<RequestEvent, { kind: 'no-chain' }>,
+  { isFull, isTooLate, retryAfter }: Extract<RequestEvent, { kind: 'no-chain' }>,
   now: Millis,
 ): MachineStep {
   if (machine.phase !== RequestPhase.Choosing) {
     return stay(machine);
   }
-  if (machine.tokenCount === 0 && !mayWait(machine, isFull, now)) {
+  if (machine.tokenCount === 0 && (isTooLate || !mayWait(machine, isFull, now))) {
     return failWith(machine, ProblemKind.NoChain, retryAfter);
   }
   // Avoiding every engine that failed may leave none at all; a paused answer is then better served by
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -49,7 +49,13 @@
       readonly importFrom: readonly Stage[];
       readonly limits: SilenceLimits;
     }
-  | { readonly kind: 'no-chain'; readonly isFull: boolean; readonly retryAfter: Millis }
+  | {
+      readonly kind: 'no-chain';
+      readonly isFull: boolean;
+      /** Whether there are chains, and it would begin at none before its caller leaves. */
+      readonly isTooLate: boolean;
+      readonly retryAfter: Millis;
+    }
   | {
       readonly kind: 'acknowledged';
       readonly attempt: number;
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -11,6 +11,7 @@
 import type { RecoveryQueue } from './RequestRecovery.js';
 import type { PostWork } from './RouterEvents.js';
 import type { RouterMeters } from './RouterMeters.js';
+import type { QueuedRun } from './RunQueue.js';
 import type { DecisionRecord, RouterDeps, RouterMetricName, StreamPace } from './RouterTypes.js';
 
 /** A running request as the others see it. */
@@ -18,6 +19,8 @@
   readonly fingerprint: Fingerprint;
   /** Engines that it runs on now. */
   getEngines(): readonly EngineId[];
+  /** Where it waits to begin; null if it has begun, or waits for a chain. */
+  getQueued(): QueuedRun | null;
   /** Whether its answer has begun and stands still now. */
   isStill(now: Millis): boolean;
   /** How its answer got on since this was last asked; null if it has not begun. */
--- a/packages/requests/src/RunWatch.ts
+++ b/packages/requests/src/RunWatch.ts
@@ -5,6 +5,7 @@
 import type { GiveUpReasonName, RequestEvent } from './RequestMessages.js';
 import { GiveUpReason } from './RequestMessages.js';
 import type { RequestMachine } from './RequestState.js';
+import { getBeginBy } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
@@ -73,8 +74,10 @@
   }
 
   function hasChainWithout(engines: readonly EngineId[]): boolean {
-    const { chain: broken, avoid } = getMachine();
-    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines] });
+    const machine = getMachine();
+    const { chain: broken, avoid } = machine;
+    const beginBy = getBeginBy(machine);
+    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines], beginBy });
   }
 
   return {
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -32,7 +32,7 @@
   fc.constant<RequestEvent>({ kind: 'admitted' }),
   fc.constant<RequestEvent>({ kind: 'chosen', chain, importFrom: [], limits }),
   fc.constant<RequestEvent>({ kind: 'chosen', chain, importFrom: [], limits }),
-  fc.constant<RequestEvent>({ kind: 'no-chain', isFull: true, retryAfter: 10 }),
+  fc.constant<RequestEvent>({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: 10 }),
   fc.constant<RequestEvent>({ kind: 'retry-granted', failed: ['a'] }),
   fc.constant<RequestEvent>({ kind: 'retry-refused', retryAfter: null }),
   fc.constant<RequestEvent>({ kind: 'silence-borne' }),
@@ -114,7 +114,12 @@
 
   it('waits for engines as long as it has patience, and then says that it has not run', () => {
     const spec = { idempotent: true, maxTokens: MAX_TOKENS, patience: 100 };
-    const none: RequestEvent = { kind: 'no-chain', isFull: false, retryAfter: 10 };
+    const none: RequestEvent = {
+      kind: 'no-chain',
+      isFull: false,
+      isTooLate: false,
+      retryAfter: 10,
+    };
     const admitted = stepRequest(createRequestMachine(spec, 0), { kind: 'admitted' }, 0).machine;
     const waiting = stepRequest(admitted, none, 50).machine;
     expect(waiting.phase).to.equal('pausing');
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RunQueue.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { RequestSpec } from '../../RequestTypes.js';
+import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { FakeWorld, Heard } from './RequestFakes.js';
+import { acknowledge, createFakeWorld, giveTokens, listEngines } from './RequestFakes.js';
+
+const PATIENCE: Millis = 1700;
+
+/** A world whose engines may be silent for longer than callers wait. */
+function createQueueWorld(engines: readonly (readonly EngineId[])[]): FakeWorld {
+  const bounds = { least: 5000, most: 5000 };
+  const silence = { ...DEFAULT_ROUTER_CONFIG.silence, acknowledgement: bounds, firstToken: bounds };
+  return createFakeWorld({ cfg: { ...DEFAULT_ROUTER_CONFIG, silence } }, engines);
+}
+
+function submit(world: FakeWorld, id: string, change: Partial<RequestSpec> = {}): Heard {
+  return world.submit(id, { patience: PATIENCE, breakAfter: PATIENCE, ...change });
+}
+
+describe('A queue that is too long', () => {
+  it('is not joined: the caller is told at once that its request has not run, and when to come back', () => {
+    // Guards against callers that leave unserved from a queue in which they could never have begun in time.
+    const world = createQueueWorld([['a1'], ['b1']]);
+    submit(world, 'older');
+    world.timers.advanceTo(PATIENCE / 2 - 10);
+    expect(submit(world, 'in time').problems).to.deep.equal([]);
+    world.timers.advanceTo(PATIENCE / 2 + 10);
+    const late = submit(world, 'late');
+    expect(late.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['no-chain', 'not-run'],
+    ]);
+    expect(world.calls).to.have.length(2);
+  });
+
+  it('is passed by for an engine that begins sooner', () => {
+    // Guards against a caller that is refused while another engine has room for its request.
+    const world = createQueueWorld([['a1', 'a2'], ['b1']]);
+    submit(world, 'older');
+    world.timers.advanceTo(PATIENCE - 10);
+    const heard = submit(world, 'new');
+    expect([heard.problems, listEngines(world.last())]).to.deep.equal([[], ['a2', 'b1']]);
+  });
+
+  it('is joined by one that is more important than those that wait there', () => {
+    // Guards against an urgent request that is refused because lesser ones wait.
+    const world = createQueueWorld([['a1'], ['b1']]);
+    submit(world, 'older', { priority: 'low' });
+    world.timers.advanceTo(PATIENCE - 10);
+    expect(submit(world, 'urgent', { priority: 'urgent' }).problems).to.deep.equal([]);
+    expect(submit(world, 'low', { priority: 'low' }).problems).to.have.length(1);
+  });
+
+  it('is one no more when those that waited there have begun', () => {
+    // Guards against an engine that is kept off for a queue which is over.
+    const world = createQueueWorld([['a1'], ['b1']]);
+    submit(world, 'older');
+    world.timers.advanceTo(PATIENCE - 10);
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 1);
+    expect(submit(world, 'new').problems).to.deep.equal([]);
+  });
+});
