Move nothing beyond the present after a pause of one's own

What callers saw: all answers of a daemon were cut off together after a standstill of under a second (four in one demo). Cause: the process had ended. resumeAfterPause moves on what was heard of other domains by the length of the pause, also what came in after the pause and before the late tick; its age was then negative, and writing it as one byte threw in a timer. Evidence: sixteen demos, four at a time beside plays and busy processes; three of the first eleven ended with RangeError "Received -8", "-4", "-5" in writeAges. Load alone is not the cause: the virtual fleet does the same without any. Change: news and suspicions are moved up to the present at the most. Test: "goes on after pauses of its own in which other domains spoke to it" ends with that RangeError without the change. 31 passing in package membership.

--- a/packages/membership/src/MembershipMachine.ts
+++ b/packages/membership/src/MembershipMachine.ts
@@ -94,13 +94,15 @@
   if (pause < LATE_TICKS * state.cfg.tick) {
     return state;
   }
+  // What came in before the late tick came after the pause, or in its course.
+  const getShift = (at: Millis): Millis => Math.min(pause, now - at);
   const suspicions = new Map(
-    [...state.suspicions].map(([id, one]) => [
-      id,
-      { ...one, since: one.since + pause, deadline: one.deadline + pause },
-    ]),
+    [...state.suspicions].map(([id, one]) => {
+      const shift = getShift(one.since);
+      return [id, { ...one, since: one.since + shift, deadline: one.deadline + shift }];
+    }),
   );
-  const heard = new Map([...state.heard].map(([domain, at]) => [domain, at + pause]));
+  const heard = new Map([...state.heard].map(([domain, at]) => [domain, at + getShift(at)]));
   return { ...state, probes: [], suspicions, heard };
 }
 
--- a/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
@@ -124,6 +124,21 @@
     expect(countViews(fleet)).to.deep.equal([12]);
   });
 
+  it('goes on after pauses of its own in which other domains spoke to it', () => {
+    // Guards against a process that dies, with all answers in it, since it takes news for news from the future.
+    const { fleet, seen } = createSettled({ seed: 7, domainSizes: [3, 3] });
+    for (let round = 0; round < 20; round++) {
+      fleet.pause(`d${round % 2}-i${round % 3}`, 1000);
+      fleet.advance(2500);
+    }
+    expect(select(seen, MemberChangeKind.Dead)).to.have.length(0);
+    expect(countViews(fleet)).to.deep.equal([6]);
+    fleet.getInstances().forEach(({ membership }) => {
+      const heard = [...membership.getState().heard.values()];
+      expect(Math.max(...heard)).to.be.at.most(fleet.timers.now());
+    });
+  });
+
   it('keeps both halves of a cut domain going and merges them without a wave of deaths', () => {
     // Symptom: after a partition heals, live members vanish for seconds. Sequence: each half brings the
     // death list of the other, and its members take it at its word. Cause: hearsay that outranks sight.
