Lend repeats first to callers that have a part of their answer

Cause: repeats of requests without an answer take from the same budget, by when they ask; a begun answer asks each half second, they at once. Change: while a begun answer of a model waits for the budget, requests of that model without an answer take nothing from it; they are told at once as before, and can go elsewhere. Test: "lends repeats first to callers that have a part of their answer" fails without it (the other took the one repeat).

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -302,6 +302,7 @@
     listener = null;
     undoDeadline();
     watch.stop();
+    retries.stop();
     attempts.close({ kind: 'cancelled' });
     shared.runs.delete(spec.id);
     recovery.finish(spec.id);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -103,6 +103,7 @@
     setBudget: (name, next) => {
       budgets.set(name, next);
     },
+    begunWaits: new Map(),
     isDraining: () => isDraining,
     getStillShare,
     pumpRecoveries,
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -1,5 +1,5 @@
 /** What the running requests of one router share. */
-import type { EngineId, Millis, ModelId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, ModelId, RequestId } from '@skylarksail/core/CoreTypes';
 import type { Admission } from './RequestAdmission.js';
 import type { RetryBudget } from './RequestBudget.js';
 import { hasRetry, noteFirstTry, returnRetry, takeRetry } from './RequestBudget.js';
@@ -67,6 +67,8 @@
   /** Budgets by model or service: repeats at one must not be paid for by calls to another. */
   readonly getBudget: (name: string) => RetryBudget;
   readonly setBudget: (name: string, budget: RetryBudget) => void;
+  /** Begun answers that wait for the budget of a model: their callers have a part, and can't go elsewhere. */
+  readonly begunWaits: Map<RequestId, ModelId>;
   readonly isDraining: () => boolean;
   /** Share of the begun answers that stand still now. */
   readonly getStillShare: () => number;
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -37,6 +37,8 @@
   borrow(onLent: () => void): void;
   /** Engines that failed in the attempt before. */
   getFailed(): readonly EngineId[];
+  /** The request has ended. */
+  stop(): void;
 }
 
 export function createRunRetries(shared: RouterShared, run: RetriedRun): RunRetries {
@@ -52,14 +54,22 @@
     if (timers.now() + delay >= Math.min(spec.deadline, breakTime)) {
       giveUp(breakTime < spec.deadline ? GiveUpReason.Standstill : GiveUpReason.DeadlineNear);
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
-    } else if (isBudgeted(effect.mode) && !takeFromBudget(shared, spec.model)) {
+    } else if (isBudgeted(effect.mode) && !takeRepeat()) {
       askForBudget(effect, delay);
     } else {
       goOn(effect, delay);
     }
   }
 
+  /** A caller without a part of its answer can go elsewhere, and takes nothing that one with a part waits for. */
+  function takeRepeat(): boolean {
+    const isBegun = getMachine().tokenCount > 0;
+    const isOwed = [...shared.begunWaits.values()].includes(spec.model);
+    return (isBegun || !isOwed) && takeFromBudget(shared, spec.model);
+  }
+
   function goOn({ mode, failed }: AskRetry, delay: Millis): void {
+    stop();
     if (mode === 'recover') {
       log('recover', failed.join(','));
       shared.recovery.push({ id: spec.id, waitingSince: getMachine().progressAt });
@@ -95,7 +105,7 @@
       if (!isPausing(attempt)) {
         return;
       }
-      if (isGranted && takeFromBudget(shared, spec.model)) {
+      if (isGranted && takeRepeat()) {
         goOn(effect, delay);
       } else {
         waitForBudget(effect);
@@ -119,6 +129,7 @@
       return;
     }
     log('wait', 'retry budget');
+    shared.begunWaits.set(spec.id, spec.model);
     timers.registerTimeout(computeBudgetWait(deps.random), () =>
       shared.post(() => {
         if (isPausing(attempt)) {
@@ -128,5 +139,9 @@
     );
   }
 
-  return { ask, borrow, getFailed: () => lastFailed };
+  function stop(): void {
+    shared.begunWaits.delete(spec.id);
+  }
+
+  return { ask, borrow, getFailed: () => lastFailed, stop };
 }
--- a/packages/requests/src/__tests__/unit/RequestFull.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestFull.test.ts
@@ -60,6 +60,28 @@
     expect(heard.problems).to.deep.equal([]);
   });
 
+  it('lends repeats first to callers that have a part of their answer', () => {
+    // Guards against a begun answer that stands still until its end, since requests that could go elsewhere take each repeat.
+    let burst = 0;
+    const world = createWorldWithoutRetries({ getRetryBurst: () => burst });
+    const heard = world.submit('begun', { patience: PATIENCE, breakAfter: PATIENCE });
+    const running = world.last();
+    const other = world.submit('new', { patience: PATIENCE });
+    const unbegun = world.last();
+    acknowledge(running);
+    giveTokens(world, running, 0, 3);
+    refuse(running, 'b1');
+    burst = 1;
+    refuse(unbegun, 'b1');
+    expect(other.problems.map(({ run, kind }) => [run, kind])).to.deep.equal([
+      ['not-run', 'overloaded'],
+    ]);
+    const before = world.calls.length;
+    world.timers.advanceTo(world.timers.now() + 1000);
+    expect([heard.problems, world.calls.length]).to.deep.equal([[], before + 1]);
+    expect(world.last().call.request).to.equal('begun');
+  });
+
   it('breaks off no answer that stands still while planned work goes on', () => {
     // Symptom: beside a change of the configuration an answer of which two events had come is closed.
     // Sequence: the change comes into force; the engines of the answer fall silent, as one of them is replaced; no
