Tell a caller that has nothing in time also where silences are borne

What callers would see: on a link that is known to be slow, two seconds without an answer and nothing told, as before. Cause: a silence that is borne is given as much time again, counted from then on, and may so pass the time by which the answer must have begun. Change: it is given no more than what is left until then. Test: "is kept where silences are borne on a slow link" fails without it. 78 passing in package requests.

--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -185,11 +185,12 @@
 }
 
 /** Gives a silent attempt as much time again. */
-export function bearSilence(machine: RequestMachine): MachineStep {
+export function bearSilence(machine: RequestMachine, now: Millis): MachineStep {
   if (machine.phase !== RequestPhase.Running) {
     return stay(machine);
   }
-  const delay = getSilenceLimit(machine);
+  const timeLeft = (getBeginBy(machine) ?? Infinity) - now;
+  const delay = Math.max(0, Math.min(timeLeft, getSilenceLimit(machine)));
   return { machine: { ...machine, borne: machine.borne + 1 }, effects: [{ kind: 'watch', delay }] };
 }
 
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -54,7 +54,7 @@
     case 'tick':
       return checkSilence(machine, event.dueAt, now);
     case 'silence-borne':
-      return bearSilence(machine);
+      return bearSilence(machine, now);
     case 'look-again':
       return machine.phase === RequestPhase.Running
         ? { machine, effects: [{ kind: 'watch', delay: event.delay }] }
--- a/packages/requests/src/__tests__/unit/RunSilence.test.ts
+++ b/packages/requests/src/__tests__/unit/RunSilence.test.ts
@@ -227,4 +227,15 @@
       expect([listGiveUps(world), world.last().isCancelled]).to.deep.equal([['standstill'], true]);
     }
   });
+
+  it('is kept where silences are borne on a slow link', () => {
+    // Guards against a caller that leaves unserved while the silence of its engines is borne once more.
+    const links = { notePaces: () => undefined, isSlow: () => true };
+    const world = createSilentWorld({ links });
+    const heard = world.submit('r', { patience: BREAK_AFTER, breakAfter: BREAK_AFTER });
+    world.timers.advanceTo(BREAK_AFTER - 50);
+    expect([heard.problems, world.calls.length]).to.deep.equal([[], 1]);
+    world.timers.advanceTo(BREAK_AFTER + 10);
+    expect(listGiveUps(world)).to.deep.equal(['standstill']);
+  });
 });
