End each request without an answer when its caller's patience does, whatever it waits for

What callers would see: no word before they leave, where an engine asks for three seconds before the next try, where the next look for a chain comes up to 0.3 s after the last moment, and in the queue of recoveries. And since a request that found a chain after that moment was sent to engines for nothing, and told as one that may have run (502) though it had not. Cause: patience was looked at by each wait for itself: silence, look for a chain, retry. Change: one timer for the request, which asks nobody; after a pause of our own it looks once more, since an answer may be unread. A retry that would come later is not planned, and its caller is told at once.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -5,10 +5,11 @@
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHold } from './ClaimRunner.js';
 import { claimKey } from './ClaimRunner.js';
+import { LATE_TICK } from './RequestAttempt.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
 import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
@@ -55,6 +56,7 @@
     send({ kind: 'deadline' }),
   );
   let machine = createRequestMachine(spec, submittedAt);
+  let undoPatience = awaitPatience(machine.beginBy ?? Infinity);
   let listener: RequestSink | null = sink;
   let isStarted = false;
   let claim: ClaimHold | null = null;
@@ -107,6 +109,20 @@
     });
   }
 
+  /** Looks once more after a pause of our own: an answer that came meanwhile is still unread. */
+  function awaitPatience(dueAt: Millis): Unregister {
+    if (dueAt === Infinity) {
+      return () => undefined;
+    }
+    return timers.registerTimeout(dueAt - timers.now(), () => {
+      if (timers.now() - dueAt > LATE_TICK) {
+        undoPatience = awaitPatience(timers.now() + LATE_TICK);
+      } else {
+        send({ kind: 'patience-over' });
+      }
+    });
+  }
+
   function runEffect(effect: RequestEffect): void {
     switch (effect.kind) {
       case 'choose':
@@ -301,6 +317,7 @@
     const ended = listener;
     listener = null;
     undoDeadline();
+    undoPatience();
     watch.stop();
     retries.stop();
     attempts.close({ kind: 'cancelled' });
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -26,7 +26,7 @@
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { MachineStep, RequestMachine } from './RequestState.js';
-import { createProblem, dropFrame, endWith, getBeginBy, stay } from './RequestState.js';
+import { createProblem, dropFrame, endWith, stay } from './RequestState.js';
 import type { AttemptOutcome } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 
@@ -185,24 +185,16 @@
 }
 
 /** Gives a silent attempt as much time again. */
-export function bearSilence(machine: RequestMachine, now: Millis): MachineStep {
+export function bearSilence(machine: RequestMachine): MachineStep {
   if (machine.phase !== RequestPhase.Running) {
     return stay(machine);
   }
-  const timeLeft = (getBeginBy(machine) ?? Infinity) - now;
-  const delay = Math.max(0, Math.min(timeLeft, getSilenceLimit(machine)));
+  const delay = getSilenceLimit(machine);
   return { machine: { ...machine, borne: machine.borne + 1 }, effects: [{ kind: 'watch', delay }] };
 }
 
 /** How long the present attempt may be silent from its last sign of life on. */
 function getSilenceLimit(machine: RequestMachine): Millis {
-  const beginBy = getBeginBy(machine) ?? Infinity;
-  const patience = beginBy - machine.signAt;
-  return Math.max(0, Math.min(patience, getEngineLimit(machine)));
-}
-
-/** The same by the pace of its engines alone. */
-function getEngineLimit(machine: RequestMachine): Millis {
   // Silence after silence says that all is slow: recovering ever again would make it slower.
   const doubled = 2 ** Math.min(MAX_DOUBLINGS, machine.fruitless) * (1 + machine.borne);
   if (!machine.acknowledged) {
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -6,10 +6,10 @@
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { bearSilence, checkSilence, openAttempt, stepAttempt } from './RequestAttempt.js';
-import type { RequestEvent } from './RequestMessages.js';
-import { RequestPhase } from './RequestMessages.js';
+import type { RequestEffect, RequestEvent } from './RequestMessages.js';
+import { GiveUpReason, RequestPhase } from './RequestMessages.js';
 import type { MachineStep, RequestMachine } from './RequestState.js';
-import { dropFrame, endWith, failWith, stay } from './RequestState.js';
+import { dropFrame, endWith, failWith, getBeginBy, stay } from './RequestState.js';
 import { ProblemKind } from './RequestTypes.js';
 
 /** Takes one event. Events of an earlier attempt, or after the end, change nothing but a count. */
@@ -54,7 +54,7 @@
     case 'tick':
       return checkSilence(machine, event.dueAt, now);
     case 'silence-borne':
-      return bearSilence(machine, now);
+      return bearSilence(machine);
     case 'look-again':
       return machine.phase === RequestPhase.Running
         ? { machine, effects: [{ kind: 'watch', delay: event.delay }] }
@@ -63,6 +63,8 @@
       return machine.phase === RequestPhase.Running
         ? failWith(machine, ProblemKind.EngineFailed, null)
         : stay(machine);
+    case 'patience-over':
+      return endPatience(machine);
     case 'hang-up':
       return failWith(machine, ProblemKind.HungUp, null);
     case 'deadline':
@@ -74,6 +76,19 @@
   }
 }
 
+/** Ends a request that has no answer yet; its caller is about to leave, and can still go elsewhere. */
+function endPatience(machine: RequestMachine): MachineStep {
+  if (getBeginBy(machine) === null) {
+    return stay(machine);
+  }
+  if (machine.phase !== RequestPhase.Running) {
+    return failWith(machine, ProblemKind.NoChain, null);
+  }
+  const ended = failWith(machine, ProblemKind.EngineFailed, null);
+  const givenUp: RequestEffect = { kind: 'given-up', reason: GiveUpReason.Standstill };
+  return { machine: ended.machine, effects: [givenUp, ...ended.effects] };
+}
+
 function admit(machine: RequestMachine, now: Millis): MachineStep {
   if (machine.phase !== RequestPhase.Waiting) {
     return stay(machine);
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -94,6 +94,8 @@
   | { readonly kind: 'retry-refused'; readonly retryAfter: Millis | null }
   /** The retry budget is spent; the caller may come back by itself. */
   | { readonly kind: 'budget-spent'; readonly retryAfter: Millis }
+  /** The answer must have begun by now, as its caller leaves soon after. */
+  | { readonly kind: 'patience-over' }
   | { readonly kind: 'hang-up' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'drain-limit' };
@@ -106,7 +108,7 @@
   MustNotRepeat: 'must-not-repeat',
   /** Too many attempts in a row gave nothing, or its caller's patience is over. */
   Fruitless: 'fruitless',
-  /** The next attempt would come after its caller's deadline. */
+  /** The next attempt would come after its caller's deadline, or when the caller has left. */
   DeadlineNear: 'deadline-near',
   /** Its caller has got nothing for too long, and may be better served elsewhere. */
   Standstill: 'standstill',
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -12,6 +12,7 @@
 } from './RequestMessages.js';
 import { GiveUpReason, RequestPhase } from './RequestMessages.js';
 import type { RequestMachine } from './RequestState.js';
+import { getBeginBy } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { hasBudget, takeFromBudget } from './RouterShared.js';
@@ -51,7 +52,8 @@
     const delay = effect.mode === 'recover' ? 0 : computeRetryWait(deps.random, effect);
     lastFailed = effect.failed;
     const breakTime = getBreakTime(shared, spec, getMachine());
-    if (timers.now() + delay >= Math.min(spec.deadline, breakTime)) {
+    const leavesAt = effect.mode === 'retry' ? (getBeginBy(getMachine()) ?? Infinity) : Infinity;
+    if (timers.now() + delay >= Math.min(spec.deadline, breakTime, leavesAt)) {
       giveUp(breakTime < spec.deadline ? GiveUpReason.Standstill : GiveUpReason.DeadlineNear);
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
     } else if (isBudgeted(effect.mode) && !takeRepeat()) {
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -4,7 +4,6 @@
 import type { AttemptFailure } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
-import { getBeginBy } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { getBreakTime } from './RunBreak.js';
@@ -52,10 +51,6 @@
   machine: RequestMachine,
   hasChainWithout: HasChainWithout,
 ): SilenceDecision {
-  const now = shared.deps.timers.now();
-  if (now >= (getBeginBy(machine) ?? Infinity)) {
-    return { kind: 'given-up' };
-  }
   const suspects = findSilenceSuspects(shared, machine);
   if (suspects === null) {
     return { kind: 'borne' };
@@ -66,7 +61,7 @@
   }
   const patientUntil = machine.patientUntil ?? Infinity;
   const endsAt = machine.tokenCount > 0 ? getBreakTime(shared, spec, machine) : patientUntil;
-  const timeLeft = endsAt - now;
+  const timeLeft = endsAt - shared.deps.timers.now();
   return timeLeft <= 0
     ? { kind: 'given-up' }
     : { kind: 'look-again', delay: Math.min(LOOK_PERIOD, timeLeft), bar, suspects };
--- a/packages/requests/src/__tests__/unit/RequestFull.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestFull.test.ts
@@ -60,6 +60,30 @@
     expect(heard.problems).to.deep.equal([]);
   });
 
+  it('tells a caller at once whose next attempt would come after it has left', () => {
+    // Guards against a request that waits for a full engine's time to come back until its caller has gone unserved.
+    const world = createFakeWorld({ cfg: { ...DEFAULT_ROUTER_CONFIG, retryBurst: 10 } }, ENGINES);
+    const heard = world.submit('r', { patience: PATIENCE, breakAfter: PATIENCE });
+    const failure = { place: FailurePlace.Refused, engine: 'a1', status: 503, provenNotRun: true };
+    world.last().listener.onFailure(createFailure({ ...failure, retryAfter: 3000 }));
+    expect(heard.problems.map(({ run }) => run)).to.deep.equal(['not-run']);
+    expect(world.calls).to.have.length(1);
+  });
+
+  it('sends nothing to engines for a caller that has waited for a chain until it leaves', () => {
+    // Guards against a request that reaches engines for nothing, and is then told as one that may have run.
+    const engines: string[][] = [['a1'], []];
+    const world = createFakeWorld({}, engines);
+    const heard = world.submit('r', { patience: PATIENCE, breakAfter: PATIENCE });
+    world.timers.advanceTo(PATIENCE + 5);
+    engines[1]?.push('b1');
+    world.timers.advanceTo(2 * PATIENCE);
+    expect(heard.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['no-chain', 'not-run'],
+    ]);
+    expect(world.calls).to.have.length(0);
+  });
+
   it('lends repeats first to callers that have a part of their answer', () => {
     // Guards against a begun answer that stands still until its end, since requests that could go elsewhere take each repeat.
     let burst = 0;
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -38,6 +38,7 @@
   fc.constant<RequestEvent>({ kind: 'silence-borne' }),
   fc.constant<RequestEvent>({ kind: 'look-again', delay: 10 }),
   fc.constant<RequestEvent>({ kind: 'stood-still' }),
+  fc.constant<RequestEvent>({ kind: 'patience-over' }),
   fc.constant<RequestEvent>({ kind: 'hang-up' }),
   fc.constant<RequestEvent>({ kind: 'deadline' }),
   attempt.map((n): RequestEvent => ({ kind: 'acknowledged', attempt: n, acknowledgement: chain })),
