--- a/packages/membership/src/__tests__/unit/MembershipCache.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipCache.test.ts
@@ -14,8 +14,7 @@
 
 describe('MembershipCache', () => {
   it('trusts a sketch less after a gap, and wins trust back by events in order', () => {
-    // Symptom: requests go to an engine for a prefix that it evicted long ago. Sequence: the event of
-    // the eviction is lost between two others. Cause: a sketch that is believed whatever it missed.
+    // Guards against a sketch of an engine's cache that is believed though an event of it was lost.
     let sketch = applyCacheEvent(createCacheSketch(), createStored(1, 'p'), 0);
     expect(readSketch(encodeSketch(sketch), 'p')).to.equal(1);
     sketch = applyCacheEvent(sketch, createStored(5, 'q'), 1);
--- a/packages/membership/src/__tests__/unit/MembershipCalls.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipCalls.test.ts
@@ -39,8 +39,7 @@
   });
 
   it('drops a late reply and lets the next call through', async () => {
-    // Symptom: a call got the answer to an earlier one. Sequence: the call times out, its reply comes
-    // afterwards, twice. Cause: replies matched by order instead of by id.
+    // Guards against replies that are matched by order, so that a late one answers the next call.
     const { timers, a, flush } = createPair();
     const first = a.call('b', DOUBLE, { value: 1 }, 100);
     flush();
--- a/packages/membership/src/__tests__/unit/MembershipDuties.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipDuties.test.ts
@@ -58,8 +58,7 @@
   });
 
   it('hands duties over within a second of the start of a planned stop', () => {
-    // Symptom: engines go unpolled for seconds at each release. Sequence: an instance is told to stop,
-    // and goes on holding its duties until it is gone. Cause: duties that follow death and not intent.
+    // Guards against duties that follow an instance's death and not its intent to stop.
     const shared = createDutyFleet(2, 10);
     const lost: string[] = [];
     shared.duties.get('d0-i5')?.registerListener((change) => lost.push(...change.lost));
@@ -82,8 +81,7 @@
   });
 
   it('weighs step by step to the same owners as all at once', () => {
-    // Symptom: two instances with the same view disagree about an owner for good. Sequence: they heard
-    // of the same joins and ends in another order. Cause: owners kept from step to step.
+    // Guards against owners that depend on the order in which joins and ends were heard.
     const random = createRandom(4);
     let stepped = applyDuties(createDutyState('i0'), DUTIES).state;
     for (let round = 0; round < 50; round++) {
--- a/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
@@ -43,8 +43,7 @@
   });
 
   it('never makes a load younger than it is, over many hops', () => {
-    // Symptom: a stale load is taken for fresh and requests pile up on one engine. Sequence: a value is
-    // passed on from one to the next, each rounding its age. Cause: ages rounded down.
+    // Guards against ages that are rounded down at each hop, so that a stale load looks fresh.
     const random = createRandom(1);
     for (let age = 0; age < 700_000; age += 37) {
       const back = decodeAge(encodeAge(age));
--- a/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
@@ -61,8 +61,7 @@
   });
 
   it('sees a crash within seconds, on every other instance, and calls none other dead', () => {
-    // Symptom: work goes to an instance that is gone. Sequence: a process ends without a word.
-    // Cause: nobody notices silence.
+    // Guards against an instance that ends without a word, and whose silence nobody notices.
     for (const [seed, size] of [
       [3, 7],
       [4, 40],
@@ -79,8 +78,7 @@
   });
 
   it('is quicker when connections break, but condemns nobody for that alone', () => {
-    // Symptom: a switch resets all connections and live instances vanish. Sequence: connections break,
-    // the processes live. Cause: a broken connection taken for proof.
+    // Guards against a broken connection that is taken for proof of death.
     const { fleet, seen } = createSettled({ seed: 14, domainSizes: [20] });
     fleet.getInstances().forEach(({ membership }) => {
       fleet.getInstances().forEach(({ listed }) => membership.reportConnectionLost(listed.id));
@@ -96,8 +94,7 @@
   });
 
   it('declares nobody dead at 20% loss while instances pause for two seconds', () => {
-    // Symptom: live instances lose their duties again and again. Sequence: messages are lost while the
-    // loop of a member, or of its prober, stands still for seconds. Cause: silence taken for death.
+    // Guards against silence that is taken for death while messages are lost and loops stand still.
     for (const size of [7, 20]) {
       const { fleet, seen } = createSettled({ seed: size, domainSizes: [size] });
       fleet.setLoss(0.2);
@@ -111,9 +108,7 @@
   });
 
   it('does not condemn others after a long pause of its own, and is taken back', () => {
-    // Symptom: an instance that was stopped for a minute wakes and declares its domain dead. Sequence:
-    // its timers fire before the answers that wait in its sockets are read. Cause: time that passed
-    // for the clock but not for the process.
+    // Guards against an instance that wakes and declares its domain dead, since its timers fire before it reads.
     const { fleet, seen } = createSettled({ seed: 5, domainSizes: [12] });
     fleet.pause('d0-i0', 60_000);
     fleet.advance(59_000);
@@ -140,8 +135,7 @@
   });
 
   it('keeps both halves of a cut domain going and merges them without a wave of deaths', () => {
-    // Symptom: after a partition heals, live members vanish for seconds. Sequence: each half brings the
-    // death list of the other, and its members take it at its word. Cause: hearsay that outranks sight.
+    // Guards against a list of deaths from the other half that outranks what was seen.
     const { fleet, seen } = createSettled({ seed: 6, domainSizes: [20] });
     const isLeft = (id: string) => Number(id.slice(4)) < 10;
     fleet.setCut((from, to) => isLeft(from.id) === isLeft(to.id));
@@ -168,9 +162,7 @@
   });
 
   it('merges a cut domain whose members were all restarted meanwhile, with the list down', () => {
-    // Symptom: two sides that never meet again. Sequence: a domain is cut off, its instances restart at
-    // their addresses with clocks set back, the platform's list cannot be read, the cut heals.
-    // Cause: both sides hold only old incarnations of the other.
+    // Guards against two sides that hold only old incarnations of each other, and never meet again.
     const { fleet } = createSettled({ seed: 8, domainSizes: [5, 5] });
     fleet.setCut((from, to) => from.domain === to.domain);
     fleet.advance(20_000);
@@ -204,9 +196,7 @@
   });
 
   it('follows the replacement of half the fleet while messages are lost', () => {
-    // Symptom: views that never settle after a release. Sequence: half of the instances end and as many
-    // with other names start within a minute, at 10% loss, with a list that is 20 s old.
-    // Cause: changes that crowd each other out of the messages.
+    // Guards against changes that crowd each other out of the messages while half of the fleet is replaced.
     const { fleet, seen } = createSettled({ seed: 10, domainSizes: [12, 12], listLag: 20_000 });
     fleet.setLoss(0.1);
     for (let number = 0; number < 12; number += 2) {
@@ -226,8 +216,7 @@
   });
 
   it('does not bring a dead member back by old news', () => {
-    // Symptom: a dead instance is live again in part of the fleet. Sequence: a member sees the death,
-    // then a delayed message says that the dead one is well. Cause: old word taken for new.
+    // Guards against delayed news that brings a dead instance back.
     const { fleet, seen } = createSettled({ seed: 11, domainSizes: [8] });
     const record = fleet.get('d0-i7').membership.getState().self;
     const teller = fleet.get('d0-i6').membership.getState().self;
@@ -264,8 +253,7 @@
   });
 
   it('costs an instance the same however many instances the other domains have', () => {
-    // Symptom: control traffic that grows with the fleet until it takes the room of requests. Sequence:
-    // other domains grow. Cause: work done for each instance of the fleet, not of the own domain.
+    // Guards against control traffic that grows with the instances of other domains.
     const costs = [
       [12, 12, 12],
       [12, 40, 40],
--- a/packages/requests/src/__tests__/unit/RequestAdmission.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestAdmission.test.ts
@@ -66,9 +66,7 @@
 
 describe('RequestAdmission', () => {
   it('keeps goodput at three times the bound within 5% of goodput at the bound', () => {
-    // Symptom: the more is asked, the less is answered in time.
-    // Sequence: three times as many requests come as the engines can run.
-    // Cause: queuing what will be past its deadline once it runs.
+    // Guards against a queue of requests that will be past their deadlines once they run.
     const atBound = createGate();
     atBound.sendEvery(DURATION / SLOTS, { team: 't' });
     atBound.timers.advanceTo(60_000);
@@ -80,9 +78,7 @@
   });
 
   it('answers at once whom it gives up on, with a time to come back', () => {
-    // Symptom: a caller waits for its whole deadline to hear that it was never going to run.
-    // Sequence: the queue is longer than the caller's time.
-    // Cause: looking at the deadline only when it has passed.
+    // Guards against a caller that waits out its deadline to hear that it was never going to run.
     const gate = createGate();
     gate.sendEvery(DURATION / SLOTS / 3, { team: 't' });
     gate.timers.advanceTo(10_000);
@@ -94,9 +90,7 @@
   });
 
   it('lets a flooding team take nothing from the share of another', () => {
-    // Symptom: one team's batch job makes every parent's question time out.
-    // Sequence: a team sends ten times the bound; another sends two fifths of it.
-    // Cause: one queue for all, in order of arrival.
+    // Guards against one team's flood that makes the requests of all others time out.
     const gate = createGate();
     gate.sendEvery(DURATION / SLOTS / 10, { team: 'flood', patience: 8000 });
     gate.timers.advanceTo(5000);
@@ -110,9 +104,7 @@
   });
 
   it('refuses the lower priority first', () => {
-    // Symptom: a truck waits for a quote behind a hundred bulletins.
-    // Sequence: a team fills its queue with low requests, then urgent ones come.
-    // Cause: a full queue that refuses whoever comes last.
+    // Guards against an urgent request that waits behind a full queue of lesser ones.
     const gate = createGate(10);
     for (let i = 0; i < SLOTS + 10; i++) {
       gate.send({ team: 't', priority: 'low' });
@@ -126,9 +118,7 @@
   });
 
   it('admits no more than the KV memory holds, but always one', () => {
-    // Symptom: engines refuse what was admitted, or evict the cache of what runs.
-    // Sequence: long prompts come; slots are free, memory is not.
-    // Cause: counting requests and not what they hold.
+    // Guards against requests that are counted by slots alone, and evict each other from the KV cache.
     const running: string[] = [];
     const admission = createAdmission(
       {
@@ -157,9 +147,7 @@
   });
 
   it('lowers its limit while tokens come late, and raises it again', () => {
-    // Symptom: every answer crawls, and none is refused.
-    // Sequence: half of the engines are lost; the rest serve twice the work, each token twice as late.
-    // Cause: a limit that is set once.
+    // Guards against a limit that is set once: half of the engines are lost, every answer is late, none is refused.
     const gate = createGate();
     const before = gate.admission.getLimit();
     gate.timers.registerInterval(20, () => {
--- a/packages/requests/src/__tests__/unit/RequestBudget.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestBudget.test.ts
@@ -14,9 +14,7 @@
 
 describe('RequestBudget', () => {
   it('keeps repeats within share and burst in any ten seconds', () => {
-    // Symptom: a service gets more repeats in some window than the fleet may cause.
-    // Sequence: bursts of failures at any times. Cause: a bucket that fills up by itself, or that
-    // counts first tries of an earlier window.
+    // Guards against a budget that fills up by itself, or counts first tries of an earlier window.
     const steps = fc.array(
       fc.record({ wait: fc.integer({ min: 0, max: 3000 }), isRetry: fc.boolean() }),
       { maxLength: 300 },
@@ -58,9 +56,7 @@
   });
 
   it('renews the burst no sooner than the window says', () => {
-    // Symptom: an outage of a minute is multiplied by far more than the share of repeats.
-    // Sequence: all engines refuse for a minute, and each request asks for a repeat.
-    // Cause: a window of ten seconds for a deployment that sets a longer one: six bursts instead of one.
+    // Guards against a burst that is renewed more often than the deployment's window says.
     const countRepeats = (window: number): number => {
       let budget = createRetryBudget({ share: 0, burst: 5, window });
       let repeats = 0;
--- a/packages/requests/src/__tests__/unit/RequestFull.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestFull.test.ts
@@ -30,11 +30,7 @@
 
 describe('Engines that are full', () => {
   it('tells a refused caller at once when to come back, however long it would wait', () => {
-    // Symptom: requests that an engine refused stand for two seconds and are refused then; some of their callers
-    // leave before, with nothing decided and no time to come back.
-    // Sequence: a full engine refuses; the retry budget is spent; the wait for it lasts as long as the caller's
-    // patience.
-    // Cause: the budget was waited for, though a caller that comes back takes nothing from it.
+    // Guards against a wait for the retry budget until the caller has left, whose next try would take nothing from it.
     for (let patience = 50; patience <= 2000; patience += 50) {
       const world = createWorldWithoutRetries();
       const heard = world.submit('r', { patience });
@@ -85,7 +81,7 @@
   });
 
   it('lends repeats first to callers that have a part of their answer', () => {
-    // Guards against a begun answer that stands still until its end, since requests that could go elsewhere take each repeat.
+    // Guards against a begun answer that stands still, since requests that could go elsewhere take each repeat.
     let burst = 0;
     const world = createWorldWithoutRetries({ getRetryBurst: () => burst });
     const heard = world.submit('begun', { patience: PATIENCE, breakAfter: PATIENCE });
@@ -107,10 +103,7 @@
   });
 
   it('breaks off no answer that stands still while planned work goes on', () => {
-    // Symptom: beside a change of the configuration an answer of which two events had come is closed.
-    // Sequence: the change comes into force; the engines of the answer fall silent, as one of them is replaced; no
-    // other chain is whole; after 1.7 s the answer is broken off, so that its caller may go on elsewhere.
-    // Cause: answers that stand still were broken off at any time, also when planned work may be the cause.
+    // Guards against an answer that is broken off for standing still while planned work is the cause.
     for (const mayBreakOff of [true, false]) {
       const deps = { mayBreakOff: () => mayBreakOff };
       const world = createWorldWithoutRetries(deps);
@@ -125,9 +118,7 @@
   });
 
   it('keeps new requests off a full engine though answers that it runs go on', () => {
-    // Symptom: under a burst a quarter of all arrivals is refused, and the retry budget is spent on them.
-    // Sequence: an engine whose memory is full refuses a request; the answers that run there give tokens.
-    // Cause: any token was taken for a sign that the engine takes work again.
+    // Guards against a full engine that gets new requests, and refuses them, because the answers which it runs go on.
     const world = createWorldWithoutRetries();
     world.submit('running');
     const running = world.last();
--- a/packages/requests/src/__tests__/unit/RequestMachine.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestMachine.test.ts
@@ -78,8 +78,7 @@
 
 describe('RequestMachine', () => {
   it('runs on no more engines than it may, those that died under it not counted', () => {
-    // Symptom: a request ran on three engines of a route that allows two.
-    // Sequence: a chain falls silent, and so does the next. Cause: only tries without a token counted.
+    // Guards against silent attempts that don't count, so that a request runs on more engines than its route allows.
     const silent = (n: number): RequestEvent => ({
       kind: 'failure',
       attempt: n,
@@ -161,9 +160,7 @@
   });
 
   it('runs non-idempotent work again only after a proof that it has not run', () => {
-    // Symptom: a receipt is written twice.
-    // Sequence: the connection breaks after the request was sent, and it is sent once more.
-    // Cause: taking "no answer" for "not run".
+    // Guards against "no answer" that is taken for "not run", and a receipt that is written twice.
     const start: RequestEvent[] = [
       { kind: 'admitted' },
       { kind: 'chosen', chain, importFrom: [], limits },
@@ -181,9 +178,7 @@
   });
 
   it('believes what it saw over an engine that says it did not run', () => {
-    // Symptom: a caller is told "not run", sends its request again, and it runs twice.
-    // Sequence: an engine acknowledges, gives a token, restarts, and says that it knows of nothing.
-    // Cause: passing the engine's word on although a frame of the attempt had come before it.
+    // Guards against an engine's word that it did not run, passed on although a token of the attempt had come.
     const failure = createFailure({ place: FailurePlace.Refused, provenNotRun: true });
     const saw = (acknowledged: boolean, tokens: number) =>
       classifyFailure(failure, { acknowledged, tokens, ended: false });
@@ -193,9 +188,7 @@
   });
 
   it('never forgets that an earlier attempt may have run', () => {
-    // Symptom: "not run" for work that ran.
-    // Sequence: the first attempt fails unknown, the second is refused and proven not to have run.
-    // Cause: telling the caller of the last attempt only.
+    // Guards against a caller that is told of its last attempt only, when an earlier one may have run.
     const { effects } = run(true, [
       { kind: 'admitted' },
       { kind: 'chosen', chain, importFrom: [], limits },
@@ -222,9 +215,7 @@
   });
 
   it('gives a stream another chance after the process itself was paused', () => {
-    // Symptom: after a pause of the process every stream is recovered at once.
-    // Sequence: the process sleeps for seconds; its timers fire before the frames are read.
-    // Cause: taking our own sleep for the engines' silence.
+    // Guards against a sleep of our own that is taken for the silence of all engines.
     const { machine } = run(true, [
       { kind: 'admitted' },
       { kind: 'chosen', chain, importFrom: [], limits },
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -41,9 +41,7 @@
   });
 
   it('clears an honest request that happened to be there twice', () => {
-    // Symptom: a parent's first question is refused as harmful.
-    // Sequence: it shares two engines with a poison request; both crash; then each runs alone.
-    // Cause: counting crashes without asking who else was at both.
+    // Guards against an honest request that is refused since it shared two engines with one that crashes them.
     let state = crash(createPoisonState(2), ['poison', 'honest'], 'x', 0);
     state = crash(state, ['poison', 'honest'], 'y', 60_000);
     expect(judgeRequest(state, 'honest', 61_000)).to.equal(PoisonVerdict.Ambiguous);
@@ -53,9 +51,7 @@
   });
 
   it('waits for what other instances saw before it condemns', () => {
-    // Symptom: bystanders of a poison request are refused, at the instances that did not run it.
-    // Sequence: two engines crash; here only a bystander was on both, the poison request ran elsewhere.
-    // Cause: judging by one instance's list of suspects.
+    // Guards against a verdict by one instance's list of suspects, which condemns a bystander.
     const seen = crash(
       crash(createPoisonState(2), ['bystander'], 'x', 0),
       ['bystander'],
@@ -70,9 +66,7 @@
   });
 
   it('counts no broken link and no lost rack against a request', () => {
-    // Symptom: honest requests are refused after an outage.
-    // Sequence: a link breaks twice; a rack goes, and the recovery lands on its second engine.
-    // Cause: taking each broken stream for the work of what ran on it.
+    // Guards against broken links and lost racks that are counted as crashes against what ran there.
     let state = crash(createPoisonState(2), ['honest'], 'x', 0);
     state = crash(state, ['honest'], 'y', 60_000);
     state = noteAlive(state, createCrashId('x', 'boot', false));
@@ -121,9 +115,7 @@
   });
 
   it('does not take engines that leave for engines that crash', () => {
-    // Symptom: an answer is broken off as one that crashes engines, while engines are replaced in series.
-    // Sequence: its engine leaves and ends its streams; the next one, too, within a second.
-    // Cause: a stream that ended was a crash of its engine, whatever that had said before.
+    // Guards against a request that is refused as one that crashes engines, since two were replaced under it.
     const leaving = new Set(['a1', 'a2']);
     const world = createFakeWorld({ isEnding: (engine) => leaving.has(engine) });
     const heard = world.submit('r');
@@ -142,9 +134,7 @@
   });
 
   it('stops at the second engine, there and at the instance that its caller turns to', () => {
-    // Symptom: one request takes the whole fleet down, engine by engine.
-    // Sequence: it crashes its engine, is recovered, crashes the next; its caller sends it again.
-    // Cause: recovery that never asks what it recovers.
+    // Guards against a request that crashes one engine after the other, recovered on the next each time.
     const world = createFakeWorld();
     const heard = world.submit('r', { prompt: 'poison' });
     const bystander = world.submit('b');
--- a/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRecovery.test.ts
@@ -12,9 +12,7 @@
 
 describe('Recovery of an answer that broke off', () => {
   it('goes on after the last token on a chain with only the dead stage replaced', () => {
-    // Symptom: an answer stops in mid-sentence, or begins again from its first word.
-    // Sequence: the second stage dies after five tokens; a late frame of the dead attempt follows.
-    // Cause: an attempt that is started anew, or frames that are not tied to their attempt.
+    // Guards against an answer that begins anew after a stage died, or takes a late frame of the dead attempt.
     const world = createFakeWorld();
     const heard = world.submit('r');
     const first = world.last();
@@ -35,9 +33,7 @@
   });
 
   it('finds a hung stage by silence and blames only the stage that no other stream clears', () => {
-    // Symptom: a stream stands still for the whole timeout, and then its healthy stages are ejected.
-    // Sequence: b1 hangs without an error; a stream over a1 and b2 goes on.
-    // Cause: waiting for a fixed timeout; blaming the whole chain for one stage.
+    // Guards against a hung stage that is found by a fixed timeout, and blamed on the whole chain.
     const world = createFakeWorld();
     const hung = world.submit('hung');
     const call = world.last();
@@ -65,9 +61,7 @@
   });
 
   it('finds soon that the way to all engines of a chain is cut', () => {
-    // Symptom: streams into a domain that was cut off stand still for more than a second.
-    // Sequence: nothing comes through either engine of a chain; a stream over other engines goes on.
-    // Cause: silence of a whole chain was always borne as if a slow link might be the cause.
+    // Guards against silence of a whole chain that is borne as if a slow link were the cause.
     const links = { notePaces: () => undefined, isSlow: () => false };
     const world = createFakeWorld({ links });
     world.submit('cut');
@@ -89,9 +83,7 @@
   });
 
   it('bears silence on a slow link, but not for ever', () => {
-    // Symptom: a slow link gets slower still, since every answer on it is read again and again.
-    // Sequence: a stream is silent for a few gaps while its link is known to be slow.
-    // Cause: silence is taken for a failed engine, and the prompt crosses the same link once more.
+    // Guards against prompts that are read again across a slow link, and make it slower.
     const links = { notePaces: () => undefined, isSlow: () => true };
     const world = createFakeWorld({ links });
     world.submit('r');
@@ -105,9 +97,7 @@
   });
 
   it('tells the paces of begun streams, but none after a pause of its own', () => {
-    // Symptom: after a pause of the instance every link is held to be slow, and all work is refused.
-    // Sequence: a stream gives a token each 20 ms; then the whole process sleeps for a second.
-    // Cause: the time that we slept is counted as silence of the streams.
+    // Guards against a sleep of our own that is counted as silence of the streams, and slows all links.
     const told: number[][] = [];
     const clock = createVirtualTimers();
     let slept = 0;
@@ -136,9 +126,7 @@
   });
 
   it('bears a replacement that dies too, and a third that refuses', () => {
-    // Symptom: an answer is lost although engines that could finish it are left.
-    // Sequence: b1 dies after tokens, b2 is dead when it is asked, a1 refuses once with a wait.
-    // Cause: recovering once only, or asking the engine again before the wait it named.
+    // Guards against an answer that is recovered once only, or asks an engine again before the wait that it named.
     const world = createFakeWorld();
     const heard = world.submit('r');
     acknowledge(world.last());
@@ -174,9 +162,7 @@
   });
 
   it('recovers those who have waited longest first, and only so many at once', () => {
-    // Symptom: after a rack is lost, the answers on the engines that are left stop as well.
-    // Sequence: twenty streams lose their engine within a second.
-    // Cause: all of them read their prompts again at the same time.
+    // Guards against twenty prompts that are read again at once, and stop the answers on the engines that are left.
     const world = createFakeWorld();
     for (let i = 0; i < 20; i++) {
       world.submit(`r${i}`);
@@ -199,9 +185,7 @@
   });
 
   it('never passes off a cut or miscounted answer as complete', () => {
-    // Symptom: a statement without its last line, shown as whole.
-    // Sequence: an end frame counts a token that never came; then an index jumps over one.
-    // Cause: trusting the end of a stream, or gluing what came over a gap.
+    // Guards against an answer that is passed off as whole though its count, or an index, doesn't fit.
     const world = createFakeWorld();
     const heard = world.submit('r');
     acknowledge(world.last());
@@ -219,9 +203,7 @@
   });
 
   it('gives no token of an engine that acknowledges another chain', () => {
-    // Symptom: an answer from the wrong version of a model.
-    // Sequence: the engine was given a new version after the choice; it acknowledges that one.
-    // Cause: an acknowledgement that nobody compares with what was asked for.
+    // Guards against an acknowledgement of another chain that nobody compares with what was asked for.
     const world = createFakeWorld();
     const heard = world.submit('r');
     const wrong = world.last();
@@ -240,9 +222,7 @@
   });
 
   it('moves a stream that has become slow', () => {
-    // Symptom: one answer crawls for minutes while its neighbours are done in seconds.
-    // Sequence: an engine's accelerator throttles; each token comes, ten times as late.
-    // Cause: every single gap is below the limit of silence, so nothing is ever silent.
+    // Guards against a throttled engine whose gaps are all below the limit of silence.
     const world = createFakeWorld();
     world.submit('slow', { maxTokens: 400 });
     const slow = world.last();
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -86,9 +86,7 @@
   });
 
   it('gives a resend the answer that is held though no time is left to run it', async () => {
-    // Symptom: "overloaded, not run" to the resend of a bulletin that was sent out.
-    // Sequence: the bulletin is answered; its caller loses the answer and asks again just before its
-    // deadline. Cause: admission weighed the time that a run would need before the claim was looked at.
+    // Guards against a resend that is refused for want of time though its answer is held.
     const world = createFakeWorld();
     world.submit('r0');
     acknowledge(world.last());
@@ -109,9 +107,7 @@
   });
 
   it('gives back a claim that is granted after its request was given up', async () => {
-    // Symptom: a resend is told "unknown" of work that never ran, for as long as claims are kept.
-    // Sequence: the caller hangs up while the platform is slow; then the claim is granted.
-    // Cause: a granted claim that nobody is waiting for any more.
+    // Guards against a claim that is granted after its request was given up, and held by nobody.
     const world = createFakeWorld();
     const heard = world.submit('r', KEYED);
     heard.handle.cancel();
@@ -122,9 +118,7 @@
   });
 
   it('finishes keyed work whose caller hung up, for the resend to find', async () => {
-    // Symptom: a bulletin is neither finished nor repeatable.
-    // Sequence: the caller's connection breaks in the middle of the stream; it asks again.
-    // Cause: ending work that may not be started a second time.
+    // Guards against keyed work that ends with its caller's connection, and may not be started again.
     const world = createFakeWorld();
     const heard = world.submit('r', KEYED);
     await answerClaim(world, { kind: 'granted', token: 'c' });
@@ -145,9 +139,7 @@
   });
 
   it('bounds retries to a share of first tries while every engine refuses', () => {
-    // Symptom: an outage is followed by a longer one, of retries.
-    // Sequence: all engines refuse for a minute; 300 requests come.
-    // Cause: each request retrying as if it were alone.
+    // Guards against an outage that is followed by a longer one, of retries.
     const world = createFakeWorld();
     for (let i = 0; i < 300; i++) {
       world.submit(`r${i}`);
@@ -211,9 +203,7 @@
   });
 
   it('repeats calls to plain services only where that is harmless', () => {
-    // Symptom: an account is opened twice.
-    // Sequence: the connection to a service breaks after a POST was sent.
-    // Cause: one rule of retries for all methods.
+    // Guards against a call that may not be repeated, sent once more after its connection broke.
     const world = createFakeWorld();
     const broken = createFailure({ place: FailurePlace.Stream });
     const post = callService(world, 'p');
@@ -254,8 +244,7 @@
   });
 
   it('sends an idempotent call to another server when one stays silent, and no other call', () => {
-    // Symptom: a look-up hears nothing until its deadline though two other servers are idle.
-    // Sequence: a server runs the call and its answer is lost. Cause: only answers and resets count.
+    // Guards against an idempotent call that waits for a silent server until its deadline, though others are idle.
     const world = createFakeWorld();
     const safe = callService(world, 'safe', {
       idempotent: true,
--- a/packages/requests/src/__tests__/unit/StageRefusal.test.ts
+++ b/packages/requests/src/__tests__/unit/StageRefusal.test.ts
@@ -11,10 +11,7 @@
 };
 
 describe('RequestFailures', () => {
-  // Symptom: for seconds after a change of version every request was refused as "no capacity".
-  // Sequence: an engine loads v2; an instance that has not heard of it sends it a v1 request as the
-  // second stage; it answers 409; the only chain of v2 needs that engine.
-  // Cause: a refusal passed on by the stage before was taken for the engine's death.
+  // Guards against a stage that refused, taken for dead: the only chain of a new version is kept off for seconds.
   it('tells a stage that refused from one that died', () => {
     const refused = { ...STAGE_FAILURE, status: 409 };
     expect(isStageRefusal(refused)).to.equal(true);
