Leave no timer behind when all requests have ended in a planned stop

What callers and operators saw: a daemon that was told to stop wrote "stopped" after a second, and its process stayed for the rest of its grace: 20 s in the stack, a minute as shipped, for each instance of a rolling restart, whether or not a connection was open. Cause: the timer for the grace's end in router.drain was never undone, and holds the process. Test: "leaves no timer behind when it has drained" fails without the change.

--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -203,12 +203,15 @@
     },
     drain(limit) {
       isDraining = true;
-      timers.registerTimeout(limit, () => {
+      const undoLimit = timers.registerTimeout(limit, () => {
         [...shared.runs.values()].forEach((run) => run.reachDrainLimit());
         [...serviceRuns.values()].forEach((run) => run.reachDrainLimit());
       });
       return new Promise((resolve) => {
-        drained.push(resolve);
+        drained.push(() => {
+          undoLimit();
+          resolve();
+        });
         resolveDrained();
       });
     },
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -174,6 +174,19 @@
     ]);
   });
 
+  it('leaves no timer behind when it has drained', async () => {
+    // Guards against a process that stays for the rest of its grace after its last answer, though it has stopped.
+    const world = createFakeWorld();
+    world.submit('r');
+    const drained = world.router.drain(5000);
+    acknowledge(world.last());
+    giveTokens(world, world.last(), 0, 3);
+    world.last().listener.onEnd('stop', 3);
+    world.timers.advanceTo(world.timers.now() + 500);
+    await drained;
+    expect(world.timers.countPending()).to.equal(0);
+  });
+
   it('cuts nothing off in a planned stop, and tells the truth at the grace limit', async () => {
     const world = createFakeWorld();
     const finishing = world.submit('f');
