Undo the look at left-over segments when the owner of claims is stopped

What callers and operators saw: a daemon that had carried out a call with a key stayed for half a minute after it had stopped. Cause: the look at left-over segments, 30 s after a slot was taken, was never undone, and holds the process. Test: "leaves no timer behind when it is stopped" fails without the change (one timer was left). 15 passing in its file.

--- a/packages/claims/src/ClaimOwner.ts
+++ b/packages/claims/src/ClaimOwner.ts
@@ -55,6 +55,7 @@
   state: ClaimSlotState;
   readonly replies: Map<string, ((reply: SlotReply) => void)[]>;
   cancelWake: Unregister;
+  cancelCollect: Unregister;
 }
 
 /** Creates the owner of no slots. */
@@ -74,6 +75,7 @@
       state: createClaimSlot(slot, processName, settings),
       replies: new Map(),
       cancelWake: () => undefined,
+      cancelCollect: () => undefined,
     };
     running.set(slot, created);
     return created;
@@ -88,7 +90,8 @@
     const step = stepSlot(target.state, event, { now: timers.now(), wall: wallClock() });
     target.state = step.state;
     if (!wasHeld && step.state.phase === SlotPhase.Held) {
-      timers.registerTimeout(COLLECT_AFTER_MS, () => {
+      target.cancelCollect();
+      target.cancelCollect = timers.registerTimeout(COLLECT_AFTER_MS, () => {
         void collect(target);
       });
     }
@@ -191,6 +194,7 @@
       stopped = true;
       for (const target of running.values()) {
         target.cancelWake();
+        target.cancelCollect();
         [...target.replies.keys()].forEach((askId) =>
           answer(target, askId, { kind: 'not-owner', owner: '' }),
         );
--- a/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimFaults.test.ts
@@ -75,6 +75,15 @@
 }
 
 describe('claims under faults', () => {
+  it('leaves no timer behind when it is stopped', async () => {
+    // Guards against a process that stays for half a minute after its stop, for a look at left-over segments.
+    const { timers, instances, owner, claim } = createStand();
+    await waitFor(timers, claim(owner, 'k'));
+    instances.forEach((instance) => instance.owner.stop());
+    await timers.advanceToAsync(timers.now() + 5000);
+    expect(timers.countPending()).to.equal(0);
+  });
+
   it('tells a resend to another instance what became of the first', async () => {
     // Symptom: a statement is sent twice. Sequence: the caller loses its connection and resends its
     // key, through the balancer, to another instance. Cause: a claim known to one instance only.
