Add a soak of real processes under seeded faults

Cause: the demo found a daemon that ends after a pause of its own only by chance, and nothing kept clients on open connections through stops, kills, pauses and changes that overlap. Change: npm run soak. The demo's callers tell what a refusal says and take a connection.

--- /dev/null
+++ b/packages/bench/bin/soak.mjs
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runSoakCommand } from '../dist/SoakMain.js';
+
+process.exitCode = await runSoakCommand(process.argv);
--- a/packages/bench/src/DemoCallers.ts
+++ b/packages/bench/src/DemoCallers.ts
@@ -1,4 +1,5 @@
 /** Callers of the demo: each sends one request and records what it got, checked against what is right. */
+import type { Dispatcher } from 'undici';
 import { request } from 'undici';
 import { computeAnswer, renderPrompt } from '@skylarksail/stand-ins/StandInModel';
 
@@ -10,6 +11,8 @@
   readonly detail: string;
   readonly tokens: number;
   readonly requestId: string;
+  /** What a refusal says of whether the request ran; null where there is none. */
+  readonly run: string | null;
   /** Longest pause between two tokens. */
   readonly longestPauseMs: number;
 }
@@ -20,6 +23,8 @@
   readonly key: string;
   readonly content: string;
   readonly maxTokens: number;
+  /** Connection to use; a shared pool if left out. */
+  readonly dispatcher?: Dispatcher;
   /** Called after each token with the number so far, and with the token. */
   readonly onToken?: (count: number, token: string) => void;
 }
@@ -50,6 +55,7 @@
     detail,
     tokens,
     requestId,
+    run: problem?.run ?? null,
     longestPauseMs: Math.round(longestPauseMs),
   });
 
@@ -85,10 +91,12 @@
       method: 'POST',
       headers: createHeaders(call.key),
       body: JSON.stringify(createBody(call, true)),
+      ...(call.dispatcher && { dispatcher: call.dispatcher }),
     });
     requestId = String(res.headers['x-request-id'] ?? '');
     if (res.statusCode !== STATUS_OK) {
-      return describe('refused', describeProblem((await res.body.json()) as ProblemShape));
+      problem = (await res.body.json()) as ProblemShape;
+      return describe('refused', describeProblem(problem));
     }
     let rest = '';
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
@@ -118,6 +126,7 @@
     detail,
     tokens: 0,
     requestId: String(res.headers['x-request-id'] ?? ''),
+    run: null,
     longestPauseMs: 0,
   });
   const body = (await res.body.json()) as ProblemShape & {
@@ -163,26 +172,44 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly idempotencyKey?: string;
+  /** Connection to use; a shared pool if left out. */
+  readonly dispatcher?: Dispatcher;
 }
 
 /** Calls a plain service. */
 export async function callService(call: ServiceCallAsk): Promise<CallerRecord> {
-  const res = await request(`${call.callers}/services/accounts${call.path}`, {
-    method: call.method,
-    headers: {
-      ...createHeaders(call.key),
-      ...(call.idempotencyKey === undefined ? {} : { 'idempotency-key': call.idempotencyKey }),
-    },
-    ...(call.method === 'POST' ? { body: '{"amount":5}' } : {}),
-  });
-  const text = await res.body.text();
-  const isAnswered = res.statusCode === STATUS_OK;
-  return {
+  let requestId = '';
+  const describe = (
+    outcome: CallerRecord['outcome'],
+    detail: string,
+    run: string | null = null,
+  ): CallerRecord => ({
     what: call.what,
-    outcome: isAnswered ? 'answered' : 'refused',
-    detail: isAnswered ? text : describeProblem(JSON.parse(text) as ProblemShape),
+    outcome,
+    detail,
     tokens: 0,
-    requestId: String(res.headers['x-request-id'] ?? ''),
+    requestId,
+    run,
     longestPauseMs: 0,
-  };
+  });
+  try {
+    const res = await request(`${call.callers}/services/accounts${call.path}`, {
+      method: call.method,
+      headers: {
+        ...createHeaders(call.key),
+        ...(call.idempotencyKey === undefined ? {} : { 'idempotency-key': call.idempotencyKey }),
+      },
+      ...(call.method === 'POST' ? { body: '{"amount":5}' } : {}),
+      ...(call.dispatcher && { dispatcher: call.dispatcher }),
+    });
+    requestId = String(res.headers['x-request-id'] ?? '');
+    const text = await res.body.text();
+    if (res.statusCode === STATUS_OK) {
+      return describe('answered', text);
+    }
+    const problem = JSON.parse(text) as ProblemShape;
+    return describe('refused', describeProblem(problem), problem.run ?? null);
+  } catch (err) {
+    return describe('cut off', (err as Error).message);
+  }
 }
--- /dev/null
+++ b/packages/bench/src/SoakMain.ts
@@ -0,0 +1,36 @@
+/** `npm run soak`: plays seeds one after the other; one JSON line each, and how many were broken. */
+import { Command, InvalidArgumentError } from 'commander';
+import { runSoak } from './SoakRun.js';
+
+const MILLIS_PER_SECOND = 1000;
+
+function parseCount(text: string): number {
+  const count = Number(text);
+  if (!Number.isSafeInteger(count) || count < 1) {
+    throw new InvalidArgumentError('a whole number above 0');
+  }
+  return count;
+}
+
+/** Runs the command; gives the exit code, 0 only if nothing was broken. */
+export async function runSoakCommand(argv: readonly string[]): Promise<number> {
+  const { seed, seeds, seconds, daemons } = new Command('soak')
+    .description(
+      'Real processes on loopback under seeded faults; checks what callers were promised.',
+    )
+    .option('--seeds <n>', 'seeds to play', parseCount, 1)
+    .option('--seed <n>', 'the first of them', parseCount, 1)
+    .option('--seconds <n>', 'time for which callers send, each seed', parseCount, 20)
+    .option('--daemons <n>', 'daemons in each failure domain', parseCount, 1)
+    .parse([...argv])
+    .opts<{ seed: number; seeds: number; seconds: number; daemons: number }>();
+  let broken = 0;
+  for (let next = seed; next < seed + seeds; next += 1) {
+    const time = seconds * MILLIS_PER_SECOND;
+    const report = await runSoak({ seed: next, time, daemonsPerDomain: daemons });
+    broken += report.broken.length > 0 ? 1 : 0;
+    process.stdout.write(`${JSON.stringify(report)}\n`);
+  }
+  process.stdout.write(`soak: ${seeds} seeds, ${broken} broken\n`);
+  return broken === 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/bench/src/SoakRun.ts
@@ -0,0 +1,193 @@
+/** Plays one soak: a stack of real processes on loopback, callers, and faults from outside of the daemons. */
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { setTimeout as sleepFor } from 'node:timers/promises';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { LayerPass, ServiceEffect } from '@skylarksail/stand-ins/StandInLedger';
+import { request } from 'undici';
+import { runSoakCaller } from './SoakCallers.js';
+import type { SoakDaemons } from './SoakDaemons.js';
+import { createSoakDaemons } from './SoakDaemons.js';
+import type { SoakRecord, SoakRevisions } from './SoakJudge.js';
+import { judgeSoak, SoakOutcome } from './SoakJudge.js';
+import type { SoakFault, SoakOptions } from './SoakPlan.js';
+import { planSoak, SoakFaultKind } from './SoakPlan.js';
+import type { Stack } from './StackLauncher.js';
+import { launchStack } from './StackLauncher.js';
+import { planManifest } from './StackPlan.js';
+
+/** The line of a seed. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly processes: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly ended: number;
+  readonly faults: number;
+  readonly changes: number;
+  readonly broken: readonly string[];
+  /** Where the daemons' logs are, if something is broken. */
+  readonly logs?: string;
+}
+
+/** Time after the last fault in which daemons settle, before they are asked and stopped. */
+const SETTLE_TIME: Millis = 6000;
+const ASK_PERIOD: Millis = 500;
+const GRACE: Millis = 20_000;
+const SLOW_FACTOR = 8;
+const SLOW_CALL: Millis = 300;
+const QUEUE_LIMIT = 256;
+
+async function sleep(time: Millis): Promise<void> {
+  await sleepFor(time);
+}
+
+/** Plays the soak of a seed. Logs are kept if something is broken. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const plan = planSoak(options);
+  const stack = await launchStack(plan.size);
+  const start = performance.now();
+  const now = (): Millis => performance.now() - start;
+  const daemons = createSoakDaemons(stack, now, sleep);
+  const records: SoakRecord[] = [];
+  const told: SoakRevisions['told'][number][] = [];
+  const changes = createChanges(stack, plan.size);
+  let isAsking = true;
+  let broken: readonly string[] = [];
+
+  async function askRevisions(): Promise<void> {
+    while (isAsking) {
+      told.push(...(await daemons.readRevisions()));
+      await sleep(ASK_PERIOD);
+    }
+  }
+
+  try {
+    const asking = askRevisions();
+    const callers = Array.from({ length: plan.callers }, (_, i) =>
+      runSoakCaller({
+        name: `caller-${i}`,
+        random: createRandom(options.seed * 1000 + i),
+        listLive: daemons.listLive,
+        now,
+        sleep,
+        isOver: () => now() >= options.time,
+        onRecord: (record) => records.push(record),
+      }),
+    );
+    const faults = plan.faults.map(async (fault) => {
+      await sleep(Math.max(0, fault.at - now()));
+      await carryOut(stack, daemons, changes.submit, fault);
+    });
+    await Promise.all([...callers, ...faults]);
+    await sleep(SETTLE_TIME);
+    isAsking = false;
+    await asking;
+    const last = await daemons.readRevisions();
+    const effects = await readLedgers<ServiceEffect>(stack.services);
+    const passes = await readLedgers<LayerPass>(stack.engines);
+    await daemons.stopAll();
+    broken = judgeSoak({
+      records,
+      lives: daemons.listLives(),
+      effects,
+      passes,
+      layers: plan.size.layers,
+      revisions: { told, last, accepted: changes.getNewest() },
+      grace: GRACE,
+    });
+  } finally {
+    await stack.stop(broken.length > 0);
+  }
+  const count = (outcome: string): number =>
+    records.filter((record) => record.outcome === outcome).length;
+  return {
+    seed: options.seed,
+    processes: daemons.listLives().length,
+    requests: records.length,
+    answered: count(SoakOutcome.Answered),
+    refused: count(SoakOutcome.Refused),
+    ended: count(SoakOutcome.Cut) + count(SoakOutcome.Unanswered),
+    faults: plan.faults.length,
+    changes: changes.getNewest() - 1,
+    broken,
+    ...(broken.length > 0 && { logs: stack.folder }),
+  };
+}
+
+/** Submits manifests that differ in one team's limit. */
+function createChanges(stack: Stack, size: Parameters<typeof planManifest>[0]) {
+  let submitted = 0;
+  let newest = 1;
+  return {
+    getNewest: () => newest,
+    async submit(): Promise<void> {
+      submitted += 1;
+      const manifest = planManifest(size);
+      const teams = manifest.teams?.map((team) => ({
+        ...team,
+        queueLimit: QUEUE_LIMIT + submitted,
+      }));
+      const path = join(stack.folder, `change-${submitted}.json`);
+      writeFileSync(path, JSON.stringify({ ...manifest, teams }));
+      const { output } = await stack.runCli(['manifest', 'submit', path]);
+      const [, revision = '0'] = /accepted as revision (\d+)/.exec(output) ?? [];
+      newest = Math.max(newest, Number(revision));
+    },
+  };
+}
+
+async function carryOut(
+  stack: Stack,
+  daemons: SoakDaemons,
+  change: () => Promise<void>,
+  { kind, time: ms, target }: SoakFault,
+): Promise<void> {
+  const engine = stack.engines[target % stack.engines.length]?.url ?? '';
+  const service = stack.services[target % stack.services.length]?.url ?? '';
+  switch (kind) {
+    case SoakFaultKind.EngineCrash:
+      return setFault(engine, { kind: 'crash', ms });
+    case SoakFaultKind.EngineHang:
+      return setFault(engine, { kind: 'hang', ms });
+    case SoakFaultKind.EngineSlow:
+      return setFault(engine, { kind: 'slow', ms, factor: SLOW_FACTOR });
+    case SoakFaultKind.ServiceLost:
+      return setFault(service, { kind: 'drop-answer', ms, count: 1 + (target % 3) });
+    case SoakFaultKind.PlatformOutage:
+      return setFault(stack.platform, { kind: 'outage', ms });
+    case SoakFaultKind.PlatformSlow:
+      return setFault(stack.platform, { kind: 'slow', ms, factor: SLOW_CALL });
+    case SoakFaultKind.PlatformLost:
+      return setFault(stack.platform, { kind: 'drop-answer', ms, count: 1 + (target % 3) });
+    case SoakFaultKind.DaemonPause:
+      return daemons.pause(target, ms);
+    case SoakFaultKind.DaemonStop:
+      return daemons.restart(target, 'SIGTERM', ms);
+    case SoakFaultKind.DaemonKill:
+      return daemons.restart(target, 'SIGKILL', ms);
+    default:
+      return change();
+  }
+}
+
+async function setFault(url: string, fault: Readonly<Record<string, unknown>>): Promise<void> {
+  const res = await request(`${url}/faults`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(fault),
+  });
+  await res.body.dump();
+}
+
+async function readLedgers<T>(servers: readonly { readonly url: string }[]): Promise<readonly T[]> {
+  const ledgers = await Promise.all(
+    servers.map(async ({ url }) => {
+      const res = await request(`${url}/ledger`);
+      return ((await res.body.json()) as { entries: T[] }).entries;
+    }),
+  );
+  return ledgers.flat();
+}
--- a/packages/bench/src/StackLauncher.ts
+++ b/packages/bench/src/StackLauncher.ts
@@ -50,7 +50,8 @@
   readonly folder: string;
   /** Starts another daemon in a domain. */
   startDaemon(id: string, domain: string): Promise<StackDaemon>;
-  stop(): Promise<void>;
+  /** Ends all processes; the folder stays if `keepsFolder`. */
+  stop(keepsFolder?: boolean): Promise<void>;
 }
 
 const SECRETS = {
@@ -180,9 +181,11 @@
     return runCliProcess(['--server', servers, ...args], SECRETS);
   }
 
-  async function stop(): Promise<void> {
+  async function stop(keepsFolder = false): Promise<void> {
     await Promise.all(processes.map(({ kill }) => kill()));
-    rmSync(folder, { recursive: true, force: true });
+    if (!keepsFolder) {
+      rmSync(folder, { recursive: true, force: true });
+    }
   }
 
   try {
