--- a/packages/bench/src/SoakRun.ts
+++ b/packages/bench/src/SoakRun.ts
@@ -9,9 +9,9 @@
 import { runSoakCaller } from './SoakCallers.js';
 import type { SoakDaemons } from './SoakDaemons.js';
 import { createSoakDaemons } from './SoakDaemons.js';
-import type { SoakRecord, SoakRevisions } from './SoakJudge.js';
+import type { SoakEvidence, SoakRecord, SoakRevisions } from './SoakJudge.js';
 import { judgeSoak, SoakOutcome } from './SoakJudge.js';
-import type { SoakFault, SoakOptions } from './SoakPlan.js';
+import type { SoakFault, SoakOptions, SoakPlan } from './SoakPlan.js';
 import { planSoak, SoakFaultKind } from './SoakPlan.js';
 import type { Stack } from './StackLauncher.js';
 import { launchStack } from './StackLauncher.js';
@@ -48,14 +48,25 @@
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const plan = planSoak(options);
   const stack = await launchStack(plan.size);
+  let broken: readonly string[] = ['not played to its end'];
+  try {
+    const evidence = await playSoak(stack, plan, options);
+    broken = judgeSoak(evidence);
+    return createReport(options, plan, evidence, broken, stack.folder);
+  } finally {
+    await stack.stop(broken.length > 0);
+  }
+}
+
+/** Lets callers send while faults are carried out, then settles, asks and stops. */
+async function playSoak(stack: Stack, plan: SoakPlan, options: SoakOptions): Promise<SoakEvidence> {
   const start = performance.now();
   const now = (): Millis => performance.now() - start;
   const daemons = createSoakDaemons(stack, now, sleep);
+  const changes = createChanges(stack, plan.size);
   const records: SoakRecord[] = [];
   const told: SoakRevisions['told'][number][] = [];
-  const changes = createChanges(stack, plan.size);
   let isAsking = true;
-  let broken: readonly string[] = [];
 
   async function askRevisions(): Promise<void> {
     while (isAsking) {
@@ -64,56 +75,61 @@
     }
   }
 
-  try {
-    const asking = askRevisions();
-    const callers = Array.from({ length: plan.callers }, (_, i) =>
-      runSoakCaller({
-        name: `caller-${i}`,
-        random: createRandom(options.seed * 1000 + i),
-        listLive: daemons.listLive,
-        now,
-        sleep,
-        isOver: () => now() >= options.time,
-        onRecord: (record) => records.push(record),
-      }),
-    );
-    const faults = plan.faults.map(async (fault) => {
-      await sleep(Math.max(0, fault.at - now()));
-      await carryOut(stack, daemons, changes.submit, fault);
-    });
-    await Promise.all([...callers, ...faults]);
-    await sleep(SETTLE_TIME);
-    isAsking = false;
-    await asking;
-    const last = await daemons.readRevisions();
-    const effects = await readLedgers<ServiceEffect>(stack.services);
-    const passes = await readLedgers<LayerPass>(stack.engines);
-    await daemons.stopAll();
-    broken = judgeSoak({
-      records,
-      lives: daemons.listLives(),
-      effects,
-      passes,
-      layers: plan.size.layers,
-      revisions: { told, last, accepted: changes.getNewest() },
-      grace: GRACE,
-    });
-  } finally {
-    await stack.stop(broken.length > 0);
-  }
+  const asking = askRevisions();
+  const callers = Array.from({ length: plan.callers }, (_, i) =>
+    runSoakCaller({
+      name: `caller-${i}`,
+      random: createRandom(options.seed * 1000 + i),
+      listLive: daemons.listLive,
+      now,
+      sleep,
+      isOver: () => now() >= options.time,
+      onRecord: (record) => records.push(record),
+    }),
+  );
+  const faults = plan.faults.map(async (fault) => {
+    await sleep(Math.max(0, fault.at - now()));
+    await carryOut(stack, daemons, changes.submit, fault);
+  });
+  await Promise.all([...callers, ...faults]);
+  await sleep(SETTLE_TIME);
+  isAsking = false;
+  await asking;
+  const last = await daemons.readRevisions();
+  const effects = await readLedgers<ServiceEffect>(stack.services);
+  const passes = await readLedgers<LayerPass>(stack.engines);
+  await daemons.stopAll();
+  return {
+    records,
+    lives: daemons.listLives(),
+    effects,
+    passes,
+    layers: plan.size.layers,
+    revisions: { told, last, accepted: changes.getNewest() },
+    grace: GRACE,
+  };
+}
+
+function createReport(
+  { seed }: SoakOptions,
+  plan: SoakPlan,
+  { records, lives, revisions }: SoakEvidence,
+  broken: readonly string[],
+  folder: string,
+): SoakReport {
   const count = (outcome: string): number =>
     records.filter((record) => record.outcome === outcome).length;
   return {
-    seed: options.seed,
-    processes: daemons.listLives().length,
+    seed,
+    processes: lives.length,
     requests: records.length,
     answered: count(SoakOutcome.Answered),
     refused: count(SoakOutcome.Refused),
     ended: count(SoakOutcome.Cut) + count(SoakOutcome.Unanswered),
     faults: plan.faults.length,
-    changes: changes.getNewest() - 1,
+    changes: revisions.accepted - 1,
     broken,
-    ...(broken.length > 0 && { logs: stack.folder }),
+    ...(broken.length > 0 && { logs: folder }),
   };
 }
 
--- a/packages/membership/src/MembershipMachine.ts
+++ b/packages/membership/src/MembershipMachine.ts
@@ -94,7 +94,8 @@
   if (pause < LATE_TICKS * state.cfg.tick) {
     return state;
   }
-  // What came in before the late tick came after the pause, or in its course.
+  // News may have come in after the pause and before this tick. Moved into the future it would have a negative age,
+  // which cannot be told.
   const getShift = (at: Millis): Millis => Math.min(pause, now - at);
   const suspicions = new Map(
     [...state.suspicions].map(([id, one]) => {
--- a/packages/requests/src/RunQueue.ts
+++ b/packages/requests/src/RunQueue.ts
@@ -4,7 +4,7 @@
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { RouterShared } from './RouterShared.js';
 
-/** Part of the time left that a queue may take. */
+/** Part of the time until an answer must begin that a queue may take; the rest is for reading the prompt. */
 const WAIT_SHARE = 0.5;
 
 /** A request that was sent to an engine and has not begun. */
@@ -15,8 +15,9 @@
 }
 
 /**
- * Whether a request that came to an engine now would wait for longer than until `beginBy`. One that came before it, and is
- * no less important, still waits there after as much time: engines begin the more important first, and of the others the older.
+ * Whether an engine's queue is too long for a request that must begin by `beginBy`. Engines begin the more important
+ * requests first, and of those that are equal the older: as long as one that is no less important has waited there,
+ * a new one is likely to wait as well.
  */
 export function isQueueTooLong(
   shared: RouterShared,
