Count an engine whose connection was reset until it is shown to have ended

Change: an engine with a broken stream takes a place until a health check after the break, the store or another incarnation shows its end. One that answers well may be used again, which is no further engine, and is no longer avoided as dead. A probe always follows a broken stream. Why it holds: the count is taken when the next engine is chosen, from what is known then, whichever comes first.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -93,7 +93,16 @@
   const { domain, timers, random, decisions } = options;
   let state = createRoutingState({ domain });
 
-  function createQuery({ spec, contextTokens, avoid, isBegun }: ChainRequest): ChainQuery {
+  /** Engines that hold the first layer, except those of which one must begin the chain. */
+  function listOtherFirstEngines(firstEngines: readonly EngineId[]): readonly EngineId[] {
+    return [...state.loads]
+      .filter(([id, { load }]) => load.holding?.layers.first === 0 && !firstEngines.includes(id))
+      .map(([id]) => id);
+  }
+
+  function createQuery(request: ChainRequest): ChainQuery {
+    const { spec, contextTokens, isBegun, firstEngines = null } = request;
+    const avoid = [...request.avoid, ...(firstEngines ? listOtherFirstEngines(firstEngines) : [])];
     const { variant, layerCount, priority, maxTokens } = spec;
     const answerTokens = state.models.get(variant.model)?.usualAnswerTokens;
     return {
--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -8,7 +8,10 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import type { AttemptFailure, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import { FailurePlace } from '@skylarksail/requests/RequestPorts';
+import type { EngineFateName } from '@skylarksail/requests/RouterTypes';
+import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createIncarnationId } from './RelayIncarnations.js';
 import type { BackendProbePort, HealthAnswer } from './RelayPorts.js';
@@ -36,11 +39,19 @@
   watchCalls(open: OpenEngineCall): OpenEngineCall;
   /** Reports that engines do not respond in a call that has not ended. */
   noteSilent(engines: readonly EngineId[]): void;
+  /** What the probes since a time have shown of an engine. */
+  getFate(engine: EngineId, since: Millis): EngineFateName;
   /** Lists suspects whose last probe failed. */
   listLost(): readonly EngineId[];
   stop(): void;
 }
 
+/** The last probe of an engine that had a clear result. */
+interface ProbeResult {
+  readonly sentAt: Millis;
+  readonly fate: EngineFateName;
+}
+
 /** An engine whose calls failed or stalled. */
 interface Suspect {
   /** Number of consecutive failed probes. */
@@ -71,6 +82,7 @@
   /** Time until which an engine that answered a probe is not suspected again. */
   const cleared = new Map<EngineId, Millis>();
   const probing = new Set<EngineId>();
+  const results = new Map<EngineId, ProbeResult>();
   /**
    * Whether an engine was found to be leaving while the store is unreachable. Other engines then take over its layers
    * without updates from the store.
@@ -82,15 +94,29 @@
   });
 
   function addSuspect(id: EngineId): void {
-    const now = timers.now();
+    if ((cleared.get(id) ?? -Infinity) <= timers.now()) {
+      probeSoon(id);
+    }
+  }
+
+  function probeSoon(id: EngineId): void {
     const entry = catalogue.get(id);
     const isOwn = entry?.domain === domain && entry.accelerator !== null;
-    if (isOwn && !suspects.has(id) && (cleared.get(id) ?? -Infinity) <= now) {
-      suspects.set(id, { misses: 0, dueAt: now });
+    if (isOwn && !suspects.has(id)) {
+      suspects.set(id, { misses: 0, dueAt: timers.now() });
       ticker.start();
     }
   }
 
+  /** An engine that was cleared a moment ago may have ended since, so its broken stream is always followed by a probe. */
+  function noteFailure({ engine, place }: AttemptFailure): void {
+    if (engine !== null && place === FailurePlace.Stream) {
+      probeSoon(engine);
+    } else if (engine !== null) {
+      addSuspect(engine);
+    }
+  }
+
   async function probeOnce(entry: BackendEntry, probe: () => Promise<void>): Promise<void> {
     if (!probing.has(entry.id)) {
       probing.add(entry.id);
@@ -105,6 +131,10 @@
     if (now - sentAt > PROBE_TIMEOUT + LATE_ANSWER_MARGIN || catalogue.get(entry.id) === null) {
       return;
     }
+    if (health.kind !== 'leaving') {
+      const isAlive = health.kind === 'well' && health.id === entry.server;
+      results.set(entry.id, { sentAt, fate: isAlive ? EngineFate.Alive : EngineFate.Ended });
+    }
     if (health.kind === 'well') {
       suspects.delete(entry.id);
       cleared.set(entry.id, now + PROBE_PAUSE);
@@ -165,7 +195,7 @@
   }
 
   function evictRemovedEngines(): void {
-    for (const table of [suspects, cleared]) {
+    for (const table of [suspects, cleared, results]) {
       [...table.keys()]
         .filter((id) => catalogue.get(id) === null)
         .forEach((id) => table.delete(id));
@@ -210,9 +240,7 @@
         },
         onFailure(failure) {
           hasEnded = true;
-          if (failure.engine !== null) {
-            addSuspect(failure.engine);
-          }
+          noteFailure(failure);
           listener.onFailure(failure);
         },
       });
@@ -224,6 +252,10 @@
       };
     },
     noteSilent: (engines) => engines.forEach(addSuspect),
+    getFate(engine, since) {
+      const result = results.get(engine);
+      return result && result.sentAt >= since ? result.fate : EngineFate.Unknown;
+    },
     listLost: () => [...suspects].filter(([, { misses }]) => misses > 0).map(([id]) => id),
     stop: ticker.stop,
   };
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -16,6 +16,7 @@
 import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
+import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import { createRelayPlannedWork } from './RelayPlannedWork.js';
@@ -222,7 +223,9 @@
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE_LIMIT }),
     getKvCapacity: () => null,
     getBootId: routing.getBootId,
-    isEnding: (engine) => catalogue.get(engine)?.state !== LifeState.Live,
+    isEnding,
+    getEngineFate: (engine, since) =>
+      isEnding(engine) ? EngineFate.Ended : health.getFate(engine, since),
     onSilent: health.noteSilent,
     onDecision: (record) => decisions.record({ ...record }),
     onCount: metrics.recordRouterMetric,
@@ -260,6 +263,11 @@
     },
   });
 
+  /** Whether an engine leaves, or its incarnation is no longer registered. */
+  function isEnding(engine: EngineId): boolean {
+    return catalogue.get(engine)?.state !== LifeState.Live;
+  }
+
   function noteAlive(engine: EngineId): void {
     router.noteEngineAlive(engine, routing.getBootId(engine) ?? engine);
   }
--- a/packages/relay/src/__tests__/unit/RelayHealth.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayHealth.test.ts
@@ -85,6 +85,16 @@
         provenNotRun: true,
       });
     },
+    breakStream: (engine: string) => {
+      start();
+      listener?.onFailure({
+        place: FailurePlace.Stream,
+        engine,
+        status: null,
+        retryAfter: null,
+        provenNotRun: false,
+      });
+    },
     setDelay: (next: number) => {
       delay = next;
     },
@@ -192,4 +202,24 @@
     expect(bed.catalogue.get('e0-next')).to.deep.include({ state: 'live', layers: null });
     expect(bed.catalogue.get('e0')).to.include({ state: 'leaving' });
   });
+
+  it('distinguishes an engine that ended from one whose connection was reset', async () => {
+    // Guards against an engine that was healthy just before its stream broke and is taken for living without a probe.
+    const bed = createBed();
+    bed.fail('e0');
+    await bed.timers.advanceToAsync(350);
+    expect(bed.watch.getFate('e0', 0)).to.equal('alive');
+    const brokenAt = bed.timers.now();
+    bed.health.set('e0', { kind: 'silent' });
+    bed.breakStream('e0');
+    bed.breakStream('e1');
+    expect(bed.watch.getFate('e0', brokenAt)).to.equal('unknown');
+    await bed.timers.advanceToAsync(brokenAt + 700);
+    expect(bed.watch.getFate('e0', brokenAt)).to.equal('ended');
+    expect(bed.watch.getFate('e1', brokenAt)).to.equal('alive');
+    bed.health.set('e1', { kind: 'well', id: 'e1-next' });
+    bed.breakStream('e1');
+    await bed.timers.advanceToAsync(brokenAt + 1400);
+    expect(bed.watch.getFate('e1', brokenAt + 700)).to.equal('ended');
+  });
 });
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -8,6 +8,7 @@
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { isQueueTooLong } from './RunQueue.js';
+import { isEndUnproven } from './RunEnds.js';
 import { listAvoidSets } from './RunSuspicion.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -23,6 +24,8 @@
 export interface ChainSearch extends Pick<EffectOf<'choose'>, 'broken' | 'failed' | 'avoid'> {
   /** Time by which the answer must begin; null if there is none. */
   readonly beginBy: Millis | null;
+  /** Engines of which one must be the first of the chain; null if any may be. */
+  readonly firstEngines: readonly EngineId[] | null;
 }
 
 interface SearchResult {
@@ -66,7 +69,7 @@
   let head: { readonly attempt: number; readonly value: AnswerHead } | null = null;
   let lastAttempt = 0;
 
-  function createListener(attempt: number, openedAt: Millis): EngineCallListener {
+  function createListener(attempt: number, first: EngineId, openedAt: Millis): EngineCallListener {
     return {
       onAcknowledged: (acknowledgement) => {
         meters.noteAcknowledgement(spec.model, deps.timers.now() - openedAt);
@@ -78,7 +81,14 @@
       onToken: (index, token) => send({ kind: 'token', attempt, index, token }),
       onEnd: (reason, tokenCount) => send({ kind: 'end', attempt, reason, tokenCount }),
       onFailure: (failure) =>
-        send({ kind: 'failure', attempt, failure, suspects: [], isSlow: false }),
+        send({
+          kind: 'failure',
+          attempt,
+          failure,
+          suspects: [],
+          isSlow: false,
+          isEndUnproven: isEndUnproven(shared, first),
+        }),
     };
   }
 
@@ -92,11 +102,16 @@
     );
   }
 
-  function select({ broken, failed, avoid }: ChainSearch): ChainChoice {
+  function select({ broken, failed, avoid, firstEngines }: ChainSearch): ChainChoice {
     const contextTokens = promptTokens + tokens.length;
     return chooseWithAvoidSets((avoidSet) => {
       const isBegun = tokens.length > 0;
       const wish = { spec, contextTokens, isBegun, avoid: [...new Set([...avoid, ...avoidSet])] };
+      if (firstEngines !== null) {
+        // They are known to live since their streams broke, for which they are avoided.
+        const avoided = wish.avoid.filter((id) => !firstEngines.includes(id));
+        return deps.chooseChain({ ...wish, avoid: avoided, firstEngines });
+      }
       const engines = broken?.stages.map((stage) => stage.engine) ?? [];
       // Also replaces stages whose engines have been lost by other requests in the meantime.
       const lost = engines.filter((id) => failed.includes(id) || wish.avoid.includes(id));
@@ -163,7 +178,7 @@
           timeLeft: spec.deadline - now,
           importFrom,
         },
-        createListener(attempt, now),
+        createListener(attempt, chain.stages[0]?.engine ?? '', now),
       );
       const contextTokens = promptTokens + tokens.length;
       current = { chain, contextTokens, isImported: importFrom.length > 0, cancel };
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -34,6 +34,7 @@
 import { createAdmissionRequest } from './RunAdmission.js';
 import { createRunRetries } from './RunRetries.js';
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
+import { listFirstEngines } from './RunEnds.js';
 import { isStalled } from './RunSilence.js';
 import { clearCrashRecords, noteRunCrash, noteRunToken, stopRunsOf } from './RunSuspicion.js';
 import { createRunWatch } from './RunWatch.js';
@@ -203,7 +204,9 @@
       send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
       return;
     }
-    if (!attempts.choose({ ...effect, beginBy: getFirstTokenDeadline(machine) })) {
+    const beginBy = getFirstTokenDeadline(machine);
+    const firstEngines = listFirstEngines(shared, machine);
+    if (!attempts.choose({ ...effect, beginBy, firstEngines })) {
       log('no-chain', effect.failed.join(','));
       if (machine.tokenCount > 0) {
         shared.starved.noteStarved(spec.model, now);
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -30,6 +30,8 @@
 /** Events that carry an attempt number. */
 export type AttemptEvent = Extract<RequestEvent, { attempt: number }>;
 
+type FailureEvent = Extract<RequestEvent, { kind: 'failure' }>;
+
 /** A tick later than this means that the router's own process was paused, so silent streams get another timeout. */
 export const LATE_TICK_TOLERANCE: Millis = 50;
 
@@ -77,7 +79,7 @@
   switch (event.kind) {
     case 'acknowledged':
       if (!machine.chain || !isSameChain(machine.chain, event.acknowledgement)) {
-        return failAttempt(machine, createProtocolFailure(FailurePlace.Acknowledgement), [], now);
+        return failProtocol(machine, FailurePlace.Acknowledgement, now);
       }
       return keepState({ ...machine, acknowledged: true, lastActivityAt: now });
     case 'token':
@@ -85,7 +87,7 @@
     case 'end':
       if (!machine.acknowledged || event.tokenCount !== machine.tokenCount) {
         // If the counts differ, tokens are missing or added; completing would present a truncated answer as complete.
-        return failAttempt(machine, createProtocolFailure(FailurePlace.Garbage), [], now);
+        return failProtocol(machine, FailurePlace.Garbage, now);
       }
       return {
         machine: { ...machine, phase: RequestPhase.Ended },
@@ -95,7 +97,7 @@
         ],
       };
     case 'failure':
-      return failAttempt(machine, event.failure, event.suspects, now, event.isSlow);
+      return failAttempt(noteUnprovenEnd(machine, event, now), event, now);
     default:
       return failUnreachable(event);
   }
@@ -111,7 +113,7 @@
     return dropFrame(machine, 'repeated-frame');
   }
   if (!machine.acknowledged || index > machine.tokenCount || index >= machine.maxTokens) {
-    return failAttempt(machine, createProtocolFailure(FailurePlace.Garbage), [], now);
+    return failProtocol(machine, FailurePlace.Garbage, now);
   }
   const isFirst = machine.attemptTokens === 0;
   const recovered: readonly RequestEffect[] =
@@ -144,6 +146,7 @@
     maxTokens: machine.maxTokens,
     submittedAt: machine.submittedAt,
     attemptsLeft: machine.attemptsLeft,
+    unprovenEnds: machine.unprovenEnds,
     patientUntil: machine.patientUntil,
     firstTokenDeadline: machine.firstTokenDeadline,
     attempt: machine.attempt,
@@ -215,12 +218,35 @@
   return factor * computeSilenceLimit(machine.pace, machine.limits.gapBounds);
 }
 
+/** Records the first engine of an attempt that ran and whose stream broke, unless it is known to have ended. */
+function noteUnprovenEnd(
+  machine: RequestMachine,
+  { failure, isEndUnproven = false }: FailureEvent,
+  now: Millis,
+): RequestMachine {
+  const [first] = machine.chain?.stages ?? [];
+  const hasRun = !failure.provenNotRun || machine.acknowledged;
+  if (!isEndUnproven || !first || !hasRun || failure.place !== FailurePlace.Stream) {
+    return machine;
+  }
+  const others = machine.unprovenEnds.filter(({ engine }) => engine !== first.engine);
+  return { ...machine, unprovenEnds: [...others, { engine: first.engine, brokenAt: now }] };
+}
+
+/** Fails an attempt whose engine violated the protocol. */
+function failProtocol(
+  machine: RequestMachine,
+  place: AttemptFailure['place'],
+  now: Millis,
+): MachineStep {
+  const failure = { place, engine: null, status: null, retryAfter: null, provenNotRun: false };
+  return failAttempt(machine, { failure, suspects: [], isSlow: false }, now);
+}
+
 function failAttempt(
   machine: RequestMachine,
-  failure: AttemptFailure,
-  suspects: readonly EngineId[],
+  { failure, suspects, isSlow }: Pick<FailureEvent, 'failure' | 'suspects' | 'isSlow'>,
   now: Millis,
-  isSlow = false,
 ): MachineStep {
   const failureClass = classifyFailure(failure, {
     acknowledged: machine.acknowledged,
@@ -331,8 +357,3 @@
   const first = machine.chain?.stages[0];
   return first ? [first.engine] : [];
 }
-
-/** Creates the failure for a protocol violation by the engine. */
-function createProtocolFailure(place: AttemptFailure['place']): AttemptFailure {
-  return { place, engine: null, status: null, retryAfter: null, provenNotRun: false };
-}
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -81,6 +81,8 @@
       readonly suspects: readonly EngineId[];
       /** Whether tokens arrived too slowly, as opposed to not at all. */
       readonly isSlow: boolean;
+      /** Whether the first engine may still run although its stream broke; it is assumed to have ended if omitted. */
+      readonly isEndUnproven?: boolean;
     }
   /** The timer of the last `watch` fired; `dueAt` is when it was due. */
   | { readonly kind: 'tick'; readonly dueAt: Millis }
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -43,6 +43,8 @@
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
   /** Records that an engine was lost during a request or was unreachable; `isDead` is false if it was only silent. */
   noteLost(engine: EngineId, isDead: boolean, now: Millis): void;
+  /** Records that a lost engine answers: only the connection to it was reset. */
+  noteAlive(engine: EngineId): void;
   /**
    * Records that an engine refused work, and excludes it for longer with each consecutive refusal. A draining engine
    * refuses everything, and one with full memory all new work; without the exclusion each request would repeat the
@@ -128,6 +130,9 @@
     noteLost(engine, isDead, now) {
       lost.set(engine, { until: now + LOST_ENGINE_COOLDOWN, isDead });
     },
+    noteAlive(engine) {
+      lost.delete(engine);
+    },
     noteRefused(engine, now) {
       const before = refusalsByEngine.get(engine);
       if (before && before.until > now) {
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -224,6 +224,7 @@
       return hasNews;
     },
     noteEngineAlive(engine, bootId) {
+      shared.progress.noteAlive(engine);
       for (const ranLong of [false, true]) {
         poison = noteAlive(poison, createCrashId(engine, bootId, ranLong));
       }
--- a/packages/requests/src/RequestState.ts
+++ b/packages/requests/src/RequestState.ts
@@ -10,6 +10,12 @@
 import { createPace, DEFAULT_SILENCE_CONFIG } from './RequestPace.js';
 import type { ProblemKindName, RequestProblem, RequestSpec } from './RequestTypes.js';
 
+/** A broken stream that does not show whether the engine ended or only its connection was reset. */
+export interface UnprovenEnd {
+  readonly engine: EngineId;
+  readonly brokenAt: Millis;
+}
+
 /** State of one request. */
 export interface RequestMachine {
   readonly phase: RequestPhaseName;
@@ -18,6 +24,11 @@
   readonly submittedAt: Millis;
   /** Number of further engines that the request may run on. Engines lost during an attempt do not count. */
   readonly attemptsLeft: number;
+  /**
+   * First engines whose stream broke during an attempt and that may still run. Each takes one of `attemptsLeft` until
+   * it is shown to have ended.
+   */
+  readonly unprovenEnds: readonly UnprovenEnd[];
   /** End of the wait for engines that can take the request; null if the request has no `patience`. */
   readonly patientUntil: Millis | null;
   /** Time by which the first token is due, as the caller leaves soon after; null if the caller stays. */
@@ -76,6 +87,7 @@
     maxTokens: spec.maxTokens,
     submittedAt: now,
     attemptsLeft: spec.maxAttempts ?? Infinity,
+    unprovenEnds: [],
     patientUntil: hasChainWait ? now + spec.patience : null,
     firstTokenDeadline:
       hasChainWait && spec.breakAfter !== undefined ? now + spec.breakAfter : null,
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -107,6 +107,8 @@
   readonly isBegun: boolean;
   /** Engines to exclude from the chain. */
   readonly avoid: readonly EngineId[];
+  /** Engines of which one must be the first of the chain; any engine may be if null or omitted. */
+  readonly firstEngines?: readonly EngineId[] | null;
 }
 
 /** The input of a chain choice for an interrupted answer. */
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -139,6 +139,17 @@
   readonly gap: Millis;
 }
 
+/** What is known of an engine after a stream through it broke. */
+export const EngineFate = {
+  /** It has ended, leaves, or can't be reached. */
+  Ended: 'ended',
+  /** It has answered since: only the connection was reset. */
+  Alive: 'alive',
+  Unknown: 'unknown',
+} as const;
+
+export type EngineFateName = (typeof EngineFate)[keyof typeof EngineFate];
+
 /** Settings, ports and callbacks of the router. */
 export interface RouterDeps {
   readonly cfg: RouterConfig;
@@ -165,6 +176,8 @@
   readonly getBootId: (engine: EngineId) => string | null;
   /** Whether an engine has announced that it is leaving, or is no longer registered; never if omitted. */
   readonly isEnding?: (engine: EngineId) => boolean;
+  /** What is known of an engine since a time; a broken stream is the end of its engine if omitted. */
+  readonly getEngineFate?: (engine: EngineId, since: Millis) => EngineFateName;
   /** Receives the silent engines of an attempt that continues because no other attempt can replace it. */
   readonly onSilent?: (engines: readonly EngineId[]) => void;
   readonly onDecision: (record: DecisionRecord) => void;
--- a/packages/requests/src/RunFailover.ts
+++ b/packages/requests/src/RunFailover.ts
@@ -8,6 +8,7 @@
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { hasBudget } from './RouterShared.js';
+import { countEnginesLeft, listReturnEngines } from './RunEnds.js';
 
 /** Why no other attempt can replace the present one. */
 export const FailoverBlocker = {
@@ -24,8 +25,14 @@
 /** Maximum interval between two checks of an attempt that cannot be replaced at present. */
 export const FAILOVER_CHECK_PERIOD: Millis = 250;
 
-/** Whether there is a complete chain without some engines of the present one. */
-export type HasChainWithout = (engines: readonly EngineId[]) => boolean;
+/**
+ * Whether there is a complete chain without some engines of the present one, which begins with one of `firstEngines`
+ * if these are given.
+ */
+export type HasChainWithout = (
+  engines: readonly EngineId[],
+  firstEngines: readonly EngineId[] | null,
+) => boolean;
 
 /** Finds why no attempt without the `failed` engines can replace the present one; null if one can. */
 export function findFailoverBlocker(
@@ -35,13 +42,16 @@
   failed: readonly EngineId[],
   hasChainWithout: HasChainWithout,
 ): FailoverBlockerName | null {
-  if (machine.attemptsLeft <= 1) {
+  // Giving up the present attempt takes one of the engines that are left.
+  const isLast = countEnginesLeft(shared, machine) <= 1;
+  const firstEngines = isLast ? listReturnEngines(shared, machine) : null;
+  if (machine.attemptsLeft <= 1 || firstEngines?.length === 0) {
     return FailoverBlocker.Attempts;
   }
   if (isNextAttemptBudgeted(shared, machine) && !hasBudget(shared, model)) {
     return FailoverBlocker.Budget;
   }
-  return hasChainWithout(failed) ? null : FailoverBlocker.Chain;
+  return hasChainWithout(failed, firstEngines) ? null : FailoverBlocker.Chain;
 }
 
 /** Whether the next attempt takes from the retry budget. */
--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -23,6 +23,7 @@
   computeRetryDelay,
   computeCallerRetryDelay,
 } from './RunBackoff.js';
+import { END_EVIDENCE_PERIOD, END_EVIDENCE_TIMEOUT, listFirstEngines } from './RunEnds.js';
 
 type AskRetry = Extract<RequestEffect, { kind: 'ask-retry' }>;
 
@@ -52,7 +53,29 @@
   const { spec, getMachine, send, giveUp, log } = run;
   let lastFailed: readonly EngineId[] = [];
 
-  function ask(effect: AskRetry): void {
+  /**
+   * Decides what follows a failed attempt. If the request has run on as many engines as it may, it waits for evidence
+   * about those whose streams broke: one that ended gives its place back, and one that lives may be used again.
+   */
+  function ask(effect: AskRetry, waitedSince: Millis = timers.now()): void {
+    if (listFirstEngines(shared, getMachine())?.length !== 0) {
+      askWithEngineLeft(effect);
+    } else if (timers.now() - waitedSince >= END_EVIDENCE_TIMEOUT) {
+      giveUp(GiveUpReason.AttemptsSpent);
+      send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
+    } else {
+      const { attempt } = getMachine();
+      timers.registerTimeout(END_EVIDENCE_PERIOD, () =>
+        shared.post(() => {
+          if (isPausing(attempt)) {
+            ask(effect, waitedSince);
+          }
+        }),
+      );
+    }
+  }
+
+  function askWithEngineLeft(effect: AskRetry): void {
     const delay = effect.mode === 'recover' ? 0 : computeRetryDelay(deps.random, effect);
     lastFailed = effect.failed;
     const breakTime = getBreakTime(shared, spec, getMachine());
@@ -150,5 +173,10 @@
     shared.begunWaits.delete(spec.id);
   }
 
-  return { ask, borrowRetry: borrowFromFleet, getFailedEngines: () => lastFailed, stop };
+  return {
+    ask: (effect) => ask(effect),
+    borrowRetry: borrowFromFleet,
+    getFailedEngines: () => lastFailed,
+    stop,
+  };
 }
--- a/packages/requests/src/RunWatch.ts
+++ b/packages/requests/src/RunWatch.ts
@@ -76,11 +76,15 @@
     }
   }
 
-  function hasChainWithout(engines: readonly EngineId[]): boolean {
+  function hasChainWithout(
+    engines: readonly EngineId[],
+    firstEngines: readonly EngineId[] | null,
+  ): boolean {
     const machine = getMachine();
     const { chain: broken, avoid } = machine;
     const beginBy = getFirstTokenDeadline(machine);
-    return attempts.canChoose({ broken, failed: engines, avoid: [...avoid, ...engines], beginBy });
+    const avoided = [...avoid, ...engines];
+    return attempts.canChoose({ broken, failed: engines, avoid: avoided, beginBy, firstEngines });
   }
 
   return {
--- a/packages/requests/src/__tests__/unit/RequestFakes.ts
+++ b/packages/requests/src/__tests__/unit/RequestFakes.ts
@@ -106,7 +106,9 @@
     const stages: (Stage | null)[] = engines.map((group, i) => {
       const before = kept?.stages[i]?.engine;
       const isKept = before !== undefined && !failed.includes(before);
-      const engine = isKept ? before : group.find((id) => !request.avoid.includes(id));
+      const engine = isKept
+        ? before
+        : group.find((id) => !request.avoid.includes(id) && (i > 0 || mayBegin(request, id)));
       const first = (i * LAYERS) / engines.length;
       return engine ? { engine, layers: { first, end: first + LAYERS / engines.length } } : null;
     });
@@ -189,6 +191,10 @@
   };
 }
 
+function mayBegin({ firstEngines = null }: ChainRequest, engine: EngineId): boolean {
+  return firstEngines === null || firstEngines.includes(engine);
+}
+
 export function createSpec(id: string, now: Millis, change: Partial<RequestSpec>): RequestSpec {
   return {
     id,
