Sum the reports of a domain's work once for each report

Cause: an aggregator summed the reports of its whole domain anew for each engine that it looked up, since the sum was kept for one instant of the clock only: engines times instances, several times a second. Change: the sum is kept until the next report or until one expires; the answers are the same. The new test fails before (each report is read 100 times) and passes after.

--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -62,15 +62,22 @@
   readonly at: Millis;
 }
 
+interface TimedSums {
+  readonly others: ReadonlyMap<EngineId, EngineWork>;
+  readonly at: Millis;
+}
+
+interface ExpiringSums {
+  readonly others: ReadonlyMap<EngineId, EngineWork>;
+  readonly expiresAt: Millis;
+}
+
 export function createRelayWork(options: RelayWorkOptions): RelayWork {
   const { timers, self } = options;
   const told = new Map<InstanceId, TimedReport>();
-  let summary: { readonly others: ReadonlyMap<EngineId, EngineWork>; readonly at: Millis } | null =
-    null;
-  let cachedSums: {
-    readonly others: ReadonlyMap<EngineId, EngineWork>;
-    readonly at: Millis;
-  } | null = null;
+  let summary: TimedSums | null = null;
+  /** Sums of all reports, valid until another report arrives or one of them expires. */
+  let cachedSums: ExpiringSums | null = null;
 
   function isFresh(at: Millis): boolean {
     return timers.now() - at <= MAX_REPORT_AGE;
@@ -86,11 +93,11 @@
 
   /** The other instances' work by their reports to this aggregator; null without a report. */
   function sumReports(): ReadonlyMap<EngineId, EngineWork> | null {
-    if (cachedSums === null || cachedSums.at !== timers.now()) {
+    if (cachedSums === null || cachedSums.expiresAt < timers.now()) {
       dropExpiredReports();
       cachedSums = {
         others: sumWork(listReports(self).flatMap(({ running }) => running)),
-        at: timers.now(),
+        expiresAt: Math.min(...[...told.values()].map(({ at }) => at + MAX_REPORT_AGE)),
       };
     }
     return told.size > 0 ? cachedSums.others : null;
--- a/packages/relay/src/__tests__/unit/RelayWork.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayWork.test.ts
@@ -142,6 +142,34 @@
     expect([aggregator.getPeerWork('e'), subscriber.getPeerWork('e')]).to.deep.equal([null, null]);
   });
 
+  it('sums the reports once, however many engines are looked up before the next report', () => {
+    // Guards against an aggregator that sums the reports of its whole domain anew for each engine of the fleet.
+    const timers = createVirtualTimers();
+    const aggregator = createRelayWork({
+      timers,
+      self: 'aggregator',
+      readOwnWork: () => IDLE,
+      isAggregator: () => true,
+      onPeerWork: () => undefined,
+      onLost: () => undefined,
+    });
+    let reads = 0;
+    const running = [{ engine: 'e0', calls: 2, kvTokens: 100 }];
+    const work = {
+      get running() {
+        reads += 1;
+        return running;
+      },
+      lost: [],
+    };
+    aggregator.recordReport('one', work);
+    for (let i = 0; i < 100; i += 1) {
+      timers.advanceTo(i);
+      expect(aggregator.getPeerWork(`e${i}`)?.calls).to.equal(i === 0 ? 2 : 0);
+    }
+    expect(reads).to.equal(1);
+  });
+
   it('rejects malformed update queries and arbitrary bytes without throwing', () => {
     const former = { since: 1, hold: 600, level: 2, from: 'i', work: IDLE };
     const ask = { ...former, takesWhole: true };
