End a lease that was granted while its keeper stopped

Cause: stop revokes the lease that the keeper has. One whose grant or whose first write was still under way stayed until it lapsed: a stopped instance was registered for six seconds more, and its peers asked it. Change: a lease that arrives after the stop is revoked.

--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -44,7 +44,14 @@
   async function acquire(): Promise<void> {
     const requestedAt = timers.now();
     const granted = await port.grantLease(time, callOptions);
-    if (granted.kind === 'done' && !isStopped && (await options.onGranted(granted.value))) {
+    if (granted.kind !== 'done') {
+      return;
+    }
+    const isUsed = !isStopped && (await options.onGranted(granted.value));
+    if (isStopped) {
+      // `stop` did not know of this lease, and its keys would stay until it lapses.
+      void port.revokeLease(granted.value, callOptions);
+    } else if (isUsed) {
       lease = { id: granted.value, safeUntil: requestedAt + time - SAFETY_MARGIN };
     }
   }
