Keep the whole grace period of a second recovery of the store

Cause: the timer of a recovery went on when the store was lost and regained within two seconds, and cleared what had been observed before the second grace period was over. Change: a new recovery cancels the timer of the one before. Measured: the test in virtual time.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -48,6 +48,7 @@
   const missing = new Map<string, Unregister>();
   const listeners = new Set<() => void>();
   let graceEnd = -Infinity;
+  let cancelGraceEnd: Unregister = () => undefined;
 
   /** The last result of `list`, cached until something changes, because `list` runs many times a second. */
   let cachedList: readonly BackendEntry[] | null = null;
@@ -126,7 +127,8 @@
     listObserved: () => [...observations.values()],
     noteStoreRegained() {
       graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
-      timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
+      cancelGraceEnd();
+      cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
     },
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
--- a/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
@@ -41,6 +41,21 @@
     expect(notifications).to.equal(before + 1);
   });
 
+  it('keeps observations for the whole grace period of a second recovery of the store', () => {
+    // Guards against a grace period that the timer of a recovery two seconds earlier cuts short.
+    const timers = createVirtualTimers();
+    const catalogue = createCatalogue(timers);
+    catalogue.put(createBackend('a'));
+    catalogue.observe(createBackend('a', { state: 'leaving' }));
+    catalogue.noteStoreRegained();
+    timers.advanceTo(LAPSED_ENTRY_GRACE - 100);
+    catalogue.noteStoreRegained();
+    timers.advanceTo(2 * LAPSED_ENTRY_GRACE - 200);
+    expect(catalogue.listObserved()).to.have.length(1);
+    timers.advanceTo(2 * LAPSED_ENTRY_GRACE);
+    expect(catalogue.listObserved()).to.deep.equal([]);
+  });
+
   it('treats a restarted server as a new one and ignores delayed updates of its earlier incarnation', () => {
     // Guards against sending requests to layers that a restarted engine no longer holds, which it refuses until its
     // layers are placed again. The engine restarts under the same name; then a delayed entry of its earlier
