Release a lease that its holder acquires after it was stopped

Listed, seen by reading; the new test fails before. Change: a lease that arrives after the stop is released. Measured: the test in virtual time.

--- a/packages/store/src/StoreLeaseHolder.ts
+++ b/packages/store/src/StoreLeaseHolder.ts
@@ -88,7 +88,10 @@
   async function acquire(): Promise<void> {
     const requestedAt = timers.now();
     const outcome = await port.acquireLease(key, holder, ttl, callOptions);
-    if (outcome.kind === 'done' && !stopped && timers.now() < requestedAt + validTime) {
+    if (outcome.kind === 'done' && stopped) {
+      // `stop` did not know of this lease; another holder would wait until it lapses.
+      void port.releaseLease(outcome.value, callOptions);
+    } else if (outcome.kind === 'done' && timers.now() < requestedAt + validTime) {
       setLease(outcome.value, requestedAt);
     } else {
       schedule(ttl * REACQUIRE_SHARE);
--- a/packages/store/src/__tests__/unit/StoreHelpers.test.ts
+++ b/packages/store/src/__tests__/unit/StoreHelpers.test.ts
@@ -83,6 +83,17 @@
 });
 
 describe('createLeaseHolder', () => {
+  it('releases a lease that it acquires after it was stopped', async () => {
+    // Guards against a stopped holder whose lease keeps others waiting until it lapses.
+    const bed = createBed();
+    const told: string[] = [];
+    startHolder(bed, 'a', told).stop();
+    await bed.timers.advanceToAsync(500);
+    startHolder(bed, 'bb', told);
+    await bed.timers.advanceToAsync(TTL / 2);
+    expect(told.filter((text) => text.startsWith('bb acquired'))).to.have.length(1);
+  });
+
   it('stops relying on the lease before another holder can acquire it', async () => {
     // Guards against two holders acting at once: the first is cut off from the service, its lease lapses
     // and the second acquires it. This happens if the first measures its lease from the answer instead
