Cancel the timers of a request between two attempts when it ends

Cause: the timers of a retry, of the next look at the retry budget and of a plain service's retry stayed after their request had ended and fired without effect; after a drain a process still had them. Listed, seen by reading. Change: one timer between two attempts, cancelled when the request ends.

--- a/packages/requests/src/RunRetries.ts
+++ b/packages/requests/src/RunRetries.ts
@@ -3,7 +3,7 @@
  * Waiting requests must not amplify an outage in which engines are lost, and a caller that can be served elsewhere
  * must not wait here when this instance has no retry left.
  */
-import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type {
   GiveUpReasonName,
   RequestEffect,
@@ -43,7 +43,7 @@
   borrowRetry(onLent: () => void): void;
   /** Engines that failed in the previous attempt. */
   getFailedEngines(): readonly EngineId[];
-  /** Stops waiting for the retry budget. */
+  /** Stops waiting for the next attempt. */
   stop(): void;
 }
 
@@ -52,6 +52,25 @@
   const { timers } = deps;
   const { spec, getMachine, send, giveUp, log } = run;
   let lastFailed: readonly EngineId[] = [];
+  let cancelTimer: Unregister = () => undefined;
+
+  /** Schedules the next step; only one is ever pending. */
+  function schedule(delay: Millis, step: () => void): void {
+    cancelTimer();
+    cancelTimer = timers.registerTimeout(delay, step);
+  }
+
+  /** Schedules another decision, unless the request has an attempt by then. */
+  function askLater(delay: Millis, askAgain: () => void): void {
+    const { attempt } = getMachine();
+    schedule(delay, () =>
+      shared.post(() => {
+        if (isPausing(attempt)) {
+          askAgain();
+        }
+      }),
+    );
+  }
 
   /**
    * Decides what follows a failed attempt. If the request has run on as many engines as it may, it waits for evidence
@@ -64,14 +83,7 @@
       giveUp(GiveUpReason.AttemptsSpent);
       send({ kind: 'retry-refused', retryAfter: effect.retryAfter });
     } else {
-      const { attempt } = getMachine();
-      timers.registerTimeout(END_EVIDENCE_PERIOD, () =>
-        shared.post(() => {
-          if (isPausing(attempt)) {
-            ask(effect, waitedSince);
-          }
-        }),
-      );
+      askLater(END_EVIDENCE_PERIOD, () => ask(effect, waitedSince));
     }
   }
 
@@ -99,14 +111,14 @@
   }
 
   function proceed({ mode, failed }: AskRetry, delay: Millis): void {
-    stop();
+    shared.begunWaits.delete(spec.id);
     if (mode === 'recover') {
       log('recover', failed.join(','));
       shared.recovery.push({ id: spec.id, waitingSince: getMachine().progressAt });
       shared.startQueuedRecoveries();
     } else {
       log('retry', mode);
-      timers.registerTimeout(delay, () => send({ kind: 'retry-granted', failed }));
+      schedule(delay, () => send({ kind: 'retry-granted', failed }));
     }
   }
 
@@ -153,23 +165,17 @@
    * nothing from the budget here and reaches another instance, while a wait usually ends in a refusal anyway.
    */
   function waitForBudget(effect: AskRetry): void {
-    const { attempt, tokenCount } = getMachine();
-    if (tokenCount === 0) {
+    if (getMachine().tokenCount === 0) {
       send({ kind: 'budget-spent', retryAfter: computeCallerRetryDelay(deps.random) });
       return;
     }
     log('wait', 'retry budget');
     shared.begunWaits.set(spec.id, spec.model);
-    timers.registerTimeout(computeBudgetRecheckDelay(deps.random), () =>
-      shared.post(() => {
-        if (isPausing(attempt)) {
-          ask(effect);
-        }
-      }),
-    );
+    askLater(computeBudgetRecheckDelay(deps.random), () => ask(effect));
   }
 
   function stop(): void {
+    cancelTimer();
     shared.begunWaits.delete(spec.id);
   }
 
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -68,6 +68,7 @@
   let avoid: readonly EngineId[] = [];
   let cancelCall: Unregister | null = null;
   let cancelAttemptTimeout: Unregister = () => undefined;
+  let cancelRetry: Unregister = () => undefined;
   let choice: ServerChoice | null = null;
   let claim: ClaimHandle | null = null;
 
@@ -204,7 +205,7 @@
     }
     avoid = [...avoid, server];
     log('retry', null, null);
-    timers.registerTimeout(delay, () => shared.post(dispatch));
+    cancelRetry = timers.registerTimeout(delay, () => shared.post(dispatch));
     return true;
   }
 
@@ -251,6 +252,7 @@
     listener = null;
     cancelDeadline();
     cancelAttemptTimeout();
+    cancelRetry();
     cancelCall?.();
     release({ kind: 'cancelled' });
     admission.release(spec.id, timers.now());
--- a/packages/requests/src/__tests__/unit/RequestFakes.ts
+++ b/packages/requests/src/__tests__/unit/RequestFakes.ts
@@ -13,6 +13,7 @@
   ClaimPort,
   EngineCall,
   EngineCallListener,
+  ServiceAnswer,
   ServiceCall,
   ServiceCallListener,
 } from '../../RequestPorts.js';
@@ -28,6 +29,7 @@
 } from '../../RequestTypes.js';
 import type { DecisionRecord, RouterDeps, RouterMetric } from '../../RouterTypes.js';
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
+import type { ServiceSpec } from '../../ServiceTypes.js';
 
 export const VARIANT = { model: 'm', version: 'v1', adapter: null };
 const LAYERS = 12;
@@ -251,3 +253,28 @@
 export function listEngines({ call }: OpenedCall): EngineId[] {
   return call.chain.stages.map((stage) => stage.engine);
 }
+
+/** Submits a call to a plain service and records what its caller receives. */
+export function callService(world: FakeWorld, id: string, change: Partial<ServiceSpec> = {}) {
+  const answers: ServiceAnswer[] = [];
+  const problems: RequestProblem[] = [];
+  const spec: ServiceSpec = {
+    id,
+    team: 't',
+    service: 's',
+    method: 'POST',
+    path: '/p',
+    headers: {},
+    body: new Uint8Array([1]),
+    priority: 'normal',
+    deadline: world.timers.now() + 10_000,
+    idempotencyKey: null,
+    idempotent: false,
+    ...change,
+  };
+  const handle = world.router.submitService(spec, {
+    onAnswer: (answer) => answers.push(answer),
+    onError: (problem) => problems.push(problem),
+  });
+  return { answers, problems, handle };
+}
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -1,14 +1,13 @@
 import { expect } from 'chai';
 import { RunState } from '@skylarksail/core/CoreConstants';
-import type { RequestProblem } from '../../RequestTypes.js';
-import type { ClaimOutcome, ServiceAnswer } from '../../RequestPorts.js';
+import type { ClaimOutcome } from '../../RequestPorts.js';
 import { FailurePlace } from '../../RequestPorts.js';
-import type { ServiceSpec } from '../../ServiceTypes.js';
 import { isIdempotentCall } from '../../ServiceTypes.js';
 import { DEFAULT_ROUTER_CONFIG } from '../../RouterTypes.js';
 import type { FakeWorld } from './RequestFakes.js';
 import {
   acknowledge,
+  callService,
   createFailure,
   createFakeWorld,
   sendTokens,
@@ -26,30 +25,6 @@
   await settle();
 }
 
-function callService(world: FakeWorld, id: string, change: Partial<ServiceSpec> = {}) {
-  const answers: ServiceAnswer[] = [];
-  const problems: RequestProblem[] = [];
-  const spec: ServiceSpec = {
-    id,
-    team: 't',
-    service: 's',
-    method: 'POST',
-    path: '/p',
-    headers: {},
-    body: new Uint8Array([1]),
-    priority: 'normal',
-    deadline: world.timers.now() + 10_000,
-    idempotencyKey: null,
-    idempotent: false,
-    ...change,
-  };
-  const handle = world.router.submitService(spec, {
-    onAnswer: (answer) => answers.push(answer),
-    onError: (problem) => problems.push(problem),
-  });
-  return { answers, problems, handle };
-}
-
 describe('RequestRouter', () => {
   it('opens no call for a keyed request before its claim is granted, and stores its answer', async () => {
     const world = createFakeWorld();
