Hold requests of a just started instance until its first configuration is in force

Change: such requests wait until the configuration is in force, at most one second after the start, then they are refused as before: a store that has not answered by then is out.

--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -16,6 +16,7 @@
 import { RouteKind } from '@skylarksail/routes/RouteTypes';
 import type { ConfirmCurrent } from './RelayConfirm.js';
 import { ONLY_VERSION } from './RelayFacts.js';
+import type { StartGate } from './RelayStartGate.js';
 import type { RelayCall, RelayListener, RelayRefusal } from './RelayTypes.js';
 
 export interface RelayIntakeOptions {
@@ -28,6 +29,8 @@
   /** Time within which a change must be in force on all instances after its acknowledgement. */
   readonly changeTime: Millis;
   readonly confirmCurrent: ConfirmCurrent;
+  /** Holds requests until the first configuration is in force. */
+  readonly startGate: Pick<StartGate, 'isOpen' | 'wait'>;
   readonly onDecision: (decision: {
     readonly request: string;
     readonly decision: string;
@@ -109,6 +112,36 @@
   }
 
   function submit(call: RelayCall, listener: RelayListener): RequestHandle {
+    return getTable() === null && !options.startGate.isOpen()
+      ? submitLater(call, options.startGate.wait, (held) => submitNow(held, listener))
+      : submitNow(call, listener);
+  }
+
+  /** Submits a request after a wait, with the time that is left then, unless its caller disconnects before. */
+  function submitLater(
+    call: RelayCall,
+    wait: (resume: () => void) => void,
+    submitHeld: (call: RelayCall) => RequestHandle,
+  ): RequestHandle {
+    const startedAt = timers.now();
+    let handle: RequestHandle | null = null;
+    let isCancelled = false;
+    wait(() => {
+      if (!isCancelled) {
+        const waited = timers.now() - startedAt;
+        const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - waited);
+        handle = submitHeld({ ...call, timeLeft });
+      }
+    });
+    return {
+      cancel() {
+        isCancelled = true;
+        handle?.cancel();
+      },
+    };
+  }
+
+  function submitNow(call: RelayCall, listener: RelayListener): RequestHandle {
     const routed = findRoute(call);
     if (!('status' in routed)) {
       return submitRouted(routed, listener);
@@ -136,27 +169,16 @@
 
   /** Confirms with the store before refusing an unknown route or key, because the store may already have it. */
   function confirmUnknown(call: RelayCall, listener: RelayListener): RequestHandle {
-    const startedAt = timers.now();
-    let handle: RequestHandle | null = null;
-    let isCancelled = false;
-    confirmCurrent(() => {
-      if (isCancelled) {
-        return;
-      }
-      const waited = timers.now() - startedAt;
-      const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - waited);
-      const routed = findRoute({ ...call, timeLeft });
-      handle =
-        'status' in routed
-          ? refuseUnrouted(call, listener, isStale() ? toRetryable(routed) : routed)
+    return submitLater(
+      call,
+      (resume) => confirmCurrent(resume),
+      (held) => {
+        const routed = findRoute(held);
+        return 'status' in routed
+          ? refuseUnrouted(held, listener, isStale() ? toRetryable(routed) : routed)
           : submitRouted(routed, listener);
-    });
-    return {
-      cancel() {
-        isCancelled = true;
-        handle?.cancel();
       },
-    };
+    );
   }
 
   function submitRouted(routed: RoutedCall, listener: RelayListener): RequestHandle {
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -40,6 +40,7 @@
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createBackendView } from './RelayView.js';
+import { createStartGate } from './RelayStartGate.js';
 import { createRelaySuspension } from './RelaySuspension.js';
 import { createServerChooser } from './RelayServers.js';
 import type { PeerWork, WorkReport } from './RelayWork.js';
@@ -125,6 +126,7 @@
   let isLeaving = false;
   const catalogue = createCatalogue(timers, isServed);
   const suspension = createRelaySuspension(timers, options.wallNow);
+  const startGate = createStartGate(timers);
   const calm = createRelayPlannedWork(timers, options.changeTime);
   const routing = createDaemonRouting({
     domain: self.domain,
@@ -175,6 +177,7 @@
       catalogue.noteServicesChanged();
       routing.setFleetFacts({ models: listModels(next), tuning: ROUTING_TUNING });
       engines.refresh();
+      startGate.noteConfigured();
     },
   });
 
@@ -238,6 +241,7 @@
     getStaleness: readStaleness,
     changeTime: options.changeTime,
     confirmCurrent: sync.confirmCurrent,
+    startGate,
     onDecision: decisions.record,
   });
   const isPlacing = createPlacementDuty({
@@ -316,6 +320,7 @@
     routing.start(),
     placement.start(),
     health.stop,
+    startGate.stop,
     repeats.start(),
   ];
   lease.start();
--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -25,6 +25,8 @@
   const streams: { spec: RequestSpec; sink: RequestSink }[] = [];
   const calls: { spec: ServiceSpec; sink: ServiceSink }[] = [];
   const decisions: Record<string, unknown>[] = [];
+  const held: (() => void)[] = [];
+  let isGateOpen = true;
   let staleness = 400;
   let confirm: ConfirmCurrent = (done) => done(false);
   let table: RouteTable | null = createRouteTable(
@@ -48,6 +50,7 @@
     getStaleness: () => staleness,
     changeTime: 2000,
     confirmCurrent: (done) => confirm(done),
+    startGate: { isOpen: () => isGateOpen, wait: (resume) => held.push(resume) },
     onDecision: (decision) => decisions.push({ ...decision }),
   });
   const submit = (change: Partial<RelayCall> = {}) => {
@@ -90,6 +93,13 @@
     calls,
     decisions,
     submit,
+    holdRequests: () => {
+      isGateOpen = false;
+    },
+    releaseRequests: () => {
+      isGateOpen = true;
+      held.splice(0).forEach((resume) => resume());
+    },
     setTable: (next: RouteTable | null) => {
       table = next;
     },
@@ -107,6 +117,26 @@
     expect(refusal?.retryAfter).to.be.greaterThan(0);
   });
 
+  it('holds requests until the first configuration is in force, with the time that is left then', () => {
+    // Guards against callers that are refused by an instance that has just started, half a second before it can serve
+    // them, and that have no attempt left after the one that the restart cost them.
+    const bed = createBed();
+    const table = createRouteTable(createConfig({ routes: [createRoute(), ACCOUNTS] }));
+    bed.setTable(null);
+    bed.holdRequests();
+    const kept = bed.submit({ timeLeft: 5000 });
+    const gone = bed.submit({ id: 'gone' });
+    gone.handle.cancel();
+    bed.timers.advanceTo(400);
+    expect([kept.refusals, bed.streams]).to.deep.equal([[], []]);
+    bed.setTable(table);
+    bed.releaseRequests();
+    expect(bed.streams.map(({ spec }) => spec.id)).to.deep.equal(['r']);
+    expect(bed.streams[0]?.spec.deadline).to.be.at.most(5000);
+    bed.setTable(null);
+    expect(bed.submit({ id: 'later' }).refusals[0]).to.include({ status: 503 });
+  });
+
   it('refuses unknown routes and keys, and accepts requests to public routes without a key', () => {
     const bed = createBed();
     expect(bed.submit({ path: '/other/' }).refusals[0]?.status).to.equal(404);
