Keep new work off a silent engine although it answers a health check

Cause: gave an engine new work as soon as it answered a health check, also one that was avoided because it was silent. An engine that is too busy to begin its requests answers health checks. Change: only the avoidance that a broken stream caused ends with a well answer. Measured: the new test fails before.

--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -43,7 +43,10 @@
   noteToken(chain: Chain, gap: Millis | null, now: Millis): void;
   /** Records that an engine was lost during a request or was unreachable; `isDead` is false if it was only silent. */
   noteLost(engine: EngineId, isDead: boolean, now: Millis): void;
-  /** Records that a lost engine answers: only the connection to it was reset. */
+  /**
+   * Records that an engine answers a health check. If its stream broke, only the connection was reset; if it was silent,
+   * it is still too busy for new work.
+   */
   noteAlive(engine: EngineId): void;
   /**
    * Records that an engine refused work, and excludes it for longer with each consecutive refusal. A draining engine
@@ -131,7 +134,9 @@
       lost.set(engine, { until: now + LOST_ENGINE_COOLDOWN, isDead });
     },
     noteAlive(engine) {
-      lost.delete(engine);
+      if (lost.get(engine)?.isDead) {
+        lost.delete(engine);
+      }
     },
     noteRefused(engine, now) {
       const before = refusalsByEngine.get(engine);
--- a/packages/requests/src/__tests__/unit/RunResets.test.ts
+++ b/packages/requests/src/__tests__/unit/RunResets.test.ts
@@ -158,4 +158,14 @@
     bed.world.submit('other');
     expect(bed.world.calls.length).to.equal(opened + 1);
   });
+
+  it('keeps new work off a silent engine that answers a health check', () => {
+    // Guards against new requests at an engine that is too busy to begin the ones that it has.
+    const bed = createBed(2);
+    const [first] = listEngines(bed.world.last());
+    bed.world.router.noteEngineLost(first ?? '');
+    bed.world.router.noteEngineAlive(first ?? '', 'boot');
+    bed.world.submit('other');
+    expect(listEngines(bed.world.last())[0]).to.not.equal(first);
+  });
 });
