Hold a poll for updates for a share of the time in which a change must be in force

Cause: an idle instance spends a third of its processor time on polls for updates, each held 0.6 s at the most, however long a change may take. Change: 0.3 of the bound of a change: 0.6 s as before where that is 2 s, 0.9 s where it is 3 s. Work is told less often while no engine is six tenths full; above that each 0.2 s, as before.

--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -159,6 +159,7 @@
     timers,
     random,
     store: options.store,
+    changeTime: options.changeTime,
     readContent: options.readContent,
     readBackendKey: options.readBackendKey,
     askPeer: options.askPeer,
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -32,6 +32,8 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly store: StoreRangePort;
+  /** Time within which an acknowledged configuration change must be in force at all instances. */
+  readonly changeTime: Millis;
   readonly readContent: ReadContent;
   readonly readBackendKey: ReadBackendKey;
   readonly askPeer: AskPeer;
@@ -151,6 +153,7 @@
     isCrowded: options.isCrowded,
     timers,
     store: options.store,
+    changeTime: options.changeTime,
     mirror,
     askForUpdates: options.askForUpdates,
     getRole: role.get,
--- a/packages/relay/src/RelayUpdates.ts
+++ b/packages/relay/src/RelayUpdates.ts
@@ -61,6 +61,8 @@
   readonly store: StoreRangePort;
   readonly mirror: Mirror;
   readonly askForUpdates: AskForUpdates;
+  /** Time within which an acknowledged configuration change must be in force at all instances. */
+  readonly changeTime: Millis;
   /** Fan-out role of this instance; without sources it watches the store. */
   readonly getRole: () => FanoutRole;
   readonly work: Pick<RelayWork, 'recordReport' | 'summarizeFor' | 'recordSummary'>;
@@ -90,11 +92,11 @@
 }
 
 /**
- * Longest hold of a long poll. A source that is cut off from the store and has not detected it answers that there are
- * no changes. The next source is asked then, so such a fault delays a change by this time, out of a budget of two to
- * four seconds.
+ * Longest hold of a long poll, as a share of the time in which a change must be in force. A source that is cut off from
+ * the store and has not detected it answers that there are no changes. The next source is asked then, so such a fault
+ * delays a change by this time. Shorter holds cost more: polls are the largest part of what an idle instance does.
  */
-const MAX_HOLD: Millis = 600;
+const HOLD_SHARE = 0.3;
 /**
  * Longest hold while engines of the own domain are near their limit. Instances that exchange their work less often see
  * the same free capacity and overfill it together. Used always, such frequent polls would cost more than requests.
@@ -125,6 +127,7 @@
 /** Starts without data; sends no query before the port is used. */
 export function createRelayUpdates(options: RelayUpdatesOptions): RelayUpdates {
   const { timers, store, mirror } = options;
+  const longestHold = HOLD_SHARE * options.changeTime;
   const backoffUntil = new Map<InstanceId, Millis>();
   const waiting = new Set<() => void>();
   let directWatchUntil = -Infinity;
@@ -176,7 +179,7 @@
     wait: Millis,
   ): Promise<StoreChanges | null> {
     const work = options.readOwnWork();
-    const maxHold = Math.min(wait, options.isCrowded() ? MAX_CROWDED_HOLD : MAX_HOLD);
+    const maxHold = Math.min(wait, options.isCrowded() ? MAX_CROWDED_HOLD : longestHold);
     // A source that did not answer last time is asked without a hold, so that a second failure causes no long delay.
     const hold = backoffUntil.has(source.id) ? 0 : maxHold;
     const { level } = options.getRole();
@@ -287,7 +290,7 @@
       const askedAt = timers.now();
       options.work.recordReport(ask.from, ask.work);
       if (canAnswer(ask) && isUpToDate(since) && hold > 0) {
-        await waitForUpdates(Math.min(hold, MAX_HOLD));
+        await waitForUpdates(Math.min(hold, longestHold));
       }
       return createAnswer(ask, timers.now() - askedAt);
     },
--- a/packages/relay/src/__tests__/unit/RelaySyncBed.ts
+++ b/packages/relay/src/__tests__/unit/RelaySyncBed.ts
@@ -28,6 +28,8 @@
 
 export const CONFIG_KEY = 'config';
 export const STORE = 'store';
+/** The tightest bound of the deployments. */
+const CHANGE_TIME: Millis = 2000;
 const ANSWER_BYTES = 120;
 const DOMAINS = 3;
 const NAME_RANGE = 36 ** 6;
@@ -199,6 +201,7 @@
       onError: () => undefined,
     });
     const knowledge = startRelaySync({
+      changeTime: CHANGE_TIME,
       self,
       timers,
       random,
--- a/packages/relay/src/__tests__/unit/RelayUpdates.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayUpdates.test.ts
@@ -94,6 +94,7 @@
     const role = createFanoutRoleCache(entry, listEntries);
     const isCut = (): boolean => members.get(id)?.isCut ?? false;
     const news = createRelayUpdates({
+      changeTime: IN_FORCE_BOUND,
       self: id,
       ...WORK_OPTIONS,
       timers,
@@ -319,6 +320,7 @@
     }
     const timers = createVirtualTimers();
     const news = createRelayUpdates({
+      changeTime: IN_FORCE_BOUND,
       self: 'one',
       ...WORK_OPTIONS,
       timers,
