Remove a function of routing that nobody calls

Cause: recordPrefix has no caller; routing learns of cached prefixes from its own calls alone. Listed, seen by reading. Change: removed. Measured: the tests of routing pass; no other file names it.

--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -6,7 +6,6 @@
 import { recordBoot, beginSlowStart } from './RoutingHealth.js';
 import type { PoolMember } from './RoutingPools.js';
 import { getPoolKey, moveMember } from './RoutingPools.js';
-import { addPrefixObservations } from './RoutingPrefixes.js';
 import { createBucketMap } from './RoutingBucketMap.js';
 import type { RoutingTuning } from './RoutingTuning.js';
 import { DEFAULT_TUNING } from './RoutingTuning.js';
@@ -150,18 +149,6 @@
   return { ...state, domains: new Map(state.domains).set(domain, { reachable, since: now }) };
 }
 
-/** Records a cache event: an engine has cached a prefix. */
-export function recordPrefix(
-  state: RoutingState,
-  engine: EngineId,
-  key: string,
-  seenAt: Millis,
-): RoutingState {
-  const { bootId } = getHealth(state, engine);
-  const prefixes = addPrefixObservations(state.prefixes, key, [{ engine, bootId, seenAt }]);
-  return { ...state, prefixes };
-}
-
 /** Records the boot id of an engine: a new process is no longer leaving and begins a slow start. */
 function updateBoot(state: RoutingState, id: EngineId, bootId: string, now: Millis): RoutingState {
   const before = getHealth(state, id);
