--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -8,7 +8,6 @@
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHandle } from './ClaimRunner.js';
-import { claimKey } from './ClaimRunner.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
 import { decodeAnswer, encodeAnswer } from './RequestAnswers.js';
 import { stepRequest } from './RequestMachine.js';
@@ -25,13 +24,12 @@
 import {
   countGiveUp,
   countMetric,
-  creditBudget,
   getPoisonVerdict,
   logDecision,
   returnToBudget,
 } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
-import { createAdmissionRequest } from './RunAdmission.js';
+import { beginRun } from './RunBegin.js';
 import { createRunRetries } from './RunRetries.js';
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 import { listFirstEngines } from './RunEnds.js';
@@ -331,65 +329,6 @@
     return ended;
   }
 
-  function refuse(kind: RequestProblem['kind'], retryAfter: Millis | null): void {
-    const problem = { kind, run: RunState.NotRun, retryAfter, instance: null };
-    send({ kind: 'refused', problem });
-  }
-
-  function enqueue(): void {
-    const onAdmitted = (): void => {
-      countMetric(shared, 'admitted');
-      creditBudget(shared, spec.model);
-      log('admit', null);
-      send({ kind: 'admitted' });
-    };
-    const onRefused = (retryAfter: Millis): void => refuse(ProblemKind.Overloaded, retryAfter);
-    admission.enqueue(
-      createAdmissionRequest(spec, meters),
-      { onAdmitted, onRefused },
-      timers.now(),
-    );
-  }
-
-  /**
-   * Runs after the key is claimed: a stored answer needs no engine, and a refusal before the claim would
-   * report "not run" for a key that had run.
-   */
-  function requestAdmission(): void {
-    const retryAfter = admission.check(createAdmissionRequest(spec, meters), timers.now());
-    if (retryAfter === null) {
-      enqueue();
-    } else {
-      refuse(ProblemKind.Overloaded, retryAfter);
-    }
-  }
-
-  function begin(): void {
-    if (spec.deadline <= submittedAt) {
-      refuse(ProblemKind.Deadline, null);
-    } else if (shared.isDraining()) {
-      refuse(ProblemKind.Draining, 0);
-    } else if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Condemned) {
-      countMetric(shared, 'poisonRefused');
-      refuse(ProblemKind.Poison, null);
-    } else if (spec.idempotent || spec.idempotencyKey === null) {
-      requestAdmission();
-    } else {
-      // A resend may get a newer version of the model, but everything that its caller chose must be the same.
-      const keyedContent = JSON.stringify([spec.prompt, spec.variant.adapter, spec.maxTokens]);
-      const claimRequest = {
-        ...spec,
-        key: spec.idempotencyKey,
-        fingerprint: computeFingerprint(spec.team, spec.model, keyedContent),
-      };
-      claim = claimKey(shared, claimRequest, {
-        onGranted: requestAdmission,
-        onReplayed: (answer) => send({ kind: 'answer-held', answer }),
-        onRefused: (problem) => send({ kind: 'refused', problem }),
-      });
-    }
-  }
-
   function handleHangUp(): void {
     const isRunningKeyed = claim !== null && machine.attempt > 0;
     if (!isRunningKeyed || machine.phase === RequestPhase.Ended) {
@@ -409,6 +348,8 @@
   }
 
   shared.runs.set(spec.id, run);
-  shared.post(begin);
+  shared.post(() => {
+    claim = beginRun(shared, { spec, submittedAt, fingerprint, send, log });
+  });
   return { cancel: () => shared.post(handleHangUp) };
 }
