Fit a domain of hundreds of engines in chains that engines accept

A domain of 333 engines has more than 32 groups of eight; no layout was made, and the domain was placed as a single chain of over 60 stages of one or two layers, which engines refuse and routing calls layers missing. Change: groups may be twice, four times as large where there would be more of them than a chain may have stages. Domains of up to 256 engines are planned as before. The new test fails before.

--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -71,10 +71,10 @@
   const requestBytes = getRequestBytes(model);
   const singleCopyRequests = (memory - weights) / (model.layers * requestBytes);
   const neededRequests = Math.max(HEADROOM_SHARE * singleCopyRequests, SLOT_SHARE * model.slots);
-  const grouping = findGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
+  const grouping = findShortGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
     countGroupLayers(sorted.slice(first, first + size), model, neededRequests * requestBytes),
   );
-  if (!grouping || grouping.length > MAX_STAGES || grouping.every(({ size }) => size === 1)) {
+  if (!grouping || grouping.every(({ size }) => size === 1)) {
     return null;
   }
   const groups = orderGroups(balanceLayers(splitBySizes(sorted, grouping), model));
@@ -82,6 +82,27 @@
   return { groups, requests: headroom / requestBytes };
 }
 
+/**
+ * Finds groups that fit in one chain. A domain of hundreds of engines has more groups of `mostCopies` than a chain may
+ * have stages; its groups may be larger, else it would have a single chain, longer than any that engines accept.
+ */
+function findShortGrouping(
+  engines: number,
+  mostCopies: number,
+  layers: number,
+  countLayers: (first: number, size: number) => number,
+): readonly GroupSize[] | null {
+  for (let copies = mostCopies; ; copies *= 2) {
+    const grouping = findGrouping(engines, copies, layers, countLayers);
+    if (grouping === null || grouping.length <= MAX_STAGES) {
+      return grouping;
+    }
+    if (copies >= engines) {
+      return null;
+    }
+  }
+}
+
 /** The ranges that the engines of a layout should hold. */
 export function createGroupPlan({ groups }: GroupLayout): RangePlan {
   const plan = new Map<EngineId, LayerRange>();
--- a/packages/placement/src/__tests__/unit/PlacementGroups.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementGroups.test.ts
@@ -42,6 +42,19 @@
     }
   });
 
+  it('fits a domain of hundreds of engines in chains that engines accept', () => {
+    // Guards against a single chain over all engines of a large domain, of more stages than any engine accepts: with
+    // 333 engines in each of three domains nothing was served.
+    const memory = [40, 110, 180].flatMap((count, i) =>
+      Array.from({ length: count }, () => [36, 21.6, 14.4][i] ?? 0),
+    );
+    const placed = place(memory);
+    const ranges = new Set(placed?.engines.map(({ held }) => `${held?.first}-${held?.end}`));
+    expect(placed).to.not.equal(null);
+    expect(ranges.size).to.be.at.most(32);
+    expect(findGaps(placed?.engines ?? [], GROUP_MODEL)).to.deep.equal([]);
+  });
+
   it('covers every layer without exceeding the memory of any engine', () => {
     fc.assert(
       fc.property(
