Never repeat a lease id in the fake range store

What it caused: grant, grant, revoke the first, grant gave 1000, 1001, 1001. The third lease took the place of the second, so the end of either would have removed the keys of both, and a test of leases could have passed for that reason. Cause: the id was computed from the number of live leases and the revision, which both return to earlier values or stay. Change: ids count up.

--- a/packages/store/src/FakeRangeStore.ts
+++ b/packages/store/src/FakeRangeStore.ts
@@ -31,6 +31,7 @@
   let compactedRevision = 0;
   let isUp = true;
   let calls = 0;
+  let lastLease = 0;
   /** Callbacks of pending watches; each is called on the next change. */
   const waiting = new Set<() => void>();
 
@@ -155,9 +156,9 @@
       }),
     grantLease: (ttl) =>
       answer(() => {
-        const id = leases.size + revision * 1000;
-        leases.set(id, { ttl, expiresAt: timers.now() + ttl });
-        return { kind: 'done', value: id };
+        lastLease += 1;
+        leases.set(lastLease, { ttl, expiresAt: timers.now() + ttl });
+        return { kind: 'done', value: lastLease };
       }),
     renewLease: (id) =>
       answer(() => {
