Write an instance's entry again under the lease that it has, not under a second one

What callers saw: after a registration whose answer was lost, a running instance could be gone from the store until its restart: peers didn't count it, so engines and retries were shared among too few. While the store answered badly, leases were left to lapse. Cause: a lease whose keys weren't known to be written was dropped and another one acquired. The dropped lease still existed. Its write, executed late, moved the entry back to it, and took the entry along when it lapsed; the second lease stayed valid. Evidence: forced order in virtual time, RelayLeaseKeeper "keeps its keys bound when their first write takes effect after their second" failed before: lease 1 lapsed at 6 s, the entry was still gone at 30 s while isValid() was true. Change: a lease is known from its grant on. Keys that aren't known to be written are written again under it after the next renewal. Only when the store says that it lapsed is another one acquired; a late write is refused then. An error that onGranted throws is reported and the keys are written again, in place of a rejection that nobody handles. No lease is asked for when a renewal that was under way at the stop says lapsed. Measured: the new test fails before and passes after; tests of relay's leases, parts and of the store pass.

--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -92,6 +92,7 @@
     renewPeriod: ENTRY_RENEW_PERIOD,
     onGranted: register,
     isNeeded: () => true,
+    onError,
   });
   const dutyLease = createLeaseKeeper({
     port,
@@ -103,8 +104,13 @@
     // The result of a claim arrives with the store's updates, some hundred milliseconds after the write.
     isNeeded: () =>
       timers.now() - claimedAt < DUTY_LEASE_TIME || options.listDomains().some(isHeldBySelf),
+    onError,
   });
 
+  function onError(err: unknown): void {
+    options.onError(`lease: ${String(err)}`);
+  }
+
   async function register(lease: number): Promise<boolean> {
     const entry = { key: `${INSTANCE_PREFIX}${self.id}`, value: formatInstance(self), lease };
     const written = await port.write([], [entry], [], callOptions);
--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -1,4 +1,8 @@
-/** Holds one lease of the store and renews it until it is stopped or no longer needed. */
+/**
+ * Holds one lease of the store and renews it until it is stopped or no longer needed. Any answer of the store can be
+ * lost, and the call may be executed later. So a lease is kept from its grant on, whether or not its keys are known to
+ * be written, and is replaced only after the store has said that it lapsed: its keys can't be written any more then.
+ */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
@@ -12,16 +16,21 @@
   /** How long the lease is valid after it was granted or renewed. */
   readonly time: Millis;
   readonly renewPeriod: Millis;
-  /** Writes the keys that are bound to a newly granted lease. If it resolves to false, the lease is not used. */
+  /**
+   * Writes the keys that are bound to a granted lease. If it resolves to false or rejects, the lease is not valid yet,
+   * and the keys are written again after the next renewal.
+   */
   readonly onGranted: (lease: number) => Promise<boolean>;
   /** Whether the lease is still needed; otherwise it is no longer renewed and lapses. */
   readonly isNeeded: () => boolean;
+  /** Receives what `onGranted` or a call to the store throws. */
+  readonly onError?: (err: unknown) => void;
 }
 
 export interface LeaseKeeper {
   /** Acquires a lease and starts to renew it, unless this was started already; resolves after the first attempt. */
   start(): Promise<void>;
-  /** Whether the lease is valid and stays so for at least the safety margin. */
+  /** Whether the lease's keys are written, and it is valid for at least the safety margin. */
   isValid(): boolean;
   /** The id of the current lease, or null if there is none. */
   getLeaseId(): number | null;
@@ -34,10 +43,16 @@
 const CALL_TIMEOUT: Millis = 800;
 const JITTER_SHARE = 0.3;
 
+interface KeptLease {
+  readonly id: number;
+  safeUntil: Millis;
+  areKeysWritten: boolean;
+}
+
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
   const { port, timers, random, time } = options;
   const callOptions = { timeout: CALL_TIMEOUT };
-  let lease: { readonly id: number; safeUntil: Millis } | null = null;
+  let lease: KeptLease | null = null;
   let isKeeping = false;
   let isStopped = false;
 
@@ -47,38 +62,68 @@
     if (granted.kind !== 'done') {
       return;
     }
-    const isUsed = !isStopped && (await options.onGranted(granted.value));
     if (isStopped) {
-      // `stop` did not know of this lease, and its keys would stay until it lapses.
+      // `stop` did not know of this lease, and it would stay until it lapses.
       void port.revokeLease(granted.value, callOptions);
-    } else if (isUsed) {
-      lease = { id: granted.value, safeUntil: requestedAt + time - SAFETY_MARGIN };
+      return;
     }
+    lease = {
+      id: granted.value,
+      safeUntil: requestedAt + time - SAFETY_MARGIN,
+      areKeysWritten: false,
+    };
+    await writeKeys();
   }
 
-  async function renewOrAcquire(): Promise<void> {
-    if (lease === null) {
-      await acquire();
-      return;
+  async function writeKeys(): Promise<void> {
+    const current = lease;
+    if (current && !current.areKeysWritten) {
+      current.areKeysWritten = await options.onGranted(current.id);
     }
+  }
+
+  async function renew(): Promise<void> {
     const current = lease;
+    if (!current) {
+      return;
+    }
     const requestedAt = timers.now();
     const outcome = await port.renewLease(current.id, callOptions);
     if (outcome.kind === 'done') {
       current.safeUntil = requestedAt + time - SAFETY_MARGIN;
     } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
       lease = null;
+    }
+  }
+
+  async function renewOrAcquire(): Promise<void> {
+    await renew();
+    if (isStopped) {
+      return;
+    }
+    if (lease) {
+      await writeKeys();
+    } else {
       await acquire();
     }
   }
 
+  async function keep(): Promise<void> {
+    try {
+      await renewOrAcquire();
+    } catch (err) {
+      options.onError?.(err);
+    }
+    scheduleRenewal();
+  }
+
   function scheduleRenewal(): void {
     timers.registerTimeout(jitter(random, options.renewPeriod, JITTER_SHARE), () => {
       if (isStopped) {
         return;
       }
       if (options.isNeeded()) {
-        void renewOrAcquire().finally(scheduleRenewal);
+        void keep();
       } else {
         lease = null;
         isKeeping = false;
@@ -90,10 +135,11 @@
     async start() {
       if (!isKeeping && !isStopped) {
         isKeeping = true;
-        await renewOrAcquire().finally(scheduleRenewal);
+        await keep();
       }
     },
-    isValid: () => lease !== null && !isStopped && timers.now() < lease.safeUntil,
+    isValid: () =>
+      lease !== null && lease.areKeysWritten && !isStopped && timers.now() < lease.safeUntil,
     getLeaseId: () => lease?.id ?? null,
     stop() {
       isStopped = true;
--- a/packages/relay/src/__tests__/unit/RelayLeaseKeeper.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLeaseKeeper.test.ts
@@ -2,11 +2,14 @@
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createFakeCalls } from '@skylarksail/store/FakeCalls';
+import { CallFate } from '@skylarksail/store/FakeFates';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import { createLeaseKeeper } from '../../RelayLeaseKeeper.js';
 
 const LEASE_TIME: Millis = 6000;
 const LATENCY: Millis = 50;
+const CALL = { timeout: 800 };
 
 function createBed() {
   const timers = createVirtualTimers();
@@ -55,4 +58,30 @@
       expect(keeper.isValid()).to.equal(false);
     });
   }
+
+  it('keeps its keys bound when their first write takes effect after their second', async () => {
+    // Guards against an instance that runs and is no longer registered: a late write moves its entry to an earlier lease.
+    const timers = createVirtualTimers();
+    const store = createFakeRangeStore(timers);
+    const calls = createFakeCalls({ timers, fates: { write: [CallFate.Late] }, lateDelay: 3000 });
+    const keeper = createLeaseKeeper({
+      port: store,
+      timers,
+      random: { nextFloat: () => 0.5, nextInt: () => 0 },
+      time: LEASE_TIME,
+      renewPeriod: 2000,
+      onGranted: async (lease) => {
+        const items = [{ key: 'entry', value: 'x', lease }];
+        const written = await calls.call('write', CALL.timeout, () =>
+          store.write([], items, [], CALL),
+        );
+        return written.kind === 'done';
+      },
+      isNeeded: () => true,
+    });
+    void keeper.start();
+    await timers.advanceToAsync(LEASE_TIME * 2);
+    expect(keeper.isValid()).to.equal(true);
+    expect(store.get('entry')).to.equal('x');
+  });
 });
