End every lease of a stopped instance until the store confirms it

What callers saw: when an instance stopped while the store was slow, answered 503 or lost calls, its entry and its duties stayed for seconds: a domain had nobody to place its layers, and peers counted an instance that was gone. Cause: stop knew of one lease, called its end once and ignored the outcome. A lease that was no longer needed was dropped without a call, and the process left without looking whether its leases had ended. Change: createLeaseEnds repeats a call that ends a lease until it is done or the lease has lapsed, every 0.2 s or after what the refusal says. The keeper ends every lease that it gives up that way, the unneeded ones too. A shutdown whose requests are done waits for the ends, with its port closed, until its grace period is over. Bound: 1.2 s from when the store answers again, an unanswered call of 0.8 s and its repetition, if the process lives that long. Left: a grant whose answer is lost leaves a lease without keys, which lapses; a store that stays down beyond the grace period.

--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -34,8 +34,12 @@
   /** All registered instances, always including this one. The same array is returned until something changes. */
   listInstances(): readonly InstanceEntry[];
   start(): void;
-  /** Revokes the leases, which frees the duties at once. */
+  /** Ends the leases, which frees the duties at once. */
   stop(): void;
+  /** Resolves when the store has confirmed the end of the leases, or ending them was given up. */
+  waitForEnds(): Promise<void>;
+  /** Gives up ending leases. */
+  close(): void;
 }
 
 /** Prefix of all keys that instances write to the store. */
@@ -225,6 +229,13 @@
       entryLease.stop();
       dutyLease.stop();
     },
+    async waitForEnds() {
+      await Promise.all([entryLease.waitForEnds(), dutyLease.waitForEnds()]);
+    },
+    close() {
+      entryLease.close();
+      dutyLease.close();
+    },
   };
 }
 
--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -2,11 +2,13 @@
  * Holds one lease of the store and renews it until it is stopped or no longer needed. Any answer of the store can be
  * lost, and the call may be executed later. So a lease is kept from its grant on, whether or not its keys are known to
  * be written, and is replaced only after the store has said that it lapsed: its keys can't be written any more then.
+ * A lease that is given up is ended until the store confirms it.
  */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createLeaseEnds } from '@skylarksail/store/StoreLeaseEnds';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 
 export interface LeaseKeeperOptions {
@@ -21,7 +23,7 @@
    * and the keys are written again after the next renewal.
    */
   readonly onGranted: (lease: number) => Promise<boolean>;
-  /** Whether the lease is still needed; otherwise it is no longer renewed and lapses. */
+  /** Whether the lease is still needed; otherwise it is ended. */
   readonly isNeeded: () => boolean;
   /** Receives what `onGranted` or a call to the store throws. */
   readonly onError?: (err: unknown) => void;
@@ -34,14 +36,20 @@
   isValid(): boolean;
   /** The id of the current lease, or null if there is none. */
   getLeaseId(): number | null;
-  /** Revokes the lease and stops renewing it. */
+  /** Ends the lease and stops renewing it. */
   stop(): void;
+  /** Resolves when no lease is being ended any more. */
+  waitForEnds(): Promise<void>;
+  /** Gives up ending leases. */
+  close(): void;
 }
 
 /** Final part of the lease in which it is no longer acted on, because an order takes time to arrive. */
 const SAFETY_MARGIN: Millis = 800;
 const CALL_TIMEOUT: Millis = 800;
 const JITTER_SHARE = 0.3;
+/** Lease times for which a lease is tried to be ended; leases may stand still while the store is down. */
+const END_TIMES = 5;
 
 interface KeptLease {
   readonly id: number;
@@ -52,10 +60,22 @@
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
   const { port, timers, random, time } = options;
   const callOptions = { timeout: CALL_TIMEOUT };
+  const ends = createLeaseEnds({ timers, random, giveUpAfter: time * END_TIMES });
   let lease: KeptLease | null = null;
   let isKeeping = false;
   let isStopped = false;
 
+  function endLease(id: number): void {
+    void ends.start(() => port.revokeLease(id, callOptions));
+  }
+
+  function dropLease(): void {
+    if (lease) {
+      endLease(lease.id);
+      lease = null;
+    }
+  }
+
   async function acquire(): Promise<void> {
     const requestedAt = timers.now();
     const granted = await port.grantLease(time, callOptions);
@@ -63,8 +83,7 @@
       return;
     }
     if (isStopped) {
-      // `stop` did not know of this lease, and it would stay until it lapses.
-      void port.revokeLease(granted.value, callOptions);
+      endLease(granted.value);
       return;
     }
     lease = {
@@ -125,7 +144,7 @@
       if (options.isNeeded()) {
         void keep();
       } else {
-        lease = null;
+        dropLease();
         isKeeping = false;
       }
     });
@@ -143,9 +162,9 @@
     getLeaseId: () => lease?.id ?? null,
     stop() {
       isStopped = true;
-      if (lease) {
-        void port.revokeLease(lease.id, callOptions);
-      }
+      dropLease();
     },
+    waitForEnds: ends.waitForEnds,
+    close: ends.close,
   };
 }
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -91,6 +91,8 @@
   noteSettingsChanged(): void;
   /** Releases the duties and stops serving as a source of updates; running requests continue. */
   startLeaving(): void;
+  /** Waits until the store has confirmed the release of the duties, for at most `limit`. */
+  waitForLeaseEnds(limit: Millis): Promise<void>;
   stop(): void;
 }
 
@@ -351,7 +353,13 @@
       sync.updates.noteLeaving();
       lease.stop();
     },
+    async waitForLeaseEnds(limit) {
+      const cancel = timers.registerTimeout(limit, lease.close);
+      await lease.waitForEnds();
+      cancel();
+    },
     stop() {
+      lease.close();
       sync.stop();
       cleanups.forEach((cleanup) => cleanup());
       router.stop();
--- a/packages/relay/src/RelayStop.ts
+++ b/packages/relay/src/RelayStop.ts
@@ -15,7 +15,7 @@
 
 export interface RelayStopOptions {
   readonly timers: TimerService;
-  readonly parts: Pick<RelayParts, 'startLeaving' | 'stop' | 'router'>;
+  readonly parts: Pick<RelayParts, 'startLeaving' | 'waitForLeaseEnds' | 'stop' | 'router'>;
   readonly port: StoppablePort;
   /** Time after which the process is killed. */
   readonly grace: Millis;
@@ -29,15 +29,23 @@
 /** Part of the grace period reserved for a clean exit of the process. */
 const STOP_MARGIN: Millis = 400;
 
-/** Shuts down; resolves when all accepted requests have ended or the grace period is over. */
+/**
+ * Shuts down; resolves when all accepted requests and the leases have ended or the grace period is over. A lease that
+ * the process leaves behind keeps its duties from all others until it lapses.
+ */
 export async function stopRelay({ timers, parts, port, grace }: RelayStopOptions): Promise<void> {
+  const endsAt = timers.now() + grace - STOP_MARGIN;
   parts.startLeaving();
   port.startClosing();
   await new Promise<void>((resolve) => {
     timers.registerTimeout(BALANCER_LAG, resolve);
   });
   port.stopAccepting();
-  await parts.router.drain(Math.max(0, grace - BALANCER_LAG - STOP_MARGIN));
+  await parts.router.drain(Math.max(0, endsAt - timers.now()));
   port.close();
+  const timeLeft = endsAt - timers.now();
+  if (timeLeft > 0) {
+    await parts.waitForLeaseEnds(timeLeft);
+  }
   parts.stop();
 }
--- a/packages/relay/src/__tests__/unit/RelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStop.test.ts
@@ -38,4 +38,36 @@
       '7600 stopped',
     ]);
   });
+
+  it('stays for the rest of its grace period until its leases have ended, with its port closed', async () => {
+    // Guards against a process that ends before an unanswered release of its duties is repeated, so that they stay taken.
+    const timers = createVirtualTimers();
+    const steps: string[] = [];
+    const note = (what: string) => () => steps.push(`${timers.now()} ${what}`);
+    const parts = {
+      startLeaving: note('leaving'),
+      stop: note('stopped'),
+      router: { drain: () => Promise.resolve() },
+      waitForLeaseEnds: (limit: number) => {
+        steps.push(`${timers.now()} leases ${limit}`);
+        return new Promise<void>((resolve) => {
+          timers.registerTimeout(900, resolve);
+        });
+      },
+    } as unknown as RelayParts;
+    const port = {
+      startClosing: () => undefined,
+      stopAccepting: note('no new'),
+      close: note('cut'),
+    };
+    void stopRelay({ timers, parts, port, grace: 8000 });
+    await timers.advanceToAsync(8000);
+    expect(steps).to.deep.equal([
+      '0 leaving',
+      '2600 no new',
+      '2600 cut',
+      '2600 leases 5000',
+      '3500 stopped',
+    ]);
+  });
 });
