End what a stopped lease holder may hold until the service confirms it

What callers saw: a daemon that stopped while its platform answered badly left the placement lease of its domain for up to 20 s: nobody replaced a dead stage of a chain meanwhile. An acquisition without an answer, and a lease that the holder had stopped relying on because its renewals weren't answered, were unknown to stop; the release was called once. A shutdown closed the connection to the platform right after it. Real processes of the daemon: not run for this commit. Change: the holder keeps the last lease granted until the service says that it ended, and whether an acquisition is unanswered. After a stop it repeats the release until it is confirmed. What an unanswered acquisition may have acquired is acquired once more first, as only a fencing number identifies a lease. A stopped holder is closed before its instance creates another one, since it would release what that one relies on (StoreHelpers "does not free the lease of a later holder…" fails without it). The shutdown of a daemon waits for the end for at most two seconds from the first release. Left: an acquisition that the service carries out after all later calls of a process that has ended lapses with its TTL.

--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -196,13 +196,14 @@
   });
 
   async function stop(): Promise<void> {
-    placement.stop();
+    const placementStopped = placement.stop();
     drains.stop();
     unregisterAll.forEach((unregister) => unregister());
     router.stop();
     manifest.stop();
     claims.owner.stop();
     fleet.membership.stop();
+    await placementStopped;
     await fleet.link.close();
     await Promise.all(
       [platformHttp, status, engineHttp, serviceHttp, orderHttp].map((http) => http.close()),
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -29,7 +29,7 @@
   getStatus(): PlacementStatus;
   /** Chooses the version for a new request; the manifest's version while no version has a complete chain. */
   chooseVersion(model: ManifestModel): VersionId;
-  stop(): void;
+  stop(): Promise<void>;
 }
 
 export interface DaemonPlacementOptions {
@@ -94,7 +94,7 @@
       chooseServableVersion(versions.get(model.id) ?? [], random.nextFloat()) ?? model.serve,
     stop() {
       undo.forEach((stop) => stop());
-      runner.stop();
+      return runner.stop();
     },
   };
 }
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -31,6 +31,8 @@
 
 const TICK_PERIOD: Millis = 1000;
 const LEASE_TTL: Millis = 20_000;
+/** Time from the release of the lease for which a shutdown waits for its end. */
+const LEASE_END_TIME: Millis = 2000;
 /** Maximum share of time spent on planning, since requests run on the same thread. */
 const PLAN_TIME_SHARE = 0.05;
 
@@ -82,8 +84,8 @@
 
 export interface PlacementRunner {
   getStatus(): PlacementStatus;
-  /** Releases the lease and stops sending orders. */
-  stop(): void;
+  /** Stops sending orders and ends the lease; resolves when it has ended, or two seconds after its first release. */
+  stop(): Promise<void>;
 }
 
 /** Key of a domain's placement lease in the platform's store. */
@@ -97,6 +99,9 @@
   const settings = { ...DEFAULT_ORDER_SETTINGS, ...deps.settings };
   let orders = createOrders(domain, settings);
   let holder: LeaseHolder | null = null;
+  /** The last holder that was stopped; it may still be ending its lease. */
+  let stoppedHolder: LeaseHolder | null = null;
+  let stoppedAt: Millis = 0;
   let hasHeldLease = false;
   let bucket = createWeightBucket(timers.now());
   let plan: PlacementPlan | null = null;
@@ -155,6 +160,7 @@
   }
 
   function startLeaseHolder(): void {
+    stoppedHolder?.close();
     holder = createLeaseHolder({
       port: deps.platform,
       timers,
@@ -170,8 +176,12 @@
   }
 
   function stopLeaseHolder(): void {
-    holder?.stop();
-    holder = null;
+    if (holder) {
+      holder.stop();
+      stoppedHolder = holder;
+      stoppedAt = timers.now();
+      holder = null;
+    }
   }
 
   function tick(): void {
@@ -245,10 +255,15 @@
         capacities: plan?.capacities ?? new Map<ModelId, number>(),
       };
     },
-    stop() {
+    async stop() {
       isStopped = true;
       cancel();
       stopLeaseHolder();
+      const last = stoppedHolder;
+      const timeLeft = stoppedAt + LEASE_END_TIME - timers.now();
+      const cancelWait = timers.registerTimeout(timeLeft, () => last?.close());
+      await last?.waitForEnd();
+      cancelWait();
     },
   };
 }
--- a/packages/store/src/StoreLeaseHolder.ts
+++ b/packages/store/src/StoreLeaseHolder.ts
@@ -3,11 +3,15 @@
  * lease's time from before it sent the request, on its own monotonic clock, and stops relying on the
  * lease a margin before it could lapse. Code that acts under the lease calls `getLease` just before it
  * acts, and gets null if the process was paused past that point.
+ *
+ * A lease may exist although the holder doesn't rely on it: an acquisition was not answered, or the answers to its
+ * renewals were lost. The holder ends also these when it is stopped, since others would wait until they lapse.
  */
 import { jitter, type Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { StoreLease, StorePort } from './StorePort.js';
+import { createLeaseEnds } from './StoreLeaseEnds.js';
+import type { StoreLease, StoreOutcome, StorePort } from './StorePort.js';
 
 export interface LeaseHolderOptions {
   readonly port: StorePort;
@@ -26,8 +30,15 @@
 export interface LeaseHolder {
   /** Returns the lease if it is safe to act under it now, else null. Don't cache the result. */
   getLease(): StoreLease | null;
-  /** Releases the lease if it is held, and stops acquiring and renewing it. */
+  /** Stops acquiring and renewing the lease, and ends it if it may be held. */
   stop(): void;
+  /** Resolves when a stopped holder has ended its lease or has given it up. */
+  waitForEnd(): Promise<void>;
+  /**
+   * Gives up ending the lease. A stopped holder must be closed before another one with its name is created, which
+   * would rely on a lease that this one releases.
+   */
+  close(): void;
 }
 
 /**
@@ -40,6 +51,8 @@
 /** Share of the TTL after which a lease that was lost or not acquired is requested again. */
 const REACQUIRE_SHARE = 0.25;
 const JITTER_SHARE = 0.3;
+/** TTLs for which a lease is tried to be ended. */
+const END_TIMES = 2;
 
 interface HeldLease {
   readonly lease: StoreLease;
@@ -51,8 +64,16 @@
   const { port, timers, random, key, holder, ttl, margin } = options;
   const validTime = ttl - margin;
   const callOptions = { timeout: validTime * CALL_TIMEOUT_SHARE };
+  const ends = createLeaseEnds({ timers, random, giveUpAfter: ttl * END_TIMES });
   let held: HeldLease | null = null;
+  /** The last lease that was granted, until the service has said that it ended. */
+  let granted: StoreLease | null = null;
+  /** Whether an acquisition was not answered that no later answer has settled. */
+  let mayBeAcquired = false;
+  let acquiring = Promise.resolve();
+  let ending = Promise.resolve();
   let stopped = false;
+  let isClosed = false;
   let cancelNextCall: Unregister = () => undefined;
   let cancelExpiry: Unregister = () => undefined;
 
@@ -60,7 +81,11 @@
     cancelNextCall();
     if (!stopped) {
       cancelNextCall = timers.registerTimeout(jitter(random, delay, JITTER_SHARE), () => {
-        void (held ? renew(held) : acquire());
+        if (held) {
+          void renew(held);
+        } else {
+          acquiring = acquire();
+        }
       });
     }
   }
@@ -85,19 +110,62 @@
     }
   }
 
+  /** Requests the lease, which replaces any that this holder may already have, and notes what the answer settles. */
+  async function requestLease(): Promise<StoreOutcome<StoreLease>> {
+    const outcome = await port.acquireLease(key, holder, ttl, callOptions);
+    if (outcome.kind === 'done') {
+      granted = outcome.value;
+      mayBeAcquired = false;
+    } else if (outcome.kind === 'unknown') {
+      mayBeAcquired = true;
+    } else if (outcome.reason.kind === 'held') {
+      granted = null;
+      mayBeAcquired = false;
+    }
+    return outcome;
+  }
+
   async function acquire(): Promise<void> {
     const requestedAt = timers.now();
-    const outcome = await port.acquireLease(key, holder, ttl, callOptions);
-    if (outcome.kind === 'done' && stopped) {
-      // `stop` did not know of this lease; another holder would wait until it lapses.
-      void port.releaseLease(outcome.value, callOptions);
-    } else if (outcome.kind === 'done' && timers.now() < requestedAt + validTime) {
+    const outcome = await requestLease();
+    if (stopped) {
+      return;
+    }
+    if (outcome.kind === 'done' && timers.now() < requestedAt + validTime) {
       setLease(outcome.value, requestedAt);
     } else {
       schedule(ttl * REACQUIRE_SHARE);
     }
   }
 
+  /** Ends the lease once an acquisition that is under way has an outcome. */
+  async function end(): Promise<void> {
+    await acquiring;
+    if (!isClosed && (granted !== null || mayBeAcquired)) {
+      await ends.start(sendEnd);
+    }
+  }
+
+  /**
+   * Releases the lease that may be held. Only its fencing number identifies a lease, so one that was acquired by an
+   * unanswered call is first acquired again.
+   */
+  async function sendEnd(): Promise<StoreOutcome<null>> {
+    if (mayBeAcquired) {
+      const outcome = await requestLease();
+      if (outcome.kind === 'unknown') {
+        return outcome;
+      }
+      if (outcome.kind === 'refused' && outcome.reason.kind !== 'held') {
+        return outcome;
+      }
+    }
+    if (granted === null || isClosed) {
+      return { kind: 'done', value: null };
+    }
+    return port.releaseLease(granted, callOptions);
+  }
+
   async function renew(current: HeldLease): Promise<void> {
     const requestedAt = timers.now();
     const outcome = await port.renewLease(current.lease, callOptions);
@@ -107,6 +175,7 @@
     if (outcome.kind === 'done' && timers.now() < current.validUntil) {
       setLease(outcome.value, requestedAt);
     } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
+      granted = null;
       dropLease();
     } else {
       // Unanswered, rate-limited or not sent: the lease stays valid until the expiry timer drops it.
@@ -114,18 +183,20 @@
     }
   }
 
-  void acquire();
+  acquiring = acquire();
   return {
     getLease: () => (held && timers.now() < held.validUntil ? held.lease : null),
     stop() {
       stopped = true;
       cancelNextCall();
       cancelExpiry();
-      const last = held;
       held = null;
-      if (last) {
-        void port.releaseLease(last.lease, callOptions);
-      }
+      ending = end();
+    },
+    waitForEnd: () => ending,
+    close() {
+      isClosed = true;
+      ends.close();
     },
   };
 }
--- a/packages/store/src/StorePort.ts
+++ b/packages/store/src/StorePort.ts
@@ -80,6 +80,7 @@
   list(prefix: string, options: CallOptions): Promise<StoreOutcome<readonly string[]>>;
   /** Waits until the key's revision differs from `known`, or for the timeout; returns the current entry. */
   watch(key: string, known: number, options: CallOptions): Promise<StoreOutcome<StoreEntry>>;
+  /** Grants the lease. Its own holder gets it again under a new fencing number, which ends the lease that it had. */
   acquireLease(
     key: string,
     holder: string,
--- a/packages/store/src/__tests__/unit/StoreHelpers.test.ts
+++ b/packages/store/src/__tests__/unit/StoreHelpers.test.ts
@@ -94,6 +94,30 @@
     expect(told.filter((text) => text.startsWith('bb acquired'))).to.have.length(1);
   });
 
+  it('does not free the lease of a later holder with its name once it was closed', async () => {
+    // Guards against two holders acting at once: a stopped holder acquires the lease again to release it, and
+    // thereby releases what a later holder of the same instance relies on.
+    const bed = createBed();
+    const told: string[] = [];
+    bed.platform.injectFault('a', 'acquireLease', { kind: 'lost-answer' });
+    const first = startHolder(bed, 'a', told);
+    first.stop();
+    await bed.timers.advanceToAsync(700);
+    bed.platform.setFaults({ extraLatency: 400 }, 'a');
+    await bed.timers.advanceToAsync(730);
+    first.close();
+    bed.platform.setFaults({ extraLatency: 0 }, 'a');
+    const later = startHolder(bed, 'a', told);
+    await bed.timers.advanceToAsync(1200);
+    expect(bed.platform.countCalls().byOperation.acquireLease).to.equal(3);
+    const other = startHolder(bed, 'bb', told);
+    for (let now = 1200; now < 40_000; now += 50) {
+      await bed.timers.advanceToAsync(now);
+      expect(later.getLease() !== null && other.getLease() !== null).to.equal(false);
+    }
+    expect(later.getLease()).to.not.equal(null);
+  });
+
   it('stops relying on the lease before another holder can acquire it', async () => {
     // Guards against two holders acting at once: the first is cut off from the service, its lease lapses
     // and the second acquires it. This happens if the first measures its lease from the answer instead
