Count only begun answers in the share that stands still

What callers saw: while most begun answers of an instance stood still at once and other requests waited there, the answers that stood still were taken from their engines after 120 ms and began again elsewhere, with their prompts read a second time. With no request waiting they were left in place and went on. Cause: getStalledShare divided the stalled answers by all submitted requests. Those that wait for admission, for the claim of a key or for a first token can't be stalled, so each one lowered the share that RunSilence compares with 0.7: with eight of ten begun answers stalled, two waiting requests were enough. Change: the share is of the answers whose present attempt has produced a token. An attempt without a token says nothing of the engines: its wait depends on queues and prefill. Numerator and denominator now use one predicate, and the threshold means what docs/design/recovery.md says: seven in ten of the begun answers. health.md and retries.md don't use the share. The other shares of requests, routing and placement were read: recoveryShare counts admitted requests, the late share of a hop counts begun streams; neither counts requests that wait.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -33,7 +33,7 @@
 import { createRunRetries } from './RunRetries.js';
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 import { listFirstEngines } from './RunEnds.js';
-import { isStalled } from './RunSilence.js';
+import { hasBegun, isStalled } from './RunSilence.js';
 import { clearCrashRecords, noteRunCrash, noteRunToken, stopRunsOf } from './RunSuspicion.js';
 import { createRunWatch } from './RunWatch.js';
 
@@ -83,13 +83,13 @@
         ? { engine: first, priority: spec.priority, since: machine.openedAt }
         : null;
     },
+    hasBegun: () => hasBegun(machine),
     isStalled: (now) => isStalled(machine, now),
     takePace(now) {
       const chain = attempts.getChain();
-      const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
       const gap = Math.max(longestGap, now - machine.lastActivityAt);
       longestGap = 0;
-      return chain && isBegun ? { chain, gap } : null;
+      return chain && hasBegun(machine) ? { chain, gap } : null;
     },
     startRecovery: () => {
       countMetric(shared, 'recoveries');
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -123,9 +123,9 @@
   function readStalledShare(): number {
     const now = timers.now();
     if (now - stalledShareAt >= STALLED_SHARE_MAX_AGE) {
-      const runs = [...shared.runs.values()];
+      const begun = [...shared.runs.values()].filter((run) => run.hasBegun());
       stalledShareAt = now;
-      stalledShare = runs.filter((run) => run.isStalled(now)).length / Math.max(1, runs.length);
+      stalledShare = begun.filter((run) => run.isStalled(now)).length / Math.max(1, begun.length);
     }
     return stalledShare;
   }
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -21,6 +21,8 @@
   getEngines(): readonly EngineId[];
   /** Its place in an engine's queue; null if its answer has begun or it has no chain. */
   getQueued(): QueuedRun | null;
+  /** Whether its present attempt has produced a token. */
+  hasBegun(): boolean;
   /** Whether its answer has begun and is stalled. */
   isStalled(now: Millis): boolean;
   /** Progress of its answer since the last call; null if the answer has not begun. */
@@ -69,7 +71,7 @@
   /** Begun answers that wait for a model's retry budget: their callers have a partial answer and can't go elsewhere. */
   readonly begunWaits: Map<RequestId, ModelId>;
   readonly isDraining: () => boolean;
-  /** Share of the running requests whose answers are stalled. */
+  /** Share of the begun answers that are stalled; 0 if none has begun. */
   readonly getStalledShare: () => number;
   /** Starts queued recoveries while slots are free. */
   readonly startQueuedRecoveries: () => void;
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -16,7 +16,7 @@
 const MAX_SLOW_LINK_SILENCES = 6;
 /** Consecutive silences tolerated when no stream has received a token through any engine of the chain. */
 const MAX_CHAIN_SILENCES = 1;
-/** Single engines are blamed only while the share of stalled answers is at most this. */
+/** Single engines are blamed only while the share of begun answers that are stalled is at most this. */
 const MAX_STALLED_SHARE = 0.7;
 
 /** Failure of an attempt that is silent or slow. */
@@ -72,10 +72,14 @@
       };
 }
 
+/** Whether the present attempt has produced a token; one that waits for its first shows nothing about engines. */
+export function hasBegun({ phase, attemptTokens }: RequestMachine): boolean {
+  return phase === RequestPhase.Running && attemptTokens > 0;
+}
+
 /** Whether an answer has begun and is stalled. */
 export function isStalled(machine: RequestMachine, now: Millis): boolean {
-  const isBegun = machine.phase === RequestPhase.Running && machine.attemptTokens > 0;
-  return isBegun && now - machine.lastActivityAt > STALLED_AFTER;
+  return hasBegun(machine) && now - machine.lastActivityAt > STALLED_AFTER;
 }
 
 /** Engines to replace, or null if the silence is tolerated for now. */
