Log the end of an order or a lease with what has ended

What operators saw: the line `crash-loop` named the lease's number and neither what the engine was to load nor why; `lease-lost` and `stepped-down` had no number. Callers saw nothing: what was ordered was right. Cause: a decision is logged with the order of the record, else the lease of the state. These three were logged after the change that drops the order or the lease; all others are logged with the record before it. Evidence: PlacementOrders.test.ts, virtual time, through the decisions that startPlacementRunner reports. On AssertionError: expected { domain: 'd1', …(6) } to have deep property 'number' of 1048578, but got 1 and, for the leases, null in place of 1 after "stepped-down" and of 2 after "lease-lost". Change: the three are logged with the state before the change, and `log` says so. A crash loop without an open order still has the lease's number, as the type says. No order, effect or state differs.

--- a/packages/placement/src/PlacementOrders.ts
+++ b/packages/placement/src/PlacementOrders.ts
@@ -113,7 +113,8 @@
   }
   const engines = mapEngines(step.state, (record) => ({ ...record, asked: null }));
   if (fencing === null) {
-    return log({ ...step, state: { ...step.state, lease: null, engines } }, DecisionKind.LeaseLost);
+    const logged = log(step, DecisionKind.LeaseLost);
+    return { ...logged, state: { ...step.state, lease: null, engines } };
   }
   const newLease = { fencing, gainedAt: now, ordersSent: 0 };
   const state = { ...step.state, lease: newLease, engines };
@@ -130,13 +131,13 @@
       ? noteReport(previous, report, settings, now)
       : { record: createRecord(report, now), decision: null };
     known.set(report.facts.id, record);
-    if (decision) {
-      decisions.push([record, decision]);
+    if (previous && decision) {
+      decisions.push([previous, decision]);
     }
   }
   const highest = Math.max(0, ...reports.map(({ load }) => getOrderFencing(load.orderNumber)));
   const logged = decisions.reduce<OrdersStep>(
-    (next, [record, decision]) => log(next, decision, record),
+    (next, [before, decision]) => log(next, decision, before),
     {
       ...step,
       state: { ...step.state, engines: known },
@@ -162,8 +163,8 @@
 
 function stepDown(step: OrdersStep, { fencing }: HeldOrderLease): OrdersStep {
   const state = { ...step.state, lease: null, droppedFencing: fencing };
-  const logged = log({ ...step, state }, DecisionKind.SteppedDown);
-  return { ...logged, effects: [...logged.effects, { kind: 'step-down' }] };
+  const logged = log(step, DecisionKind.SteppedDown);
+  return { state, effects: [...logged.effects, { kind: 'step-down' }] };
 }
 
 function settleAll(step: OrdersStep, now: Millis): OrdersStep {
@@ -298,6 +299,7 @@
   return new Map([...engines].map(([id, record]) => [id, change(record)]));
 }
 
+/** Logs a decision. If it drops the lease or the order, `step` and `record` are those before it. */
 function log(step: OrdersStep, kind: DecisionKindName, record?: EngineRecord): OrdersStep {
   const decision: PlacementDecision = {
     domain: step.state.domain,
--- a/packages/placement/src/__tests__/unit/PlacementOrders.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementOrders.test.ts
@@ -283,6 +283,45 @@
     expect(bed.getHolding('e001')).to.not.equal(null);
   });
 
+  it('logs a crash loop with the order that it ends', async () => {
+    // Guards against a log that doesn't say what an engine was to load when it crashed again and again.
+    const bed = createPlacedBed(true);
+    bed.start('a');
+    await bed.run(20_000);
+    bed.setFaults('e003', { crashesOnLoad: true });
+    bed.crash('e003');
+    await bed.run(300_000);
+    const ofEngine = bed.decisions.filter(({ engine }) => engine === 'e003');
+    const at = ofEngine.findIndex(({ kind }) => kind === DecisionKind.CrashLoop);
+    const order = ofEngine.slice(0, at).findLast(({ kind }) => kind === DecisionKind.Ordered);
+    expect(order?.want).to.include({ model: 'writer' });
+    expect(ofEngine[at]).to.deep.include({
+      number: order?.number,
+      want: order?.want,
+      reason: order?.reason,
+    });
+  });
+
+  it('logs which lease was lost or given up', async () => {
+    // Guards against a log from which the end of a lease can't be matched with the orders under it.
+    const bed = createPlacedBed(true);
+    bed.start('a');
+    await bed.run(60_000);
+    bed.setHighestOrderNumber('e002', Number.MAX_SAFE_INTEGER);
+    await bed.run(60_000);
+    bed.platform.setFaults({ outage: true }, 'a');
+    await bed.run(60_000);
+    const leases = bed.decisions.filter(({ engine }) => engine === null);
+    const [first, second] = leases.filter(({ kind }) => kind === DecisionKind.LeaseGained);
+    expect(first?.number).to.be.below(second?.number ?? 0);
+    expect(leases.map(({ kind, number }) => [kind, number])).to.deep.equal([
+      [DecisionKind.LeaseGained, first?.number],
+      [DecisionKind.SteppedDown, first?.number],
+      [DecisionKind.LeaseGained, second?.number],
+      [DecisionKind.LeaseLost, second?.number],
+    ]);
+  });
+
   it('corrects a late order from a paused holder in bounded time at engines that ignore fencing numbers', async () => {
     // Guards against an engine that holds what no plan asks for: the holder reads its lease and is paused
     // before the order is sent, its successor orders something else, and then the old order arrives.
