Let an engine that returns empty take back layers that nearly fill it

What callers saw: where weights nearly fill the engines of a domain with one chain, an engine that crashed and came back empty got its layers a second late; the domain had no chain for that second more. Cause: a new partition gives an engine weights for up to 0.85 of its memory, but a gap was filled only within 0.8. An engine with a share between them could not take back what it had held until the whole domain may be partitioned anew, which is held back for a second after an engine joined. Evidence: RelayPlacement.test.ts, virtual time, four engines with shares of 0.81. On, half a second after the return, AssertionError: expected [] to deeply equal [ { engine: 'back', range: { …(2) } } ] PlacementCopies.test.ts, drawn domains: "Counterexample: [[21.6,43.2,43.2,21.6,43.2]]", "expected [ { first: +0, end: 10 } ] to deeply equal []". Change: a gap is filled within 0.8 (now PREFERRED_GAP_WEIGHT_SHARE) by any of the ways there were, and only where none of them fills it within MAX_WEIGHT_SHARE. canHold, findSmallestHolder and compareIds stand in PlacementFit, as both planners use them. Ruled out: 0.85 alone. It takes one engine of 43.2 GB for 20 layers, where before two shared them; a test holds this.

--- a/packages/placement/src/PlacementCopies.ts
+++ b/packages/placement/src/PlacementCopies.ts
@@ -5,16 +5,16 @@
  */
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { EngineId, LayerRange } from '@skylarksail/core/CoreTypes';
+import { canHold, compareIds, findSmallestHolder } from './PlacementFit.js';
 import type { GroupModel } from './PlacementGroups.js';
 import { createGroupLayout, createGroupPlan, getEngineHeadroom } from './PlacementGroups.js';
 import type { RangeEngine, RangeModel, RangePlan } from './PlacementRanges.js';
 import {
-  compareIds,
   findGaps,
   MAX_WEIGHT_SHARE,
-  MAX_GAP_WEIGHT_SHARE,
   planRanges,
   partitionByMemory,
+  PREFERRED_GAP_WEIGHT_SHARE,
 } from './PlacementRanges.js';
 import { isHeldBy } from './PlacementSteps.js';
 
@@ -105,10 +105,7 @@
   return layout ? createGroupPlan(layout) : planRanges(empty, model, true);
 }
 
-/**
- * Assigns missing layers to spare engines or, if permitted, to engines that hold other layers: a neighbour of
- * the gap, or engines whose own layers others hold too.
- */
+/** Assigns missing layers to engines that keep enough KV cache, or else to others that can hold them. */
 function fillGaps(
   engines: readonly RangeEngine[],
   model: RangeModel,
@@ -117,26 +114,42 @@
 ): void {
   for (const gap of findGaps(engines, model)) {
     const present = applyPlan(engines, plan);
-    const spares = present.filter(({ held }) => held === null);
     const filled =
-      assignToOne(spares, gap, model) ??
-      splitAcrossFewest(spares, gap, model) ??
-      (mayReassign
-        ? (extendNeighbour(present, gap, model) ?? reassignRedundant(present, gap, model))
-        : null);
+      fillGap(present, gap, model, PREFERRED_GAP_WEIGHT_SHARE, mayReassign) ??
+      fillGap(present, gap, model, MAX_WEIGHT_SHARE, mayReassign);
     filled?.forEach((range, id) => plan.set(id, range));
   }
 }
 
+/**
+ * Assigns missing layers to spare engines or, if permitted, to engines that hold other layers: a neighbour of
+ * the gap, or engines whose own layers others hold too. One engine takes them only within `share` of its memory.
+ */
+function fillGap(
+  engines: readonly RangeEngine[],
+  gap: LayerRange,
+  model: RangeModel,
+  share: number,
+  mayReassign: boolean,
+): RangePlan | null {
+  const spares = engines.filter(({ held }) => held === null);
+  const filled = assignToOne(spares, gap, model, share) ?? splitAcrossFewest(spares, gap, model);
+  if (filled !== null || !mayReassign) {
+    return filled;
+  }
+  return (
+    extendNeighbour(engines, gap, model, share) ?? reassignRedundant(engines, gap, model, share)
+  );
+}
+
 /** Assigns the whole range to the smallest engine that can hold it. */
 function assignToOne(
   candidates: readonly RangeEngine[],
   range: LayerRange,
   model: RangeModel,
+  share: number,
 ): RangePlan | null {
-  const [best] = candidates
-    .filter((engine) => canHold(engine, range, model, MAX_GAP_WEIGHT_SHARE))
-    .sort((a, b) => a.memoryBytes - b.memoryBytes || compareIds(a, b));
+  const best = findSmallestHolder(candidates, range, model, share);
   return best ? new Map([[best.id, range]]) : null;
 }
 
@@ -164,6 +177,7 @@
   engines: readonly RangeEngine[],
   gap: LayerRange,
   model: RangeModel,
+  share: number,
 ): RangePlan | null {
   const options = engines.flatMap((engine) => {
     const { held } = engine;
@@ -171,7 +185,7 @@
       return [];
     }
     const range = { first: Math.min(held.first, gap.first), end: Math.max(held.end, gap.end) };
-    return canHold(engine, range, model, MAX_GAP_WEIGHT_SHARE) ? [{ engine, range }] : [];
+    return canHold(engine, range, model, share) ? [{ engine, range }] : [];
   });
   const [best] = options.sort(
     (a, b) =>
@@ -185,6 +199,7 @@
   engines: readonly RangeEngine[],
   range: LayerRange,
   model: RangeModel,
+  share: number,
 ): RangePlan | null {
   const movable: RangeEngine[] = [];
   let remaining = engines;
@@ -195,7 +210,7 @@
       remaining = others;
     }
   }
-  return assignToOne(movable, range, model) ?? splitAcrossFewest(movable, range, model);
+  return assignToOne(movable, range, model, share) ?? splitAcrossFewest(movable, range, model);
 }
 
 /** Assigns each spare engine to the segment it can hold that has the least KV cache to spare. */
@@ -289,15 +304,6 @@
   return getEngineHeadroom(engine, end - first, model);
 }
 
-function canHold(
-  { memoryBytes }: RangeEngine,
-  { first, end }: LayerRange,
-  { layerBytes }: RangeModel,
-  share: number,
-): boolean {
-  return (end - first) * layerBytes <= share * memoryBytes;
-}
-
 function isWithin(inner: LayerRange, outer: LayerRange): boolean {
   return outer.first <= inner.first && inner.end <= outer.end;
 }
--- a/packages/placement/src/PlacementRanges.ts
+++ b/packages/placement/src/PlacementRanges.ts
@@ -5,6 +5,7 @@
  * filled, which is cheap because prefill takes only some tens of milliseconds.
  */
 import type { EngineId, LayerRange } from '@skylarksail/core/CoreTypes';
+import { compareIds, findSmallestHolder } from './PlacementFit.js';
 
 /** An engine with the properties that this planner reads. */
 export interface RangeEngine {
@@ -24,8 +25,8 @@
 
 /** Maximum share of an engine's memory for weights; it needs the rest as KV cache to serve requests. */
 export const MAX_WEIGHT_SHARE = 0.85;
-/** Maximum share for weights on an engine that fills a gap; so little KV cache is acceptable for a while. */
-export const MAX_GAP_WEIGHT_SHARE = 0.8;
+/** A gap is filled by an engine with a larger share than this only if there is no other way: it serves few requests. */
+export const PREFERRED_GAP_WEIGHT_SHARE = 0.8;
 /**
  * Factor by which the smallest headroom (KV-cache bytes per layer) of any engine must grow for a domain without
  * gaps to be repartitioned. Chains through layers that are being given up are refused until the answers there
@@ -192,21 +193,15 @@
   });
 }
 
-/** Compares engines by ID to break ties deterministically. */
-export function compareIds(a: RangeEngine, b: RangeEngine): number {
-  return a.id < b.id ? -1 : 1;
-}
-
 /** Assigns each gap to a spare engine of its own; null if some gap fits on none of those left. */
 function fillGapsFromSpares(sorted: readonly RangeEngine[], model: RangeModel): RangePlan | null {
   const spares = sorted.filter(({ held }) => held === null);
   const plan = new Map<EngineId, LayerRange>();
   for (const gap of findGaps(sorted, model)) {
-    const bytes = (gap.end - gap.first) * model.layerBytes;
-    const fitting = spares
-      .filter(({ id, memoryBytes }) => !plan.has(id) && bytes <= MAX_GAP_WEIGHT_SHARE * memoryBytes)
-      .sort((a, b) => a.memoryBytes - b.memoryBytes || compareIds(a, b));
-    const [spare] = fitting;
+    const unused = spares.filter(({ id }) => !plan.has(id));
+    const spare =
+      findSmallestHolder(unused, gap, model, PREFERRED_GAP_WEIGHT_SHARE) ??
+      findSmallestHolder(unused, gap, model, MAX_WEIGHT_SHARE);
     if (!spare) {
       return null;
     }
--- a/packages/placement/src/__tests__/unit/PlacementCopies.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementCopies.test.ts
@@ -68,6 +68,45 @@
     expect([...(plan(back) ?? [])]).to.deep.equal([['back', soleHolder.held]]);
   });
 
+  it('gives an engine that returns empty its layers in any domain that can be placed', () => {
+    // Guards against a domain without a chain although its lost engine is back, where weights nearly fill the memory.
+    const gb = fc.constantFrom(21.6, 43.2, 72);
+    fc.assert(
+      fc.property(fc.array(gb, { minLength: 2, maxLength: 12 }), (memory) => {
+        const placed = createPlaced(memory);
+        fc.pre(findGaps(placed, GROUP_MODEL).length === 0);
+        for (const lost of placed) {
+          const left = placed.filter((engine) => engine !== lost);
+          const back = [...left, { ...lost, id: 'back', held: null }];
+          expect(findGaps(applyPlan(back, plan(back)), GROUP_MODEL)).to.deep.equal([]);
+        }
+      }),
+      { seed: 1, numRuns: 500 },
+    );
+  });
+
+  it('prefers for a gap the engines that keep more KV cache', () => {
+    // Guards against a chain of few requests through an engine that its weights nearly fill, where others could share.
+    const placed = createGroupEngines([43.2, 43.2, 72, 72, 43.2, 14.4]).map((engine, i) => ({
+      ...engine,
+      held:
+        [
+          { first: 0, end: 17 },
+          { first: 0, end: 17 },
+          { first: 17, end: 40 },
+          { first: 40, end: 60 },
+        ][i] ?? null,
+    }));
+    const filled = plan(placed);
+    expect([...(filled ?? [])]).to.deep.equal([
+      ['e04', { first: 60, end: 75 }],
+      ['e05', { first: 75, end: 80 }],
+    ]);
+    const [, , , , alone] = placed;
+    const tight = placed.filter(({ held }) => held !== null).concat(alone ?? []);
+    expect([...(plan(tight) ?? [])]).to.deep.equal([['e04', { first: 60, end: 80 }]]);
+  });
+
   it('fills a gap with redundant engines once reassignment is permitted', () => {
     // Guards against a domain without a chain until a lost engine is replaced. The only holder of a range is
     // lost for good and no engine is empty; the fault is that engines of ranges with several holders keep
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -119,6 +119,22 @@
     expect(held.reduce((sum, range) => sum + (range ? range.end - range.first : 0), 0)).to.equal(8);
   });
 
+  it('gives an engine that returns empty its layers at once where weights nearly fill its memory', async () => {
+    // Guards against a domain that stays without a chain until the wait for other engines is over.
+    const accelerators = new Map([['small', { memoryBytes: 246, stepFactor: 1, readFactor: 1 }]]);
+    const bed = createBed(1, { ...PIPELINE, accelerators });
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(4000);
+    expect(bed.catalogue.get('e1')?.layers).to.deep.equal({ first: 2, end: 4 });
+    bed.orders.length = 0;
+    bed.catalogue.remove('e1');
+    await bed.timers.advanceToAsync(8000);
+    bed.catalogue.put(createBackend('back'));
+    await bed.timers.advanceToAsync(8500);
+    const sent = bed.orders.map(({ engine, range }) => ({ engine, range }));
+    expect(sent).to.deep.equal([{ engine: 'back', range: { first: 2, end: 4 } }]);
+  });
+
   it('repartitions the layers without the usual wait when an engine announces that it leaves', async () => {
     // Guards against a domain that refuses all requests for 1.5 s longer than its loads take. An engine announces that
     // it leaves and refuses new work from then on, and no other engine is empty. The placement waited for its return
