--- a/packages/routing/src/RoutingPrefixes.ts
+++ b/packages/routing/src/RoutingPrefixes.ts
@@ -1,6 +1,6 @@
 /**
- * Expected locations of cached prompt prefixes, learned from own calls and from cache events, which may be
- * late or missing. An observation is therefore only an estimate that decays over time.
+ * Expected locations of cached prompt prefixes, learned from own calls. Engines drop prefixes unseen, so an
+ * observation is only an estimate that decays over time.
  */
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { BucketMap } from './RoutingBucketMap.js';
