Suspend the grace period of a recovery when the store is lost within it

What callers saw: after an outage in which the engines' entries lapsed, a store that answered for less than two seconds and was out again left an instance without engines for the whole second outage, though all ran: requests waited out their patience and got 503. What peers or probes had observed in the second outage was forgotten, so calls went to dead engines again. Evidence: three new tests failed before. RelayCatalogue, all orders of six steps: "lost, lost, lost, regained, remove, lost" and "lost, lost, lost, regained, lost, observe", each `expected 0 to equal 1` (printed as -0 +1). RelayParts: "in the second outage", -0 +4. Change: RelaySync tells the catalogue of the loss; it cancels all timers of the grace period, and the next recovery starts them anew for whatever is missing. So nothing is removed or cleared until the store has answered for two seconds on end, the time in which live servers register again. Not covered: a loss that is noticed late (up to 3.2 s where a watch gets no answer).

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -1,6 +1,7 @@
 /**
  * The registered backend servers. During a store outage the last known entries are kept. An entry that lapsed
- * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost.
+ * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost. The
+ * grace period starts anew if the store is lost within it.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, ServiceId, Unregister } from '@skylarksail/core/CoreTypes';
@@ -28,6 +29,8 @@
   observe(entry: BackendEntry): void;
   /** The observations that override entries now. */
   listObserved(): readonly BackendEntry[];
+  /** The store no longer answers: a grace period that runs is suspended until the next recovery. */
+  noteStoreLost(): void;
   /** Starts the grace period when the store is reachable again after an outage. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
@@ -72,15 +75,33 @@
     const grace = graceEnd - timers.now();
     if (grace <= 0) {
       deleteServer(server);
-      return;
+    } else {
+      removeAfter(server, grace);
     }
-    const cancel = timers.registerTimeout(grace, () => {
+  }
+
+  function removeAfter(server: string, wait: Millis): void {
+    missing.get(server)?.();
+    const cancel = timers.registerTimeout(wait, () => {
       deleteServer(server);
       notifyListeners();
     });
     missing.set(server, cancel);
   }
 
+  /** Servers had no time to register again before the store was lost, so nothing of a grace period ends without it. */
+  function suspendGrace(): void {
+    cancelGraceEnd();
+    missing.forEach((cancel) => cancel());
+  }
+
+  function startGrace(): void {
+    suspendGrace();
+    graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
+    cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
+    [...missing.keys()].forEach((server) => removeAfter(server, LAPSED_ENTRY_GRACE));
+  }
+
   function getLatest(server: string): BackendEntry | null {
     return observations.get(server) ?? entries.get(server) ?? null;
   }
@@ -125,11 +146,8 @@
       notifyListeners();
     },
     listObserved: () => [...observations.values()],
-    noteStoreRegained() {
-      graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
-      cancelGraceEnd();
-      cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
-    },
+    noteStoreLost: suspendGrace,
+    noteStoreRegained: startGrace,
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
         isServed(service),
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -200,6 +200,7 @@
       onCaughtUp: news.noteCaughtUp,
       onLost: () => {
         news.setReachable(false);
+        catalogue.noteStoreLost();
         peers.noteStoreLost();
         logger.warn('store lost');
       },
--- a/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
@@ -1,10 +1,94 @@
 import { expect } from 'chai';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { Catalogue } from '../../RelayCatalogue.js';
 import { createCatalogue, LAPSED_ENTRY_GRACE } from '../../RelayCatalogue.js';
 import { createIncarnationId } from '../../RelayIncarnations.js';
 import type { BackendEntry } from '../../RelayTypes.js';
 import { createBackend } from './RelayFixtures.js';
 
+/** What may happen to server `a` and to the store in one step of a forced order. */
+const Step = {
+  Lost: 'lost',
+  Regained: 'regained',
+  Remove: 'remove',
+  Put: 'put',
+  Observe: 'observe',
+  Nothing: 'nothing',
+} as const;
+type StepName = (typeof Step)[keyof typeof Step];
+
+/** No multiple of it is a grace period, so no two things are due at once. */
+const STEP_TIME: Millis = 700;
+
+interface TimedStep {
+  readonly step: StepName;
+  readonly at: Millis;
+}
+
+/** Lists all orders of a number of steps, each followed by time enough for two grace periods. */
+function listOrders(steps: readonly StepName[], length: number): readonly (readonly TimedStep[])[] {
+  let orders: readonly (readonly StepName[])[] = [[]];
+  for (let i = 0; i < length; i += 1) {
+    orders = orders.flatMap((order) => steps.map((step) => [...order, step]));
+  }
+  const rest = Array.from({ length: 6 }, () => Step.Nothing);
+  return orders.map((order) => [...order, ...rest].map((step, i) => ({ step, at: i * STEP_TIME })));
+}
+
+function applyStep(catalogue: Catalogue, step: StepName): void {
+  switch (step) {
+    case Step.Lost:
+      catalogue.noteStoreLost();
+      break;
+    case Step.Regained:
+      catalogue.noteStoreRegained();
+      break;
+    case Step.Remove:
+      catalogue.remove('a');
+      break;
+    case Step.Put:
+      catalogue.put(createBackend('a'));
+      break;
+    case Step.Observe:
+      catalogue.observe(createBackend('a', { state: 'leaving' }));
+      break;
+    default:
+  }
+}
+
+function describeOrder(past: readonly TimedStep[]): string {
+  return past.map(({ step }) => step).join(', ');
+}
+
+/** Whether a grace period that no later loss or recovery cuts ends between two times. */
+function hasGraceEnd(past: readonly TimedStep[], from: Millis, to: Millis): boolean {
+  const changes = past.filter(({ step }) => step === Step.Lost || step === Step.Regained);
+  return changes.some(({ step, at }, i) => {
+    const end = at + LAPSED_ENTRY_GRACE;
+    const isCut = (changes[i + 1]?.at ?? Infinity) < end;
+    return step === Step.Regained && !isCut && end > from && end <= to;
+  });
+}
+
+function hasNoRemovalInOutage(order: readonly TimedStep[]): boolean {
+  let isLost = false;
+  return order.every(({ step }) => {
+    isLost = step === Step.Lost || (isLost && step !== Step.Regained);
+    return !isLost || step !== Step.Remove;
+  });
+}
+
+/** Whether the store answers, and no grace period runs, at a time. */
+function isQuiet(past: readonly TimedStep[], time: Millis): boolean {
+  const last = past
+    .filter(({ step, at }) => at <= time && (step === Step.Lost || step === Step.Regained))
+    .at(-1);
+  return (
+    last === undefined || (last.step === Step.Regained && time - last.at >= LAPSED_ENTRY_GRACE)
+  );
+}
+
 /** An incarnation of server `a` that started at `born`. */
 function createIncarnation(born: number, change: Partial<BackendEntry>): BackendEntry {
   const life = { server: 'a', born };
@@ -56,6 +140,63 @@
     expect(catalogue.listObserved()).to.deep.equal([]);
   });
 
+  it('removes a server in no order of losses and recoveries before the last grace period ends', () => {
+    // Guards against refusals while all servers live: a removal that the grace period of an earlier recovery delays is
+    // carried out in a later outage or in the grace period after it.
+    const steps = [Step.Lost, Step.Regained, Step.Remove, Step.Put];
+    for (const order of listOrders(steps, 6).filter(hasNoRemovalInOutage)) {
+      const timers = createVirtualTimers();
+      const catalogue = createCatalogue(timers);
+      catalogue.put(createBackend('a'));
+      let removedAt: Millis | null = null;
+      let isGone = false;
+      order.forEach(({ step, at }, i) => {
+        timers.advanceTo(at);
+        applyStep(catalogue, step);
+        timers.advanceTo(at + STEP_TIME - 1);
+        const past = order.slice(0, i + 1);
+        const now = timers.now();
+        if (step === Step.Put) {
+          removedAt = null;
+          isGone = false;
+        } else if (step === Step.Remove && !isGone) {
+          removedAt ??= at;
+        }
+        isGone ||=
+          removedAt !== null && (isQuiet(past, removedAt) || hasGraceEnd(past, removedAt, now));
+        expect(catalogue.list().length, describeOrder(past)).to.equal(isGone ? 0 : 1);
+      });
+    }
+  });
+
+  it('clears observations in no order of losses and recoveries before the last grace period ends', () => {
+    // Guards against calls to dead engines in an outage: the timer of the recovery before clears what was observed in it.
+    for (const order of listOrders([Step.Lost, Step.Regained, Step.Observe, Step.Put], 6)) {
+      const timers = createVirtualTimers();
+      const catalogue = createCatalogue(timers);
+      catalogue.put(createBackend('a'));
+      let observedAt: Millis | null = null;
+      order.forEach(({ step, at }, i) => {
+        timers.advanceTo(at);
+        applyStep(catalogue, step);
+        timers.advanceTo(at + STEP_TIME - 1);
+        const past = order.slice(0, i + 1);
+        if (step === Step.Observe) {
+          observedAt ??= at;
+        }
+        if (
+          step === Step.Put ||
+          (observedAt !== null && hasGraceEnd(past, observedAt, timers.now()))
+        ) {
+          observedAt = null;
+        }
+        expect(catalogue.listObserved().length, describeOrder(past)).to.equal(
+          observedAt === null ? 0 : 1,
+        );
+      });
+    }
+  });
+
   it('treats a restarted server as a new one and ignores delayed updates of its earlier incarnation', () => {
     // Guards against sending requests to layers that a restarted engine no longer holds, which it refuses until its
     // layers are placed again. The engine restarts under the same name; then a delayed entry of its earlier
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -7,6 +7,7 @@
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
+import { LAPSED_ENTRY_GRACE } from '../../RelayCatalogue.js';
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
@@ -244,6 +245,27 @@
     expect(later.every(({ by }) => by === 'two')).to.equal(true);
   });
 
+  it('keeps lapsed engines while the store returns for a second between two outages', async () => {
+    // Guards against an instance without engines for a whole outage: the first recovery's removals were carried out in it.
+    const bed = createBed();
+    bed.start('one');
+    await bed.timers.advanceToAsync(6000);
+    const countBackends = () => bed.parts.get('one')?.readState().backends;
+    bed.store.setAvailable(false);
+    ['e0', 'e1', 'e2', 'e3'].forEach((id) => bed.store.remove(`${BACKENDS}${id}`));
+    await bed.timers.advanceToAsync(16_000);
+    bed.store.setAvailable(true);
+    await bed.timers.advanceToAsync(17_000);
+    bed.store.setAvailable(false);
+    await bed.timers.advanceToAsync(27_000);
+    expect(countBackends(), 'in the second outage').to.equal(4);
+    bed.store.setAvailable(true);
+    await bed.timers.advanceToAsync(27_000 + LAPSED_ENTRY_GRACE - 100);
+    expect(countBackends(), 'in the last grace period').to.equal(4);
+    await bed.timers.advanceToAsync(27_000 + LAPSED_ENTRY_GRACE + 1000);
+    expect(countBackends(), 'after it').to.equal(0);
+  });
+
   it('queries the store before it answers 404 after a suspension', async () => {
     // Guards against a 404 from an instance that was suspended when the route was added.
     const bed = createBed();
