Go on asking the peers known at the loss of the store when their entries lapse

What callers saw: when the store came back after an outage and went on refusing some instances, these kept configuration, keys and engines as they were: revoked keys worked on, new routes got 503, for as long as they were refused. Cause: the first peer that the store answered told of the entries that had lapsed, those of all instances among them; the refused instance dropped their addresses and had nobody left to ask, so it never heard of their new entries. Change: from the loss to the recovery the peers known at the loss stay in the rotation. The list is that of one moment, so it is bound by the fleet, and it is dropped at the recovery.

--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -74,16 +74,22 @@
 export function createRelayPeers(options: RelayPeersOptions): RelayPeers {
   const { timers, random, self, mirror } = options;
   const silent = new Set<InstanceId>();
+  /** Entries may lapse in an outage though their instances live; without them, nobody would be left to be asked. */
+  let knownAtLoss: readonly InstanceEntry[] = [];
   let cancelRound: Unregister | null = null;
   let asked = 0;
   let lossCount = 0;
   let lastUpdateAt = 0;
   let isLeaving = false;
 
+  function listKnown(): readonly InstanceEntry[] {
+    const known = [...knownAtLoss, ...options.listInstances()];
+    return [...new Map(known.map((instance) => [instance.id, instance])).values()];
+  }
+
   /** Next peer in rotation; those of the own domain come first in each pass, since their links are free. */
   function choosePeer(): InstanceEntry | null {
-    const others = options
-      .listInstances()
+    const others = listKnown()
       .filter(({ id, address }) => id !== self.id && address !== null)
       .sort((a, b) => Number(b.domain === self.domain) - Number(a.domain === self.domain));
     asked += 1;
@@ -142,6 +148,7 @@
       if (cancelRound === null) {
         lastUpdateAt = timers.now();
         silent.clear();
+        knownAtLoss = options.listInstances();
         lossCount += 1;
         scheduleRound(lossCount);
       }
@@ -149,6 +156,7 @@
     noteStoreRegained() {
       cancelRound?.();
       cancelRound = null;
+      knownAtLoss = [];
     },
     noteLeaving() {
       isLeaving = true;
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -36,6 +36,8 @@
   }));
   const mirrors = instances.map(() => createMirror());
   const silent = new Set<number>();
+  /** Instances whose entries are gone. */
+  const lapsed = new Set<string>();
   const observed: BackendEntry[][] = instances.map(() => []);
   const told: string[] = [];
   const ages: number[][] = instances.map(() => []);
@@ -51,7 +53,7 @@
         const answer = silent.has(to) ? undefined : peers[to]?.answer(since, true);
         return Promise.resolve(answer ?? { kind: 'silent' as const });
       },
-      listInstances: () => instances,
+      listInstances: () => instances.filter(({ id }) => !lapsed.has(id)),
       onEvent: (event) => mirror.apply(event),
       listObserved: () => observed[i] ?? [],
       onObserved: (entry) => told.push(`${self.id}: ${entry.id} ${entry.state}`),
@@ -60,7 +62,7 @@
       onSynced: (age) => ages[i]?.push(age),
     });
   });
-  return { timers, mirrors, peers, silent, observed, told, ages };
+  return { timers, mirrors, peers, silent, lapsed, observed, told, ages };
 }
 
 describe('RelayMirror', () => {
@@ -117,6 +119,18 @@
     expect(known?.removed).to.deep.equal([{ key: 'server', revision: 6 }]);
   });
 
+  it('goes on polling peers whose entries lapsed in the outage', async () => {
+    // Guards against an instance that hears nothing for as long as the store refuses it: the first peer that the store
+    // answers tells of entries that lapsed, its own among them, and nobody is left to be asked.
+    const { timers, mirrors, peers, lapsed } = createPeersBed();
+    peers[0]?.noteStoreLost();
+    ['one', 'two', 'three'].forEach((id) => lapsed.add(id));
+    mirrors[2]?.apply(write('config', 'next', 5));
+    await timers.advanceToAsync(1200);
+    expect(mirrors[0]?.readSince(0, false).items.map(({ key }) => key)).to.deep.equal(['config']);
+    expect(peers[0]?.isIsolated()).to.equal(false);
+  });
+
   it('gets no changes from a peer that has lost the store, and stops polling when the store is back', async () => {
     const { timers, mirrors, peers } = createPeersBed();
     peers.forEach((peer) => peer.noteStoreLost());
