Give a removal that a peer tells of in an outage a grace period of its own

What callers saw: after a long outage, instances that the store answered later than others had no engine for up to two seconds, until the engines were registered again; requests waited, and those with less patience were refused with 503. Cause: the first peer that the store answered told of the entries that had lapsed, and an instance that still was without the store removed them at once: its own grace period began only at its own recovery. Change: a removal while the store is lost waits for the same two seconds, in which every live server registers again. A recovery moves it to the end of its own grace period. Cost: a refused instance keeps an engine whose entry is gone two seconds longer; one that stops in order is marked as leaving before. Not covered: the peer loses the store again within the two seconds.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -18,7 +18,10 @@
 export interface Catalogue {
   /** Stores an entry from the store, unless it belongs to an earlier incarnation than the known one. */
   put(entry: BackendEntry): void;
-  /** Removes a server whose entry is gone from the store: at once, or at the end of the grace period if it runs. */
+  /**
+   * Removes a server whose entry is gone from the store: at once, or at the end of the grace period if it runs. While the
+   * store is lost, peers tell of removals, and each has a grace period of its own.
+   */
   remove(server: string): void;
   /** Removes a server at once, because its entry can no longer be parsed; no grace period applies. */
   drop(server: string): void;
@@ -50,6 +53,7 @@
   const observations = new Map<string, BackendEntry>();
   const missing = new Map<string, Unregister>();
   const listeners = new Set<() => void>();
+  let isLost = false;
   let graceEnd = -Infinity;
   let cancelGraceEnd: Unregister = () => undefined;
 
@@ -72,7 +76,8 @@
     if (!entries.has(server) || missing.has(server)) {
       return;
     }
-    const grace = graceEnd - timers.now();
+    // A peer that the store has just answered tells of servers that register again within the grace period.
+    const grace = isLost ? LAPSED_ENTRY_GRACE : graceEnd - timers.now();
     if (grace <= 0) {
       deleteServer(server);
     } else {
@@ -96,6 +101,7 @@
   }
 
   function startGrace(): void {
+    isLost = false;
     suspendGrace();
     graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
     cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
@@ -146,7 +152,12 @@
       notifyListeners();
     },
     listObserved: () => [...observations.values()],
-    noteStoreLost: suspendGrace,
+    noteStoreLost() {
+      if (!isLost) {
+        isLost = true;
+        suspendGrace();
+      }
+    },
     noteStoreRegained: startGrace,
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -266,6 +266,38 @@
     expect(countBackends(), 'after it').to.equal(0);
   });
 
+  it('keeps lapsed engines while a peer tells of their removal just after the store returns to it', async () => {
+    // Guards against refusals by instances that the store answers last: a peer's removals ended all engines at once.
+    const bed = createBed();
+    const deaf = createFakeRangeStore(bed.timers);
+    deaf.setAvailable(false);
+    let isCutOff = false;
+    const port = new Proxy(bed.store, {
+      get: (target, name: keyof StoreRangePort) => (isCutOff ? deaf[name] : target[name]),
+    });
+    bed.start('one', port);
+    bed.start('two');
+    await bed.timers.advanceToAsync(6000);
+    const countBackends = () => bed.parts.get('one')?.readState().backends;
+    bed.store.setAvailable(false);
+    isCutOff = true;
+    const engines = ['e0', 'e1', 'e2', 'e3'].map((id) => `${BACKENDS}${id}`);
+    const entries = engines.map((key) => bed.store.get(key) ?? '');
+    engines.forEach((key) => bed.store.remove(key));
+    await bed.timers.advanceToAsync(16_000);
+    bed.store.setAvailable(true);
+    for (let at = 16_000; at < 18_000; at += 100) {
+      await bed.timers.advanceToAsync(at);
+      expect(countBackends(), `${at - 16_000} ms after the return`).to.equal(4);
+    }
+    engines.forEach((key, i) => bed.store.put(key, entries[i] ?? ''));
+    await bed.timers.advanceToAsync(20_000);
+    expect(countBackends(), 'after all are registered again').to.equal(4);
+    engines.slice(1).forEach((key) => bed.store.remove(key));
+    await bed.timers.advanceToAsync(20_000 + LAPSED_ENTRY_GRACE + 1000);
+    expect(countBackends(), 'after a removal that only the peer reads').to.equal(1);
+  });
+
   it('queries the store before it answers 404 after a suspension', async () => {
     // Guards against a 404 from an instance that was suspended when the route was added.
     const bed = createBed();
