Drop the pauses of engines that are gone

The process of an instance that places a domain grew by an entry with each engine that refused an order or was busy and came back under another id. Cause: RelayPlacement.pausedUntil never lost an entry. Evidence: the new test, 300 engines replaced one after the other, failed before: `AssertionError: expected 294 to equal +0`. Change: pauses that are over, and those of engines that are gone, are dropped in each tick beside the orders; so the table holds at most the engines of the catalogue. countEngines shows what is kept.

--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -43,6 +43,8 @@
 
 export interface RelayPlacement {
   start(): Unregister;
+  /** Number of engines whose orders or pauses are kept; none may stay once its engine is gone. */
+  countEngines(): number;
 }
 
 const TICK_PERIOD: Millis = 200;
@@ -125,7 +127,12 @@
     return port.order(entry, range, status.orderCount, ORDER_TIMEOUT);
   }
 
-  function prunePending(): void {
+  function pruneEngines(): void {
+    for (const [id, until] of pausedUntil) {
+      if (catalogue.get(id) === null || timers.now() >= until) {
+        pausedUntil.delete(id);
+      }
+    }
     for (const [id, { range, until }] of pending) {
       const entry = catalogue.get(id);
       if (entry === null || isSameRange(entry.layers, range) || timers.now() >= until) {
@@ -150,7 +157,7 @@
       const targetRange = target.get(entry.id);
       const others = engines.filter((other) => other !== engine);
       const range = engine && targetRange ? planStep(engine, targetRange, others, pipeline) : null;
-      const isWaiting = pending.has(entry.id) || (pausedUntil.get(entry.id) ?? 0) > timers.now();
+      const isWaiting = pending.has(entry.id) || pausedUntil.has(entry.id);
       if (range && !isWaiting) {
         void sendOrder(entry, range, pipeline);
       }
@@ -249,7 +256,7 @@
   }
 
   function tick(): boolean {
-    prunePending();
+    pruneEngines();
     const isPlacing = options.domains.some(holds);
     if (!isPlacing) {
       targets.clear();
@@ -270,7 +277,10 @@
     return () => cancel();
   }
 
-  return { start };
+  return {
+    start,
+    countEngines: () => new Set([...pending.keys(), ...pausedUntil.keys()]).size,
+  };
 }
 
 function isOtherIncarnation({ born }: EngineStatus, entry: BackendEntry): boolean {
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -24,7 +24,7 @@
   let isHeld: (domain: string) => boolean = () => true;
   let born: number | null = null;
   let answer: RangeOrderAnswer = 'accepted';
-  createRelayPlacement({
+  const placement = createRelayPlacement({
     timers,
     catalogue,
     getTable: () => table,
@@ -42,9 +42,11 @@
     },
     mostCopies,
     onDecision: () => undefined,
-  }).start();
+  });
+  placement.start();
   return {
     timers,
+    placement,
     catalogue,
     orders,
     setHolder: (next: boolean) => {
@@ -74,6 +76,21 @@
 };
 
 describe('RelayPlacement', () => {
+  it('keeps nothing of engines that are gone, however many are replaced', async () => {
+    // Guards against memory that grows with each engine that refused an order and came back under a new id.
+    const bed = createBed();
+    bed.setAnswer('refused');
+    for (let i = 0; i < 300; i++) {
+      bed.catalogue.remove(`e${i - 4}`);
+      bed.catalogue.put(createBackend(`e${i}`));
+      await bed.timers.advanceToAsync(30_000 * (i + 1));
+    }
+    expect(bed.orders.length).to.be.greaterThan(300);
+    bed.catalogue.list().forEach(({ server }) => bed.catalogue.remove(server));
+    await bed.timers.advanceToAsync(30_000 * 301);
+    expect(bed.placement.countEngines()).to.equal(0);
+  });
+
   it('does not return to its plan from before another instance placed a domain', async () => {
     // Guards against engines that reload twice: the duty changes hands while the domain has no engines registered.
     const bed = createBed();
