Drop the engine states of services that are gone

What operators saw: nothing yet. The process of an instance that places a domain grew with each service that was ever configured. Cause: the histories of RelayReplanDelays go by service and domain, and none was dropped. Evidence: the new test, a service under 50 names one after the other, failed before: `AssertionError: expected 50 to be at most 3`. Change: each tick keeps only the configured services with the deployment's domains; so both tables are bound by these. States of a domain whose duty is lost stay, as before. Measured: the 118 tests of relay pass; virtual time only.

--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -45,6 +45,8 @@
   start(): Unregister;
   /** Number of engines whose orders or pauses are kept; none may stay once its engine is gone. */
   countEngines(): number;
+  /** Number of domains of services whose plans and changes are kept; none may stay once its service is gone. */
+  countDomains(): number;
 }
 
 const TICK_PERIOD: Millis = 200;
@@ -236,25 +238,30 @@
     });
   }
 
-  function listHeldKeys(services: readonly PlacedService[]): ReadonlySet<string> {
+  /**
+   * Drops what is kept of services that are gone, and targets of domains that this instance does not hold: another
+   * holder may move layers now, and targets from before would undo its changes. A domain may have no engines when its
+   * duty changes hands.
+   */
+  function pruneDomains(services: readonly PlacedService[]): void {
+    patience.keepOnly(listKeys(services, () => true));
+    const held = listKeys(services, holds);
+    [...targets.keys()].filter((key) => !held.has(key)).forEach((key) => targets.delete(key));
+  }
+
+  function listKeys(
+    services: readonly PlacedService[],
+    isIncluded: (domain: DomainId) => boolean,
+  ): ReadonlySet<string> {
     return new Set(
       services.flatMap(({ service, byDomain }) =>
         [...options.domains, ...byDomain.keys()]
-          .filter(holds)
+          .filter(isIncluded)
           .map((domain) => getKey(service, domain)),
       ),
     );
   }
 
-  /**
-   * Another holder may move layers now; targets from before would undo its changes. A domain may have no engines when
-   * its duty changes hands.
-   */
-  function pruneTargets(services: readonly PlacedService[]): void {
-    const held = listHeldKeys(services);
-    [...targets.keys()].filter((key) => !held.has(key)).forEach((key) => targets.delete(key));
-  }
-
   function tick(): boolean {
     pruneEngines();
     const isPlacing = options.domains.some(holds);
@@ -263,7 +270,7 @@
       return false;
     }
     const services = listPlaced();
-    pruneTargets(services);
+    pruneDomains(services);
     for (const placed of services) {
       [...placed.byDomain.keys()].filter(holds).forEach((domain) => placeDomain(placed, domain));
     }
@@ -280,6 +287,7 @@
   return {
     start,
     countEngines: () => new Set([...pending.keys(), ...pausedUntil.keys()]).size,
+    countDomains: () => Math.max(targets.size, patience.count()),
   };
 }
 
--- a/packages/relay/src/RelayReplanDelays.ts
+++ b/packages/relay/src/RelayReplanDelays.ts
@@ -44,6 +44,10 @@
   isLossGraceOver(key: string): boolean;
   /** Whether the domain has been unchanged for long enough to replan it for more capacity. */
   isStable(key: string): boolean;
+  /** Drops the state of all other domains. */
+  keepOnly(keys: ReadonlySet<string>): void;
+  /** Number of domains whose state is kept. */
+  count(): number;
 }
 
 export function createReplanDelays(timers: TimerService): ReplanDelays {
@@ -103,5 +107,8 @@
     },
     isLossGraceOver: (key) => timers.now() - getHistory(key).goneAt >= GAP_GRACE,
     isStable: (key) => timers.now() - getHistory(key).changedAt >= STABLE_TIME,
+    keepOnly: (keys) =>
+      [...histories.keys()].filter((key) => !keys.has(key)).forEach((key) => histories.delete(key)),
+    count: () => histories.size,
   };
 }
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -19,7 +19,7 @@
   const timers = createVirtualTimers();
   const catalogue = createCatalogue(timers);
   const [letters] = createConfig().services as [RoutedService];
-  const table = createRouteTable(createConfig({ services: [{ ...letters, pipeline }] }));
+  let table = createRouteTable(createConfig({ services: [{ ...letters, pipeline }] }));
   const orders: SentOrder[] = [];
   let isHeld: (domain: string) => boolean = () => true;
   let born: number | null = null;
@@ -49,6 +49,9 @@
     placement,
     catalogue,
     orders,
+    setService: (id: string) => {
+      table = createRouteTable(createConfig({ services: [{ ...letters, id, pipeline }] }));
+    },
     setHolder: (next: boolean) => {
       isHeld = () => next;
     },
@@ -91,6 +94,19 @@
     expect(bed.placement.countEngines()).to.equal(0);
   });
 
+  it('keeps nothing of services that are gone, however many are replaced', async () => {
+    // Guards against memory that grows with each service that is configured under a new name.
+    const bed = createBed();
+    for (let i = 0; i < 50; i++) {
+      const service = `letters-${i}`;
+      bed.setService(service);
+      ['a', 'b', 'c', 'd'].forEach((id) => bed.catalogue.put(createBackend(id, { service })));
+      await bed.timers.advanceToAsync(10_000 * (i + 1));
+    }
+    expect(bed.orders.length).to.be.at.least(200);
+    expect(bed.placement.countDomains()).to.be.at.most(3);
+  });
+
   it('does not return to its plan from before another instance placed a domain', async () => {
     // Guards against engines that reload twice: the duty changes hands while the domain has no engines registered.
     const bed = createBed();
