Drop grants and pauses of retries once they have expired

What operators saw: nothing yet. The process grew with each service name for which retries were ever asked; peers choose the name. Cause: issuedGrants, held and pausedUntil of RelayGrants were shortened only when the same service was asked for again. Evidence: the new test, 500 services that ask this instance and 500 that ask through it, failed before: `AssertionError: expected 985 to equal +0`. The sums over a window are as before. Measured: the 119 tests of relay pass, the fleet's limit of retries under kills and restarts among them; virtual time only.

--- a/packages/relay/src/RelayGrants.ts
+++ b/packages/relay/src/RelayGrants.ts
@@ -40,6 +40,8 @@
   grant(service: string, wanted: number): number;
   /** Updates whether this instance is the granter; must be called a few times in each window. */
   observe(): void;
+  /** Number of services with grants or pauses that are kept; none may stay once they have expired. */
+  countServices(): number;
 }
 
 /**
@@ -85,6 +87,20 @@
     const granter = findGranter(options.listInstances(), self.domain);
     const isGranter = granter?.id === self.id && options.isCurrent();
     granterSince = isGranter ? (granterSince ?? timers.now()) : null;
+    dropExpired();
+  }
+
+  /** Services come and go, and peers name those that they know. */
+  function dropExpired(): void {
+    const now = timers.now();
+    dropWhere(issuedGrants, (grants) => selectSince(grants, getWindowStart()).length === 0);
+    dropWhere(held, (grants) => selectSince(grants, now - GRANT_LIFETIME).length === 0);
+    dropWhere(pausedUntil, (until) => until <= now);
+  }
+
+  /** Retries in the window before now may use grants that were issued one lifetime before it. */
+  function getWindowStart(): Millis {
+    return timers.now() - window - GRANT_LIFETIME;
   }
 
   function canGrant(): boolean {
@@ -97,7 +113,7 @@
     if (!canGrant()) {
       return 0;
     }
-    const recent = selectSince(issuedGrants.get(service), timers.now() - window - GRANT_LIFETIME);
+    const recent = selectSince(issuedGrants.get(service), getWindowStart());
     const granted = Math.max(0, Math.min(wanted, Math.floor(poolSize - sumGrants(recent))));
     issuedGrants.set(
       service,
@@ -151,6 +167,8 @@
     count: (service) => sumGrants(selectUsable(service)),
     grant,
     observe,
+    countServices: () =>
+      new Set([issuedGrants, held, pausedUntil].flatMap((table) => [...table.keys()])).size,
   };
 }
 
@@ -174,3 +192,7 @@
 function sumGrants(grants: readonly Grant[]): number {
   return grants.reduce((sum, { count }) => sum + count, 0);
 }
+
+function dropWhere<T>(table: Map<string, T>, isDropped: (value: T) => boolean): void {
+  [...table].filter(([, value]) => isDropped(value)).forEach(([key]) => table.delete(key));
+}
--- a/packages/relay/src/__tests__/unit/RelayGrants.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayGrants.test.ts
@@ -194,4 +194,32 @@
     await run(20_000 + LEASE + WINDOW + 8000);
     expect(countGranted()).to.equal(1);
   });
+
+  it('keeps nothing of services that ask for no more retries, however many did', async () => {
+    // Guards against memory that grows with each service name that was ever asked for, configured or not.
+    const timers = createVirtualTimers();
+    const self = { id: 'a', domain: 'd0', address: { host: '127.0.0.1', port: 1 } };
+    const grants = createRelayGrants({
+      timers,
+      self,
+      window: WINDOW,
+      poolSize: 20,
+      listInstances: () => [self],
+      isCurrent: () => true,
+      askGrant: () => Promise.resolve(0),
+    });
+    const cancel = timers.registerInterval(2000, grants.observe);
+    let granted = 0;
+    const answers: boolean[] = [];
+    for (let i = 0; i < 500; i++) {
+      await timers.advanceToAsync(i * 1000);
+      grants.request(`own-${i}`, (isGranted) => answers.push(isGranted));
+      granted += grants.grant(`asked-${i}`, 3);
+    }
+    await timers.advanceToAsync(500_000 + 3 * WINDOW);
+    expect(granted).to.be.greaterThan(1000);
+    expect(answers).to.include(false);
+    expect(grants.countServices()).to.equal(0);
+    cancel();
+  });
 });
