Drop what is kept of servers that are gone, and keep the calls of those that return

What operators saw: nothing yet. The process grew with each server of a plain service that came back under another id. What callers saw: a server whose entry was gone for a moment counted as idle when it returned, though calls ran on it, and was sent more. Cause: RelayServers dropped its three tables only as a call ended, if the server was gone then: too late for servers that go after their last call, and too early for those with other calls. Change: a choice drops idle servers that are gone as soon as more servers are kept than are registered; a server with running calls stays. So the tables are bound by the catalogue and the running calls.

--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -217,7 +217,7 @@
     chooseChain: routing.chooseChain,
     chooseRepair: routing.chooseRepair,
     openEngineCall: health.watchCalls(routing.trackTokenGaps(backends.openEngineCall)),
-    chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }),
+    chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
     openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
--- a/packages/relay/src/RelayServers.ts
+++ b/packages/relay/src/RelayServers.ts
@@ -3,7 +3,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, EngineId } from '@skylarksail/core/CoreTypes';
 import { LifeState } from '@skylarksail/core/CoreConstants';
-import type { ChooseServer } from '@skylarksail/requests/RouterTypes';
+import type { ChooseServer, ServerChoice } from '@skylarksail/requests/RouterTypes';
 import type { AttemptOutcome } from '@skylarksail/requests/RequestTypes';
 import type { EngineHealth } from '@skylarksail/routing/RoutingHealth';
 import {
@@ -29,7 +29,14 @@
 const SMOOTHING_FACTOR = 0.1;
 const TIE_SPREAD = 0.1;
 
-export function createServerChooser(options: RelayServersOptions): ChooseServer {
+/** Chooses servers, and keeps count of what it chose. */
+export interface ServerChooser {
+  readonly choose: ChooseServer;
+  /** Number of servers whose calls, health or answer times are kept; at most those of the catalogue and busy ones. */
+  countServers(): number;
+}
+
+export function createServerChooser(options: RelayServersOptions): ServerChooser {
   const { timers, random, domain, catalogue } = options;
   const running = new Map<EngineId, number>();
   const health = new Map<EngineId, EngineHealth>();
@@ -55,12 +62,25 @@
     } else if (outcome.kind === 'failed' && outcome.cause !== 'refused') {
       health.set(id, recordFailure(before, true, now));
     }
-    if (catalogue.get(id) === null) {
+    forgetIfGone(id);
+  }
+
+  /** A server may be gone for a moment only, so its running calls stay counted. */
+  function forgetIfGone(id: EngineId): void {
+    if (catalogue.get(id) === null && (running.get(id) ?? 0) === 0) {
       [running, health, answerTimes].forEach((table) => table.delete(id));
     }
   }
 
-  return (service, avoid) => {
+  /** Servers are mostly gone after their last call has ended, so nothing else drops them. */
+  function forgetRemovedServers(): void {
+    if (running.size > catalogue.list().length) {
+      [...running.keys()].forEach(forgetIfGone);
+    }
+  }
+
+  function choose(...[service, avoid]: Parameters<ChooseServer>): ServerChoice | null {
+    forgetRemovedServers();
     const candidates = catalogue
       .list()
       .filter(
@@ -81,7 +101,9 @@
     const { id } = best.entry;
     running.set(id, (running.get(id) ?? 0) + 1);
     return { server: id, release: (outcome) => release(id, outcome) };
-  };
+  }
+
+  return { choose, countServers: () => running.size };
 }
 
 /** Prevents instances with the same data from all choosing the same server. */
