Bound the idle teams that a request queue keeps

What callers saw: nothing reported; with 47,000 teams each request takes longer the more teams have sent one, since the choice of the next request and the admission of a new team go over all that are kept. Cause: idle teams were removed only once virtual time had passed their work, and it stands still while many teams send a request each. Evidence: failed before: "keeps few teams, however many send one request each": `AssertionError: expected 47000 to be at most 2048`, and "keeps all waiting entries while it drops teams": `expected 5000 to be at most 2048`. The third new test passed before. Change: a cleanup keeps the 512 idle teams that are furthest ahead of virtual time and removes the others; the lead that they forget is the smallest. The next cleanup waits until the table has doubled, so its cost stays in proportion. Measured: the 100 tests of requests pass. The three new ones took 33 s together before and 1 s after, beside other load.

--- a/packages/requests/src/RequestQueue.ts
+++ b/packages/requests/src/RequestQueue.ts
@@ -38,6 +38,8 @@
   size(): number;
   /** Estimated work of all teams that is served before a new entry of the team and rank. */
   getWorkAhead(team: TeamId, share: number, rank: number): number;
+  /** Number of teams that are kept: those with entries, and some others with the work that they got before. */
+  countTeams(): number;
 }
 
 interface TeamQueue {
@@ -50,14 +52,17 @@
 }
 
 const RANK_COUNT = PRIORITY_ORDER.length;
-/** Above this number of teams, idle teams whose virtual finish time has passed are removed. */
+/** From this number of teams on, idle teams are removed. Each choice goes over all teams that are kept. */
 const CLEANUP_THRESHOLD = 1024;
+/** Maximum number of idle teams that a cleanup keeps: those that got the most work ahead of the others. */
+const MAX_IDLE_TEAMS = 512;
 
 /** Creates an empty queue. */
 export function createFairQueue(bounds: QueueBounds): FairQueue {
   const teams = new Map<TeamId, TeamQueue>();
   const waiting = new Map<RequestId, QueueEntry>();
   let virtualTime = 0;
+  let cleanupSize = CLEANUP_THRESHOLD;
 
   function getTeam(entry: QueueEntry): TeamQueue {
     const found = teams.get(entry.team);
@@ -65,8 +70,10 @@
       found.share = entry.share;
       return found;
     }
-    if (teams.size > CLEANUP_THRESHOLD) {
+    if (teams.size >= cleanupSize) {
       removeIdleTeams();
+      // Teams with entries stay, so the next cleanup waits until it can remove as many as it goes over.
+      cleanupSize = Math.max(CLEANUP_THRESHOLD, 2 * teams.size);
     }
     const created: TeamQueue = {
       byRank: Array.from({ length: RANK_COUNT }, () => []),
@@ -79,12 +86,16 @@
     return created;
   }
 
+  /**
+   * While each team sends few requests, virtual time hardly advances and nearly all idle teams are ahead of it. The
+   * removed ones forget that lead, which is the smallest of all.
+   */
   function removeIdleTeams(): void {
-    for (const [id, team] of teams) {
-      if (team.count === 0 && team.finish <= virtualTime) {
-        teams.delete(id);
-      }
-    }
+    const idle = [...teams].filter(([, { count }]) => count === 0);
+    const ahead = idle.filter(([, { finish }]) => finish > virtualTime);
+    ahead.sort(([, a], [, b]) => b.finish - a.finish);
+    const kept = new Set(ahead.slice(0, MAX_IDLE_TEAMS).map(([id]) => id));
+    idle.filter(([id]) => !kept.has(id)).forEach(([id]) => teams.delete(id));
   }
 
   function enqueue(entry: QueueEntry): void {
@@ -189,6 +200,7 @@
     },
     entries: () => [...waiting.values()],
     size: () => waiting.size,
+    countTeams: () => teams.size,
     getWorkAhead(team, share, rank) {
       let total = 0;
       let activeShares = share;
