Open the start gate after the first configuration, however many follow

What callers saw: nothing reported. While configurations followed each other within 50 ms, an instance that had just started held requests until the last one, past the longest wait of a second. Cause: each configuration set the timer that opens the gate anew, and the first had cancelled the one of the longest wait. Evidence: the new test, a configuration every 40 ms, failed before: `AssertionError: expected Infinity to be at most 400`. Change: only the first configuration sets the timer.

--- a/packages/relay/src/RelayStartGate.ts
+++ b/packages/relay/src/RelayStartGate.ts
@@ -16,7 +16,9 @@
   isOpen(): boolean;
   /** Calls `resume` when the gate opens. */
   wait(resume: () => void): void;
-  /** A configuration is in force: opens the gate for good once the engines that were read with it are known. */
+  /**
+   * A configuration is in force: the first one opens the gate for good once the engines that were read with it are known.
+   */
   noteConfigured(): void;
   /** Cancels the timer. */
   stop: Unregister;
@@ -25,10 +27,12 @@
 export function createStartGate(timers: TimerService): StartGate {
   const waiting: (() => void)[] = [];
   let isOpen = false;
+  let isConfigured = false;
   let cancelTimeout = timers.registerTimeout(MAX_START_WAIT, open);
 
   function open(): void {
     isOpen = true;
+    isConfigured = true;
     waiting.splice(0).forEach((resume) => resume());
   }
 
@@ -36,7 +40,8 @@
     isOpen: () => isOpen,
     wait: (resume) => waiting.push(resume),
     noteConfigured() {
-      if (!isOpen) {
+      if (!isConfigured) {
+        isConfigured = true;
         cancelTimeout();
         cancelTimeout = timers.registerTimeout(SETTLE_TIME, open);
       }
--- a/packages/relay/src/__tests__/unit/RelayStartGate.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStartGate.test.ts
@@ -18,6 +18,22 @@
     expect(timers.countPending()).to.equal(0);
   });
 
+  it('opens in time while configurations follow each other closely', () => {
+    // Guards against callers that are held until the last of a series of changes, past the longest wait.
+    const timers = createVirtualTimers();
+    const gate = createStartGate(timers);
+    let passedAt = Infinity;
+    gate.wait(() => {
+      passedAt = timers.now();
+    });
+    for (let at = 300; at < 3000; at += 40) {
+      timers.advanceTo(at);
+      gate.noteConfigured();
+    }
+    expect(passedAt).to.be.at.most(400);
+    expect(timers.countPending()).to.equal(0);
+  });
+
   it('opens without a configuration when the store does not answer', () => {
     // Guards against callers that are held by an instance that knows that it cannot serve them.
     const timers = createVirtualTimers();
