Drop lost engines whose time is over on instances without requests

An instance without requests grew by each engine that others reported as lost under a new id. Cause: entries whose exclusion was over were dropped only where a request lists the engines that are down. Evidence: the new test failed before: `AssertionError: expected 1000 to be at most 3`; the second new one passed before. Change: each report drops them too. Measured: the 102 tests of requests pass.

--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -69,6 +69,8 @@
   findSlowest(chain: Chain, now: Millis): SlowEngine | null;
   /** Returns the median over engines of their recent best gap; null if fewer than three are known. */
   getMedianGap(now: Millis): Millis | null;
+  /** Number of lost engines that are kept; none stays for long after its exclusion. */
+  countLost(): number;
 }
 
 const GAP_WINDOW: Millis = 250;
@@ -104,6 +106,15 @@
     return refusing;
   }
 
+  /** Other instances report lost engines also to one that has no requests, and so never lists them. */
+  function dropOverdueLosses(now: Millis): void {
+    for (const [engine, { until }] of lost) {
+      if (now >= until) {
+        lost.delete(engine);
+      }
+    }
+  }
+
   return {
     noteToken(chain, gap, now) {
       for (const { engine } of chain.stages) {
@@ -131,6 +142,7 @@
       }
     },
     noteLost(engine, isDead, now) {
+      dropOverdueLosses(now);
       lost.set(engine, { until: now + LOST_ENGINE_COOLDOWN, isDead });
     },
     noteAlive(engine) {
@@ -149,15 +161,13 @@
     listDown(now) {
       const dead = listRefusing(now);
       const silent: EngineId[] = [];
-      for (const [engine, { until, isDead }] of lost) {
-        if (now >= until) {
-          lost.delete(engine);
-        } else {
-          (isDead ? dead : silent).push(engine);
-        }
+      dropOverdueLosses(now);
+      for (const [engine, { isDead }] of lost) {
+        (isDead ? dead : silent).push(engine);
       }
       return { dead, silent };
     },
+    countLost: () => lost.size,
     findSilent(chain, since) {
       return chain.stages
         .map((stage) => stage.engine)
