--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -1,6 +1,7 @@
 /**
  * The registered backend servers. During a store outage the last known entries are kept. An entry that lapsed
- * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost.
+ * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost. The
+ * grace period starts anew if the store is lost within it.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, ServiceId, Unregister } from '@skylarksail/core/CoreTypes';
@@ -17,7 +18,10 @@
 export interface Catalogue {
   /** Stores an entry from the store, unless it belongs to an earlier incarnation than the known one. */
   put(entry: BackendEntry): void;
-  /** Removes a server whose entry is gone from the store: at once, or at the end of the grace period if it runs. */
+  /**
+   * Removes a server whose entry is gone from the store: at once, or at the end of the grace period if it runs. While the
+   * store is lost, peers tell of removals, and each has a grace period of its own.
+   */
   remove(server: string): void;
   /** Removes a server at once, because its entry can no longer be parsed; no grace period applies. */
   drop(server: string): void;
@@ -28,6 +32,8 @@
   observe(entry: BackendEntry): void;
   /** The observations that override entries now. */
   listObserved(): readonly BackendEntry[];
+  /** The store no longer answers: a grace period that runs is suspended until the next recovery. */
+  noteStoreLost(): void;
   /** Starts the grace period when the store is reachable again after an outage. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
@@ -47,6 +53,7 @@
   const observations = new Map<string, BackendEntry>();
   const missing = new Map<string, Unregister>();
   const listeners = new Set<() => void>();
+  let isLost = false;
   let graceEnd = -Infinity;
   let cancelGraceEnd: Unregister = () => undefined;
 
@@ -69,18 +76,38 @@
     if (!entries.has(server) || missing.has(server)) {
       return;
     }
-    const grace = graceEnd - timers.now();
+    // A peer that the store has just answered tells of servers that register again within the grace period.
+    const grace = isLost ? LAPSED_ENTRY_GRACE : graceEnd - timers.now();
     if (grace <= 0) {
       deleteServer(server);
-      return;
+    } else {
+      removeAfter(server, grace);
     }
-    const cancel = timers.registerTimeout(grace, () => {
+  }
+
+  function removeAfter(server: string, wait: Millis): void {
+    missing.get(server)?.();
+    const cancel = timers.registerTimeout(wait, () => {
       deleteServer(server);
       notifyListeners();
     });
     missing.set(server, cancel);
   }
 
+  /** Servers had no time to register again before the store was lost, so nothing of a grace period ends without it. */
+  function suspendGrace(): void {
+    cancelGraceEnd();
+    missing.forEach((cancel) => cancel());
+  }
+
+  function startGrace(): void {
+    isLost = false;
+    suspendGrace();
+    graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
+    cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
+    [...missing.keys()].forEach((server) => removeAfter(server, LAPSED_ENTRY_GRACE));
+  }
+
   function getLatest(server: string): BackendEntry | null {
     return observations.get(server) ?? entries.get(server) ?? null;
   }
@@ -125,11 +152,13 @@
       notifyListeners();
     },
     listObserved: () => [...observations.values()],
-    noteStoreRegained() {
-      graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
-      cancelGraceEnd();
-      cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
+    noteStoreLost() {
+      if (!isLost) {
+        isLost = true;
+        suspendGrace();
+      }
     },
+    noteStoreRegained: startGrace,
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
         isServed(service),
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -43,6 +43,10 @@
 
 export interface RelayPlacement {
   start(): Unregister;
+  /** Number of engines whose orders or pauses are kept; none may stay once its engine is gone. */
+  countEngines(): number;
+  /** Number of domains of services whose plans and changes are kept; none may stay once its service is gone. */
+  countDomains(): number;
 }
 
 const TICK_PERIOD: Millis = 200;
@@ -125,7 +129,12 @@
     return port.order(entry, range, status.orderCount, ORDER_TIMEOUT);
   }
 
-  function prunePending(): void {
+  function pruneEngines(): void {
+    for (const [id, until] of pausedUntil) {
+      if (catalogue.get(id) === null || timers.now() >= until) {
+        pausedUntil.delete(id);
+      }
+    }
     for (const [id, { range, until }] of pending) {
       const entry = catalogue.get(id);
       if (entry === null || isSameRange(entry.layers, range) || timers.now() >= until) {
@@ -150,7 +159,7 @@
       const targetRange = target.get(entry.id);
       const others = engines.filter((other) => other !== engine);
       const range = engine && targetRange ? planStep(engine, targetRange, others, pipeline) : null;
-      const isWaiting = pending.has(entry.id) || (pausedUntil.get(entry.id) ?? 0) > timers.now();
+      const isWaiting = pending.has(entry.id) || pausedUntil.has(entry.id);
       if (range && !isWaiting) {
         void sendOrder(entry, range, pipeline);
       }
@@ -229,22 +238,41 @@
     });
   }
 
+  /**
+   * Drops what is kept of services that are gone, and targets of domains that this instance does not hold: another
+   * holder may move layers now, and targets from before would undo its changes. A domain may have no engines when its
+   * duty changes hands.
+   */
+  function pruneDomains(services: readonly PlacedService[]): void {
+    patience.keepOnly(listKeys(services, () => true));
+    const held = listKeys(services, holds);
+    [...targets.keys()].filter((key) => !held.has(key)).forEach((key) => targets.delete(key));
+  }
+
+  function listKeys(
+    services: readonly PlacedService[],
+    isIncluded: (domain: DomainId) => boolean,
+  ): ReadonlySet<string> {
+    return new Set(
+      services.flatMap(({ service, byDomain }) =>
+        [...options.domains, ...byDomain.keys()]
+          .filter(isIncluded)
+          .map((domain) => getKey(service, domain)),
+      ),
+    );
+  }
+
   function tick(): boolean {
-    prunePending();
+    pruneEngines();
     const isPlacing = options.domains.some(holds);
     if (!isPlacing) {
       targets.clear();
       return false;
     }
-    for (const placed of listPlaced()) {
-      [...placed.byDomain.keys()].forEach((domain) => {
-        if (holds(domain)) {
-          placeDomain(placed, domain);
-        } else {
-          // Another holder may move layers now; targets from before would undo its changes.
-          targets.delete(getKey(placed.service, domain));
-        }
-      });
+    const services = listPlaced();
+    pruneDomains(services);
+    for (const placed of services) {
+      [...placed.byDomain.keys()].filter(holds).forEach((domain) => placeDomain(placed, domain));
     }
     return true;
   }
@@ -256,7 +284,11 @@
     return () => cancel();
   }
 
-  return { start };
+  return {
+    start,
+    countEngines: () => new Set([...pending.keys(), ...pausedUntil.keys()]).size,
+    countDomains: () => Math.max(targets.size, patience.count()),
+  };
 }
 
 function isOtherIncarnation({ born }: EngineStatus, entry: BackendEntry): boolean {
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -19,16 +19,16 @@
   const timers = createVirtualTimers();
   const catalogue = createCatalogue(timers);
   const [letters] = createConfig().services as [RoutedService];
-  const table = createRouteTable(createConfig({ services: [{ ...letters, pipeline }] }));
+  let table = createRouteTable(createConfig({ services: [{ ...letters, pipeline }] }));
   const orders: SentOrder[] = [];
-  let isHolder = true;
+  let isHeld: (domain: string) => boolean = () => true;
   let born: number | null = null;
   let answer: RangeOrderAnswer = 'accepted';
-  createRelayPlacement({
+  const placement = createRelayPlacement({
     timers,
     catalogue,
     getTable: () => table,
-    hasDuty: () => isHolder,
+    hasDuty: (domain) => isHeld(domain),
     domains: ['d1', 'd2', 'd3'],
     port: {
       readStatus: () => Promise.resolve({ born, orderCount: 7, isBusy: false, layers: null }),
@@ -42,13 +42,21 @@
     },
     mostCopies,
     onDecision: () => undefined,
-  }).start();
+  });
+  placement.start();
   return {
     timers,
+    placement,
     catalogue,
     orders,
+    setService: (id: string) => {
+      table = createRouteTable(createConfig({ services: [{ ...letters, id, pipeline }] }));
+    },
     setHolder: (next: boolean) => {
-      isHolder = next;
+      isHeld = () => next;
+    },
+    setHeld: (next: (domain: string) => boolean) => {
+      isHeld = next;
     },
     setBorn: (next: number) => {
       born = next;
@@ -71,6 +79,55 @@
 };
 
 describe('RelayPlacement', () => {
+  it('keeps nothing of engines that are gone, however many are replaced', async () => {
+    // Guards against memory that grows with each engine that refused an order and came back under a new id.
+    const bed = createBed();
+    bed.setAnswer('refused');
+    for (let i = 0; i < 300; i++) {
+      bed.catalogue.remove(`e${i - 4}`);
+      bed.catalogue.put(createBackend(`e${i}`));
+      await bed.timers.advanceToAsync(30_000 * (i + 1));
+    }
+    expect(bed.orders.length).to.be.greaterThan(300);
+    bed.catalogue.list().forEach(({ server }) => bed.catalogue.remove(server));
+    await bed.timers.advanceToAsync(30_000 * 301);
+    expect(bed.placement.countEngines()).to.equal(0);
+  });
+
+  it('keeps nothing of services that are gone, however many are replaced', async () => {
+    // Guards against memory that grows with each service that is configured under a new name.
+    const bed = createBed();
+    for (let i = 0; i < 50; i++) {
+      const service = `letters-${i}`;
+      bed.setService(service);
+      ['a', 'b', 'c', 'd'].forEach((id) => bed.catalogue.put(createBackend(id, { service })));
+      await bed.timers.advanceToAsync(10_000 * (i + 1));
+    }
+    expect(bed.orders.length).to.be.at.least(200);
+    expect(bed.placement.countDomains()).to.be.at.most(3);
+  });
+
+  it('does not return to its plan from before another instance placed a domain', async () => {
+    // Guards against engines that reload twice: the duty changes hands while the domain has no engines registered.
+    const bed = createBed();
+    bed.catalogue.put(createBackend('other', { domain: 'd2' }));
+    fill(bed, 4);
+    await bed.timers.advanceToAsync(10_000);
+    const servers = ['e0', 'e1', 'e2', 'e3'];
+    const placed = servers.map((id) => bed.catalogue.get(id)?.layers ?? null);
+    expect(placed.every((layers) => layers !== null)).to.equal(true);
+    servers.forEach((id) => bed.catalogue.remove(id));
+    bed.setHeld((domain) => domain !== 'd1');
+    await bed.timers.advanceToAsync(12_000);
+    bed.setHeld(() => true);
+    bed.orders.length = 0;
+    servers.forEach((id, i) => {
+      bed.catalogue.put(createBackend(id, { layers: placed[(i + 1) % 4] }));
+    });
+    await bed.timers.advanceToAsync(20_000);
+    expect(bed.orders.filter(({ engine }) => servers.includes(engine))).to.deep.equal([]);
+  });
+
   it('waits until all starting engines are registered and then sends one order to each', async () => {
     const bed = createBed();
     bed.catalogue.put(createBackend('e0'));
