Bound the ends of leases in number and time, and end leases that were replaced or given up

Cause: the pause between two ends never grew. close ended the pauses, not the wait for a call under way, and did not keep ends from starting later. lapsed was taken for the end of all that the holder may have. Change: after three quick repetitions the pause doubles up to 1.5 s. Waiting for ends is over at close, and nothing starts after it. The renewal's timer goes with the stop. After an unanswered acquisition lapsed means that one executed late may have replaced the lease, unless a release was not answered; a holder is told whether an earlier one may hold the lease. The check of calls after a stop (StoreLeaseBed) now allows an acquisition after lapsed, if an earlier one was not answered: the trace of the review shows that such a lease exists and that nothing else ends it. Measured: 48 tests of leases and stops of relay, store and placement pass, virtual time only.

--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -170,6 +170,7 @@
       ttl: LEASE_TTL,
       // An order sent at the last moment can no longer start once the lease has lapsed.
       margin: settings.validFor + settings.transit,
+      mayBeHeld: stoppedHolder?.mayHold(),
       onAcquired: () => step({ kind: 'tick' }),
       onLost: () => step({ kind: 'tick' }),
     });
--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -7,7 +7,7 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createLeaseEnds } from '@skylarksail/store/StoreLeaseEnds';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 
@@ -64,6 +64,7 @@
   let lease: KeptLease | null = null;
   let isKeeping = false;
   let isStopped = false;
+  let cancelRenewal: Unregister = () => undefined;
 
   function endLease(id: number): void {
     void ends.start(() => port.revokeLease(id, callOptions));
@@ -137,17 +138,20 @@
   }
 
   function scheduleRenewal(): void {
-    timers.registerTimeout(jitter(random, options.renewPeriod, JITTER_SHARE), () => {
-      if (isStopped) {
-        return;
-      }
-      if (options.isNeeded()) {
-        void keep();
-      } else {
-        dropLease();
-        isKeeping = false;
-      }
-    });
+    if (isStopped) {
+      return;
+    }
+    cancelRenewal = timers.registerTimeout(
+      jitter(random, options.renewPeriod, JITTER_SHARE),
+      () => {
+        if (options.isNeeded()) {
+          void keep();
+        } else {
+          dropLease();
+          isKeeping = false;
+        }
+      },
+    );
   }
 
   return {
@@ -162,6 +166,7 @@
     getLeaseId: () => lease?.id ?? null,
     stop() {
       isStopped = true;
+      cancelRenewal();
       dropLease();
     },
     waitForEnds: ends.waitForEnds,
--- a/packages/store/src/StoreLeaseEnds.ts
+++ b/packages/store/src/StoreLeaseEnds.ts
@@ -5,7 +5,7 @@
 import { jitter, type Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { StoreOutcome } from './StorePort.js';
+import type { StoreOutcome, StoreRefusal } from './StorePort.js';
 
 export interface LeaseEndsOptions {
   readonly timers: TimerService;
@@ -19,24 +19,37 @@
 
 export interface LeaseEnds {
   /**
-   * Calls `send` until it is done or refused as `lapsed`; a call that rejects counts as unanswered. Resolves then, or
-   * when it is given up.
+   * Calls `send` until it is done, or refused for good such as `lapsed`; a call that rejects counts as unanswered.
+   * Resolves then, or when it is given up. Nothing is sent after `close`.
    */
   start(send: SendLeaseEnd): Promise<void>;
   /** Resolves when no lease is being ended any more. */
   waitForEnds(): Promise<void>;
-  /** Gives up all leases that are being ended. */
+  /** Gives up all leases that are being ended, and those that come later. */
   close(): void;
 }
 
-/** The delay before a call is repeated. It doesn't grow, because a process that stops has only a few seconds left. */
+/** Delay before a call is repeated; a process that stops has only a few seconds left. */
 const RETRY_DELAY: Millis = 200;
+/** Repetitions after which the delay begins to double, so that many instances that stop don't hold up the store. */
+const QUICK_RETRIES = 3;
+const MAX_RETRY_DELAY: Millis = 1500;
 const JITTER_SHARE = 0.3;
+const FINAL_REFUSALS: ReadonlySet<StoreRefusal['kind']> = new Set([
+  'lapsed',
+  'invalid',
+  'too-large',
+]);
 
 export function createLeaseEnds({ timers, random, giveUpAfter }: LeaseEndsOptions): LeaseEnds {
   /** For each lease that is being ended, the function that ends the wait before its next call. */
   const pending = new Map<symbol, () => void>();
   const running = new Set<Promise<void>>();
+  let isClosed = false;
+  let noteClosed: () => void = () => undefined;
+  const closed = new Promise<void>((resolve) => {
+    noteClosed = resolve;
+  });
 
   function sleep(id: symbol, delay: Millis): Promise<void> {
     return new Promise((resolve) => {
@@ -52,30 +65,39 @@
     const giveUpAt = timers.now() + giveUpAfter;
     const id = Symbol('lease end');
     pending.set(id, () => undefined);
-    while (pending.has(id) && timers.now() < giveUpAt) {
+    for (let count = 0; pending.has(id) && timers.now() < giveUpAt; count += 1) {
       const outcome = await send().catch(() => ({ kind: 'unknown' }) as const);
-      if (isEnded(outcome)) {
+      if (isFinal(outcome)) {
         break;
       }
       if (pending.has(id)) {
-        const retryDelay = Math.max(
-          jitter(random, RETRY_DELAY, JITTER_SHARE),
-          getRetryAfter(outcome),
-        );
-        await sleep(id, retryDelay);
+        await sleep(id, getRetryDelay(outcome, count));
       }
     }
     pending.delete(id);
   }
 
+  function getRetryDelay(outcome: StoreOutcome<null>, count: number): Millis {
+    const growth = 2 ** Math.max(0, count + 1 - QUICK_RETRIES);
+    const delay = Math.min(MAX_RETRY_DELAY, RETRY_DELAY * growth);
+    return Math.max(jitter(random, delay, JITTER_SHARE), getRetryAfter(outcome));
+  }
+
   return {
     start(send) {
-      const ending = repeat(send).finally(() => running.delete(ending));
+      if (isClosed) {
+        return closed;
+      }
+      const ending = Promise.race([repeat(send), closed]).finally(() => running.delete(ending));
       running.add(ending);
       return ending;
     },
-    waitForEnds: () => Promise.all(running).then(() => undefined),
+    async waitForEnds() {
+      await Promise.all(running);
+    },
     close() {
+      isClosed = true;
+      noteClosed();
       const wakes = [...pending.values()];
       pending.clear();
       wakes.forEach((wake) => wake());
@@ -83,9 +105,11 @@
   };
 }
 
-function isEnded(outcome: StoreOutcome<null>): boolean {
+/** Whether an answer shows that the lease has ended, or that the call is never accepted. */
+function isFinal(outcome: StoreOutcome<null>): boolean {
   return (
-    outcome.kind === 'done' || (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed')
+    outcome.kind === 'done' ||
+    (outcome.kind === 'refused' && FINAL_REFUSALS.has(outcome.reason.kind))
   );
 }
 
--- a/packages/store/src/StoreLeaseHolder.ts
+++ b/packages/store/src/StoreLeaseHolder.ts
@@ -22,6 +22,8 @@
   readonly ttl: Millis;
   /** How long before a possible lapse the holder stops relying on the lease. */
   readonly margin: Millis;
+  /** Whether an earlier holder with the same name may hold the lease; defaults to false. */
+  readonly mayBeHeld?: boolean | undefined;
   readonly onAcquired: (lease: StoreLease) => void;
   /** The lease is lost or may be lost; called at most once per acquisition, and not after `stop`. */
   readonly onLost: () => void;
@@ -32,6 +34,8 @@
   getLease(): StoreLease | null;
   /** Stops acquiring and renewing the lease, and ends it if it may be held. */
   stop(): void;
+  /** Whether the service may still have a lease of this holder. */
+  mayHold(): boolean;
   /** Resolves when a stopped holder has ended its lease or has given it up. */
   waitForEnd(): Promise<void>;
   /**
@@ -68,12 +72,23 @@
   let held: HeldLease | null = null;
   /** The last lease that was granted, until the service has said that it ended. */
   let granted: StoreLease | null = null;
-  /** Whether an acquisition was not answered that no later answer has settled. */
-  let mayBeAcquired = false;
+  /**
+   * Whether the holder may have a lease that it doesn't know: an acquisition of its own, or of an earlier holder with
+   * its name, was not answered, and no later answer has settled it.
+   */
+  let mayBeAcquired = options.mayBeHeld ?? false;
+  /** Whether an unanswered acquisition, which may still be executed, could replace the lease granted after it. */
+  let mayBeReplaced = false;
+  /** Whether a release was not answered; a lease that has ended then ended by it. */
+  let mayBeReleased = false;
   let acquiring = Promise.resolve();
   let ending = Promise.resolve();
   let stopped = false;
   let isClosed = false;
+  let noteClosed: () => void = () => undefined;
+  const closed = new Promise<void>((resolve) => {
+    noteClosed = resolve;
+  });
   let cancelNextCall: Unregister = () => undefined;
   let cancelExpiry: Unregister = () => undefined;
 
@@ -116,8 +131,10 @@
     if (outcome.kind === 'done') {
       granted = outcome.value;
       mayBeAcquired = false;
+      mayBeReleased = false;
     } else if (outcome.kind === 'unknown') {
       mayBeAcquired = true;
+      mayBeReplaced = true;
     } else if (outcome.reason.kind === 'held') {
       granted = null;
       mayBeAcquired = false;
@@ -163,7 +180,22 @@
     if (granted === null || isClosed) {
       return { kind: 'done', value: null };
     }
-    return port.releaseLease(granted, callOptions);
+    const outcome = await port.releaseLease(granted, callOptions);
+    if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
+      noteLapsed();
+    } else if (outcome.kind === 'done') {
+      granted = null;
+    } else if (outcome.kind === 'unknown') {
+      mayBeReleased = true;
+    }
+    return mayBeAcquired ? { kind: 'unknown' } : outcome;
+  }
+
+  /** Notes that the granted lease has ended, either by itself or because an acquisition executed late replaced it. */
+  function noteLapsed(): void {
+    granted = null;
+    mayBeAcquired = mayBeReplaced && !mayBeReleased;
+    mayBeReplaced = false;
   }
 
   async function renew(current: HeldLease): Promise<void> {
@@ -175,7 +207,7 @@
     if (outcome.kind === 'done' && timers.now() < current.validUntil) {
       setLease(outcome.value, requestedAt);
     } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
-      granted = null;
+      noteLapsed();
       dropLease();
     } else {
       // Unanswered, rate-limited or not sent: the lease stays valid until the expiry timer drops it.
@@ -193,9 +225,11 @@
       held = null;
       ending = end();
     },
-    waitForEnd: () => ending,
+    mayHold: () => granted !== null || mayBeAcquired,
+    waitForEnd: () => Promise.race([ending, closed]),
     close() {
       isClosed = true;
+      noteClosed();
       ends.close();
     },
   };
--- a/packages/store/src/__tests__/unit/StoreLeaseBed.ts
+++ b/packages/store/src/__tests__/unit/StoreLeaseBed.ts
@@ -57,7 +57,8 @@
 
 /**
  * Whether the call asks for a lease though none may exist: no acquisition had an unknown outcome, or one was granted
- * since, before the stop.
+ * since, before the stop. A granted lease that the store then calls lapsed may have been replaced by an earlier
+ * acquisition that was executed late.
  */
 function isExcessCall(calls: readonly FakeCall[], index: number, stopIndex: number): boolean {
   if (!isAcquire(calls[index])) {
@@ -66,9 +67,11 @@
   const lastGranted = calls
     .slice(0, stopIndex)
     .findLastIndex((call) => isAcquire(call) && call.outcome === 'done');
-  return !calls
-    .slice(lastGranted + 1, index)
-    .some((call) => isAcquire(call) && call.outcome === 'unknown');
+  const isUnknown = (call: FakeCall): boolean => isAcquire(call) && call.outcome === 'unknown';
+  const since = calls.slice(lastGranted + 1, index);
+  const mayBeReplaced =
+    calls.slice(0, index).some(isUnknown) && since.some(({ outcome }) => outcome === 'lapsed');
+  return !mayBeReplaced && !since.some(isUnknown);
 }
 
 /** Whether the holder has ended a lease granted after the last unknown outcome; it can't know of a later effect. */
