Drop expired work reports on instances that nobody asks for their sums

What operators saw: nothing yet. An instance that is no aggregator kept the last report of each instance that ever asked it. Cause: expired reports were dropped only where their sum was read. Evidence: the new test failed before: `AssertionError: expected 1000 to equal 1`.

--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -36,6 +36,8 @@
   recordSummary(others: WorkReport): void;
   /** Work of the other instances on an engine; null without a recent report. */
   getPeerWork(engine: EngineId): PeerWork | null;
+  /** Number of instances whose reports are kept; those that have expired go with the first report of another. */
+  countReports(): number;
 }
 
 export interface RelayWorkOptions {
@@ -109,6 +111,9 @@
 
   return {
     recordReport(from, work) {
+      if (!told.has(from)) {
+        dropExpiredReports();
+      }
       told.set(from, { work, at: timers.now() });
       cachedSums = null;
       work.lost.forEach(options.onLost);
@@ -130,6 +135,7 @@
       const others = options.isAggregator() ? sumReports() : getSummary();
       return others === null ? null : (others.get(engine) ?? NO_WORK);
     },
+    countReports: () => told.size,
   };
 }
 
--- a/packages/relay/src/__tests__/unit/RelayWork.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayWork.test.ts
@@ -68,6 +68,24 @@
 }
 
 describe('RelayWork', () => {
+  it('keeps few reports on an instance that nobody asks for its sums', () => {
+    // Guards against memory that grows with each instance that reports its work under a new id, while this one is deaf.
+    const timers = createVirtualTimers();
+    const work = createRelayWork({
+      timers,
+      self: 'self',
+      readOwnWork: () => IDLE,
+      isAggregator: () => false,
+      onPeerWork: () => undefined,
+      onLost: () => undefined,
+    });
+    for (let i = 0; i < 1000; i++) {
+      timers.advanceTo(i * 10_000);
+      work.recordReport(`i${i}`, IDLE);
+    }
+    expect(work.countReports()).to.equal(1);
+  });
+
   it('keeps the instances of a domain from sending requests to full engines in a burst', () => {
     // Guards against engines that refuse up to a third of all arrivals in a burst while others of their group have
     // capacity left. 39 instances with one or two requests each choose among six engines near their limit, and each
