Remove engines on a peer's word only while peers still reach the store

What callers saw: the store answered some instances for less than two seconds between two outages; the others knew no engine for the whole second outage, though all ran, and refused each request with 503. Cause: what peers told of lapsed entries was carried out two seconds later by a timer, whether peers still reached the store or not. Change: while the store is lost, removals have no timer. They are carried out when a peer that reaches the store gives news two seconds or more after they were heard of; a second without news begins the two seconds anew. Cost: a refused instance whose peers mostly are without the store too keeps engines that are gone longer.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -15,12 +15,15 @@
  */
 export const LAPSED_ENTRY_GRACE: Millis = 2000;
 
+/** Longest time between two answers of peers that reach the store; after more of it, they had lost the store too. */
+const MAX_NEWS_GAP: Millis = 1000;
+
 export interface Catalogue {
   /** Stores an entry from the store, unless it belongs to an earlier incarnation than the known one. */
   put(entry: BackendEntry): void;
   /**
    * Removes a server whose entry is gone from the store: at once, or at the end of the grace period if it runs. While the
-   * store is lost, peers tell of removals, and each has a grace period of its own.
+   * store is lost, peers tell of removals; each has a grace period of its own and waits for `notePeerNews` after it.
    */
   remove(server: string): void;
   /** Removes a server at once, because its entry can no longer be parsed; no grace period applies. */
@@ -34,6 +37,8 @@
   listObserved(): readonly BackendEntry[];
   /** The store no longer answers: a grace period that runs is suspended until the next recovery. */
   noteStoreLost(): void;
+  /** A peer that reaches the store gave all its changes, which are applied. */
+  notePeerNews(): void;
   /** Starts the grace period when the store is reachable again after an outage. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
@@ -52,8 +57,11 @@
   const entries = new Map<string, BackendEntry>();
   const observations = new Map<string, BackendEntry>();
   const missing = new Map<string, Unregister>();
+  /** Servers without an entry while the store is lost, and when they may be removed on a peer's news. */
+  const reported = new Map<string, Millis>();
   const listeners = new Set<() => void>();
   let isLost = false;
+  let peerNewsAt = -Infinity;
   let graceEnd = -Infinity;
   let cancelGraceEnd: Unregister = () => undefined;
 
@@ -68,17 +76,19 @@
   function deleteServer(server: string): void {
     missing.get(server)?.();
     missing.delete(server);
+    reported.delete(server);
     observations.delete(server);
     entries.delete(server);
   }
 
   function scheduleRemoval(server: string): void {
-    if (!entries.has(server) || missing.has(server)) {
+    if (!entries.has(server) || missing.has(server) || reported.has(server)) {
       return;
     }
-    // A peer that the store has just answered tells of servers that register again within the grace period.
-    const grace = isLost ? LAPSED_ENTRY_GRACE : graceEnd - timers.now();
-    if (grace <= 0) {
+    const grace = graceEnd - timers.now();
+    if (isLost) {
+      reported.set(server, timers.now() + LAPSED_ENTRY_GRACE);
+    } else if (grace <= 0) {
       deleteServer(server);
     } else {
       removeAfter(server, grace);
@@ -86,7 +96,6 @@
   }
 
   function removeAfter(server: string, wait: Millis): void {
-    missing.get(server)?.();
     const cancel = timers.registerTimeout(wait, () => {
       deleteServer(server);
       notifyListeners();
@@ -94,18 +103,46 @@
     missing.set(server, cancel);
   }
 
+  /** Cancels all removals and returns their servers. */
+  function takeMissing(): readonly string[] {
+    const servers = [...missing.keys(), ...reported.keys()];
+    missing.forEach((cancel) => cancel());
+    missing.clear();
+    reported.clear();
+    return servers;
+  }
+
+  function reportAgain(servers: readonly string[]): void {
+    servers.forEach((server) => reported.set(server, timers.now() + LAPSED_ENTRY_GRACE));
+  }
+
   /** Servers had no time to register again before the store was lost, so nothing of a grace period ends without it. */
   function suspendGrace(): void {
+    isLost = true;
     cancelGraceEnd();
-    missing.forEach((cancel) => cancel());
+    reportAgain(takeMissing());
   }
 
   function startGrace(): void {
     isLost = false;
-    suspendGrace();
+    cancelGraceEnd();
     graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
     cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
-    [...missing.keys()].forEach((server) => removeAfter(server, LAPSED_ENTRY_GRACE));
+    takeMissing().forEach((server) => removeAfter(server, LAPSED_ENTRY_GRACE));
+  }
+
+  function removeReported(): void {
+    const now = timers.now();
+    if (now - peerNewsAt > MAX_NEWS_GAP) {
+      // The peers had lost the store too, and servers register again only now.
+      reportAgain([...reported.keys()]);
+    }
+    peerNewsAt = now;
+    const overdue = [...reported].filter(([, dueAt]) => dueAt <= now);
+    overdue.forEach(([server]) => deleteServer(server));
+    if (overdue.length > 0) {
+      notifyListeners();
+    }
   }
 
   function getLatest(server: string): BackendEntry | null {
@@ -154,10 +191,14 @@
     listObserved: () => [...observations.values()],
     noteStoreLost() {
       if (!isLost) {
-        isLost = true;
         suspendGrace();
       }
     },
+    notePeerNews() {
+      if (isLost) {
+        removeReported();
+      }
+    },
     noteStoreRegained: startGrace,
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -171,7 +171,10 @@
     listObserved: catalogue.listObserved,
     onObserved: catalogue.observe,
     getStaleness: () => news.readState().age,
-    onSynced: news.noteSynced,
+    onSynced: (age) => {
+      news.noteSynced(age);
+      catalogue.notePeerNews();
+    },
     onRevision: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
   });
   const confirmNews = createRelayConfirm({
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -298,6 +298,30 @@
     expect(countBackends(), 'after a removal that only the peer reads').to.equal(1);
   });
 
+  it('keeps lapsed engines when a peer that told of their removal loses the store again', async () => {
+    // Guards against an instance without engines for a whole outage, after the store answered only others for a second.
+    const bed = createBed();
+    const deaf = createFakeRangeStore(bed.timers);
+    deaf.setAvailable(false);
+    let isCutOff = false;
+    const port = new Proxy(bed.store, {
+      get: (target, name: keyof StoreRangePort) => (isCutOff ? deaf[name] : target[name]),
+    });
+    bed.start('one', port);
+    bed.start('two');
+    await bed.timers.advanceToAsync(6000);
+    bed.store.setAvailable(false);
+    isCutOff = true;
+    ['e0', 'e1', 'e2', 'e3'].forEach((id) => bed.store.remove(`${BACKENDS}${id}`));
+    await bed.timers.advanceToAsync(16_000);
+    bed.store.setAvailable(true);
+    await bed.timers.advanceToAsync(17_500);
+    bed.store.setAvailable(false);
+    await bed.timers.advanceToAsync(27_000);
+    const counts = ['one', 'two'].map((id) => bed.parts.get(id)?.readState().backends);
+    expect(counts).to.deep.equal([4, 4]);
+  });
+
   it('queries the store before it answers 404 after a suspension', async () => {
     // Guards against a 404 from an instance that was suspended when the route was added.
     const bed = createBed();
