Report missing layers of a service that was gone in between

What operators saw: no log line when a service was configured again with as many missing layers as when it was taken out. Cause: the coverage check kept the last number of every service that was ever configured. Evidence: the new test failed before: `AssertionError: expected [ 'letters 8' ] to deeply equal [ 'letters 8', 'letters 8' ]`. Change: each check drops what it knows of services that aren't configured, which also bounds the table. Measured: the 125 tests of relay pass; virtual time only.

--- a/packages/relay/src/RelayCoverage.ts
+++ b/packages/relay/src/RelayCoverage.ts
@@ -30,8 +30,14 @@
   const { domain, catalogue, getTable, onChange } = options;
   const known = new Map<ServiceId, number>();
 
+  function dropOthers(ids: ReadonlySet<ServiceId>): void {
+    [...known.keys()].filter((id) => !ids.has(id)).forEach((id) => known.delete(id));
+  }
+
   return () => {
-    for (const { id, pipeline } of getTable()?.config.services ?? []) {
+    const services = getTable()?.config.services ?? [];
+    dropOthers(new Set(services.map(({ id }) => id)));
+    for (const { id, pipeline } of services) {
       if (pipeline !== null) {
         const live = catalogue
           .list()
