Forget the admissions of services that are no longer called

What operators saw: nothing yet. The router kept an admission with its queue for each plain service that was ever called, and swept all of them ten times a second. Cause: admissions were created with the first call and never dropped. Evidence: the new test with the dropping left out, as before: `AssertionError: expected 1000 to be at most 65`; the second new test passed so too. Change: RouterServices counts the calls of each service and keeps 64 services without calls, those called last. An admission stays the same while a call to its service runs, so a limit is never given out twice. A service that comes back later learns its limit anew.

--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -4,9 +4,8 @@
  */
 import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
-import type { EngineId, Millis, ServiceId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { startModelRun } from './ModelRunner.js';
-import type { Admission } from './RequestAdmission.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
 import type { RetryBudget } from './RequestBudget.js';
@@ -27,6 +26,7 @@
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedModels } from './RouterShared.js';
+import { createRouterServices } from './RouterServices.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
 import { stopCondemned } from './RunSuspicion.js';
 import type { ServiceRun } from './ServiceRunner.js';
@@ -68,7 +68,9 @@
     queueBound: cfg.queueBound,
     getTeamLimits: deps.getTeamLimits,
   };
-  const services = new Map<ServiceId, Admission>();
+  const services = createRouterServices(() =>
+    createAdmission({ ...admissionCfg, getKvCapacity: () => null }, timers.now()),
+  );
   const serviceRuns = new Map<string, ServiceRun>();
   const drainWaiters: (() => void)[] = [];
   let poison = createPoisonState(cfg.poisonCrashes);
@@ -130,20 +132,10 @@
     return stalledShare;
   }
 
-  function getServiceAdmission(service: ServiceId): Admission {
-    const known = services.get(service);
-    if (known) {
-      return known;
-    }
-    const created = createAdmission({ ...admissionCfg, getKvCapacity: () => null }, timers.now());
-    services.set(service, created);
-    return created;
-  }
-
   function sweep(): void {
     const now = timers.now();
     shared.admission.sweep(now);
-    services.forEach((admission) => admission.sweep(now));
+    services.sweep(now);
     reportPaces(now);
     const usualGap = shared.progress.getMedianGap(now);
     if (usualGap !== null) {
@@ -189,10 +181,11 @@
     submitService(spec, sink) {
       invariant(!serviceRuns.has(spec.id), `request ${spec.id} is submitted once`);
       startSweeping();
-      const admission = getServiceAdmission(spec.service);
+      const admission = services.begin(spec.service);
       let hasEnded = false;
       const handle = startServiceRun(shared, admission, spec, sink, () => {
         hasEnded = true;
+        services.end(spec.service);
         serviceRuns.delete(spec.id);
       });
       if (!hasEnded) {
