Drop retry budgets that were not used for a window

What operators saw: nothing yet. The router kept a retry budget for each model and service that was ever called. Cause: budgets go by name, and none was dropped. Evidence: the new test with the dropping left out, as before: `AssertionError: expected 1000 to be at most 12`; the second new test, that a spent budget stays for its window, passed so too. Change: RouterBudgets drops budgets without a count in the window when a name is used for the first time; such a budget equals a new one, so no limit changes. Measured: the 106 tests of requests pass; virtual time only.

--- a/packages/requests/src/RequestBudget.ts
+++ b/packages/requests/src/RequestBudget.ts
@@ -64,6 +64,12 @@
   return addCounts(budget, now, 0, -1);
 }
 
+/** Whether nothing was counted in the window before now, so that the budget equals a new one. */
+export function isUnused(budget: RetryBudget, now: Millis): boolean {
+  const windowIndex = Math.floor(now / SLICE_LENGTH) - countSlices(budget);
+  return budget.slices.every(({ index }) => index < windowIndex);
+}
+
 function countSlices({ window }: RetryBudget): number {
   return Math.ceil(window / SLICE_LENGTH);
 }
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -8,8 +8,6 @@
 import { startModelRun } from './ModelRunner.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
-import type { RetryBudget } from './RequestBudget.js';
-import { createRetryBudget, setBurst } from './RequestBudget.js';
 import type { PoisonDigest } from './RequestPoison.js';
 import {
   createCrashId,
@@ -23,6 +21,7 @@
 import { createRecoveryQueue } from './RequestRecovery.js';
 import type { RequestHandle, RequestSink, RequestSpec } from './RequestTypes.js';
 import { createWorkQueue } from './RouterWorkQueue.js';
+import { createRouterBudgets } from './RouterBudgets.js';
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedModels } from './RouterShared.js';
@@ -74,7 +73,7 @@
   const serviceRuns = new Map<string, ServiceRun>();
   const drainWaiters: (() => void)[] = [];
   let poison = createPoisonState(cfg.poisonCrashes);
-  const budgets = new Map<string, RetryBudget>();
+  const budgets = createRouterBudgets(deps);
   let isDraining = false;
   let stalledShare = 0;
   let stalledShareAt = -Infinity;
@@ -96,14 +95,8 @@
     setPoison: (state) => {
       poison = state;
     },
-    getBudget: (name) => {
-      const burst = deps.getRetryBurst?.(name) ?? cfg.retryBurst;
-      const terms = { share: cfg.retryShare, burst, window: cfg.retryWindow };
-      return setBurst(budgets.get(name) ?? createRetryBudget(terms), burst);
-    },
-    setBudget: (name, next) => {
-      budgets.set(name, next);
-    },
+    getBudget: budgets.get,
+    setBudget: budgets.set,
     begunWaits: new Map(),
     isDraining: () => isDraining,
     getStalledShare: readStalledShare,
