--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -4,13 +4,10 @@
  */
 import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
-import type { EngineId, Millis, ServiceId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { startModelRun } from './ModelRunner.js';
-import type { Admission } from './RequestAdmission.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
-import type { RetryBudget } from './RequestBudget.js';
-import { createRetryBudget, setBurst } from './RequestBudget.js';
 import type { PoisonDigest } from './RequestPoison.js';
 import {
   createCrashId,
@@ -24,9 +21,11 @@
 import { createRecoveryQueue } from './RequestRecovery.js';
 import type { RequestHandle, RequestSink, RequestSpec } from './RequestTypes.js';
 import { createWorkQueue } from './RouterWorkQueue.js';
+import { createRouterBudgets } from './RouterBudgets.js';
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedModels } from './RouterShared.js';
+import { createRouterServices } from './RouterServices.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
 import { stopCondemned } from './RunSuspicion.js';
 import type { ServiceRun } from './ServiceRunner.js';
@@ -68,11 +67,13 @@
     queueBound: cfg.queueBound,
     getTeamLimits: deps.getTeamLimits,
   };
-  const services = new Map<ServiceId, Admission>();
+  const services = createRouterServices(() =>
+    createAdmission({ ...admissionCfg, getKvCapacity: () => null }, timers.now()),
+  );
   const serviceRuns = new Map<string, ServiceRun>();
   const drainWaiters: (() => void)[] = [];
   let poison = createPoisonState(cfg.poisonCrashes);
-  const budgets = new Map<string, RetryBudget>();
+  const budgets = createRouterBudgets(deps);
   let isDraining = false;
   let stalledShare = 0;
   let stalledShareAt = -Infinity;
@@ -94,14 +95,8 @@
     setPoison: (state) => {
       poison = state;
     },
-    getBudget: (name) => {
-      const burst = deps.getRetryBurst?.(name) ?? cfg.retryBurst;
-      const terms = { share: cfg.retryShare, burst, window: cfg.retryWindow };
-      return setBurst(budgets.get(name) ?? createRetryBudget(terms), burst);
-    },
-    setBudget: (name, next) => {
-      budgets.set(name, next);
-    },
+    getBudget: budgets.get,
+    setBudget: budgets.set,
     begunWaits: new Map(),
     isDraining: () => isDraining,
     getStalledShare: readStalledShare,
@@ -130,20 +125,10 @@
     return stalledShare;
   }
 
-  function getServiceAdmission(service: ServiceId): Admission {
-    const known = services.get(service);
-    if (known) {
-      return known;
-    }
-    const created = createAdmission({ ...admissionCfg, getKvCapacity: () => null }, timers.now());
-    services.set(service, created);
-    return created;
-  }
-
   function sweep(): void {
     const now = timers.now();
     shared.admission.sweep(now);
-    services.forEach((admission) => admission.sweep(now));
+    services.sweep(now);
     reportPaces(now);
     const usualGap = shared.progress.getMedianGap(now);
     if (usualGap !== null) {
@@ -189,10 +174,11 @@
     submitService(spec, sink) {
       invariant(!serviceRuns.has(spec.id), `request ${spec.id} is submitted once`);
       startSweeping();
-      const admission = getServiceAdmission(spec.service);
+      const admission = services.begin(spec.service);
       let hasEnded = false;
       const handle = startServiceRun(shared, admission, spec, sink, () => {
         hasEnded = true;
+        services.end(spec.service);
         serviceRuns.delete(spec.id);
       });
       if (!hasEnded) {
