--- a/packages/placement/src/__tests__/unit/PlacementCopies.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementCopies.test.ts
@@ -107,6 +107,25 @@
     expect([...(plan(tight) ?? [])]).to.deep.equal([['e04', { first: 60, end: 80 }]]);
   });
 
+  it('leaves a spare engine to the gap that only it can fill', () => {
+    // Guards against a domain that is partitioned anew, which breaks off all its answers and loads everything: two ranges
+    // are lost at once, the one empty engine takes the first although it nearly fills it, and the second, which nothing
+    // else can hold, stays open. A neighbour could have taken the first.
+    const held = [
+      { first: 0, end: 12 },
+      { first: 32, end: 60 },
+      { first: 75, end: 80 },
+      { first: 75, end: 80 },
+    ];
+    const left = createGroupEngines([72, 72, 14.4, 14.4, 43.2]).map((engine, i) => ({
+      ...engine,
+      held: held[i] ?? null,
+    }));
+    const atOnce = applyPlan(left, plan(left));
+    const afterGrace = applyPlan(atOnce, plan(atOnce, { ...NONE_PERMITTED, mayReassign: true }));
+    expect(findGaps(afterGrace, GROUP_MODEL)).to.deep.equal([]);
+  });
+
   it('fills a gap with redundant engines once reassignment is permitted', () => {
     // Guards against a domain without a chain until a lost engine is replaced. The only holder of a range is
     // lost for good and no engine is empty; the fault is that engines of ranges with several holders keep
--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -322,6 +322,85 @@
     expect(counts).to.deep.equal([4, 4]);
   });
 
+  it('removes an engine that is gone for good while the store refuses calls now and then', async () => {
+    // Guards against calls to an engine that has ended for as long as the store fails a call every second or two: each
+    // failure counts as a loss, and each recovery begins the grace period anew.
+    const bed = createBed();
+    const deaf = createFakeRangeStore(bed.timers);
+    deaf.setAvailable(false);
+    let isCutOff = false;
+    const port = new Proxy(bed.store, {
+      get: (target, name: keyof StoreRangePort) => (isCutOff ? deaf[name] : target[name]),
+    });
+    bed.start('one', port);
+    await bed.timers.advanceToAsync(6000);
+    const countBackends = () => bed.parts.get('one')?.readState().backends;
+    for (let at = 6000; at < 36_000; at += 1500) {
+      isCutOff = true;
+      // The watch that waits is cut.
+      bed.store.put('other', `${at}`);
+      await bed.timers.advanceToAsync(at + 300);
+      isCutOff = false;
+      await bed.timers.advanceToAsync(at + 1000);
+      if (at === 6000) {
+        bed.store.remove(`${BACKENDS}e3`);
+      }
+      await bed.timers.advanceToAsync(at + 1500);
+    }
+    expect(countBackends()).to.equal(3);
+  });
+
+  it('keeps lapsed engines when a peer that told of their removal has not noticed yet that it lost the store', async () => {
+    // Guards against an instance without engines for a whole outage: a watch that gets no answer hides the loss for some
+    // seconds, in which the peer gives news that are as old as its last answer.
+    const bed = createBed();
+    const createPort = () => {
+      let mode: 'up' | 'down' | 'hung' = 'up';
+      const down = createFakeRangeStore(bed.timers);
+      down.setAvailable(false);
+      /** Answers with the store, unless calls hang before its answer: then not until the timeout. */
+      const callStore =
+        (name: keyof StoreRangePort) =>
+        async (...args: unknown[]) => {
+          const endsAt = bed.timers.now() + (args.at(-1) as { timeout: number }).timeout;
+          const call = bed.store[name] as (...given: unknown[]) => Promise<unknown>;
+          const answer = mode === 'up' ? await call(...args) : null;
+          if (mode !== 'hung') {
+            return answer;
+          }
+          await new Promise<void>((resolve) => {
+            bed.timers.registerTimeout(Math.max(0, endsAt - bed.timers.now()), resolve);
+          });
+          return { kind: 'unknown' };
+        };
+      const port = new Proxy(bed.store, {
+        get: (_, name: keyof StoreRangePort) => (mode === 'down' ? down[name] : callStore(name)),
+      });
+      return {
+        port,
+        setMode: (next: typeof mode) => {
+          mode = next;
+        },
+      };
+    };
+    const one = createPort();
+    const two = createPort();
+    bed.start('one', one.port);
+    bed.start('two', two.port);
+    await bed.timers.advanceToAsync(6000);
+    bed.store.setAvailable(false);
+    one.setMode('down');
+    two.setMode('down');
+    ['e0', 'e1', 'e2', 'e3'].forEach((id) => bed.store.remove(`${BACKENDS}${id}`));
+    await bed.timers.advanceToAsync(16_000);
+    bed.store.setAvailable(true);
+    two.setMode('up');
+    await bed.timers.advanceToAsync(17_000);
+    two.setMode('hung');
+    await bed.timers.advanceToAsync(27_000);
+    expect(bed.parts.get('one')?.readState().backends).to.equal(4);
+  });
+
   it('queries the store before it answers 404 after a suspension', async () => {
     // Guards against a 404 from an instance that was suspended when the route was added.
     const bed = createBed();
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -7,6 +7,7 @@
 import { createSystemTimers } from '@skylarksail/daemon/DaemonTimers';
 import type { HostPort } from '@skylarksail/core/CoreTypes';
 import type { StoreEvent } from '@skylarksail/store/StoreRange';
+import { createCatalogue } from '../../RelayCatalogue.js';
 import type { Mirror } from '../../RelayMirror.js';
 import { createMirror } from '../../RelayMirror.js';
 import { createPeerHttp } from '../../RelayPeerHttp.js';
@@ -131,6 +132,83 @@
     expect(peers[0]?.isIsolated()).to.equal(false);
   });
 
+  it('goes on polling peers when the store was back only long enough to tell that their entries lapsed', async () => {
+    // Guards against an instance that hears nothing for a whole refusal: the list of peers to ask is taken at the second
+    // loss, when the lapsed entries are gone and not written again yet.
+    const { timers, mirrors, peers, lapsed } = createPeersBed();
+    peers[0]?.noteStoreLost();
+    await timers.advanceToAsync(10_000);
+    peers[0]?.noteStoreRegained();
+    ['one', 'two', 'three'].forEach((id) => lapsed.add(id));
+    await timers.advanceToAsync(11_000);
+    peers[0]?.noteStoreLost();
+    mirrors[2]?.apply(write('config', 'next', 5));
+    await timers.advanceToAsync(13_000);
+    expect(mirrors[0]?.readSince(0, false).items.map(({ key }) => key)).to.deep.equal(['config']);
+    expect(peers[0]?.isIsolated()).to.equal(false);
+  });
+
+  for (const [name, isPresent] of [
+    ['after its peers were replaced', (i: number) => i >= 12],
+    ['while one peer in twelve reaches the store', (i: number) => i === 11],
+  ] as const) {
+    it(`removes engines that are gone, and is not isolated for long, ${name} in a refusal`, async () => {
+      // Guards against a refused instance that keeps engines which are gone for good, and that takes itself for isolated
+      // every second or two: peers that cannot tell are asked in a row, those that have ended each for a whole timeout.
+      const timers = createVirtualTimers();
+      const mirror = createMirror();
+      const catalogue = createCatalogue(timers);
+      const hasEnded = (i: number): boolean => i < 12 && isPresent(12);
+      const all = Array.from({ length: isPresent(12) ? 24 : 12 }, (_, i) => ({
+        id: `p${i}`,
+        domain: `d${(i % 3) + 1}`,
+        address: { host: '127.0.0.1', port: i },
+      }));
+      const self = { id: 'self', domain: 'd1', address: { host: '127.0.0.1', port: 100 } };
+      let listed: readonly InstanceEntry[] = [self, ...all.slice(0, 12)];
+      const peers = createRelayPeers({
+        timers,
+        random: createRandom(1),
+        self,
+        mirror,
+        askPeer: ({ port }, since, timeout) => {
+          if (isPresent(port)) {
+            const changes = { isWhole: false, items: [], removed: [], revision: since };
+            return Promise.resolve({ kind: 'news' as const, changes, age: 0 });
+          }
+          return hasEnded(port)
+            ? new Promise<PeerAnswer>((resolve) => {
+                timers.registerTimeout(timeout, () => resolve({ kind: 'silent' }));
+              })
+            : Promise.resolve({ kind: 'deaf' as const, observed: [] });
+        },
+        listInstances: () => listed,
+        onEvent: () => undefined,
+        listObserved: () => [],
+        onObserved: () => undefined,
+        onRevision: () => undefined,
+        getStaleness: () => 0,
+        onSynced: () => catalogue.notePeerNews(),
+      });
+      catalogue.put(createBackend('gone'));
+      catalogue.noteStoreLost();
+      peers.noteStoreLost();
+      listed = [self, ...all.slice(hasEnded(0) ? 12 : 0)];
+      await timers.advanceToAsync(5000);
+      catalogue.remove('gone');
+      let isolated = 0;
+      for (let at = 5000; at < 65_000; at += 20) {
+        await timers.advanceToAsync(at);
+        isolated += peers.isIsolated() ? 20 : 0;
+      }
+      peers.noteStoreRegained();
+      expect(catalogue.list().length, `isolated for ${isolated} of 60000 ms`).to.equal(0);
+      if (hasEnded(0)) {
+        expect(isolated).to.equal(0);
+      }
+    });
+  }
+
   it('gets no changes from a peer that has lost the store, and stops polling when the store is back', async () => {
     const { timers, mirrors, peers } = createPeersBed();
     peers.forEach((peer) => peer.noteStoreLost());
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -107,6 +107,36 @@
     expect(bed.placement.countDomains()).to.be.at.most(3);
   });
 
+  it('plans a domain anew without a lost engine while the store refuses calls now and then', async () => {
+    // Guards against a domain without a chain for as long as the store fails a call every second or two: the entry and the
+    // observation of the lost engine stay, and its return is waited for.
+    const accelerators = new Map([
+      ['large', { memoryBytes: 460, stepFactor: 1, readFactor: 1 }],
+      ['small', { memoryBytes: 250, stepFactor: 1, readFactor: 1 }],
+    ]);
+    const bed = createBed(4, { ...PIPELINE, accelerators });
+    const put = (id: string, accelerator: string, first: number, end: number) =>
+      bed.catalogue.put(createBackend(id, { accelerator, layers: { first, end } }));
+    put('e0', 'large', 0, 2);
+    put('e1', 'large', 2, 5);
+    put('e2', 'large', 5, 7);
+    put('e3', 'small', 7, 8);
+    put('e4', 'small', 7, 8);
+    await bed.timers.advanceToAsync(3000);
+    const lost = bed.catalogue.get('e1');
+    for (let at = 3000; at < 33_000; at += 1500) {
+      bed.catalogue.noteStoreLost();
+      await bed.timers.advanceToAsync(at + 200);
+      bed.catalogue.noteStoreRegained();
+      if (lost && at === 3000) {
+        bed.catalogue.observe({ ...lost, state: 'leaving' });
+        bed.catalogue.remove('e1');
+      }
+      await bed.timers.advanceToAsync(at + 1500);
+    }
+    expect(bed.orders.length).to.be.greaterThan(0);
+  });
+
   it('does not return to its plan from before another instance placed a domain', async () => {
     // Guards against engines that reload twice: the duty changes hands while the domain has no engines registered.
     const bed = createBed();
--- a/packages/requests/src/__tests__/unit/RequestQueue.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestQueue.test.ts
@@ -51,4 +51,18 @@
     serveEach(queue, 5000);
     expect(queue.countTeams()).to.be.at.most(2048);
   });
+
+  it('keeps few teams after a queue that was long has been served', () => {
+    // Guards against choices that stay slow after a burst: the next cleanup waits for twice the teams that waited then.
+    const queue = createFairQueue({ total: 4096 });
+    serveEach(queue, 200);
+    for (let i = 0; i < 4096; i++) {
+      queue.push(createEntry(`w${i}`, `w${i}`), Infinity);
+    }
+    for (let entry = queue.pop(accept); entry; entry = queue.pop(accept)) {
+      expect(entry.team).to.equal(entry.id);
+    }
+    serveEach(queue, 3000);
+    expect(queue.countTeams()).to.be.at.most(2048);
+  });
 });
--- a/packages/requests/src/__tests__/unit/RouterBudgets.test.ts
+++ b/packages/requests/src/__tests__/unit/RouterBudgets.test.ts
@@ -33,4 +33,20 @@
     }
     expect(allowedAt[0]).to.be.within(10_000, 10_500);
   });
+
+  it('keeps a budget for its whole window after retries at the end of a time slice', () => {
+    // Guards against more retries than the window allows, because a budget was dropped one slice too early.
+    const timers = createVirtualTimers();
+    const budgets = createRouterBudgets({ cfg, timers });
+    const takenAt = 499;
+    timers.advanceTo(takenAt);
+    [0, 0].forEach(() => {
+      budgets.set('a', takeRetry(budgets.get('a'), takenAt) ?? budgets.get('a'));
+    });
+    for (let at = 500; at < takenAt + cfg.retryWindow; at += 50) {
+      timers.advanceTo(at);
+      budgets.set(`other-${at}`, noteFirstAttempt(budgets.get(`other-${at}`), at));
+      expect(hasRetry(budgets.get('a'), at), `at ${at}`).to.equal(false);
+    }
+  });
 });
