Add a test of removals while the store cuts watches that wait

Cause: the protocol permits the platform to cut a watch that waits; each cut counts as a loss and suspends the grace period. Change: one test, which fails on: expected 4 to equal 3. Conclusion: to be mended.

--- a/packages/relay/src/__tests__/unit/RelayParts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayParts.test.ts
@@ -350,6 +350,26 @@
     expect(countBackends()).to.equal(3);
   });
 
+  it('removes an engine that is gone for good while the store cuts watches that wait', async () => {
+    // Guards against the same where the platform only cuts watches, as its protocol permits: a cut counts as a loss.
+    const bed = createBed();
+    let isCutting = false;
+    const cutWatch: StoreRangePort['watchRange'] = (...args) =>
+      Promise.race([
+        bed.store.watchRange(...args),
+        new Promise<{ readonly kind: 'unknown' }>((resolve) => {
+          bed.timers.registerTimeout(isCutting ? 1200 : 10_000, () => resolve({ kind: 'unknown' }));
+        }),
+      ]);
+    bed.start('one', { ...bed.store, watchRange: cutWatch });
+    await bed.timers.advanceToAsync(6000);
+    isCutting = true;
+    await bed.timers.advanceToAsync(12_000);
+    bed.store.remove(`${BACKENDS}e3`);
+    await bed.timers.advanceToAsync(42_000);
+    expect(bed.parts.get('one')?.readState().backends).to.equal(3);
+  });
+
   it('keeps lapsed engines when a peer that told of their removal has not noticed yet that it lost the store', async () => {
     // Guards against an instance without engines for a whole outage: a watch that gets no answer hides the loss for some
     // seconds, in which the peer gives news that are as old as its last answer.
