Go on with a grace period after a short loss of the store, and take a peer's news as old as they are

What callers saw: with, while the store failed a call every second or two, engines that were gone for good stayed registered and were called, and a domain without a chain was not planned anew. Engines of an instance without the store could be removed on the news of a peer that had not noticed yet that it had lost the store too. Cause: each loss, however short, began the two seconds anew; the protocol allows a waiting watch to be cut. The age of a peer's news was not looked at. Change: a loss of less than 0.6 s suspends a grace period that runs, and a longer one begins it anew. A removal that peers tell of is due two seconds after it by the time at which the peer was in sync. The tests of all orders are unchanged.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -1,7 +1,7 @@
 /**
  * The registered backend servers. During a store outage the last known entries are kept. An entry that lapsed
  * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost. The
- * grace period starts anew if the store is lost within it.
+ * grace period starts anew if the store is lost within it for long enough that entries may lapse again.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, ServiceId, Unregister } from '@skylarksail/core/CoreTypes';
@@ -15,6 +15,9 @@
  */
 export const LAPSED_ENTRY_GRACE: Millis = 2000;
 
+/** A loss that is shorter only suspends the grace period: no entry lapses in it, because servers have several heartbeats. */
+const SHORT_LOSS: Millis = 600;
+
 /** Longest time between two answers of peers that reach the store; after more of it, they had lost the store too. */
 const MAX_NEWS_GAP: Millis = 1000;
 
@@ -37,9 +40,9 @@
   listObserved(): readonly BackendEntry[];
   /** The store no longer answers: a grace period that runs is suspended until the next recovery. */
   noteStoreLost(): void;
-  /** A peer that reaches the store gave all its changes, which are applied. */
-  notePeerNews(): void;
-  /** Starts the grace period when the store is reachable again after an outage. */
+  /** A peer gave all its changes, which are applied; it was in sync with the store `age` ago, by default now. */
+  notePeerNews(age?: Millis): void;
+  /** Starts the grace period when the store is reachable again after an outage, or continues it after a short loss. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
   /** Drops the cached list when `isServed` may return other results. */
@@ -63,6 +66,7 @@
   let isLost = false;
   let peerNewsAt = -Infinity;
   let graceEnd = -Infinity;
+  let lostAt = -Infinity;
   let cancelGraceEnd: Unregister = () => undefined;
 
   /** The last result of `list`, cached until something changes, because `list` runs many times a second. */
@@ -119,26 +123,38 @@
   /** Servers had no time to register again before the store was lost, so nothing of a grace period ends without it. */
   function suspendGrace(): void {
     isLost = true;
+    lostAt = timers.now();
     cancelGraceEnd();
     reportAgain(takeMissing());
   }
 
+  /**
+   * The time until servers without an entry are removed. A store that fails a call now and then would keep engines that
+   * are gone for good if each short loss began the grace period anew.
+   */
+  function getGrace(): Millis {
+    const left = graceEnd - lostAt;
+    const isShortLoss = isLost && timers.now() - lostAt < SHORT_LOSS;
+    return isShortLoss && left > 0 ? left : LAPSED_ENTRY_GRACE;
+  }
+
   function startGrace(): void {
+    const grace = getGrace();
     isLost = false;
     cancelGraceEnd();
-    graceEnd = timers.now() + LAPSED_ENTRY_GRACE;
-    cancelGraceEnd = timers.registerTimeout(LAPSED_ENTRY_GRACE, clearObservations);
-    takeMissing().forEach((server) => removeAfter(server, LAPSED_ENTRY_GRACE));
+    graceEnd = timers.now() + grace;
+    cancelGraceEnd = timers.registerTimeout(grace, clearObservations);
+    takeMissing().forEach((server) => removeAfter(server, grace));
   }
 
-  function removeReported(): void {
-    const now = timers.now();
-    if (now - peerNewsAt > MAX_NEWS_GAP) {
+  /** `newsAt`: when the peer that answers now was in sync; it may not have noticed yet that it lost the store. */
+  function removeReported(newsAt: Millis): void {
+    if (timers.now() - peerNewsAt > MAX_NEWS_GAP) {
       // The peers had lost the store too, and servers register again only now.
       reportAgain([...reported.keys()]);
     }
-    peerNewsAt = now;
-    const overdue = [...reported].filter(([, dueAt]) => dueAt <= now);
+    peerNewsAt = timers.now();
+    const overdue = [...reported].filter(([, dueAt]) => dueAt <= newsAt);
     overdue.forEach(([server]) => deleteServer(server));
     if (overdue.length > 0) {
       notifyListeners();
@@ -194,9 +210,9 @@
         suspendGrace();
       }
     },
-    notePeerNews() {
+    notePeerNews(age = 0) {
       if (isLost) {
-        removeReported();
+        removeReported(timers.now() - age);
       }
     },
     noteStoreRegained: startGrace,
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -173,7 +173,7 @@
     getStaleness: () => news.readState().age,
     onSynced: (age) => {
       news.noteSynced(age);
-      catalogue.notePeerNews();
+      catalogue.notePeerNews(age);
     },
     onRevision: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
   });
