Ask peers known at the loss of the store only while no registered one answers

If the store was back for a second only, nobody was left to be asked. Cause: ended peers stayed in the rotation, each for a whole timeout. The list was dropped at the recovery, when entries have lapsed and aren't written again yet. Evidence: found by a review; RelayPeers "… after its peers were replaced in a refusal" (a gone engine kept for 60 s, isolated for 13,780 of 60,000 ms) and "goes on polling peers when the store was back only long enough…" failed before. Change: peers known at the loss are asked only while no registered one answers, and are kept for the grace period after a recovery.

--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -8,6 +8,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { StoreEvent } from '@skylarksail/store/StoreRange';
+import { LAPSED_ENTRY_GRACE } from './RelayCatalogue.js';
 import type { Mirror, MirrorChanges } from './RelayMirror.js';
 import type { BackendEntry, InstanceEntry } from './RelayTypes.js';
 
@@ -71,6 +72,9 @@
 /** Six peers are asked in this time; unless the store is down for all, at least one most likely reaches it. */
 const ISOLATED_AFTER: Millis = 1000;
 
+/** Larger than any fleet; instances that are replaced while the store fails again and again are dropped beyond it. */
+const MAX_KNOWN_AT_LOSS = 4096;
+
 export function createRelayPeers(options: RelayPeersOptions): RelayPeers {
   const { timers, random, self, mirror } = options;
   const silent = new Set<InstanceId>();
@@ -80,18 +84,39 @@
   let asked = 0;
   let lossCount = 0;
   let lastUpdateAt = 0;
+  let regainedAt = -Infinity;
   let isLeaving = false;
 
-  function listKnown(): readonly InstanceEntry[] {
-    const known = [...knownAtLoss, ...options.listInstances()];
-    return [...new Map(known.map((instance) => [instance.id, instance])).values()];
+  /**
+   * Peers that are registered, and those known at the loss only while no registered one answers: many of them may have
+   * ended, and each would cost a whole timeout.
+   */
+  function listPeers(): readonly InstanceEntry[] {
+    const registered = options
+      .listInstances()
+      .filter(({ id, address }) => id !== self.id && address !== null);
+    if (registered.some(({ id }) => !silent.has(id))) {
+      return registered;
+    }
+    return mergeInstances(knownAtLoss, registered).filter(
+      ({ id, address }) => id !== self.id && address !== null,
+    );
+  }
+
+  /** A recovery may have told only that entries had lapsed, so what was known before it still counts for a while. */
+  function listKnownAtLoss(): readonly InstanceEntry[] {
+    const registered = options.listInstances();
+    const isRecent = timers.now() - regainedAt < LAPSED_ENTRY_GRACE;
+    return isRecent
+      ? mergeInstances(knownAtLoss, registered).slice(-MAX_KNOWN_AT_LOSS)
+      : registered;
   }
 
   /** Next peer in rotation; those of the own domain come first in each pass, since their links are free. */
   function choosePeer(): InstanceEntry | null {
-    const others = listKnown()
-      .filter(({ id, address }) => id !== self.id && address !== null)
-      .sort((a, b) => Number(b.domain === self.domain) - Number(a.domain === self.domain));
+    const others = [...listPeers()].sort(
+      (a, b) => Number(b.domain === self.domain) - Number(a.domain === self.domain),
+    );
     asked += 1;
     return others[asked % Math.max(1, others.length)] ?? null;
   }
@@ -148,7 +173,7 @@
       if (cancelRound === null) {
         lastUpdateAt = timers.now();
         silent.clear();
-        knownAtLoss = options.listInstances();
+        knownAtLoss = listKnownAtLoss();
         lossCount += 1;
         scheduleRound(lossCount);
       }
@@ -156,7 +181,7 @@
     noteStoreRegained() {
       cancelRound?.();
       cancelRound = null;
-      knownAtLoss = [];
+      regainedAt = timers.now();
     },
     noteLeaving() {
       isLeaving = true;
@@ -174,3 +199,10 @@
     isUnresponsive: (peer) => silent.has(peer),
   };
 }
+
+function mergeInstances(
+  first: readonly InstanceEntry[],
+  second: readonly InstanceEntry[],
+): readonly InstanceEntry[] {
+  return [...new Map([...first, ...second].map((instance) => [instance.id, instance])).values()];
+}
