Fill all gaps within the preferred share before any beyond it

Cause: the larger share was tried for the first gap before the preferred one for the second. Change: one pass over all gaps for each share. Measured: PlacementCopies passes.

--- a/packages/placement/src/PlacementCopies.ts
+++ b/packages/placement/src/PlacementCopies.ts
@@ -105,19 +105,21 @@
   return layout ? createGroupPlan(layout) : planRanges(empty, model, true);
 }
 
-/** Assigns missing layers to engines that keep enough KV cache, or else to others that can hold them. */
+/**
+ * Assigns missing layers to engines that keep enough KV cache, and then what is left to others that can hold it, so
+ * that a gap with several ways doesn't take the engine that is the only way for another one.
+ */
 function fillGaps(
   engines: readonly RangeEngine[],
   model: RangeModel,
   mayReassign: boolean,
   plan: Map<EngineId, LayerRange>,
 ): void {
-  for (const gap of findGaps(engines, model)) {
-    const present = applyPlan(engines, plan);
-    const filled =
-      fillGap(present, gap, model, PREFERRED_GAP_WEIGHT_SHARE, mayReassign) ??
-      fillGap(present, gap, model, MAX_WEIGHT_SHARE, mayReassign);
-    filled?.forEach((range, id) => plan.set(id, range));
+  for (const share of [PREFERRED_GAP_WEIGHT_SHARE, MAX_WEIGHT_SHARE]) {
+    for (const gap of findGaps(applyPlan(engines, plan), model)) {
+      const filled = fillGap(applyPlan(engines, plan), gap, model, share, mayReassign);
+      filled?.forEach((range, id) => plan.set(id, range));
+    }
   }
 }
 
