Remove idle teams of a queue by the requests that wait now

What operators saw: nothing; after a burst of thousands of teams each choice of the queue still went over most of them. Cause: the next cleanup waited for twice the teams that were kept at the last one. Change: a cleanup is due at twice the waiting requests plus the idle teams that it keeps.

--- a/packages/requests/src/RequestQueue.ts
+++ b/packages/requests/src/RequestQueue.ts
@@ -52,9 +52,10 @@
 }
 
 const RANK_COUNT = PRIORITY_ORDER.length;
-/** From this number of teams on, idle teams are removed. Each choice goes over all teams that are kept. */
-const CLEANUP_THRESHOLD = 1024;
-/** Maximum number of idle teams that a cleanup keeps: those that got the most work ahead of the others. */
+/**
+ * Maximum number of idle teams that a cleanup keeps: those that got the most work ahead of the others. Each choice goes
+ * over all teams that are kept.
+ */
 const MAX_IDLE_TEAMS = 512;
 
 /** Creates an empty queue. */
@@ -62,7 +63,6 @@
   const teams = new Map<TeamId, TeamQueue>();
   const waiting = new Map<RequestId, QueueEntry>();
   let virtualTime = 0;
-  let cleanupSize = CLEANUP_THRESHOLD;
 
   function getTeam(entry: QueueEntry): TeamQueue {
     const found = teams.get(entry.team);
@@ -70,10 +70,9 @@
       found.share = entry.share;
       return found;
     }
-    if (teams.size >= cleanupSize) {
+    // Teams with entries stay, so a cleanup waits until it can remove at least half of what it goes over.
+    if (teams.size >= 2 * (waiting.size + MAX_IDLE_TEAMS)) {
       removeIdleTeams();
-      // Teams with entries stay, so the next cleanup waits until it can remove as many as it goes over.
-      cleanupSize = Math.max(CLEANUP_THRESHOLD, 2 * teams.size);
     }
     const created: TeamQueue = {
       byRank: Array.from({ length: RANK_COUNT }, () => []),
