--- a/packages/relay/src/__tests__/unit/RelayLeaseStop.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLeaseStop.test.ts
@@ -4,6 +4,7 @@
 import { createRelayLease, RELAY_KEY_PREFIX } from '../../RelayLease.js';
 import { createLeaseKeeper } from '../../RelayLeaseKeeper.js';
 
+const UNKNOWN = { kind: 'unknown' } as const;
 const MEAN_RANDOM = { nextFloat: () => 0.5, nextInt: () => 0 };
 
 describe('the stop of leases', () => {
@@ -154,3 +155,106 @@
     expect(keeper.isValid()).to.equal(false);
   });
 });
+
+describe('the validity of a lease', () => {
+  for (const slowCall of ['grantLease', 'renewLease'] as const) {
+    it(`ends before the store can end the lease, counted from a slow call (${slowCall})`, async () => {
+      // Guards against two instances that place a domain: the store counts a lease from before its slow answer.
+      const timers = createVirtualTimers();
+      const store = createFakeRangeStore(timers);
+      let lastCallAt = 0;
+      let renewals = 0;
+      const slowDown = <T>(outcome: Promise<T>): Promise<T> =>
+        new Promise((resolve) => {
+          timers.registerTimeout(700, () => resolve(outcome));
+        });
+      const keeper = createLeaseKeeper({
+        port: {
+          ...store,
+          grantLease: (...args) => {
+            lastCallAt = timers.now();
+            const outcome = store.grantLease(...args);
+            return slowCall === 'grantLease' ? slowDown(outcome) : outcome;
+          },
+          renewLease: (...args) => {
+            renewals += 1;
+            if (slowCall === 'grantLease' || renewals > 1) {
+              return Promise.resolve(UNKNOWN);
+            }
+            lastCallAt = timers.now();
+            return slowDown(store.renewLease(...args));
+          },
+        },
+        timers,
+        random: MEAN_RANDOM,
+        time: 6000,
+        renewPeriod: 2000,
+        onGranted: () => Promise.resolve(true),
+        isNeeded: () => true,
+      });
+      void keeper.start();
+      await timers.advanceToAsync(3000);
+      expect(keeper.isValid()).to.equal(true);
+      await timers.advanceToAsync(lastCallAt + 6000 - 850);
+      expect(keeper.isValid()).to.equal(true);
+      await timers.advanceToAsync(lastCallAt + 6000 - 750);
+      expect(keeper.isValid()).to.equal(false);
+    });
+  }
+
+  it('is reached and kept when the first write of its keys throws', async () => {
+    // Guards against an instance that runs unregistered until it is started again, as one write threw.
+    const timers = createVirtualTimers();
+    const store = createFakeRangeStore(timers);
+    const errors: unknown[] = [];
+    let writes = 0;
+    const keeper = createLeaseKeeper({
+      port: store,
+      timers,
+      random: MEAN_RANDOM,
+      time: 6000,
+      renewPeriod: 2000,
+      onGranted: () => {
+        writes += 1;
+        return writes === 1 ? Promise.reject(new Error('broken')) : Promise.resolve(true);
+      },
+      isNeeded: () => true,
+      onError: (err) => errors.push(err),
+    });
+    void keeper.start();
+    await timers.advanceToAsync(20_000);
+    expect({ valid: keeper.isValid(), lease: keeper.getLeaseId(), writes }).to.deep.equal({
+      valid: true,
+      lease: 1,
+      writes: 2,
+    });
+    expect(errors).to.have.length(1);
+  });
+
+  it('lets an instance act on a duty whose claim was written and not answered', async () => {
+    // Guards against a domain that nobody places: the holder renews its duty and never acts on it.
+    const timers = createVirtualTimers();
+    const store = createFakeRangeStore(timers);
+    const lease = createRelayLease({
+      port: {
+        ...store,
+        write: async (conditions, ...rest) => {
+          const outcome = await store.write(conditions, ...rest);
+          return conditions.length > 0 ? UNKNOWN : outcome;
+        },
+      },
+      timers,
+      random: MEAN_RANDOM,
+      self: { id: 'one', domain: 'd1', address: null },
+      minLeaseTime: 1000,
+      listDomains: () => ['d1'],
+      onError: () => undefined,
+    });
+    lease.start();
+    await timers.advanceToAsync(2000);
+    const key = `${RELAY_KEY_PREFIX}placement/d1`;
+    expect(store.get(key)).to.equal('one');
+    lease.applyEvent({ kind: 'written', item: { key, value: 'one', revision: 3 } });
+    expect(lease.holds('d1')).to.equal(true);
+  });
+});
