Say unknown, not unavailable, if an unanswered swap of the manifest's root is followed by a rejection

What operators saw: POST /v1/manifest answered 503 with kind "unavailable", that is, not accepted and not to be accepted later, for a change that was in force or came into force later. Found by reading; reproduced here for the first time.

Cause: swapRoot sends an unanswered swap again and took a refusal of the second swap for the outcome of both. Only a conflict proves that the first can no longer take effect; a rejection by an intermediary (403) proves nothing.

Evidence, on the code before: ManifestStore.test.ts, three tests, first swap with its answer lost, 10 s late, or lost: AssertionError: expected { kind: 'unavailable', ...(1) } to deeply equal { kind: 'unknown' } with the revision accepted in the first two.

Change: any refusal but a conflict after an unanswered swap is unknown, and the same submission id gives the first result later. The specification has rejected swaps, unreadable histories and a check of unavailable; the mistake is seeded as TRUST_REJECTION. ManifestSpec checks the same promises with rejected swaps; the existing test without them is unchanged in what it draws and asserts.

Looked at for the same fault: the other callers of callWithRetry (chunks, reads, garbage: harmless), swapSettled (right), claims (a rejection leaves earlier unanswered swaps unconfirmed, as it must).

--- a/packages/manifest/src/ManifestStore.ts
+++ b/packages/manifest/src/ManifestStore.ts
@@ -59,7 +59,10 @@
   | { readonly kind: 'conflict'; readonly revision: number; readonly submission: string | null }
   /** The submission id was accepted earlier, as `revision`, with different content. */
   | { readonly kind: 'id-reused'; readonly revision: number }
-  /** Not accepted, and it cannot be accepted later: the root was not written. */
+  /**
+   * This call did not write the root and cannot write it later. An earlier call with the same id whose
+   * outcome was unknown may still have been accepted.
+   */
   | { readonly kind: 'unavailable'; readonly fault: ReadFault }
   /** The response was lost: it may have been accepted or may still be. Retry with the same id. */
   | { readonly kind: 'unknown' };
@@ -237,7 +240,8 @@
 /**
  * Swaps the root. If a response is lost, the identical swap is sent again. Reading back an unchanged root
  * would prove nothing, because the first swap may still be in flight; but once the second swap has
- * succeeded or failed, the first can no longer take effect.
+ * succeeded or failed with a conflict, the first can no longer take effect. Any other refusal of the second
+ * swap leaves the outcome of the first unknown.
  */
 async function swapRoot(
   prepared: PreparedSubmission,
@@ -254,17 +258,14 @@
   if (outcome.kind === 'done') {
     return createAccepted(newRoot.revision);
   }
-  if (outcome.kind === 'unknown') {
-    return { kind: 'unknown' };
-  }
-  if (outcome.reason.kind !== 'conflict') {
-    return { kind: 'unavailable', fault: { kind: 'unavailable' } };
-  }
-  const finalOutcome = await resolveRefusedSwap(prepared);
-  if (finalOutcome !== null) {
-    return finalOutcome;
+  const isConflict = outcome.kind === 'refused' && outcome.reason.kind === 'conflict';
+  const resolved = isConflict ? await resolveRefusedSwap(prepared) : null;
+  if (resolved !== null) {
+    return resolved;
   }
-  return isUnsure ? { kind: 'unknown' } : { kind: 'unavailable', fault: { kind: 'unavailable' } };
+  return outcome.kind === 'unknown' || isUnsure
+    ? { kind: 'unknown' }
+    : { kind: 'unavailable', fault: { kind: 'unavailable' } };
 }
 
 function createAccepted(revision: number): SubmitOutcome {
--- a/packages/manifest/src/__tests__/unit/ManifestSpec.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestSpec.test.ts
@@ -7,14 +7,17 @@
 import { readFileSync } from 'node:fs';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { StoreContext } from '../../ManifestCalls.js';
 import { splitManifest } from '../../ManifestChunks.js';
 import type { SpreadMember } from '../../ManifestPeers.js';
 import { readHistory, readRoot } from '../../ManifestReader.js';
 import type { ManifestRoot } from '../../ManifestRoot.js';
+import { ROOT_KEY } from '../../ManifestRoot.js';
 import { createSpread, stepSpread } from '../../ManifestSpread.js';
 import type { SpreadEffect, SpreadEvent, SpreadState } from '../../ManifestSpreadTypes.js';
 import { DEFAULT_SPREAD_SETTINGS, getRevisionOf } from '../../ManifestSpreadTypes.js';
 import type { SubmitOutcome } from '../../ManifestStore.js';
+import { submitManifest } from '../../ManifestStore.js';
 import { createBed, DEADLINE } from '../ManifestBed.js';
 import { createManifest } from '../ManifestFixtures.js';
 
@@ -186,9 +189,30 @@
   });
 
   it('satisfies the assertions of the specification of acceptance despite lost and late writes', async () => {
+    const outcomes = await checkAcceptance(0);
+    expect(outcomes).to.include.members(['accepted', 'conflict']);
+    const steps = ['land-late', 'read-base', 'read-winner', 'swap-root'];
+    expect(readSteps('manifest-accept')).to.deep.equal(steps);
+  });
+
+  it('satisfies the same assertions if the platform rejects swaps of the root in between', async () => {
+    // Guards against reporting "not accepted" after a rejected swap although an earlier, unanswered one
+    // takes effect.
+    const outcomes = await checkAcceptance(0.3);
+    expect(outcomes).to.include.members(['accepted', 'conflict', 'unavailable', 'unknown']);
+  });
+
+  /** Runs submitters against a faulty platform that rejects a share of the swaps of the root. */
+  async function checkAcceptance(rejected: number): Promise<ReadonlySet<string>> {
     const outcomes = new Set<string>();
     for (let seed = 1; seed <= 60; seed++) {
       const bed = createBed(seed);
+      const submit = (id: string, teams: number): Promise<SubmitOutcome> =>
+        submitManifest(rejectSwapsOfRoot(bed.connect(id), rejected), createManifest(teams), {
+          submissionId: id,
+          expectedRevision: null,
+          deadline: bed.timers.now() + DEADLINE,
+        });
       bed.platform.setFaults({
         lostAnswers: 0.2,
         lostCalls: 0.2,
@@ -196,8 +220,8 @@
         lateDelay: 3000,
       });
       const submitTwice = async (id: string, teams: number): Promise<SubmitOutcome[]> => {
-        const first = await bed.submit(id, id, null, teams);
-        return [first, await bed.submit(id, id, null, teams)];
+        const first = await submit(id, teams);
+        return [first, await submit(id, teams)];
       };
       const ids = ['a', 'b', 'c'];
       const reports = await bed.run(Promise.all(ids.map((id, i) => submitTwice(id, i + 1))));
@@ -224,8 +248,18 @@
         }
       });
     }
-    expect(outcomes).to.include.members(['accepted', 'conflict']);
-    const steps = ['land-late', 'read-base', 'read-winner', 'swap-root'];
-    expect(readSteps('manifest-accept')).to.deep.equal(steps);
-  });
+    return outcomes;
+  }
 });
+
+/** Rejects a random share of the swaps of the root before they reach the platform. */
+function rejectSwapsOfRoot(ctx: StoreContext, share: number): StoreContext {
+  const swap: StoreContext['platform']['swap'] = (key, expected, value, options) => {
+    if (share === 0 || key !== ROOT_KEY || ctx.random.nextFloat() >= share) {
+      return ctx.platform.swap(key, expected, value, options);
+    }
+    const reason = { kind: 'invalid', detail: 'status 403' } as const;
+    return Promise.resolve({ kind: 'refused', reason });
+  };
+  return { ...ctx, platform: { ...ctx.platform, swap } };
+}
--- a/packages/manifest/src/__tests__/unit/ManifestStore.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestStore.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { CallFault } from '@skylarksail/store/FakeStore';
 import type { StoreContext } from '../../ManifestCalls.js';
 import { joinManifest } from '../../ManifestChunks.js';
 import { loadManifest, readHistory, readRoot } from '../../ManifestReader.js';
@@ -13,6 +14,25 @@
   return stored.ok && stored.value.root ? stored.value.root : { revision: 0, submission: '' };
 }
 
+/** Refuses each swap of the root as invalid, except that the first one has `fault` unless it is null. */
+function refuseSwapsOfRoot(bed: Bed, client: string, fault: CallFault | null): StoreContext {
+  const ctx = bed.connect(client);
+  let isFirst = true;
+  const swap: StoreContext['platform']['swap'] = (key, expected, value, options) => {
+    if (key !== ROOT_KEY) {
+      return ctx.platform.swap(key, expected, value, options);
+    }
+    if (fault === null || !isFirst) {
+      const reason = { kind: 'invalid', detail: 'status 403' } as const;
+      return Promise.resolve({ kind: 'refused', reason });
+    }
+    isFirst = false;
+    bed.platform.injectFault(client, 'swap', fault);
+    return ctx.platform.swap(key, expected, value, options);
+  };
+  return { ...ctx, platform: { ...ctx.platform, swap } };
+}
+
 describe('ManifestStore', () => {
   it('loads the manifest that was submitted', async () => {
     const bed = createBed();
@@ -105,6 +125,43 @@
     expect(again).to.include({ kind: 'accepted', revision: 2, repeated: true });
   });
 
+  const unansweredSwaps: readonly (readonly [CallFault, number])[] = [
+    [{ kind: 'lost-answer' }, 1],
+    [{ kind: 'late', delay: DEADLINE }, 1],
+    [{ kind: 'lost-call' }, 0],
+  ];
+  unansweredSwaps.forEach(([fault, revision]) => {
+    it(`reports unknown if a swap (${fault.kind}) is sent again and refused as invalid`, async () => {
+      // Guards against reporting "not accepted" for a change that is in force or comes into force: only a
+      // conflict of the second swap proves that the first can no longer take effect.
+      const bed = createBed();
+      const outcome = await bed.run(
+        submitManifest(refuseSwapsOfRoot(bed, 'a', fault), createManifest(10), {
+          submissionId: 'first',
+          expectedRevision: 0,
+          deadline: DEADLINE,
+        }),
+      );
+      expect((await readCurrentRoot(bed)).revision).to.equal(revision);
+      expect(outcome).to.deep.equal({ kind: 'unknown' });
+      const again = await bed.run(bed.submit('a', 'first', 0, 10));
+      expect(again).to.include({ kind: 'accepted', revision: 1, repeated: revision === 1 });
+    });
+  });
+
+  it('reports unavailable if its only swap is refused as invalid', async () => {
+    const bed = createBed();
+    const outcome = await bed.run(
+      submitManifest(refuseSwapsOfRoot(bed, 'a', null), createManifest(10), {
+        submissionId: 'first',
+        expectedRevision: 0,
+        deadline: DEADLINE,
+      }),
+    );
+    expect(outcome).to.deep.equal({ kind: 'unavailable', fault: { kind: 'unavailable' } });
+    expect((await readCurrentRoot(bed)).revision).to.equal(0);
+  });
+
   it('reports unavailable and changes nothing if an outage precedes the write of the root', async () => {
     const bed = createBed();
     bed.platform.setFaults({ outage: true });
--- a/packages/proof/bin/models.mjs
+++ b/packages/proof/bin/models.mjs
@@ -70,6 +70,12 @@
     expect: 'mistake',
     defines: { NO_HISTORY: 1 },
   },
+  {
+    spec: 'manifest-accept.pml',
+    name: 'rejected swap taken for proof about an earlier one',
+    expect: 'mistake',
+    defines: { TRUST_REJECTION: 1 },
+  },
   {
     spec: 'manifest-spread.pml',
     name: 'three instances, three restarts',
--- a/packages/proof/specs/manifest-accept.pml
+++ b/packages/proof/specs/manifest-accept.pml
@@ -4,21 +4,25 @@
  * sends its submission again under the same id. Comments name the steps; docs/proof/manifest.md maps them
  * to the code.
  *
+ * The platform may also reject a swap without a look at the root, which says nothing about earlier ones.
+ *
  * Checked: a submission takes effect at most once; an acceptance or refusal that a submitter reports is
- * correct and stays so.
+ * correct and stays so. "Unavailable" is reported of one sending: it is wrong if a write of that sending
+ * has taken effect or still can.
  *
  * Seeded mistakes: -DBLIND_RETRY (after an unknown outcome, swap again from the current root),
  * -DTRUST_UNCHANGED (treat an unchanged root as proof that the lost write has no effect),
- * -DNO_HISTORY (treat every conflict as caused by another submitter, without a look at the history).
+ * -DNO_HISTORY (treat every conflict as caused by another submitter, without a look at the history),
+ * -DTRUST_REJECTION (treat a rejected swap as proof that an earlier, unanswered one has no effect).
  */
 #ifndef SUBMITTERS
-#define SUBMITTERS 2 /* with 3, a run takes about 20 seconds */
+#define SUBMITTERS 2 /* with 3, a run takes a minute and 4.2 GB */
 #endif
 #define MAX_REVISION 4
 #define MAX_ROUNDS 2 /* how often a submitter sends its submission */
 #define MAX_TRIES 2  /* swaps for each time that it is sent */
 
-mtype = { DONE, CONFLICT, UNKNOWN };
+mtype = { DONE, CONFLICT, REJECTED, UNKNOWN };
 
 /* The platform. */
 byte root = 0;
@@ -27,6 +31,8 @@
 
 /* Whether a submitter reported a refusal. */
 bool refused[SUBMITTERS];
+/* Whether a sending made a revision. */
+bool applied[SUBMITTERS * MAX_ROUNDS];
 
 inline find_own(me, found) {
   found = 0;
@@ -48,7 +54,8 @@
   fi
 }
 
-inline accept(me) {
+inline accept(me, sending) {
+  applied[sending] = true;
   assert(root < MAX_REVISION);
   assert(history[1] != me + 1 && history[2] != me + 1 && history[3] != me + 1 && history[4] != me + 1);
   assert(!refused[me]);
@@ -58,6 +65,7 @@
 
 proctype Submitter(byte me) {
   byte expected, tries, round, found;
+  bool unsure; /* whether a swap of this sending was not answered */
   mtype outcome;
 
 send:
@@ -77,16 +85,19 @@
   atomic {
     tries++;
     if
-    :: root == expected -> accept(me); outcome = DONE
-    :: root == expected -> accept(me); outcome = UNKNOWN        /* answer lost */
+    :: root == expected -> accept(me, me * MAX_ROUNDS + round); outcome = DONE
+    :: root == expected -> accept(me, me * MAX_ROUNDS + round); outcome = UNKNOWN /* answer lost */
     :: root != expected -> outcome = CONFLICT
+    :: outcome = REJECTED
     :: outcome = UNKNOWN                                        /* call lost */
     :: late[me * MAX_ROUNDS + round] == 0 -> late[me * MAX_ROUNDS + round] = expected + 1; outcome = UNKNOWN
-    fi
+    fi;
+    unsure = unsure || outcome == UNKNOWN
   }
   if
   :: outcome == DONE -> found = expected + 1; goto accepted
   :: outcome == CONFLICT -> goto settle
+  :: outcome == REJECTED -> goto unresolved
   :: outcome == UNKNOWN ->
 #ifdef BLIND_RETRY
     if
@@ -104,8 +115,7 @@
 #endif
     if
     :: tries < MAX_TRIES -> goto swap
-    :: tries >= MAX_TRIES && round + 1 < MAX_ROUNDS -> round++; goto send
-    :: else -> goto end_submitter                               /* reported as unknown */
+    :: else -> goto again                                       /* reported as unknown */
     fi
   fi;
 
@@ -119,25 +129,50 @@
 #endif
     if
     :: found > 0 -> goto accepted
-    :: else ->
+    :: goto unresolved                                          /* the history cannot be read */
+    :: found == 0 ->
       assert(history[1] != me + 1 && history[2] != me + 1 && history[3] != me + 1);
       refused[me] = true;
       goto end_submitter
     fi
   }
 
+unresolved:
+  atomic {
+#ifndef TRUST_REJECTION
+    if
+    :: unsure -> goto again                                     /* reported as unknown */
+    :: else
+    fi;
+#endif
+    /* No write of this sending took effect, and none in flight still can: revisions only rise. */
+    assert(!applied[me * MAX_ROUNDS + round]);
+    assert(late[me * MAX_ROUNDS + round] <= root)
+  }
+
+again:
+  atomic {
+    unsure = false;
+    outcome = 0;
+    if
+    :: round + 1 < MAX_ROUNDS -> round++; goto send
+    :: else -> goto end_submitter
+    fi
+  }
+
 accepted:
   assert(history[found] == me + 1);
 
 end_submitter:
-  skip
+  /* Variables that are not read any more are cleared, which keeps the number of states low. */
+  atomic { expected = 0; tries = 0; round = 0; found = 0; unsure = false; outcome = 0 }
 }
 
 inline land(slot) {
   atomic {
     late[slot] > 0 ->
     if
-    :: root == late[slot] - 1 -> accept(slot / MAX_ROUNDS)
+    :: root == late[slot] - 1 -> accept(slot / MAX_ROUNDS, slot)
     :: else
     fi;
     late[slot] = 0
