Merge nothing of a gossip digest that is damaged

What operators saw: none reported. A digest that is counted as dropped left the values before its damage in the table; found by reading, reproduced here for the first time.

Cause: mergeDigest merged each value as it was decoded, and threw at the cut.

Evidence, on the code before: MembershipLoad.test.ts "keeps nothing of a digest that is truncated after its first value": 7 bytes: expected 1 to equal 0 (printed as -1 +0)

Change: the whole digest is decoded first, then merged. The test cuts a digest at every byte; only a cut between two values is a valid, shorter digest.

Looked at for the same fault: applyRecords gets records that are decoded whole; the ages of domains have no framing to break.

Measured: see the test; no figure of speed was measured.

--- a/packages/membership/src/MembershipGossipTable.ts
+++ b/packages/membership/src/MembershipGossipTable.ts
@@ -76,15 +76,29 @@
   evictEntries(table, now);
 }
 
-/** Merges a digest of another instance. Throws WireError if the bytes are not a valid digest. */
+/**
+ * Merges a digest of another instance. Throws WireError, with nothing merged, if the bytes are not a valid
+ * digest.
+ */
 export function mergeDigest(
   table: GossipTable,
   bytes: Uint8Array,
   from: InstanceId,
   now: Millis,
 ): void {
+  const observations = decodeDigest(table.cfg, bytes, from, now);
+  observations.forEach((observed) => mergeEntry(table, observed));
+  evictEntries(table, now);
+}
+
+function decodeDigest(
+  { valueBytes }: GossipTableConfig,
+  bytes: Uint8Array,
+  from: InstanceId,
+  now: Millis,
+): readonly Observation[] {
   const view = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-  const { valueBytes } = table.cfg;
+  const observations: Observation[] = [];
   let offset = 0;
   while (offset < view.length) {
     if (offset + KEY_BYTES + AGE_BYTES >= view.length) {
@@ -99,10 +113,10 @@
       throw new WireError('digest is truncated');
     }
     const value = view.toString('latin1', offset, offset + length);
-    mergeEntry(table, { key, value, seenAt: now - age, from });
+    observations.push({ key, value, seenAt: now - age, from });
     offset += length;
   }
-  evictEntries(table, now);
+  return observations;
 }
 
 /** Encodes the next digest of at most `maxBytes` for `to`, and counts each entry in it as sent once more. */
--- a/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
@@ -11,6 +11,7 @@
   getLoad,
   recordLoad,
 } from '../../MembershipLoad.js';
+import { WireError } from '../../MembershipWire.js';
 import { createDigestGossip } from '../../MembershipDigests.js';
 import type { DigestGossip } from '../../MembershipDigests.js';
 import { createTopicTable, TopicNumber } from '../../MembershipTopics.js';
@@ -96,6 +97,25 @@
     const cutOff = [{ topic: TopicNumber.Load, bytes: Uint8Array.of(1, 2, 3, 0, 7) }];
     expect(topics.mergePayloads(cutOff, 'from', 0)).to.equal(1);
   });
+
+  it('keeps nothing of a digest that is truncated after its first value', () => {
+    // Guards against values in force from a digest that is counted as dropped.
+    const sender = createLoadTable();
+    recordLoad(sender, createLoad({ engine: 'e1' }), 0);
+    recordLoad(sender, createLoad({ engine: 'e2' }), 0);
+    const digest = collectDigest(sender, 100, 'to', 0);
+    for (let length = 1; length < digest.length; length++) {
+      const table = createLoadTable();
+      const isWhole = length === digest.length / 2;
+      const merge = () => mergeDigest(table, digest.subarray(0, length), 'from', 0);
+      if (isWhole) {
+        merge();
+      } else {
+        expect(merge).to.throw(WireError);
+      }
+      expect(table.entries.size, `${length} bytes`).to.equal(isWhole ? 1 : 0);
+    }
+  });
 });
 
 describe('MembershipDigests', () => {
