Neither read nor send a gossiped value that has expired

What operators saw: none reported; found by reading, reproduced here for the first time. The load of an engine stayed readable and was sent on after its retention of 2 minutes, and so was a digest of its cache after 10. No wrong decision was traced to it.

Cause: each reader of a gossip table had to look at the retention itself, and only createDigestGossip did. The table drops expired values only when it is full.

Change: getTableEntry takes the time and returns no expired entry, so no reader can forget it; collectDigest leaves expired entries out. getLoad, getLoads and their callers (DaemonEngines, ControlFleet) pass the time.

Left: an age is sent as 653 s at the most, so a table with a longer retention would make old values look young. No table has one today (2 and 10 minutes).

Measured: tests only.

--- a/packages/bench/src/ControlFleet.ts
+++ b/packages/bench/src/ControlFleet.ts
@@ -120,7 +120,7 @@
         const ids = [...(engines.get(listed.domain)?.keys() ?? [])];
         const loads = instances.get(listed.id)?.loads;
         return ids.map((id) => {
-          const load = loads?.getLoad(id);
+          const load = loads?.getLoad(id, now);
           return load ? now - load.seenAt : null;
         });
       });
--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -178,8 +178,9 @@
   /** Applies load digests to the reports of engines that other instances poll. */
   function applyDigests(): void {
     const updates: SeenEngineLoad[] = [];
+    const now = timers.now();
     reports.forEach(({ status, seenAt }, id) => {
-      const told = loadSpread.getLoad(id);
+      const told = loadSpread.getLoad(id, now);
       if (told && told.seenAt > seenAt) {
         const { running, queued, kvUsed, state } = told;
         const load = { ...status.load, running, queued, kvUsed, state };
--- a/packages/membership/src/MembershipCache.ts
+++ b/packages/membership/src/MembershipCache.ts
@@ -138,13 +138,13 @@
   const digestAccuracy = new Map<EngineId, number>();
 
   function getDigestProbability(engine: EngineId, prefix: string, now: Millis): number {
-    const entry = getTableEntry(table, engine);
+    const entry = getTableEntry(table, engine, now);
     return entry ? getSketchConfidence(entry.value, prefix) * getAgeWeight(now - entry.seenAt) : 0;
   }
 
   function estimateProbability(engine: EngineId, prefix: string, now: Millis): number {
     const sample = samples.get(getSampleKey(engine, prefix));
-    const digestAt = getTableEntry(table, engine)?.seenAt ?? -Infinity;
+    const digestAt = getTableEntry(table, engine, now)?.seenAt ?? -Infinity;
     if (sample && (sample.wasCached || sample.seenAt >= digestAt)) {
       // A miss counts until a newer digest arrives. A hit decays with age; if a newer digest exists, the
       // higher of the two probabilities counts.
--- a/packages/membership/src/MembershipDigests.ts
+++ b/packages/membership/src/MembershipDigests.ts
@@ -9,6 +9,7 @@
 import {
   createGossipTable,
   getTableEntry,
+  isExpired,
   mergeDigest,
   recordLocalValue,
   collectDigest,
@@ -90,14 +91,12 @@
       recordLocalValue(table, key, bytes.toString('latin1'), now);
     },
     get(key, now) {
-      const entry = getTableEntry(table, key);
-      return entry && now - entry.seenAt < cfg.retention
-        ? { value: decodeValue<Value>(entry.value), seenAt: entry.seenAt }
-        : null;
+      const entry = getTableEntry(table, key, now);
+      return entry ? { value: decodeValue<Value>(entry.value), seenAt: entry.seenAt } : null;
     },
     getAll: (now) =>
       [...table.entries.values()]
-        .filter(({ seenAt }) => now - seenAt < cfg.retention)
+        .filter((entry) => !isExpired(cfg, entry, now))
         .map(({ value, seenAt }) => ({ value: decodeValue<Value>(value), seenAt })),
     registerListener(listener) {
       listeners.add(listener);
--- a/packages/membership/src/MembershipGossipTable.ts
+++ b/packages/membership/src/MembershipGossipTable.ts
@@ -126,7 +126,7 @@
   to: InstanceId,
   now: Millis,
 ): Uint8Array {
-  const chosen = selectEntries(table, maxBytes, to);
+  const chosen = selectEntries(table, maxBytes, to, now);
   const size = chosen.reduce((sum, entry) => sum + getEntrySize(table.cfg, entry), 0);
   const bytes = Buffer.alloc(size);
   let offset = 0;
@@ -137,8 +137,23 @@
   return bytes;
 }
 
-export function getTableEntry(table: GossipTable, name: string): GossipTableEntry | null {
-  return table.entries.get(getTableKey(name)) ?? null;
+/** Returns the entry of a name, or null if there is none or it has expired. */
+export function getTableEntry(
+  table: GossipTable,
+  name: string,
+  now: Millis,
+): GossipTableEntry | null {
+  const entry = table.entries.get(getTableKey(name));
+  return entry && !isExpired(table.cfg, entry, now) ? entry : null;
+}
+
+/** Whether an entry has reached the age at which it is neither read nor sent any more. */
+export function isExpired(
+  { retention }: GossipTableConfig,
+  { seenAt }: GossipTableEntry,
+  now: Millis,
+): boolean {
+  return now - seenAt >= retention;
 }
 
 /** Encodes an age in one byte, rounded up so that no hop makes a value appear younger than it is. */
@@ -184,11 +199,12 @@
   table: GossipTable,
   maxBytes: number,
   to: InstanceId,
+  now: Millis,
 ): readonly GossipTableEntry[] {
   const { cfg } = table;
   const chosen: GossipTableEntry[] = [];
   let used = 0;
-  for (const group of groupByPriority(table, to)) {
+  for (const group of groupByPriority(table, to, now)) {
     // Iterates backwards: the entries that arrived last are the newest.
     for (let i = group.length - 1; i >= 0; i--) {
       const entry = group[i] as GossipTableEntry;
@@ -206,10 +222,11 @@
 function groupByPriority(
   { cfg, entries }: GossipTable,
   to: InstanceId,
+  now: Millis,
 ): readonly GossipTableEntry[][] {
   const groups = Array.from({ length: 2 * cfg.maxSends }, (): GossipTableEntry[] => []);
   for (const entry of entries.values()) {
-    if (entry.sends < cfg.maxSends && entry.from !== to) {
+    if (entry.sends < cfg.maxSends && entry.from !== to && !isExpired(cfg, entry, now)) {
       groups[2 * entry.sends + (entry.isChange ? 0 : 1)]?.push(entry);
     }
   }
@@ -243,7 +260,7 @@
   const ordered = [...entries.values()].sort((a, b) => b.seenAt - a.seenAt);
   ordered.forEach((entry, i) => {
     // Frees a quarter of the table at once, so that it is not sorted again for each new entry.
-    if (i >= cfg.maxEntries * KEPT_SHARE || now - entry.seenAt >= cfg.retention) {
+    if (i >= cfg.maxEntries * KEPT_SHARE || isExpired(cfg, entry, now)) {
       entries.delete(entry.key);
     }
   });
--- a/packages/membership/src/MembershipLoad.ts
+++ b/packages/membership/src/MembershipLoad.ts
@@ -60,8 +60,9 @@
   recordLocalValue(table, load.engine, encodeLoad(load), now);
 }
 
-export function getLoad(table: LoadTable, engine: EngineId): QuantizedLoad | null {
-  const entry = getTableEntry(table, engine);
+/** Returns the known load of an engine, or null if there is none or it has expired. */
+export function getLoad(table: LoadTable, engine: EngineId, now: Millis): QuantizedLoad | null {
+  const entry = getTableEntry(table, engine, now);
   return entry ? { ...decodeLoad(entry.value), seenAt: entry.seenAt } : null;
 }
 
@@ -69,10 +70,11 @@
 export function getLoads(
   table: LoadTable,
   engines: readonly EngineId[],
+  now: Millis,
 ): ReadonlyMap<EngineId, QuantizedLoad> {
   const loads = new Map<EngineId, QuantizedLoad>();
   for (const engine of engines) {
-    const load = getLoad(table, engine);
+    const load = getLoad(table, engine, now);
     if (load) {
       loads.set(engine, load);
     }
@@ -117,8 +119,8 @@
 export interface LoadGossip {
   readonly topic: GossipTopic;
   recordLoad(load: EngineLoad, now: Millis): void;
-  getLoad(engine: EngineId): QuantizedLoad | null;
-  getLoads(engines: readonly EngineId[]): ReadonlyMap<EngineId, QuantizedLoad>;
+  getLoad(engine: EngineId, now: Millis): QuantizedLoad | null;
+  getLoads(engines: readonly EngineId[], now: Millis): ReadonlyMap<EngineId, QuantizedLoad>;
 }
 
 export interface LoadGossipOptions {
@@ -139,7 +141,7 @@
       merge: (bytes, from, now) => mergeDigest(table, bytes, from, now),
     },
     recordLoad: (load, now) => recordLoad(table, load, now),
-    getLoad: (engine) => getLoad(table, engine),
-    getLoads: (engines) => getLoads(table, engines),
+    getLoad: (engine, now) => getLoad(table, engine, now),
+    getLoads: (engines, now) => getLoads(table, engines, now),
   };
 }
--- a/packages/membership/src/__tests__/unit/MembershipCache.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipCache.test.ts
@@ -8,6 +8,8 @@
   getSketchConfidence,
 } from '../../MembershipCache.js';
 
+const RETENTION = 10 * 60_000;
+
 function createStored(number: number, prefix: string): CacheEvent {
   return { number, kind: 'stored', prefix };
 }
@@ -60,4 +62,13 @@
     other.recordSample('e1', 'unheard', true, 60_000);
     expect(other.getHitProbability('e1', 'unheard', 60_000)).to.equal(1);
   });
+
+  it('gives a prefix no probability once the digest that contains it has expired', () => {
+    // Guards against routing by a digest that is older than the retention.
+    const owner = createCacheGossip();
+    owner.recordEvent('e1', createStored(1, 'p'), 0);
+    owner.publishSketch('e1', 0);
+    expect(owner.getHitProbability('e1', 'p', RETENTION - 1)).to.be.greaterThan(0);
+    expect(owner.getHitProbability('e1', 'p', RETENTION)).to.equal(0);
+  });
 });
--- a/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
@@ -9,6 +9,7 @@
   decodeLoad,
   encodeLoad,
   getLoad,
+  LOAD_TABLE_CONFIG,
   recordLoad,
 } from '../../MembershipLoad.js';
 import { WireError } from '../../MembershipWire.js';
@@ -60,8 +61,8 @@
       mergeDigest(next, collectDigest(table, 100, 'next', now), 'last', now);
       table = next;
     }
-    expect(getLoad(table, 'e1')?.seenAt).to.be.at.most(1000);
-    expect(getLoad(table, 'e1')?.seenAt).to.be.at.least(1000 - 8 * 100);
+    expect(getLoad(table, 'e1', now)?.seenAt).to.be.at.most(1000);
+    expect(getLoad(table, 'e1', now)?.seenAt).to.be.at.least(1000 - 8 * 100);
   });
 
   it('keeps the later observation of two owners whichever arrives first', () => {
@@ -76,7 +77,7 @@
     ]) {
       const table = createLoadTable();
       digests.forEach((bytes) => mergeDigest(table, bytes as Uint8Array, 'from', 6000));
-      expect(getLoad(table, 'e1')?.running).to.equal(9);
+      expect(getLoad(table, 'e1', 6000)?.running).to.equal(9);
     }
   });
 
@@ -116,6 +117,20 @@
       expect(table.entries.size, `${length} bytes`).to.equal(isWhole ? 1 : 0);
     }
   });
+
+  it('neither returns nor sends a load that has expired', () => {
+    // Guards against decisions on a load that is older than the retention, and against its spread.
+    const { retention } = LOAD_TABLE_CONFIG;
+    const loads = createLoadGossip();
+    loads.recordLoad(createLoad({}), 0);
+    const read = (now: number) => ({
+      one: loads.getLoad('e1', now)?.running,
+      several: loads.getLoads(['e1'], now).size,
+      sent: (loads.topic.collect(100, 'to', now) ?? []).length,
+    });
+    expect(read(retention - 1)).to.deep.equal({ one: 3, several: 1, sent: 6 });
+    expect(read(retention)).to.deep.equal({ one: undefined, several: 0, sent: 0 });
+  });
 });
 
 describe('MembershipDigests', () => {
