Probe different listed instances in a round of joining

What operators saw: none reported; found by reading, reproduced here for the first time. An instance that knows no other member probes three listed ones a round, so that a dead entry of the list does not delay it; some probes went to the same one.

Cause: reconnectMembers drew each target anew from all candidates.

Evidence, on the code before: MembershipMachine.test.ts "probes different listed instances in one round while it knows no other member": seed 1: [ 'd0-i1', 'd0-i1', 'd0-i3' ] in place of [ 'd0-i1', 'd0-i2', 'd0-i3' ]

Change: sampleElements draws without replacement.

Looked at for the same fault: the other draws in loops (start peers, gossip peers, recipients, ping requests) use sampleElements already.

--- a/packages/membership/src/MembershipSync.ts
+++ b/packages/membership/src/MembershipSync.ts
@@ -4,6 +4,7 @@
  * probed, and so are members that died recently.
  */
 import { LifeState } from '@skylarksail/core/CoreConstants';
+import { sampleElements } from '@skylarksail/core/CoreRandom';
 import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import type { MembershipStep, StepContext } from './MembershipEffects.js';
 import { createStep } from './MembershipEffects.js';
@@ -130,14 +131,11 @@
   const next = { ...state, nextReconnectAt: ctx.now + state.cfg.reconnectPeriod };
   const candidates = getReconnectCandidates(next, ctx.now);
   const isAlone = getDomainView(next.members, next.self.domain).present.length <= 1;
-  const tries = Math.min(candidates.length, isAlone ? JOIN_PROBES : 1);
+  const tries = isAlone ? JOIN_PROBES : 1;
   let step = createStep(next);
-  for (let i = 0; i < tries; i++) {
-    const target = candidates[ctx.random.nextInt(candidates.length)];
-    if (target) {
-      const sent = sendProbe(step.state, ctx, target, false);
-      step = { state: sent.state, effects: [...step.effects, ...sent.effects] };
-    }
+  for (const target of sampleElements(ctx.random, candidates, tries)) {
+    const sent = sendProbe(step.state, ctx, target, false);
+    step = { state: sent.state, effects: [...step.effects, ...sent.effects] };
   }
   return step;
 }
--- a/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipMachine.test.ts
@@ -1,9 +1,13 @@
+import { createRandom } from '@skylarksail/core/CoreRandom';
 import { expect } from 'chai';
 import { MemberChangeKind } from '../../MembershipEffects.js';
 import { encodeGossip } from '../../MembershipCodec.js';
 import { EnvelopeKind, encodeEnvelope } from '../../MembershipEnvelope.js';
 import { GossipKind } from '../../MembershipMessages.js';
 import type { MembershipChange } from '../../MembershipService.js';
+import type { ListedInstance } from '../../MembershipState.js';
+import { createMembershipState } from '../../MembershipState.js';
+import { reconnectMembers } from '../../MembershipSync.js';
 import type { VirtualFleet, VirtualFleetOptions } from '../../VirtualFleet.js';
 import { createListedInstance, createVirtualFleet } from '../../VirtualFleet.js';
 
@@ -296,6 +300,20 @@
     expect(amongMany / amongFew).to.be.within(0.8, 1.2);
   });
 
+  it('probes different listed instances in one round while it knows no other member', () => {
+    // Guards against a start that is slowed down by several probes of one instance, which may be dead.
+    const [self, ...listedInDomain] = [0, 1, 2, 3].map((number) =>
+      createListedInstance('d0', number),
+    ) as [ListedInstance, ...ListedInstance[]];
+    const created = createMembershipState({ ...self, bootId: 1, incarnation: 1 }, 0);
+    for (let seed = 1; seed <= 20; seed++) {
+      const ctx = { now: 0, random: createRandom(seed) };
+      const { state } = reconnectMembers({ ...created, listedInDomain }, ctx);
+      const targets = state.probes.map(({ target }) => target).sort();
+      expect(targets, `seed ${seed}`).to.deep.equal(['d0-i1', 'd0-i2', 'd0-i3']);
+    }
+  });
+
   it('counts and drops malformed messages', () => {
     const { fleet } = createSettledFleet({ seed: 13, domainSizes: [3] });
     const { membership } = fleet.get('d0-i0');
