Keep the limit of an answer to a peer in bytes

What operators saw: none reported; found by reading, reproduced here for the first time. An answer with chunks of the manifest could be up to three times its limit of 256 KiB. None could be lost by it: peers accept messages of 2 MiB.

Cause: answerRequest added up text.length, UTF-16 units, where the limit is in bytes.

Evidence, on the code before: ManifestSpread.test.ts "keeps the limit of an answer in bytes, also for chunks with other characters than ASCII": AssertionError: expected [ 1000, 1000, 1000, 1000, 1000, 1000 ] to deeply equal [ 1000, 1000, 1000 ]

Change: Buffer.byteLength.

Looked at for the same fault: findOversizedParts and countWrites count bytes; the sizes of leaves are counted in characters, but what a leaf holds is ASCII by the schema; the wire's limit of a text is meant in characters.

--- a/packages/manifest/src/ManifestFetch.ts
+++ b/packages/manifest/src/ManifestFetch.ts
@@ -322,10 +322,11 @@
   let bytes = 0;
   for (const ref of refsToSend) {
     const text = held.chunks.get(ref);
-    const fits = bytes + (text?.length ?? 0) <= ctx.settings.maxMessageBytes || bytes === 0;
+    const size = Buffer.byteLength(text ?? '');
+    const fits = bytes + size <= ctx.settings.maxMessageBytes || bytes === 0;
     if (text !== undefined && fits) {
       chunks.push({ ref, text });
-      bytes += text.length;
+      bytes += size;
     }
   }
   return createStep(state, [
--- a/packages/manifest/src/__tests__/unit/ManifestSpread.test.ts
+++ b/packages/manifest/src/__tests__/unit/ManifestSpread.test.ts
@@ -1,10 +1,18 @@
 import { expect } from 'chai';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { ManifestTree } from '../../ManifestChunks.js';
+import { createChunkRef } from '../../ManifestChunks.js';
 import { listInForce } from '../../ManifestConfirm.js';
-import { getKnownBy } from '../../ManifestSpread.js';
+import { answerRequest } from '../../ManifestFetch.js';
+import type { ManifestRoot } from '../../ManifestRoot.js';
+import { createSpread, getKnownBy } from '../../ManifestSpread.js';
+import { DEFAULT_SPREAD_SETTINGS } from '../../ManifestSpreadTypes.js';
 import { submitManifest } from '../../ManifestStore.js';
 import { createBed, DEADLINE, expectNoRevert } from '../ManifestBed.js';
 import { createManifest, getTestKey } from '../ManifestFixtures.js';
 
+const SELF = { id: 'i0', domain: 'd0' };
+
 describe('ManifestSpread', () => {
   it('puts a revision into force on all instances within a second and finds teams by key', async () => {
     const bed = createBed(1, 3, 5);
@@ -185,6 +193,26 @@
     expect(bed.fleet.getRevision('d0-0')).to.equal(1);
   });
 
+  it('keeps the limit of an answer in bytes, also for chunks with other characters than ASCII', () => {
+    // Guards against answers above the limit, which counts bytes: such a character has up to three.
+    const limit = 3000;
+    const settings = { ...DEFAULT_SPREAD_SETTINGS, maxMessageBytes: limit };
+    const ctx = { settings, random: createRandom(1) };
+    const chunks = new Map(
+      Array.from({ length: 6 }, (_, i) => `${i}${'€'.repeat(333)}`).map((text) => [
+        createChunkRef(1, text),
+        text,
+      ]),
+    );
+    const held = { root: {} as ManifestRoot, tree: {} as ManifestTree, chunks };
+    const state = { ...createSpread(SELF, [SELF]), held };
+    const { effects } = answerRequest(ctx, state, 'peer', 0, [...chunks.keys()]);
+    const sent = effects.flatMap((effect) =>
+      effect.type === 'send' && effect.message.type === 'given' ? effect.message.chunks : [],
+    );
+    expect(sent.map(({ text }) => Buffer.byteLength(text))).to.deep.equal([1000, 1000, 1000]);
+  });
+
   it('lists by domain how many instances have confirmed a revision', async () => {
     const bed = createBed(9, 3, 3);
     bed.fleet.startAll();
