Log an unexpected error with the id of the request that it ended

What operators saw: an answer 500 "internal", of which API.md says that the log has the rest, and no line in the log. For one, GET /v1/manifest/history while the platform is out. Found by reading, reproduced here for the first time.

Cause: the controllers and the filter of Nest turned a thrown error into a problem without its message, and logged nothing.

Change: sendThrownError replaces mapThrownError, is the only way to answer a thrown error, and passes an unexpected one to a function of the gateways and the servers, which logs it at level error with the request's id. Callers still don't get the message. startDaemon takes a logger, so that a test can read the lines.

Not looked at: errors that a handler raises later, in a callback of the router; they don't pass here.

--- a/packages/daemon/src/DaemonAdmin.ts
+++ b/packages/daemon/src/DaemonAdmin.ts
@@ -9,7 +9,8 @@
 import type { SubmitOutcome } from '@skylarksail/manifest/ManifestStore';
 import type { Decision } from './DaemonDecisions.js';
 import { ProblemKind, createNotRunError } from './DaemonProblems.js';
-import { mapThrownError, getRequestId, sendProblem } from './DaemonReplies.js';
+import type { ReportError } from './DaemonReplies.js';
+import { getRequestId, sendThrownError } from './DaemonReplies.js';
 import { ADMIN_GATEWAY } from './DaemonInjectionTokens.js';
 
 const STATUS_UNAVAILABLE = 503;
@@ -21,6 +22,7 @@
 /** Operations of the daemon that the controllers of the admin port call. */
 export interface AdminGateway {
   readonly operatorToken: string;
+  readonly reportError: ReportError;
   isReady(): boolean;
   describeReadiness(): Readonly<Record<string, unknown>>;
   writeMetrics(): Promise<{ readonly text: string; readonly contentType: string }>;
@@ -156,7 +158,7 @@
       checkToken(req.headers.authorization, this.gateway.operatorToken);
       await respond();
     } catch (err) {
-      sendProblem(reply, mapThrownError(err), getRequestId(req));
+      sendThrownError(reply, err, getRequestId(req), this.gateway.reportError);
     }
   }
 }
--- a/packages/daemon/src/DaemonAdminGateway.ts
+++ b/packages/daemon/src/DaemonAdminGateway.ts
@@ -7,6 +7,7 @@
 import type { DecisionLog } from './DaemonDecisions.js';
 import type { DaemonMetrics } from './DaemonMetrics.js';
 import type { DaemonParts } from './DaemonParts.js';
+import type { ReportError } from './DaemonReplies.js';
 import type { Settings } from './DaemonSettings.js';
 
 export interface AdminGatewayOptions {
@@ -17,6 +18,7 @@
   readonly decisions: DecisionLog;
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
+  readonly reportError: ReportError;
 }
 
 export function createAdminGateway(options: AdminGatewayOptions): AdminGateway {
@@ -44,6 +46,7 @@
 
   return {
     operatorToken: options.operatorToken,
+    reportError: options.reportError,
     isReady: options.isReady,
     describeReadiness: () => ({
       ready: options.isReady(),
--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -8,6 +8,7 @@
 import { createDecisionLog } from './DaemonDecisions.js';
 import type { HttpServer } from './DaemonHttpServer.js';
 import { startHttpServer } from './DaemonHttpServer.js';
+import type { DaemonLogger } from './DaemonLog.js';
 import { createDaemonLog } from './DaemonLog.js';
 import { createDaemonMetrics } from './DaemonMetrics.js';
 import { startDaemonParts } from './DaemonParts.js';
@@ -29,13 +30,15 @@
  * Starts a daemon. Throws a SettingsError if a secret is empty or cannot be read, and the error of
  * the operating system if the daemon cannot listen on an address.
  */
-export async function startDaemon(settings: Settings): Promise<DaemonApp> {
+export async function startDaemon(
+  settings: Settings,
+  logger: DaemonLogger = createDaemonLog(settings),
+): Promise<DaemonApp> {
   const peerSecret = readSecret(settings.secrets.peer, 'peer');
   const operatorToken = readSecret(settings.secrets.operator, 'operator');
   const wallNow = (): Millis => Date.now();
   const timers = createSystemTimers();
   const random = createRandom(Math.floor(Math.random() * RANDOM_RANGE));
-  const logger = createDaemonLog(settings);
   const metrics = createDaemonMetrics();
   const decisions = createDecisionLog(logger, wallNow);
   const parts = await startDaemonParts({
@@ -67,6 +70,7 @@
       router: parts.router,
       chooseVersion: parts.placement.chooseVersion,
       isAccepting: () => isAccepting,
+      reportError,
     });
     const adminGateway = createAdminGateway({
       settings,
@@ -76,6 +80,7 @@
       decisions,
       isReady,
       isStopping: () => isStopping,
+      reportError,
     });
     return {
       callers: await startHttpServer({
@@ -84,6 +89,7 @@
         bodyBytes,
         receiveTimeout,
         rawBodyPrefix: '/services/',
+        reportError,
       }),
       admin: await startHttpServer({
         module: AdminModule.create(adminGateway),
@@ -91,10 +97,15 @@
         bodyBytes: MAX_MANIFEST_BYTES,
         receiveTimeout,
         rawBodyPrefix: null,
+        reportError,
       }),
     };
   }
 
+  function reportError(err: unknown, request: string): void {
+    logger.error({ err, request }, 'unexpected error in a request');
+  }
+
   async function drain(limit: Millis): Promise<void> {
     isAccepting = false;
     servers.callers.stopAccepting();
--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -11,6 +11,7 @@
 import type { CallerGateway } from './DaemonGateway.js';
 import type { DaemonManifest } from './DaemonManifest.js';
 import { ProblemKind, createNotRunError } from './DaemonProblems.js';
+import type { ReportError } from './DaemonReplies.js';
 
 const NOT_READY_RETRY_MS = 1000;
 const MILLIS_PER_SECOND = 1000;
@@ -26,6 +27,7 @@
   readonly chooseVersion: (model: ManifestModel) => VersionId;
   /** Whether new requests are still accepted. */
   readonly isAccepting: () => boolean;
+  readonly reportError: ReportError;
 }
 
 export function createCallerGateway(options: CallerGatewayOptions): CallerGateway {
@@ -60,6 +62,7 @@
 
   return {
     timers,
+    reportError: options.reportError,
     authenticate(key) {
       const team = getView().getTeamByKey(key);
       if (!team) {
--- a/packages/daemon/src/DaemonCallers.ts
+++ b/packages/daemon/src/DaemonCallers.ts
@@ -11,7 +11,7 @@
 import type { CompletionRequest } from './DaemonCallerInput.js';
 import type { CallerGateway } from './DaemonGateway.js';
 import { createNotRunError, ProblemKind } from './DaemonProblems.js';
-import { mapThrownError, getRequestId, sendProblem } from './DaemonReplies.js';
+import { getRequestId, sendThrownError } from './DaemonReplies.js';
 import { selectForwardedHeaders } from './DaemonServiceHttp.js';
 import { CALLER_GATEWAY } from './DaemonInjectionTokens.js';
 import { replyStreamed, replyWhole } from './DaemonCompletionReply.js';
@@ -46,7 +46,7 @@
       const sendAnswer = ask.stream ? replyStreamed : replyWhole;
       sendAnswer(this.gateway, reply, { id, team, ask, requestOptions });
     } catch (err) {
-      sendProblem(reply, mapThrownError(err), id);
+      sendThrownError(reply, err, id, this.gateway.reportError);
     }
   }
 }
@@ -65,7 +65,7 @@
         .map((id) => ({ id, object: 'model', created: 0, owned_by: 'skylarksail' }));
       void reply.send({ object: 'list', data });
     } catch (err) {
-      sendProblem(reply, mapThrownError(err), getRequestId(req));
+      sendThrownError(reply, err, getRequestId(req), this.gateway.reportError);
     }
   }
 }
@@ -90,7 +90,7 @@
       };
       replyService(this.gateway, reply, { id, team, ask, requestOptions });
     } catch (err) {
-      sendProblem(reply, mapThrownError(err), id);
+      sendThrownError(reply, err, id, this.gateway.reportError);
     }
   }
 }
--- a/packages/daemon/src/DaemonGateway.ts
+++ b/packages/daemon/src/DaemonGateway.ts
@@ -13,6 +13,7 @@
 } from '@skylarksail/requests/RequestTypes';
 import type { RequestOptions, CompletionRequest } from './DaemonCallerInput.js';
 import type { UnixSeconds } from './DaemonAnswers.js';
+import type { ReportError } from './DaemonReplies.js';
 
 /** A call to a plain service, as a caller sends it. */
 export interface ServiceRequest {
@@ -58,4 +59,5 @@
   ): RequestHandle;
   getUnixSeconds(): UnixSeconds;
   readonly timers: TimerService;
+  readonly reportError: ReportError;
 }
--- a/packages/daemon/src/DaemonHttpServer.ts
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -12,7 +12,8 @@
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import { ProblemKind, createProblemBody } from './DaemonProblems.js';
-import { mapThrownError, sendProblem } from './DaemonReplies.js';
+import type { ReportError } from './DaemonReplies.js';
+import { sendThrownError } from './DaemonReplies.js';
 
 const MAX_HEADER_COUNT = 100;
 const KEEP_ALIVE_TIMEOUT: Millis = 72_000;
@@ -25,6 +26,7 @@
   readonly receiveTimeout: Millis;
   /** Bodies of requests with this path prefix are not parsed. */
   readonly rawBodyPrefix: string | null;
+  readonly reportError: ReportError;
 }
 
 export interface HttpServer {
@@ -40,10 +42,12 @@
  */
 @Catch()
 class ProblemFilter implements ExceptionFilter {
+  constructor(private readonly reportError: ReportError) {}
+
   catch(err: unknown, host: ArgumentsHost): void {
     const http = host.switchToHttp();
     const { id } = http.getRequest<FastifyRequest>();
-    sendProblem(http.getResponse<FastifyReply>(), mapThrownError(err), id);
+    sendThrownError(http.getResponse<FastifyReply>(), err, id, this.reportError);
   }
 }
 
@@ -73,7 +77,7 @@
     bodyParser: false,
     abortOnError: false,
   });
-  app.useGlobalFilters(new ProblemFilter());
+  app.useGlobalFilters(new ProblemFilter(options.reportError));
   await app.init();
   await app.listen(options.listen.port, options.listen.host);
   return {
--- a/packages/daemon/src/DaemonReplies.ts
+++ b/packages/daemon/src/DaemonReplies.ts
@@ -11,6 +11,7 @@
 } from './DaemonProblems.js';
 
 const MILLIS_PER_SECOND = 1000;
+const INTERNAL_PROBLEM: Problem = { kind: ProblemKind.Internal, run: RunState.Unknown };
 
 /** Sends a problem, unless an answer has started or the caller has disconnected. */
 export function sendProblem(reply: FastifyReply, problem: Problem, requestId: string): void {
@@ -46,15 +47,24 @@
   return null;
 }
 
+/** Logs an unexpected error with the id of the request that it ended. */
+export type ReportError = (err: unknown, requestId: string) => void;
+
 /**
- * The problem for any error thrown while a request is handled. An unexpected error is reported as
- * internal and without its message, which could expose data of one team to another.
+ * Sends the problem for an error thrown while a request was handled. An unexpected error is sent as
+ * internal and without its message, which could expose data of one team to another; only the log has it.
  */
-export function mapThrownError(err: unknown): Problem {
-  if (err instanceof ProblemError) {
-    return err.problem;
+export function sendThrownError(
+  reply: FastifyReply,
+  err: unknown,
+  requestId: string,
+  reportError: ReportError,
+): void {
+  const problem = err instanceof ProblemError ? err.problem : mapFastifyError(err);
+  if (problem === null) {
+    reportError(err, requestId);
   }
-  return mapFastifyError(err) ?? { kind: ProblemKind.Internal, run: RunState.Unknown };
+  sendProblem(reply, problem ?? INTERNAL_PROBLEM, requestId);
 }
 
 /** Returns the id that identifies the request in logs, answers and calls to backend servers. */
--- a/packages/daemon/src/__tests__/unit/DaemonHarness.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonHarness.ts
@@ -12,6 +12,7 @@
 import { startStandInService } from '@skylarksail/stand-ins/StandInService';
 import type { DaemonApp } from '../../DaemonApp.js';
 import { startDaemon } from '../../DaemonApp.js';
+import type { DaemonLogger } from '../../DaemonLog.js';
 import { settingsSchema } from '../../DaemonSettings.js';
 
 const HOST = '127.0.0.1';
@@ -30,6 +31,13 @@
   readonly app: DaemonApp;
 }
 
+export interface HarnessOptions {
+  /** Receives the log lines of the daemons; without it they are silent. */
+  readonly logger?: DaemonLogger;
+  /** How long a stopping daemon still serves new requests. */
+  readonly balancerLagMs?: number;
+}
+
 export interface Harness {
   readonly daemons: readonly HarnessDaemon[];
   readonly engines: readonly StandInEngine[];
@@ -40,7 +48,8 @@
   stop(): Promise<void>;
 }
 
-async function findPort(): Promise<number> {
+/** Returns a port of the loopback interface that is free at the moment. */
+export async function findPort(): Promise<number> {
   const server = createServer().listen(0, HOST);
   await once(server, 'listening');
   const { port } = server.address() as { port: number };
@@ -143,7 +152,10 @@
 /**
  * Starts `daemonCount` daemons, and four engines, two for each of two stages, all in one domain.
  */
-export async function startHarness(daemonCount = 1): Promise<Harness> {
+export async function startHarness(
+  daemonCount = 1,
+  { logger, balancerLagMs = 50 }: HarnessOptions = {},
+): Promise<Harness> {
   process.env.TEST_PEER_SECRET = PEER_SECRET;
   process.env.TEST_OPERATOR_TOKEN = OPERATOR_TOKEN;
   const platform = await startStandInPlatform({ host: HOST, port: 0, listLagMs: 0 });
@@ -185,9 +197,10 @@
         secrets: { peer: { env: 'TEST_PEER_SECRET' }, operator: { env: 'TEST_OPERATOR_TOKEN' } },
         limits: { bodyBytes: 20_000, receiveTimeoutMs: 1000 },
         weightStore: { burstMs: 100 },
-        shutdown: { balancerLagMs: 50, graceMs: 10_000 },
+        shutdown: { balancerLagMs, graceMs: 10_000 },
         log: { level: 'silent' },
       }),
+      logger,
     );
     return {
       callers: formatUrl({ host: HOST, port: callers }),
