Close a daemon once, however many signals it gets

What operators saw: a second signal during a graceful stop logged "stopped" once more, and closed all servers, timers and connections once more. Found by reading, reproduced here for the first time.

Cause: stop and each abort ended with a close of their own.

Evidence, on the code before: DaemonAbort.test.ts "closes its servers once if a graceful stop with a running request is followed by an abort" (a stop and two aborts): AssertionError: expected 3 to equal 1

Change: the first close is kept, and all later ones wait for it.

Measured: DaemonAbort and DaemonStop pass.

--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -54,6 +54,7 @@
 
   let isStopping = false;
   let isAccepting = true;
+  let closing: Promise<void> | null = null;
   const isReady = (): boolean => !isStopping && parts.manifest.getView() !== null;
   const servers = await startServers();
   logger.info({ callers: settings.callers, admin: settings.admin }, 'listening');
@@ -112,7 +113,13 @@
     await parts.router.drain(limit);
   }
 
-  async function close(): Promise<void> {
+  /** Closes everything once: an abort during a graceful stop joins the close that is under way. */
+  function close(): Promise<void> {
+    closing ??= closeAll();
+    return closing;
+  }
+
+  async function closeAll(): Promise<void> {
     await servers.callers.close();
     await parts.stop();
     await servers.admin.close();
