End the wait for the load balancer when a daemon is aborted

What operators saw: a second SIGTERM during the balancer's lag closed everything at once, yet the process stayed for the rest of the lag (3 s as shipped).

Cause: the timer of the lag was not cancelled by abort, and a timer holds its process; the stop went on after it.

Change: abort ends the wait, which cancels its timer; the stop goes on to drain and close, which are under way.

Looked at for the same fault: the drain's own timer is cancelled when nothing runs any more.

--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -55,6 +55,7 @@
   let isStopping = false;
   let isAccepting = true;
   let closing: Promise<void> | null = null;
+  let endLag = (): void => undefined;
   const isReady = (): boolean => !isStopping && parts.manifest.getView() !== null;
   const servers = await startServers();
   logger.info({ callers: settings.callers, admin: settings.admin }, 'listening');
@@ -135,20 +136,27 @@
       const { balancerLagMs, graceMs } = settings.shutdown;
       logger.info({ balancerLagMs, graceMs }, 'stopping: not ready, serving through the lag');
       parts.startLeaving();
-      await waitFor(balancerLagMs);
+      await waitThroughLag(balancerLagMs);
       await drain(graceMs - balancerLagMs);
       await close();
     },
     abort() {
       isStopping = true;
       logger.warn('stopping at once');
+      endLag();
       void drain(0).then(close);
     },
   };
 
-  function waitFor(delay: Millis): Promise<void> {
+  /** Waits for the load balancer's lag, or until an abort ends the wait. */
+  function waitThroughLag(lag: Millis): Promise<void> {
     return new Promise((resolve) => {
-      timers.registerTimeout(delay, resolve);
+      const cancel = timers.registerTimeout(lag, resolve);
+      endLag = () => {
+        // The timer would hold the process for the rest of the lag.
+        cancel();
+        resolve();
+      };
     });
   }
 }
