--- a/packages/daemon/src/DaemonPeers.ts
+++ b/packages/daemon/src/DaemonPeers.ts
@@ -33,6 +33,7 @@
 }
 
 export interface PeerCounts {
+  /** Bytes handed to open connections; a message that is dropped is not among them. */
   readonly sentBytes: number;
   readonly receivedBytes: number;
   /** Messages that were dropped. */
@@ -110,7 +111,7 @@
     readFrom(socket);
     waiting.set(socket, []);
     socket.once('open', () => {
-      waiting.get(socket)?.forEach((bytes) => socket.send(bytes));
+      waiting.get(socket)?.forEach((bytes) => transmit(socket, bytes));
       waiting.delete(socket);
     });
     socket.on('close', () => {
@@ -126,6 +127,11 @@
     return socket;
   }
 
+  function transmit(socket: WebSocket, bytes: Uint8Array): void {
+    sentBytes += bytes.byteLength;
+    socket.send(bytes);
+  }
+
   return {
     port: (server.address() as AddressInfo).port,
     send(address, bytes) {
@@ -135,9 +141,8 @@
         dropped += 1;
         return false;
       }
-      sentBytes += bytes.byteLength;
       if (socket.readyState === WebSocket.OPEN) {
-        socket.send(bytes);
+        transmit(socket, bytes);
       } else if ((waiting.get(socket)?.length ?? MAX_PENDING_MESSAGES) < MAX_PENDING_MESSAGES) {
         waiting.get(socket)?.push(bytes);
       } else {
