Assert what a daemon does with a peer's garbage and with bytes that are no HTTP

Nobody saw a fault here: both behaved as they should when tried, and the tests had no assertion that says so. The 400 was read to the end of the connection and not looked at; garbage of a peer that knows the secret was not sent at all.

Change, tests only: the answer to bytes that are no HTTP must be the 400 with the problem bad-request and run not-run (the assertion that the connection closes and that the daemon serves on stays); an authenticated peer sends nine messages without a valid envelope, which must be counted one by one, and seven with a valid envelope and garbage in it; its connection must stay open, its next message be read, and the daemon serve.

--- a/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
@@ -1,9 +1,19 @@
+import { createHmac, randomUUID } from 'node:crypto';
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import { expect } from 'chai';
+import { pack } from 'msgpackr';
 import { WebSocket } from 'ws';
+import { EnvelopeKind } from '@skylarksail/membership/MembershipEnvelope';
 import type { Harness } from './DaemonHarness.js';
-import { TEAM_KEY, formatUrl, postJson, startHarness, waitUntil } from './DaemonHarness.js';
+import {
+  PEER_SECRET,
+  TEAM_KEY,
+  formatUrl,
+  postJson,
+  startHarness,
+  waitUntil,
+} from './DaemonHarness.js';
 
 const CHAT = { model: 'letters', messages: [{ role: 'user', content: 'note tokens=4' }] };
 /**
@@ -130,6 +140,42 @@
   },
 ];
 
+/** Messages between peers that have no valid envelope. */
+const GARBAGE_MESSAGES: readonly (string | Uint8Array)[] = [
+  new Uint8Array(),
+  'text',
+  Buffer.alloc(1000, 0xc1),
+  pack({ kind: EnvelopeKind.Gossip }),
+  pack([EnvelopeKind.Gossip, 'stranger']),
+  pack([0, 'stranger', null]),
+  pack([99, 'stranger', null]),
+  pack([EnvelopeKind.Call, 7, []]),
+  pack([EnvelopeKind.Call, 'x'.repeat(1000), []]),
+];
+
+/** Messages with a valid envelope that have no valid content; these aren't in the count of the status. */
+const GARBAGE_CONTENTS: readonly Uint8Array[] = [
+  pack([EnvelopeKind.Gossip, 'stranger', Buffer.alloc(1000, 0xc1)]),
+  pack([EnvelopeKind.Gossip, 'stranger', null]),
+  pack([EnvelopeKind.Call, 'stranger', 'text']),
+  pack([EnvelopeKind.Reply, 'stranger', ['session', -1, true, null]]),
+  pack([EnvelopeKind.Notice, 'stranger', ['manifest', { type: 'told', revision: -1 }]]),
+  pack([EnvelopeKind.Notice, 'stranger', ['engine-report', { status: 7 }]]),
+  pack([EnvelopeKind.Notice, 'stranger', ['poison', 'text']]),
+];
+
+/** Headers that prove, as a peer's do, that the sender knows the secret. */
+function createProof(): Readonly<Record<string, string>> {
+  const [name, time, nonce] = ['stranger', String(Date.now()), randomUUID()];
+  const proof = createHmac('sha256', PEER_SECRET).update(`${name}\n${time}\n${nonce}`);
+  return {
+    'x-peer-name': name,
+    'x-peer-time': time,
+    'x-peer-nonce': nonce,
+    'x-peer-proof': proof.digest('hex'),
+  };
+}
+
 describe('DaemonBadInput', () => {
   let harness: Harness;
   let callers: string;
@@ -181,8 +227,19 @@
     const socket = connect(Number(port), hostname);
     socket.on('error', () => undefined);
     socket.write('\u0016\u0003\u0001 garbage\r\n\r\n');
-    socket.resume();
+    let answer = '';
+    socket.on('data', (chunk: Buffer) => {
+      answer += chunk.toString();
+    });
     await once(socket, 'close');
+    const [head = '', body = ''] = answer.split('\r\n\r\n');
+    expect(head).to.match(/^HTTP\/1.1 400 Bad Request\r\n/);
+    expect(head).to.contain('content-type: application/problem+json');
+    expect(JSON.parse(body)).to.include({
+      type: 'urn:skylarksail:problem:bad-request',
+      status: 400,
+      run: 'not-run',
+    });
   });
 
   // Guards against engines that continue to generate for callers that have disconnected: the
@@ -249,6 +306,25 @@
     expect(err.message).to.contain('401');
   });
 
+  // Guards against an instance that ends, or drops a peer's connection, because of a message that it cannot
+  // read: a peer of another version or with a fault knows the secret.
+  it('counts and drops garbage of a peer that knows the secret, and still reads its messages', async () => {
+    const { peers } = harness.daemons[0] ?? { peers: { host: '', port: 0 } };
+    const peer = new WebSocket(formatUrl(peers).replace('http', 'ws'), { headers: createProof() });
+    await once(peer, 'open');
+    const before = await readPeerCounts();
+    [...GARBAGE_CONTENTS, ...GARBAGE_MESSAGES].forEach((message) => peer.send(message));
+    const expected = before.garbage + GARBAGE_MESSAGES.length;
+    await waitUntil(async () => (await readPeerCounts()).garbage >= expected);
+    const call = [EnvelopeKind.Call, 'stranger', ['session', 1, 'no-such-topic', null]];
+    const { receivedBytes } = await readPeerCounts();
+    peer.send(pack(call));
+    await waitUntil(async () => (await readPeerCounts()).receivedBytes > receivedBytes);
+    expect((await readPeerCounts()).garbage).to.equal(expected);
+    expect(peer.readyState).to.equal(WebSocket.OPEN);
+    peer.close();
+  });
+
   it('serves the admin API only with the operator token, and not on the callers’ port', async () => {
     const { admin } = harness.daemons[0] ?? { admin: '' };
     const res = await fetch(`${admin}/v1/status`, { headers: AUTH });
@@ -257,6 +333,12 @@
     expect(onCallersPort.status).to.equal(404);
   });
 
+  async function readPeerCounts(): Promise<{ garbage: number; receivedBytes: number }> {
+    const res = await harness.callAdmin('/v1/status');
+    const { peers } = (await res.json()) as { peers: { garbage: number; receivedBytes: number } };
+    return peers;
+  }
+
   function countRunning(): number {
     return harness.engines.reduce((sum, { readLoad }) => sum + readLoad().running, 0);
   }
