--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -8,6 +8,7 @@
 import { createDecisionLog } from './DaemonDecisions.js';
 import type { HttpServer } from './DaemonHttpServer.js';
 import { startHttpServer } from './DaemonHttpServer.js';
+import type { DaemonLogger } from './DaemonLog.js';
 import { createDaemonLog } from './DaemonLog.js';
 import { createDaemonMetrics } from './DaemonMetrics.js';
 import { startDaemonParts } from './DaemonParts.js';
@@ -29,13 +30,15 @@
  * Starts a daemon. Throws a SettingsError if a secret is empty or cannot be read, and the error of
  * the operating system if the daemon cannot listen on an address.
  */
-export async function startDaemon(settings: Settings): Promise<DaemonApp> {
+export async function startDaemon(
+  settings: Settings,
+  logger: DaemonLogger = createDaemonLog(settings),
+): Promise<DaemonApp> {
   const peerSecret = readSecret(settings.secrets.peer, 'peer');
   const operatorToken = readSecret(settings.secrets.operator, 'operator');
   const wallNow = (): Millis => Date.now();
   const timers = createSystemTimers();
   const random = createRandom(Math.floor(Math.random() * RANDOM_RANGE));
-  const logger = createDaemonLog(settings);
   const metrics = createDaemonMetrics();
   const decisions = createDecisionLog(logger, wallNow);
   const parts = await startDaemonParts({
@@ -51,6 +54,8 @@
 
   let isStopping = false;
   let isAccepting = true;
+  let closing: Promise<void> | null = null;
+  let endLag = (): void => undefined;
   const isReady = (): boolean => !isStopping && parts.manifest.getView() !== null;
   const servers = await startServers();
   logger.info({ callers: settings.callers, admin: settings.admin }, 'listening');
@@ -67,6 +72,7 @@
       router: parts.router,
       chooseVersion: parts.placement.chooseVersion,
       isAccepting: () => isAccepting,
+      reportError,
     });
     const adminGateway = createAdminGateway({
       settings,
@@ -76,6 +82,7 @@
       decisions,
       isReady,
       isStopping: () => isStopping,
+      reportError,
     });
     return {
       callers: await startHttpServer({
@@ -84,6 +91,7 @@
         bodyBytes,
         receiveTimeout,
         rawBodyPrefix: '/services/',
+        reportError,
       }),
       admin: await startHttpServer({
         module: AdminModule.create(adminGateway),
@@ -91,17 +99,28 @@
         bodyBytes: MAX_MANIFEST_BYTES,
         receiveTimeout,
         rawBodyPrefix: null,
+        reportError,
       }),
     };
   }
 
+  function reportError(err: unknown, request: string): void {
+    logger.error({ err, request }, 'unexpected error in a request');
+  }
+
   async function drain(limit: Millis): Promise<void> {
     isAccepting = false;
     servers.callers.stopAccepting();
     await parts.router.drain(limit);
   }
 
-  async function close(): Promise<void> {
+  /** Closes everything once: an abort during a graceful stop joins the close that is under way. */
+  function close(): Promise<void> {
+    closing ??= closeAll();
+    return closing;
+  }
+
+  async function closeAll(): Promise<void> {
     await servers.callers.close();
     await parts.stop();
     await servers.admin.close();
@@ -117,20 +136,27 @@
       const { balancerLagMs, graceMs } = settings.shutdown;
       logger.info({ balancerLagMs, graceMs }, 'stopping: not ready, serving through the lag');
       parts.startLeaving();
-      await waitFor(balancerLagMs);
+      await waitThroughLag(balancerLagMs);
       await drain(graceMs - balancerLagMs);
       await close();
     },
     abort() {
       isStopping = true;
       logger.warn('stopping at once');
+      endLag();
       void drain(0).then(close);
     },
   };
 
-  function waitFor(delay: Millis): Promise<void> {
+  /** Waits for the load balancer's lag, or until an abort ends the wait. */
+  function waitThroughLag(lag: Millis): Promise<void> {
     return new Promise((resolve) => {
-      timers.registerTimeout(delay, resolve);
+      const cancel = timers.registerTimeout(lag, resolve);
+      endLag = () => {
+        // The timer would hold the process for the rest of the lag.
+        cancel();
+        resolve();
+      };
     });
   }
 }
--- a/packages/membership/src/MembershipDigests.ts
+++ b/packages/membership/src/MembershipDigests.ts
@@ -9,6 +9,7 @@
 import {
   createGossipTable,
   getTableEntry,
+  isExpired,
   mergeDigest,
   recordLocalValue,
   collectDigest,
@@ -51,7 +52,8 @@
 }
 
 const MAX_VALUE_BYTES = 200;
-const DEFAULT_MAX_SENDS = 6;
+/** High, since few messages cross domains and some are lost; an instance that is missed gets no value later. */
+const DEFAULT_MAX_SENDS = 24;
 const DEFAULT_MAX_ENTRIES = 4096;
 const DUPLICATE_WINDOW: Millis = 15_000;
 
@@ -90,14 +92,12 @@
       recordLocalValue(table, key, bytes.toString('latin1'), now);
     },
     get(key, now) {
-      const entry = getTableEntry(table, key);
-      return entry && now - entry.seenAt < cfg.retention
-        ? { value: decodeValue<Value>(entry.value), seenAt: entry.seenAt }
-        : null;
+      const entry = getTableEntry(table, key, now);
+      return entry ? { value: decodeValue<Value>(entry.value), seenAt: entry.seenAt } : null;
     },
     getAll: (now) =>
       [...table.entries.values()]
-        .filter(({ seenAt }) => now - seenAt < cfg.retention)
+        .filter((entry) => !isExpired(cfg, entry, now))
         .map(({ value, seenAt }) => ({ value: decodeValue<Value>(value), seenAt })),
     registerListener(listener) {
       listeners.add(listener);
--- a/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipLoad.test.ts
@@ -9,8 +9,10 @@
   decodeLoad,
   encodeLoad,
   getLoad,
+  LOAD_TABLE_CONFIG,
   recordLoad,
 } from '../../MembershipLoad.js';
+import { WireError } from '../../MembershipWire.js';
 import { createDigestGossip } from '../../MembershipDigests.js';
 import type { DigestGossip } from '../../MembershipDigests.js';
 import { createTopicTable, TopicNumber } from '../../MembershipTopics.js';
@@ -59,8 +61,8 @@
       mergeDigest(next, collectDigest(table, 100, 'next', now), 'last', now);
       table = next;
     }
-    expect(getLoad(table, 'e1')?.seenAt).to.be.at.most(1000);
-    expect(getLoad(table, 'e1')?.seenAt).to.be.at.least(1000 - 8 * 100);
+    expect(getLoad(table, 'e1', now)?.seenAt).to.be.at.most(1000);
+    expect(getLoad(table, 'e1', now)?.seenAt).to.be.at.least(1000 - 8 * 100);
   });
 
   it('keeps the later observation of two owners whichever arrives first', () => {
@@ -75,7 +77,7 @@
     ]) {
       const table = createLoadTable();
       digests.forEach((bytes) => mergeDigest(table, bytes as Uint8Array, 'from', 6000));
-      expect(getLoad(table, 'e1')?.running).to.equal(9);
+      expect(getLoad(table, 'e1', 6000)?.running).to.equal(9);
     }
   });
 
@@ -96,38 +98,83 @@
     const cutOff = [{ topic: TopicNumber.Load, bytes: Uint8Array.of(1, 2, 3, 0, 7) }];
     expect(topics.mergePayloads(cutOff, 'from', 0)).to.equal(1);
   });
+
+  it('keeps nothing of a digest that is truncated after its first value', () => {
+    // Guards against values in force from a digest that is counted as dropped.
+    const sender = createLoadTable();
+    recordLoad(sender, createLoad({ engine: 'e1' }), 0);
+    recordLoad(sender, createLoad({ engine: 'e2' }), 0);
+    const digest = collectDigest(sender, 100, 'to', 0);
+    for (let length = 1; length < digest.length; length++) {
+      const table = createLoadTable();
+      const isWhole = length === digest.length / 2;
+      const merge = () => mergeDigest(table, digest.subarray(0, length), 'from', 0);
+      if (isWhole) {
+        merge();
+      } else {
+        expect(merge).to.throw(WireError);
+      }
+      expect(table.entries.size, `${length} bytes`).to.equal(isWhole ? 1 : 0);
+    }
+  });
+
+  it('neither returns nor sends a load that has expired', () => {
+    // Guards against decisions on a load that is older than the retention, and against its spread.
+    const { retention } = LOAD_TABLE_CONFIG;
+    const loads = createLoadGossip();
+    loads.recordLoad(createLoad({}), 0);
+    const read = (now: number) => ({
+      one: loads.getLoad('e1', now)?.running,
+      several: loads.getLoads(['e1'], now).size,
+      sent: (loads.topic.collect(100, 'to', now) ?? []).length,
+    });
+    expect(read(retention - 1)).to.deep.equal({ one: 3, several: 1, sent: 6 });
+    expect(read(retention)).to.deep.equal({ one: undefined, several: 0, sent: 0 });
+  });
 });
 
 describe('MembershipDigests', () => {
   it('replicates a small value to all instances of all domains, and expires it', () => {
-    const digestsById = new Map<string, DigestGossip<{ crashes: number }>>();
-    const fleet = createVirtualFleet({
-      seed: 2,
-      domainSizes: [8, 8, 8],
-      loss: 0.1,
-      onStart({ listed, membership }) {
-        const digests = createDigestGossip<{ crashes: number }>({
-          topic: TopicNumber.Poison,
-          bytesPerSecond: 100,
-          bytesPerMessage: 100,
-          crossesDomains: true,
-          retention: 60_000,
-        });
-        membership.registerTopic(digests.topic);
-        digestsById.set(listed.id, digests);
-      },
-    });
-    fleet.advance(15_000);
-    digestsById.get('d1-i3')?.record('fingerprint', { crashes: 1 }, fleet.timers.now());
-    fleet.advance(5000);
-    digestsById.get('d2-i1')?.record('fingerprint', { crashes: 2 }, fleet.timers.now());
-    fleet.advance(15_000);
-    const read = () =>
-      [...digestsById.values()].map(
-        (one) => one.get('fingerprint', fleet.timers.now())?.value.crashes,
-      );
-    expect(new Set(read())).to.deep.equal(new Set([2]));
-    fleet.advance(60_000);
-    expect(new Set(read())).to.deep.equal(new Set([undefined]));
+    // Guards against instances that never get a value, since the others have sent it as often as they may.
+    for (let seed = 1; seed <= 6; seed++) {
+      const { spread, left } = spreadValue(seed);
+      expect(spread, `seed ${seed}`).to.deep.equal(new Set([2]));
+      expect(left, `seed ${seed}`).to.deep.equal(new Set([undefined]));
+    }
   });
 });
+
+/** Records a value and a newer one, and returns what all instances have 15 s later and after the retention. */
+function spreadValue(seed: number) {
+  const digestsById = new Map<string, DigestGossip<{ crashes: number }>>();
+  const fleet = createVirtualFleet({
+    seed,
+    domainSizes: [8, 8, 8],
+    loss: 0.1,
+    onStart({ listed, membership }) {
+      const digests = createDigestGossip<{ crashes: number }>({
+        topic: TopicNumber.Poison,
+        bytesPerSecond: 100,
+        bytesPerMessage: 100,
+        crossesDomains: true,
+        retention: 60_000,
+      });
+      membership.registerTopic(digests.topic);
+      digestsById.set(listed.id, digests);
+    },
+  });
+  const read = () =>
+    new Set(
+      [...digestsById.values()].map(
+        (one) => one.get('fingerprint', fleet.timers.now())?.value.crashes,
+      ),
+    );
+  fleet.advance(15_000);
+  digestsById.get('d1-i3')?.record('fingerprint', { crashes: 1 }, fleet.timers.now());
+  fleet.advance(5000);
+  digestsById.get('d2-i1')?.record('fingerprint', { crashes: 2 }, fleet.timers.now());
+  fleet.advance(15_000);
+  const spread = read();
+  fleet.advance(60_000);
+  return { spread, left: read() };
+}
