--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -13,7 +13,6 @@
 import { createDaemonClaims } from './DaemonClaims.js';
 import { createDaemonDrains } from './DaemonDrains.js';
 import type { DecisionLog } from './DaemonDecisions.js';
-import { createEngineCalls } from './DaemonEngineCalls.js';
 import { createEngineHttp } from './DaemonEngineHttp.js';
 import type { EngineDirectory } from './DaemonEngines.js';
 import { createEngineDirectory } from './DaemonEngines.js';
@@ -123,7 +122,6 @@
   });
   getClaimShare = claims.owner.getSlotShare;
   const engineHttp = createEngineHttp(directory.findAddress, timers);
-  const engineCalls = createEngineCalls(engineHttp.open);
   const serviceHttp = createServiceHttp(directory.findAddress);
   const orderHttp = createOrderHttp(directory.findAddress);
   const router: RequestRouter = createRequestRouter({
@@ -132,7 +130,7 @@
     random,
     chooseChain: routing.chooseChain,
     chooseRepair: routing.chooseRepair,
-    openEngineCall: routing.trackTokenGaps(engineCalls.open),
+    openEngineCall: routing.trackTokenGaps(engineHttp.open),
     chooseServer: (service, avoid) => {
       const servers = directory.listServers(service).filter((id) => !avoid.includes(id));
       const server = servers[random.nextInt(Math.max(1, servers.length))];
@@ -180,13 +178,7 @@
     }
   }
 
-  const drains = createDaemonDrains({
-    self: self.id,
-    timers,
-    fleet,
-    directory,
-    countCalls: engineCalls.countCalls,
-  });
+  const drains = createDaemonDrains({ timers, fleet, directory });
   listDraining = drains.listDraining;
   const placement = startDaemonPlacement({
     domain: settings.domain,
