--- a/packages/bench/src/SoakLeaseTypes.ts
+++ b/packages/bench/src/SoakLeaseTypes.ts
@@ -45,6 +45,8 @@
   readonly domain: string;
   readonly startedAt: Millis;
   readonly stopAt: Millis | null;
+  /** When the process handled SIGTERM, by its own log. */
+  readonly handledAt: Millis | null;
   readonly endedAt: Millis | null;
   /** Exit code, or name of the signal that ended the process. */
   readonly end: string | null;
