--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -34,8 +34,12 @@
   /** All registered instances, always including this one. The same array is returned until something changes. */
   listInstances(): readonly InstanceEntry[];
   start(): void;
-  /** Revokes the leases, which frees the duties at once. */
+  /** Ends the leases, which frees the duties at once. */
   stop(): void;
+  /** Resolves when the store has confirmed the end of the leases, or ending them was given up. */
+  waitForEnds(): Promise<void>;
+  /** Gives up ending leases. */
+  close(): void;
 }
 
 /** Prefix of all keys that instances write to the store. */
@@ -92,6 +96,7 @@
     renewPeriod: ENTRY_RENEW_PERIOD,
     onGranted: register,
     isNeeded: () => true,
+    onError,
   });
   const dutyLease = createLeaseKeeper({
     port,
@@ -103,8 +108,13 @@
     // The result of a claim arrives with the store's updates, some hundred milliseconds after the write.
     isNeeded: () =>
       timers.now() - claimedAt < DUTY_LEASE_TIME || options.listDomains().some(isHeldBySelf),
+    onError,
   });
 
+  function onError(err: unknown): void {
+    options.onError(`lease: ${String(err)}`);
+  }
+
   async function register(lease: number): Promise<boolean> {
     const entry = { key: `${INSTANCE_PREFIX}${self.id}`, value: formatInstance(self), lease };
     const written = await port.write([], [entry], [], callOptions);
@@ -219,6 +229,13 @@
       entryLease.stop();
       dutyLease.stop();
     },
+    async waitForEnds() {
+      await Promise.all([entryLease.waitForEnds(), dutyLease.waitForEnds()]);
+    },
+    close() {
+      entryLease.close();
+      dutyLease.close();
+    },
   };
 }
 
--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -1,8 +1,14 @@
-/** Holds one lease of the store and renews it until it is stopped or no longer needed. */
+/**
+ * Holds one lease of the store and renews it until it is stopped or no longer needed. Any answer of the store can be
+ * lost, and the call may be executed later. So a lease is kept from its grant on, whether or not its keys are known to
+ * be written, and is replaced only after the store has said that it lapsed: its keys can't be written any more then.
+ * A lease that is given up is ended until the store confirms it.
+ */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createLeaseEnds } from '@skylarksail/store/StoreLeaseEnds';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 
 export interface LeaseKeeperOptions {
@@ -12,75 +18,133 @@
   /** How long the lease is valid after it was granted or renewed. */
   readonly time: Millis;
   readonly renewPeriod: Millis;
-  /** Writes the keys that are bound to a newly granted lease. If it resolves to false, the lease is not used. */
+  /**
+   * Writes the keys that are bound to a granted lease. If it resolves to false or rejects, the lease is not valid yet,
+   * and the keys are written again after the next renewal.
+   */
   readonly onGranted: (lease: number) => Promise<boolean>;
-  /** Whether the lease is still needed; otherwise it is no longer renewed and lapses. */
+  /** Whether the lease is still needed; otherwise it is ended. */
   readonly isNeeded: () => boolean;
+  /** Receives what `onGranted` or a call to the store throws. */
+  readonly onError?: (err: unknown) => void;
 }
 
 export interface LeaseKeeper {
   /** Acquires a lease and starts to renew it, unless this was started already; resolves after the first attempt. */
   start(): Promise<void>;
-  /** Whether the lease is valid and stays so for at least the safety margin. */
+  /** Whether the lease's keys are written, and it is valid for at least the safety margin. */
   isValid(): boolean;
   /** The id of the current lease, or null if there is none. */
   getLeaseId(): number | null;
-  /** Revokes the lease and stops renewing it. */
+  /** Ends the lease and stops renewing it. */
   stop(): void;
+  /** Resolves when no lease is being ended any more. */
+  waitForEnds(): Promise<void>;
+  /** Gives up ending leases. */
+  close(): void;
 }
 
 /** Final part of the lease in which it is no longer acted on, because an order takes time to arrive. */
 const SAFETY_MARGIN: Millis = 800;
 const CALL_TIMEOUT: Millis = 800;
 const JITTER_SHARE = 0.3;
+/** Lease times for which a lease is tried to be ended; leases may stand still while the store is down. */
+const END_TIMES = 5;
+
+interface KeptLease {
+  readonly id: number;
+  safeUntil: Millis;
+  areKeysWritten: boolean;
+}
 
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
   const { port, timers, random, time } = options;
   const callOptions = { timeout: CALL_TIMEOUT };
-  let lease: { readonly id: number; safeUntil: Millis } | null = null;
+  const ends = createLeaseEnds({ timers, random, giveUpAfter: time * END_TIMES });
+  let lease: KeptLease | null = null;
   let isKeeping = false;
   let isStopped = false;
 
+  function endLease(id: number): void {
+    void ends.start(() => port.revokeLease(id, callOptions));
+  }
+
+  function dropLease(): void {
+    if (lease) {
+      endLease(lease.id);
+      lease = null;
+    }
+  }
+
   async function acquire(): Promise<void> {
     const requestedAt = timers.now();
     const granted = await port.grantLease(time, callOptions);
     if (granted.kind !== 'done') {
       return;
     }
-    const isUsed = !isStopped && (await options.onGranted(granted.value));
     if (isStopped) {
-      // `stop` did not know of this lease, and its keys would stay until it lapses.
-      void port.revokeLease(granted.value, callOptions);
-    } else if (isUsed) {
-      lease = { id: granted.value, safeUntil: requestedAt + time - SAFETY_MARGIN };
+      endLease(granted.value);
+      return;
     }
+    lease = {
+      id: granted.value,
+      safeUntil: requestedAt + time - SAFETY_MARGIN,
+      areKeysWritten: false,
+    };
+    await writeKeys();
   }
 
-  async function renewOrAcquire(): Promise<void> {
-    if (lease === null) {
-      await acquire();
-      return;
+  async function writeKeys(): Promise<void> {
+    const current = lease;
+    if (current && !current.areKeysWritten) {
+      current.areKeysWritten = await options.onGranted(current.id);
     }
+  }
+
+  async function renew(): Promise<void> {
     const current = lease;
+    if (!current) {
+      return;
+    }
     const requestedAt = timers.now();
     const outcome = await port.renewLease(current.id, callOptions);
     if (outcome.kind === 'done') {
       current.safeUntil = requestedAt + time - SAFETY_MARGIN;
     } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
       lease = null;
+    }
+  }
+
+  async function renewOrAcquire(): Promise<void> {
+    await renew();
+    if (isStopped) {
+      return;
+    }
+    if (lease) {
+      await writeKeys();
+    } else {
       await acquire();
     }
   }
 
+  async function keep(): Promise<void> {
+    try {
+      await renewOrAcquire();
+    } catch (err) {
+      options.onError?.(err);
+    }
+    scheduleRenewal();
+  }
+
   function scheduleRenewal(): void {
     timers.registerTimeout(jitter(random, options.renewPeriod, JITTER_SHARE), () => {
       if (isStopped) {
         return;
       }
       if (options.isNeeded()) {
-        void renewOrAcquire().finally(scheduleRenewal);
+        void keep();
       } else {
-        lease = null;
+        dropLease();
         isKeeping = false;
       }
     });
@@ -90,16 +154,17 @@
     async start() {
       if (!isKeeping && !isStopped) {
         isKeeping = true;
-        await renewOrAcquire().finally(scheduleRenewal);
+        await keep();
       }
     },
-    isValid: () => lease !== null && !isStopped && timers.now() < lease.safeUntil,
+    isValid: () =>
+      lease !== null && lease.areKeysWritten && !isStopped && timers.now() < lease.safeUntil,
     getLeaseId: () => lease?.id ?? null,
     stop() {
       isStopped = true;
-      if (lease) {
-        void port.revokeLease(lease.id, callOptions);
-      }
+      dropLease();
     },
+    waitForEnds: ends.waitForEnds,
+    close: ends.close,
   };
 }
