--- a/packages/bench/src/SoakLeasePlan.ts
+++ b/packages/bench/src/SoakLeasePlan.ts
@@ -13,6 +13,8 @@
   readonly callers: number;
   /** Mean time between two groups of stops. */
   readonly stopGap: Millis;
+  /** File of the bundled instance; by default the one that was built last. */
+  readonly program?: string;
 }
 
 /** A time in which the store is faulty. */
--- a/packages/bench/src/SoakLeaseTypes.ts
+++ b/packages/bench/src/SoakLeaseTypes.ts
@@ -52,6 +52,19 @@
   readonly end: string | null;
 }
 
+/** Prefix of the entries of instances. */
+export const ENTRY_PREFIX = 'skylarksail/instances/';
+/** Prefix of the duties of domains. */
+export const DUTY_PREFIX = 'skylarksail/placement/';
+
+/** A process that was stopped. */
+export type StoppedProcess = LeaseProcess & { readonly stopAt: Millis };
+
+/** Whether a process was stopped. */
+export function isStopped(process: LeaseProcess): process is StoppedProcess {
+  return process.stopAt !== null;
+}
+
 /** A time span. */
 export interface Span {
   readonly from: Millis;
--- a/packages/store/src/FakeShutdown.ts
+++ b/packages/store/src/FakeShutdown.ts
@@ -43,8 +43,11 @@
 
 /** Shortest time from the stop of an instance to the end of its process. */
 const SHUTDOWN_TIME: Millis = 2600;
-/** An unanswered call of 800 ms, a pause of 300 ms before it is repeated, and two answered calls. */
-const END_BOUND: Millis = 1200;
+/**
+ * Time in which a stopped holder ends its leases if the store answers: an unanswered call of 800 ms, a pause of 300 ms
+ * before it is repeated, and two answered calls.
+ */
+export const END_BOUND: Millis = 1200;
 /** Stop of a subject that does not make the call after which it should stop. */
 const LAST_STOP: Millis = 12_000;
 const SAMPLE_PERIOD: Millis = 100;
