Lose calls for leases in the soak of the daemons, and report what stopped ones left

cause: the soak stops daemons while the platform loses answers, but its stand-in never lost the answer to a release, refused no call for a lease, and kept no record of leases. So a placement lease left by a stopped daemon was not seen. change: faults lease-cut, lease-silence, lease-refuse and lease-drop-answer; drop-answer covers removals and releases too. The ledger has each grant with its end and each call for a lease with its fate.

--- /dev/null
+++ b/packages/bench/src/SoakGrants.ts
@@ -0,0 +1,130 @@
+/**
+ * Reports which leases the stopped daemons of a soak left at the platform; has no side effects. A lease that is left
+ * keeps all others from placing a domain until it lapses.
+ */
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { LeaseCallRecord } from '@skylarksail/stand-ins/StandInLeaseRoutes';
+import { LeaseCallFate, LeaseCallKind } from '@skylarksail/stand-ins/StandInLeaseRoutes';
+import type { GrantRecord } from '@skylarksail/stand-ins/StandInLeases';
+import { END_BOUND } from '@skylarksail/store/FakeShutdown';
+import type { SoakProcess } from './SoakChecker.js';
+
+export interface GrantEvidence {
+  readonly processes: readonly SoakProcess[];
+  readonly grants: readonly GrantRecord[];
+  readonly leaseCalls: readonly LeaseCallRecord[];
+  /** Time to which the times of the processes relate, in milliseconds since 1970. */
+  readonly startedAt: Millis;
+}
+
+/** A lease that a stopped daemon had at its exit. */
+export interface LeftGrant {
+  readonly process: string;
+  readonly key: string;
+  /** Time from the exit until its holder's next process took it, or until it lapses. */
+  readonly afterExit: Millis;
+  readonly end: string;
+  /** The daemon's calls for leases from its stop on, with times since its exit. */
+  readonly trace: readonly string[];
+}
+
+export interface GrantReport {
+  /** Daemons that were stopped and have exited, and those of them that had a lease at the stop or got one after it. */
+  readonly stopped: number;
+  readonly holders: number;
+  readonly left: readonly LeftGrant[];
+  /** Leases left although the platform had answered the daemon's calls for leases for END_BOUND. */
+  readonly broken: readonly string[];
+}
+
+type StoppedProcess = SoakProcess & { readonly stopAt: Millis; readonly endedAt: Millis };
+
+/** Creates the report of one seed. */
+export function reportGrants(evidence: GrantEvidence): GrantReport {
+  const stopped = evidence.processes.filter(isStopped);
+  const held = stopped.flatMap((process) =>
+    listGrants(evidence, process).map((grant) => ({ process, grant })),
+  );
+  const left = held.filter(
+    ({ process, grant }) => getEnd(grant) > evidence.startedAt + process.endedAt,
+  );
+  return {
+    stopped: stopped.length,
+    holders: new Set(held.map(({ process }) => process.id)).size,
+    left: left.map(({ process, grant }) => describeGrant(evidence, process, grant)),
+    broken: left
+      .filter(({ process }) => wasAbleToEnd(evidence, process))
+      .map(({ process, grant }) => `lease left: ${grant.key} by ${process.id}`),
+  };
+}
+
+function isStopped(process: SoakProcess): process is StoppedProcess {
+  return process.stopAt !== null && process.killAt === null && process.endedAt !== null;
+}
+
+function getHolder({ id }: SoakProcess): string {
+  return id.slice(0, id.lastIndexOf('#'));
+}
+
+/** When the grant ended, or will lapse. */
+function getEnd({ endedAt, expiresAt }: GrantRecord): Millis {
+  return endedAt ?? expiresAt;
+}
+
+/** Grants to the process that were in force at its stop or came after it. */
+function listGrants(
+  { grants, startedAt }: GrantEvidence,
+  process: StoppedProcess,
+): readonly GrantRecord[] {
+  return grants.filter(
+    (one) =>
+      one.holder === getHolder(process) &&
+      one.grantedAt < startedAt + process.endedAt &&
+      getEnd(one) > startedAt + process.stopAt,
+  );
+}
+
+function listCalls(
+  { leaseCalls, startedAt }: GrantEvidence,
+  process: StoppedProcess,
+): readonly LeaseCallRecord[] {
+  return leaseCalls.filter(
+    ({ holder, at }) =>
+      holder === getHolder(process) &&
+      at >= startedAt + process.stopAt &&
+      at <= startedAt + process.endedAt,
+  );
+}
+
+/** Whether the process called no release, or no call was lost or refused in the last END_BOUND before its exit. */
+function wasAbleToEnd(evidence: GrantEvidence, process: StoppedProcess): boolean {
+  const calls = listCalls(evidence, process);
+  const faults = calls.filter(({ fate }) => fate !== LeaseCallFate.Answered);
+  const lastFaultAt = Math.max(0, ...faults.map(({ at }) => at));
+  return (
+    calls.every(({ kind }) => kind !== LeaseCallKind.Release) ||
+    evidence.startedAt + process.endedAt - lastFaultAt >= END_BOUND
+  );
+}
+
+function describeGrant(
+  evidence: GrantEvidence,
+  process: StoppedProcess,
+  grant: GrantRecord,
+): LeftGrant {
+  const exitAt = evidence.startedAt + process.endedAt;
+  return {
+    process: process.id,
+    key: grant.key,
+    afterExit: Math.round(getEnd(grant) - exitAt),
+    end: grant.end ?? 'held',
+    trace: [
+      `${Math.round(process.stopAt - process.endedAt)} SIGTERM`,
+      ...listCalls(evidence, process).map(
+        ({ kind, at, fate, status }) =>
+          `${Math.round(at - exitAt)} ${kind} ${fate} ${status ?? ''}`,
+      ),
+      '0 exit',
+    ],
+  };
+}
--- a/packages/bench/src/SoakPlan.ts
+++ b/packages/bench/src/SoakPlan.ts
@@ -20,7 +20,17 @@
   Change: 'change',
 } as const;
 
-export type SoakFaultKindName = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
+/** Kinds of faults that lose calls for leases, also the platform's answers to them. */
+export const LeaseFaultKind = {
+  LeaseCut: 'lease-cut',
+  LeaseSilence: 'lease-silence',
+  LeaseRefuse: 'lease-refuse',
+  LeaseDropAnswer: 'lease-drop-answer',
+} as const;
+
+export type SoakFaultKindName =
+  | (typeof SoakFaultKind)[keyof typeof SoakFaultKind]
+  | (typeof LeaseFaultKind)[keyof typeof LeaseFaultKind];
 
 /** One fault; `target` is a random number, taken modulo the number of possible targets. */
 export interface SoakFault {
@@ -38,6 +48,8 @@
   /** Time during which callers send requests. */
   readonly time: Millis;
   readonly daemonsPerDomain: number;
+  /** Whether daemons are only stopped and restarted, while calls for leases are lost. */
+  readonly losesLeaseCalls?: boolean;
 }
 
 export interface SoakPlan {
@@ -58,15 +70,21 @@
 /** Probability that the next fault starts within `MIN_FAULT_TIME` of the one before, and so overlaps it. */
 const OVERLAP_SHARE = 0.4;
 const CALLERS_PER_DAEMON = 4;
+const LEASE_FAULT_KINDS = [...Object.values(LeaseFaultKind), SoakFaultKind.PlatformOutage] as const;
+/** A daemon has stopped serving and gives its lease back within about this time. */
+const MAX_LEASE_FAULT_DELAY: Millis = 1500;
+const MAX_LEASE_FAULT_TIME: Millis = 4000;
+const MAX_STOPS = 2;
 
 /** Draws the plan of a soak from its seed. */
-export function planSoak({ seed, time, daemonsPerDomain }: SoakOptions): SoakPlan {
+export function planSoak(options: SoakOptions): SoakPlan {
+  const { seed, time, daemonsPerDomain, losesLeaseCalls = false } = options;
   const random = createRandom(seed);
   const domains = 2 + random.nextInt(2);
   return {
     size: { ...DEFAULT_STACK_SIZE, seed, domains, daemonsPerDomain },
     callers: CALLERS_PER_DAEMON * domains * daemonsPerDomain,
-    faults: drawFaults(random, time),
+    faults: losesLeaseCalls ? drawLeaseFaults(random, time) : drawFaults(random, time),
   };
 }
 
@@ -74,18 +92,45 @@
   const faults: SoakFault[] = [];
   let at = FIRST_FAULT;
   while (at < time - FAULT_FREE_END) {
-    faults.push({
-      kind: KINDS[random.nextInt(KINDS.length)] ?? SoakFaultKind.Change,
-      at: Math.round(at),
-      time: Math.round(MIN_FAULT_TIME + random.nextFloat() * (MAX_FAULT_TIME - MIN_FAULT_TIME)),
-      target: random.nextInt(TARGET_RANGE),
-    });
+    const kind = KINDS[random.nextInt(KINDS.length)] ?? SoakFaultKind.Change;
+    faults.push(drawFault(random, kind, at, MAX_FAULT_TIME));
     at +=
       random.nextFloat() < OVERLAP_SHARE ? random.nextFloat() * MIN_FAULT_TIME : drawGap(random);
   }
   return faults;
 }
 
+/** Draws groups of stops, each with a fault that comes about when the stopped daemons give their leases back. */
+function drawLeaseFaults(random: Random, time: Millis): readonly SoakFault[] {
+  const faults: SoakFault[] = [];
+  for (let at = FIRST_FAULT; at < time - FAULT_FREE_END; at += drawGap(random)) {
+    const stops = 1 + random.nextInt(MAX_STOPS);
+    for (let i = 0; i < stops; i += 1) {
+      faults.push(drawFault(random, SoakFaultKind.DaemonStop, at, MAX_FAULT_TIME));
+    }
+    const kind = LEASE_FAULT_KINDS[random.nextInt(LEASE_FAULT_KINDS.length)];
+    const delay = random.nextFloat() * MAX_LEASE_FAULT_DELAY;
+    faults.push(
+      drawFault(random, kind ?? LeaseFaultKind.LeaseCut, at + delay, MAX_LEASE_FAULT_TIME),
+    );
+  }
+  return faults;
+}
+
+function drawFault(
+  random: Random,
+  kind: SoakFaultKindName,
+  at: Millis,
+  maxTime: Millis,
+): SoakFault {
+  return {
+    kind,
+    at: Math.round(at),
+    time: Math.round(MIN_FAULT_TIME + random.nextFloat() * (maxTime - MIN_FAULT_TIME)),
+    target: random.nextInt(TARGET_RANGE),
+  };
+}
+
 function drawGap(random: Random): Millis {
   return -MEAN_GAP * Math.log(1 - random.nextFloat());
 }
--- a/packages/bench/src/SoakRun.ts
+++ b/packages/bench/src/SoakRun.ts
@@ -12,7 +12,9 @@
 import type { SoakEvidence, SoakRecord, SoakRevisions } from './SoakChecker.js';
 import { checkSoak, SoakOutcome } from './SoakChecker.js';
 import type { SoakFault, SoakOptions, SoakPlan } from './SoakPlan.js';
-import { planSoak, SoakFaultKind } from './SoakPlan.js';
+import type { GrantEvidence, GrantReport } from './SoakGrants.js';
+import { reportGrants } from './SoakGrants.js';
+import { LeaseFaultKind, planSoak, SoakFaultKind } from './SoakPlan.js';
 import type { Stack } from './StackLauncher.js';
 import { launchStack } from './StackLauncher.js';
 import { planManifest } from './StackPlan.js';
@@ -30,6 +32,8 @@
   readonly faults: number;
   /** Manifest changes that were accepted. */
   readonly changes: number;
+  /** Leases of stopped daemons. */
+  readonly grants: GrantReport;
   /** Violations found. */
   readonly broken: readonly string[];
   /** Directory of the daemons' logs; set only if there are violations. */
@@ -43,6 +47,9 @@
 const ENGINE_SLOW_FACTOR = 8;
 const PLATFORM_CALL_DELAY: Millis = 300;
 const QUEUE_LIMIT = 256;
+const MAX_LOST_CALLS = 6;
+
+type PlatformLedger = Pick<GrantEvidence, 'grants' | 'leaseCalls'>;
 
 async function sleep(time: Millis): Promise<void> {
   await sleepFor(time);
@@ -55,8 +62,9 @@
   let broken: readonly string[] = ['did not run to the end'];
   try {
     const evidence = await collectEvidence(stack, plan, options);
-    broken = checkSoak(evidence);
-    return createReport(options, plan, evidence, broken, stack.folder);
+    const grants = reportGrants(evidence);
+    broken = [...checkSoak(evidence), ...grants.broken];
+    return createReport(options, plan, evidence, grants, broken, stack.folder);
   } finally {
     await stack.stop(broken.length > 0);
   }
@@ -67,7 +75,7 @@
   stack: Stack,
   plan: SoakPlan,
   options: SoakOptions,
-): Promise<SoakEvidence> {
+): Promise<SoakEvidence & GrantEvidence> {
   const start = performance.now();
   const now = (): Millis => performance.now() - start;
   const daemons = createSoakDaemons(stack, now, sleep);
@@ -107,6 +115,7 @@
   const effects = await readLedgers<ServiceEffect>(stack.services);
   const passes = await readLedgers<LayerPass>(stack.engines);
   await daemons.stopAll();
+  const { grants, leaseCalls } = await readLedger<PlatformLedger>(stack.platform);
   return {
     records,
     processes: daemons.listProcesses(),
@@ -115,6 +124,9 @@
     layers: plan.size.layers,
     revisions: { told, last, accepted: changes.getNewest() },
     grace: STOP_GRACE,
+    grants,
+    leaseCalls,
+    startedAt: performance.timeOrigin + start,
   };
 }
 
@@ -122,6 +134,7 @@
   { seed }: SoakOptions,
   plan: SoakPlan,
   { records, processes, revisions }: SoakEvidence,
+  grants: GrantReport,
   broken: readonly string[],
   folder: string,
 ): SoakReport {
@@ -136,6 +149,7 @@
     ended: count(SoakOutcome.Cut) + count(SoakOutcome.Unanswered),
     faults: plan.faults.length,
     changes: revisions.accepted - 1,
+    grants,
     broken,
     ...(broken.length > 0 && { logs: folder }),
   };
@@ -186,6 +200,11 @@
       return setFault(stack.platform, { kind: 'slow', ms, factor: PLATFORM_CALL_DELAY });
     case SoakFaultKind.PlatformLost:
       return setFault(stack.platform, { kind: 'drop-answer', ms, count: 1 + (target % 3) });
+    case LeaseFaultKind.LeaseCut:
+    case LeaseFaultKind.LeaseSilence:
+    case LeaseFaultKind.LeaseRefuse:
+    case LeaseFaultKind.LeaseDropAnswer:
+      return setFault(stack.platform, { kind, ms, count: 1 + (target % MAX_LOST_CALLS) });
     case SoakFaultKind.DaemonPause:
       return daemons.pause(target, ms);
     case SoakFaultKind.DaemonStop:
@@ -206,12 +225,14 @@
   await res.body.dump();
 }
 
+async function readLedger<T>(url: string): Promise<T> {
+  const res = await request(`${url}/ledger`);
+  return (await res.body.json()) as T;
+}
+
 async function readLedgers<T>(servers: readonly { readonly url: string }[]): Promise<readonly T[]> {
   const ledgers = await Promise.all(
-    servers.map(async ({ url }) => {
-      const res = await request(`${url}/ledger`);
-      return ((await res.body.json()) as { entries: T[] }).entries;
-    }),
+    servers.map(async ({ url }) => (await readLedger<{ readonly entries: T[] }>(url)).entries),
   );
   return ledgers.flat();
 }
--- a/packages/stand-ins/src/StandInPlatform.ts
+++ b/packages/stand-ins/src/StandInPlatform.ts
@@ -5,16 +5,20 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { z } from 'zod';
+import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createFaultInjector } from './StandInFaults.js';
+import type { LeaseCallRecord } from './StandInLeaseRoutes.js';
+import { registerLeaseRoutes } from './StandInLeaseRoutes.js';
+import { createStandInLeases } from './StandInLeases.js';
 import type { StandInServer } from './StandInServer.js';
 import { startStandInServer } from './StandInServer.js';
 
 const VALUE_LIMIT_BYTES = 1024 * 1024;
 const STATUS_CONFLICT = 409;
 const STATUS_TOO_LARGE = 413;
-const STATUS_HELD = 423;
-const STATUS_LAPSED = 410;
 const LIST_HISTORY_LENGTH = 64;
+/** Older calls for leases are dropped from the ledger. */
+const LEASE_CALLS_KEPT = 10_000;
 
 export interface StandInPlatformOptions {
   readonly host: string;
@@ -32,16 +36,7 @@
   readonly value: string;
 }
 
-interface Lease {
-  readonly holder: string;
-  readonly fencing: number;
-  readonly ttlMs: number;
-  readonly expiresAt: number;
-}
-
 const compareAndSwapSchema = z.strictObject({ expected: z.int().min(0), value: z.string() });
-const leaseSchema = z.strictObject({ holder: z.string().min(1), ttlMs: z.number().positive() });
-const fencingSchema = z.strictObject({ holder: z.string().min(1), fencing: z.int() });
 const instanceSchema = z.strictObject({
   id: z.string(),
   role: z.enum(['entry', 'engine', 'service']),
@@ -59,8 +54,9 @@
 ): Promise<StandInPlatform> {
   const faults = createFaultInjector(() => performance.now());
   const values = new Map<string, StoredValue>();
-  const leases = new Map<string, Lease>();
-  const fencingNumbers = new Map<string, number>();
+  const wallNow = (): Millis => performance.timeOrigin + performance.now();
+  const leases = createStandInLeases(wallNow);
+  const leaseCalls: LeaseCallRecord[] = [];
   const watchersByKey = new Map<string, Set<() => void>>();
   const calls = { reads: 0, writes: 0, watches: 0, leases: 0, lists: 0 };
   let instances = new Map<string, ListedInstance>();
@@ -127,11 +123,6 @@
     });
   }
 
-  function readLease(key: string): Lease | null {
-    const lease = leases.get(key);
-    return lease && lease.expiresAt > performance.now() ? lease : null;
-  }
-
   function saveListSnapshot(): void {
     listHistory = [
       ...listHistory.slice(-LIST_HISTORY_LENGTH),
@@ -199,6 +190,9 @@
         }
         const key = req.params['*'];
         const stored = writeEntry(key, Number(req.query.expected), null);
+        if (dropAnswer(reply)) {
+          return reply;
+        }
         return stored
           ? reply.send({ revision: stored.revision })
           : reply.code(STATUS_CONFLICT).send({ revision: readEntry(key).revision });
@@ -214,54 +208,10 @@
     });
   }
 
-  function registerLeaseRoutes(app: FastifyInstance): void {
-    app.post<{ Params: { '*': string } }>('/v1/leases/*', async (req, reply) => {
-      calls.leases += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      const key = req.params['*'];
-      const { holder, ttlMs } = leaseSchema.parse(req.body);
-      const current = readLease(key);
-      if (current && current.holder !== holder) {
-        return reply.code(STATUS_HELD).send({ holder: current.holder });
-      }
-      const fencing = (fencingNumbers.get(key) ?? 0) + 1;
-      fencingNumbers.set(key, fencing);
-      leases.set(key, { holder, fencing, ttlMs, expiresAt: performance.now() + ttlMs });
-      return dropAnswer(reply) ? reply : reply.send({ key, holder, fencing, ttl: ttlMs });
-    });
-    app.put<{ Params: { '*': string } }>('/v1/leases/*', async (req, reply) => {
-      calls.leases += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      const key = req.params['*'];
-      const { holder, fencing } = fencingSchema.parse(req.body);
-      const current = readLease(key);
-      if (!current || current.holder !== holder || current.fencing !== fencing) {
-        return reply.code(STATUS_LAPSED).send({});
-      }
-      leases.set(key, { ...current, expiresAt: performance.now() + current.ttlMs });
-      return dropAnswer(reply) ? reply : reply.send({ key, holder, fencing, ttl: current.ttlMs });
-    });
-    app.delete<{ Params: { '*': string }; Querystring: { holder: string; fencing: string } }>(
-      '/v1/leases/*',
-      async (req, reply) => {
-        calls.leases += 1;
-        if (await applyFaults()) {
-          return reply.raw.destroy();
-        }
-        const current = readLease(req.params['*']);
-        const isHolder =
-          current?.holder === req.query.holder && current.fencing === Number(req.query.fencing);
-        if (!isHolder) {
-          return reply.code(STATUS_LAPSED).send({});
-        }
-        leases.delete(req.params['*']);
-        return reply.send({});
-      },
-    );
+  function recordLeaseCall(call: LeaseCallRecord): void {
+    calls.leases += 1;
+    leaseCalls.push(call);
+    leaseCalls.splice(0, leaseCalls.length - LEASE_CALLS_KEPT);
   }
 
   function registerInstanceRoutes(app: FastifyInstance): void {
@@ -291,10 +241,22 @@
     faults,
     registerRoutes: (app) => {
       registerKeyRoutes(app);
-      registerLeaseRoutes(app);
+      registerLeaseRoutes(app, {
+        leases,
+        faults,
+        applyFaults,
+        now: wallNow,
+        onCall: recordLeaseCall,
+      });
       registerInstanceRoutes(app);
     },
-    readLedger: () => ({ calls, keys: values.size, instances: instances.size }),
+    readLedger: () => ({
+      calls,
+      keys: values.size,
+      instances: instances.size,
+      grants: leases.listRecords(),
+      leaseCalls,
+    }),
   });
   return { server };
 }
