--- a/packages/bench/src/SoakRun.ts
+++ b/packages/bench/src/SoakRun.ts
@@ -127,9 +127,21 @@
     grants,
     leaseCalls,
     startedAt: performance.timeOrigin + start,
+    down: listOutages(plan),
   };
 }
 
+/** A new outage takes the place of one that lasts. */
+function listOutages({ faults }: SoakPlan): GrantEvidence['down'] {
+  const outages = faults
+    .filter(({ kind }) => kind === SoakFaultKind.PlatformOutage)
+    .sort((a, b) => a.at - b.at);
+  return outages.map(({ at, time }, i) => ({
+    from: at,
+    to: Math.min(at + time, outages[i + 1]?.at ?? Infinity),
+  }));
+}
+
 function createReport(
   { seed }: SoakOptions,
   plan: SoakPlan,
