--- a/packages/bench/src/SoakLeaseCheck.ts
+++ b/packages/bench/src/SoakLeaseCheck.ts
@@ -7,14 +7,13 @@
 import { END_BOUND } from '@skylarksail/store/FakeShutdown';
 import { writeLeaseTrace } from './SoakLeaseTrace.js';
 import type { LeaseEvidence, Span, StoppedProcess, StoreCall } from './SoakLeaseTypes.js';
-import { CallAnswer, isStopped } from './SoakLeaseTypes.js';
+import { CallAnswer, isStopped, REFUSED_STATUS } from './SoakLeaseTypes.js';
 
 /** The rule in words. */
 export const LEASE_RULE = `no stopped process keeps a key on a lease once the store has answered the calls for that lease normally for ${END_BOUND} ms, and none is killed at the end of its grace`;
 
 /** A slower answer does not count as normal. */
 const LONGEST_NORMAL_ANSWER: Millis = 100;
-const REFUSED_STATUS = 503;
 const KILL_SIGNAL = 'SIGKILL';
 
 /** Returns a description of each violation; empty if there is none. */
--- a/packages/bench/src/SoakLeaseReport.ts
+++ b/packages/bench/src/SoakLeaseReport.ts
@@ -7,7 +7,14 @@
 import { findUnplaced, findUnregistered } from './SoakLeaseGaps.js';
 import { writeLeaseTrace } from './SoakLeaseTrace.js';
 import type { LeaseEvidence, LeaseProcess, StoppedProcess, StoreCall } from './SoakLeaseTypes.js';
-import { CallAnswer, CallKind, DUTY_PREFIX, ENTRY_PREFIX, isStopped } from './SoakLeaseTypes.js';
+import {
+  CallAnswer,
+  CallKind,
+  DUTY_PREFIX,
+  ENTRY_PREFIX,
+  isStopped,
+  REFUSED_STATUS,
+} from './SoakLeaseTypes.js';
 
 /** A lease that a process left when it stopped: nobody ended it, so it lapsed. */
 export interface LeftLease {
@@ -32,6 +39,16 @@
   readonly afterExit: Millis;
 }
 
+/** How often leases of stopped processes met a fault, whatever became of them. */
+export interface ProvokedFaults {
+  /** Leases whose first revocation was lost, or its answer was. */
+  readonly lostRevocations: number;
+  /** Leases whose first revocation was refused. */
+  readonly refusedRevocations: number;
+  /** Leases that had an entry at the stop, none of whose writes was answered in time. */
+  readonly unansweredEntries: number;
+}
+
 export interface LeaseReport {
   readonly stops: number;
   /** Processes that ended by SIGTERM itself, as they had no handler yet. */
@@ -41,6 +58,7 @@
   readonly entries: readonly LeftKey[];
   readonly duties: readonly LeftKey[];
   readonly left: readonly LeftLease[];
+  readonly provoked: ProvokedFaults;
   /** Leases that were granted after the stop, also those that were revoked. */
   readonly grantedAfterStop: readonly LeftLease[];
   readonly unplaced: readonly Gap[];
@@ -65,6 +83,7 @@
     entries: bound.filter(({ key }) => key.startsWith(ENTRY_PREFIX)),
     duties: bound.filter(({ key }) => key.startsWith(DUTY_PREFIX)),
     left: stopped.flatMap((process) => listLeft(evidence, process)),
+    provoked: countProvoked(evidence, stopped),
     grantedAfterStop: stopped.flatMap((process) => listGrantedAfterStop(evidence, process)),
     unplaced: evidence.domains.flatMap((domain) => findUnplaced(evidence, domain)),
     unregistered: evidence.processes.flatMap((process) => findUnregistered(evidence, process)),
@@ -72,6 +91,27 @@
   };
 }
 
+function countProvoked(
+  { leases, calls }: LeaseEvidence,
+  stopped: readonly StoppedProcess[],
+): ProvokedFaults {
+  const counts = { lostRevocations: 0, refusedRevocations: 0, unansweredEntries: 0 };
+  for (const { id, stopAt } of stopped) {
+    const live = leases.filter(
+      ({ owner, endedAt }) => owner === id && (endedAt ?? Infinity) > stopAt,
+    );
+    for (const lease of live) {
+      const own = calls.filter((call) => call.lease === lease.id);
+      const revoke = own.find(({ kind }) => kind === CallKind.Revoke);
+      const entries = own.filter((call) => isEntryWrite(call) && call.at < stopAt);
+      counts.lostRevocations += revoke && !isAnswered(revoke) ? 1 : 0;
+      counts.refusedRevocations += revoke?.status === REFUSED_STATUS ? 1 : 0;
+      counts.unansweredEntries += entries.some(isApplied) && !entries.some(isAnswered) ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
 function listGrantedAfterStop(
   evidence: LeaseEvidence,
   process: StoppedProcess,
@@ -133,6 +173,10 @@
   return status === 200 && appliedAt !== null;
 }
 
+function isEntryWrite({ kind, keys }: StoreCall): boolean {
+  return kind === CallKind.Write && keys.some((key) => key.startsWith(ENTRY_PREFIX));
+}
+
 function isAnswered({ answer }: StoreCall): boolean {
   return answer === CallAnswer.Sent;
 }
@@ -140,12 +184,10 @@
 /** Names the step in which the process lost sight of the lease or failed to end it. */
 function findCause({ end }: LeaseProcess, calls: readonly StoreCall[]): string {
   const grant = calls.find(({ kind }) => kind === CallKind.Grant);
-  const entryWrites = calls.filter(
-    ({ kind, keys }) => kind === CallKind.Write && keys.some((key) => key.startsWith(ENTRY_PREFIX)),
-  );
+  const entryWrites = calls.filter(isEntryWrite);
   const revokes = calls.filter(({ kind }) => kind === CallKind.Revoke);
   if (revokes.length > 0) {
-    return `revocation ${revokes.some(({ status }) => status === 503) ? 'refused' : 'lost'}, called ${revokes.length} times`;
+    return `revocation ${revokes.some(({ status }) => status === REFUSED_STATUS) ? 'refused' : 'lost'}, called ${revokes.length} times`;
   }
   if (end === 'SIGTERM') {
     return 'ended before the signal handler was set';
--- a/packages/bench/src/SoakLeaseTypes.ts
+++ b/packages/bench/src/SoakLeaseTypes.ts
@@ -23,6 +23,9 @@
 } as const;
 export type CallAnswerName = (typeof CallAnswer)[keyof typeof CallAnswer];
 
+/** Status of a call that the store refuses without an effect. */
+export const REFUSED_STATUS = 503;
+
 /** A call as the stand-in store saw it. */
 export interface StoreCall {
   readonly owner: string;
