--- a/packages/bench/src/SoakGrants.ts
+++ b/packages/bench/src/SoakGrants.ts
@@ -36,7 +36,7 @@
   readonly stopped: number;
   readonly holders: number;
   readonly left: readonly LeftGrant[];
-  /** Leases left although the platform had answered the daemon's calls for leases for END_BOUND. */
+  /** Leases left although the platform answered the daemon's calls for leases, see `wasAbleToEnd`. */
   readonly broken: readonly string[];
 }
 
@@ -99,15 +99,21 @@
   );
 }
 
-/** Whether the platform was up for END_BOUND before the exit, and lost or refused no call for a lease in it. */
+/**
+ * Whether the platform was up and lost or refused no call for a lease, either from the stop to the exit, or for
+ * END_BOUND before the exit.
+ */
 function wasAbleToEnd(evidence: GrantEvidence, process: StoppedProcess): boolean {
-  const faults = listCalls(evidence, process).filter(({ fate }) => fate !== LeaseCallFate.Answered);
-  const lastFaultAt = Math.max(
-    process.stopAt,
-    ...faults.map(({ at }) => at - evidence.startedAt),
-    ...evidence.down.filter(({ from }) => from < process.endedAt).map(({ to }) => to),
-  );
-  return process.endedAt - lastFaultAt >= END_BOUND;
+  const { startedAt, down } = evidence;
+  const faultEnds = [
+    ...listCalls(evidence, process)
+      .filter(({ fate }) => fate !== LeaseCallFate.Answered)
+      .map(({ at }) => at - startedAt),
+    ...down
+      .filter(({ from, to }) => from < process.endedAt && to > process.stopAt)
+      .map(({ to }) => to),
+  ];
+  return faultEnds.every((at) => process.endedAt - at >= END_BOUND);
 }
 
 function describeGrant(
--- a/packages/bench/src/__tests__/unit/SoakGrants.test.ts
+++ b/packages/bench/src/__tests__/unit/SoakGrants.test.ts
@@ -20,8 +20,8 @@
     setTime(time: Millis): void {
       now = START + time;
     },
-    report(leaseCalls: readonly LeaseCallRecord[], outageEnd: Millis = 0) {
-      const process = { id: 'entry-0#0', stopAt: STOP, killAt: null, endedAt: EXIT, end: '0' };
+    report(leaseCalls: readonly LeaseCallRecord[], outageEnd: Millis = 0, stopAt: Millis = STOP) {
+      const process = { id: 'entry-0#0', stopAt, killAt: null, endedAt: EXIT, end: '0' };
       const evidence: GrantEvidence = {
         processes: [process],
         grants: leases.listRecords(),
@@ -66,6 +66,13 @@
     expect(report([], EXIT - 1199).broken).deep.equal([]);
   });
 
+  it('finds a lease that is left by a daemon that stops at once, without a fault', () => {
+    const { leases, report } = createBed();
+    leases.acquire(KEY, 'entry-0', TTL);
+    expect(report([], 0, EXIT - 500).broken).to.have.lengthOf(1);
+    expect(report([createRelease(EXIT - 100)], 0, EXIT - 500).broken).deep.equal([]);
+  });
+
   it('finds nothing if the lease was released before the exit, or lapsed', () => {
     const { leases, setTime, report } = createBed();
     leases.acquire(KEY, 'entry-0', TTL);
