--- a/packages/bench/src/SoakGrants.ts
+++ b/packages/bench/src/SoakGrants.ts
@@ -74,14 +74,20 @@
   return endedAt ?? expiresAt;
 }
 
-/** Grants to the process that were in force at its stop or came after it. */
+/** Grants to the process, not to one before it of the same name, that were in force at its stop or came after it. */
 function listGrants(
-  { grants, startedAt }: GrantEvidence,
+  { grants, processes, startedAt }: GrantEvidence,
   process: StoppedProcess,
 ): readonly GrantRecord[] {
+  const holder = getHolder(process);
+  const earlierEnds = processes
+    .filter((one) => getHolder(one) === holder && (one.endedAt ?? Infinity) < process.stopAt)
+    .map(({ endedAt }) => endedAt ?? 0);
+  const from = startedAt + Math.max(-Infinity, ...earlierEnds);
   return grants.filter(
     (one) =>
-      one.holder === getHolder(process) &&
+      one.holder === holder &&
+      one.grantedAt > from &&
       one.grantedAt < startedAt + process.endedAt &&
       getEnd(one) > startedAt + process.stopAt,
   );
--- a/packages/bench/src/__tests__/unit/SoakGrants.test.ts
+++ b/packages/bench/src/__tests__/unit/SoakGrants.test.ts
@@ -3,6 +3,7 @@
 import type { LeaseCallRecord } from '@skylarksail/stand-ins/StandInLeaseRoutes';
 import { LeaseCallFate, LeaseCallKind } from '@skylarksail/stand-ins/StandInLeaseRoutes';
 import { createStandInLeases } from '@skylarksail/stand-ins/StandInLeases';
+import type { SoakProcess } from '../../SoakChecker.js';
 import type { GrantEvidence } from '../../SoakGrants.js';
 import { reportGrants } from '../../SoakGrants.js';
 
@@ -20,10 +21,21 @@
     setTime(time: Millis): void {
       now = START + time;
     },
-    report(leaseCalls: readonly LeaseCallRecord[], outageEnd: Millis = 0, stopAt: Millis = STOP) {
-      const process = { id: 'entry-0#0', stopAt, killAt: null, endedAt: EXIT, end: '0' };
+    report(
+      leaseCalls: readonly LeaseCallRecord[],
+      outageEnd: Millis = 0,
+      stopAt: Millis = STOP,
+      earlier: readonly SoakProcess[] = [],
+    ) {
+      const process = {
+        id: `entry-0#${earlier.length}`,
+        stopAt,
+        killAt: null,
+        endedAt: EXIT,
+        end: '0',
+      };
       const evidence: GrantEvidence = {
-        processes: [process],
+        processes: [...earlier, process],
         grants: leases.listRecords(),
         leaseCalls,
         startedAt: START,
@@ -73,6 +85,15 @@
     expect(report([createRelease(EXIT - 100)], 0, EXIT - 500).broken).deep.equal([]);
   });
 
+  it('counts a lease only for the process to which it was granted', () => {
+    const { leases, report } = createBed();
+    leases.acquire(KEY, 'entry-0', TTL);
+    const earlier = { id: 'entry-0#0', stopAt: 500, killAt: null, endedAt: 1000, end: '0' };
+    expect(report([], 0, STOP, [earlier]).left.map(({ afterExit }) => afterExit)).deep.equal([
+      TTL - 1000,
+    ]);
+  });
+
   it('finds nothing if the lease was released before the exit, or lapsed', () => {
     const { leases, setTime, report } = createBed();
     leases.acquire(KEY, 'entry-0', TTL);
