--- a/packages/stand-ins/src/StandInPlatform.ts
+++ b/packages/stand-ins/src/StandInPlatform.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createFaultInjector } from './StandInFaults.js';
+import { createStandInInstances } from './StandInInstances.js';
 import type { LeaseCallRecord } from './StandInLeaseRoutes.js';
 import { registerLeaseRoutes } from './StandInLeaseRoutes.js';
 import { createStandInLeases } from './StandInLeases.js';
@@ -16,7 +17,6 @@
 const VALUE_LIMIT_BYTES = 1024 * 1024;
 const STATUS_CONFLICT = 409;
 const STATUS_TOO_LARGE = 413;
-const LIST_HISTORY_LENGTH = 64;
 /** Older calls for leases are dropped from the ledger. */
 const LEASE_CALLS_KEPT = 10_000;
 
@@ -37,18 +37,8 @@
 }
 
 const compareAndSwapSchema = z.strictObject({ expected: z.int().min(0), value: z.string() });
-const instanceSchema = z.strictObject({
-  id: z.string(),
-  role: z.enum(['entry', 'engine', 'service']),
-  domain: z.string(),
-  rack: z.string(),
-  address: z.strictObject({ host: z.string(), port: z.int() }),
-  peerPort: z.int(),
-  state: z.enum(['live', 'leaving']),
-});
-
-type ListedInstance = z.output<typeof instanceSchema>;
 
+/** Starts the stand-in; resolves when it listens. */
 export async function startStandInPlatform(
   options: StandInPlatformOptions,
 ): Promise<StandInPlatform> {
@@ -59,8 +49,6 @@
   const leaseCalls: LeaseCallRecord[] = [];
   const watchersByKey = new Map<string, Set<() => void>>();
   const calls = { reads: 0, writes: 0, watches: 0, leases: 0, lists: 0 };
-  let instances = new Map<string, ListedInstance>();
-  let listHistory: { readonly at: number; readonly list: readonly ListedInstance[] }[] = [];
   let lastRevision = 0;
 
   /** Applies faults before a call takes effect; true if the connection must be closed unanswered. */
@@ -123,22 +111,6 @@
     });
   }
 
-  function saveListSnapshot(): void {
-    listHistory = [
-      ...listHistory.slice(-LIST_HISTORY_LENGTH),
-      { at: performance.now(), list: [...instances.values()] },
-    ];
-  }
-
-  function readLaggingList(): readonly ListedInstance[] {
-    const lag = faults.isActive('lagging-list')
-      ? (faults.consume('lagging-list')?.factor ?? options.listLagMs)
-      : options.listLagMs;
-    const limit = performance.now() - lag;
-    const snapshot = listHistory.filter(({ at }) => at <= limit).at(-1);
-    return snapshot?.list ?? listHistory[0]?.list ?? [];
-  }
-
   function registerKeyRoutes(app: FastifyInstance): void {
     app.get<{ Params: { '*': string }; Querystring: { known?: string; waitMs?: string } }>(
       '/v1/kv/*',
@@ -214,27 +186,21 @@
     leaseCalls.splice(0, leaseCalls.length - LEASE_CALLS_KEPT);
   }
 
-  function registerInstanceRoutes(app: FastifyInstance): void {
-    app.get('/v1/instances', async (_req, reply) => {
-      calls.lists += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      return reply.send({ instances: readLaggingList() });
-    });
-    app.post('/v1/instances', (req, reply) => {
-      const record = instanceSchema.parse(req.body);
-      instances = new Map(instances).set(record.id, record);
-      saveListSnapshot();
-      return reply.send({});
-    });
-    app.delete<{ Params: { id: string } }>('/v1/instances/:id', (req, reply) => {
-      instances = new Map([...instances].filter(([id]) => id !== req.params.id));
-      saveListSnapshot();
-      return reply.send({});
-    });
+  function getListLag(): Millis {
+    return faults.isActive('lagging-list')
+      ? (faults.consume('lagging-list')?.factor ?? options.listLagMs)
+      : options.listLagMs;
   }
 
+  const instances = createStandInInstances({
+    applyFaults,
+    getLag: getListLag,
+    now: () => performance.now(),
+    onList: () => {
+      calls.lists += 1;
+    },
+  });
+
   const server = await startStandInServer({
     host: options.host,
     port: options.port,
@@ -248,12 +214,12 @@
         now: wallNow,
         onCall: recordLeaseCall,
       });
-      registerInstanceRoutes(app);
+      instances.registerRoutes(app);
     },
     readLedger: () => ({
       calls,
       keys: values.size,
-      instances: instances.size,
+      instances: instances.count(),
       grants: leases.listRecords(),
       leaseCalls,
     }),
