Leave out of the lease soak's rule the times in which the store's process did not run

The rule counts these as times in which the store did not answer, and the report says how many there were, and how long.

--- a/packages/bench/src/SoakLeaseReport.ts
+++ b/packages/bench/src/SoakLeaseReport.ts
@@ -63,6 +63,8 @@
   readonly grantedAfterStop: readonly LeftLease[];
   readonly unplaced: readonly Gap[];
   readonly unregistered: readonly Gap[];
+  /** How long the process of the store did not run each time, as the machine was busy. */
+  readonly stalls: readonly Millis[];
   /** Violations of the rule on stopped processes, see SoakLeaseCheck. */
   readonly broken: readonly string[];
 }
@@ -87,6 +89,7 @@
     grantedAfterStop: stopped.flatMap((process) => listGrantedAfterStop(evidence, process)),
     unplaced: evidence.domains.flatMap((domain) => findUnplaced(evidence, domain)),
     unregistered: evidence.processes.flatMap((process) => findUnregistered(evidence, process)),
+    stalls: evidence.stalls.map(({ from, to }) => Math.round(to - from)),
     broken: checkLeases(evidence),
   };
 }
--- a/packages/bench/src/SoakLeaseTypes.ts
+++ b/packages/bench/src/SoakLeaseTypes.ts
@@ -83,6 +83,8 @@
   /** Times in which the store was faulty, and in which it was down. */
   readonly faulty: readonly Span[];
   readonly down: readonly Span[];
+  /** Times in which the process of the store did not run, as the machine was busy. */
+  readonly stalls: readonly Span[];
   /** When the last process was stopped for good; domains are not placed from then on. */
   readonly closedAt: Millis;
 }
--- a/packages/bench/src/__tests__/unit/SoakLeaseCheck.test.ts
+++ b/packages/bench/src/__tests__/unit/SoakLeaseCheck.test.ts
@@ -52,6 +52,7 @@
     domains: ['harbour'],
     faulty: [],
     down: [],
+    stalls: [],
     closedAt: 20_000,
   };
 }
@@ -92,6 +93,13 @@
     expect(checkLeases(getDown(EXIT - END_BOUND))).to.have.lengthOf(1);
   });
 
+  it('allows a key while the process of the store did not run', () => {
+    const evidence = createEvidence([]);
+    const getStalls = (to: Millis) => ({ ...evidence, stalls: [{ from: STOP + 500, to }] });
+    expect(checkLeases(getStalls(EXIT - END_BOUND + 1))).deep.equal([]);
+    expect(checkLeases(getStalls(EXIT - END_BOUND))).to.have.lengthOf(1);
+  });
+
   it('finds a process that is killed at the end of its grace', () => {
     const killed = { endedAt: STOP + 8000, end: 'SIGKILL' };
     expect(checkLeases(createEvidence([], STOP, killed))).deep.equal([
