--- a/packages/stand-ins/src/StandInPlatform.ts
+++ b/packages/stand-ins/src/StandInPlatform.ts
@@ -5,16 +5,20 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { z } from 'zod';
+import type { Millis } from '@skylarksail/core/CoreTypes';
 import { createFaultInjector } from './StandInFaults.js';
+import { createStandInInstances } from './StandInInstances.js';
+import type { LeaseCallRecord } from './StandInLeaseRoutes.js';
+import { registerLeaseRoutes } from './StandInLeaseRoutes.js';
+import { createStandInLeases } from './StandInLeases.js';
 import type { StandInServer } from './StandInServer.js';
 import { startStandInServer } from './StandInServer.js';
 
 const VALUE_LIMIT_BYTES = 1024 * 1024;
 const STATUS_CONFLICT = 409;
 const STATUS_TOO_LARGE = 413;
-const STATUS_HELD = 423;
-const STATUS_LAPSED = 410;
-const LIST_HISTORY_LENGTH = 64;
+/** Older calls for leases are dropped from the ledger. */
+const LEASE_CALLS_KEPT = 10_000;
 
 export interface StandInPlatformOptions {
   readonly host: string;
@@ -32,39 +36,19 @@
   readonly value: string;
 }
 
-interface Lease {
-  readonly holder: string;
-  readonly fencing: number;
-  readonly ttlMs: number;
-  readonly expiresAt: number;
-}
-
 const compareAndSwapSchema = z.strictObject({ expected: z.int().min(0), value: z.string() });
-const leaseSchema = z.strictObject({ holder: z.string().min(1), ttlMs: z.number().positive() });
-const fencingSchema = z.strictObject({ holder: z.string().min(1), fencing: z.int() });
-const instanceSchema = z.strictObject({
-  id: z.string(),
-  role: z.enum(['entry', 'engine', 'service']),
-  domain: z.string(),
-  rack: z.string(),
-  address: z.strictObject({ host: z.string(), port: z.int() }),
-  peerPort: z.int(),
-  state: z.enum(['live', 'leaving']),
-});
-
-type ListedInstance = z.output<typeof instanceSchema>;
 
+/** Starts the stand-in; resolves when it listens. */
 export async function startStandInPlatform(
   options: StandInPlatformOptions,
 ): Promise<StandInPlatform> {
   const faults = createFaultInjector(() => performance.now());
   const values = new Map<string, StoredValue>();
-  const leases = new Map<string, Lease>();
-  const fencingNumbers = new Map<string, number>();
+  const wallNow = (): Millis => performance.timeOrigin + performance.now();
+  const leases = createStandInLeases(wallNow);
+  const leaseCalls: LeaseCallRecord[] = [];
   const watchersByKey = new Map<string, Set<() => void>>();
   const calls = { reads: 0, writes: 0, watches: 0, leases: 0, lists: 0 };
-  let instances = new Map<string, ListedInstance>();
-  let listHistory: { readonly at: number; readonly list: readonly ListedInstance[] }[] = [];
   let lastRevision = 0;
 
   /** Applies faults before a call takes effect; true if the connection must be closed unanswered. */
@@ -127,27 +111,6 @@
     });
   }
 
-  function readLease(key: string): Lease | null {
-    const lease = leases.get(key);
-    return lease && lease.expiresAt > performance.now() ? lease : null;
-  }
-
-  function saveListSnapshot(): void {
-    listHistory = [
-      ...listHistory.slice(-LIST_HISTORY_LENGTH),
-      { at: performance.now(), list: [...instances.values()] },
-    ];
-  }
-
-  function readLaggingList(): readonly ListedInstance[] {
-    const lag = faults.isActive('lagging-list')
-      ? (faults.consume('lagging-list')?.factor ?? options.listLagMs)
-      : options.listLagMs;
-    const limit = performance.now() - lag;
-    const snapshot = listHistory.filter(({ at }) => at <= limit).at(-1);
-    return snapshot?.list ?? listHistory[0]?.list ?? [];
-  }
-
   function registerKeyRoutes(app: FastifyInstance): void {
     app.get<{ Params: { '*': string }; Querystring: { known?: string; waitMs?: string } }>(
       '/v1/kv/*',
@@ -199,6 +162,9 @@
         }
         const key = req.params['*'];
         const stored = writeEntry(key, Number(req.query.expected), null);
+        if (dropAnswer(reply)) {
+          return reply;
+        }
         return stored
           ? reply.send({ revision: stored.revision })
           : reply.code(STATUS_CONFLICT).send({ revision: readEntry(key).revision });
@@ -214,87 +180,49 @@
     });
   }
 
-  function registerLeaseRoutes(app: FastifyInstance): void {
-    app.post<{ Params: { '*': string } }>('/v1/leases/*', async (req, reply) => {
-      calls.leases += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      const key = req.params['*'];
-      const { holder, ttlMs } = leaseSchema.parse(req.body);
-      const current = readLease(key);
-      if (current && current.holder !== holder) {
-        return reply.code(STATUS_HELD).send({ holder: current.holder });
-      }
-      const fencing = (fencingNumbers.get(key) ?? 0) + 1;
-      fencingNumbers.set(key, fencing);
-      leases.set(key, { holder, fencing, ttlMs, expiresAt: performance.now() + ttlMs });
-      return dropAnswer(reply) ? reply : reply.send({ key, holder, fencing, ttl: ttlMs });
-    });
-    app.put<{ Params: { '*': string } }>('/v1/leases/*', async (req, reply) => {
-      calls.leases += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      const key = req.params['*'];
-      const { holder, fencing } = fencingSchema.parse(req.body);
-      const current = readLease(key);
-      if (!current || current.holder !== holder || current.fencing !== fencing) {
-        return reply.code(STATUS_LAPSED).send({});
-      }
-      leases.set(key, { ...current, expiresAt: performance.now() + current.ttlMs });
-      return dropAnswer(reply) ? reply : reply.send({ key, holder, fencing, ttl: current.ttlMs });
-    });
-    app.delete<{ Params: { '*': string }; Querystring: { holder: string; fencing: string } }>(
-      '/v1/leases/*',
-      async (req, reply) => {
-        calls.leases += 1;
-        if (await applyFaults()) {
-          return reply.raw.destroy();
-        }
-        const current = readLease(req.params['*']);
-        const isHolder =
-          current?.holder === req.query.holder && current.fencing === Number(req.query.fencing);
-        if (!isHolder) {
-          return reply.code(STATUS_LAPSED).send({});
-        }
-        leases.delete(req.params['*']);
-        return reply.send({});
-      },
-    );
+  function recordLeaseCall(call: LeaseCallRecord): void {
+    calls.leases += 1;
+    leaseCalls.push(call);
+    leaseCalls.splice(0, leaseCalls.length - LEASE_CALLS_KEPT);
   }
 
-  function registerInstanceRoutes(app: FastifyInstance): void {
-    app.get('/v1/instances', async (_req, reply) => {
-      calls.lists += 1;
-      if (await applyFaults()) {
-        return reply.raw.destroy();
-      }
-      return reply.send({ instances: readLaggingList() });
-    });
-    app.post('/v1/instances', (req, reply) => {
-      const record = instanceSchema.parse(req.body);
-      instances = new Map(instances).set(record.id, record);
-      saveListSnapshot();
-      return reply.send({});
-    });
-    app.delete<{ Params: { id: string } }>('/v1/instances/:id', (req, reply) => {
-      instances = new Map([...instances].filter(([id]) => id !== req.params.id));
-      saveListSnapshot();
-      return reply.send({});
-    });
+  function getListLag(): Millis {
+    return faults.isActive('lagging-list')
+      ? (faults.consume('lagging-list')?.factor ?? options.listLagMs)
+      : options.listLagMs;
   }
 
+  const instances = createStandInInstances({
+    applyFaults,
+    getLag: getListLag,
+    now: () => performance.now(),
+    onList: () => {
+      calls.lists += 1;
+    },
+  });
+
   const server = await startStandInServer({
     host: options.host,
     port: options.port,
     faults,
     registerRoutes: (app) => {
       registerKeyRoutes(app);
-      registerLeaseRoutes(app);
-      registerInstanceRoutes(app);
+      registerLeaseRoutes(app, {
+        leases,
+        faults,
+        applyFaults,
+        now: wallNow,
+        onCall: recordLeaseCall,
+      });
+      instances.registerRoutes(app);
     },
-    readLedger: () => ({ calls, keys: values.size, instances: instances.size }),
+    readLedger: () => ({
+      calls,
+      keys: values.size,
+      instances: instances.count(),
+      grants: leases.listRecords(),
+      leaseCalls,
+    }),
   });
   return { server };
 }
