Send the release of a lease although the store's circuit is open, and repeat it within a second

Cause: the client's circuit breaker held the release back for up to 5 s after the platform's return, and a release without an answer was repeated after 1.6 s only. Change: a release is sent whether or not the circuit is open; only the few holders of placement leases send any. A call that ends a lease times out after 0.8 s at the latest.

--- a/packages/placement/src/__tests__/unit/PlacementStop.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementStop.test.ts
@@ -69,6 +69,19 @@
     expect(getDoneAt()).to.be.within(1000, 2000);
   });
 
+  it('repeats a release that gets no answer within a second', async () => {
+    // Guards against a process that ends while its first release still waits for an answer, which takes a long timeout.
+    const bed = createPlacementBed();
+    bed.start('a');
+    await bed.run(100);
+    bed.platform.setFaults({ outage: true });
+    stopRunner(bed);
+    await bed.run(700);
+    bed.platform.setFaults({ outage: false });
+    await bed.run(700);
+    expect(isTaken(bed)).to.equal(false);
+  });
+
   it('is done two seconds after the first release, and then calls the store no more', async () => {
     // Guards against a stop that outlasts its grace for a duty that ended before, or goes on calling afterwards.
     const bed = createPlacementBed();
--- a/packages/store/src/StoreClient.ts
+++ b/packages/store/src/StoreClient.ts
@@ -62,6 +62,13 @@
 /** A long-poll watch times out this long after the service should have answered it. */
 const WATCH_GRACE: Millis = 1000;
 
+interface CallRules {
+  /** How much later than its timeout a call is given up. */
+  readonly grace?: Millis;
+  /** Whether the call is sent while the circuit is open. */
+  readonly isUrgent?: boolean;
+}
+
 type SendCall<T> = (options: CallOptions) => Promise<StoreOutcome<T>>;
 
 /** Creates the client. Nothing is sent until a call is made. */
@@ -129,15 +136,15 @@
     use: StoreUseName,
     { timeout }: CallOptions,
     send: SendCall<T>,
-    grace: Millis = 0,
+    { grace = 0, isUrgent = false }: CallRules = {},
   ): Promise<StoreOutcome<T>> {
     const startedAt = timers.now();
     const asked = admitCall(circuit, circuitSettings, startedAt);
-    circuit = asked.circuit;
-    if (asked.wait > 0) {
+    if (asked.wait > 0 && !isUrgent) {
       count('heldBack');
       return { kind: 'refused', reason: { kind: 'unavailable', retryAfter: asked.wait } };
     }
+    circuit = asked.circuit;
     const remainingWait = await waitForBudget(kind, use, timeout * MAX_BUDGET_WAIT_SHARE);
     if (remainingWait > 0) {
       count('overBudget');
@@ -166,11 +173,13 @@
         call('write', use, opts, (o) => port.remove(key, expected, o)),
       list: (prefix, opts) => call('read', use, opts, (o) => port.list(prefix, o)),
       watch: (key, known, opts) =>
-        call('read', use, opts, (o) => port.watch(key, known, o), WATCH_GRACE),
+        call('read', use, opts, (o) => port.watch(key, known, o), { grace: WATCH_GRACE }),
       acquireLease: (key, holder, ttl, opts) =>
         call('write', use, opts, (o) => port.acquireLease(key, holder, ttl, o)),
       renewLease: (lease, opts) => call('write', use, opts, (o) => port.renewLease(lease, o)),
-      releaseLease: (lease, opts) => call('write', use, opts, (o) => port.releaseLease(lease, o)),
+      // The process is about to end, and few instances hold leases: the circuit would hold a release back for seconds.
+      releaseLease: (lease, opts) =>
+        call('write', use, opts, (o) => port.releaseLease(lease, o), { isUrgent: true }),
       listInstances: (opts) => call('read', use, opts, (o) => port.listInstances(o)),
     };
   }
--- a/packages/store/src/StoreLeaseHolder.ts
+++ b/packages/store/src/StoreLeaseHolder.ts
@@ -55,6 +55,8 @@
 /** Share of the TTL after which a lease that was lost or not acquired is requested again. */
 const REACQUIRE_SHARE = 0.25;
 const JITTER_SHARE = 0.3;
+/** Longest timeout of a call that ends a lease: a process that stops has time for few of them. */
+const MAX_END_TIMEOUT: Millis = 800;
 /** TTLs for which a lease is tried to be ended. */
 const END_TIMES = 2;
 
@@ -68,6 +70,7 @@
   const { port, timers, random, key, holder, ttl, margin } = options;
   const validTime = ttl - margin;
   const callOptions = { timeout: validTime * CALL_TIMEOUT_SHARE };
+  const endOptions = { timeout: Math.min(callOptions.timeout, MAX_END_TIMEOUT) };
   const ends = createLeaseEnds({ timers, random, giveUpAfter: ttl * END_TIMES });
   let held: HeldLease | null = null;
   /** The last lease that was granted, until the service has said that it ended. */
@@ -127,7 +130,7 @@
 
   /** Requests the lease, which replaces any that this holder may already have, and notes what the answer settles. */
   async function requestLease(): Promise<StoreOutcome<StoreLease>> {
-    const outcome = await port.acquireLease(key, holder, ttl, callOptions);
+    const outcome = await port.acquireLease(key, holder, ttl, stopped ? endOptions : callOptions);
     if (outcome.kind === 'done') {
       granted = outcome.value;
       mayBeAcquired = false;
@@ -180,7 +183,7 @@
     if (granted === null || isClosed) {
       return { kind: 'done', value: null };
     }
-    const outcome = await port.releaseLease(granted, callOptions);
+    const outcome = await port.releaseLease(granted, endOptions);
     if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
       noteLapsed();
     } else if (outcome.kind === 'done') {
--- a/packages/store/src/__tests__/unit/StoreClient.test.ts
+++ b/packages/store/src/__tests__/unit/StoreClient.test.ts
@@ -78,4 +78,24 @@
     // This instance's share is one write per second, with a burst of 4. Claims have their own bucket.
     expect(platform.countCalls().writes).to.be.within(10, 15);
   });
+
+  it('sends the release of a lease while the circuit is open', async () => {
+    // Guards against a stopped instance whose lease stays: the circuit holds the release back until the process is gone.
+    const { timers, platform, client } = createBed(1);
+    const port = client.forUse('leases');
+    const lease = port.acquireLease('k', 'a', 20_000, { timeout: 100 });
+    await timers.advanceToAsync(100);
+    const granted = await lease;
+    platform.setFaults({ outage: true });
+    for (let i = 0; i < 8; i++) {
+      void port.get('other', { timeout: 100 });
+      await timers.advanceToAsync(200 + i * 200);
+    }
+    expect(client.isCircuitOpen()).to.equal(true);
+    platform.setFaults({ outage: false });
+    const released = granted.kind === 'done' && port.releaseLease(granted.value, { timeout: 100 });
+    await timers.advanceToAsync(2000);
+    expect(await released).to.deep.equal({ kind: 'done', value: null });
+    expect(client.isCircuitOpen()).to.equal(false);
+  });
 });
