Give the daemons of a test a grace period beyond their balancer's lag

Cause: since DaemonAbort no longer compares times, its lag is ten minutes, and the check of the settings refuses a grace that isn't longer. Change: the harness takes twice the lag where that is more than its ten seconds.

--- a/packages/daemon/src/__tests__/unit/DaemonHarness.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonHarness.ts
@@ -197,7 +197,7 @@
         secrets: { peer: { env: 'TEST_PEER_SECRET' }, operator: { env: 'TEST_OPERATOR_TOKEN' } },
         limits: { bodyBytes: 20_000, receiveTimeoutMs: 1000 },
         weightStore: { burstMs: 100 },
-        shutdown: { balancerLagMs, graceMs: 10_000 },
+        shutdown: { balancerLagMs, graceMs: Math.max(10_000, 2 * balancerLagMs) },
         log: { level: 'silent' },
       }),
       logger,
