--- a/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayCatalogue.test.ts
@@ -75,10 +75,7 @@
   });
 }
 
-/**
- * Whether a server that had no entry at `from` was removed on the news of peers, which gave them in each step for a grace
- * period after that, in one outage.
- */
+/** Whether a server without an entry since `from` was removed on peers' news, given in each step for a grace period. */
 function hasPeerGraceEnd(past: readonly TimedStep[], from: Millis): boolean {
   let isLost = false;
   let since = Infinity;
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -0,0 +1,168 @@
+/** A store, one failure domain with four engines, and the instances that a test starts, in virtual time. */
+import { pino } from 'pino';
+import { createRandom } from '@skylarksail/core/CoreRandom';
+import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import type { LayerRange, Millis } from '@skylarksail/core/CoreTypes';
+import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import { FailurePlace } from '@skylarksail/requests/RequestPorts';
+import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
+import type { StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { RelayParts } from '../../RelayParts.js';
+import { startRelayParts } from '../../RelayParts.js';
+import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
+import type { BackendPorts } from '../../RelayPorts.js';
+import { createBackend, createConfig } from './RelayFixtures.js';
+
+const CONFIG_KEY = 'config';
+/** Prefix of the engines' keys. */
+export const BACKENDS = 'backends/';
+
+interface SentOrder {
+  readonly by: string;
+  readonly engine: string;
+  readonly range: LayerRange;
+  readonly at: number;
+}
+
+/** Creates the setup; no instance runs yet. */
+export function createPartsBed() {
+  const timers = createVirtualTimers();
+  const store = createFakeRangeStore(timers);
+  const parts = new Map<string, RelayParts>();
+  const layers = new Map<string, LayerRange>();
+  const leaving = new Set<string>();
+  const gone = new Set<string>();
+  const orders: SentOrder[] = [];
+  let suspendedTime = 0;
+
+  const createBackends = (by: string): BackendPorts => ({
+    openEngineCall: (call, listener) => {
+      const refusing = call.chain.stages.find(({ engine }) => leaving.has(engine));
+      queueMicrotask(() =>
+        listener.onFailure({
+          place: FailurePlace.Stage,
+          engine: refusing?.engine ?? null,
+          status: 503,
+          retryAfter: null,
+          provenNotRun: true,
+        }),
+      );
+      return () => undefined;
+    },
+    openServiceCall: () => () => undefined,
+    orders: {
+      readStatus: ({ id }) =>
+        Promise.resolve({
+          born: null,
+          orderCount: 0,
+          isBusy: false,
+          layers: layers.get(id) ?? null,
+        }),
+      order: ({ id }, range) => {
+        orders.push({ by, engine: id, range, at: timers.now() });
+        layers.set(id, range);
+        return Promise.resolve('accepted');
+      },
+    },
+    readHealth: ({ id }) =>
+      Promise.resolve(leaving.has(id) ? { kind: 'leaving' } : { kind: 'well', id }),
+  });
+
+  function readContent({ key, value }: { key: string; value: string }): StoreContent {
+    if (key === CONFIG_KEY) {
+      return { kind: 'config', config: createConfig() };
+    }
+    return key.startsWith(BACKENDS)
+      ? { kind: 'backend', entry: JSON.parse(value) as BackendEntry }
+      : { kind: 'other' };
+  }
+
+  function start(id: string, port: StoreRangePort = store): void {
+    const address = { host: '127.0.0.1', port: parts.size + 1 };
+    const ids = [...parts.keys(), id];
+    parts.set(
+      id,
+      startRelayParts({
+        self: { id, domain: 'd1', address },
+        mostCopies: 1,
+        bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
+        domains: ['d1'],
+        changeTime: 2000,
+        minLeaseTime: 1000,
+        timers,
+        wallNow: () => timers.now() + suspendedTime,
+        random: createRandom(ids.length),
+        store: port,
+        readContent,
+        readBackendKey: (key) => (key.startsWith(BACKENDS) ? key.slice(BACKENDS.length) : null),
+        askPeer: ({ port: to }, since) => {
+          const peer = [...parts.keys()][to - 1] ?? '';
+          const answer = gone.has(peer) ? undefined : parts.get(peer)?.peers.answer(since, true);
+          return Promise.resolve(answer ?? { kind: 'silent' });
+        },
+        askForUpdates: async ({ id: peer }, ask) => {
+          const answer = gone.has(peer) ? undefined : await parts.get(peer)?.updates.answer(ask);
+          return answer ?? { kind: 'silent' };
+        },
+        askGrant: ({ id: peer }, service, wanted) =>
+          Promise.resolve(
+            gone.has(peer) ? 0 : (parts.get(peer)?.retries.grant(service, wanted) ?? 0),
+          ),
+        createBackends: () => createBackends(id),
+        logger: pino({ level: 'silent' }),
+        decisions: { record: () => undefined, read: () => [] },
+        metrics: createDaemonMetrics(),
+      }),
+    );
+  }
+
+  store.put(CONFIG_KEY, '');
+  [0, 2, 4, 6].forEach((first, i) => {
+    const id = `e${i}`;
+    layers.set(id, { first, end: first + 2 });
+    store.put(`${BACKENDS}${id}`, JSON.stringify(createBackend(id, { layers: layers.get(id) })));
+  });
+
+  return {
+    timers,
+    store,
+    parts,
+    orders,
+    leaving,
+    gone,
+    start,
+    /** Simulates a suspension of all processes: only the wall clock advances, the monotonic clock does not. */
+    suspend: (time: Millis) => {
+      suspendedTime += time;
+    },
+    /** Sends a request to an instance, so that it notices which engines refuse work; returns the refusals. */
+    call: (id: string, path = '/letters/1') => {
+      const call: RelayCall = {
+        id: `${timers.now()}`,
+        host: 'h',
+        method: 'POST',
+        path,
+        headers: {},
+        key: 'key',
+        timeLeft: 5000,
+        body: Buffer.from('x'),
+        promptTokens: 10,
+        maxTokens: 10,
+      };
+      const ignore = () => undefined;
+      const refusals: RelayRefusal[] = [];
+      parts.get(id)?.intake.submit(call, {
+        onHead: ignore,
+        onEvent: ignore,
+        onEnd: ignore,
+        onAborted: ignore,
+        onAnswer: ignore,
+        onRefused: (refusal) => refusals.push(refusal),
+      });
+      return refusals;
+    },
+    findPlacer: () => [...parts].find(([, { readState }]) => readState().duties === 1)?.[0] ?? '',
+  };
+}
+
+export type PartsBed = ReturnType<typeof createPartsBed>;
