Log what is known of a request's crashes with each crash, and count crashes and planned ends

Change: a line `crash` per broken attempt (engine, fingerprint, verdict, crashes known and left out, by reason), and two counters.

--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -19,6 +19,8 @@
   retriesDenied: 'retries_denied',
   recoveries: 'recoveries',
   poisonRefused: 'poison_requests_refused',
+  crashes: 'requests_broken_by_crashes',
+  plannedEnds: 'requests_broken_by_planned_ends',
   gaveUpAttemptsSpent: 'requests_given_up_attempts_spent',
   gaveUpMustNotRepeat: 'requests_given_up_must_not_repeat',
   gaveUpFruitless: 'requests_given_up_fruitless',
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -5,7 +5,7 @@
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
-import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHandle } from './ClaimRunner.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
@@ -13,6 +13,7 @@
 import { stepRequest } from './RequestMachine.js';
 import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
+import type { Fingerprint, PoisonTally } from './RequestPoison.js';
 import { computeFingerprint, PoisonVerdict } from './RequestPoison.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
@@ -39,6 +40,19 @@
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
+function describeCrash(
+  engine: EngineId,
+  fingerprint: Fingerprint,
+  tally: PoisonTally | null,
+): string {
+  if (tally === null) {
+    return `${engine} leaves, no crash of ${fingerprint}`;
+  }
+  const { verdict, known, counted, inOutages, cleared, disproven } = tally;
+  const leftOut = `${inOutages} in outages, ${cleared} cleared, ${disproven} disproven`;
+  return `${engine} ${fingerprint} ${verdict}: ${counted} of ${known} count, ${leftOut}`;
+}
+
 /** Starts a request; its sink receives all further events. */
 export function startModelRun(
   shared: RouterShared,
@@ -280,7 +294,9 @@
       shared.progress.noteLost(engine, effect.place !== FailurePlace.Silence, timers.now());
     }
     if (effect.isCrash) {
-      noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
+      const tally = noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
+      countMetric(shared, tally === null ? 'plannedEnds' : 'crashes');
+      log('crash', describeCrash(engine, fingerprint, tally));
     }
   }
 
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -152,6 +152,39 @@
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
 
+/** How the crashes known of a request count towards its verdict. */
+export interface PoisonTally {
+  readonly verdict: PoisonVerdictName;
+  /** Crashes at which it was running, whether they count or not. */
+  readonly known: number;
+  readonly counted: number;
+  /** Left out, since unrelated engines ended within the same second. */
+  readonly inOutages: number;
+  /** Left out, since the request made progress afterwards. */
+  readonly cleared: number;
+  /** Left out, since the engine's process was seen alive afterwards. */
+  readonly disproven: number;
+}
+
+/** Lists how the crashes known of a request count, for the log. */
+export function tallyCrashes(
+  state: PoisonState,
+  fingerprint: Fingerprint,
+  now: Millis,
+): PoisonTally {
+  const known = [...state.crashes.values()].filter(
+    ({ expiresAt, suspects }) => expiresAt > now && suspects.has(fingerprint),
+  );
+  return {
+    verdict: judgeRequest(state, fingerprint, now),
+    known: known.length,
+    counted: listCountedCrashes(state, fingerprint, now).length,
+    inOutages: known.filter((crash) => isPartOfOutage(state, crash, fingerprint)).length,
+    cleared: known.filter(({ cleared }) => cleared.has(fingerprint)).length,
+    disproven: known.filter(({ disproven }) => disproven).length,
+  };
+}
+
 /** Lists uncleared suspects that share a crash with the request and should run on other engines. */
 export function listCoSuspects(
   state: PoisonState,
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -1,13 +1,14 @@
 /** Connects running requests to poison detection and to the progress tracking of engines. */
 import type { Chain } from '@skylarksail/core/CoreChain';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { Fingerprint } from './RequestPoison.js';
+import type { Fingerprint, PoisonTally } from './RequestPoison.js';
 import {
   createCrashId,
   listCoSuspects,
   noteCrash,
   noteSurvival,
   PoisonVerdict,
+  tallyCrashes,
 } from './RequestPoison.js';
 import type { RouterShared } from './RouterShared.js';
 import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
@@ -41,27 +42,29 @@
 /**
  * Records that a request was running on an engine that crashed, and stops all runs of the request if it is
  * now condemned. Requests that had run there for long are tracked separately from those that had just begun,
- * which are few.
+ * which are few. Returns what is known of the request's crashes now; null if the engine's end is no crash.
  */
 export function noteRunCrash(
   shared: RouterShared,
   fingerprint: Fingerprint,
   engine: EngineId,
   attemptTokens: number,
-): void {
+): PoisonTally | null {
   // A leaving engine ends its own streams. If that counted as a crash, two engines replaced one after the
   // other would condemn a request that ran on both.
   if (shared.deps.isEnding?.(engine)) {
-    return;
+    return null;
   }
   const now = shared.deps.timers.now();
   const bootId = shared.deps.getBootId(engine) ?? 'unknown';
   const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
   shared.setPoison(noteCrash(shared.getPoison(), crash, fingerprint, now));
+  const tally = tallyCrashes(shared.getPoison(), fingerprint, now);
   // One report can condemn only this request; checking all on each report would take quadratic time.
-  if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Condemned) {
+  if (tally.verdict === PoisonVerdict.Condemned) {
     stopRunsOf(shared, fingerprint);
   }
+  return tally;
 }
 
 /** Stops all runs of a condemned request. */
