--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayCrashReports.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import { FailurePlace } from '@skylarksail/requests/RequestPorts';
+import type { PartsBed } from './RelayPartsBed.js';
+import { BACKENDS, createPartsBed } from './RelayPartsBed.js';
+
+const RANGES = [0, 2, 4, 6].map((first) => ({ first, end: first + 2 }));
+const COPIES = 8;
+/** Time from the begin of a run to the end of its engine. */
+const CRASH_DELAY: Millis = 90;
+const RESTART_TIME: Millis = 1000;
+const RESEND_PERIOD: Millis = 700;
+const SETTLE_TIME: Millis = 5000;
+/** Engines that such a request may cost the whole fleet: two show it, and one may begin before the others know. */
+const MOST_ENGINES = 3;
+
+interface BegunRun {
+  readonly request: string;
+  readonly engine: string;
+  readonly at: Millis;
+}
+
+/** Engines that end soon after they begin a request whose path contains `crash`, and come back under a new id. */
+function createCrashBed() {
+  const runs: BegunRun[] = [];
+  let starts = 0;
+  let bed: PartsBed | null = null;
+
+  function crash({ timers, store, crashed, addEngine }: PartsBed, engine: string): void {
+    crashed.add(engine);
+    timers.registerTimeout(RESTART_TIME, () => {
+      const { first = 0 } = RANGES[Number(engine.split('-')[1])] ?? {};
+      store.remove(`${BACKENDS}${engine}`);
+      starts += 1;
+      addEngine(`r${starts}-${first / 2}`, { first, end: first + 2 });
+    });
+  }
+
+  const openCall: OpenEngineCall = (call, listener) => {
+    const engine = call.chain.stages[0]?.engine ?? '';
+    const world = bed as PartsBed;
+    const [path = ''] = call.prompt.split('\n');
+    queueMicrotask(() =>
+      listener.onAcknowledged({ variant: call.chain.variant, stages: call.chain.stages }),
+    );
+    if (!path.includes('crash')) {
+      return world.timers.registerTimeout(CRASH_DELAY, () => {
+        listener.onToken(call.resumeTokens.length, 'w');
+        listener.onEnd('stop', call.resumeTokens.length + 1);
+      });
+    }
+    runs.push({ request: path, engine, at: world.timers.now() });
+    return world.timers.registerTimeout(CRASH_DELAY, () => {
+      if (!world.crashed.has(engine)) {
+        crash(world, engine);
+      }
+      const failure = { place: FailurePlace.Stream, engine, status: 200, retryAfter: null };
+      listener.onFailure({ ...failure, provenNotRun: false });
+    });
+  };
+  bed = createPartsBed(() => openCall);
+  RANGES.forEach((range, stage) => {
+    Array.from({ length: COPIES }, (_, i) => bed?.addEngine(`c${i}-${stage}`, range));
+  });
+  return { bed, runs };
+}
+
+describe('RelayCrashReports', () => {
+  it('lets a request that crashes its engines cost a fleet of seven instances three engines', async () => {
+    // Guards against each instance of the fleet finding out by itself, with engines of its own.
+    const { bed, runs } = createCrashBed();
+    const instances = Array.from({ length: 7 }, (_, i) => `i${i}`);
+    instances.forEach((id) => bed.start(id));
+    await bed.timers.advanceToAsync(SETTLE_TIME);
+    for (let i = 0; i < 3 * instances.length; i++) {
+      bed.call(instances[i % instances.length] ?? '', '/letters/crash');
+      await bed.timers.advanceToAsync(SETTLE_TIME + (i + 1) * RESEND_PERIOD);
+    }
+    expect(runs.map(({ engine }) => engine)).to.have.length.at.most(MOST_ENGINES);
+  });
+});
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -4,13 +4,14 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { LayerRange, Millis } from '@skylarksail/core/CoreTypes';
 import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
+import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
-import type { BackendPorts } from '../../RelayPorts.js';
+import type { BackendPorts, HealthAnswer } from '../../RelayPorts.js';
 import { createBackend, createConfig } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
@@ -24,31 +25,37 @@
   readonly at: number;
 }
 
+/** Engine calls of an instance, in place of ones that always fail. */
+export type OpenCallOf = (instance: string) => OpenEngineCall;
+
 /** Creates the setup; no instance runs yet. */
-export function createPartsBed() {
+export function createPartsBed(openCallOf: OpenCallOf | null = null) {
   const timers = createVirtualTimers();
   const store = createFakeRangeStore(timers);
   const parts = new Map<string, RelayParts>();
   const layers = new Map<string, LayerRange>();
   const leaving = new Set<string>();
   const gone = new Set<string>();
+  const crashed = new Set<string>();
   const orders: SentOrder[] = [];
   let suspendedTime = 0;
 
+  const openRefusedCall: OpenEngineCall = (call, listener) => {
+    const refusing = call.chain.stages.find(({ engine }) => leaving.has(engine));
+    queueMicrotask(() =>
+      listener.onFailure({
+        place: FailurePlace.Stage,
+        engine: refusing?.engine ?? null,
+        status: 503,
+        retryAfter: null,
+        provenNotRun: true,
+      }),
+    );
+    return () => undefined;
+  };
+
   const createBackends = (by: string): BackendPorts => ({
-    openEngineCall: (call, listener) => {
-      const refusing = call.chain.stages.find(({ engine }) => leaving.has(engine));
-      queueMicrotask(() =>
-        listener.onFailure({
-          place: FailurePlace.Stage,
-          engine: refusing?.engine ?? null,
-          status: 503,
-          retryAfter: null,
-          provenNotRun: true,
-        }),
-      );
-      return () => undefined;
-    },
+    openEngineCall: openCallOf?.(by) ?? openRefusedCall,
     openServiceCall: () => () => undefined,
     orders: {
       readStatus: ({ id }) =>
@@ -64,10 +71,21 @@
         return Promise.resolve('accepted');
       },
     },
-    readHealth: ({ id }) =>
-      Promise.resolve(leaving.has(id) ? { kind: 'leaving' } : { kind: 'well', id }),
+    readHealth: ({ id }) => Promise.resolve(readHealthOf(id)),
   });
 
+  function readHealthOf(id: string): HealthAnswer {
+    if (crashed.has(id)) {
+      return { kind: 'silent' };
+    }
+    return leaving.has(id) ? { kind: 'leaving' } : { kind: 'well', id };
+  }
+
+  function addEngine(id: string, range: LayerRange): void {
+    layers.set(id, range);
+    store.put(`${BACKENDS}${id}`, JSON.stringify(createBackend(id, { layers: range })));
+  }
+
   function readContent({ key, value }: { key: string; value: string }): StoreContent {
     if (key === CONFIG_KEY) {
       return { kind: 'config', config: createConfig() };
@@ -118,9 +136,7 @@
 
   store.put(CONFIG_KEY, '');
   [0, 2, 4, 6].forEach((first, i) => {
-    const id = `e${i}`;
-    layers.set(id, { first, end: first + 2 });
-    store.put(`${BACKENDS}${id}`, JSON.stringify(createBackend(id, { layers: layers.get(id) })));
+    addEngine(`e${i}`, { first, end: first + 2 });
   });
 
   return {
@@ -130,6 +146,9 @@
     orders,
     leaving,
     gone,
+    /** Engines that do not answer. */
+    crashed,
+    addEngine,
     start,
     /** Simulates a suspension of all processes: only the wall clock advances, the monotonic clock does not. */
     suspend: (time: Millis) => {
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -77,6 +77,50 @@
     expect(judgeRequest(rack, 'honest', 100)).to.equal(PoisonVerdict.Clean);
   });
 
+  it('condemns two requests that crash engines by turns within a second of each other', () => {
+    // Guards against such requests that excuse each other as an outage for as long as both come.
+    let state = createPoisonState(2);
+    for (let i = 0; i < 14; i++) {
+      state = crash(state, [i % 2 === 0 ? 'p' : 'q'], `e${i}`, i * 150);
+    }
+    const verdicts = ['p', 'q'].map((id) => judgeRequest(state, id, 3000));
+    expect(verdicts).to.deep.equal([PoisonVerdict.Condemned, PoisonVerdict.Condemned]);
+  });
+
+  it('condemns a request that crashes its engines after many tokens', () => {
+    // Guards against progress that clears a request of its earlier crashes in each run that ends in another.
+    let state = createPoisonState(2);
+    for (let i = 0; i < 4; i++) {
+      state = noteSurvival(state, 'p');
+      state = noteCrash(state, createCrashId(`e${i}`, 'boot', true), 'p', i * 5000);
+    }
+    expect(judgeRequest(state, 'p', 20_000)).to.equal(PoisonVerdict.Condemned);
+  });
+
+  it('does not condemn a request that was at one crash each of two others', () => {
+    // Guards against refusing an honest request that lost an engine beside each of two requests that crash them.
+    let state = crash(createPoisonState(2), ['p', 'honest'], 'x1', 0);
+    state = crash(state, ['q', 'honest'], 'x2', 20_000);
+    state = crash(state, ['p', 'b1'], 'x3', 40_000);
+    state = crash(state, ['q', 'b2'], 'x4', 60_000);
+    const verdicts = ['p', 'q'].map((id) => judgeRequest(state, id, 61_000));
+    expect(verdicts).to.deep.equal([PoisonVerdict.Condemned, PoisonVerdict.Condemned]);
+    expect(judgeRequest(state, 'honest', 61_000)).to.equal(PoisonVerdict.Suspect);
+  });
+
+  it('does not block a request for good that shares all its crashes with another', () => {
+    // Guards against an honest request that is delayed for an hour, since it ran beside the other each time.
+    let state = crash(createPoisonState(2), ['p', 'honest'], 'x', 0);
+    state = crash(state, ['p', 'honest'], 'y', 1000);
+    expect(judgeRequest(state, 'honest', 2000)).to.equal(PoisonVerdict.Ambiguous);
+    expect(judgeRequest(state, 'honest', 6000)).to.equal(PoisonVerdict.Suspect);
+    const many = ['u', 'v', 'w'].reduce(
+      (next, id) => crash(next, ['p', 'honest'], id, 20_000),
+      state,
+    );
+    expect(judgeRequest(many, 'p', 3_000_000)).to.equal('held');
+  });
+
   it('merges digests commutatively and idempotently', () => {
     const report = fc.record({
       crash: fc.constantFrom('c1', 'c2', 'c3'),
