Exchange reports of crashed engines between all instances of the fleet

What callers saw: a request that crashes its engines reached 14 and 15 of them, and the streams on each broke. Cause: on the platform no instance told another of such a request, so each of seven lost two engines before it refused. Class: a bound of the fleet kept by each instance alone, which grows with the fleet. Change: each instance sends the suspects that it observed to three collectors of different failure domains; these send the suspects of several crashes, which are all that a verdict needs, to every instance. Each message is sent until it is confirmed, and from the start to an instance that is new. Nothing is sent while no engine crashes.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -98,6 +98,7 @@
     askPeer: () => Promise.resolve({ kind: 'silent' }),
     askForUpdates: () => Promise.resolve({ kind: 'silent' }),
     askGrant: () => Promise.resolve(0),
+    sendCrashReports: () => Promise.resolve(false),
     createBackends: createIdleBackends,
     logger: pino({ level: 'silent' }),
     decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/RelayFanout.ts
+++ b/packages/relay/src/RelayFanout.ts
@@ -44,8 +44,11 @@
   if (reachable.length <= MAX_UNSHARED_FLEET || self.address === null) {
     return { level: FanoutLevel.Watcher, sources: [], isShared: false };
   }
-  const aggregators = selectAggregators(reachable);
-  const watchers = selectWatchers(aggregators);
+  const aggregators = selectByDomain(HASH_KEY, reachable, AGGREGATORS_PER_DOMAIN);
+  const watchers = rankAcrossDomains(HASH_KEY, aggregators, AGGREGATORS_PER_DOMAIN).slice(
+    0,
+    WATCHER_COUNT,
+  );
   if (watchers.some(({ id }) => id === self.id)) {
     return { level: FanoutLevel.Watcher, sources: [], isShared: true };
   }
@@ -55,30 +58,42 @@
     : { level: FanoutLevel.Subscriber, sources: own, isShared: true };
 }
 
-/** Aggregators of each domain in order of rank. */
-function selectAggregators(
+/** Selects `count` instances of different domains where possible, since a domain fails as a whole. */
+export function selectAcrossDomains(
+  key: string,
+  instances: readonly InstanceEntry[],
+  count: number,
+): readonly InstanceEntry[] {
+  return rankAcrossDomains(key, selectByDomain(key, instances, count), count).slice(0, count);
+}
+
+/** The first `count` instances of each domain in order of rank. */
+function selectByDomain(
+  key: string,
   instances: readonly InstanceEntry[],
+  count: number,
 ): ReadonlyMap<DomainId, readonly InstanceEntry[]> {
   const domains = new Set(instances.map(({ domain }) => domain));
   return new Map(
     [...domains].map((domain) => {
       const members = instances.filter((instance) => instance.domain === domain);
       const byId = new Map(members.map((member) => [member.id, member]));
-      const ids = selectOwners(HASH_KEY, [...byId.keys()], AGGREGATORS_PER_DOMAIN);
+      const ids = selectOwners(key, [...byId.keys()], count);
       return [domain, ids.flatMap((id) => byId.get(id) ?? [])];
     }),
   );
 }
 
-/** Selects aggregators of different domains where possible, since a domain fails as a whole. */
-function selectWatchers(
-  aggregators: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
+/** Lists the selected instances by rank, and those of the same rank by the rank of their domain. */
+function rankAcrossDomains(
+  key: string,
+  selected: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
+  count: number,
 ): readonly InstanceEntry[] {
-  const domains = selectOwners(HASH_KEY, [...aggregators.keys()], aggregators.size);
-  const ranked = Array.from({ length: AGGREGATORS_PER_DOMAIN }, (_, rank) =>
-    domains.flatMap((domain) => aggregators.get(domain)?.[rank] ?? []),
-  );
-  return ranked.flat().slice(0, WATCHER_COUNT);
+  const domains = selectOwners(key, [...selected.keys()], selected.size);
+  return Array.from({ length: count }, (_, rank) =>
+    domains.flatMap((domain) => selected.get(domain)?.[rank] ?? []),
+  ).flat();
 }
 
 /** Role of one instance, recomputed when the list of instances changes. */
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -24,12 +24,21 @@
   };
 }
 
-/** Wraps requests to peers to count update queries by outcome and the retries granted. */
-export function countPeerCalls(
-  peers: Pick<PeerHttp, 'askForUpdates' | 'askGrant'>,
-  metrics: DaemonMetrics,
-): Pick<PeerHttp, 'askForUpdates' | 'askGrant'> {
+/** Requests to peers that are counted. */
+type CountedPeerCalls = Pick<PeerHttp, 'askForUpdates' | 'askGrant' | 'sendCrashReports'>;
+
+/** Wraps requests to peers to count update queries and crash reports by outcome, and the retries granted. */
+export function countPeerCalls(peers: CountedPeerCalls, metrics: DaemonMetrics): CountedPeerCalls {
   return {
+    async sendCrashReports(...args) {
+      const isConfirmed = await peers.sendCrashReports(...args);
+      const outcome = isConfirmed ? 'confirmed' : 'unconfirmed';
+      metrics.count(
+        `crash_reports_${outcome}`,
+        `messages with crash reports that ended ${outcome}`,
+      );
+      return isConfirmed;
+    },
     async askForUpdates(...args) {
       const answer = await peers.askForUpdates(...args);
       metrics.count(`news_${answer.kind}`, `questions for news that ended ${answer.kind}`);
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -28,6 +28,8 @@
 import { createRelayEngines } from './RelayEngines.js';
 import { listModels } from './RelayFacts.js';
 import { createRelayHealth } from './RelayHealth.js';
+import type { SendCrashReports } from './RelayCrashReports.js';
+import { startRelayCrashReports } from './RelayCrashReports.js';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, RelayUpdates } from './RelayUpdates.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
@@ -70,6 +72,7 @@
   readonly askPeer: AskPeer;
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
+  readonly sendCrashReports: SendCrashReports;
   readonly createBackends: (view: BackendView) => BackendPorts;
   readonly logger: DaemonLogger;
   readonly decisions: DecisionLog;
@@ -325,6 +328,13 @@
     health.stop,
     startGate.stop,
     repeats.start(),
+    startRelayCrashReports({
+      timers,
+      self,
+      router,
+      listInstances: lease.listInstances,
+      sendCrashReports: options.sendCrashReports,
+    }),
   ];
   lease.start();
 
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -7,14 +7,21 @@
 import { collectResponseBody, startResponseTimeout } from '@skylarksail/core/CoreResponseTimeout';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
+import type { SendCrashReports } from './RelayCrashReports.js';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, UpdateAnswer, UpdateQuery } from './RelayUpdates.js';
 import type { AnswerFormName, PeerCodec } from './RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
-import { readUpdateQuery, readObservedMessage } from './RelayPeerMessages.js';
+import { readCrashReports, readUpdateQuery, readObservedMessage } from './RelayPeerMessages.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 
-const Path = { Changes: '/changes', Updates: '/news', Grants: '/grants' } as const;
+const Path = {
+  Changes: '/changes',
+  Updates: '/news',
+  Grants: '/grants',
+  Crashes: '/crashes',
+} as const;
 const CONTENT_TYPE = { 'content-type': 'application/msgpack' };
 const Status = { Ok: 200, NotFound: 404, Unavailable: 503 } as const;
 /** One for a long poll, one for queries that are answered at once, to avoid head-of-line blocking. */
@@ -42,12 +49,14 @@
   readonly updates: (ask: UpdateQuery) => Promise<UpdateAnswer>;
   /** Number of retries granted for a service. */
   readonly grant: (service: string, wanted: number) => number;
+  readonly crashes: (digest: PoisonDigest) => void;
 }
 
 export interface PeerHttp {
   readonly ask: AskPeer;
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
+  readonly sendCrashReports: SendCrashReports;
   /** Serves peers. Resolves to the port, which the system chooses if it was 0. */
   listen(address: HostPort, answers: PeerHandlers): Promise<number>;
   close(): Promise<void>;
@@ -104,6 +113,10 @@
       // A grant of more than was requested is invalid.
       return Number.isSafeInteger(granted) && granted > 0 && granted <= wanted ? granted : 0;
     },
+    async sendCrashReports({ address }, digest, timeout) {
+      const raw = address && (await send(address, Path.Crashes, timeout, pack(digest)));
+      return raw?.status === Status.Ok;
+    },
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
@@ -161,11 +174,24 @@
     case Path.Grants:
       res.end(String(answerGrant(asked, answers)));
       break;
+    case Path.Crashes:
+      res.writeHead(takeCrashReports(body, answers)).end();
+      break;
     default:
       res.writeHead(Status.NotFound).end();
   }
 }
 
+/** Merges a peer's crash reports; returns the HTTP status that confirms or refuses them. */
+function takeCrashReports(body: Buffer, handlers: PeerHandlers): number {
+  const digest = readCrashReports(body);
+  if (digest === null) {
+    return Status.NotFound;
+  }
+  handlers.crashes(digest);
+  return Status.Ok;
+}
+
 function answerChanges(
   asked: URLSearchParams,
   handlers: PeerHandlers,
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod/mini';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { UpdateQuery } from './RelayUpdates.js';
@@ -49,6 +50,20 @@
   others: reportedWork,
 });
 
+const names = z.array(z.string());
+
+const crashDigest = z.object({
+  reports: z.array(
+    z.object({
+      crash: z.string(),
+      age: count,
+      disproven: z.boolean(),
+      suspects: names,
+      cleared: names,
+    }),
+  ),
+});
+
 const observedEntries = z.array(
   z.object({
     id: z.string(),
@@ -98,6 +113,15 @@
   return observedEntries.parse(unpack(body));
 }
 
+/** Reads crash reports; null if they are invalid. */
+export function readCrashReports(body: Buffer): PoisonDigest | null {
+  try {
+    return crashDigest.parse(unpack(body));
+  } catch {
+    return null;
+  }
+}
+
 /** Reads a query for updates; null if it is invalid. */
 export function readUpdateQuery(body: Buffer): UpdateQuery | null {
   try {
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -126,6 +126,11 @@
           Promise.resolve(
             gone.has(peer) ? 0 : (parts.get(peer)?.retries.grant(service, wanted) ?? 0),
           ),
+        sendCrashReports: ({ id: peer }, digest) => {
+          const receiver = gone.has(peer) ? undefined : parts.get(peer);
+          receiver?.router.mergePoison(digest);
+          return Promise.resolve(receiver !== undefined);
+        },
         createBackends: () => createBackends(id),
         logger: pino({ level: 'silent' }),
         decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -7,6 +7,7 @@
 import { createSystemTimers } from '@skylarksail/daemon/DaemonTimers';
 import type { HostPort } from '@skylarksail/core/CoreTypes';
 import type { StoreEvent } from '@skylarksail/store/StoreRange';
+import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import { createCatalogue } from '../../RelayCatalogue.js';
 import type { Mirror } from '../../RelayMirror.js';
 import { createMirror } from '../../RelayMirror.js';
@@ -338,6 +339,7 @@
     const mirror = createMirror();
     mirror.apply(write('a', 'ä', 3));
     let hasNews = true;
+    const received: PoisonDigest[] = [];
     const host = '127.0.0.1';
     const answer = (since: number): PeerAnswer =>
       hasNews
@@ -351,6 +353,7 @@
           changes: answer,
           updates: () => Promise.resolve({ kind: 'deaf' }),
           grant: (_service, wanted) => wanted,
+          crashes: (digest) => received.push(digest),
         },
       ),
     };
@@ -358,7 +361,14 @@
     expect(await client.ask(address, 3, 1000)).to.deep.equal(answer(3));
     hasNews = false;
     expect(await client.ask(address, 0, 1000)).to.deep.equal(answer(0));
+    const report = { crash: 'e', age: 5, disproven: false, suspects: ['f', 'g'], cleared: ['g'] };
+    const peer = { id: 'p', domain: 'd', address };
+    expect(await client.sendCrashReports(peer, { reports: [report] }, 1000)).to.equal(true);
+    const invalid = { reports: [{ crash: 'e' }] } as unknown as PoisonDigest;
+    expect(await client.sendCrashReports(peer, invalid, 1000)).to.equal(false);
+    expect(received).to.deep.equal([{ reports: [report] }]);
     await server.close();
+    expect(await client.sendCrashReports(peer, { reports: [report] }, 1000)).to.equal(false);
     expect(await client.ask(address, 0, 1000)).to.deep.equal({ kind: 'silent' });
     await client.close();
   });
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -35,7 +35,8 @@
   readonly reports: readonly CrashReport[];
 }
 
-interface Crash {
+/** A crash and the requests that ran on the engine. */
+export interface Crash {
   readonly expiresAt: Millis;
   readonly disproven: boolean;
   readonly suspects: ReadonlySet<Fingerprint>;
@@ -204,19 +205,33 @@
 
 /** Creates the digest to send to other instances. */
 export function createPoisonDigest(state: PoisonState, now: Millis): PoisonDigest {
-  const reports: CrashReport[] = [];
-  for (const [crash, known] of state.crashes) {
-    if (known.expiresAt > now) {
-      reports.push({
-        crash,
-        age: CRASH_RETENTION - (known.expiresAt - now),
-        disproven: known.disproven,
-        suspects: [...known.suspects],
-        cleared: [...known.cleared],
-      });
+  const reports = [...state.crashes].flatMap(([id, crash]) =>
+    crash.expiresAt > now ? [createCrashReport(id, crash, now)] : [],
+  );
+  return { reports };
+}
+
+/** Creates the report of one crash. */
+export function createCrashReport(crash: CrashId, known: Crash, now: Millis): CrashReport {
+  return {
+    crash,
+    age: CRASH_RETENTION - (known.expiresAt - now),
+    disproven: known.disproven,
+    suspects: [...known.suspects],
+    cleared: [...known.cleared],
+  };
+}
+
+/** Lists the requests that were running at several crashes, whether they were cleared of them or not. */
+export function listRepeatedSuspects(state: PoisonState): ReadonlySet<Fingerprint> {
+  const once = new Set<Fingerprint>();
+  const repeated = new Set<Fingerprint>();
+  for (const { suspects } of state.crashes.values()) {
+    for (const suspect of suspects) {
+      (once.has(suspect) ? repeated : once).add(suspect);
     }
   }
-  return { reports };
+  return repeated;
 }
 
 /** Merges a digest received from another instance. */
@@ -228,9 +243,9 @@
   return digest.reports.reduce((merged, report) => mergeReport(merged, report, now), state);
 }
 
-/** Whether a digest contains anything new to this instance; otherwise it need not be forwarded. */
-export function isNewDigest(state: PoisonState, digest: PoisonDigest): boolean {
-  return digest.reports.some((report) => {
+/** Reports of a digest that contain anything new to this instance; the others need not be forwarded. */
+export function findNewReports(state: PoisonState, digest: PoisonDigest): readonly CrashReport[] {
+  return digest.reports.filter((report) => {
     const known = state.crashes.get(report.crash);
     return (
       !known ||
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -4,24 +4,19 @@
  */
 import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
-import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { startModelRun } from './ModelRunner.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
 import type { PoisonDigest } from './RequestPoison.js';
-import {
-  createCrashId,
-  createPoisonDigest,
-  createPoisonState,
-  isNewDigest,
-  mergePoisonDigest,
-  noteAlive,
-} from './RequestPoison.js';
+import { createCrashId, createPoisonDigest, noteAlive } from './RequestPoison.js';
 import { createProgressTracker } from './RequestProgress.js';
 import { createRecoveryQueue } from './RequestRecovery.js';
 import type { RequestHandle, RequestSink, RequestSpec } from './RequestTypes.js';
 import { createWorkQueue } from './RouterWorkQueue.js';
 import { createRouterBudgets } from './RouterBudgets.js';
+import type { ReportBatch } from './RouterCrashes.js';
+import { createRouterCrashes } from './RouterCrashes.js';
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedModels } from './RouterShared.js';
@@ -47,6 +42,12 @@
   getPoisonDigest(): PoisonDigest;
   /** Merges another instance's digest; returns whether it held new entries, which should be forwarded. */
   mergePoison(digest: PoisonDigest): boolean;
+  /** Lists the crash reports that this instance's observations changed after a position. */
+  listObservedCrashes(after: number): ReportBatch;
+  /** Lists the crash reports that changed after a position, with the suspects of several crashes only. */
+  listRepeatedCrashes(after: number): ReportBatch;
+  /** Calls `listener` after each change of the crash reports. */
+  registerCrashListener(listener: () => void): Unregister;
   /** Records that an engine is alive with this boot id, so it has not crashed since that boot. */
   noteEngineAlive(engine: string, bootId: string): void;
   /** Records that another instance has lost an engine, which is avoided for a short time if there are others. */
@@ -72,7 +73,10 @@
   );
   const serviceRuns = new Map<string, ServiceRun>();
   const drainWaiters: (() => void)[] = [];
-  let poison = createPoisonState(cfg.poisonCrashes);
+  const crashListeners = new Set<() => void>();
+  const crashes = createRouterCrashes(cfg.poisonCrashes, () => {
+    [...crashListeners].forEach((listener) => listener());
+  });
   const budgets = createRouterBudgets(deps);
   let isDraining = false;
   let stalledShare = 0;
@@ -91,10 +95,7 @@
     starved: createStarvedModels(),
     runs: new Map(),
     post: createWorkQueue(),
-    getPoison: () => poison,
-    setPoison: (state) => {
-      poison = state;
-    },
+    crashes,
     getBudget: budgets.get,
     setBudget: budgets.set,
     begunWaits: new Map(),
@@ -200,19 +201,22 @@
         resolveIfDrained();
       });
     },
-    getPoisonDigest: () => createPoisonDigest(poison, timers.now()),
+    getPoisonDigest: () => createPoisonDigest(crashes.getState(), timers.now()),
     mergePoison(digest) {
-      const hasNews = isNewDigest(poison, digest);
-      poison = mergePoisonDigest(poison, digest, timers.now());
-      if (hasNews) {
-        stopCondemned(shared);
-      }
-      return hasNews;
+      const news = crashes.merge(digest, timers.now());
+      stopCondemned(shared, new Set(news.flatMap(({ suspects }) => suspects)));
+      return news.length > 0;
+    },
+    listObservedCrashes: (after) => crashes.listObserved(after, timers.now()),
+    listRepeatedCrashes: (after) => crashes.listRepeated(after, timers.now()),
+    registerCrashListener(listener) {
+      crashListeners.add(listener);
+      return () => crashListeners.delete(listener);
     },
     noteEngineAlive(engine, bootId) {
       shared.progress.noteAlive(engine);
       for (const ranLong of [false, true]) {
-        poison = noteAlive(poison, createCrashId(engine, bootId, ranLong));
+        crashes.note((state) => noteAlive(state, createCrashId(engine, bootId, ranLong)));
       }
     },
     noteEngineLost: (engine) => shared.progress.noteLost(engine, false, timers.now()),
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -5,10 +5,11 @@
 import { hasRetry, noteFirstAttempt, refundRetry, takeRetry } from './RequestBudget.js';
 import type { GiveUpReasonName } from './RequestMessages.js';
 import { GiveUpReason } from './RequestMessages.js';
-import type { Fingerprint, PoisonState, PoisonVerdictName } from './RequestPoison.js';
+import type { Fingerprint, PoisonVerdictName } from './RequestPoison.js';
 import { judgeRequest } from './RequestPoison.js';
 import type { ProgressTracker } from './RequestProgress.js';
 import type { RecoveryQueue } from './RequestRecovery.js';
+import type { RouterCrashes } from './RouterCrashes.js';
 import type { PostWork } from './RouterWorkQueue.js';
 import type { RouterMeters } from './RouterMeters.js';
 import type { QueuedRun } from './RunQueue.js';
@@ -63,8 +64,7 @@
   readonly starved: StarvedModels;
   readonly runs: Map<string, ModelRun>;
   readonly post: PostWork;
-  readonly getPoison: () => PoisonState;
-  readonly setPoison: (state: PoisonState) => void;
+  readonly crashes: RouterCrashes;
   /** Retry budgets by model or service: calls to one must not fund retries at another. */
   readonly getBudget: (name: string) => RetryBudget;
   readonly setBudget: (name: string, budget: RetryBudget) => void;
@@ -129,7 +129,7 @@
   shared: RouterShared,
   fingerprint: Fingerprint,
 ): PoisonVerdictName {
-  return judgeRequest(shared.getPoison(), fingerprint, shared.deps.timers.now());
+  return judgeRequest(shared.crashes.getState(), fingerprint, shared.deps.timers.now());
 }
 
 /** Running requests whose fingerprint is in `wanted`. */
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -34,9 +34,7 @@
 
 /** Clears a request of the crashes of which it is a suspect. */
 export function clearCrashRecords(shared: RouterShared, fingerprint: Fingerprint): void {
-  if (shared.getPoison().crashes.size > 0) {
-    shared.setPoison(noteSurvival(shared.getPoison(), fingerprint));
-  }
+  shared.crashes.note((state) => noteSurvival(state, fingerprint));
 }
 
 /**
@@ -58,8 +56,8 @@
   const now = shared.deps.timers.now();
   const bootId = shared.deps.getBootId(engine) ?? 'unknown';
   const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
-  shared.setPoison(noteCrash(shared.getPoison(), crash, fingerprint, now));
-  const tally = tallyCrashes(shared.getPoison(), fingerprint, now);
+  shared.crashes.note((state) => noteCrash(state, crash, fingerprint, now));
+  const tally = tallyCrashes(shared.crashes.getState(), fingerprint, now);
   // One report can condemn only this request; checking all on each report would take quadratic time.
   if (tally.verdict === PoisonVerdict.Condemned) {
     stopRunsOf(shared, fingerprint);
@@ -72,9 +70,9 @@
   findRunsByFingerprint(shared, new Set([fingerprint])).forEach((run) => run.condemn());
 }
 
-/** Stops all running requests that are condemned, after another instance's digest was merged. */
-export function stopCondemned(shared: RouterShared): void {
-  for (const run of [...shared.runs.values()]) {
+/** Stops the running requests that are condemned among those that another instance's reports name. */
+export function stopCondemned(shared: RouterShared, named: ReadonlySet<Fingerprint>): void {
+  for (const run of findRunsByFingerprint(shared, named)) {
     if (getPoisonVerdict(shared, run.fingerprint) === PoisonVerdict.Condemned) {
       run.condemn();
     }
@@ -96,7 +94,7 @@
   if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Clean) {
     return silent.length > 0 ? [[...dead, ...silent], dead] : [dead];
   }
-  const fellowSuspects = listCoSuspects(shared.getPoison(), fingerprint, now);
+  const fellowSuspects = listCoSuspects(shared.crashes.getState(), fingerprint, now);
   const counts = new Map<EngineId, number>();
   for (const engine of findRunsByFingerprint(shared, fellowSuspects).flatMap((run) =>
     run.getEngines(),
