--- a/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
+++ b/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
@@ -4,12 +4,8 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { Fingerprint, PoisonDigest } from '@skylarksail/requests/RequestPoison';
-import {
-  createCrashId,
-  judgeRequest,
-  noteCrash,
-  PoisonVerdict,
-} from '@skylarksail/requests/RequestPoison';
+import { createCrashId, noteCrash } from '@skylarksail/requests/RequestPoison';
+import { judgeRequest, PoisonVerdict } from '@skylarksail/requests/RequestPoisonVerdict';
 import type { RouterCrashes } from '@skylarksail/requests/RouterCrashes';
 import { createRouterCrashes } from '@skylarksail/requests/RouterCrashes';
 import { startRelayCrashReports } from '../../RelayCrashReports.js';
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -50,34 +50,10 @@
   readonly crashLimit: number;
 }
 
-/** Assessment of a request. */
-export const PoisonVerdict = {
-  Clean: 'clean',
-  /** It was running at a crash: run it on other engines than the other suspects of that crash. */
-  Suspect: 'suspect',
-  /**
-   * It has reached the crash limit, but shares all its crashes with another suspect: delay new requests with
-   * this content, and continue begun ones on separate engines.
-   */
-  Ambiguous: 'ambiguous',
-  /** It is the only common suspect, but late reports of other instances may add suspects: delay it. */
-  Doubted: 'doubted',
-  /** It is the only common suspect of the crashes: refuse it. */
-  Condemned: 'condemned',
-} as const;
-
-export type PoisonVerdictName = (typeof PoisonVerdict)[keyof typeof PoisonVerdict];
-
 /** Time for which a crash is counted. */
 export const CRASH_RETENTION: Millis = 3_600_000;
 const RAN_LONG_SUFFIX = '/long';
 const MAX_CRASHES = 256;
-/** Time allowed for the reports of a crash from other instances to arrive. */
-const REPORT_DELAY: Millis = 500;
-/** A crash within this time of `OUTAGE_CRASHES` crashes of unrelated engines is attributed to an external cause. */
-const OUTAGE_WINDOW: Millis = 1000;
-const OUTAGE_CRASHES = 3;
-
 export function createPoisonState(crashLimit: number): PoisonState {
   return { crashes: new Map(), crashLimit };
 }
@@ -95,7 +71,7 @@
 }
 
 /** Returns the process of a crash id, without the mark for long-running suspects. */
-function getCrashedProcess(id: CrashId): string {
+export function getCrashedProcess(id: CrashId): string {
   return id.endsWith(RAN_LONG_SUFFIX) ? id.slice(0, -RAN_LONG_SUFFIX.length) : id;
 }
 
@@ -133,76 +109,6 @@
   return next;
 }
 
-export function judgeRequest(
-  state: PoisonState,
-  fingerprint: Fingerprint,
-  now: Millis,
-): PoisonVerdictName {
-  const counted = listCountedCrashes(state, fingerprint, now);
-  if (counted.length === 0) {
-    return PoisonVerdict.Clean;
-  }
-  if (counted.length < state.crashLimit) {
-    return PoisonVerdict.Suspect;
-  }
-  if (findCommonSuspects(counted).length > 1) {
-    return PoisonVerdict.Ambiguous;
-  }
-  const newest = Math.max(...counted.map((crash) => crash.expiresAt));
-  const age = CRASH_RETENTION - (newest - now);
-  return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
-}
-
-/** How the crashes known of a request count towards its verdict. */
-export interface PoisonTally {
-  readonly verdict: PoisonVerdictName;
-  /** Crashes at which it was running, whether they count or not. */
-  readonly known: number;
-  readonly counted: number;
-  /** Left out, since unrelated engines ended within the same second. */
-  readonly inOutages: number;
-  /** Left out, since the request made progress afterwards. */
-  readonly cleared: number;
-  /** Left out, since the engine's process was seen alive afterwards. */
-  readonly disproven: number;
-}
-
-/** Lists how the crashes known of a request count, for the log. */
-export function tallyCrashes(
-  state: PoisonState,
-  fingerprint: Fingerprint,
-  now: Millis,
-): PoisonTally {
-  const known = [...state.crashes.values()].filter(
-    ({ expiresAt, suspects }) => expiresAt > now && suspects.has(fingerprint),
-  );
-  return {
-    verdict: judgeRequest(state, fingerprint, now),
-    known: known.length,
-    counted: listCountedCrashes(state, fingerprint, now).length,
-    inOutages: known.filter((crash) => isPartOfOutage(state, crash, fingerprint)).length,
-    cleared: known.filter(({ cleared }) => cleared.has(fingerprint)).length,
-    disproven: known.filter(({ disproven }) => disproven).length,
-  };
-}
-
-/** Lists uncleared suspects that share a crash with the request and should run on other engines. */
-export function listCoSuspects(
-  state: PoisonState,
-  fingerprint: Fingerprint,
-  now: Millis,
-): ReadonlySet<Fingerprint> {
-  const coSuspects = new Set<Fingerprint>();
-  for (const crash of listCountedCrashes(state, fingerprint, now)) {
-    for (const suspect of listUncleared(crash)) {
-      if (suspect !== fingerprint) {
-        coSuspects.add(suspect);
-      }
-    }
-  }
-  return coSuspects;
-}
-
 /** Creates the digest to send to other instances. */
 export function createPoisonDigest(state: PoisonState, now: Millis): PoisonDigest {
   const reports = [...state.crashes].flatMap(([id, crash]) =>
@@ -292,47 +198,3 @@
 function withCrash(state: PoisonState, id: CrashId, crash: Crash): PoisonState {
   return { ...state, crashes: new Map(state.crashes).set(id, crash) };
 }
-
-function listCountedCrashes(
-  state: PoisonState,
-  fingerprint: Fingerprint,
-  now: Millis,
-): readonly Crash[] {
-  return [...state.crashes.values()].filter(
-    (crash) =>
-      !crash.disproven &&
-      crash.expiresAt > now &&
-      crash.suspects.has(fingerprint) &&
-      !crash.cleared.has(fingerprint) &&
-      !isPartOfOutage(state, crash, fingerprint),
-  );
-}
-
-/**
- * Whether a crash was part of an outage unrelated to the request: the loss of a rack or switch also takes
- * down engines that never ran it.
- */
-function isPartOfOutage(state: PoisonState, crash: Crash, fingerprint: Fingerprint): boolean {
-  const engines = new Set<string>();
-  const ownEngines = new Set<string>();
-  for (const [id, other] of state.crashes) {
-    const engine = getCrashedProcess(id);
-    if (other.suspects.has(fingerprint)) {
-      ownEngines.add(engine);
-    } else if (Math.abs(other.expiresAt - crash.expiresAt) <= OUTAGE_WINDOW) {
-      engines.add(engine);
-    }
-  }
-  // A crash can have two reports: one of long-running suspects and one of the others.
-  const others = [...engines].filter((engine) => !ownEngines.has(engine));
-  return others.length >= OUTAGE_CRASHES;
-}
-
-function listUncleared(crash: Crash): readonly Fingerprint[] {
-  return [...crash.suspects].filter((suspect) => !crash.cleared.has(suspect));
-}
-
-function findCommonSuspects(crashes: readonly Crash[]): readonly Fingerprint[] {
-  const [first, ...rest] = crashes.map(listUncleared);
-  return (first ?? []).filter((suspect) => rest.every((list) => list.includes(suspect)));
-}
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -1,15 +1,10 @@
 /** Connects running requests to poison detection and to the progress tracking of engines. */
 import type { Chain } from '@skylarksail/core/CoreChain';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { Fingerprint, PoisonTally } from './RequestPoison.js';
-import {
-  createCrashId,
-  listCoSuspects,
-  noteCrash,
-  noteSurvival,
-  PoisonVerdict,
-  tallyCrashes,
-} from './RequestPoison.js';
+import type { Fingerprint } from './RequestPoison.js';
+import type { PoisonTally } from './RequestPoisonVerdict.js';
+import { createCrashId, noteCrash, noteSurvival } from './RequestPoison.js';
+import { listCoSuspects, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
 import type { RouterShared } from './RouterShared.js';
 import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
 
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -6,13 +6,12 @@
   createCrashId,
   createPoisonDigest,
   createPoisonState,
-  judgeRequest,
   mergePoisonDigest,
   noteAlive,
   noteCrash,
   noteSurvival,
-  PoisonVerdict,
 } from '../../RequestPoison.js';
+import { judgeRequest, PoisonVerdict } from '../../RequestPoisonVerdict.js';
 import { FailurePlace } from '../../RequestPorts.js';
 import {
   acknowledge,
