Let outages excuse two crashes of a request at most

Cause: a crash within a second of the ends of three engines that never ran the request was left out without limit. Class: an exception of a check that its own subject can bring about. Change: outages excuse the first two crashes of a request that fall into one; an honest request that lost a rack twice stays clean, as before.

--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -26,6 +26,8 @@
 /** A crash within this time of `OUTAGE_CRASHES` crashes of unrelated engines is attributed to an external cause. */
 const OUTAGE_WINDOW: Millis = 1000;
 const OUTAGE_CRASHES = 3;
+/** Crashes of one request that outages excuse; two requests that crash engines by turns look like an outage to each other. */
+const MAX_EXCUSED_CRASHES = 2;
 
 export function judgeRequest(
   state: PoisonState,
@@ -53,7 +55,7 @@
   /** Crashes at which it was running, whether they count or not. */
   readonly known: number;
   readonly counted: number;
-  /** Left out, since unrelated engines ended within the same second. */
+  /** Near ends of unrelated engines; a few such crashes are left out. */
   readonly inOutages: number;
   /** Left out, since the request made progress afterwards. */
   readonly cleared: number;
@@ -102,14 +104,20 @@
   fingerprint: Fingerprint,
   now: Millis,
 ): readonly Crash[] {
-  return [...state.crashes.values()].filter(
+  const crashes = [...state.crashes.values()].filter(
     (crash) =>
       !crash.disproven &&
       crash.expiresAt > now &&
       crash.suspects.has(fingerprint) &&
-      !crash.cleared.has(fingerprint) &&
-      !isPartOfOutage(state, crash, fingerprint),
+      !crash.cleared.has(fingerprint),
   );
+  const excused = new Set(
+    crashes
+      .filter((crash) => isPartOfOutage(state, crash, fingerprint))
+      .sort((a, b) => a.expiresAt - b.expiresAt)
+      .slice(0, MAX_EXCUSED_CRASHES),
+  );
+  return crashes.filter((crash) => !excused.has(crash));
 }
 
 /**
