Count the crashes of a request that makes progress in each run

What callers saw: a request that crashes its engine after more than 64 events stayed a suspect after any number of crashes. Cause: progress cleared it of all earlier crashes in each run. Class: an exception of a check that its own subject can bring about. Change: progress clears a request until it has been at four crashes; a run to the end clears it for good, and is reported apart.

--- a/packages/daemon/src/DaemonPoison.ts
+++ b/packages/daemon/src/DaemonPoison.ts
@@ -27,6 +27,8 @@
         disproven: z.boolean(),
         suspects: nameListSchema,
         cleared: nameListSchema,
+        // Instances of an earlier version send none.
+        completed: nameListSchema.default([]),
       }),
     )
     .max(MAX_REPORTS),
@@ -82,8 +84,8 @@
 function computeVersion({ reports }: PoisonDigest): string {
   return reports
     .map(
-      ({ crash, disproven, suspects, cleared }) =>
-        `${crash}/${disproven ? 1 : 0}/${suspects.length}/${cleared.length}`,
+      ({ crash, disproven, suspects, cleared, completed }) =>
+        `${crash}/${disproven ? 1 : 0}/${suspects.length}/${cleared.length}/${completed.length}`,
     )
     .join(' ');
 }
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -60,6 +60,7 @@
       disproven: z.boolean(),
       suspects: names,
       cleared: names,
+      completed: names,
     }),
   ),
 });
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -361,7 +361,14 @@
     expect(await client.ask(address, 3, 1000)).to.deep.equal(answer(3));
     hasNews = false;
     expect(await client.ask(address, 0, 1000)).to.deep.equal(answer(0));
-    const report = { crash: 'e', age: 5, disproven: false, suspects: ['f', 'g'], cleared: ['g'] };
+    const report = {
+      crash: 'e',
+      age: 5,
+      disproven: false,
+      suspects: ['f', 'g'],
+      cleared: ['g'],
+      completed: ['g'],
+    };
     const peer = { id: 'p', domain: 'd', address };
     expect(await client.sendCrashReports(peer, { reports: [report] }, 1000)).to.equal(true);
     const invalid = { reports: [{ crash: 'e' }] } as unknown as PoisonDigest;
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -37,7 +37,7 @@
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 import { listFirstEngines } from './RunEnds.js';
 import { hasBegun, isStalled } from './RunSilence.js';
-import { clearCrashRecords, noteRunCrash, noteRunToken, stopRunsOf } from './RunSuspicion.js';
+import { noteRunCompleted, noteRunCrash, noteRunToken, stopRunsOf } from './RunSuspicion.js';
 import { createRunWatch } from './RunWatch.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -304,7 +304,7 @@
 
   function complete(reason: FinishReason): void {
     meters.noteLength(spec.model, tokens.length, spec.maxTokens);
-    clearCrashRecords(shared, fingerprint);
+    noteRunCompleted(shared, fingerprint);
     claim?.settle({ run: RunState.Ran, answer: encodeAnswer({ reason, text: tokens.join('') }) });
     countMetric(shared, 'completed');
     log('complete', reason);
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -28,6 +28,8 @@
   readonly suspects: readonly Fingerprint[];
   /** Suspects that made progress after the crash. */
   readonly cleared: readonly Fingerprint[];
+  /** Suspects that an engine ran to their end after the crash. */
+  readonly completed: readonly Fingerprint[];
 }
 
 /** Reports exchanged between instances. Merging is commutative and idempotent, since sets only grow. */
@@ -41,6 +43,7 @@
   readonly disproven: boolean;
   readonly suspects: ReadonlySet<Fingerprint>;
   readonly cleared: ReadonlySet<Fingerprint>;
+  readonly completed: ReadonlySet<Fingerprint>;
 }
 
 /** Crashes known to this instance. */
@@ -84,7 +87,7 @@
 ): PoisonState {
   return mergeReport(
     state,
-    { crash, age: 0, disproven: false, suspects: [suspect], cleared: [] },
+    { crash, age: 0, disproven: false, suspects: [suspect], cleared: [], completed: [] },
     now,
   );
 }
@@ -98,13 +101,33 @@
   return withCrash(state, crash, { ...known, disproven: true });
 }
 
-/** Records that a request made progress after its crashes, which clears it of them. */
+/** Records that a request made progress after its crashes, which clears it of them until it has crashed several more. */
 export function noteSurvival(state: PoisonState, suspect: Fingerprint): PoisonState {
+  return changeCrashesOf(state, suspect, (crash) =>
+    crash.cleared.has(suspect)
+      ? crash
+      : { ...crash, cleared: new Set([...crash.cleared, suspect]) },
+  );
+}
+
+/** Records that an engine ran a request to its end, which clears it of its crashes for good. */
+export function noteCompletion(state: PoisonState, suspect: Fingerprint): PoisonState {
+  return changeCrashesOf(state, suspect, (crash) =>
+    crash.completed.has(suspect)
+      ? crash
+      : { ...crash, completed: new Set([...crash.completed, suspect]) },
+  );
+}
+
+function changeCrashesOf(
+  state: PoisonState,
+  suspect: Fingerprint,
+  change: (crash: Crash) => Crash,
+): PoisonState {
   let next = state;
   for (const [id, crash] of state.crashes) {
-    if (crash.suspects.has(suspect) && !crash.cleared.has(suspect)) {
-      next = withCrash(next, id, { ...crash, cleared: new Set([...crash.cleared, suspect]) });
-    }
+    const changed = crash.suspects.has(suspect) ? change(crash) : crash;
+    next = changed === crash ? next : withCrash(next, id, changed);
   }
   return next;
 }
@@ -125,6 +148,7 @@
     disproven: known.disproven,
     suspects: [...known.suspects],
     cleared: [...known.cleared],
+    completed: [...known.completed],
   };
 }
 
@@ -157,7 +181,8 @@
       !known ||
       (report.disproven && !known.disproven) ||
       report.suspects.some((suspect) => !known.suspects.has(suspect)) ||
-      report.cleared.some((suspect) => !known.cleared.has(suspect))
+      report.cleared.some((suspect) => !known.cleared.has(suspect)) ||
+      report.completed.some((suspect) => !known.completed.has(suspect))
     );
   });
 }
@@ -174,6 +199,7 @@
       disproven: report.disproven,
       suspects: new Set(report.suspects),
       cleared: new Set(report.cleared),
+      completed: new Set(report.completed),
     });
   }
   return withCrash(state, report.crash, {
@@ -182,6 +208,7 @@
     disproven: known.disproven || report.disproven,
     suspects: new Set([...known.suspects, ...report.suspects]),
     cleared: new Set([...known.cleared, ...report.cleared]),
+    completed: new Set([...known.completed, ...report.completed]),
   });
 }
 
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -28,6 +28,8 @@
 const OUTAGE_CRASHES = 3;
 /** Crashes of one request that outages excuse; two requests that crash engines by turns look like an outage to each other. */
 const MAX_EXCUSED_CRASHES = 2;
+/** Crashes from which on progress no longer clears a request; one that crashes engines late makes progress in each run. */
+const MAX_CLEARED_CRASHES = 4;
 
 export function judgeRequest(
   state: PoisonState,
@@ -57,7 +59,7 @@
   readonly counted: number;
   /** Near ends of unrelated engines; a few such crashes are left out. */
   readonly inOutages: number;
-  /** Left out, since the request made progress afterwards. */
+  /** The request made progress afterwards; such crashes count only if there are many. */
   readonly cleared: number;
   /** Left out, since the engine's process was seen alive afterwards. */
   readonly disproven: number;
@@ -77,7 +79,9 @@
     known: known.length,
     counted: listCountedCrashes(state, fingerprint, now).length,
     inOutages: known.filter((crash) => isPartOfOutage(state, crash, fingerprint)).length,
-    cleared: known.filter(({ cleared }) => cleared.has(fingerprint)).length,
+    cleared: known.filter(
+      ({ cleared, completed }) => cleared.has(fingerprint) || completed.has(fingerprint),
+    ).length,
     disproven: known.filter(({ disproven }) => disproven).length,
   };
 }
@@ -99,18 +103,26 @@
   return coSuspects;
 }
 
-function listCountedCrashes(
+/** Crashes of a request that has not been run to its end since. */
+function listUndisproven(
   state: PoisonState,
   fingerprint: Fingerprint,
   now: Millis,
 ): readonly Crash[] {
-  const crashes = [...state.crashes.values()].filter(
-    (crash) =>
-      !crash.disproven &&
-      crash.expiresAt > now &&
-      crash.suspects.has(fingerprint) &&
-      !crash.cleared.has(fingerprint),
+  return [...state.crashes.values()].filter(
+    ({ disproven, expiresAt, suspects, completed }) =>
+      !disproven && expiresAt > now && suspects.has(fingerprint) && !completed.has(fingerprint),
   );
+}
+
+function listCountedCrashes(
+  state: PoisonState,
+  fingerprint: Fingerprint,
+  now: Millis,
+): readonly Crash[] {
+  const known = listUndisproven(state, fingerprint, now);
+  const isLimitReached = known.length >= MAX_CLEARED_CRASHES;
+  const crashes = known.filter((crash) => isLimitReached || !crash.cleared.has(fingerprint));
   const excused = new Set(
     crashes
       .filter((crash) => isPartOfOutage(state, crash, fingerprint))
@@ -141,7 +153,8 @@
 }
 
 function listUncleared(crash: Crash): readonly Fingerprint[] {
-  return [...crash.suspects].filter((suspect) => !crash.cleared.has(suspect));
+  const { suspects, cleared, completed } = crash;
+  return [...suspects].filter((suspect) => !cleared.has(suspect) && !completed.has(suspect));
 }
 
 function findCommonSuspects(crashes: readonly Crash[]): readonly Fingerprint[] {
--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -157,9 +157,15 @@
 function keepSuspects(crash: Crash, kept: ReadonlySet<Fingerprint>): Crash {
   const keep = (names: ReadonlySet<Fingerprint>): ReadonlySet<Fingerprint> =>
     new Set([...names].filter((name) => kept.has(name)));
-  return { ...crash, suspects: keep(crash.suspects), cleared: keep(crash.cleared) };
+  return {
+    ...crash,
+    suspects: keep(crash.suspects),
+    cleared: keep(crash.cleared),
+    completed: keep(crash.completed),
+  };
 }
 
-function describeContent({ disproven, suspects, cleared }: Crash): string {
-  return JSON.stringify([disproven, [...suspects].sort(), [...cleared].sort()]);
+function describeContent({ disproven, suspects, cleared, completed }: Crash): string {
+  const names = [suspects, cleared, completed].map((set) => [...set].sort());
+  return JSON.stringify([disproven, ...names]);
 }
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -3,7 +3,7 @@
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { Fingerprint } from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
-import { createCrashId, noteCrash, noteSurvival } from './RequestPoison.js';
+import { createCrashId, noteCompletion, noteCrash, noteSurvival } from './RequestPoison.js';
 import { listCoSuspects, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
 import type { RouterShared } from './RouterShared.js';
 import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
@@ -27,8 +27,13 @@
   }
 }
 
+/** Clears a request for good of its crashes so far. */
+export function noteRunCompleted(shared: RouterShared, fingerprint: Fingerprint): void {
+  shared.crashes.note((state) => noteCompletion(state, fingerprint));
+}
+
 /** Clears a request of the crashes of which it is a suspect. */
-export function clearCrashRecords(shared: RouterShared, fingerprint: Fingerprint): void {
+function clearCrashRecords(shared: RouterShared, fingerprint: Fingerprint): void {
   shared.crashes.note((state) => noteSurvival(state, fingerprint));
 }
 
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -127,6 +127,7 @@
       disproven: fc.boolean(),
       suspects: fc.subarray(['p', 'q', 'r']),
       cleared: fc.subarray(['p', 'q']),
+      completed: fc.subarray(['p', 'r']),
     });
     const digest = fc.record({ reports: fc.array(report, { maxLength: 3 }) });
     const normalise = (state: PoisonState) =>
@@ -135,6 +136,7 @@
           ...r,
           suspects: [...r.suspects].sort(),
           cleared: [...r.cleared].sort(),
+          completed: [...r.completed].sort(),
         }))
         .sort((a, b) => a.crash.localeCompare(b.crash));
     fc.assert(
