Condemn a request only if a crash of its own is left that no other suspect explains

What callers saw: an honest request that had lost an engine beside each of two requests that crash them was refused, as it was the only common suspect of the two crashes. The exchange of reports over the fleet would have made this more frequent. Cause: each crash was judged by the suspects of a request's other crashes only, not by what else is known of these. Class: evidence against one taken as proof, though another explains it. Change: a crash counts no longer where another suspect has more crashes that only it can have caused, and a request without any such crash of its own is never condemned.

--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -1,10 +1,9 @@
 /**
  * Detects poison requests: requests that crash the engines that run them, identified by team, model and
  * content. Pure state of crash reports, from this and from other instances, each with the requests that
- * ran on the engine.
+ * ran on the engine. RequestPoisonVerdict judges requests by it.
  *
- * A single crash does not show which of its suspects caused it. A request is condemned once it is the only
- * common suspect of `crashLimit` crashes (2 by default); suspects are recovered on different engines, so
+ * A single crash does not show which of its suspects caused it. Suspects are recovered on different engines, so
  * that a second crash has at most one of them. A request that makes progress after a crash is cleared of
  * it. A crash is disproven if the same process of the engine is seen again: then only a link had failed.
  */
@@ -39,6 +38,7 @@
 
 /** A crash and the requests that ran on the engine. */
 export interface Crash {
+  readonly id: CrashId;
   readonly expiresAt: Millis;
   readonly disproven: boolean;
   readonly suspects: ReadonlySet<Fingerprint>;
@@ -57,6 +57,7 @@
 export const CRASH_RETENTION: Millis = 3_600_000;
 const RAN_LONG_SUFFIX = '/long';
 const MAX_CRASHES = 256;
+
 export function createPoisonState(crashLimit: number): PoisonState {
   return { crashes: new Map(), crashLimit };
 }
@@ -98,7 +99,7 @@
   if (!known || known.disproven) {
     return state;
   }
-  return withCrash(state, crash, { ...known, disproven: true });
+  return withCrash(state, { ...known, disproven: true });
 }
 
 /** Records that a request made progress after its crashes, which clears it of them until it has crashed several more. */
@@ -125,25 +126,25 @@
   change: (crash: Crash) => Crash,
 ): PoisonState {
   let next = state;
-  for (const [id, crash] of state.crashes) {
+  for (const crash of state.crashes.values()) {
     const changed = crash.suspects.has(suspect) ? change(crash) : crash;
-    next = changed === crash ? next : withCrash(next, id, changed);
+    next = changed === crash ? next : withCrash(next, changed);
   }
   return next;
 }
 
 /** Creates the digest to send to other instances. */
 export function createPoisonDigest(state: PoisonState, now: Millis): PoisonDigest {
-  const reports = [...state.crashes].flatMap(([id, crash]) =>
-    crash.expiresAt > now ? [createCrashReport(id, crash, now)] : [],
+  const reports = [...state.crashes.values()].flatMap((crash) =>
+    crash.expiresAt > now ? [createCrashReport(crash, now)] : [],
   );
   return { reports };
 }
 
 /** Creates the report of one crash. */
-export function createCrashReport(crash: CrashId, known: Crash, now: Millis): CrashReport {
+export function createCrashReport(known: Crash, now: Millis): CrashReport {
   return {
-    crash,
+    crash: known.id,
     age: CRASH_RETENTION - (known.expiresAt - now),
     disproven: known.disproven,
     suspects: [...known.suspects],
@@ -194,7 +195,8 @@
   }
   const known = state.crashes.get(report.crash);
   if (!known) {
-    return withCrash(dropOldest(state), report.crash, {
+    return withCrash(dropOldest(state), {
+      id: report.crash,
       expiresAt,
       disproven: report.disproven,
       suspects: new Set(report.suspects),
@@ -202,7 +204,8 @@
       completed: new Set(report.completed),
     });
   }
-  return withCrash(state, report.crash, {
+  return withCrash(state, {
+    ...known,
     // Keeps the earlier expiry, so that a report that circulates between instances still expires.
     expiresAt: Math.min(known.expiresAt, expiresAt),
     disproven: known.disproven || report.disproven,
@@ -222,6 +225,6 @@
   return { ...state, crashes };
 }
 
-function withCrash(state: PoisonState, id: CrashId, crash: Crash): PoisonState {
-  return { ...state, crashes: new Map(state.crashes).set(id, crash) };
+function withCrash(state: PoisonState, crash: Crash): PoisonState {
+  return { ...state, crashes: new Map(state.crashes).set(crash.id, crash) };
 }
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -9,13 +9,13 @@
   /** It was running at a crash: run it on other engines than the other suspects of that crash. */
   Suspect: 'suspect',
   /**
-   * It has reached the crash limit, but shares all its crashes with another suspect: delay new requests with
-   * this content, and continue begun ones on separate engines.
+   * It has reached the crash limit, but at each crash another suspect has too: delay new requests with this
+   * content, and continue begun ones on separate engines.
    */
   Ambiguous: 'ambiguous',
-  /** It is the only common suspect, but late reports of other instances may add suspects: delay it. */
+  /** It seems to have caused them, but late reports of other instances may add suspects: delay it. */
   Doubted: 'doubted',
-  /** It is the only common suspect of the crashes: refuse it. */
+  /** At least one crash has no other suspect of several, and none is explained by a stronger suspect: refuse it. */
   Condemned: 'condemned',
 } as const;
 
@@ -37,16 +37,23 @@
   now: Millis,
 ): PoisonVerdictName {
   const counted = listCountedCrashes(state, fingerprint, now);
-  if (counted.length === 0) {
-    return PoisonVerdict.Clean;
-  }
   if (counted.length < state.crashLimit) {
+    return counted.length === 0 ? PoisonVerdict.Clean : PoisonVerdict.Suspect;
+  }
+  const ownCrashes = countCrashesAlone(state, fingerprint, now);
+  const unexplained = counted.filter(
+    (crash) =>
+      !listRivals(state, crash, fingerprint, now).some(
+        (rival) => countCrashesAlone(state, rival, now) > ownCrashes,
+      ),
+  );
+  if (unexplained.length < state.crashLimit) {
     return PoisonVerdict.Suspect;
   }
-  if (findCommonSuspects(counted).length > 1) {
+  if (ownCrashes === 0) {
     return PoisonVerdict.Ambiguous;
   }
-  const newest = Math.max(...counted.map((crash) => crash.expiresAt));
+  const newest = Math.max(...unexplained.map((crash) => crash.expiresAt));
   const age = CRASH_RETENTION - (newest - now);
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
@@ -157,7 +164,47 @@
   return [...suspects].filter((suspect) => !cleared.has(suspect) && !completed.has(suspect));
 }
 
-function findCommonSuspects(crashes: readonly Crash[]): readonly Fingerprint[] {
-  const [first, ...rest] = crashes.map(listUncleared);
-  return (first ?? []).filter((suspect) => rest.every((list) => list.includes(suspect)));
+/** Number of counted crashes of a request that no other request can have caused. */
+function countCrashesAlone(state: PoisonState, fingerprint: Fingerprint, now: Millis): number {
+  return listCountedCrashes(state, fingerprint, now).filter(
+    (crash) => listRivals(state, crash, fingerprint, now).length === 0,
+  ).length;
+}
+
+/** Other suspects of a crash that have reached the crash limit too, and so may have caused it. */
+function listRivals(
+  state: PoisonState,
+  crash: Crash,
+  fingerprint: Fingerprint,
+  now: Millis,
+): readonly Fingerprint[] {
+  const reports = listReportsOf(state, crash);
+  const suspects = new Set(reports.flatMap((report) => [...report.suspects]));
+  return [...suspects].filter((suspect) => {
+    if (suspect === fingerprint || !hasSeveralCrashes(state, suspect)) {
+      return false;
+    }
+    const counted = listCountedCrashes(state, suspect, now);
+    return counted.length >= state.crashLimit && reports.some((report) => counted.includes(report));
+  });
+}
+
+/** A crash and, if its suspects had run for long, the report of those of the same crash that had just begun. */
+function listReportsOf(state: PoisonState, crash: Crash): readonly Crash[] {
+  const fresh = state.crashes.get(getCrashedProcess(crash.id));
+  return fresh && fresh !== crash ? [crash, fresh] : [crash];
+}
+
+/** Whether a request was at two crashes at least; a cheap check, since most suspects were at one. */
+function hasSeveralCrashes(state: PoisonState, suspect: Fingerprint): boolean {
+  let isFirstFound = false;
+  for (const { suspects } of state.crashes.values()) {
+    if (suspects.has(suspect)) {
+      if (isFirstFound) {
+        return true;
+      }
+      isFirstFound = true;
+    }
+  }
+  return false;
 }
--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -96,7 +96,7 @@
 
   function createBatch(
     positions: readonly (readonly [CrashId, number])[],
-    toReport: (id: CrashId, crash: Crash) => CrashReport,
+    toReport: (crash: Crash) => CrashReport,
     after: number,
   ): ReportBatch {
     const changed = positions.filter(([, at]) => at > after).sort(([, a], [, b]) => a - b);
@@ -105,7 +105,7 @@
     let last = after;
     for (const [id, at] of changed) {
       const crash = state.crashes.get(id);
-      const report = crash && toReport(id, crash);
+      const report = crash && toReport(crash);
       suspects += report?.suspects.length ?? 0;
       if (suspects > MAX_BATCH_SUSPECTS && reports.length > 0) {
         break;
@@ -141,13 +141,13 @@
       return news;
     },
     listObserved: (after, now) =>
-      createBatch([...observedAt], (id, crash) => createCrashReport(id, crash, now), after),
+      createBatch([...observedAt], (crash) => createCrashReport(crash, now), after),
     listRepeated(after, now) {
       refreshShared();
       const positions = [...shared].map(([id, report]) => [id, report.position] as const);
       return createBatch(
         positions,
-        (id, crash) => createCrashReport(id, keepSuspects(crash, repeated), now),
+        (crash) => createCrashReport(keepSuspects(crash, repeated), now),
         after,
       );
     },
