Let a request that shares all its crashes run again after a pause

What callers saw: an honest request that had run beside a crashing one at two crashes was delayed until its callers left, for an hour. Cause: the verdict 'ambiguous' had no end, as new requests with that content never ran again. Class: a wait without an end. Change: such a request runs again, apart from its fellow suspects, 2 s after the last shared crash, then 4 and 8 s; after five shared crashes it is refused at once instead of held until its caller leaves, since each further run may cost an engine.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -16,7 +16,7 @@
 import type { Fingerprint } from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { computeFingerprint } from './RequestPoison.js';
-import { PoisonVerdict } from './RequestPoisonVerdict.js';
+import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
@@ -204,7 +204,7 @@
   function choose(effect: EffectOf<'choose'>): void {
     const now = timers.now();
     const verdict = getPoisonVerdict(shared, fingerprint);
-    if (verdict === PoisonVerdict.Condemned) {
+    if (isRefused(verdict)) {
       stopRunsOf(shared, fingerprint);
       return;
     }
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -10,19 +10,24 @@
   Suspect: 'suspect',
   /**
    * It has reached the crash limit, but at each crash another suspect has too: delay new requests with this
-   * content, and continue begun ones on separate engines.
+   * content for a while, and continue begun ones on separate engines.
    */
   Ambiguous: 'ambiguous',
   /** It seems to have caused them, but late reports of other instances may add suspects: delay it. */
   Doubted: 'doubted',
   /** At least one crash has no other suspect of several, and none is explained by a stronger suspect: refuse it. */
   Condemned: 'condemned',
+  /** It has shared so many crashes that no further engine is risked to tell which suspect caused them: refuse it. */
+  Held: 'held',
 } as const;
 
 export type PoisonVerdictName = (typeof PoisonVerdict)[keyof typeof PoisonVerdict];
 
 /** Time allowed for the reports of a crash from other instances to arrive. */
 const REPORT_DELAY: Millis = 500;
+/** Pause after the last shared crash before a suspect that can't be told from another runs again. */
+const AMBIGUOUS_PAUSE: Millis = 2000;
+const MAX_SHARED_CRASHES = 5;
 /** A crash within this time of `OUTAGE_CRASHES` crashes of unrelated engines is attributed to an external cause. */
 const OUTAGE_WINDOW: Millis = 1000;
 const OUTAGE_CRASHES = 3;
@@ -50,14 +55,28 @@
   if (unexplained.length < state.crashLimit) {
     return PoisonVerdict.Suspect;
   }
-  if (ownCrashes === 0) {
-    return PoisonVerdict.Ambiguous;
-  }
   const newest = Math.max(...unexplained.map((crash) => crash.expiresAt));
   const age = CRASH_RETENTION - (newest - now);
+  if (ownCrashes === 0) {
+    return judgeAmbiguous(unexplained.length, state.crashLimit, age);
+  }
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
 
+/** A request that shares all its crashes runs again after a pause, which grows, until there are too many of them. */
+function judgeAmbiguous(crashes: number, crashLimit: number, age: Millis): PoisonVerdictName {
+  if (crashes >= MAX_SHARED_CRASHES) {
+    return PoisonVerdict.Held;
+  }
+  const pause = AMBIGUOUS_PAUSE * 2 ** (crashes - crashLimit);
+  return age < pause ? PoisonVerdict.Ambiguous : PoisonVerdict.Suspect;
+}
+
+/** Whether a request is refused, and its runs are stopped. */
+export function isRefused(verdict: PoisonVerdictName): boolean {
+  return verdict === PoisonVerdict.Condemned || verdict === PoisonVerdict.Held;
+}
+
 /** How the crashes known of a request count towards its verdict. */
 export interface PoisonTally {
   readonly verdict: PoisonVerdictName;
--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -9,7 +9,7 @@
 import type { RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
 import { computeFingerprint } from './RequestPoison.js';
-import { PoisonVerdict } from './RequestPoisonVerdict.js';
+import { isRefused } from './RequestPoisonVerdict.js';
 import type { ProblemKindName, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -72,7 +72,7 @@
     refuse(ProblemKind.Draining, 0);
     return null;
   }
-  if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Condemned) {
+  if (isRefused(getPoisonVerdict(shared, fingerprint))) {
     countMetric(shared, 'poisonRefused');
     refuse(ProblemKind.Poison, null);
     return null;
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -4,7 +4,7 @@
 import type { Fingerprint } from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { createCrashId, noteCompletion, noteCrash, noteSurvival } from './RequestPoison.js';
-import { listCoSuspects, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
+import { isRefused, listCoSuspects, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
 import type { RouterShared } from './RouterShared.js';
 import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
 
@@ -59,7 +59,7 @@
   shared.crashes.note((state) => noteCrash(state, crash, fingerprint, now));
   const tally = tallyCrashes(shared.crashes.getState(), fingerprint, now);
   // One report can condemn only this request; checking all on each report would take quadratic time.
-  if (tally.verdict === PoisonVerdict.Condemned) {
+  if (isRefused(tally.verdict)) {
     stopRunsOf(shared, fingerprint);
   }
   return tally;
@@ -73,7 +73,7 @@
 /** Stops the running requests that are condemned among those that another instance's reports name. */
 export function stopCondemned(shared: RouterShared, named: ReadonlySet<Fingerprint>): void {
   for (const run of findRunsByFingerprint(shared, named)) {
-    if (getPoisonVerdict(shared, run.fingerprint) === PoisonVerdict.Condemned) {
+    if (isRefused(getPoisonVerdict(shared, run.fingerprint))) {
       run.condemn();
     }
   }
