--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -37,6 +37,7 @@
 import { createRelayIntake } from './RelayIntake.js';
 import { startRelaySync } from './RelaySync.js';
 import { createRelayLease } from './RelayLease.js';
+import { createRelayLimits } from './RelayLimits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
 import type { RelayRetryBudget } from './RelayRetryBudget.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
@@ -187,11 +188,17 @@
     },
   });
 
+  const limits = createRelayLimits({
+    logger,
+    onLimitedRequest: () =>
+      metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
+  });
   const backends = options.createBackends(
     createBackendView(
       catalogue,
       () => table,
       () => lease.listInstances().length,
+      limits.noteLimit,
     ),
   );
   const health = createRelayHealth({
@@ -221,9 +228,17 @@
     random,
     chooseChain: routing.chooseChain,
     chooseRepair: routing.chooseRepair,
-    openEngineCall: health.watchCalls(routing.trackTokenGaps(backends.openEngineCall)),
+    openEngineCall: health.watchCalls(
+      routing.trackTokenGaps((call, listener) => {
+        limits.noteRequest(call.chain.stages[0]?.engine ?? '');
+        return backends.openEngineCall(call, listener);
+      }),
+    ),
     chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
-    openServiceCall: backends.openServiceCall,
+    openServiceCall: (call, listener) => {
+      limits.noteRequest(call.server);
+      return backends.openServiceCall(call, listener);
+    },
     claims: NO_CLAIMS,
     links: routing.links,
     getRetryBurst: repeats.getBurst,
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -56,6 +56,8 @@
   getHealthPath(service: ServiceId): string | null;
   /** Maximum number of connections from this instance to the backend server at an address. */
   getMaxConnections(address: HostPort): number;
+  /** Records the requests a second that a server takes, as its answer names them; null if it names none. */
+  noteRequestLimit(server: EngineId, limit: number | null): void;
 }
 
 /** All ports to backend servers. */
--- a/packages/relay/src/RelayView.ts
+++ b/packages/relay/src/RelayView.ts
@@ -16,6 +16,7 @@
   catalogue: Catalogue,
   getTable: () => RouteTable | null,
   countInstances: () => number,
+  noteRequestLimit: BackendView['noteRequestLimit'],
 ): BackendView {
   function findEntry({ host, port }: HostPort): BackendEntry | null {
     const found = catalogue
@@ -25,6 +26,7 @@
   }
 
   return {
+    noteRequestLimit,
     getBackend: catalogue.get,
     findByAddress: (address) => findEntry(address)?.id ?? null,
     getHealthPath: (service) => getTable()?.findService(service)?.healthPath ?? null,
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -11,7 +11,7 @@
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
-import type { BackendPorts, HealthAnswer } from '../../RelayPorts.js';
+import type { BackendPorts, BackendView, HealthAnswer } from '../../RelayPorts.js';
 import { createBackend, createConfig } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
@@ -26,7 +26,7 @@
 }
 
 /** Engine calls of an instance, in place of ones that always fail. */
-export type OpenCallOf = (instance: string) => OpenEngineCall;
+export type OpenCallOf = (instance: string, view: BackendView) => OpenEngineCall;
 
 /** Creates the setup; no instance runs yet. */
 export function createPartsBed(openCallOf: OpenCallOf | null = null) {
@@ -54,8 +54,8 @@
     return () => undefined;
   };
 
-  const createBackends = (by: string): BackendPorts => ({
-    openEngineCall: openCallOf?.(by) ?? openRefusedCall,
+  const createBackends = (by: string, view: BackendView): BackendPorts => ({
+    openEngineCall: openCallOf?.(by, view) ?? openRefusedCall,
     openServiceCall: () => () => undefined,
     orders: {
       readStatus: ({ id }) =>
@@ -131,7 +131,7 @@
           receiver?.router.mergePoison(digest);
           return Promise.resolve(receiver !== undefined);
         },
-        createBackends: () => createBackends(id),
+        createBackends: (view) => createBackends(id, view),
         logger: pino({ level: 'silent' }),
         decisions: { record: () => undefined, read: () => [] },
         metrics: createDaemonMetrics(),
