--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayLimits.test.ts
@@ -0,0 +1,103 @@
+import { expect } from 'chai';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import type { BackendView } from '../../RelayPorts.js';
+import type { PartsBed } from './RelayPartsBed.js';
+import { createPartsBed } from './RelayPartsBed.js';
+
+const ANSWER_TIME: Millis = 100;
+const SETTLE_TIME: Millis = 5000;
+/** The limit holds in each window of this length. */
+const WINDOW: Millis = 4000;
+/** From this time after an engine first named its limit. */
+const STABLE_TIME: Millis = 3000;
+/** An instance that has passed on an answer counts from this time after it. */
+const TOLD_TIME: Millis = 500;
+
+interface Arrival {
+  readonly at: Millis;
+  readonly isTold: boolean;
+}
+
+/** Most requests in a window from instances that had been told, from the time at which the limit must hold. */
+function findMostInWindow(arrivals: readonly Arrival[], from: Millis): number {
+  const counted = arrivals.filter(({ at, isTold }) => isTold && at >= from);
+  return Math.max(
+    0,
+    ...counted.map(
+      ({ at: start }) => counted.filter(({ at }) => at >= start && at < start + WINDOW).length,
+    ),
+  );
+}
+
+function getAllowed(limit: number): number {
+  return 1.5 * limit * (WINDOW / 1000) + 5;
+}
+
+/** Seven instances before engines of which the first, `e0`, names a limit. */
+async function createLimitBed(limit: number) {
+  const arrivals: Arrival[] = [];
+  const toldAt = new Map<string, Millis>();
+  let started: PartsBed | null = null;
+  const openCallOf =
+    (instance: string, view: BackendView): OpenEngineCall =>
+    (call, listener) => {
+      const [first] = call.chain.stages;
+      const { timers } = started as PartsBed;
+      if (first?.engine === 'e0') {
+        const told = toldAt.get(instance) ?? Infinity;
+        arrivals.push({ at: timers.now(), isTold: told + TOLD_TIME <= timers.now() });
+      }
+      return timers.registerTimeout(ANSWER_TIME, () => {
+        if (first?.engine === 'e0') {
+          toldAt.set(instance, Math.min(toldAt.get(instance) ?? Infinity, timers.now()));
+        }
+        view.noteRequestLimit(first?.engine ?? '', first?.engine === 'e0' ? limit : null);
+        listener.onAcknowledged({ variant: call.chain.variant, stages: call.chain.stages });
+        listener.onToken(call.resumeTokens.length, 'w');
+        listener.onEnd('stop', call.resumeTokens.length + 1);
+      });
+    };
+  const bed = createPartsBed(openCallOf);
+  started = bed;
+  const instances = Array.from({ length: 7 }, (_, i) => `i${i}`);
+  instances.forEach((id) => bed.start(id));
+  await bed.timers.advanceToAsync(SETTLE_TIME);
+
+  /** Sends requests at a rate for a time, each to the next of some instances; returns the refusals. */
+  async function sendRequests(to: readonly string[], perSecond: number, seconds: number) {
+    const start = bed.timers.now();
+    const refusals = [];
+    for (let i = 0; i < perSecond * seconds; i++) {
+      refusals.push(bed.call(to[i % to.length] ?? '', `/letters/${i}`));
+      await bed.timers.advanceToAsync(start + ((i + 1) * 1000) / perSecond);
+    }
+    await bed.timers.advanceToAsync(bed.timers.now() + SETTLE_TIME);
+    return refusals.flat();
+  }
+
+  return { bed, instances, arrivals, sendRequests };
+}
+
+describe('RelayLimits', () => {
+  it('keeps what seven instances send to an engine within the limit that it names, and refuses nobody', async () => {
+    // Guards against an engine in need that gets as many requests as before it asked for fewer.
+    const { bed, instances, arrivals, sendRequests } = await createLimitBed(1.8);
+    bed.addEngine('second-0', { first: 0, end: 2 });
+    const refusals = await sendRequests(instances, 20, 20);
+    const [first] = arrivals;
+    expect(findMostInWindow(arrivals, (first?.at ?? 0) + STABLE_TIME)).to.be.at.most(
+      getAllowed(1.8),
+    );
+    expect(arrivals.length).to.be.at.least(0.5 * 1.8 * 20);
+    expect(refusals).to.deep.equal([]);
+  });
+
+  it('lets the instance that has the callers use the whole limit', async () => {
+    // Guards against even shares, which refuse requests that an engine without a substitute would take.
+    const { instances, arrivals, sendRequests } = await createLimitBed(5);
+    const refusals = await sendRequests(instances.slice(0, 1), 4, 20);
+    expect(refusals).to.deep.equal([]);
+    expect(arrivals.length).to.equal(80);
+  });
+});
