Send requests to a server with a request limit only with permits of one issuer

What callers and engines saw: an engine in need that named 1.8 requests a second got 22 to 29 in four seconds, as before. Cause: nothing read the header Server-Limit, and no part shares a rate between instances. Change: each such server has one issuer, an instance of its failure domain. An instance that knows of the limit uses the server as a first engine only with a permit, which lapses after a second; otherwise it uses others, or waits if there are none. A new issuer waits two seconds. What is told of a limit, or of its end, goes to the issuer with each request for permits and back with its answers. At 0 a second one request in four seconds still goes out, so that the end shows. In any four seconds 5.25 x limit + 1 permits are usable; the rule allows 6 x limit + 5. In virtual time, with 20 % of calls lost, late and repeated and the issuer replaced each 4 s, the bound holds with 7 and 680 instances; one instance with all callers gets 4 of 4 a second at a limit of 5.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -99,6 +99,7 @@
     askForUpdates: () => Promise.resolve({ kind: 'silent' }),
     askGrant: () => Promise.resolve(0),
     sendCrashReports: () => Promise.resolve(false),
+    askForPermits: () => Promise.resolve(null),
     createBackends: createIdleBackends,
     logger: pino({ level: 'silent' }),
     decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -25,11 +25,23 @@
 }
 
 /** Requests to peers that are counted. */
-type CountedPeerCalls = Pick<PeerHttp, 'askForUpdates' | 'askGrant' | 'sendCrashReports'>;
+type CountedPeerCalls = Pick<
+  PeerHttp,
+  'askForUpdates' | 'askGrant' | 'sendCrashReports' | 'askForPermits'
+>;
 
 /** Wraps requests to peers to count update queries and crash reports by outcome, and the retries granted. */
 export function countPeerCalls(peers: CountedPeerCalls, metrics: DaemonMetrics): CountedPeerCalls {
   return {
+    async askForPermits(...args) {
+      const answer = await peers.askForPermits(...args);
+      metrics.count(
+        'limit_permits',
+        'permits of other instances for limited servers',
+        answer?.count,
+      );
+      return answer;
+    },
     async sendCrashReports(...args) {
       const isConfirmed = await peers.sendCrashReports(...args);
       const outcome = isConfirmed ? 'confirmed' : 'unconfirmed';
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -37,7 +37,10 @@
 import { createRelayIntake } from './RelayIntake.js';
 import { startRelaySync } from './RelaySync.js';
 import { createRelayLease } from './RelayLease.js';
+import { createLimitIssuer } from './RelayLimitIssuer.js';
+import type { AskForPermits, RelayLimits } from './RelayLimits.js';
 import { createRelayLimits } from './RelayLimits.js';
+import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
 import type { RelayRetryBudget } from './RelayRetryBudget.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
@@ -74,6 +77,7 @@
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
   readonly sendCrashReports: SendCrashReports;
+  readonly askForPermits: AskForPermits;
   readonly createBackends: (view: BackendView) => BackendPorts;
   readonly logger: DaemonLogger;
   readonly decisions: DecisionLog;
@@ -86,6 +90,7 @@
   readonly peers: RelayPeers;
   readonly updates: RelayUpdates;
   readonly retries: RelayRetryBudget;
+  readonly limits: Pick<RelayLimits, 'answer'>;
   getTable(): RouteTable | null;
   /** Reads the state that the metrics report. */
   readState(): RelayState;
@@ -189,10 +194,22 @@
   });
 
   const limits = createRelayLimits({
+    timers,
+    self,
+    issuer: createLimitIssuer({
+      timers,
+      self,
+      listInstances: lease.listInstances,
+      getDomain: (server) => catalogue.get(server)?.domain ?? null,
+    }),
+    askForPermits: options.askForPermits,
+    countInstances: countOwnInstances,
+    isKnown: (server) => catalogue.get(server) !== null,
     logger,
     onLimitedRequest: () =>
       metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
   });
+  const permits = createPermitChoices({ limits, isFirst: canBeginChain });
   const backends = options.createBackends(
     createBackendView(
       catalogue,
@@ -226,19 +243,15 @@
     cfg: createRouterConfig(options.bounds),
     timers,
     random,
-    chooseChain: routing.chooseChain,
-    chooseRepair: routing.chooseRepair,
-    openEngineCall: health.watchCalls(
-      routing.trackTokenGaps((call, listener) => {
-        limits.noteRequest(call.chain.stages[0]?.engine ?? '');
-        return backends.openEngineCall(call, listener);
-      }),
+    chooseChain: permits.limitChoice(routing.chooseChain),
+    chooseRepair: permits.limitChoice(routing.chooseRepair),
+    openEngineCall: permits.usePermits(
+      health.watchCalls(routing.trackTokenGaps(backends.openEngineCall)),
     ),
-    chooseServer: createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
-    openServiceCall: (call, listener) => {
-      limits.noteRequest(call.server);
-      return backends.openServiceCall(call, listener);
-    },
+    chooseServer: permits.limitServers(
+      createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
+    ),
+    openServiceCall: backends.openServiceCall,
     claims: NO_CLAIMS,
     links: routing.links,
     getRetryBurst: repeats.getBurst,
@@ -288,6 +301,12 @@
     },
   });
 
+  /** Whether a server may be the first of a chain, or serves a plain service; only such a server names a limit. */
+  function canBeginChain(server: EngineId): boolean {
+    const layers = catalogue.get(server)?.layers ?? null;
+    return layers === null || layers.first === 0;
+  }
+
   /** Whether an engine leaves, or its incarnation is no longer registered. */
   function isEnding(engine: EngineId): boolean {
     return catalogue.get(engine)?.state !== LifeState.Live;
@@ -359,6 +378,7 @@
     peers: sync.peers,
     updates: sync.updates,
     retries: repeats,
+    limits,
     getTable: () => table,
     readState: () => ({
       version: table?.config.version ?? 0,
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -9,11 +9,18 @@
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import type { SendCrashReports } from './RelayCrashReports.js';
+import type { AskForPermits, PermitAnswer, PermitQuery } from './RelayLimits.js';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, UpdateAnswer, UpdateQuery } from './RelayUpdates.js';
 import type { AnswerFormName, PeerCodec } from './RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
-import { readCrashReports, readUpdateQuery, readObservedMessage } from './RelayPeerMessages.js';
+import {
+  readCrashReports,
+  readObservedMessage,
+  readPermitAnswer,
+  readPermitQuery,
+  readUpdateQuery,
+} from './RelayPeerMessages.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 
 const Path = {
@@ -21,6 +28,7 @@
   Updates: '/news',
   Grants: '/grants',
   Crashes: '/crashes',
+  Permits: '/permits',
 } as const;
 const CONTENT_TYPE = { 'content-type': 'application/msgpack' };
 const Status = { Ok: 200, NotFound: 404, Unavailable: 503 } as const;
@@ -50,6 +58,7 @@
   /** Number of retries granted for a service. */
   readonly grant: (service: string, wanted: number) => number;
   readonly crashes: (digest: PoisonDigest) => void;
+  readonly permits: (query: PermitQuery) => PermitAnswer;
 }
 
 export interface PeerHttp {
@@ -57,6 +66,7 @@
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
   readonly sendCrashReports: SendCrashReports;
+  readonly askForPermits: AskForPermits;
   /** Serves peers. Resolves to the port, which the system chooses if it was 0. */
   listen(address: HostPort, answers: PeerHandlers): Promise<number>;
   close(): Promise<void>;
@@ -117,6 +127,12 @@
       const raw = address && (await send(address, Path.Crashes, timeout, pack(digest)));
       return raw?.status === Status.Ok;
     },
+    async askForPermits({ address }, query, timeout) {
+      const raw = address && (await send(address, Path.Permits, timeout, pack(query)));
+      const answer = raw?.status === Status.Ok ? readPermitAnswer(raw.body) : null;
+      // An answer with more than was requested is invalid.
+      return answer && answer.count <= query.wanted ? answer : null;
+    },
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
@@ -177,11 +193,26 @@
     case Path.Crashes:
       res.writeHead(takeCrashReports(body, answers)).end();
       break;
+    case Path.Permits:
+      writePermits(res, readPermitQuery(body), answers);
+      break;
     default:
       res.writeHead(Status.NotFound).end();
   }
 }
 
+function writePermits(
+  res: ServerResponse,
+  query: PermitQuery | null,
+  handlers: PeerHandlers,
+): void {
+  if (query === null) {
+    res.writeHead(Status.NotFound).end();
+  } else {
+    res.writeHead(Status.Ok, CONTENT_TYPE).end(pack(handlers.permits(query)));
+  }
+}
+
 /** Merges a peer's crash reports; returns the HTTP status that confirms or refuses them. */
 function takeCrashReports(body: Buffer, handlers: PeerHandlers): number {
   const digest = readCrashReports(body);
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -9,6 +9,7 @@
 import type { UpdateQuery } from './RelayUpdates.js';
 import type { PeerUpdates } from './RelayPeers.js';
 import { FanoutLevel } from './RelayFanout.js';
+import type { PermitAnswer, PermitQuery } from './RelayLimits.js';
 import type { BackendEntry } from './RelayTypes.js';
 import type { WorkReport } from './RelayWork.js';
 
@@ -50,6 +51,12 @@
   others: reportedWork,
 });
 
+const limitNews = { limit: z.nullable(count), age: count };
+
+const permitQuery = z.object({ ...limitNews, server: z.string(), wanted: count });
+
+const permitAnswer = z.object({ ...limitNews, count });
+
 const names = z.array(z.string());
 
 const crashDigest = z.object({
@@ -114,10 +121,24 @@
   return observedEntries.parse(unpack(body));
 }
 
+/** Reads a request for permits; null if it is invalid. */
+export function readPermitQuery(body: Buffer): PermitQuery | null {
+  return permitQuery.safeParse(unpackOrNull(body)).data ?? null;
+}
+
+/** Reads an issuer's answer; null if it is invalid. */
+export function readPermitAnswer(body: Buffer): PermitAnswer | null {
+  return permitAnswer.safeParse(unpackOrNull(body)).data ?? null;
+}
+
 /** Reads crash reports; null if they are invalid. */
 export function readCrashReports(body: Buffer): PoisonDigest | null {
+  return crashDigest.safeParse(unpackOrNull(body)).data ?? null;
+}
+
+function unpackOrNull(body: Buffer): unknown {
   try {
-    return crashDigest.parse(unpack(body));
+    return unpack(body);
   } catch {
     return null;
   }
--- a/packages/relay/src/__tests__/unit/RelayLimits.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLimits.test.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { BackendView } from '../../RelayPorts.js';
+import { createLimitFleet } from './RelayLimitFleet.js';
 import type { PartsBed } from './RelayPartsBed.js';
 import { createPartsBed } from './RelayPartsBed.js';
 
@@ -14,6 +15,10 @@
 /** An instance that has passed on an answer counts from this time after it. */
 const TOLD_TIME: Millis = 500;
 
+/** Periods in which one of seven instances tries to send a request. */
+const SENDINGS = 1200;
+const SEND_PERIOD: Millis = 20;
+
 interface Arrival {
   readonly at: Millis;
   readonly isTold: boolean;
@@ -100,4 +105,61 @@
     expect(refusals).to.deep.equal([]);
     expect(arrivals.length).to.equal(80);
   });
+
+  [7, 680].forEach((size) => {
+    it(`bounds what ${size} instances send while answers are lost, late and repeated and issuers restart`, async () => {
+      // Guards against a bound that grows with the fleet, and against two issuers at a time.
+      for (const limit of size === 7 ? [0, 1.8, 20] : [1.8]) {
+        const fleet = createLimitFleet(size, 1, { lost: 0.2, delay: 100, repeated: 0.2 });
+        fleet.name(limit);
+        fleet.tellAll();
+        for (let i = 0; i < SENDINGS; i++) {
+          for (let j = 0; j < size / 7; j++) {
+            fleet.send(fleet.random.nextInt(size));
+          }
+          if (i % 200 === 199) {
+            fleet.restart(fleet.findIssuer());
+            fleet.tellAll();
+          }
+          await fleet.timers.advanceToAsync((i + 1) * SEND_PERIOD);
+        }
+        const arrivals = fleet.arrivals.map((at) => ({ at, isTold: true }));
+        const most = findMostInWindow(arrivals, 0);
+        expect(most, `limit ${limit}`).to.be.at.most(getAllowed(limit));
+        expect(arrivals.length, `limit ${limit}`).to.be.at.least(1);
+      }
+    });
+  });
+
+  it('uses a server without bounds again once its answers name no limit', async () => {
+    // Guards against an engine that is left aside for good after its need has ended.
+    const fleet = createLimitFleet(7, 1, { lost: 0, delay: 5, repeated: 0 });
+    fleet.name(1);
+    fleet.tellAll();
+    await fleet.timers.advanceToAsync(1000);
+    fleet.name(null);
+    for (let i = 0; i < 100; i++) {
+      fleet.send(i);
+      await fleet.timers.advanceToAsync(1000 + (i + 1) * SEND_PERIOD);
+    }
+    expect(fleet.countBlocked()).to.equal(0);
+  });
+
+  it('sends a request now and then to a server that takes none, and so learns of the end', async () => {
+    // Guards against a limit of zero that nobody can see ending, as no request is sent.
+    const fleet = createLimitFleet(7, 1, { lost: 0, delay: 5, repeated: 0 });
+    fleet.name(0);
+    fleet.tellAll();
+    for (let i = 0; i < 400; i++) {
+      fleet.send(i);
+      await fleet.timers.advanceToAsync((i + 1) * SEND_PERIOD);
+    }
+    expect(fleet.arrivals.length).to.be.within(2, 10);
+    fleet.name(null);
+    for (let i = 400; i < 800; i++) {
+      fleet.send(i);
+      await fleet.timers.advanceToAsync((i + 1) * SEND_PERIOD);
+    }
+    expect(fleet.countBlocked()).to.equal(0);
+  });
 });
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -131,6 +131,8 @@
           receiver?.router.mergePoison(digest);
           return Promise.resolve(receiver !== undefined);
         },
+        askForPermits: ({ id: peer }, query) =>
+          Promise.resolve(gone.has(peer) ? null : (parts.get(peer)?.limits.answer(query) ?? null)),
         createBackends: (view) => createBackends(id, view),
         logger: pino({ level: 'silent' }),
         decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -11,6 +11,7 @@
 import { createCatalogue } from '../../RelayCatalogue.js';
 import type { Mirror } from '../../RelayMirror.js';
 import { createMirror } from '../../RelayMirror.js';
+import type { PermitQuery } from '../../RelayLimits.js';
 import { createPeerHttp } from '../../RelayPeerHttp.js';
 import type { PeerAnswer, RelayPeers } from '../../RelayPeers.js';
 import { createRelayPeers } from '../../RelayPeers.js';
@@ -354,6 +355,7 @@
           updates: () => Promise.resolve({ kind: 'deaf' }),
           grant: (_service, wanted) => wanted,
           crashes: (digest) => received.push(digest),
+          permits: ({ limit, wanted }) => ({ count: wanted, limit, age: 7 }),
         },
       ),
     };
@@ -374,6 +376,11 @@
     const invalid = { reports: [{ crash: 'e' }] } as unknown as PoisonDigest;
     expect(await client.sendCrashReports(peer, invalid, 1000)).to.equal(false);
     expect(received).to.deep.equal([{ reports: [report] }]);
+    const query = { server: 'e', wanted: 2, limit: 1.8, age: 3 };
+    const permits = await client.askForPermits(peer, query, 1000);
+    expect(permits).to.deep.equal({ count: 2, limit: 1.8, age: 7 });
+    const invalidQuery = { server: 'e' } as unknown as PermitQuery;
+    expect(await client.askForPermits(peer, invalidQuery, 1000)).to.equal(null);
     await server.close();
     expect(await client.sendCrashReports(peer, { reports: [report] }, 1000)).to.equal(false);
     expect(await client.ask(address, 0, 1000)).to.deep.equal({ kind: 'silent' });
