Keep the crashes of repeated suspects longest when the record is full

Class: a bounded record that drops by age what it is kept for. Change: crashes without a suspect of several go first.

--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -215,13 +215,21 @@
   });
 }
 
+/**
+ * Makes room for another crash. Crashes of a request that was at several are kept longest: a lost rack would else make
+ * the instances forget all requests that crash engines, and each would cost its engines again.
+ */
 function dropOldest(state: PoisonState): PoisonState {
   if (state.crashes.size < MAX_CRASHES) {
     return state;
   }
-  const oldest = [...state.crashes].reduce((a, b) => (a[1].expiresAt <= b[1].expiresAt ? a : b));
+  const repeated = listRepeatedSuspects(state);
+  const all = [...state.crashes.values()];
+  const single = all.filter(({ suspects }) => ![...suspects].some((name) => repeated.has(name)));
+  const candidates = single.length > 0 ? single : all;
+  const oldest = candidates.reduce((a, b) => (a.expiresAt <= b.expiresAt ? a : b));
   const crashes = new Map(state.crashes);
-  crashes.delete(oldest[0]);
+  crashes.delete(oldest.id);
   return { ...state, crashes };
 }
 
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -120,6 +120,16 @@
     expect(judgeRequest(many, 'p', 3_000_000)).to.equal('held');
   });
 
+  it('remembers a condemned request when many engines are lost', () => {
+    // Guards against a lost domain whose crashes push out those of a request that crashes engines.
+    let state = crash(createPoisonState(2), ['p'], 'x', 0);
+    state = crash(state, ['p'], 'y', 5000);
+    for (let i = 0; i < 400; i++) {
+      state = crash(state, [`of e${i}`], `e${i}`, 60_000 + i);
+    }
+    expect(judgeRequest(state, 'p', 61_000)).to.equal(PoisonVerdict.Condemned);
+  });
+
   it('merges digests commutatively and idempotently', () => {
     const report = fc.record({
       crash: fc.constantFrom('c1', 'c2', 'c3'),
