Use the exchange of crash reports between daemons as well, over all domains

Change: the exchange moves from relay to requests, and the daemon uses it over its calls between peers; reports are confirmed and repeated. While no crash is known the exchange does nothing. Selection across domains moves to core.

--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -164,7 +164,7 @@
   const unregisterAll: Unregister[] = [
     fleet.start(),
     directory.start(),
-    startDaemonPoison({ self: self.id, fleet, router, timers, random }),
+    startDaemonPoison({ fleet, router, timers }),
     fleet.membership.registerListener(updateRouting),
     routing.start(),
   ];
--- a/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonBadInput.test.ts
@@ -162,6 +162,7 @@
   pack([EnvelopeKind.Notice, 'stranger', ['manifest', { type: 'told', revision: -1 }]]),
   pack([EnvelopeKind.Notice, 'stranger', ['engine-report', { status: 7 }]]),
   pack([EnvelopeKind.Notice, 'stranger', ['poison', 'text']]),
+  pack([EnvelopeKind.Call, 'stranger', ['session', 1, 'crashes', 'text']]),
 ];
 
 /** Headers that prove, as a peer's do, that the sender knows the secret. */
--- a/packages/relay/src/RelayFanout.ts
+++ b/packages/relay/src/RelayFanout.ts
@@ -3,8 +3,8 @@
  * the store, two of each failure domain poll those, and all others poll the two of their own domain. While lists
  * differ, more instances may watch; levels prevent two instances from polling each other.
  */
-import { selectOwners } from '@skylarksail/core/CoreHash';
-import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
+import { rankAcrossDomains, selectByDomain } from '@skylarksail/core/CoreSelection';
+import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { InstanceEntry } from './RelayTypes.js';
 
 /** Distance of an instance from the store. An instance answers only those at a higher level. */
@@ -58,44 +58,6 @@
     : { level: FanoutLevel.Subscriber, sources: own, isShared: true };
 }
 
-/** Selects `count` instances of different domains where possible, since a domain fails as a whole. */
-export function selectAcrossDomains(
-  key: string,
-  instances: readonly InstanceEntry[],
-  count: number,
-): readonly InstanceEntry[] {
-  return rankAcrossDomains(key, selectByDomain(key, instances, count), count).slice(0, count);
-}
-
-/** The first `count` instances of each domain in order of rank. */
-function selectByDomain(
-  key: string,
-  instances: readonly InstanceEntry[],
-  count: number,
-): ReadonlyMap<DomainId, readonly InstanceEntry[]> {
-  const domains = new Set(instances.map(({ domain }) => domain));
-  return new Map(
-    [...domains].map((domain) => {
-      const members = instances.filter((instance) => instance.domain === domain);
-      const byId = new Map(members.map((member) => [member.id, member]));
-      const ids = selectOwners(key, [...byId.keys()], count);
-      return [domain, ids.flatMap((id) => byId.get(id) ?? [])];
-    }),
-  );
-}
-
-/** Lists the selected instances by rank, and those of the same rank by the rank of their domain. */
-function rankAcrossDomains(
-  key: string,
-  selected: ReadonlyMap<DomainId, readonly InstanceEntry[]>,
-  count: number,
-): readonly InstanceEntry[] {
-  const domains = selectOwners(key, [...selected.keys()], selected.size);
-  return Array.from({ length: count }, (_, rank) =>
-    domains.flatMap((domain) => selected.get(domain)?.[rank] ?? []),
-  ).flat();
-}
-
 /** Role of one instance, recomputed when the list of instances changes. */
 export interface FanoutRoleCache {
   get(): FanoutRole;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -15,6 +15,8 @@
 import { createDaemonRouting } from '@skylarksail/daemon/DaemonRouting';
 import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
+import type { SendCrashReports } from '@skylarksail/requests/RouterCrashExchange';
+import { startCrashExchange } from '@skylarksail/requests/RouterCrashExchange';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
@@ -28,8 +30,6 @@
 import { createRelayEngines } from './RelayEngines.js';
 import { listModels } from './RelayFacts.js';
 import { createRelayHealth } from './RelayHealth.js';
-import type { SendCrashReports } from './RelayCrashReports.js';
-import { startRelayCrashReports } from './RelayCrashReports.js';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, RelayUpdates } from './RelayUpdates.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
@@ -76,7 +76,7 @@
   readonly askPeer: AskPeer;
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
-  readonly sendCrashReports: SendCrashReports;
+  readonly sendCrashReports: SendCrashReports<InstanceEntry>;
   readonly askForPermits: AskForPermits;
   readonly createBackends: (view: BackendView) => BackendPorts;
   readonly logger: DaemonLogger;
@@ -362,11 +362,12 @@
     health.stop,
     startGate.stop,
     repeats.start(),
-    startRelayCrashReports({
+    startCrashExchange({
       timers,
       self,
       router,
       listInstances: lease.listInstances,
+      hasAddress: ({ address }) => address !== null,
       sendCrashReports: options.sendCrashReports,
     }),
   ];
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -8,7 +8,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
-import type { SendCrashReports } from './RelayCrashReports.js';
+import type { SendCrashReports } from '@skylarksail/requests/RouterCrashExchange';
 import type { AskForPermits, PermitAnswer, PermitQuery } from './RelayLimits.js';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, UpdateAnswer, UpdateQuery } from './RelayUpdates.js';
@@ -22,6 +22,7 @@
   readUpdateQuery,
 } from './RelayPeerMessages.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
+import type { InstanceEntry } from './RelayTypes.js';
 
 const Path = {
   Changes: '/changes',
@@ -65,7 +66,7 @@
   readonly ask: AskPeer;
   readonly askForUpdates: AskForUpdates;
   readonly askGrant: AskGrant;
-  readonly sendCrashReports: SendCrashReports;
+  readonly sendCrashReports: SendCrashReports<InstanceEntry>;
   readonly askForPermits: AskForPermits;
   /** Serves peers. Resolves to the port, which the system chooses if it was 0. */
   listen(address: HostPort, answers: PeerHandlers): Promise<number>;
--- a/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
+++ b/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
@@ -6,9 +6,9 @@
 import type { Fingerprint, PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import { createCrashId, noteCrash } from '@skylarksail/requests/RequestPoison';
 import { judgeRequest, PoisonVerdict } from '@skylarksail/requests/RequestPoisonVerdict';
+import { startCrashExchange } from '@skylarksail/requests/RouterCrashExchange';
 import type { RouterCrashes } from '@skylarksail/requests/RouterCrashes';
 import { createRouterCrashes } from '@skylarksail/requests/RouterCrashes';
-import { startRelayCrashReports } from '../../RelayCrashReports.js';
 import type { InstanceEntry } from '../../RelayTypes.js';
 
 /** How the links between instances fail. */
@@ -80,7 +80,7 @@
     starts += 1;
     const listeners = new Set<() => void>();
     const crashes = createRouterCrashes(CRASH_LIMIT, () => listeners.forEach((notify) => notify()));
-    const stop = startRelayCrashReports({
+    const stop = startCrashExchange<InstanceEntry>({
       timers,
       self: entry,
       listInstances: () => listed,
--- a/packages/relay/src/RelayCrashReports.ts
+++ b/packages/requests/src/RouterCrashExchange.ts
@@ -8,30 +8,32 @@
  * delay only. Reports may arrive late, twice or in any order, since merging them is commutative and idempotent.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainMember } from '@skylarksail/core/CoreSelection';
+import { selectAcrossDomains } from '@skylarksail/core/CoreSelection';
 import type { InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
-import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
-import type { ReportBatch } from '@skylarksail/requests/RouterCrashes';
-import { selectAcrossDomains } from './RelayFanout.js';
-import type { InstanceEntry } from './RelayTypes.js';
+import type { PoisonDigest } from './RequestPoison.js';
+import type { RequestRouter } from './RequestRouter.js';
+import type { ReportBatch } from './RouterCrashes.js';
 
 /** Sends reports to a peer; resolves to whether it confirmed them. */
-export type SendCrashReports = (
-  peer: InstanceEntry,
+export type SendCrashReports<T extends DomainMember> = (
+  peer: T,
   digest: PoisonDigest,
   timeout: Millis,
 ) => Promise<boolean>;
 
-export interface RelayCrashReportsOptions {
+export interface CrashExchangeOptions<T extends DomainMember> {
   readonly timers: TimerService;
-  readonly self: InstanceEntry;
+  readonly self: T;
   readonly router: Pick<
     RequestRouter,
     'listObservedCrashes' | 'listRepeatedCrashes' | 'registerCrashListener'
   >;
-  /** The same array is expected until something changes. */
-  readonly listInstances: () => readonly InstanceEntry[];
-  readonly sendCrashReports: SendCrashReports;
+  /** All instances, with or without this one; roles are assigned anew for each new array. */
+  readonly listInstances: () => readonly T[];
+  /** Whether a listed instance has an address; all have if omitted. */
+  readonly hasAddress?: (peer: T) => boolean;
+  readonly sendCrashReports: SendCrashReports<T>;
 }
 
 /** If one has crashed and another is cut off, the third still passes reports on. */
@@ -46,18 +48,20 @@
 const MAX_IN_FLIGHT = 256;
 
 /** Starts the exchange; returns a function that ends it. */
-export function startRelayCrashReports(options: RelayCrashReportsOptions): Unregister {
+export function startCrashExchange<T extends DomainMember>(
+  options: CrashExchangeOptions<T>,
+): Unregister {
   const { timers, self, router } = options;
-  let instances: readonly InstanceEntry[] = [];
-  let peers: readonly InstanceEntry[] = [];
-  let collectors: readonly InstanceEntry[] = [];
+  let instances: readonly T[] = [];
+  let peers: readonly T[] = [];
+  let collectors: readonly T[] = [];
   let isFlushScheduled = false;
   let isStopped = false;
   const flight = { count: 0 };
   const observed = createReportFeed(router.listObservedCrashes, send);
   const repeated = createReportFeed(router.listRepeatedCrashes, send);
 
-  async function send(peer: InstanceEntry, digest: PoisonDigest): Promise<boolean> {
+  async function send(peer: T, digest: PoisonDigest): Promise<boolean> {
     flight.count += 1;
     const isConfirmed = await options.sendCrashReports(peer, digest, SEND_TIMEOUT);
     flight.count -= 1;
@@ -71,7 +75,7 @@
       return;
     }
     instances = latest;
-    peers = latest.filter(({ id, address }) => id !== self.id && address !== null);
+    peers = latest.filter((peer) => peer.id !== self.id && (options.hasAddress?.(peer) ?? true));
     collectors = selectAcrossDomains(HASH_KEY, [...peers, self], COLLECTOR_COUNT);
     const ids = new Set(peers.map(({ id }) => id));
     observed.keepOnly(ids);
@@ -79,7 +83,9 @@
   }
 
   function flush(): void {
-    if (isStopped) {
+    const hasReports =
+      router.listObservedCrashes(0).position > 0 || router.listRepeatedCrashes(0).position > 0;
+    if (isStopped || !hasReports) {
       return;
     }
     refreshRoles();
@@ -92,7 +98,7 @@
   }
 
   /** Offers news to peers in turn, beginning after the last one that got some, so that none is always the last. */
-  function offer(feed: ReportFeed, receivers: readonly InstanceEntry[]): void {
+  function offer(feed: ReportFeed<T>, receivers: readonly T[]): void {
     const first = 1 + receivers.findIndex(({ id }) => id === feed.getLast());
     for (const peer of [...receivers.slice(first), ...receivers.slice(0, first)]) {
       if (flight.count >= MAX_IN_FLIGHT) {
@@ -124,25 +130,25 @@
 }
 
 /** Reports of one kind, with what each peer has confirmed. */
-interface ReportFeed {
+interface ReportFeed<T> {
   /** Sends a peer what it lacks; null if that is nothing, or the peer must be left alone for now. */
-  offer(peer: InstanceEntry, now: Millis): Promise<void> | null;
+  offer(peer: T, now: Millis): Promise<void> | null;
   /** The peer that was sent something last. */
   getLast(): InstanceId | null;
   /** Forgets all other peers. */
   keepOnly(ids: ReadonlySet<InstanceId>): void;
 }
 
-function createReportFeed(
+function createReportFeed<T extends DomainMember>(
   listReports: (after: number) => ReportBatch,
-  send: (peer: InstanceEntry, digest: PoisonDigest) => Promise<boolean>,
-): ReportFeed {
+  send: (peer: T, digest: PoisonDigest) => Promise<boolean>,
+): ReportFeed<T> {
   const confirmed = new Map<InstanceId, number>();
   const inFlight = new Set<InstanceId>();
   const pausedUntil = new Map<InstanceId, Millis>();
   let last: InstanceId | null = null;
 
-  async function sendBatch(peer: InstanceEntry, batch: ReportBatch, now: Millis): Promise<void> {
+  async function sendBatch(peer: T, batch: ReportBatch, now: Millis): Promise<void> {
     last = peer.id;
     inFlight.add(peer.id);
     const isConfirmed = await send(peer, { reports: batch.reports });
