Send no repaired chain to a limited first engine without a permit

Cause: a repair keeps the engines that are left of a chain, whatever it should avoid, so a continued answer reached a limited first engine past the permits. Found by reading. Change: such a choice is given back, and the answer waits for a permit or a new chain.

--- a/packages/relay/src/RelayPermits.ts
+++ b/packages/relay/src/RelayPermits.ts
@@ -24,20 +24,34 @@
   limitServers(choose: ChooseServer): ChooseServer;
 }
 
+type ChosenChain = Extract<ChainChoice, { kind: 'chain' }>;
+
+/** Waiting helps, as a permit may come. */
+const NO_PERMIT: ChainChoice = { kind: 'none', isFull: true, retryAfter: 0 };
+
 export function createPermitChoices({ limits, isFirst }: PermitChoicesOptions): PermitChoices {
   const permits = new WeakMap<Chain, Permit>();
 
-  function listAvoided(avoid: readonly EngineId[]): readonly EngineId[] {
-    const blocked = limits.listBlocked().filter(isFirst);
-    return blocked.length === 0 ? avoid : [...avoid, ...blocked];
+  function listBlocked(): readonly EngineId[] {
+    return limits.listBlocked().filter(isFirst);
   }
 
-  function reserveFor(choice: ChainChoice): ChainChoice {
-    const permit =
-      choice.kind === 'chain' ? limits.reserve(choice.chain.stages[0]?.engine ?? '') : null;
-    if (choice.kind === 'none' || permit === null) {
+  function reserveFor(choice: ChainChoice, blocked: readonly EngineId[]): ChainChoice {
+    if (choice.kind === 'none') {
       return choice;
     }
+    const first = choice.chain.stages[0]?.engine ?? '';
+    if (blocked.includes(first)) {
+      // A repair keeps the engines that are left of a chain, whatever it should avoid.
+      choice.hold.release({ kind: 'cancelled' });
+      return NO_PERMIT;
+    }
+    const permit = limits.reserve(first);
+    return permit === null ? choice : holdPermit(choice, permit);
+  }
+
+  /** Returns the permit with the chain's capacity if the chain is not used. */
+  function holdPermit(choice: ChosenChain, permit: Permit): ChosenChain {
     const { hold } = choice;
     permits.set(choice.chain, permit);
     return {
@@ -53,14 +67,16 @@
   }
 
   return {
-    limitChoice: (choose) => (request) =>
-      reserveFor(choose({ ...request, avoid: listAvoided(request.avoid) })),
+    limitChoice: (choose) => (request) => {
+      const blocked = listBlocked();
+      return reserveFor(choose({ ...request, avoid: [...request.avoid, ...blocked] }), blocked);
+    },
     usePermits: (open) => (call, listener) => {
       permits.get(call.chain)?.use();
       return open(call, listener);
     },
     limitServers: (choose) => (service, avoid) => {
-      const choice = choose(service, listAvoided(avoid));
+      const choice = choose(service, [...avoid, ...listBlocked()]);
       if (choice) {
         limits.reserve(choice.server)?.use();
       }
