--- a/packages/relay/src/__tests__/unit/RelayLimitFleet.ts
+++ b/packages/relay/src/__tests__/unit/RelayLimitFleet.ts
@@ -87,10 +87,11 @@
         onLimitedRequest: () => undefined,
       }),
     });
-    spreadList();
   }
 
   Array.from({ length: size }, start);
+  const all = fleet.map(({ entry }) => entry);
+  fleet.forEach(({ learnList }) => learnList(all));
   return {
     timers,
     random,
@@ -117,6 +118,7 @@
     restart(index: number): void {
       fleet = fleet.filter((_instance, i) => i !== index % fleet.length);
       start();
+      spreadList();
     },
     /** Position of the instance that issues the permits. */
     findIssuer: () => {
