List crash reports once for all instances that lack the same ones

Cause: a collector built the same batch for each of 680 instances. Change: an instance that lacks nothing is skipped, and a batch is used again for 50 ms.

--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -44,12 +44,22 @@
 /** Maximum number of suspects in a batch, which keeps a message below 50 kB. */
 const MAX_BATCH_SUSPECTS = 2000;
 
+/** Time for which a batch is used again; reports in it seem that much younger. */
+const MAX_BATCH_AGE: Millis = 50;
+
 /** A report as it was last listed for all instances. */
 interface SharedReport {
   readonly content: string;
   readonly position: number;
 }
 
+/** A batch, and when it was created for which position. */
+interface CachedBatch {
+  readonly after: number;
+  readonly at: Millis;
+  readonly batch: ReportBatch;
+}
+
 /** Creates a router's record of crashes; `onChange` is called after each change that others should learn. */
 export function createRouterCrashes(crashLimit: number, onChange: () => void): RouterCrashes {
   const observedAt = new Map<CrashId, number>();
@@ -58,6 +68,10 @@
   let position = 0;
   let repeated: ReadonlySet<Fingerprint> = new Set();
   let isSharedCurrent = true;
+  let newestObserved = 0;
+  let newestShared = 0;
+  /** The last batch for all instances; most of them lack the same reports. */
+  let sharedBatch: CachedBatch | null = null;
 
   function listChanged(before: PoisonState): readonly CrashId[] {
     return [...state.crashes].flatMap(([id, crash]) =>
@@ -90,6 +104,8 @@
       if (shared.get(id)?.content !== content) {
         position += 1;
         shared.set(id, { content, position });
+        newestShared = position;
+        sharedBatch = null;
       }
     }
   }
@@ -129,6 +145,7 @@
       for (const id of listChanged(before)) {
         position += 1;
         observedAt.set(id, position);
+        newestObserved = position;
       }
       noteChange();
     },
@@ -141,15 +158,25 @@
       return news;
     },
     listObserved: (after, now) =>
-      createBatch([...observedAt], (crash) => createCrashReport(crash, now), after),
+      after >= newestObserved
+        ? { reports: [], position: after }
+        : createBatch([...observedAt], (crash) => createCrashReport(crash, now), after),
     listRepeated(after, now) {
       refreshShared();
+      if (after >= newestShared) {
+        return { reports: [], position: after };
+      }
+      if (sharedBatch?.after === after && now - sharedBatch.at <= MAX_BATCH_AGE) {
+        return sharedBatch.batch;
+      }
       const positions = [...shared].map(([id, report]) => [id, report.position] as const);
-      return createBatch(
+      const batch = createBatch(
         positions,
         (crash) => createCrashReport(keepSuspects(crash, repeated), now),
         after,
       );
+      sharedBatch = { after, at: now, batch };
+      return batch;
     },
   };
 }
