Compute each part of a verdict's evidence once

Change: one judgement keeps what it computed, and the engines that ended beside a crash are found once for each crash.

--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -71,7 +71,13 @@
  * separately: long-running requests are rarely the cause and would obscure the request that is.
  */
 export function createCrashId(engine: EngineId, bootId: string, ranLong: boolean): CrashId {
-  return ranLong ? `${engine}@${bootId}${RAN_LONG_SUFFIX}` : `${engine}@${bootId}`;
+  const crashedProcess = `${engine}@${bootId}`;
+  return ranLong ? getLongReportId(crashedProcess) : crashedProcess;
+}
+
+/** Returns the id of the report of a process's long-running suspects. */
+export function getLongReportId(crashedProcess: CrashId): CrashId {
+  return `${crashedProcess}${RAN_LONG_SUFFIX}`;
 }
 
 /** Returns the process of a crash id, without the mark for long-running suspects. */
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -1,7 +1,7 @@
 /** Judges by the known crashes whether a request crashes the engines that run it. Pure. */
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { Crash, Fingerprint, PoisonState } from './RequestPoison.js';
-import { CRASH_RETENTION, getCrashedProcess } from './RequestPoison.js';
+import type { Crash, CrashId, Fingerprint, PoisonState } from './RequestPoison.js';
+import { CRASH_RETENTION, getCrashedProcess, getLongReportId } from './RequestPoison.js';
 
 /** Assessment of a request. */
 export const PoisonVerdict = {
@@ -41,23 +41,24 @@
   fingerprint: Fingerprint,
   now: Millis,
 ): PoisonVerdictName {
-  const counted = listCountedCrashes(state, fingerprint, now);
+  const evidence = createEvidence(state, now);
+  const counted = evidence.listCounted(fingerprint);
   if (counted.length < state.crashLimit) {
     return counted.length === 0 ? PoisonVerdict.Clean : PoisonVerdict.Suspect;
   }
-  const ownCrashes = countCrashesAlone(state, fingerprint, now);
+  const alone = evidence.countAlone(fingerprint);
   const unexplained = counted.filter(
     (crash) =>
-      !listRivals(state, crash, fingerprint, now).some(
-        (rival) => countCrashesAlone(state, rival, now) > ownCrashes,
-      ),
+      !evidence
+        .listRivals(crash)
+        .some((rival) => rival !== fingerprint && evidence.countAlone(rival) > alone),
   );
   if (unexplained.length < state.crashLimit) {
     return PoisonVerdict.Suspect;
   }
   const newest = Math.max(...unexplained.map((crash) => crash.expiresAt));
   const age = CRASH_RETENTION - (newest - now);
-  if (ownCrashes === 0) {
+  if (alone === 0) {
     return judgeAmbiguous(unexplained.length, state.crashLimit, age);
   }
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
@@ -97,14 +98,16 @@
   fingerprint: Fingerprint,
   now: Millis,
 ): PoisonTally {
+  const evidence = createEvidence(state, now);
   const known = [...state.crashes.values()].filter(
     ({ expiresAt, suspects }) => expiresAt > now && suspects.has(fingerprint),
   );
   return {
     verdict: judgeRequest(state, fingerprint, now),
     known: known.length,
-    counted: listCountedCrashes(state, fingerprint, now).length,
-    inOutages: known.filter((crash) => isPartOfOutage(state, crash, fingerprint)).length,
+    counted: evidence.listCounted(fingerprint).length,
+    inOutages: known.filter((crash) => isPartOfOutage(crash, fingerprint, evidence.listNeighbours))
+      .length,
     cleared: known.filter(
       ({ cleared, completed }) => cleared.has(fingerprint) || completed.has(fingerprint),
     ).length,
@@ -119,7 +122,7 @@
   now: Millis,
 ): ReadonlySet<Fingerprint> {
   const coSuspects = new Set<Fingerprint>();
-  for (const crash of listCountedCrashes(state, fingerprint, now)) {
+  for (const crash of createEvidence(state, now).listCounted(fingerprint)) {
     for (const suspect of listUncleared(crash)) {
       if (suspect !== fingerprint) {
         coSuspects.add(suspect);
@@ -129,8 +132,8 @@
   return coSuspects;
 }
 
-/** Crashes of a request that has not been run to its end since. */
-function listUndisproven(
+/** Crashes of a request, but for those that are disproven or after which it was run to its end. */
+function listOpenCrashes(
   state: PoisonState,
   fingerprint: Fingerprint,
   now: Millis,
@@ -141,17 +144,19 @@
   );
 }
 
+/** Crashes of a request that count towards its verdict. */
 function listCountedCrashes(
   state: PoisonState,
   fingerprint: Fingerprint,
   now: Millis,
+  listNeighbours: ListNeighbours,
 ): readonly Crash[] {
-  const known = listUndisproven(state, fingerprint, now);
+  const known = listOpenCrashes(state, fingerprint, now);
   const isLimitReached = known.length >= MAX_CLEARED_CRASHES;
   const crashes = known.filter((crash) => isLimitReached || !crash.cleared.has(fingerprint));
   const excused = new Set(
     crashes
-      .filter((crash) => isPartOfOutage(state, crash, fingerprint))
+      .filter((crash) => isPartOfOutage(crash, fingerprint, listNeighbours))
       .sort((a, b) => a.expiresAt - b.expiresAt)
       .slice(0, MAX_EXCUSED_CRASHES),
   );
@@ -162,20 +167,36 @@
  * Whether a crash was part of an outage unrelated to the request: the loss of a rack or switch also takes
  * down engines that never ran it.
  */
-function isPartOfOutage(state: PoisonState, crash: Crash, fingerprint: Fingerprint): boolean {
-  const engines = new Set<string>();
-  const ownEngines = new Set<string>();
-  for (const [id, other] of state.crashes) {
-    const engine = getCrashedProcess(id);
-    if (other.suspects.has(fingerprint)) {
-      ownEngines.add(engine);
-    } else if (Math.abs(other.expiresAt - crash.expiresAt) <= OUTAGE_WINDOW) {
-      engines.add(engine);
-    }
-  }
-  // A crash can have two reports: one of long-running suspects and one of the others.
-  const others = [...engines].filter((engine) => !ownEngines.has(engine));
-  return others.length >= OUTAGE_CRASHES;
+function isPartOfOutage(
+  crash: Crash,
+  fingerprint: Fingerprint,
+  listNeighbours: ListNeighbours,
+): boolean {
+  const unrelated = listNeighbours(crash).filter((suspects) => !suspects.has(fingerprint));
+  return unrelated.length >= OUTAGE_CRASHES;
+}
+
+/** Lists the suspects of each other engine that ended within the window of an outage. */
+type ListNeighbours = (crash: Crash) => readonly ReadonlySet<Fingerprint>[];
+
+/** A crash can have two reports: one of long-running suspects and one of the others. */
+function findNeighbours(state: PoisonState, crash: Crash): readonly ReadonlySet<Fingerprint>[] {
+  const own = getCrashedProcess(crash.id);
+  const processes = new Set(
+    [...state.crashes.values()]
+      .filter(({ expiresAt }) => Math.abs(expiresAt - crash.expiresAt) <= OUTAGE_WINDOW)
+      .map(({ id }) => getCrashedProcess(id))
+      .filter((id) => id !== own),
+  );
+  return [...processes].map((id) => listSuspectsOf(state, id));
+}
+
+/** All suspects of a crashed process, whether they had run for long or not. */
+function listSuspectsOf(state: PoisonState, crashedProcess: CrashId): ReadonlySet<Fingerprint> {
+  const reports = [crashedProcess, getLongReportId(crashedProcess)].flatMap(
+    (id) => state.crashes.get(id) ?? [],
+  );
+  return new Set(reports.flatMap(({ suspects }) => [...suspects]));
 }
 
 function listUncleared(crash: Crash): readonly Fingerprint[] {
@@ -183,29 +204,67 @@
   return [...suspects].filter((suspect) => !cleared.has(suspect) && !completed.has(suspect));
 }
 
-/** Number of counted crashes of a request that no other request can have caused. */
-function countCrashesAlone(state: PoisonState, fingerprint: Fingerprint, now: Millis): number {
-  return listCountedCrashes(state, fingerprint, now).filter(
-    (crash) => listRivals(state, crash, fingerprint, now).length === 0,
-  ).length;
+/** What one judgement needs to know of several requests; each part is computed once. */
+interface Evidence {
+  readonly listNeighbours: ListNeighbours;
+  /** Crashes of a request that count. */
+  listCounted(fingerprint: Fingerprint): readonly Crash[];
+  /** Suspects of a crash that have reached the crash limit, and so may have caused it. */
+  listRivals(crash: Crash): readonly Fingerprint[];
+  /** Number of counted crashes of a request that no other request can have caused. */
+  countAlone(fingerprint: Fingerprint): number;
 }
 
-/** Other suspects of a crash that have reached the crash limit too, and so may have caused it. */
-function listRivals(
-  state: PoisonState,
-  crash: Crash,
-  fingerprint: Fingerprint,
-  now: Millis,
-): readonly Fingerprint[] {
-  const reports = listReportsOf(state, crash);
-  const suspects = new Set(reports.flatMap((report) => [...report.suspects]));
-  return [...suspects].filter((suspect) => {
-    if (suspect === fingerprint || !hasSeveralCrashes(state, suspect)) {
-      return false;
-    }
-    const counted = listCountedCrashes(state, suspect, now);
-    return counted.length >= state.crashLimit && reports.some((report) => counted.includes(report));
-  });
+function createEvidence(state: PoisonState, now: Millis): Evidence {
+  const counted = new Map<Fingerprint, readonly Crash[]>();
+  const rivals = new Map<Crash, readonly Fingerprint[]>();
+  const alone = new Map<Fingerprint, number>();
+  const neighbours = new Map<Crash, readonly ReadonlySet<Fingerprint>[]>();
+
+  function listNeighbours(crash: Crash): readonly ReadonlySet<Fingerprint>[] {
+    return computeOnce(neighbours, crash, () => findNeighbours(state, crash));
+  }
+
+  function listCounted(fingerprint: Fingerprint): readonly Crash[] {
+    return computeOnce(counted, fingerprint, () =>
+      listCountedCrashes(state, fingerprint, now, listNeighbours),
+    );
+  }
+
+  function listRivals(crash: Crash): readonly Fingerprint[] {
+    return computeOnce(rivals, crash, () => {
+      const reports = listReportsOf(state, crash);
+      const suspects = new Set(reports.flatMap((report) => [...report.suspects]));
+      return [...suspects].filter(
+        (suspect) =>
+          hasSeveralCrashes(state, suspect) &&
+          listCounted(suspect).length >= state.crashLimit &&
+          reports.some((report) => listCounted(suspect).includes(report)),
+      );
+    });
+  }
+
+  return {
+    listNeighbours,
+    listCounted,
+    listRivals,
+    countAlone: (fingerprint) =>
+      computeOnce(
+        alone,
+        fingerprint,
+        () =>
+          listCounted(fingerprint).filter((crash) =>
+            listRivals(crash).every((rival) => rival === fingerprint),
+          ).length,
+      ),
+  };
+}
+
+function computeOnce<K, V>(results: Map<K, V>, key: K, compute: () => V): V {
+  const known = results.get(key);
+  const result = known ?? compute();
+  results.set(key, result);
+  return result;
 }
 
 /** A crash and, if its suspects had run for long, the report of those of the same crash that had just begun. */
