Bound all crashes of a request, whatever excuses them

Cause: outages excused two crashes, and five shared with a companion were allowed besides, so the exceptions added up to seven engines, and one that had begun. Class: bounds of single exceptions without a bound of their sum. Change: from the fifth crash on a request is refused whatever excuses it, unless a stronger suspect explains its crashes; strength is an order, so that no two excuse each other. Shared crashes are four at most.

--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -27,7 +27,12 @@
 const REPORT_DELAY: Millis = 500;
 /** Pause after the last shared crash before a suspect that can't be told from another runs again. */
 const AMBIGUOUS_PAUSE: Millis = 2000;
-const MAX_SHARED_CRASHES = 5;
+const MAX_SHARED_CRASHES = 4;
+/**
+ * Crashes from which on a request is refused, whatever excuses them: outages, progress and other suspects add up to more
+ * engines than a request may cost.
+ */
+const MAX_OPEN_CRASHES = 5;
 /** A crash within this time of `OUTAGE_CRASHES` crashes of unrelated engines is attributed to an external cause. */
 const OUTAGE_WINDOW: Millis = 1000;
 const OUTAGE_CRASHES = 3;
@@ -43,16 +48,15 @@
 ): PoisonVerdictName {
   const evidence = createEvidence(state, now);
   const counted = evidence.listCounted(fingerprint);
+  const isUnexplained = (crash: Crash): boolean => !isExplained(evidence, crash, fingerprint);
   if (counted.length < state.crashLimit) {
     return counted.length === 0 ? PoisonVerdict.Clean : PoisonVerdict.Suspect;
   }
   const alone = evidence.countAlone(fingerprint);
-  const unexplained = counted.filter(
-    (crash) =>
-      !evidence
-        .listRivals(crash)
-        .some((rival) => rival !== fingerprint && evidence.countAlone(rival) > alone),
-  );
+  if (evidence.listOpen(fingerprint).filter(isUnexplained).length >= MAX_OPEN_CRASHES) {
+    return alone > 0 ? PoisonVerdict.Condemned : PoisonVerdict.Held;
+  }
+  const unexplained = counted.filter(isUnexplained);
   if (unexplained.length < state.crashLimit) {
     return PoisonVerdict.Suspect;
   }
@@ -64,6 +68,19 @@
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
 
+/**
+ * Whether a crash has a stronger suspect: one with more crashes that no other can have caused, or as many of those and
+ * more in all. Requests are ordered by both, so that no two explain each other's crashes.
+ */
+function isExplained(evidence: Evidence, crash: Crash, fingerprint: Fingerprint): boolean {
+  const alone = evidence.countAlone(fingerprint);
+  const open = evidence.listOpen(fingerprint).length;
+  return evidence.listRivals(crash).some((rival) => {
+    const rivalAlone = evidence.countAlone(rival);
+    return rivalAlone === alone ? evidence.listOpen(rival).length > open : rivalAlone > alone;
+  });
+}
+
 /** A request that shares all its crashes runs again after a pause, which grows, until there are too many of them. */
 function judgeAmbiguous(crashes: number, crashLimit: number, age: Millis): PoisonVerdictName {
   if (crashes >= MAX_SHARED_CRASHES) {
@@ -207,7 +224,9 @@
 /** What one judgement needs to know of several requests; each part is computed once. */
 interface Evidence {
   readonly listNeighbours: ListNeighbours;
-  /** Crashes of a request that count. */
+  /** Crashes of a request that are neither disproven nor followed by a whole run. */
+  listOpen(fingerprint: Fingerprint): readonly Crash[];
+  /** Those of them that count. */
   listCounted(fingerprint: Fingerprint): readonly Crash[];
   /** Suspects of a crash that have reached the crash limit, and so may have caused it. */
   listRivals(crash: Crash): readonly Fingerprint[];
@@ -216,6 +235,7 @@
 }
 
 function createEvidence(state: PoisonState, now: Millis): Evidence {
+  const open = new Map<Fingerprint, readonly Crash[]>();
   const counted = new Map<Fingerprint, readonly Crash[]>();
   const rivals = new Map<Crash, readonly Fingerprint[]>();
   const alone = new Map<Fingerprint, number>();
@@ -225,6 +245,10 @@
     return computeOnce(neighbours, crash, () => findNeighbours(state, crash));
   }
 
+  function listOpen(fingerprint: Fingerprint): readonly Crash[] {
+    return computeOnce(open, fingerprint, () => listOpenCrashes(state, fingerprint, now));
+  }
+
   function listCounted(fingerprint: Fingerprint): readonly Crash[] {
     return computeOnce(counted, fingerprint, () =>
       listCountedCrashes(state, fingerprint, now, listNeighbours),
@@ -246,6 +270,7 @@
 
   return {
     listNeighbours,
+    listOpen,
     listCounted,
     listRivals,
     countAlone: (fingerprint) =>
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -120,6 +120,31 @@
     expect(judgeRequest(many, 'p', 3_000_000)).to.equal('held');
   });
 
+  it('bounds the crashes of a request whatever excuses them', () => {
+    // Guards against exceptions that add up: crashes in outages, with the same companion, and after progress.
+    for (const hasProgress of [false, true]) {
+      let state = createPoisonState(2);
+      const crashes: number[] = [];
+      for (let now = 0; now < 600_000; now += 700) {
+        const verdict = judgeRequest(state, 'p', now);
+        if (verdict === PoisonVerdict.Clean || verdict === PoisonVerdict.Suspect) {
+          state = hasProgress ? noteSurvival(state, 'p') : state;
+          state = crash(state, ['p', 'companion'], `e${crashes.length}`, now);
+          if (crashes.length < 4) {
+            state = ['u', 'v', 'w'].reduce(
+              (next, id) => crash(next, [`of ${id} ${now}`], `${id}${now}`, now),
+              state,
+            );
+          }
+          crashes.push(now);
+        }
+      }
+      const [, , third = Infinity] = crashes;
+      expect(crashes.filter((at) => at > third + 3000).length).to.be.at.most(3);
+      expect(crashes.length).to.be.at.most(6);
+    }
+  });
+
   it('remembers a condemned request when many engines are lost', () => {
     // Guards against a lost domain whose crashes push out those of a request that crashes engines.
     let state = crash(createPoisonState(2), ['p'], 'x', 0);
