--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -164,7 +164,7 @@
     /** Sends a request to an instance, so that it notices which engines refuse work; returns the refusals. */
     call: (id: string, path = '/letters/1') => {
       const call: RelayCall = {
-        id: `${timers.now()}`,
+        id: `${timers.now()} ${path}`,
         host: 'h',
         method: 'POST',
         path,
