Refuse a new request at once while nobody can tell whether it crashes engines

Cause: such a request waited for the end of the pause, within its caller's patience, so copies at several instances all ran at that moment, and each could cost an engine. Class: waits that end together. Change: it is refused as not run, with a time to come back of about the pause; a keyed one after its claim, so that a held answer still goes out. Measured: the new test fails before (no answer within 0.6 s) and passes; 133 tests of packages/requests, RelayCrashReports and DaemonPoison pass.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -37,7 +37,13 @@
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 import { listFirstEngines } from './RunEnds.js';
 import { hasBegun, isStalled } from './RunSilence.js';
-import { noteRunCompleted, noteRunCrash, noteRunToken, stopRunsOf } from './RunSuspicion.js';
+import {
+  createAmbiguousProblem,
+  noteRunCompleted,
+  noteRunCrash,
+  noteRunToken,
+  stopRunsOf,
+} from './RunSuspicion.js';
 import { createRunWatch } from './RunWatch.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
@@ -209,7 +215,11 @@
       return;
     }
     const isNew = machine.attempt === 0;
-    if (verdict === PoisonVerdict.Doubted || (isNew && verdict === PoisonVerdict.Ambiguous)) {
+    if (isNew && verdict === PoisonVerdict.Ambiguous) {
+      send({ kind: 'refused', problem: createAmbiguousProblem(shared) });
+      return;
+    }
+    if (verdict === PoisonVerdict.Doubted) {
       recovery.finish(spec.id);
       send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
       return;
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -9,7 +9,7 @@
   /** It was running at a crash: run it on other engines than the other suspects of that crash. */
   Suspect: 'suspect',
   /**
-   * It has reached the crash limit, but at each crash another suspect has too: delay new requests with this
+   * It has reached the crash limit, but at each crash another suspect has too: refuse new requests with this
    * content for a while, and continue begun ones on separate engines.
    */
   Ambiguous: 'ambiguous',
@@ -26,7 +26,7 @@
 /** Time allowed for the reports of a crash from other instances to arrive. */
 const REPORT_DELAY: Millis = 500;
 /** Pause after the last shared crash before a suspect that can't be told from another runs again. */
-const AMBIGUOUS_PAUSE: Millis = 2000;
+export const AMBIGUOUS_PAUSE: Millis = 2000;
 const MAX_SHARED_CRASHES = 4;
 /**
  * Crashes from which on a request is refused, whatever excuses them: outages, progress and other suspects add up to more
--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -9,13 +9,14 @@
 import type { RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
 import { computeFingerprint } from './RequestPoison.js';
-import { isRefused } from './RequestPoisonVerdict.js';
+import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
 import type { ProblemKindName, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { countMetric, creditBudget, getPoisonVerdict } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionRequest } from './RunAdmission.js';
+import { createAmbiguousProblem } from './RunSuspicion.js';
 
 /** Parts of the request that its beginning uses. */
 export interface BeginContext {
@@ -56,6 +57,10 @@
    * report "not run" for a key that had run.
    */
   function requestAdmission(): void {
+    if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Ambiguous) {
+      send({ kind: 'refused', problem: createAmbiguousProblem(shared) });
+      return;
+    }
     const retryAfter = admission.check(createAdmissionRequest(spec, meters), deps.timers.now());
     if (retryAfter === null) {
       enqueue();
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -1,15 +1,26 @@
 /** Connects running requests to poison detection and to the progress tracking of engines. */
 import type { Chain } from '@skylarksail/core/CoreChain';
+import { RunState } from '@skylarksail/core/CoreConstants';
+import { jitter } from '@skylarksail/core/CoreRandom';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { Fingerprint } from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { createCrashId, noteCompletion, noteCrash, noteSurvival } from './RequestPoison.js';
-import { isRefused, listCoSuspects, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
+import {
+  AMBIGUOUS_PAUSE,
+  isRefused,
+  listCoSuspects,
+  PoisonVerdict,
+  tallyCrashes,
+} from './RequestPoisonVerdict.js';
+import type { RequestProblem } from './RequestTypes.js';
+import { ProblemKind } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
 import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
 
 /** Tokens of one attempt after which a suspect is cleared of its crashes. */
 const CLEARING_TOKENS = 64;
+const RETRY_JITTER = 0.3;
 /** Limits on fellow suspects per engine, from the preferred one to the last resort. */
 const FELLOW_SUSPECT_LIMITS = [0, 1, 3, 7, Infinity];
 
@@ -65,6 +76,19 @@
   return tally;
 }
 
+/**
+ * Problem of a new request that may crash engines, while nobody can tell. It is refused at once: copies that wait at
+ * several instances would all run at the end of the pause, and each could cost an engine.
+ */
+export function createAmbiguousProblem({ deps }: RouterShared): RequestProblem {
+  return {
+    kind: ProblemKind.Overloaded,
+    run: RunState.NotRun,
+    retryAfter: jitter(deps.random, AMBIGUOUS_PAUSE, RETRY_JITTER),
+    instance: null,
+  };
+}
+
 /** Stops all runs of a condemned request. */
 export function stopRunsOf(shared: RouterShared, fingerprint: Fingerprint): void {
   findRunsByFingerprint(shared, new Set([fingerprint])).forEach((run) => run.condemn());
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import type { PoisonState } from '../../RequestPoison.js';
 import {
+  computeFingerprint,
   CRASH_RETENTION,
   createCrashId,
   createPoisonDigest,
@@ -19,6 +20,7 @@
   createFakeWorld,
   sendTokens,
   listEngines,
+  VARIANT,
 } from './RequestFakes.js';
 
 /** Records a crash of an engine with its suspects. */
@@ -145,6 +147,30 @@
     }
   });
 
+  it('refuses a new request at once while nobody can tell whether it crashes engines', () => {
+    // Guards against copies of such a request that wait at several instances and all run when the pause ends.
+    const world = createFakeWorld();
+    const fingerprint = computeFingerprint('t', VARIANT.model, 'shared');
+    const reports = ['x', 'y'].map((engine) => ({
+      crash: createCrashId(engine, 'boot', false),
+      age: 0,
+      disproven: false,
+      suspects: [fingerprint, 'companion'],
+      cleared: [],
+      completed: [],
+    }));
+    world.router.mergePoison({ reports });
+    world.timers.advanceTo(600);
+    const early = world.submit('r1', { prompt: 'shared' });
+    expect(early.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['overloaded', 'not-run'],
+    ]);
+    expect(early.problems[0]?.retryAfter).to.be.within(1000, 3000);
+    world.timers.advanceTo(2600);
+    world.submit('r2', { prompt: 'shared' });
+    expect(world.calls).to.have.length(1);
+  });
+
   it('remembers a condemned request when many engines are lost', () => {
     // Guards against a lost domain whose crashes push out those of a request that crashes engines.
     let state = crash(createPoisonState(2), ['p'], 'x', 0);
