Choose the version of a request with its chain, until its answer has begun

What callers saw: while a model's version changed, a request whose version had no chain any more was refused with 503 no-capacity, not-run, or waited until its deadline, though the new version was served.

Cause: a request was bound to a version when it was submitted, from a table that each instance makes anew every 500 ms. Its chain is chosen from the reports as they are, and later attempts stay with the version of the first. Only the times, 500 ms against the seconds of a drain, kept the table from naming a version that engines had given up.

Change: a request without a token has no version of its own; routing tries the preferred version and then the others with each choice, those without draining engines first. The first token fixes the version (AttemptRunner.noteFirstToken), and so do repairs.

Why it works: version and chain are chosen from the same state in one step, so no older table can separate them.

--- a/packages/bench/src/RecoveryInstance.ts
+++ b/packages/bench/src/RecoveryInstance.ts
@@ -68,7 +68,7 @@
   let state = options.routing;
   let nextPlanAt = 0;
 
-  function createQuery({ spec, contextTokens, isBegun, avoid }: ChainRequest): ChainQuery {
+  function createQuery({ spec, contextTokens, begunVersion, avoid }: ChainRequest): ChainQuery {
     return {
       variant: spec.variant,
       layerCount,
@@ -77,7 +77,7 @@
       promptTokens: contextTokens,
       maxTokens: spec.maxTokens,
       prefixKeys: [],
-      isBegun,
+      isBegun: begunVersion !== null,
       avoidEngines: new Set(avoid),
       now: timers.now(),
     };
@@ -241,7 +241,7 @@
       const choice = routing.chooseChain({
         spec,
         contextTokens: spec.promptTokens ?? 0,
-        isBegun: deliveredTokens > 0,
+        begunVersion: deliveredTokens > 0 ? spec.variant.version : null,
         avoid: [],
       });
       if (choice.kind === 'none') {
--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -70,7 +70,6 @@
       wallNow,
       manifest: parts.manifest,
       router: parts.router,
-      chooseVersion: parts.placement.chooseVersion,
       isAccepting: () => isAccepting,
       reportError,
     });
--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -2,9 +2,8 @@
  * Implements the operations of the callers' port with the manifest in force and the request router.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { VersionId } from '@skylarksail/core/CoreTypes';
 import { hash64Hex } from '@skylarksail/core/CoreHash';
-import type { ManifestModel, ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
+import type { ManifestTeam } from '@skylarksail/manifest/ManifestSchema';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import { isIdempotentCall } from '@skylarksail/requests/ServiceTypes';
@@ -23,8 +22,6 @@
   readonly wallNow: () => number;
   readonly manifest: DaemonManifest;
   readonly router: RequestRouter;
-  /** Chooses the model version that runs a new request. */
-  readonly chooseVersion: (model: ManifestModel) => VersionId;
   /** Whether new requests are still accepted. */
   readonly isAccepting: () => boolean;
   readonly reportError: ReportError;
@@ -91,11 +88,7 @@
           id,
           team: team.id,
           model: model.id,
-          variant: {
-            model: model.id,
-            version: options.chooseVersion(model),
-            adapter: ask.adapter,
-          },
+          variant: { model: model.id, version: model.serve, adapter: ask.adapter },
           layerCount: model.layers,
           prompt,
           maxTokens: Math.min(ask.maxTokens, model.maxContextTokens),
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -1,7 +1,7 @@
 /** Creates and connects the components of the daemon that its HTTP ports use. */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, ModelId, Unregister, VersionId } from '@skylarksail/core/CoreTypes';
 import { StoreUse } from '@skylarksail/store/StoreBudget';
 import type { MembershipChange } from '@skylarksail/membership/MembershipService';
 import type { StoreClient } from '@skylarksail/store/StoreClient';
@@ -70,6 +70,7 @@
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
   let listDraining = (): readonly EngineId[] => [];
+  let listVersions = (_model: ModelId): readonly VersionId[] => [];
   const platformHttp = createPlatformHttp(settings.platform, timers);
   const platform = createStoreClient({
     port: platformHttp,
@@ -95,6 +96,7 @@
     random,
     decisions,
     listDraining: () => listDraining(),
+    listVersions: (model) => listVersions(model),
   });
   const status = createEngineStatusHttp(STATUS_TIMEOUT);
   const directory = createEngineDirectory({
@@ -194,6 +196,7 @@
     drains,
     weightStore: settings.weightStore,
   });
+  listVersions = placement.listVersions;
 
   async function stop(): Promise<void> {
     const placementStopped = placement.stop();
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -2,7 +2,6 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, InstanceId, Millis, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
-import type { ManifestModel } from '@skylarksail/manifest/ManifestSchema';
 import type { PlacementStatus } from '@skylarksail/placement/PlacementRunner';
 import { startPlacementRunner } from '@skylarksail/placement/PlacementRunner';
 import type { ServableVersion } from '@skylarksail/placement/PlacementVersions';
@@ -27,8 +26,8 @@
 
 export interface DaemonPlacement {
   getStatus(): PlacementStatus;
-  /** Chooses the version for a new request; the manifest's version while no version has a complete chain. */
-  chooseVersion(model: ManifestModel): VersionId;
+  /** Versions that a new request for a model may run, the preferred one first; empty if the model is unknown. */
+  listVersions(model: ModelId): readonly VersionId[];
   stop(): Promise<void>;
 }
 
@@ -66,6 +65,21 @@
     );
   }
 
+  /**
+   * The servable version, drawn by share, comes first. The others follow, as the servable ones were determined up to a
+   * period ago: reports since then may have taken the last chain of a version away.
+   */
+  function listVersions(id: ModelId): readonly VersionId[] {
+    const model = manifest.getView()?.getModel(id);
+    if (!model) {
+      return [];
+    }
+    const servable = versions.get(id) ?? [];
+    const chosen = chooseServableVersion(servable, random.nextFloat()) ?? model.serve;
+    const others = [...servable.map(({ version }) => version), ...model.versions.map((v) => v.id)];
+    return [...new Set([chosen, model.serve, ...others])];
+  }
+
   const runner = startPlacementRunner({
     domain,
     timers,
@@ -90,8 +104,7 @@
 
   return {
     getStatus: runner.getStatus,
-    chooseVersion: (model) =>
-      chooseServableVersion(versions.get(model.id) ?? [], random.nextFloat()) ?? model.serve,
+    listVersions,
     stop() {
       undo.forEach((stop) => stop());
       return runner.stop();
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -1,9 +1,19 @@
 /** Adapts the pure routing state to the request router, and logs each decision with its candidates. */
-import type { Chain, Stage } from '@skylarksail/core/CoreChain';
+import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
+import { invariant } from '@skylarksail/core/CoreErrors';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, EngineId, Millis, Result, Unregister } from '@skylarksail/core/CoreTypes';
+import type {
+  DomainId,
+  EngineId,
+  Millis,
+  ModelId,
+  Result,
+  Unregister,
+  VersionId,
+} from '@skylarksail/core/CoreTypes';
+import { createFailed, createOk } from '@skylarksail/core/CoreTypes';
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type { LinkMonitor } from '@skylarksail/requests/RouterTypes';
 import type {
@@ -75,6 +85,12 @@
   getState(): RoutingState;
 }
 
+/** A choice of chains or stages, with the query that it answers. */
+interface AnsweredQuery<T> {
+  readonly ask: ChainQuery;
+  readonly choice: T;
+}
+
 export interface DaemonRoutingOptions {
   readonly domain: DomainId;
   readonly timers: TimerService;
@@ -82,6 +98,8 @@
   readonly decisions: DecisionLog;
   /** Engines that receive no new work while other engines can take it. */
   readonly listDraining: () => readonly EngineId[];
+  /** Versions that a new request for a model may run, the preferred one first; only the request's own if omitted. */
+  readonly listVersions?: (model: ModelId) => readonly VersionId[];
   /**
    * If set, a decision is logged with the scores of its candidates only, without their chains. Chains of
    * a dozen engines take two kilobytes per request, most of what an instance logs.
@@ -100,17 +118,31 @@
       .map(([id]) => id);
   }
 
-  function createQuery(request: ChainRequest): ChainQuery {
-    const { spec, contextTokens, isBegun, firstEngines = null } = request;
-    const avoid = [...request.avoid, ...(firstEngines ? listOtherFirstEngines(firstEngines) : [])];
-    const { variant, layerCount, priority, maxTokens } = spec;
+  /** Variants that a request may run, the preferred one first: a single one once its answer has begun. */
+  function listVariants({ spec, begunVersion }: ChainRequest): readonly ModelVariant[] {
+    const { variant } = spec;
+    if (begunVersion !== null) {
+      return [{ ...variant, version: begunVersion }];
+    }
+    const versions = options.listVersions?.(variant.model) ?? [];
+    return versions.length > 0 ? versions.map((version) => ({ ...variant, version })) : [variant];
+  }
+
+  function createQuery(
+    request: ChainRequest,
+    variant: ModelVariant,
+    draining: readonly EngineId[],
+  ): ChainQuery {
+    const { spec, contextTokens, begunVersion, firstEngines = null } = request;
+    const others = firstEngines ? listOtherFirstEngines(firstEngines) : [];
+    const { layerCount, priority, maxTokens } = spec;
     const answerTokens = state.models.get(variant.model)?.usualAnswerTokens;
     return {
       variant,
       layerCount,
       domain,
       priority,
-      isBegun,
+      isBegun: begunVersion !== null,
       promptTokens: contextTokens,
       maxTokens,
       ...(answerTokens === undefined ? {} : { answerTokens }),
@@ -118,23 +150,33 @@
         key,
         tokens: Math.floor((contextTokens * (i + 1)) / spec.prefixKeys.length),
       })),
-      avoidEngines: new Set(avoid),
+      avoidEngines: new Set([...request.avoid, ...others, ...draining]),
       now: timers.now(),
     };
   }
 
-  /** Avoids draining engines, but uses them if the request would be refused otherwise. */
-  function avoidDraining<T>(
-    ask: ChainQuery,
-    select: (effectiveQuery: ChainQuery) => Result<T, RoutingRefusal>,
-  ): Result<T, RoutingRefusal> {
+  /**
+   * Selects for the first of the variants that can run. Avoids draining engines, but uses them if the request would
+   * be refused otherwise.
+   */
+  function selectVariant<T>(
+    request: ChainRequest,
+    variants: readonly ModelVariant[],
+    select: (ask: ChainQuery) => Result<T, RoutingRefusal>,
+  ): Result<AnsweredQuery<T>, RoutingRefusal> {
     const draining = options.listDraining();
-    if (draining.length === 0) {
-      return select(ask);
+    const refusals: RoutingRefusal[] = [];
+    for (const avoided of draining.length > 0 ? [draining, []] : [[]]) {
+      for (const variant of variants) {
+        const ask = createQuery(request, variant, avoided);
+        const choice = select(ask);
+        if (choice.ok) {
+          return createOk({ ask, choice: choice.value });
+        }
+        refusals.push(choice.error);
+      }
     }
-    const avoidEngines = new Set([...ask.avoidEngines, ...draining]);
-    const choice = select({ ...ask, avoidEngines });
-    return choice.ok ? choice : select(ask);
+    return createFailed(findWeakestRefusal(refusals));
   }
 
   /** Records the work of the chosen chain; the returned hold removes it when the attempt is over. */
@@ -216,31 +258,34 @@
     return { kind: 'none', isFull: kind === 'no-capacity', retryAfter };
   }
 
+  function chooseChain(request: ChainRequest, variants: readonly ModelVariant[]): RequestChoice {
+    const found = selectVariant(request, variants, (ask) => selectChain(state, ask, random));
+    if (!found.ok) {
+      return recordRefusal(request.spec.id, found.error);
+    }
+    const { chain, candidates, cachedTokens } = found.value.choice;
+    logChoice(request.spec.id, 'chain-chosen', candidates, chain);
+    return startCall(chain, found.value.ask, cachedTokens, []);
+  }
+
   return {
-    chooseChain(request) {
-      const ask = createQuery(request);
-      const choice = avoidDraining(ask, (effectiveQuery) =>
-        selectChain(state, effectiveQuery, random),
-      );
-      if (!choice.ok) {
-        return recordRefusal(request.spec.id, choice.error);
-      }
-      const { chain, candidates, cachedTokens } = choice.value;
-      logChoice(request.spec.id, 'chain-chosen', candidates, chain);
-      return startCall(chain, ask, cachedTokens, []);
-    },
+    chooseChain: (request) => chooseChain(request, listVariants(request)),
     chooseRepair(request) {
-      const ask = createQuery(request);
-      const failed = new Set(request.failed);
-      const choice = avoidDraining(ask, (effectiveQuery) =>
-        selectRepair(state, request.broken, failed, effectiveQuery, random),
+      const { broken, failed, spec } = request;
+      const found = selectVariant(request, [broken.variant], (ask) =>
+        selectRepair(state, broken, new Set(failed), ask, random),
       );
-      if (!choice.ok) {
-        return recordRefusal(request.spec.id, choice.error);
+      if (found.ok) {
+        const { chain, candidates, newStages } = found.value.choice;
+        logChoice(spec.id, 'chain-repaired', candidates, chain);
+        return startCall(chain, found.value.ask, 0, selectImports(broken, newStages, failed));
       }
-      const { chain, candidates, newStages } = choice.value;
-      logChoice(request.spec.id, 'chain-repaired', candidates, chain);
-      return startCall(chain, ask, 0, selectImports(request.broken, newStages, request.failed));
+      const others = listVariants(request).filter(
+        ({ version }) => version !== broken.variant.version,
+      );
+      return others.length > 0
+        ? chooseChain({ ...request, avoid: [...request.avoid, ...failed] }, others)
+        : recordRefusal(spec.id, found.error);
     },
     getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
     getKvCapacity: () => computeKvCapacity(state, domain),
@@ -293,6 +338,13 @@
   };
 }
 
+/** Engines that are full may take the request soon, so that reason is reported before missing layers. */
+function findWeakestRefusal(refusals: readonly RoutingRefusal[]): RoutingRefusal {
+  const weakest = refusals.find(({ kind }) => kind === 'no-capacity') ?? refusals[0];
+  invariant(weakest, 'a request has at least one variant');
+  return weakest;
+}
+
 function toCallOutcome(outcome: AttemptOutcome): CallOutcome {
   switch (outcome.kind) {
     case 'answered':
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -1,6 +1,6 @@
 /** Runs the attempts of a model request: chooses a chain, opens the call, and closes it. */
 import type { Chain } from '@skylarksail/core/CoreChain';
-import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister, VersionId } from '@skylarksail/core/CoreTypes';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
 import type { AnswerHead, EngineCallListener } from './RequestPorts.js';
@@ -68,6 +68,7 @@
   let hold: ChainHold | null = null;
   let head: { readonly attempt: number; readonly value: AnswerHead } | null = null;
   let lastAttempt = 0;
+  let begunVersion: VersionId | null = null;
 
   function createListener(attempt: number, first: EngineId, openedAt: Millis): EngineCallListener {
     return {
@@ -105,8 +106,12 @@
   function select({ broken, failed, avoid, firstEngines }: ChainSearch): ChainChoice {
     const contextTokens = promptTokens + tokens.length;
     return chooseWithAvoidSets((avoidSet) => {
-      const isBegun = tokens.length > 0;
-      const wish = { spec, contextTokens, isBegun, avoid: [...new Set([...avoid, ...avoidSet])] };
+      const wish = {
+        spec,
+        contextTokens,
+        begunVersion,
+        avoid: [...new Set([...avoid, ...avoidSet])],
+      };
       if (firstEngines !== null) {
         // They are known to live since their streams broke, for which they are avoided.
         const avoided = wish.avoid.filter((id) => !firstEngines.includes(id));
@@ -192,6 +197,7 @@
     },
     noteFirstToken(wait) {
       hold?.noteFirstToken();
+      begunVersion ??= current?.chain.variant.version ?? null;
       if (current && !current.isImported) {
         meters.noteFirstToken(spec.model, current.contextTokens, wait);
       }
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -1,7 +1,14 @@
 /** Types of a submitted request, of its results and of the chain that is chosen for it. */
 import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import type { PriorityName, RunStateName } from '@skylarksail/core/CoreConstants';
-import type { EngineId, Millis, ModelId, RequestId, TeamId } from '@skylarksail/core/CoreTypes';
+import type {
+  EngineId,
+  Millis,
+  ModelId,
+  RequestId,
+  TeamId,
+  VersionId,
+} from '@skylarksail/core/CoreTypes';
 import type { AnswerHead, FinishReason, OriginalRequest } from './RequestPorts.js';
 
 /** A model request as submitted to the router. */
@@ -9,6 +16,7 @@
   readonly id: RequestId;
   readonly team: TeamId;
   readonly model: ModelId;
+  /** What to run; the choice of a chain may replace the version until the answer has begun. */
   readonly variant: ModelVariant;
   readonly layerCount: number;
   readonly prompt: string;
@@ -105,8 +113,8 @@
   readonly spec: RequestSpec;
   /** Tokens to prefill before the next token: the prompt and the answer so far. */
   readonly contextTokens: number;
-  /** Whether the caller has received part of the answer. */
-  readonly isBegun: boolean;
+  /** Version that produced the caller's part of the answer, and must produce the rest; null before the first token. */
+  readonly begunVersion: VersionId | null;
   /** Engines to exclude from the chain. */
   readonly avoid: readonly EngineId[];
   /** Engines of which one must be the first of the chain; any engine may be if null or omitted. */
--- a/packages/requests/src/__tests__/unit/RequestFakes.ts
+++ b/packages/requests/src/__tests__/unit/RequestFakes.ts
@@ -70,6 +70,8 @@
   readonly claimLog: string[];
   readonly decisions: DecisionRecord[];
   readonly metrics: RouterMetric[];
+  /** The fake choice of chains, for tests that observe or replace it. */
+  readonly choices: Pick<RouterDeps, 'chooseChain' | 'chooseRepair'>;
   submit(id: string, change?: Partial<RequestSpec>): ReceivedAnswer;
   /** Returns the newest call. */
   last(): OpenedCall;
@@ -129,12 +131,15 @@
       : { kind: 'none', isFull: false, retryAfter: 500 };
   }
 
+  const choices: FakeWorld['choices'] = {
+    chooseChain: (request) => choose(request, null, []),
+    chooseRepair: (request) => choose(request, request.broken, request.failed),
+  };
   const router = createRequestRouter({
     cfg: DEFAULT_ROUTER_CONFIG,
     timers,
     random: createRandom(1),
-    chooseChain: (request) => choose(request, null, []),
-    chooseRepair: (request) => choose(request, request.broken, request.failed),
+    ...choices,
     openEngineCall: (call, listener) => {
       const opened = { call, listener, openedAt: timers.now(), isCancelled: false };
       calls.push(opened);
@@ -168,6 +173,7 @@
     claimLog,
     decisions,
     metrics,
+    choices,
     submit(id, specChange = {}) {
       const tokens: string[] = [];
       const ends: string[] = [];
--- /dev/null
+++ b/packages/requests/src/__tests__/unit/RequestVersions.test.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai';
+import { FailurePlace } from '../../RequestPorts.js';
+import type { ChainRequest } from '../../RequestTypes.js';
+import {
+  acknowledge,
+  createFailure,
+  createFakeWorld,
+  sendTokens,
+  VARIANT,
+} from './RequestFakes.js';
+
+describe('RequestVersions', () => {
+  it('fixes the version of an answer with its first token, and not before', () => {
+    // Guards against a request that is bound to a version before it runs, and refused when engines give that up.
+    const searches: (string | null)[] = [];
+    const world = createFakeWorld();
+    const { chooseChain, chooseRepair } = world.choices;
+    const noteSearch = (request: ChainRequest): void => {
+      searches.push(request.begunVersion);
+    };
+    const observed = createFakeWorld({
+      chooseChain(request) {
+        noteSearch(request);
+        return chooseChain(request);
+      },
+      chooseRepair(request) {
+        noteSearch(request);
+        return chooseRepair(request);
+      },
+    });
+    observed.submit('r1');
+    const refusal = { place: FailurePlace.Refused, provenNotRun: true };
+    observed.last().listener.onFailure(createFailure(refusal));
+    observed.timers.advanceTo(1000);
+    acknowledge(observed.last());
+    sendTokens(observed, observed.last(), 0, 3);
+    observed.last().listener.onFailure(createFailure({}));
+    observed.timers.advanceTo(2000);
+    expect(searches).to.deep.equal([null, null, VARIANT.version]);
+  });
+});
