Hold back new requests only for begun answers of their own version

What callers saw: during a change of version, new requests of a model waited until their deadlines at one instance, while others served.

Cause: a begun answer that finds no chain has precedence, so new requests of its model are held back for 300 ms after each of its searches. It searches every 50 to 250 ms. If its version is gone, it finds none until its deadline, and holds back all requests of the model for as long, though they run another version and take nothing from it.

Change: the precedence counts by version. A deployment with a single version sees no difference.

Measured: RequestVersions "holds back no new request for a begun answer of a version that it does not run" fails without the change ("expected 'begun' to equal 'new'") and passes with it; requests: 128 passing.

--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -225,7 +225,7 @@
       send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
       return;
     }
-    if (isNew && shared.starved.isStarved(spec.model, now)) {
+    if (isNew && shared.starved.isStarved(spec.variant, now)) {
       send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
       return;
     }
@@ -258,7 +258,7 @@
     if (!attempts.choose({ ...effect, beginBy, firstEngines })) {
       log('no-chain', effect.failed.join(','));
       if (machine.tokenCount > 0) {
-        shared.starved.noteStarved(spec.model, now);
+        shared.starved.noteStarved(machine.chain?.variant ?? spec.variant, now);
       }
       admission.noteRefusal();
       recovery.finish(spec.id);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -21,7 +21,7 @@
 import { createRouterCrashes } from './RouterCrashes.js';
 import { createRouterMeters } from './RouterMeters.js';
 import type { RouterShared } from './RouterShared.js';
-import { createStarvedModels } from './RouterShared.js';
+import { createStarvedVersions } from './RouterShared.js';
 import { createRouterServices } from './RouterServices.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
 import { stopCondemned } from './RunSuspicion.js';
@@ -96,7 +96,7 @@
     recovery: createRecoveryQueue(),
     progress: createProgressTracker(),
     meters: createRouterMeters(cfg.silence, cfg.lengthShare),
-    starved: createStarvedModels(),
+    starved: createStarvedVersions(),
     runs: new Map(),
     post: createWorkQueue(),
     crashes,
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -1,4 +1,5 @@
 /** State that the running requests of one router share. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { EngineId, Millis, ModelId, RequestId } from '@skylarksail/core/CoreTypes';
 import type { Admission } from './RequestAdmission.js';
 import type { RetryBudget } from './RequestBudget.js';
@@ -37,21 +38,22 @@
   onDrainLimit(): void;
 }
 
-/** Models with begun answers that wait for a chain; new requests for these models wait behind them. */
-export interface StarvedModels {
-  noteStarved(model: ModelId, now: Millis): void;
-  isStarved(model: ModelId, now: Millis): boolean;
+/** Versions with begun answers that wait for a chain; new requests for these versions wait behind them. */
+export interface StarvedVersions {
+  noteStarved(variant: ModelVariant, now: Millis): void;
+  isStarved(variant: ModelVariant, now: Millis): boolean;
 }
 
 const STARVATION_TIME: Millis = 300;
 
-export function createStarvedModels(): StarvedModels {
-  const until = new Map<ModelId, Millis>();
+export function createStarvedVersions(): StarvedVersions {
+  const until = new Map<string, Millis>();
+  const getKey = ({ model, version }: ModelVariant): string => `${model}/${version}`;
   return {
-    noteStarved: (model, now) => {
-      until.set(model, now + STARVATION_TIME);
+    noteStarved: (variant, now) => {
+      until.set(getKey(variant), now + STARVATION_TIME);
     },
-    isStarved: (model, now) => (until.get(model) ?? 0) > now,
+    isStarved: (variant, now) => (until.get(getKey(variant)) ?? 0) > now,
   };
 }
 
@@ -62,7 +64,7 @@
   readonly recovery: RecoveryQueue;
   readonly progress: ProgressTracker;
   readonly meters: RouterMeters;
-  readonly starved: StarvedModels;
+  readonly starved: StarvedVersions;
   readonly runs: Map<string, ModelRun>;
   readonly post: PostWork;
   readonly crashes: RouterCrashes;
--- a/packages/requests/src/__tests__/unit/RequestVersions.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestVersions.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { FailurePlace } from '../../RequestPorts.js';
-import type { ChainRequest } from '../../RequestTypes.js';
+import type { ChainChoice, ChainRequest } from '../../RequestTypes.js';
 import {
   acknowledge,
   createFailure,
@@ -38,4 +38,24 @@
     observed.timers.advanceTo(2000);
     expect(searches).to.deep.equal([null, null, VARIANT.version]);
   });
+
+  it('holds back no new request for a begun answer of a version that it does not run', () => {
+    // Guards against new requests that wait until their deadline behind an answer whose version engines have given up.
+    const fake = createFakeWorld().choices;
+    const none: ChainChoice = { kind: 'none', isFull: false, retryAfter: 5000 };
+    const world = createFakeWorld({
+      chooseChain: (request) => (request.begunVersion === null ? fake.chooseChain(request) : none),
+      chooseRepair: () => none,
+    });
+    const begun = world.submit('begun');
+    acknowledge(world.last());
+    sendTokens(world, world.last(), 0, 3);
+    world.last().listener.onFailure(createFailure({ engine: 'b1' }));
+    world.timers.advanceTo(world.timers.now() + 1000);
+    world.submit('new', { variant: { ...VARIANT, version: 'v2' } });
+    expect(world.last().call.request).to.equal('new');
+    world.submit('same');
+    expect(world.last().call.request).to.equal('new');
+    expect([begun.ends, begun.problems]).to.deep.equal([[], []]);
+  });
 });
