Order an engine to load other layers only when no instance has a call there, or will start one

What callers saw: during a change of a model's version a long answer ended with 502 backend-failed and run "ran"; a short one did too where the process stood still.

Cause: before an order, DaemonDrains waited until the engine's report counted no running request. Engines need not count a request that runs through a later stage, and a report from before the drain counted after 2.5 s. Instances of other domains and those that were leaving weren't asked at all, and after 30 s the order went out whatever ran. No instance had promised anything: a count of 0 is true for one moment, and the next request of that instance may begin there before the order arrives.

Change: the instance with the duty asks for the number of calls through the engine, counted from the choice of a chain to its end (DaemonRouting.countCalls); once all are 0 it asks every instance, also of other domains and leaving ones, to start no call there, and orders when each has agreed and still counts none. An instance agrees only if it knows a chain without the engine, since reports may reach it later than the instance that places; not for a move that is forced. Answers that run are waited for; after 30 s the engine is closed to new requests, and silent peers and old reports are no longer waited for. Only orders that restore a model's capacity still go out then. An engine is drained only while its order could go out: before, one that had refused an order was drained through all of its backoff.

Bytes of the calls in a large domain were not measured.

--- a/packages/daemon/src/DaemonDrains.ts
+++ b/packages/daemon/src/DaemonDrains.ts
@@ -1,76 +1,243 @@
 /**
- * Drains an engine before it is ordered to load other layers. The instance with the placement duty of the domain
- * notifies the others, which then send the engine no new work, and issues the order once the engine runs nothing.
+ * Drains an engine before it is ordered to load other layers, which would break off the answers that run through it.
+ *
+ * The instance with the placement duty asks the others to avoid the engine, and how many of their calls run there: the
+ * engine's report may be old, and need not count requests that run through a later stage. A count is true for one
+ * moment only. So once all counts are 0, it asks all instances to start no call there, and issues the order when each
+ * has promised that and still counts none. An instance promises it only once it knows a chain without the engine: it
+ * may learn later than the instance that places the layers that others hold the new ones.
  */
 import { z } from 'zod';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import { createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
-import type { EngineDirectory } from './DaemonEngines.js';
+import type { EngineId, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import { createCallTopic, createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
+import type { PlacementMove } from '@skylarksail/placement/PlacementTypes';
+import { MoveReason } from '@skylarksail/placement/PlacementTypes';
+import type {
+  DrainNotes,
+  DrainNotesOptions,
+  DrainRequest,
+  DrainStageName,
+} from './DaemonDrainNotes.js';
+import { createDrainNotes, drainRequestSchema, DrainStage } from './DaemonDrainNotes.js';
+import type { EngineDirectory, KnownReport } from './DaemonEngines.js';
 import type { DaemonFleet } from './DaemonFleet.js';
 
-/** A drain expires unless it is renewed, so that it does not outlast a crash of the requesting instance. */
-const DRAIN_NOTICE_TTL: Millis = 5000;
+/** A drain that is not continued for this long begins anew. */
+const DRAIN_TTL: Millis = 5000;
 
-/** Longer than a polling period plus the delivery of the report: before that, a running count of 0 may be stale. */
-const MIN_DRAIN_TIME: Millis = 2500;
-
-/** After this time the order is issued anyway; answers that still run are continued on other engines. */
+/**
+ * After this time no new request begins at the engine, and neither a peer that gives no answer nor the engine's report
+ * is waited for any longer. Counted calls still are, except by an order that restores a model's capacity.
+ */
 const MAX_DRAIN_TIME: Millis = 30_000;
 
+/** Maximum age of a promise to start no call. Peers keep it for longer, by the time that an order takes at the most. */
+const MAX_PROMISE_AGE: Millis = 2500;
+
+const PEER_TIMEOUT: Millis = 1500;
+
+/** Understood by instances of a release that does not answer the call. */
 const DRAIN_TOPIC = createNoticeTopic<{ readonly engine: EngineId }>('engine-drain');
 const noticeSchema = z.object({ engine: z.string().max(200) });
 
-export interface DaemonDrains {
-  /** Whether an engine may receive an order now. Each call starts or renews the drain, so call it until true. */
-  isReadyForOrder(engine: EngineId): boolean;
-  /** Engines that receive no new work while other engines can take it. */
-  listDraining(): readonly EngineId[];
+/** The reply is null if the instance does not understand the request. */
+const DRAIN_CALL = createCallTopic<DrainRequest, DrainReply | null>('engine-drain');
+const replySchema = z.object({
+  /** Calls of that instance that run at the engine. */
+  calls: z.int().min(0),
+  /** Whether it agrees to the stage. */
+  isAgreed: z.boolean(),
+});
+
+type DrainReply = z.output<typeof replySchema>;
+
+/** The last answer of a peer. */
+interface PeerAnswer {
+  readonly calls: number;
+  /** Stage to which the peer has agreed. */
+  readonly stage: DrainStageName;
+  readonly askedAt: Millis;
+}
+
+/** A drain that this instance requests. */
+interface OwnDrain {
+  readonly engine: EngineId;
+  readonly startedAt: Millis;
+  continuedAt: Millis;
+  readonly answers: Map<InstanceId, PeerAnswer>;
+  /** When peers were first asked since their last answer. */
+  readonly unansweredSince: Map<InstanceId, Millis>;
+}
+
+export interface DaemonDrains extends Pick<DrainNotes, 'listDraining' | 'listClosed'> {
+  /** Whether a move may be ordered now. Each call starts or continues the drain, so call it each second until true. */
+  isReadyForOrder(move: Pick<PlacementMove, 'engine' | 'reason' | 'isForced'>): boolean;
   stop: Unregister;
 }
 
 export interface DaemonDrainsOptions {
+  readonly self: InstanceId;
   readonly timers: TimerService;
-  readonly fleet: DaemonFleet;
-  readonly directory: EngineDirectory;
+  readonly fleet: Pick<DaemonFleet, 'calls' | 'listOwnDomain' | 'listPresent'>;
+  readonly directory: Pick<EngineDirectory, 'findReport'>;
+  /** Counts the calls of this instance that run through an engine, at any stage. */
+  readonly countCalls: (engine: EngineId) => number;
+  readonly isDispensable: DrainNotesOptions['isDispensable'];
 }
 
-export function createDaemonDrains({
-  timers,
-  fleet,
-  directory,
-}: DaemonDrainsOptions): DaemonDrains {
-  const notedAt = new Map<EngineId, Millis>();
-  const startedAt = new Map<EngineId, Millis>();
+export function createDaemonDrains(options: DaemonDrainsOptions): DaemonDrains {
+  const { self, timers, fleet, directory, countCalls } = options;
+  const ownDrains = new Map<EngineId, OwnDrain>();
+  const notes = createDrainNotes({
+    timers,
+    getOrderNumber,
+    isDispensable: options.isDispensable,
+  });
 
-  function noteDrain(engine: EngineId): void {
-    notedAt.set(engine, timers.now());
+  function getOrderNumber(engine: EngineId): number | null {
+    return directory.findReport(engine)?.status.load.orderNumber ?? null;
   }
 
-  function isDraining(engine: EngineId): boolean {
-    return timers.now() - (notedAt.get(engine) ?? -Infinity) < DRAIN_NOTICE_TTL;
+  function listPeers(): readonly InstanceId[] {
+    return fleet.listPresent().filter((id) => id !== self);
   }
 
-  const stop = fleet.calls.registerNotice(DRAIN_TOPIC, (payload) => {
-    const parsed = noticeSchema.safeParse(payload);
-    if (parsed.success) {
-      noteDrain(parsed.data.engine);
+  function continueDrain(engine: EngineId): OwnDrain {
+    const now = timers.now();
+    const known = ownDrains.get(engine);
+    if (known && now - known.continuedAt < DRAIN_TTL) {
+      known.continuedAt = now;
+      return known;
     }
-  });
+    const drain = {
+      engine,
+      startedAt: now,
+      continuedAt: now,
+      answers: new Map(),
+      unansweredSince: new Map(),
+    };
+    ownDrains.set(engine, drain);
+    return drain;
+  }
+
+  function isLate({ startedAt }: OwnDrain): boolean {
+    return timers.now() - startedAt >= MAX_DRAIN_TIME;
+  }
+
+  /** Whether a peer has not answered for so long that it is no longer waited for. */
+  function isSilent({ unansweredSince }: OwnDrain, peer: InstanceId): boolean {
+    return timers.now() - (unansweredSince.get(peer) ?? Infinity) >= MAX_DRAIN_TIME;
+  }
+
+  function isAsked(peer: InstanceId, { answers }: OwnDrain, stage: DrainStageName): boolean {
+    const isOwnDomain = fleet.listOwnDomain().includes(peer);
+    return isOwnDomain || stage !== DrainStage.Avoided || (answers.get(peer)?.calls ?? 0) > 0;
+  }
+
+  /** Whether the last answers and the report show no work at the engine. Peers that were not asked yet do not count. */
+  function isIdle(drain: OwnDrain, report: KnownReport | null): boolean {
+    const isReportedIdle =
+      report !== null && report.seenAt > drain.startedAt && report.status.load.running === 0;
+    const isPeerIdle = (peer: InstanceId): boolean =>
+      drain.answers.get(peer)?.calls === 0 ||
+      !isAsked(peer, drain, DrainStage.Avoided) ||
+      isSilent(drain, peer);
+    return (
+      countCalls(drain.engine) === 0 &&
+      (isReportedIdle || isLate(drain)) &&
+      listPeers().every(isPeerIdle)
+    );
+  }
+
+  /** Whether every instance has promised to start no call at the engine, and none runs there. */
+  function isClosed(drain: OwnDrain): boolean {
+    const now = timers.now();
+    const hasPromised = (peer: InstanceId): boolean => {
+      const answer = drain.answers.get(peer);
+      const isPromise = answer?.stage === DrainStage.Closed && answer.calls === 0;
+      return isSilent(drain, peer) || (isPromise && now - answer.askedAt <= MAX_PROMISE_AGE);
+    };
+    return (
+      notes.isAt(drain.engine, DrainStage.Closed) &&
+      countCalls(drain.engine) === 0 &&
+      listPeers().every(hasPromised)
+    );
+  }
+
+  function chooseStage(drain: OwnDrain, report: KnownReport | null): DrainStageName {
+    if (isIdle(drain, report)) {
+      return DrainStage.Closed;
+    }
+    return isLate(drain) ? DrainStage.ClosedToNew : DrainStage.Avoided;
+  }
+
+  async function askPeer(drain: OwnDrain, peer: InstanceId, request: DrainRequest): Promise<void> {
+    const askedAt = timers.now();
+    const { engine, stage } = request;
+    drain.unansweredSince.set(peer, drain.unansweredSince.get(peer) ?? askedAt);
+    const reply = await fleet.calls.call(peer, DRAIN_CALL, request, PEER_TIMEOUT);
+    const parsed = replySchema.safeParse(reply.ok ? reply.value : null);
+    const isOldRelease = !reply.ok && reply.error.kind === 'failed';
+    if (isOldRelease) {
+      fleet.calls.notify(peer, DRAIN_TOPIC, { engine });
+    }
+    const answer = isOldRelease ? { calls: 0, isAgreed: true } : parsed.data;
+    const isNewest = askedAt >= (drain.answers.get(peer)?.askedAt ?? -Infinity);
+    if (answer && isNewest) {
+      const agreed = answer.isAgreed ? stage : DrainStage.Avoided;
+      drain.answers.set(peer, { calls: answer.calls, stage: agreed, askedAt });
+      drain.unansweredSince.delete(peer);
+    }
+  }
+
+  function askAll(drain: OwnDrain, stage: DrainStageName, isForced: boolean): void {
+    const { engine } = drain;
+    const mayInterrupt = isForced || isLate(drain);
+    const request = { engine, stage, orderNumber: getOrderNumber(engine) ?? 0, mayInterrupt };
+    notes.note(request);
+    listPeers()
+      .filter((peer) => isAsked(peer, drain, stage))
+      .forEach((peer) => {
+        void askPeer(drain, peer, request);
+      });
+  }
+
+  const undo = [
+    fleet.calls.registerNotice(DRAIN_TOPIC, (payload) => {
+      const parsed = noticeSchema.safeParse(payload);
+      if (parsed.success) {
+        const { engine } = parsed.data;
+        const stage = DrainStage.Avoided;
+        notes.note({ engine, stage, orderNumber: Infinity, mayInterrupt: false });
+      }
+    }),
+    fleet.calls.registerHandler(DRAIN_CALL, (payload) => {
+      const parsed = drainRequestSchema.safeParse(payload);
+      if (!parsed.success) {
+        return null;
+      }
+      const isAgreed = notes.note(parsed.data);
+      return { calls: countCalls(parsed.data.engine), isAgreed };
+    }),
+  ];
 
   return {
-    isReadyForOrder(engine) {
-      const now = timers.now();
-      const start = isDraining(engine) ? (startedAt.get(engine) ?? now) : now;
-      startedAt.set(engine, start);
-      noteDrain(engine);
-      fleet.listOwnDomain().forEach((peer) => fleet.calls.notify(peer, DRAIN_TOPIC, { engine }));
-      const status = directory.listReports().find(({ facts }) => facts.id === engine);
-      const isIdle = status?.load.running === 0 && now - start >= MIN_DRAIN_TIME;
+    isReadyForOrder({ engine, reason, isForced = false }) {
+      const report = directory.findReport(engine);
       // An engine without layers runs nothing, and orders that restore capacity must not be delayed.
-      return isIdle || status?.load.holding === null || now - start >= MAX_DRAIN_TIME;
+      if (report?.status.load.holding === null) {
+        return true;
+      }
+      const drain = continueDrain(engine);
+      if (isClosed(drain) || (reason === MoveReason.Restore && isLate(drain))) {
+        return true;
+      }
+      askAll(drain, chooseStage(drain, report), isForced);
+      return false;
     },
-    listDraining: () => [...notedAt.keys()].filter(isDraining),
-    stop,
+    listDraining: notes.listDraining,
+    listClosed: notes.listClosed,
+    stop: () => undo.forEach((stop) => stop()),
   };
 }
--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -26,7 +26,8 @@
 /** Maximum number of reports in a reply to another domain; more would exceed the byte limit per instance. */
 const MAX_FOREIGN_REPORTS = 64;
 
-interface KnownReport {
+/** The latest report of an engine, and when it was made, on the clock of this instance. */
+export interface KnownReport {
   readonly status: EngineStatus;
   readonly seenAt: Millis;
 }
@@ -61,6 +62,7 @@
   listServers(service: string): readonly EngineId[];
   listEngines(): readonly EngineFacts[];
   listReports(): readonly EngineStatus[];
+  findReport(id: EngineId): KnownReport | null;
   registerListener(listener: EngineListener): Unregister;
   start(): Unregister;
 }
@@ -275,6 +277,7 @@
       };
     },
     listReports: () => [...reports.values()].map(({ status }) => status),
+    findReport: (id) => reports.get(id) ?? null,
     start,
   };
 }
--- a/packages/daemon/src/DaemonFleet.ts
+++ b/packages/daemon/src/DaemonFleet.ts
@@ -37,6 +37,8 @@
   listOwnDomain(): readonly InstanceId[];
   /** Live instances of all reachable domains, this one included. */
   listLive(): readonly InstanceId[];
+  /** Like `listLive`, and instances that are leaving, whose answers still run. */
+  listPresent(): readonly InstanceId[];
   /** Registers a listener that receives the platform's instance list after each read. */
   registerListListener(listener: (records: readonly InstanceRecord[]) => void): Unregister;
   /** Reads the platform's instance list now; false if the read failed. */
@@ -158,6 +160,11 @@
     link,
     listOwnDomain: () => membership.getLiveInstances(settings.domain).map(({ id }) => id),
     listLive: () => membership.getLiveInstances().map(({ id }) => id),
+    listPresent: () =>
+      membership
+        .getPresentInstances()
+        .filter((instance) => membership.isDomainReachable(instance.domain))
+        .map(({ id }) => id),
     registerListListener(listener) {
       listListeners.add(listener);
       return () => {
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -70,6 +70,8 @@
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
   let listDraining = (): readonly EngineId[] => [];
+  let isDispensable = (_engine: EngineId, _closed: readonly EngineId[]): boolean => true;
+  let listClosed = (_isBegun: boolean): readonly EngineId[] => [];
   let listVersions = (_model: ModelId): readonly VersionId[] => [];
   const platformHttp = createPlatformHttp(settings.platform, timers);
   const platform = createStoreClient({
@@ -96,6 +98,7 @@
     random,
     decisions,
     listDraining: () => listDraining(),
+    listClosed: (isBegun) => listClosed(isBegun),
     listVersions: (model) => listVersions(model),
   });
   const status = createEngineStatusHttp(STATUS_TIMEOUT);
@@ -180,8 +183,16 @@
     }
   }
 
-  const drains = createDaemonDrains({ timers, fleet, directory });
+  const drains = createDaemonDrains({
+    self: self.id,
+    timers,
+    fleet,
+    directory,
+    countCalls: routing.countCalls,
+    isDispensable: (engine, closed) => isDispensable(engine, closed),
+  });
   listDraining = drains.listDraining;
+  listClosed = drains.listClosed;
   const placement = startDaemonPlacement({
     domain: settings.domain,
     instance: self.id,
@@ -197,6 +208,7 @@
     weightStore: settings.weightStore,
   });
   listVersions = placement.listVersions;
+  isDispensable = placement.isDispensable;
 
   async function stop(): Promise<void> {
     const placementStopped = placement.stop();
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -1,7 +1,14 @@
 /** Placement in this instance's domain, and the model versions that new requests may use there. */
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, InstanceId, Millis, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
+import type {
+  DomainId,
+  EngineId,
+  InstanceId,
+  Millis,
+  ModelId,
+  VersionId,
+} from '@skylarksail/core/CoreTypes';
 import type { PlacementStatus } from '@skylarksail/placement/PlacementRunner';
 import { startPlacementRunner } from '@skylarksail/placement/PlacementRunner';
 import type { ServableVersion } from '@skylarksail/placement/PlacementVersions';
@@ -28,6 +35,11 @@
   getStatus(): PlacementStatus;
   /** Versions that a new request for a model may run, the preferred one first; empty if the model is unknown. */
   listVersions(model: ModelId): readonly VersionId[];
+  /**
+   * Whether new requests have a chain of any version without an engine and the closed ones, as far as this instance
+   * knows, or have none with it either. Always true for an engine of another domain.
+   */
+  isDispensable(engine: EngineId, closed: readonly EngineId[]): boolean;
   stop(): Promise<void>;
 }
 
@@ -80,6 +92,18 @@
     return [...new Set([chosen, model.serve, ...others])];
   }
 
+  function isDispensable(engine: EngineId, closed: readonly EngineId[]): boolean {
+    const usable = listOwnReports().filter(({ facts }) => !closed.includes(facts.id));
+    const holding = usable.find(({ facts }) => facts.id === engine)?.load.holding;
+    const model = manifest.getView()?.getModel(holding?.model ?? '');
+    if (!model) {
+      return true;
+    }
+    const hasChain = (reports: ReturnType<typeof listOwnReports>): boolean =>
+      getServableVersions(model, 0, reports).length > 0;
+    return hasChain(usable.filter(({ facts }) => facts.id !== engine)) || !hasChain(usable);
+  }
+
   const runner = startPlacementRunner({
     domain,
     timers,
@@ -105,6 +129,7 @@
   return {
     getStatus: runner.getStatus,
     listVersions,
+    isDispensable,
     stop() {
       undo.forEach((stop) => stop());
       return runner.stop();
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -31,6 +31,7 @@
   RoutingRefusal,
 } from '@skylarksail/routing/RoutingChoice';
 import {
+  getOwnWork,
   recordCallEnd,
   recordCallStart,
   recordFirstToken,
@@ -65,6 +66,8 @@
   readonly chooseChain: ChooseChain;
   readonly chooseRepair: ChooseRepair;
   getBootId(engine: EngineId): string | null;
+  /** Number of own calls through an engine, from the choice of their chain to their end. */
+  countCalls(engine: EngineId): number;
   /** This instance's share of the KV cache of its own domain's engines, in tokens; null if unknown. */
   getKvCapacity(): number | null;
   setEngineFacts(facts: readonly EngineFacts[]): void;
@@ -98,6 +101,8 @@
   readonly decisions: DecisionLog;
   /** Engines that receive no new work while other engines can take it. */
   readonly listDraining: () => readonly EngineId[];
+  /** Engines at which no call may start, by whether its request has begun; none if omitted. */
+  readonly listClosed?: (isBegun: boolean) => readonly EngineId[];
   /** Versions that a new request for a model may run, the preferred one first; only the request's own if omitted. */
   readonly listVersions?: (model: ModelId) => readonly VersionId[];
   /**
@@ -131,7 +136,7 @@
   function createQuery(
     request: ChainRequest,
     variant: ModelVariant,
-    draining: readonly EngineId[],
+    drained: readonly EngineId[],
   ): ChainQuery {
     const { spec, contextTokens, begunVersion, firstEngines = null } = request;
     const others = firstEngines ? listOtherFirstEngines(firstEngines) : [];
@@ -150,7 +155,7 @@
         key,
         tokens: Math.floor((contextTokens * (i + 1)) / spec.prefixKeys.length),
       })),
-      avoidEngines: new Set([...request.avoid, ...others, ...draining]),
+      avoidEngines: new Set([...request.avoid, ...others, ...drained]),
       now: timers.now(),
     };
   }
@@ -164,9 +169,10 @@
     variants: readonly ModelVariant[],
     select: (ask: ChainQuery) => Result<T, RoutingRefusal>,
   ): Result<AnsweredQuery<T>, RoutingRefusal> {
+    const closed = options.listClosed?.(request.begunVersion !== null) ?? [];
     const draining = options.listDraining();
     const refusals: RoutingRefusal[] = [];
-    for (const avoided of draining.length > 0 ? [draining, []] : [[]]) {
+    for (const avoided of draining.length > 0 ? [[...closed, ...draining], closed] : [closed]) {
       for (const variant of variants) {
         const ask = createQuery(request, variant, avoided);
         const choice = select(ask);
@@ -287,6 +293,7 @@
         ? chooseChain({ ...request, avoid: [...request.avoid, ...failed] }, others)
         : recordRefusal(spec.id, found.error);
     },
+    countCalls: (engine) => getOwnWork(state, engine).calls,
     getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
     getKvCapacity: () => computeKvCapacity(state, domain),
     setEngineFacts: (facts) => {
--- a/packages/membership/src/MembershipService.ts
+++ b/packages/membership/src/MembershipService.ts
@@ -23,6 +23,7 @@
   DEFAULT_MEMBERSHIP_CONFIG,
   getInstance,
   getLiveInstances,
+  getPresentInstances,
   isDomainReachable,
 } from './MembershipState.js';
 import type { GossipTopic } from './MembershipTopics.js';
@@ -64,6 +65,8 @@
   /** Reports that a connection to the instance was refused or broken. */
   reportConnectionLost(id: InstanceId): void;
   getLiveInstances(domain?: DomainId): readonly LiveInstance[];
+  /** Like `getLiveInstances`, but includes leaving instances and those of unreachable domains. */
+  getPresentInstances(domain?: DomainId): readonly LiveInstance[];
   getInstance(id: InstanceId): LiveInstance | null;
   isDomainReachable(domain: DomainId): boolean;
   getState(): MembershipState;
@@ -145,6 +148,7 @@
     getListPeriod: () => getListPeriod(state),
     reportConnectionLost: (id) => step({ kind: 'connection-lost', id }),
     getLiveInstances: (domain) => getLiveInstances(state, domain),
+    getPresentInstances: (domain) => getPresentInstances(state, domain),
     getInstance: (id) => getInstance(state, id),
     isDomainReachable: (domain) => isDomainReachable(state, domain),
     getState: () => state,
--- a/packages/placement/src/PlacementAdmission.ts
+++ b/packages/placement/src/PlacementAdmission.ts
@@ -125,7 +125,7 @@
     (move) => (floors.get(move.from.holding?.model ?? '')?.hard ?? 0) <= 0,
   );
   return {
-    moves: forced ? [forced] : [],
+    moves: forced ? [{ ...forced, isForced: true }] : [],
     blocked: blocked.filter((move) => move !== forced),
   };
 }
--- a/packages/placement/src/PlacementOrders.ts
+++ b/packages/placement/src/PlacementOrders.ts
@@ -192,11 +192,8 @@
   unfencedEngines: ReadonlySet<EngineId>,
   now: Millis,
 ): OrdersStep {
-  const { state } = step;
-  const { lease } = state;
-  const record = state.engines.get(move.engine);
-  const isInQuietPeriod = unfencedEngines.has(move.engine) && now < getQuietUntil(state);
-  if (!lease || !record || isInQuietPeriod || !isAvailable(record, lease, now)) {
+  const record = step.state.engines.get(move.engine);
+  if (!record || !isMovePossible(step.state, move, unfencedEngines, now)) {
     return step;
   }
   if (move.bytes === 0) {
@@ -210,6 +207,19 @@
   };
 }
 
+/** Whether a move's engine may be sent an order now, but for its running requests and the weight store. */
+export function isMovePossible(
+  state: OrdersState,
+  { engine }: PlacementMove,
+  unfencedEngines: ReadonlySet<EngineId>,
+  now: Millis,
+): boolean {
+  const { lease } = state;
+  const record = state.engines.get(engine);
+  const isInQuietPeriod = unfencedEngines.has(engine) && now < getQuietUntil(state);
+  return lease !== null && !!record && !isInQuietPeriod && isAvailable(record, lease, now);
+}
+
 /** Whether an engine has no order, pending move or backoff, and was reported since the lease began. */
 function isAvailable(record: EngineRecord, lease: HeldOrderLease, now: Millis): boolean {
   return (
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -11,6 +11,7 @@
 import {
   createOrders,
   getQuietUntil,
+  isMovePossible,
   listPlacementEngines,
   stepOrders,
 } from './PlacementOrders.js';
@@ -25,8 +26,13 @@
 } from './PlacementOrderTypes.js';
 import { DEFAULT_ORDER_SETTINGS, getOrderFencing } from './PlacementOrderTypes.js';
 import { planPlacement } from './PlacementPlan.js';
-import type { PlacementEngine, PlacementManifest, PlacementPlan } from './PlacementTypes.js';
-import type { WeightRates } from './PlacementWeights.js';
+import type {
+  PlacementEngine,
+  PlacementManifest,
+  PlacementMove,
+  PlacementPlan,
+} from './PlacementTypes.js';
+import type { WeightDraw, WeightRates } from './PlacementWeights.js';
 import { createWeightBucket, DEFAULT_WEIGHT_RATES, drawWeights } from './PlacementWeights.js';
 
 const TICK_PERIOD: Millis = 1000;
@@ -48,8 +54,11 @@
   readonly listReports: () => readonly EngineReport[];
   /** Sends an order. The promise settles within a bounded time, with `unknown` if no answer arrives. */
   readonly sendOrder: (engine: EngineId, order: Order) => Promise<OrderAnswer>;
-  /** Whether an engine may be given another order now; checked each tick, always true if omitted. */
-  readonly isReadyForOrder?: (engine: EngineId) => boolean;
+  /**
+   * Whether a move may be ordered now; called each tick while nothing else prevents its order, always true if
+   * omitted.
+   */
+  readonly isReadyForOrder?: (move: PlacementMove) => boolean;
   readonly onDecision: (decision: PlacementDecision) => void;
   readonly settings?: Partial<OrderSettings>;
   readonly weights?: WeightRates;
@@ -134,9 +143,7 @@
         void send(effect.engine, effect.order);
         break;
       case 'ask-weights': {
-        const domains = deps.getManifest()?.domains.length ?? 1;
-        const rates = deps.weights ?? DEFAULT_WEIGHT_RATES;
-        const draw = drawWeights(bucket, rates, domains, effect, timers.now());
+        const draw = drawForMove(effect);
         bucket = draw.bucket;
         step({ kind: 'weights-answered', engine: effect.engine, isGranted: draw.isGranted });
         break;
@@ -149,6 +156,11 @@
     }
   }
 
+  function drawForMove(move: Pick<PlacementMove, 'bytes' | 'reason'>): WeightDraw {
+    const domains = deps.getManifest()?.domains.length ?? 1;
+    return drawWeights(bucket, deps.weights ?? DEFAULT_WEIGHT_RATES, domains, move, timers.now());
+  }
+
   async function send(engine: EngineId, order: Order): Promise<void> {
     const isCurrentLease = readLease()?.fencing === getOrderFencing(order.number);
     const answer: OrderAnswer = isCurrentLease
@@ -219,12 +231,18 @@
     const unfenced = engines.filter(
       ({ facts }) => !(manifest.getAccelerator(facts.accelerator)?.checksFencing ?? false),
     );
+    const unfencedEngines = new Set(unfenced.map(({ facts }) => facts.id));
+    // An engine is made ready by keeping requests off it, so only if its order could be sent now.
+    const possible = plan.moves.filter(
+      (move) =>
+        isMovePossible(orders, move, unfencedEngines, timers.now()) && drawForMove(move).isGranted,
+    );
     step({
       kind: 'planned',
-      // Skips engines that are not ready. An engine that loads something else drops its running requests;
-      // they must continue on other engines, or fail if it was the last to hold their version.
-      moves: plan.moves.filter(({ engine }) => deps.isReadyForOrder?.(engine) ?? true),
-      unfencedEngines: new Set(unfenced.map(({ facts }) => facts.id)),
+      // An engine that loads something else drops its running requests; they must continue on other engines, or fail
+      // if it was the last to hold their version.
+      moves: possible.filter((move) => deps.isReadyForOrder?.(move) ?? true),
+      unfencedEngines,
     });
   }
 
--- a/packages/placement/src/PlacementTypes.ts
+++ b/packages/placement/src/PlacementTypes.ts
@@ -86,6 +86,8 @@
   readonly reason: MoveReasonName;
   /** Bytes to load from the weight store. */
   readonly bytes: number;
+  /** Whether the move may leave its engine's model without a chain, as nothing could change otherwise. */
+  readonly isForced?: boolean;
 }
 
 /** What each engine should hold in the end, and the moves towards it. */
