Tell a caller at once that its answer can't be completed on its version any more

Cause: an answer that has begun looks for a chain until its deadline, whatever the reason that there is none. "None now" and "none ever again" were the same to it.

Change: a search that finds no chain for a begun answer also says whether one can come back. None can if no registered engine holds all layers of its version by the last reports (also of engines that are silent or leave), and the manifest's version alone serves new requests in this domain, so that placement restores no other one. The two other cases wait as before.

RequestVersions and DaemonRouting: three new cases.

--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -1,4 +1,5 @@
 /** Creates and connects the components of the daemon that its HTTP ports use. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, ModelId, Unregister, VersionId } from '@skylarksail/core/CoreTypes';
@@ -70,6 +71,7 @@
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
   let listDraining = (): readonly EngineId[] => [];
+  let isReplaced = (_variant: ModelVariant): boolean => false;
   let isDispensable = (_engine: EngineId, _closed: readonly EngineId[]): boolean => true;
   let listClosed = (_isBegun: boolean): readonly EngineId[] => [];
   let listVersions = (_model: ModelId): readonly VersionId[] => [];
@@ -100,6 +102,7 @@
     listDraining: () => listDraining(),
     listClosed: (isBegun) => listClosed(isBegun),
     listVersions: (model) => listVersions(model),
+    isReplaced: (variant) => isReplaced(variant),
   });
   const status = createEngineStatusHttp(STATUS_TIMEOUT);
   const directory = createEngineDirectory({
@@ -208,6 +211,7 @@
     weightStore: settings.weightStore,
   });
   listVersions = placement.listVersions;
+  isReplaced = placement.isReplaced;
   isDispensable = placement.isDispensable;
 
   async function stop(): Promise<void> {
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -1,4 +1,5 @@
 /** Placement in this instance's domain, and the model versions that new requests may use there. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type {
@@ -35,6 +36,11 @@
   getStatus(): PlacementStatus;
   /** Versions that a new request for a model may run, the preferred one first; empty if the model is unknown. */
   listVersions(model: ModelId): readonly VersionId[];
+  /**
+   * Whether no engine of this domain will be given a version again: the manifest names another one, and that alone
+   * serves new requests.
+   */
+  isReplaced(variant: ModelVariant): boolean;
   /**
    * Whether new requests have a chain of any version without an engine and the closed ones, as far as this instance
    * knows, or have none with it either. Always true for an engine of another domain.
@@ -92,6 +98,12 @@
     return [...new Set([chosen, model.serve, ...others])];
   }
 
+  function isReplaced({ model, version }: ModelVariant): boolean {
+    const serve = manifest.getView()?.getModel(model)?.serve;
+    const [first, ...others] = versions.get(model) ?? [];
+    return serve !== version && first?.version === serve && others.length === 0;
+  }
+
   function isDispensable(engine: EngineId, closed: readonly EngineId[]): boolean {
     const usable = listOwnReports().filter(({ facts }) => !closed.includes(facts.id));
     const holding = usable.find(({ facts }) => facts.id === engine)?.load.holding;
@@ -129,6 +141,7 @@
   return {
     getStatus: runner.getStatus,
     listVersions,
+    isReplaced,
     isDispensable,
     stop() {
       undo.forEach((stop) => stop());
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -39,6 +39,7 @@
 } from '@skylarksail/routing/RoutingCalls';
 import { isOnSlowHop, recordPaces } from '@skylarksail/routing/RoutingHops';
 import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
+import { isHeld } from '@skylarksail/routing/RoutingPools';
 import { selectRepair } from '@skylarksail/routing/RoutingRepair';
 import type { CallOutcome, RoutingState } from '@skylarksail/routing/RoutingTypes';
 import {
@@ -105,6 +106,8 @@
   readonly listClosed?: (isBegun: boolean) => readonly EngineId[];
   /** Versions that a new request for a model may run, the preferred one first; only the request's own if omitted. */
   readonly listVersions?: (model: ModelId) => readonly VersionId[];
+  /** Whether no engine will be given a variant again, as another version is served in its place; never if omitted. */
+  readonly isReplaced?: (variant: ModelVariant) => boolean;
   /**
    * If set, a decision is logged with the scores of its candidates only, without their chains. Chains of
    * a dozen engines take two kilobytes per request, most of what an instance logs.
@@ -249,7 +252,17 @@
     decisions.record({ request, decision, ...details });
   }
 
-  function recordRefusal(request: string, refusal: RoutingRefusal): RequestChoice {
+  /** Whether an answer that has begun can't be completed: its version is held nowhere, and won't be. */
+  function isGone({ spec, begunVersion }: ChainRequest): boolean {
+    if (begunVersion === null) {
+      return false;
+    }
+    const variant = { ...spec.variant, version: begunVersion };
+    const isReplaced = options.isReplaced?.(variant) ?? false;
+    return isReplaced && !isHeld(state, variant, spec.layerCount);
+  }
+
+  function recordRefusal(request: ChainRequest, refusal: RoutingRefusal): RequestChoice {
     const { kind, retryAfter } = refusal;
     const details =
       refusal.kind === 'cut-off'
@@ -260,14 +273,20 @@
               .join(', '),
           }
         : {};
-    decisions.record({ request, decision: 'no-chain-found', reason: kind, ...details });
-    return { kind: 'none', isFull: kind === 'no-capacity', retryAfter };
+    const { id } = request.spec;
+    decisions.record({ request: id, decision: 'no-chain-found', reason: kind, ...details });
+    return {
+      kind: 'none',
+      isFull: kind === 'no-capacity',
+      retryAfter,
+      isGone: isGone(request),
+    };
   }
 
   function chooseChain(request: ChainRequest, variants: readonly ModelVariant[]): RequestChoice {
     const found = selectVariant(request, variants, (ask) => selectChain(state, ask, random));
     if (!found.ok) {
-      return recordRefusal(request.spec.id, found.error);
+      return recordRefusal(request, found.error);
     }
     const { chain, candidates, cachedTokens } = found.value.choice;
     logChoice(request.spec.id, 'chain-chosen', candidates, chain);
@@ -291,7 +310,7 @@
       );
       return others.length > 0
         ? chooseChain({ ...request, avoid: [...request.avoid, ...failed] }, others)
-        : recordRefusal(spec.id, found.error);
+        : recordRefusal(request, found.error);
     },
     countCalls: (engine) => getOwnWork(state, engine).calls,
     getBootId: (engine) => state.loads.get(engine)?.load.bootId ?? null,
--- a/packages/daemon/src/__tests__/unit/DaemonRouting.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonRouting.test.ts
@@ -145,4 +145,17 @@
       /^v1 first-a second-[ab]$/u,
     );
   });
+
+  it('says that a begun answer has no chain any more only if its version is replaced and held nowhere', () => {
+    // Guards against answers that are ended although their engines are only silent, or will load the version again.
+    const isGone = (versions: Readonly<Record<EngineId, string>>, isReplaced: boolean): unknown => {
+      const routing = createBed(versions, { isReplaced: () => isReplaced });
+      routing.setLeaving('first-a');
+      const choice = routing.chooseChain(createRequest({ begunVersion: 'v1' }));
+      return choice.kind === 'none' && choice.isGone;
+    };
+    expect(isGone(MIXED, true)).to.equal(true);
+    expect(isGone(MIXED, false)).to.equal(false);
+    expect(isGone(HALF, true)).to.equal(false);
+  });
 });
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -157,8 +157,8 @@
       const contextTokens = promptTokens + tokens.length;
       const { choice, isTooLate } = selectInTime(search);
       if (choice.kind === 'none') {
-        const { isFull, retryAfter } = choice;
-        send({ kind: 'no-chain', isFull, isTooLate, retryAfter });
+        const { isFull, retryAfter, isGone = false } = choice;
+        send({ kind: 'no-chain', isFull, isTooLate, retryAfter, isGone });
         return false;
       }
       hold = choice.hold;
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -111,12 +111,16 @@
 
 function waitForChain(
   machine: RequestMachine,
-  { isFull, isTooLate, retryAfter }: Extract<RequestEvent, { kind: 'no-chain' }>,
+  { isFull, isTooLate, retryAfter, isGone = false }: Extract<RequestEvent, { kind: 'no-chain' }>,
   now: Millis,
 ): MachineStep {
   if (machine.phase !== RequestPhase.Choosing) {
     return keepState(machine);
   }
+  if (isGone && machine.tokenCount > 0) {
+    // The caller may resend at once: its request then runs on another version from the beginning.
+    return failWith(machine, ProblemKind.EngineFailed, 0);
+  }
   if (machine.tokenCount === 0 && (isTooLate || !mayLookAgain(machine, isFull, now))) {
     return failWith(machine, ProblemKind.NoChain, retryAfter);
   }
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -55,6 +55,8 @@
       /** Whether chains exist, but none would start the request before its caller leaves. */
       readonly isTooLate: boolean;
       readonly retryAfter: Millis;
+      /** Whether no chain can come back for an answer that has begun. */
+      readonly isGone?: boolean;
     }
   | {
       readonly kind: 'acknowledged';
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -155,7 +155,13 @@
       readonly hold: ChainHold;
     }
   /** `isFull` means that engines hold the model but have no capacity now, so that waiting helps. */
-  | { readonly kind: 'none'; readonly isFull: boolean; readonly retryAfter: Millis };
+  | {
+      readonly kind: 'none';
+      readonly isFull: boolean;
+      readonly retryAfter: Millis;
+      /** Whether no chain can come back: the version with which the answer began is gone for good. */
+      readonly isGone?: boolean;
+    };
 
 export type ChooseChain = (request: ChainRequest) => ChainChoice;
 export type ChooseRepair = (request: RepairRequest) => ChainChoice;
--- a/packages/requests/src/__tests__/unit/RequestVersions.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestVersions.test.ts
@@ -58,4 +58,30 @@
     expect(world.last().call.request).to.equal('new');
     expect([begun.ends, begun.problems]).to.deep.equal([[], []]);
   });
+
+  [
+    {
+      title: 'ends a begun answer at once when no chain of its version can come back',
+      isGone: true,
+      problems: [['engine-failed', 'ran', 0]],
+    },
+    {
+      title: 'keeps a begun answer that has no chain as long as one can come back',
+      isGone: false,
+      problems: [],
+    },
+  ].forEach(({ title, isGone, problems }) => {
+    it(title, () => {
+      // Guards against callers that wait until their deadline for an answer that can't be completed.
+      const world = createFakeWorld({
+        chooseRepair: () => ({ kind: 'none', isFull: false, retryAfter: 5000, isGone }),
+      });
+      const received = world.submit('r1');
+      acknowledge(world.last());
+      sendTokens(world, world.last(), 0, 3);
+      world.last().listener.onFailure(createFailure({ engine: 'b1' }));
+      world.timers.advanceTo(world.timers.now() + 40);
+      expect(received.problems.map((p) => [p.kind, p.run, p.retryAfter])).to.deep.equal(problems);
+    });
+  });
 });
--- a/packages/routing/src/RoutingPools.ts
+++ b/packages/routing/src/RoutingPools.ts
@@ -1,8 +1,10 @@
 /** Pools: the engines of one failure domain that hold layers of one model version. */
 import type { ModelVariant } from '@skylarksail/core/CoreChain';
+import { invariant } from '@skylarksail/core/CoreErrors';
 import type { EngineFacts, Holding } from '@skylarksail/core/CoreEngine';
 import { EngineDuty } from '@skylarksail/core/CoreEngine';
 import type { DomainId, EngineId, ModelId, VersionId } from '@skylarksail/core/CoreTypes';
+import { coverLayers } from './RoutingCover.js';
 
 /** An engine with the layers that it holds of the pool's model. */
 export interface PoolMember {
@@ -51,6 +53,29 @@
   return next;
 }
 
+/**
+ * Whether the engines of a domain hold all layers of a variant by their last reports, whether or not they can take
+ * requests at the moment.
+ */
+export function isHeld(
+  { pools }: { readonly pools: PoolIndex },
+  { model, version }: ModelVariant,
+  layerCount: number,
+): boolean {
+  return [...pools.values()].some(
+    (pool) =>
+      pool.model === model &&
+      pool.version === version &&
+      coverLayers(pool.members, { first: 0, end: layerCount }, pickFirst) !== null,
+  );
+}
+
+function pickFirst(options: readonly PoolMember[]): PoolMember {
+  const [first] = options;
+  invariant(first, 'there is a member to pick from');
+  return first;
+}
+
 function removeMember(pools: Map<string, Pool>, member: PoolMember): void {
   const key = getMemberKey(member);
   const pool = pools.get(key);
