Keep a stage of a broken chain only if its engine still holds the answer's version

What callers saw: pauses in answers while a version changed: several attempts in a row that an engine refused.

Cause: a repair kept each stage whose engine is registered and holds the layers, whatever the version. An engine that had loaded another version was asked again for the old one, and refused, once for each attempt, before it was replaced.

Change: the check compares model and version as well. Where a model has one version nothing changes.

--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -1,9 +1,9 @@
 /** Replaces the failed stages of a running request's chain, or the whole chain if that fails. */
-import type { Chain, Stage } from '@skylarksail/core/CoreChain';
+import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import type { Random } from '@skylarksail/core/CoreRandom';
-import type { EngineId, Millis, Result } from '@skylarksail/core/CoreTypes';
+import type { EngineId, LayerRange, Millis, Result } from '@skylarksail/core/CoreTypes';
 import { createOk } from '@skylarksail/core/CoreTypes';
 import { getOwnWork } from './RoutingCalls.js';
 import type { ChainQuery, ChainCandidate, ChainScore, RoutingRefusal } from './RoutingChoice.js';
@@ -124,7 +124,7 @@
   const used = new Set(chain.stages.map(({ engine }) => engine));
   const stages: Stage[] = [];
   for (const stage of chain.stages) {
-    if (!ask.avoidEngines.has(stage.engine) && canKeep(state, stage)) {
+    if (!ask.avoidEngines.has(stage.engine) && canKeep(state, stage, ask.variant)) {
       stages.push(stage);
       continue;
     }
@@ -146,17 +146,25 @@
 }
 
 /**
- * Whether a stage's engine is still registered and holds its layers. An engine that was unregistered or ordered
- * to hold other layers since the chain was selected cannot be kept, even without a reported failure. Nor can a
+ * Whether a stage's engine is still registered and holds its layers of the variant. An engine that was unregistered or
+ * ordered to hold other layers or another version since the chain was selected cannot be kept, even without a reported failure. Nor can a
  * leaving engine, since the repaired chain is new work to it: without this check, an engine received new work
  * 3.5 s after it announced that it was leaving.
  */
-function canKeep(state: RoutingState, { engine, layers }: Stage): boolean {
+function canKeep(
+  state: RoutingState,
+  { engine, layers }: Stage,
+  { model, version }: ModelVariant,
+): boolean {
   if (state.leaving.has(engine)) {
     return false;
   }
-  const held = state.engines.has(engine) ? state.loads.get(engine)?.load.holding?.layers : null;
-  return held ? held.first <= layers.first && layers.end <= held.end : false;
+  const held = state.engines.has(engine) ? state.loads.get(engine)?.load.holding : null;
+  return held?.model === model && held.version === version && isWithin(layers, held.layers);
+}
+
+function isWithin(inner: LayerRange, outer: LayerRange): boolean {
+  return outer.first <= inner.first && inner.end <= outer.end;
 }
 
 function selectNewStages(before: Chain, after: Chain): readonly Stage[] {
--- a/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingRepair.test.ts
@@ -58,6 +58,28 @@
     expect(afterMove.ok && formatChain(afterMove.value.chain)).to.match(/ > b2\[10-20\)$/);
   });
 
+  it('replaces a stage whose engine holds the same layers of another version', () => {
+    // Guards against an answer that is sent again and again to an engine that has changed its version and refuses it.
+    const { seenAt, load } = createSeenLoad('b', [10, 20]);
+    const holding = load.holding && { ...load.holding, version: 'v2' };
+    const state = setLoad(
+      createFilledState([
+        { facts: createFacts('a2'), layers: [0, 10] },
+        { facts: createFacts('b'), layers: [10, 20] },
+        { facts: createFacts('b2'), layers: [10, 20] },
+      ]),
+      { seenAt, load: { ...load, holding } },
+    );
+    const repair = selectRepair(
+      state,
+      createTestChain(),
+      new Set(['a']),
+      createQuery(),
+      createRandom(1),
+    );
+    expect(repair.ok && formatChain(repair.value.chain)).to.equal('a2[0-10) > b2[10-20)');
+  });
+
   it('keeps no stage on a leaving engine, since the repaired chain is new work to it', () => {
     // An answer runs on a and b; a announces that it is leaving, then b fails and is replaced. If a is kept because
     // it has not failed, it receives the rest of the answer as a new call, 3.5 s after its announcement.
