Poll an engine before it is taken for gone, though another instance should poll it

What callers saw: while a model's version changed on a loaded machine, 503 no-capacity, layers-missing, not-run, from one instance for about half a second, while every engine was well.

Cause: routing leaves out an engine whose last report is 5 s older than the newest one of its pool. In a daemon each engine is polled by one instance, every 2 s, and the others rely on it. Two late or lost polls (6 s) are enough. In a change of version one chain of the version may be left, so one engine taken for gone leaves none, until reports and the next look at them (500 ms) put it right.

Change: an instance that has had no report of an engine of its domain for 4 s polls it itself, at most two engines each half second, the oldest reports first, each no more often than its owner. An engine that is gone still counts as gone.

Why it works: whether an engine is taken for gone no longer hangs on another instance's speed or messages.

In a large domain the polls were not measured.

--- a/packages/daemon/src/DaemonEngines.ts
+++ b/packages/daemon/src/DaemonEngines.ts
@@ -1,7 +1,8 @@
 /**
  * Directory of the backend servers. Each engine is polled by one instance of its domain, which notifies the
- * others when a rarely changing field changes; load spreads in small digests on membership messages. Reports
- * on engines of another domain are queried from one of its instances.
+ * others when a rarely changing field changes; load spreads in small digests on membership messages. An instance that
+ * has heard nothing of an engine for longer polls it itself. Reports on engines of another domain are queried from one
+ * of its instances.
  */
 import { z } from 'zod';
 import { InstanceRole, LifeState } from '@skylarksail/core/CoreConstants';
@@ -20,6 +21,13 @@
 /** Polling period of an engine. New work to a leaving engine must stop within 3 s. */
 export const ENGINE_POLL_PERIOD: Millis = 2000;
 const DIGEST_PERIOD: Millis = 500;
+/**
+ * Age of a report at which an instance polls an engine that another one should poll. Routing takes an engine for gone
+ * soon after, but the reports may be late because of the instance that polls it, or of the way from there.
+ */
+const STALE_REPORT_AGE: Millis = 4000;
+/** Maximum number of such polls at a time, so that a domain whose reports are all late is not flooded. */
+const MAX_STALE_POLLS = 2;
 const FOREIGN_QUERY_PERIOD: Millis = 5000;
 const PEER_TIMEOUT: Millis = 1500;
 
@@ -83,6 +91,7 @@
   const records = new Map<string, InstanceRecord>();
   const reports = new Map<EngineId, KnownReport>();
   const pollsInFlight = new Set<EngineId>();
+  const polledAt = new Map<EngineId, Millis>();
   const loadSpread = createLoadGossip();
 
   function setRecords(list: readonly InstanceRecord[]): void {
@@ -92,6 +101,7 @@
       .forEach((record) => records.set(record.id, record));
     const gone = [...reports.keys()].filter((id) => !records.has(id));
     gone.forEach((id) => reports.delete(id));
+    [...polledAt.keys()].filter((id) => !records.has(id)).forEach((id) => polledAt.delete(id));
     if (gone.length > 0) {
       notifyFacts();
     }
@@ -124,6 +134,7 @@
       return;
     }
     pollsInFlight.add(record.id);
+    polledAt.set(record.id, timers.now());
     const status = await options.fetchStatus(record.address);
     pollsInFlight.delete(record.id);
     if (!status || status.load.engine !== record.id || !records.has(record.id)) {
@@ -177,6 +188,20 @@
       });
   }
 
+  /** Polls the engines whose reports are oldest, if those are stale, each no more often than its owner would. */
+  function pollStale(): void {
+    const now = timers.now();
+    const getSeenAt = (id: EngineId): Millis => reports.get(id)?.seenAt ?? now;
+    listOwnEngines()
+      .filter(({ id }) => now - getSeenAt(id) >= STALE_REPORT_AGE)
+      .filter(({ id }) => now - (polledAt.get(id) ?? -Infinity) >= ENGINE_POLL_PERIOD)
+      .sort((a, b) => getSeenAt(a.id) - getSeenAt(b.id))
+      .slice(0, MAX_STALE_POLLS)
+      .forEach((record) => {
+        void poll(record);
+      });
+  }
+
   /** Applies load digests to the reports of engines that other instances poll. */
   function applyDigests(): void {
     const updates: SeenEngineLoad[] = [];
@@ -247,7 +272,10 @@
         }
       }),
       timers.registerInterval(ENGINE_POLL_PERIOD, pollOwned),
-      timers.registerInterval(DIGEST_PERIOD, applyDigests),
+      timers.registerInterval(DIGEST_PERIOD, () => {
+        applyDigests();
+        pollStale();
+      }),
       timers.registerInterval(FOREIGN_QUERY_PERIOD, () => {
         void queryForeignDomains();
         pollUnknown();
