Close only engines that may load now, and wait for answers between two attempts

And an answer between two attempts has no call, so its instance agreed to the change of the engine that it needed next.

Change: the runner says with each engine whether a load is left for it; those beyond it are merely avoided. An instance counts begun answers without an attempt for every engine of their version. Peers are listed once for each engine and tick, from the cached views of membership, which include leaving instances. Avoidance lasts 10 s and a closed engine 15 s without renewal, and a promise 7 s, so that the change gets through where the instance that places is paused for seconds.

PlacementReady and RequestVersions: a new case each.

--- a/packages/daemon/src/DaemonDrainNotes.ts
+++ b/packages/daemon/src/DaemonDrainNotes.ts
@@ -35,9 +35,9 @@
  * the instance that asked. A closed engine stays closed until an order that was sent meanwhile is there or has expired.
  */
 const TTL_BY_STAGE: Readonly<Record<DrainStageName, Millis>> = {
-  [DrainStage.Avoided]: 5000,
-  [DrainStage.ClosedToNew]: 5000,
-  [DrainStage.Closed]: 10_000,
+  [DrainStage.Avoided]: 10_000,
+  [DrainStage.ClosedToNew]: 10_000,
+  [DrainStage.Closed]: 15_000,
 };
 
 interface Note {
--- a/packages/daemon/src/DaemonDrains.ts
+++ b/packages/daemon/src/DaemonDrains.ts
@@ -9,10 +9,16 @@
  */
 import { z } from 'zod';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type {
+  DomainId,
+  EngineId,
+  InstanceId,
+  Millis,
+  Unregister,
+} from '@skylarksail/core/CoreTypes';
 import { createCallTopic, createNoticeTopic } from '@skylarksail/membership/MembershipCalls';
-import type { PlacementMove } from '@skylarksail/placement/PlacementTypes';
-import { MoveReason } from '@skylarksail/placement/PlacementTypes';
+import type { OrderReadinessName, PlacementMove } from '@skylarksail/placement/PlacementTypes';
+import { MoveReason, OrderReadiness } from '@skylarksail/placement/PlacementTypes';
 import type {
   DrainNotes,
   DrainNotesOptions,
@@ -24,7 +30,7 @@
 import type { DaemonFleet } from './DaemonFleet.js';
 
 /** A drain that is not continued for this long begins anew. */
-const DRAIN_TTL: Millis = 5000;
+const DRAIN_TTL: Millis = 10_000;
 
 /**
  * After this time no new request begins at the engine, and neither a peer that gives no answer nor the engine's report
@@ -32,8 +38,11 @@
  */
 const MAX_DRAIN_TIME: Millis = 30_000;
 
-/** Maximum age of a promise to start no call. Peers keep it for longer, by the time that an order takes at the most. */
-const MAX_PROMISE_AGE: Millis = 2500;
+/**
+ * Maximum age of a promise to start no call. Peers keep it for longer than this and the time that an order takes at the
+ * most, 7 s.
+ */
+const MAX_PROMISE_AGE: Millis = 7000;
 
 const PEER_TIMEOUT: Millis = 1500;
 
@@ -52,6 +61,13 @@
 
 type DrainReply = z.output<typeof replySchema>;
 
+/** Another instance that may have calls at the engine. */
+interface Peer {
+  readonly id: InstanceId;
+  /** Whether it is of the engine's domain. */
+  readonly isNear: boolean;
+}
+
 /** The last answer of a peer. */
 interface PeerAnswer {
   readonly calls: number;
@@ -71,17 +87,27 @@
 }
 
 export interface DaemonDrains extends Pick<DrainNotes, 'listDraining' | 'listClosed'> {
-  /** Whether a move may be ordered now. Each call starts or continues the drain, so call it each second until true. */
-  isReadyForOrder(move: Pick<PlacementMove, 'engine' | 'reason' | 'isForced'>): boolean;
+  /**
+   * Starts or continues the drain of a move's engine, and says whether the move may be ordered now. An engine is closed
+   * only if its order can go out soon.
+   */
+  prepareOrder(
+    move: Pick<PlacementMove, 'engine' | 'reason' | 'isForced'>,
+    mayClose: boolean,
+  ): OrderReadinessName;
   stop: Unregister;
 }
 
 export interface DaemonDrainsOptions {
   readonly self: InstanceId;
+  readonly domain: DomainId;
   readonly timers: TimerService;
-  readonly fleet: Pick<DaemonFleet, 'calls' | 'listOwnDomain' | 'listPresent'>;
+  readonly fleet: Pick<DaemonFleet, 'calls' | 'listPresent' | 'listReachableDomains'>;
   readonly directory: Pick<EngineDirectory, 'findReport'>;
-  /** Counts the calls of this instance that run through an engine, at any stage. */
+  /**
+   * Counts the answers of this instance that need an engine: those that run through it at any stage, and those that
+   * have begun on its version and are without a chain at the moment.
+   */
   readonly countCalls: (engine: EngineId) => number;
   readonly isDispensable: DrainNotesOptions['isDispensable'];
 }
@@ -99,8 +125,13 @@
     return directory.findReport(engine)?.status.load.orderNumber ?? null;
   }
 
-  function listPeers(): readonly InstanceId[] {
-    return fleet.listPresent().filter((id) => id !== self);
+  function listPeers(): readonly Peer[] {
+    return fleet.listReachableDomains().flatMap((domain) =>
+      fleet
+        .listPresent(domain)
+        .filter((id) => id !== self)
+        .map((id) => ({ id, isNear: domain === options.domain })),
+    );
   }
 
   function continueDrain(engine: EngineId): OwnDrain {
@@ -110,6 +141,11 @@
       known.continuedAt = now;
       return known;
     }
+    ownDrains.forEach(({ continuedAt }, id) => {
+      if (now - continuedAt >= DRAIN_TTL) {
+        ownDrains.delete(id);
+      }
+    });
     const drain = {
       engine,
       startedAt: now,
@@ -126,21 +162,21 @@
   }
 
   /** Whether a peer has not answered for so long that it is no longer waited for. */
-  function isSilent({ unansweredSince }: OwnDrain, peer: InstanceId): boolean {
-    return timers.now() - (unansweredSince.get(peer) ?? Infinity) >= MAX_DRAIN_TIME;
+  function isSilent({ unansweredSince }: OwnDrain, { id }: Peer): boolean {
+    return timers.now() - (unansweredSince.get(id) ?? Infinity) >= MAX_DRAIN_TIME;
   }
 
-  function isAsked(peer: InstanceId, { answers }: OwnDrain, stage: DrainStageName): boolean {
-    const isOwnDomain = fleet.listOwnDomain().includes(peer);
-    return isOwnDomain || stage !== DrainStage.Avoided || (answers.get(peer)?.calls ?? 0) > 0;
+  /** Instances of other domains seldom use the engine; they are asked when it is closed, and while they have calls. */
+  function isAsked({ id, isNear }: Peer, { answers }: OwnDrain, stage: DrainStageName): boolean {
+    return isNear || stage !== DrainStage.Avoided || (answers.get(id)?.calls ?? 0) > 0;
   }
 
   /** Whether the last answers and the report show no work at the engine. Peers that were not asked yet do not count. */
   function isIdle(drain: OwnDrain, report: KnownReport | null): boolean {
     const isReportedIdle =
       report !== null && report.seenAt > drain.startedAt && report.status.load.running === 0;
-    const isPeerIdle = (peer: InstanceId): boolean =>
-      drain.answers.get(peer)?.calls === 0 ||
+    const isPeerIdle = (peer: Peer): boolean =>
+      drain.answers.get(peer.id)?.calls === 0 ||
       !isAsked(peer, drain, DrainStage.Avoided) ||
       isSilent(drain, peer);
     return (
@@ -153,8 +189,8 @@
   /** Whether every instance has promised to start no call at the engine, and none runs there. */
   function isClosed(drain: OwnDrain): boolean {
     const now = timers.now();
-    const hasPromised = (peer: InstanceId): boolean => {
-      const answer = drain.answers.get(peer);
+    const hasPromised = (peer: Peer): boolean => {
+      const answer = drain.answers.get(peer.id);
       const isPromise = answer?.stage === DrainStage.Closed && answer.calls === 0;
       return isSilent(drain, peer) || (isPromise && now - answer.askedAt <= MAX_PROMISE_AGE);
     };
@@ -165,7 +201,14 @@
     );
   }
 
-  function chooseStage(drain: OwnDrain, report: KnownReport | null): DrainStageName {
+  function chooseStage(
+    drain: OwnDrain,
+    report: KnownReport | null,
+    mayClose: boolean,
+  ): DrainStageName {
+    if (!mayClose) {
+      return DrainStage.Avoided;
+    }
     if (isIdle(drain, report)) {
       return DrainStage.Closed;
     }
@@ -198,8 +241,8 @@
     notes.note(request);
     listPeers()
       .filter((peer) => isAsked(peer, drain, stage))
-      .forEach((peer) => {
-        void askPeer(drain, peer, request);
+      .forEach(({ id }) => {
+        void askPeer(drain, id, request);
       });
   }
 
@@ -223,18 +266,20 @@
   ];
 
   return {
-    isReadyForOrder({ engine, reason, isForced = false }) {
+    prepareOrder({ engine, reason, isForced = false }, mayClose) {
       const report = directory.findReport(engine);
       // An engine without layers runs nothing, and orders that restore capacity must not be delayed.
       if (report?.status.load.holding === null) {
-        return true;
+        return OrderReadiness.Ready;
       }
       const drain = continueDrain(engine);
-      if (isClosed(drain) || (reason === MoveReason.Restore && isLate(drain))) {
-        return true;
+      const isOverdue = reason === MoveReason.Restore && isLate(drain);
+      if (mayClose && (isOverdue || isClosed(drain))) {
+        return OrderReadiness.Ready;
       }
-      askAll(drain, chooseStage(drain, report), isForced);
-      return false;
+      const stage = chooseStage(drain, report, mayClose);
+      askAll(drain, stage, isForced);
+      return stage === DrainStage.Closed ? OrderReadiness.Closing : OrderReadiness.Draining;
     },
     listDraining: notes.listDraining,
     listClosed: notes.listClosed,
--- a/packages/daemon/src/DaemonFleet.ts
+++ b/packages/daemon/src/DaemonFleet.ts
@@ -4,7 +4,7 @@
 import { jitter } from '@skylarksail/core/CoreRandom';
 import { InstanceRole } from '@skylarksail/core/CoreConstants';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { HostPort, InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
+import type { DomainId, HostPort, InstanceId, Unregister } from '@skylarksail/core/CoreTypes';
 import { createPeerCalls } from '@skylarksail/membership/MembershipCalls';
 import type { PeerCalls } from '@skylarksail/membership/MembershipCalls';
 import { createDuties } from '@skylarksail/membership/MembershipDuties';
@@ -12,6 +12,7 @@
 import { EnvelopeKind, decodeEnvelope } from '@skylarksail/membership/MembershipEnvelope';
 import { createMembership } from '@skylarksail/membership/MembershipService';
 import type { Membership } from '@skylarksail/membership/MembershipService';
+import { getDomainView, getKnownDomains } from '@skylarksail/membership/MembershipViews';
 import type { InstanceRecord, StorePort } from '@skylarksail/store/StorePort';
 import type { PeerLink } from './DaemonPeers.js';
 import { startPeerLink } from './DaemonPeers.js';
@@ -37,8 +38,10 @@
   listOwnDomain(): readonly InstanceId[];
   /** Live instances of all reachable domains, this one included. */
   listLive(): readonly InstanceId[];
-  /** Like `listLive`, and instances that are leaving, whose answers still run. */
-  listPresent(): readonly InstanceId[];
+  /** Instances of a domain that may have answers running: the live ones and those that are leaving, this one included. */
+  listPresent(domain: DomainId): readonly InstanceId[];
+  /** Domains that are reachable, the own one included. */
+  listReachableDomains(): readonly DomainId[];
   /** Registers a listener that receives the platform's instance list after each read. */
   registerListListener(listener: (records: readonly InstanceRecord[]) => void): Unregister;
   /** Reads the platform's instance list now; false if the read failed. */
@@ -160,11 +163,9 @@
     link,
     listOwnDomain: () => membership.getLiveInstances(settings.domain).map(({ id }) => id),
     listLive: () => membership.getLiveInstances().map(({ id }) => id),
-    listPresent: () =>
-      membership
-        .getPresentInstances()
-        .filter((instance) => membership.isDomainReachable(instance.domain))
-        .map(({ id }) => id),
+    listPresent: (domain) => getDomainView(membership.getState().members, domain).present,
+    listReachableDomains: () =>
+      getKnownDomains(membership.getState().members).filter(membership.isDomainReachable),
     registerListListener(listener) {
       listListeners.add(listener);
       return () => {
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -186,12 +186,20 @@
     }
   }
 
+  /** Counts the own answers that need an engine to go on. */
+  function countAnswers(engine: EngineId): number {
+    const holding = directory.findReport(engine)?.status.load.holding;
+    const interrupted = holding ? router.countInterrupted(holding) : 0;
+    return routing.countCalls(engine) + interrupted;
+  }
+
   const drains = createDaemonDrains({
     self: self.id,
+    domain: self.domain,
     timers,
     fleet,
     directory,
-    countCalls: routing.countCalls,
+    countCalls: countAnswers,
     isDispensable: (engine, closed) => isDispensable(engine, closed),
   });
   listDraining = drains.listDraining;
--- a/packages/daemon/src/DaemonPlacement.ts
+++ b/packages/daemon/src/DaemonPlacement.ts
@@ -126,7 +126,7 @@
     getManifest: manifest.getView,
     listReports: listOwnReports,
     sendOrder: options.sendOrder,
-    isReadyForOrder: options.drains.isReadyForOrder,
+    prepareOrder: options.drains.prepareOrder,
     weights: {
       bytesPerSecond: options.weightStore.bytesPerSecond,
       burst: options.weightStore.burstMs,
--- a/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
@@ -27,17 +27,14 @@
   });
 
   [
-    { whose: 'this instance', i: 0, isLive: true },
-    { whose: 'a peer', i: 1, isLive: true },
-    { whose: 'an instance of another domain', i: 2, isLive: true },
-    { whose: 'an instance that is leaving', i: 1, isLive: false },
-  ].forEach(({ whose, i, isLive }) => {
+    { whose: 'this instance', i: 0 },
+    { whose: 'a peer', i: 1 },
+    { whose: 'an instance of another domain', i: 2 },
+  ].forEach(({ whose, i }) => {
     it(`waits for a call of ${whose} for as long as it runs`, async () => {
       // Guards against an answer that breaks off as its engine, of a later stage, reports no running request.
       const bed = createDrainBed(['a', 'a', 'b']);
-      const holder = getInstance(bed, i);
-      holder.startCall(100_000);
-      holder.isLive = isLive;
+      getInstance(bed, i).startCall(100_000);
       expect(await bed.measureDrain(LONG)).to.be.within(100_000, 100_000 + IDLE_DRAIN);
     });
   });
@@ -131,6 +128,15 @@
     expect(readStages().slice(1)).to.deep.equal([true, true]);
   });
 
+  it('closes no engine whose order could not go out yet', async () => {
+    // Guards against requests that are refused for the sake of engines which wait for their turn to load.
+    const bed = createDrainBed(['a', 'a']);
+    expect(await bed.measureDrain(LONG, {}, false)).to.equal(LONG);
+    bed.instances.forEach(({ drains }) => {
+      expect([drains.listDraining(), drains.listClosed(false)]).to.deep.equal([[ENGINE], []]);
+    });
+  });
+
   it('reopens an engine once it reports a later order, and when the instance that asked is gone', async () => {
     // Guards against an engine that holds the new version and gets no work.
     const bed = createDrainBed(['a', 'a']);
@@ -143,14 +149,15 @@
 
     await bed.measureDrain(LONG);
     expect(peer.drains.listClosed(true)).to.deep.equal([ENGINE]);
-    await bed.timers.advanceToAsync(bed.timers.now() + 15_000);
+    await bed.timers.advanceToAsync(bed.timers.now() + 20_000);
     expect([peer.drains.listClosed(false), peer.drains.listDraining()]).to.deep.equal([[], []]);
   });
 
   it('never lets an order arrive while a call runs, whatever is delayed and lost', async () => {
     // Guards against a count that was true when it was sent: the next request of that instance begins after the order.
-    for (let seed = 1; seed <= 60; seed++) {
-      const bed = createDrainBed(['a', 'a', 'a', 'b'], seed, { lost: 0.1, delay: 900 });
+    for (let seed = 1; seed <= 200; seed++) {
+      const links = { lost: 0.1, delay: 900, pause: seed % 2 === 0 ? 0 : 8000 };
+      const bed = createDrainBed(['a', 'a', 'a', 'b'], seed, links);
       const stopCalls = startCalls(bed);
       expect(await bed.measureDrain(LONG), `seed ${seed}`).to.be.below(LONG);
       const arrivesAt = bed.timers.now() + bed.random.nextFloat() * MAX_ORDER_TIME;
--- a/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
@@ -7,7 +7,7 @@
 import { createFailed, createOk } from '@skylarksail/core/CoreTypes';
 import type { CallFailure } from '@skylarksail/membership/MembershipCalls';
 import type { PlacementMove } from '@skylarksail/placement/PlacementTypes';
-import { MoveReason } from '@skylarksail/placement/PlacementTypes';
+import { MoveReason, OrderReadiness } from '@skylarksail/placement/PlacementTypes';
 import type { DaemonDrains, DaemonDrainsOptions } from '../../DaemonDrains.js';
 import { createDaemonDrains } from '../../DaemonDrains.js';
 
@@ -23,6 +23,8 @@
   readonly lost: number;
   /** Maximum delay of a message. */
   readonly delay: Millis;
+  /** Maximum time for which the process of the instance that requests the drain is paused between two ticks. */
+  readonly pause: Millis;
 }
 
 /** A report of the engine, as an instance knows it. */
@@ -39,8 +41,6 @@
   countCalls(): number;
   /** Begins a call through the engine. */
   startCall(duration: Millis): void;
-  /** False for one that is leaving. */
-  isLive: boolean;
   /** Whether it knows a chain without the engine. */
   isDispensable: boolean;
   /** Replaces its replies. */
@@ -62,14 +62,14 @@
   /** Stops the reports of the engine. */
   stopReports: Unregister;
   /** Asks each second whether the move is ready, and returns for how long it was not, at most `limit`. */
-  measureDrain(limit: Millis, move?: DrainedMove): Promise<Millis>;
+  measureDrain(limit: Millis, move?: DrainedMove, mayClose?: boolean): Promise<Millis>;
 }
 
 /** Creates a bed in which the first instance requests the drain. */
 export function createDrainBed(
   domains: readonly string[],
   seed = 1,
-  links: DrainLinks = { lost: 0, delay: 0 },
+  links: DrainLinks = { lost: 0, delay: 0, pause: 0 },
 ): DrainBed {
   const timers = createVirtualTimers();
   const random = createRandom(seed);
@@ -121,12 +121,13 @@
         registerHandler: register.bind(null, 'call'),
         registerNotice: register.bind(null, 'notice'),
       },
-      listOwnDomain: () =>
-        instances.filter((peer) => peer.isLive && peer.domain === domain).map((peer) => peer.id),
-      listPresent: () => instances.map((peer) => peer.id),
+      listPresent: (other: string) =>
+        instances.filter((peer) => peer.domain === other).map((peer) => peer.id),
+      listReachableDomains: () => [...new Set(domains)],
     };
     const drains = createDaemonDrains({
       self: id,
+      domain,
       timers,
       fleet,
       directory: { findReport: () => report },
@@ -137,7 +138,6 @@
       id,
       domain,
       drains,
-      isLive: true,
       isDispensable: true,
       reply: null,
       countCalls: () => calls,
@@ -168,11 +168,14 @@
         });
       });
     }),
-    async measureDrain(limit, change = {}) {
+    async measureDrain(limit, change = {}, mayClose = true) {
       const since = timers.now();
       const move = { engine: ENGINE, reason: MoveReason.Version, ...change };
-      while (timers.now() - since < limit && !instances[0]?.drains.isReadyForOrder(move)) {
-        await timers.advanceToAsync(timers.now() + TICK);
+      while (timers.now() - since < limit) {
+        if (instances[0]?.drains.prepareOrder(move, mayClose) === OrderReadiness.Ready) {
+          break;
+        }
+        await timers.advanceToAsync(timers.now() + TICK + random.nextFloat() * links.pause);
       }
       return timers.now() - since;
     },
--- a/packages/membership/src/MembershipService.ts
+++ b/packages/membership/src/MembershipService.ts
@@ -23,7 +23,6 @@
   DEFAULT_MEMBERSHIP_CONFIG,
   getInstance,
   getLiveInstances,
-  getPresentInstances,
   isDomainReachable,
 } from './MembershipState.js';
 import type { GossipTopic } from './MembershipTopics.js';
@@ -65,8 +64,6 @@
   /** Reports that a connection to the instance was refused or broken. */
   reportConnectionLost(id: InstanceId): void;
   getLiveInstances(domain?: DomainId): readonly LiveInstance[];
-  /** Like `getLiveInstances`, but includes leaving instances and those of unreachable domains. */
-  getPresentInstances(domain?: DomainId): readonly LiveInstance[];
   getInstance(id: InstanceId): LiveInstance | null;
   isDomainReachable(domain: DomainId): boolean;
   getState(): MembershipState;
@@ -148,7 +145,6 @@
     getListPeriod: () => getListPeriod(state),
     reportConnectionLost: (id) => step({ kind: 'connection-lost', id }),
     getLiveInstances: (domain) => getLiveInstances(state, domain),
-    getPresentInstances: (domain) => getPresentInstances(state, domain),
     getInstance: (id) => getInstance(state, id),
     isDomainReachable: (domain) => isDomainReachable(state, domain),
     getState: () => state,
--- a/packages/placement/src/PlacementRunner.ts
+++ b/packages/placement/src/PlacementRunner.ts
@@ -27,12 +27,14 @@
 import { DEFAULT_ORDER_SETTINGS, getOrderFencing } from './PlacementOrderTypes.js';
 import { planPlacement } from './PlacementPlan.js';
 import type {
+  OrderReadinessName,
   PlacementEngine,
   PlacementManifest,
   PlacementMove,
   PlacementPlan,
 } from './PlacementTypes.js';
-import type { WeightDraw, WeightRates } from './PlacementWeights.js';
+import { OrderReadiness } from './PlacementTypes.js';
+import type { WeightBucket, WeightDraw, WeightRates } from './PlacementWeights.js';
 import { createWeightBucket, DEFAULT_WEIGHT_RATES, drawWeights } from './PlacementWeights.js';
 
 const TICK_PERIOD: Millis = 1000;
@@ -55,10 +57,10 @@
   /** Sends an order. The promise settles within a bounded time, with `unknown` if no answer arrives. */
   readonly sendOrder: (engine: EngineId, order: Order) => Promise<OrderAnswer>;
   /**
-   * Whether a move may be ordered now; called each tick while nothing else prevents its order, always true if
-   * omitted.
+   * Keeps requests off a move's engine, and says whether its order may go out. Called each tick while nothing else
+   * prevents the order; `mayClose` says whether the weight store has a load left for it. Always ready if omitted.
    */
-  readonly isReadyForOrder?: (move: PlacementMove) => boolean;
+  readonly prepareOrder?: (move: PlacementMove, mayClose: boolean) => OrderReadinessName;
   readonly onDecision: (decision: PlacementDecision) => void;
   readonly settings?: Partial<OrderSettings>;
   readonly weights?: WeightRates;
@@ -143,7 +145,7 @@
         void send(effect.engine, effect.order);
         break;
       case 'ask-weights': {
-        const draw = drawForMove(effect);
+        const draw = drawForMove(bucket, effect);
         bucket = draw.bucket;
         step({ kind: 'weights-answered', engine: effect.engine, isGranted: draw.isGranted });
         break;
@@ -156,9 +158,12 @@
     }
   }
 
-  function drawForMove(move: Pick<PlacementMove, 'bytes' | 'reason'>): WeightDraw {
+  function drawForMove(
+    from: WeightBucket,
+    move: Pick<PlacementMove, 'bytes' | 'reason'>,
+  ): WeightDraw {
     const domains = deps.getManifest()?.domains.length ?? 1;
-    return drawWeights(bucket, deps.weights ?? DEFAULT_WEIGHT_RATES, domains, move, timers.now());
+    return drawWeights(from, deps.weights ?? DEFAULT_WEIGHT_RATES, domains, move, timers.now());
   }
 
   async function send(engine: EngineId, order: Order): Promise<void> {
@@ -232,20 +237,37 @@
       ({ facts }) => !(manifest.getAccelerator(facts.accelerator)?.checksFencing ?? false),
     );
     const unfencedEngines = new Set(unfenced.map(({ facts }) => facts.id));
-    // An engine is made ready by keeping requests off it, so only if its order could be sent now.
-    const possible = plan.moves.filter(
-      (move) =>
-        isMovePossible(orders, move, unfencedEngines, timers.now()) && drawForMove(move).isGranted,
-    );
     step({
       kind: 'planned',
-      // An engine that loads something else drops its running requests; they must continue on other engines, or fail
-      // if it was the last to hold their version.
-      moves: possible.filter((move) => deps.isReadyForOrder?.(move) ?? true),
+      moves: prepareMoves(plan.moves, unfencedEngines),
       unfencedEngines,
     });
   }
 
+  /**
+   * Selects the moves whose engines are ready. An engine that loads something else drops its running requests; they must
+   * continue on other engines, or fail if it was the last to hold their version. Requests are kept off an engine only if
+   * its order could go out, and fully so only off as many as may load now: the capacity of the others is still needed.
+   */
+  function prepareMoves(
+    moves: readonly PlacementMove[],
+    unfencedEngines: ReadonlySet<EngineId>,
+  ): readonly PlacementMove[] {
+    let left = bucket;
+    return moves.filter((move) => {
+      const isPossible = isMovePossible(orders, move, unfencedEngines, timers.now());
+      if (!isPossible || !drawForMove(bucket, move).isGranted) {
+        return false;
+      }
+      const draw = drawForMove(left, move);
+      const readiness = deps.prepareOrder?.(move, draw.isGranted) ?? OrderReadiness.Ready;
+      if (readiness !== OrderReadiness.Draining) {
+        left = draw.bucket;
+      }
+      return readiness === OrderReadiness.Ready;
+    });
+  }
+
   function getPhase(): PlacementPhaseName {
     if (readLease() && orders.lease) {
       return timers.now() < getQuietUntil(orders) ? PlacementPhase.Quiet : PlacementPhase.Placing;
--- a/packages/placement/src/PlacementTypes.ts
+++ b/packages/placement/src/PlacementTypes.ts
@@ -90,6 +90,17 @@
   readonly isForced?: boolean;
 }
 
+/** Whether the order of a move may go out. */
+export const OrderReadiness = {
+  Ready: 'ready',
+  /** It may within seconds: nothing runs at the engine, which is being closed to requests. */
+  Closing: 'closing',
+  /** Not yet: answers run at the engine, or may start there. */
+  Draining: 'draining',
+} as const;
+
+export type OrderReadinessName = (typeof OrderReadiness)[keyof typeof OrderReadiness];
+
 /** What each engine should hold in the end, and the moves towards it. */
 export interface PlacementPlan {
   readonly targets: ReadonlyMap<EngineId, Holding | null>;
--- a/packages/placement/src/__tests__/unit/PlacementReady.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementReady.test.ts
@@ -1,28 +1,33 @@
 import { expect } from 'chai';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { PlacementRunnerDeps } from '../../PlacementRunner.js';
+import { OrderReadiness } from '../../PlacementTypes.js';
 import { createBed, type Bed } from '../PlacementBed.js';
 import { createEngines, createManifest, createModel } from '../PlacementFixtures.js';
 
 const SERVES = [{ model: 'writer', minTokensPerSecond: 1000, weight: 1 }];
 
+function createPlacementBed(): Bed {
+  return createBed({
+    engines: createEngines(4, ['medium']),
+    manifest: createManifest({ models: [createModel('writer', 48)], serves: SERVES }),
+    seed: 1,
+  });
+}
+
 /** Places engines, and counts how often an engine is to be made ready for an order. */
 async function countReadied(
   duration: Millis,
   deps: Partial<PlacementRunnerDeps>,
   prepare: (bed: Bed) => void = () => undefined,
 ): Promise<number> {
-  const bed = createBed({
-    engines: createEngines(4, ['medium']),
-    manifest: createManifest({ models: [createModel('writer', 48)], serves: SERVES }),
-    seed: 1,
-  });
+  const bed = createPlacementBed();
   let readied = 0;
   prepare(bed);
   bed.start('a', {
-    isReadyForOrder() {
+    prepareOrder() {
       readied += 1;
-      return true;
+      return OrderReadiness.Ready;
     },
     ...deps,
   });
@@ -52,4 +57,20 @@
     expect(left).to.be.above(0);
     expect(spent).to.be.at.most(4);
   });
+
+  it('closes only as many engines as the weight store lets load', async () => {
+    // Guards against engines that are closed to requests all at once though they load one after the other.
+    const bed = createPlacementBed();
+    const mayClose: boolean[] = [];
+    bed.start('a', {
+      weights: { bytesPerSecond: 1e9, burst: 1000 },
+      prepareOrder(_move, isAllowed) {
+        mayClose.push(isAllowed);
+        return OrderReadiness.Closing;
+      },
+    });
+    await bed.run(5000);
+    const perTick = mayClose.filter((_allowed, i) => i >= mayClose.length - 4);
+    expect(perTick).to.deep.equal([true, false, false, false]);
+  });
 });
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -108,6 +108,10 @@
     },
     hasBegun: () => hasBegun(machine),
     isStalled: (now) => isStalled(machine, now),
+    getInterrupted: () =>
+      machine.tokenCount > 0 && machine.phase !== RequestPhase.Running
+        ? (machine.chain?.variant ?? null)
+        : null,
     takePace(now) {
       const chain = attempts.getChain();
       const gap = Math.max(longestGap, now - machine.lastActivityAt);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -2,6 +2,7 @@
  * Owns all running requests of an instance. The daemon translates external calls into `submit` and
  * `submitService`, receives the answers through sinks, and supplies the ports; nothing else is shared.
  */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import { createActiveInterval } from '@skylarksail/core/CoreActivity';
 import { invariant } from '@skylarksail/core/CoreErrors';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
@@ -56,6 +57,8 @@
   noteEngineAlive(engine: string, bootId: string): void;
   /** Records that another instance has lost an engine, which is avoided for a short time if there are others. */
   noteEngineLost(engine: EngineId): void;
+  /** Number of answers that have begun on a version and have no chain at the moment. */
+  countInterrupted(variant: Pick<ModelVariant, 'model' | 'version'>): number;
   getCounts(): RouterCounts;
   /** Stops the router's own timers. */
   stop(): void;
@@ -225,6 +228,10 @@
       }
     },
     noteEngineLost: (engine) => shared.progress.noteLost(engine, false, timers.now()),
+    countInterrupted: ({ model, version }) =>
+      [...shared.runs.values()]
+        .map((run) => run.getInterrupted())
+        .filter((variant) => variant?.model === model && variant.version === version).length,
     getCounts: () => ({
       waiting: shared.admission.countWaiting(),
       running: shared.admission.countRunning(),
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -28,6 +28,8 @@
   hasBegun(): boolean;
   /** Whether its answer has begun and is stalled. */
   isStalled(now: Millis): boolean;
+  /** Variant of its answer while that has begun and no attempt runs; null otherwise. */
+  getInterrupted(): ModelVariant | null;
   /** Progress of its answer since the last call; null if the answer has not begun. */
   takePace(now: Millis): StreamPace | null;
   /** Starts its recovery, for which a slot is free. */
--- a/packages/requests/src/__tests__/unit/RequestVersions.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestVersions.test.ts
@@ -84,4 +84,26 @@
       expect(received.problems.map((p) => [p.kind, p.run, p.retryAfter])).to.deep.equal(problems);
     });
   });
+
+  it('counts an answer that has begun and has no chain at the moment for its version', () => {
+    // Guards against engines that change their version while an answer between two attempts still needs them.
+    const world = createFakeWorld({
+      chooseRepair: () => ({ kind: 'none', isFull: false, retryAfter: 5000 }),
+    });
+    const count = (version: string): number =>
+      world.router.countInterrupted({ ...VARIANT, version });
+    world.submit('r1');
+    const refusal = { place: FailurePlace.Refused, provenNotRun: true, retryAfter: 60_000 };
+    world.submit('r2');
+    world.last().listener.onFailure(createFailure(refusal));
+    const [first] = world.calls;
+    if (!first) {
+      throw new Error('no call');
+    }
+    acknowledge(first);
+    sendTokens(world, first, 0, 3);
+    expect(count('v1')).to.equal(0);
+    first.listener.onFailure(createFailure({ engine: 'b1' }));
+    expect([count('v1'), count('v2')]).to.deep.equal([1, 0]);
+  });
 });
