Log which engines a search for a chain left out, and try no version that no engine holds

Cause: a refusal said "layers-missing" alone. That two of four engines were taken for gone, which told the hypotheses about the 503s apart, could only be seen with a line added by hand. And a refused request searched once for each version of the manifest.

Change: "no-chain-found" names the silent, leaving and closed engines, where there are any; not in the brief logs. Versions that no engine holds are left out of the search.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -132,8 +132,11 @@
     if (begunVersion !== null) {
       return [{ ...variant, version: begunVersion }];
     }
-    const versions = options.listVersions?.(variant.model) ?? [];
-    return versions.length > 0 ? versions.map((version) => ({ ...variant, version })) : [variant];
+    const [preferred = variant.version, ...others] = options.listVersions?.(variant.model) ?? [];
+    const isHeldInPart = (version: VersionId): boolean =>
+      [...state.pools.values()].some((p) => p.model === variant.model && p.version === version);
+    const versions = [preferred, ...others.filter(isHeldInPart)];
+    return versions.map((version) => ({ ...variant, version }));
   }
 
   function createQuery(
@@ -262,6 +265,20 @@
     return isReplaced && !isHeld(state, variant, spec.layerCount);
   }
 
+  /** Engines that a search left out though they may hold the layers; without those that failed this request. */
+  function describeLeftOut({ begunVersion }: ChainRequest): Readonly<Record<string, string>> {
+    const leftOut = {
+      silent: [...state.silent],
+      leaving: [...state.leaving],
+      closed: options.listClosed?.(begunVersion !== null) ?? [],
+    };
+    return Object.fromEntries(
+      Object.entries(leftOut)
+        .filter(([, engines]) => engines.length > 0)
+        .map(([why, engines]) => [why, engines.join(',')]),
+    );
+  }
+
   function recordRefusal(request: ChainRequest, refusal: RoutingRefusal): RequestChoice {
     const { kind, retryAfter } = refusal;
     const details =
@@ -274,7 +291,13 @@
           }
         : {};
     const { id } = request.spec;
-    decisions.record({ request: id, decision: 'no-chain-found', reason: kind, ...details });
+    decisions.record({
+      request: id,
+      decision: 'no-chain-found',
+      reason: kind,
+      ...details,
+      ...(options.isBrief ? {} : describeLeftOut(request)),
+    });
     return {
       kind: 'none',
       isFull: kind === 'no-capacity',
