--- a/packages/daemon/src/DaemonDrains.ts
+++ b/packages/daemon/src/DaemonDrains.ts
@@ -110,11 +110,14 @@
    */
   readonly countCalls: (engine: EngineId) => number;
   readonly isDispensable: DrainNotesOptions['isDispensable'];
+  /** Called once for a drain that takes long, with the instances that it waits for. */
+  readonly onLate: (engine: EngineId, waitingFor: readonly InstanceId[]) => void;
 }
 
 export function createDaemonDrains(options: DaemonDrainsOptions): DaemonDrains {
   const { self, timers, fleet, directory, countCalls } = options;
   const ownDrains = new Map<EngineId, OwnDrain>();
+  const reportedLate = new WeakSet<OwnDrain>();
   const notes = createDrainNotes({
     timers,
     getOrderNumber,
@@ -215,6 +218,18 @@
     return isLate(drain) ? DrainStage.ClosedToNew : DrainStage.Avoided;
   }
 
+  function reportIfLate(drain: OwnDrain): void {
+    if (reportedLate.has(drain) || !isLate(drain)) {
+      return;
+    }
+    reportedLate.add(drain);
+    const isWaitedFor = ({ id }: Peer): boolean =>
+      drain.unansweredSince.has(id) || (drain.answers.get(id)?.calls ?? 0) > 0;
+    const own = countCalls(drain.engine) > 0 ? [self] : [];
+    const peers = listPeers().filter(isWaitedFor);
+    options.onLate(drain.engine, [...own, ...peers.map(({ id }) => id)]);
+  }
+
   async function askPeer(drain: OwnDrain, peer: InstanceId, request: DrainRequest): Promise<void> {
     const askedAt = timers.now();
     const { engine, stage } = request;
@@ -277,6 +292,7 @@
       if (mayClose && (isOverdue || isClosed(drain))) {
         return OrderReadiness.Ready;
       }
+      reportIfLate(drain);
       const stage = chooseStage(drain, report, mayClose);
       askAll(drain, stage, isForced);
       return stage === DrainStage.Closed ? OrderReadiness.Closing : OrderReadiness.Draining;
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -201,6 +201,8 @@
     directory,
     countCalls: countAnswers,
     isDispensable: (engine, closed) => isDispensable(engine, closed),
+    onLate: (engine, waitingFor) =>
+      logger.info({ engine, waitingFor }, 'order waits for running answers'),
   });
   listDraining = drains.listDraining;
   listClosed = drains.listClosed;
--- a/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
@@ -36,6 +36,7 @@
       const bed = createDrainBed(['a', 'a', 'b']);
       getInstance(bed, i).startCall(100_000);
       expect(await bed.measureDrain(LONG)).to.be.within(100_000, 100_000 + IDLE_DRAIN);
+      expect(bed.lateDrains).to.deep.equal([`${ENGINE} instance-${i}`]);
     });
   });
 
--- a/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
@@ -57,6 +57,8 @@
   readonly instances: readonly DrainInstance[];
   /** Notices that instances got, by topic. */
   readonly notices: string[];
+  /** Drains reported as late, with the instances that they wait for. */
+  readonly lateDrains: string[];
   /** State of the engine, which its reports state from then on. */
   readonly engine: { running: number; orderNumber: number; holding: object | null };
   /** Stops the reports of the engine. */
@@ -76,6 +78,7 @@
   const engine: DrainBed['engine'] = { running: 0, orderNumber: 1, holding: {} };
   const handlers = new Map<string, Handler>();
   const notices: string[] = [];
+  const lateDrains: string[] = [];
   const instances: DrainInstance[] = [];
 
   function wait(delay: Millis): Promise<void> {
@@ -133,6 +136,8 @@
       directory: { findReport: () => report },
       countCalls: () => calls,
       isDispensable: () => instances[i]?.isDispensable ?? true,
+      onLate: (engineId: string, waitingFor: readonly string[]) =>
+        lateDrains.push(`${engineId} ${waitingFor.join()}`),
     } as unknown as DaemonDrainsOptions);
     return {
       id,
@@ -159,6 +164,7 @@
     random,
     instances,
     notices,
+    lateDrains,
     engine,
     stopReports: timers.registerInterval(REPORT_PERIOD, () => {
       const report = createReport();
