Ask instances without calls at a draining engine every four seconds only

Cause: each instance of a domain was asked about each draining engine every second, with 113 bytes and a reply of 48 where a notice of 50 was sent before (measured envelopes). With 50 engines that drain at once, as 15 % of a domain of 350, an instance would receive and send 8 KB/s of the 4 KB/s that control may take (worked out).

Closing an engine asks all at once, as before, so no order rests on the older counts.

By these sizes 50 engines take 2 KB/s an instance, less than the notices did (2.5 KB/s); not measured in a large domain.

--- a/packages/daemon/src/DaemonDrains.ts
+++ b/packages/daemon/src/DaemonDrains.ts
@@ -44,6 +44,9 @@
  */
 const MAX_PROMISE_AGE: Millis = 7000;
 
+/** Period at which a peer without calls is asked again, several times before its part in the drain lapses. */
+const RENEWAL_PERIOD: Millis = 4000;
+
 const PEER_TIMEOUT: Millis = 1500;
 
 /** Understood by instances of a release that does not answer the call. */
@@ -169,18 +172,26 @@
     return timers.now() - (unansweredSince.get(id) ?? Infinity) >= MAX_DRAIN_TIME;
   }
 
-  /** Instances of other domains seldom use the engine; they are asked when it is closed, and while they have calls. */
-  function isAsked({ id, isNear }: Peer, { answers }: OwnDrain, stage: DrainStageName): boolean {
+  /** Instances of other domains seldom use the engine; they take part when it is closed, and while they have calls. */
+  function isInvolved({ id, isNear }: Peer, { answers }: OwnDrain, stage: DrainStageName): boolean {
     return isNear || stage !== DrainStage.Avoided || (answers.get(id)?.calls ?? 0) > 0;
   }
 
+  /** Whether a peer has something new to hear or say; a large domain drains many engines at once. */
+  function isDue({ id }: Peer, drain: OwnDrain, stage: DrainStageName): boolean {
+    const answer = drain.answers.get(id);
+    const isSettled = answer?.calls === 0 && !drain.unansweredSince.has(id);
+    const isRecent = timers.now() - (answer?.askedAt ?? -Infinity) < RENEWAL_PERIOD;
+    return stage === DrainStage.Closed || answer?.stage !== stage || !isSettled || !isRecent;
+  }
+
   /** Whether the last answers and the report show no work at the engine. Peers that were not asked yet do not count. */
   function isIdle(drain: OwnDrain, report: KnownReport | null): boolean {
     const isReportedIdle =
       report !== null && report.seenAt > drain.startedAt && report.status.load.running === 0;
     const isPeerIdle = (peer: Peer): boolean =>
       drain.answers.get(peer.id)?.calls === 0 ||
-      !isAsked(peer, drain, DrainStage.Avoided) ||
+      !isInvolved(peer, drain, DrainStage.Avoided) ||
       isSilent(drain, peer);
     return (
       countCalls(drain.engine) === 0 &&
@@ -255,7 +266,7 @@
     const request = { engine, stage, orderNumber: getOrderNumber(engine) ?? 0, mayInterrupt };
     notes.note(request);
     listPeers()
-      .filter((peer) => isAsked(peer, drain, stage))
+      .filter((peer) => isInvolved(peer, drain, stage) && isDue(peer, drain, stage))
       .forEach(({ id }) => {
         void askPeer(drain, id, request);
       });
--- a/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrains.test.ts
@@ -129,6 +129,15 @@
     expect(readStages().slice(1)).to.deep.equal([true, true]);
   });
 
+  it('asks instances without calls there seldom, and those of other domains not before the engine is closed', async () => {
+    // Guards against drains that take a large domain's share of bytes: each instance hears of dozens of engines at once.
+    const bed = createDrainBed(['a', 'a', 'a', 'b']);
+    getInstance(bed, 1).startCall(LONG);
+    await bed.measureDrain(20_000);
+    const count = (id: string): number => bed.asked.filter((to) => to === id).length;
+    expect(['instance-1', 'instance-2', 'instance-3'].map(count)).to.deep.equal([20, 5, 0]);
+  });
+
   it('closes no engine whose order could not go out yet', async () => {
     // Guards against requests that are refused for the sake of engines which wait for their turn to load.
     const bed = createDrainBed(['a', 'a']);
--- a/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonDrainsBed.ts
@@ -55,6 +55,8 @@
   readonly timers: VirtualTimers;
   readonly random: Random;
   readonly instances: readonly DrainInstance[];
+  /** Instances that were asked, once for each call. */
+  readonly asked: string[];
   /** Notices that instances got, by topic. */
   readonly notices: string[];
   /** Drains reported as late, with the instances that they wait for. */
@@ -77,6 +79,7 @@
   const random = createRandom(seed);
   const engine: DrainBed['engine'] = { running: 0, orderNumber: 1, holding: {} };
   const handlers = new Map<string, Handler>();
+  const asked: string[] = [];
   const notices: string[] = [];
   const lateDrains: string[] = [];
   const instances: DrainInstance[] = [];
@@ -98,6 +101,7 @@
     timeout: Millis,
   ): Promise<Result<unknown, CallFailure>> {
     const peer = instances.find(({ id }) => id === to);
+    asked.push(to);
     await wait(random.nextFloat() * links.delay);
     if (!peer || random.nextFloat() < links.lost) {
       await wait(timeout);
@@ -163,6 +167,7 @@
     timers,
     random,
     instances,
+    asked,
     notices,
     lateDrains,
     engine,
