Move the pure parts of the daemon's routing to a module of their own

Cause: DaemonRouting had grown to 454 lines, and DaemonParts bound five functions late, one by one. Change: DaemonRoutingResults holds what takes no state of the adapter; DaemonParts binds the drains and the placement. No behaviour.

--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -1,8 +1,7 @@
 /** Creates and connects the components of the daemon that its HTTP ports use. */
-import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Millis, ModelId, Unregister, VersionId } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { StoreUse } from '@skylarksail/store/StoreBudget';
 import type { MembershipChange } from '@skylarksail/membership/MembershipService';
 import type { StoreClient } from '@skylarksail/store/StoreClient';
@@ -12,6 +11,7 @@
 import { DEFAULT_ROUTER_CONFIG } from '@skylarksail/requests/RouterTypes';
 import type { DaemonClaims } from './DaemonClaims.js';
 import { createDaemonClaims } from './DaemonClaims.js';
+import type { DaemonDrains } from './DaemonDrains.js';
 import { createDaemonDrains } from './DaemonDrains.js';
 import type { DecisionLog } from './DaemonDecisions.js';
 import { createEngineHttp } from './DaemonEngineHttp.js';
@@ -70,11 +70,8 @@
 
   let countInstances = (): number => 1;
   let getClaimShare = (): number => 0;
-  let listDraining = (): readonly EngineId[] => [];
-  let isReplaced = (_variant: ModelVariant): boolean => false;
-  let isDispensable = (_engine: EngineId, _closed: readonly EngineId[]): boolean => true;
-  let listClosed = (_isBegun: boolean): readonly EngineId[] => [];
-  let listVersions = (_model: ModelId): readonly VersionId[] => [];
+  let startedDrains: DaemonDrains | null = null;
+  let startedPlacement: DaemonPlacement | null = null;
   const platformHttp = createPlatformHttp(settings.platform, timers);
   const platform = createStoreClient({
     port: platformHttp,
@@ -99,10 +96,10 @@
     timers,
     random,
     decisions,
-    listDraining: () => listDraining(),
-    listClosed: (isBegun) => listClosed(isBegun),
-    listVersions: (model) => listVersions(model),
-    isReplaced: (variant) => isReplaced(variant),
+    listDraining: () => startedDrains?.listDraining() ?? [],
+    listClosed: (isBegun) => startedDrains?.listClosed(isBegun) ?? [],
+    listVersions: (model) => startedPlacement?.listVersions(model) ?? [],
+    isReplaced: (variant) => startedPlacement?.isReplaced(variant) ?? false,
   });
   const status = createEngineStatusHttp(STATUS_TIMEOUT);
   const directory = createEngineDirectory({
@@ -186,8 +183,8 @@
     }
   }
 
-  /** Counts the own answers that need an engine to go on. */
-  function countAnswers(engine: EngineId): number {
+  /** Counts the own answers that need an engine, which those between two attempts do as well. */
+  function countCalls(engine: EngineId): number {
     const holding = directory.findReport(engine)?.status.load.holding;
     const interrupted = holding ? router.countInterrupted(holding) : 0;
     return routing.countCalls(engine) + interrupted;
@@ -199,13 +196,12 @@
     timers,
     fleet,
     directory,
-    countCalls: countAnswers,
-    isDispensable: (engine, closed) => isDispensable(engine, closed),
+    countCalls,
+    isDispensable: (engine, closed) => startedPlacement?.isDispensable(engine, closed) ?? true,
     onLate: (engine, waitingFor) =>
       logger.info({ engine, waitingFor }, 'order waits for running answers'),
   });
-  listDraining = drains.listDraining;
-  listClosed = drains.listClosed;
+  startedDrains = drains;
   const placement = startDaemonPlacement({
     domain: settings.domain,
     instance: self.id,
@@ -220,9 +216,7 @@
     drains,
     weightStore: settings.weightStore,
   });
-  listVersions = placement.listVersions;
-  isReplaced = placement.isReplaced;
-  isDispensable = placement.isDispensable;
+  startedPlacement = placement;
 
   async function stop(): Promise<void> {
     const placementStopped = placement.stop();
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -1,7 +1,6 @@
 /** Adapts the pure routing state to the request router, and logs each decision with its candidates. */
 import type { Chain, ModelVariant, Stage } from '@skylarksail/core/CoreChain';
 import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
-import { invariant } from '@skylarksail/core/CoreErrors';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type {
@@ -17,7 +16,6 @@
 import type { ManifestView } from '@skylarksail/manifest/ManifestView';
 import type { LinkMonitor } from '@skylarksail/requests/RouterTypes';
 import type {
-  AttemptOutcome,
   ChainChoice as RequestChoice,
   ChainRequest,
   ChooseChain,
@@ -41,7 +39,7 @@
 import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
 import { isHeld } from '@skylarksail/routing/RoutingPools';
 import { selectRepair } from '@skylarksail/routing/RoutingRepair';
-import type { CallOutcome, RoutingState } from '@skylarksail/routing/RoutingTypes';
+import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import {
   createRoutingState,
   markLeaving,
@@ -51,6 +49,12 @@
   setRoutingFacts,
 } from '@skylarksail/routing/RoutingState';
 import type { DecisionLog } from './DaemonDecisions.js';
+import {
+  computeKvCapacity,
+  findWeakestRefusal,
+  selectImports,
+  toCallOutcome,
+} from './DaemonRoutingResults.js';
 
 /** Period at which capacity shares are recomputed if their inputs changed. */
 const PLAN_PERIOD: Millis = 500;
@@ -386,69 +390,3 @@
     getState: () => state,
   };
 }
-
-/** Engines that are full may take the request soon, so that reason is reported before missing layers. */
-function findWeakestRefusal(refusals: readonly RoutingRefusal[]): RoutingRefusal {
-  const weakest = refusals.find(({ kind }) => kind === 'no-capacity') ?? refusals[0];
-  invariant(weakest, 'a request has at least one variant');
-  return weakest;
-}
-
-function toCallOutcome(outcome: AttemptOutcome): CallOutcome {
-  switch (outcome.kind) {
-    case 'answered':
-      return {
-        kind: 'answered',
-        firstTokenMs: outcome.firstToken,
-        tokenGapMs: outcome.meanGap,
-      };
-    case 'failed':
-      // A refusal is no sign of a fault: the engine is full, or has loaded other layers since its last report.
-      return outcome.cause === 'refused'
-        ? { kind: 'cancelled' }
-        : {
-            kind: 'failed',
-            engine: outcome.engine,
-            isSilent: outcome.engine === null && outcome.cause === 'silent',
-          };
-    default:
-      return { kind: 'cancelled' };
-  }
-}
-
-/** Working stages of the broken chain whose layers are taken over, at least in part, by a new stage. */
-function selectImports(
-  broken: Chain,
-  newStages: readonly Stage[],
-  failed: readonly EngineId[],
-): readonly Stage[] {
-  const isTakenOver = ({ layers }: Stage): boolean =>
-    newStages.some((stage) => stage.layers.first < layers.end && layers.first < stage.layers.end);
-  return broken.stages.filter((stage) => !failed.includes(stage.engine) && isTakenOver(stage));
-}
-
-/**
- * Share of one instance in the domain's KV capacity. Engines state their capacity in layers times tokens, so
- * the sum over a model's engines is divided by the number of layers of the model.
- */
-function computeKvCapacity(state: RoutingState, domain: DomainId): number | null {
-  const layersByModel = new Map<string, { layers: number; layerTokens: number }>();
-  for (const [id, facts] of state.engines) {
-    const holding = state.loads.get(id)?.load.holding;
-    if (facts.domain === domain && holding) {
-      const known = layersByModel.get(holding.model) ?? { layers: 0, layerTokens: 0 };
-      layersByModel.set(holding.model, {
-        layers: Math.max(known.layers, holding.layers.end),
-        layerTokens: known.layerTokens + facts.kvLayerTokens,
-      });
-    }
-  }
-  if (layersByModel.size === 0) {
-    return null;
-  }
-  const tokens = [...layersByModel.values()].reduce(
-    (sum, { layers, layerTokens }) => sum + layerTokens / layers,
-    0,
-  );
-  return tokens / state.tuning.instanceCount;
-}
