Shorten a comment of a test, and say how often reports come where silence is judged

Cause: the rule about silent engines said that they report every half second, which daemons don't see: the wrong figure hid a fault. Change: three comments; no code.

--- a/packages/daemon/src/__tests__/unit/DaemonEngines.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonEngines.test.ts
@@ -10,10 +10,7 @@
 /** Age at which routing takes an engine for gone. */
 const SILENT_AGE: Millis = 5000;
 
-/**
- * Runs the directory of an instance that polls no engine by duty and hears of none from its peers. Returns the number of
- * polls, and the greatest age of an engine's report.
- */
+/** Runs the directory of an instance that polls no engine by duty and hears of none from its peers. */
 async function observeReports(
   count: number,
   isAnswering: boolean,
--- a/packages/routing/src/RoutingPlans.ts
+++ b/packages/routing/src/RoutingPlans.ts
@@ -11,7 +11,10 @@
 /** Relative change of the workload mix that requires a new plan. */
 const MIX_CHANGE_THRESHOLD = 0.2;
 const DEFAULT_ACTIVATION_BYTES = 16384;
-/** Engines report every half second; one without a report for so long is considered silent. */
+/**
+ * An engine without a report for so long is considered silent. Reports of an engine come every half second to two
+ * seconds, and some are lost.
+ */
 const SILENT_MS = 5000;
 
 /**
--- a/packages/routing/src/RoutingRepair.ts
+++ b/packages/routing/src/RoutingRepair.ts
@@ -147,7 +147,7 @@
 
 /**
  * Whether a stage's engine is still registered and holds its layers of the variant. An engine that was unregistered or
- * ordered to hold other layers or another version since the chain was selected cannot be kept, even without a reported failure. Nor can a
+ * ordered to hold other layers or another version cannot be kept, even without a reported failure. Nor can a
  * leaving engine, since the repaired chain is new work to it: without this check, an engine received new work
  * 3.5 s after it announced that it was leaving.
  */
