--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -4,7 +4,7 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { DomainId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
 import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
-import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import type { OpenEngineCall, OpenServiceCall } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
@@ -12,7 +12,7 @@
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
 import type { BackendPorts, BackendView, HealthAnswer } from '../../RelayPorts.js';
-import { createBackend, createConfig } from './RelayFixtures.js';
+import { createBackend, createConfig, createRoute } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
 /** Failure domain of instances and engines, unless a test names another. */
@@ -31,10 +31,28 @@
 /** Engine calls of an instance, in place of ones that always fail. */
 export type OpenCallOf = (instance: string, view: BackendView) => OpenEngineCall;
 
+/** Calls of an instance to plain services, in place of ones that never end. */
+export type OpenServiceCallOf = (instance: string, view: BackendView) => OpenServiceCall;
+
+const PLAIN_ROUTE = {
+  maxAttempts: 2,
+  timeout: 600,
+  firstAnswerGoal: 120,
+  targets: [{ service: 'accounts', weight: 1 }],
+};
+
+/** One route to the model, and two to the plain service: of calls that may be repeated, and of those that may not. */
+const ROUTES = [
+  createRoute(),
+  createRoute({ ...PLAIN_ROUTE, name: 's', prefix: '/statements/', kind: 'safe' }),
+  createRoute({ ...PLAIN_ROUTE, name: 'u', prefix: '/receipts/', kind: 'unsafe' }),
+];
+
 /** Creates the setup; no instance runs yet. */
 export function createPartsBed(
   openCallOf: OpenCallOf | null = null,
   domains: readonly DomainId[] = [FIRST_DOMAIN],
+  openServiceCallOf: OpenServiceCallOf | null = null,
 ) {
   const timers = createVirtualTimers();
   const store = createFakeRangeStore(timers);
@@ -45,6 +63,7 @@
   const crashed = new Set<string>();
   const orders: SentOrder[] = [];
   let suspendedTime = 0;
+  let calls = 0;
 
   const openRefusedCall: OpenEngineCall = (call, listener) => {
     const refusing = call.chain.stages.find(({ engine }) => leaving.has(engine));
@@ -62,7 +81,7 @@
 
   const createBackends = (by: string, view: BackendView): BackendPorts => ({
     openEngineCall: openCallOf?.(by, view) ?? openRefusedCall,
-    openServiceCall: () => () => undefined,
+    openServiceCall: openServiceCallOf?.(by, view) ?? (() => () => undefined),
     orders: {
       readStatus: ({ id }) =>
         Promise.resolve({
@@ -92,9 +111,14 @@
     store.put(`${BACKENDS}${id}`, JSON.stringify(createBackend(id, { layers: range, domain })));
   }
 
+  function addServer(id: string, domain: DomainId = FIRST_DOMAIN): void {
+    const entry = createBackend(id, { service: 'accounts', accelerator: null, domain });
+    store.put(`${BACKENDS}${id}`, JSON.stringify(entry));
+  }
+
   function readContent({ key, value }: { key: string; value: string }): StoreContent {
     if (key === CONFIG_KEY) {
-      return { kind: 'config', config: createConfig() };
+      return { kind: 'config', config: createConfig({ routes: ROUTES }) };
     }
     return key.startsWith(BACKENDS)
       ? { kind: 'backend', entry: JSON.parse(value) as BackendEntry }
@@ -166,21 +190,24 @@
     /** Engines that do not answer. */
     crashed,
     addEngine,
+    /** Registers a server of the plain service. */
+    addServer,
     start,
     /** Simulates a suspension of all processes: only the wall clock advances, the monotonic clock does not. */
     suspend: (time: Millis) => {
       suspendedTime += time;
     },
     /** Sends a request to an instance, so that it notices which engines refuse work; returns the refusals. */
-    call: (id: string, path = '/letters/1') => {
+    call: (id: string, path = '/letters/1', timeLeft: Millis = 5000) => {
+      calls += 1;
       const call: RelayCall = {
-        id: `${timers.now()} ${path}`,
+        id: `${calls} ${path}`,
         host: 'h',
         method: 'POST',
         path,
         headers: {},
         key: 'key',
-        timeLeft: 5000,
+        timeLeft,
         body: Buffer.from('x'),
         promptTokens: 10,
         maxTokens: 10,
