Count the end of a process that was seen alive after a broken connection

Callers: a request that crashes servers can go on beyond its bound, if one of its servers had a connection reset before. Cause: the report of a crash is named by the process alone, and a sign of life disproves it for good. Once a reset had been disproven, the real end of the same process counted as none. At a server whose starts can't be told apart, all ends counted as one. The class: a sign of life that excuses what comes after it. Change: the ends of a process are told apart (findCurrentEnd): an end that is disproven is over, and so is, after a second, that of a server without boot ids. On the platform, where each start has an id of its own, that id is the boot id, for plain servers too and also when the engine is no longer registered.

--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -272,7 +272,7 @@
     requestTrial: trials.request,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE_LIMIT }),
     getKvCapacity: () => null,
-    getBootId: routing.getBootId,
+    getBootId: getIncarnation,
     isEnding,
     getEngineFate: (engine, since) =>
       isEnding(engine) ? EngineFate.Ended : health.getFate(engine, since),
@@ -325,8 +325,13 @@
     return catalogue.get(engine)?.state !== LifeState.Live;
   }
 
+  /** The catalogue lists each start of a server under an id of its own. */
+  function getIncarnation(engine: EngineId): string {
+    return engine;
+  }
+
   function noteAlive(engine: EngineId): void {
-    router.noteEngineAlive(engine, routing.getBootId(engine) ?? engine);
+    router.noteEngineAlive(engine, getIncarnation(engine));
   }
 
   /** Whether the configuration names the service. Servers of other services are not used, whoever registered them. */
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -13,7 +13,7 @@
 /** Hash that identifies a request by team, model and content. */
 export type Fingerprint = string;
 
-/** Identifies a crashed engine process: engine and boot id. */
+/** Identifies the end of an engine process: engine, boot id and, after an end that was disproven, a number. */
 export type CrashId = string;
 
 /** Report of a crash, exchanged between instances. */
@@ -56,6 +56,13 @@
 /** Time for which a crash is counted. */
 export const CRASH_RETENTION: Millis = 3_600_000;
 const RAN_LONG_SUFFIX = '/long';
+const END_SEPARATOR = '#';
+/** Boot id of a server whose starts can't be told apart. */
+export const UNKNOWN_BOOT = 'unknown';
+/** Time within which reports of the end of such a server are of the same end. */
+const SAME_END_TIME: Millis = 1000;
+/** Time after the assumed end of such a server within which it can't have started again. */
+const RESTART_TIME: Millis = 500;
 const MAX_CRASHES = 256;
 
 export function createPoisonState(crashLimit: number): PoisonState {
@@ -85,6 +92,55 @@
   return id.endsWith(RAN_LONG_SUFFIX) ? id.slice(0, -RAN_LONG_SUFFIX.length) : id;
 }
 
+/**
+ * Returns the end of a process that a broken call shows now: its last one, or a new one if that is over. A process that
+ * was seen alive after an assumed end may still end in fact; if both were one, its real end would not count.
+ */
+export function findCurrentEnd(state: PoisonState, crashedProcess: string, now: Millis): CrashId {
+  let end: CrashId = crashedProcess;
+  for (let i = 1; listReportsOfEnd(state, end).some((crash) => isOver(crash, now)); i += 1) {
+    end = `${crashedProcess}${END_SEPARATOR}${i}`;
+  }
+  return end;
+}
+
+/** Reports of the end of a process: of its long-running suspects and of the others. */
+function listReportsOfEnd(state: PoisonState, end: CrashId): readonly Crash[] {
+  return [end, getLongReportId(end)].flatMap((id) => state.crashes.get(id) ?? []);
+}
+
+function isOver(crash: Crash, now: Millis): boolean {
+  const age = now - getNotedAt(crash);
+  return crash.disproven || (isUnnumbered(crash.id) && age > SAME_END_TIME);
+}
+
+function getNotedAt({ expiresAt }: Crash): Millis {
+  return expiresAt - CRASH_RETENTION;
+}
+
+/** Whether the id is of a server whose starts can't be told apart. */
+function isUnnumbered(id: CrashId): boolean {
+  return id.includes(`@${UNKNOWN_BOOT}`);
+}
+
+/**
+ * Records that a process answered a call that was opened at a time: an end that was assumed before then is disproven. An
+ * answer of a server whose starts can't be told apart counts only if it can't have started again since.
+ */
+export function noteAnswer(
+  state: PoisonState,
+  crashedProcess: string,
+  openedAt: Millis,
+  now: Millis,
+): PoisonState {
+  const reports = listReportsOfEnd(state, findCurrentEnd(state, crashedProcess, now));
+  const isShown = reports.some((crash) => {
+    const sinceEnd = openedAt - getNotedAt(crash);
+    return sinceEnd > 0 && (!isUnnumbered(crash.id) || sinceEnd < RESTART_TIME);
+  });
+  return isShown ? reports.reduce((next, { id }) => noteAlive(next, id), state) : state;
+}
+
 /** Records that a request was running on an engine when it crashed. */
 export function noteCrash(
   state: PoisonState,
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -10,7 +10,13 @@
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
 import type { Fingerprint, PoisonDigest } from './RequestPoison.js';
-import { createCrashId, createPoisonDigest, noteAlive } from './RequestPoison.js';
+import {
+  createCrashId,
+  createPoisonDigest,
+  findCurrentEnd,
+  getLongReportId,
+  noteAlive,
+} from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { tallyCrashes } from './RequestPoisonVerdict.js';
 import { createProgressTracker } from './RequestProgress.js';
@@ -223,8 +229,13 @@
     },
     noteEngineAlive(engine, bootId) {
       shared.progress.noteAlive(engine);
-      for (const ranLong of [false, true]) {
-        crashes.note((state) => noteAlive(state, createCrashId(engine, bootId, ranLong)));
+      const end = findCurrentEnd(
+        crashes.getState(),
+        createCrashId(engine, bootId, false),
+        timers.now(),
+      );
+      for (const id of [end, getLongReportId(end)]) {
+        crashes.note((state) => noteAlive(state, id));
       }
     },
     noteEngineLost: (engine) => shared.progress.noteLost(engine, false, timers.now()),
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -5,7 +5,16 @@
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { Fingerprint } from './RequestPoison.js';
 import type { PoisonTally } from './RequestPoisonVerdict.js';
-import { createCrashId, noteCompletion, noteCrash, noteSurvival } from './RequestPoison.js';
+import {
+  createCrashId,
+  findCurrentEnd,
+  getLongReportId,
+  noteAnswer,
+  noteCompletion,
+  noteCrash,
+  noteSurvival,
+  UNKNOWN_BOOT,
+} from './RequestPoison.js';
 import {
   AMBIGUOUS_PAUSE,
   isRefused,
@@ -43,6 +52,27 @@
   shared.crashes.note((state) => noteCompletion(state, fingerprint));
 }
 
+/**
+ * Records that engines answered an attempt that was opened at a time. Only their connections had failed before, if any;
+ * without this, honest requests whose connections were reset a few times would seem to crash engines.
+ */
+export function noteRunAnswered(
+  shared: RouterShared,
+  engines: readonly EngineId[],
+  openedAt: Millis,
+): void {
+  const now = shared.deps.timers.now();
+  for (const engine of shared.crashes.getState().crashes.size > 0 ? engines : []) {
+    const crashedProcess = getProcess(shared, engine);
+    shared.crashes.note((state) => noteAnswer(state, crashedProcess, openedAt, now));
+  }
+}
+
+/** The process of an engine, as crash reports name it. */
+function getProcess({ deps }: RouterShared, engine: EngineId): string {
+  return createCrashId(engine, deps.getBootId(engine) ?? UNKNOWN_BOOT, false);
+}
+
 /** Clears a request of the crashes of which it is a suspect. */
 function clearCrashRecords(shared: RouterShared, fingerprint: Fingerprint): void {
   shared.crashes.note((state) => noteSurvival(state, fingerprint));
@@ -65,8 +95,8 @@
     return null;
   }
   const now = shared.deps.timers.now();
-  const bootId = shared.deps.getBootId(engine) ?? 'unknown';
-  const crash = createCrashId(engine, bootId, attemptTokens >= CLEARING_TOKENS);
+  const end = findCurrentEnd(shared.crashes.getState(), getProcess(shared, engine), now);
+  const crash = attemptTokens >= CLEARING_TOKENS ? getLongReportId(end) : end;
   shared.crashes.note((state) => noteCrash(state, crash, fingerprint, now));
   const tally = tallyCrashes(shared.crashes.getState(), fingerprint, now);
   // One report can condemn only this request; checking all on each report would take quadratic time.
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -7,10 +7,13 @@
   createCrashId,
   createPoisonDigest,
   createPoisonState,
+  findCurrentEnd,
   mergePoisonDigest,
   noteAlive,
+  noteAnswer,
   noteCrash,
   noteSurvival,
+  UNKNOWN_BOOT,
 } from '../../RequestPoison.js';
 import { judgeRequest, PoisonVerdict } from '../../RequestPoisonVerdict.js';
 import { FailurePlace } from '../../RequestPorts.js';
@@ -78,6 +81,40 @@
     expect(judgeRequest(rack, 'honest', 100)).to.equal(PoisonVerdict.Clean);
   });
 
+  it('counts the end of a process that was seen alive after a broken connection', () => {
+    // Guards against a reset that makes all later ends of the same process count as none.
+    let state = crash(createPoisonState(2), ['p'], 'x', 0);
+    state = noteAnswer(state, 'x@boot', 10, 20);
+    expect(judgeRequest(state, 'p', 30)).to.equal(PoisonVerdict.Clean);
+    for (const [engine, now] of [
+      ['x', 40],
+      ['y', 5000],
+    ] as const) {
+      const end = findCurrentEnd(state, createCrashId(engine, 'boot', false), now);
+      state = noteCrash(state, end, 'p', now);
+    }
+    expect(judgeRequest(state, 'p', 6000)).to.equal(PoisonVerdict.Condemned);
+  });
+
+  it('takes an answer for a sign of life only if its call came after the assumed end', () => {
+    // Guards against an answer that was under way when its server ended.
+    let state = crash(createPoisonState(2), ['p'], 'x', 100);
+    state = noteAnswer(state, 'x@boot', 90, 110);
+    expect(judgeRequest(state, 'p', 120)).to.equal(PoisonVerdict.Suspect);
+  });
+
+  it('counts the ends of a server whose starts look alike one by one', () => {
+    // Guards against a server without a boot id that may end any number of times and counts as ended once.
+    const server = createCrashId('s', UNKNOWN_BOOT, false);
+    let state = createPoisonState(2);
+    for (const now of [0, 200, 5000]) {
+      state = noteCrash(state, findCurrentEnd(state, server, now), 'p', now);
+      state = noteAnswer(state, server, now + 2000, now + 2010);
+    }
+    expect(state.crashes.size).to.equal(2);
+    expect(judgeRequest(state, 'p', 6000)).to.equal(PoisonVerdict.Condemned);
+  });
+
   it('condemns two requests that crash engines by turns within a second of each other', () => {
     // Guards against such requests that excuse each other as an outage for as long as both come.
     let state = createPoisonState(2);
