Count crashes of plain servers where all runs pass, models and services alike

Cause: the counting of crashes, its verdicts and its trials were called by ModelRunner alone. ServiceRunner had none of it, so a call to a plain service was never suspected, by any instance. The class: a rule that each kind of run must remember to call. Evidence: no line `crash` for the service in the logs of seven instances; in virtual time one call ends 9 to 49 servers (RelayPlainCrashBounds, all seven cases). Change: RunGuard is the one way of a run to a server. Both runners ask it before each attempt and tell it of each break and answer; trials, reports and verdicts behind it are the same. A call is known by team, service, method, path and body, and its answer clears it. So that honest calls aren't refused for resets, a server whose call broke is asked for its health at once, and an answer at any instance to a call opened after the break disproves the end, also for engines of a model. Why it holds: openEngineCall and openServiceCall have one caller each in the product, and both get there only by a granted permission. Plain calls are sent by ServiceRunner alone, with a key, without, or after their caller has left.

--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -8,7 +8,11 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
-import type { AttemptFailure, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import type {
+  AttemptFailure,
+  OpenEngineCall,
+  OpenServiceCall,
+} from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import type { EngineFateName } from '@skylarksail/requests/RouterTypes';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
@@ -37,6 +41,8 @@
 export interface RelayHealth {
   /** Wraps `open` so that engines of calls that fail or stall become suspects. */
   watchCalls(open: OpenEngineCall): OpenEngineCall;
+  /** Wraps `open` so that a server whose call broke is asked whether it goes on. */
+  watchServiceCalls(open: OpenServiceCall): OpenServiceCall;
   /** Reports that engines do not respond in a call that has not ended. */
   noteSilent(engines: readonly EngineId[]): void;
   /** What the probes since a time have shown of an engine. */
@@ -151,6 +157,17 @@
     }
   }
 
+  /**
+   * Asks a server of a plain service whether it goes on after a call broke, so that a reset connection does not count as
+   * its end. Its registered state is kept: calls find another server at once.
+   */
+  async function probeServer(entry: BackendEntry): Promise<void> {
+    const health = await port.readHealth(entry, PROBE_TIMEOUT);
+    if (health.kind === 'well' && health.id === entry.server) {
+      options.onHealthy(entry.id);
+    }
+  }
+
   function applyHealthy(entry: BackendEntry, id: EngineId): void {
     if (id === entry.server) {
       options.onHealthy(entry.id);
@@ -251,6 +268,17 @@
         cancel();
       };
     },
+    watchServiceCalls: (open) => (call, listener) =>
+      open(call, {
+        ...listener,
+        onFailure(failure) {
+          listener.onFailure(failure);
+          const entry = failure.place === FailurePlace.Stream ? catalogue.get(call.server) : null;
+          if (entry) {
+            void probeServer(entry);
+          }
+        },
+      }),
     noteSilent: (engines) => engines.forEach(addSuspect),
     getFate(engine, since) {
       const result = results.get(engine);
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -263,7 +263,7 @@
     chooseServer: permits.limitServers(
       createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
     ),
-    openServiceCall: backends.openServiceCall,
+    openServiceCall: health.watchServiceCalls(backends.openServiceCall),
     claims: NO_CLAIMS,
     links: routing.links,
     getRetryBurst: repeats.getBurst,
--- a/packages/relay/src/__tests__/unit/RelayPlainCrashBounds.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlainCrashBounds.test.ts
@@ -102,4 +102,18 @@
       }
     });
   });
+
+  it('refuses no call of a quiet service whose connections are reset again and again', async () => {
+    // Guards against resets that count as crashes where no other call shows that the servers live.
+    const { bed, call } = createPlainCrashBed(['d1'], () => 0);
+    bed.start('i0');
+    await bed.timers.advanceToAsync(SETTLE_TIME);
+    const harmless: Sent[] = [];
+    for (let i = 0; i < 20; i++) {
+      const path = '/statements/reset';
+      harmless.push({ path, refusals: call('i0', path) });
+      await bed.timers.advanceToAsync(bed.timers.now() + 300);
+    }
+    checkRefusals(harmless);
+  });
 });
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -5,7 +5,7 @@
 import { formatChain } from '@skylarksail/core/CoreChain';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import { failUnreachable } from '@skylarksail/core/CoreErrors';
-import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { createAttemptRunner } from './AttemptRunner.js';
 import type { ClaimHandle } from './ClaimRunner.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
@@ -13,10 +13,7 @@
 import { stepRequest } from './RequestMachine.js';
 import type { GiveUpReasonName, RequestEffect, RequestEvent } from './RequestMessages.js';
 import { RequestPhase } from './RequestMessages.js';
-import type { Fingerprint } from './RequestPoison.js';
-import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { computeFingerprint } from './RequestPoison.js';
-import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
 import type { FinishReason } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
@@ -24,44 +21,20 @@
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
-import {
-  countGiveUp,
-  countMetric,
-  getPoisonVerdict,
-  logDecision,
-  returnToBudget,
-} from './RouterShared.js';
+import { countGiveUp, countMetric, logDecision, returnToBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { beginRun } from './RunBegin.js';
 import { createRunRetries } from './RunRetries.js';
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 import { listFirstEngines } from './RunEnds.js';
 import { hasBegun, isStalled } from './RunSilence.js';
-import {
-  createAmbiguousProblem,
-  noteRunCompleted,
-  noteRunCrash,
-  noteRunToken,
-  stopRunsOf,
-} from './RunSuspicion.js';
-import { needsTrial, requestTrial, TRIAL_RETRY } from './RunTrials.js';
+import type { RunPermission } from './RunGuard.js';
+import { createRunGuard } from './RunGuard.js';
+import { noteRunToken } from './RunSuspicion.js';
 import { createRunWatch } from './RunWatch.js';
 
 type EffectOf<K extends RequestEffect['kind']> = Extract<RequestEffect, { kind: K }>;
 
-function describeCrash(
-  engine: EngineId,
-  fingerprint: Fingerprint,
-  tally: PoisonTally | null,
-): string {
-  if (tally === null) {
-    return `${engine} leaves, no crash of ${fingerprint}`;
-  }
-  const { verdict, known, counted, inOutages, cleared, disproven } = tally;
-  const leftOut = `${inOutages} in outages, ${cleared} cleared, ${disproven} disproven`;
-  return `${engine} ${fingerprint} ${verdict}: ${counted} of ${known} count, ${leftOut}`;
-}
-
 /** Starts a request; its sink receives all further events. */
 export function startModelRun(
   shared: RouterShared,
@@ -126,6 +99,7 @@
     condemn: () => send({ kind: 'condemned' }),
     onDrainLimit: () => send({ kind: 'drain-limit' }),
   };
+  const guard = createRunGuard(shared, run, (reason) => log('crash', reason));
 
   function send(event: RequestEvent): void {
     shared.post(() => {
@@ -213,46 +187,35 @@
   }
 
   function choose(effect: EffectOf<'choose'>): void {
-    const now = timers.now();
-    const verdict = getPoisonVerdict(shared, fingerprint);
-    if (isRefused(verdict)) {
-      stopRunsOf(shared, fingerprint);
-      return;
-    }
     const isNew = machine.attempt === 0;
-    if (isNew && verdict === PoisonVerdict.Ambiguous) {
-      send({ kind: 'refused', problem: createAmbiguousProblem(shared) });
-      return;
-    }
-    if (verdict === PoisonVerdict.Doubted) {
-      recovery.finish(spec.id);
+    if (isNew && shared.starved.isStarved(spec.variant, timers.now())) {
       send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
       return;
     }
-    if (isNew && shared.starved.isStarved(spec.variant, now)) {
-      send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: MIN_RECHOOSE_DELAY });
-      return;
-    }
-    if (needsTrial(shared, fingerprint)) {
-      requestTrial(shared, fingerprint, (isGranted) => continueAfterTrial(effect, isGranted));
-      return;
-    }
-    chooseChain(effect);
+    guard.ask(isNew, (permission) => continueWith(permission, effect));
   }
 
-  /** The answer about a trial may come after the request has ended. */
-  function continueAfterTrial(effect: EffectOf<'choose'>, isGranted: boolean): void {
-    shared.post(() => {
-      if (machine.phase !== RequestPhase.Choosing) {
-        return;
-      }
-      if (isGranted) {
+  /** The permission may come after the request has ended. */
+  function continueWith(permission: RunPermission, effect: EffectOf<'choose'>): void {
+    if (machine.phase !== RequestPhase.Choosing) {
+      return;
+    }
+    switch (permission.kind) {
+      case 'granted':
         chooseChain(effect);
-        return;
-      }
-      recovery.finish(spec.id);
-      send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: TRIAL_RETRY });
-    });
+        break;
+      case 'refused':
+        send({ kind: 'refused', problem: permission.problem });
+        break;
+      case 'later':
+        recovery.finish(spec.id);
+        send({ kind: 'no-chain', isFull: true, isTooLate: false, retryAfter: permission.delay });
+        break;
+      case 'condemned':
+        break;
+      default:
+        failUnreachable(permission);
+    }
   }
 
   function chooseChain(effect: EffectOf<'choose'>): void {
@@ -302,6 +265,7 @@
     recovery.finish(spec.id);
     shared.startQueuedRecoveries();
     attempts.noteFirstToken(wait);
+    guard.noteAnswered(attempts.getEngines(), machine.openedAt);
     if (index === 0) {
       admission.noteFirstToken(wait);
       countMetric(shared, 'firstTokenMs', timers.now() - submittedAt);
@@ -335,15 +299,13 @@
       shared.progress.noteLost(engine, effect.place !== FailurePlace.Silence, timers.now());
     }
     if (effect.isCrash) {
-      const tally = noteRunCrash(shared, fingerprint, engine, effect.attemptTokens);
-      countMetric(shared, tally === null ? 'plannedEnds' : 'crashes');
-      log('crash', describeCrash(engine, fingerprint, tally));
+      guard.noteCrash(engine, effect.attemptTokens);
     }
   }
 
   function complete(reason: FinishReason): void {
     meters.noteLength(spec.model, tokens.length, spec.maxTokens);
-    noteRunCompleted(shared, fingerprint);
+    guard.noteCompleted();
     claim?.settle({ run: RunState.Ran, answer: encodeAnswer({ reason, text: tokens.join('') }) });
     countMetric(shared, 'completed');
     log('complete', reason);
@@ -380,6 +342,7 @@
     retries.stop();
     attempts.close({ kind: 'cancelled' });
     shared.runs.delete(spec.id);
+    guard.stop();
     recovery.finish(spec.id);
     admission.release(spec.id, timers.now());
     shared.startQueuedRecoveries();
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -107,6 +107,7 @@
     meters: createRouterMeters(cfg.silence, cfg.lengthShare),
     starved: createStarvedVersions(),
     runs: new Map(),
+    guarded: new Set(),
     post: createWorkQueue(),
     crashes,
     getBudget: budgets.get,
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -17,15 +17,21 @@
 import type { QueuedRun } from './RunQueue.js';
 import type { DecisionRecord, RouterDeps, RouterMetricName, StreamPace } from './RouterTypes.js';
 
-/** Interface of a running request for the router and the other requests. */
-export interface ModelRun {
+/** A running request of a model or a plain service, as the detection of crashing requests sees it. */
+export interface GuardedRun {
   readonly fingerprint: Fingerprint;
   /** Engines that it runs on at present. */
   getEngines(): readonly EngineId[];
+  /** Whether its present attempt has produced a part of the answer. */
+  hasBegun(): boolean;
+  /** Ends it, since it crashes the engines that run it. */
+  condemn(): void;
+}
+
+/** Interface of a running model request for the router and the other requests. */
+export interface ModelRun extends GuardedRun {
   /** Its place in an engine's queue; null if its answer has begun or it has no chain. */
   getQueued(): QueuedRun | null;
-  /** Whether its present attempt has produced a token. */
-  hasBegun(): boolean;
   /** Whether its answer has begun and is stalled. */
   isStalled(now: Millis): boolean;
   /** Variant of its answer while that has begun and no attempt runs; null otherwise. */
@@ -36,7 +42,6 @@
   startRecovery(): void;
   /** Moves it to other engines if its stream is slow and the move is worth its cost. */
   checkSlow(usualGap: Millis): void;
-  condemn(): void;
   onDrainLimit(): void;
 }
 
@@ -68,6 +73,8 @@
   readonly meters: RouterMeters;
   readonly starved: StarvedVersions;
   readonly runs: Map<string, ModelRun>;
+  /** All runs, of models and of plain services. */
+  readonly guarded: Set<GuardedRun>;
   readonly post: PostWork;
   readonly crashes: RouterCrashes;
   /** Retry budgets by model or service: calls to one must not fund retries at another. */
@@ -141,6 +148,6 @@
 export function findRunsByFingerprint(
   shared: RouterShared,
   wanted: ReadonlySet<Fingerprint>,
-): readonly ModelRun[] {
-  return [...shared.runs.values()].filter((run) => wanted.has(run.fingerprint));
+): readonly GuardedRun[] {
+  return [...shared.guarded].filter((run) => wanted.has(run.fingerprint));
 }
--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -9,14 +9,13 @@
 import type { RequestEvent } from './RequestMessages.js';
 import type { Fingerprint } from './RequestPoison.js';
 import { computeFingerprint } from './RequestPoison.js';
-import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
 import type { ProblemKindName, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { countMetric, creditBudget, getPoisonVerdict } from './RouterShared.js';
+import { countMetric, creditBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionRequest } from './RunAdmission.js';
-import { createAmbiguousProblem } from './RunSuspicion.js';
+import { findPoisonProblem, findSuspicion } from './RunGuard.js';
 
 /** Parts of the request that its beginning uses. */
 export interface BeginContext {
@@ -57,8 +56,9 @@
    * report "not run" for a key that had run.
    */
   function requestAdmission(): void {
-    if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Ambiguous) {
-      send({ kind: 'refused', problem: createAmbiguousProblem(shared) });
+    const suspicion = findSuspicion(shared, fingerprint);
+    if (suspicion !== null) {
+      send({ kind: 'refused', problem: suspicion });
       return;
     }
     const retryAfter = admission.check(createAdmissionRequest(spec, meters), deps.timers.now());
@@ -77,9 +77,9 @@
     refuse(ProblemKind.Draining, 0);
     return null;
   }
-  if (isRefused(getPoisonVerdict(shared, fingerprint))) {
-    countMetric(shared, 'poisonRefused');
-    refuse(ProblemKind.Poison, null);
+  const poison = findPoisonProblem(shared, fingerprint);
+  if (poison !== null) {
+    send({ kind: 'refused', problem: poison });
     return null;
   }
   if (spec.idempotent || spec.idempotencyKey === null) {
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -5,6 +5,7 @@
  */
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
+import { failUnreachable } from '@skylarksail/core/CoreErrors';
 import { hash64Hex } from '@skylarksail/core/CoreHash';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { ClaimHandle } from './ClaimRunner.js';
@@ -18,8 +19,10 @@
   decideNextStep,
   describeCause,
   getRunState,
+  isCrashLike,
   NextStep,
 } from './RequestFailures.js';
+import { computeFingerprint } from './RequestPoison.js';
 import type { AttemptFailure, ServiceAnswer } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { AttemptOutcome, ProblemKindName, RequestHandle } from './RequestTypes.js';
@@ -34,6 +37,9 @@
   takeFromBudget,
 } from './RouterShared.js';
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
+import type { RunPermission } from './RunGuard.js';
+import { createRunGuard, findPoisonProblem, findSuspicion } from './RunGuard.js';
+import { listAvoidSets } from './RunSuspicion.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
 /** Statuses after which an idempotent call is retried: another server may succeed. */
@@ -71,6 +77,18 @@
   let cancelRetry: Unregister = () => undefined;
   let choice: ServerChoice | null = null;
   let claim: ClaimHandle | null = null;
+  const fingerprint = computeFingerprint(spec.team, spec.service, describeContent(spec));
+  const guard = createRunGuard(
+    shared,
+    {
+      fingerprint,
+      getEngines: () => (isOpen && choice !== null ? [choice.server] : []),
+      // The answer arrives as a whole.
+      hasBegun: () => false,
+      condemn: () => shared.post(() => fail(ProblemKind.Poison, null)),
+    },
+    (reason) => log('crash', null, reason),
+  );
 
   function log(decision: DecisionName, chain: string | null, reason: string | null): void {
     const { id: request, team } = spec;
@@ -78,10 +96,44 @@
   }
 
   function dispatch(): void {
+    if (!isEnded) {
+      guard.ask(attempt === 0, continueWith);
+    }
+  }
+
+  /** The permission may come after the call has ended. */
+  function continueWith(permission: RunPermission): void {
     if (isEnded) {
       return;
     }
-    const chosen = deps.chooseServer(spec.service, avoid) ?? deps.chooseServer(spec.service, []);
+    switch (permission.kind) {
+      case 'granted':
+        open();
+        break;
+      case 'refused':
+        failWith(permission.problem);
+        break;
+      case 'later':
+        cancelRetry = timers.registerTimeout(permission.delay, () => shared.post(dispatch));
+        break;
+      case 'condemned':
+        break;
+      default:
+        failUnreachable(permission);
+    }
+  }
+
+  /** Chooses a server, if possible not one that runs another suspect of the same crash. */
+  function choose(): ServerChoice | null {
+    const avoidSets = listAvoidSets(shared, fingerprint).map((avoidSet) => [...avoid, ...avoidSet]);
+    return [...avoidSets, avoid, []].reduce<ServerChoice | null>(
+      (chosen, avoidSet) => chosen ?? deps.chooseServer(spec.service, avoidSet),
+      null,
+    );
+  }
+
+  function open(): void {
+    const chosen = choose();
     if (chosen === null) {
       fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
       return;
@@ -163,6 +215,8 @@
     admission.noteFirstToken(firstToken);
     const isUnavailable = UNAVAILABLE_STATUSES.has(answer.status);
     run = RunState.Ran;
+    guard.noteAnswered([server], openedAt);
+    guard.noteCompleted();
     release(
       isUnavailable
         ? { kind: 'failed', engine: server, cause: 'refused' }
@@ -183,6 +237,9 @@
     if (failure.place === FailurePlace.Refused) {
       admission.noteRefusal();
     }
+    if (isCrashLike(failure)) {
+      guard.noteCrash(server, 0);
+    }
     const next = decideNextStep(failure, failureClass, {
       idempotent: spec.idempotent,
       fruitless: fruitless + 1,
@@ -250,6 +307,7 @@
   function cleanUp(): void {
     isEnded = true;
     listener = null;
+    guard.stop();
     cancelDeadline();
     cancelAttemptTimeout();
     cancelRetry();
@@ -281,6 +339,11 @@
 
   /** Runs after the key is claimed, as with model requests: a stored answer needs no server. */
   function requestAdmission(): void {
+    const suspicion = findSuspicion(shared, fingerprint);
+    if (suspicion !== null) {
+      failWith(suspicion);
+      return;
+    }
     const retryAfter = admission.check(getAdmissionRequest(), timers.now());
     if (retryAfter === null) {
       enqueue();
@@ -290,18 +353,21 @@
   }
 
   function begin(): void {
+    const poison = findPoisonProblem(shared, fingerprint);
     if (spec.deadline <= submittedAt) {
       fail(ProblemKind.Deadline, null);
     } else if (shared.isDraining()) {
       fail(ProblemKind.Draining, 0);
+    } else if (poison !== null) {
+      failWith(poison);
     } else if (spec.idempotent || spec.idempotencyKey === null) {
       requestAdmission();
     } else {
       const content = Buffer.from(spec.body).toString('base64');
-      const fingerprint = hash64Hex(`${spec.service} ${spec.method} ${spec.path} ${content}`);
+      const claimed = hash64Hex(`${spec.service} ${spec.method} ${spec.path} ${content}`);
       claim = claimKey(
         shared,
-        { ...spec, key: spec.idempotencyKey, fingerprint },
+        { ...spec, key: spec.idempotencyKey, fingerprint: claimed },
         {
           onGranted: requestAdmission,
           onReplayed: (answer) => finish(decodeServiceAnswer(answer)),
@@ -336,6 +402,11 @@
   };
 }
 
+/** What makes two calls of a team the same: headers differ between copies, as their ids do. */
+function describeContent({ method, path, body }: ServiceSpec): string {
+  return `${method} ${path}\n${Buffer.from(body).toString('latin1')}`;
+}
+
 /** Parses `Retry-After` in seconds; a date falls back to the backoff, since other machines' clocks are not trusted. */
 function parseRetryAfter(answer: ServiceAnswer): Millis | null {
   const seconds = Number(answer.headers['retry-after']);
