Leave ends that were disproven out of what excuses a crash

Cause: crashes that fall together with the ends of three other engines count as an outage. Ends that had been disproven, that is resets, were among those ends, and among the crashes that make a suspect a repeated one. The class: evidence that has been taken back, and still counts elsewhere. Change: neighbours and repeated suspects leave out disproven ends, and these are the first to be dropped where too many crashes are known.

--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -215,12 +215,15 @@
   };
 }
 
-/** Lists the requests that were running at several crashes, whether they were cleared of them or not. */
+/**
+ * Lists the requests that were running at several crashes, whether they were cleared of them or not. Ends that were
+ * disproven don't count.
+ */
 export function listRepeatedSuspects(state: PoisonState): ReadonlySet<Fingerprint> {
   const once = new Set<Fingerprint>();
   const repeated = new Set<Fingerprint>();
-  for (const { suspects } of state.crashes.values()) {
-    for (const suspect of suspects) {
+  for (const { suspects, disproven } of state.crashes.values()) {
+    for (const suspect of disproven ? [] : suspects) {
       (once.has(suspect) ? repeated : once).add(suspect);
     }
   }
@@ -278,7 +281,7 @@
 }
 
 /**
- * Makes room for another crash. Crashes of a request that was at several are kept longest: a lost rack would else make
+ * Makes room for another crash. Ends that were disproven go first. Crashes of a request that was at several are kept longest: a lost rack would else make
  * the instances forget all requests that crash engines, and each would cost its engines again.
  */
 function dropOldest(state: PoisonState): PoisonState {
@@ -287,8 +290,9 @@
   }
   const repeated = listRepeatedSuspects(state);
   const all = [...state.crashes.values()];
+  const disproven = all.filter((crash) => crash.disproven);
   const single = all.filter(({ suspects }) => ![...suspects].some((name) => repeated.has(name)));
-  const candidates = single.length > 0 ? single : all;
+  const candidates = [disproven, single, all].find((list) => list.length > 0) ?? all;
   const oldest = candidates.reduce((a, b) => (a.expiresAt <= b.expiresAt ? a : b));
   const crashes = new Map(state.crashes);
   crashes.delete(oldest.id);
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -205,12 +205,18 @@
 /** Lists the suspects of each other engine that ended within the window of an outage. */
 type ListNeighbours = (crash: Crash) => readonly ReadonlySet<Fingerprint>[];
 
-/** A crash can have two reports: one of long-running suspects and one of the others. */
+/**
+ * A crash can have two reports: one of long-running suspects and one of the others. Ends that were disproven are none:
+ * connections that are reset would else excuse the crashes beside them.
+ */
 function findNeighbours(state: PoisonState, crash: Crash): readonly ReadonlySet<Fingerprint>[] {
   const own = getCrashedProcess(crash.id);
   const processes = new Set(
     [...state.crashes.values()]
-      .filter(({ expiresAt }) => Math.abs(expiresAt - crash.expiresAt) <= OUTAGE_WINDOW)
+      .filter(
+        ({ expiresAt, disproven }) =>
+          !disproven && Math.abs(expiresAt - crash.expiresAt) <= OUTAGE_WINDOW,
+      )
       .map(({ id }) => getCrashedProcess(id))
       .filter((id) => id !== own),
   );
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -96,6 +96,19 @@
     expect(judgeRequest(state, 'p', 6000)).to.equal(PoisonVerdict.Condemned);
   });
 
+  it('counts a crash beside connections that were reset at other engines', () => {
+    // Guards against resets that are taken for an outage, which excuses the crashes of a request beside them.
+    let state = createPoisonState(2);
+    for (const [i, now] of [0, 5000].entries()) {
+      state = crash(state, ['p'], `x${i}`, now);
+      for (const engine of ['a', 'b', 'c'].map((name) => `${name}${i}`)) {
+        state = crash(state, [`of ${engine}`], engine, now + 10);
+        state = noteAlive(state, createCrashId(engine, 'boot', false));
+      }
+    }
+    expect(judgeRequest(state, 'p', 6000)).to.equal(PoisonVerdict.Condemned);
+  });
+
   it('takes an answer for a sign of life only if its call came after the assumed end', () => {
     // Guards against an answer that was under way when its server ended.
     let state = crash(createPoisonState(2), ['p'], 'x', 100);
