Send a call to another server if it reached none

Cause: a refused connection counted against the attempts of the route, of which a call that must not run twice has one, and took a retry from the budget, though no server had received it. Change: such a call goes to another server at once, uncounted, while there is one that it hasn't tried. With none left it is refused as before, not run. Measured: the new test failed before (one server tried instead of two).

--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -97,7 +97,7 @@
 
   function dispatch(): void {
     if (!isEnded) {
-      guard.ask(attempt === 0, continueWith);
+      guard.ask(run === RunState.NotRun, continueWith);
     }
   }
 
@@ -240,6 +240,12 @@
     if (isCrashLike(failure)) {
       guard.noteCrash(server, 0);
     }
+    if (failure.place === FailurePlace.Connect && hasOtherServer(server)) {
+      // No server has received this attempt, so it takes none of those that the route allows, and no retry.
+      avoid = [...avoid, server];
+      dispatch();
+      return;
+    }
     const next = decideNextStep(failure, failureClass, {
       idempotent: spec.idempotent,
       fruitless: fruitless + 1,
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -214,6 +214,18 @@
     expect(unsent.problems).to.have.length(0);
   });
 
+  it('sends a call to another server when it reached none, whatever its route and budget allow', () => {
+    // Guards against callers that are refused for one server that is down while others are idle.
+    const world = createFakeWorld({
+      cfg: { ...DEFAULT_ROUTER_CONFIG, retryShare: 0, retryBurst: 0 },
+    });
+    const { problems } = callService(world, 'p', { maxAttempts: 1 });
+    world.serviceCalls.at(-1)?.listener.onFailure(createFailure({ place: FailurePlace.Connect }));
+    expect(world.serviceCalls.map(({ call }) => call.server)).to.deep.equal(['s1', 's2']);
+    world.serviceCalls.at(-1)?.listener.onFailure(createFailure({ place: FailurePlace.Connect }));
+    expect(problems.map(({ run }) => run)).to.deep.equal([RunState.NotRun]);
+  });
+
   it('derives idempotence from the longest matching route of the manifest, then from the method', () => {
     const routes = [
       { method: 'POST', path: '/search*', idempotent: true },
