--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -28,6 +28,18 @@
   readonly at: number;
 }
 
+/** A request, and what its caller has received. */
+export interface SentCall {
+  readonly id: string;
+  readonly path: string;
+  readonly at: Millis;
+  /** Time of the end of a whole answer. */
+  readonly ends: Millis[];
+  readonly refusals: RelayRefusal[];
+  /** Times of the refusals. */
+  readonly refusedAt: Millis[];
+}
+
 /** Engine calls of an instance, in place of ones that always fail. */
 export type OpenCallOf = (instance: string, view: BackendView) => OpenEngineCall;
 
@@ -175,6 +187,39 @@
     );
   }
 
+  /** Sends a request to an instance; returns what its caller has received, which grows. */
+  function submit(id: string, path: string, timeLeft: Millis): SentCall {
+    calls += 1;
+    const call: RelayCall = {
+      id: `${calls} ${path}`,
+      host: 'h',
+      method: 'POST',
+      path,
+      headers: {},
+      key: 'key',
+      timeLeft,
+      body: Buffer.from('x'),
+      promptTokens: 10,
+      maxTokens: 10,
+    };
+    const sent: SentCall = { id, path, at: timers.now(), ends: [], refusals: [], refusedAt: [] };
+    const end = (): void => {
+      sent.ends.push(timers.now());
+    };
+    parts.get(id)?.intake.submit(call, {
+      onHead: () => undefined,
+      onEvent: () => undefined,
+      onEnd: end,
+      onAborted: () => undefined,
+      onAnswer: end,
+      onRefused: (refusal) => {
+        sent.refusals.push(refusal);
+        sent.refusedAt.push(timers.now());
+      },
+    });
+    return sent;
+  }
+
   store.put(CONFIG_KEY, '');
   [0, 2, 4, 6].forEach((first, i) => {
     addEngine(`e${i}`, { first, end: first + 2 });
@@ -197,33 +242,10 @@
     suspend: (time: Millis) => {
       suspendedTime += time;
     },
+    submit,
     /** Sends a request to an instance, so that it notices which engines refuse work; returns the refusals. */
-    call: (id: string, path = '/letters/1', timeLeft: Millis = 5000) => {
-      calls += 1;
-      const call: RelayCall = {
-        id: `${calls} ${path}`,
-        host: 'h',
-        method: 'POST',
-        path,
-        headers: {},
-        key: 'key',
-        timeLeft,
-        body: Buffer.from('x'),
-        promptTokens: 10,
-        maxTokens: 10,
-      };
-      const ignore = () => undefined;
-      const refusals: RelayRefusal[] = [];
-      parts.get(id)?.intake.submit(call, {
-        onHead: ignore,
-        onEvent: ignore,
-        onEnd: ignore,
-        onAborted: ignore,
-        onAnswer: ignore,
-        onRefused: (refusal) => refusals.push(refusal),
-      });
-      return refusals;
-    },
+    call: (id: string, path = '/letters/1', timeLeft: Millis = 5000) =>
+      submit(id, path, timeLeft).refusals,
     findPlacer: () => [...parts].find(([, { readState }]) => readState().duties === 1)?.[0] ?? '',
   };
 }
