Say that a call has not run while its connection is still being made

Cause: getRun() in ServiceRunner said "unknown" whenever an attempt was open. Change: the port tells whether a byte may have been sent (onConnection); until then the call has not run, and its time for an answer hasn't begun. An adapter that tells nothing counts as sent. Measured: the new test failed before (unknown instead of not-run).

--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -103,6 +103,8 @@
 
 /** Callbacks for one attempt. The last call is exactly one of `onEnd` and `onFailure`. */
 export interface EngineCallListener {
+  /** Whether any byte of the call may have been sent by now; it may have if this is never called. */
+  onConnection?(isSent: boolean): void;
   onAcknowledged(acknowledgement: ChainAcknowledgement): void;
   /** `index` is the token's position in the whole answer, from 0 and including resumed tokens. */
   onToken(index: number, token: string): void;
@@ -134,6 +136,8 @@
 }
 
 export interface ServiceCallListener {
+  /** Whether any byte of the call may have been sent by now; it may have if this is never called. */
+  onConnection?(isSent: boolean): void;
   onAnswer(answer: ServiceAnswer): void;
   onFailure(failure: AttemptFailure): void;
 }
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -68,6 +68,8 @@
   let listener: ServiceSink | null = sink;
   let isEnded = false;
   let isOpen = false;
+  /** Whether a byte of the open attempt may have been sent. */
+  let isSent = false;
   let attempt = 0;
   let fruitless = 0;
   let run: RunStateName = RunState.NotRun;
@@ -142,6 +144,7 @@
     choice = chosen;
     attempt += 1;
     isOpen = true;
+    isSent = true;
     log('server', server, null);
     const current = attempt;
     const openedAt = timers.now();
@@ -163,6 +166,17 @@
         timeLeft,
       },
       {
+        onConnection: (isNowSent) => {
+          if (current !== attempt || !isOpen) {
+            return;
+          }
+          isSent = isNowSent;
+          if (isSent) {
+            // The server has had the call only from now on.
+            cancelAttemptTimeout();
+            scheduleAttemptTimeout(current, server);
+          }
+        },
         onAnswer: (answer) =>
           shared.post(() => handleIfCurrent(current, () => handleAnswer(answer, server, openedAt))),
         onFailure: (failure) =>
@@ -186,7 +200,8 @@
           hasOtherServer(server)
         ) {
           cancelCall?.();
-          handleIfCurrent(watchedAttempt, () => handleFailure(SILENCE_FAILURE, server));
+          const failure = isSent ? SILENCE_FAILURE : createUnsentFailure(server);
+          handleIfCurrent(watchedAttempt, () => handleFailure(failure, server));
         }
       }),
     );
@@ -287,7 +302,7 @@
   }
 
   function getRun(): RunStateName {
-    return isOpen ? combineRunStates(run, RunState.Unknown) : run;
+    return isOpen && isSent ? combineRunStates(run, RunState.Unknown) : run;
   }
 
   function fail(kind: ProblemKindName, retryAfter: Millis | null): void {
@@ -408,6 +423,17 @@
   };
 }
 
+/** Failure of a call that waited for its connection for too long. */
+function createUnsentFailure(server: EngineId): AttemptFailure {
+  return {
+    place: FailurePlace.Connect,
+    engine: server,
+    status: null,
+    retryAfter: null,
+    provenNotRun: true,
+  };
+}
+
 /** What makes two calls of a team the same: headers differ between copies, as their ids do. */
 function describeContent({ method, path, body }: ServiceSpec): string {
   return `${method} ${path}\n${Buffer.from(body).toString('latin1')}`;
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -226,6 +226,19 @@
     expect(problems.map(({ run }) => run)).to.deep.equal([RunState.NotRun]);
   });
 
+  it('says that a call has not run if its time ends before a byte of it was sent', () => {
+    // Guards against a call that is told as unknown, and so not sent again, while its connection was still being made.
+    const world = createFakeWorld();
+    const waiting = callService(world, 'w');
+    world.serviceCalls.at(-1)?.listener.onConnection?.(false);
+    const sent = callService(world, 's');
+    world.serviceCalls.at(-1)?.listener.onConnection?.(false);
+    world.serviceCalls.at(-1)?.listener.onConnection?.(true);
+    world.timers.advanceTo(120_000);
+    expect(waiting.problems.map(({ run }) => run)).to.deep.equal([RunState.NotRun]);
+    expect(sent.problems.map(({ run }) => run)).to.deep.equal([RunState.Unknown]);
+  });
+
   it('derives idempotence from the longest matching route of the manifest, then from the method', () => {
     const routes = [
       { method: 'POST', path: '/search*', idempotent: true },
