Serve callers of an instance without links to the servers through its peers

Cause: there was no way round. No message between instances carried a request, and nothing told an own link that is cut from an engine that is dead: failures and probes were held against single engines until no chain was left. The class: a fault of the observer that is taken for one of what it observes. Evidence: refusals at the cut instances alone, for exactly as long as the cut; in virtual time 64 of 72 model requests fail there from 3 s on (RelayCutOff). Change: all ports to backend servers (calls, health, reports, orders) take the own link or go through a peer (RelayWays). A call whose connection fails goes to a peer at once, unsent; a silent server's link is checked by a connection, and by a peer if that fails; a peer's word marks the link as cut (RelayPaths) until it carries again. Peers are asked one after the other, own failure domain first (RelayDetours); a peer passes nothing on, decides nothing and bounds what it takes (RelayDetourServer). A connection that hangs is given up after 0.2 s, not 0.6 s. Answers on a cut link fail without blame (FailurePlace.Link). Why it holds: the instance goes on as if its links were longer: chain, limits, permits, budgets, admission and crash counting stay where they were and count once. What a peer may have sent is never given to another. Engines that a peer reaches are not lost, crashed or leaving here, so nothing false is told to others.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -101,6 +101,7 @@
     sendCrashReports: () => Promise.resolve(false),
     askForPermits: () => Promise.resolve(null),
     askForTrial: () => Promise.resolve(null),
+    openDetour: () => () => undefined,
     createBackends: createIdleBackends,
     logger: pino({ level: 'silent' }),
     decisions: { record: () => undefined, read: () => [] },
@@ -150,6 +151,7 @@
       order: () => Promise.resolve('refused'),
     },
     readHealth: () => Promise.resolve({ kind: 'silent' }),
+    checkConnection: () => Promise.resolve(true),
   };
 }
 
--- a/packages/daemon/src/DaemonRoutingResults.ts
+++ b/packages/daemon/src/DaemonRoutingResults.ts
@@ -24,7 +24,7 @@
       };
     case 'failed':
       // A refusal is no sign of a fault: the engine is full, or has loaded other layers since its last report.
-      return outcome.cause === 'refused'
+      return outcome.cause === 'refused' || outcome.cause === 'cut-off'
         ? { kind: 'cancelled' }
         : {
             kind: 'failed',
--- /dev/null
+++ b/packages/relay/src/RelayDetourHttp.ts
@@ -0,0 +1,141 @@
+/** Tasks for peers over HTTP: one request for each task, whose answer is the stream of its frames. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import { createFrameReader, packFrame, packTask, readTask } from './RelayDetourMessages.js';
+import type { DetourFrame, DetourListener, OpenDetour, ServeDetour } from './RelayDetourTypes.js';
+import { DetourRefusal, isLastFrame } from './RelayDetourTypes.js';
+
+/** Path of the tasks at the peers' port. */
+export const DETOURS_PATH = '/detours';
+
+const Status = { Ok: 200, BadRequest: 400, NotFound: 404 } as const;
+/** Streams of many callers run at once to one peer, each on a connection of its own. */
+const CONNECTIONS_PER_PEER = 256;
+const CONNECT_TIMEOUT: Millis = 150;
+const IDLE_TIMEOUT: Millis = 4000;
+
+export interface DetourHttp {
+  readonly open: OpenDetour;
+  close(): Promise<void>;
+}
+
+export function createDetourHttp(): DetourHttp {
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_PEER,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: IDLE_TIMEOUT,
+    connect: { timeout: CONNECT_TIMEOUT },
+  });
+  return {
+    open: (peer, task, listener) =>
+      peer.address === null
+        ? refuse(listener)
+        : sendTask(agent, peer.address, packTask(task), listener),
+    close: () => agent.destroy(),
+  };
+}
+
+function refuse(listener: DetourListener): () => void {
+  queueMicrotask(() => listener.onClosed(false));
+  return () => undefined;
+}
+
+function sendTask(
+  agent: Agent,
+  { host, port }: HostPort,
+  body: Buffer,
+  listener: DetourListener,
+): () => void {
+  const reader = createFrameReader();
+  let controller: Dispatcher.DispatchController | null = null;
+  let isSent = false;
+  let isOver = false;
+
+  function abort(): void {
+    controller?.abort(new Error('task ended'));
+  }
+
+  function deliver(frame: DetourFrame): void {
+    if (!isOver) {
+      isOver = isLastFrame(frame);
+      listener.onFrame(frame);
+    }
+  }
+
+  function close(): void {
+    if (!isOver) {
+      isOver = true;
+      listener.onClosed(isSent);
+    }
+  }
+
+  agent.dispatch(
+    { origin: `http://${host}:${port}`, path: DETOURS_PATH, method: 'POST', body },
+    {
+      onRequestStart(started) {
+        controller = started;
+        isSent = !isOver;
+        if (isOver) {
+          abort();
+        }
+      },
+      onResponseStart(_controller, status) {
+        if (status !== Status.Ok) {
+          // An instance of an earlier version doesn't know the path.
+          deliver({ kind: 'refused', reason: DetourRefusal.Unsupported });
+        }
+      },
+      onResponseData(_controller, chunk) {
+        if (isOver) {
+          return;
+        }
+        try {
+          reader.push(chunk).forEach(deliver);
+        } catch {
+          close();
+          abort();
+        }
+      },
+      onResponseEnd: close,
+      onResponseError: close,
+    },
+  );
+  return () => {
+    isOver = true;
+    abort();
+  };
+}
+
+/** Serves one task; its end at the asking instance cancels it here. */
+export function serveTask(
+  body: Buffer,
+  req: IncomingMessage,
+  res: ServerResponse,
+  serve: ServeDetour,
+): void {
+  const task = readTask(body);
+  if (task === null) {
+    res.writeHead(Status.BadRequest).end();
+    return;
+  }
+  res.writeHead(Status.Ok, { 'content-type': 'application/octet-stream' });
+  req.socket.setNoDelay(true);
+  let isEnded = false;
+  const cancel = serve(task, (frame) => {
+    if (isLastFrame(frame)) {
+      isEnded = true;
+      res.end(packFrame(frame));
+    } else {
+      res.write(packFrame(frame));
+    }
+  });
+  res.on('close', () => {
+    if (!isEnded) {
+      cancel();
+    }
+  });
+}
--- /dev/null
+++ b/packages/relay/src/RelayDetourPeers.ts
@@ -0,0 +1,149 @@
+/**
+ * Chooses the peer that is asked to reach a backend server. Those of the own failure domain come first, as their links
+ * cost nothing, and those that have reached a server lately before those of which nothing is known.
+ */
+import type { Random } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type { DetourRefusalName } from './RelayDetourTypes.js';
+import { DetourRefusal } from './RelayDetourTypes.js';
+import type { InstanceEntry } from './RelayTypes.js';
+
+export interface DetourPeersOptions {
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly self: InstanceEntry;
+  readonly listInstances: () => readonly InstanceEntry[];
+}
+
+export interface DetourPeers {
+  /** A peer to ask for a server, other than those that were tried; null if none is left. */
+  choose(server: EngineId, tried: ReadonlySet<InstanceId>): InstanceEntry | null;
+  /** A task was given to a peer, and has ended. */
+  noteBegun(peer: InstanceId): void;
+  noteEnded(peer: InstanceId): void;
+  /** A peer reached a server. */
+  noteReached(peer: InstanceId): void;
+  /** A peer didn't reach a server that it knows. */
+  noteUnreached(peer: InstanceId, server: EngineId): void;
+  noteRefused(peer: InstanceId, server: EngineId, reason: DetourRefusalName): void;
+  /** A peer didn't answer. */
+  noteSilent(peer: InstanceId): void;
+  /** Number of peers of which anything is kept. */
+  countPeers(): number;
+}
+
+/** Time for which a peer that has reached a server is preferred. */
+const GOOD_TIME: Millis = 3000;
+/** Time for which a peer isn't asked again: after a refusal as cut off or leaving, as full, or for its version. */
+const CUT_OFF_PAUSE: Millis = 2000;
+const FULL_PAUSE: Millis = 300;
+const UNSUPPORTED_PAUSE: Millis = 30_000;
+const SILENT_PAUSE: Millis = 2000;
+/** Time for which a peer isn't asked for a server that it didn't reach, or doesn't know. */
+const UNREACHED_PAUSE: Millis = 1000;
+/** Share of the tasks for which a peer is tried of which nothing is known, so that the load spreads. */
+const EXPLORING_SHARE = 1 / 8;
+
+const PAUSES: Readonly<Record<DetourRefusalName, Millis>> = {
+  [DetourRefusal.Full]: FULL_PAUSE,
+  [DetourRefusal.CutOff]: CUT_OFF_PAUSE,
+  [DetourRefusal.Unknown]: UNREACHED_PAUSE,
+  [DetourRefusal.Unreached]: UNREACHED_PAUSE,
+  [DetourRefusal.Leaving]: CUT_OFF_PAUSE,
+  [DetourRefusal.Unsupported]: UNSUPPORTED_PAUSE,
+};
+
+export function createDetourPeers(options: DetourPeersOptions): DetourPeers {
+  const { timers, random, self } = options;
+  const open = new Map<InstanceId, number>();
+  const goodUntil = new Map<InstanceId, Millis>();
+  const pausedUntil = new Map<InstanceId, Millis>();
+  /** By peer and server. */
+  const unreachedUntil = new Map<string, Millis>();
+
+  function isOver(table: ReadonlyMap<string, Millis>, key: string): boolean {
+    return (table.get(key) ?? -Infinity) <= timers.now();
+  }
+
+  function getPairKey(peer: InstanceId, server: EngineId): string {
+    return `${peer}\u0000${server}`;
+  }
+
+  function forgetOld(): void {
+    [goodUntil, pausedUntil, unreachedUntil].forEach((table) =>
+      [...table.keys()].filter((key) => isOver(table, key)).forEach((key) => table.delete(key)),
+    );
+  }
+
+  /** The less busy of two drawn at random, so that instances with the same data don't all choose the same. */
+  function draw(peers: readonly InstanceEntry[]): InstanceEntry | null {
+    const [a, b] = [0, 1].map(() => peers[random.nextInt(Math.max(1, peers.length))] ?? null);
+    if (!a || !b) {
+      return null;
+    }
+    return (open.get(b.id) ?? 0) < (open.get(a.id) ?? 0) ? b : a;
+  }
+
+  function choose(server: EngineId, tried: ReadonlySet<InstanceId>): InstanceEntry | null {
+    forgetOld();
+    const peers = options
+      .listInstances()
+      .filter(
+        ({ id, address }) =>
+          id !== self.id &&
+          address !== null &&
+          !tried.has(id) &&
+          isOver(pausedUntil, id) &&
+          isOver(unreachedUntil, getPairKey(id, server)),
+      );
+    const isOwn = ({ domain }: InstanceEntry): boolean => domain === self.domain;
+    const isGood = ({ id }: InstanceEntry): boolean => !isOver(goodUntil, id);
+    const groups = [
+      peers.filter((peer) => isGood(peer) && isOwn(peer)),
+      peers.filter((peer) => isGood(peer) && !isOwn(peer)),
+      // After two refusals the own domain is most likely cut off as a whole.
+      peers.filter((peer) => !isGood(peer) && isOwn(peer) && tried.size < 2),
+      peers.filter((peer) => !isGood(peer)),
+    ];
+    const ordered = random.nextFloat() < EXPLORING_SHARE ? [...groups].reverse() : groups;
+    return draw(ordered.find((group) => group.length > 0) ?? []);
+  }
+
+  function pause(peer: InstanceId, time: Millis): void {
+    goodUntil.delete(peer);
+    pausedUntil.set(peer, timers.now() + time);
+  }
+
+  function noteUnreached(peer: InstanceId, server: EngineId): void {
+    unreachedUntil.set(getPairKey(peer, server), timers.now() + UNREACHED_PAUSE);
+  }
+
+  function addOpen(peer: InstanceId, change: number): void {
+    const count = (open.get(peer) ?? 0) + change;
+    if (count > 0) {
+      open.set(peer, count);
+    } else {
+      open.delete(peer);
+    }
+  }
+
+  return {
+    choose,
+    noteBegun: (peer) => addOpen(peer, 1),
+    noteEnded: (peer) => addOpen(peer, -1),
+    noteReached: (peer) => {
+      goodUntil.set(peer, timers.now() + GOOD_TIME);
+    },
+    noteUnreached,
+    noteRefused(peer, server, reason) {
+      if (reason === DetourRefusal.Unknown || reason === DetourRefusal.Unreached) {
+        noteUnreached(peer, server);
+      } else {
+        pause(peer, PAUSES[reason]);
+      }
+    },
+    noteSilent: (peer) => pause(peer, SILENT_PAUSE),
+    countPeers: () => new Set([...open.keys(), ...goodUntil.keys(), ...pausedUntil.keys()]).size,
+  };
+}
--- a/packages/relay/src/RelayLimits.ts
+++ b/packages/relay/src/RelayLimits.ts
@@ -60,6 +60,8 @@
 export interface RelayLimits {
   /** A server named its limit in an answer, in requests a second, or null if the answer named none. */
   noteLimit(server: EngineId, limit: number | null): void;
+  /** Whether a server names a limit, as far as this instance knows. */
+  isLimited(server: EngineId): boolean;
   /** Servers with a limit for which no permit is held; requests permits for them. */
   listBlocked(): readonly EngineId[];
   /** Reserves a permit for a request; null if the server has no limit. */
@@ -227,6 +229,7 @@
   }
 
   return {
+    isLimited: (server) => getLimit(server) !== null,
     noteLimit(server, limit) {
       const hadLimit = getLimit(server) !== null;
       applyNews(server, { limit, age: 0 });
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -21,6 +21,9 @@
   readPermitQuery,
   readUpdateQuery,
 } from './RelayPeerMessages.js';
+import { createDetourHttp, DETOURS_PATH, serveTask } from './RelayDetourHttp.js';
+import { MAX_TASK_BYTES } from './RelayDetourMessages.js';
+import type { OpenDetour, ServeDetour } from './RelayDetourTypes.js';
 import type { AskForTrial } from './RelayTrials.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 import type { InstanceEntry } from './RelayTypes.js';
@@ -66,6 +69,7 @@
   readonly permits: (query: PermitQuery) => PermitAnswer;
   /** Whether a trial of the request is granted. */
   readonly trial: (fingerprint: string) => boolean;
+  readonly detour: ServeDetour;
 }
 
 export interface PeerHttp {
@@ -75,6 +79,7 @@
   readonly sendCrashReports: SendCrashReports<InstanceEntry>;
   readonly askForPermits: AskForPermits;
   readonly askForTrial: AskForTrial;
+  readonly openDetour: OpenDetour;
   /** Serves peers. Resolves to the port, which the system chooses if it was 0. */
   listen(address: HostPort, answers: PeerHandlers): Promise<number>;
   close(): Promise<void>;
@@ -88,6 +93,7 @@
 export function createPeerHttp(timers: TimerService): PeerHttp {
   const agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1 });
   const codec = createPeerCodec();
+  const detours = createDetourHttp();
   let stop = (): void => undefined;
 
   /** Sends a query; null on any failure, after which the caller asks the next peer. */
@@ -146,10 +152,16 @@
       // An answer with more than was requested is invalid.
       return answer && answer.count <= query.wanted ? answer : null;
     },
+    openDetour: detours.open,
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
-          void readBody(req).then((body) => serve(req, body, { answers, codec }, res));
+          const isTask = req.url === DETOURS_PATH;
+          void readBody(req, isTask ? MAX_TASK_BYTES : MAX_BODY_BYTES).then((body) =>
+            isTask
+              ? serveTask(body, req, res, answers.detour)
+              : serve(req, body, { answers, codec }, res),
+          );
         });
         stop = () => {
           server.close();
@@ -160,19 +172,19 @@
       }),
     async close() {
       stop();
-      await agent.destroy();
+      await Promise.all([agent.destroy(), detours.close()]);
     },
   };
 }
 
 /** Empty if the peer aborted, or sent more than any valid query. */
-async function readBody(req: IncomingMessage): Promise<Buffer> {
+async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let bytes = 0;
   try {
     for await (const chunk of req as AsyncIterable<Buffer>) {
       bytes += chunk.byteLength;
-      if (bytes > MAX_BODY_BYTES) {
+      if (bytes > maxBytes) {
         return Buffer.alloc(0);
       }
       chunks.push(chunk);
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -21,6 +21,15 @@
   readStatus(entry: BackendEntry, timeout: Millis): Promise<EngineStatus | null>;
 }
 
+/**
+ * Time after which a connection that hangs while it is made is given up. Round trips take 40 ms at most, so that a server
+ * which takes longer is down or its link is cut; the call then has time left to go through another instance.
+ */
+export const CONNECT_TIMEOUT: Millis = 200;
+
+/** Whether a new connection to a server can be made within `CONNECT_TIMEOUT`. */
+export type CheckConnection = (entry: BackendEntry) => Promise<boolean>;
+
 /** Status of an engine and its orders. */
 export interface EngineStatus {
   /** Start time of the incarnation that answered, in Unix ms; null if not reported. */
@@ -66,4 +75,5 @@
   readonly openServiceCall: OpenServiceCall;
   readonly orders: RangeOrderPort;
   readonly readHealth: BackendProbePort['readHealth'];
+  readonly checkConnection: CheckConnection;
 }
--- a/packages/relay/src/RelayServers.ts
+++ b/packages/relay/src/RelayServers.ts
@@ -4,7 +4,7 @@
 import type { DomainId, EngineId } from '@skylarksail/core/CoreTypes';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { ChooseServer, ServerChoice } from '@skylarksail/requests/RouterTypes';
-import type { AttemptOutcome } from '@skylarksail/requests/RequestTypes';
+import type { AttemptOutcome, FailureCause } from '@skylarksail/requests/RequestTypes';
 import type { EngineHealth } from '@skylarksail/routing/RoutingHealth';
 import {
   getHealthShare,
@@ -28,6 +28,8 @@
 /** Weight of a new answer time in the moving average, which covers about ten answers. */
 const SMOOTHING_FACTOR = 0.1;
 const TIE_SPREAD = 0.1;
+/** Causes that say nothing against the server. */
+const BLAMELESS_CAUSES: ReadonlySet<FailureCause> = new Set(['refused', 'cut-off']);
 
 /** Chooses servers, and keeps count of what it chose. */
 export interface ServerChooser {
@@ -59,7 +61,7 @@
       const smoothed = answerTimes.get(id) ?? outcome.firstToken;
       answerTimes.set(id, smoothed + SMOOTHING_FACTOR * (outcome.firstToken - smoothed));
       health.set(id, recordSuccess(before, now));
-    } else if (outcome.kind === 'failed' && outcome.cause !== 'refused') {
+    } else if (outcome.kind === 'failed' && !BLAMELESS_CAUSES.has(outcome.cause)) {
       health.set(id, recordFailure(before, true, now));
     }
     forgetIfGone(id);
--- a/packages/relay/src/RelayStop.ts
+++ b/packages/relay/src/RelayStop.ts
@@ -15,7 +15,10 @@
 
 export interface RelayStopOptions {
   readonly timers: TimerService;
-  readonly parts: Pick<RelayParts, 'startLeaving' | 'waitForLeaseEnds' | 'stop' | 'router'>;
+  readonly parts: Pick<
+    RelayParts,
+    'startLeaving' | 'waitForLeaseEnds' | 'waitForTasks' | 'stop' | 'router'
+  >;
   readonly port: StoppablePort;
   /** Time after which the process is killed. */
   readonly grace: Millis;
@@ -30,7 +33,7 @@
 const STOP_MARGIN: Millis = 400;
 
 /**
- * Shuts down; resolves when all accepted requests and the leases have ended or the grace period is over. A lease that
+ * Shuts down; resolves when all accepted requests, the tasks of peers and the leases have ended or the grace period is over. A lease that
  * the process leaves behind keeps its duties from all others until it lapses.
  */
 export async function stopRelay({ timers, parts, port, grace }: RelayStopOptions): Promise<void> {
@@ -45,7 +48,7 @@
   port.close();
   const timeLeft = endsAt - timers.now();
   if (timeLeft > 0) {
-    await parts.waitForLeaseEnds(timeLeft);
+    await Promise.all([parts.waitForLeaseEnds(timeLeft), parts.waitForTasks(timeLeft)]);
   }
   parts.stop();
 }
--- a/packages/relay/src/__tests__/unit/RelayCutBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayCutBed.ts
@@ -5,8 +5,10 @@
   FailurePlaceName,
   OpenEngineCall,
   OpenServiceCall,
+  ServiceCallListener,
 } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
+import { CONNECT_TIMEOUT } from '../../RelayPorts.js';
 import type { PartsBed } from './RelayPartsBed.js';
 import { createPartsBed } from './RelayPartsBed.js';
 
@@ -34,8 +36,6 @@
 const WORK_TIME: Millis = 25;
 const TOKEN_GAP: Millis = 40;
 const TOKENS = 10;
-/** Time after which an adapter gives up a connection that hangs while it is made. */
-const CONNECT_TIMEOUT: Millis = 200;
 
 export function createCutBed(size: number) {
   const open = new Set<OpenCall>();
@@ -55,11 +55,12 @@
     instance: string,
     server: string,
     request: string,
-    onFailure: (failure: AttemptFailure) => void,
+    { onConnection, onFailure }: Pick<ServiceCallListener, 'onConnection' | 'onFailure'>,
     run: (after: (delay: Millis, step: () => void) => void, end: () => void) => void,
   ): Unregister {
     const { timers } = started as PartsBed;
     const isCut = cut.has(instance);
+    onConnection?.(false);
     if (isCut || down.has(server)) {
       return timers.registerTimeout(mode === 'reset' && isCut ? 1 : CONNECT_TIMEOUT, () =>
         onFailure(createFailure(FailurePlace.Connect, server)),
@@ -78,6 +79,7 @@
       open.delete(call);
     }
     open.add(call);
+    onConnection?.(true);
     served.push({ by: instance, server, request, at: timers.now() });
     run((delay, step) => {
       timers.registerTimeout(delay, () => {
@@ -91,20 +93,21 @@
 
   const openServiceCallOf =
     (instance: string): OpenServiceCall =>
-    (call, { onAnswer, onFailure }) =>
-      connect(instance, call.server, call.request, onFailure, (after, end) =>
+    (call, listener) =>
+      connect(instance, call.server, call.request, listener, (after, end) =>
         after(WORK_TIME, () => {
           end();
-          onAnswer({ status: 200, headers: {}, body: Buffer.from('w') });
+          listener.onAnswer({ status: 200, headers: {}, body: Buffer.from('w') });
         }),
       );
 
   const openCallOf =
     (instance: string): OpenEngineCall =>
-    (call, { onAcknowledged, onToken, onEnd, onFailure }) => {
+    (call, listener) => {
+      const { onAcknowledged, onToken, onEnd } = listener;
       const { stages, variant } = call.chain;
       const [first] = stages;
-      return connect(instance, first?.engine ?? '', call.request, onFailure, (after, end) => {
+      return connect(instance, first?.engine ?? '', call.request, listener, (after, end) => {
         const sendFrom = (index: number): void => {
           if (index === TOKENS) {
             end();
@@ -121,7 +124,9 @@
       });
     };
 
-  const bed = createPartsBed(openCallOf, DOMAINS, openServiceCallOf);
+  const bed = createPartsBed(openCallOf, DOMAINS, openServiceCallOf, (instance) =>
+    cut.has(instance),
+  );
   started = bed;
   DOMAINS.forEach((domain) => {
     RANGES.forEach((range, stage) =>
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -11,12 +11,15 @@
 import type { RelayParts } from '../../RelayParts.js';
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
+import { CONNECT_TIMEOUT } from '../../RelayPorts.js';
 import type { BackendPorts, BackendView, HealthAnswer } from '../../RelayPorts.js';
 import { createBackend, createConfig, createRoute } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
 /** Failure domain of instances and engines, unless a test names another. */
 const FIRST_DOMAIN: DomainId = 'd1';
+/** Delay of a message between instances. */
+const PEER_DELAY: Millis = 1;
 /** Prefix of the engines' keys. */
 export const BACKENDS = 'backends/';
 
@@ -65,6 +68,7 @@
   openCallOf: OpenCallOf | null = null,
   domains: readonly DomainId[] = [FIRST_DOMAIN],
   openServiceCallOf: OpenServiceCallOf | null = null,
+  isCutOff: (instance: string) => boolean = () => false,
 ) {
   const timers = createVirtualTimers();
   const store = createFakeRangeStore(timers);
@@ -108,11 +112,21 @@
         return Promise.resolve('accepted');
       },
     },
-    readHealth: ({ id }) => Promise.resolve(readHealthOf(id)),
+    readHealth: ({ id }) => Promise.resolve(readHealthOf(by, id)),
+    checkConnection: ({ id }) => {
+      const isReached = !isCutOff(by) && !crashed.has(id);
+      return isReached ? Promise.resolve(true) : wait(CONNECT_TIMEOUT).then(() => false);
+    },
   });
 
-  function readHealthOf(id: string): HealthAnswer {
-    if (crashed.has(id)) {
+  function wait(delay: Millis): Promise<void> {
+    return new Promise((resolve) => {
+      timers.registerTimeout(delay, resolve);
+    });
+  }
+
+  function readHealthOf(by: string, id: string): HealthAnswer {
+    if (crashed.has(id) || isCutOff(by)) {
       return { kind: 'silent' };
     }
     return leaving.has(id) ? { kind: 'leaving' } : { kind: 'well', id };
@@ -179,6 +193,25 @@
           ),
         askForPermits: ({ id: peer }, query) =>
           Promise.resolve(gone.has(peer) ? null : (parts.get(peer)?.limits.answer(query) ?? null)),
+        openDetour: (peer, task, listener) => {
+          const server = gone.has(peer.id) ? undefined : parts.get(peer.id)?.detours;
+          let isOver = false;
+          let cancel = (): void => undefined;
+          timers.registerTimeout(PEER_DELAY, () => {
+            if (isOver) {
+              return;
+            }
+            if (server) {
+              cancel = server.serve(task, listener.onFrame);
+            } else {
+              listener.onClosed(false);
+            }
+          });
+          return () => {
+            isOver = true;
+            cancel();
+          };
+        },
         createBackends: (view) => createBackends(id, view),
         logger: pino({ level: 'silent' }),
         decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/__tests__/unit/RelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStop.test.ts
@@ -48,6 +48,7 @@
       startLeaving: note('leaving'),
       stop: note('stopped'),
       router: { drain: () => Promise.resolve() },
+      waitForTasks: () => Promise.resolve(),
       waitForLeaseEnds: (limit: number) => {
         steps.push(`${timers.now()} leases ${limit}`);
         return new Promise<void>((resolve) => {
--- a/packages/requests/src/RequestAttempt.ts
+++ b/packages/requests/src/RequestAttempt.ts
@@ -316,7 +316,8 @@
     engines: failed,
     isCrash: isCrashLike(failure),
     isRefusal: isRefusal(failure),
-    isLost: isEngineLost(failure) && !isStageRefusal(failure),
+    isLost:
+      isEngineLost(failure) && !isStageRefusal(failure) && failure.place !== FailurePlace.Link,
     attemptTokens: machine.attemptTokens,
     detection: now - machine.lastActivityAt,
   };
@@ -342,12 +343,15 @@
   return { kind: 'failed', engine, cause: isSlow ? 'slow' : describeCause(failure) };
 }
 
-/** Returns the engines assumed to have failed: the named one, else the suspects, else the first stage. */
+/** Returns the engines assumed to have failed: the named one, else the suspects, else the first stage; none for a link. */
 function listFailedEngines(
   machine: RequestMachine,
   failure: AttemptFailure,
   suspects: readonly EngineId[],
 ): readonly EngineId[] {
+  if (failure.place === FailurePlace.Link) {
+    return [];
+  }
   if (failure.engine !== null) {
     return [failure.engine];
   }
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -79,6 +79,8 @@
   switch (failure.place) {
     case FailurePlace.Refused:
       return 'refused';
+    case FailurePlace.Link:
+      return 'cut-off';
     case FailurePlace.Silence:
       return 'silent';
     case FailurePlace.Garbage:
@@ -94,9 +96,10 @@
   FailurePlace.Stream,
   FailurePlace.Stage,
   FailurePlace.Silence,
+  FailurePlace.Link,
 ]);
 
-/** Whether the engine was lost before or during the attempt, rather than having refused it. */
+/** Whether the engine, or the way to it, was lost before or during the attempt, rather than having refused it. */
 export function isEngineLost(failure: AttemptFailure): boolean {
   return LOST_ENGINE_PLACES.has(failure.place);
 }
@@ -130,6 +133,7 @@
   FailurePlace.Connect,
   FailurePlace.Stream,
   FailurePlace.Stage,
+  FailurePlace.Link,
 ]);
 
 /**
--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -31,6 +31,8 @@
   Silence: 'silence',
   /** A stage after the first failed, as reported by the first stage. */
   Stage: 'stage',
+  /** The way to the backend server is cut; the server itself goes on. */
+  Link: 'link',
 } as const;
 
 export type FailurePlaceName = (typeof FailurePlace)[keyof typeof FailurePlace];
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -136,7 +136,7 @@
   | { readonly kind: 'cancelled' };
 
 /** What a failed attempt shows about the engine. */
-export type FailureCause = 'lost' | 'silent' | 'slow' | 'refused' | 'broken';
+export type FailureCause = 'lost' | 'silent' | 'slow' | 'refused' | 'broken' | 'cut-off';
 
 /** The capacity that a choice reserved on its engines. */
 export interface ChainHold {
