--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -101,7 +101,7 @@
     sendCrashReports: () => Promise.resolve(false),
     askForPermits: () => Promise.resolve(null),
     askForTrial: () => Promise.resolve(null),
-    openDetour: () => () => undefined,
+    openForward: () => () => undefined,
     createBackends: createIdleBackends,
     logger: pino({ level: 'silent' }),
     decisions: { record: () => undefined, read: () => [] },
--- a/packages/relay/src/RelayDetourHttp.ts
+++ b/packages/relay/src/RelayForwardHttp.ts
@@ -3,12 +3,17 @@
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
-import { createFrameReader, packFrame, packTask, readTask } from './RelayDetourMessages.js';
-import type { DetourFrame, DetourListener, OpenDetour, ServeDetour } from './RelayDetourTypes.js';
-import { DetourRefusal, isLastFrame } from './RelayDetourTypes.js';
+import { createFrameReader, packFrame, packTask, readTask } from './RelayForwardMessages.js';
+import type {
+  ForwardFrame,
+  ForwardListener,
+  OpenForward,
+  ServeForward,
+} from './RelayForwardTypes.js';
+import { ForwardRefusal, isLastFrame } from './RelayForwardTypes.js';
 
 /** Path of the tasks at the peers' port. */
-export const DETOURS_PATH = '/detours';
+export const FORWARD_PATH = '/forward';
 
 const Status = { Ok: 200, BadRequest: 400, NotFound: 404 } as const;
 /** Streams of many callers run at once to one peer, each on a connection of its own. */
@@ -16,12 +21,12 @@
 const CONNECT_TIMEOUT: Millis = 150;
 const IDLE_TIMEOUT: Millis = 4000;
 
-export interface DetourHttp {
-  readonly open: OpenDetour;
+export interface ForwardHttp {
+  readonly open: OpenForward;
   close(): Promise<void>;
 }
 
-export function createDetourHttp(): DetourHttp {
+export function createForwardHttp(): ForwardHttp {
   const agent = new Agent({
     connections: CONNECTIONS_PER_PEER,
     pipelining: 1,
@@ -39,7 +44,7 @@
   };
 }
 
-function refuse(listener: DetourListener): () => void {
+function refuse(listener: ForwardListener): () => void {
   queueMicrotask(() => listener.onClosed(false));
   return () => undefined;
 }
@@ -48,7 +53,7 @@
   agent: Agent,
   { host, port }: HostPort,
   body: Buffer,
-  listener: DetourListener,
+  listener: ForwardListener,
 ): () => void {
   const reader = createFrameReader();
   let controller: Dispatcher.DispatchController | null = null;
@@ -59,7 +64,7 @@
     controller?.abort(new Error('task ended'));
   }
 
-  function deliver(frame: DetourFrame): void {
+  function deliver(frame: ForwardFrame): void {
     if (!isOver) {
       isOver = isLastFrame(frame);
       listener.onFrame(frame);
@@ -74,7 +79,7 @@
   }
 
   agent.dispatch(
-    { origin: `http://${host}:${port}`, path: DETOURS_PATH, method: 'POST', body },
+    { origin: `http://${host}:${port}`, path: FORWARD_PATH, method: 'POST', body },
     {
       onRequestStart(started) {
         controller = started;
@@ -86,7 +91,7 @@
       onResponseStart(_controller, status) {
         if (status !== Status.Ok) {
           // An instance of an earlier version doesn't know the path.
-          deliver({ kind: 'refused', reason: DetourRefusal.Unsupported });
+          deliver({ kind: 'refused', reason: ForwardRefusal.Unsupported });
         }
       },
       onResponseData(_controller, chunk) {
@@ -115,7 +120,7 @@
   body: Buffer,
   req: IncomingMessage,
   res: ServerResponse,
-  serve: ServeDetour,
+  serve: ServeForward,
 ): void {
   const task = readTask(body);
   if (task === null) {
--- a/packages/relay/src/RelayDetourMessages.ts
+++ b/packages/relay/src/RelayForwardMessages.ts
@@ -4,8 +4,8 @@
 import { createChain } from '@skylarksail/core/CoreChain';
 import { Priority } from '@skylarksail/core/CoreConstants';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
-import type { DetourFrame, DetourTask } from './RelayDetourTypes.js';
-import { DetourRefusal } from './RelayDetourTypes.js';
+import type { ForwardFrame, ForwardTask } from './RelayForwardTypes.js';
+import { ForwardRefusal } from './RelayForwardTypes.js';
 
 const LENGTH_BYTES = 4;
 /** Far more than the largest body that a caller may send, or a server's answer. */
@@ -105,7 +105,7 @@
   z.object({ kind: z.literal('end'), reason: z.enum(['stop', 'length']), tokenCount: count }),
   z.object({ kind: z.literal('answer'), answer: z.object({ ...head.shape, body: bytes }) }),
   z.object({ kind: z.literal('failure'), failure }),
-  z.object({ kind: z.literal('refused'), reason: z.enum(DetourRefusal) }),
+  z.object({ kind: z.literal('refused'), reason: z.enum(ForwardRefusal) }),
   z.object({ kind: z.literal('checked'), isReached: z.boolean() }),
   z.object({ kind: z.literal('health'), health }),
   z.object({ kind: z.literal('status'), status: z.nullable(engineStatus) }),
@@ -116,14 +116,14 @@
 ]);
 
 /** Encodes a task. The prompt is left out where the engine takes the caller's request, which holds it already. */
-export function packTask(task: DetourTask): Buffer {
+export function packTask(task: ForwardTask): Buffer {
   return task.kind === 'engine-call' && task.call.original !== null
     ? pack({ ...task, call: { ...task.call, prompt: '' } })
     : pack(task);
 }
 
 /** Decodes a task; null if it is invalid. */
-export function readTask(body: Buffer): DetourTask | null {
+export function readTask(body: Buffer): ForwardTask | null {
   try {
     return taskSchema.safeParse(unpack(body)).data ?? null;
   } catch {
@@ -132,7 +132,7 @@
 }
 
 /** Encodes a frame with its length. */
-export function packFrame(frame: DetourFrame): Buffer {
+export function packFrame(frame: ForwardFrame): Buffer {
   const content = pack(frame);
   const length = Buffer.alloc(LENGTH_BYTES);
   length.writeUInt32BE(content.byteLength);
@@ -142,7 +142,7 @@
 /** Decodes a stream of frames that arrive in pieces. */
 export interface FrameReader {
   /** Returns the frames that are complete with this piece; throws if one is invalid. */
-  push(piece: Uint8Array): readonly DetourFrame[];
+  push(piece: Uint8Array): readonly ForwardFrame[];
 }
 
 export function createFrameReader(): FrameReader {
@@ -150,7 +150,7 @@
   return {
     push(piece) {
       rest = rest.byteLength === 0 ? Buffer.from(piece) : Buffer.concat([rest, piece]);
-      const frames: DetourFrame[] = [];
+      const frames: ForwardFrame[] = [];
       while (rest.byteLength >= LENGTH_BYTES) {
         const end = LENGTH_BYTES + rest.readUInt32BE();
         if (end > MAX_TASK_BYTES) {
--- a/packages/relay/src/RelayDetourPeers.ts
+++ b/packages/relay/src/RelayForwardPeers.ts
@@ -5,18 +5,18 @@
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
-import type { DetourRefusalName } from './RelayDetourTypes.js';
-import { DetourRefusal } from './RelayDetourTypes.js';
+import type { ForwardRefusalName } from './RelayForwardTypes.js';
+import { ForwardRefusal } from './RelayForwardTypes.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
-export interface DetourPeersOptions {
+export interface ForwardPeersOptions {
   readonly timers: TimerService;
   readonly random: Random;
   readonly self: InstanceEntry;
   readonly listInstances: () => readonly InstanceEntry[];
 }
 
-export interface DetourPeers {
+export interface ForwardPeers {
   /** A peer to ask for a server, other than those that were tried; null if none is left. */
   choose(server: EngineId, tried: ReadonlySet<InstanceId>): InstanceEntry | null;
   /** A task was given to a peer, and has ended. */
@@ -26,7 +26,7 @@
   noteReached(peer: InstanceId): void;
   /** A peer didn't reach a server that it knows. */
   noteUnreached(peer: InstanceId, server: EngineId): void;
-  noteRefused(peer: InstanceId, server: EngineId, reason: DetourRefusalName): void;
+  noteRefused(peer: InstanceId, server: EngineId, reason: ForwardRefusalName): void;
   /** A peer didn't answer. */
   noteSilent(peer: InstanceId): void;
   /** Number of peers of which anything is kept. */
@@ -45,16 +45,16 @@
 /** Share of the tasks for which a peer is tried of which nothing is known, so that the load spreads. */
 const EXPLORING_SHARE = 1 / 8;
 
-const PAUSES: Readonly<Record<DetourRefusalName, Millis>> = {
-  [DetourRefusal.Full]: FULL_PAUSE,
-  [DetourRefusal.CutOff]: CUT_OFF_PAUSE,
-  [DetourRefusal.Unknown]: UNREACHED_PAUSE,
-  [DetourRefusal.Unreached]: UNREACHED_PAUSE,
-  [DetourRefusal.Leaving]: CUT_OFF_PAUSE,
-  [DetourRefusal.Unsupported]: UNSUPPORTED_PAUSE,
+const PAUSES: Readonly<Record<ForwardRefusalName, Millis>> = {
+  [ForwardRefusal.Full]: FULL_PAUSE,
+  [ForwardRefusal.CutOff]: CUT_OFF_PAUSE,
+  [ForwardRefusal.Unknown]: UNREACHED_PAUSE,
+  [ForwardRefusal.Unreached]: UNREACHED_PAUSE,
+  [ForwardRefusal.Leaving]: CUT_OFF_PAUSE,
+  [ForwardRefusal.Unsupported]: UNSUPPORTED_PAUSE,
 };
 
-export function createDetourPeers(options: DetourPeersOptions): DetourPeers {
+export function createForwardPeers(options: ForwardPeersOptions): ForwardPeers {
   const { timers, random, self } = options;
   const open = new Map<InstanceId, number>();
   const goodUntil = new Map<InstanceId, Millis>();
@@ -137,7 +137,7 @@
     },
     noteUnreached,
     noteRefused(peer, server, reason) {
-      if (reason === DetourRefusal.Unknown || reason === DetourRefusal.Unreached) {
+      if (reason === ForwardRefusal.Unknown || reason === ForwardRefusal.Unreached) {
         noteUnreached(peer, server);
       } else {
         pause(peer, PAUSES[reason]);
--- a/packages/relay/src/RelayDetourServer.ts
+++ b/packages/relay/src/RelayForwardServer.ts
@@ -8,15 +8,15 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Catalogue } from './RelayCatalogue.js';
 import type {
-  DetourFrame,
-  DetourRefusalName,
-  DetourTask,
-  ServeDetour,
-} from './RelayDetourTypes.js';
-import { DetourRefusal, getTaskServer, isLastFrame } from './RelayDetourTypes.js';
+  ForwardFrame,
+  ForwardRefusalName,
+  ForwardTask,
+  ServeForward,
+} from './RelayForwardTypes.js';
+import { ForwardRefusal, getTaskServer, isLastFrame } from './RelayForwardTypes.js';
 import type { BackendPorts } from './RelayPorts.js';
 
-export interface DetourServerOptions {
+export interface ForwardServerOptions {
   readonly timers: TimerService;
   /** Ports over this instance's own links. */
   readonly own: BackendPorts;
@@ -28,11 +28,11 @@
   /** Takes a permit for a call to a server; false if it needs one and none is left. */
   readonly takePermit: (server: EngineId) => boolean;
   /** A task was taken or refused, for the log. */
-  readonly onTask: (task: DetourTask, what: string) => void;
+  readonly onTask: (task: ForwardTask, what: string) => void;
 }
 
-export interface DetourServer {
-  readonly serve: ServeDetour;
+export interface ForwardServer {
+  readonly serve: ServeForward;
   /** Refuses new tasks from now on. */
   startLeaving(): void;
   /** Waits for the tasks that run, for at most `limit`. */
@@ -44,31 +44,31 @@
 const MAX_TASKS = 512;
 const PROBE_TIMEOUT: Millis = 200;
 
-export function createDetourServer(options: DetourServerOptions): DetourServer {
+export function createForwardServer(options: ForwardServerOptions): ForwardServer {
   const { timers, own, catalogue, isCut, mayReach, takePermit, onTask } = options;
   const waiters: (() => void)[] = [];
   let running = 0;
   let isLeaving = false;
 
-  function findRefusal(task: DetourTask): DetourRefusalName | null {
+  function findRefusal(task: ForwardTask): ForwardRefusalName | null {
     const server = getTaskServer(task);
     const entry = catalogue.get(server);
     const isCall = 'call' in task;
     if (isLeaving) {
-      return DetourRefusal.Leaving;
+      return ForwardRefusal.Leaving;
     }
     // The asking instance may not have heard yet that the server leaves.
     if (entry === null || (isCall && entry.state !== LifeState.Live)) {
-      return DetourRefusal.Unknown;
+      return ForwardRefusal.Unknown;
     }
     if (isCut(server)) {
-      return DetourRefusal.CutOff;
+      return ForwardRefusal.CutOff;
     }
     if (!mayReach(server)) {
-      return DetourRefusal.Unreached;
+      return ForwardRefusal.Unreached;
     }
     const isFull = running >= MAX_TASKS || (isCall && !task.hasPermit && !takePermit(server));
-    return isFull ? DetourRefusal.Full : null;
+    return isFull ? ForwardRefusal.Full : null;
   }
 
   function noteEnd(): void {
@@ -133,8 +133,8 @@
 function runTask(
   own: BackendPorts,
   catalogue: Pick<Catalogue, 'get'>,
-  task: DetourTask,
-  send: (frame: DetourFrame) => void,
+  task: ForwardTask,
+  send: (frame: ForwardFrame) => void,
 ): Unregister {
   switch (task.kind) {
     case 'engine-call':
@@ -157,16 +157,16 @@
   }
 }
 
-type Question = Exclude<DetourTask, { kind: 'engine-call' | 'service-call' }>;
+type Question = Exclude<ForwardTask, { kind: 'engine-call' | 'service-call' }>;
 
 async function answerQuestion(
   own: BackendPorts,
   catalogue: Pick<Catalogue, 'get'>,
   task: Question,
-): Promise<DetourFrame> {
+): Promise<ForwardFrame> {
   const entry = catalogue.get(task.server);
   if (entry === null) {
-    return { kind: 'refused', reason: DetourRefusal.Unknown };
+    return { kind: 'refused', reason: ForwardRefusal.Unknown };
   }
   switch (task.kind) {
     case 'check':
--- a/packages/relay/src/RelayDetourTypes.ts
+++ b/packages/relay/src/RelayForwardTypes.ts
@@ -12,7 +12,7 @@
 import type { InstanceEntry } from './RelayTypes.js';
 
 /** What a peer is asked to do over its own links; it never passes a task on to another. */
-export type DetourTask =
+export type ForwardTask =
   | {
       readonly kind: 'engine-call';
       readonly call: EngineCall;
@@ -32,7 +32,7 @@
     };
 
 /** Why a peer refuses a task. Nothing of it has run. */
-export const DetourRefusal = {
+export const ForwardRefusal = {
   /** It has as many tasks as it takes. */
   Full: 'full',
   /** It doesn't reach the server itself. */
@@ -47,11 +47,11 @@
   Unsupported: 'unsupported',
 } as const;
 
-export type DetourRefusalName = (typeof DetourRefusal)[keyof typeof DetourRefusal];
+export type ForwardRefusalName = (typeof ForwardRefusal)[keyof typeof ForwardRefusal];
 
 /** An event of a task. */
-export type DetourFrame =
-  | { readonly kind: 'refused'; readonly reason: DetourRefusalName }
+export type ForwardFrame =
+  | { readonly kind: 'refused'; readonly reason: ForwardRefusalName }
   /** The peer has begun; it reports whether a byte may have reached the server later. */
   | { readonly kind: 'taken' }
   | { readonly kind: 'connection'; readonly isSent: boolean }
@@ -65,7 +65,7 @@
   | { readonly kind: 'status'; readonly status: EngineStatus | null }
   | { readonly kind: 'ordered'; readonly outcome: RangeOrderAnswer };
 
-const LAST_FRAMES: ReadonlySet<DetourFrame['kind']> = new Set([
+const LAST_FRAMES: ReadonlySet<ForwardFrame['kind']> = new Set([
   'refused',
   'end',
   'answer',
@@ -77,29 +77,29 @@
 ]);
 
 /** Whether a frame ends its task. */
-export function isLastFrame({ kind }: DetourFrame): boolean {
+export function isLastFrame({ kind }: ForwardFrame): boolean {
   return LAST_FRAMES.has(kind);
 }
 
 /** Receives the frames of a task; after the last one, or after `onClosed`, nothing follows. */
-export interface DetourListener {
-  onFrame(frame: DetourFrame): void;
+export interface ForwardListener {
+  onFrame(frame: ForwardFrame): void;
   /** The connection to the peer failed; `isSent`: whether the peer may have received the task. */
   onClosed(isSent: boolean): void;
 }
 
 /** Gives a peer a task; the returned function cancels it there. */
-export type OpenDetour = (
+export type OpenForward = (
   peer: InstanceEntry,
-  task: DetourTask,
-  listener: DetourListener,
+  task: ForwardTask,
+  listener: ForwardListener,
 ) => Unregister;
 
 /** Carries out a peer's task; the returned function cancels it. */
-export type ServeDetour = (task: DetourTask, send: (frame: DetourFrame) => void) => Unregister;
+export type ServeForward = (task: ForwardTask, send: (frame: ForwardFrame) => void) => Unregister;
 
 /** The server that a task needs a link to: of a chain, its first engine. */
-export function getTaskServer(task: DetourTask): EngineId {
+export function getTaskServer(task: ForwardTask): EngineId {
   switch (task.kind) {
     case 'engine-call':
       return task.call.chain.stages[0]?.engine ?? '';
--- a/packages/relay/src/RelayDetours.ts
+++ b/packages/relay/src/RelayForwarding.ts
@@ -5,42 +5,43 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { AttemptFailure } from '@skylarksail/requests/RequestPorts';
+import { isUnreached } from '@skylarksail/requests/RequestFailures';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
-import type { DetourPeers } from './RelayDetourPeers.js';
-import type { DetourFrame, DetourTask, OpenDetour } from './RelayDetourTypes.js';
-import { DetourRefusal, getTaskServer, isLastFrame } from './RelayDetourTypes.js';
+import type { ForwardPeers } from './RelayForwardPeers.js';
+import type { ForwardFrame, ForwardTask, OpenForward } from './RelayForwardTypes.js';
+import { ForwardRefusal, getTaskServer, isLastFrame } from './RelayForwardTypes.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
-export interface RelayDetoursOptions {
+export interface RelayForwardingOptions {
   readonly timers: TimerService;
-  readonly peers: DetourPeers;
-  readonly openDetour: OpenDetour;
+  readonly peers: ForwardPeers;
+  readonly openForward: OpenForward;
   /** A peer reached a server for this instance. */
   readonly onReached: (server: EngineId) => void;
   /** No peer that was asked reached a server. */
   readonly onUnreached: (server: EngineId) => void;
   /** A peer has taken a task, refused it, or failed at it, for the log. */
-  readonly onStep: (task: DetourTask, peer: InstanceId, what: string) => void;
+  readonly onStep: (task: ForwardTask, peer: InstanceId, what: string) => void;
 }
 
 /** Receives the events of a task; the last one is a last frame, `onNobody` or `onLost`. */
-export interface DetourTaskListener {
-  onFrame(frame: DetourFrame): void;
+export interface ForwardTaskListener {
+  onFrame(frame: ForwardFrame): void;
   /** No peer has taken the task, or none reached its server: nothing of it has run. */
   onNobody(): void;
   /** The link to the peer was lost after it had the task: it may have run. */
   onLost(): void;
 }
 
-export interface RelayDetours {
+export interface RelayForwarding {
   /** Gives a task to one peer after the other until one takes it; the returned function cancels it. */
-  open(task: DetourTask, listener: DetourTaskListener): Unregister;
+  open(task: ForwardTask, listener: ForwardTaskListener): Unregister;
   /** Asks a question; null if no peer answers in time. */
-  ask<K extends DetourFrame['kind']>(
-    task: DetourTask,
+  ask<K extends ForwardFrame['kind']>(
+    task: ForwardTask,
     kind: K,
     timeout: Millis,
-  ): Promise<Extract<DetourFrame, { kind: K }> | null>;
+  ): Promise<Extract<ForwardFrame, { kind: K }> | null>;
 }
 
 /** Time without a first frame after which a peer counts as silent. */
@@ -62,10 +63,10 @@
   };
 }
 
-export function createRelayDetours(options: RelayDetoursOptions): RelayDetours {
-  const { timers, peers, openDetour, onStep } = options;
+export function createRelayForwarding(options: RelayForwardingOptions): RelayForwarding {
+  const { timers, peers, openForward, onStep } = options;
 
-  function open(task: DetourTask, listener: DetourTaskListener): Unregister {
+  function open(task: ForwardTask, listener: ForwardTaskListener): Unregister {
     const server = getTaskServer(task);
     const startedAt = timers.now();
     const tried = new Set<InstanceId>();
@@ -140,7 +141,7 @@
         tryNext();
       }
 
-      function onFrame(frame: DetourFrame): void {
+      function onFrame(frame: ForwardFrame): void {
         if (isEnded) {
           return;
         }
@@ -151,7 +152,7 @@
         if (frame.kind === 'refused') {
           onStep(task, peer.id, frame.reason);
           peers.noteRefused(peer.id, server, frame.reason);
-          unreached += frame.reason === DetourRefusal.Unreached ? 1 : 0;
+          unreached += frame.reason === ForwardRefusal.Unreached ? 1 : 0;
           passOn();
         } else if (isUnreachedFrame(frame)) {
           onStep(task, peer.id, 'unreached');
@@ -173,7 +174,7 @@
       }
 
       const elapsed = timers.now() - startedAt;
-      stop = openDetour(peer, shortenTime(task, elapsed), { onFrame, onClosed: close });
+      stop = openForward(peer, shortenTime(task, elapsed), { onFrame, onClosed: close });
     }
 
     tryNext();
@@ -186,10 +187,10 @@
       return new Promise((resolve) => {
         let cancel: Unregister = () => undefined;
         let cancelTimeout: Unregister = () => undefined;
-        const finish = (frame: DetourFrame | null): void => {
+        const finish = (frame: ForwardFrame | null): void => {
           cancelTimeout();
           resolve(
-            frame?.kind === kind ? (frame as Extract<DetourFrame, { kind: typeof kind }>) : null,
+            frame?.kind === kind ? (frame as Extract<ForwardFrame, { kind: typeof kind }>) : null,
           );
         };
         cancelTimeout = timers.registerTimeout(timeout, () => {
@@ -207,12 +208,12 @@
 }
 
 /** Whether a task runs a request, which must not be given to two peers. Orders carry the count that they expect. */
-function isRun({ kind }: DetourTask): boolean {
+function isRun({ kind }: ForwardTask): boolean {
   return kind === 'engine-call' || kind === 'service-call';
 }
 
 /** Takes the time that has passed off the time that a call has left. */
-function shortenTime(task: DetourTask, elapsed: Millis): DetourTask {
+function shortenTime(task: ForwardTask, elapsed: Millis): ForwardTask {
   switch (task.kind) {
     case 'engine-call':
       return { ...task, call: { ...task.call, timeLeft: task.call.timeLeft - elapsed } };
@@ -224,10 +225,10 @@
 }
 
 /** Whether the peer could not connect to the server. */
-function isUnreachedFrame(frame: DetourFrame): boolean {
+function isUnreachedFrame(frame: ForwardFrame): boolean {
   switch (frame.kind) {
     case 'failure':
-      return frame.failure.place === FailurePlace.Connect && frame.failure.provenNotRun;
+      return isUnreached(frame.failure);
     case 'checked':
       return !frame.isReached;
     default:
@@ -236,7 +237,7 @@
 }
 
 /** Whether a frame shows that the peer has a link to the server. */
-function isSignOfServer(frame: DetourFrame): boolean {
+function isSignOfServer(frame: ForwardFrame): boolean {
   switch (frame.kind) {
     case 'connection':
       return frame.isSent;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -49,13 +49,8 @@
 import { createBackendView } from './RelayView.js';
 import { createStartGate } from './RelayStartGate.js';
 import { createRelaySuspension } from './RelaySuspension.js';
-import type { DetourTask, OpenDetour, ServeDetour } from './RelayDetourTypes.js';
-import { createDetourPeers } from './RelayDetourPeers.js';
-import { createDetourServer } from './RelayDetourServer.js';
-import type { RelayDetours } from './RelayDetours.js';
-import { createRelayDetours } from './RelayDetours.js';
-import { createRelayPaths } from './RelayPaths.js';
-import { createRelayWays, createWatchedPorts } from './RelayWays.js';
+import type { OpenForward, ServeForward } from './RelayForwardTypes.js';
+import { createPathParts } from './RelayPathParts.js';
 import type { AskForTrial, RelayTrials } from './RelayTrials.js';
 import { createRelayTrials } from './RelayTrials.js';
 import { createServerChooser } from './RelayServers.js';
@@ -89,7 +84,7 @@
   readonly sendCrashReports: SendCrashReports<InstanceEntry>;
   readonly askForPermits: AskForPermits;
   readonly askForTrial: AskForTrial;
-  readonly openDetour: OpenDetour;
+  readonly openForward: OpenForward;
   readonly createBackends: (view: BackendView) => BackendPorts;
   readonly logger: DaemonLogger;
   readonly decisions: DecisionLog;
@@ -105,7 +100,7 @@
   readonly limits: Pick<RelayLimits, 'answer'>;
   readonly trials: Pick<RelayTrials, 'grant'>;
   /** Carries out tasks of peers that don't reach a backend server. */
-  readonly detours: { readonly serve: ServeDetour };
+  readonly forwarding: { readonly serve: ServeForward };
   getTable(): RouteTable | null;
   /** Reads the state that the metrics report. */
   readState(): RelayState;
@@ -141,9 +136,6 @@
 /** Maximum number of queued requests of one team at one instance. */
 const TEAM_QUEUE_LIMIT = 400;
 
-/** Time for peers to check a link: two that don't reach the server, one after the other. */
-const PEER_CHECK_TIMEOUT: Millis = 500;
-
 /** Callers of these routes send no idempotency key, so no claim is ever made. */
 const NO_CLAIMS: ClaimPort = {
   claim: () => Promise.resolve({ kind: 'unavailable', retryAfter: 0 }),
@@ -238,42 +230,20 @@
       limits.noteLimit,
     ),
   );
-  const paths = createRelayPaths({
-    timers,
-    checkOwnLink: async (server) => {
-      const entry = catalogue.get(server);
-      return entry !== null && (await linkPorts.checkConnection(entry));
-    },
-    checkThroughPeers,
-    isKnown: (server) => catalogue.get(server) !== null,
-    onCut: (server) => logger.warn({ server }, 'own link cut'),
-    onRestored: (server) => logger.info({ server }, 'own link restored'),
-  });
-  const ownPorts = createWatchedPorts(linkPorts, paths);
-  const detours: RelayDetours = createRelayDetours({
+  const paths = createPathParts({
     timers,
-    peers: createDetourPeers({ timers, random, self, listInstances: lease.listInstances }),
-    openDetour: options.openDetour,
-    onReached: paths.noteReachedByPeer,
-    onUnreached: paths.noteUnreached,
-    onStep: (task, peer, what) => recordTask('through-peer', task, { peer, what }),
-  });
-  const detourServer = createDetourServer({
-    timers,
-    own: ownPorts,
+    random,
+    self,
+    listInstances: lease.listInstances,
     catalogue,
-    isCut: paths.isCut,
-    mayReach: (server) => paths.mayReach(server) && !paths.hasOwnFailed(server),
-    takePermit,
-    onTask: (task, what) => recordTask('for-peer', task, { what }),
-  });
-  const backends = createRelayWays({
-    timers,
-    own: ownPorts,
-    paths,
-    detours,
-    isLimited: limits.isLimited,
+    limits,
+    linkPorts,
+    openForward: options.openForward,
+    logger,
+    decisions,
+    metrics,
   });
+  const { backends } = paths;
   const health = createRelayHealth({
     timers,
     domain: self.domain,
@@ -376,34 +346,6 @@
     return catalogue.get(engine)?.state !== LifeState.Live;
   }
 
-  function takePermit(server: EngineId): boolean {
-    const isBlocked = limits.listBlocked().includes(server);
-    if (!isBlocked) {
-      limits.reserve(server)?.use();
-    }
-    return !isBlocked;
-  }
-
-  async function checkThroughPeers(server: EngineId): Promise<boolean> {
-    const frame = await detours.ask({ kind: 'check', server }, 'checked', PEER_CHECK_TIMEOUT);
-    return frame?.isReached ?? false;
-  }
-
-  /** Logs a task under the id of its request, here and at the peer; questions are only counted. */
-  function recordTask(
-    decision: string,
-    task: DetourTask,
-    fields: Readonly<Record<string, string>>,
-  ): void {
-    metrics.count(
-      `${decision}_${fields.what}`.replaceAll('-', '_'),
-      `tasks ${decision}: ${fields.what}`,
-    );
-    if ('call' in task) {
-      decisions.record({ request: task.call.request, decision, ...fields });
-    }
-  }
-
   /** The catalogue lists each start of a server under an id of its own. */
   function getIncarnation(engine: EngineId): string {
     return engine;
@@ -483,7 +425,7 @@
     retries: repeats,
     limits,
     trials,
-    detours: { serve: detourServer.serve },
+    forwarding: { serve: paths.serve },
     getTable: () => table,
     readState: () => ({
       version: table?.config.version ?? 0,
@@ -499,7 +441,7 @@
     startLeaving() {
       isLeaving = true;
       calm.noteStop();
-      detourServer.startLeaving();
+      paths.startLeaving();
       sync.peers.noteLeaving();
       sync.updates.noteLeaving();
       lease.stop();
@@ -509,7 +451,7 @@
       await lease.waitForEnds();
       cancel();
     },
-    waitForTasks: detourServer.waitForEnds,
+    waitForTasks: paths.waitForTasks,
     stop() {
       lease.close();
       sync.stop();
--- a/packages/relay/src/RelayWays.ts
+++ b/packages/relay/src/RelayPathPorts.ts
@@ -12,18 +12,13 @@
   OpenServiceCall,
   ServiceCallListener,
 } from '@skylarksail/requests/RequestPorts';
-import { FailurePlace } from '@skylarksail/requests/RequestPorts';
-import type { DetourFrame } from './RelayDetourTypes.js';
-import type { DetourTaskListener, RelayDetours } from './RelayDetours.js';
-import { createLinkFailure } from './RelayDetours.js';
+import { createUnreachedFailure, isUnreached } from '@skylarksail/requests/RequestFailures';
+import type { ForwardFrame } from './RelayForwardTypes.js';
+import type { ForwardTaskListener, RelayForwarding } from './RelayForwarding.js';
+import { createLinkFailure } from './RelayForwarding.js';
 import type { RelayPaths } from './RelayPaths.js';
 import type { BackendPorts } from './RelayPorts.js';
 
-/** Whether a call reached no server, so that nothing of it was sent. */
-function isUnreached({ place, provenNotRun }: AttemptFailure): boolean {
-  return place === FailurePlace.Connect && provenNotRun;
-}
-
 /** Wraps the ports of this instance's own links, so that what its calls show of them is known. */
 export function createWatchedPorts(own: BackendPorts, paths: RelayPaths): BackendPorts {
   function noteFailure(failure: AttemptFailure, server: EngineId): void {
@@ -99,18 +94,18 @@
   return { ...own, openEngineCall, openServiceCall };
 }
 
-export interface RelayWaysOptions {
+export interface PathPortsOptions {
   readonly timers: Pick<TimerService, 'now'>;
   /** Ports of this instance's own links. */
   readonly own: BackendPorts;
   readonly paths: RelayPaths;
-  readonly detours: RelayDetours;
+  readonly forwarding: RelayForwarding;
   /** Whether calls to a server need permits, as far as this instance knows; it has taken one then. */
   readonly isLimited: (server: EngineId) => boolean;
 }
 
-export function createRelayWays(options: RelayWaysOptions): BackendPorts {
-  const { timers, own, paths, detours, isLimited } = options;
+export function createPathPorts(options: PathPortsOptions): BackendPorts {
+  const { timers, own, paths, forwarding, isLimited } = options;
 
   /** Opens a call over the own link, or, if that is cut or its connection fails, through a peer. */
   function openEither(
@@ -119,13 +114,7 @@
     goAround: (failure: AttemptFailure) => Unregister,
     onFailure: (failure: AttemptFailure) => void,
   ): Unregister {
-    const unreached: AttemptFailure = {
-      place: FailurePlace.Connect,
-      engine: server,
-      status: null,
-      retryAfter: null,
-      provenNotRun: true,
-    };
+    const unreached = createUnreachedFailure(server);
     let cancel: Unregister = () => undefined;
     let isCancelled = false;
     if (!paths.mayReach(server)) {
@@ -163,7 +152,7 @@
       server,
       (onFailure) => own.openEngineCall(call, { ...listener, onFailure }),
       (failure) =>
-        detours.open(
+        forwarding.open(
           {
             kind: 'engine-call',
             call: { ...call, timeLeft: call.timeLeft - (timers.now() - openedAt) },
@@ -182,7 +171,7 @@
       server,
       (onFailure) => own.openServiceCall(call, { ...listener, onFailure }),
       (failure) =>
-        detours.open(
+        forwarding.open(
           {
             kind: 'service-call',
             call: { ...call, timeLeft: call.timeLeft - (timers.now() - openedAt) },
@@ -197,7 +186,7 @@
   const readHealth: BackendPorts['readHealth'] = async (entry, timeout) => {
     const server = entry.id;
     if (paths.isCut(server)) {
-      const frame = await detours.ask({ kind: 'health', server }, 'health', timeout);
+      const frame = await forwarding.ask({ kind: 'health', server }, 'health', timeout);
       return frame?.health ?? { kind: 'silent' };
     }
     const health = await own.readHealth(entry, timeout);
@@ -210,7 +199,7 @@
   const readStatus: BackendPorts['orders']['readStatus'] = async (entry, timeout) => {
     const server = entry.id;
     if (paths.isCut(server)) {
-      const frame = await detours.ask({ kind: 'status', server }, 'status', timeout);
+      const frame = await forwarding.ask({ kind: 'status', server }, 'status', timeout);
       return frame?.status ?? null;
     }
     const status = await own.orders.readStatus(entry, timeout);
@@ -224,7 +213,7 @@
     const server = entry.id;
     if (paths.isCut(server)) {
       const task = { kind: 'order', server, range, orderCount } as const;
-      const frame = await detours.ask(task, 'ordered', timeout);
+      const frame = await forwarding.ask(task, 'ordered', timeout);
       return frame?.outcome ?? 'unknown';
     }
     const outcome = await own.orders.order(entry, range, orderCount, timeout);
@@ -241,9 +230,9 @@
   listener: EngineCallListener,
   server: EngineId,
   unreached: AttemptFailure,
-): DetourTaskListener {
+): ForwardTaskListener {
   return {
-    onFrame(frame: DetourFrame) {
+    onFrame(frame: ForwardFrame) {
       switch (frame.kind) {
         case 'connection':
           listener.onConnection?.(frame.isSent);
@@ -273,9 +262,9 @@
   listener: ServiceCallListener,
   server: EngineId,
   unreached: AttemptFailure,
-): DetourTaskListener {
+): ForwardTaskListener {
   return {
-    onFrame(frame: DetourFrame) {
+    onFrame(frame: ForwardFrame) {
       switch (frame.kind) {
         case 'connection':
           listener.onConnection?.(frame.isSent);
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -21,9 +21,9 @@
   readPermitQuery,
   readUpdateQuery,
 } from './RelayPeerMessages.js';
-import { createDetourHttp, DETOURS_PATH, serveTask } from './RelayDetourHttp.js';
-import { MAX_TASK_BYTES } from './RelayDetourMessages.js';
-import type { OpenDetour, ServeDetour } from './RelayDetourTypes.js';
+import { createForwardHttp, FORWARD_PATH, serveTask } from './RelayForwardHttp.js';
+import { MAX_TASK_BYTES } from './RelayForwardMessages.js';
+import type { OpenForward, ServeForward } from './RelayForwardTypes.js';
 import type { AskForTrial } from './RelayTrials.js';
 import type { AskPeer, PeerAnswer } from './RelayPeers.js';
 import type { InstanceEntry } from './RelayTypes.js';
@@ -69,7 +69,7 @@
   readonly permits: (query: PermitQuery) => PermitAnswer;
   /** Whether a trial of the request is granted. */
   readonly trial: (fingerprint: string) => boolean;
-  readonly detour: ServeDetour;
+  readonly forward: ServeForward;
 }
 
 export interface PeerHttp {
@@ -79,7 +79,7 @@
   readonly sendCrashReports: SendCrashReports<InstanceEntry>;
   readonly askForPermits: AskForPermits;
   readonly askForTrial: AskForTrial;
-  readonly openDetour: OpenDetour;
+  readonly openForward: OpenForward;
   /** Serves peers. Resolves to the port, which the system chooses if it was 0. */
   listen(address: HostPort, answers: PeerHandlers): Promise<number>;
   close(): Promise<void>;
@@ -93,7 +93,7 @@
 export function createPeerHttp(timers: TimerService): PeerHttp {
   const agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1 });
   const codec = createPeerCodec();
-  const detours = createDetourHttp();
+  const forwarding = createForwardHttp();
   let stop = (): void => undefined;
 
   /** Sends a query; null on any failure, after which the caller asks the next peer. */
@@ -152,14 +152,14 @@
       // An answer with more than was requested is invalid.
       return answer && answer.count <= query.wanted ? answer : null;
     },
-    openDetour: detours.open,
+    openForward: forwarding.open,
     listen: ({ host, port }, answers) =>
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
-          const isTask = req.url === DETOURS_PATH;
+          const isTask = req.url === FORWARD_PATH;
           void readBody(req, isTask ? MAX_TASK_BYTES : MAX_BODY_BYTES).then((body) =>
             isTask
-              ? serveTask(body, req, res, answers.detour)
+              ? serveTask(body, req, res, answers.forward)
               : serve(req, body, { answers, codec }, res),
           );
         });
@@ -172,7 +172,7 @@
       }),
     async close() {
       stop();
-      await Promise.all([agent.destroy(), detours.close()]);
+      await Promise.all([agent.destroy(), forwarding.close()]);
     },
   };
 }
--- a/packages/relay/src/__tests__/unit/RelayDetourHttp.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayForwardHttp.test.ts
@@ -4,14 +4,14 @@
 import type { AddressInfo } from 'node:net';
 import type { RequestListener } from 'node:http';
 import { createChain } from '@skylarksail/core/CoreChain';
-import { createDetourHttp, serveTask } from '../../RelayDetourHttp.js';
-import { createFrameReader, packFrame, packTask, readTask } from '../../RelayDetourMessages.js';
-import type { DetourFrame, DetourTask, ServeDetour } from '../../RelayDetourTypes.js';
+import { createForwardHttp, serveTask } from '../../RelayForwardHttp.js';
+import { createFrameReader, packFrame, packTask, readTask } from '../../RelayForwardMessages.js';
+import type { ForwardFrame, ForwardTask, ServeForward } from '../../RelayForwardTypes.js';
 import type { InstanceEntry } from '../../RelayTypes.js';
 
 const VARIANT = { model: 'm', version: 'v1', adapter: null };
 
-function createTask(): DetourTask {
+function createTask(): ForwardTask {
   const chain = createChain(VARIANT, 4, [{ engine: 'e1', layers: { first: 0, end: 4 } }]);
   if (!chain.ok) {
     throw new Error('the stages form a chain');
@@ -49,7 +49,7 @@
   return { peer, close };
 }
 
-async function listenFor(serve: ServeDetour) {
+async function listenFor(serve: ServeForward) {
   return listen((req, res) => {
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -57,10 +57,10 @@
   });
 }
 
-const TOKENS: readonly DetourFrame[] = [
+const TOKENS: readonly ForwardFrame[] = [
   { kind: 'taken' },
   { kind: 'acknowledged', acknowledgement: { variant: VARIANT, stages: [] } },
-  ...Array.from({ length: 20 }, (_, index): DetourFrame => ({
+  ...Array.from({ length: 20 }, (_, index): ForwardFrame => ({
     kind: 'token',
     index,
     token: `t${index}`,
@@ -68,16 +68,16 @@
   { kind: 'end', reason: 'stop', tokenCount: 20 },
 ];
 
-describe('RelayDetourHttp', () => {
+describe('RelayForwardHttp', () => {
   it('passes a task to a peer and its frames back in order', async () => {
-    const received: DetourTask[] = [];
+    const received: ForwardTask[] = [];
     const { peer, close } = await listenFor((task, send) => {
       received.push(task);
       TOKENS.forEach(send);
       return () => undefined;
     });
-    const http = createDetourHttp();
-    const frames: DetourFrame[] = [];
+    const http = createForwardHttp();
+    const frames: ForwardFrame[] = [];
     await new Promise<void>((resolve) => {
       http.open(peer, createTask(), {
         onFrame: (frame) => {
@@ -114,7 +114,7 @@
       send({ kind: 'taken' });
       return cancelTask;
     });
-    const http = createDetourHttp();
+    const http = createForwardHttp();
     const closed: boolean[] = [];
     await new Promise<void>((resolve) => {
       const cancel = http.open(peer, createTask(), {
@@ -134,7 +134,7 @@
   it('tells whether a peer may have received the task when its connection fails', async () => {
     // Guards against a call that is taken for not run although a peer had it, and the other way round.
     const { peer, close } = await listen((req) => req.socket.destroy());
-    const http = createDetourHttp();
+    const http = createForwardHttp();
     const open = (to: InstanceEntry): Promise<boolean> =>
       new Promise((resolve) => {
         http.open(to, createTask(), { onFrame: () => undefined, onClosed: resolve });
@@ -148,8 +148,8 @@
 
   it('takes the answer of an earlier version, which does not know the path, for a refusal', async () => {
     const { peer, close } = await listen((_req, res) => res.writeHead(404).end());
-    const http = createDetourHttp();
-    const frame = await new Promise<DetourFrame>((resolve) => {
+    const http = createForwardHttp();
+    const frame = await new Promise<ForwardFrame>((resolve) => {
       http.open(peer, createTask(), { onFrame: resolve, onClosed: () => undefined });
     });
     expect(frame).to.deep.equal({ kind: 'refused', reason: 'unsupported' });
--- a/packages/relay/src/__tests__/unit/RelayDetours.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayForwarding.test.ts
@@ -2,16 +2,16 @@
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import { createDetourPeers } from '../../RelayDetourPeers.js';
-import type { DetourFrame, DetourListener, DetourTask } from '../../RelayDetourTypes.js';
-import { createRelayDetours } from '../../RelayDetours.js';
+import { createForwardPeers } from '../../RelayForwardPeers.js';
+import type { ForwardFrame, ForwardListener, ForwardTask } from '../../RelayForwardTypes.js';
+import { createRelayForwarding } from '../../RelayForwarding.js';
 import type { InstanceEntry } from '../../RelayTypes.js';
 
 const DOMAINS = 8;
 const PEER_DELAY: Millis = 2;
 const SERVERS = 40;
 
-const CALL: DetourTask = {
+const CALL: ForwardTask = {
   kind: 'service-call',
   hasPermit: false,
   call: {
@@ -29,7 +29,7 @@
   },
 };
 
-const ANSWER: DetourFrame = {
+const ANSWER: ForwardFrame = {
   kind: 'answer',
   answer: { status: 200, headers: {}, body: new Uint8Array() },
 };
@@ -42,23 +42,23 @@
   }));
 }
 
-/** Detours of the first instance; `react` says what a peer does with a task. */
-function createBed(size: number, react: (peer: string, listener: DetourListener) => void) {
+/** Forwarding of the first instance; `react` says what a peer does with a task. */
+function createBed(size: number, react: (peer: string, listener: ForwardListener) => void) {
   const timers = createVirtualTimers();
   const instances = listPeers(size);
   const asked: string[] = [];
-  const tasks: DetourTask[] = [];
+  const tasks: ForwardTask[] = [];
   const self = instances[0] as InstanceEntry;
-  const peers = createDetourPeers({
+  const peers = createForwardPeers({
     timers,
     random: createRandom(1),
     self,
     listInstances: () => instances,
   });
-  const detours = createRelayDetours({
+  const forwarding = createRelayForwarding({
     timers,
     peers,
-    openDetour: ({ id }, task, listener) => {
+    openForward: ({ id }, task, listener) => {
       asked.push(id);
       tasks.push(task);
       timers.registerTimeout(PEER_DELAY, () => react(id, listener));
@@ -69,9 +69,9 @@
     onStep: () => undefined,
   });
   /** Opens a task and returns what its listener received. */
-  function open(task: DetourTask): string[] {
+  function open(task: ForwardTask): string[] {
     const seen: string[] = [];
-    detours.open(task, {
+    forwarding.open(task, {
       onFrame: (frame) =>
         seen.push(frame.kind === 'connection' ? `sent ${frame.isSent}` : frame.kind),
       onNobody: () => seen.push('nobody'),
@@ -82,12 +82,12 @@
   return { timers, asked, tasks, open, peers };
 }
 
-const serve = (listener: DetourListener): void => {
+const serve = (listener: ForwardListener): void => {
   listener.onFrame({ kind: 'taken' });
   listener.onFrame(ANSWER);
 };
 
-describe('RelayDetours', () => {
+describe('RelayForwarding', () => {
   [7, 680].forEach((size) => {
     it(`finds peers beside a domain that is cut off as a whole, and spreads the load: ${size} instances`, async () => {
       // Guards against an instance that keeps asking peers that are cut off as well, or one of the others only.
@@ -100,7 +100,7 @@
       });
       const results: string[][] = [];
       for (let i = 0; i < 400; i++) {
-        const task = { ...CALL, call: { ...CALL.call, server: `e${i % SERVERS}` } } as DetourTask;
+        const task = { ...CALL, call: { ...CALL.call, server: `e${i % SERVERS}` } } as ForwardTask;
         results.push(open(task));
         await timers.advanceToAsync((i + 1) * 10);
       }
@@ -127,9 +127,9 @@
   it('gives a task to one peer only if that may have sent it', async () => {
     // Guards against a call that runs twice because the link to a peer broke after it had the task.
     for (const react of [
-      (listener: DetourListener) => listener.onClosed(true),
+      (listener: ForwardListener) => listener.onClosed(true),
       () => undefined,
-      (listener: DetourListener) => {
+      (listener: ForwardListener) => {
         listener.onFrame({ kind: 'taken' });
         listener.onClosed(true);
       },
@@ -145,9 +145,9 @@
   it('asks the next peer if one could not be reached, is of an earlier version or is full', async () => {
     // Guards against a call that fails at the first peer that can't help.
     const answers = [
-      (listener: DetourListener) => listener.onClosed(false),
-      (listener: DetourListener) => listener.onFrame({ kind: 'refused', reason: 'unsupported' }),
-      (listener: DetourListener) => listener.onFrame({ kind: 'refused', reason: 'full' }),
+      (listener: ForwardListener) => listener.onClosed(false),
+      (listener: ForwardListener) => listener.onFrame({ kind: 'refused', reason: 'unsupported' }),
+      (listener: ForwardListener) => listener.onFrame({ kind: 'refused', reason: 'full' }),
       serve,
     ];
     const { timers, asked, tasks, open } = createBed(20, (_peer, listener) =>
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -193,8 +193,8 @@
           ),
         askForPermits: ({ id: peer }, query) =>
           Promise.resolve(gone.has(peer) ? null : (parts.get(peer)?.limits.answer(query) ?? null)),
-        openDetour: (peer, task, listener) => {
-          const server = gone.has(peer.id) ? undefined : parts.get(peer.id)?.detours;
+        openForward: (peer, task, listener) => {
+          const server = gone.has(peer.id) ? undefined : parts.get(peer.id)?.forwarding;
           let isOver = false;
           let cancel = (): void => undefined;
           timers.registerTimeout(PEER_DELAY, () => {
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -355,7 +355,7 @@
           updates: () => Promise.resolve({ kind: 'deaf' }),
           grant: (_service, wanted) => wanted,
           crashes: (digest) => received.push(digest),
-          detour: () => () => undefined,
+          forward: () => () => undefined,
           trial: (fingerprint) => fingerprint === 'f',
           permits: ({ limit, wanted }) => ({ count: wanted, limit, age: 7 }),
         },
--- a/packages/requests/src/RequestFailures.ts
+++ b/packages/requests/src/RequestFailures.ts
@@ -6,7 +6,7 @@
 import type { RunStateName } from '@skylarksail/core/CoreConstants';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
-import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { AttemptFailure, FailurePlaceName } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
 import type { FailureCause } from './RequestTypes.js';
@@ -129,6 +129,22 @@
   return isBroken && !failure.provenNotRun && !isStageRefusal(failure);
 }
 
+/** Failure of a call that reached no server: nothing of it was sent. */
+export function createUnreachedFailure(engine: EngineId): AttemptFailure {
+  return {
+    place: FailurePlace.Connect,
+    engine,
+    status: null,
+    retryAfter: null,
+    provenNotRun: true,
+  };
+}
+
+/** Whether a call reached no server, so that nothing of it was sent. */
+export function isUnreached({ place, provenNotRun }: AttemptFailure): boolean {
+  return place === FailurePlace.Connect && provenNotRun;
+}
+
 const ENDED_ENGINE_PLACES: ReadonlySet<FailurePlaceName> = new Set([
   FailurePlace.Connect,
   FailurePlace.Stream,
--- /dev/null
+++ b/packages/requests/src/ServiceCalls.ts
@@ -0,0 +1,15 @@
+/** What a call to a plain service is known by, and what its answers ask for. Pure. */
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { ServiceAnswer } from './RequestPorts.js';
+import type { ServiceSpec } from './ServiceTypes.js';
+
+/** What makes two calls of a team the same: headers differ between copies, as their ids do. */
+export function describeContent({ method, path, body }: ServiceSpec): string {
+  return `${method} ${path}\n${Buffer.from(body).toString('latin1')}`;
+}
+
+/** Parses `Retry-After` in seconds; a date falls back to the backoff, since other machines' clocks are not trusted. */
+export function parseRetryAfter(answer: ServiceAnswer): Millis | null {
+  const seconds = Number(answer.headers['retry-after']);
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : null;
+}
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -16,6 +16,7 @@
   classifyFailure,
   combineRunStates,
   computeBackoff,
+  createUnreachedFailure,
   decideNextStep,
   describeCause,
   getRunState,
@@ -40,6 +41,7 @@
 import type { RunPermission } from './RunGuard.js';
 import { createRunGuard, findPoisonProblem, findSuspicion } from './RunGuard.js';
 import { listAvoidSets } from './RunSuspicion.js';
+import { describeContent, parseRetryAfter } from './ServiceCalls.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
 /** Statuses after which an idempotent call is retried: another server may succeed. */
@@ -200,7 +202,7 @@
           hasOtherServer(server)
         ) {
           cancelCall?.();
-          const failure = isSent ? SILENCE_FAILURE : createUnsentFailure(server);
+          const failure = isSent ? SILENCE_FAILURE : createUnreachedFailure(server);
           handleIfCurrent(watchedAttempt, () => handleFailure(failure, server));
         }
       }),
@@ -422,25 +424,3 @@
     onDrainLimit: () => shared.post(() => fail(ProblemKind.Draining, null)),
   };
 }
-
-/** Failure of a call that waited for its connection for too long. */
-function createUnsentFailure(server: EngineId): AttemptFailure {
-  return {
-    place: FailurePlace.Connect,
-    engine: server,
-    status: null,
-    retryAfter: null,
-    provenNotRun: true,
-  };
-}
-
-/** What makes two calls of a team the same: headers differ between copies, as their ids do. */
-function describeContent({ method, path, body }: ServiceSpec): string {
-  return `${method} ${path}\n${Buffer.from(body).toString('latin1')}`;
-}
-
-/** Parses `Retry-After` in seconds; a date falls back to the backoff, since other machines' clocks are not trusted. */
-function parseRetryAfter(answer: ServiceAnswer): Millis | null {
-  const seconds = Number(answer.headers['retry-after']);
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : null;
-}
