--- a/packages/requests/src/ServiceCalls.ts
+++ b/packages/requests/src/ServiceCalls.ts
@@ -3,9 +3,9 @@
 import type { ServiceAnswer } from './RequestPorts.js';
 import type { ServiceSpec } from './ServiceTypes.js';
 
-/** What makes two calls of a team the same: headers differ between copies, as their ids do. */
-export function describeContent({ method, path, body }: ServiceSpec): string {
-  return `${method} ${path}\n${Buffer.from(body).toString('latin1')}`;
+/** What makes two calls of a team the same. Other headers differ between copies, as their ids do. */
+export function describeContent({ method, path, headers, body }: ServiceSpec): string {
+  return `${method} ${headers.host ?? ''}${path}\n${Buffer.from(body).toString('latin1')}`;
 }
 
 /** Parses `Retry-After` in seconds; a date falls back to the backoff, since other machines' clocks are not trusted. */
