Play cut links at random, and look for peers in one group at a time

Cause: that a forwarded call runs once at most, and is told as not run only if it hasn't, was tested for single events, not for series of them that overlap. The choice of a peer looked at every instance for each of four groups. Peers are filtered group by group.

--- a/packages/relay/src/RelayForwardPeers.ts
+++ b/packages/relay/src/RelayForwardPeers.ts
@@ -87,27 +87,30 @@
 
   function choose(server: EngineId, tried: ReadonlySet<InstanceId>): InstanceEntry | null {
     forgetOld();
-    const peers = options
-      .listInstances()
-      .filter(
-        ({ id, address }) =>
-          id !== self.id &&
-          address !== null &&
-          !tried.has(id) &&
-          isOver(pausedUntil, id) &&
-          isOver(unreachedUntil, getPairKey(id, server)),
-      );
     const isOwn = ({ domain }: InstanceEntry): boolean => domain === self.domain;
     const isGood = ({ id }: InstanceEntry): boolean => !isOver(goodUntil, id);
-    const groups = [
-      peers.filter((peer) => isGood(peer) && isOwn(peer)),
-      peers.filter((peer) => isGood(peer) && !isOwn(peer)),
+    const isUsable = ({ id, address }: InstanceEntry): boolean =>
+      id !== self.id &&
+      address !== null &&
+      !tried.has(id) &&
+      isOver(pausedUntil, id) &&
+      isOver(unreachedUntil, getPairKey(id, server));
+    const groups: readonly ((peer: InstanceEntry) => boolean)[] = [
+      (peer) => isOwn(peer) && isGood(peer),
+      (peer) => !isOwn(peer) && isGood(peer),
       // After two refusals the own domain is most likely cut off as a whole.
-      peers.filter((peer) => !isGood(peer) && isOwn(peer) && tried.size < 2),
-      peers.filter((peer) => !isGood(peer)),
+      (peer) => tried.size < 2 && isOwn(peer) && !isGood(peer),
+      (peer) => !isGood(peer),
     ];
     const ordered = random.nextFloat() < EXPLORING_SHARE ? [...groups].reverse() : groups;
-    return draw(ordered.find((group) => group.length > 0) ?? []);
+    const instances = options.listInstances();
+    for (const isInGroup of ordered) {
+      const peers = instances.filter((peer) => isInGroup(peer) && isUsable(peer));
+      if (peers.length > 0) {
+        return draw(peers);
+      }
+    }
+    return null;
   }
 
   function pause(peer: InstanceId, time: Millis): void {
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -38,6 +38,8 @@
   readonly at: Millis;
   /** Time of the end of a whole answer. */
   readonly ends: Millis[];
+  /** Times at which an answer was broken off. */
+  readonly aborts: Millis[];
   readonly refusals: RelayRefusal[];
   /** Times of the refusals. */
   readonly refusedAt: Millis[];
@@ -202,14 +204,27 @@
               return;
             }
             if (server) {
-              cancel = server.serve(task, listener.onFrame);
+              cancel = server.serve(task, (frame) => {
+                if (isOver) {
+                  return;
+                }
+                if (gone.has(peer.id)) {
+                  isOver = true;
+                  listener.onClosed(true);
+                } else {
+                  listener.onFrame(frame);
+                }
+              });
             } else {
               listener.onClosed(false);
             }
           });
           return () => {
             isOver = true;
-            cancel();
+            // The word that it has ended does not reach an instance that is gone.
+            if (!gone.has(peer.id)) {
+              cancel();
+            }
           };
         },
         createBackends: (view) => createBackends(id, view),
@@ -235,7 +250,15 @@
       promptTokens: 10,
       maxTokens: 10,
     };
-    const sent: SentCall = { id, path, at: timers.now(), ends: [], refusals: [], refusedAt: [] };
+    const sent: SentCall = {
+      id,
+      path,
+      at: timers.now(),
+      ends: [],
+      aborts: [],
+      refusals: [],
+      refusedAt: [],
+    };
     const end = (): void => {
       sent.ends.push(timers.now());
     };
@@ -243,7 +266,9 @@
       onHead: () => undefined,
       onEvent: () => undefined,
       onEnd: end,
-      onAborted: () => undefined,
+      onAborted: () => {
+        sent.aborts.push(timers.now());
+      },
       onAnswer: end,
       onRefused: (refusal) => {
         sent.refusals.push(refusal);
