Ask for a key's claim before a crashing call is refused, and split the large modules

Cause: a keyed call was refused as poison before its claim was asked for, and so told as not run though an earlier run of its key might have had effects (since, by reading). RelayParts and ServiceRunner had grown beyond what a newcomer reads at once. Change: plain calls are judged after the claim. The types of RelayParts, the ports that watch the own links, and the choice of a plain server are modules of their own; one function opens a call over either path.

--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -3,7 +3,7 @@
 import type { LogSink } from '@skylarksail/daemon/DaemonLogSink';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
-import type { RelayParts } from './RelayParts.js';
+import type { RelayParts } from './RelayPartsTypes.js';
 import type { PeerHttp } from './RelayPeerHttp.js';
 
 /** Wraps a store port to count its calls by outcome. */
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -12,9 +12,10 @@
 import type { RelayForwarding } from './RelayForwarding.js';
 import { createRelayForwarding } from './RelayForwarding.js';
 import type { RelayLimits } from './RelayLimits.js';
-import { createPathPorts, createWatchedPorts } from './RelayPathPorts.js';
+import { createPathPorts } from './RelayPathPorts.js';
 import { createRelayPaths } from './RelayPaths.js';
 import type { BackendPorts } from './RelayPorts.js';
+import { createWatchedPorts } from './RelayWatchedPorts.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
 export interface PathPartsOptions {
--- a/packages/relay/src/RelayPathPorts.ts
+++ b/packages/relay/src/RelayPathPorts.ts
@@ -4,7 +4,7 @@
  * and holds nothing against engines that others reach.
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type {
   AttemptFailure,
   EngineCallListener,
@@ -13,87 +13,12 @@
   ServiceCallListener,
 } from '@skylarksail/requests/RequestPorts';
 import { createUnreachedFailure, isUnreached } from '@skylarksail/requests/RequestFailures';
-import type { ForwardFrame } from './RelayForwardTypes.js';
+import type { ForwardFrame, ForwardTask } from './RelayForwardTypes.js';
 import type { ForwardTaskListener, RelayForwarding } from './RelayForwarding.js';
 import { createLinkFailure } from './RelayForwarding.js';
 import type { RelayPaths } from './RelayPaths.js';
 import type { BackendPorts } from './RelayPorts.js';
 
-/** Wraps the ports of this instance's own links, so that what its calls show of them is known. */
-export function createWatchedPorts(own: BackendPorts, paths: RelayPaths): BackendPorts {
-  function noteFailure(failure: AttemptFailure, server: EngineId): void {
-    if (isUnreached(failure)) {
-      paths.noteOwnFailure(server);
-    }
-  }
-
-  const openEngineCall: OpenEngineCall = (call, listener) => {
-    const server = call.chain.stages[0]?.engine ?? '';
-    let cancel: Unregister = () => undefined;
-    const watch = paths.watch(server, () => {
-      cancel();
-      listener.onFailure(createLinkFailure(server));
-    });
-    cancel = own.openEngineCall(call, {
-      onConnection: (isSent) => listener.onConnection?.(isSent),
-      onAcknowledged(acknowledgement) {
-        watch.noteSign();
-        listener.onAcknowledged(acknowledgement);
-      },
-      onToken(index, token) {
-        watch.noteSign();
-        listener.onToken(index, token);
-      },
-      onEnd(reason, tokenCount) {
-        watch.noteSign();
-        watch.end();
-        listener.onEnd(reason, tokenCount);
-      },
-      onFailure(failure) {
-        watch.end();
-        noteFailure(failure, server);
-        listener.onFailure(failure);
-      },
-    });
-    return () => {
-      watch.end();
-      cancel();
-    };
-  };
-
-  /** A call that may have run is left to its answer: the link may carry again before its deadline. */
-  const openServiceCall: OpenServiceCall = (call, listener) => {
-    const watch = paths.watch(call.server, () => undefined);
-    let isConnecting = false;
-    const cancel = own.openServiceCall(call, {
-      onConnection(isSent) {
-        isConnecting = !isSent;
-        listener.onConnection?.(isSent);
-      },
-      onAnswer(answer) {
-        watch.noteSign();
-        watch.end();
-        listener.onAnswer(answer);
-      },
-      onFailure(failure) {
-        watch.end();
-        noteFailure(failure, call.server);
-        listener.onFailure(failure);
-      },
-    });
-    return () => {
-      watch.end();
-      cancel();
-      if (isConnecting) {
-        // Its caller had no more time for this server, so nothing else shows whether the link is cut.
-        paths.suspect(call.server);
-      }
-    };
-  };
-
-  return { ...own, openEngineCall, openServiceCall };
-}
-
 export interface PathPortsOptions {
   readonly timers: Pick<TimerService, 'now'>;
   /** Ports of this instance's own links. */
@@ -104,24 +29,36 @@
   readonly isLimited: (server: EngineId) => boolean;
 }
 
+/** A call that can be opened over either path. */
+interface EitherCall {
+  readonly openOwn: (onFailure: (failure: AttemptFailure) => void) => Unregister;
+  /** The call as a task for a peer, `elapsed` after it was opened. */
+  readonly createTask: (elapsed: Millis, hasPermit: boolean) => ForwardTask;
+  /** Receives the task's events; `unreached` is the failure if no peer reaches the server. */
+  readonly createListener: (unreached: AttemptFailure) => ForwardTaskListener;
+  readonly onFailure: (failure: AttemptFailure) => void;
+}
+
 export function createPathPorts(options: PathPortsOptions): BackendPorts {
   const { timers, own, paths, forwarding, isLimited } = options;
 
   /** Opens a call over the own link, or, if that is cut or its connection fails, through a peer. */
-  function openEither(
-    server: EngineId,
-    openOwn: (onFailure: (failure: AttemptFailure) => void) => Unregister,
-    goAround: (failure: AttemptFailure) => Unregister,
-    onFailure: (failure: AttemptFailure) => void,
-  ): Unregister {
+  function openEither(server: EngineId, call: EitherCall): Unregister {
+    const openedAt = timers.now();
     const unreached = createUnreachedFailure(server);
     let cancel: Unregister = () => undefined;
     let isCancelled = false;
+
+    function goAround(failure: AttemptFailure): Unregister {
+      const task = call.createTask(timers.now() - openedAt, isLimited(server));
+      return forwarding.open(task, call.createListener(failure));
+    }
+
     if (!paths.mayReach(server)) {
       // Nobody reached it a moment ago: another wait for its connection would only use up the caller's time.
       queueMicrotask(() => {
         if (!isCancelled) {
-          onFailure(unreached);
+          call.onFailure(unreached);
         }
       });
       return () => {
@@ -131,11 +68,11 @@
     if (paths.isCut(server) || paths.hasOwnFailed(server)) {
       return goAround(unreached);
     }
-    const cancelOwn = openOwn((failure) => {
+    const cancelOwn = call.openOwn((failure) => {
       if (!isCancelled && isUnreached(failure)) {
         cancel = goAround(failure);
       } else {
-        onFailure(failure);
+        call.onFailure(failure);
       }
     });
     return () => {
@@ -147,41 +84,29 @@
 
   const openEngineCall: OpenEngineCall = (call, listener) => {
     const server = call.chain.stages[0]?.engine ?? '';
-    const openedAt = timers.now();
-    return openEither(
-      server,
-      (onFailure) => own.openEngineCall(call, { ...listener, onFailure }),
-      (failure) =>
-        forwarding.open(
-          {
-            kind: 'engine-call',
-            call: { ...call, timeLeft: call.timeLeft - (timers.now() - openedAt) },
-            hasPermit: isLimited(server),
-          },
-          toEngineListener(listener, server, failure),
-        ),
-      (failure) => listener.onFailure(failure),
-    );
+    return openEither(server, {
+      openOwn: (onFailure) => own.openEngineCall(call, { ...listener, onFailure }),
+      createTask: (elapsed, hasPermit) => ({
+        kind: 'engine-call',
+        call: { ...call, timeLeft: call.timeLeft - elapsed },
+        hasPermit,
+      }),
+      createListener: (unreached) => toEngineListener(listener, server, unreached),
+      onFailure: (failure) => listener.onFailure(failure),
+    });
   };
 
-  const openServiceCall: OpenServiceCall = (call, listener) => {
-    const { server } = call;
-    const openedAt = timers.now();
-    return openEither(
-      server,
-      (onFailure) => own.openServiceCall(call, { ...listener, onFailure }),
-      (failure) =>
-        forwarding.open(
-          {
-            kind: 'service-call',
-            call: { ...call, timeLeft: call.timeLeft - (timers.now() - openedAt) },
-            hasPermit: isLimited(server),
-          },
-          toServiceListener(listener, server, failure),
-        ),
-      (failure) => listener.onFailure(failure),
-    );
-  };
+  const openServiceCall: OpenServiceCall = (call, listener) =>
+    openEither(call.server, {
+      openOwn: (onFailure) => own.openServiceCall(call, { ...listener, onFailure }),
+      createTask: (elapsed, hasPermit) => ({
+        kind: 'service-call',
+        call: { ...call, timeLeft: call.timeLeft - elapsed },
+        hasPermit,
+      }),
+      createListener: (unreached) => toServiceListener(listener, call.server, unreached),
+      onFailure: (failure) => listener.onFailure(failure),
+    });
 
   const readHealth: BackendPorts['readHealth'] = async (entry, timeout) => {
     const server = entry.id;
--- a/packages/relay/src/RelayStop.ts
+++ b/packages/relay/src/RelayStop.ts
@@ -1,7 +1,7 @@
 /** Planned shutdown: accepted requests are completed within the grace period. */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { RelayParts } from './RelayParts.js';
+import type { RelayParts } from './RelayPartsTypes.js';
 
 /** The callers' port, as far as the shutdown uses it. */
 export interface StoppablePort {
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -8,7 +8,7 @@
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
-import type { RelayParts } from '../../RelayParts.js';
+import type { RelayParts } from '../../RelayPartsTypes.js';
 import { startRelayParts } from '../../RelayParts.js';
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
 import { CONNECT_TIMEOUT } from '../../RelayPorts.js';
--- a/packages/relay/src/__tests__/unit/RelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStop.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
-import type { RelayParts } from '../../RelayParts.js';
+import type { RelayParts } from '../../RelayPartsTypes.js';
 import { stopRelay } from '../../RelayStop.js';
 
 describe('RelayStop', () => {
--- a/packages/requests/src/ServiceCalls.ts
+++ b/packages/requests/src/ServiceCalls.ts
@@ -1,5 +1,6 @@
-/** What a call to a plain service is known by, and what its answers ask for. Pure. */
+/** What a call to a plain service is known by, how it is admitted, and what its answers ask for. Pure. */
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { AdmissionRequest } from './RequestAdmission.js';
 import type { ServiceAnswer } from './RequestPorts.js';
 import type { ServiceSpec } from './ServiceTypes.js';
 
@@ -13,3 +14,13 @@
   const seconds = Number(answer.headers['retry-after']);
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : null;
 }
+
+/** What admission weighs of a call: each counts alike. */
+export function createCallAdmission({
+  id,
+  team,
+  priority,
+  deadline,
+}: ServiceSpec): AdmissionRequest {
+  return { id, team, priority, cost: 1, kvTokens: 0, deadline, duration: 0 };
+}
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -10,7 +10,7 @@
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { ClaimHandle } from './ClaimRunner.js';
 import { claimKey } from './ClaimRunner.js';
-import type { Admission, AdmissionRequest } from './RequestAdmission.js';
+import type { Admission } from './RequestAdmission.js';
 import { decodeServiceAnswer, encodeServiceAnswer } from './RequestAnswers.js';
 import {
   classifyFailure,
@@ -40,8 +40,8 @@
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
 import type { RunPermission } from './RunGuard.js';
 import { createRunGuard, findPoisonProblem, findSuspicion } from './RunGuard.js';
-import { listAvoidSets } from './RunSuspicion.js';
-import { describeContent, parseRetryAfter } from './ServiceCalls.js';
+import { createCallAdmission, describeContent, parseRetryAfter } from './ServiceCalls.js';
+import { chooseServerFor, hasOtherServer } from './ServiceChoice.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
 
 /** Statuses after which an idempotent call is retried: another server may succeed. */
@@ -127,17 +127,8 @@
     }
   }
 
-  /** Chooses a server, if possible not one that runs another suspect of the same crash. */
-  function choose(): ServerChoice | null {
-    const avoidSets = listAvoidSets(shared, fingerprint).map((avoidSet) => [...avoid, ...avoidSet]);
-    return [...avoidSets, avoid, []].reduce<ServerChoice | null>(
-      (chosen, avoidSet) => chosen ?? deps.chooseServer(spec.service, avoidSet),
-      null,
-    );
-  }
-
   function open(): void {
-    const chosen = choose();
+    const chosen = chooseServerFor(shared, spec.service, fingerprint, avoid);
     if (chosen === null) {
       fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
       return;
@@ -199,7 +190,7 @@
           isOpen &&
           watchedAttempt === attempt &&
           hasBudget(shared, spec.service) &&
-          hasOtherServer(server)
+          hasOtherServer(shared, spec.service, [...avoid, server])
         ) {
           cancelCall?.();
           const failure = isSent ? SILENCE_FAILURE : createUnreachedFailure(server);
@@ -209,13 +200,6 @@
     );
   }
 
-  /** Whether there is another server: a call that is sent to the same one again queues there behind later calls. */
-  function hasOtherServer(server: EngineId): boolean {
-    const other = deps.chooseServer(spec.service, [...avoid, server]);
-    other?.release({ kind: 'cancelled' });
-    return other !== null;
-  }
-
   function handleIfCurrent(expectedAttempt: number, handle: () => void): void {
     if (isEnded || !isOpen || expectedAttempt !== attempt) {
       countMetric(shared, 'lateFrames');
@@ -257,7 +241,10 @@
     if (isCrashLike(failure)) {
       guard.noteCrash(server, 0);
     }
-    if (failure.place === FailurePlace.Connect && hasOtherServer(server)) {
+    if (
+      failure.place === FailurePlace.Connect &&
+      hasOtherServer(shared, spec.service, [...avoid, server])
+    ) {
       // No server has received this attempt, so it takes none of those that the route allows, and no retry.
       avoid = [...avoid, server];
       dispatch();
@@ -340,14 +327,9 @@
     onEnded();
   }
 
-  function getAdmissionRequest(): AdmissionRequest {
-    const { id, team, priority, deadline } = spec;
-    return { id, team, priority, cost: 1, kvTokens: 0, deadline, duration: 0 };
-  }
-
   function enqueue(): void {
     admission.enqueue(
-      getAdmissionRequest(),
+      createCallAdmission(spec),
       {
         onAdmitted: () => {
           countMetric(shared, 'admitted');
@@ -360,14 +342,14 @@
     );
   }
 
-  /** Runs after the key is claimed, as with model requests: a stored answer needs no server. */
+  /** Runs after the key is claimed: a stored answer needs no server, and a key that has run isn't told as not run. */
   function requestAdmission(): void {
-    const suspicion = findSuspicion(shared, fingerprint);
-    if (suspicion !== null) {
-      failWith(suspicion);
+    const problem = findPoisonProblem(shared, fingerprint) ?? findSuspicion(shared, fingerprint);
+    if (problem !== null) {
+      failWith(problem);
       return;
     }
-    const retryAfter = admission.check(getAdmissionRequest(), timers.now());
+    const retryAfter = admission.check(createCallAdmission(spec), timers.now());
     if (retryAfter === null) {
       enqueue();
     } else {
@@ -376,13 +358,10 @@
   }
 
   function begin(): void {
-    const poison = findPoisonProblem(shared, fingerprint);
     if (spec.deadline <= submittedAt) {
       fail(ProblemKind.Deadline, null);
     } else if (shared.isDraining()) {
       fail(ProblemKind.Draining, 0);
-    } else if (poison !== null) {
-      failWith(poison);
     } else if (spec.idempotent || spec.idempotencyKey === null) {
       requestAdmission();
     } else {
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -239,6 +239,25 @@
     expect(sent.problems.map(({ run }) => run)).to.deep.equal([RunState.Unknown]);
   });
 
+  it('refuses a call that crashed two servers, but tells a key that may have run as unknown', async () => {
+    // Guards against a resend that is told as not run, and sent elsewhere, for the crashes of its own first run.
+    const world = createFakeWorld();
+    callService(world, 'g', { idempotent: true });
+    for (let i = 0; i < 2; i++) {
+      world.serviceCalls.at(-1)?.listener.onFailure(createFailure({ place: FailurePlace.Stream }));
+      world.timers.advanceTo(world.timers.now() + 1000);
+    }
+    const plain = callService(world, 'p');
+    expect(plain.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['poison', RunState.NotRun],
+    ]);
+    const keyed = callService(world, 'k', KEYED);
+    await answerClaim(world, { kind: 'ended', record: { run: 'unknown', answer: null } });
+    expect(keyed.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['outcome-unknown', RunState.Unknown],
+    ]);
+  });
+
   it('derives idempotence from the longest matching route of the manifest, then from the method', () => {
     const routes = [
       { method: 'POST', path: '/search*', idempotent: true },
