Ask for a key's claim before a model request is refused as crashing

Callers: a resend whose key may have run could be told as not run, for the crashes of its own first run, and then be sent elsewhere. Cause: RunBegin looked at the verdict before it asked for the claim, though its own comment says why a refusal must not come before. Change: the verdict is asked for with the other checks after the claim. An unkeyed request is refused as before.

--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -56,9 +56,9 @@
    * report "not run" for a key that had run.
    */
   function requestAdmission(): void {
-    const suspicion = findSuspicion(shared, fingerprint);
-    if (suspicion !== null) {
-      send({ kind: 'refused', problem: suspicion });
+    const problem = findPoisonProblem(shared, fingerprint) ?? findSuspicion(shared, fingerprint);
+    if (problem !== null) {
+      send({ kind: 'refused', problem });
       return;
     }
     const retryAfter = admission.check(createAdmissionRequest(spec, meters), deps.timers.now());
@@ -77,11 +77,6 @@
     refuse(ProblemKind.Draining, 0);
     return null;
   }
-  const poison = findPoisonProblem(shared, fingerprint);
-  if (poison !== null) {
-    send({ kind: 'refused', problem: poison });
-    return null;
-  }
   if (spec.idempotent || spec.idempotencyKey === null) {
     requestAdmission();
     return null;
--- a/packages/requests/src/__tests__/unit/RequestRouter.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestRouter.test.ts
@@ -11,6 +11,7 @@
   createFailure,
   createFakeWorld,
   sendTokens,
+  listEngines,
   listWords,
 } from './RequestFakes.js';
 
@@ -173,7 +174,7 @@
     void world.router.drain(5000).then(() => {
       isDrained = true;
     });
-    const refused = world.submit('n');
+    const refused = world.submit('n', { prompt: 'same' });
     expect(refused.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
       ['draining', 'not-run'],
     ]);
@@ -258,6 +259,27 @@
     ]);
   });
 
+  it('refuses a model request that crashed two engines, but tells a key that may have run as unknown', async () => {
+    // Guards against the same where the request is one to a model.
+    const world = createFakeWorld();
+    world.submit('m', { prompt: 'same' });
+    for (let i = 0; i < 2; i++) {
+      const [engine = null] = listEngines(world.last());
+      world.last().listener.onFailure(createFailure({ place: FailurePlace.Stream, engine }));
+      world.timers.advanceTo(world.timers.now() + 200);
+    }
+    world.timers.advanceTo(world.timers.now() + 1000);
+    const plain = world.submit('n', { prompt: 'same' });
+    expect(plain.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['poison', RunState.NotRun],
+    ]);
+    const keyed = world.submit('k', { ...KEYED, prompt: 'same' });
+    await answerClaim(world, { kind: 'ended', record: { run: 'unknown', answer: null } });
+    expect(keyed.problems.map(({ kind, run }) => [kind, run])).to.deep.equal([
+      ['outcome-unknown', RunState.Unknown],
+    ]);
+  });
+
   it('derives idempotence from the longest matching route of the manifest, then from the method', () => {
     const routes = [
       { method: 'POST', path: '/search*', idempotent: true },
