--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -207,6 +207,7 @@
     getEngineFate: (engine, since) =>
       isEnding(engine) ? EngineFate.Ended : health.getFate(engine, since),
     onSilent: health.noteSilent,
+    onSweep: paths.sweep,
     onDecision: (record) => decisions.record({ ...record }),
     onCount: metrics.recordRouterMetric,
   });
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -7,6 +7,7 @@
 import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createForwardPeers } from './RelayForwardPeers.js';
+import type { ForwardServer } from './RelayForwardServer.js';
 import { createForwardServer } from './RelayForwardServer.js';
 import type { ForwardTask, OpenForward, ServeForward } from './RelayForwardTypes.js';
 import type { RelayForwarding } from './RelayForwarding.js';
@@ -38,6 +39,8 @@
   readonly backends: BackendPorts;
   /** Carries out tasks of peers. */
   readonly serve: ServeForward;
+  /** Watches the calls that run; called every 100 ms while there are any. */
+  sweep(): void;
   /** Takes no more tasks of peers. */
   startLeaving(): void;
   /** Waits until the tasks of peers have ended, for at most `limit`. */
@@ -50,16 +53,18 @@
 
 export function createPathParts(options: PathPartsOptions): PathParts {
   const { timers, random, self, catalogue, limits, linkPorts, logger, metrics } = options;
+  let startedServer: ForwardServer | null = null;
   const paths = createRelayPaths({
     timers,
-    checkOwnLink: async (server) => {
-      const entry = catalogue.get(server);
+    checkOwnLink: async (id) => {
+      const entry = catalogue.get(id);
       return entry !== null && (await linkPorts.checkConnection(entry));
     },
     checkThroughPeers,
-    isKnown: (server) => catalogue.get(server) !== null,
-    onCut: (server) => logger.warn({ server }, 'own link cut'),
-    onRestored: (server) => logger.info({ server }, 'own link restored'),
+    isKnown: (id) => catalogue.get(id) !== null,
+    isServingPeers: () => (startedServer?.countTasks() ?? 0) > 0,
+    onCut: (id) => logger.warn({ server: id }, 'own link cut'),
+    onRestored: (id) => logger.info({ server: id }, 'own link restored'),
   });
   const own = createWatchedPorts(linkPorts, paths);
   const forwarding: RelayForwarding = createRelayForwarding({
@@ -79,6 +84,7 @@
     takePermit,
     onTask: (task, what) => recordTask('for-peer', task, { what }),
   });
+  startedServer = server;
 
   function takePermit(id: EngineId): boolean {
     const isBlocked = limits.listBlocked().includes(id);
@@ -112,6 +118,7 @@
   return {
     backends: createPathPorts({ timers, own, paths, forwarding, isLimited: limits.isLimited }),
     serve: server.serve,
+    sweep: paths.sweep,
     startLeaving: server.startLeaving,
     waitForTasks: server.waitForEnds,
     stop: paths.stop,
--- a/packages/relay/src/RelayPaths.ts
+++ b/packages/relay/src/RelayPaths.ts
@@ -15,6 +15,8 @@
   readonly checkThroughPeers: (server: EngineId) => Promise<boolean>;
   /** Whether a server is registered. */
   readonly isKnown: (server: EngineId) => boolean;
+  /** Whether calls of peers run here, which the router doesn't know of. */
+  readonly isServingPeers: () => boolean;
   readonly onCut: (server: EngineId) => void;
   readonly onRestored: (server: EngineId) => void;
 }
@@ -44,6 +46,8 @@
   suspect(server: EngineId): void;
   /** Watches a call; `onCut` is called if it is silent and its link is found cut. */
   watch(server: EngineId, onCut: () => void): WatchedCall;
+  /** Looks for silent calls, and for links that carry again; called every 100 ms while requests run. */
+  sweep(): void;
   /** Number of servers of which anything is kept. */
   countServers(): number;
   stop(): void;
@@ -63,7 +67,7 @@
 }
 
 const TICK: Millis = 100;
-const MAX_TICK_GAP: Millis = 200;
+const MAX_SWEEP_GAP: Millis = 200;
 /** Silence of a call, and of all others at its server, after which its link is checked. */
 const SILENCE: Millis = 250;
 /** Pause after a check that found a link to carry. */
@@ -88,10 +92,11 @@
   const lastSigns = new Map<EngineId, Millis>();
   const checking = new Set<EngineId>();
   const calls = new Set<OpenCall>();
-  let tickedAt = -Infinity;
+  let sweptAt = -Infinity;
+  /** Runs only for what the router's sweep doesn't cover, since wake-ups cost more than the work in them. */
   const ticker = createActiveInterval(timers, TICK, () => {
-    tick();
-    return calls.size > 0 || cut.size > 0;
+    sweep();
+    return cut.size > 0 || ownFailedUntil.size > 0 || options.isServingPeers();
   });
 
   function isSilent({ server, lastSignAt }: OpenCall): boolean {
@@ -166,10 +171,10 @@
       .forEach((server) => lastSigns.delete(server));
   }
 
-  function tick(): void {
+  function sweep(): void {
     const now = timers.now();
-    const isLate = now - tickedAt > MAX_TICK_GAP;
-    tickedAt = now;
+    const isLate = now - sweptAt > MAX_SWEEP_GAP;
+    sweptAt = now;
     forgetOld(now);
     // After a pause of this process, answers that have arrived are unread, and all calls look silent.
     if (!isLate) {
@@ -202,7 +207,9 @@
     watch(server, onCut) {
       const call: OpenCall = { server, onCut, lastSignAt: timers.now() };
       calls.add(call);
-      ticker.start();
+      if (options.isServingPeers()) {
+        ticker.start();
+      }
       return {
         noteSign() {
           call.lastSignAt = timers.now();
@@ -212,6 +219,7 @@
         end: () => calls.delete(call),
       };
     },
+    sweep,
     countServers: () =>
       new Set(
         [cut, unreachedUntil, checkedUntil, ownFailedUntil, lastSigns].flatMap((table) => [
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -144,6 +144,7 @@
     const now = timers.now();
     shared.admission.sweep(now);
     services.sweep(now);
+    deps.onSweep?.();
     reportPaces(now);
     const usualGap = shared.progress.getMedianGap(now);
     if (usualGap !== null) {
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -185,6 +185,8 @@
   readonly getEngineFate?: (engine: EngineId, since: Millis) => EngineFateName;
   /** Receives the silent engines of an attempt that continues because no other attempt can replace it. */
   readonly onSilent?: (engines: readonly EngineId[]) => void;
+  /** Called every 100 ms while requests run, for work that would otherwise need a timer of its own. */
+  readonly onSweep?: () => void;
   readonly onDecision: (record: DecisionRecord) => void;
   readonly onCount: (metric: RouterMetric) => void;
 }
