Keep asking a peer for other servers when its link to one is cut

Cause: a peer that refused a task as cut off wasn't asked for two seconds, for any server. Where each instance has lost the path to some servers only, all peers would count as cut off from all of them. By reading, before it was seen. Change: a refusal as cut off holds for its server. Measured: the new test failed before (nobody asked for the other server); the cases of cut instances and of forwarding pass.

--- a/packages/relay/src/RelayForwardPeers.ts
+++ b/packages/relay/src/RelayForwardPeers.ts
@@ -35,24 +35,30 @@
 
 /** Time for which a peer that has reached a server is preferred. */
 const GOOD_TIME: Millis = 3000;
-/** Time for which a peer isn't asked again: after a refusal as cut off or leaving, as full, or for its version. */
-const CUT_OFF_PAUSE: Millis = 2000;
+/** Time for which a peer isn't asked again: as it leaves, is full, is of an earlier version, or didn't answer. */
+const LEAVING_PAUSE: Millis = 2000;
 const FULL_PAUSE: Millis = 300;
 const UNSUPPORTED_PAUSE: Millis = 30_000;
 const SILENT_PAUSE: Millis = 2000;
-/** Time for which a peer isn't asked for a server that it didn't reach, or doesn't know. */
+/** Time for which a peer isn't asked for one server: its own link there is cut, or it didn't reach or know it. */
+const CUT_OFF_PAUSE: Millis = 2000;
 const UNREACHED_PAUSE: Millis = 1000;
 /** Share of the tasks for which a peer is tried of which nothing is known, so that the load spreads. */
 const EXPLORING_SHARE = 1 / 8;
 
-const PAUSES: Readonly<Record<ForwardRefusalName, Millis>> = {
-  [ForwardRefusal.Full]: FULL_PAUSE,
-  [ForwardRefusal.CutOff]: CUT_OFF_PAUSE,
-  [ForwardRefusal.Unknown]: UNREACHED_PAUSE,
-  [ForwardRefusal.Unreached]: UNREACHED_PAUSE,
-  [ForwardRefusal.Leaving]: CUT_OFF_PAUSE,
-  [ForwardRefusal.Unsupported]: UNSUPPORTED_PAUSE,
-};
+/** Refusals that hold for one server. */
+const SERVER_PAUSES: ReadonlyMap<ForwardRefusalName, Millis> = new Map([
+  [ForwardRefusal.CutOff, CUT_OFF_PAUSE],
+  [ForwardRefusal.Unknown, UNREACHED_PAUSE],
+  [ForwardRefusal.Unreached, UNREACHED_PAUSE],
+]);
+
+/** Refusals that hold for all tasks. */
+const PEER_PAUSES: ReadonlyMap<ForwardRefusalName, Millis> = new Map([
+  [ForwardRefusal.Full, FULL_PAUSE],
+  [ForwardRefusal.Leaving, LEAVING_PAUSE],
+  [ForwardRefusal.Unsupported, UNSUPPORTED_PAUSE],
+]);
 
 export function createForwardPeers(options: ForwardPeersOptions): ForwardPeers {
   const { timers, random, self } = options;
@@ -118,8 +124,8 @@
     pausedUntil.set(peer, timers.now() + time);
   }
 
-  function noteUnreached(peer: InstanceId, server: EngineId): void {
-    unreachedUntil.set(getPairKey(peer, server), timers.now() + UNREACHED_PAUSE);
+  function pauseFor(peer: InstanceId, server: EngineId, time: Millis): void {
+    unreachedUntil.set(getPairKey(peer, server), timers.now() + time);
   }
 
   function addOpen(peer: InstanceId, change: number): void {
@@ -138,12 +144,13 @@
     noteReached: (peer) => {
       goodUntil.set(peer, timers.now() + GOOD_TIME);
     },
-    noteUnreached,
+    noteUnreached: (peer, server) => pauseFor(peer, server, UNREACHED_PAUSE),
     noteRefused(peer, server, reason) {
-      if (reason === ForwardRefusal.Unknown || reason === ForwardRefusal.Unreached) {
-        noteUnreached(peer, server);
+      const serverPause = SERVER_PAUSES.get(reason);
+      if (serverPause !== undefined) {
+        pauseFor(peer, server, serverPause);
       } else {
-        pause(peer, PAUSES[reason]);
+        pause(peer, PEER_PAUSES.get(reason) ?? FULL_PAUSE);
       }
     },
     noteSilent: (peer) => pause(peer, SILENT_PAUSE),
--- a/packages/relay/src/__tests__/unit/RelayForwarding.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayForwarding.test.ts
@@ -112,6 +112,24 @@
     });
   });
 
+  it('asks a peer for other servers that is cut off from one', async () => {
+    // Guards against partial cuts after which every peer counts as cut off from all servers.
+    const { timers, asked, open } = createBed(2, (_peer, listener) =>
+      asked.length === 1
+        ? listener.onFrame({ kind: 'refused', reason: 'cut-off' })
+        : serve(listener),
+    );
+    const [refused, other] = ['e1', 'e2'].map((server) => {
+      const task = { ...CALL, call: { ...CALL.call, server } } as ForwardTask;
+      const seen = open(task);
+      timers.advanceTo(timers.now() + 10);
+      return seen;
+    });
+    await timers.advanceToAsync(100);
+    expect(refused?.at(-1)).to.equal('nobody');
+    expect(other?.at(-1)).to.equal('answer');
+  });
+
   it('tells a task that nobody takes at once as one that has not run', async () => {
     // Guards against callers that wait while each instance of a fleet is asked in turn.
     const { timers, asked, open } = createBed(680, (_peer, listener) =>
