Hold nothing against an engine once the own link to it is found cut

Cause: what the silence of the first half second had left behind outlived the finding of the cut: domains doubted for 4 s, engines kept off as silent, two engines taken for leaving by health checks that had begun over the own link before it was known as cut. Change: when a link is found cut, its domain is no longer doubted and its engine no longer kept off; a check that ends silent on a link found cut meanwhile is asked again through a peer. Up to 64 links are checked at once.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -29,6 +29,7 @@
   RoutingRefusal,
 } from '@skylarksail/routing/RoutingChoice';
 import {
+  endSuspicion,
   getOwnWork,
   recordCallEnd,
   recordCallStart,
@@ -78,6 +79,8 @@
   setEngineFacts(facts: readonly EngineFacts[]): void;
   setEngineLoads(reports: readonly SeenEngineLoad[]): void;
   setLeaving(engine: EngineId): void;
+  /** An engine whose calls failed was reached over another path: its domain is not to be avoided for them. */
+  noteReachable(engine: EngineId): void;
   setManifest(view: ManifestView): void;
   /** Sets routing inputs that do not come from a manifest; omitted fields keep their values. */
   setFleetFacts(facts: FleetFacts): void;
@@ -351,6 +354,9 @@
     setLeaving: (engine) => {
       state = markLeaving(state, engine);
     },
+    noteReachable: (engine) => {
+      state = endSuspicion(state, engine);
+    },
     setManifest: (view) => {
       state = setRoutingFacts(state, {
         models: new Map(
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -148,6 +148,7 @@
     limits,
     linkPorts,
     openForward: options.openForward,
+    onCut: noteReachable,
     logger,
     decisions,
     metrics,
@@ -256,6 +257,12 @@
     return catalogue.get(engine)?.state !== LifeState.Live;
   }
 
+  /** What this instance held against an engine was due to its own link. */
+  function noteReachable(engine: EngineId): void {
+    routing.noteReachable(engine);
+    router.noteEngineReached(engine);
+  }
+
   /** The catalogue lists each start of a server under an id of its own. */
   function getIncarnation(engine: EngineId): string {
     return engine;
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -29,6 +29,8 @@
   /** Ports of this instance's own links. */
   readonly linkPorts: BackendPorts;
   readonly openForward: OpenForward;
+  /** The own link to a server is cut, and a peer reaches it. */
+  readonly onCut: (server: EngineId) => void;
   readonly logger: Pick<DaemonLogger, 'info' | 'warn'>;
   readonly decisions: Pick<DecisionLog, 'record'>;
   readonly metrics: Pick<DaemonMetrics, 'count'>;
@@ -63,7 +65,10 @@
     checkThroughPeers,
     isKnown: (id) => catalogue.get(id) !== null,
     isServingPeers: () => (startedServer?.countTasks() ?? 0) > 0,
-    onCut: (id) => logger.warn({ server: id }, 'own link cut'),
+    onCut: (id) => {
+      logger.warn({ server: id }, 'own link cut');
+      options.onCut(id);
+    },
     onRestored: (id) => logger.info({ server: id }, 'own link restored'),
   });
   const own = createWatchedPorts(linkPorts, paths);
--- a/packages/relay/src/RelayPathPorts.ts
+++ b/packages/relay/src/RelayPathPorts.ts
@@ -17,7 +17,10 @@
 import type { ForwardTaskListener, RelayForwarding } from './RelayForwarding.js';
 import { createLinkFailure } from './RelayForwarding.js';
 import type { RelayPaths } from './RelayPaths.js';
-import type { BackendPorts } from './RelayPorts.js';
+import type { BackendPorts, HealthAnswer } from './RelayPorts.js';
+
+/** Time for a health check through a peer after one over the own link has failed; longer ones are ignored as late. */
+const LATE_HEALTH_TIMEOUT: Millis = 80;
 
 export interface PathPortsOptions {
   readonly timers: Pick<TimerService, 'now'>;
@@ -108,13 +111,21 @@
       onFailure: (failure) => listener.onFailure(failure),
     });
 
+  async function readHealthThroughPeer(server: EngineId, timeout: Millis): Promise<HealthAnswer> {
+    const frame = await forwarding.ask({ kind: 'health', server }, 'health', timeout);
+    return frame?.health ?? { kind: 'silent' };
+  }
+
   const readHealth: BackendPorts['readHealth'] = async (entry, timeout) => {
     const server = entry.id;
     if (paths.isCut(server)) {
-      const frame = await forwarding.ask({ kind: 'health', server }, 'health', timeout);
-      return frame?.health ?? { kind: 'silent' };
+      return readHealthThroughPeer(server, timeout);
     }
     const health = await own.readHealth(entry, timeout);
+    if (health.kind === 'silent' && paths.isCut(server)) {
+      // The link was found cut meanwhile. Its silence would count against the engine.
+      return readHealthThroughPeer(server, LATE_HEALTH_TIMEOUT);
+    }
     if (health.kind === 'silent') {
       paths.suspect(server);
     }
--- a/packages/relay/src/RelayPaths.ts
+++ b/packages/relay/src/RelayPaths.ts
@@ -81,7 +81,7 @@
 /** Time after a failed connection for which calls don't wait for another one. */
 const OWN_FAILURE_PAUSE: Millis = 500;
 /** Checks that run at once, so that a cut from many servers causes no burst of connections. */
-const MAX_CHECKS = 16;
+const MAX_CHECKS = 64;
 
 export function createRelayPaths(options: RelayPathsOptions): RelayPaths {
   const { timers } = options;
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -48,6 +48,8 @@
    * it is still too busy for new work.
    */
   noteAlive(engine: EngineId): void;
+  /** Records that an engine was never lost, but the link to it. */
+  forgetLost(engine: EngineId): void;
   /**
    * Records that an engine refused work, and excludes it for longer with each consecutive refusal. A draining engine
    * refuses everything, and one with full memory all new work; without the exclusion each request would repeat the
@@ -150,6 +152,7 @@
         lost.delete(engine);
       }
     },
+    forgetLost: (engine) => lost.delete(engine),
     noteRefused(engine, now) {
       const before = refusalsByEngine.get(engine);
       if (before && before.until > now) {
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -63,6 +63,8 @@
   noteEngineAlive(engine: string, bootId: string): void;
   /** Records that another instance has lost an engine, which is avoided for a short time if there are others. */
   noteEngineLost(engine: EngineId): void;
+  /** Records that an engine is reached over another path: only this instance's own link to it had failed. */
+  noteEngineReached(engine: EngineId): void;
   /** Number of answers that have begun on a version and have no chain at the moment. */
   countInterrupted(variant: Pick<ModelVariant, 'model' | 'version'>): number;
   getCounts(): RouterCounts;
@@ -241,6 +243,7 @@
       }
     },
     noteEngineLost: (engine) => shared.progress.noteLost(engine, false, timers.now()),
+    noteEngineReached: (engine) => shared.progress.forgetLost(engine),
     countInterrupted: ({ model, version }) =>
       [...shared.runs.values()]
         .map((run) => run.getInterrupted())
--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -157,6 +157,14 @@
   };
 }
 
+/** Ends the suspicion of an engine's domain: the engine was reached, so only this instance's own link had failed. */
+export function endSuspicion(state: RoutingState, engine: EngineId): RoutingState {
+  const domain = state.engines.get(engine)?.domain;
+  return domain !== undefined && state.suspected.has(domain)
+    ? { ...state, suspected: new Map([...state.suspected].filter(([other]) => other !== domain)) }
+    : state;
+}
+
 /** Domain of the chain's first stage, to which this instance connects; null if it is never suspected. */
 function getSuspectableDomain(state: RoutingState, chain: Chain): DomainId | null {
   const { domain: own, isOwnDoubted } = state.tuning;
