End silent calls on a cut link only where its connections hang

Cause: a server with a long queue refuses new connections and goes on with its calls. Silent for a quarter of a second, and reached by a peer with a connection of its own, it would be taken for one behind a cut link, and its waiting calls be ended. Change: a connection that fails sooner than 0.15 s was refused, and ends no call.

--- a/packages/relay/src/RelayPaths.ts
+++ b/packages/relay/src/RelayPaths.ts
@@ -58,6 +58,8 @@
   readonly usedAt: Millis;
   /** Time of the next check of the own link. */
   readonly checkAt: Millis;
+  /** Whether connections hang, so that open ones must be silent for good. */
+  readonly isHung: boolean;
 }
 
 interface OpenCall {
@@ -70,6 +72,8 @@
 const MAX_SWEEP_GAP: Millis = 200;
 /** Silence of a call, and of all others at its server, after which its link is checked. */
 const SILENCE: Millis = 250;
+/** Time after which a connection that fails counts as one that hung, rather than one that was refused. */
+const HANG_TIME: Millis = 150;
 /** Pause after a check that found a link to carry. */
 const CHECK_PAUSE: Millis = 1000;
 /** Interval at which the own link to a server that is reached through peers is checked. */
@@ -104,15 +108,26 @@
     return timers.now() - lastSign >= SILENCE;
   }
 
-  function markCut(server: EngineId): void {
+  /**
+   * Marks a link as cut. Calls are ended only if connections hang: a server that refuses them may be busy, and goes on with
+   * the calls that it has.
+   */
+  function markCut(server: EngineId, isHung: boolean): void {
     const now = timers.now();
+    const known = cut.get(server);
     unreachedUntil.delete(server);
-    if (!cut.has(server)) {
-      cut.set(server, { usedAt: now, checkAt: now + RESTORE_PERIOD });
+    cut.set(server, {
+      usedAt: now,
+      checkAt: known?.checkAt ?? now + RESTORE_PERIOD,
+      isHung: isHung || (known?.isHung ?? false),
+    });
+    if (!known) {
       options.onCut(server);
       ticker.start();
     }
-    [...calls].filter((call) => call.server === server && isSilent(call)).forEach(endAsCut);
+    if (isHung) {
+      [...calls].filter((call) => call.server === server && isSilent(call)).forEach(endAsCut);
+    }
   }
 
   function endAsCut(call: OpenCall): void {
@@ -134,13 +149,15 @@
   }
 
   async function findOut(server: EngineId): Promise<void> {
+    const startedAt = timers.now();
     const isReached = await options.checkOwnLink(server);
+    const isHung = timers.now() - startedAt >= HANG_TIME;
     checkedUntil.set(server, timers.now() + CHECK_PAUSE);
     if (isReached) {
       return;
     }
     if (await options.checkThroughPeers(server)) {
-      markCut(server);
+      markCut(server, isHung);
     } else {
       markUnreached(server);
     }
@@ -154,7 +171,7 @@
   }
 
   function suspect(server: EngineId): void {
-    if (!cut.has(server) && (checkedUntil.get(server) ?? -Infinity) <= timers.now()) {
+    if (!cut.get(server)?.isHung && (checkedUntil.get(server) ?? -Infinity) <= timers.now()) {
       void checkOnce(server, () => findOut(server));
     }
   }
@@ -201,7 +218,7 @@
       ticker.start();
     },
     mayReach: (server) => (unreachedUntil.get(server) ?? -Infinity) <= timers.now(),
-    noteReachedByPeer: markCut,
+    noteReachedByPeer: (server) => markCut(server, false),
     noteUnreached: markUnreached,
     suspect,
     watch(server, onCut) {
