--- a/packages/relay/src/RelayPaths.ts
+++ b/packages/relay/src/RelayPaths.ts
@@ -103,9 +103,11 @@
     return cut.size > 0 || ownFailedUntil.size > 0 || options.isServingPeers();
   });
 
-  function isSilent({ server, lastSignAt }: OpenCall): boolean {
-    const lastSign = Math.max(lastSignAt, lastSigns.get(server) ?? -Infinity);
-    return timers.now() - lastSign >= SILENCE;
+  function listSilent(now: Millis): readonly OpenCall[] {
+    return [...calls].filter(({ server, lastSignAt }) => {
+      const lastSign = Math.max(lastSignAt, lastSigns.get(server) ?? -Infinity);
+      return now - lastSign >= SILENCE;
+    });
   }
 
   /**
@@ -126,7 +128,9 @@
       ticker.start();
     }
     if (isHung) {
-      [...calls].filter((call) => call.server === server && isSilent(call)).forEach(endAsCut);
+      listSilent(now)
+        .filter((call) => call.server === server)
+        .forEach(endAsCut);
     }
   }
 
@@ -195,7 +199,7 @@
     forgetOld(now);
     // After a pause of this process, answers that have arrived are unread, and all calls look silent.
     if (!isLate) {
-      new Set([...calls].filter(isSilent).map(({ server }) => server)).forEach(suspect);
+      new Set(listSilent(now).map(({ server }) => server)).forEach(suspect);
     }
     const due = [...cut].filter(([, { checkAt }]) => checkAt <= now);
     for (const [server, path] of due) {
@@ -212,12 +216,14 @@
       }
       return path !== undefined;
     },
-    hasOwnFailed: (server) => (ownFailedUntil.get(server) ?? -Infinity) > timers.now(),
+    hasOwnFailed: (server) =>
+      ownFailedUntil.has(server) && (ownFailedUntil.get(server) ?? -Infinity) > timers.now(),
     noteOwnFailure(server) {
       ownFailedUntil.set(server, timers.now() + OWN_FAILURE_PAUSE);
       ticker.start();
     },
-    mayReach: (server) => (unreachedUntil.get(server) ?? -Infinity) <= timers.now(),
+    mayReach: (server) =>
+      !unreachedUntil.has(server) || (unreachedUntil.get(server) ?? -Infinity) <= timers.now(),
     noteReachedByPeer: (server) => markCut(server, false),
     noteUnreached: markUnreached,
     suspect,
