--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -250,6 +250,7 @@
         PATIENCE_SHARE * (deadline - timers.now()),
         CALLER_PATIENCE_SHARE * (route.callerPatience ?? Infinity),
       ),
+      sharedParts: call.sharedParts ?? [],
       prefixKeys: [],
       ...(route.isResumable && route.callerPatience !== null
         ? { breakAfter: CALLER_PATIENCE_SHARE * route.callerPatience }
--- a/packages/relay/src/RelayTypes.ts
+++ b/packages/relay/src/RelayTypes.ts
@@ -67,6 +67,8 @@
   /** Remaining time that the caller will wait; null if not specified. */
   readonly timeLeft: Millis | null;
   readonly body: Uint8Array;
+  /** Ids of the parts of its prompt that other requests may share, in order; none if left out. */
+  readonly sharedParts?: readonly string[];
   /** Size of the work in tokens, if the caller specified it. */
   readonly promptTokens: number;
   readonly maxTokens: number;
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -2,8 +2,8 @@
 import type { Chain } from '@skylarksail/core/CoreChain';
 import type { EngineId, Millis, Unregister, VersionId } from '@skylarksail/core/CoreTypes';
 import type { RequestEffect, RequestEvent } from './RequestMessages.js';
-import type { Fingerprint } from './RequestPoison.js';
 import type { AnswerHead, EngineCallListener } from './RequestPorts.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -58,7 +58,7 @@
 export function createAttemptRunner(
   shared: RouterShared,
   spec: RequestSpec,
-  fingerprint: Fingerprint,
+  suspects: RequestSuspects,
   tokens: readonly string[],
   send: (event: RequestEvent) => void,
 ): AttemptRunner {
@@ -96,7 +96,7 @@
   function chooseWithAvoidSets(
     choose: (avoidSet: readonly EngineId[]) => ChainChoice,
   ): ChainChoice {
-    const [firstSet = [], ...others] = listAvoidSets(shared, fingerprint);
+    const [firstSet = [], ...others] = listAvoidSets(shared, suspects);
     return others.reduce(
       (choice, avoidSet) => (choice.kind === 'none' ? choose(avoidSet) : choice),
       choose(firstSet),
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -18,6 +18,8 @@
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
 import { createRequestMachine, getFirstTokenDeadline } from './RequestState.js';
+import type { RequestSuspects } from './RequestSuspects.js';
+import { createPromptParts } from './RequestSuspects.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
@@ -44,9 +46,12 @@
   const { deps, admission, recovery, meters } = shared;
   const { timers } = deps;
   const submittedAt = timers.now();
-  const fingerprint = computeFingerprint(spec.team, spec.model, spec.prompt);
+  const suspects: RequestSuspects = {
+    request: computeFingerprint(spec.team, spec.model, spec.prompt),
+    parts: createPromptParts(spec.team, spec.model, spec.sharedParts ?? []),
+  };
   const tokens: string[] = [];
-  const attempts = createAttemptRunner(shared, spec, fingerprint, tokens, send);
+  const attempts = createAttemptRunner(shared, spec, suspects, tokens, send);
   const cancelDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
     send({ kind: 'deadline' }),
   );
@@ -70,7 +75,7 @@
   });
 
   const run: ModelRun = {
-    fingerprint,
+    suspects,
     getEngines: () => attempts.getEngines(),
     getQueued: () => {
       const [first] = attempts.getEngines();
@@ -99,7 +104,7 @@
     condemn: () => send({ kind: 'condemned' }),
     onDrainLimit: () => send({ kind: 'drain-limit' }),
   };
-  const guard = createRunGuard(shared, run, (reason) => log('crash', reason));
+  const guard = createRunGuard(shared, run, log);
 
   function send(event: RequestEvent): void {
     shared.post(() => {
@@ -247,7 +252,13 @@
     const chain = attempts.getChain();
     tokens.push(effect.token);
     if (chain) {
-      noteRunToken(shared, fingerprint, chain, machine.attemptTokens, effect.isFirst ? null : wait);
+      noteRunToken(
+        shared,
+        suspects.request,
+        chain,
+        machine.attemptTokens,
+        effect.isFirst ? null : wait,
+      );
     }
     if (effect.isFirst) {
       noteFirstTokenOfAttempt(effect.index, wait);
@@ -369,7 +380,7 @@
 
   shared.runs.set(spec.id, run);
   shared.post(() => {
-    claim = beginRun(shared, { spec, submittedAt, fingerprint, send, log });
+    claim = beginRun(shared, { spec, submittedAt, guard, send, log });
   });
   return { cancel: () => shared.post(handleHangUp) };
 }
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -43,6 +43,8 @@
   readonly original?: OriginalRequest;
   /** Maximum number of engines to run on, not counting engines lost during an attempt; unlimited if left out. */
   readonly maxAttempts?: number;
+  /** Ids of the parts of its prompt that other requests may share, in order, as the caller gave them; none if left out. */
+  readonly sharedParts?: readonly string[];
   /** Hashes of the prompt's prefixes, shortest first, to match the prefix caches of engines. */
   readonly prefixKeys: readonly string[];
 }
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -11,6 +11,7 @@
 import { judgeRequest } from './RequestPoisonVerdict.js';
 import type { ProgressTracker } from './RequestProgress.js';
 import type { RecoveryQueue } from './RequestRecovery.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { RouterCrashes } from './RouterCrashes.js';
 import type { PostWork } from './RouterWorkQueue.js';
 import type { RouterMeters } from './RouterMeters.js';
@@ -19,7 +20,8 @@
 
 /** A running request of a model or a plain service, as the detection of crashing requests sees it. */
 export interface GuardedRun {
-  readonly fingerprint: Fingerprint;
+  /** What may crash the engines that run it. */
+  readonly suspects: RequestSuspects;
   /** Engines that it runs on at present. */
   getEngines(): readonly EngineId[];
   /** Whether its present attempt has produced a part of the answer. */
@@ -139,9 +141,9 @@
 /** Poison verdict on a request at present. */
 export function getPoisonVerdict(
   shared: RouterShared,
-  fingerprint: Fingerprint,
+  { request }: RequestSuspects,
 ): PoisonVerdictName {
-  return judgeRequest(shared.crashes.getState(), fingerprint, shared.deps.timers.now());
+  return judgeRequest(shared.crashes.getState(), request, shared.deps.timers.now());
 }
 
 /** Running requests whose fingerprint is in `wanted`. */
@@ -149,5 +151,5 @@
   shared: RouterShared,
   wanted: ReadonlySet<Fingerprint>,
 ): readonly GuardedRun[] {
-  return [...shared.guarded].filter((run) => wanted.has(run.fingerprint));
+  return [...shared.guarded].filter((run) => wanted.has(run.suspects.request));
 }
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -67,6 +67,7 @@
   | 'no-chain'
   | 'attempt-failed'
   | 'crash'
+  | 'verdict'
   | 'recover'
   | 'retry'
   | 'wait'
--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -7,7 +7,6 @@
 import type { ClaimHandle } from './ClaimRunner.js';
 import { claimKey } from './ClaimRunner.js';
 import type { RequestEvent } from './RequestMessages.js';
-import type { Fingerprint } from './RequestPoison.js';
 import { computeFingerprint } from './RequestPoison.js';
 import type { ProblemKindName, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
@@ -15,13 +14,13 @@
 import { countMetric, creditBudget } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionRequest } from './RunAdmission.js';
-import { findPoisonProblem, findSuspicion } from './RunGuard.js';
+import type { RunGuard } from './RunGuard.js';
 
 /** Parts of the request that its beginning uses. */
 export interface BeginContext {
   readonly spec: RequestSpec;
   readonly submittedAt: Millis;
-  readonly fingerprint: Fingerprint;
+  readonly guard: Pick<RunGuard, 'findProblem'>;
   readonly send: (event: RequestEvent) => void;
   readonly log: (decision: DecisionName, reason: string | null) => void;
 }
@@ -29,7 +28,7 @@
 /** Begins a request; returns the claim of its key, or null if it has none. */
 export function beginRun(shared: RouterShared, run: BeginContext): ClaimHandle | null {
   const { admission, deps, meters } = shared;
-  const { spec, submittedAt, fingerprint, send, log } = run;
+  const { spec, submittedAt, guard, send, log } = run;
 
   function refuse(kind: ProblemKindName, retryAfter: Millis | null): void {
     const problem = { kind, run: RunState.NotRun, retryAfter, instance: null };
@@ -56,7 +55,7 @@
    * report "not run" for a key that had run.
    */
   function requestAdmission(): void {
-    const problem = findPoisonProblem(shared, fingerprint) ?? findSuspicion(shared, fingerprint);
+    const problem = guard.findProblem();
     if (problem !== null) {
       send({ kind: 'refused', problem });
       return;
--- a/packages/requests/src/RunGuard.ts
+++ b/packages/requests/src/RunGuard.ts
@@ -5,13 +5,14 @@
  */
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { Fingerprint } from './RequestPoison.js';
-import type { PoisonTally } from './RequestPoisonVerdict.js';
+import type { PoisonTally, PoisonVerdictName } from './RequestPoisonVerdict.js';
 import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { RequestProblem } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { GuardedRun, RouterShared } from './RouterShared.js';
 import { countMetric, getPoisonVerdict } from './RouterShared.js';
+import type { DecisionName } from './RouterTypes.js';
 import {
   createAmbiguousProblem,
   noteRunAnswered,
@@ -32,6 +33,8 @@
   | { readonly kind: 'later'; readonly delay: Millis };
 
 export interface RunGuard {
+  /** Problem for which the run is refused before anything else is done for it; null if there is none. */
+  findProblem(): RequestProblem | null;
   /** Asks for an attempt; `done` is called at once, or when other instances have been asked. */
   ask(isFirst: boolean, done: (permission: RunPermission) => void): void;
   /** Records that an engine seems to have ended under an attempt that had produced some tokens. */
@@ -46,40 +49,20 @@
 
 const GRANTED: RunPermission = { kind: 'granted' };
 
-/** Problem of a request that is refused before anything else is done for it; null if there is none. */
-export function findPoisonProblem(
-  shared: RouterShared,
-  fingerprint: Fingerprint,
-): RequestProblem | null {
-  if (!isRefused(getPoisonVerdict(shared, fingerprint))) {
-    return null;
-  }
-  countMetric(shared, 'poisonRefused');
-  return { kind: ProblemKind.Poison, run: RunState.NotRun, retryAfter: null, instance: null };
-}
-
-/** Problem of a request that has not run, while nobody can tell whether it crashes engines; null if there is none. */
-export function findSuspicion(
-  shared: RouterShared,
-  fingerprint: Fingerprint,
-): RequestProblem | null {
-  const isAmbiguous = getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Ambiguous;
-  return isAmbiguous ? createAmbiguousProblem(shared) : null;
-}
-
-/** Watches over a run until it ends; `logCrash` receives what is known after each crash. */
+/** Watches over a run until it ends; `log` receives each crash and each verdict for which it is refused or stopped. */
 export function createRunGuard(
   shared: RouterShared,
   run: GuardedRun,
-  logCrash: (reason: string) => void,
+  log: (decision: DecisionName, reason: string) => void,
 ): RunGuard {
-  const { fingerprint } = run;
+  const { suspects } = run;
   shared.guarded.add(run);
 
   function judge(isFirst: boolean): RunPermission {
-    const verdict = getPoisonVerdict(shared, fingerprint);
+    const verdict = getPoisonVerdict(shared, suspects);
     if (isRefused(verdict)) {
-      stopRunsOf(shared, fingerprint);
+      log('verdict', describeFault(verdict, suspects));
+      stopRunsOf(shared, suspects.request);
       return { kind: 'condemned' };
     }
     if (isFirst && verdict === PoisonVerdict.Ambiguous) {
@@ -91,36 +74,58 @@
   }
 
   return {
+    findProblem() {
+      const verdict = getPoisonVerdict(shared, suspects);
+      if (isRefused(verdict)) {
+        countMetric(shared, 'poisonRefused');
+        log('verdict', describeFault(verdict, suspects));
+        return { kind: ProblemKind.Poison, run: RunState.NotRun, retryAfter: null, instance: null };
+      }
+      if (verdict !== PoisonVerdict.Ambiguous) {
+        return null;
+      }
+      log('verdict', describeFault(verdict, suspects));
+      return createAmbiguousProblem(shared);
+    },
     ask(isFirst, done) {
       const permission = judge(isFirst);
-      if (permission.kind !== 'granted' || !needsTrial(shared, fingerprint)) {
+      if (permission.kind !== 'granted' || !needsTrial(shared, suspects.request)) {
         done(permission);
         return;
       }
-      requestTrial(shared, fingerprint, (isGranted) =>
+      requestTrial(shared, suspects.request, (isGranted) =>
         shared.post(() => done(isGranted ? GRANTED : { kind: 'later', delay: TRIAL_RETRY })),
       );
     },
     noteCrash(engine, attemptTokens) {
-      const tally = noteRunCrash(shared, fingerprint, engine, attemptTokens);
+      const tally = noteRunCrash(shared, suspects.request, engine, attemptTokens);
       countMetric(shared, tally === null ? 'plannedEnds' : 'crashes');
-      logCrash(describeCrash(engine, fingerprint, tally));
+      log('crash', describeCrash(engine, suspects, tally, attemptTokens > 0));
     },
     noteAnswered: (engines, openedAt) => noteRunAnswered(shared, engines, openedAt),
-    noteCompleted: () => noteRunCompleted(shared, fingerprint),
+    noteCompleted: () => noteRunCompleted(shared, suspects.request),
     stop: () => shared.guarded.delete(run),
   };
 }
 
+/** Names what a verdict holds at fault. */
+function describeFault(verdict: PoisonVerdictName, { request }: RequestSuspects): string {
+  return `${verdict}: request ${request}`;
+}
+
+/** Lists all that may have caused the crash: the request and, if its answer had not begun, the parts of its prompt. */
 function describeCrash(
   engine: EngineId,
-  fingerprint: Fingerprint,
+  { request, parts }: RequestSuspects,
   tally: PoisonTally | null,
+  hasBegun: boolean,
 ): string {
   if (tally === null) {
-    return `${engine} leaves, no crash of ${fingerprint}`;
+    return `${engine} leaves, no crash of ${request}`;
   }
   const { verdict, known, counted, inOutages, cleared, disproven } = tally;
   const leftOut = `${inOutages} in outages, ${cleared} cleared, ${disproven} disproven`;
-  return `${engine} ${fingerprint} ${verdict}: ${counted} of ${known} count, ${leftOut}`;
+  const shared = parts.map(({ name, label }) => `${name}=${label}`).join(' ');
+  const begun = hasBegun ? 'had begun' : `had not begun, parts ${shared || 'none'}`;
+  return `${engine} ${request} ${verdict}: ${counted} of ${known} count, ${leftOut}; ${begun}`;
 }
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -22,6 +22,7 @@
   PoisonVerdict,
   tallyCrashes,
 } from './RequestPoisonVerdict.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { RequestProblem } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
@@ -127,7 +128,7 @@
 /** Stops the running requests that are condemned among those that another instance's reports name. */
 export function stopCondemned(shared: RouterShared, named: ReadonlySet<Fingerprint>): void {
   for (const run of findRunsByFingerprint(shared, named)) {
-    if (isRefused(getPoisonVerdict(shared, run.fingerprint))) {
+    if (isRefused(getPoisonVerdict(shared, run.suspects))) {
       run.condemn();
     }
   }
@@ -141,14 +142,14 @@
  */
 export function listAvoidSets(
   shared: RouterShared,
-  fingerprint: Fingerprint,
+  suspects: RequestSuspects,
 ): readonly (readonly EngineId[])[] {
   const now = shared.deps.timers.now();
   const { dead, silent } = shared.progress.listDown(now);
-  if (getPoisonVerdict(shared, fingerprint) === PoisonVerdict.Clean) {
+  if (getPoisonVerdict(shared, suspects) === PoisonVerdict.Clean) {
     return silent.length > 0 ? [[...dead, ...silent], dead] : [dead];
   }
-  const fellowSuspects = listCoSuspects(shared.crashes.getState(), fingerprint, now);
+  const fellowSuspects = listCoSuspects(shared.crashes.getState(), suspects.request, now);
   const counts = new Map<EngineId, number>();
   for (const engine of findRunsByFingerprint(shared, fellowSuspects).flatMap((run) =>
     run.getEngines(),
--- a/packages/requests/src/ServiceChoice.ts
+++ b/packages/requests/src/ServiceChoice.ts
@@ -1,6 +1,6 @@
 /** Chooses a server for a call to a plain service. */
 import type { EngineId, ServiceId } from '@skylarksail/core/CoreTypes';
-import type { Fingerprint } from './RequestPoison.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { RouterShared } from './RouterShared.js';
 import type { ServerChoice } from './RouterTypes.js';
 import { listAvoidSets } from './RunSuspicion.js';
@@ -9,10 +9,10 @@
 export function chooseServerFor(
   shared: RouterShared,
   service: ServiceId,
-  fingerprint: Fingerprint,
+  suspects: RequestSuspects,
   avoid: readonly EngineId[],
 ): ServerChoice | null {
-  const avoidSets = listAvoidSets(shared, fingerprint).map((avoidSet) => [...avoid, ...avoidSet]);
+  const avoidSets = listAvoidSets(shared, suspects).map((avoidSet) => [...avoid, ...avoidSet]);
   return [...avoidSets, avoid, []].reduce<ServerChoice | null>(
     (chosen, avoidSet) => chosen ?? shared.deps.chooseServer(service, avoidSet),
     null,
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -26,6 +26,7 @@
 import { computeFingerprint } from './RequestPoison.js';
 import type { AttemptFailure, ServiceAnswer } from './RequestPorts.js';
 import { FailurePlace } from './RequestPorts.js';
+import type { RequestSuspects } from './RequestSuspects.js';
 import type { AttemptOutcome, ProblemKindName, RequestHandle } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import { SILENCE_FAILURE } from './RunSilence.js';
@@ -39,7 +40,7 @@
 } from './RouterShared.js';
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
 import type { RunPermission } from './RunGuard.js';
-import { createRunGuard, findPoisonProblem, findSuspicion } from './RunGuard.js';
+import { createRunGuard } from './RunGuard.js';
 import { createCallAdmission, describeContent, parseRetryAfter } from './ServiceCalls.js';
 import { chooseServerFor, hasOtherServer } from './ServiceChoice.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
@@ -81,17 +82,20 @@
   let cancelRetry: Unregister = () => undefined;
   let choice: ServerChoice | null = null;
   let claim: ClaimHandle | null = null;
-  const fingerprint = computeFingerprint(spec.team, spec.service, describeContent(spec));
+  const suspects: RequestSuspects = {
+    request: computeFingerprint(spec.team, spec.service, describeContent(spec)),
+    parts: [],
+  };
   const guard = createRunGuard(
     shared,
     {
-      fingerprint,
+      suspects,
       getEngines: () => (isOpen && choice !== null ? [choice.server] : []),
       // The answer arrives as a whole.
       hasBegun: () => false,
       condemn: () => shared.post(() => fail(ProblemKind.Poison, null)),
     },
-    (reason) => log('crash', null, reason),
+    (decision, reason) => log(decision, null, reason),
   );
 
   function log(decision: DecisionName, chain: string | null, reason: string | null): void {
@@ -128,7 +132,7 @@
   }
 
   function open(): void {
-    const chosen = chooseServerFor(shared, spec.service, fingerprint, avoid);
+    const chosen = chooseServerFor(shared, spec.service, suspects, avoid);
     if (chosen === null) {
       fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
       return;
@@ -344,7 +348,7 @@
 
   /** Runs after the key is claimed: a stored answer needs no server, and a key that has run isn't told as not run. */
   function requestAdmission(): void {
-    const problem = findPoisonProblem(shared, fingerprint) ?? findSuspicion(shared, fingerprint);
+    const problem = guard.findProblem();
     if (problem !== null) {
       failWith(problem);
       return;
