Play requests that crash engines by one part of their prompts, in virtual time

Unlike requests that share one part of their prompts end engine after engine; nothing knows the part. RelayCrashBounds and RelayCrashReports, on the changed bed: 15 passing.

--- a/packages/relay/src/__tests__/unit/RelayCrashBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayCrashBed.ts
@@ -1,6 +1,6 @@
 /** Instances before engines that end under some requests, alone or as a rack, and come back, in virtual time. */
 import type { DomainId, LayerRange, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
+import type { EngineCall, OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import type { PartsBed } from './RelayPartsBed.js';
 import { BACKENDS, createPartsBed } from './RelayPartsBed.js';
@@ -18,8 +18,19 @@
   readonly domain: DomainId;
 }
 
-/** A run of a request that does no harm. */
-interface HarmlessRun {
+/** What an engine does with a run. */
+export interface CrashBedOptions {
+  /** Whether the run ends the first engine of its chain. */
+  readonly isCrashing: (call: EngineCall) => boolean;
+  /**
+   * Time for which an engine reads a prompt, one after the other; then the answer begins, or the engine ends. If null, the
+   * only event of an answer comes at its end.
+   */
+  readonly readTime: Millis | null;
+}
+
+/** A run of which nothing is known but that it is on its engines. */
+interface OpenRun {
   readonly engines: readonly string[];
   readonly fail: (engine: string) => void;
 }
@@ -32,10 +43,22 @@
 const RESTART_TIME: Millis = 1000;
 /** Part of the path of a request that crashes the first engine of its chain. */
 const CRASHING = 'crash';
+const BY_PATH: CrashBedOptions = {
+  isCrashing: ({ prompt }) => getPath(prompt).includes(CRASHING),
+  readTime: null,
+};
+
+function getPath(prompt: string): string {
+  return prompt.split('\n')[0] ?? '';
+}
 
-export function createCrashBed(domains: readonly DomainId[] = ['d1']) {
+export function createCrashBed(
+  domains: readonly DomainId[] = ['d1'],
+  { isCrashing, readTime }: CrashBedOptions = BY_PATH,
+) {
   const runs: CrashingRun[] = [];
-  const harmless = new Set<HarmlessRun>();
+  const open = new Set<OpenRun>();
+  const busyUntil = new Map<string, Millis>();
   const engines = new Map<string, BedEngine>();
   let starts = 0;
   let started: PartsBed | null = null;
@@ -53,7 +76,7 @@
       return;
     }
     crashed.add(id);
-    [...harmless].filter((run) => run.engines.includes(id)).forEach(({ fail }) => fail(id));
+    [...open].filter((run) => run.engines.includes(id)).forEach(({ fail }) => fail(id));
     timers.registerTimeout(RESTART_TIME, () => {
       store.remove(`${BACKENDS}${id}`);
       engines.delete(id);
@@ -62,29 +85,25 @@
     });
   }
 
-  function runHarmless(
-    running: readonly string[],
-    onCrash: (engine: string) => void,
-    onEnd: () => void,
-  ): Unregister {
+  /** Time until an engine has read a prompt that comes now. */
+  function takeReadTime(engine: string, time: Millis): Millis {
     const { timers } = started as PartsBed;
-    const cancel = timers.registerTimeout(HARMLESS_TIME, () => {
-      stop();
-      onEnd();
-    });
-    const run: HarmlessRun = {
-      engines: running,
+    const begin = Math.max(timers.now(), busyUntil.get(engine) ?? 0) + time;
+    busyUntil.set(engine, begin);
+    return begin - timers.now();
+  }
+
+  /** Keeps a run on its engines; if one of them ends, the run fails. Returns what ends it. */
+  function keepOpen(engineIds: readonly string[], onCrash: (engine: string) => void): Unregister {
+    const run: OpenRun = {
+      engines: engineIds,
       fail: (engine) => {
-        stop();
+        open.delete(run);
         onCrash(engine);
       },
     };
-    function stop(): void {
-      cancel();
-      harmless.delete(run);
-    }
-    harmless.add(run);
-    return stop;
+    open.add(run);
+    return () => open.delete(run);
   }
 
   const openCall: OpenEngineCall = (call, listener) => {
@@ -92,7 +111,7 @@
     const chain = call.chain.stages.map(({ engine }) => engine);
     const dead = chain.find((engine) => crashed.has(engine));
     const [first = ''] = chain;
-    const [path = ''] = call.prompt.split('\n');
+    const path = getPath(call.prompt);
     if (dead !== undefined) {
       queueMicrotask(() =>
         listener.onFailure({
@@ -116,17 +135,43 @@
         retryAfter: null,
         provenNotRun: false,
       });
-    if (!path.includes(CRASHING)) {
-      return runHarmless(chain, fail, () => {
-        listener.onToken(call.resumeTokens.length, 'w');
-        listener.onEnd('stop', call.resumeTokens.length + 1);
-      });
+    const isCrash = isCrashing(call);
+    if (isCrash) {
+      runs.push({ request: path, engine: first, at: timers.now() });
     }
-    runs.push({ request: path, engine: first, at: timers.now() });
-    return timers.registerTimeout(CRASH_DELAY, () => {
-      endEngine(first);
-      fail(first);
+    let cancelTimer: Unregister = () => undefined;
+    const close = keepOpen(chain, (engine) => {
+      cancelTimer();
+      fail(engine);
     });
+    let next = call.resumeTokens.length;
+    const sendToken = (): void => {
+      listener.onToken(next, 'w');
+      next += 1;
+    };
+    const begin = (): void => {
+      if (isCrash) {
+        cancelTimer = timers.registerTimeout(CRASH_DELAY, () => endEngine(first));
+        return;
+      }
+      if (readTime !== null) {
+        sendToken();
+      }
+      cancelTimer = timers.registerTimeout(HARMLESS_TIME, () => {
+        close();
+        sendToken();
+        listener.onEnd('stop', next);
+      });
+    };
+    if (readTime === null) {
+      begin();
+    } else {
+      cancelTimer = timers.registerTimeout(takeReadTime(first, readTime), begin);
+    }
+    return () => {
+      close();
+      cancelTimer();
+    };
   };
 
   const bed = createPartsBed(() => openCall, domains);
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -20,6 +20,8 @@
 const FIRST_DOMAIN: DomainId = 'd1';
 /** Delay of a message between instances. */
 const PEER_DELAY: Millis = 1;
+/** Header by which a test's engine knows the shared parts of a prompt. */
+export const PARTS_HEADER = 'parts';
 /** Prefix of the engines' keys. */
 export const BACKENDS = 'backends/';
 
@@ -236,17 +238,23 @@
   }
 
   /** Sends a request to an instance; returns what its caller has received, which grows. */
-  function submit(id: string, path: string, timeLeft: Millis): SentCall {
+  function submit(
+    id: string,
+    path: string,
+    timeLeft: Millis,
+    sharedParts: readonly string[] = [],
+  ): SentCall {
     calls += 1;
     const call: RelayCall = {
       id: `${calls} ${path}`,
       host: 'h',
       method: 'POST',
       path,
-      headers: {},
+      headers: { [PARTS_HEADER]: sharedParts.join(',') },
       key: 'key',
       timeLeft,
       body: Buffer.from('x'),
+      sharedParts,
       promptTokens: 10,
       maxTokens: 10,
     };
