Know a request by the parts of its prompt too, so that a part which crashes engines is refused

Cause: a request was suspected as one thing, by its whole content. Where no two are alike, no crash is ever a second one of anything, so no verdict, trial, pause or limit applies. The class: what requests share isn't among the suspects. Fix: a crash has as suspects also the shared parts of the prompts of those requests that had not begun on the engine. What tells the cause from what sound requests share is that answers begin on the latter: that clears a part, at whichever instance, of all crashes before and for 2 s after. A part that was at three crashes in two events, brought by several requests, is condemned unless another part explains them; requests that hold it are refused at once. From its second crash on, requests with a part run one at a time over the fleet; a request that was at a crash before it began is repeated only as such a trial. Parts that were always together are condemned for requests that hold all of them. A team's crashes alone condemn a part for that team only. A request that waited beside three such crashes is no longer blamed for them as a whole.

--- a/packages/daemon/src/DaemonPoison.ts
+++ b/packages/daemon/src/DaemonPoison.ts
@@ -25,6 +25,8 @@
         suspects: nameListSchema,
         cleared: nameListSchema,
         completed: nameListSchema,
+        parts: nameListSchema.optional(),
+        begunParts: nameListSchema.optional(),
       }),
     )
     .max(MAX_REPORTS),
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -9,7 +9,7 @@
 } from '@skylarksail/core/CoreTypes';
 import { createDaemonRouting } from '@skylarksail/daemon/DaemonRouting';
 import type { ClaimPort } from '@skylarksail/requests/RequestPorts';
-import type { PoisonTally } from '@skylarksail/requests/RequestPoisonVerdict';
+import type { TrialTally } from '@skylarksail/requests/RunTrials';
 import { startCrashExchange } from '@skylarksail/requests/RouterCrashExchange';
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
@@ -287,8 +287,8 @@
     return { running: engines.readOwnWork(), lost: health.listLost() };
   }
 
-  function tallyCrashes(fingerprint: string): PoisonTally {
-    return router.tallyCrashes(fingerprint);
+  function tallyCrashes(suspect: string): TrialTally {
+    return router.tallyCrashes(suspect);
   }
 
   function noteLost(engine: EngineId): void {
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -68,6 +68,9 @@
       suspects: names,
       cleared: names,
       completed: names,
+      // Instances of an earlier version send no parts.
+      parts: z.optional(names),
+      begunParts: z.optional(names),
     }),
   ),
 });
--- a/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
+++ b/packages/relay/src/__tests__/unit/RelayCrashFleet.ts
@@ -5,10 +5,16 @@
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { Fingerprint, PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import { createCrashId, noteCrash } from '@skylarksail/requests/RequestPoison';
-import { judgeRequest, PoisonVerdict } from '@skylarksail/requests/RequestPoisonVerdict';
+import { findPartHold, judgeParts } from '@skylarksail/requests/RequestPartVerdict';
+import { isRefused, judgeRequest, PoisonVerdict } from '@skylarksail/requests/RequestPoisonVerdict';
+import type { PromptPart } from '@skylarksail/requests/RequestSuspects';
+import { createSuspects } from '@skylarksail/requests/RequestSuspects';
 import { startCrashExchange } from '@skylarksail/requests/RouterCrashExchange';
 import type { RouterCrashes } from '@skylarksail/requests/RouterCrashes';
 import { createRouterCrashes } from '@skylarksail/requests/RouterCrashes';
+import { tallySuspect } from '@skylarksail/requests/RunTrials';
+import type { RelayTrials } from '../../RelayTrials.js';
+import { createRelayTrials } from '../../RelayTrials.js';
 import type { InstanceEntry } from '../../RelayTypes.js';
 
 /** How the links between instances fail. */
@@ -23,9 +29,13 @@
 
 export const SOUND_LINKS: LinkFaults = { lost: 0, delay: 5, repeated: 0 };
 
+/** What became of a request with parts. */
+export type PartRun = 'ran' | 'held' | 'refused';
+
 interface FleetInstance {
   readonly entry: InstanceEntry;
   readonly crashes: RouterCrashes;
+  readonly trials: RelayTrials;
   readonly stop: Unregister;
 }
 
@@ -33,6 +43,10 @@
 const DOMAINS = 8;
 const CRASH_DELAY: Millis = 90;
 
+function nameParts(partIds: readonly string[], request: string): readonly PromptPart[] {
+  return createSuspects(request, { team: 't', model: 'm', partIds }).parts;
+}
+
 export function createCrashFleet(size: number, seed: number, links: LinkFaults) {
   const timers = createVirtualTimers();
   const random: Random = createRandom(seed);
@@ -42,6 +56,7 @@
   let listed: readonly InstanceEntry[] = [];
   let starts = 0;
   let engines = 0;
+  let requests = 0;
 
   function wait(delay: Millis): Promise<void> {
     return new Promise((resolve) => {
@@ -71,6 +86,20 @@
     return isConfirmed;
   }
 
+  async function askForTrial(
+    to: InstanceEntry,
+    suspect: string,
+    timeout: Millis,
+  ): Promise<boolean | null> {
+    await wait(random.nextFloat() * links.delay);
+    const granter = fleet.find(({ entry }) => entry.id === to.id);
+    if (!granter || random.nextFloat() < links.lost) {
+      await wait(timeout);
+      return null;
+    }
+    return granter.trials.grant(suspect);
+  }
+
   function start(): void {
     const entry = {
       id: `i${starts}`,
@@ -94,7 +123,14 @@
       },
       sendCrashReports: send,
     });
-    fleet.push({ entry, crashes, stop });
+    const trials = createRelayTrials({
+      timers,
+      self: entry,
+      listInstances: () => listed,
+      tallyCrashes: (suspect) => tallySuspect(crashes.getState(), suspect, timers.now()),
+      askForTrial,
+    });
+    fleet.push({ entry, crashes, trials, stop });
     listed = fleet.map((instance) => instance.entry);
   }
 
@@ -103,8 +139,8 @@
     const instance = fleet[index % fleet.length];
     const verdict =
       instance && judgeRequest(instance.crashes.getState(), fingerprint, timers.now());
-    const mayRun = verdict === PoisonVerdict.Clean || verdict === PoisonVerdict.Suspect;
-    if (!instance || !mayRun) {
+    const isFree = verdict === PoisonVerdict.Clean || verdict === PoisonVerdict.Suspect;
+    if (!instance || !isFree) {
       return;
     }
     engines += 1;
@@ -119,6 +155,66 @@
     });
   }
 
+  function mayRun({ crashes, trials }: FleetInstance, parts: readonly PromptPart[]) {
+    const now = timers.now();
+    const wasSound = (part: string): boolean => crashes.wasSound(part, now);
+    const asked = { parts, now, wasSound };
+    const verdicts = judgeParts(crashes.getState(), asked).map(({ verdict }) => verdict);
+    if (verdicts.some(isRefused)) {
+      return Promise.resolve<PartRun>('refused');
+    }
+    if (verdicts.includes(PoisonVerdict.Doubted)) {
+      return Promise.resolve<PartRun>('held');
+    }
+    const hold = findPartHold(crashes.getState(), asked, true);
+    return hold?.kind === 'trial'
+      ? new Promise<PartRun>((resolve) => {
+          trials.request(hold.part, (isGranted) => resolve(isGranted ? 'ran' : 'held'));
+        })
+      : Promise.resolve<PartRun>(hold === null ? 'ran' : 'held');
+  }
+
+  /** Sends a request with parts to an instance; `besides` are the parts of others that wait on an engine that it crashes. */
+  async function runWithParts(
+    index: number,
+    ids: readonly string[],
+    besides: readonly (readonly string[])[] | null,
+  ): Promise<PartRun> {
+    const instance = fleet[index % fleet.length] as FleetInstance;
+    const parts = nameParts(ids, `request ${requests}`);
+    requests += 1;
+    const run = await mayRun(instance, parts);
+    if (run !== 'ran') {
+      return run;
+    }
+    engines += 1;
+    const id = createCrashId(`e${engines}`, 'boot', false);
+    const noteUnbegun = ({ crashes }: FleetInstance, name: string, unbegun: typeof parts): void =>
+      crashes.note((state) =>
+        noteCrash(
+          state,
+          id,
+          name,
+          timers.now(),
+          unbegun.map(({ suspect }) => suspect),
+        ),
+      );
+    timers.registerTimeout(CRASH_DELAY, () => {
+      if (besides === null) {
+        const names = parts.map(({ name }) => name);
+        instance.crashes.noteBegun(names, timers.now());
+        return;
+      }
+      crashTimes.push(timers.now());
+      noteUnbegun(instance, `request of ${id}`, parts);
+      besides.forEach((others, i) => {
+        const other = fleet[random.nextInt(fleet.length)] as FleetInstance;
+        noteUnbegun(other, `${id} beside ${i}`, nameParts(others, `beside ${id} ${i}`));
+      });
+    });
+    return run;
+  }
+
   /** Replaces an instance by a new one, which knows nothing. */
   function restart(index: number): void {
     const old = fleet[index % fleet.length];
@@ -133,6 +229,7 @@
     random,
     crashTimes,
     runCrashing,
+    runWithParts,
     restart,
     /** Verdicts of all instances on a request. */
     judge: (fingerprint: Fingerprint) =>
--- a/packages/requests/src/ModelRunner.ts
+++ b/packages/requests/src/ModelRunner.ts
@@ -18,8 +18,7 @@
 import { FailurePlace } from './RequestPorts.js';
 import type { RequestMachine } from './RequestState.js';
 import { createRequestMachine, getFirstTokenDeadline } from './RequestState.js';
-import type { RequestSuspects } from './RequestSuspects.js';
-import { createPromptParts } from './RequestSuspects.js';
+import { createSuspects } from './RequestSuspects.js';
 import type { RequestHandle, RequestProblem, RequestSink, RequestSpec } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { ModelRun, RouterShared } from './RouterShared.js';
@@ -46,10 +45,12 @@
   const { deps, admission, recovery, meters } = shared;
   const { timers } = deps;
   const submittedAt = timers.now();
-  const suspects: RequestSuspects = {
-    request: computeFingerprint(spec.team, spec.model, spec.prompt),
-    parts: createPromptParts(spec.team, spec.model, spec.sharedParts ?? []),
-  };
+  const { team, model, prompt, sharedParts: partIds = [] } = spec;
+  const suspects = createSuspects(computeFingerprint(team, model, prompt), {
+    team,
+    model,
+    partIds,
+  });
   const tokens: string[] = [];
   const attempts = createAttemptRunner(shared, spec, suspects, tokens, send);
   const cancelDeadline = timers.registerTimeout(spec.deadline - submittedAt, () =>
@@ -182,7 +183,7 @@
   function log(decision: DecisionName, reason: string | null): void {
     const chosen = attempts.getChain();
     const chain = chosen ? formatChain(chosen) : null;
-    const { id: request, team } = spec;
+    const { id: request } = spec;
     logDecision(shared, { request, team, decision, attempt: machine.attempt, chain, reason });
   }
 
@@ -277,6 +278,7 @@
     shared.startQueuedRecoveries();
     attempts.noteFirstToken(wait);
     guard.noteAnswered(attempts.getEngines(), machine.openedAt);
+    guard.noteBegun();
     if (index === 0) {
       admission.noteFirstToken(wait);
       countMetric(shared, 'firstTokenMs', timers.now() - submittedAt);
--- a/packages/requests/src/RequestPoison.ts
+++ b/packages/requests/src/RequestPoison.ts
@@ -9,6 +9,8 @@
  */
 import { hash64Hex } from '@skylarksail/core/CoreHash';
 import type { EngineId, Millis, ModelId, TeamId } from '@skylarksail/core/CoreTypes';
+import type { PartName, PartSuspect } from './RequestSuspects.js';
+import { getPartName } from './RequestSuspects.js';
 
 /** Hash that identifies a request by team, model and content. */
 export type Fingerprint = string;
@@ -29,6 +31,10 @@
   readonly cleared: readonly Fingerprint[];
   /** Suspects that an engine ran to their end after the crash. */
   readonly completed: readonly Fingerprint[];
+  /** Parts of the prompts of those whose answers had not begun; none in reports of earlier versions. */
+  readonly parts?: readonly PartSuspect[];
+  /** Parts on which an answer has begun since. */
+  readonly begunParts?: readonly PartName[];
 }
 
 /** Reports exchanged between instances. Merging is commutative and idempotent, since sets only grow. */
@@ -44,6 +50,8 @@
   readonly suspects: ReadonlySet<Fingerprint>;
   readonly cleared: ReadonlySet<Fingerprint>;
   readonly completed: ReadonlySet<Fingerprint>;
+  readonly parts: ReadonlySet<PartSuspect>;
+  readonly begunParts: ReadonlySet<PartName>;
 }
 
 /** Crashes known to this instance. */
@@ -64,6 +72,8 @@
 /** Time after the assumed end of such a server within which it can't have started again. */
 const RESTART_TIME: Millis = 500;
 const MAX_CRASHES = 256;
+/** Parts that are kept of one crash; a full engine of requests that name many parts would else cost megabytes. */
+const MAX_CRASH_PARTS = 256;
 
 export function createPoisonState(crashLimit: number): PoisonState {
   return { crashes: new Map(), crashLimit };
@@ -114,7 +124,8 @@
   return crash.disproven || (isUnnumbered(crash.id) && age > SAME_END_TIME);
 }
 
-function getNotedAt({ expiresAt }: Crash): Millis {
+/** Time at which a crash was noted. */
+export function getNotedAt({ expiresAt }: Crash): Millis {
   return expiresAt - CRASH_RETENTION;
 }
 
@@ -141,16 +152,18 @@
   return isShown ? reports.reduce((next, { id }) => noteAlive(next, id), state) : state;
 }
 
-/** Records that a request was running on an engine when it crashed. */
+/** Records that a request was running on an engine when it crashed, with the parts of its prompt if it had not begun. */
 export function noteCrash(
   state: PoisonState,
   crash: CrashId,
   suspect: Fingerprint,
   now: Millis,
+  parts: readonly PartSuspect[] = [],
 ): PoisonState {
+  const suspects = [suspect];
   return mergeReport(
     state,
-    { crash, age: 0, disproven: false, suspects: [suspect], cleared: [], completed: [] },
+    { crash, age: 0, disproven: false, suspects, cleared: [], completed: [], parts },
     now,
   );
 }
@@ -173,6 +186,19 @@
   );
 }
 
+/** Records that answers began on some parts after a crash, which clears them of it. */
+export function noteBegunParts(
+  state: PoisonState,
+  id: CrashId,
+  parts: readonly PartName[],
+): PoisonState {
+  const crash = state.crashes.get(id);
+  const isNew = crash && parts.some((part) => !crash.begunParts.has(part));
+  return isNew
+    ? withCrash(state, { ...crash, begunParts: mergeParts(crash.begunParts, parts) })
+    : state;
+}
+
 /** Records that an engine ran a request to its end, which clears it of its crashes for good. */
 export function noteCompletion(state: PoisonState, suspect: Fingerprint): PoisonState {
   return changeCrashesOf(state, suspect, (crash) =>
@@ -212,6 +238,8 @@
     suspects: [...known.suspects],
     cleared: [...known.cleared],
     completed: [...known.completed],
+    parts: [...known.parts],
+    begunParts: [...known.begunParts],
   };
 }
 
@@ -230,6 +258,19 @@
   return repeated;
 }
 
+/** Lists the parts that were at several crashes without an answer that began on them since. */
+export function listRepeatedParts(state: PoisonState): ReadonlySet<PartName> {
+  const once = new Set<PartName>();
+  const repeated = new Set<PartName>();
+  for (const { parts, begunParts, disproven } of state.crashes.values()) {
+    const names = new Set(disproven ? [] : [...parts].map(getPartName));
+    [...names]
+      .filter((name) => !begunParts.has(name))
+      .forEach((name) => (once.has(name) ? repeated : once).add(name));
+  }
+  return repeated;
+}
+
 /** Merges a digest received from another instance. */
 export function mergePoisonDigest(
   state: PoisonState,
@@ -248,17 +289,34 @@
       (report.disproven && !known.disproven) ||
       report.suspects.some((suspect) => !known.suspects.has(suspect)) ||
       report.cleared.some((suspect) => !known.cleared.has(suspect)) ||
-      report.completed.some((suspect) => !known.completed.has(suspect))
+      report.completed.some((suspect) => !known.completed.has(suspect)) ||
+      hasNewParts(known, report)
     );
   });
 }
 
+/** Compares what would be kept, so that a report whose parts are too many is not news for good. */
+function hasNewParts(known: Crash, { parts = [], begunParts = [] }: CrashReport): boolean {
+  return (
+    [...mergeParts(known.parts, parts)].some((part) => !known.parts.has(part)) ||
+    [...mergeParts(known.begunParts, begunParts)].some((part) => !known.begunParts.has(part))
+  );
+}
+
+/** Keeps the first names in order, so that the result does not depend on the order of the reports. */
+function mergeParts(known: ReadonlySet<string>, added: readonly string[]): ReadonlySet<string> {
+  const all = new Set([...known, ...added]);
+  return all.size <= MAX_CRASH_PARTS ? all : new Set([...all].sort().slice(0, MAX_CRASH_PARTS));
+}
+
 function mergeReport(state: PoisonState, report: CrashReport, now: Millis): PoisonState {
   const expiresAt = now + CRASH_RETENTION - report.age;
   if (expiresAt <= now) {
     return state;
   }
   const known = state.crashes.get(report.crash);
+  const parts = mergeParts(known?.parts ?? new Set(), report.parts ?? []);
+  const begunParts = mergeParts(known?.begunParts ?? new Set(), report.begunParts ?? []);
   if (!known) {
     return withCrash(dropOldest(state), {
       id: report.crash,
@@ -267,6 +325,8 @@
       suspects: new Set(report.suspects),
       cleared: new Set(report.cleared),
       completed: new Set(report.completed),
+      parts,
+      begunParts,
     });
   }
   return withCrash(state, {
@@ -277,11 +337,13 @@
     suspects: new Set([...known.suspects, ...report.suspects]),
     cleared: new Set([...known.cleared, ...report.cleared]),
     completed: new Set([...known.completed, ...report.completed]),
+    parts,
+    begunParts,
   });
 }
 
 /**
- * Makes room for another crash. Ends that were disproven go first. Crashes of a request that was at several are kept longest: a lost rack would else make
+ * Makes room for another crash. Ends that were disproven go first. Crashes of a request or a part that was at several are kept longest: a lost rack would else make
  * the instances forget all requests that crash engines, and each would cost its engines again.
  */
 function dropOldest(state: PoisonState): PoisonState {
@@ -289,9 +351,14 @@
     return state;
   }
   const repeated = listRepeatedSuspects(state);
+  const repeatedParts = listRepeatedParts(state);
   const all = [...state.crashes.values()];
   const disproven = all.filter((crash) => crash.disproven);
-  const single = all.filter(({ suspects }) => ![...suspects].some((name) => repeated.has(name)));
+  const single = all.filter(
+    ({ suspects, parts, begunParts }) =>
+      ![...suspects].some((name) => repeated.has(name)) &&
+      ![...parts].map(getPartName).some((name) => repeatedParts.has(name) && !begunParts.has(name)),
+  );
   const candidates = [disproven, single, all].find((list) => list.length > 0) ?? all;
   const oldest = candidates.reduce((a, b) => (a.expiresAt <= b.expiresAt ? a : b));
   const crashes = new Map(state.crashes);
--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -41,14 +41,17 @@
 /** Crashes from which on progress no longer clears a request; one that crashes engines late makes progress in each run. */
 const MAX_CLEARED_CRASHES = 4;
 
+/** Judges a request as a whole; `isElsewhere` tells crashes that something else explains, which the request does not hold. */
 export function judgeRequest(
   state: PoisonState,
   fingerprint: Fingerprint,
   now: Millis,
+  isElsewhere: (crash: Crash) => boolean = () => false,
 ): PoisonVerdictName {
   const evidence = createEvidence(state, now);
   const counted = evidence.listCounted(fingerprint);
-  const isUnexplained = (crash: Crash): boolean => !isExplained(evidence, crash, fingerprint);
+  const isUnexplained = (crash: Crash): boolean =>
+    !isElsewhere(crash) && !isExplained(evidence, crash, fingerprint);
   if (counted.length < state.crashLimit) {
     return counted.length === 0 ? PoisonVerdict.Clean : PoisonVerdict.Suspect;
   }
@@ -123,13 +126,14 @@
   state: PoisonState,
   fingerprint: Fingerprint,
   now: Millis,
+  isElsewhere: (crash: Crash) => boolean = () => false,
 ): PoisonTally {
   const evidence = createEvidence(state, now);
   const known = [...state.crashes.values()].filter(
     ({ expiresAt, suspects }) => expiresAt > now && suspects.has(fingerprint),
   );
   return {
-    verdict: judgeRequest(state, fingerprint, now),
+    verdict: judgeRequest(state, fingerprint, now, isElsewhere),
     known: known.length,
     counted: evidence.listCounted(fingerprint).length,
     inOutages: known.filter((crash) => isPartOfOutage(crash, fingerprint, evidence.listNeighbours))
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -9,7 +9,7 @@
 import { startModelRun } from './ModelRunner.js';
 import { createAdmission } from './RequestAdmission.js';
 import { LATE_TICK_TOLERANCE } from './RequestAttempt.js';
-import type { Fingerprint, PoisonDigest } from './RequestPoison.js';
+import type { CrashReport, PoisonDigest } from './RequestPoison.js';
 import {
   createCrashId,
   createPoisonDigest,
@@ -17,8 +17,7 @@
   getLongReportId,
   noteAlive,
 } from './RequestPoison.js';
-import type { PoisonTally } from './RequestPoisonVerdict.js';
-import { tallyCrashes } from './RequestPoisonVerdict.js';
+import { getPartName } from './RequestSuspects.js';
 import { createProgressTracker } from './RequestProgress.js';
 import { createRecoveryQueue } from './RequestRecovery.js';
 import type { RequestHandle, RequestSink, RequestSpec } from './RequestTypes.js';
@@ -30,8 +29,10 @@
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedVersions } from './RouterShared.js';
 import { createRouterServices } from './RouterServices.js';
+import type { TrialTally } from './RunTrials.js';
+import { tallySuspect } from './RunTrials.js';
 import type { RouterCounts, RouterDeps } from './RouterTypes.js';
-import { stopCondemned } from './RunSuspicion.js';
+import { stopCondemned, stopCondemnedWaiting } from './RunSuspicion.js';
 import type { ServiceRun } from './ServiceRunner.js';
 import { startServiceRun } from './ServiceRunner.js';
 import type { ServiceSink, ServiceSpec } from './ServiceTypes.js';
@@ -55,8 +56,8 @@
   listObservedCrashes(after: number): ReportBatch;
   /** Lists the crash reports that changed after a position, with the suspects of several crashes only. */
   listRepeatedCrashes(after: number): ReportBatch;
-  /** How the crashes known of a request count. */
-  tallyCrashes(fingerprint: Fingerprint): PoisonTally;
+  /** How the crashes known of a request, or of a part of a prompt, count. */
+  tallyCrashes(suspect: string): TrialTally;
   /** Calls `listener` after each change of the crash reports. */
   registerCrashListener(listener: () => void): Unregister;
   /** Records that an engine is alive with this boot id, so it has not crashed since that boot. */
@@ -148,6 +149,7 @@
     services.sweep(now);
     deps.onSweep?.();
     reportPaces(now);
+    stopCondemnedWaiting(shared);
     const usualGap = shared.progress.getMedianGap(now);
     if (usualGap !== null) {
       [...shared.runs.values()].forEach((run) => run.checkSlow(usualGap));
@@ -221,12 +223,12 @@
     getPoisonDigest: () => createPoisonDigest(crashes.getState(), timers.now()),
     mergePoison(digest) {
       const news = crashes.merge(digest, timers.now());
-      stopCondemned(shared, new Set(news.flatMap(({ suspects }) => suspects)));
+      stopCondemned(shared, listNamed(news));
       return news.length > 0;
     },
     listObservedCrashes: (after) => crashes.listObserved(after, timers.now()),
     listRepeatedCrashes: (after) => crashes.listRepeated(after, timers.now()),
-    tallyCrashes: (fingerprint) => tallyCrashes(crashes.getState(), fingerprint, timers.now()),
+    tallyCrashes: (suspect) => tallySuspect(crashes.getState(), suspect, timers.now()),
     registerCrashListener(listener) {
       crashListeners.add(listener);
       return () => crashListeners.delete(listener);
@@ -258,3 +260,10 @@
     stop: sweeping.stop,
   };
 }
+
+/** All suspects that some reports name, requests as wholes and parts of prompts. */
+function listNamed(reports: readonly CrashReport[]): ReadonlySet<string> {
+  return new Set(
+    reports.flatMap(({ suspects, parts = [] }) => [...suspects, ...parts.map(getPartName)]),
+  );
+}
--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -18,9 +18,16 @@
   createCrashReport,
   createPoisonState,
   findNewReports,
+  getNotedAt,
+  listRepeatedParts,
   listRepeatedSuspects,
   mergePoisonDigest,
+  noteBegunParts,
 } from './RequestPoison.js';
+import { createPartBegins } from './PartBegins.js';
+import { isPartSuspected } from './RequestPartVerdict.js';
+import type { PartName, PartSuspect } from './RequestSuspects.js';
+import { getPartName, getTeamTag, isPartName } from './RequestSuspects.js';
 
 /** Changed reports, oldest change first. */
 export interface ReportBatch extends PoisonDigest {
@@ -35,7 +42,11 @@
   note(change: (state: PoisonState) => PoisonState): void;
   /** Merges reports of another instance; returns those that contained anything new. */
   merge(digest: PoisonDigest, now: Millis): readonly CrashReport[];
-  /** Lists reports that changed by observations of this instance after a position, with all suspects. */
+  /** Records that an answer began on some parts of a prompt. */
+  noteBegun(parts: readonly PartName[], now: Millis): void;
+  /** Whether an answer has begun on a part in the last minutes. */
+  wasSound(part: PartName, now: Millis): boolean;
+  /** Lists reports that changed by observations of this instance after a position, with all that it observed. */
   listObserved(after: number, now: Millis): ReportBatch;
   /** Lists reports that changed after a position, with the suspects of several crashes only. */
   listRepeated(after: number, now: Millis): ReportBatch;
@@ -44,6 +55,11 @@
 /** Maximum number of suspects in a batch, which keeps a message below 50 kB. */
 const MAX_BATCH_SUSPECTS = 2000;
 
+/** An answer that began so shortly before a crash clears its parts of it, too; a part may turn bad later. */
+const RECENT_BEGIN: Millis = 2000;
+/** Time for which a part counts as one on which answers have begun. */
+const SOUND_TIME: Millis = 600_000;
+
 /** Time for which a batch is used again; reports in it seem that much younger. */
 const MAX_BATCH_AGE: Millis = 50;
 
@@ -53,6 +69,18 @@
   readonly position: number;
 }
 
+/** What this instance observed of a crash, and the position of the last such change. */
+interface OwnReport {
+  readonly crash: Crash;
+  readonly position: number;
+}
+
+/** What is listed for all instances: suspects and parts of several crashes. */
+interface KeptNames {
+  readonly suspects: ReadonlySet<Fingerprint>;
+  readonly parts: ReadonlySet<PartName>;
+}
+
 /** A batch, and when it was created for which position. */
 interface CachedBatch {
   readonly after: number;
@@ -62,11 +90,14 @@
 
 /** Creates a router's record of crashes; `onChange` is called after each change that others should learn. */
 export function createRouterCrashes(crashLimit: number, onChange: () => void): RouterCrashes {
-  const observedAt = new Map<CrashId, number>();
+  const observed = new Map<CrashId, OwnReport>();
+  /** Parts that were ever listed for all instances. */
+  const listedParts = new Set<PartName>();
   const shared = new Map<CrashId, SharedReport>();
+  const begins = createPartBegins();
   let state = createPoisonState(crashLimit);
   let position = 0;
-  let repeated: ReadonlySet<Fingerprint> = new Set();
+  let kept: KeptNames = { suspects: new Set(), parts: new Set() };
   let isSharedCurrent = true;
   let newestObserved = 0;
   let newestShared = 0;
@@ -81,26 +112,69 @@
 
   /** Forgets the positions of crashes that the state no longer holds. */
   function dropForgotten(): void {
-    [observedAt, shared].forEach((table) =>
+    [observed, shared].forEach((table) =>
       [...table.keys()].filter((id) => !state.crashes.has(id)).forEach((id) => table.delete(id)),
     );
   }
 
+  /** Clears the parts of some crashes on which answers began here shortly before or since. */
+  function applyBegins(known: PoisonState, ids: readonly CrashId[]): PoisonState {
+    return ids.reduce((next, id) => {
+      const crash = next.crashes.get(id);
+      const names = [...(crash?.parts ?? [])].map(getPartName);
+      const begun = names.filter(
+        (name) => crash && begins.getLast(name) >= getNotedAt(crash) - RECENT_BEGIN,
+      );
+      return clearParts(next, [id], begun);
+    }, known);
+  }
+
+  /** Applies an observation of this instance. */
+  function note(change: (known: PoisonState) => PoisonState): void {
+    const before = state;
+    state = change(before);
+    state = applyBegins(state, listChanged(before));
+    if (state === before) {
+      return;
+    }
+    for (const id of listChanged(before)) {
+      const crash = state.crashes.get(id) as Crash;
+      const news = listNews(before.crashes.get(id), crash);
+      position += 1;
+      observed.set(id, { crash: joinCrashes(observed.get(id)?.crash, news), position });
+      newestObserved = position;
+    }
+    noteChange();
+  }
+
   function noteChange(): void {
     isSharedCurrent = false;
     dropForgotten();
     onChange();
   }
 
+  /**
+   * Adds the parts of several crashes that no answer has cleared. Once listed, a part stays, since the others must learn
+   * what clears it; one that sound requests share is cleared so soon that few ever hear of it.
+   */
+  function refreshListedParts(): void {
+    listRepeatedParts(state).forEach((part) => listedParts.add(part));
+    const known = new Set(
+      [...state.crashes.values()].flatMap(({ parts }) => [...parts].map(getPartName)),
+    );
+    [...listedParts].filter((part) => !known.has(part)).forEach((part) => listedParts.delete(part));
+  }
+
   /** Gives a new position to each report whose content for all instances has changed. */
   function refreshShared(): void {
     if (isSharedCurrent) {
       return;
     }
     isSharedCurrent = true;
-    repeated = listRepeatedSuspects(state);
+    refreshListedParts();
+    kept = { suspects: listRepeatedSuspects(state), parts: listedParts };
     for (const [id, crash] of state.crashes) {
-      const content = describeContent(keepSuspects(crash, repeated));
+      const content = describeContent(keepNames(crash, kept));
       if (shared.get(id)?.content !== content) {
         position += 1;
         shared.set(id, { content, position });
@@ -122,7 +196,7 @@
     for (const [id, at] of changed) {
       const crash = state.crashes.get(id);
       const report = crash && toReport(crash);
-      suspects += report?.suspects.length ?? 0;
+      suspects += (report?.suspects.length ?? 0) + (report?.parts?.length ?? 0);
       if (suspects > MAX_BATCH_SUSPECTS && reports.length > 0) {
         break;
       }
@@ -136,22 +210,22 @@
 
   return {
     getState: () => state,
-    note(change) {
-      const before = state;
-      state = change(before);
-      if (state === before) {
-        return;
+    note,
+    noteBegun(parts, now) {
+      begins.note(parts, now);
+      const suspected = parts.filter((part) => isPartSuspected(state, part));
+      if (suspected.length > 0) {
+        note((known) => clearParts(known, [...known.crashes.keys()], suspected));
       }
-      for (const id of listChanged(before)) {
-        position += 1;
-        observedAt.set(id, position);
-        newestObserved = position;
-      }
-      noteChange();
     },
+    wasSound: (part, now) => now - begins.getLast(part) <= SOUND_TIME,
     merge(digest, now) {
-      const news = findNewReports(state, digest);
-      state = mergePoisonDigest(state, digest, now);
+      const before = state;
+      const news = findNewReports(before, digest);
+      state = mergePoisonDigest(before, digest, now);
+      const changed = listChanged(before);
+      // The begins that this instance saw are news to the others.
+      note((merged) => applyBegins(merged, changed));
       if (news.length > 0) {
         noteChange();
       }
@@ -160,7 +234,11 @@
     listObserved: (after, now) =>
       after >= newestObserved
         ? { reports: [], position: after }
-        : createBatch([...observedAt], (crash) => createCrashReport(crash, now), after),
+        : createBatch(
+            [...observed].map(([id, report]) => [id, report.position] as const),
+            ({ id }) => createCrashReport((observed.get(id) as OwnReport).crash, now),
+            after,
+          ),
     listRepeated(after, now) {
       refreshShared();
       if (after >= newestShared) {
@@ -172,7 +250,7 @@
       const positions = [...shared].map(([id, report]) => [id, report.position] as const);
       const batch = createBatch(
         positions,
-        (crash) => createCrashReport(keepSuspects(crash, repeated), now),
+        (crash) => createCrashReport(keepNames(crash, kept), now),
         after,
       );
       sharedBatch = { after, at: now, batch };
@@ -181,18 +259,73 @@
   };
 }
 
-function keepSuspects(crash: Crash, kept: ReadonlySet<Fingerprint>): Crash {
-  const keep = (names: ReadonlySet<Fingerprint>): ReadonlySet<Fingerprint> =>
-    new Set([...names].filter((name) => kept.has(name)));
-  return {
-    ...crash,
-    suspects: keep(crash.suspects),
-    cleared: keep(crash.cleared),
-    completed: keep(crash.completed),
-  };
+/** Clears parts of those of some crashes at which they were. */
+function clearParts(
+  state: PoisonState,
+  ids: readonly CrashId[],
+  parts: readonly PartName[],
+): PoisonState {
+  return ids.reduce((next, id) => {
+    const names = new Set([...(next.crashes.get(id)?.parts ?? [])].map(getPartName));
+    return noteBegunParts(
+      next,
+      id,
+      parts.filter((part) => names.has(part)),
+    );
+  }, state);
+}
+
+/** What a crash has that it had not before. */
+function listNews(before: Crash | undefined, after: Crash): Crash {
+  const subtract = (old: ReadonlySet<string> | undefined, names: ReadonlySet<string>) =>
+    new Set([...names].filter((name) => !old?.has(name)));
+  return mapNames(after, (names, field) => subtract(before?.[field], names));
+}
+
+/** Joins what was observed of a crash; how often it was and whether it is disproven is as known last. */
+function joinCrashes(known: Crash | undefined, news: Crash): Crash {
+  return mapNames(news, (names, field) => new Set([...(known?.[field] ?? []), ...names]));
+}
+
+/** The sets of names of a crash. */
+const NAME_FIELDS = ['suspects', 'cleared', 'completed', 'parts', 'begunParts'] as const;
+type NameField = (typeof NAME_FIELDS)[number];
+
+function mapNames(
+  crash: Crash,
+  change: (names: ReadonlySet<string>, field: NameField) => ReadonlySet<string>,
+): Crash {
+  const changed = NAME_FIELDS.map((field) => [field, change(crash[field], field)] as const);
+  return { ...crash, ...Object.fromEntries(changed) };
+}
+
+function keepNames(crash: Crash, kept: KeptNames): Crash {
+  const isKept = (name: string): boolean =>
+    isPartName(name) ? kept.parts.has(getPartName(name)) : kept.suspects.has(name);
+  return mapNames(crash, (names, field) => {
+    const listed = [...names].filter(isKept);
+    return new Set(field === 'parts' ? pickSuspects(listed) : listed);
+  });
+}
+
+/** Keeps two requests with each part, of two teams if possible; that is all that a verdict needs to know of them. */
+function pickSuspects(suspects: readonly PartSuspect[]): readonly PartSuspect[] {
+  const picked = new Map<PartName, readonly PartSuspect[]>();
+  for (const suspect of [...suspects].sort()) {
+    const name = getPartName(suspect);
+    const [first, second] = picked.get(name) ?? [];
+    const isOfOther = first !== undefined && getTeamTag(first) !== getTeamTag(suspect);
+    const isSecondOfOther = first && second && getTeamTag(first) !== getTeamTag(second);
+    if (first === undefined) {
+      picked.set(name, [suspect]);
+    } else if (second === undefined || (isOfOther && !isSecondOfOther)) {
+      picked.set(name, [first, suspect]);
+    }
+  }
+  return [...picked.values()].flat();
 }
 
-function describeContent({ disproven, suspects, cleared, completed }: Crash): string {
-  const names = [suspects, cleared, completed].map((set) => [...set].sort());
-  return JSON.stringify([disproven, ...names]);
+function describeContent(crash: Crash): string {
+  const names = NAME_FIELDS.map((field) => [...crash[field]].sort());
+  return JSON.stringify([crash.disproven, ...names]);
 }
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -6,9 +6,6 @@
 import { hasRetry, noteFirstAttempt, refundRetry, takeRetry } from './RequestBudget.js';
 import type { GiveUpReasonName } from './RequestMessages.js';
 import { GiveUpReason } from './RequestMessages.js';
-import type { Fingerprint } from './RequestPoison.js';
-import type { PoisonVerdictName } from './RequestPoisonVerdict.js';
-import { judgeRequest } from './RequestPoisonVerdict.js';
 import type { ProgressTracker } from './RequestProgress.js';
 import type { RecoveryQueue } from './RequestRecovery.js';
 import type { RequestSuspects } from './RequestSuspects.js';
@@ -138,18 +135,13 @@
   shared.setBudget(name, noteFirstAttempt(shared.getBudget(name), shared.deps.timers.now()));
 }
 
-/** Poison verdict on a request at present. */
-export function getPoisonVerdict(
+/** Running requests that hold one of some suspects: requests as wholes or parts of prompts. */
+export function findRunsWith(
   shared: RouterShared,
-  { request }: RequestSuspects,
-): PoisonVerdictName {
-  return judgeRequest(shared.crashes.getState(), request, shared.deps.timers.now());
-}
-
-/** Running requests whose fingerprint is in `wanted`. */
-export function findRunsByFingerprint(
-  shared: RouterShared,
-  wanted: ReadonlySet<Fingerprint>,
+  wanted: ReadonlySet<string>,
 ): readonly GuardedRun[] {
-  return [...shared.guarded].filter((run) => wanted.has(run.suspects.request));
+  return [...shared.guarded].filter(
+    ({ suspects }) =>
+      wanted.has(suspects.request) || suspects.parts.some(({ name }) => wanted.has(name)),
+  );
 }
--- a/packages/requests/src/RunGuard.ts
+++ b/packages/requests/src/RunGuard.ts
@@ -5,13 +5,13 @@
  */
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { PoisonTally, PoisonVerdictName } from './RequestPoisonVerdict.js';
+import type { PoisonTally } from './RequestPoisonVerdict.js';
 import { isRefused, PoisonVerdict } from './RequestPoisonVerdict.js';
 import type { RequestSuspects } from './RequestSuspects.js';
 import type { RequestProblem } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
 import type { GuardedRun, RouterShared } from './RouterShared.js';
-import { countMetric, getPoisonVerdict } from './RouterShared.js';
+import { countMetric } from './RouterShared.js';
 import type { DecisionName } from './RouterTypes.js';
 import {
   createAmbiguousProblem,
@@ -20,7 +20,9 @@
   noteRunCrash,
   stopRunsOf,
 } from './RunSuspicion.js';
-import { needsTrial, requestTrial, TRIAL_RETRY } from './RunTrials.js';
+import type { RunHold } from './RunTrials.js';
+import { findHold, requestTrial, TRIAL_RETRY } from './RunTrials.js';
+import { judgeRun } from './RunVerdict.js';
 import { MIN_RECHOOSE_DELAY } from './RunBackoff.js';
 
 /** Whether a run may go to a backend server now. */
@@ -39,6 +41,8 @@
   ask(isFirst: boolean, done: (permission: RunPermission) => void): void;
   /** Records that an engine seems to have ended under an attempt that had produced some tokens. */
   noteCrash(engine: EngineId, attemptTokens: number): void;
+  /** Records that the answer of an attempt has begun. */
+  noteBegun(): void;
   /** Records that engines answered an attempt that was opened at a time. */
   noteAnswered(engines: readonly EngineId[], openedAt: Millis): void;
   /** Records that the run was answered to its end. */
@@ -59,10 +63,14 @@
   shared.guarded.add(run);
 
   function judge(isFirst: boolean): RunPermission {
-    const verdict = getPoisonVerdict(shared, suspects);
+    const { verdict, fault, isOfPart } = judgeRun(shared, suspects);
     if (isRefused(verdict)) {
-      log('verdict', describeFault(verdict, suspects));
-      stopRunsOf(shared, suspects.request);
+      log('verdict', `${verdict}: ${fault}`);
+      if (isOfPart) {
+        run.condemn();
+      } else {
+        stopRunsOf(shared, suspects.request);
+      }
       return { kind: 'condemned' };
     }
     if (isFirst && verdict === PoisonVerdict.Ambiguous) {
@@ -73,46 +81,54 @@
       : GRANTED;
   }
 
+  function waitFor(hold: RunHold, done: (permission: RunPermission) => void): void {
+    if (hold.kind === 'later') {
+      done(hold);
+      return;
+    }
+    requestTrial(shared, hold.suspect, (isGranted) =>
+      shared.post(() => done(isGranted ? GRANTED : { kind: 'later', delay: TRIAL_RETRY })),
+    );
+  }
+
   return {
     findProblem() {
-      const verdict = getPoisonVerdict(shared, suspects);
-      if (isRefused(verdict)) {
-        countMetric(shared, 'poisonRefused');
-        log('verdict', describeFault(verdict, suspects));
-        return { kind: ProblemKind.Poison, run: RunState.NotRun, retryAfter: null, instance: null };
-      }
-      if (verdict !== PoisonVerdict.Ambiguous) {
+      const { verdict, fault } = judgeRun(shared, suspects);
+      if (!isRefused(verdict) && verdict !== PoisonVerdict.Ambiguous) {
         return null;
       }
-      log('verdict', describeFault(verdict, suspects));
-      return createAmbiguousProblem(shared);
+      log('verdict', `${verdict}: ${fault}`);
+      if (verdict === PoisonVerdict.Ambiguous) {
+        return createAmbiguousProblem(shared);
+      }
+      countMetric(shared, 'poisonRefused');
+      return { kind: ProblemKind.Poison, run: RunState.NotRun, retryAfter: null, instance: null };
     },
     ask(isFirst, done) {
       const permission = judge(isFirst);
-      if (permission.kind !== 'granted' || !needsTrial(shared, suspects.request)) {
+      const hold = permission.kind === 'granted' ? findHold(shared, suspects, isFirst) : null;
+      if (hold === null) {
         done(permission);
-        return;
+      } else {
+        waitFor(hold, done);
       }
-      requestTrial(shared, suspects.request, (isGranted) =>
-        shared.post(() => done(isGranted ? GRANTED : { kind: 'later', delay: TRIAL_RETRY })),
-      );
     },
     noteCrash(engine, attemptTokens) {
-      const tally = noteRunCrash(shared, suspects.request, engine, attemptTokens);
+      const tally = noteRunCrash(shared, suspects, engine, attemptTokens);
       countMetric(shared, tally === null ? 'plannedEnds' : 'crashes');
       log('crash', describeCrash(engine, suspects, tally, attemptTokens > 0));
     },
+    noteBegun: () =>
+      shared.crashes.noteBegun(
+        suspects.parts.map(({ name }) => name),
+        shared.deps.timers.now(),
+      ),
     noteAnswered: (engines, openedAt) => noteRunAnswered(shared, engines, openedAt),
     noteCompleted: () => noteRunCompleted(shared, suspects.request),
     stop: () => shared.guarded.delete(run),
   };
 }
 
-/** Names what a verdict holds at fault. */
-function describeFault(verdict: PoisonVerdictName, { request }: RequestSuspects): string {
-  return `${verdict}: request ${request}`;
-}
-
 /** Lists all that may have caused the crash: the request and, if its answer had not begun, the parts of its prompt. */
 function describeCrash(
   engine: EngineId,
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -20,13 +20,14 @@
   isRefused,
   listCoSuspects,
   PoisonVerdict,
-  tallyCrashes,
 } from './RequestPoisonVerdict.js';
+import { isPartSuspected } from './RequestPartVerdict.js';
 import type { RequestSuspects } from './RequestSuspects.js';
 import type { RequestProblem } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
-import type { RouterShared } from './RouterShared.js';
-import { getPoisonVerdict, findRunsByFingerprint } from './RouterShared.js';
+import type { GuardedRun, RouterShared } from './RouterShared.js';
+import { findRunsWith } from './RouterShared.js';
+import { judgeRun, tallyRun } from './RunVerdict.js';
 
 /** Tokens of one attempt after which a suspect is cleared of its crashes. */
 const CLEARING_TOKENS = 64;
@@ -86,7 +87,7 @@
  */
 export function noteRunCrash(
   shared: RouterShared,
-  fingerprint: Fingerprint,
+  suspects: RequestSuspects,
   engine: EngineId,
   attemptTokens: number,
 ): PoisonTally | null {
@@ -98,11 +99,12 @@
   const now = shared.deps.timers.now();
   const end = findCurrentEnd(shared.crashes.getState(), getProcess(shared, engine), now);
   const crash = attemptTokens >= CLEARING_TOKENS ? getLongReportId(end) : end;
-  shared.crashes.note((state) => noteCrash(state, crash, fingerprint, now));
-  const tally = tallyCrashes(shared.crashes.getState(), fingerprint, now);
+  const parts = attemptTokens === 0 ? suspects.parts.map(({ suspect }) => suspect) : [];
+  shared.crashes.note((state) => noteCrash(state, crash, suspects.request, now, parts));
+  const tally = tallyRun(shared, suspects);
   // One report can condemn only this request; checking all on each report would take quadratic time.
   if (isRefused(tally.verdict)) {
-    stopRunsOf(shared, fingerprint);
+    stopRunsOf(shared, suspects.request);
   }
   return tally;
 }
@@ -122,15 +124,29 @@
 
 /** Stops all runs of a condemned request. */
 export function stopRunsOf(shared: RouterShared, fingerprint: Fingerprint): void {
-  findRunsByFingerprint(shared, new Set([fingerprint])).forEach((run) => run.condemn());
+  findRunsWith(shared, new Set([fingerprint])).forEach((run) => run.condemn());
+}
+
+/** Stops the running requests that are condemned among those that hold one of some suspects. */
+export function stopCondemned(shared: RouterShared, named: ReadonlySet<string>): void {
+  findRunsWith(shared, named).forEach((run) => stopIfCondemned(shared, run));
+}
+
+/** Stops the condemned requests that wait on an engine: the pause before a verdict on a part ends without any report. */
+export function stopCondemnedWaiting(shared: RouterShared): void {
+  const state = shared.crashes.getState();
+  if (state.crashes.size > 0) {
+    [...shared.guarded]
+      .filter((run) => run.suspects.parts.some(({ name }) => isPartSuspected(state, name)))
+      .forEach((run) => stopIfCondemned(shared, run));
+  }
 }
 
-/** Stops the running requests that are condemned among those that another instance's reports name. */
-export function stopCondemned(shared: RouterShared, named: ReadonlySet<Fingerprint>): void {
-  for (const run of findRunsByFingerprint(shared, named)) {
-    if (isRefused(getPoisonVerdict(shared, run.suspects))) {
-      run.condemn();
-    }
+/** A begun answer shows that its parts are sound, and stays. */
+function stopIfCondemned(shared: RouterShared, run: GuardedRun): void {
+  const { verdict, isOfPart } = judgeRun(shared, run.suspects);
+  if (isRefused(verdict) && !(isOfPart && run.hasBegun())) {
+    run.condemn();
   }
 }
 
@@ -146,14 +162,11 @@
 ): readonly (readonly EngineId[])[] {
   const now = shared.deps.timers.now();
   const { dead, silent } = shared.progress.listDown(now);
-  if (getPoisonVerdict(shared, suspects) === PoisonVerdict.Clean) {
+  if (judgeRun(shared, suspects).verdict === PoisonVerdict.Clean) {
     return silent.length > 0 ? [[...dead, ...silent], dead] : [dead];
   }
-  const fellowSuspects = listCoSuspects(shared.crashes.getState(), suspects.request, now);
   const counts = new Map<EngineId, number>();
-  for (const engine of findRunsByFingerprint(shared, fellowSuspects).flatMap((run) =>
-    run.getEngines(),
-  )) {
+  for (const engine of listFellows(shared, suspects).flatMap((run) => run.getEngines())) {
     counts.set(engine, (counts.get(engine) ?? 0) + 1);
   }
   const avoidSets = FELLOW_SUSPECT_LIMITS.map((limit) => [
@@ -163,3 +176,18 @@
   ]);
   return [...avoidSets, dead];
 }
+
+/** Runs that could not be told from a suspect at the next crash: of fellow suspects, and unbegun ones of other suspected parts. */
+function listFellows(
+  shared: RouterShared,
+  { request, parts }: RequestSuspects,
+): readonly GuardedRun[] {
+  const state = shared.crashes.getState();
+  const fellows = listCoSuspects(state, request, shared.deps.timers.now());
+  const own = new Set(parts.map(({ name }) => name));
+  const hasOtherPart = ({ suspects }: GuardedRun): boolean =>
+    suspects.parts.some(({ name }) => !own.has(name) && isPartSuspected(state, name));
+  return [...shared.guarded].filter(
+    (run) => fellows.has(run.suspects.request) || (!run.hasBegun() && hasOtherPart(run)),
+  );
+}
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -239,6 +239,8 @@
       suspects: fc.subarray(['p', 'q', 'r']),
       cleared: fc.subarray(['p', 'q']),
       completed: fc.subarray(['p', 'r']),
+      parts: fc.subarray(['p:1.t', 'p:1.u', 'p:2.t']),
+      begunParts: fc.subarray(['p:1', 'p:2']),
     });
     const digest = fc.record({ reports: fc.array(report, { maxLength: 3 }) });
     const normalise = (state: PoisonState) =>
@@ -248,6 +250,8 @@
           suspects: [...r.suspects].sort(),
           cleared: [...r.cleared].sort(),
           completed: [...r.completed].sort(),
+          parts: [...(r.parts ?? [])].sort(),
+          begunParts: [...(r.begunParts ?? [])].sort(),
         }))
         .sort((a, b) => a.crash.localeCompare(b.crash));
     fc.assert(
