Keep a verdict on a request when another is found guilty of one of its crashes

Cause: a request was condemned by three crashes that no stronger suspect explains. One of the three had a second suspect; when that one had crashed three more servers it became the stronger, and left two. The class: evidence against one is taken as evidence for another. Fix: of the crashes that reach the limit, two have to be unexplained. The crashes that a request had alone stay its own, whatever others do. Parts of prompts are judged so from the start; a case shows it. Evidence: RequestPoison "does not take a verdict back because another request is found guilty" said suspect before, and passes for the six crashes in any order.

--- a/packages/requests/src/RequestPoisonVerdict.ts
+++ b/packages/requests/src/RequestPoisonVerdict.ts
@@ -27,6 +27,11 @@
 const REPORT_DELAY: Millis = 500;
 /** Pause after the last shared crash before a suspect that can't be told from another runs again. */
 export const AMBIGUOUS_PAUSE: Millis = 2000;
+/**
+ * Crashes that nothing else explains, of those that reach the limit. If all had to be unexplained, a stronger suspect of
+ * one of them would free a request that had crashed the others alone.
+ */
+const LEAST_OWN_CRASHES = 2;
 const MAX_SHARED_CRASHES = 4;
 /**
  * Crashes from which on a request is refused, whatever excuses them: outages, progress and other suspects add up to more
@@ -60,13 +65,13 @@
     return alone > 0 ? PoisonVerdict.Condemned : PoisonVerdict.Held;
   }
   const unexplained = counted.filter(isUnexplained);
-  if (unexplained.length < state.crashLimit) {
+  if (unexplained.length < Math.min(LEAST_OWN_CRASHES, state.crashLimit)) {
     return PoisonVerdict.Suspect;
   }
   const newest = Math.max(...unexplained.map((crash) => crash.expiresAt));
   const age = CRASH_RETENTION - (newest - now);
   if (alone === 0) {
-    return judgeAmbiguous(unexplained.length, state.crashLimit, age);
+    return judgeAmbiguous(Math.max(unexplained.length, state.crashLimit), state.crashLimit, age);
   }
   return age < REPORT_DELAY ? PoisonVerdict.Doubted : PoisonVerdict.Condemned;
 }
--- a/packages/requests/src/__tests__/unit/RequestPartVerdict.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPartVerdict.test.ts
@@ -123,6 +123,20 @@
     expect(judge(cleared, ['bad'])).to.deep.equal([Condemned]);
   });
 
+  it('does not free a part because another is found guilty of one of its crashes', () => {
+    // Guards against the requests with one such part that are let in again once those with another have ended more engines.
+    const own = [['bad'], ['bad', 'worse'], ['bad']];
+    const others = [['worse'], ['worse'], ['worse']];
+    const state = [...own, ...others].reduce(
+      (next, ids, i) => crash(next, `e${i}`, ids, i * 1000),
+      createPoisonState(3),
+    );
+    expect([...judge(state, ['bad']), ...judge(state, ['worse'])]).to.deep.equal([
+      Condemned,
+      Condemned,
+    ]);
+  });
+
   it('does not blame a bystander of three crashes that a part with more of them explains', () => {
     // Guards against sound requests that wait on each engine that ends, and whose session is refused for it.
     let state = crashThrice(['bad', 'beside']);
--- a/packages/requests/src/__tests__/unit/RequestPoison.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPoison.test.ts
@@ -148,6 +148,25 @@
     expect(judgeRequest(state, 'p', 20_000)).to.equal(PoisonVerdict.Condemned);
   });
 
+  it('does not take a verdict back because another request is found guilty', () => {
+    // Guards against a request that is let in again, and crashes its next engine, once another explains one of its crashes.
+    const ends: readonly (readonly string[])[] = [['a'], ['a', 'b'], ['a'], ['b'], ['b'], ['b']];
+    const play = (order: readonly number[]): PoisonState =>
+      order.reduce(
+        (state, i) => crash(state, ends[i] ?? [], `e${i}`, i * 2000),
+        createPoisonState(3),
+      );
+    expect(judgeRequest(play([0, 1, 2]), 'a', 20_000)).to.equal(PoisonVerdict.Condemned);
+    fc.assert(
+      fc.property(fc.shuffledSubarray([0, 1, 2, 3, 4, 5], { minLength: 6 }), (order) => {
+        const state = play(order);
+        const verdicts = ['a', 'b'].map((id) => judgeRequest(state, id, 20_000));
+        expect(verdicts).to.deep.equal([PoisonVerdict.Condemned, PoisonVerdict.Condemned]);
+      }),
+      { seed: 11 },
+    );
+  });
+
   it('does not condemn a request that was at one crash each of two others', () => {
     // Guards against refusing an honest request that lost an engine beside each of two requests that crash them.
     let state = crash(createPoisonState(2), ['p', 'honest'], 'x1', 0);
