Know prompts without named parts by how they begin

Callers of the product's own interface name no parts, so unlike prompts that share a template which crashes engines had nothing in common.

--- a/packages/daemon/src/DaemonCallerGateway.ts
+++ b/packages/daemon/src/DaemonCallerGateway.ts
@@ -83,6 +83,7 @@
       checkAccepting();
       const model = findModel(team, ask.model, ask.adapter);
       const { prompt } = ask;
+      const prefixKeys = createPrefixKeys(prompt);
       return router.submit(
         {
           id,
@@ -96,7 +97,9 @@
           deadline: timers.now() + requestOptions.timeLeft,
           idempotencyKey: requestOptions.idempotencyKey,
           idempotent: requestOptions.idempotencyKey === null,
-          prefixKeys: createPrefixKeys(prompt),
+          // Callers of this interface name no parts; unlike prompts share how they begin.
+          sharedParts: prefixKeys,
+          prefixKeys,
         },
         sink,
       );
