Look parts up in a list that is made once for a state of the crashes

Change: PartCrashes lists the crashes by part, with teams and requests, once a state; the verdict on parts keeps its rules.

--- a/packages/requests/src/RequestPartVerdict.ts
+++ b/packages/requests/src/RequestPartVerdict.ts
@@ -5,12 +5,13 @@
  * them from the cause is that answers begin on them: a part is cleared of all crashes before that.
  */
 import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { HeldPart, PartCrash, PartCrashes } from './PartCrashes.js';
+import { getPartCrashes } from './PartCrashes.js';
 import type { Crash, PoisonState } from './RequestPoison.js';
-import { getNotedAt } from './RequestPoison.js';
 import type { PoisonVerdictName } from './RequestPoisonVerdict.js';
 import { PoisonVerdict } from './RequestPoisonVerdict.js';
-import type { PartName, PartSuspect, PromptPart } from './RequestSuspects.js';
-import { getPartName, getRequestTag, getTeamTag } from './RequestSuspects.js';
+import type { PartName, PromptPart } from './RequestSuspects.js';
+import { getPartName, getTeamTag } from './RequestSuspects.js';
 
 /** Crashes at which a part was, without an answer that began on it since, from which on it is condemned. */
 const CRASH_LIMIT = 3;
@@ -48,32 +49,29 @@
   readonly part: PromptPart;
 }
 
-/** Crashes at which each part was, but for those that are disproven and those after which an answer began on it. */
-type PartIndex = ReadonlyMap<PartName, readonly PartCrash[]>;
-
-interface PartCrash {
-  readonly crash: Crash;
-  /** Teams and requests that brought the part there. */
-  readonly teams: ReadonlySet<string>;
-  readonly requests: ReadonlySet<string>;
-}
-
-const indexes = new WeakMap<PoisonState, PartIndex>();
-
 /** Verdicts on the parts of a request that were at a crash. */
 export function judgeParts(state: PoisonState, asked: PartsAsked): readonly PartVerdict[] {
-  const index = getIndex(state);
+  const known = getPartCrashes(state, asked.now);
   return asked.parts
-    .filter(({ name }) => index.has(name))
-    .map((part) => ({ part, verdict: judgePart(index, part, asked) }));
+    .filter(({ name }) => known.has(name))
+    .map((part) => ({ part, verdict: judgePart(known, part, asked) }));
 }
 
-/** Whether a part is condemned, or about to be, by itself; so it explains the crashes at which it was. */
-export function isGuilty(state: PoisonState, suspect: PartSuspect, now: Millis): boolean {
-  const index = getIndex(state);
-  const name = getPartName(suspect);
-  const crashes = listOpen(index, suspect, now);
-  return isShown(index, name, crashes, new Set([name]), now);
+/** Whether a crash has a part that is condemned by itself, or about to be, and that a request does not hold. */
+export function isExplainedByPart(
+  state: PoisonState,
+  crash: Crash,
+  own: ReadonlySet<PartName>,
+  now: Millis,
+): boolean {
+  const known = getPartCrashes(state, now);
+  return known
+    .listHeld(crash)
+    .some(
+      (part) =>
+        !own.has(part.name) &&
+        known.computeOnce(part, () => isShown(known, part, new Set([part.name]))),
+    );
 }
 
 /** How a run of a request depends on parts of its prompt that may crash engines. */
@@ -92,16 +90,15 @@
   { parts, now }: PartsAsked,
   isFirst: boolean,
 ): PartHold | null {
-  const index = getIndex(state);
-  const own = new Set(parts.map(({ name }) => name));
-  const held = parts
-    .map(({ name, suspect }) => ({ name, crashes: listOpen(index, suspect, now) }))
+  const known = getPartCrashes(state, now);
+  const own = listNames(parts);
+  const [first] = parts
+    .map((part) => ({ name: part.name, crashes: known.listOpen(toHeld(part)) }))
     .filter(({ crashes }) => crashes.length >= (isFirst ? TRIAL_CRASHES : 1))
     .filter(({ name, crashes }) =>
-      crashes.some(({ crash }) => !hasRival(index, crash, name, own, crashes.length + 1, now)),
+      crashes.some((one) => !hasRival(known, one, name, own, crashes.length + 1)),
     )
     .sort((a, b) => b.crashes.length - a.crashes.length || (a.name < b.name ? -1 : 1));
-  const [first] = held;
   if (!first) {
     return null;
   }
@@ -118,22 +115,17 @@
   ).length;
 }
 
-/** Whether any answer that begins on the part would clear it of a crash. */
-export function isPartSuspected(state: PoisonState, part: PartName): boolean {
-  return getIndex(state).has(part);
-}
-
 function judgePart(
-  index: PartIndex,
-  { name, suspect }: PromptPart,
+  known: PartCrashes,
+  part: PromptPart,
   { parts, now, wasSound }: PartsAsked,
 ): PoisonVerdictName {
-  const crashes = listOpen(index, suspect, now);
+  const held = toHeld(part);
+  const crashes = known.listOpen(held);
   if (crashes.length === 0) {
     return PoisonVerdict.Clean;
   }
-  const own = new Set(parts.map((part) => part.name));
-  if (!isShown(index, name, crashes, own, now)) {
+  if (!isShown(known, held, listNames(parts))) {
     return PoisonVerdict.Suspect;
   }
   const age = now - getNewest(crashes);
@@ -141,19 +133,22 @@
     return PoisonVerdict.Doubted;
   }
   const events = countEvents(crashes);
-  const pause = wasSound(name) ? SOUND_RETRIAL_PAUSE : RETRIAL_PAUSE;
+  const pause = wasSound(part.name) ? SOUND_RETRIAL_PAUSE : RETRIAL_PAUSE;
   const mayTryAgain = events < MOST_EVENTS && age >= pause * 2 ** (events - LEAST_EVENTS);
   return mayTryAgain ? PoisonVerdict.Suspect : PoisonVerdict.Condemned;
 }
 
+function toHeld({ name, suspect }: PromptPart): HeldPart {
+  return { name, team: getTeamTag(suspect) };
+}
+
+function listNames(parts: readonly PromptPart[]): ReadonlySet<PartName> {
+  return new Set(parts.map(({ name }) => name));
+}
+
 /** Whether its crashes show that the part causes them, or one of those that the same request holds beside it. */
-function isShown(
-  index: PartIndex,
-  name: PartName,
-  crashes: readonly PartCrash[],
-  own: ReadonlySet<PartName>,
-  now: Millis,
-): boolean {
+function isShown(known: PartCrashes, part: HeldPart, own: ReadonlySet<PartName>): boolean {
+  const crashes = known.listOpen(part);
   if (
     crashes.length < CRASH_LIMIT ||
     countEvents(crashes) < LEAST_EVENTS ||
@@ -161,9 +156,7 @@
   ) {
     return false;
   }
-  const alone = crashes.filter(
-    ({ crash }) => !hasRival(index, crash, name, own, crashes.length, now),
-  );
+  const alone = crashes.filter((one) => !hasRival(known, one, part.name, own, crashes.length));
   return alone.length >= LEAST_OWN_CRASHES;
 }
 
@@ -174,42 +167,25 @@
 
 /** Whether a crash has another part, which the request does not hold, that was at so many crashes or more. */
 function hasRival(
-  index: PartIndex,
-  crash: Crash,
+  known: PartCrashes,
+  { crash }: PartCrash,
   name: PartName,
   own: ReadonlySet<PartName>,
   leastCrashes: number,
-  now: Millis,
 ): boolean {
-  return [...crash.parts].some((suspect) => {
-    const rival = getPartName(suspect);
-    return (
-      rival !== name &&
-      !own.has(rival) &&
-      !crash.begunParts.has(rival) &&
-      listOpen(index, suspect, now).length >= leastCrashes
+  return known
+    .listHeld(crash)
+    .some(
+      (rival) =>
+        rival.name !== name && !own.has(rival.name) && known.listOpen(rival).length >= leastCrashes,
     );
-  });
-}
-
-/**
- * Crashes that count against a part in the hands of a team: those of its own requests, and those of all teams once the
- * part was at crashes of several. A team whose requests crash engines by something else does not condemn what it shares.
- */
-function listOpen(index: PartIndex, suspect: PartSuspect, now: Millis): readonly PartCrash[] {
-  const known = (index.get(getPartName(suspect)) ?? []).filter(
-    ({ crash }) => crash.expiresAt > now,
-  );
-  const teams = new Set(known.flatMap((one) => [...one.teams]));
-  const isOfSeveral = teams.size > 1;
-  return known.filter((one) => isOfSeveral || one.teams.has(getTeamTag(suspect)));
 }
 
 /** Counts events: crashes that begin an event are `EVENT_TIME` apart from the begin of the one before. */
 function countEvents(crashes: readonly PartCrash[]): number {
   let events = 0;
   let begunAt = -Infinity;
-  for (const at of crashes.map(({ crash }) => getNotedAt(crash)).sort((a, b) => a - b)) {
+  for (const at of crashes.map(({ notedAt }) => notedAt).sort((a, b) => a - b)) {
     if (at - begunAt >= EVENT_TIME) {
       events += 1;
       begunAt = at;
@@ -219,35 +195,5 @@
 }
 
 function getNewest(crashes: readonly PartCrash[]): Millis {
-  return Math.max(...crashes.map(({ crash }) => getNotedAt(crash)));
-}
-
-function getIndex(state: PoisonState): PartIndex {
-  const index = indexes.get(state) ?? createIndex(state);
-  indexes.set(state, index);
-  return index;
-}
-
-function createIndex(state: PoisonState): PartIndex {
-  const index = new Map<PartName, PartCrash[]>();
-  for (const crash of state.crashes.values()) {
-    for (const [name, suspects] of crash.disproven ? [] : groupByPart(crash)) {
-      const teams = new Set(suspects.map(getTeamTag));
-      const requests = new Set(suspects.map(getRequestTag));
-      index.set(name, [...(index.get(name) ?? []), { crash, teams, requests }]);
-    }
-  }
-  return index;
-}
-
-/** The parts of a crash on which no answer has begun since, each as it was in the prompts of several requests. */
-function groupByPart({ parts, begunParts }: Crash): ReadonlyMap<PartName, readonly PartSuspect[]> {
-  const groups = new Map<PartName, PartSuspect[]>();
-  for (const suspect of parts) {
-    const name = getPartName(suspect);
-    if (!begunParts.has(name)) {
-      groups.set(name, [...(groups.get(name) ?? []), suspect]);
-    }
-  }
-  return groups;
+  return Math.max(...crashes.map(({ notedAt }) => notedAt));
 }
--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -25,7 +25,7 @@
   noteBegunParts,
 } from './RequestPoison.js';
 import { createPartBegins } from './PartBegins.js';
-import { isPartSuspected } from './RequestPartVerdict.js';
+import { getPartCrashes } from './PartCrashes.js';
 import type { PartName, PartSuspect } from './RequestSuspects.js';
 import { getPartName, getTeamTag, isPartName } from './RequestSuspects.js';
 
@@ -213,9 +213,10 @@
     note,
     noteBegun(parts, now) {
       begins.note(parts, now);
-      const suspected = parts.filter((part) => isPartSuspected(state, part));
+      const known = getPartCrashes(state, now);
+      const suspected = parts.filter((part) => known.has(part));
       if (suspected.length > 0) {
-        note((known) => clearParts(known, [...known.crashes.keys()], suspected));
+        note((current) => clearParts(current, [...current.crashes.keys()], suspected));
       }
     },
     wasSound: (part, now) => now - begins.getLast(part) <= SOUND_TIME,
--- a/packages/requests/src/RunSuspicion.ts
+++ b/packages/requests/src/RunSuspicion.ts
@@ -21,7 +21,7 @@
   listCoSuspects,
   PoisonVerdict,
 } from './RequestPoisonVerdict.js';
-import { isPartSuspected } from './RequestPartVerdict.js';
+import { getPartCrashes } from './PartCrashes.js';
 import type { RequestSuspects } from './RequestSuspects.js';
 import type { RequestProblem } from './RequestTypes.js';
 import { ProblemKind } from './RequestTypes.js';
@@ -136,8 +136,9 @@
 export function stopCondemnedWaiting(shared: RouterShared): void {
   const state = shared.crashes.getState();
   if (state.crashes.size > 0) {
+    const known = getPartCrashes(state, shared.deps.timers.now());
     [...shared.guarded]
-      .filter((run) => run.suspects.parts.some(({ name }) => isPartSuspected(state, name)))
+      .filter((run) => !run.hasBegun() && run.suspects.parts.some(({ name }) => known.has(name)))
       .forEach((run) => stopIfCondemned(shared, run));
   }
 }
@@ -183,10 +184,12 @@
   { request, parts }: RequestSuspects,
 ): readonly GuardedRun[] {
   const state = shared.crashes.getState();
-  const fellows = listCoSuspects(state, request, shared.deps.timers.now());
+  const now = shared.deps.timers.now();
+  const fellows = listCoSuspects(state, request, now);
+  const known = getPartCrashes(state, now);
   const own = new Set(parts.map(({ name }) => name));
   const hasOtherPart = ({ suspects }: GuardedRun): boolean =>
-    suspects.parts.some(({ name }) => !own.has(name) && isPartSuspected(state, name));
+    suspects.parts.some(({ name }) => !own.has(name) && known.has(name));
   return [...shared.guarded].filter(
     (run) => fellows.has(run.suspects.request) || (!run.hasBegun() && hasOtherPart(run)),
   );
--- a/packages/requests/src/RunVerdict.ts
+++ b/packages/requests/src/RunVerdict.ts
@@ -1,11 +1,10 @@
 /** The verdict on a running request: on the request as a whole and on the parts of its prompt, whichever is the stricter. */
 import type { Crash } from './RequestPoison.js';
-import { isGuilty, judgeParts } from './RequestPartVerdict.js';
+import { isExplainedByPart, judgeParts } from './RequestPartVerdict.js';
 import type { PartsAsked } from './RequestPartVerdict.js';
 import type { PoisonTally, PoisonVerdictName } from './RequestPoisonVerdict.js';
 import { judgeRequest, PoisonVerdict, tallyCrashes } from './RequestPoisonVerdict.js';
 import type { RequestSuspects } from './RequestSuspects.js';
-import { getPartName } from './RequestSuspects.js';
 import type { RouterShared } from './RouterShared.js';
 
 /** A verdict, and what it holds at fault. */
@@ -64,7 +63,7 @@
   return { parts, now, wasSound: (part) => crashes.wasSound(part, now) };
 }
 
-/** Whether a crash is explained by a part that the request does not hold: then its bystanders are not blamed. */
+/** Tells the crashes that a part explains which the request does not hold: their bystanders are not blamed. */
 function createElsewhere(
   { crashes, deps }: RouterShared,
   { parts }: RequestSuspects,
@@ -72,9 +71,5 @@
   const own = new Set(parts.map(({ name }) => name));
   const state = crashes.getState();
   const now = deps.timers.now();
-  return (crash) =>
-    [...crash.parts].some((suspect) => {
-      const name = getPartName(suspect);
-      return !own.has(name) && !crash.begunParts.has(name) && isGuilty(state, suspect, now);
-    });
+  return (crash) => isExplainedByPart(state, crash, own, now);
 }
