Split what reports list of a crash from the record of crashes, and name trials by suspects

Cause: read as a newcomer would: RouterCrashes had grown by the names of parts; RelayTrials spoke of fingerprints where a part may be meant. No behaviour changes. Measured: RequestPartVerdict, RequestSuspects, RequestPoison, RouterCrashes, DaemonPoison, RelayPartCrashReports: 51 passing.

--- a/packages/relay/src/RelayTrials.ts
+++ b/packages/relay/src/RelayTrials.ts
@@ -1,12 +1,11 @@
 /**
- * Grants trials: runs of requests that were at several crashes. Each such request has one granter, which all instances
- * compute alike, and which lets one copy begin at a time. Unlike the reports of crashes, a grant is known before the run
+ * Grants trials: runs of a request, or of requests with a part of their prompts, that was at several crashes. Each such
+ * suspect has one granter, which all instances compute alike, and which lets one run begin at a time. Unlike the reports of crashes, a grant is known before the run
  * begins, so copies at several instances cannot all begin before the first has crashed its engine.
  */
 import { selectOwners } from '@skylarksail/core/CoreHash';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type { Fingerprint } from '@skylarksail/requests/RequestPoison';
 import { isRefused, PoisonVerdict } from '@skylarksail/requests/RequestPoisonVerdict';
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { InstanceEntry } from './RelayTypes.js';
@@ -14,7 +13,7 @@
 /** Requests a trial from a peer; null if it does not answer. */
 export type AskForTrial = (
   granter: InstanceEntry,
-  fingerprint: Fingerprint,
+  suspect: string,
   timeout: Millis,
 ) => Promise<boolean | null>;
 
@@ -27,11 +26,11 @@
 }
 
 export interface RelayTrials {
-  /** Requests a trial of a request; `done` receives whether it is granted. */
-  request(fingerprint: Fingerprint, done: (isGranted: boolean) => void): void;
+  /** Requests a trial of a suspect; `done` receives whether it is granted. */
+  request(suspect: string, done: (isGranted: boolean) => void): void;
   /** Grants a trial, as the granter, if no other may be under way. */
-  grant(fingerprint: Fingerprint): boolean;
-  /** Number of requests of which a trial is kept. */
+  grant(suspect: string): boolean;
+  /** Number of suspects of which a trial is kept. */
   countTrials(): number;
 }
 
@@ -42,23 +41,23 @@
 const TRIAL_TIME: Millis = 1000;
 const HASH_PREFIX = 'trial';
 
-/** The last trial of a request. */
+/** The last trial of a suspect. */
 interface Trial {
   readonly at: Millis;
-  /** Crashes of the request that were known. */
+  /** Crashes of the suspect that were known. */
   readonly known: number;
 }
 
 export function createRelayTrials(options: RelayTrialsOptions): RelayTrials {
   const { timers, self } = options;
-  const trials = new Map<Fingerprint, Trial>();
+  const trials = new Map<string, Trial>();
 
-  function listGranters(fingerprint: Fingerprint): readonly InstanceEntry[] {
+  function listGranters(suspect: string): readonly InstanceEntry[] {
     const reachable = options
       .listInstances()
       .filter(({ id, address }) => address !== null || id === self.id);
     const ids = reachable.map(({ id }) => id);
-    const granters = selectOwners(`${HASH_PREFIX}\u0000${fingerprint}`, ids, GRANTER_COUNT);
+    const granters = selectOwners(`${HASH_PREFIX}\u0000${suspect}`, ids, GRANTER_COUNT);
     return granters.flatMap((granter) => reachable.find(({ id }) => id === granter) ?? []);
   }
 
@@ -66,27 +65,27 @@
     const now = timers.now();
     [...trials]
       .filter(([, { at }]) => now - at >= TRIAL_TIME)
-      .forEach(([fingerprint]) => trials.delete(fingerprint));
+      .forEach(([suspect]) => trials.delete(suspect));
   }
 
-  function grant(fingerprint: Fingerprint): boolean {
-    const { verdict, known } = options.tallyCrashes(fingerprint);
+  function grant(suspect: string): boolean {
+    const { verdict, known } = options.tallyCrashes(suspect);
     dropOld();
-    const last = trials.get(fingerprint);
+    const last = trials.get(suspect);
     const isUnderWay = last !== undefined && known <= last.known;
     if (isUnderWay || isRefused(verdict) || verdict === PoisonVerdict.Doubted) {
       return false;
     }
-    trials.set(fingerprint, { at: timers.now(), known });
+    trials.set(suspect, { at: timers.now(), known });
     return true;
   }
 
-  async function ask(fingerprint: Fingerprint): Promise<boolean> {
-    for (const granter of listGranters(fingerprint)) {
+  async function ask(suspect: string): Promise<boolean> {
+    for (const granter of listGranters(suspect)) {
       const answer =
         granter.id === self.id
-          ? grant(fingerprint)
-          : await options.askForTrial(granter, fingerprint, ASK_TIMEOUT);
+          ? grant(suspect)
+          : await options.askForTrial(granter, suspect, ASK_TIMEOUT);
       if (answer !== null) {
         return answer;
       }
@@ -95,8 +94,8 @@
   }
 
   return {
-    request: (fingerprint, done) => {
-      void ask(fingerprint).then(done);
+    request: (suspect, done) => {
+      void ask(suspect).then(done);
     },
     grant,
     countTrials: () => trials.size,
--- a/packages/requests/src/RouterCrashes.ts
+++ b/packages/requests/src/RouterCrashes.ts
@@ -6,14 +6,7 @@
  * the suspects of several crashes: only they can be condemned, and all that a verdict on them needs is included.
  */
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import type {
-  Crash,
-  CrashId,
-  CrashReport,
-  Fingerprint,
-  PoisonDigest,
-  PoisonState,
-} from './RequestPoison.js';
+import type { Crash, CrashId, CrashReport, PoisonDigest, PoisonState } from './RequestPoison.js';
 import {
   createCrashReport,
   createPoisonState,
@@ -24,10 +17,12 @@
   mergePoisonDigest,
   noteBegunParts,
 } from './RequestPoison.js';
+import type { KeptNames } from './CrashNames.js';
+import { describeContent, joinCrashes, keepNames, listNews } from './CrashNames.js';
 import { createPartBegins } from './PartBegins.js';
 import { getPartCrashes } from './PartCrashes.js';
-import type { PartName, PartSuspect } from './RequestSuspects.js';
-import { getPartName, getTeamTag, isPartName } from './RequestSuspects.js';
+import type { PartName } from './RequestSuspects.js';
+import { getPartName } from './RequestSuspects.js';
 
 /** Changed reports, oldest change first. */
 export interface ReportBatch extends PoisonDigest {
@@ -75,12 +70,6 @@
   readonly position: number;
 }
 
-/** What is listed for all instances: suspects and parts of several crashes. */
-interface KeptNames {
-  readonly suspects: ReadonlySet<Fingerprint>;
-  readonly parts: ReadonlySet<PartName>;
-}
-
 /** A batch, and when it was created for which position. */
 interface CachedBatch {
   readonly after: number;
@@ -275,58 +264,3 @@
     );
   }, state);
 }
-
-/** What a crash has that it had not before. */
-function listNews(before: Crash | undefined, after: Crash): Crash {
-  const subtract = (old: ReadonlySet<string> | undefined, names: ReadonlySet<string>) =>
-    new Set([...names].filter((name) => !old?.has(name)));
-  return mapNames(after, (names, field) => subtract(before?.[field], names));
-}
-
-/** Joins what was observed of a crash; how often it was and whether it is disproven is as known last. */
-function joinCrashes(known: Crash | undefined, news: Crash): Crash {
-  return mapNames(news, (names, field) => new Set([...(known?.[field] ?? []), ...names]));
-}
-
-/** The sets of names of a crash. */
-const NAME_FIELDS = ['suspects', 'cleared', 'completed', 'parts', 'begunParts'] as const;
-type NameField = (typeof NAME_FIELDS)[number];
-
-function mapNames(
-  crash: Crash,
-  change: (names: ReadonlySet<string>, field: NameField) => ReadonlySet<string>,
-): Crash {
-  const changed = NAME_FIELDS.map((field) => [field, change(crash[field], field)] as const);
-  return { ...crash, ...Object.fromEntries(changed) };
-}
-
-function keepNames(crash: Crash, kept: KeptNames): Crash {
-  const isKept = (name: string): boolean =>
-    isPartName(name) ? kept.parts.has(getPartName(name)) : kept.suspects.has(name);
-  return mapNames(crash, (names, field) => {
-    const listed = [...names].filter(isKept);
-    return new Set(field === 'parts' ? pickSuspects(listed) : listed);
-  });
-}
-
-/** Keeps two requests with each part, of two teams if possible; that is all that a verdict needs to know of them. */
-function pickSuspects(suspects: readonly PartSuspect[]): readonly PartSuspect[] {
-  const picked = new Map<PartName, readonly PartSuspect[]>();
-  for (const suspect of [...suspects].sort()) {
-    const name = getPartName(suspect);
-    const [first, second] = picked.get(name) ?? [];
-    const isOfOther = first !== undefined && getTeamTag(first) !== getTeamTag(suspect);
-    const isSecondOfOther = first && second && getTeamTag(first) !== getTeamTag(second);
-    if (first === undefined) {
-      picked.set(name, [suspect]);
-    } else if (second === undefined || (isOfOther && !isSecondOfOther)) {
-      picked.set(name, [first, suspect]);
-    }
-  }
-  return [...picked.values()].flat();
-}
-
-function describeContent(crash: Crash): string {
-  const names = NAME_FIELDS.map((field) => [...crash[field]].sort());
-  return JSON.stringify([crash.disproven, ...names]);
-}
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -173,8 +173,8 @@
   readonly mayBreakOff?: (submittedAt: Millis) => boolean;
   /** Asks other instances for retries for a model or service; `done` receives whether the burst has grown. */
   readonly requestRetries?: (name: string, done: (isGranted: boolean) => void) => void;
-  /** Asks the fleet whether one more copy of a request that was at several crashes may run; always if omitted. */
-  readonly requestTrial?: (fingerprint: string, done: (isGranted: boolean) => void) => void;
+  /** Asks the fleet whether one more run of a request, or with a part, that was at several crashes may begin; always if omitted. */
+  readonly requestTrial?: (suspect: string, done: (isGranted: boolean) => void) => void;
   readonly getTeamLimits: (team: TeamId) => TeamLimits;
   /** KV-cache memory available to this instance, in tokens; null if unknown. */
   readonly getKvCapacity: () => number | null;
