--- a/packages/requests/src/__tests__/unit/RequestPartVerdict.test.ts
+++ b/packages/requests/src/__tests__/unit/RequestPartVerdict.test.ts
@@ -69,7 +69,7 @@
   });
 
   it('counts a crash after an answer began on a part, and none before', () => {
-    // Guards against a part that was sound for a day and is never found once it crashes engines.
+    // Guards against a part that was sound for long and is never found once it crashes engines.
     let state = begin(crashThrice(['turned']), ['turned']);
     expect(judge(state, ['turned'])).to.deep.equal([]);
     ['x', 'y', 'z'].forEach((engine, i) => {
