Tell how far an instance is behind, and what it began for callers that had left

Cause: nothing shows how long a request waited unread, or that its caller's close could be read when it began, so the hypotheses on work for callers that left can't be told apart. No decision depends on it yet.

--- a/packages/daemon/src/DaemonTimers.ts
+++ b/packages/daemon/src/DaemonTimers.ts
@@ -1,4 +1,4 @@
-/** Timer service on the monotonic clock of the process. */
+/** Timers on the monotonic clock of the process, and turns of its event loop. */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 
 export function createSystemTimers(): TimerService {
@@ -14,3 +14,11 @@
     },
   };
 }
+
+/**
+ * Calls `work` once the event loop has read all input that waits now. What belongs to one connection may take two turns: the
+ * first reads a request, and only the second the close that came right behind it.
+ */
+export function afterReading(work: () => void): void {
+  setImmediate(() => setImmediate(work));
+}
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -190,6 +190,7 @@
       version: getTable()?.config.version,
       service: service.id,
       team: routed.team,
+      ...(call.waited ? { waitedMs: Math.round(call.waited) } : {}),
     });
     const { pipeline } = service;
     return pipeline ? submitStream(routed, pipeline, listener) : submitService(routed, listener);
--- /dev/null
+++ b/packages/relay/src/RelayLoopWatch.ts
@@ -0,0 +1,75 @@
+/**
+ * Tells how far this process is behind. Whatever it reads after a late turn of its event loop may have waited unread for
+ * as long as that turn took: requests, the closes of their callers' connections, and answers of backend servers alike. Only a
+ * turn that begins after that has read them all.
+ */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
+
+/** Calls `work` once all input that waits unread now has been read. */
+export type AfterReading = (work: () => void) => void;
+
+export interface LoopWatchOptions {
+  readonly timers: TimerService;
+  /** Wall-clock time in ms. It also advances while the machine is suspended, when the monotonic clock may not. */
+  readonly wallNow: () => Millis;
+  readonly afterReading: AfterReading;
+  /** Receives the length of each late turn. */
+  readonly onLate: (turn: Millis) => void;
+}
+
+export interface LoopWatch {
+  /** Maximum time for which something that is read now may have waited unread; 0 while this process keeps up. */
+  getUnreadTime(): Millis;
+  readonly stop: Unregister;
+}
+
+interface ClockReading {
+  readonly monotonic: Millis;
+  readonly wall: Millis;
+}
+
+/** Callers allow a request three times as long, at the least, until it is read. */
+const TICK: Millis = 200;
+/** A timer fires this much late on a busy machine whose process keeps up. */
+const TOLERANCE: Millis = 50;
+
+export function createLoopWatch(options: LoopWatchOptions): LoopWatch {
+  const { timers, wallNow, afterReading, onLate } = options;
+  let tickedAt = readClocks();
+  /** Beginning of the last late turn, until what came during it has been read. */
+  let lateSince: ClockReading | null = null;
+
+  function readClocks(): ClockReading {
+    return { monotonic: timers.now(), wall: wallNow() };
+  }
+
+  function getTimeSince({ monotonic, wall }: ClockReading): Millis {
+    return Math.max(timers.now() - monotonic, wallNow() - wall);
+  }
+
+  function isLate(): boolean {
+    return getTimeSince(tickedAt) > TICK + TOLERANCE;
+  }
+
+  function tick(): void {
+    if (isLate()) {
+      const since = tickedAt;
+      lateSince = since;
+      onLate(getTimeSince(since));
+      afterReading(() => {
+        // A later turn may have been late as well.
+        lateSince = lateSince === since ? null : lateSince;
+      });
+    }
+    tickedAt = readClocks();
+  }
+
+  return {
+    getUnreadTime: () => {
+      const since = lateSince ?? (isLate() ? tickedAt : null);
+      return since === null ? 0 : getTimeSince(since);
+    },
+    stop: timers.registerInterval(TICK, tick),
+  };
+}
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -67,7 +67,7 @@
 /** Registers gauges of the instance's state. */
 export function registerRelayMetrics(
   metrics: DaemonMetrics,
-  parts: Pick<RelayParts, 'readState' | 'router' | 'isReady'>,
+  parts: Pick<RelayParts, 'readState' | 'router' | 'isReady' | 'loop'>,
 ): void {
   const { readState, router } = parts;
   const gauges: readonly (readonly [string, string, () => number])[] = [
@@ -90,6 +90,11 @@
       '1 while neither the store nor a peer that hears it answers',
       () => Number(readState().isIsolated),
     ],
+    [
+      'unread_ms',
+      'longest that what is read now may have waited unread',
+      () => Math.round(parts.loop.getUnreadTime()),
+    ],
     ['ready', '1 while callers should be sent here', () => Number(parts.isReady())],
     ['requests_running', 'requests that run', () => router.getCounts().running],
     ['requests_waiting', 'requests that wait to be admitted', () => router.getCounts().waiting],
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -26,6 +26,7 @@
 import { createRelayIntake } from './RelayIntake.js';
 import { startRelaySync } from './RelaySync.js';
 import { createRelayLease } from './RelayLease.js';
+import { createLoopWatch } from './RelayLoopWatch.js';
 import { createLimitIssuer } from './RelayLimitIssuer.js';
 import { createRelayLimits } from './RelayLimits.js';
 import { createPermitChoices } from './RelayPermits.js';
@@ -58,6 +59,15 @@
   let isLeaving = false;
   const catalogue = createCatalogue(timers, isServed);
   const suspension = createRelaySuspension(timers, options.wallNow);
+  const loop = createLoopWatch({
+    timers,
+    wallNow: options.wallNow,
+    afterReading: options.afterReading,
+    onLate: (turn) => {
+      metrics.count('late_turns', 'turns of the event loop that were late');
+      logger.warn({ turnMs: Math.round(turn) }, 'event loop late');
+    },
+  });
   const startGate = createStartGate(timers);
   const calm = createRelayPlannedWork(timers, options.changeTime);
   const routing = createDaemonRouting({
@@ -321,6 +331,7 @@
     placement.start(),
     health.stop,
     paths.stop,
+    loop.stop,
     startGate.stop,
     repeats.start(),
     startCrashExchange({
@@ -343,6 +354,7 @@
     limits,
     trials,
     forwarding: { serve: paths.serve },
+    loop,
     getTable: () => table,
     readState: () => ({
       version: table?.config.version ?? 0,
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/RelayLoopWatch.test.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import { createLoopWatch } from '../../RelayLoopWatch.js';
+
+/** Timers whose interval fires when the test says so, as one of a process that is busy or stopped. */
+function createBed() {
+  let now: Millis = 0;
+  let suspended: Millis = 0;
+  let tick = (): void => undefined;
+  let read: (() => void)[] = [];
+  const turns: Millis[] = [];
+  const timers: TimerService = {
+    now: () => now,
+    registerTimeout: () => () => undefined,
+    registerInterval: (_period, listener) => {
+      tick = listener;
+      return () => undefined;
+    },
+  };
+  const watch = createLoopWatch({
+    timers,
+    wallNow: () => now + suspended,
+    afterReading: (work) => read.push(work),
+    onLate: (turn) => turns.push(turn),
+  });
+  return {
+    watch,
+    turns,
+    pass: (time: Millis) => {
+      now += time;
+    },
+    suspend: (time: Millis) => {
+      suspended += time;
+    },
+    tick: () => tick(),
+    /** All input that waited is read. */
+    read: () => {
+      const work = read;
+      read = [];
+      work.forEach((run) => run());
+    },
+  };
+}
+
+describe('RelayLoopWatch', () => {
+  it('takes nothing for unread while its timer fires in time', () => {
+    const { watch, pass, tick } = createBed();
+    for (let i = 0; i < 5; i += 1) {
+      pass(220);
+      expect(watch.getUnreadTime()).to.equal(0);
+      tick();
+      expect(watch.getUnreadTime()).to.equal(0);
+    }
+  });
+
+  it('takes what is read for unread since the last turn, until all that came in a late one is read', () => {
+    const { watch, turns, pass, tick, read } = createBed();
+    pass(1500);
+    expect(watch.getUnreadTime()).to.equal(1500);
+    tick();
+    pass(10);
+    expect(watch.getUnreadTime()).to.equal(1510);
+    read();
+    expect(watch.getUnreadTime()).to.equal(0);
+    expect(turns).to.deep.equal([1500]);
+  });
+
+  it('stays behind while each turn is late', () => {
+    const { watch, pass, tick, read } = createBed();
+    pass(400);
+    tick();
+    pass(400);
+    tick();
+    read();
+    pass(300);
+    expect(watch.getUnreadTime()).to.equal(300);
+  });
+
+  it('counts the time for which the machine was suspended and the monotonic clock stood still', () => {
+    const { watch, pass, suspend } = createBed();
+    pass(100);
+    suspend(900);
+    expect(watch.getUnreadTime()).to.equal(1000);
+  });
+});
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -169,6 +169,7 @@
         minLeaseTime: 1000,
         timers,
         wallNow: () => timers.now() + suspendedTime,
+        afterReading: (work) => work(),
         random: createRandom(ids.length),
         store: port,
         readContent,
