Show that work begins for callers that have left, in tests that fail

Cause: a request is submitted in the turn of the event loop that reads it, before the close that waits right behind it; a retry and a task of a peer are sent in a late turn, too; the time unread is not counted; the oldest goes first.

--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -288,4 +288,33 @@
       lateBy: 'pause',
     });
   });
+
+  it('counts the time for which a request waited unread against its deadline and its patience', () => {
+    // Guards against servers that are handed more time than their callers have left.
+    const { calls, streams, submit } = createBed();
+    submit({ path: '/accounts/1', timeLeft: 1500, waited: 400 });
+    submit({ timeLeft: 5000, waited: 400 });
+    expect(calls[0]?.spec.deadline).to.equal(1500 - 400 - 20);
+    expect(streams[0]?.spec.deadline).to.equal(5000 - 400 - 20);
+    expect(streams[0]?.spec.patience).to.be.at.most(0.85 * 2000 - 400);
+  });
+
+  it('takes no caller of a request that may be repeated for one that waits unread longer than callers do', () => {
+    // Guards against refusals of callers that have just come, whose requests are read together with those of a long stop.
+    const { streams, submit } = createBed();
+    submit({ timeLeft: 6000, waited: 60_000 });
+    submit({ timeLeft: 900, waited: 60_000 });
+    expect(streams.map(({ spec }) => spec.deadline)).to.deep.equal([
+      6000 - 1000 - 20,
+      900 - 300 - 20,
+    ]);
+  });
+
+  it('tells a caller at once whose time may have passed before its request was read', () => {
+    // Guards against work for a caller that is told late, and too late to go elsewhere.
+    const { calls, submit } = createBed();
+    const { refusals } = submit({ path: '/accounts/1', timeLeft: 1200, waited: 1500 });
+    expect(calls).to.deep.equal([]);
+    expect(refusals.map(({ status }) => status)).to.deep.equal([503]);
+  });
 });
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -45,6 +45,8 @@
   readonly refusals: RelayRefusal[];
   /** Times of the refusals. */
   readonly refusedAt: Millis[];
+  /** Lets the caller leave. */
+  leave(): void;
 }
 
 /** Engine calls of an instance, in place of ones that always fail. */
@@ -83,6 +85,8 @@
   const crashed = new Set<string>();
   const orders: SentOrder[] = [];
   let suspendedTime = 0;
+  let isReading = true;
+  const unread: (() => void)[] = [];
   let calls = 0;
 
   const openRefusedCall: OpenEngineCall = (call, listener) => {
@@ -169,7 +173,7 @@
         minLeaseTime: 1000,
         timers,
         wallNow: () => timers.now() + suspendedTime,
-        afterReading: (work) => work(),
+        afterReading: (work) => (isReading ? work() : unread.push(work)),
         random: createRandom(ids.length),
         store: port,
         readContent,
@@ -244,6 +248,7 @@
     path: string,
     timeLeft: Millis,
     sharedParts: readonly string[] = [],
+    waited: Millis = 0,
   ): SentCall {
     calls += 1;
     const call: RelayCall = {
@@ -254,11 +259,13 @@
       headers: { [PARTS_HEADER]: sharedParts.join(',') },
       key: 'key',
       timeLeft,
+      waited,
       body: Buffer.from('x'),
       sharedParts,
       promptTokens: 10,
       maxTokens: 10,
     };
+    let cancel: (() => void) | undefined;
     const sent: SentCall = {
       id,
       path,
@@ -267,11 +274,12 @@
       aborts: [],
       refusals: [],
       refusedAt: [],
+      leave: () => cancel?.(),
     };
     const end = (): void => {
       sent.ends.push(timers.now());
     };
-    parts.get(id)?.intake.submit(call, {
+    cancel = parts.get(id)?.intake.submit(call, {
       onHead: () => undefined,
       onEvent: () => undefined,
       onEnd: end,
@@ -283,7 +291,7 @@
         sent.refusals.push(refusal);
         sent.refusedAt.push(timers.now());
       },
-    });
+    }).cancel;
     return sent;
   }
 
@@ -305,6 +313,14 @@
     /** Registers a server of the plain service. */
     addServer,
     start,
+    /** Leaves all that comes now unread, until the returned function is called. */
+    holdReading: () => {
+      isReading = false;
+      return () => {
+        isReading = true;
+        unread.splice(0).forEach((work) => work());
+      };
+    },
     /** Simulates a suspension of all processes: only the wall clock advances, the monotonic clock does not. */
     suspend: (time: Millis) => {
       suspendedTime += time;
