Begin no work for a caller that has left, and serve first those who still wait

Cause: work begins by age of arrival in the process, not by whether someone still waits. A request was submitted in the turn of the event loop that reads it; the close that waits right behind it is read in the next one. The same at a peer, and for retries and queued requests in a late turn. Change: the ingress and the peers' port submit after the turn in which the close would be read (registerHangUpListener tells it as soon as the end of the client's bytes is read). RelayArrivals begins no more in a turn than leaves time to read, the newest first while the oldest is late, and refuses at once what it has held for as long as a caller lets a request wait. All that sends for callers goes through RelayCaughtUpPorts, which waits for the reading while the process is behind, whoever called: queues, retries, peers' tasks. The time that may have been waited unread, at the early port too, is taken off the deadline, up to what callers allow.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -88,7 +88,7 @@
     domains: Array.from({ length: DOMAINS }, (_, i) => `d${i}`),
     mostCopies: 2,
     wallNow: () => Date.now(),
-    afterReading: (work) => work(),
+    afterTurn: (work) => work(),
     changeTime: 2000,
     minLeaseTime: 1000,
     timers,
--- a/packages/daemon/src/DaemonTimers.ts
+++ b/packages/daemon/src/DaemonTimers.ts
@@ -15,10 +15,15 @@
   };
 }
 
+/** Calls `work` at the end of the present turn of the event loop, or of the next one if called at the end of a turn. */
+export function afterTurn(work: () => void): void {
+  setImmediate(work);
+}
+
 /**
  * Calls `work` once the event loop has read all input that waits now. What belongs to one connection may take two turns: the
  * first reads a request, and only the second the close that came right behind it.
  */
 export function afterReading(work: () => void): void {
-  setImmediate(() => setImmediate(work));
+  afterTurn(() => afterTurn(work));
 }
--- a/packages/relay/src/__tests__/unit/BlockedLoop.ts
+++ b/packages/daemon/src/__tests__/BlockedLoop.ts
@@ -2,7 +2,7 @@
 import { request } from 'node:http';
 import { Worker } from 'node:worker_threads';
 import type { Millis } from '@skylarksail/core/CoreTypes';
-import { afterReading } from '@skylarksail/daemon/DaemonTimers';
+import { afterReading } from '../DaemonTimers.js';
 
 const MAX_BLOCK: Millis = 10_000;
 
--- a/packages/relay/src/RelayForwardHttp.ts
+++ b/packages/relay/src/RelayForwardHttp.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import type { HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import { registerHangUpListener } from '@skylarksail/daemon/DaemonHangUps';
 import { createFrameReader, packFrame, packTask, readTask } from './RelayForwardMessages.js';
 import type {
   ForwardFrame,
@@ -115,12 +116,13 @@
   };
 }
 
-/** Serves one task; its end at the asking instance cancels it here. */
+/** Serves one task that waited for a time; its end at the asking instance cancels it here. */
 export function serveTask(
   body: Buffer,
   req: IncomingMessage,
   res: ServerResponse,
   serve: ServeForward,
+  waited: Millis = 0,
 ): void {
   const task = readTask(body);
   if (task === null) {
@@ -130,17 +132,26 @@
   res.writeHead(Status.Ok, { 'content-type': 'application/octet-stream' });
   req.socket.setNoDelay(true);
   let isEnded = false;
-  const cancel = serve(task, (frame) => {
-    if (isLastFrame(frame)) {
-      isEnded = true;
-      res.end(packFrame(frame));
-    } else {
-      res.write(packFrame(frame));
-    }
-  });
-  res.on('close', () => {
+  let cancel: Unregister = () => undefined;
+  registerHangUpListener(req, res, () => {
     if (!isEnded) {
+      isEnded = true;
       cancel();
     }
   });
+  if (isEnded) {
+    return;
+  }
+  cancel = serve(
+    task,
+    (frame) => {
+      if (isLastFrame(frame)) {
+        isEnded = true;
+        res.end(packFrame(frame));
+      } else {
+        res.write(packFrame(frame));
+      }
+    },
+    waited,
+  );
 }
--- a/packages/relay/src/RelayForwardServer.ts
+++ b/packages/relay/src/RelayForwardServer.ts
@@ -13,7 +13,7 @@
   ForwardTask,
   ServeForward,
 } from './RelayForwardTypes.js';
-import { ForwardRefusal, getTaskServer, isLastFrame } from './RelayForwardTypes.js';
+import { ForwardRefusal, getTaskServer, isLastFrame, shortenTask } from './RelayForwardTypes.js';
 import type { BackendPorts } from './RelayPorts.js';
 
 export interface ForwardServerOptions {
@@ -27,6 +27,8 @@
   readonly mayReach: (server: EngineId) => boolean;
   /** Takes a permit for a call to a server; false if it needs one and none is left. */
   readonly takePermit: (server: EngineId) => boolean;
+  /** Maximum time for which something that is read now may have waited unread. */
+  readonly getUnreadTime: () => Millis;
   /** A task was taken or refused, for the log. */
   readonly onTask: (task: ForwardTask, what: string) => void;
 }
@@ -67,6 +69,10 @@
     if (!mayReach(server)) {
       return ForwardRefusal.Unreached;
     }
+    if (isCall && task.call.timeLeft <= 0) {
+      // It waited unread for as long as its caller waits.
+      return ForwardRefusal.Full;
+    }
     const isFull = running >= MAX_TASKS || (isCall && !task.hasPermit && !takePermit(server));
     return isFull ? ForwardRefusal.Full : null;
   }
@@ -79,7 +85,8 @@
   }
 
   return {
-    serve(task, send) {
+    serve(given, send, waited = 0) {
+      const task = shortenTask(given, Math.max(waited, options.getUnreadTime()));
       const refusal = findRefusal(task);
       onTask(task, refusal ?? 'passed-on');
       if (refusal !== null) {
--- a/packages/relay/src/RelayForwardTypes.ts
+++ b/packages/relay/src/RelayForwardTypes.ts
@@ -1,5 +1,5 @@
 /** Messages of the way through a peer: what an instance that doesn't reach a backend server asks of one that may. */
-import type { EngineId, LayerRange, Unregister } from '@skylarksail/core/CoreTypes';
+import type { EngineId, LayerRange, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type {
   AttemptFailure,
   ChainAcknowledgement,
@@ -95,8 +95,27 @@
   listener: ForwardListener,
 ) => Unregister;
 
-/** Carries out a peer's task; the returned function cancels it. */
-export type ServeForward = (task: ForwardTask, send: (frame: ForwardFrame) => void) => Unregister;
+/**
+ * Carries out a peer's task; the returned function cancels it. `waited`: maximum time since the peer sent it, none if left
+ * out.
+ */
+export type ServeForward = (
+  task: ForwardTask,
+  send: (frame: ForwardFrame) => void,
+  waited?: Millis,
+) => Unregister;
+
+/** Takes time that has passed off the time that a call has left. */
+export function shortenTask(task: ForwardTask, elapsed: Millis): ForwardTask {
+  switch (task.kind) {
+    case 'engine-call':
+      return { ...task, call: { ...task.call, timeLeft: task.call.timeLeft - elapsed } };
+    case 'service-call':
+      return { ...task, call: { ...task.call, timeLeft: task.call.timeLeft - elapsed } };
+    default:
+      return task;
+  }
+}
 
 /** The server that a task needs a link to: of a chain, its first engine. */
 export function getTaskServer(task: ForwardTask): EngineId {
--- a/packages/relay/src/RelayForwarding.ts
+++ b/packages/relay/src/RelayForwarding.ts
@@ -9,7 +9,7 @@
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
 import type { ForwardPeers } from './RelayForwardPeers.js';
 import type { ForwardFrame, ForwardTask, OpenForward } from './RelayForwardTypes.js';
-import { ForwardRefusal, getTaskServer, isLastFrame } from './RelayForwardTypes.js';
+import { ForwardRefusal, getTaskServer, isLastFrame, shortenTask } from './RelayForwardTypes.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
 export interface RelayForwardingOptions {
@@ -174,7 +174,7 @@
       }
 
       const elapsed = timers.now() - startedAt;
-      stop = openForward(peer, shortenTime(task, elapsed), { onFrame, onClosed: close });
+      stop = openForward(peer, shortenTask(task, elapsed), { onFrame, onClosed: close });
     }
 
     tryNext();
@@ -212,18 +212,6 @@
   return kind === 'engine-call' || kind === 'service-call';
 }
 
-/** Takes the time that has passed off the time that a call has left. */
-function shortenTime(task: ForwardTask, elapsed: Millis): ForwardTask {
-  switch (task.kind) {
-    case 'engine-call':
-      return { ...task, call: { ...task.call, timeLeft: task.call.timeLeft - elapsed } };
-    case 'service-call':
-      return { ...task, call: { ...task.call, timeLeft: task.call.timeLeft - elapsed } };
-    default:
-      return task;
-  }
-}
-
 /** Whether the peer could not connect to the server. */
 function isUnreachedFrame(frame: ForwardFrame): boolean {
   switch (frame.kind) {
--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -14,6 +14,7 @@
 import { drawService } from '@skylarksail/routes/RouteTable';
 import type { PipelineFacts, Route, RoutedService } from '@skylarksail/routes/RouteTypes';
 import { RouteKind } from '@skylarksail/routes/RouteTypes';
+import type { RelayArrivals } from './RelayArrivals.js';
 import type { ConfirmCurrent } from './RelayConfirm.js';
 import { ONLY_VERSION } from './RelayFacts.js';
 import type { StartGate } from './RelayStartGate.js';
@@ -29,6 +30,7 @@
   /** Time within which a change must be in force on all instances after its acknowledgement. */
   readonly changeTime: Millis;
   readonly confirmCurrent: ConfirmCurrent;
+  readonly arrivals: Pick<RelayArrivals, 'add'>;
   /** Holds requests until the first configuration is in force. */
   readonly startGate: Pick<StartGate, 'isOpen' | 'wait'>;
   readonly onDecision: (decision: {
@@ -50,6 +52,8 @@
   readonly team: TeamId;
   readonly priority: PriorityName;
   readonly service: RoutedService;
+  /** Maximum time since its caller sent it. */
+  readonly age: Millis;
   readonly deadline: Millis;
 }
 
@@ -69,6 +73,14 @@
 const DEFAULT_RETRY: Millis = 500;
 /** Staleness can be understated by this much, the delay of a store answer that stalled before its first byte. */
 const STALENESS_ERROR: Millis = 700;
+/**
+ * A caller whose request may be repeated leaves if it is not read within this time, or within a share of the time that it has.
+ * A request that is held for as long is refused, as its caller is better served elsewhere.
+ */
+const UNREAD_LIMIT: Millis = 1000;
+const UNREAD_LIMIT_SHARE = 1 / 3;
+/** Retry delay of a request that an instance which is behind did not begin: its retry goes to another. */
+const BEHIND_RETRY: Millis = 50;
 /** Retry delay of a stale instance: it usually catches up within a second, and other instances are current. */
 const STALE_RETRY: Millis = 500;
 /**
@@ -113,8 +125,34 @@
 
   function submit(call: RelayCall, listener: RelayListener): RequestHandle {
     return getTable() === null && !options.startGate.isOpen()
-      ? submitLater(call, options.startGate.wait, (held) => submitNow(held, listener))
-      : submitNow(call, listener);
+      ? submitLater(call, options.startGate.wait, (held) => submitArrived(held, listener))
+      : submitArrived(call, listener);
+  }
+
+  /** Submits a request in its turn, unless its caller has left by then. */
+  function submitArrived(call: RelayCall, listener: RelayListener): RequestHandle {
+    const now = timers.now();
+    let handle: RequestHandle = NO_HANDLE;
+    const takeBack = options.arrivals.add({
+      sentAt: now - (call.waited ?? 0) - (call.held ?? 0),
+      holdUntil: now + getUnreadLimit(call),
+      begin: () => {
+        handle = submitNow(holdFor(call, timers.now() - now), listener);
+      },
+      refuse: () => {
+        handle = refuse(call, listener, {
+          status: 503,
+          retryAfter: BEHIND_RETRY,
+          reason: 'this instance is behind',
+        });
+      },
+    });
+    return {
+      cancel() {
+        takeBack();
+        handle.cancel();
+      },
+    };
   }
 
   /** Submits a request after a wait, with the time that is left then, unless its caller disconnects before. */
@@ -128,9 +166,7 @@
     let isCancelled = false;
     wait(() => {
       if (!isCancelled) {
-        const waited = timers.now() - startedAt;
-        const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - waited);
-        handle = submitHeld({ ...call, timeLeft });
+        handle = submitHeld(holdFor(call, timers.now() - startedAt));
       }
     });
     return {
@@ -215,19 +251,27 @@
     if (service === null) {
       return { status: 503, retryAfter: DEFAULT_RETRY, reason: 'no service' };
     }
-    const patience = Math.min(call.timeLeft ?? Infinity, route.timeout);
+    const waited = getUnreadTime(call, route);
+    const timeLeft = Math.min(
+      (call.timeLeft ?? Infinity) - waited,
+      route.timeout - waited - (call.held ?? 0),
+    );
+    if (waited > 0 && timeLeft <= ANSWER_MARGIN) {
+      return { status: 503, retryAfter: BEHIND_RETRY, reason: 'its time may have passed unread' };
+    }
     return {
       call,
       route,
       team: team?.id ?? NO_TEAM,
       priority: PRIORITIES[team?.priority ?? route.priority] ?? Priority.Low,
       service,
-      deadline: timers.now() + Math.max(0, patience - ANSWER_MARGIN),
+      age: waited + (call.held ?? 0),
+      deadline: timers.now() + Math.max(0, timeLeft - ANSWER_MARGIN),
     };
   }
 
   function submitStream(
-    { call, route, team, priority, service, deadline }: RoutedCall,
+    { call, route, team, priority, service, age, deadline }: RoutedCall,
     pipeline: PipelineFacts,
     listener: RelayListener,
   ): RequestHandle {
@@ -249,7 +293,7 @@
       patience: Math.min(
         MAX_PATIENCE,
         PATIENCE_SHARE * (deadline - timers.now()),
-        CALLER_PATIENCE_SHARE * (route.callerPatience ?? Infinity),
+        Math.max(0, CALLER_PATIENCE_SHARE * (route.callerPatience ?? Infinity) - age),
       ),
       sharedParts: call.sharedParts ?? [],
       prefixKeys: [],
@@ -316,6 +360,23 @@
   return { submit };
 }
 
+/** Maximum time for which a request waited unread, by what was measured and by how long its caller lets it wait. */
+function getUnreadTime(call: RelayCall, { kind, isResumable }: Route): Millis {
+  const isIdempotent = kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
+  return Math.min(call.waited ?? 0, isIdempotent ? getUnreadLimit(call) : Infinity);
+}
+
+/** Longest time for which the caller of a request that may be repeated lets it wait unread. */
+function getUnreadLimit({ timeLeft }: RelayCall): Millis {
+  return Math.min(UNREAD_LIMIT, UNREAD_LIMIT_SHARE * (timeLeft ?? Infinity));
+}
+
+/** A call that was held for a while since it was read. */
+export function holdFor(call: RelayCall, time: Millis): RelayCall {
+  const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - time);
+  return { ...call, timeLeft, held: (call.held ?? 0) + time };
+}
+
 function isUnknown({ status }: RelayRefusal): boolean {
   return status === Status.NotFound || status === Status.Unauthorized;
 }
--- a/packages/relay/src/RelayLoopWatch.ts
+++ b/packages/relay/src/RelayLoopWatch.ts
@@ -6,14 +6,14 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 
-/** Calls `work` once all input that waits unread now has been read. */
-export type AfterReading = (work: () => void) => void;
+/** Calls `work` at the end of the present turn of the event loop, or of the next one if called at the end of a turn. */
+export type AfterTurn = (work: () => void) => void;
 
 export interface LoopWatchOptions {
   readonly timers: TimerService;
   /** Wall-clock time in ms. It also advances while the machine is suspended, when the monotonic clock may not. */
   readonly wallNow: () => Millis;
-  readonly afterReading: AfterReading;
+  readonly afterTurn: AfterTurn;
   /** Receives the length of each late turn. */
   readonly onLate: (turn: Millis) => void;
 }
@@ -21,6 +21,10 @@
 export interface LoopWatch {
   /** Maximum time for which something that is read now may have waited unread; 0 while this process keeps up. */
   getUnreadTime(): Millis;
+  /** Runs `work` at once, or, while this process is behind, after all that waits unread; the returned function cancels it. */
+  whenRead(work: () => void): Unregister;
+  /** Runs `work` when all input has just been read: what `whenRead` gets meanwhile runs at once. */
+  runCurrent(work: () => void): void;
   readonly stop: Unregister;
 }
 
@@ -35,10 +39,19 @@
 const TOLERANCE: Millis = 50;
 
 export function createLoopWatch(options: LoopWatchOptions): LoopWatch {
-  const { timers, wallNow, afterReading, onLate } = options;
+  const { timers, wallNow, afterTurn, onLate } = options;
   let tickedAt = readClocks();
   /** Beginning of the last late turn, until what came during it has been read. */
   let lateSince: ClockReading | null = null;
+  let isCurrent = false;
+
+  /**
+   * The end of this turn, and of the next one: what belongs to one connection may take two turns, as the first reads a
+   * request and only the second the close that came right behind it.
+   */
+  function afterReading(work: () => void): void {
+    afterTurn(() => afterTurn(work));
+  }
 
   function readClocks(): ClockReading {
     return { monotonic: timers.now(), wall: wallNow() };
@@ -65,10 +78,35 @@
     tickedAt = readClocks();
   }
 
+  function getUnreadTime(): Millis {
+    const since = lateSince ?? (isLate() ? tickedAt : null);
+    return since === null ? 0 : getTimeSince(since);
+  }
+
   return {
-    getUnreadTime: () => {
-      const since = lateSince ?? (isLate() ? tickedAt : null);
-      return since === null ? 0 : getTimeSince(since);
+    getUnreadTime,
+    whenRead(work) {
+      if (isCurrent || getUnreadTime() === 0) {
+        work();
+        return () => undefined;
+      }
+      let isCancelled = false;
+      afterReading(() => {
+        if (!isCancelled) {
+          work();
+        }
+      });
+      return () => {
+        isCancelled = true;
+      };
+    },
+    runCurrent(work) {
+      isCurrent = true;
+      try {
+        work();
+      } finally {
+        isCurrent = false;
+      }
     },
     stop: timers.registerInterval(TICK, tick),
   };
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -14,6 +14,7 @@
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { createRelayArrivals } from './RelayArrivals.js';
 import { createRelayPlannedWork } from './RelayPlannedWork.js';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createCatalogue } from './RelayCatalogue.js';
@@ -62,7 +63,7 @@
   const loop = createLoopWatch({
     timers,
     wallNow: options.wallNow,
-    afterReading: options.afterReading,
+    afterTurn: options.afterTurn,
     onLate: (turn) => {
       metrics.count('late_turns', 'turns of the event loop that were late');
       logger.warn({ turnMs: Math.round(turn) }, 'event loop late');
@@ -157,6 +158,7 @@
     catalogue,
     limits,
     linkPorts,
+    loop,
     openForward: options.openForward,
     onCut: noteReachable,
     logger,
@@ -231,6 +233,7 @@
     changeTime: options.changeTime,
     confirmCurrent: sync.confirmCurrent,
     startGate,
+    arrivals: createRelayArrivals({ timers, loop, afterTurn: options.afterTurn }),
     onDecision: decisions.record,
   });
   const isPlacing = createPlacementDuty({
--- a/packages/relay/src/RelayPartsTypes.ts
+++ b/packages/relay/src/RelayPartsTypes.ts
@@ -14,7 +14,7 @@
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import type { RelayIntake } from './RelayIntake.js';
 import type { AskForPermits, RelayLimits } from './RelayLimits.js';
-import type { AfterReading, LoopWatch } from './RelayLoopWatch.js';
+import type { AfterTurn, LoopWatch } from './RelayLoopWatch.js';
 import type { RelayRetryBudget } from './RelayRetryBudget.js';
 import type { OpenForward, ServeForward } from './RelayForwardTypes.js';
 import type { AskForTrial, RelayTrials } from './RelayTrials.js';
@@ -36,7 +36,7 @@
   readonly timers: TimerService;
   /** Wall clock time in ms, which also advances while the process is suspended. */
   readonly wallNow: () => Millis;
-  readonly afterReading: AfterReading;
+  readonly afterTurn: AfterTurn;
   readonly random: Random;
   readonly store: StoreRangePort;
   readonly readContent: ReadContent;
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -6,12 +6,14 @@
 import type { DaemonLogger } from '@skylarksail/daemon/DaemonLog';
 import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import type { Catalogue } from './RelayCatalogue.js';
+import { createCaughtUpPorts } from './RelayCaughtUpPorts.js';
 import { createForwardPeers } from './RelayForwardPeers.js';
 import type { ForwardServer } from './RelayForwardServer.js';
 import { createForwardServer } from './RelayForwardServer.js';
 import type { ForwardTask, OpenForward, ServeForward } from './RelayForwardTypes.js';
 import type { RelayForwarding } from './RelayForwarding.js';
 import { createRelayForwarding } from './RelayForwarding.js';
+import type { LoopWatch } from './RelayLoopWatch.js';
 import type { RelayLimits } from './RelayLimits.js';
 import { createPathPorts } from './RelayPathPorts.js';
 import { createRelayPaths } from './RelayPaths.js';
@@ -28,6 +30,7 @@
   readonly limits: Pick<RelayLimits, 'isLimited' | 'listBlocked' | 'reserve'>;
   /** Ports of this instance's own links. */
   readonly linkPorts: BackendPorts;
+  readonly loop: Pick<LoopWatch, 'getUnreadTime' | 'whenRead'>;
   readonly openForward: OpenForward;
   /** The own link to a server is cut, and a peer reaches it. */
   readonly onCut: (server: EngineId) => void;
@@ -71,7 +74,7 @@
     },
     onRestored: (id) => logger.info({ server: id }, 'own link restored'),
   });
-  const own = createWatchedPorts(linkPorts, paths);
+  const own = createCaughtUpPorts(createWatchedPorts(linkPorts, paths), options);
   const forwarding: RelayForwarding = createRelayForwarding({
     timers,
     peers: createForwardPeers({ timers, random, self, listInstances: options.listInstances }),
@@ -87,6 +90,7 @@
     isCut: paths.isCut,
     mayReach: (id) => paths.mayReach(id) && !paths.hasOwnFailed(id),
     takePermit,
+    getUnreadTime: options.loop.getUnreadTime,
     onTask: (task, what) => recordTask('for-peer', task, { what }),
   });
   startedServer = server;
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -7,6 +7,7 @@
 import { collectResponseBody, startResponseTimeout } from '@skylarksail/core/CoreResponseTimeout';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import { afterReading } from '@skylarksail/daemon/DaemonTimers';
 import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
 import type { SendCrashReports } from '@skylarksail/requests/RouterCrashExchange';
 import type { AskForPermits, PermitAnswer, PermitQuery } from './RelayLimits.js';
@@ -70,6 +71,8 @@
   /** Whether a trial of the request is granted. */
   readonly trial: (fingerprint: string) => boolean;
   readonly forward: ServeForward;
+  /** Maximum time for which something that is read now may have waited unread. */
+  readonly getUnreadTime: () => Millis;
 }
 
 export interface PeerHttp {
@@ -157,11 +160,15 @@
       new Promise((resolve, reject) => {
         const server = createServer((req, res) => {
           const isTask = req.url === FORWARD_PATH;
-          void readBody(req, isTask ? MAX_TASK_BYTES : MAX_BODY_BYTES).then((body) =>
-            isTask
-              ? serveTask(body, req, res, answers.forward)
-              : serve(req, body, { answers, codec }, res),
-          );
+          const sentAt = timers.now() - answers.getUnreadTime();
+          void readBody(req, isTask ? MAX_TASK_BYTES : MAX_BODY_BYTES).then((body) => {
+            if (isTask) {
+              // The close of an asker that has left waits right behind its task.
+              afterReading(() => serveTask(body, req, res, answers.forward, timers.now() - sentAt));
+            } else {
+              void serve(req, body, { answers, codec }, res);
+            }
+          });
         });
         stop = () => {
           server.close();
--- a/packages/relay/src/RelayTypes.ts
+++ b/packages/relay/src/RelayTypes.ts
@@ -66,8 +66,10 @@
   readonly key: string | null;
   /** Remaining time that the caller will wait; null if not specified. */
   readonly timeLeft: Millis | null;
-  /** Maximum time that has passed since the caller sent it, which counts against `timeLeft`; none if left out. */
+  /** Maximum time for which it waited unread, which is still to be taken off `timeLeft`; none if left out. */
   readonly waited?: Millis;
+  /** Time for which this instance has had it since, which is taken off `timeLeft` already; none if left out. */
+  readonly held?: Millis;
   readonly body: Uint8Array;
   /** Ids of the parts of its prompt that other requests may share, in order; none if left out. */
   readonly sharedParts?: readonly string[];
--- a/packages/relay/src/__tests__/unit/RelayIntake.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayIntake.test.ts
@@ -50,6 +50,12 @@
     getStaleness: () => staleness,
     changeTime: 2000,
     confirmCurrent: (done) => confirm(done),
+    arrivals: {
+      add: ({ begin }) => {
+        begin();
+        return () => undefined;
+      },
+    },
     startGate: { isOpen: () => isGateOpen, wait: (resume) => held.push(resume) },
     onDecision: (decision) => decisions.push({ ...decision }),
   });
--- a/packages/relay/src/__tests__/unit/RelayLeftCallers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLeftCallers.test.ts
@@ -3,12 +3,12 @@
 import { createSystemTimers } from '@skylarksail/daemon/DaemonTimers';
 import { createUnreachedFailure } from '@skylarksail/requests/RequestFailures';
 import type { AttemptFailure, ServiceCall } from '@skylarksail/requests/RequestPorts';
+import { blockWhileClientsLeave, waitUntilRead } from '@skylarksail/daemon/__tests__/BlockedLoop';
 import { packTask } from '../../RelayForwardMessages.js';
 import { FORWARD_PATH } from '../../RelayForwardHttp.js';
 import type { ForwardTask } from '../../RelayForwardTypes.js';
 import { createPeerHttp } from '../../RelayPeerHttp.js';
 import type { PeerHandlers } from '../../RelayPeerHttp.js';
-import { blockWhileClientsLeave, waitUntilRead } from './BlockedLoop.js';
 import { createPartsBed } from './RelayPartsBed.js';
 
 const SETTLE_TIME: Millis = 5000;
@@ -108,6 +108,7 @@
     const http = createPeerHttp(createSystemTimers());
     const begun: ForwardTask[] = [];
     const handlers = {
+      getUnreadTime: () => 0,
       forward: (task) => {
         begun.push(task);
         return () => undefined;
--- a/packages/relay/src/__tests__/unit/RelayLoopWatch.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLoopWatch.test.ts
@@ -21,7 +21,7 @@
   const watch = createLoopWatch({
     timers,
     wallNow: () => now + suspended,
-    afterReading: (work) => read.push(work),
+    afterTurn: (work) => read.push(work),
     onLate: (turn) => turns.push(turn),
   });
   return {
@@ -36,9 +36,11 @@
     tick: () => tick(),
     /** All input that waited is read. */
     read: () => {
-      const work = read;
-      read = [];
-      work.forEach((run) => run());
+      [1, 2].forEach(() => {
+        const work = read;
+        read = [];
+        work.forEach((run) => run());
+      });
     },
   };
 }
@@ -83,4 +85,19 @@
     suspend(900);
     expect(watch.getUnreadTime()).to.equal(1000);
   });
+
+  it('runs work at once while the process keeps up or all has just been read, and else after the reading', () => {
+    const { watch, pass, tick, read } = createBed();
+    const ran: string[] = [];
+    watch.whenRead(() => ran.push('kept up'));
+    pass(1500);
+    tick();
+    watch.whenRead(() => ran.push('late'));
+    const cancel = watch.whenRead(() => ran.push('cancelled'));
+    watch.runCurrent(() => watch.whenRead(() => ran.push('just read')));
+    cancel();
+    expect(ran).to.deep.equal(['kept up', 'just read']);
+    read();
+    expect(ran).to.deep.equal(['kept up', 'just read', 'late']);
+  });
 });
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -173,7 +173,7 @@
         minLeaseTime: 1000,
         timers,
         wallNow: () => timers.now() + suspendedTime,
-        afterReading: (work) => (isReading ? work() : unread.push(work)),
+        afterTurn: (work) => (isReading ? work() : unread.push(work)),
         random: createRandom(ids.length),
         store: port,
         readContent,
--- a/packages/relay/src/__tests__/unit/RelayPeers.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPeers.test.ts
@@ -356,6 +356,7 @@
           grant: (_service, wanted) => wanted,
           crashes: (digest) => received.push(digest),
           forward: () => () => undefined,
+          getUnreadTime: () => 0,
           trial: (fingerprint) => fingerprint === 'f',
           permits: ({ limit, wanted }) => ({ count: wanted, limit, age: 7 }),
         },
