--- a/packages/daemon/src/DaemonHttpServer.ts
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -11,9 +11,11 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
+import { registerHangUpListener } from './DaemonHangUps.js';
 import { ProblemKind, createProblemBody } from './DaemonProblems.js';
 import type { ReportError } from './DaemonReplies.js';
 import { sendThrownError } from './DaemonReplies.js';
+import { afterReading } from './DaemonTimers.js';
 
 const MAX_HEADER_COUNT = 100;
 const KEEP_ALIVE_TIMEOUT: Millis = 72_000;
@@ -72,6 +74,7 @@
   const fastify: FastifyInstance = adapter.getInstance();
   fastify.server.maxHeadersCount = MAX_HEADER_COUNT;
   registerBodyParsers(fastify, options.rawBodyPrefix);
+  registerLeftClientCheck(fastify);
   const app = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
     logger: false,
     bodyParser: false,
@@ -89,6 +92,23 @@
   };
 }
 
+/** Handles no request of a client that has left: the close of its connection is read a turn after its request. */
+function registerLeftClientCheck(fastify: FastifyInstance): void {
+  fastify.addHook('preHandler', (req, reply, done) => {
+    let hasLeft = false;
+    registerHangUpListener(req.raw, reply.raw, () => {
+      hasLeft = true;
+    });
+    afterReading(() => {
+      if (hasLeft) {
+        reply.hijack();
+      } else {
+        done();
+      }
+    });
+  });
+}
+
 /** Sends a problem on a connection whose request is malformed or too slow, and closes it. */
 function handleClientError(err: { readonly code?: string }, socket: Socket): void {
   if (!socket.writable) {
