--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -32,6 +32,7 @@
 import { createRelayLimits } from './RelayLimits.js';
 import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
+import { createRelayRests } from './RelayRests.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createBackendView } from './RelayView.js';
@@ -141,13 +142,19 @@
     onLimitedRequest: () =>
       metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
   });
+  const rests = createRelayRests({
+    timers,
+    random,
+    logger,
+    onAsked: () => metrics.count('rests_asked', 'answers by which servers asked for rest'),
+  });
   const permits = createPermitChoices({ limits, isFirst: canBeginChain });
   const linkPorts = options.createBackends(
     createBackendView(
       catalogue,
       () => table,
       () => lease.listInstances().length,
-      limits.noteLimit,
+      { noteRequestLimit: limits.noteLimit, noteRestAsked: rests.noteAsked },
     ),
   );
   const paths = createPathParts({
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -67,6 +67,8 @@
   getMaxConnections(address: HostPort): number;
   /** Records the requests a second that a server takes, as its answer names them; null if it names none. */
   noteRequestLimit(server: EngineId, limit: number | null): void;
+  /** Records that a server asked this instance to send nothing for a time. */
+  noteRestAsked(server: EngineId, time: Millis): void;
 }
 
 /** All ports to backend servers. */
--- a/packages/relay/src/RelayView.ts
+++ b/packages/relay/src/RelayView.ts
@@ -16,7 +16,7 @@
   catalogue: Catalogue,
   getTable: () => RouteTable | null,
   countInstances: () => number,
-  noteRequestLimit: BackendView['noteRequestLimit'],
+  notes: Pick<BackendView, 'noteRequestLimit' | 'noteRestAsked'>,
 ): BackendView {
   function findEntry({ host, port }: HostPort): BackendEntry | null {
     const found = catalogue
@@ -26,7 +26,7 @@
   }
 
   return {
-    noteRequestLimit,
+    ...notes,
     getBackend: catalogue.get,
     findByAddress: (address) => findEntry(address)?.id ?? null,
     getHealthPath: (service) => getTable()?.findService(service)?.healthPath ?? null,
