--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -33,6 +33,9 @@
   readonly at: number;
 }
 
+/** A health check or a question for its status that an instance sent to an engine. */
+export type SentProbe = Omit<SentOrder, 'range'>;
+
 /** A request, and what its caller has received. */
 export interface SentCall {
   readonly id: string;
@@ -84,6 +87,7 @@
   const gone = new Set<string>();
   const crashed = new Set<string>();
   const orders: SentOrder[] = [];
+  const probes: SentProbe[] = [];
   let suspendedTime = 0;
   let isReading = true;
   const unread: (() => void)[] = [];
@@ -107,20 +111,25 @@
     openEngineCall: openCallOf?.(by, view) ?? openRefusedCall,
     openServiceCall: openServiceCallOf?.(by, view) ?? (() => () => undefined),
     orders: {
-      readStatus: ({ id }) =>
-        Promise.resolve({
+      readStatus: ({ id }) => {
+        probes.push({ by, engine: id, at: timers.now() });
+        return Promise.resolve({
           born: null,
           orderCount: 0,
           isBusy: false,
           layers: layers.get(id) ?? null,
-        }),
+        });
+      },
       order: ({ id }, range) => {
         orders.push({ by, engine: id, range, at: timers.now() });
         layers.set(id, range);
         return Promise.resolve('accepted');
       },
     },
-    readHealth: ({ id }) => Promise.resolve(readHealthOf(by, id)),
+    readHealth: ({ id }) => {
+      probes.push({ by, engine: id, at: timers.now() });
+      return Promise.resolve(readHealthOf(by, id));
+    },
     checkConnection: ({ id }) => {
       const isReached = !isCutOff(by) && !crashed.has(id);
       return isReached ? Promise.resolve(true) : wait(CONNECT_TIMEOUT).then(() => false);
@@ -305,6 +314,7 @@
     store,
     parts,
     orders,
+    probes,
     leaving,
     gone,
     /** Engines that do not answer. */
