Send nothing to a server in the rest that it asked for

Cause: `Retry-After` was the delay of the refused request. It is the server's, towards this instance: nothing kept it, so the next request went there at once, and the refused one, which could have gone elsewhere, was given up as too late. Class: what an answer says of its server is kept for its request only. The choice of chains and servers leaves out those that rest, in any place of a chain and in repairs; RelayRestPorts holds back calls, health checks, questions and orders over each path; a peer refuses tasks for a server that asked the peer for rest; a call that waited for a connection is checked once more. After a rest one request goes first. The refused request goes elsewhere at once; where only servers that rest could serve it, its caller is told at once when they are back, and waits itself if that is within 250 ms.

--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -137,6 +137,10 @@
     if (now - sentAt > PROBE_TIMEOUT + LATE_ANSWER_MARGIN || catalogue.get(entry.id) === null) {
       return;
     }
+    if (health.kind === 'resting') {
+      // It turns all away for now, which says nothing of whether it leaves.
+      return;
+    }
     if (health.kind !== 'leaving') {
       const isAlive = health.kind === 'well' && health.id === entry.server;
       results.set(entry.id, { sentAt, fate: isAlive ? EngineFate.Alive : EngineFate.Ended });
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -32,6 +32,7 @@
 import { createRelayLimits } from './RelayLimits.js';
 import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
+import type { RelayRests } from './RelayRests.js';
 import { createRelayRests } from './RelayRests.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
@@ -148,13 +149,17 @@
     logger,
     onAsked: () => metrics.count('rests_asked', 'answers by which servers asked for rest'),
   });
-  const permits = createPermitChoices({ limits, isFirst: canBeginChain });
+  const permits = createPermitChoices({ limits, rests, isFirst: canBeginChain });
   const linkPorts = options.createBackends(
     createBackendView(
       catalogue,
       () => table,
       () => lease.listInstances().length,
-      { noteRequestLimit: limits.noteLimit, noteRestAsked: rests.noteAsked },
+      {
+        noteRequestLimit: limits.noteLimit,
+        noteRestAsked: rests.noteAsked,
+        isInRest: rests.isInRest,
+      },
     ),
   );
   const paths = createPathParts({
@@ -165,6 +170,7 @@
     catalogue,
     limits,
     linkPorts,
+    rests,
     loop,
     openForward: options.openForward,
     onCut: noteReachable,
@@ -214,6 +220,7 @@
       createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
     ),
     openServiceCall: health.watchServiceCalls(backends.openServiceCall),
+    getRestLeft: (service) => getRestLeft(catalogue, rests, service),
     claims: NO_CLAIMS,
     links: routing.links,
     getRetryBurst: repeats.getBurst,
@@ -400,6 +407,16 @@
   };
 }
 
+/** Time until the first server of a service that rests may be used again; null if none rests. */
+function getRestLeft(catalogue: Catalogue, rests: RelayRests, service: ServiceId): Millis | null {
+  const times = catalogue
+    .list()
+    .filter((entry) => entry.service === service && entry.state === LifeState.Live)
+    .map(({ id }) => rests.getTimeLeft(id))
+    .filter((time) => time > 0);
+  return times.length === 0 ? null : Math.min(...times);
+}
+
 function listDomains(catalogue: Catalogue): readonly DomainId[] {
   return [
     ...new Set(
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -18,6 +18,8 @@
 import { createPathPorts } from './RelayPathPorts.js';
 import { createRelayPaths } from './RelayPaths.js';
 import type { BackendPorts } from './RelayPorts.js';
+import { createRestingPorts, createRestNotingPorts } from './RelayRestPorts.js';
+import type { RelayRests } from './RelayRests.js';
 import { createWatchedPorts } from './RelayWatchedPorts.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
@@ -30,6 +32,7 @@
   readonly limits: Pick<RelayLimits, 'isLimited' | 'listBlocked' | 'reserve'>;
   /** Ports of this instance's own links. */
   readonly linkPorts: BackendPorts;
+  readonly rests: RelayRests;
   readonly loop: Pick<LoopWatch, 'getUnreadTime' | 'whenRead'>;
   readonly openForward: OpenForward;
   /** The own link to a server is cut, and a peer reaches it. */
@@ -57,7 +60,7 @@
 const PEER_CHECK_TIMEOUT: Millis = 500;
 
 export function createPathParts(options: PathPartsOptions): PathParts {
-  const { timers, random, self, catalogue, limits, linkPorts, logger, metrics } = options;
+  const { timers, random, self, catalogue, limits, rests, linkPorts, logger, metrics } = options;
   let startedServer: ForwardServer | null = null;
   const paths = createRelayPaths({
     timers,
@@ -74,7 +77,10 @@
     },
     onRestored: (id) => logger.info({ server: id }, 'own link restored'),
   });
-  const own = createCaughtUpPorts(createWatchedPorts(linkPorts, paths), options);
+  const own = createRestNotingPorts(
+    createCaughtUpPorts(createWatchedPorts(linkPorts, paths), options),
+    rests,
+  );
   const forwarding: RelayForwarding = createRelayForwarding({
     timers,
     peers: createForwardPeers({ timers, random, self, listInstances: options.listInstances }),
@@ -90,6 +96,7 @@
     isCut: paths.isCut,
     mayReach: (id) => paths.mayReach(id) && !paths.hasOwnFailed(id),
     takePermit,
+    rests,
     getUnreadTime: options.loop.getUnreadTime,
     onTask: (task, what) => recordTask('for-peer', task, { what }),
   });
@@ -125,7 +132,10 @@
   }
 
   return {
-    backends: createPathPorts({ timers, own, paths, forwarding, isLimited: limits.isLimited }),
+    backends: createRestingPorts(
+      createPathPorts({ timers, own, paths, forwarding, isLimited: limits.isLimited }),
+      rests,
+    ),
     serve: server.serve,
     sweep: paths.sweep,
     startLeaving: server.startLeaving,
--- a/packages/relay/src/RelayPermits.ts
+++ b/packages/relay/src/RelayPermits.ts
@@ -1,26 +1,31 @@
-/** Applies the request limits of backend servers to the choice of chains and servers. */
+/** Applies the request limits and rests of backend servers to the choice of chains and servers. */
 import type { Chain } from '@skylarksail/core/CoreChain';
 import type { EngineId } from '@skylarksail/core/CoreTypes';
 import type { OpenEngineCall } from '@skylarksail/requests/RequestPorts';
 import type { ChainChoice, ChainRequest } from '@skylarksail/requests/RequestTypes';
 import type { ChooseServer } from '@skylarksail/requests/RouterTypes';
 import type { Permit, RelayLimits } from './RelayLimits.js';
+import type { RelayRests } from './RelayRests.js';
 
 export interface PermitChoicesOptions {
   readonly limits: Pick<RelayLimits, 'listBlocked' | 'reserve'>;
+  readonly rests: Pick<RelayRests, 'listResting' | 'getTimeLeft'>;
   /** Whether a server receives requests itself, rather than from the engine before it in a chain. */
   readonly isFirst: (server: EngineId) => boolean;
 }
 
 /** Wrappers of the router's ports. */
 export interface PermitChoices {
-  /** Chooses no first engine that needs a permit and has none, and reserves one for the chain that is chosen. */
+  /**
+   * Chooses no engine that rests, and no first one that needs a permit and has none; reserves one for the chain that is
+   * chosen.
+   */
   limitChoice<R extends ChainRequest>(
     choose: (request: R) => ChainChoice,
   ): (request: R) => ChainChoice;
   /** Uses the permit of a call's chain when the call is sent. */
   usePermits(open: OpenEngineCall): OpenEngineCall;
-  /** Chooses no server of a plain service that needs a permit and has none. */
+  /** Chooses no server of a plain service that rests, or needs a permit and has none. */
   limitServers(choose: ChooseServer): ChooseServer;
 }
 
@@ -29,19 +34,42 @@
 /** Waiting helps, as a permit may come. */
 const NO_PERMIT: ChainChoice = { kind: 'none', isFull: true, retryAfter: 0 };
 
-export function createPermitChoices({ limits, isFirst }: PermitChoicesOptions): PermitChoices {
+export function createPermitChoices({
+  limits,
+  rests,
+  isFirst,
+}: PermitChoicesOptions): PermitChoices {
   const permits = new WeakMap<Chain, Permit>();
 
   function listBlocked(): readonly EngineId[] {
     return limits.listBlocked().filter(isFirst);
   }
 
-  function reserveFor(choice: ChainChoice, blocked: readonly EngineId[]): ChainChoice {
-    if (choice.kind === 'none') {
-      return choice;
+  /** If it is for servers that rest that there is no chain, tells how long they do. */
+  function explainNone<R extends ChainRequest>(
+    none: ChainChoice,
+    choose: (request: R) => ChainChoice,
+    request: R,
+    resting: readonly EngineId[],
+  ): ChainChoice {
+    // They may be avoided for having refused, too.
+    const avoid = request.avoid.filter((engine) => !resting.includes(engine));
+    const withThem = resting.length > 0 ? choose({ ...request, avoid }) : none;
+    if (withThem.kind === 'none') {
+      return none;
     }
+    withThem.hold.release({ kind: 'cancelled' });
+    const times = withThem.chain.stages.map(({ engine }) => rests.getTimeLeft(engine));
+    return { kind: 'none', isFull: true, retryAfter: 0, restLeft: Math.max(...times) };
+  }
+
+  function reserveFor(
+    choice: ChosenChain,
+    blocked: readonly EngineId[],
+    resting: readonly EngineId[],
+  ): ChainChoice {
     const first = choice.chain.stages[0]?.engine ?? '';
-    if (blocked.includes(first)) {
+    if (blocked.includes(first) || choice.chain.stages.some((s) => resting.includes(s.engine))) {
       // A repair keeps the engines that are left of a chain, whatever it should avoid.
       choice.hold.release({ kind: 'cancelled' });
       return NO_PERMIT;
@@ -69,14 +97,19 @@
   return {
     limitChoice: (choose) => (request) => {
       const blocked = listBlocked();
-      return reserveFor(choose({ ...request, avoid: [...request.avoid, ...blocked] }), blocked);
+      const resting = rests.listResting();
+      const limited = { ...request, avoid: [...request.avoid, ...blocked] };
+      const choice = choose({ ...limited, avoid: [...limited.avoid, ...resting] });
+      return choice.kind === 'none'
+        ? explainNone(choice, choose, limited, resting)
+        : reserveFor(choice, blocked, resting);
     },
     usePermits: (open) => (call, listener) => {
       permits.get(call.chain)?.use();
       return open(call, listener);
     },
     limitServers: (choose) => (service, avoid) => {
-      const choice = choose(service, [...avoid, ...listBlocked()]);
+      const choice = choose(service, [...avoid, ...listBlocked(), ...rests.listResting()]);
       if (choice) {
         limits.reserve(choice.server)?.use();
       }
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -9,11 +9,15 @@
 import type { OpenEngineCall, OpenServiceCall } from '@skylarksail/requests/RequestPorts';
 import type { BackendEntry } from './RelayTypes.js';
 
-/** Result of a health probe. `id` identifies the incarnation that answered. */
+/**
+ * Result of a health probe. `id` identifies the incarnation that answered; `resting`: it wants no request for a time, or was
+ * not asked for that.
+ */
 export type HealthAnswer =
   | { readonly kind: 'well'; readonly id: EngineId }
   | { readonly kind: 'leaving' }
-  | { readonly kind: 'silent' };
+  | { readonly kind: 'silent' }
+  | { readonly kind: 'resting' };
 
 /** Probes of backend servers. */
 export interface BackendProbePort {
@@ -69,6 +73,8 @@
   noteRequestLimit(server: EngineId, limit: number | null): void;
   /** Records that a server asked this instance to send nothing for a time. */
   noteRestAsked(server: EngineId, time: Millis): void;
+  /** Whether the time for which a server wants nothing is not over. */
+  isInRest(server: EngineId): boolean;
 }
 
 /** All ports to backend servers. */
--- a/packages/relay/src/RelayRests.ts
+++ b/packages/relay/src/RelayRests.ts
@@ -25,6 +25,8 @@
   noteTaken(server: EngineId): void;
   /** Time until a server may get a request; 0 if it may now. */
   getTimeLeft(server: EngineId): Millis;
+  /** Whether the time for which a server asked is not over; without the time of the first request after it. */
+  isInRest(server: EngineId): boolean;
   /** Servers that may get no request now. */
   listResting(): readonly EngineId[];
   /** Number of servers of which anything is kept. */
@@ -94,6 +96,7 @@
       }
     },
     getTimeLeft,
+    isInRest: (server) => (rests.get(server)?.until ?? 0) > timers.now(),
     listResting: () => {
       forgetOld();
       return [...rests.keys()].filter((server) => getTimeLeft(server) > 0);
--- a/packages/relay/src/RelayView.ts
+++ b/packages/relay/src/RelayView.ts
@@ -16,7 +16,7 @@
   catalogue: Catalogue,
   getTable: () => RouteTable | null,
   countInstances: () => number,
-  notes: Pick<BackendView, 'noteRequestLimit' | 'noteRestAsked'>,
+  answers: Pick<BackendView, 'noteRequestLimit' | 'noteRestAsked' | 'isInRest'>,
 ): BackendView {
   function findEntry({ host, port }: HostPort): BackendEntry | null {
     const found = catalogue
@@ -26,7 +26,7 @@
   }
 
   return {
-    ...notes,
+    ...answers,
     getBackend: catalogue.get,
     findByAddress: (address) => findEntry(address)?.id ?? null,
     getHealthPath: (service) => getTable()?.findService(service)?.healthPath ?? null,
--- a/packages/relay/src/__tests__/unit/RelayRestBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayRestBed.ts
@@ -14,7 +14,8 @@
 export const ASKED_TIME: Millis = 500;
 const TURN_AWAY_TIME: Millis = 4;
 const WORK_TIME: Millis = 25;
-const SETTLE_TIME: Millis = 5000;
+/** An instance may repeat nothing in its first window of the retry budget. */
+const SETTLE_TIME: Millis = 12_000;
 
 /** A request that reached a server. */
 export interface Reached {
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -10,6 +10,7 @@
 import type { MachineStep, RequestMachine } from './RequestState.js';
 import { dropFrame, endWith, failWith, getFirstTokenDeadline, keepState } from './RequestState.js';
 import { ProblemKind } from './RequestTypes.js';
+import { MAX_REST_WAIT } from './RunBackoff.js';
 
 /** Handles one event. Frames of an earlier attempt, or after the end, are dropped and counted. */
 export function stepRequest(
@@ -111,7 +112,13 @@
 
 function waitForChain(
   machine: RequestMachine,
-  { isFull, isTooLate, retryAfter, isGone = false }: Extract<RequestEvent, { kind: 'no-chain' }>,
+  {
+    isFull,
+    isTooLate,
+    retryAfter,
+    isGone = false,
+    restLeft = 0,
+  }: Extract<RequestEvent, { kind: 'no-chain' }>,
   now: Millis,
 ): MachineStep {
   if (machine.phase !== RequestPhase.Choosing) {
@@ -121,6 +128,9 @@
     // The caller may resend at once: its request then runs on another version from the beginning.
     return failWith(machine, ProblemKind.EngineFailed, 0);
   }
+  if (machine.tokenCount === 0 && restLeft > MAX_REST_WAIT) {
+    return failWith(machine, ProblemKind.Overloaded, restLeft);
+  }
   if (machine.tokenCount === 0 && (isTooLate || !mayLookAgain(machine, isFull, now))) {
     return failWith(machine, ProblemKind.NoChain, retryAfter);
   }
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -57,6 +57,8 @@
       readonly retryAfter: Millis;
       /** Whether no chain can come back for an answer that has begun. */
       readonly isGone?: boolean;
+      /** Time until engines that asked for rest may be used again, if it is only for them that there is no chain. */
+      readonly restLeft?: Millis;
     }
   | {
       readonly kind: 'acknowledged';
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -163,6 +163,8 @@
       readonly retryAfter: Millis;
       /** Whether no chain can come back: the version with which the answer began is gone for good. */
       readonly isGone?: boolean;
+      /** Time until engines that asked for rest may be used again, if it is only for them that there is no chain. */
+      readonly restLeft?: Millis;
     };
 
 export type ChooseChain = (request: ChainRequest) => ChainChoice;
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -39,6 +39,7 @@
   takeFromBudget,
 } from './RouterShared.js';
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
+import { computeRestRetryDelay, MAX_REST_WAIT } from './RunBackoff.js';
 import type { RunPermission } from './RunGuard.js';
 import { createRunGuard } from './RunGuard.js';
 import { createCallAdmission, describeContent, parseRetryAfter } from './ServiceCalls.js';
@@ -134,7 +135,7 @@
   function open(): void {
     const chosen = chooseServerFor(shared, spec.service, suspects, avoid);
     if (chosen === null) {
-      fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
+      handleNoServer();
       return;
     }
     const { server } = chosen;
@@ -182,6 +183,18 @@
     );
   }
 
+  /** A rest that is nearly over is waited for; for a longer one the caller is told at once when to come back. */
+  function handleNoServer(): void {
+    const restLeft = deps.getRestLeft?.(spec.service) ?? null;
+    if (restLeft === null) {
+      fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
+    } else if (restLeft <= MAX_REST_WAIT) {
+      cancelRetry = timers.registerTimeout(Math.ceil(restLeft), () => shared.post(dispatch));
+    } else {
+      fail(ProblemKind.Overloaded, computeRestRetryDelay(deps.random, restLeft));
+    }
+  }
+
   /** Abandons a silent server after `attemptTimeout` if another server may be tried. */
   function scheduleAttemptTimeout(watchedAttempt: number, server: EngineId): void {
     const mayRetry = spec.idempotent && fruitless + 1 < (spec.maxAttempts ?? Infinity);
