Send nothing new to a server that says in an answer that it leaves

Some servers never register that they leave. Cause: the header was read nowhere. RelayCatalogue then shows that incarnation as leaving, whatever an entry, a peer's news or a health check tells, also while the store is away and after its entry was gone; a later incarnation is free. So chains, placement, tasks of peers and repairs treat it as one that registered `draining`.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -3,6 +3,7 @@
  * in the outage is kept for a grace period afterwards: its server may be alive, and only its heartbeats were lost. The
  * grace period starts anew if the store is lost within it for long enough that entries may lapse again.
  */
+import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, ServiceId, Unregister } from '@skylarksail/core/CoreTypes';
 import { getServerName, isEarlierIncarnation } from './RelayIncarnations.js';
@@ -18,6 +19,9 @@
 /** A loss that is shorter only suspends the grace period: no entry lapses in it, because servers have several heartbeats. */
 const SHORT_LOSS: Millis = 600;
 
+/** Far more incarnations than leave in the time for which a server goes on after it said so. */
+const MAX_SAID_LEAVING = 4096;
+
 /** Longest time between two answers of peers that reach the store; after more of it, they had lost the store too. */
 const MAX_NEWS_GAP: Millis = 1000;
 
@@ -36,6 +40,11 @@
    * the server's entry until `put` gets a new one or the grace period ends.
    */
   observe(entry: BackendEntry): void;
+  /**
+   * A server said itself that it leaves. That holds for its incarnation, whatever an entry, a peer or a health check tells:
+   * they may be older than its word, and some servers never register that they leave.
+   */
+  noteSaidLeaving(id: EngineId): void;
   /** The observations that override entries now. */
   listObserved(): readonly BackendEntry[];
   /** The store no longer answers: a grace period that runs is suspended until the next recovery. */
@@ -62,6 +71,8 @@
   const missing = new Map<string, Unregister>();
   /** Servers without an entry while the store is lost, and when they may be removed on a peer's news. */
   const reported = new Map<string, Millis>();
+  /** Incarnations that said that they leave, oldest first. They stay after their entry is gone, as it may come back. */
+  const saidLeaving = new Set<EngineId>();
   const listeners = new Set<() => void>();
   let isLost = false;
   let peerNewsAt = -Infinity;
@@ -165,6 +176,10 @@
     return observations.get(server) ?? entries.get(server) ?? null;
   }
 
+  function applySaidLeaving(entry: BackendEntry): BackendEntry {
+    return saidLeaving.has(entry.id) ? { ...entry, state: LifeState.Leaving } : entry;
+  }
+
   /** A delayed entry of an earlier incarnation would restore layers that the restarted server no longer holds. */
   function isOutdated(entry: BackendEntry): boolean {
     const known = getLatest(entry.server);
@@ -185,7 +200,7 @@
         return;
       }
       deleteServer(entry.server);
-      entries.set(entry.server, entry);
+      entries.set(entry.server, applySaidLeaving(entry));
       notifyListeners();
     },
     remove(server) {
@@ -196,7 +211,8 @@
       deleteServer(server);
       notifyListeners();
     },
-    observe(entry) {
+    observe(seen) {
+      const entry = applySaidLeaving(seen);
       const known = getLatest(entry.server);
       if (isOutdated(entry) || (known !== null && isSameEntry(known, entry))) {
         return;
@@ -204,6 +220,21 @@
       observations.set(entry.server, entry);
       notifyListeners();
     },
+    noteSaidLeaving(id) {
+      if (saidLeaving.has(id)) {
+        return;
+      }
+      saidLeaving.add(id);
+      [...saidLeaving].slice(0, -MAX_SAID_LEAVING).forEach((old) => saidLeaving.delete(old));
+      const server = getServerName(id);
+      for (const table of [entries, observations]) {
+        const entry = table.get(server);
+        if (entry?.id === id) {
+          table.set(server, applySaidLeaving(entry));
+        }
+      }
+      notifyListeners();
+    },
     listObserved: () => [...observations.values()],
     noteStoreLost() {
       if (!isLost) {
--- a/packages/relay/src/RelayForwardMessages.ts
+++ b/packages/relay/src/RelayForwardMessages.ts
@@ -71,7 +71,12 @@
   z.object({ kind: z.literal('order'), server, range, orderCount: count }),
 ]);
 
-const head = z.object({ status: count, headers, isUnframed: z.optional(z.boolean()) });
+const head = z.object({
+  status: count,
+  headers,
+  isUnframed: z.optional(z.boolean()),
+  isLeaving: z.optional(z.boolean()),
+});
 
 const failure = z.object({
   place: z.enum(FailurePlace),
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -157,6 +157,7 @@
       () => lease.listInstances().length,
       {
         noteRequestLimit: limits.noteLimit,
+        noteSaidLeaving,
         noteRestAsked: rests.noteAsked,
         isInRest: rests.isInRest,
       },
@@ -174,6 +175,7 @@
     loop,
     openForward: options.openForward,
     onCut: noteReachable,
+    onSaidLeaving: noteSaidLeaving,
     logger,
     decisions,
     metrics,
@@ -284,6 +286,13 @@
     return catalogue.get(engine)?.state !== LifeState.Live;
   }
 
+  function noteSaidLeaving(server: EngineId): void {
+    if (catalogue.get(server)?.state === LifeState.Live) {
+      logger.info({ server }, 'server said that it leaves');
+    }
+    catalogue.noteSaidLeaving(server);
+  }
+
   /** What this instance held against an engine was due to its own link. */
   function noteReachable(engine: EngineId): void {
     routing.noteReachable(engine);
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -37,6 +37,8 @@
   readonly openForward: OpenForward;
   /** The own link to a server is cut, and a peer reaches it. */
   readonly onCut: (server: EngineId) => void;
+  /** A server said in an answer, which may have come through a peer, that it leaves. */
+  readonly onSaidLeaving: (server: EngineId) => void;
   readonly logger: Pick<DaemonLogger, 'info' | 'warn'>;
   readonly decisions: Pick<DecisionLog, 'record'>;
   readonly metrics: Pick<DaemonMetrics, 'count'>;
@@ -133,7 +135,14 @@
 
   return {
     backends: createRestingPorts(
-      createPathPorts({ timers, own, paths, forwarding, isLimited: limits.isLimited }),
+      createPathPorts({
+        timers,
+        own,
+        paths,
+        forwarding,
+        isLimited: limits.isLimited,
+        onSaidLeaving: options.onSaidLeaving,
+      }),
       rests,
     ),
     serve: server.serve,
--- a/packages/relay/src/RelayPathPorts.ts
+++ b/packages/relay/src/RelayPathPorts.ts
@@ -30,6 +30,8 @@
   readonly forwarding: RelayForwarding;
   /** Whether calls to a server need permits, as far as this instance knows; it has taken one then. */
   readonly isLimited: (server: EngineId) => boolean;
+  /** An answer that came through a peer says that its server leaves. */
+  readonly onSaidLeaving: (server: EngineId) => void;
 }
 
 /** A call that can be opened over either path. */
@@ -43,7 +45,7 @@
 }
 
 export function createPathPorts(options: PathPortsOptions): BackendPorts {
-  const { timers, own, paths, forwarding, isLimited } = options;
+  const { timers, own, paths, forwarding, isLimited, onSaidLeaving } = options;
 
   /** Opens a call over the own link, or, if that is cut or its connection fails, through a peer. */
   function openEither(server: EngineId, call: EitherCall): Unregister {
@@ -94,7 +96,7 @@
         call: { ...call, timeLeft: call.timeLeft - elapsed },
         hasPermit,
       }),
-      createListener: (unreached) => toEngineListener(listener, server, unreached),
+      createListener: (unreached) => toEngineListener(listener, server, unreached, onSaidLeaving),
       onFailure: (failure) => listener.onFailure(failure),
     });
   };
@@ -107,7 +109,8 @@
         call: { ...call, timeLeft: call.timeLeft - elapsed },
         hasPermit,
       }),
-      createListener: (unreached) => toServiceListener(listener, call.server, unreached),
+      createListener: (unreached) =>
+        toServiceListener(listener, call.server, unreached, onSaidLeaving),
       onFailure: (failure) => listener.onFailure(failure),
     });
 
@@ -166,6 +169,7 @@
   listener: EngineCallListener,
   server: EngineId,
   unreached: AttemptFailure,
+  onSaidLeaving: (server: EngineId) => void,
 ): ForwardTaskListener {
   return {
     onFrame(frame: ForwardFrame) {
@@ -174,6 +178,9 @@
           listener.onConnection?.(frame.isSent);
           break;
         case 'acknowledged':
+          if (frame.acknowledgement.head?.isLeaving) {
+            onSaidLeaving(server);
+          }
           listener.onAcknowledged(frame.acknowledgement);
           break;
         case 'token':
@@ -198,6 +205,7 @@
   listener: ServiceCallListener,
   server: EngineId,
   unreached: AttemptFailure,
+  onSaidLeaving: (server: EngineId) => void,
 ): ForwardTaskListener {
   return {
     onFrame(frame: ForwardFrame) {
@@ -206,6 +214,9 @@
           listener.onConnection?.(frame.isSent);
           break;
         case 'answer':
+          if (frame.answer.isLeaving) {
+            onSaidLeaving(server);
+          }
           listener.onAnswer(frame.answer);
           break;
         case 'failure':
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -71,6 +71,8 @@
   getMaxConnections(address: HostPort): number;
   /** Records the requests a second that a server takes, as its answer names them; null if it names none. */
   noteRequestLimit(server: EngineId, limit: number | null): void;
+  /** Records that a server said in an answer that it leaves. */
+  noteSaidLeaving(server: EngineId): void;
   /** Records that a server asked this instance to send nothing for a time. */
   noteRestAsked(server: EngineId, time: Millis): void;
   /** Whether the time for which a server wants nothing is not over. */
--- a/packages/relay/src/RelayView.ts
+++ b/packages/relay/src/RelayView.ts
@@ -16,7 +16,7 @@
   catalogue: Catalogue,
   getTable: () => RouteTable | null,
   countInstances: () => number,
-  answers: Pick<BackendView, 'noteRequestLimit' | 'noteRestAsked' | 'isInRest'>,
+  answers: Pick<BackendView, 'noteRequestLimit' | 'noteSaidLeaving' | 'noteRestAsked' | 'isInRest'>,
 ): BackendView {
   function findEntry({ host, port }: HostPort): BackendEntry | null {
     const found = catalogue
--- a/packages/relay/src/__tests__/unit/RelayPathPorts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPathPorts.test.ts
@@ -28,6 +28,7 @@
         ask: () => Promise.resolve({ kind: 'health', health: { kind: 'well', id: 'e' } }),
       } as unknown as RelayForwarding,
       isLimited: () => false,
+      onSaidLeaving: () => undefined,
     });
     const health = await ports.readHealth(createBackend('e'), 250);
     expect(health).to.deep.equal({ kind: 'well', id: 'e' });
--- a/packages/requests/src/RequestPorts.ts
+++ b/packages/requests/src/RequestPorts.ts
@@ -90,6 +90,8 @@
    * connection ends it. Such a response cannot be checked for completeness, and must not be forwarded as complete.
    */
   readonly isUnframed?: boolean;
+  /** Whether the server says that it leaves. */
+  readonly isLeaving?: boolean;
 }
 
 /** What the first stage reports before the first token. */
