Close the connection of whoever sends bytes without end

Cause: bytes were bounded by time only, in health answers, reports, orders, peers' answers and the store's, or dropped and read on until the deadline: in an event that does not end, in the body of a refusal, after the last frame of a peer. The product's own engines' refusals, reports and orders, and its platform client, are bounded alike. Heads and plain answers were bounded before.

--- a/packages/core/src/CoreResponseTimeout.ts
+++ b/packages/core/src/CoreResponseTimeout.ts
@@ -65,20 +65,41 @@
   };
 }
 
-/** Reads a response body after the headers have arrived; rejects if the sender aborts or a timeout expires. */
+/**
+ * Reads a response body after the headers have arrived; rejects if the sender aborts, a timeout expires, or the body has
+ * more than `maxBytes`. A sender that never ends would otherwise fill the memory within the timeouts.
+ */
 export async function collectResponseBody(
   arrival: ResponseTimeout,
   body: AsyncIterable<Uint8Array>,
+  maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
   arrival.recordProgress();
+  return collectBody(body, maxBytes, arrival.recordProgress);
+}
+
+/** Reads a body of up to `maxBytes`; rejects if it has more, which ends its connection. */
+export async function collectBody(
+  body: AsyncIterable<Uint8Array>,
+  maxBytes: number,
+  onChunk: () => void = () => undefined,
+): Promise<Buffer> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
   for await (const chunk of body) {
-    arrival.recordProgress();
+    onChunk();
+    bytes += chunk.byteLength;
+    if (bytes > maxBytes) {
+      throw new RangeError(`the body has more than ${maxBytes} bytes`);
+    }
     chunks.push(chunk);
   }
   return Buffer.concat(chunks);
 }
 
+/** Maximum size of a response that may be large: far more than a page or a change of the whole configuration. */
+export const MAX_LARGE_RESPONSE_BYTES = 32 * 1024 * 1024;
+
 /** Timeouts for responses that may be large. The caller sets the maximum time until they begin. */
 export const LARGE_RESPONSE_LIMITS = {
   /** Long enough for several retransmissions of a lost packet. */
--- a/packages/daemon/src/DaemonEngineHttp.ts
+++ b/packages/daemon/src/DaemonEngineHttp.ts
@@ -103,7 +103,12 @@
 
   function handleData(chunk: Buffer): void {
     if (status !== STATUS_OK) {
-      refusal += refusal.length < MAX_REFUSAL_CHARACTERS ? chunk.toString() : '';
+      refusal += chunk.toString();
+      if (refusal.length > MAX_REFUSAL_CHARACTERS) {
+        // Bytes without end would be read until the deadline.
+        failRefused();
+        abort();
+      }
       return;
     }
     const lines = isEnded ? [] : reader.push(chunk);
--- a/packages/daemon/src/DaemonEngineStatus.ts
+++ b/packages/daemon/src/DaemonEngineStatus.ts
@@ -4,6 +4,7 @@
 import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import { createTimeoutSignal } from './DaemonAbortSignals.js';
+import { readJson } from './DaemonJson.js';
 
 const STATUS_OK = 200;
 const CONNECTIONS = 2;
@@ -68,7 +69,7 @@
           method: 'GET',
           signal: createTimeoutSignal(timeout),
         });
-        const parsed = engineStatusSchema.safeParse(await res.body.json());
+        const parsed = engineStatusSchema.safeParse(await readJson(res.body));
         return res.statusCode === STATUS_OK && parsed.success ? parsed.data : null;
       } catch {
         return null;
--- a/packages/daemon/src/DaemonOrderHttp.ts
+++ b/packages/daemon/src/DaemonOrderHttp.ts
@@ -5,6 +5,7 @@
 import type { Order, OrderAnswer } from '@skylarksail/placement/PlacementOrderTypes';
 import type { FindEngineAddress } from './DaemonEngineHttp.js';
 import { createTimeoutSignal } from './DaemonAbortSignals.js';
+import { readJson } from './DaemonJson.js';
 
 const STATUS_OK = 200;
 const STATUS_CONFLICT = 409;
@@ -45,7 +46,7 @@
       body: JSON.stringify(order),
       signal: createTimeoutSignal(ORDER_TIMEOUT),
     });
-    const json: unknown = await res.body.json();
+    const json = await readJson(res.body);
     return parseOrderAnswer(res.statusCode, json);
   }
 
--- a/packages/daemon/src/DaemonPlatformHttp.ts
+++ b/packages/daemon/src/DaemonPlatformHttp.ts
@@ -4,6 +4,7 @@
 import {
   collectResponseBody,
   LARGE_RESPONSE_LIMITS,
+  MAX_LARGE_RESPONSE_BYTES,
   startResponseTimeout,
 } from '@skylarksail/core/CoreResponseTimeout';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
@@ -90,7 +91,9 @@
               body: JSON.stringify(call.body),
             }),
       });
-      const text = (await collectResponseBody(responseTimeout, res.body)).toString('utf8');
+      const text = (
+        await collectResponseBody(responseTimeout, res.body, MAX_LARGE_RESPONSE_BYTES)
+      ).toString('utf8');
       const json: unknown = JSON.parse(text);
       if (res.statusCode === STATUS_OK) {
         return { kind: 'done', value: call.parse(json) };
--- a/packages/daemon/src/DaemonServiceHttp.ts
+++ b/packages/daemon/src/DaemonServiceHttp.ts
@@ -1,6 +1,7 @@
 /** Implements OpenServiceCall: calls plain services over HTTP. */
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { collectBody } from '@skylarksail/core/CoreResponseTimeout';
 import type { OpenServiceCall, ServiceCall } from '@skylarksail/requests/RequestPorts';
 import { classifySocketError } from './DaemonEngineHttp.js';
 import type { FindEngineAddress } from './DaemonEngineHttp.js';
@@ -77,7 +78,7 @@
     };
     send(call, controller.signal)
       .then(async (res) => {
-        const body = await readBounded(res);
+        const body = await collectBody(res.body, MAX_ANSWER_BYTES);
         const headers = selectForwardedHeaders(res.headers);
         endOnce(() => listener.onAnswer({ status: res.statusCode, headers, body }));
       })
@@ -98,17 +99,3 @@
 
   return { open, close: () => agent.destroy() };
 }
-
-/** Reads a body up to a size limit, since an endless answer would exhaust the instance's memory. */
-async function readBounded(res: Dispatcher.ResponseData): Promise<Uint8Array> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of res.body as AsyncIterable<Buffer>) {
-    bytes += chunk.byteLength;
-    if (bytes > MAX_ANSWER_BYTES) {
-      throw new Error('the answer exceeds the size limit');
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
--- a/packages/relay/src/RelayForwardHttp.ts
+++ b/packages/relay/src/RelayForwardHttp.ts
@@ -97,6 +97,8 @@
       },
       onResponseData(_controller, chunk) {
         if (isOver) {
+          // All that may come now belongs to nothing, and may have no end.
+          abort();
           return;
         }
         try {
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -4,7 +4,11 @@
 import type { AddressInfo } from 'node:net';
 import { Agent } from 'undici';
 import { pack } from 'msgpackr';
-import { collectResponseBody, startResponseTimeout } from '@skylarksail/core/CoreResponseTimeout';
+import {
+  collectResponseBody,
+  MAX_LARGE_RESPONSE_BYTES,
+  startResponseTimeout,
+} from '@skylarksail/core/CoreResponseTimeout';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import { afterReading } from '@skylarksail/daemon/DaemonTimers';
@@ -116,7 +120,10 @@
         body,
         signal: arrival.signal,
       });
-      return { status: res.statusCode, body: await collectResponseBody(arrival, res.body) };
+      return {
+        status: res.statusCode,
+        body: await collectResponseBody(arrival, res.body, MAX_LARGE_RESPONSE_BYTES),
+      };
     } catch {
       return null;
     } finally {
