Count the time unread of all connections that came in a late turn, not of the first ones only

Callers saw: nothing; servers were given up to a second more than their callers had left after a standstill. What came during a standstill was taken for unread for two turns, in which two of the waiting connections are accepted. Change: it is, for as long as each turn accepts one, up to a second. Begun requests take 10 ms of a turn in place of 20, as new callers wait for its end.

--- a/packages/relay/src/RelayArrivals.ts
+++ b/packages/relay/src/RelayArrivals.ts
@@ -31,8 +31,11 @@
   countWaiting(): number;
 }
 
-/** Time in one turn of the event loop after which the rest of the requests waits for the next. */
-const SLICE: Millis = 20;
+/**
+ * Time in one turn of the event loop after which the rest of the requests waits for the next. Only one connection is
+ * accepted in a turn, so long turns keep new callers waiting.
+ */
+const SLICE: Millis = 10;
 /** Age of the oldest request from which the newest goes first. */
 const LATE_AGE: Millis = 150;
 
--- a/packages/relay/src/RelayLoopWatch.ts
+++ b/packages/relay/src/RelayLoopWatch.ts
@@ -21,6 +21,8 @@
 export interface LoopWatch {
   /** Maximum time for which something that is read now may have waited unread; 0 while this process keeps up. */
   getUnreadTime(): Millis;
+  /** A connection was accepted. The event loop accepts one a turn, so others that came in a late turn may still wait. */
+  noteAccepted(): void;
   /** Runs `work` at once, or, while this process is behind, after all that waits unread; the returned function cancels it. */
   whenRead(work: () => void): Unregister;
   /** Runs `work` when all input has just been read: what `whenRead` gets meanwhile runs at once. */
@@ -38,11 +40,16 @@
 /** A timer fires this much late on a busy machine whose process keeps up. */
 const TOLERANCE: Millis = 50;
 
+/** Time after a late turn from which connections are held to be new, though some are accepted in each turn. */
+const MAX_ACCEPTING: Millis = 1000;
+
 export function createLoopWatch(options: LoopWatchOptions): LoopWatch {
   const { timers, wallNow, afterTurn, onLate } = options;
   let tickedAt = readClocks();
   /** Beginning of the last late turn, until what came during it has been read. */
   let lateSince: ClockReading | null = null;
+  let lateEndedAt = -Infinity;
+  let hasAccepted = false;
   let isCurrent = false;
 
   /**
@@ -69,15 +76,27 @@
     if (isLate()) {
       const since = tickedAt;
       lateSince = since;
+      lateEndedAt = timers.now();
       onLate(getTimeSince(since));
-      afterReading(() => {
-        // A later turn may have been late as well.
-        lateSince = lateSince === since ? null : lateSince;
-      });
+      afterReading(() => settle(since));
     }
     tickedAt = readClocks();
   }
 
+  /** Ends what is held to be unread since a late turn, unless a later one was late as well. */
+  function settle(since: ClockReading): void {
+    if (lateSince !== since) {
+      return;
+    }
+    const isAccepting = hasAccepted && timers.now() - lateEndedAt < MAX_ACCEPTING;
+    hasAccepted = false;
+    if (isAccepting) {
+      afterReading(() => settle(since));
+    } else {
+      lateSince = null;
+    }
+  }
+
   function getUnreadTime(): Millis {
     const since = lateSince ?? (isLate() ? tickedAt : null);
     return since === null ? 0 : getTimeSince(since);
@@ -85,6 +104,9 @@
 
   return {
     getUnreadTime,
+    noteAccepted() {
+      hasAccepted = true;
+    },
     whenRead(work) {
       if (isCurrent || getUnreadTime() === 0) {
         work();
--- a/packages/relay/src/RelayPartsTypes.ts
+++ b/packages/relay/src/RelayPartsTypes.ts
@@ -68,7 +68,7 @@
   /** Reads the state that the metrics report. */
   readState(): RelayState;
   /** How far this process is behind. */
-  readonly loop: Pick<LoopWatch, 'getUnreadTime'>;
+  readonly loop: Pick<LoopWatch, 'getUnreadTime' | 'noteAccepted'>;
   /** Whether callers should be sent to this instance. */
   isReady(): boolean;
   /** Handles a change of this instance's settings. */
--- a/packages/relay/src/__tests__/unit/RelayLoopWatch.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLoopWatch.test.ts
@@ -100,4 +100,32 @@
     read();
     expect(ran).to.deep.equal(['kept up', 'just read', 'late']);
   });
+
+  it('takes what is read for unread while connections that came in a late turn are still accepted, one a turn', () => {
+    // Guards against deadlines that count from the reading, for all callers but the first one after a standstill.
+    const { watch, pass, tick, read } = createBed();
+    pass(1500);
+    tick();
+    for (let i = 0; i < 40; i += 1) {
+      watch.noteAccepted();
+      read();
+      pass(1);
+      expect(watch.getUnreadTime()).to.be.above(1500);
+    }
+    read();
+    expect(watch.getUnreadTime()).to.equal(0);
+  });
+
+  it('takes connections for new at last, though some are accepted in each turn', () => {
+    const { watch, pass, tick, read } = createBed();
+    pass(1500);
+    tick();
+    for (let i = 0; i < 12; i += 1) {
+      watch.noteAccepted();
+      pass(100);
+      tick();
+      read();
+    }
+    expect(watch.getUnreadTime()).to.equal(0);
+  });
 });
