--- a/packages/relay/src/RelayIntake.ts
+++ b/packages/relay/src/RelayIntake.ts
@@ -16,7 +16,9 @@
 import { RouteKind } from '@skylarksail/routes/RouteTypes';
 import type { RelayArrivals } from './RelayArrivals.js';
 import type { ConfirmCurrent } from './RelayConfirm.js';
+import { createEventTimes } from './RelayEventTimes.js';
 import { ONLY_VERSION } from './RelayFacts.js';
+import { getUnreadLimit, getUnreadTime, holdFor } from './RelayHeldCalls.js';
 import type { StartGate } from './RelayStartGate.js';
 import type { RelayCall, RelayListener, RelayRefusal } from './RelayTypes.js';
 
@@ -73,12 +75,6 @@
 const DEFAULT_RETRY: Millis = 500;
 /** Staleness can be understated by this much, the delay of a store answer that stalled before its first byte. */
 const STALENESS_ERROR: Millis = 700;
-/**
- * A caller whose request may be repeated leaves if it is not read within this time, or within a share of the time that it has.
- * A request that is held for as long is refused, as its caller is better served elsewhere.
- */
-const UNREAD_LIMIT: Millis = 1000;
-const UNREAD_LIMIT_SHARE = 1 / 3;
 /** Retry delay of a request that an instance which is behind did not begin: its retry goes to another. */
 const BEHIND_RETRY: Millis = 50;
 /** Retry delay of a stale instance: it usually catches up within a second, and other instances are current. */
@@ -360,23 +356,6 @@
   return { submit };
 }
 
-/** Maximum time for which a request waited unread, by what was measured and by how long its caller lets it wait. */
-function getUnreadTime(call: RelayCall, { kind, isResumable }: Route): Millis {
-  const isIdempotent = kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
-  return Math.min(call.waited ?? 0, isIdempotent ? getUnreadLimit(call) : Infinity);
-}
-
-/** Longest time for which the caller of a request that may be repeated lets it wait unread. */
-function getUnreadLimit({ timeLeft }: RelayCall): Millis {
-  return Math.min(UNREAD_LIMIT, UNREAD_LIMIT_SHARE * (timeLeft ?? Infinity));
-}
-
-/** A call that was held for a while since it was read. */
-export function holdFor(call: RelayCall, time: Millis): RelayCall {
-  const timeLeft = call.timeLeft === null ? null : Math.max(0, call.timeLeft - time);
-  return { ...call, timeLeft, held: (call.held ?? 0) + time };
-}
-
 function isUnknown({ status }: RelayRefusal): boolean {
   return status === Status.NotFound || status === Status.Unauthorized;
 }
@@ -391,48 +370,6 @@
     : refusal;
 }
 
-/** Timing of an answer's events, for the log to show late answers. */
-interface EventTimes {
-  note(now: Millis): void;
-  read(route: Pick<Route, 'firstAnswerGoal' | 'pauseGoal'>): EventReport;
-}
-
-interface EventReport {
-  readonly events: number;
-  readonly firstMs: Millis;
-  readonly longestPauseMs: Millis;
-  /** The first of the route's goals that was missed; absent if both were met. */
-  readonly lateBy?: 'first' | 'pause';
-}
-
-function createEventTimes(start: Millis): EventTimes {
-  let events = 0;
-  let first = 0;
-  let last = start;
-  let longestPause = 0;
-  return {
-    note(now) {
-      if (events === 0) {
-        first = now - start;
-      } else {
-        longestPause = Math.max(longestPause, now - last);
-      }
-      events += 1;
-      last = now;
-    },
-    read: ({ firstAnswerGoal, pauseGoal }) => {
-      const isLateFirst = first > firstAnswerGoal;
-      const isLate = isLateFirst || longestPause > (pauseGoal ?? Infinity);
-      return {
-        events,
-        firstMs: Math.round(first),
-        longestPauseMs: Math.round(longestPause),
-        ...(isLate ? { lateBy: isLateFirst ? 'first' : 'pause' } : {}),
-      };
-    },
-  };
-}
-
 /** Chooses a status that claims no more than is known: 503 only if the request has not run and never will. */
 function toRefusal(problem: RequestProblem): RelayRefusal {
   const reason = `${problem.kind} ${problem.run}`;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -32,8 +32,7 @@
 import { createRelayLimits } from './RelayLimits.js';
 import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
-import type { RelayRests } from './RelayRests.js';
-import { createRelayRests } from './RelayRests.js';
+import { createRelayRests, getRestLeft } from './RelayRests.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createBackendView } from './RelayView.js';
@@ -416,16 +415,6 @@
   };
 }
 
-/** Time until the first server of a service that rests may be used again; null if none rests. */
-function getRestLeft(catalogue: Catalogue, rests: RelayRests, service: ServiceId): Millis | null {
-  const times = catalogue
-    .list()
-    .filter((entry) => entry.service === service && entry.state === LifeState.Live)
-    .map(({ id }) => rests.getTimeLeft(id))
-    .filter((time) => time > 0);
-  return times.length === 0 ? null : Math.min(...times);
-}
-
 function listDomains(catalogue: Catalogue): readonly DomainId[] {
   return [
     ...new Set(
--- a/packages/relay/src/RelayRestPorts.ts
+++ b/packages/relay/src/RelayRestPorts.ts
@@ -15,6 +15,7 @@
 import type { BackendPorts } from './RelayPorts.js';
 import type { RelayRests } from './RelayRests.js';
 
+/** HTTP status with which a server asks for rest. */
 const UNAVAILABLE = 503;
 
 /** Keeps the rests that answers to calls ask for. */
@@ -102,6 +103,7 @@
   const openServiceCall: OpenServiceCall = (call, listener) => {
     const onFailure = (failure: AttemptFailure): void => listener.onFailure(withoutRest(failure));
     if (isResting(call.server)) {
+      // It was not sent, so it goes to another server at once, and takes no retry.
       return refuse(onFailure, createUnreachedFailure(call.server));
     }
     rests.noteSent(call.server);
--- a/packages/relay/src/RelayRests.ts
+++ b/packages/relay/src/RelayRests.ts
@@ -3,10 +3,12 @@
  * first, and the others follow once the server has taken it; each instance waits a little longer by chance, so that they
  * don't return all at once. A rest is of one incarnation of a server, as its id is.
  */
+import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
+import type { EngineId, Millis, ServiceId } from '@skylarksail/core/CoreTypes';
 import type { DaemonLogger } from '@skylarksail/daemon/DaemonLog';
+import type { Catalogue } from './RelayCatalogue.js';
 
 export interface RelayRestsOptions {
   readonly timers: Pick<TimerService, 'now'>;
@@ -104,3 +106,17 @@
     countServers: () => rests.size,
   };
 }
+
+/** Time until the first server of a service that rests may be used again; null if none rests. */
+export function getRestLeft(
+  catalogue: Pick<Catalogue, 'list'>,
+  rests: Pick<RelayRests, 'getTimeLeft'>,
+  service: ServiceId,
+): Millis | null {
+  const times = catalogue
+    .list()
+    .filter((entry) => entry.service === service && entry.state === LifeState.Live)
+    .map(({ id }) => rests.getTimeLeft(id))
+    .filter((time) => time > 0);
+  return times.length === 0 ? null : Math.min(...times);
+}
