Look each 300 ms in place of 200 whether the event loop is late

Cause: each wake-up of an idle instance costs. Change: the timer; a standstill below 350 ms is not noticed, less than the half second after which nothing may be sent for a caller that left.

--- a/packages/relay/src/RelayLoopWatch.ts
+++ b/packages/relay/src/RelayLoopWatch.ts
@@ -35,8 +35,8 @@
   readonly wall: Millis;
 }
 
-/** Callers allow a request three times as long, at the least, until it is read. */
-const TICK: Millis = 200;
+/** Nothing may be sent later than half a second after its caller has left; each wake-up of an idle instance costs. */
+const TICK: Millis = 300;
 /** A timer fires this much late on a busy machine whose process keeps up. */
 const TOLERANCE: Millis = 50;
 
