Call the time that servers ask for a backoff, as the field does

Cause: "rest" is the users' word, not the field's; two comments told how a value comes about. No behaviour.

--- a/packages/relay/src/RelayRestPorts.ts
+++ b/packages/relay/src/RelayBackoffPorts.ts
@@ -1,6 +1,6 @@
 /**
- * Ports that keep to the rests of backend servers: nothing is sent to one that asked for rest, over whichever path, and
- * whatever an answer asks for is kept. What waited since a server was chosen may find that it rests by now.
+ * Ports that keep to the backoffs that servers ask for: nothing is sent to such a server, over whichever path. A call that
+ * waited after its server was chosen may find that the server asked meanwhile.
  */
 import type { EngineId, Unregister } from '@skylarksail/core/CoreTypes';
 import type {
@@ -13,25 +13,25 @@
 import { createUnreachedFailure } from '@skylarksail/requests/RequestFailures';
 import { parseRetryAfter } from '@skylarksail/requests/ServiceCalls';
 import type { BackendPorts } from './RelayPorts.js';
-import type { RelayRests } from './RelayRests.js';
+import type { RelayBackoffs } from './RelayBackoffs.js';
 
-/** HTTP status with which a server asks for rest. */
+/** HTTP status with which a server asks for a backoff. */
 const UNAVAILABLE = 503;
 
-/** Keeps the rests that answers to calls ask for. */
-export function createRestNotingPorts(own: BackendPorts, rests: RelayRests): BackendPorts {
+/** Notes the backoffs that answers to calls ask for. */
+export function createBackoffNotingPorts(own: BackendPorts, backoffs: RelayBackoffs): BackendPorts {
   function noteFailure({ status, engine, retryAfter }: AttemptFailure, server: EngineId): void {
     if (status === UNAVAILABLE && retryAfter !== null) {
-      rests.noteAsked(engine ?? server, retryAfter);
+      backoffs.noteRequested(engine ?? server, retryAfter);
     }
   }
 
   function noteAnswer(answer: ServiceAnswer, server: EngineId): void {
     const time = answer.status === UNAVAILABLE ? parseRetryAfter(answer) : null;
     if (time === null) {
-      rests.noteTaken(server);
+      backoffs.noteTaken(server);
     } else {
-      rests.noteAsked(server, time);
+      backoffs.noteRequested(server, time);
     }
   }
 
@@ -40,7 +40,7 @@
     return own.openEngineCall(call, {
       ...listener,
       onAcknowledged(acknowledgement) {
-        call.chain.stages.forEach(({ engine }) => rests.noteTaken(engine));
+        call.chain.stages.forEach(({ engine }) => backoffs.noteTaken(engine));
         listener.onAcknowledged(acknowledgement);
       },
       onFailure(failure) {
@@ -66,12 +66,12 @@
   return { ...own, openEngineCall, openServiceCall };
 }
 
-/** Sends nothing to a server in its rest. */
-export function createRestingPorts(ports: BackendPorts, rests: RelayRests): BackendPorts {
-  const noting = createRestNotingPorts(ports, rests);
+/** Sends nothing to a server from which this instance backs off. */
+export function createBackoffPorts(ports: BackendPorts, backoffs: RelayBackoffs): BackendPorts {
+  const noting = createBackoffNotingPorts(ports, backoffs);
 
-  function isResting(server: EngineId): boolean {
-    return rests.getTimeLeft(server) > 0;
+  function isHeldBack(server: EngineId): boolean {
+    return backoffs.getTimeLeft(server) > 0;
   }
 
   function refuse(
@@ -91,33 +91,37 @@
 
   const openEngineCall: OpenEngineCall = (call, listener) => {
     const { stages } = call.chain;
-    const resting = stages.find(({ engine }) => isResting(engine))?.engine ?? null;
-    const onFailure = (failure: AttemptFailure): void => listener.onFailure(withoutRest(failure));
-    if (resting !== null) {
-      return refuse(onFailure, createRestFailure(resting));
+    const backedOff = stages.find(({ engine }) => isHeldBack(engine))?.engine ?? null;
+    const onFailure = (failure: AttemptFailure): void =>
+      listener.onFailure(withoutBackoff(failure));
+    if (backedOff !== null) {
+      return refuse(onFailure, createBackoffFailure(backedOff));
     }
-    stages.forEach(({ engine }) => rests.noteSent(engine));
+    stages.forEach(({ engine }) => backoffs.noteSent(engine));
     return noting.openEngineCall(call, { ...listener, onFailure });
   };
 
   const openServiceCall: OpenServiceCall = (call, listener) => {
-    const onFailure = (failure: AttemptFailure): void => listener.onFailure(withoutRest(failure));
-    if (isResting(call.server)) {
+    const onFailure = (failure: AttemptFailure): void =>
+      listener.onFailure(withoutBackoff(failure));
+    if (isHeldBack(call.server)) {
       // It was not sent, so it goes to another server at once, and takes no retry.
       return refuse(onFailure, createUnreachedFailure(call.server));
     }
-    rests.noteSent(call.server);
+    backoffs.noteSent(call.server);
     return noting.openServiceCall(call, { ...listener, onFailure });
   };
 
   const readHealth: BackendPorts['readHealth'] = (entry, timeout) =>
-    isResting(entry.id) ? Promise.resolve({ kind: 'resting' }) : noting.readHealth(entry, timeout);
+    isHeldBack(entry.id)
+      ? Promise.resolve({ kind: 'backed-off' })
+      : noting.readHealth(entry, timeout);
 
   const orders: BackendPorts['orders'] = {
     readStatus: (entry, timeout) =>
-      isResting(entry.id) ? Promise.resolve(null) : noting.orders.readStatus(entry, timeout),
+      isHeldBack(entry.id) ? Promise.resolve(null) : noting.orders.readStatus(entry, timeout),
     order: (entry, range, orderCount, timeout) =>
-      isResting(entry.id)
+      isHeldBack(entry.id)
         ? Promise.resolve('refused')
         : noting.orders.order(entry, range, orderCount, timeout),
   };
@@ -126,12 +130,12 @@
 }
 
 /** The delay that a server asked for is its own, which is kept: the refused request may go to another at once. */
-function withoutRest(failure: AttemptFailure): AttemptFailure {
+function withoutBackoff(failure: AttemptFailure): AttemptFailure {
   return failure.status === UNAVAILABLE ? { ...failure, retryAfter: null } : failure;
 }
 
-/** Failure of a call that was not sent, as a server of its chain rests. */
-function createRestFailure(engine: EngineId): AttemptFailure {
+/** Failure of a call that was not sent, as this instance backs off from a server of its chain. */
+function createBackoffFailure(engine: EngineId): AttemptFailure {
   return {
     place: FailurePlace.Refused,
     engine,
--- a/packages/relay/src/RelayForwardMessages.ts
+++ b/packages/relay/src/RelayForwardMessages.ts
@@ -90,7 +90,7 @@
   z.object({ kind: z.literal('well'), id: z.string() }),
   z.object({ kind: z.literal('leaving') }),
   z.object({ kind: z.literal('silent') }),
-  z.object({ kind: z.literal('resting') }),
+  z.object({ kind: z.literal('backed-off') }),
 ]);
 
 const engineStatus = z.object({
--- a/packages/relay/src/RelayForwardServer.ts
+++ b/packages/relay/src/RelayForwardServer.ts
@@ -15,7 +15,7 @@
 } from './RelayForwardTypes.js';
 import { ForwardRefusal, getTaskServer, isLastFrame, shortenTask } from './RelayForwardTypes.js';
 import type { BackendPorts } from './RelayPorts.js';
-import type { RelayRests } from './RelayRests.js';
+import type { RelayBackoffs } from './RelayBackoffs.js';
 
 export interface ForwardServerOptions {
   readonly timers: TimerService;
@@ -28,7 +28,7 @@
   readonly mayReach: (server: EngineId) => boolean;
   /** Takes a permit for a call to a server; false if it needs one and none is left. */
   readonly takePermit: (server: EngineId) => boolean;
-  readonly rests: Pick<RelayRests, 'getTimeLeft' | 'noteSent'>;
+  readonly backoffs: Pick<RelayBackoffs, 'getTimeLeft' | 'noteSent'>;
   /** Maximum time for which something that is read now may have waited unread. */
   readonly getUnreadTime: () => Millis;
   /** A task was taken or refused, for the log. */
@@ -65,8 +65,8 @@
     if (entry === null || (isCall && entry.state !== LifeState.Live)) {
       return ForwardRefusal.Unknown;
     }
-    // It asked this instance for rest, and not the asking one.
-    if (isCut(server) || options.rests.getTimeLeft(server) > 0) {
+    // It asked this instance for a backoff, and not the peer.
+    if (isCut(server) || options.backoffs.getTimeLeft(server) > 0) {
       return ForwardRefusal.CutOff;
     }
     if (!mayReach(server)) {
@@ -96,7 +96,7 @@
         send({ kind: 'refused', reason: refusal });
         return () => undefined;
       }
-      options.rests.noteSent(getTaskServer(task));
+      options.backoffs.noteSent(getTaskServer(task));
       running += 1;
       let isOver = false;
       const finish = (): void => {
--- a/packages/relay/src/RelayHealth.ts
+++ b/packages/relay/src/RelayHealth.ts
@@ -137,7 +137,7 @@
     if (now - sentAt > PROBE_TIMEOUT + LATE_ANSWER_MARGIN || catalogue.get(entry.id) === null) {
       return;
     }
-    if (health.kind === 'resting') {
+    if (health.kind === 'backed-off') {
       // It turns all away for now, which says nothing of whether it leaves.
       return;
     }
--- a/packages/relay/src/RelayHeldCalls.ts
+++ b/packages/relay/src/RelayHeldCalls.ts
@@ -11,7 +11,7 @@
 const UNREAD_LIMIT: Millis = 1000;
 const UNREAD_LIMIT_SHARE = 1 / 3;
 
-/** Maximum time for which a request waited unread, by what was measured and by how long its caller lets it wait. */
+/** Maximum time for which a request waited unread: its caller leaves if it waits for longer than it allows. */
 export function getUnreadTime(call: RelayCall, { kind, isResumable }: Route): Millis {
   const isIdempotent = kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
   return Math.min(call.waited ?? 0, isIdempotent ? getUnreadLimit(call) : Infinity);
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -32,7 +32,7 @@
 import { createRelayLimits } from './RelayLimits.js';
 import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
-import { createRelayRests, getRestLeft } from './RelayRests.js';
+import { createRelayBackoffs, getBackoffLeft } from './RelayBackoffs.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createBackendView } from './RelayView.js';
@@ -142,13 +142,14 @@
     onLimitedRequest: () =>
       metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
   });
-  const rests = createRelayRests({
+  const backoffs = createRelayBackoffs({
     timers,
     random,
     logger,
-    onAsked: () => metrics.count('rests_asked', 'answers by which servers asked for rest'),
+    onRequested: () =>
+      metrics.count('backoffs_requested', 'answers by which servers asked for a backoff'),
   });
-  const permits = createPermitChoices({ limits, rests, isFirst: canBeginChain });
+  const permits = createPermitChoices({ limits, backoffs, isFirst: canBeginChain });
   const linkPorts = options.createBackends(
     createBackendView(
       catalogue,
@@ -157,8 +158,8 @@
       {
         noteRequestLimit: limits.noteLimit,
         noteSaidLeaving,
-        noteRestAsked: rests.noteAsked,
-        isInRest: rests.isInRest,
+        noteBackoffRequested: backoffs.noteRequested,
+        isBackedOff: backoffs.isBackedOff,
       },
     ),
   );
@@ -170,7 +171,7 @@
     catalogue,
     limits,
     linkPorts,
-    rests,
+    backoffs,
     loop,
     openForward: options.openForward,
     onCut: noteReachable,
@@ -221,7 +222,7 @@
       createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
     ),
     openServiceCall: health.watchServiceCalls(backends.openServiceCall),
-    getRestLeft: (service) => getRestLeft(catalogue, rests, service),
+    getBackoffLeft: (service) => getBackoffLeft(catalogue, backoffs, service),
     claims: NO_CLAIMS,
     links: routing.links,
     getRetryBurst: repeats.getBurst,
--- a/packages/relay/src/RelayPathParts.ts
+++ b/packages/relay/src/RelayPathParts.ts
@@ -18,8 +18,8 @@
 import { createPathPorts } from './RelayPathPorts.js';
 import { createRelayPaths } from './RelayPaths.js';
 import type { BackendPorts } from './RelayPorts.js';
-import { createRestingPorts, createRestNotingPorts } from './RelayRestPorts.js';
-import type { RelayRests } from './RelayRests.js';
+import { createBackoffPorts, createBackoffNotingPorts } from './RelayBackoffPorts.js';
+import type { RelayBackoffs } from './RelayBackoffs.js';
 import { createWatchedPorts } from './RelayWatchedPorts.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
@@ -32,7 +32,7 @@
   readonly limits: Pick<RelayLimits, 'isLimited' | 'listBlocked' | 'reserve'>;
   /** Ports of this instance's own links. */
   readonly linkPorts: BackendPorts;
-  readonly rests: RelayRests;
+  readonly backoffs: RelayBackoffs;
   readonly loop: Pick<LoopWatch, 'getUnreadTime' | 'whenRead'>;
   readonly openForward: OpenForward;
   /** The own link to a server is cut, and a peer reaches it. */
@@ -62,7 +62,7 @@
 const PEER_CHECK_TIMEOUT: Millis = 500;
 
 export function createPathParts(options: PathPartsOptions): PathParts {
-  const { timers, random, self, catalogue, limits, rests, linkPorts, logger, metrics } = options;
+  const { timers, random, self, catalogue, limits, backoffs, linkPorts, logger, metrics } = options;
   let startedServer: ForwardServer | null = null;
   const paths = createRelayPaths({
     timers,
@@ -79,9 +79,9 @@
     },
     onRestored: (id) => logger.info({ server: id }, 'own link restored'),
   });
-  const own = createRestNotingPorts(
+  const own = createBackoffNotingPorts(
     createCaughtUpPorts(createWatchedPorts(linkPorts, paths), options),
-    rests,
+    backoffs,
   );
   const forwarding: RelayForwarding = createRelayForwarding({
     timers,
@@ -98,7 +98,7 @@
     isCut: paths.isCut,
     mayReach: (id) => paths.mayReach(id) && !paths.hasOwnFailed(id),
     takePermit,
-    rests,
+    backoffs,
     getUnreadTime: options.loop.getUnreadTime,
     onTask: (task, what) => recordTask('for-peer', task, { what }),
   });
@@ -134,7 +134,7 @@
   }
 
   return {
-    backends: createRestingPorts(
+    backends: createBackoffPorts(
       createPathPorts({
         timers,
         own,
@@ -143,7 +143,7 @@
         isLimited: limits.isLimited,
         onSaidLeaving: options.onSaidLeaving,
       }),
-      rests,
+      backoffs,
     ),
     serve: server.serve,
     sweep: paths.sweep,
--- a/packages/relay/src/RelayPorts.ts
+++ b/packages/relay/src/RelayPorts.ts
@@ -10,14 +10,14 @@
 import type { BackendEntry } from './RelayTypes.js';
 
 /**
- * Result of a health probe. `id` identifies the incarnation that answered; `resting`: it wants no request for a time, or was
- * not asked for that.
+ * Result of a health probe. `id` identifies the incarnation that answered; `backed-off`: it asked
+ * for a backoff, and may not have been probed for that.
  */
 export type HealthAnswer =
   | { readonly kind: 'well'; readonly id: EngineId }
   | { readonly kind: 'leaving' }
   | { readonly kind: 'silent' }
-  | { readonly kind: 'resting' };
+  | { readonly kind: 'backed-off' };
 
 /** Probes of backend servers. */
 export interface BackendProbePort {
@@ -74,9 +74,9 @@
   /** Records that a server said in an answer that it leaves. */
   noteSaidLeaving(server: EngineId): void;
   /** Records that a server asked this instance to send nothing for a time. */
-  noteRestAsked(server: EngineId, time: Millis): void;
+  noteBackoffRequested(server: EngineId, time: Millis): void;
   /** Whether the time for which a server wants nothing is not over. */
-  isInRest(server: EngineId): boolean;
+  isBackedOff(server: EngineId): boolean;
 }
 
 /** All ports to backend servers. */
--- a/packages/relay/src/RelayView.ts
+++ b/packages/relay/src/RelayView.ts
@@ -16,7 +16,10 @@
   catalogue: Catalogue,
   getTable: () => RouteTable | null,
   countInstances: () => number,
-  answers: Pick<BackendView, 'noteRequestLimit' | 'noteSaidLeaving' | 'noteRestAsked' | 'isInRest'>,
+  answers: Pick<
+    BackendView,
+    'noteRequestLimit' | 'noteSaidLeaving' | 'noteBackoffRequested' | 'isBackedOff'
+  >,
 ): BackendView {
   function findEntry({ host, port }: HostPort): BackendEntry | null {
     const found = catalogue
--- a/packages/relay/src/__tests__/unit/RelayRestPorts.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayBackoffPorts.test.ts
@@ -3,18 +3,18 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { ServiceCall } from '@skylarksail/requests/RequestPorts';
 import type { BackendPorts } from '../../RelayPorts.js';
-import { createRestingPorts } from '../../RelayRestPorts.js';
-import { createRelayRests } from '../../RelayRests.js';
+import { createBackoffPorts } from '../../RelayBackoffPorts.js';
+import { createRelayBackoffs } from '../../RelayBackoffs.js';
 import { createBackend } from './RelayFixtures.js';
 
 function createBed() {
   const sent: string[] = [];
   const timers = createVirtualTimers(1000);
-  const rests = createRelayRests({
+  const backoffs = createRelayBackoffs({
     timers,
     random: { nextFloat: () => 0 },
     logger: pino({ level: 'silent' }),
-    onAsked: () => undefined,
+    onRequested: () => undefined,
   });
   const own: BackendPorts = {
     openEngineCall: () => () => undefined,
@@ -39,17 +39,17 @@
     },
     checkConnection: () => Promise.resolve(true),
   };
-  return { sent, timers, rests, ports: createRestingPorts(own, rests) };
+  return { sent, timers, backoffs, ports: createBackoffPorts(own, backoffs) };
 }
 
-describe('RelayRestPorts', () => {
+describe('RelayBackoffPorts', () => {
   it('sends no health check, question or order to a server in its rest', async () => {
     // Guards against ways to a server besides its callers' requests, each of which it takes for one.
-    const { sent, ports, rests, timers } = createBed();
+    const { sent, ports, backoffs, timers } = createBed();
     const [a, b] = [createBackend('a'), createBackend('b')];
-    rests.noteAsked('a', 1000);
+    backoffs.noteRequested('a', 1000);
     const range = { first: 0, end: 1 };
-    expect(await ports.readHealth(a, 100)).to.deep.equal({ kind: 'resting' });
+    expect(await ports.readHealth(a, 100)).to.deep.equal({ kind: 'backed-off' });
     expect(await ports.orders.readStatus(a, 100)).to.equal(null);
     expect(await ports.orders.order(a, range, 0, 100)).to.equal('refused');
     expect(sent).to.deep.equal([]);
@@ -61,9 +61,9 @@
 
   it('keeps the rest that an answer asks for which goes to its caller', () => {
     // Guards against a 503 that does not say whether the request ran: it is the caller's answer, and asks for rest all the same.
-    const { ports, rests } = createBed();
+    const { ports, backoffs } = createBed();
     const call = { server: 'a' } as ServiceCall;
     ports.openServiceCall(call, { onAnswer: () => undefined, onFailure: () => undefined });
-    expect(rests.getTimeLeft('a')).to.equal(2000);
+    expect(backoffs.getTimeLeft('a')).to.equal(2000);
   });
 });
--- a/packages/relay/src/__tests__/unit/RelayLimits.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayLimits.test.ts
@@ -175,7 +175,7 @@
     }
     const released: string[] = [];
     const { limitChoice } = createPermitChoices({
-      rests: { listResting: () => [], getTimeLeft: () => 0 },
+      backoffs: { listBackedOff: () => [], getTimeLeft: () => 0 },
       limits: { listBlocked: () => ['e0'], reserve: () => null },
       isFirst: () => true,
     });
--- a/packages/relay/src/__tests__/unit/RelayRestBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayRestBed.ts
@@ -52,7 +52,7 @@
     }
     return timers.registerTimeout(TURN_AWAY_TIME, () => {
       asked.push({ by, server, at: timers.now() });
-      view.noteRestAsked(server, REST);
+      view.noteBackoffRequested(server, REST);
       fail({
         place: FailurePlace.Refused,
         engine: server,
--- a/packages/requests/src/AttemptRunner.ts
+++ b/packages/requests/src/AttemptRunner.ts
@@ -7,7 +7,7 @@
 import type { AttemptOutcome, ChainChoice, ChainHold, RequestSpec } from './RequestTypes.js';
 import { getPromptTokens } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
-import { computeRestRetryDelay } from './RunBackoff.js';
+import { computeBackoffRetryDelay } from './RunBackoff.js';
 import { isQueueTooLong } from './RunQueue.js';
 import { isEndUnproven } from './RunEnds.js';
 import { listAvoidSets } from './RunSuspicion.js';
@@ -158,10 +158,12 @@
       const contextTokens = promptTokens + tokens.length;
       const { choice, isTooLate } = selectInTime(search);
       if (choice.kind === 'none') {
-        const { isFull, retryAfter, isGone = false, restLeft } = choice;
-        const resting =
-          restLeft === undefined ? {} : { restLeft: computeRestRetryDelay(deps.random, restLeft) };
-        send({ kind: 'no-chain', isFull, isTooLate, retryAfter, isGone, ...resting });
+        const { isFull, retryAfter, isGone = false, backoffLeft } = choice;
+        const backoff =
+          backoffLeft === undefined
+            ? {}
+            : { backoffLeft: computeBackoffRetryDelay(deps.random, backoffLeft) };
+        send({ kind: 'no-chain', isFull, isTooLate, retryAfter, isGone, ...backoff });
         return false;
       }
       hold = choice.hold;
--- a/packages/requests/src/RequestMachine.ts
+++ b/packages/requests/src/RequestMachine.ts
@@ -10,7 +10,7 @@
 import type { MachineStep, RequestMachine } from './RequestState.js';
 import { dropFrame, endWith, failWith, getFirstTokenDeadline, keepState } from './RequestState.js';
 import { ProblemKind } from './RequestTypes.js';
-import { MAX_REST_WAIT } from './RunBackoff.js';
+import { MAX_BACKOFF_WAIT } from './RunBackoff.js';
 
 /** Handles one event. Frames of an earlier attempt, or after the end, are dropped and counted. */
 export function stepRequest(
@@ -117,7 +117,7 @@
     isTooLate,
     retryAfter,
     isGone = false,
-    restLeft = 0,
+    backoffLeft = 0,
   }: Extract<RequestEvent, { kind: 'no-chain' }>,
   now: Millis,
 ): MachineStep {
@@ -128,8 +128,8 @@
     // The caller may resend at once: its request then runs on another version from the beginning.
     return failWith(machine, ProblemKind.EngineFailed, 0);
   }
-  if (machine.tokenCount === 0 && restLeft > MAX_REST_WAIT) {
-    return failWith(machine, ProblemKind.Overloaded, restLeft);
+  if (machine.tokenCount === 0 && backoffLeft > MAX_BACKOFF_WAIT) {
+    return failWith(machine, ProblemKind.Overloaded, backoffLeft);
   }
   if (machine.tokenCount === 0 && (isTooLate || !mayLookAgain(machine, isFull, now))) {
     return failWith(machine, ProblemKind.NoChain, retryAfter);
--- a/packages/requests/src/RequestMessages.ts
+++ b/packages/requests/src/RequestMessages.ts
@@ -57,8 +57,8 @@
       readonly retryAfter: Millis;
       /** Whether no chain can come back for an answer that has begun. */
       readonly isGone?: boolean;
-      /** Time until engines that asked for rest may be used again, if it is only for them that there is no chain. */
-      readonly restLeft?: Millis;
+      /** Time until engines that asked for a backoff may be used again, if there would be a chain with them. */
+      readonly backoffLeft?: Millis;
     }
   | {
       readonly kind: 'acknowledged';
--- a/packages/requests/src/RequestTypes.ts
+++ b/packages/requests/src/RequestTypes.ts
@@ -163,8 +163,8 @@
       readonly retryAfter: Millis;
       /** Whether no chain can come back: the version with which the answer began is gone for good. */
       readonly isGone?: boolean;
-      /** Time until engines that asked for rest may be used again, if it is only for them that there is no chain. */
-      readonly restLeft?: Millis;
+      /** Time until engines that asked for a backoff may be used again, if there would be a chain with them. */
+      readonly backoffLeft?: Millis;
     };
 
 export type ChooseChain = (request: ChainRequest) => ChainChoice;
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -164,8 +164,8 @@
   readonly openEngineCall: OpenEngineCall;
   readonly chooseServer: ChooseServer;
   readonly openServiceCall: OpenServiceCall;
-  /** Time until a server of a plain service that asked for rest may be used again; null if none rests, or if omitted. */
-  readonly getRestLeft?: (service: ServiceId) => Millis | null;
+  /** Time until a server of a plain service that asked for a backoff may be used again; null if none did, or if omitted. */
+  readonly getBackoffLeft?: (service: ServiceId) => Millis | null;
   readonly claims: ClaimPort;
   /** Without it, silence that a slow link causes is attributed to engines. */
   readonly links?: LinkMonitor;
--- a/packages/requests/src/RunBackoff.ts
+++ b/packages/requests/src/RunBackoff.ts
@@ -8,10 +8,10 @@
 /** Minimum delay before another search for a chain. */
 export const MIN_RECHOOSE_DELAY: Millis = 50;
 const MAX_RECHOOSE_DELAY: Millis = 250;
-/** Longest rest of a server for which a request waits. For a longer one its caller is told at once, and may go elsewhere. */
-export const MAX_REST_WAIT: Millis = 250;
+/** Longest backoff for whose end a request waits. For a longer one its caller is told at once, and may go elsewhere. */
+export const MAX_BACKOFF_WAIT: Millis = 250;
 /** Callers come back over this time, as the server takes one request first. */
-const REST_SPREAD: Millis = 250;
+const BACKOFF_SPREAD: Millis = 250;
 const BUDGET_RECHECK_DELAY: Millis = 500;
 const RETRY_JITTER = 0.3;
 /**
@@ -45,7 +45,7 @@
   return jitter(random, CALLER_RETRY_DELAY, CALLER_RETRY_JITTER);
 }
 
-/** Delay after which a caller may retry whose servers all rest: never in the rest, and not all callers at once. */
-export function computeRestRetryDelay(random: Random, restLeft: Millis): Millis {
-  return restLeft + REST_SPREAD * random.nextFloat();
+/** Delay after which a caller may retry whose servers all asked for a backoff: not before its end, and not all at once. */
+export function computeBackoffRetryDelay(random: Random, backoffLeft: Millis): Millis {
+  return backoffLeft + BACKOFF_SPREAD * random.nextFloat();
 }
--- a/packages/requests/src/ServiceRunner.ts
+++ b/packages/requests/src/ServiceRunner.ts
@@ -39,7 +39,7 @@
   takeFromBudget,
 } from './RouterShared.js';
 import type { DecisionName, ServerChoice } from './RouterTypes.js';
-import { computeRestRetryDelay, MAX_REST_WAIT } from './RunBackoff.js';
+import { computeBackoffRetryDelay, MAX_BACKOFF_WAIT } from './RunBackoff.js';
 import type { RunPermission } from './RunGuard.js';
 import { createRunGuard } from './RunGuard.js';
 import { createCallAdmission, describeContent, parseRetryAfter } from './ServiceCalls.js';
@@ -183,15 +183,15 @@
     );
   }
 
-  /** A rest that is nearly over is waited for; for a longer one the caller is told at once when to come back. */
+  /** Waits for the end of a backoff that is nearly over; else the caller is told at once when to come back. */
   function handleNoServer(): void {
-    const restLeft = deps.getRestLeft?.(spec.service) ?? null;
-    if (restLeft === null) {
+    const backoffLeft = deps.getBackoffLeft?.(spec.service) ?? null;
+    if (backoffLeft === null) {
       fail(ProblemKind.NoChain, NO_SERVER_RETRY_DELAY);
-    } else if (restLeft <= MAX_REST_WAIT) {
-      cancelRetry = timers.registerTimeout(Math.ceil(restLeft), () => shared.post(dispatch));
+    } else if (backoffLeft <= MAX_BACKOFF_WAIT) {
+      cancelRetry = timers.registerTimeout(Math.ceil(backoffLeft), () => shared.post(dispatch));
     } else {
-      fail(ProblemKind.Overloaded, computeRestRetryDelay(deps.random, restLeft));
+      fail(ProblemKind.Overloaded, computeBackoffRetryDelay(deps.random, backoffLeft));
     }
   }
 
