--- a/packages/daemon/src/DaemonHangUps.ts
+++ b/packages/daemon/src/DaemonHangUps.ts
@@ -1,5 +1,7 @@
 /** Notices clients that leave while a request of theirs is under way. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Unregister } from '@skylarksail/core/CoreTypes';
+import { afterReading } from './DaemonTimers.js';
 
 /**
  * Calls `listener` once when the client closes its connection before its response is complete: as soon as the end of its
@@ -35,3 +37,45 @@
     }
   });
 }
+
+/** How far a request had come when its client left. */
+export const HangUpStage = {
+  /** It was not begun. */
+  Unbegun: 'unbegun',
+  /** It had just been begun, though the close of the connection could have been read before. */
+  JustBegun: 'just-begun',
+  Begun: 'begun',
+} as const;
+
+export type HangUpStageName = (typeof HangUpStage)[keyof typeof HangUpStage];
+
+/**
+ * Begins a request once the close of its client's connection would have been read, unless the client has left: the event
+ * loop reads the close one turn after the request. `begin` returns what cancels the request; `onLeft` is told when the client
+ * leaves before the end.
+ */
+export function beginUnlessLeft(
+  req: Pick<IncomingMessage, 'socket'>,
+  res: ServerResponse,
+  begin: () => Unregister,
+  onLeft: (stage: HangUpStageName) => void = () => undefined,
+): void {
+  let stage: HangUpStageName = HangUpStage.Unbegun;
+  let hasLeft = false;
+  let cancel: Unregister = () => undefined;
+  registerHangUpListener(req, res, () => {
+    hasLeft = true;
+    cancel();
+    onLeft(stage);
+  });
+  afterReading(() => {
+    if (hasLeft) {
+      return;
+    }
+    stage = HangUpStage.JustBegun;
+    afterReading(() => {
+      stage = HangUpStage.Begun;
+    });
+    cancel = begin();
+  });
+}
--- a/packages/daemon/src/DaemonHttpServer.ts
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -11,11 +11,10 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { RunState } from '@skylarksail/core/CoreConstants';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
-import { registerHangUpListener } from './DaemonHangUps.js';
+import { beginUnlessLeft, HangUpStage } from './DaemonHangUps.js';
 import { ProblemKind, createProblemBody } from './DaemonProblems.js';
 import type { ReportError } from './DaemonReplies.js';
 import { sendThrownError } from './DaemonReplies.js';
-import { afterReading } from './DaemonTimers.js';
 
 const MAX_HEADER_COUNT = 100;
 const KEEP_ALIVE_TIMEOUT: Millis = 72_000;
@@ -92,20 +91,22 @@
   };
 }
 
-/** Handles no request of a client that has left: the close of its connection is read a turn after its request. */
+/** Handles no request of a client that has left. */
 function registerLeftClientCheck(fastify: FastifyInstance): void {
   fastify.addHook('preHandler', (req, reply, done) => {
-    let hasLeft = false;
-    registerHangUpListener(req.raw, reply.raw, () => {
-      hasLeft = true;
-    });
-    afterReading(() => {
-      if (hasLeft) {
-        reply.hijack();
-      } else {
+    beginUnlessLeft(
+      req.raw,
+      reply.raw,
+      () => {
         done();
-      }
-    });
+        return () => undefined;
+      },
+      (stage) => {
+        if (stage === HangUpStage.Unbegun) {
+          reply.hijack();
+        }
+      },
+    );
   });
 }
 
--- a/platform/src/PlatformLanes.ts
+++ b/packages/relay/src/RelayConnectionQueue.ts
@@ -4,7 +4,7 @@
  * given, and so with a deadline that has moved.
  */
 
-export interface Lanes {
+export interface ConnectionQueue {
   /** Calls `start` when an exchange to the address may be opened; the returned function takes it back until then. */
   enter(address: string, start: () => void): () => void;
   /** An exchange that was started has ended. */
@@ -12,7 +12,7 @@
 }
 
 /** `getMaxOpen`: number of connections to an address. */
-export function createLanes(getMaxOpen: (address: string) => number): Lanes {
+export function createConnectionQueue(getMaxOpen: (address: string) => number): ConnectionQueue {
   /** Number of open exchanges, by address. */
   const open = new Map<string, number>();
   const waiting = new Map<string, Set<() => void>>();
--- /dev/null
+++ b/packages/relay/src/RelayLinkParts.ts
@@ -0,0 +1,75 @@
+/** Creates and connects what knows the wishes of backend servers: request limits, backoffs, and the ports that read them. */
+import type { EngineId } from '@skylarksail/core/CoreTypes';
+import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import type { RelayBackoffs } from './RelayBackoffs.js';
+import { createRelayBackoffs } from './RelayBackoffs.js';
+import type { Catalogue } from './RelayCatalogue.js';
+import { createLimitIssuer } from './RelayLimitIssuer.js';
+import type { RelayLimits } from './RelayLimits.js';
+import { createRelayLimits } from './RelayLimits.js';
+import type { RelayPartsOptions } from './RelayPartsTypes.js';
+import type { PermitChoices } from './RelayPermits.js';
+import { createPermitChoices } from './RelayPermits.js';
+import type { BackendPorts } from './RelayPorts.js';
+import type { InstanceEntry } from './RelayTypes.js';
+import { createBackendView } from './RelayView.js';
+
+export interface LinkPartsOptions extends Pick<
+  RelayPartsOptions,
+  'timers' | 'random' | 'self' | 'askForPermits' | 'createBackends' | 'logger' | 'metrics'
+> {
+  readonly catalogue: Catalogue;
+  readonly listInstances: () => readonly InstanceEntry[];
+  readonly countOwnInstances: () => number;
+  readonly getTable: () => RouteTable | null;
+  /** Whether a server receives requests itself, rather than from the engine before it in a chain. */
+  readonly isFirst: (server: EngineId) => boolean;
+  readonly noteSaidLeaving: (server: EngineId) => void;
+}
+
+export interface LinkParts {
+  readonly limits: RelayLimits;
+  readonly backoffs: RelayBackoffs;
+  readonly permits: PermitChoices;
+  /** Ports of this instance's own links. */
+  readonly linkPorts: BackendPorts;
+}
+
+export function createLinkParts(options: LinkPartsOptions): LinkParts {
+  const { timers, random, self, catalogue, logger, metrics, listInstances } = options;
+  const limits = createRelayLimits({
+    timers,
+    self,
+    issuer: createLimitIssuer({
+      timers,
+      self,
+      listInstances,
+      getDomain: (server) => catalogue.get(server)?.domain ?? null,
+    }),
+    askForPermits: options.askForPermits,
+    countInstances: options.countOwnInstances,
+    isKnown: (server) => catalogue.get(server) !== null,
+    logger,
+    onLimitedRequest: () =>
+      metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
+  });
+  const backoffs = createRelayBackoffs({
+    timers,
+    random,
+    logger,
+    onRequested: () =>
+      metrics.count('backoffs_requested', 'answers by which servers asked for a backoff'),
+  });
+  const view = createBackendView(catalogue, options.getTable, () => listInstances().length, {
+    noteRequestLimit: limits.noteLimit,
+    noteSaidLeaving: options.noteSaidLeaving,
+    noteBackoffRequested: backoffs.noteRequested,
+    isBackedOff: backoffs.isBackedOff,
+  });
+  return {
+    limits,
+    backoffs,
+    permits: createPermitChoices({ limits, backoffs, isFirst: options.isFirst }),
+    linkPorts: options.createBackends(view),
+  };
+}
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -27,15 +27,12 @@
 import { createRelayIntake } from './RelayIntake.js';
 import { startRelaySync } from './RelaySync.js';
 import { createRelayLease } from './RelayLease.js';
+import { createLinkParts } from './RelayLinkParts.js';
 import { createLoopWatch } from './RelayLoopWatch.js';
-import { createLimitIssuer } from './RelayLimitIssuer.js';
-import { createRelayLimits } from './RelayLimits.js';
-import { createPermitChoices } from './RelayPermits.js';
 import { createRelayPlacement } from './RelayPlacement.js';
-import { createRelayBackoffs, getBackoffLeft } from './RelayBackoffs.js';
+import { getBackoffLeft } from './RelayBackoffs.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
-import { createBackendView } from './RelayView.js';
 import { createStartGate } from './RelayStartGate.js';
 import { createRelaySuspension } from './RelaySuspension.js';
 import { createPathParts } from './RelayPathParts.js';
@@ -126,43 +123,15 @@
     },
   });
 
-  const limits = createRelayLimits({
-    timers,
-    self,
-    issuer: createLimitIssuer({
-      timers,
-      self,
-      listInstances: lease.listInstances,
-      getDomain: (server) => catalogue.get(server)?.domain ?? null,
-    }),
-    askForPermits: options.askForPermits,
-    countInstances: countOwnInstances,
-    isKnown: (server) => catalogue.get(server) !== null,
-    logger,
-    onLimitedRequest: () =>
-      metrics.count('requests_to_limited_servers', 'requests to servers that have named a limit'),
-  });
-  const backoffs = createRelayBackoffs({
-    timers,
-    random,
-    logger,
-    onRequested: () =>
-      metrics.count('backoffs_requested', 'answers by which servers asked for a backoff'),
+  const { limits, backoffs, permits, linkPorts } = createLinkParts({
+    ...options,
+    catalogue,
+    listInstances: lease.listInstances,
+    countOwnInstances,
+    getTable: () => table,
+    isFirst: canBeginChain,
+    noteSaidLeaving,
   });
-  const permits = createPermitChoices({ limits, backoffs, isFirst: canBeginChain });
-  const linkPorts = options.createBackends(
-    createBackendView(
-      catalogue,
-      () => table,
-      () => lease.listInstances().length,
-      {
-        noteRequestLimit: limits.noteLimit,
-        noteSaidLeaving,
-        noteBackoffRequested: backoffs.noteRequested,
-        isBackedOff: backoffs.isBackedOff,
-      },
-    ),
-  );
   const paths = createPathParts({
     timers,
     random,
