Add the room of a domain, the messages that carry it, and the setting shareMemory

Cause: with more requests than the engines have memory for, each instance admits what arrives; engines preempt and read prompts again. Nothing uses them yet.

--- a/packages/bench/src/IdleBench.ts
+++ b/packages/bench/src/IdleBench.ts
@@ -14,6 +14,7 @@
 import { startRelayParts } from '@skylarksail/relay/RelayParts';
 import type { BackendEntry, StoreContent } from '@skylarksail/relay/RelayTypes';
 import type { BackendPorts } from '@skylarksail/relay/RelayPorts';
+import { MemorySharing } from '@skylarksail/relay/RelayTuning';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import { KEY_PREFIX, CONFIG_KEY, createIdleConfig, createIdleEngine } from './IdleFleet.js';
 
@@ -87,6 +88,7 @@
     bounds: { retryShare: 0.2, retrySlack: 500, retryWindow: 10_000 },
     domains: Array.from({ length: DOMAINS }, (_, i) => `d${i}`),
     mostCopies: 2,
+    shareMemory: MemorySharing.Auto,
     wallNow: () => Date.now(),
     afterTurn: (work) => work(),
     changeTime: 2000,
--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -129,7 +129,12 @@
       .list()
       .map(({ id }) => ({ engine: id, ...getOwnWork(state, id) }))
       .filter(({ calls }) => calls > 0)
-      .map(({ engine, calls, kvTokens }) => ({ engine, calls, kvTokens }));
+      .map(({ engine, calls, kvTokens, prefillTokens }) => ({
+        engine,
+        calls,
+        kvTokens,
+        prefillTokens,
+      }));
   }
 
   function listDescribedEngines(): readonly DescribedEngine[] {
--- a/packages/relay/src/RelayFacts.ts
+++ b/packages/relay/src/RelayFacts.ts
@@ -6,6 +6,8 @@
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { AcceleratorFacts, PipelineFacts } from '@skylarksail/routes/RouteTypes';
 import type { RoutedModel } from '@skylarksail/routing/RoutingTypes';
+import type { MemorySharingName } from './RelayTuning.js';
+import { MemorySharing } from './RelayTuning.js';
 import type { BackendEntry } from './RelayTypes.js';
 
 /** Deployments of the relay have a single version of the weights. */
@@ -83,6 +85,25 @@
   return { model, version: ONLY_VERSION, adapters: [], layers, duty: EngineDuty.Mixed };
 }
 
+/**
+ * Share of the weights of a model above which the memory of a full batch limits engines before their slots do: an engine that is
+ * filled with layers then has no memory left for as many requests as it has slots.
+ */
+const MEMORY_BOUND_SHARE = 2 / 3;
+
+/** Whether the memory for running requests, and not the number of slots, limits the engines of a model. */
+export function isMemoryBound(pipeline: PipelineFacts): boolean {
+  const { slots, usualPromptTokens, usualAnswerTokens, kvTokenBytes, layers, layerBytes } =
+    pipeline;
+  const batchBytes = slots * (usualPromptTokens + usualAnswerTokens) * kvTokenBytes;
+  return batchBytes > MEMORY_BOUND_SHARE * layers * layerBytes;
+}
+
+/** Whether memory of a model's engines is shared by need: as the setting says, or where it limits them. */
+export function isMemoryShared(setting: MemorySharingName, pipeline: PipelineFacts): boolean {
+  return setting === MemorySharing.Auto ? isMemoryBound(pipeline) : setting === MemorySharing.On;
+}
+
 /** Lists the model of each service that is a pipeline. */
 export function listModels({ config }: RouteTable): ReadonlyMap<string, RoutedModel> {
   return new Map(
--- a/packages/relay/src/RelayPartsTypes.ts
+++ b/packages/relay/src/RelayPartsTypes.ts
@@ -18,7 +18,7 @@
 import type { RelayRetryBudget } from './RelayRetryBudget.js';
 import type { OpenForward, ServeForward } from './RelayForwardTypes.js';
 import type { AskForTrial, RelayTrials } from './RelayTrials.js';
-import type { RelayBounds } from './RelayTuning.js';
+import type { MemorySharingName, RelayBounds } from './RelayTuning.js';
 import type { InstanceEntry, ReadBackendKey, ReadContent } from './RelayTypes.js';
 import type { BackendPorts, BackendView } from './RelayPorts.js';
 
@@ -29,6 +29,8 @@
   readonly domains: readonly DomainId[];
   /** Maximum number of copies of each layer that a domain holds where its memory allows. */
   readonly mostCopies: number;
+  /** Where requests share the memory of engines by need. */
+  readonly shareMemory: MemorySharingName;
   /** Time within which an acknowledged configuration change must be in force at all instances. */
   readonly changeTime: Millis;
   /** Shortest lease that the store grants. */
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -85,8 +85,14 @@
           return null;
       }
     },
-    packUpdates: ({ changes, age, held, others }, form) =>
-      pack({ changes: encodeChanges(changes, form), age, held, others }),
+    packUpdates: ({ changes, age, held, others, rooms }, form) =>
+      pack({
+        changes: encodeChanges(changes, form),
+        age,
+        held,
+        others,
+        ...(rooms ? { rooms } : {}),
+      }),
     readPeerUpdates(body) {
       const { age, ...changes } = readPeerMessage(body);
       return { age, changes: decodeChanges(changes) };
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -11,13 +11,29 @@
 import { FanoutLevel } from './RelayFanout.js';
 import type { PermitAnswer, PermitQuery } from './RelayLimits.js';
 import type { BackendEntry } from './RelayTypes.js';
-import type { WorkReport } from './RelayWork.js';
+import type { RoomReport, WorkReport } from './RelayWork.js';
 
 const count = z.number().check(z.nonnegative());
 
-const engineWork = z.object({ engine: z.string(), calls: count, kvTokens: count });
+const engineWork = z.object({
+  engine: z.string(),
+  calls: count,
+  kvTokens: count,
+  prefillTokens: z.optional(count),
+});
+
+const reportedWork = z.object({
+  running: z.array(engineWork),
+  lost: z.array(z.string()),
+  teams: z.optional(z.array(z.object({ team: z.string(), kvTokens: count }))),
+  slow: z.optional(z.array(z.object({ engine: z.string(), factor: count }))),
+});
 
-const reportedWork = z.object({ running: z.array(engineWork), lost: z.array(z.string()) });
+const reportedRooms = z.optional(
+  z.array(
+    z.object({ domain: z.string(), model: z.string(), capacity: count, used: count, age: count }),
+  ),
+);
 
 const updateQuery = z.object({
   since: count,
@@ -26,6 +42,7 @@
   takesWhole: z.optional(z.boolean()),
   from: z.string(),
   work: reportedWork,
+  rooms: reportedRooms,
 });
 
 const wireItem = z.union([
@@ -49,6 +66,7 @@
   age: z.optional(count),
   held: z.optional(count),
   others: reportedWork,
+  rooms: reportedRooms,
 });
 
 const limitNews = { limit: z.nullable(count), age: count };
@@ -117,6 +135,8 @@
   readonly held: Millis;
   /** Work that other instances of the source's domain reported. */
   readonly others: WorkReport;
+  /** Memory of the domains that the source knows of; sources of an earlier version send none. */
+  readonly rooms?: readonly RoomReport[];
 }
 
 /** Reads engines that a peer observed; throws if the message is invalid. */
--- a/packages/relay/src/RelayTuning.ts
+++ b/packages/relay/src/RelayTuning.ts
@@ -15,6 +15,16 @@
   readonly retryWindow: Millis;
 }
 
+/** Where requests share the memory of engines by need: admission by room, spillover, prefill and slow engines. */
+export const MemorySharing = {
+  On: 'on',
+  Off: 'off',
+  /** For models of which memory, and not the number of slots, limits the engines. */
+  Auto: 'auto',
+} as const;
+
+export type MemorySharingName = (typeof MemorySharing)[keyof typeof MemorySharing];
+
 /** Share of the fleet's retries that is used; the rest is a margin because instances may count each other late. */
 export const RETRY_SAFETY_FACTOR = 0.9;
 /**
--- a/packages/relay/src/RelayUpdates.ts
+++ b/packages/relay/src/RelayUpdates.ts
@@ -14,7 +14,7 @@
 import type { FanoutLevelValue, FanoutRole } from './RelayFanout.js';
 import { FanoutLevel } from './RelayFanout.js';
 import type { InstanceEntry } from './RelayTypes.js';
-import type { RelayWork, WorkReport } from './RelayWork.js';
+import type { RelayWork, RoomReport, WorkReport } from './RelayWork.js';
 
 /** Long poll to an update source, which may delay its answer until there are updates. */
 export interface UpdateQuery {
@@ -27,6 +27,8 @@
   readonly takesWhole: boolean;
   readonly from: InstanceId;
   readonly work: WorkReport;
+  /** Memory of the sender's own domain; sent by aggregators to watchers. */
+  readonly rooms?: readonly RoomReport[];
 }
 
 /**
@@ -44,6 +46,8 @@
       readonly held: Millis;
       /** Work that other instances of the source's domain reported. */
       readonly others: WorkReport;
+      /** Memory of the domains that the source knows of; sources of an earlier version send none. */
+      readonly rooms?: readonly RoomReport[];
     }
   | { readonly kind: 'deaf' }
   | { readonly kind: 'silent' };
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -7,7 +7,15 @@
  * 100 arrivals then met a full engine; with reports every 200 ms it was 2 of 100 (simulated in virtual time).
  */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { EngineId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
+import type {
+  DomainId,
+  EngineId,
+  InstanceId,
+  Millis,
+  ModelId,
+  TeamId,
+} from '@skylarksail/core/CoreTypes';
+import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
 
 /** Running work of one or more instances on an engine. */
 export interface EngineWork {
@@ -15,6 +23,29 @@
   readonly calls: number;
   /** Tokens that its calls are expected to hold in the KV cache. */
   readonly kvTokens: number;
+  /** Prompt tokens of calls without a first token yet; instances of an earlier version report none. */
+  readonly prefillTokens?: number;
+}
+
+/** Memory that the running requests of a team are expected to hold. */
+export interface TeamWork {
+  readonly team: TeamId;
+  readonly kvTokens: number;
+}
+
+/** An engine whose answers are slower than its speed explains. */
+export interface SlowEngine {
+  readonly engine: EngineId;
+  /** How many times slower than expected. */
+  readonly factor: number;
+}
+
+/** Memory for running requests of a model in a domain, as one of its instances saw it. */
+export interface RoomReport extends DomainRoom {
+  readonly domain: DomainId;
+  readonly model: ModelId;
+  /** Time since it was seen; each instance that passes it on adds the time that it kept it. */
+  readonly age: Millis;
 }
 
 /** Running work of one or more instances on an engine that is given elsewhere. */
@@ -25,8 +56,15 @@
   readonly running: readonly EngineWork[];
   /** Engines at which calls failed and that then failed a health check. */
   readonly lost: readonly EngineId[];
+  /** The teams with the most work, at most `MAX_REPORTED`; instances of an earlier version report none. */
+  readonly teams?: readonly TeamWork[];
+  /** The slowest engines, at most `MAX_REPORTED`; instances of an earlier version report none. */
+  readonly slow?: readonly SlowEngine[];
 }
 
+/** Maximum number of teams, and of slow engines, in a report. */
+export const MAX_REPORTED = 32;
+
 export interface RelayWork {
   /** Records an instance's report of its own work. */
   recordReport(from: InstanceId, work: WorkReport): void;
@@ -57,7 +95,7 @@
 
 /** Answers take about two seconds, so most of the work in an older report has ended. */
 const MAX_REPORT_AGE: Millis = 3000;
-const NO_WORK = { calls: 0, kvTokens: 0 };
+const NO_WORK: PeerWork = { calls: 0, kvTokens: 0 };
 
 interface TimedReport {
   readonly work: WorkReport;
@@ -141,10 +179,14 @@
 
 function sumWork(work: readonly EngineWork[]): ReadonlyMap<EngineId, EngineWork> {
   const sums = new Map<EngineId, EngineWork>();
-  for (const { engine, calls, kvTokens } of work) {
+  for (const { engine, calls, kvTokens, prefillTokens = 0 } of work) {
     const before = sums.get(engine) ?? NO_WORK;
-    const sum = { engine, calls: before.calls + calls, kvTokens: before.kvTokens + kvTokens };
-    sums.set(engine, sum);
+    sums.set(engine, {
+      engine,
+      calls: before.calls + calls,
+      kvTokens: before.kvTokens + kvTokens,
+      prefillTokens: (before.prefillTokens ?? 0) + prefillTokens,
+    });
   }
   return sums;
 }
--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -13,6 +13,7 @@
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
 import { CONNECT_TIMEOUT } from '../../RelayPorts.js';
 import type { BackendPorts, BackendView, HealthAnswer } from '../../RelayPorts.js';
+import { MemorySharing } from '../../RelayTuning.js';
 import { createBackend, createConfig, createRoute } from './RelayFixtures.js';
 
 const CONFIG_KEY = 'config';
@@ -176,6 +177,7 @@
       startRelayParts({
         self: { id, domain, address },
         mostCopies: 1,
+        shareMemory: MemorySharing.Auto,
         bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
         domains,
         changeTime: 2000,
