Tell routing for each model whether its engines' memory is shared

Cause: the parts that act under a shortage of memory need one switch, by model. Change: RoutedModel.isMemoryShared, from the setting and the model's configuration. Nothing reads it yet.

--- a/packages/relay/src/RelayFacts.ts
+++ b/packages/relay/src/RelayFacts.ts
@@ -105,15 +105,23 @@
 }
 
 /** Lists the model of each service that is a pipeline. */
-export function listModels({ config }: RouteTable): ReadonlyMap<string, RoutedModel> {
+export function listModels(
+  { config }: RouteTable,
+  shareMemory: MemorySharingName,
+): ReadonlyMap<string, RoutedModel> {
   return new Map(
     config.services.flatMap(({ id, pipeline }) =>
-      pipeline ? [[id, createModel(id, pipeline)] as const] : [],
+      pipeline ? [[id, createModel(id, pipeline, shareMemory)] as const] : [],
     ),
   );
 }
 
-function createModel(id: ServiceId, pipeline: PipelineFacts): RoutedModel {
+function createModel(
+  id: ServiceId,
+  pipeline: PipelineFacts,
+  shareMemory: MemorySharingName,
+): RoutedModel {
   const { activationBytes, usualAnswerTokens } = pipeline;
-  return { id, activationBytes, usualAnswerTokens };
+  const isShared = isMemoryShared(shareMemory, pipeline);
+  return { id, activationBytes, usualAnswerTokens, isMemoryShared: isShared };
 }
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -117,7 +117,8 @@
       table = next;
       calm.noteConfigChange();
       catalogue.noteServicesChanged();
-      routing.setFleetFacts({ models: listModels(next), tuning: ROUTING_TUNING });
+      const models = listModels(next, options.shareMemory);
+      routing.setFleetFacts({ models, tuning: ROUTING_TUNING });
       engines.refresh();
       startGate.noteConfigured();
     },
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -39,6 +39,8 @@
    */
   readonly usualAnswerTokens?: number;
   readonly activationBytes: number;
+  /** Whether requests share the memory of the model's engines by need; not if omitted. */
+  readonly isMemoryShared?: boolean;
 }
 
 /** The plan of a pool, with its inputs. */
