Give domains whose engines are short of memory the layout with the most KV cache

Cause: a layout needs KV cache for a quarter of the requests that fit beside one copy of the weights, and then takes the fewest groups. Where memory limits the engines, a domain of 24 engines held 4 to 7 copies of each layer and had KV cache for 272 requests; 83 a second of some three seconds each arrive. Then the balance by number of holders moved two engines out of the group with the least KV cache (seven engines of ten layers) to one with nearly twice as much (two engines of five layers): 194 requests were left before the first one arrived. Change: for models that memory limits, the layout with the most KV cache after the loss of any group's largest engine, with no more engines alone than before; an engine is moved only out of a range that keeps clearly more than the other has. Other models are placed as before.

--- a/packages/placement/src/PlacementCopies.ts
+++ b/packages/placement/src/PlacementCopies.ts
@@ -41,6 +41,11 @@
 
 /** An engine is moved to another range only if its own range has at least this many more holders. */
 const MIN_HOLDER_DIFFERENCE = 2;
+/**
+ * An engine is moved for more KV cache only if its own range keeps this many times what the other has: each move loads weights,
+ * and answers in progress wait for it.
+ */
+const MIN_HEADROOM_GAIN = 1.25;
 
 /**
  * The ranges that engines should hold, with at most `mostCopies` holders per layer in a new layout; null if
@@ -234,10 +239,13 @@
   }
 }
 
-/** Moves at most one engine, from a range with many holders to one with few. */
+/**
+ * Moves at most one engine, from a range with many holders to one with few or, where memory limits the engines, with
+ * less KV cache. Many small engines may hold less of it than a few that hold fewer layers.
+ */
 function rebalanceOne(
   engines: readonly RangeEngine[],
-  model: RangeModel,
+  model: GroupModel,
   plan: Map<EngineId, LayerRange>,
 ): void {
   const segments = [...listSegments(engines)].sort((a, b) => compareSegments(a, b, model));
@@ -246,7 +254,9 @@
     const donor = engines.find(
       (engine) =>
         engine.held !== null &&
-        countHolders(segments, engine.held) >= minHolders &&
+        (model.isMemoryBound
+          ? staysRoomier(engines, engine, { range, holders }, model)
+          : countHolders(segments, engine.held) >= minHolders) &&
         canHold(engine, range, model, MAX_WEIGHT_SHARE),
     );
     if (donor) {
@@ -256,6 +266,32 @@
   }
 }
 
+/** Whether the range that an engine leaves would keep clearly more KV cache than the range has that it moves to. */
+function staysRoomier(
+  engines: readonly RangeEngine[],
+  donor: RangeEngine,
+  weakest: Segment,
+  model: RangeModel,
+): boolean {
+  const { held } = donor;
+  if (held === null) {
+    return false;
+  }
+  const others = engines.filter((engine) => engine !== donor);
+  const left = listSegments(others).filter(
+    ({ range }) => range.first < held.end && held.first < range.end,
+  );
+  const leastLeft = Math.min(...left.map((segment) => getSurvivingHeadroom(segment, model)));
+  return (
+    isHeldBy(others, held) && leastLeft > MIN_HEADROOM_GAIN * getSurvivingHeadroom(weakest, model)
+  );
+}
+
+/** KV-cache bytes per layer after the loss of the holder with the most; 0 with a single holder. */
+function getSurvivingHeadroom(segment: Segment, model: RangeModel): number {
+  return sum(listHeadrooms(segment, model).slice(1));
+}
+
 /** Number of holders of the least-held segment within a range. */
 function countHolders(segments: readonly Segment[], { first, end }: LayerRange): number {
   const counts = segments
--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -19,6 +19,11 @@
   readonly usualAnswerTokens: number;
   /** Concurrent requests that an engine accepts as the first of a chain. */
   readonly slots: number;
+  /**
+   * Whether memory, and not the number of slots, limits the engines. A domain then gets the layout with the most KV cache
+   * rather than the fewest groups with enough of it; not if omitted.
+   */
+  readonly isMemoryBound?: boolean;
 }
 
 /** Engines that all hold the same layers, and the number of those layers. */
@@ -55,6 +60,8 @@
 const MAX_STAGES = 32;
 /** Bisection steps in the search for the best headroom: enough for a precision of one in a million. */
 const BISECTION_STEPS = 20;
+/** Bisection steps in the search for the groups with the most headroom, each of which searches all groupings. */
+const LAYOUT_BISECTION_STEPS = 7;
 
 /**
  * The layout that has the KV cache that requests need and the fewest engines alone in their group, with at most
@@ -71,9 +78,13 @@
   const requestBytes = getRequestBytes(model);
   const singleCopyRequests = (memory - weights) / (model.layers * requestBytes);
   const neededRequests = Math.max(HEADROOM_SHARE * singleCopyRequests, SLOT_SHARE * model.slots);
-  const grouping = findShortGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
-    countGroupLayers(sorted.slice(first, first + size), model, neededRequests * requestBytes),
-  );
+  const findFor: FindGrouping = (requests) =>
+    findShortGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
+      countGroupLayers(sorted.slice(first, first + size), model, requests * requestBytes),
+    );
+  const grouping = model.isMemoryBound
+    ? findRoomiestGrouping(findFor, neededRequests, singleCopyRequests)
+    : findFor(neededRequests);
   if (!grouping || grouping.every(({ size }) => size === 1)) {
     return null;
   }
@@ -82,6 +93,43 @@
   return { groups, requests: headroom / requestBytes };
 }
 
+/** Finds groups that fit this many requests each, also without their largest engine; null if there are none. */
+type FindGrouping = (requests: number) => readonly GroupSize[] | null;
+
+/**
+ * The groups with the most KV cache among those with no more engines alone than `needed` requests take. Where memory
+ * limits the engines, each layer less on an engine lets it run several times as many requests, so a domain that holds more
+ * copies of the weights than it can lose runs far fewer requests than it could.
+ */
+function findRoomiestGrouping(
+  findFor: FindGrouping,
+  needed: number,
+  most: number,
+): readonly GroupSize[] | null {
+  let best = findFor(needed);
+  if (best === null) {
+    return null;
+  }
+  const maxSoleHolders = countSoleHolders(best);
+  let low = needed;
+  let high = Math.max(needed, most);
+  for (let step = 0; step < LAYOUT_BISECTION_STEPS; step++) {
+    const requests = (low + high) / 2;
+    const found = findFor(requests);
+    if (found !== null && countSoleHolders(found) <= maxSoleHolders) {
+      best = found;
+      low = requests;
+    } else {
+      high = requests;
+    }
+  }
+  return best;
+}
+
+function countSoleHolders(groups: readonly GroupSize[]): number {
+  return groups.filter(({ size }) => size === 1).length;
+}
+
 /**
  * Finds groups that fit in one chain. A domain of hundreds of engines has more groups of `mostCopies` than a chain may
  * have stages; its groups may be larger, else it would have a single chain, longer than any that engines accept.
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -236,6 +236,7 @@
     domains: options.domains,
     port: backends.orders,
     mostCopies: options.mostCopies,
+    shareMemory: options.shareMemory,
     onDecision: (decision) => {
       metrics.count(
         `orders_${decision.outcome}`,
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -20,6 +20,8 @@
 import type { PipelineFacts, RoutedService } from '@skylarksail/routes/RouteTypes';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createReplanDelays } from './RelayReplanDelays.js';
+import { isMemoryShared } from './RelayFacts.js';
+import type { MemorySharingName } from './RelayTuning.js';
 import type { EngineStatus, RangeOrderAnswer, RangeOrderPort } from './RelayPorts.js';
 import type { BackendEntry } from './RelayTypes.js';
 
@@ -33,6 +35,7 @@
   readonly port: RangeOrderPort;
   /** Maximum number of copies of each layer that a domain holds where its memory allows; 1 for one chain per domain. */
   readonly mostCopies: number;
+  readonly shareMemory: MemorySharingName;
   readonly onDecision: (decision: {
     readonly domain: DomainId;
     readonly engine: EngineId;
@@ -181,7 +184,8 @@
     }
     const hasGap = findGaps(engines, pipeline).length > 0;
     const mayMend = patience.isGapDue(key, hasGap);
-    const plan = planCopies(engines, pipeline, mostCopies, {
+    const model = { ...pipeline, isMemoryBound: isMemoryShared(options.shareMemory, pipeline) };
+    const plan = planCopies(engines, model, mostCopies, {
       mayReassign: mayMend,
       mayRebuild: mayMend && patience.isLossGraceOver(key) && !isAwaitingReturn(domain),
       mayBalance: patience.isStable(key),
