Plan a domain again only when its engines or the permitted changes differ

Cause: the holder of a domain's placement plans it five times a second. Change: inputs for which a plan had nothing to change are kept by domain and compared first. A plan is a pure function of them.

--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -13,6 +13,7 @@
   Unregister,
 } from '@skylarksail/core/CoreTypes';
 import type { RangeEngine } from '@skylarksail/placement/PlacementRanges';
+import type { PermittedChanges } from '@skylarksail/placement/PlacementCopies';
 import { hasCopies, planCopies } from '@skylarksail/placement/PlacementCopies';
 import { findGaps, planRanges } from '@skylarksail/placement/PlacementRanges';
 import { isSameRange, planStep } from '@skylarksail/placement/PlacementSteps';
@@ -80,12 +81,21 @@
 
 const NO_TARGET: DomainTarget = new Map();
 
+/** What a plan was made from. */
+interface PlannedInputs {
+  readonly pipeline: PipelineFacts;
+  /** The engines with their layers, and the permitted changes. */
+  readonly inputs: string;
+}
+
 export function createRelayPlacement(options: RelayPlacementOptions): RelayPlacement {
   const { timers, catalogue, getTable, hasDuty: holds, port, mostCopies } = options;
   const pending = new Map<EngineId, PendingOrder>();
   const pausedUntil = new Map<EngineId, Millis>();
   const targets = new Map<string, DomainTarget>();
   const patience = createReplanDelays(timers);
+  /** Inputs for which each domain's last plan had nothing to change: a plan takes many times as long as comparing them. */
+  const unchanged = new Map<string, PlannedInputs>();
 
   function getTarget(key: string): DomainTarget {
     const target: DomainTarget = targets.get(key) ?? new Map<EngineId, LayerRange>();
@@ -184,13 +194,22 @@
     }
     const hasGap = findGaps(engines, pipeline).length > 0;
     const mayMend = patience.isGapDue(key, hasGap);
-    const model = { ...pipeline, isMemoryBound: isMemoryShared(options.shareMemory, pipeline) };
-    const plan = planCopies(engines, model, mostCopies, {
+    const permitted = {
       mayReassign: mayMend,
       mayRebuild: mayMend && patience.isLossGraceOver(key) && !isAwaitingReturn(domain),
       mayBalance: patience.isStable(key),
       mayRepartition: !hasGap && mayRecutDomain(placed, domain),
-    });
+    };
+    const inputs = describeInputs(engines, permitted);
+    const before = unchanged.get(key);
+    if (before?.pipeline === pipeline && before.inputs === inputs) {
+      return;
+    }
+    const model = { ...pipeline, isMemoryBound: isMemoryShared(options.shareMemory, pipeline) };
+    const plan = planCopies(engines, model, mostCopies, permitted);
+    if (plan === null) {
+      unchanged.set(key, { pipeline, inputs });
+    }
     plan?.forEach((range, id) => target.set(id, range));
   }
 
@@ -251,6 +270,7 @@
     patience.keepOnly(listKeys(services, () => true));
     const held = listKeys(services, holds);
     [...targets.keys()].filter((key) => !held.has(key)).forEach((key) => targets.delete(key));
+    [...unchanged.keys()].filter((key) => !held.has(key)).forEach((key) => unchanged.delete(key));
   }
 
   function listKeys(
@@ -271,6 +291,7 @@
     const isPlacing = options.domains.some(holds);
     if (!isPlacing) {
       targets.clear();
+      unchanged.clear();
       return false;
     }
     const services = listPlaced();
@@ -291,7 +312,7 @@
   return {
     start,
     countEngines: () => new Set([...pending.keys(), ...pausedUntil.keys()]).size,
-    countDomains: () => Math.max(targets.size, patience.count()),
+    countDomains: () => Math.max(targets.size, unchanged.size, patience.count()),
   };
 }
 
@@ -299,6 +320,14 @@
   return born !== null && entry.born !== null && born !== entry.born;
 }
 
+function describeInputs(engines: readonly RangeEngine[], permitted: PermittedChanges): string {
+  const held = engines.map(
+    ({ id, memoryBytes, held: range }) =>
+      `${id} ${memoryBytes} ${range ? `${range.first}-${range.end}` : ''}`,
+  );
+  return [...held, ...Object.values(permitted)].join();
+}
+
 function getKey({ id }: RoutedService, domain: DomainId): string {
   return `${id}/${domain}`;
 }
