Admit model requests by the memory of their domain

Cause: admission counts no memory, so engines that run out of it preempt requests and repeat their prefill, and a request that waits at an engine is closed as silent and sent to a second one. Change: decideByRoom refuses by the share of memory in use, the less important first; RelayRoom reads the share; teams' work is reported and summed; silence before the first token is no failure while memory is short.

--- a/packages/daemon/src/DaemonMetrics.ts
+++ b/packages/daemon/src/DaemonMetrics.ts
@@ -26,6 +26,11 @@
   gaveUpFruitless: 'requests_given_up_fruitless',
   gaveUpDeadlineNear: 'requests_given_up_deadline_near',
   gaveUpStandstill: 'requests_given_up_standstill',
+  roomRefusedUrgent: 'requests_refused_room_urgent',
+  roomRefusedHigh: 'requests_refused_room_high',
+  roomRefusedNormal: 'requests_refused_room_normal',
+  roomRefusedLow: 'requests_refused_room_low',
+  roomRefusedTeam: 'requests_refused_room_team',
 };
 const ROUTER_HISTOGRAMS: Readonly<Partial<Record<RouterMetricName, string>>> = {
   firstTokenMs: 'first_token',
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -31,6 +31,7 @@
 import { createLoopWatch } from './RelayLoopWatch.js';
 import { createRelayPlacement } from './RelayPlacement.js';
 import { getBackoffLeft } from './RelayBackoffs.js';
+import { createRoomParts } from './RelayRoomParts.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createStartGate } from './RelayStartGate.js';
@@ -179,12 +180,21 @@
     tallyCrashes,
     askForTrial: options.askForTrial,
   });
+  const { room, watchChoice, readTeams } = createRoomParts({
+    domain: self.domain,
+    timers,
+    getState: routing.getState,
+    catalogue,
+    countOwnInstances,
+    work: sync.work,
+    metrics,
+  });
   const router = createRequestRouter({
     cfg: createRouterConfig(options.bounds),
     timers,
     random,
-    chooseChain: permits.limitChoice(routing.chooseChain),
-    chooseRepair: permits.limitChoice(routing.chooseRepair),
+    chooseChain: permits.limitChoice(watchChoice(routing.chooseChain)),
+    chooseRepair: permits.limitChoice(watchChoice(routing.chooseRepair)),
     openEngineCall: permits.usePermits(
       health.watchCalls(routing.trackTokenGaps(backends.openEngineCall)),
     ),
@@ -200,6 +210,8 @@
     mayBreakOff: calm.isUnaffected,
     requestTrial: trials.request,
     getTeamLimits: () => ({ share: 1, queueLimit: TEAM_QUEUE_LIMIT }),
+    readRoom: room.read,
+    isRoomShort: room.isShort,
     getKvCapacity: () => null,
     getBootId: getIncarnation,
     isEnding,
@@ -290,7 +302,7 @@
   }
 
   function readOwnWork(): WorkReport {
-    return { running: engines.readOwnWork(), lost: health.listLost() };
+    return { running: engines.readOwnWork(), lost: health.listLost(), ...readTeams() };
   }
 
   function tallyCrashes(suspect: string): TrialTally {
--- /dev/null
+++ b/packages/relay/src/RelayRoom.ts
@@ -0,0 +1,103 @@
+/** Reads the memory for running requests of this instance's domain, for the admission of requests. */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { DomainId, Millis, ModelId, TeamId } from '@skylarksail/core/CoreTypes';
+import type { RoomView } from '@skylarksail/requests/RequestRoom';
+import { SHORT_ROOM_SHARE } from '@skylarksail/requests/RequestRoom';
+import type { RequestSpec } from '@skylarksail/requests/RequestTypes';
+import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
+import { getDomainRoom, getRoomShare } from '@skylarksail/routing/RoutingRoom';
+import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
+import type { RelayTeamWork } from './RelayTeamWork.js';
+import type { RelayWork } from './RelayWork.js';
+
+export interface RelayRoomOptions {
+  readonly domain: DomainId;
+  readonly timers: TimerService;
+  readonly getState: () => RoutingState;
+  /** Number of live instances in this instance's failure domain, including itself. */
+  readonly countOwnInstances: () => number;
+  readonly work: Pick<RelayWork, 'getTeamWork' | 'countTeams' | 'getReportAge'>;
+  readonly teams: Pick<RelayTeamWork, 'get' | 'listTeams'>;
+  /** Shares in use of other domains to which a request may be sent; none if omitted. */
+  readonly getOtherShares?: (spec: RequestSpec) => readonly number[];
+}
+
+export interface RelayRoom {
+  /** What admission decides by; null if it is unknown or if the model's requests do not share memory. */
+  read(spec: RequestSpec): RoomView | null;
+  /** Whether engines of the own domain let requests of the model wait for memory. */
+  isShort(spec: RequestSpec): boolean;
+  /** Largest share in use of the own domain over all models at their last reading; 0 if none is known. */
+  getShare(): number;
+}
+
+/** Own requests since the last reading change the share by less than a hundredth in this time. */
+const MAX_VIEW_AGE: Millis = 50;
+
+interface CachedRoom {
+  readonly at: Millis;
+  readonly loads: RoutingState['loads'];
+  /** Null if no engine of the domain holds the model, or some layer is held by none. */
+  readonly room: DomainRoom | null;
+}
+
+export function createRelayRoom(options: RelayRoomOptions): RelayRoom {
+  const { domain, timers, getState, work, teams } = options;
+  const rooms = new Map<ModelId, CachedRoom>();
+
+  /** The room of the own domain, calculated anew with each load report and every 50 ms. */
+  function getRoom(spec: RequestSpec, state: RoutingState): DomainRoom | null {
+    const { model, variant, layerCount } = spec;
+    const now = timers.now();
+    const before = rooms.get(model);
+    if (before && before.loads === state.loads && now - before.at < MAX_VIEW_AGE) {
+      return before.room;
+    }
+    const found = getDomainRoom(state, variant, layerCount, domain, now);
+    const room = found !== null && found.capacity > 0 ? found : null;
+    rooms.set(model, { at: now, loads: state.loads, room });
+    return room;
+  }
+
+  /** The room, or null if this instance does not know enough of it. */
+  function readRoom(spec: RequestSpec): DomainRoom | null {
+    const state = getState();
+    if (!state.models.get(spec.model)?.isMemoryShared || !isKnown()) {
+      rooms.delete(spec.model);
+      return null;
+    }
+    return getRoom(spec, state);
+  }
+
+  /** Own work alone shows the use of the memory only where no other instance uses it. */
+  function isKnown(): boolean {
+    return work.getReportAge() !== null || options.countOwnInstances() <= 1;
+  }
+
+  function getTeamShare(team: TeamId, { capacity }: DomainRoom): number {
+    const used = teams.get(team) + (work.getTeamWork(team) ?? 0);
+    const count = Math.max(1, work.countTeams(teams.listTeams()));
+    return (used * count) / capacity;
+  }
+
+  return {
+    read(spec) {
+      const room = readRoom(spec);
+      if (room === null) {
+        return null;
+      }
+      const others = options.getOtherShares?.(spec).filter(Number.isFinite) ?? [];
+      return {
+        share: Math.min(getRoomShare(room), ...others),
+        age: work.getReportAge() ?? 0,
+        teamShare: getTeamShare(spec.team, room),
+      };
+    },
+    isShort(spec) {
+      const room = readRoom(spec);
+      return room !== null && getRoomShare(room) >= SHORT_ROOM_SHARE;
+    },
+    getShare: () =>
+      Math.max(0, ...[...rooms.values()].map(({ room }) => (room ? getRoomShare(room) : 0))),
+  };
+}
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -16,6 +16,7 @@
   TeamId,
 } from '@skylarksail/core/CoreTypes';
 import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
+import { listHeaviest, sumTeams } from './RelayTeamSums.js';
 
 /** Running work of one or more instances on an engine. */
 export interface EngineWork {
@@ -74,6 +75,12 @@
   recordSummary(others: WorkReport): void;
   /** Work of the other instances on an engine; null without a recent report. */
   getPeerWork(engine: EngineId): PeerWork | null;
+  /** Tokens that a team's requests of the other instances hold; null without a recent report. */
+  getTeamWork(team: TeamId): number | null;
+  /** Number of teams with work, at this instance (`own`) or at others. */
+  countTeams(own: Iterable<TeamId>): number;
+  /** Time since the other instances' work was last reported; null without a recent report. */
+  getReportAge(): Millis | null;
   /** Number of instances whose reports are kept; those that have expired go with the first report of another. */
   countReports(): number;
 }
@@ -102,20 +109,22 @@
   readonly at: Millis;
 }
 
-interface TimedSums {
+/** Work of the other instances. */
+interface PeerSums {
   readonly others: ReadonlyMap<EngineId, EngineWork>;
+  readonly teams: ReadonlyMap<TeamId, number>;
+  /** When the latest report that they contain arrived. */
   readonly at: Millis;
 }
 
-interface ExpiringSums {
-  readonly others: ReadonlyMap<EngineId, EngineWork>;
+interface ExpiringSums extends PeerSums {
   readonly expiresAt: Millis;
 }
 
 export function createRelayWork(options: RelayWorkOptions): RelayWork {
   const { timers, self } = options;
   const told = new Map<InstanceId, TimedReport>();
-  let summary: TimedSums | null = null;
+  let summary: PeerSums | null = null;
   /** Sums of all reports, valid until another report arrives or one of them expires. */
   let cachedSums: ExpiringSums | null = null;
 
@@ -132,19 +141,26 @@
   }
 
   /** The other instances' work by their reports to this aggregator; null without a report. */
-  function sumReports(): ReadonlyMap<EngineId, EngineWork> | null {
+  function sumReports(): PeerSums | null {
     if (cachedSums === null || cachedSums.expiresAt < timers.now()) {
       dropExpiredReports();
+      const reports = listReports(self);
+      const times = [...told.values()].map(({ at }) => at);
       cachedSums = {
-        others: sumWork(listReports(self).flatMap(({ running }) => running)),
-        expiresAt: Math.min(...[...told.values()].map(({ at }) => at + MAX_REPORT_AGE)),
+        others: sumWork(reports.flatMap(({ running }) => running)),
+        teams: sumTeams(reports, MAX_REPORTED),
+        at: Math.max(...times),
+        expiresAt: Math.min(...times) + MAX_REPORT_AGE,
       };
     }
-    return told.size > 0 ? cachedSums.others : null;
+    return told.size > 0 ? cachedSums : null;
   }
 
-  function getSummary(): ReadonlyMap<EngineId, EngineWork> | null {
-    return summary !== null && isFresh(summary.at) ? summary.others : null;
+  function getSums(): PeerSums | null {
+    if (options.isAggregator()) {
+      return sumReports();
+    }
+    return summary !== null && isFresh(summary.at) ? summary : null;
   }
 
   return {
@@ -159,19 +175,38 @@
     summarizeFor(requester) {
       dropExpiredReports();
       const all = [...listReports(requester), options.readOwnWork()];
+      const teams = listHeaviest(sumTeams(all, MAX_REPORTED), MAX_REPORTED);
       return {
         running: [...sumWork(all.flatMap(({ running }) => running)).values()],
         lost: [...new Set(all.flatMap(({ lost }) => lost))],
+        ...(teams.length > 0 ? { teams } : {}),
       };
     },
     recordSummary(others) {
-      summary = { others: sumWork(others.running), at: timers.now() };
+      summary = {
+        others: sumWork(others.running),
+        teams: sumTeams([others], MAX_REPORTED),
+        at: timers.now(),
+      };
       options.onPeerWork();
       others.lost.forEach(options.onLost);
     },
     getPeerWork(engine) {
-      const others = options.isAggregator() ? sumReports() : getSummary();
-      return others === null ? null : (others.get(engine) ?? NO_WORK);
+      const sums = getSums();
+      return sums === null ? null : (sums.others.get(engine) ?? NO_WORK);
+    },
+    getTeamWork(team) {
+      const sums = getSums();
+      return sums === null ? null : (sums.teams.get(team) ?? 0);
+    },
+    countTeams(own) {
+      const teams = getSums()?.teams ?? new Map<TeamId, number>();
+      const added = [...own].filter((team) => !teams.has(team));
+      return teams.size + added.length;
+    },
+    getReportAge() {
+      const sums = getSums();
+      return sums === null ? null : timers.now() - sums.at;
     },
     countReports: () => told.size,
   };
--- a/packages/requests/src/RequestProgress.ts
+++ b/packages/requests/src/RequestProgress.ts
@@ -48,6 +48,8 @@
    * it is still too busy for new work.
    */
   noteAlive(engine: EngineId): void;
+  /** Whether an engine was lost recently and has produced nothing since. */
+  isLost(engine: EngineId, now: Millis): boolean;
   /** Records that an engine was never lost, but the link to it. */
   forgetLost(engine: EngineId): void;
   /**
@@ -152,6 +154,7 @@
         lost.delete(engine);
       }
     },
+    isLost: (engine, now) => (lost.get(engine)?.until ?? -Infinity) > now,
     forgetLost: (engine) => lost.delete(engine),
     noteRefused(engine, now) {
       const before = refusalsByEngine.get(engine);
--- a/packages/requests/src/RequestRouter.ts
+++ b/packages/requests/src/RequestRouter.ts
@@ -26,6 +26,7 @@
 import type { ReportBatch } from './RouterCrashes.js';
 import { createRouterCrashes } from './RouterCrashes.js';
 import { createRouterMeters } from './RouterMeters.js';
+import { createRouterPriorities } from './RouterPriorities.js';
 import type { RouterShared } from './RouterShared.js';
 import { createStarvedVersions } from './RouterShared.js';
 import { createRouterServices } from './RouterServices.js';
@@ -108,6 +109,7 @@
     recovery: createRecoveryQueue(),
     progress: createProgressTracker(),
     meters: createRouterMeters(cfg.silence, cfg.lengthShare),
+    priorities: createRouterPriorities(),
     starved: createStarvedVersions(),
     runs: new Map(),
     guarded: new Set(),
--- a/packages/requests/src/RouterShared.ts
+++ b/packages/requests/src/RouterShared.ts
@@ -10,6 +10,7 @@
 import type { RecoveryQueue } from './RequestRecovery.js';
 import type { RequestSuspects } from './RequestSuspects.js';
 import type { RouterCrashes } from './RouterCrashes.js';
+import type { RouterPriorities } from './RouterPriorities.js';
 import type { PostWork } from './RouterWorkQueue.js';
 import type { RouterMeters } from './RouterMeters.js';
 import type { QueuedRun } from './RunQueue.js';
@@ -70,6 +71,7 @@
   readonly recovery: RecoveryQueue;
   readonly progress: ProgressTracker;
   readonly meters: RouterMeters;
+  readonly priorities: RouterPriorities;
   readonly starved: StarvedVersions;
   readonly runs: Map<string, ModelRun>;
   /** All runs, of models and of plain services. */
--- a/packages/requests/src/RouterTypes.ts
+++ b/packages/requests/src/RouterTypes.ts
@@ -8,8 +8,9 @@
 import { DEFAULT_LIMIT_CONFIG } from './RequestLimits.js';
 import type { SilenceConfig } from './RequestPace.js';
 import { DEFAULT_SILENCE_CONFIG } from './RequestPace.js';
+import type { RoomView } from './RequestRoom.js';
 import type { ClaimPort, OpenEngineCall, OpenServiceCall } from './RequestPorts.js';
-import type { AttemptOutcome, ChooseChain, ChooseRepair } from './RequestTypes.js';
+import type { AttemptOutcome, ChooseChain, ChooseRepair, RequestSpec } from './RequestTypes.js';
 
 export interface RouterConfig {
   readonly limits: LimitConfig;
@@ -62,6 +63,8 @@
 export type DecisionName =
   | 'admit'
   | 'refuse'
+  /** Refused for want of memory for running requests. */
+  | 'no-room'
   | 'chain'
   | 'repair'
   | 'no-chain'
@@ -108,6 +111,11 @@
   | 'gaveUpFruitless'
   | 'gaveUpDeadlineNear'
   | 'gaveUpStandstill'
+  | 'roomRefusedUrgent'
+  | 'roomRefusedHigh'
+  | 'roomRefusedNormal'
+  | 'roomRefusedLow'
+  | 'roomRefusedTeam'
   | 'firstTokenMs'
   | 'gapMs'
   | 'detectionMs'
@@ -178,6 +186,13 @@
   /** Asks the fleet whether one more run of a request, or with a part, that was at several crashes may begin; always if omitted. */
   readonly requestTrial?: (suspect: string, done: (isGranted: boolean) => void) => void;
   readonly getTeamLimits: (team: TeamId) => TeamLimits;
+  /**
+   * Memory for running requests that a model request may use; null if it is unknown or if the model's requests do not share
+   * it, so that requests are served without regard to it, as if omitted.
+   */
+  readonly readRoom?: (spec: RequestSpec) => RoomView | null;
+  /** Whether engines let requests wait for memory, so that silence before the first token is no failure; never if omitted. */
+  readonly isRoomShort?: (spec: RequestSpec) => boolean;
   /** KV-cache memory available to this instance, in tokens; null if unknown. */
   readonly getKvCapacity: () => number | null;
   /** Last reported boot id of an engine, or null. */
--- a/packages/requests/src/RunBegin.ts
+++ b/packages/requests/src/RunBegin.ts
@@ -15,6 +15,7 @@
 import type { DecisionName } from './RouterTypes.js';
 import { createAdmissionRequest } from './RunAdmission.js';
 import type { RunGuard } from './RunGuard.js';
+import { findRoomRefusal } from './RunRoom.js';
 
 /** Parts of the request that its beginning uses. */
 export interface BeginContext {
@@ -60,6 +61,12 @@
       send({ kind: 'refused', problem });
       return;
     }
+    const noRoom = findRoomRefusal(shared, spec);
+    if (noRoom !== null) {
+      log('no-room', noRoom.reason);
+      refuse(ProblemKind.Overloaded, noRoom.retryAfter);
+      return;
+    }
     const retryAfter = admission.check(createAdmissionRequest(spec, meters), deps.timers.now());
     if (retryAfter === null) {
       enqueue();
--- a/packages/requests/src/RunSilence.ts
+++ b/packages/requests/src/RunSilence.ts
@@ -6,6 +6,7 @@
 import type { RequestMachine } from './RequestState.js';
 import type { RequestSpec } from './RequestTypes.js';
 import type { RouterShared } from './RouterShared.js';
+import { EngineFate } from './RouterTypes.js';
 import { getBreakTime } from './RunBreak.js';
 import type { FailoverBlockerName, HasChainWithout } from './RunFailover.js';
 import { findFailoverBlocker, FAILOVER_CHECK_PERIOD } from './RunFailover.js';
@@ -41,6 +42,8 @@
       readonly blocker: FailoverBlockerName;
       readonly suspects: readonly EngineId[];
     }
+  /** Its engines probably let it wait for memory; check again after `delay`. */
+  | { readonly kind: 'queued'; readonly delay: Millis; readonly suspects: readonly EngineId[] }
   /** The caller has received nothing for so long that it is better served elsewhere. */
   | { readonly kind: 'given-up' };
 
@@ -55,6 +58,10 @@
   if (suspects === null) {
     return { kind: 'borne' };
   }
+  const queueTime = getQueueTime(shared, spec, machine);
+  if (queueTime > 0) {
+    return { kind: 'queued', delay: Math.min(FAILOVER_CHECK_PERIOD, queueTime), suspects };
+  }
   const failoverBlocker = findFailoverBlocker(shared, spec, machine, suspects, hasChainWithout);
   if (failoverBlocker === null) {
     return { kind: 'failed', suspects };
@@ -82,6 +89,26 @@
   return hasBegun(machine) && now - machine.lastActivityAt > STALLED_AFTER;
 }
 
+/**
+ * For how long a silent attempt may wait at its engines for memory: until its first token is due, while memory is short
+ * and none of them is known to be lost. Closing it would repeat its prefill elsewhere, where memory is as short.
+ */
+function getQueueTime(shared: RouterShared, spec: RequestSpec, machine: RequestMachine): Millis {
+  const { deps, progress } = shared;
+  const now = deps.timers.now();
+  const isLost = (engine: EngineId): boolean =>
+    progress.isLost(engine, now) ||
+    deps.getEngineFate?.(engine, machine.openedAt) === EngineFate.Ended;
+  if (
+    machine.tokenCount > 0 ||
+    !deps.isRoomShort?.(spec) ||
+    machine.chain?.stages.some(({ engine }) => isLost(engine))
+  ) {
+    return 0;
+  }
+  return (machine.firstTokenDeadline ?? machine.patientUntil ?? Infinity) - now;
+}
+
 /** Engines to replace, or null if the silence is tolerated for now. */
 function findSilenceSuspects(
   shared: RouterShared,
--- a/packages/requests/src/RunWatch.ts
+++ b/packages/requests/src/RunWatch.ts
@@ -68,7 +68,7 @@
     deps.onSilent?.(suspects);
   }
 
-  function logHold(blocker: FailoverBlockerName): void {
+  function logHold(blocker: FailoverBlockerName | 'memory'): void {
     const { attempt } = getMachine();
     if (attempt !== heldAttempt) {
       heldAttempt = attempt;
@@ -106,6 +106,12 @@
             retries.borrowRetry(() => send({ kind: 'look-again', delay: 0 }));
           }
           break;
+        case 'queued':
+          // Health checks show whether an engine is lost; none is avoided, as all are short of memory.
+          logHold('memory');
+          deps.onSilent?.(decision.suspects);
+          send({ kind: 'look-again', delay: decision.delay });
+          break;
         case 'given-up':
           giveUp(GiveUpReason.Standstill);
           send({ kind: 'stood-still' });
