--- a/packages/requests/src/RequestRoom.ts
+++ b/packages/requests/src/RequestRoom.ts
@@ -43,22 +43,22 @@
 /**
  * Ranges by the number of more important priorities with recent requests. Each ends where that of the next more
  * important priority starts. A range is as wide as the memory that requests take within the age of a report (0.2 s and
- * the time of the messages) at one and a half times the usual rate, when a request holds its memory for about four
- * seconds. The first range extends beyond 1 because requests count with their expected final length, and hold a tenth
- * less on average; it ends before that tenth is used up, as answers can be longer than expected.
+ * the time of the messages) when each holds its memory for about five seconds. The first range extends beyond 1 because
+ * requests count with their expected final length, and hold a tenth less on average; it ends before that tenth is used
+ * up, as responses can be longer than expected.
  */
 const RANGES: readonly RefusalRange[] = [
-  { start: 0.96, end: 1.05 },
-  { start: 0.87, end: 0.96 },
-  { start: 0.78, end: 0.87 },
+  { start: 0.97, end: 1.05 },
+  { start: 0.91, end: 0.97 },
+  { start: 0.85, end: 0.91 },
 ];
 /** Range of all less important requests: a team's excess counts for nothing below its start. */
-const LAST_RANGE: RefusalRange = { start: 0.7, end: 0.78 };
+const LAST_RANGE: RefusalRange = { start: 0.79, end: 0.85 };
 /**
  * Share in use from which engines let requests wait for memory: memory is not used evenly, so the fullest engines of a
- * domain have none left while a fifth of the whole is free.
+ * domain have none left while a seventh of the whole is free.
  */
-export const SHORT_ROOM_SHARE = 0.78;
+export const SHORT_ROOM_SHARE = 0.85;
 /**
  * Excess over the fair share at which a team is judged like one priority lower. A smaller excess counts in part: one
  * request more or less must not change the decision from admission to refusal.
