Weigh the slots of the first engines when a domain short of memory is laid out

Cause: an engine accepts 134 requests as the first of a chain. Change: layouts between the least and the most headroom are compared by the requests that memory and first engines let run.

--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -10,6 +10,8 @@
 import type { GroupSize } from './PlacementGrouping.js';
 import type { RangeEngine, RangeModel, RangePlan } from './PlacementRanges.js';
 import { MAX_WEIGHT_SHARE } from './PlacementRanges.js';
+import type { CreateLayout } from './PlacementRoomiest.js';
+import { findRoomiestLayout } from './PlacementRoomiest.js';
 
 /** A model and the resources that its requests take. */
 export interface GroupModel extends RangeModel {
@@ -37,6 +39,8 @@
   readonly groups: readonly EngineGroup[];
   /** Concurrent requests of the usual size that fit in the group with the least headroom. */
   readonly requests: number;
+  /** The same while no engine is lost. */
+  readonly capacity: number;
 }
 
 /**
@@ -60,8 +64,6 @@
 const MAX_STAGES = 32;
 /** Bisection steps in the search for the best headroom: enough for a precision of one in a million. */
 const BISECTION_STEPS = 20;
-/** Bisection steps in the search for the groups with the most headroom, each of which searches all groupings. */
-const LAYOUT_BISECTION_STEPS = 7;
 
 /**
  * The layout that has the KV cache that requests need and the fewest engines alone in their group, with at most
@@ -78,56 +80,21 @@
   const requestBytes = getRequestBytes(model);
   const singleCopyRequests = (memory - weights) / (model.layers * requestBytes);
   const neededRequests = Math.max(HEADROOM_SHARE * singleCopyRequests, SLOT_SHARE * model.slots);
-  const findFor: FindGrouping = (requests) =>
-    findShortGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
+  const createLayout: CreateLayout = (requests) => {
+    const grouping = findShortGrouping(sorted.length, mostCopies, model.layers, (first, size) =>
       countGroupLayers(sorted.slice(first, first + size), model, requests * requestBytes),
     );
-  const grouping = model.isMemoryBound
-    ? findRoomiestGrouping(findFor, neededRequests, singleCopyRequests)
-    : findFor(neededRequests);
-  if (!grouping || grouping.every(({ size }) => size === 1)) {
-    return null;
-  }
-  const groups = orderGroups(balanceLayers(splitBySizes(sorted, grouping), model));
-  const headroom = Math.min(...groups.map((group) => getGroupHeadroom(group, model)));
-  return { groups, requests: headroom / requestBytes };
-}
-
-/** Finds groups that fit this many requests each, also without their largest engine; null if there are none. */
-type FindGrouping = (requests: number) => readonly GroupSize[] | null;
-
-/**
- * The groups with the most KV cache among those with no more engines alone than `needed` requests take. Where memory
- * limits the engines, each layer less on an engine lets it run several times as many requests, so a domain that holds more
- * copies of the weights than it can lose runs far fewer requests than it could.
- */
-function findRoomiestGrouping(
-  findFor: FindGrouping,
-  needed: number,
-  most: number,
-): readonly GroupSize[] | null {
-  let best = findFor(needed);
-  if (best === null) {
-    return null;
-  }
-  const maxSoleHolders = countSoleHolders(best);
-  let low = needed;
-  let high = Math.max(needed, most);
-  for (let step = 0; step < LAYOUT_BISECTION_STEPS; step++) {
-    const requests = (low + high) / 2;
-    const found = findFor(requests);
-    if (found !== null && countSoleHolders(found) <= maxSoleHolders) {
-      best = found;
-      low = requests;
-    } else {
-      high = requests;
+    if (!grouping || grouping.every(({ size }) => size === 1)) {
+      return null;
     }
-  }
-  return best;
-}
-
-function countSoleHolders(groups: readonly GroupSize[]): number {
-  return groups.filter(({ size }) => size === 1).length;
+    const groups = orderGroups(balanceLayers(splitBySizes(sorted, grouping), model));
+    const headroom = Math.min(...groups.map((group) => getGroupHeadroom(group, model)));
+    const whole = Math.min(...groups.map((group) => sumHeadroom(group, model)));
+    return { groups, requests: headroom / requestBytes, capacity: whole / requestBytes };
+  };
+  return model.isMemoryBound
+    ? findRoomiestLayout(createLayout, neededRequests, singleCopyRequests, model.slots)
+    : createLayout(neededRequests);
 }
 
 /**
@@ -263,14 +230,14 @@
  * its group, the headroom is divided by `SOLE_HOLDER_FACTOR`.
  */
 function getGroupHeadroom({ engines, layers }: EngineGroup, model: RangeModel): number {
-  const survivors = listSurvivors(engines);
-  const headroom = survivors.reduce(
-    (sum, engine) => sum + getEngineHeadroom(engine, layers, model),
-    0,
-  );
+  const headroom = sumHeadroom({ engines: listSurvivors(engines), layers }, model);
   return headroom / getHeadroomFactor(engines);
 }
 
+function sumHeadroom({ engines, layers }: EngineGroup, model: RangeModel): number {
+  return engines.reduce((sum, engine) => sum + getEngineHeadroom(engine, layers, model), 0);
+}
+
 function getHeadroomFactor(engines: readonly RangeEngine[]): number {
   return engines.length === 1 ? SOLE_HOLDER_FACTOR : 1;
 }
--- a/packages/placement/src/__tests__/unit/PlacementMemoryBound.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementMemoryBound.test.ts
@@ -7,7 +7,15 @@
 import { applyPlan, createGroupEngines, getLeastRoom, GROUP_MODEL } from '../GroupFixtures.js';
 
 const MOST_COPIES = 8;
-const MODEL: GroupModel = { ...GROUP_MODEL, isMemoryBound: true };
+const MODEL: GroupModel = {
+  ...GROUP_MODEL,
+  kvTokenBytes: 845_373,
+  usualPromptTokens: 775,
+  usualAnswerTokens: 222,
+  isMemoryBound: true,
+};
+/** The same model where memory does not limit the engines. */
+const ROOMY_MODEL: GroupModel = { ...MODEL, isMemoryBound: false };
 const REQUEST_BYTES =
   (MODEL.kvTokenBytes * (MODEL.usualPromptTokens + MODEL.usualAnswerTokens)) / MODEL.layers;
 /** Numbers of engines of 72, 43.2 and 21.6 GB in three domains. */
@@ -44,11 +52,12 @@
     // of ordinary load, so that engines preempt requests and read their prompts again.
     DOMAINS.forEach((counts) => {
       const engines = createEngines(counts);
-      const before = createGroupLayout(engines, GROUP_MODEL, MOST_COPIES);
+      const before = createGroupLayout(engines, ROOMY_MODEL, MOST_COPIES);
       const after = createGroupLayout(engines, MODEL, MOST_COPIES);
       const placed = applyPlan(engines, plan(engines, false));
       expect(countSoleHolders(after)).to.be.at.most(countSoleHolders(before));
       expect(after?.requests).to.be.at.least(before?.requests ?? Infinity);
+      expect(MODEL.slots * (after?.groups[0]?.engines.length ?? 0)).to.be.at.least(BURST_LOAD);
       expect(getLeastRoom(placed) / REQUEST_BYTES).to.be.at.least(BURST_LOAD);
     });
   });
@@ -58,7 +67,7 @@
     // to a group of two that had twice as much, before the first request arrived.
     DOMAINS.forEach((counts) => {
       const engines = createEngines(counts);
-      let placed = applyPlan(engines, plan(engines, false, GROUP_MODEL));
+      let placed = applyPlan(engines, plan(engines, false, ROOMY_MODEL));
       for (let moves = plan(placed, true), count = 0; moves !== null; moves = plan(placed, true)) {
         const next = applyPlan(placed, moves);
         expect(getLeastRoom(next)).to.be.at.least(getLeastRoom(placed));
