Send a part of new requests to domains that are emptier

Cause: other domains are tried only when the own domain has no chain left, so a domain with 1.5 times the demand per GB runs out of memory while its neighbours have room. Change: RoutingSpillover plans, at each load report, which part of new requests goes to which domain, from the demand and capacity of all domains. selectChain draws from that plan for models whose memory is shared, and tries other domains by their room. Engines of other domains that refused are avoided for a second. The decision line names the domain, both shares and the age of the report.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -40,7 +40,14 @@
 import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
 import { isHeld } from '@skylarksail/routing/RoutingPools';
 import { selectRepair } from '@skylarksail/routing/RoutingRepair';
-import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
+import type { SpillChoice, SpillShares } from '@skylarksail/routing/RoutingSpillover';
+import {
+  getSpillShares,
+  recordEngineRefusal,
+  refreshSpills,
+} from '@skylarksail/routing/RoutingSpillover';
+import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
+import type { DomainUse, KnownRoom, RoutingState } from '@skylarksail/routing/RoutingTypes';
 import {
   createRoutingState,
   markLeaving,
@@ -68,6 +75,19 @@
   readonly tuning?: Partial<RoutingState['tuning']>;
 };
 
+/** Why a chain is in its domain: in the own one, in another to even out memory, or as the own one has no chain left. */
+export const ChainRelation = { Own: 'own', Spillover: 'spillover', OwnFull: 'own-full' } as const;
+
+export type ChainRelationName = (typeof ChainRelation)[keyof typeof ChainRelation];
+
+/** Memory of the own domain for running requests of a model, as this instance sees it. */
+export interface OwnRoom extends DomainRoom {
+  readonly model: ModelId;
+  /** Memory that requests of the own domain hold in other domains. */
+  readonly abroad: readonly DomainUse[];
+  readonly seenAt: Millis;
+}
+
 export interface DaemonRouting {
   readonly chooseChain: ChooseChain;
   readonly chooseRepair: ChooseRepair;
@@ -78,6 +98,12 @@
   getKvCapacity(): number | null;
   setEngineFacts(facts: readonly EngineFacts[]): void;
   setEngineLoads(reports: readonly SeenEngineLoad[]): void;
+  /** Sets the rooms of other domains. */
+  setRooms(rooms: readonly KnownRoom[]): void;
+  /** Rooms of the own domain by its last load reports, for models whose memory is shared. */
+  listOwnRooms(): readonly OwnRoom[];
+  /** Shares of the memory in use that a new request meets; null if they are not known. */
+  getSpillShares(variant: ModelVariant): SpillShares | null;
   setLeaving(engine: EngineId): void;
   /** An engine whose calls failed was reached over another path: its domain is not to be avoided for them. */
   noteReachable(engine: EngineId): void;
@@ -120,6 +146,8 @@
    * a dozen engines take two kilobytes per request, most of what an instance logs.
    */
   readonly isBrief?: boolean;
+  /** Called for each chain that is chosen for a model whose memory is shared. */
+  readonly onChosen?: (relation: ChainRelationName) => void;
 }
 
 export function createDaemonRouting(options: DaemonRoutingOptions): DaemonRouting {
@@ -220,7 +248,11 @@
           state = recordFirstToken(state, call, timers.now());
         },
         release: (outcome) => {
-          state = recordCallEnd(state, call, toCallOutcome(outcome), hadFirstToken, timers.now());
+          const now = timers.now();
+          state = recordCallEnd(state, call, toCallOutcome(outcome), hadFirstToken, now);
+          if (outcome.kind === 'failed' && outcome.cause === 'refused' && outcome.engine !== null) {
+            state = recordEngineRefusal(state, chain.variant.model, outcome.engine, now);
+          }
         },
       },
     };
@@ -254,12 +286,18 @@
     decision: string,
     candidates: readonly ChainCandidate[],
     chosen: Chain,
+    spillover?: SpillChoice,
   ): void {
     const chain = chosen.stages.map(({ engine }) => engine);
     const details = options.isBrief
       ? { scores: candidates.map(({ score }) => Math.round(score)) }
       : { chain, candidates };
-    decisions.record({ request, decision, ...details });
+    decisions.record({
+      request,
+      decision,
+      ...details,
+      ...(spillover ? { spillover: describeSpillover(spillover) } : {}),
+    });
   }
 
   /** Whether an answer that has begun can't be completed: its version is held nowhere, and won't be. */
@@ -318,8 +356,12 @@
     if (!found.ok) {
       return recordRefusal(request, found.error);
     }
-    const { chain, candidates, cachedTokens } = found.value.choice;
-    logChoice(request.spec.id, 'chain-chosen', candidates, chain);
+    const { chain, candidates, cachedTokens, spillover, crossedDomain } = found.value.choice;
+    logChoice(request.spec.id, 'chain-chosen', candidates, chain, spillover);
+    if (state.models.get(chain.variant.model)?.isMemoryShared) {
+      const away = spillover ? ChainRelation.Spillover : ChainRelation.OwnFull;
+      options.onChosen?.(crossedDomain ? away : ChainRelation.Own);
+    }
     return startCall(chain, found.value.ask, cachedTokens, []);
   }
 
@@ -349,8 +391,20 @@
       state = setEngines(state, facts);
     },
     setEngineLoads: (reports) => {
-      state = setLoads(state, reports);
+      state = refreshSpills(setLoads(state, reports), timers.now());
     },
+    setRooms: (rooms) => {
+      state = refreshSpills({ ...state, rooms }, timers.now());
+    },
+    listOwnRooms: () =>
+      [...state.spills].map(([model, { room, abroad, own }]) => ({
+        capacity: room.capacity,
+        used: room.used,
+        model,
+        abroad,
+        seenAt: own.seenAt,
+      })),
+    getSpillShares: (variant) => getSpillShares(state, variant, timers.now()),
     setLeaving: (engine) => {
       state = markLeaving(state, engine);
     },
@@ -396,3 +450,12 @@
     getState: () => state,
   };
 }
+
+/** For the log: the domain that was chosen, shares of memory in use, and the age of that domain's report. */
+function describeSpillover({ domain, ownShare, share, age }: SpillChoice) {
+  return { domain, ownShare: roundShare(ownShare), share: roundShare(share), age: Math.round(age) };
+}
+
+function roundShare(share: number): number {
+  return Math.round(share * 100) / 100;
+}
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -16,6 +16,8 @@
 import { getPool, getPoolKey } from './RoutingPools.js';
 import type { ChainQuery } from './RoutingScore.js';
 import { estimateStage, estimateTransfer, getGapLimit } from './RoutingScore.js';
+import type { SpillChoice } from './RoutingSpillover.js';
+import { drawSpill, isRefusing, orderByRoom } from './RoutingSpillover.js';
 import type { RoutingState } from './RoutingTypes.js';
 import type { WalkOption } from './RoutingWalk.js';
 import { walkPlan } from './RoutingWalk.js';
@@ -35,6 +37,8 @@
   readonly chain: Chain;
   readonly candidates: readonly ChainCandidate[];
   readonly crossedDomain: boolean;
+  /** Set if another domain was chosen although the own one may have capacity. */
+  readonly spillover?: SpillChoice;
   /** Prompt tokens that every stage is expected to have cached. */
   readonly cachedTokens: number;
 }
@@ -90,12 +94,18 @@
 /**
  * Selects the chain with the lowest expected finish time among a few random candidates: in the own domain
  * if one there has capacity, otherwise in another domain within its cross-domain limit. Fails with a reason.
+ * A part of the new requests of a domain that is shorter of memory than others is tried in another domain first.
  */
 export function selectChain(
   state: RoutingState,
   ask: ChainQuery,
   random: Random,
 ): Result<ChainChoice, RoutingRefusal> {
+  const spillover = ask.isBegun ? null : drawSpill(state, ask, random);
+  const spilled = spillover && selectInOtherDomain(state, ask, spillover.domain, random);
+  if (spillover && spilled?.ok) {
+    return createOk({ ...spilled.value, spillover });
+  }
   const own = selectInDomain(state, ask, ask.domain, ask.isBegun ? INTERRUPTED_FILL : 1, random);
   if (own.ok && !isSuspected(state, ask.domain, ask.now)) {
     return own;
@@ -214,35 +224,49 @@
     ask.domain,
     random.nextInt(Math.max(1, domains.length - 1)),
   );
-  for (const domain of orderedDomains) {
-    const { model, version } = ask.variant;
-    const planned = state.plans.get(getPoolKey(model, version, domain));
-    const rampUpShare = getRampUpShare(state.domains.get(domain), ask.now);
-    const hasPartialAnswer = ask.isBegun ?? false;
-    const callLimit = planned
-      ? getCrossDomainCallLimit(
-          planned.plan,
-          state.tuning,
-          ask.priority,
-          hasPartialAnswer,
-          rampUpShare,
-        )
-      : 0;
-    if (isSuspected(state, domain, ask.now)) {
-      refusals.push({ domain, reason: 'doubted' });
-    } else if ((state.crossDomainCalls.get(domain) ?? 0) + 1 > callLimit) {
-      refusals.push({ domain, reason: 'lends-no-more' });
-    } else {
-      const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
-      if (choice.ok) {
-        return choice;
-      }
-      refusals.push({ domain, reason: choice.error.kind });
+  for (const domain of orderByRoom(state, ask.variant, orderedDomains, ask.now)) {
+    const choice = selectInOtherDomain(state, ask, domain, random);
+    if (choice.ok) {
+      return choice;
     }
+    refusals.push(choice.error);
   }
   return createFailed(refusals);
 }
 
+/** Selects a chain in a domain other than the own one, if it is reachable and below its cross-domain limit. */
+function selectInOtherDomain(
+  state: RoutingState,
+  ask: ChainQuery,
+  domain: DomainId,
+  random: Random,
+): Result<ChainChoice, ForeignRefusal> {
+  if (isSuspected(state, domain, ask.now)) {
+    return createFailed({ domain, reason: 'doubted' });
+  }
+  if ((state.crossDomainCalls.get(domain) ?? 0) + 1 > getCallLimit(state, ask, domain)) {
+    return createFailed({ domain, reason: 'lends-no-more' });
+  }
+  const choice = selectInDomain(state, ask, domain, FOREIGN_FILL, random);
+  return choice.ok ? choice : createFailed({ domain, reason: choice.error.kind });
+}
+
+/** Number of calls that this instance may have in another domain at once. */
+function getCallLimit(state: RoutingState, ask: ChainQuery, domain: DomainId): number {
+  const { model, version } = ask.variant;
+  const planned = state.plans.get(getPoolKey(model, version, domain));
+  const rampUpShare = getRampUpShare(state.domains.get(domain), ask.now);
+  return planned
+    ? getCrossDomainCallLimit(
+        planned.plan,
+        state.tuning,
+        ask.priority,
+        ask.isBegun ?? false,
+        rampUpShare,
+      )
+    : 0;
+}
+
 /** Selects the best of a few chains in one domain whose engines stay within the share `fill` of the load limit. */
 function selectInDomain(
   state: RoutingState,
@@ -333,8 +357,9 @@
   return cost.weight + transfer.gap * ask.maxTokens + transfer.prefill;
 }
 
-function mayServe(state: RoutingState, ask: ChainQuery, { id, holding }: PoolMember): boolean {
+function mayServe(state: RoutingState, ask: ChainQuery, member: PoolMember): boolean {
   const { variant } = ask;
+  const { id, holding } = member;
   // The plan may be older than the engine's latest load report.
   const held = state.loads.get(id)?.load.holding;
   return (
@@ -346,6 +371,7 @@
     !state.leaving.has(id) &&
     !state.silent.has(id) &&
     !ask.avoidEngines.has(id) &&
+    !(member.facts.domain !== ask.domain && !ask.isBegun && isRefusing(state, id, ask.now)) &&
     !isEjected(getHealth(state, id), ask.now)
   );
 }
--- a/packages/routing/src/RoutingState.ts
+++ b/packages/routing/src/RoutingState.ts
@@ -46,6 +46,9 @@
     crossDomainCalls: new Map(),
     hops: new Map(),
     hopPrompts: createBucketMap(),
+    rooms: [],
+    spills: new Map(),
+    refusals: new Map(),
     mix: {
       promptTokens: fullTuning.promptTokensPerToken * PRIOR_MIX_TOKENS,
       answerTokens: PRIOR_MIX_TOKENS,
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -10,6 +10,8 @@
 import type { Pool, PoolIndex } from './RoutingPools.js';
 import type { PrefixKey, PrefixTable } from './RoutingPrefixes.js';
 import type { BucketMap } from './RoutingBucketMap.js';
+import type { DomainRoom } from './RoutingRoom.js';
+import type { SpillPlan } from './RoutingSpillover.js';
 import type { RoutingTuning } from './RoutingTuning.js';
 
 /** Work that this instance has on an engine. */
@@ -43,6 +45,23 @@
   readonly isMemoryShared?: boolean;
 }
 
+/** Memory that the requests of one domain hold in another. */
+export interface DomainUse {
+  readonly domain: DomainId;
+  readonly used: number;
+}
+
+/** Memory of another domain for running requests of a model, as instances there reported it. */
+export interface KnownRoom extends DomainRoom {
+  readonly domain: DomainId;
+  readonly model: ModelId;
+  /** Memory that the requests of that domain hold elsewhere. */
+  readonly abroad: readonly DomainUse[];
+  readonly seenAt: Millis;
+  /** Since when reports have arrived again after an interruption; -Infinity without one. */
+  readonly since: Millis;
+}
+
 /** The plan of a pool, with its inputs. */
 export interface PlannedPool {
   readonly pool: Pool;
@@ -87,6 +106,12 @@
   readonly hops: ReadonlyMap<string, HopHealth>;
   /** Number of own prompts that are crossing each hop between racks. */
   readonly hopPrompts: BucketMap<number>;
+  /** Rooms of other domains. */
+  readonly rooms: readonly KnownRoom[];
+  /** Spillover by model, for models whose memory is shared. */
+  readonly spills: ReadonlyMap<ModelId, SpillPlan>;
+  /** When engines of other domains last refused a call, for models whose memory is shared. */
+  readonly refusals: ReadonlyMap<EngineId, Millis>;
   readonly mix: WorkMix;
   readonly tuning: RoutingTuning;
 }
