Pass the rooms of domains between instances

Cause: spillover needs to know how full other domains are, and nothing that instances exchange tells it. Change: aggregators send the rooms that they know with their query, watchers and aggregators answer with all. A room also tells what its domain's requests hold elsewhere, since no report of the receiving domain counts them. Malformed rooms do not spoil the rest of a message. A watcher no longer counts work of other domains' aggregators at engines with shared memory, which their rooms contain.

--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -31,6 +31,7 @@
 import { createLoopWatch } from './RelayLoopWatch.js';
 import { createRelayPlacement } from './RelayPlacement.js';
 import { getBackoffLeft } from './RelayBackoffs.js';
+import { createRelayRooms } from './RelayRooms.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createStartGate } from './RelayStartGate.js';
@@ -76,6 +77,11 @@
     decisions,
     listDraining: () => [],
     isBrief: true,
+    onChosen: (relation) =>
+      metrics.count(
+        `chains_${relation.replace('-', '_')}`,
+        `chains of models with shared memory, by domain: ${relation}`,
+      ),
   });
   const lease = createRelayLease({
     port: options.store,
@@ -86,6 +92,19 @@
     listDomains: () => listDomains(catalogue),
     onError: (what) => logger.warn({ what }, 'store'),
   });
+  const rooms = createRelayRooms({
+    timers,
+    domain: self.domain,
+    readOwnRooms: () => routing.listOwnRooms(),
+    isKnown: (domain, model) =>
+      options.domains.includes(domain) &&
+      (routing.getState().models.get(model)?.isMemoryShared ?? false),
+    getDomain: (id) => lease.listInstances().find((other) => other.id === id)?.domain ?? null,
+    isShared: (engine) =>
+      routing.getState().models.get(catalogue.get(engine)?.service ?? '')?.isMemoryShared ?? false,
+    onRooms: (known) => routing.setRooms(known),
+    onAbsurd: (report) => logger.warn({ report }, 'absurd room of a domain ignored'),
+  });
   const engines = createRelayEngines({
     domain: self.domain,
     timers,
@@ -106,6 +125,7 @@
     askPeer: options.askPeer,
     askForUpdates: options.askForUpdates,
     readOwnWork,
+    rooms,
     isCrowded: () => engines.isCrowded(),
     onLost: noteLost,
     onOthersWork: () => engines.refreshOwnLoads(),
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -29,11 +29,20 @@
   slow: z.optional(z.array(z.object({ engine: z.string(), factor: count }))),
 });
 
-const reportedRooms = z.optional(
-  z.array(
-    z.object({ domain: z.string(), model: z.string(), capacity: count, used: count, age: count }),
-  ),
-);
+/** Absurd numbers are rejected where rooms are kept, which logs them. */
+const uncheckedCount = z.custom<number>((value) => typeof value === 'number');
+
+const reportedRoom = z.object({
+  domain: z.string(),
+  model: z.string(),
+  capacity: uncheckedCount,
+  used: uncheckedCount,
+  age: uncheckedCount,
+  abroad: z.optional(z.array(z.object({ domain: z.string(), used: uncheckedCount }))),
+});
+
+/** A message with malformed rooms is read without them: they must not delay changes of the store. */
+const reportedRooms = z.catch(z.optional(z.array(reportedRoom)), undefined);
 
 const updateQuery = z.object({
   since: count,
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -23,6 +23,7 @@
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
 import { createRelayPeers } from './RelayPeers.js';
 import { createFanoutRoleCache, FanoutLevel } from './RelayFanout.js';
+import type { RelayRooms } from './RelayRooms.js';
 import type { RelayWork, RelayWorkOptions, WorkReport } from './RelayWork.js';
 import { createRelayWork } from './RelayWork.js';
 import type { InstanceEntry, ReadBackendKey, ReadContent, StoreContent } from './RelayTypes.js';
@@ -39,6 +40,7 @@
   readonly askPeer: AskPeer;
   readonly askForUpdates: AskForUpdates;
   readonly readOwnWork: () => WorkReport;
+  readonly rooms: RelayRooms;
   readonly isCrowded: () => boolean;
   /** Other instances reported their running work. */
   readonly onOthersWork: () => void;
@@ -150,6 +152,7 @@
     self: options.self.id,
     work,
     readOwnWork: options.readOwnWork,
+    rooms: options.rooms,
     isCrowded: options.isCrowded,
     timers,
     store: options.store,
--- a/packages/relay/src/RelayUpdates.ts
+++ b/packages/relay/src/RelayUpdates.ts
@@ -14,6 +14,7 @@
 import type { FanoutLevelValue, FanoutRole } from './RelayFanout.js';
 import { FanoutLevel } from './RelayFanout.js';
 import type { InstanceEntry } from './RelayTypes.js';
+import type { RelayRooms } from './RelayRooms.js';
 import type { RelayWork, RoomReport, WorkReport } from './RelayWork.js';
 
 /** Long poll to an update source, which may delay its answer until there are updates. */
@@ -27,7 +28,7 @@
   readonly takesWhole: boolean;
   readonly from: InstanceId;
   readonly work: WorkReport;
-  /** Memory of the sender's own domain; sent by aggregators to watchers. */
+  /** Memory of the domains that the sender knows of; sent by aggregators to watchers. */
   readonly rooms?: readonly RoomReport[];
 }
 
@@ -71,6 +72,7 @@
   readonly getRole: () => FanoutRole;
   readonly work: Pick<RelayWork, 'recordReport' | 'summarizeFor' | 'recordSummary'>;
   readonly readOwnWork: () => WorkReport;
+  readonly rooms: Pick<RelayRooms, 'list' | 'record' | 'selectWork'>;
   /** Whether engines of the own domain are so full that free capacity depends on the work of other instances. */
   readonly isCrowded: () => boolean;
   /** No source gave updates: this instance watches the store directly for a while. */
@@ -177,6 +179,12 @@
     [...backoffUntil.keys()].filter((id) => !ids.has(id)).forEach((id) => backoffUntil.delete(id));
   }
 
+  /** Nothing where no model's memory is shared, so that messages are as before. */
+  function listRooms(): { readonly rooms?: readonly RoomReport[] } {
+    const rooms = options.rooms.list();
+    return rooms.length > 0 ? { rooms } : {};
+  }
+
   async function askSource(
     source: InstanceEntry,
     since: number,
@@ -187,7 +195,8 @@
     // A source that did not answer last time is asked without a hold, so that a second failure causes no long delay.
     const hold = backoffUntil.has(source.id) ? 0 : maxHold;
     const { level } = options.getRole();
-    const query = { since, hold, level, takesWhole: true, from: options.self, work };
+    const sent = level === FanoutLevel.Aggregator ? listRooms() : {};
+    const query = { since, hold, level, takesWhole: true, from: options.self, work, ...sent };
     const askedAt = timers.now();
     const answer = await options.askForUpdates(source, query, hold + ANSWER_MARGIN);
     if (answer.kind === 'silent') {
@@ -200,8 +209,10 @@
       return null;
     }
     // The full network round trip counts as age, since the time at which the source answered is unknown.
-    age.noteAnswer(source.id, answer.age + Math.max(0, timers.now() - askedAt - answer.held));
+    const transit = Math.max(0, timers.now() - askedAt - answer.held);
+    age.noteAnswer(source.id, answer.age + transit);
     options.work.recordSummary(answer.others);
+    options.rooms.record(answer.rooms ?? [], transit);
     const { changes } = answer;
     return { kind: 'events', events: mirror.toEvents(changes), revision: changes.revision };
   }
@@ -277,6 +288,7 @@
       age: age.get(),
       held,
       others: options.work.summarizeFor(ask.from),
+      ...listRooms(),
     };
   }
 
@@ -292,7 +304,9 @@
     async answer(ask) {
       const { since, hold } = ask;
       const askedAt = timers.now();
-      options.work.recordReport(ask.from, ask.work);
+      options.work.recordReport(ask.from, options.rooms.selectWork(ask.from, ask.work));
+      // The time that the query took to arrive is unknown here, and short against the age at which rooms expire.
+      options.rooms.record(ask.rooms ?? [], 0);
       if (canAnswer(ask) && isUpToDate(since) && hold > 0) {
         await waitForUpdates(Math.min(hold, longestHold));
       }
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -16,6 +16,7 @@
   TeamId,
 } from '@skylarksail/core/CoreTypes';
 import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
+import type { DomainUse } from '@skylarksail/routing/RoutingTypes';
 
 /** Running work of one or more instances on an engine. */
 export interface EngineWork {
@@ -46,6 +47,8 @@
   readonly model: ModelId;
   /** Time since it was seen; each instance that passes it on adds the time that it kept it. */
   readonly age: Millis;
+  /** Memory that requests of the domain hold in other domains; none if omitted. */
+  readonly abroad?: readonly DomainUse[];
 }
 
 /** Running work of one or more instances on an engine that is given elsewhere. */
--- a/packages/relay/src/__tests__/unit/RelaySyncBed.ts
+++ b/packages/relay/src/__tests__/unit/RelaySyncBed.ts
@@ -222,6 +222,7 @@
         return transferAnswer(peer, id, countAnswerBytes(answer, codec), until, answer);
       },
       readOwnWork: () => NO_WORK,
+      rooms: { list: () => [], record: () => undefined, selectWork: (_, work) => work },
       isCrowded: () => false,
       onOthersWork: () => undefined,
       onLost: () => undefined,
--- a/packages/relay/src/__tests__/unit/RelayUpdates.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayUpdates.test.ts
@@ -11,6 +11,7 @@
 import { createRelayUpdates } from '../../RelayUpdates.js';
 import { createFanoutRoleCache, FanoutLevel } from '../../RelayFanout.js';
 import type { InstanceEntry } from '../../RelayTypes.js';
+import type { WorkReport } from '../../RelayWork.js';
 
 const INSTANCES = 60;
 const DOMAINS = 5;
@@ -28,6 +29,11 @@
   },
   readOwnWork: () => NO_WORK,
   isCrowded: () => false,
+  rooms: {
+    list: () => [],
+    record: () => undefined,
+    selectWork: (_: string, work: WorkReport) => work,
+  },
 };
 
 /** An instance with its copy of the store and its faults. */
