--- a/packages/relay/src/__tests__/unit/RelayPartsBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayPartsBed.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { DomainId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
+import type { Decision } from '@skylarksail/daemon/DaemonDecisions';
 import { createDaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import type { OpenEngineCall, OpenServiceCall } from '@skylarksail/requests/RequestPorts';
 import { FailurePlace } from '@skylarksail/requests/RequestPorts';
@@ -13,6 +14,7 @@
 import type { BackendEntry, RelayCall, RelayRefusal, StoreContent } from '../../RelayTypes.js';
 import { CONNECT_TIMEOUT } from '../../RelayPorts.js';
 import type { BackendPorts, BackendView, HealthAnswer } from '../../RelayPorts.js';
+import type { MemorySharingName } from '../../RelayTuning.js';
 import { MemorySharing } from '../../RelayTuning.js';
 import { createBackend, createConfig, createRoute } from './RelayFixtures.js';
 
@@ -79,6 +81,8 @@
   domains: readonly DomainId[] = [FIRST_DOMAIN],
   openServiceCallOf: OpenServiceCallOf | null = null,
   isCutOff: (instance: string) => boolean = () => false,
+  shareMemory: MemorySharingName = MemorySharing.Auto,
+  onDecision: (decision: Decision) => void = () => undefined,
 ) {
   const timers = createVirtualTimers();
   const store = createFakeRangeStore(timers);
@@ -177,7 +181,7 @@
       startRelayParts({
         self: { id, domain, address },
         mostCopies: 1,
-        shareMemory: MemorySharing.Auto,
+        shareMemory,
         bounds: { retryShare: 0.2, retrySlack: 100, retryWindow: 10_000 },
         domains,
         changeTime: 2000,
@@ -247,7 +251,7 @@
         },
         createBackends: (view) => createBackends(id, view),
         logger: pino({ level: 'silent' }),
-        decisions: { record: () => undefined, read: () => [] },
+        decisions: { record: onDecision, read: () => [] },
         metrics: createDaemonMetrics(),
       }),
     );
