--- a/packages/relay/src/RelayRoom.ts
+++ b/packages/relay/src/RelayRoom.ts
@@ -1,4 +1,5 @@
 /** Reads the memory for running requests of this instance's domain, for the admission of requests. */
+import type { ModelVariant } from '@skylarksail/core/CoreChain';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { DomainId, Millis, ModelId, TeamId } from '@skylarksail/core/CoreTypes';
 import type { RoomView } from '@skylarksail/requests/RequestRoom';
@@ -6,6 +7,7 @@
 import type { RequestSpec } from '@skylarksail/requests/RequestTypes';
 import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
 import { getDomainRoom, getRoomShare } from '@skylarksail/routing/RoutingRoom';
+import type { SpillShares } from '@skylarksail/routing/RoutingSpillover';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import type { RelayTeamWork } from './RelayTeamWork.js';
 import type { RelayWork } from './RelayWork.js';
@@ -18,8 +20,8 @@
   readonly countOwnInstances: () => number;
   readonly work: Pick<RelayWork, 'getTeamWork' | 'countTeams' | 'getReportAge'>;
   readonly teams: Pick<RelayTeamWork, 'get' | 'listTeams'>;
-  /** Shares in use of other domains to which a request may be sent; none if omitted. */
-  readonly getOtherShares?: (spec: RequestSpec) => readonly number[];
+  /** Shares that a new request meets in the own domain and where spillover sends a part of them; unknown if omitted. */
+  readonly getSpillShares?: (variant: ModelVariant) => SpillShares | null;
 }
 
 export interface RelayRoom {
@@ -86,9 +88,9 @@
       if (room === null) {
         return null;
       }
-      const others = options.getOtherShares?.(spec).filter(Number.isFinite) ?? [];
+      const spill = options.getSpillShares?.(spec.variant) ?? null;
       return {
-        share: Math.min(getRoomShare(room), ...others),
+        share: spill === null ? getRoomShare(room) : getMeanShare(spill),
         age: work.getReportAge() ?? 0,
         teamShare: getTeamShare(spec.team, room),
       };
@@ -101,3 +103,10 @@
       Math.max(0, ...[...rooms.values()].map(({ room }) => (room ? getRoomShare(room) : 0))),
   };
 }
+
+/** The share that requests meet on average, as a part of them is sent to another domain. */
+function getMeanShare({ own, emptiest }: SpillShares): number {
+  return emptiest === null || emptiest.share >= own
+    ? own
+    : own + emptiest.probability * (emptiest.share - own);
+}
--- a/packages/relay/src/RelayRoomParts.ts
+++ b/packages/relay/src/RelayRoomParts.ts
@@ -12,7 +12,7 @@
 
 export interface RoomPartsOptions extends Pick<
   RelayRoomOptions,
-  'countOwnInstances' | 'work' | 'getOtherShares'
+  'countOwnInstances' | 'work' | 'getSpillShares'
 > {
   readonly domain: DomainId;
   readonly timers: TimerService;
--- a/packages/relay/src/__tests__/unit/RelayRoom.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayRoom.test.ts
@@ -2,6 +2,7 @@
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
 import type { ChainChoice, ChainRequest, RequestSpec } from '@skylarksail/requests/RequestTypes';
+import type { SpillShares } from '@skylarksail/routing/RoutingSpillover';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import {
   createRoutingState,
@@ -47,7 +48,7 @@
   return { running: [{ engine: 'e', calls: 1, kvTokens: 1000 }], lost: [], teams };
 }
 
-function createBed({ isShared = true, instances = 20, otherShares = [] as number[] } = {}) {
+function createBed({ isShared = true, instances = 20, spill = null as SpillShares | null } = {}) {
   const timers = createVirtualTimers();
   let state = createState(isShared);
   const work = createRelayWork({
@@ -70,7 +71,7 @@
     countOwnInstances: () => instances,
     work,
     teams,
-    getOtherShares: () => otherShares,
+    getSpillShares: () => spill,
   });
   return {
     timers,
@@ -137,11 +138,23 @@
     expect(bed.room.read(SPEC)).to.include({ share: 0.5, age: 0 });
   });
 
-  it('takes the emptiest domain that the request may use', () => {
-    const bed = createBed({ otherShares: [0.6, 2, NaN] });
-    bed.setUsed(0.9);
-    bed.work.recordSummary(toReport([]));
-    expect(bed.room.read(SPEC)?.share).to.equal(0.6);
+  it('counts an emptier domain for the part of the requests that goes there, and no fuller one', () => {
+    // Guards against refusals while a neighbour has room, and against a domain that admits all as if all went there.
+    const readShare = (emptiestShare: number): number | undefined => {
+      const emptiest = {
+        domain: 'other',
+        ownShare: 0.9,
+        share: emptiestShare,
+        age: 0,
+        probability: 0.5,
+      };
+      const bed = createBed({ spill: { own: 0.9, emptiest } });
+      bed.setUsed(0.9);
+      bed.work.recordSummary(toReport([]));
+      return bed.room.read(SPEC)?.share;
+    };
+    expect(readShare(0.6)).to.be.closeTo(0.75, 1e-9);
+    expect(readShare(2)).to.equal(0.9);
   });
 
   it('reads the room again with the next load report, and at most every 50 ms otherwise', () => {
