Find slow engines from the pace of answers, and lower their share to their speed

Cause: ejection by the mean gap needs six samples of 16 events, compares engines of the same layers only, and takes an engine from its full share to none. Change: RoutingSlowness bounds each engine by the excess of the answers through it over the instance's own pace, and joins other instances' reports; RoutingSpeeds applies the factors to EngineHealth.speed, with at most a third of a domain's memory left out at any layer. For models whose memory is shared, no gaps are recorded for ejection; others are as before.

--- a/packages/routing/src/RoutingCalls.ts
+++ b/packages/routing/src/RoutingCalls.ts
@@ -87,7 +87,8 @@
 
 /**
  * Records the time between tokens of a call so far. Call it periodically for running calls: calls on a
- * slow engine end late, so their measurements would otherwise arrive last.
+ * slow engine end late, so their measurements would otherwise arrive last. Where requests share memory,
+ * `RoutingSlowness` finds slow engines: ejection would take all of their memory out at once.
  */
 export function recordTokenGap(
   state: RoutingState,
@@ -95,6 +96,9 @@
   gap: Millis,
   now: Millis,
 ): RoutingState {
+  if (state.models.get(chain.variant.model)?.isMemoryShared) {
+    return state;
+  }
   const smoothed = chain.stages.reduce(
     (next, { engine }) => setHealth(next, engine, recordGap(getHealth(next, engine), gap)),
     state,
--- a/packages/routing/src/RoutingHealth.ts
+++ b/packages/routing/src/RoutingHealth.ts
@@ -20,6 +20,8 @@
   readonly ejections: number;
   /** Recent restarts. */
   readonly restarts: readonly Millis[];
+  /** Share of its usual speed at which it runs, where slow engines are found by `RoutingSlowness`; 1 if omitted. */
+  readonly speed?: number;
 }
 
 export const NEW_HEALTH: EngineHealth = {
@@ -53,7 +55,7 @@
     return now >= health.ejectedUntil && ownCalls === 0 ? MIN_SHARE : 0;
   }
   const progress = (now - health.slowStartSince) / SLOW_START_MS;
-  return Math.min(1, MIN_SHARE + (1 - MIN_SHARE) * Math.max(0, progress));
+  return Math.min(1, MIN_SHARE + (1 - MIN_SHARE) * Math.max(0, progress)) * (health.speed ?? 1);
 }
 
 /** Whether the engine is ejected and its probe is not due yet. */
--- /dev/null
+++ b/packages/routing/src/RoutingSpeeds.ts
@@ -0,0 +1,96 @@
+/**
+ * Applies what is known of slow engines to their health, by which their share of new work falls in proportion to their speed. At most
+ * a third of the memory of a domain's engines is taken out at any layer: otherwise the other engines would run out of memory, which
+ * costs more than slow answers.
+ */
+import type { EngineId } from '@skylarksail/core/CoreTypes';
+import { getHealth, setHealth } from './RoutingCalls.js';
+import type { Pool, PoolMember } from './RoutingPools.js';
+import type { SlownessMap } from './RoutingSlowness.js';
+import { isSlownessTracked } from './RoutingSlowness.js';
+import type { RoutingState } from './RoutingTypes.js';
+
+/** Largest share of a domain's memory at a layer that is left out because engines are slow. */
+export const MAX_SLOW_SHARE = 1 / 3;
+
+/** Speeds of engines as shares of their usual speed; engines that are missing have their usual speed. */
+export type SpeedMap = ReadonlyMap<EngineId, number>;
+
+/** Sets the speeds of all engines; those that are not named get their usual speed again. */
+export function applySpeeds(state: RoutingState, speeds: SpeedMap): RoutingState {
+  let next = state;
+  for (const engine of state.engines.keys()) {
+    const health = getHealth(state, engine);
+    const speed = speeds.get(engine);
+    if (health.speed !== speed) {
+      const { speed: before, ...others } = health;
+      next = setHealth(next, engine, speed === undefined ? others : { ...others, speed });
+    }
+  }
+  return next;
+}
+
+/** Speeds by the factors in effect, raised where they would leave out too much of a domain's memory: the least slow engines first. */
+export function limitSpeeds(state: RoutingState, slowness: SlownessMap): SpeedMap {
+  const speeds = new Map<EngineId, number>();
+  if (slowness.size === 0) {
+    return speeds;
+  }
+  for (const pool of state.pools.values()) {
+    if (isSlownessTracked(state, pool.model)) {
+      limitPool(state, pool, slowness).forEach((speed, engine) => speeds.set(engine, speed));
+    }
+  }
+  return speeds;
+}
+
+function limitPool(state: RoutingState, pool: Pool, slowness: SlownessMap): SpeedMap {
+  const usable = pool.members.filter(({ id }) => !state.leaving.has(id) && !state.silent.has(id));
+  const speeds = new Map<EngineId, number>();
+  usable.forEach(({ id }) => {
+    const factor = slowness.get(id)?.factor ?? 1;
+    if (factor > 1) {
+      speeds.set(id, 1 / factor);
+    }
+  });
+  if (speeds.size > 0) {
+    const edges = usable.flatMap(({ holding: { layers } }) => [layers.first, layers.end]);
+    new Set(edges).forEach((layer) =>
+      limitLayer(
+        speeds,
+        usable.filter(({ holding: { layers } }) => layers.first <= layer && layer < layers.end),
+      ),
+    );
+  }
+  return speeds;
+}
+
+/** Raises speeds of the least slow of these engines until at most `MAX_SLOW_SHARE` of their memory is left out. */
+function limitLayer(speeds: Map<EngineId, number>, holders: readonly PoolMember[]): void {
+  const total = holders.reduce((sum, member) => sum + getTokens(member), 0);
+  const slow = holders
+    .filter(({ id }) => speeds.has(id))
+    .sort((a, b) => getSpeed(speeds, b) - getSpeed(speeds, a) || (a.id < b.id ? -1 : 1));
+  let excess =
+    slow.reduce((sum, member) => sum + getTokens(member) * (1 - getSpeed(speeds, member)), 0) -
+    MAX_SLOW_SHARE * total;
+  for (const member of slow) {
+    if (excess <= 0) {
+      return;
+    }
+    const tokens = getTokens(member);
+    const speed = getSpeed(speeds, member);
+    const restored = Math.min(1 - speed, excess / tokens);
+    speeds.set(member.id, speed + restored);
+    excess -= restored * tokens;
+  }
+}
+
+function getSpeed(speeds: SpeedMap, { id }: PoolMember): number {
+  return speeds.get(id) ?? 1;
+}
+
+/** Memory of an engine in tokens. */
+function getTokens({ facts, holding: { layers } }: PoolMember): number {
+  return facts.kvLayerTokens / (layers.end - layers.first);
+}
