Follow the pace of running answers for slow engines

Cause: a sample every 16 events comes after one to two seconds, and never for an answer that stalls. Change: DaemonSlowness keeps the time between events of each running answer, and updates the speeds of slow engines every 200 ms; changes are logged with what determined them. DaemonRouting reads what other instances report. Only for models whose memory is shared.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -40,6 +40,8 @@
 import { refreshPlans } from '@skylarksail/routing/RoutingPlans';
 import { isHeld } from '@skylarksail/routing/RoutingPools';
 import { selectRepair } from '@skylarksail/routing/RoutingRepair';
+import type { ObservedEngine, PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
+import { isSlownessTracked } from '@skylarksail/routing/RoutingSlowness';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import {
   createRoutingState,
@@ -56,6 +58,7 @@
   selectImports,
   toCallOutcome,
 } from './DaemonRoutingResults.js';
+import { createSlownessMonitor, SLOWNESS_PERIOD } from './DaemonSlowness.js';
 
 /** Period at which capacity shares are recomputed if their inputs changed. */
 const PLAN_PERIOD: Millis = 500;
@@ -91,7 +94,9 @@
   trackTokenGaps(open: OpenEngineCall): OpenEngineCall;
   /** Detects slow links from the pace of the streams that share them. */
   readonly links: LinkMonitor;
-  /** Starts the periodic recomputation of capacity shares. */
+  /** Engines with the slowness that own answers show, slowest first, for a report to other instances. */
+  listSlowEngines(): readonly ObservedEngine[];
+  /** Starts the periodic recomputation of capacity shares and of the speeds of slow engines. */
   start(): Unregister;
   getState(): RoutingState;
 }
@@ -120,11 +125,18 @@
    * a dozen engines take two kilobytes per request, most of what an instance logs.
    */
   readonly isBrief?: boolean;
+  /** How slow other instances report engines to be; null without a recent report, or if omitted. */
+  readonly readPeerSlowness?: () => PeerSlowness | null;
 }
 
 export function createDaemonRouting(options: DaemonRoutingOptions): DaemonRouting {
   const { domain, timers, random, decisions } = options;
   let state = createRoutingState({ domain });
+  const slowness = createSlownessMonitor({
+    timers,
+    decisions,
+    readPeers: options.readPeerSlowness ?? (() => null),
+  });
 
   /** Engines that hold the first layer, except those of which one must begin the chain. */
   function listOtherFirstEngines(firstEngines: readonly EngineId[]): readonly EngineId[] {
@@ -382,17 +394,28 @@
     setDomainReach: (foreign, reachable) => {
       state = setDomainReach(state, foreign, reachable, timers.now());
     },
-    trackTokenGaps: (open) => (call, listener) => open(call, trackCallGaps(call.chain, listener)),
+    trackTokenGaps: (open) => (call, listener) =>
+      isSlownessTracked(state, call.chain.variant.model)
+        ? slowness.open(open, call, listener)
+        : open(call, trackCallGaps(call.chain, listener)),
     links: {
       notePaces: (paces) => {
         state = recordPaces(state, paces, timers.now());
       },
       isSlow: (chain) => isOnSlowHop(state, chain),
     },
-    start: () =>
-      timers.registerInterval(PLAN_PERIOD, () => {
-        state = refreshPlans(state, timers.now());
-      }),
+    listSlowEngines: slowness.listObserved,
+    start() {
+      const stops = [
+        timers.registerInterval(PLAN_PERIOD, () => {
+          state = refreshPlans(state, timers.now());
+        }),
+        timers.registerInterval(SLOWNESS_PERIOD, () => {
+          state = slowness.refresh(state);
+        }),
+      ];
+      return () => stops.forEach((stop) => stop());
+    },
     getState: () => state,
   };
 }
--- /dev/null
+++ b/packages/daemon/src/DaemonSlowness.ts
@@ -0,0 +1,134 @@
+/** Follows the pace of this instance's running answers, and keeps routing's speeds of slow engines up to date with it. */
+import type { TimerService } from '@skylarksail/core/CoreTimers';
+import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type {
+  EngineCall,
+  EngineCallListener,
+  OpenEngineCall,
+} from '@skylarksail/requests/RequestPorts';
+import type {
+  AnswerPace,
+  ObservedEngine,
+  PeerSlowness,
+  SlownessMap,
+} from '@skylarksail/routing/RoutingSlowness';
+import {
+  listObserved,
+  NO_SLOWNESS,
+  smoothEventGap,
+  updateSlowness,
+} from '@skylarksail/routing/RoutingSlowness';
+import type { SpeedMap } from '@skylarksail/routing/RoutingSpeeds';
+import { applySpeeds, limitSpeeds } from '@skylarksail/routing/RoutingSpeeds';
+import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
+import type { DecisionLog } from './DaemonDecisions.js';
+
+/** How often slow engines are looked for: new work has to leave them within a second, which two exchanges of reports are part of. */
+export const SLOWNESS_PERIOD: Millis = 200;
+/** A factor that is logged when an engine reaches it. */
+const LOGGED_FACTOR = 2;
+
+export interface SlownessMonitor {
+  /** Opens a call and follows the pace of its answer. */
+  open(open: OpenEngineCall, call: EngineCall, listener: EngineCallListener): Unregister;
+  /** Updates the speeds of slow engines in routing's state. */
+  refresh(state: RoutingState): RoutingState;
+  /** Engines with the slowness that own answers show, for a report to other instances. */
+  listObserved(): readonly ObservedEngine[];
+}
+
+export interface SlownessMonitorOptions {
+  readonly timers: TimerService;
+  readonly decisions: DecisionLog;
+  /** What other instances report; null without a recent report. */
+  readonly readPeers: () => PeerSlowness | null;
+}
+
+/** A pace that is updated at each event without creating objects. */
+type RunningPace = { -readonly [K in keyof AnswerPace]: AnswerPace[K] };
+
+export function createSlownessMonitor(options: SlownessMonitorOptions): SlownessMonitor {
+  const { timers, decisions } = options;
+  const running = new Set<RunningPace>();
+  let slowness = NO_SLOWNESS;
+  /** What other instances reported at the last update; an aggregator's own report is part of what it reads. */
+  let lastPeers: PeerSlowness | null = null;
+  let hasSpeeds = false;
+  let logged: ReadonlySet<EngineId> = new Set();
+
+  /** Logs engines that begin or cease to count as slow. */
+  function logChanges(effective: SlownessMap, speeds: SpeedMap, peers: PeerSlowness | null): void {
+    const slow = new Set(
+      [...effective].filter(([, { factor }]) => factor >= LOGGED_FACTOR).map(([id]) => id),
+    );
+    for (const engine of new Set([...slow, ...logged])) {
+      if (slow.has(engine) !== logged.has(engine)) {
+        const own = slowness.observed.get(engine);
+        decisions.record({
+          request: '',
+          decision: slow.has(engine) ? 'engine-slow' : 'engine-recovered',
+          engine,
+          factor: effective.get(engine)?.factor ?? 1,
+          own: own?.factor ?? null,
+          ownAge: own ? timers.now() - own.at : null,
+          peers: peers?.get(engine) ?? null,
+          speed: speeds.get(engine) ?? 1,
+          answers: running.size,
+        });
+      }
+    }
+    logged = slow;
+  }
+
+  return {
+    open(open, call, listener) {
+      const pace: RunningPace = { chain: call.chain, gap: 0, eventAt: 0 };
+      let isOver = false;
+      const end = (): void => {
+        isOver = true;
+        running.delete(pace);
+      };
+      const cancel = open(call, {
+        ...listener,
+        onToken(index, token) {
+          const now = timers.now();
+          if (pace.eventAt > 0) {
+            pace.gap = smoothEventGap(pace.gap, now - pace.eventAt);
+          } else if (!isOver) {
+            running.add(pace);
+          }
+          pace.eventAt = now;
+          listener.onToken(index, token);
+        },
+        onEnd(reason, tokenCount) {
+          end();
+          listener.onEnd(reason, tokenCount);
+        },
+        onFailure(failure) {
+          end();
+          listener.onFailure(failure);
+        },
+      });
+      return () => {
+        end();
+        cancel();
+      };
+    },
+    refresh(state) {
+      const isTracked = [...state.models.values()].some(({ isMemoryShared }) => isMemoryShared);
+      const peers = isTracked ? options.readPeers() : null;
+      lastPeers = peers;
+      const isIdle = running.size === 0 && (peers?.size ?? 0) === 0;
+      if (isIdle && slowness.observed.size === 0 && slowness.effective.size === 0 && !hasSpeeds) {
+        return state;
+      }
+      slowness = updateSlowness(slowness, state, [...running], peers, timers.now());
+      const speeds = limitSpeeds(state, slowness.effective);
+      logChanges(slowness.effective, speeds, peers);
+      const next = hasSpeeds || speeds.size > 0 ? applySpeeds(state, speeds) : state;
+      hasSpeeds = speeds.size > 0;
+      return next;
+    },
+    listObserved: () => listObserved(slowness, lastPeers),
+  };
+}
