--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -14,6 +14,7 @@
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import type { PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
 import { createRelayArrivals } from './RelayArrivals.js';
 import { createRelayPlannedWork } from './RelayPlannedWork.js';
 import type { Catalogue } from './RelayCatalogue.js';
@@ -38,6 +39,7 @@
 import { createPathParts } from './RelayPathParts.js';
 import { createRelayTrials } from './RelayTrials.js';
 import { createServerChooser } from './RelayServers.js';
+import { MAX_REPORTED } from './RelayWork.js';
 import type { PeerWork, WorkReport } from './RelayWork.js';
 import { createRouterConfig, ROUTING_TUNING } from './RelayTuning.js';
 import type { RelayParts, RelayPartsOptions } from './RelayPartsTypes.js';
@@ -76,6 +78,7 @@
     decisions,
     listDraining: () => [],
     isBrief: true,
+    readPeerSlowness,
   });
   const lease = createRelayLease({
     port: options.store,
@@ -290,7 +293,16 @@
   }
 
   function readOwnWork(): WorkReport {
-    return { running: engines.readOwnWork(), lost: health.listLost() };
+    const slow = routing.listSlowEngines().slice(0, MAX_REPORTED);
+    return {
+      running: engines.readOwnWork(),
+      lost: health.listLost(),
+      ...(slow.length > 0 ? { slow } : {}),
+    };
+  }
+
+  function readPeerSlowness(): PeerSlowness | null {
+    return sync.work.getSlowEngines();
   }
 
   function tallyCrashes(suspect: string): TrialTally {
--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -16,6 +16,8 @@
   TeamId,
 } from '@skylarksail/core/CoreTypes';
 import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
+import type { PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
+import { createSlowReports } from './RelaySlow.js';
 
 /** Running work of one or more instances on an engine. */
 export interface EngineWork {
@@ -74,6 +76,8 @@
   recordSummary(others: WorkReport): void;
   /** Work of the other instances on an engine; null without a recent report. */
   getPeerWork(engine: EngineId): PeerWork | null;
+  /** Engines that enough instances report as slow, by factor; null without a recent report. */
+  getSlowEngines(): PeerSlowness | null;
   /** Number of instances whose reports are kept; those that have expired go with the first report of another. */
   countReports(): number;
 }
@@ -115,6 +119,7 @@
 export function createRelayWork(options: RelayWorkOptions): RelayWork {
   const { timers, self } = options;
   const told = new Map<InstanceId, TimedReport>();
+  const slowReports = createSlowReports({ timers, self, limit: MAX_REPORTED });
   let summary: TimedSums | null = null;
   /** Sums of all reports, valid until another report arrives or one of them expires. */
   let cachedSums: ExpiringSums | null = null;
@@ -154,18 +159,24 @@
       }
       told.set(from, { work, at: timers.now() });
       cachedSums = null;
+      slowReports.recordReport(from, work.slow);
       work.lost.forEach(options.onLost);
     },
     summarizeFor(requester) {
       dropExpiredReports();
-      const all = [...listReports(requester), options.readOwnWork()];
+      const own = options.readOwnWork();
+      const all = [...listReports(requester), own];
+      slowReports.recordReport(self, own.slow);
+      const slow = slowReports.listMerged();
       return {
         running: [...sumWork(all.flatMap(({ running }) => running)).values()],
         lost: [...new Set(all.flatMap(({ lost }) => lost))],
+        ...(slow.length > 0 ? { slow } : {}),
       };
     },
     recordSummary(others) {
       summary = { others: sumWork(others.running), at: timers.now() };
+      slowReports.recordSummary(others.slow);
       options.onPeerWork();
       others.lost.forEach(options.onLost);
     },
@@ -173,6 +184,7 @@
       const others = options.isAggregator() ? sumReports() : getSummary();
       return others === null ? null : (others.get(engine) ?? NO_WORK);
     },
+    getSlowEngines: () => slowReports.read(options.isAggregator()),
     countReports: () => told.size,
   };
 }
