--- a/packages/relay/src/RelayWork.ts
+++ b/packages/relay/src/RelayWork.ts
@@ -16,8 +16,10 @@
   TeamId,
 } from '@skylarksail/core/CoreTypes';
 import type { DomainRoom } from '@skylarksail/routing/RoutingRoom';
-import { listHeaviest, sumTeams } from './RelayTeamSums.js';
 import type { DomainUse } from '@skylarksail/routing/RoutingTypes';
+import type { PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
+import { listHeaviest, sumTeams } from './RelayTeamSums.js';
+import { createSlowReports } from './RelaySlow.js';
 
 /** Running work of one or more instances on an engine. */
 export interface EngineWork {
@@ -84,6 +86,8 @@
   countTeams(own: Iterable<TeamId>): number;
   /** Time since the other instances' work was last reported; null without a recent report. */
   getReportAge(): Millis | null;
+  /** Engines that enough instances report as slow, by factor; null without a recent report. */
+  getSlowEngines(): PeerSlowness | null;
   /** Number of instances whose reports are kept; those that have expired go with the first report of another. */
   countReports(): number;
 }
@@ -127,6 +131,7 @@
 export function createRelayWork(options: RelayWorkOptions): RelayWork {
   const { timers, self } = options;
   const told = new Map<InstanceId, TimedReport>();
+  const slowReports = createSlowReports({ timers, self, limit: MAX_REPORTED });
   let summary: PeerSums | null = null;
   /** Sums of all reports, valid until another report arrives or one of them expires. */
   let cachedSums: ExpiringSums | null = null;
@@ -173,16 +178,21 @@
       }
       told.set(from, { work, at: timers.now() });
       cachedSums = null;
+      slowReports.recordReport(from, work.slow);
       work.lost.forEach(options.onLost);
     },
     summarizeFor(requester) {
       dropExpiredReports();
-      const all = [...listReports(requester), options.readOwnWork()];
+      const own = options.readOwnWork();
+      const all = [...listReports(requester), own];
       const teams = listHeaviest(sumTeams(all, MAX_REPORTED), MAX_REPORTED);
+      slowReports.recordReport(self, own.slow);
+      const slow = slowReports.listMerged();
       return {
         running: [...sumWork(all.flatMap(({ running }) => running)).values()],
         lost: [...new Set(all.flatMap(({ lost }) => lost))],
         ...(teams.length > 0 ? { teams } : {}),
+        ...(slow.length > 0 ? { slow } : {}),
       };
     },
     recordSummary(others) {
@@ -191,6 +201,7 @@
         teams: sumTeams([others], MAX_REPORTED),
         at: timers.now(),
       };
+      slowReports.recordSummary(others.slow);
       options.onPeerWork();
       others.lost.forEach(options.onLost);
     },
@@ -211,6 +222,7 @@
       const sums = getSums();
       return sums === null ? null : timers.now() - sums.at;
     },
+    getSlowEngines: () => slowReports.read(options.isAggregator()),
     countReports: () => told.size,
   };
 }
