Check that a forwarded call keeps what it says of its prompt

Cause: the codec drops fields that it does not know, and a forwarded call would no longer yield.

Change: the test of forwarded calls has the new fields.

--- a/packages/relay/src/__tests__/unit/RelayForwardHttp.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayForwardHttp.test.ts
@@ -26,6 +26,8 @@
       team: 't',
       original: { method: 'POST', path: '/p', headers: { a: 'b' }, body: Buffer.from('body') },
       prompt: 'a prompt that the body holds',
+      contextTokens: 900,
+      isYielding: true,
       resumeTokens: ['one', 'two'],
       maxTokens: 9,
       priority: 'high',
