--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -39,6 +39,7 @@
 import { createStartGate } from './RelayStartGate.js';
 import { createRelaySuspension } from './RelaySuspension.js';
 import { createPathParts } from './RelayPathParts.js';
+import { markYieldingCalls } from './RelayUrgency.js';
 import { createRelayTrials } from './RelayTrials.js';
 import { createServerChooser } from './RelayServers.js';
 import { MAX_REPORTED } from './RelayWork.js';
@@ -220,7 +221,14 @@
     chooseChain: permits.limitChoice(watchChoice(routing.chooseChain)),
     chooseRepair: permits.limitChoice(watchChoice(routing.chooseRepair)),
     openEngineCall: permits.usePermits(
-      health.watchCalls(routing.trackTokenGaps(backends.openEngineCall)),
+      health.watchCalls(
+        routing.trackTokenGaps(
+          markYieldingCalls(backends.openEngineCall, {
+            random,
+            getModel: (model) => routing.getState().models.get(model),
+          }),
+        ),
+      ),
     ),
     chooseServer: permits.limitServers(
       createServerChooser({ timers, random, domain: self.domain, catalogue }).choose,
