Tell by how much more memory was promised than engines have, where requests share it

Cause: the share in use was cut at 1 for each engine, so admission saw a domain as hardly more than full and never refused all requests of a range. Change: up to 2 for models whose requests share memory; two comments tell reasons only.

--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -38,6 +38,12 @@
  */
 const IDLE_REPORT_PERIOD: Millis = 2000;
 
+/**
+ * Largest share of an engine's memory that its work may be reported to need, where requests share memory: admission has to see by
+ * how much more was promised than there is. The bound keeps an absurd report of one instance from hiding all memory of a domain.
+ */
+const MAX_KV_USED = 2;
+
 /** An engine's facts, with the inputs from which they were derived. */
 interface CachedFacts {
   readonly entry: BackendEntry;
@@ -109,6 +115,10 @@
     };
   }
 
+  function isMemoryShared({ service }: BackendEntry): boolean {
+    return routing.getState().models.get(service)?.isMemoryShared ?? false;
+  }
+
   function estimateWork(
     entry: BackendEntry,
     kvLayerTokens: number,
@@ -117,7 +127,8 @@
     const { calls, kvTokens, prefillTokens } = countWork(entry, instances);
     const layers = entry.layers ? entry.layers.end - entry.layers.first : 0;
     const used = kvTokens * layers;
-    const kvUsed = kvLayerTokens > 0 ? Math.min(1, used / kvLayerTokens) : 1;
+    const mostUsed = isMemoryShared(entry) ? MAX_KV_USED : 1;
+    const kvUsed = kvLayerTokens > 0 ? Math.min(mostUsed, used / kvLayerTokens) : 1;
     return { running: calls, kvUsed, prefillTokens };
   }
 
--- a/packages/relay/src/__tests__/unit/RelayEngines.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayEngines.test.ts
@@ -126,6 +126,23 @@
     expect(engines.isCrowded()).to.equal(false);
   });
 
+  it('tells by how much more memory was promised than there is, only where requests share it', () => {
+    // Guards against admission that sees an engine as exactly full however much more was promised.
+    const { routing, engines, others } = createBed();
+    const read = (kvTokens: number): number | undefined => {
+      others.set('d1-0', { calls: 2, kvTokens });
+      engines.refreshOwnLoads();
+      return routing.getState().loads.get('d1-0')?.load.kvUsed;
+    };
+    const full = 1 / (read(1) ?? 0);
+    expect(read(1.5 * full)).to.equal(1);
+    routing.setFleetFacts({
+      models: new Map([['letters', { id: 'letters', activationBytes: 1, isMemoryShared: true }]]),
+    });
+    expect(read(1.5 * full)).to.be.closeTo(1.5, 1e-9);
+    expect(read(1e12)).to.equal(2);
+  });
+
   it('removes engines that are gone from routing', () => {
     const { catalogue, routing, engines } = createBed();
     catalogue.remove('d1-0');
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -52,7 +52,7 @@
 
 /**
  * Weight of time before the first token relative to time between later ones: a target for the first token is missed by far
- * shorter delays. In virtual time, 1 left 1.7 to 2.4 times as many short prompts late as 3, and 10 about as many as 3.
+ * shorter delays.
  */
 const WAIT_WEIGHT = 3;
 
--- a/packages/routing/src/RoutingSpillover.ts
+++ b/packages/routing/src/RoutingSpillover.ts
@@ -69,8 +69,7 @@
 const SPILL_LEVEL = 0.6;
 /**
  * Excess over the mean share that a domain keeps. Shares of equally loaded domains vary at random, so without a margin each
- * would send requests all the time. A larger one leaves the domains further apart: of 0.01, 0.02 and 0.03 in the load
- * test, the least kept them closest, and sent 1 % of the requests of equally loaded domains elsewhere.
+ * would send requests all the time, and a larger one would leave the domains further apart.
  */
 const SPILL_MARGIN = 0.01;
 /** Use above the mean share from which a domain gets nothing; the most by which shares of domains should differ. */
