Restore the speed of engines that were removed while they were slow

applySpeeds cleared speeds only of engines in the state. The health of a removed engine is kept, so one that was removed while slow and returned later kept its lowered share until another engine was found slow. It now takes the speeds that were last applied and restores these, removed or not; it also visits only slow engines rather than all.

--- a/packages/daemon/src/DaemonSlowness.ts
+++ b/packages/daemon/src/DaemonSlowness.ts
@@ -19,7 +19,7 @@
   updateSlowness,
 } from '@skylarksail/routing/RoutingSlowness';
 import type { SpeedMap } from '@skylarksail/routing/RoutingSpeeds';
-import { applySpeeds, limitSpeeds } from '@skylarksail/routing/RoutingSpeeds';
+import { applySpeeds, limitSpeeds, USUAL_SPEEDS } from '@skylarksail/routing/RoutingSpeeds';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import type { DecisionLog } from './DaemonDecisions.js';
 
@@ -53,7 +53,8 @@
   let slowness = NO_SLOWNESS;
   /** What other instances reported at the last update; an aggregator's own report is part of what it reads. */
   let lastPeers: PeerSlowness | null = null;
-  let hasSpeeds = false;
+  /** The speeds that were last applied to routing's state. */
+  let applied = USUAL_SPEEDS;
   let logged: ReadonlySet<EngineId> = new Set();
 
   /** Logs engines that begin or cease to count as slow. */
@@ -119,14 +120,19 @@
       const peers = isTracked ? options.readPeers() : null;
       lastPeers = peers;
       const isIdle = running.size === 0 && (peers?.size ?? 0) === 0;
-      if (isIdle && slowness.observed.size === 0 && slowness.effective.size === 0 && !hasSpeeds) {
+      if (
+        isIdle &&
+        slowness.observed.size === 0 &&
+        slowness.effective.size === 0 &&
+        applied.size === 0
+      ) {
         return state;
       }
       slowness = updateSlowness(slowness, state, [...running], peers, timers.now());
       const speeds = limitSpeeds(state, slowness.effective);
       logChanges(slowness.effective, speeds, peers);
-      const next = hasSpeeds || speeds.size > 0 ? applySpeeds(state, speeds) : state;
-      hasSpeeds = speeds.size > 0;
+      const next = applySpeeds(state, applied, speeds);
+      applied = speeds;
       return next;
     },
     listObserved: () => listObserved(slowness, lastPeers),
--- a/packages/daemon/src/__tests__/unit/DaemonSlowness.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonSlowness.test.ts
@@ -121,6 +121,19 @@
     IDS.forEach((id) => expect(getHealth(routing.getState(), id).speed).to.equal(undefined));
   });
 
+  it('gives an engine that returns its usual speed, also if it was removed while it was slow', () => {
+    // Guards against an engine that keeps an eighth of its share for good because it was removed while it was slow.
+    const { timers, routing, run, cancels } = createBed(true);
+    run(100, 1500);
+    const facts = [...routing.getState().engines.values()];
+    routing.setEngineFacts(facts.filter(({ id }) => id !== 'a'));
+    cancels.forEach((cancel) => cancel());
+    timers.advanceTo(20_000);
+    routing.setEngineFacts(facts);
+    timers.advanceTo(21_000);
+    expect(getHealth(routing.getState(), 'a').speed).to.equal(undefined);
+  });
+
   it('changes nothing for models whose memory is not shared, whatever others report', () => {
     // The state is compared with what the plans and a sample of gaps every 16 events make of the same inputs.
     const { routing, run } = createBed(false, new Map([['b', 8]]));
--- a/packages/routing/src/RoutingSpeeds.ts
+++ b/packages/routing/src/RoutingSpeeds.ts
@@ -16,14 +16,20 @@
 /** Speeds of engines as shares of their usual speed; engines that are missing have their usual speed. */
 export type SpeedMap = ReadonlyMap<EngineId, number>;
 
-/** Sets the speeds of all engines; those that are not named get their usual speed again. */
-export function applySpeeds(state: RoutingState, speeds: SpeedMap): RoutingState {
+/** The speeds while no engine is slow. */
+export const USUAL_SPEEDS: SpeedMap = new Map();
+
+/**
+ * Sets the speeds of slow engines, and restores the usual speed of those in `before`, the speeds that were last applied, that are
+ * no longer slow. Engines that were removed meanwhile are restored too, since they may return.
+ */
+export function applySpeeds(state: RoutingState, before: SpeedMap, speeds: SpeedMap): RoutingState {
   let next = state;
-  for (const engine of state.engines.keys()) {
+  for (const engine of new Set([...before.keys(), ...speeds.keys()])) {
     const health = getHealth(state, engine);
     const speed = speeds.get(engine);
     if (health.speed !== speed) {
-      const { speed: before, ...others } = health;
+      const { speed: previous, ...others } = health;
       next = setHealth(next, engine, speed === undefined ? others : { ...others, speed });
     }
   }
--- a/packages/routing/src/__tests__/unit/RoutingSlowness.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingSlowness.test.ts
@@ -13,7 +13,7 @@
   UNCONFIRMED_FACTOR,
   updateSlowness,
 } from '../../RoutingSlowness.js';
-import { applySpeeds, limitSpeeds, MAX_SLOW_SHARE } from '../../RoutingSpeeds.js';
+import { applySpeeds, limitSpeeds, MAX_SLOW_SHARE, USUAL_SPEEDS } from '../../RoutingSpeeds.js';
 import { setRoutingFacts } from '../../RoutingState.js';
 import type { RoutingState } from '../../RoutingTypes.js';
 import { createFacts, createFilledState, LAYERS, VARIANT } from './RoutingFixtures.js';
@@ -231,10 +231,11 @@
   }
 
   it('lowers the share of an engine to its speed, and restores it', () => {
-    const slowed = applySpeeds(STATE, new Map(Object.entries(limit({ a1: 4 }))));
+    const speeds = new Map(Object.entries(limit({ a1: 4 })));
+    const slowed = applySpeeds(STATE, USUAL_SPEEDS, speeds);
     expect(getHealthShare(getHealth(slowed, 'a1'), 3, 20_000)).to.equal(0.25);
     expect(getHealthShare(getHealth(slowed, 'a2'), 3, 20_000)).to.equal(1);
-    expect(applySpeeds(slowed, new Map())).to.deep.equal(STATE);
+    expect(applySpeeds(slowed, speeds, USUAL_SPEEDS)).to.deep.equal(STATE);
   });
 
   it('takes out at most a third of the memory of each layer, and restores the least slow engines first', () => {
@@ -258,6 +259,6 @@
   it('changes nothing for models whose memory is not shared', () => {
     const unshared = createState(false);
     expect(limit({ a1: 6 }, unshared)).to.deep.equal({});
-    expect(applySpeeds(unshared, new Map())).to.equal(unshared);
+    expect(applySpeeds(unshared, USUAL_SPEEDS, USUAL_SPEEDS)).to.equal(unshared);
   });
 });
