Count own requests in the shares for admission before the next load report

Admission reads the share of the own domain from the plan of spillover where there is one, that is for every model whose memory is shared. The plan was computed only with load reports and rooms, so own requests since then were not counted, for up to a second at an instance that is alone in its domain; RelayRoom's own reading of at most 50 ms age was not used. The plan is now computed anew for this if it is 50 ms old.

--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -69,6 +69,8 @@
 
 /** Period at which capacity shares are recomputed if their inputs changed. */
 const PLAN_PERIOD: Millis = 500;
+/** Age from which the shares for admission are computed anew: own requests change them by less than a hundredth in this time. */
+const MAX_SHARES_AGE: Millis = 50;
 
 /** Number of tokens over which the mean gap is sampled; recording each token costs more than it is worth. */
 const GAP_SAMPLE_TOKENS = 16;
@@ -416,7 +418,14 @@
         abroad,
         seenAt: own.seenAt,
       })),
-    getSpillShares: (variant) => getSpillShares(state, variant, timers.now()),
+    getSpillShares(variant) {
+      const now = timers.now();
+      const plan = state.spills.get(variant.model);
+      if (plan && now - plan.own.seenAt >= MAX_SHARES_AGE) {
+        state = refreshSpills(state, now);
+      }
+      return getSpillShares(state, variant, now);
+    },
     setLeaving: (engine) => {
       state = markLeaving(state, engine);
     },
--- a/packages/daemon/src/__tests__/unit/DaemonRoutingSpillover.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonRoutingSpillover.test.ts
@@ -123,6 +123,20 @@
     expect(routing.getSpillShares(VARIANT)).to.equal(null);
   });
 
+  it('counts own requests in the shares before the next load report', () => {
+    // Guards against the only instance of a domain that admits the requests of a whole report period on one share.
+    const { routing, timers } = createBed(true);
+    const before = routing.getSpillShares(VARIANT)?.own ?? NaN;
+    const long = { ...REQUEST, contextTokens: 5000 };
+    const kept = Array.from({ length: 5 }, () => routing.chooseChain(long)).filter(
+      (choice) => choice.kind === 'chain' && choice.chain.stages[0]?.engine.startsWith('a'),
+    ).length;
+    expect(kept).to.be.above(0);
+    timers.advanceTo(1050);
+    const expected = before + (kept * 5010) / CAPACITY;
+    expect(routing.getSpillShares(VARIANT)?.own).to.be.closeTo(expected, 1e-3);
+  });
+
   it('does not choose an engine of another domain again right after it refused', () => {
     const { routing, timers } = createBed(true);
     const choose = (): string => {
