--- a/packages/daemon/src/DaemonHangUps.ts
+++ b/packages/daemon/src/DaemonHangUps.ts
@@ -38,21 +38,22 @@
   });
 }
 
-/** How far a request had come when its client left. */
+/** Whether a request had been begun when its client left. */
 export const HangUpStage = {
-  /** It was not begun. */
+  /** The request was not begun. */
   Unbegun: 'unbegun',
-  /** It had just been begun, though the close of the connection could have been read before. */
+  /** It had been begun in the last turn or two of the event loop, so the close of the connection may have arrived before. */
   JustBegun: 'just-begun',
   Begun: 'begun',
 } as const;
 
+/** A value of `HangUpStage`. */
 export type HangUpStageName = (typeof HangUpStage)[keyof typeof HangUpStage];
 
 /**
  * Begins a request once the close of its client's connection would have been read, unless the client has left: the event
- * loop reads the close one turn after the request. `begin` returns what cancels the request; `onLeft` is told when the client
- * leaves before the end.
+ * loop reads the close one turn after the request. `begin` returns a function that cancels the request; `onLeft` is called if the
+ * client leaves before the response is complete.
  */
 export function beginUnlessLeft(
   req: Pick<IncomingMessage, 'socket'>,
--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -80,9 +80,10 @@
   readonly tuning?: Partial<RoutingState['tuning']>;
 };
 
-/** Why a chain is in its domain: in the own one, in another to even out memory, or as the own one has no chain left. */
+/** Relation of a chain to the own domain: in it, in another domain by spillover, or in another as the own one has no chain left. */
 export const ChainRelation = { Own: 'own', Spillover: 'spillover', OwnFull: 'own-full' } as const;
 
+/** A value of `ChainRelation`. */
 export type ChainRelationName = (typeof ChainRelation)[keyof typeof ChainRelation];
 
 /** Memory of the own domain for running requests of a model, as this instance sees it. */
--- a/packages/daemon/src/DaemonSlowness.ts
+++ b/packages/daemon/src/DaemonSlowness.ts
@@ -23,11 +23,12 @@
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import type { DecisionLog } from './DaemonDecisions.js';
 
-/** How often slow engines are looked for: new work has to leave them within a second, which two exchanges of reports are part of. */
+/** Period at which the speeds of slow engines are updated. New work must leave them within a second, including two exchanges of reports. */
 export const SLOWNESS_PERIOD: Millis = 200;
-/** A factor that is logged when an engine reaches it. */
+/** Factor from which an engine is logged as slow. */
 const LOGGED_FACTOR = 2;
 
+/** Follows running answers, and updates what routing knows of slow engines. */
 export interface SlownessMonitor {
   /** Opens a call and follows the pace of its answer. */
   open(open: OpenEngineCall, call: EngineCall, listener: EngineCallListener): Unregister;
@@ -37,6 +38,7 @@
   listObserved(): readonly ObservedEngine[];
 }
 
+/** What a monitor depends on. */
 export interface SlownessMonitorOptions {
   readonly timers: TimerService;
   readonly decisions: DecisionLog;
@@ -44,9 +46,10 @@
   readonly readPeers: () => PeerSlowness | null;
 }
 
-/** A pace that is updated at each event without creating objects. */
+/** A pace that is updated in place at each event, which creates no objects. */
 type RunningPace = { -readonly [K in keyof AnswerPace]: AnswerPace[K] };
 
+/** Creates a monitor that follows no answers yet. */
 export function createSlownessMonitor(options: SlownessMonitorOptions): SlownessMonitor {
   const { timers, decisions } = options;
   const running = new Set<RunningPace>();
--- a/packages/daemon/src/__tests__/unit/DaemonSlowness.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonSlowness.test.ts
@@ -97,7 +97,7 @@
 }
 
 describe('DaemonSlowness', () => {
-  it('lowers the speed of an engine whose answers fall behind, and logs what determined it', () => {
+  it('lowers the speed of an engine whose answers are slow, and logs what determined it', () => {
     const { routing, run, decisions } = createBed(true);
     run(100, 1500);
     expect(getHealth(routing.getState(), 'a').speed).to.be.closeTo(1 / 5, 0.05);
@@ -108,7 +108,7 @@
   });
 
   it('forgets answers that ended, failed or were cancelled', () => {
-    // Guards against ended answers that count as stalled for ever, and so blame their engines.
+    // Guards against ended answers that count as stalled for ever, so that their engines count as slow.
     const { timers, routing, run, listeners, cancels } = createBed(true);
     run(100, 1500);
     listeners.get('a')?.onEnd('stop', 1);
--- a/packages/placement/src/PlacementCopies.ts
+++ b/packages/placement/src/PlacementCopies.ts
@@ -241,7 +241,7 @@
 
 /**
  * Moves at most one engine, from a range with many holders to one with few or, where memory limits the engines, with
- * less KV cache. Many small engines may hold less of it than a few that hold fewer layers.
+ * less KV cache. Many small engines may have less of it than a few that hold fewer layers.
  */
 function rebalanceOne(
   engines: readonly RangeEngine[],
@@ -255,7 +255,7 @@
       (engine) =>
         engine.held !== null &&
         (model.isMemoryBound
-          ? staysRoomier(engines, engine, { range, holders }, model)
+          ? keepsMoreHeadroom(engines, engine, { range, holders }, model)
           : countHolders(segments, engine.held) >= minHolders) &&
         canHold(engine, range, model, MAX_WEIGHT_SHARE),
     );
@@ -266,8 +266,8 @@
   }
 }
 
-/** Whether the range that an engine leaves would keep clearly more KV cache than the range has that it moves to. */
-function staysRoomier(
+/** Whether the layers that `donor` holds would keep, without it, clearly more KV cache than the weakest segment has. */
+function keepsMoreHeadroom(
   engines: readonly RangeEngine[],
   donor: RangeEngine,
   weakest: Segment,
@@ -278,13 +278,11 @@
     return false;
   }
   const others = engines.filter((engine) => engine !== donor);
-  const left = listSegments(others).filter(
+  const remaining = listSegments(others).filter(
     ({ range }) => range.first < held.end && held.first < range.end,
   );
-  const leastLeft = Math.min(...left.map((segment) => getSurvivingHeadroom(segment, model)));
-  return (
-    isHeldBy(others, held) && leastLeft > MIN_HEADROOM_GAIN * getSurvivingHeadroom(weakest, model)
-  );
+  const least = Math.min(...remaining.map((segment) => getSurvivingHeadroom(segment, model)));
+  return isHeldBy(others, held) && least > MIN_HEADROOM_GAIN * getSurvivingHeadroom(weakest, model);
 }
 
 /** KV-cache bytes per layer after the loss of the holder with the most; 0 with a single holder. */
--- a/packages/placement/src/PlacementGroups.ts
+++ b/packages/placement/src/PlacementGroups.ts
@@ -10,8 +10,8 @@
 import type { GroupSize } from './PlacementGrouping.js';
 import type { RangeEngine, RangeModel, RangePlan } from './PlacementRanges.js';
 import { MAX_WEIGHT_SHARE } from './PlacementRanges.js';
-import type { CreateLayout } from './PlacementRoomiest.js';
-import { findRoomiestLayout } from './PlacementRoomiest.js';
+import type { CreateLayout } from './PlacementMaxCapacity.js';
+import { findMaxCapacityLayout } from './PlacementMaxCapacity.js';
 
 /** A model and the resources that its requests take. */
 export interface GroupModel extends RangeModel {
@@ -22,8 +22,8 @@
   /** Concurrent requests that an engine accepts as the first of a chain. */
   readonly slots: number;
   /**
-   * Whether memory, and not the number of slots, limits the engines. A domain then gets the layout with the most KV cache
-   * rather than the fewest groups with enough of it; not if omitted.
+   * Whether memory, and not the number of slots, limits the engines. A domain then gets the layout that runs the
+   * most requests rather than the fewest groups with enough KV cache; false if omitted.
    */
   readonly isMemoryBound?: boolean;
 }
@@ -39,7 +39,7 @@
   readonly groups: readonly EngineGroup[];
   /** Concurrent requests of the usual size that fit in the group with the least headroom. */
   readonly requests: number;
-  /** The same while no engine is lost. */
+  /** Concurrent requests of the usual size that fit in the group with the least KV cache while no engine is lost. */
   readonly capacity: number;
 }
 
@@ -89,11 +89,11 @@
     }
     const groups = orderGroups(balanceLayers(splitBySizes(sorted, grouping), model));
     const headroom = Math.min(...groups.map((group) => getGroupHeadroom(group, model)));
-    const whole = Math.min(...groups.map((group) => sumHeadroom(group, model)));
-    return { groups, requests: headroom / requestBytes, capacity: whole / requestBytes };
+    const fullHeadroom = Math.min(...groups.map((group) => sumHeadroom(group, model)));
+    return { groups, requests: headroom / requestBytes, capacity: fullHeadroom / requestBytes };
   };
   return model.isMemoryBound
-    ? findRoomiestLayout(createLayout, neededRequests, singleCopyRequests, model.slots)
+    ? findMaxCapacityLayout(createLayout, neededRequests, singleCopyRequests, model.slots)
     : createLayout(neededRequests);
 }
 
@@ -234,6 +234,7 @@
   return headroom / getHeadroomFactor(engines);
 }
 
+/** Headroom of a group with all of its engines. */
 function sumHeadroom({ engines, layers }: EngineGroup, model: RangeModel): number {
   return engines.reduce((sum, engine) => sum + getEngineHeadroom(engine, layers, model), 0);
 }
--- a/packages/placement/src/PlacementRoomiest.ts
+++ b/packages/placement/src/PlacementMaxCapacity.ts
@@ -1,7 +1,7 @@
 /**
- * Searches the layout of a domain that runs the most requests. Where memory limits the engines, each layer less on an engine
- * lets it run several times as many requests, so a domain that holds more copies of the weights than it can lose runs far
- * fewer requests than it could.
+ * Searches the layout of a domain that runs the most requests at once. Where memory limits the engines, an engine that holds
+ * fewer layers has far more KV cache per layer, so each copy of the weights beyond those that a loss of engines requires
+ * reduces the number of requests.
  */
 import type { GroupLayout } from './PlacementGroups.js';
 
@@ -10,14 +10,14 @@
 
 /** Bisection steps in the search for the most headroom, each of which searches all groupings. */
 const BISECTION_STEPS = 7;
-/** Layouts compared between the least headroom and the most: the number of requests they run does not rise evenly. */
+/** Layouts compared between the least headroom and the most: the number of requests that they run does not rise steadily with it. */
 const SAMPLES = 12;
 
 /**
- * The layout that runs the most requests, among those with no more engines alone than the layout for `needed` requests has.
+ * The layout that runs the most requests, among those with no more sole holders of layers than the layout for `needed` requests has.
  * `most` is an upper bound of the headroom, `slots` the number of requests that an engine accepts as the first of a chain.
  */
-export function findRoomiestLayout(
+export function findMaxCapacityLayout(
   createLayout: CreateLayout,
   needed: number,
   most: number,
@@ -43,6 +43,7 @@
   return best;
 }
 
+/** The most requests per group for which there is a layout, between `low`, for which there is one, and `high`. */
 function findMostHeadroom(createLayout: CreateLayout, low: number, high: number): number {
   let feasible = low;
   let infeasible = high;
@@ -57,11 +58,12 @@
   return feasible;
 }
 
-/** Requests that a layout runs at once: by its KV cache, and by the slots of the engines that begin its chains. */
+/** Requests that a layout runs at once: limited by its KV cache, and by the slots of the engines that begin its chains. */
 function countRunnable({ groups, capacity }: GroupLayout, slots: number): number {
   return Math.min(capacity, slots * (groups[0]?.engines.length ?? 0));
 }
 
+/** Number of engines that are the only holder of their layers. */
 function countSoleHolders({ groups }: GroupLayout): number {
   return groups.filter(({ engines }) => engines.length === 1).length;
 }
--- a/packages/placement/src/__tests__/unit/PlacementMemoryBound.test.ts
+++ b/packages/placement/src/__tests__/unit/PlacementMemoryBound.test.ts
@@ -15,7 +15,7 @@
   isMemoryBound: true,
 };
 /** The same model where memory does not limit the engines. */
-const ROOMY_MODEL: GroupModel = { ...MODEL, isMemoryBound: false };
+const UNBOUND_MODEL: GroupModel = { ...MODEL, isMemoryBound: false };
 const REQUEST_BYTES =
   (MODEL.kvTokenBytes * (MODEL.usualPromptTokens + MODEL.usualAnswerTokens)) / MODEL.layers;
 /** Numbers of engines of 72, 43.2 and 21.6 GB in three domains. */
@@ -49,10 +49,10 @@
 describe('PlacementMemoryBound', () => {
   it('leaves KV cache for a burst, without more engines that are the only holder of their layers', () => {
     // Guards against domains that hold five to eight copies of the weights and have KV cache for two thirds of the requests
-    // of ordinary load, so that engines preempt requests and read their prompts again.
+    // of ordinary load, so that engines preempt requests and prefill them again.
     DOMAINS.forEach((counts) => {
       const engines = createEngines(counts);
-      const before = createGroupLayout(engines, ROOMY_MODEL, MOST_COPIES);
+      const before = createGroupLayout(engines, UNBOUND_MODEL, MOST_COPIES);
       const after = createGroupLayout(engines, MODEL, MOST_COPIES);
       const placed = applyPlan(engines, plan(engines, false));
       expect(countSoleHolders(after)).to.be.at.most(countSoleHolders(before));
@@ -67,7 +67,7 @@
     // to a group of two that had twice as much, before the first request arrived.
     DOMAINS.forEach((counts) => {
       const engines = createEngines(counts);
-      let placed = applyPlan(engines, plan(engines, false, ROOMY_MODEL));
+      let placed = applyPlan(engines, plan(engines, false, UNBOUND_MODEL));
       for (let moves = plan(placed, true), count = 0; moves !== null; moves = plan(placed, true)) {
         const next = applyPlan(placed, moves);
         expect(getLeastRoom(next)).to.be.at.least(getLeastRoom(placed));
--- a/packages/routing/src/RoutingChoice.ts
+++ b/packages/routing/src/RoutingChoice.ts
@@ -37,7 +37,7 @@
   readonly chain: Chain;
   readonly candidates: readonly ChainCandidate[];
   readonly crossedDomain: boolean;
-  /** Set if another domain was chosen although the own one may have capacity. */
+  /** Set if spillover chose another domain although the own one may have capacity. */
   readonly spillover?: SpillChoice;
   /** Prompt tokens that every stage is expected to have cached. */
   readonly cachedTokens: number;
@@ -94,7 +94,7 @@
 /**
  * Selects the chain with the lowest expected finish time among a few random candidates: in the own domain
  * if one there has capacity, otherwise in another domain within its cross-domain limit. Fails with a reason.
- * A part of the new requests of a domain that is shorter of memory than others is tried in another domain first.
+ * If the own domain is shorter of memory than others, a part of its new requests is tried in another domain first.
  */
 export function selectChain(
   state: RoutingState,
@@ -371,11 +371,20 @@
     !state.leaving.has(id) &&
     !state.silent.has(id) &&
     !ask.avoidEngines.has(id) &&
-    !(member.facts.domain !== ask.domain && !ask.isBegun && isRefusing(state, id, ask.now)) &&
+    !isAvoidedForRefusal(state, ask, member) &&
     !isEjected(getHealth(state, id), ask.now)
   );
 }
 
+/** Whether a new request avoids the engine, in another domain, because it refused a call a short time ago. */
+function isAvoidedForRefusal(
+  state: RoutingState,
+  ask: ChainQuery,
+  { id, facts }: PoolMember,
+): boolean {
+  return facts.domain !== ask.domain && !ask.isBegun && isRefusing(state, id, ask.now);
+}
+
 function getActivationBytes(state: RoutingState, ask: ChainQuery): number {
   return state.models.get(ask.variant.model)?.activationBytes ?? DEFAULT_ACTIVATION_BYTES;
 }
--- a/packages/routing/src/RoutingPrefill.ts
+++ b/packages/routing/src/RoutingPrefill.ts
@@ -1,6 +1,6 @@
 /**
- * Estimates the prefill that is pending on an engine, and the time for which a new prompt waits for it. The load that it
- * responds to is prompts that arrive faster, for a moment, than an engine prefills them.
+ * Estimates the prefill that is pending on an engine, and the time for which a new prompt waits for it. It responds to prompts
+ * that arrive, for a moment, faster than an engine prefills them.
  */
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
 import type { EngineFacts } from '@skylarksail/core/CoreEngine';
@@ -37,7 +37,7 @@
   return (prefill + step / CHUNK_TOKENS) * MILLIS_PER_SECOND;
 }
 
-/** Time that the prefill of a prompt adds for the calls on an engine: it delays those that wait and those that run. */
+/** Total time that the prefill of a prompt adds to the calls on an engine, both waiting and running ones. */
 export function estimatePrefillDelay(prefill: Millis, calls: number): Millis {
   return prefill * calls;
 }
@@ -63,16 +63,16 @@
   const reported = (known.load.prefillTokens ?? 0) - ownAtReport;
   const mirrored = own * (state.tuning.instanceCount - 1);
   // Prompts that wait hold memory as well, which bounds their number.
-  const most = facts.kvLayerTokens / (layers.end - layers.first);
-  // Also false for NaN.
+  const maxTokens = facts.kvLayerTokens / (layers.end - layers.first);
+  // The negated comparison also holds for NaN.
   if (!(reported > 0)) {
-    return { own, others: Math.min(most, mirrored) };
+    return { own, others: Math.min(maxTokens, mirrored) };
   }
-  const unreadShare = (layers.first + layers.end) / (2 * stage.layerCount);
-  const left = Math.min(most, reported) * unreadShare;
-  const readTime = (left + ownAtReport * unreadShare) * getPrefillTokenTime(stage);
-  const weight = Math.max(0, 1 - Math.max(0, now - known.seenAt) / readTime);
-  return { own, others: Math.min(most, Math.max(weight * left, mirrored)) };
+  const remainingShare = (layers.first + layers.end) / (2 * stage.layerCount);
+  const left = Math.min(maxTokens, reported) * remainingShare;
+  const prefillTime = (left + ownAtReport * remainingShare) * getPrefillTokenTime(stage);
+  const weight = Math.max(0, 1 - Math.max(0, now - known.seenAt) / prefillTime);
+  return { own, others: Math.min(maxTokens, Math.max(weight * left, mirrored)) };
 }
 
 /** Time for which a new prompt waits at an engine until the prompts before it are prefilled. */
--- a/packages/routing/src/RoutingRoom.ts
+++ b/packages/routing/src/RoutingRoom.ts
@@ -3,7 +3,7 @@
  * a domain has room for no more tokens than the engines that hold its scarcest layer.
  */
 import type { ModelVariant } from '@skylarksail/core/CoreChain';
-import type { DomainId, Millis } from '@skylarksail/core/CoreTypes';
+import type { DomainId, EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import { getHealth, getOwnWork } from './RoutingCalls.js';
 import { isEjected } from './RoutingHealth.js';
 import type { PoolMember } from './RoutingPools.js';
@@ -17,13 +17,7 @@
   readonly used: number;
 }
 
-/** Memory of engines that begin or end their holding at the same layers, in layers times tokens. */
-interface LayerRoom {
-  readonly capacity: number;
-  readonly used: number;
-}
-
-const NO_ROOM: LayerRoom = { capacity: 0, used: 0 };
+const NO_ROOM: DomainRoom = { capacity: 0, used: 0 };
 
 /**
  * Memory of a domain at the layer where the largest share of it is in use. Null if no engine there holds the model; a domain in
@@ -50,28 +44,29 @@
   return rooms.reduce((a, b) => (isScarcer(b, a) ? b : a));
 }
 
-function isScarcer(a: LayerRoom, b: LayerRoom): boolean {
+/** Compares by share, then by capacity. Shares may both be Infinity, and their difference is NaN then. */
+function isScarcer(a: DomainRoom, b: DomainRoom): boolean {
   const difference = getRoomShare(a) - getRoomShare(b);
   return difference > 0 || (!(difference < 0) && a.capacity < b.capacity);
 }
 
-/** Share of the memory that is in use; Infinity without memory, more than 1 if more was promised than there is. */
+/** Share of the memory that is in use; Infinity without memory, more than 1 if running requests are expected to need more than there is. */
 export function getRoomShare({ capacity, used }: DomainRoom): number {
   return capacity > 0 ? used / capacity : Infinity;
 }
 
-function isUsable(state: RoutingState, id: string, now: Millis): boolean {
+function isUsable(state: RoutingState, id: EngineId, now: Millis): boolean {
   return !state.leaving.has(id) && !state.silent.has(id) && !isEjected(getHealth(state, id), now);
 }
 
-/** First layers of the ranges between which the set of holders changes. */
+/** First layers of the ranges within which the set of holders is the same. */
 function listBoundaries(members: readonly PoolMember[], layerCount: number): readonly number[] {
   const edges = members.flatMap(({ holding: { layers } }) => [layers.first, layers.end]);
   return [...new Set([0, ...edges])].filter((layer) => layer < layerCount);
 }
 
-/** Sums the memory of engines, in tokens: an engine with more layers needs more of it for each token. */
-function sumRoom(state: RoutingState, members: readonly PoolMember[]): LayerRoom {
+/** Sums the memory of engines in tokens. An engine with more layers needs more memory for each token. */
+function sumRoom(state: RoutingState, members: readonly PoolMember[]): DomainRoom {
   return members.reduce((sum, { id, facts, holding: { layers } }) => {
     const layerCount = layers.end - layers.first;
     const capacity = facts.kvLayerTokens / layerCount;
--- a/packages/routing/src/RoutingScore.ts
+++ b/packages/routing/src/RoutingScore.ts
@@ -51,8 +51,8 @@
 const REPORT_DECAY_MS = 4000;
 
 /**
- * Weight of time before the first token relative to time between later ones: a target for the first token is missed by far
- * shorter delays.
+ * Weight of the wait for prefill relative to the rest of the answer's time. The target for the first token is far shorter than
+ * an answer, so a delay of the same length misses it more often. docs/design/prompt-lengths.md compares other weights.
  */
 const WAIT_WEIGHT = 3;
 
--- a/packages/routing/src/RoutingSlowness.ts
+++ b/packages/routing/src/RoutingSlowness.ts
@@ -4,8 +4,9 @@
  *
  * All stages of a chain move in step, so the time between events of an answer is about the sum of its stages' times. The excess of an
  * answer over the expected time is thus an upper bound for each of its engines, and the smallest bound over all answers through an
- * engine is the estimate for it: one answer at the usual pace clears all engines of its chain. Answers are compared with the pace of
- * this instance's other answers, so a slow instance or a slow link to it slows all of them alike and blames no engine.
+ * engine is the estimate for it: one answer at the usual pace lowers the bounds of all engines of its chain to 1. Answers are compared
+ * with the pace of this instance's other answers, so a slow instance, or a slow link to it, slows all of them alike and raises the
+ * bound of no engine.
  */
 import type { Chain } from '@skylarksail/core/CoreChain';
 import { MILLIS_PER_SECOND } from '@skylarksail/core/CoreConstants';
@@ -30,12 +31,12 @@
 
 export type SlownessMap = ReadonlyMap<EngineId, EngineSlowness>;
 
-/** Slowness by engine as other instances report it; 1 for engines that one of them suspects and others clear. */
+/** Slowness by engine as other instances report it; 1 for engines that one of them reports as slow and others do not. */
 export type PeerSlowness = ReadonlyMap<EngineId, number>;
 
 /** What an instance knows of slow engines. */
 export interface SlownessState {
-  /** Bounds from own answers, also those of 1. */
+  /** Bounds from own answers, including bounds of 1. */
   readonly observed: SlownessMap;
   /** Factors in effect, all above 1. */
   readonly effective: SlownessMap;
@@ -49,26 +50,29 @@
 
 export const NO_SLOWNESS: SlownessState = { observed: new Map(), effective: new Map() };
 
-/** Largest factor in effect, so that an eighth of its work still shows when an engine recovers. */
+/** Largest factor in effect. The eighth of its work that an engine keeps shows when it recovers. */
 export const MAX_FACTOR = 8;
 /**
- * Largest factor in effect on the word of one instance: it may have only one answer through the engine, be wrong about its own
- * pace, or lie.
+ * Largest factor in effect from own answers alone, while other instances report and none names the engine: the instance may have
+ * only one answer through the engine, or be wrong about its own pace.
  */
 export const UNCONFIRMED_FACTOR = 1.5;
 
-/** Weight of the latest time between two events: two events after a slowdown, five sixths of it show. */
+/** Weight of the latest time between two events. Two events after a slowdown, the smoothed time shows five sixths of it. */
 const GAP_WEIGHT = 0.6;
-/** An answer is slow from this multiple of the own pace on. A chain of seven with one engine four times slower is at 1.43. */
+/**
+ * An answer is slow from this multiple of the own pace on. A chain of seven equal stages with one engine four times slower is at
+ * 1.43.
+ */
 const SLOW_RATIO = 1.4;
-/** Time without an event counts from this multiple on. An event that is somewhat late says little until it arrives. */
+/** Time without an event counts from this multiple of the own pace on. Events vary, so a shorter delay shows little. */
 const STALL_RATIO = 2;
 /**
  * Quantile of the own answers' ratios that counts as the own pace. With a fifth of all engines slow, two thirds of all chains of
  * five are slow too, so the median would be that of slow chains.
  */
 const PACE_QUANTILE = 0.25;
-/** With fewer answers there is nothing to compare an answer with. */
+/** Minimum number of answers of a model and domain: fewer do not show the usual pace. */
 const MIN_ANSWERS = 3;
 /**
  * Part of a full batch's step that does not depend on the number of running requests. It differs by model; an error in it shifts
@@ -79,7 +83,7 @@
 const OBSERVED_MS = 1000;
 /** Time constant with which a factor falls, so that an engine without evidence is tried again within a few seconds. */
 const DECAY_MS = 1000;
-/** Factors below this are dropped. */
+/** Factors below this are taken as 1. */
 const MIN_FACTOR = 1.1;
 
 /** Smoothed time between events after another one; 0 stands for none before. */
@@ -87,12 +91,12 @@
   return before === 0 ? gap : before + GAP_WEIGHT * (gap - before);
 }
 
-/** Whether requests to the model share its engines' memory, so that slow engines are found here. */
+/** Whether requests to the model share its engines' memory, so that `RoutingSlowness` and not ejection finds slow engines. */
 export function isSlownessTracked({ models }: RoutingState, model: ModelId): boolean {
   return models.get(model)?.isMemoryShared ?? false;
 }
 
-/** Limits a factor of any origin to the range in use. */
+/** Limits a factor to the range from 1 to `MAX_FACTOR`; one that is not finite becomes 1. */
 export function clampFactor(factor: number): number {
   return Number.isFinite(factor) ? Math.min(MAX_FACTOR, Math.max(1, factor)) : 1;
 }
@@ -113,19 +117,20 @@
 }
 
 /**
- * Engines with the bounds from own answers for a report to other instances, slowest first. Bounds of 1 are included, since they clear
- * engines that others suspect. Empty while neither this instance nor its peers know of a slow engine.
+ * Engines with the bounds from own answers for a report to other instances, slowest first. Bounds of 1 are included, since they
+ * contradict wrong reports of other instances. Empty while neither this instance nor its peers know of a slow engine.
  */
 export function listObserved(
   { observed }: SlownessState,
   peers: PeerSlowness | null,
 ): readonly ObservedEngine[] {
-  const isQuiet = (peers?.size ?? 0) === 0 && [...observed.values()].every((e) => e.factor <= 1);
-  return isQuiet
-    ? []
-    : [...observed]
+  const isAnySlow =
+    (peers?.size ?? 0) > 0 || [...observed.values()].some(({ factor }) => factor > 1);
+  return isAnySlow
+    ? [...observed]
         .map(([engine, { factor }]) => ({ engine, factor }))
-        .sort((a, b) => b.factor - a.factor);
+        .sort((a, b) => b.factor - a.factor)
+    : [];
 }
 
 function observeAnswers(
@@ -150,7 +155,7 @@
 
 /**
  * Groups the answers that are compared: those of one model in one domain. A slow link to another domain slows all answers from there
- * alike, and their engines must not be blamed for it.
+ * alike, and must not make their engines count as slow.
  */
 function groupAnswers(
   state: RoutingState,
@@ -218,7 +223,7 @@
 
 /** Lowers the bound of each engine to the smallest that one of the answers sets. */
 function boundEngines(bounds: Map<EngineId, number>, answers: readonly MeasuredAnswer[]): void {
-  // Stalls are part of the pace: while this instance itself pauses, all of its answers stall.
+  // The pace includes stalls: while this instance itself pauses, all of its answers stall.
   const paces = answers
     .filter(({ ratio }) => ratio > 0)
     .map(({ ratio, stall }) => Math.max(ratio, stall))
@@ -230,7 +235,7 @@
   for (const { stages, expected, ratio, stall } of answers) {
     const relative = Math.max(ratio, stall >= STALL_RATIO * pace ? stall : 0) / pace;
     const excess = relative >= SLOW_RATIO ? (relative - 1) * expected : 0;
-    // An answer before its second event clears nobody.
+    // An answer before its second event may raise bounds by its stall, but does not show that its engines are fast.
     if (ratio > 0 || excess > 0) {
       stages.forEach(({ engine, time }) => {
         const bound = time > 0 ? clampFactor(1 + excess / time) : 1;
@@ -262,7 +267,7 @@
 function estimateFactor(own: number, peers: PeerSlowness | null, engine: EngineId): number {
   const reported = peers?.get(engine);
   if (reported !== undefined) {
-    // The own bound is one of those that the reported factor was chosen from.
+    // Aggregators choose the reported factor from the bounds of all instances, which include the own one.
     return clampFactor(reported);
   }
   return peers === null ? own : Math.min(own, UNCONFIRMED_FACTOR);
--- a/packages/routing/src/RoutingSpeeds.ts
+++ b/packages/routing/src/RoutingSpeeds.ts
@@ -1,7 +1,7 @@
 /**
- * Applies what is known of slow engines to their health, by which their share of new work falls in proportion to their speed. At most
- * a third of the memory of a domain's engines is taken out at any layer: otherwise the other engines would run out of memory, which
- * costs more than slow answers.
+ * Sets the speed in the health of slow engines, which lowers their share of new work in proportion. At most a third of the memory of
+ * a domain's engines is left unused for it at any layer: otherwise the other engines would run out of memory, which costs more than
+ * slow answers.
  */
 import type { EngineId } from '@skylarksail/core/CoreTypes';
 import { getHealth, setHealth } from './RoutingCalls.js';
@@ -10,7 +10,7 @@
 import { isSlownessTracked } from './RoutingSlowness.js';
 import type { RoutingState } from './RoutingTypes.js';
 
-/** Largest share of a domain's memory at a layer that is left out because engines are slow. */
+/** Largest share of a domain's memory at a layer that is left unused because engines are slow. */
 export const MAX_SLOW_SHARE = 1 / 3;
 
 /** Speeds of engines as shares of their usual speed; engines that are missing have their usual speed. */
@@ -36,7 +36,7 @@
   return next;
 }
 
-/** Speeds by the factors in effect, raised where they would leave out too much of a domain's memory: the least slow engines first. */
+/** Speeds by the factors in effect, raised where they would leave too much of a domain's memory unused: the least slow engines first. */
 export function limitSpeeds(state: RoutingState, slowness: SlownessMap): SpeedMap {
   const speeds = new Map<EngineId, number>();
   if (slowness.size === 0) {
@@ -71,7 +71,7 @@
   return speeds;
 }
 
-/** Raises speeds of the least slow of these engines until at most `MAX_SLOW_SHARE` of their memory is left out. */
+/** Raises speeds of the least slow of these engines until at most `MAX_SLOW_SHARE` of their memory is left unused. */
 function limitLayer(speeds: Map<EngineId, number>, holders: readonly PoolMember[]): void {
   const total = holders.reduce((sum, member) => sum + getTokens(member), 0);
   const slow = holders
--- a/packages/routing/src/RoutingSpillover.ts
+++ b/packages/routing/src/RoutingSpillover.ts
@@ -51,16 +51,20 @@
   readonly age: Millis;
 }
 
+/** A domain to which spillover may send, as admission sees it. */
+export interface SpillDestination extends SpillChoice {
+  /** Part of new requests that goes there. */
+  readonly probability: number;
+}
+
 /** Shares of the memory in use that a new request meets. */
 export interface SpillShares {
   readonly own: number;
   /** The emptiest domain to which spillover may send; null if there is none. */
-  readonly emptiest:
-    | (SpillChoice & { /** Part of new requests that goes there. */ readonly probability: number })
-    | null;
+  readonly emptiest: SpillDestination | null;
 }
 
-/** Answers run for one to five seconds, so most of the requests in an older report have ended. */
+/** Reports older than this are not used: answers run for one to five seconds, so most of the requests in them have ended. */
 export const MAX_ROOM_AGE: Millis = 3000;
 /**
  * Share of its memory that a domain fills before it sends requests away. Below it, engines are not short of memory, and
@@ -75,8 +79,8 @@
 /** Use above the mean share from which a domain gets nothing; the most by which shares of domains should differ. */
 const OVERFILL = 0.1;
 /**
- * Time for which an engine of another domain is not used after it refused a call. Others' work there is not known by
- * engine; in this time a fifth or more of its running requests end.
+ * Time for which an engine of another domain is not used after it refused a call. The work of other instances there is known
+ * by domain only, not by engine. In this time a fifth or more of the engine's running requests end.
  */
 const REFUSAL_TIME: Millis = 1000;
 
@@ -86,8 +90,8 @@
  * The inputs are demands: memory that the requests of a domain hold wherever they run. Unlike the memory in use, a
  * demand does not change when requests move, so the decision does not react to its own effect in reports 200 to 900 ms
  * old. With D, C: demand and capacity, w = sum(D) / sum(C) the mean share, and t = max(level, w + margin), a domain
- * sends its excess X = D - t * C to the domains below w, each in proportion to what it lacks of w. A part p of the new
- * requests holds p * D once requests that run now have ended, so the gain is p = X / D. Memory abroad then approaches X
+ * sends its excess X = D - t * C to the domains below w, each in proportion to its headroom w * C - D. A part p of the new
+ * requests holds p * D once requests that run now have ended, so the gain is p = X / D. Memory in other domains then approaches X
  * exponentially, with the time that requests run as time constant, and does not overshoot. Several sending domains
  * divide the same room by the same formula, so together they never fill a domain beyond w.
  */
@@ -101,17 +105,17 @@
   if (!(excess > 0 && own.capacity > 0)) {
     return [];
   }
-  const lacks = others.map(({ demand, capacity }) => Math.max(0, mean * capacity - demand));
-  const lacking = sum(lacks);
+  const headrooms = others.map(({ demand, capacity }) => Math.max(0, mean * capacity - demand));
+  const totalHeadroom = sum(headrooms);
   return others.flatMap((other, i) => {
-    const lack = lacks[i] ?? 0;
-    const probability = (excess / own.demand) * (lack / lacking) * getTaper(other, mean);
-    return lack > 0 && probability > 0 ? [{ ...other, probability }] : [];
+    const headroom = headrooms[i] ?? 0;
+    const probability = (excess / own.demand) * (headroom / totalHeadroom) * getTaper(other, mean);
+    return headroom > 0 && probability > 0 ? [{ ...other, probability }] : [];
   });
 }
 
 /**
- * Reduces what a domain gets as its use rises from the mean share to `OVERFILL` above it. Its use gets there although
+ * Factor that reduces what a domain gets as its use rises from the mean share to `OVERFILL` above it. Its use gets there although
  * its demand is below the mean when requests run longer there than at home, or when it has just lost engines.
  */
 function getTaper(domain: DomainDemand, mean: number): number {
--- a/packages/routing/src/RoutingTypes.ts
+++ b/packages/routing/src/RoutingTypes.ts
@@ -57,7 +57,7 @@
 export interface KnownRoom extends DomainRoom {
   readonly domain: DomainId;
   readonly model: ModelId;
-  /** Memory that the requests of that domain hold elsewhere. */
+  /** Memory that the requests of that domain hold in other domains. */
   readonly abroad: readonly DomainUse[];
   readonly seenAt: Millis;
   /** Since when reports have arrived again after an interruption; -Infinity without one. */
@@ -108,7 +108,7 @@
   readonly hops: ReadonlyMap<string, HopHealth>;
   /** Number of own prompts that are crossing each hop between racks. */
   readonly hopPrompts: BucketMap<number>;
-  /** Rooms of other domains. */
+  /** Rooms of other domains by their last reports, including expired ones. */
   readonly rooms: readonly KnownRoom[];
   /** Spillover by model, for models whose memory is shared. */
   readonly spills: ReadonlyMap<ModelId, SpillPlan>;
--- a/packages/routing/src/RoutingUrgency.ts
+++ b/packages/routing/src/RoutingUrgency.ts
@@ -7,8 +7,9 @@
 const YIELDING_RATIO = 2;
 
 /**
- * Whether a prompt yields. The probability rises with its length, so that no length separates two kinds of prompts and some
- * long ones go first. One that is sent again never yields: an engine that refused or lost it has delayed it already.
+ * Whether a prompt yields; `attempt` counts from 1, `draw` is a random number in [0, 1). The probability rises with its length, so
+ * that no length separates two kinds of prompts and some long ones go first. A prompt that is sent again never yields, as an engine
+ * that refused or lost it has delayed it already.
  */
 export function shouldYield(
   promptTokens: number,
--- a/packages/routing/src/__tests__/unit/RoutingPrefill.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingPrefill.test.ts
@@ -71,14 +71,14 @@
   it('forgets reported prompts within the time in which the engine prefills them', () => {
     // Guards against engines that are avoided for prompts that they prefilled seconds ago.
     const state = report(createState(true), 4000);
-    const readTime = 1000 * getPrefillTokenTime(STAGE);
-    expect(readTime).to.be.lessThan(200);
-    expect(estimatePendingPrefill(state, STAGE, readTime / 2).others).to.be.closeTo(500, 1e-6);
-    expect(estimatePendingPrefill(state, STAGE, readTime).others).to.equal(0);
+    const prefillTime = 1000 * getPrefillTokenTime(STAGE);
+    expect(prefillTime).to.be.lessThan(200);
+    expect(estimatePendingPrefill(state, STAGE, prefillTime / 2).others).to.be.closeTo(500, 1e-6);
+    expect(estimatePendingPrefill(state, STAGE, prefillTime).others).to.equal(0);
     expect(estimatePendingPrefill(state, STAGE, 60_000).others).to.equal(0);
   });
 
-  it('expects of other instances what it has sent itself where it knows no more', () => {
+  it('assumes that each other instance has sent as many prompt tokens as this one, where no more is reported', () => {
     // Guards against instances with the same old report that all choose the same engine.
     const sent = startCall(report(createState(true, 4), 4000), 'a');
     expect(estimatePendingPrefill(sent, STAGE, 60_000)).to.deep.equal({ own: 1000, others: 3000 });
@@ -87,7 +87,7 @@
   });
 
   it('ignores values that no engine can have, and bounds those that none can hold', () => {
-    // Guards against one bad message that makes all instances leave an engine, or prefer it.
+    // Guards against one bad message that makes all instances avoid an engine, or prefer it.
     const plain = estimateWait(report(createState(true), 0));
     for (const value of [NaN, -1e9, -Infinity, undefined]) {
       expect(estimateWait(report(createState(true), value)), String(value)).to.equal(plain);
@@ -96,7 +96,7 @@
     for (const value of [1e12, Infinity]) {
       expect(estimateWait(report(createState(true), value)), String(value)).to.equal(most);
     }
-    // Clocks of reports may run ahead.
+    // A report may be dated later than the request.
     expect(estimateWait(report(createState(true), 4000, 'a0', 50), 0)).to.be.greaterThan(0);
   });
 
@@ -110,7 +110,7 @@
       const choice = selectChain(state, createQuery(), random);
       return choice.ok && choice.value.chain.stages.some(({ engine }) => engine.startsWith('d'));
     };
-    // Two engines are drawn for each of two stages of three candidates, so that 97 of 100 requests meet one of the two idle ones.
+    // For each of three candidates two of four engines are drawn at both stages, so nearly all requests draw an idle engine.
     const choices = Array.from({ length: 200 }, () => usesIdle(reported));
     expect(choices.filter(Boolean).length).to.be.greaterThan(180);
     const busy = startCall(startCall(reported, 'd'), 'd');
@@ -118,7 +118,7 @@
   });
 
   it('changes nothing for models whose memory is not shared', () => {
-    // Guards against a deployment with enough memory that is served in another way than before.
+    // Guards against a change of decisions for deployments that do not share memory.
     const plain = createState(false);
     const loaded = HALVES.reduce(
       (state, { facts: { id } }, i) => report(state, 1000 * i, id),
--- a/packages/routing/src/__tests__/unit/RoutingPrefillBed.ts
+++ b/packages/routing/src/__tests__/unit/RoutingPrefillBed.ts
@@ -2,8 +2,9 @@
  * Simulates one domain in virtual time: instances with reports of each other's work that are 200 ms old choose chains, and
  * engines prefill prompts in chunks between decode steps. The instances choose by `selectChain` itself.
  */
-import type { EngineFacts } from '@skylarksail/core/CoreEngine';
+import type { EngineFacts, SeenEngineLoad } from '@skylarksail/core/CoreEngine';
 import { createRandom } from '@skylarksail/core/CoreRandom';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
 import type { EngineId, LayerRange, Millis } from '@skylarksail/core/CoreTypes';
 import { selectChain } from '../../RoutingChoice.js';
@@ -19,13 +20,14 @@
   setRoutingFacts,
 } from '../../RoutingState.js';
 import { getOwnWork } from '../../RoutingCalls.js';
+import type { OwnWork } from '../../RoutingTypes.js';
 import { shouldYield } from '../../RoutingUrgency.js';
 
 const LAYER_COUNT = 80;
 const VARIANT = { model: 'notes', version: '1', adapter: null };
 /** Target for the first token. */
 const TARGET: Millis = 500;
-/** Time until queues and running answers are at their usual number. */
+/** Time until queues and the number of running answers are steady. */
 const WARM_UP: Millis = 8000;
 /** Mean number of prompt tokens. */
 export const USUAL_PROMPT_TOKENS = 793;
@@ -41,8 +43,8 @@
   readonly draw: number;
 }
 
-/** A way to choose chains and to order the engines' queues. */
-export interface PrefillWay {
+/** A policy for the choice of chains and the order of the engines' queues. */
+export interface PrefillPolicy {
   readonly name: string;
   readonly isMemoryShared?: boolean;
   readonly chunkTokens?: number;
@@ -52,11 +54,10 @@
   readonly listAvoided?: (tokens: number, engines: readonly BedEngine[]) => readonly EngineId[];
 }
 
-/** An engine with its layers. */
+/** An engine of the simulated domain, with its layers. */
 export interface BedEngine {
   readonly facts: EngineFacts;
   readonly layers: LayerRange;
-  readonly column: number;
 }
 
 /** What arrives, and what fails. */
@@ -70,7 +71,7 @@
   readonly stops?: { readonly engine: EngineId; readonly at: Millis };
 }
 
-/** A request that got its first token, or was refused: then its time is Infinity. */
+/** A request that got its first token, or was refused; the time of a refused one is Infinity. */
 export interface Sample {
   readonly tokens: number;
   readonly firstToken: Millis;
@@ -83,19 +84,28 @@
   readonly sentAt: Millis;
   readonly rank: number;
   readonly call: RoutedCall;
-  readonly by: number;
+  /** Index of the instance that sent it. */
+  readonly instance: number;
+}
+
+/** A prompt in the queue of the engine of one stage. */
+interface QueueEntry {
+  readonly prompt: Prompt;
   readonly stage: number;
+  /** Tokens that the engine has yet to prefill. */
   left: number;
+  /** Number in the order of arrival. */
   readonly order: number;
 }
 
 interface Server {
   readonly engine: BedEngine;
-  readonly queue: Prompt[];
+  readonly queue: QueueEntry[];
   running: number;
   isStopped: boolean;
 }
 
+/** Kinds of accelerators: speed relative to a fast one, and a sixth of its memory for requests, in tokens. */
 const KINDS = {
   fast: { speed: 1, kv: 38_000 },
   medium: { speed: 0.6, kv: 26_000 },
@@ -105,18 +115,13 @@
 const FAST_PROMPT_RATE = 12_000;
 /** Decode step of a fast engine with all layers and a full batch. */
 const FULL_STEP: Millis = 30;
+/** Calls in a full batch. */
 const SLOTS = 134;
 
-function createEngine(
-  id: string,
-  kind: keyof typeof KINDS,
-  layers: LayerRange,
-  column: number,
-): BedEngine {
+function createEngine(id: string, kind: keyof typeof KINDS, layers: LayerRange): BedEngine {
   const { speed, kv } = KINDS[kind];
   return {
     layers,
-    column,
     facts: {
       id,
       domain: 'a',
@@ -132,165 +137,149 @@
   };
 }
 
-/** 28 engines of three kinds: four columns of 20 layers, two of which also have pairs of slow engines of 10 layers. */
+/** 28 engines of three kinds: four groups that hold 20 layers each, two of which also have pairs of slow engines of 10 layers. */
 export function createBedEngines(): readonly BedEngine[] {
-  return [0, 1, 2, 3].flatMap((column) => {
-    const first = column * 20;
+  return [0, 1, 2, 3].flatMap((group) => {
+    const first = group * 20;
     const whole = { first, end: first + 20 };
-    const fast = [0, 1, 2, 3].map((i) => createEngine(`f${column}-${i}`, 'fast', whole, column));
+    const fast = [0, 1, 2, 3].map((i) => createEngine(`f${group}-${i}`, 'fast', whole));
     const others = [0, 1].flatMap((i) =>
-      column % 2 === 0
+      group % 2 === 0
         ? [
-            createEngine(`s${column}-${i}a`, 'slow', { first, end: first + 10 }, column),
-            createEngine(
-              `s${column}-${i}b`,
-              'slow',
-              { first: first + 10, end: first + 20 },
-              column,
-            ),
+            createEngine(`s${group}-${i}a`, 'slow', { first, end: first + 10 }),
+            createEngine(`s${group}-${i}b`, 'slow', { first: first + 10, end: first + 20 }),
           ]
-        : [createEngine(`m${column}-${i}`, 'medium', whole, column)],
+        : [createEngine(`m${group}-${i}`, 'medium', whole)],
     );
     return [...fast, ...others];
   });
 }
 
-/** Runs the domain, and lists the requests in the order in which they got their first token. */
-export function runPrefillLoad(way: PrefillWay, load: PrefillLoad): readonly Sample[] {
-  const random = createRandom(load.seed);
-  const choiceRandom = createRandom(load.seed + 1000);
-  const orderRandom = createRandom(load.seed + 2000);
-  const engines = createBedEngines();
-  const servers = new Map<EngineId, Server>(
-    engines.map((engine) => [engine.facts.id, { engine, queue: [], running: 0, isStopped: false }]),
-  );
-  const chunkTokens = way.chunkTokens ?? 512;
-  const timers = createVirtualTimers();
-  const { now, registerTimeout: after } = timers;
-  let n = 0;
-  const busy = new Set<Server>();
-  const samples: Sample[] = [];
+const NO_WORK: OwnWork = { calls: 0, kvTokens: 0, prefillTokens: 0 };
+
+function addWork(a: OwnWork, b: OwnWork, sign: 1 | -1 = 1): OwnWork {
+  return {
+    calls: a.calls + sign * b.calls,
+    kvTokens: a.kvTokens + sign * b.kvTokens,
+    prefillTokens: a.prefillTokens + sign * b.prefillTokens,
+  };
+}
 
-  const base = refreshPlans(
-    setLoads(
-      setRoutingFacts(
-        setEngines(
-          createRoutingState({
-            instanceCount: load.instances,
-            tokenGapMs: 150,
-            promptTokensPerToken: 4,
-          }),
-          engines.map(({ facts }) => facts),
-        ),
-        {
-          models: new Map([
-            [
-              'notes',
-              { id: 'notes', activationBytes: 16384, isMemoryShared: way.isMemoryShared ?? false },
-            ],
-          ]),
-        },
-      ),
-      engines.map((engine) => createReport(engine, 0, 0, 0, 0)),
-    ),
-    0,
+function createReport({ facts, layers }: BedEngine, work: OwnWork, seenAt: Millis): SeenEngineLoad {
+  const kvUsed = Math.min(1, (work.kvTokens * (layers.end - layers.first)) / facts.kvLayerTokens);
+  return {
+    seenAt,
+    load: {
+      engine: facts.id,
+      bootId: 'b',
+      state: 'live',
+      holding: { model: 'notes', version: '1', adapters: [], layers, duty: 'mixed' },
+      running: work.calls,
+      queued: 0,
+      kvUsed,
+      prefillTokens: work.prefillTokens,
+      orderNumber: 0,
+    },
+  };
+}
+
+function createInitialState(
+  policy: PrefillPolicy,
+  load: PrefillLoad,
+  engines: readonly BedEngine[],
+): RoutingState {
+  const tuning = { instanceCount: load.instances, tokenGapMs: 150, promptTokensPerToken: 4 };
+  const isMemoryShared = policy.isMemoryShared ?? false;
+  const models = new Map([['notes', { id: 'notes', activationBytes: 16384, isMemoryShared }]]);
+  const registered = setEngines(
+    createRoutingState(tuning),
+    engines.map(({ facts }) => facts),
   );
-  const states: RoutingState[] = Array.from({ length: load.instances }, () => base);
-
-  function createReport(
-    { facts, layers }: BedEngine,
-    running: number,
-    kvTokens: number,
-    prefillTokens: number,
-    seenAt: Millis,
-  ) {
-    const kvUsed = Math.min(1, (kvTokens * (layers.end - layers.first)) / facts.kvLayerTokens);
-    return {
-      seenAt,
-      load: {
-        engine: facts.id,
-        bootId: 'b',
-        state: 'live' as const,
-        holding: { model: 'notes', version: '1', adapters: [], layers, duty: 'mixed' as const },
-        running,
-        queued: 0,
-        kvUsed,
-        prefillTokens,
-        orderNumber: 0,
-      },
-    };
-  }
+  const reports = engines.map((engine) => createReport(engine, NO_WORK, 0));
+  return refreshPlans(setLoads(setRoutingFacts(registered, { models }), reports), 0);
+}
 
-  /** Work of each instance at each engine, one report period ago. */
-  let before = states.map((state) => engines.map(({ facts }) => getOwnWork(state, facts.id)));
-  function exchangeReports(): void {
+/**
+ * Returns a function that gives each instance the work of the others as it was at the previous call, and its own as it is
+ * now.
+ */
+function createReportExchange(
+  engines: readonly BedEngine[],
+): (states: readonly RoutingState[], now: Millis) => RoutingState[] {
+  let before: readonly (readonly OwnWork[])[] = [];
+  return (states, now) => {
     const sums = engines.map((_, e) =>
-      before.reduce(
-        (sum, work) => ({
-          calls: sum.calls + (work[e]?.calls ?? 0),
-          kvTokens: sum.kvTokens + (work[e]?.kvTokens ?? 0),
-          prefillTokens: sum.prefillTokens + (work[e]?.prefillTokens ?? 0),
-        }),
-        { calls: 0, kvTokens: 0, prefillTokens: 0 },
-      ),
+      before.reduce((sum, work) => addWork(sum, work[e] ?? NO_WORK), NO_WORK),
     );
-    states.forEach((state, i) => {
-      states[i] = setLoads(
-        state,
-        engines.map((engine, e) => {
-          const own = getOwnWork(state, engine.facts.id);
-          const old = before[i]?.[e] ?? own;
-          const sum = sums[e] ?? own;
-          return createReport(
-            engine,
-            sum.calls - old.calls + own.calls,
-            sum.kvTokens - old.kvTokens + own.kvTokens,
-            sum.prefillTokens - old.prefillTokens + own.prefillTokens,
-            now(),
-          );
-        }),
-      );
+    const next = states.map((state, i) => {
+      const reports = engines.map((engine, e) => {
+        const own = getOwnWork(state, engine.facts.id);
+        const others = addWork(sums[e] ?? NO_WORK, before[i]?.[e] ?? NO_WORK, -1);
+        return createReport(engine, addWork(others, own), now);
+      });
+      return setLoads(state, reports);
     });
     before = states.map((state) => engines.map(({ facts }) => getOwnWork(state, facts.id)));
-    after(REPORT_PERIOD, exchangeReports);
+    return next;
+  };
+}
+
+/** Takes the next chunk of an engine's queue: prompts that have begun first, then by rank and arrival. */
+function takeChunk(queue: QueueEntry[], chunkTokens: number) {
+  queue.sort(
+    (a, b) =>
+      Number(b.left < b.prompt.tokens) - Number(a.left < a.prompt.tokens) ||
+      a.prompt.rank - b.prompt.rank ||
+      a.order - b.order,
+  );
+  const parts: { readonly entry: QueueEntry; readonly count: number }[] = [];
+  let budget = chunkTokens;
+  for (const entry of queue) {
+    if (budget > 0) {
+      const count = Math.min(budget, entry.left);
+      parts.push({ entry, count });
+      budget -= count;
+    }
   }
+  return { parts, tokens: chunkTokens - budget };
+}
+
+/** Time of a chunk and of the decode step of the running calls that follows it. */
+function getChunkTime({ engine: { facts, layers }, running }: Server, tokens: number): Millis {
+  const layerCount = layers.end - layers.first;
+  const share = 0.4 + 0.6 * Math.min(1, running / SLOTS);
+  const decode =
+    running > 0 ? (share * SLOTS * layerCount * 1000) / facts.decodeLayerTokensPerSecond : 0;
+  return decode + (tokens * layerCount * 1000) / facts.prefillLayerTokensPerSecond;
+}
+
+/** The engines' queues. `onFirstToken` is called when the last stage of a chain has prefilled a prompt. */
+function createQueues(
+  engines: readonly BedEngine[],
+  chunkTokens: number,
+  { registerTimeout: after }: TimerService,
+  onFirstToken: (prompt: Prompt) => void,
+) {
+  const servers = new Map<EngineId, Server>(
+    engines.map((engine) => [engine.facts.id, { engine, queue: [], running: 0, isStopped: false }]),
+  );
+  /** Engines that prefill a chunk at the moment. */
+  const busy = new Set<Server>();
+  let arrivals = 0;
 
   function step(server: Server): void {
     if (busy.has(server) || server.isStopped || server.queue.length === 0) {
       return;
     }
-    const { facts, layers } = server.engine;
-    const layerCount = layers.end - layers.first;
-    server.queue.sort(
-      (a, b) =>
-        Number(b.left < b.tokens) - Number(a.left < a.tokens) ||
-        a.rank - b.rank ||
-        a.order - b.order,
-    );
-    const taken: { prompt: Prompt; count: number }[] = [];
-    let budget = chunkTokens;
-    for (const prompt of server.queue) {
-      if (budget > 0) {
-        const count = Math.min(budget, prompt.left);
-        taken.push({ prompt, count });
-        budget -= count;
-      }
-    }
-    const tokens = chunkTokens - budget;
-    const share = 0.4 + 0.6 * Math.min(1, server.running / SLOTS);
-    const decode =
-      server.running > 0
-        ? (share * SLOTS * layerCount * 1000) / facts.decodeLayerTokensPerSecond
-        : 0;
-    const time = decode + (tokens * layerCount * 1000) / facts.prefillLayerTokensPerSecond;
+    const { parts, tokens } = takeChunk(server.queue, chunkTokens);
     busy.add(server);
-    after(time, () => {
+    after(getChunkTime(server, tokens), () => {
       busy.delete(server);
-      for (const { prompt, count } of taken) {
-        prompt.left -= count;
-        if (prompt.left === 0) {
-          server.queue.splice(server.queue.indexOf(prompt), 1);
-          after(1, () => enterStage(prompt, prompt.stage + 1));
+      for (const { entry, count } of parts) {
+        entry.left -= count;
+        if (entry.left === 0) {
+          server.queue.splice(server.queue.indexOf(entry), 1);
+          after(1, () => enterStage(entry.prompt, entry.stage + 1));
         }
       }
       step(server);
@@ -298,35 +287,62 @@
   }
 
   function enterStage(prompt: Prompt, stage: number): void {
-    const { stages } = prompt.call.chain;
-    const server = servers.get(stages[stage]?.engine ?? '');
+    const server = servers.get(prompt.call.chain.stages[stage]?.engine ?? '');
     if (!server) {
-      start(prompt);
+      onFirstToken(prompt);
       return;
     }
-    n += 1;
-    server.queue.push({ ...prompt, stage, left: prompt.tokens, order: n });
+    arrivals += 1;
+    server.queue.push({ prompt, stage, left: prompt.tokens, order: arrivals });
     step(server);
   }
 
+  return {
+    add: (prompt: Prompt): void => {
+      after(1, () => enterStage(prompt, 0));
+    },
+    changeRunning(ids: readonly EngineId[], change: number): void {
+      for (const id of ids) {
+        const server = servers.get(id);
+        if (server) {
+          server.running += change;
+        }
+      }
+    },
+    stop(id: EngineId): void {
+      const server = servers.get(id);
+      if (server) {
+        server.isStopped = true;
+      }
+    },
+  };
+}
+
+/** Runs the domain, and lists the requests in the order in which they got their first token. */
+export function runPrefillLoad(policy: PrefillPolicy, load: PrefillLoad): readonly Sample[] {
+  const random = createRandom(load.seed);
+  const choiceRandom = createRandom(load.seed + 1000);
+  const orderRandom = createRandom(load.seed + 2000);
+  const engines = createBedEngines();
+  const timers = createVirtualTimers();
+  const { now, registerTimeout: after } = timers;
+  const samples: Sample[] = [];
+  const initial = createInitialState(policy, load, engines);
+  let states: RoutingState[] = Array.from({ length: load.instances }, () => initial);
+  const queues = createQueues(engines, policy.chunkTokens ?? 512, timers, start);
+  const exchangeReports = createReportExchange(engines);
+
   /** The first token: the call runs until its answer ends. */
-  function start({ by, call, tokens, sentAt }: Prompt): void {
+  function start({ instance, call, tokens, sentAt }: Prompt): void {
     const update = (change: (state: RoutingState) => RoutingState): void => {
-      states[by] = change(states[by] as RoutingState);
+      states[instance] = change(states[instance] as RoutingState);
     };
-    const engineIds = call.chain.stages.map(({ engine }) => engine);
+    const ids = call.chain.stages.map(({ engine }) => engine);
     update((state) => recordFirstToken(state, call, now()));
-    samples.push({ tokens, firstToken: now() - sentAt, sentAt, engines: engineIds });
-    const change = (count: number): void =>
-      engineIds.forEach((id) => {
-        const server = servers.get(id);
-        if (server) {
-          server.running += count;
-        }
-      });
-    change(1);
+    samples.push({ tokens, firstToken: now() - sentAt, sentAt, engines: ids });
+    queues.changeRunning(ids, 1);
     after((call.answerTokens ?? 0) * TOKEN_TIME, () => {
-      change(-1);
+      queues.changeRunning(ids, -1);
       const outcome = {
         kind: 'answered',
         firstTokenMs: 0,
@@ -339,11 +355,10 @@
 
   function arrive(): void {
     after(-Math.log(1 - random.nextFloat()) * (1000 / load.requestsPerSecond), arrive);
-    const by = random.nextInt(load.instances);
+    const instance = random.nextInt(load.instances);
     const tokens = Math.round(40 + 2260 * random.nextFloat() ** 2);
     const answerTokens = Math.round(20 + 400 * random.nextFloat());
-    const state = states[by] as RoutingState;
-    const avoided = way.listAvoided?.(tokens, engines) ?? [];
+    const state = states[instance] as RoutingState;
     const ask = {
       variant: VARIANT,
       layerCount: LAYER_COUNT,
@@ -353,7 +368,7 @@
       maxTokens: 700,
       answerTokens: 230,
       prefixKeys: [],
-      avoidEngines: new Set(avoided),
+      avoidEngines: new Set(policy.listAvoided?.(tokens, engines) ?? []),
       now: now(),
     };
     const choice = selectChain(state, ask, choiceRandom);
@@ -362,22 +377,18 @@
       return;
     }
     const call = { chain: choice.value.chain, promptTokens: tokens, maxTokens: 700, answerTokens };
-    states[by] = recordCallStart(state, call);
-    const rank = way.getRank?.({ tokens, sentAt: now(), draw: orderRandom.nextFloat() }) ?? 0;
-    const prompt = { tokens, sentAt: now(), rank, call, by, stage: 0, left: tokens, order: 0 };
-    after(1, () => enterStage(prompt, 0));
+    states[instance] = recordCallStart(state, call);
+    const rank = policy.getRank?.({ tokens, sentAt: now(), draw: orderRandom.nextFloat() }) ?? 0;
+    queues.add({ tokens, sentAt: now(), rank, call, instance });
   }
 
   after(0, arrive);
-  after(REPORT_PERIOD, exchangeReports);
+  timers.registerInterval(REPORT_PERIOD, () => {
+    states = exchangeReports(states, now());
+  });
   if (load.stops) {
-    const { engine, at: time } = load.stops;
-    after(time, () => {
-      const server = servers.get(engine);
-      if (server) {
-        server.isStopped = true;
-      }
-    });
+    const { engine, at } = load.stops;
+    after(at, () => queues.stop(engine));
   }
   timers.advanceTo(load.duration);
   return samples;
@@ -415,24 +426,24 @@
   });
 }
 
-/** Engines of a column that only long prompts use if they have a pool of their own: they have 61 % of the tokens. */
-const LONG_POOL = ['0', '1', '2'];
+/** Last digits of the fast engines of each group that form the pool of long prompts, which have 61 % of the tokens. */
+const LONG_POOL_DIGITS = ['0', '1', '2'];
 
-function isOfLongPool({ facts }: BedEngine): boolean {
-  return facts.accelerator === 'fast' && LONG_POOL.includes(facts.id.slice(-1));
+function isInLongPool({ facts }: BedEngine): boolean {
+  return facts.accelerator === 'fast' && LONG_POOL_DIGITS.includes(facts.id.slice(-1));
 }
 
 const getYieldRank = ({ tokens, draw }: QueuedPrompt): number =>
   Number(shouldYield(tokens, USUAL_PROMPT_TOKENS, 1, draw));
 
-/** The ways that the design note compares. */
-export const WAYS = {
+/** The policies that docs/design/prompt-lengths.md compares. */
+export const POLICIES = {
   before: { name: 'score without pending prefill' },
   pool: {
     name: 'separate pool above 1,200 tokens',
     listAvoided: (tokens, engines) =>
       engines
-        .filter((engine) => isOfLongPool(engine) !== tokens > 1200)
+        .filter((engine) => isInLongPool(engine) !== tokens > 1200)
         .map(({ facts }) => facts.id),
   },
   shortest: { name: 'shortest first', getRank: ({ tokens }) => tokens },
@@ -445,4 +456,4 @@
     isMemoryShared: true,
     getRank: getYieldRank,
   },
-} as const satisfies Record<string, PrefillWay>;
+} as const satisfies Record<string, PrefillPolicy>;
--- a/packages/routing/src/__tests__/unit/RoutingPrefillLoad.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingPrefillLoad.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import type { PrefillWay, Sample } from './RoutingPrefillBed.js';
-import { runPrefillLoad, summarizeSamples, WAYS } from './RoutingPrefillBed.js';
+import type { PrefillPolicy, Sample } from './RoutingPrefillBed.js';
+import { runPrefillLoad, summarizeSamples, POLICIES } from './RoutingPrefillBed.js';
 
 const LOAD = { requestsPerSecond: 90, duration: 20_000, seed: 1 };
 
@@ -9,9 +9,9 @@
 
   [12, 20].forEach((instances) => {
     it(`serves short prompts in time without delaying long ones, with ${instances} instances in a domain`, () => {
-      // Guards against short prompts that miss their target behind long ones while reading queues form.
-      const [before, after] = [WAYS.before, WAYS.chosen].map((way) =>
-        summarizeSamples(runPrefillLoad(way, { ...LOAD, instances })),
+      // Guards against short prompts that miss their target behind long ones while prompts arrive faster than engines prefill them.
+      const [before, after] = [POLICIES.before, POLICIES.chosen].map((policy) =>
+        summarizeSamples(runPrefillLoad(policy, { ...LOAD, instances })),
       );
       const lateBefore = 1 - (before?.[0]?.onTime ?? NaN);
       const lateAfter = 1 - (after?.[0]?.onTime ?? NaN);
@@ -25,9 +25,9 @@
   it('sends fewer prompts to an engine that stops its prefill, and delays no others', () => {
     // Guards against an engine whose queue is estimated as prefilled while nothing leaves it. Health finds it later.
     const stops = { engine: 'f0-0', at: 10_000 };
-    const run = (way: PrefillWay, isStopping: boolean): readonly Sample[] =>
+    const run = (policy: PrefillPolicy, isStopping: boolean): readonly Sample[] =>
       [1, 2].flatMap((seed) =>
-        runPrefillLoad(way, {
+        runPrefillLoad(policy, {
           ...LOAD,
           ...(isStopping ? { stops } : {}),
           seed,
@@ -35,12 +35,12 @@
           requestsPerSecond: 60,
         }).filter(({ sentAt }) => sentAt >= 11_000 && sentAt < 18_000),
       );
-    const whole = run(WAYS.before, false);
-    const [lostBefore, lostAfter] = [WAYS.before, WAYS.chosen].map(
-      (way) => whole.length - run(way, true).length,
+    const whole = run(POLICIES.before, false);
+    const [lostBefore, lostAfter] = [POLICIES.before, POLICIES.chosen].map(
+      (policy) => whole.length - run(policy, true).length,
     );
     expect(lostAfter).to.be.lessThan(0.8 * (lostBefore ?? NaN));
-    const short = summarizeSamples(run(WAYS.chosen, true))[0];
+    const short = summarizeSamples(run(POLICIES.chosen, true))[0];
     expect(short?.onTime).to.be.greaterThan(0.98);
   });
 });
--- a/packages/routing/src/__tests__/unit/RoutingSlowness.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutingSlowness.test.ts
@@ -99,7 +99,7 @@
   });
 
   it('finds several slow engines of one chain', () => {
-    // Guards against a slow chain that keeps its requests because each of its engines is explained by the others.
+    // Guards against slow engines that are not found because each slow answer is attributed to other engines of its chain.
     const slowness = update(
       createPaces(
         {
@@ -118,8 +118,8 @@
     expect(factors.b1).to.be.closeTo(6, 1e-9);
   });
 
-  it('blames no engine while the instance itself is slow or paused', () => {
-    // Guards against an instance with a slow machine that steers its requests, and by reports others', away from healthy engines.
+  it('finds no engine slow while the instance itself is slow or paused', () => {
+    // Guards against an instance with a slow machine that sends its requests, and by its reports those of others, away from healthy engines.
     const slow = Object.fromEntries(Object.keys(A1_SLOW).map((names) => [names, 9 * USUAL_GAP]));
     expect(listEffective(update(createPaces(slow, 1000)))).to.deep.equal({});
     const usual = Object.fromEntries(Object.keys(A1_SLOW).map((names) => [names, USUAL_GAP]));
@@ -128,8 +128,8 @@
     expect(listObserved(paused, null)).to.deep.equal([]);
   });
 
-  it('blames no engine of another domain for a slow link to it', () => {
-    // Guards against engines that are left out by all instances of a domain while only the link between the domains is slow.
+  it('finds no engine of another domain slow because of a slow link to it', () => {
+    // Guards against engines that all instances of a domain avoid while only the link between the domains is slow.
     const foreign = ['c1', 'c2', 'c3'].map((id) => ({
       facts: createFacts(id, { domain: 'other' }),
       layers: [0, LAYERS] as const,
@@ -165,14 +165,14 @@
     expect(listEffective(update(unmeasured)).a1).to.equal(MAX_FACTOR);
   });
 
-  it('blames nobody with fewer than three answers, or after answers of another model', () => {
+  it('finds no engine slow with fewer than three answers, or for a model whose memory is not shared', () => {
     const few = createPaces({ 'a1 b1': 6 * USUAL_GAP, 'a2 b2': USUAL_GAP }, 1000);
     expect(listEffective(update(few))).to.deep.equal({});
     const unshared = update(createPaces(A1_SLOW, 1000), { state: createState(false) });
     expect([...unshared.observed]).to.deep.equal([]);
   });
 
-  it('takes away little on its own word, and follows the reports of the others', () => {
+  it('limits the factor from own answers alone, and follows the reports of other instances', () => {
     const paces = createPaces(A1_SLOW, 1000);
     const reports = (entries: readonly (readonly [EngineId, number])[]) =>
       listEffective(update(paces, { peers: new Map(entries) }));
@@ -182,7 +182,7 @@
     expect(reports([['b4', 4]])).to.deep.equal({ a1: UNCONFIRMED_FACTOR, b4: 4 });
   });
 
-  it('limits absurd factors and pays no attention to ones that are no numbers', () => {
+  it('limits absurd factors and ignores ones that are not finite', () => {
     const absurd = new Map([
       ['a1', 1e12],
       ['a2', 0],
@@ -239,7 +239,7 @@
   });
 
   it('takes out at most a third of the memory of each layer, and restores the least slow engines first', () => {
-    // Guards against healthy engines that run out of memory because too many others are left out.
+    // Guards against healthy engines that run out of memory because too many others are avoided.
     const speeds = limit({ a1: 8, a2: 4, a3: 2, b1: 8 });
     expect(speeds).to.include({ a1: 1 / 8, a3: 1, b1: 1 / 8 });
     const taken = FIRST.reduce((sum, id) => sum + 1 - (speeds[id] ?? 1), 0);
