--- a/packages/routing/src/RoutingSpillover.ts
+++ b/packages/routing/src/RoutingSpillover.ts
@@ -29,7 +29,7 @@
   readonly probability: number;
 }
 
-/** Spillover of a model from the own domain, valid until the next load report. */
+/** Spillover of a model from the own domain, by the work and reports known when it was computed. */
 export interface SpillPlan {
   readonly version: VersionId;
   /** Memory of the own domain, with what its own requests hold of it. */
@@ -155,7 +155,7 @@
   return { version, room, abroad, own, others, targets: planSpill(own, others) };
 }
 
-/** Recomputes the spillover of all models whose memory is shared. Call it after new load reports or rooms. */
+/** Recomputes the spillover of all models whose memory is shared. Call it after new load reports or rooms, and for fresh shares. */
 export function refreshSpills(state: RoutingState, now: Millis): RoutingState {
   const shared = [...state.models.values()].filter(({ isMemoryShared }) => isMemoryShared);
   if (shared.length === 0 && state.spills.size === 0) {
