--- a/packages/daemon/src/DaemonSlowness.ts
+++ b/packages/daemon/src/DaemonSlowness.ts
@@ -19,15 +19,16 @@
   updateSlowness,
 } from '@skylarksail/routing/RoutingSlowness';
 import type { SpeedMap } from '@skylarksail/routing/RoutingSpeeds';
-import { applySpeeds, limitSpeeds } from '@skylarksail/routing/RoutingSpeeds';
+import { applySpeeds, limitSpeeds, USUAL_SPEEDS } from '@skylarksail/routing/RoutingSpeeds';
 import type { RoutingState } from '@skylarksail/routing/RoutingTypes';
 import type { DecisionLog } from './DaemonDecisions.js';
 
-/** How often slow engines are looked for: new work has to leave them within a second, which two exchanges of reports are part of. */
+/** Period at which the speeds of slow engines are updated. New work must leave them within a second, including two exchanges of reports. */
 export const SLOWNESS_PERIOD: Millis = 200;
-/** A factor that is logged when an engine reaches it. */
+/** Factor from which an engine is logged as slow. */
 const LOGGED_FACTOR = 2;
 
+/** Follows running answers, and updates what routing knows of slow engines. */
 export interface SlownessMonitor {
   /** Opens a call and follows the pace of its answer. */
   open(open: OpenEngineCall, call: EngineCall, listener: EngineCallListener): Unregister;
@@ -37,6 +38,7 @@
   listObserved(): readonly ObservedEngine[];
 }
 
+/** What a monitor depends on. */
 export interface SlownessMonitorOptions {
   readonly timers: TimerService;
   readonly decisions: DecisionLog;
@@ -44,16 +46,18 @@
   readonly readPeers: () => PeerSlowness | null;
 }
 
-/** A pace that is updated at each event without creating objects. */
+/** A pace that is updated in place at each event, which creates no objects. */
 type RunningPace = { -readonly [K in keyof AnswerPace]: AnswerPace[K] };
 
+/** Creates a monitor that follows no answers yet. */
 export function createSlownessMonitor(options: SlownessMonitorOptions): SlownessMonitor {
   const { timers, decisions } = options;
   const running = new Set<RunningPace>();
   let slowness = NO_SLOWNESS;
   /** What other instances reported at the last update; an aggregator's own report is part of what it reads. */
   let lastPeers: PeerSlowness | null = null;
-  let hasSpeeds = false;
+  /** The speeds that were last applied to routing's state. */
+  let applied = USUAL_SPEEDS;
   let logged: ReadonlySet<EngineId> = new Set();
 
   /** Logs engines that begin or cease to count as slow. */
@@ -119,14 +123,19 @@
       const peers = isTracked ? options.readPeers() : null;
       lastPeers = peers;
       const isIdle = running.size === 0 && (peers?.size ?? 0) === 0;
-      if (isIdle && slowness.observed.size === 0 && slowness.effective.size === 0 && !hasSpeeds) {
+      if (
+        isIdle &&
+        slowness.observed.size === 0 &&
+        slowness.effective.size === 0 &&
+        applied.size === 0
+      ) {
         return state;
       }
       slowness = updateSlowness(slowness, state, [...running], peers, timers.now());
       const speeds = limitSpeeds(state, slowness.effective);
       logChanges(slowness.effective, speeds, peers);
-      const next = hasSpeeds || speeds.size > 0 ? applySpeeds(state, speeds) : state;
-      hasSpeeds = speeds.size > 0;
+      const next = applySpeeds(state, applied, speeds);
+      applied = speeds;
       return next;
     },
     listObserved: () => listObserved(slowness, lastPeers),
