Share memory by itself only in fleets whose instances exchange reports

Longer chains lose more answers with each engine, and without reports no part but the layout can make up for it. Change: RelaySharing: the setting's auto needs more than ten instances, as the exchange of reports does.

--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -23,6 +23,8 @@
   readonly countOwnInstances: () => number;
   /** Work that other instances of this failure domain have on an engine; null if unknown. */
   readonly getOthersWork: (engine: EngineId) => PeerWork | null;
+  /** Called before the catalogue and configuration are applied. */
+  readonly beforeRefresh?: () => void;
 }
 
 /** How often engine loads are recalculated: as often as other instances report their work. */
@@ -192,6 +194,7 @@
   }
 
   function refresh(): void {
+    options.beforeRefresh?.();
     const engines = listDescribedEngines();
     if (known.size > engines.length) {
       evictRemovedEngines();
--- a/packages/relay/src/RelayFacts.ts
+++ b/packages/relay/src/RelayFacts.ts
@@ -6,8 +6,6 @@
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { AcceleratorFacts, PipelineFacts } from '@skylarksail/routes/RouteTypes';
 import type { RoutedModel } from '@skylarksail/routing/RoutingTypes';
-import type { MemorySharingName } from './RelayTuning.js';
-import { MemorySharing } from './RelayTuning.js';
 import type { BackendEntry } from './RelayTypes.js';
 
 /** Deployments of the relay have a single version of the weights. */
@@ -102,35 +100,25 @@
   return batchBytes > MEMORY_BOUND_SHARE * layers * layerBytes;
 }
 
-/** Whether memory of a model's engines is shared by need: as the setting says, or where it limits them. */
-export function isMemoryShared(setting: MemorySharingName, pipeline: PipelineFacts): boolean {
-  return setting === MemorySharing.Auto ? isMemoryBound(pipeline) : setting === MemorySharing.On;
-}
-
 /** Lists the model of each service that is a pipeline. */
 export function listModels(
   { config }: RouteTable,
-  shareMemory: MemorySharingName,
+  isMemoryShared: (pipeline: PipelineFacts) => boolean,
 ): ReadonlyMap<string, RoutedModel> {
   return new Map(
     config.services.flatMap(({ id, pipeline }) =>
-      pipeline ? [[id, createModel(id, pipeline, shareMemory)] as const] : [],
+      pipeline ? [[id, createModel(id, pipeline, isMemoryShared(pipeline))] as const] : [],
     ),
   );
 }
 
-function createModel(
-  id: ServiceId,
-  pipeline: PipelineFacts,
-  shareMemory: MemorySharingName,
-): RoutedModel {
+function createModel(id: ServiceId, pipeline: PipelineFacts, isMemoryShared: boolean): RoutedModel {
   const { activationBytes, usualAnswerTokens, usualPromptTokens } = pipeline;
-  const isShared = isMemoryShared(shareMemory, pipeline);
   return {
     id,
     activationBytes,
     usualAnswerTokens,
     usualPromptTokens,
-    isMemoryShared: isShared,
+    isMemoryShared,
   };
 }
--- a/packages/relay/src/RelayFanout.ts
+++ b/packages/relay/src/RelayFanout.ts
@@ -29,7 +29,7 @@
 }
 
 /** In a fleet of this size or less, all watch the store: sources would save few calls and delay each change. */
-const MAX_UNSHARED_FLEET = 10;
+export const MAX_UNSHARED_FLEET = 10;
 /** If one has crashed and another is cut off, the third still delivers a change in time. */
 const WATCHER_COUNT = 3;
 /** With two, the loss of one costs each subscriber a single unanswered query. */
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -34,6 +34,7 @@
 import { getBackoffLeft } from './RelayBackoffs.js';
 import { createRoomParts } from './RelayRoomParts.js';
 import { createRelayRooms } from './RelayRooms.js';
+import { createRelaySharing } from './RelaySharing.js';
 import { createRelayRetryBudget } from './RelayRetryBudget.js';
 import { createUnreadableLog } from './RelayUnreadable.js';
 import { createStartGate } from './RelayStartGate.js';
@@ -110,6 +111,11 @@
     onRooms: (known) => routing.setRooms(known),
     onAbsurd: (report) => logger.warn({ report }, 'absurd room of a domain ignored'),
   });
+  const sharing = createRelaySharing({
+    setting: options.shareMemory,
+    countInstances: () => lease.listInstances().length,
+    onBegin: setModels,
+  });
   const engines = createRelayEngines({
     domain: self.domain,
     timers,
@@ -118,6 +124,7 @@
     getTable: () => table,
     countOwnInstances,
     getOthersWork,
+    beforeRefresh: sharing.refresh,
   });
   const sync = startRelaySync({
     self,
@@ -142,8 +149,7 @@
       table = next;
       calm.noteConfigChange();
       catalogue.noteServicesChanged();
-      const models = listModels(next, options.shareMemory);
-      routing.setFleetFacts({ models, tuning: ROUTING_TUNING });
+      setModels();
       engines.refresh();
       startGate.noteConfigured();
     },
@@ -280,7 +286,7 @@
     domains: options.domains,
     port: backends.orders,
     mostCopies: options.mostCopies,
-    shareMemory: options.shareMemory,
+    isMemoryShared: sharing.isShared,
     onDecision: (decision) => {
       metrics.count(
         `orders_${decision.outcome}`,
@@ -360,6 +366,14 @@
     return sync.work.getPeerWork(engine);
   }
 
+  /** Tells routing of the models, and for which of them requests share memory. */
+  function setModels(): void {
+    if (table !== null) {
+      const models = listModels(table, sharing.isShared);
+      routing.setFleetFacts({ models, tuning: ROUTING_TUNING });
+    }
+  }
+
   function countOwnInstances(): number {
     return lease.listInstances().filter(({ domain }) => domain === self.domain).length;
   }
--- a/packages/relay/src/RelayPlacement.ts
+++ b/packages/relay/src/RelayPlacement.ts
@@ -13,7 +13,6 @@
   Unregister,
 } from '@skylarksail/core/CoreTypes';
 import type { RangeEngine } from '@skylarksail/placement/PlacementRanges';
-import type { PermittedChanges } from '@skylarksail/placement/PlacementCopies';
 import { hasCopies, planCopies } from '@skylarksail/placement/PlacementCopies';
 import { findGaps, planRanges } from '@skylarksail/placement/PlacementRanges';
 import { isSameRange, planStep } from '@skylarksail/placement/PlacementSteps';
@@ -21,8 +20,6 @@
 import type { PipelineFacts, RoutedService } from '@skylarksail/routes/RouteTypes';
 import type { Catalogue } from './RelayCatalogue.js';
 import { createReplanDelays } from './RelayReplanDelays.js';
-import { isMemoryShared } from './RelayFacts.js';
-import type { MemorySharingName } from './RelayTuning.js';
 import type { EngineStatus, RangeOrderAnswer, RangeOrderPort } from './RelayPorts.js';
 import type { BackendEntry } from './RelayTypes.js';
 
@@ -36,7 +33,8 @@
   readonly port: RangeOrderPort;
   /** Maximum number of copies of each layer that a domain holds where its memory allows; 1 for one chain per domain. */
   readonly mostCopies: number;
-  readonly shareMemory: MemorySharingName;
+  /** Whether requests to a pipeline's model share memory, so that a domain is laid out for the most requests. */
+  readonly isMemoryShared: (pipeline: PipelineFacts) => boolean;
   readonly onDecision: (decision: {
     readonly domain: DomainId;
     readonly engine: EngineId;
@@ -84,7 +82,7 @@
 /** What a plan was made from. */
 interface PlannedInputs {
   readonly pipeline: PipelineFacts;
-  /** The engines with their layers, and the permitted changes. */
+  /** The engines with their layers, the permitted changes, and what limits the engines. */
   readonly inputs: string;
 }
 
@@ -200,13 +198,13 @@
       mayBalance: patience.isStable(key),
       mayRepartition: !hasGap && mayRecutDomain(placed, domain),
     };
-    const inputs = describeInputs(engines, permitted);
+    const isMemoryBound = options.isMemoryShared(pipeline);
+    const inputs = describeInputs(engines, { ...permitted, isMemoryBound });
     const before = unchanged.get(key);
     if (before?.pipeline === pipeline && before.inputs === inputs) {
       return;
     }
-    const model = { ...pipeline, isMemoryBound: isMemoryShared(options.shareMemory, pipeline) };
-    const plan = planCopies(engines, model, mostCopies, permitted);
+    const plan = planCopies(engines, { ...pipeline, isMemoryBound }, mostCopies, permitted);
     if (plan === null) {
       unchanged.set(key, { pipeline, inputs });
     }
@@ -320,12 +318,15 @@
   return born !== null && entry.born !== null && born !== entry.born;
 }
 
-function describeInputs(engines: readonly RangeEngine[], permitted: PermittedChanges): string {
+function describeInputs(
+  engines: readonly RangeEngine[],
+  conditions: Readonly<Record<string, boolean>>,
+): string {
   const held = engines.map(
     ({ id, memoryBytes, held: range }) =>
       `${id} ${memoryBytes} ${range ? `${range.first}-${range.end}` : ''}`,
   );
-  return [...held, ...Object.values(permitted)].join();
+  return [...held, ...Object.values(conditions)].join();
 }
 
 function getKey({ id }: RoutedService, domain: DomainId): string {
--- a/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -7,7 +7,6 @@
 import type { RangeOrderAnswer } from '../../RelayPorts.js';
 import { createIncarnationId } from '../../RelayIncarnations.js';
 import { createRelayPlacement } from '../../RelayPlacement.js';
-import { MemorySharing } from '../../RelayTuning.js';
 import { createBackend, createConfig, PIPELINE } from './RelayFixtures.js';
 
 interface SentOrder {
@@ -42,7 +41,7 @@
       },
     },
     mostCopies,
-    shareMemory: MemorySharing.Auto,
+    isMemoryShared: () => false,
     onDecision: () => undefined,
   });
   placement.start();
