Count no team work of other domains for the own domain

Cause: aggregators report to watchers of other domains too. Their work on shared engines was left out there, but not their teams' work, which holds memory in the reporter's domain only. It raised the number of teams and each team's use. Change: selectWork drops the teams of reporters of other domains. Result: the new test fails before and passes now.

--- a/packages/relay/src/RelayRooms.ts
+++ b/packages/relay/src/RelayRooms.ts
@@ -120,9 +120,13 @@
     },
     selectWork(from, work) {
       const domain = options.getDomain(from);
-      return domain === null || domain === own
-        ? work
-        : { ...work, running: work.running.filter(({ engine }) => !options.isShared(engine)) };
+      if (domain === null || domain === own) {
+        return work;
+      }
+      // Teams are counted on the engines of the reporter's own domain only.
+      const { teams, ...others } = work;
+      const running = work.running.filter(({ engine }) => !options.isShared(engine));
+      return { ...others, running };
     },
   };
 }
--- a/packages/relay/src/__tests__/unit/RelayRooms.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayRooms.test.ts
@@ -126,6 +126,15 @@
     expect(rooms.selectWork('b2', work)).to.deep.equal({ running: running.slice(1), lost: ['x'] });
   });
 
+  it('counts no team work of other domains', () => {
+    // Guards against a team that is refused in one domain for the memory that it holds in another.
+    const { rooms } = createBed();
+    const slow = [{ engine: 'shared1', factor: 3 }];
+    const work = { ...NO_WORK, teams: [{ team: 't', kvTokens: 9 }], slow };
+    expect(rooms.selectWork('a2', work)).to.equal(work);
+    expect(rooms.selectWork('b2', work)).to.deep.equal({ ...NO_WORK, slow });
+  });
+
   it('reads messages with malformed rooms without them, and passes well-formed ones through', () => {
     // Guards against a fault in rooms that keeps an instance from getting changes of the configuration.
     const query = { since: 1, hold: 0, level: 1, takesWhole: true, from: 'i', work: NO_WORK };
