Count whole tokens of teams

Cause: usual lengths of answers may be fractions, and a sum of fractions does not return to 0 when all requests have ended. The team stayed listed, and counted among the teams that divide the memory. Change: the tokens of a request are rounded before they are added and subtracted.

--- a/packages/relay/src/RelayTeamWork.ts
+++ b/packages/relay/src/RelayTeamWork.ts
@@ -55,11 +55,14 @@
       return choice;
     }
     const { usualAnswerTokens: answerTokens } = model;
-    const kvTokens = getKvTokens({
-      promptTokens: contextTokens,
-      maxTokens: spec.maxTokens,
-      ...(answerTokens === undefined ? {} : { answerTokens }),
-    });
+    // Sums of fractions would not return to 0 at the release, and the team would stay listed for good.
+    const kvTokens = Math.round(
+      getKvTokens({
+        promptTokens: contextTokens,
+        maxTokens: spec.maxTokens,
+        ...(answerTokens === undefined ? {} : { answerTokens }),
+      }),
+    );
     change(spec.team, kvTokens);
     return {
       ...choice,
