Read the share of the own domain with requests of other domains, and at present

Cause: the room of a domain lacks requests that other domains send there, so waiting requests were closed for silence and the gauge was low while the domain was full of them. The gauge kept the share of the last request, also of a model that was removed. A domain that had just regained its engines refused all requests by the infinite share of the last load report. Change: isShort and getShare take the larger of the room's share and that with all domains' requests; the gauge is read anew; an infinite share at the last load report is not used.

--- a/packages/relay/src/RelayRoom.ts
+++ b/packages/relay/src/RelayRoom.ts
@@ -29,14 +29,18 @@
   read(spec: RequestSpec): RoomView | null;
   /** Whether engines of the own domain let requests of the model wait for memory. */
   isShort(spec: RequestSpec): boolean;
-  /** Largest share in use of the own domain over all models at their last reading; 0 if none is known. */
+  /** Largest share in use of the own domain over all models with requests so far; 0 if none is known. */
   getShare(): number;
 }
 
 /** Own requests since the last reading change the share by less than a hundredth in this time. */
 const MAX_VIEW_AGE: Millis = 50;
 
+/** What determines the room of a request. */
+type RoomKey = Pick<RequestSpec, 'model' | 'variant' | 'layerCount'>;
+
 interface CachedRoom {
+  readonly key: RoomKey;
   readonly at: Millis;
   readonly loads: RoutingState['loads'];
   /** Null if no engine of the domain holds the model, or some layer is held by none. */
@@ -48,8 +52,8 @@
   const rooms = new Map<ModelId, CachedRoom>();
 
   /** The room of the own domain, calculated anew with each load report and every 50 ms. */
-  function getRoom(spec: RequestSpec, state: RoutingState): DomainRoom | null {
-    const { model, variant, layerCount } = spec;
+  function getRoom(key: RoomKey, state: RoutingState): DomainRoom | null {
+    const { model, variant, layerCount } = key;
     const now = timers.now();
     const before = rooms.get(model);
     if (before && before.loads === state.loads && now - before.at < MAX_VIEW_AGE) {
@@ -57,18 +61,30 @@
     }
     const found = getDomainRoom(state, variant, layerCount, domain, now);
     const room = found !== null && found.capacity > 0 ? found : null;
-    rooms.set(model, { at: now, loads: state.loads, room });
+    rooms.set(model, { key: { model, variant, layerCount }, at: now, loads: state.loads, room });
     return room;
   }
 
   /** The room, or null if this instance does not know enough of it. */
-  function readRoom(spec: RequestSpec): DomainRoom | null {
+  function readRoom(key: RoomKey): DomainRoom | null {
     const state = getState();
-    if (!state.models.get(spec.model)?.isMemoryShared || !isKnown()) {
-      rooms.delete(spec.model);
+    if (!state.models.get(key.model)?.isMemoryShared || !isKnown()) {
+      rooms.delete(key.model);
       return null;
     }
-    return getRoom(spec, state);
+    return getRoom(key, state);
+  }
+
+  /** Shares at the last load report, which include requests of other domains; null if they are unknown or without memory. */
+  function readSpillShares({ variant }: RoomKey): SpillShares | null {
+    const shares = options.getSpillShares?.(variant) ?? null;
+    return shares !== null && Number.isFinite(shares.own) ? shares : null;
+  }
+
+  /** Share in use of the own domain; 0 if it is unknown. The room itself lacks requests of other domains. */
+  function readOwnShare(key: RoomKey): number {
+    const room = readRoom(key);
+    return room === null ? 0 : Math.max(getRoomShare(room), readSpillShares(key)?.own ?? 0);
   }
 
   /** Own work alone shows the use of the memory only where no other instance uses it. */
@@ -88,19 +104,15 @@
       if (room === null) {
         return null;
       }
-      const spill = options.getSpillShares?.(spec.variant) ?? null;
+      const spill = readSpillShares(spec);
       return {
         share: spill === null ? getRoomShare(room) : getMeanShare(spill),
         age: work.getReportAge() ?? 0,
         teamShare: getTeamShare(spec.team, room),
       };
     },
-    isShort(spec) {
-      const room = readRoom(spec);
-      return room !== null && getRoomShare(room) >= SHORT_ROOM_SHARE;
-    },
-    getShare: () =>
-      Math.max(0, ...[...rooms.values()].map(({ room }) => (room ? getRoomShare(room) : 0))),
+    isShort: (spec) => readOwnShare(spec) >= SHORT_ROOM_SHARE,
+    getShare: () => Math.max(0, ...[...rooms.values()].map(({ key }) => readOwnShare(key))),
   };
 }
 
--- a/packages/relay/src/__tests__/unit/RelayRoom.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayRoom.test.ts
@@ -29,9 +29,9 @@
 /** Tokens that a request is expected to hold: a prompt of 800 and a usual answer of 200. */
 const REQUEST_TOKENS = 1000;
 
-function createState(isMemoryShared: boolean): RoutingState {
+function createState(isMemoryShared: boolean, usualAnswerTokens: number): RoutingState {
   const facts = { id: 'e', domain: 'd1', kvLayerTokens: CAPACITY * LAYERS };
-  const model = { id: 'letters', activationBytes: 1, usualAnswerTokens: 200, isMemoryShared };
+  const model = { id: 'letters', activationBytes: 1, usualAnswerTokens, isMemoryShared };
   return setRoutingFacts(setEngines(createRoutingState(), [facts as unknown as EngineFacts]), {
     models: new Map([['letters', model]]),
   });
@@ -48,9 +48,14 @@
   return { running: [{ engine: 'e', calls: 1, kvTokens: 1000 }], lost: [], teams };
 }
 
-function createBed({ isShared = true, instances = 20, spill = null as SpillShares | null } = {}) {
+function createBed({
+  isShared = true,
+  instances = 20,
+  spill = null as SpillShares | null,
+  answerTokens = 200,
+} = {}) {
   const timers = createVirtualTimers();
-  let state = createState(isShared);
+  let state = createState(isShared, answerTokens);
   const work = createRelayWork({
     timers,
     self: 'self',
@@ -78,6 +83,9 @@
     work,
     teams,
     room,
+    removeModel: () => {
+      state = setRoutingFacts(state, { models: new Map() });
+    },
     setUsed: (kvUsed: number) => {
       state = report(state, kvUsed, timers.now());
     },
@@ -166,7 +174,45 @@
   });
 });
 
+describe('RelayRoom of a domain with requests of other domains', () => {
+  it('is short by the requests of all domains', () => {
+    // Guards against waiting requests that are closed because their domain counts only its own share of the use.
+    const bed = createBed({ instances: 1, spill: { own: 0.9, emptiest: null } });
+    bed.setUsed(0.6);
+    expect([bed.room.isShort(SPEC), bed.room.getShare()]).to.deep.equal([true, 0.9]);
+  });
+
+  it('goes by the latest room while the shares at the last load report are those of a domain without memory', () => {
+    // Guards against refusals of all requests until the next load report after engines have returned.
+    const bed = createBed({ instances: 1, spill: { own: Infinity, emptiest: null } });
+    bed.setUsed(0.5);
+    expect(bed.room.read(SPEC)?.share).to.equal(0.5);
+    expect(bed.room.isShort(SPEC)).to.equal(false);
+  });
+});
+
+describe('RelayRoom between requests', () => {
+  it('shows the present share, and none of a model that was removed', () => {
+    // Guards against a gauge that stays at the share of the last request.
+    const bed = createBed({ instances: 1 });
+    bed.setUsed(0.9);
+    bed.room.read(SPEC);
+    bed.setUsed(0.2);
+    expect(bed.room.getShare()).to.equal(0.2);
+    bed.removeModel();
+    expect(bed.room.getShare()).to.equal(0);
+  });
+});
+
 describe('RelayTeamWork', () => {
+  it('keeps no team without requests, also where the usual length of answers is no whole number', () => {
+    // Guards against memory and a number of teams that grow with rounding errors, which lowers each team's fair share.
+    const bed = createBed({ answerTokens: 200.1 });
+    const releases = ['a', 'a', 'a', 'b', 'b', 'b', 'b'].map((team) => bed.start(team));
+    releases.forEach((release) => release());
+    expect([...bed.teams.listTeams()]).to.deep.equal([]);
+  });
+
   it('counts the running requests of each team on the own domain, and reports the heaviest', () => {
     const bed = createBed();
     const releases = Array.from({ length: 40 }, (_, i) => bed.start(`t${i}`));
