Read forwarded calls whose number of prompt tokens is invalid

Cause: the number derives from a caller's header. Change: any number from 0 is read, and a call with another one is read without it.

--- a/packages/relay/src/RelayForwardMessages.ts
+++ b/packages/relay/src/RelayForwardMessages.ts
@@ -40,12 +40,15 @@
   timeLeft: z.number(),
 };
 
+/** Derived from a number that the caller tells in a header; it only orders queues, so a call is not refused for it. */
+const contextTokens = z.optional(z.number().min(0)).catch(undefined);
+
 const engineCall = z.object({
   ...callFields,
   chain,
   original: z.nullable(z.object({ method: z.string(), path: z.string(), headers, body: bytes })),
   prompt: z.string(),
-  contextTokens: z.optional(count),
+  contextTokens,
   isYielding: z.optional(z.boolean()),
   resumeTokens: z.array(z.string()),
   maxTokens: count,
--- a/packages/relay/src/__tests__/unit/RelayForwardHttp.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayForwardHttp.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import type { RequestListener } from 'node:http';
 import { createChain } from '@skylarksail/core/CoreChain';
+import type { EngineCall } from '@skylarksail/requests/RequestPorts';
 import { createForwardHttp, serveTask } from '../../RelayForwardHttp.js';
 import { createFrameReader, packFrame, packTask, readTask } from '../../RelayForwardMessages.js';
 import type { ForwardFrame, ForwardTask, ServeForward } from '../../RelayForwardTypes.js';
@@ -70,6 +71,23 @@
   { kind: 'end', reason: 'stop', tokenCount: 20 },
 ];
 
+describe('RelayForwardMessages', () => {
+  it('read a call without its number of prompt tokens if that is invalid', () => {
+    // Guards against calls that peers refuse because the caller's own header told an odd number of tokens.
+    const task = createTask();
+    for (const [sent, read] of [
+      [900.5, 900.5],
+      [-1, undefined],
+      [Infinity, undefined],
+    ] as const) {
+      const call = { ...('call' in task ? task.call : {}), contextTokens: sent };
+      const received = readTask(packTask({ ...task, call } as unknown as ForwardTask));
+      expect(received?.kind).to.equal('engine-call');
+      expect((received as { readonly call: EngineCall }).call.contextTokens).to.equal(read);
+    }
+  });
+});
+
 describe('RelayForwardHttp', () => {
   it('passes a task to a peer and its frames back in order', async () => {
     const received: ForwardTask[] = [];
