Ask for more reports only when a domain is short of memory, where requests share it

Cause: a single engine of 28 at six tenths of its memory made each instance of its domain query five times a second instead of once. Change: for models whose requests share memory, the share of the domain's scarcest layer counts.

--- a/packages/relay/src/RelayEngines.ts
+++ b/packages/relay/src/RelayEngines.ts
@@ -7,9 +7,10 @@
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import type { PipelineFacts } from '@skylarksail/routes/RouteTypes';
 import { getOwnWork } from '@skylarksail/routing/RoutingCalls';
+import { getDomainRoom, getRoomShare } from '@skylarksail/routing/RoutingRoom';
 import type { Catalogue } from './RelayCatalogue.js';
 import type { ExpectedWork } from './RelayFacts.js';
-import { createEngineFacts, createEngineLoad } from './RelayFacts.js';
+import { createEngineFacts, createEngineLoad, ONLY_VERSION } from './RelayFacts.js';
 import type { BackendEntry } from './RelayTypes.js';
 import type { EngineWork, PeerWork } from './RelayWork.js';
 
@@ -134,15 +135,33 @@
     return { running: calls, kvUsed, prefillTokens };
   }
 
-  function isCrowded(): boolean {
+  function hasCrowdedEngine(): boolean {
     const { loads, engines } = routing.getState();
     return catalogue.list().some((entry) => {
+      if (isMemoryShared(entry)) {
+        return false;
+      }
       const load = entry.domain === domain ? loads.get(entry.id)?.load : undefined;
       const most = engines.get(entry.id)?.maxBatch ?? Infinity;
       return load !== undefined && (load.kvUsed >= CROWDED || load.running >= CROWDED * most);
     });
   }
 
+  /**
+   * Whether the domain is short of memory that requests share. A single full engine is no reason for more reports there: while
+   * the others with its layers have memory, the choice of chains avoids it.
+   */
+  function isDomainCrowded(): boolean {
+    const state = routing.getState();
+    return [...state.models.values()].some(({ id, isMemoryShared: isShared }) => {
+      const layers = getTable()?.findService(id)?.pipeline?.layers;
+      const variant = { model: id, version: ONLY_VERSION, adapter: null };
+      const room =
+        isShared && layers ? getDomainRoom(state, variant, layers, domain, timers.now()) : null;
+      return room !== null && getRoomShare(room) >= CROWDED;
+    });
+  }
+
   function readOwnWork(): readonly EngineWork[] {
     const state = routing.getState();
     return catalogue
@@ -210,7 +229,7 @@
     refresh,
     refreshOwnLoads: () =>
       setLoads(listDescribedEngines().filter(({ entry }) => entry.domain === domain)),
-    isCrowded,
+    isCrowded: () => hasCrowdedEngine() || isDomainCrowded(),
     readOwnWork,
     start: () => timers.registerInterval(REFRESH_PERIOD, refresh),
   };
--- a/packages/relay/src/__tests__/unit/RelayEngines.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayEngines.test.ts
@@ -143,6 +143,23 @@
     expect(read(1e12)).to.equal(2);
   });
 
+  it('reports a domain whose requests share memory as crowded only if some layer is short of it', () => {
+    // Guards against five queries a second of each instance because a single engine of several with its layers is full.
+    const { catalogue, routing, engines, others } = createBed();
+    catalogue.put(createBackend('d1-0b', { domain: 'd1', layers: { first: 0, end: 4 } }));
+    routing.setFleetFacts({
+      models: new Map([['letters', { id: 'letters', activationBytes: 1, isMemoryShared: true }]]),
+    });
+    engines.refresh();
+    const kvTokens = 40;
+    others.set('d1-0', { calls: 1, kvTokens });
+    engines.refreshOwnLoads();
+    expect(engines.isCrowded()).to.equal(false);
+    others.set('d1-0b', { calls: 1, kvTokens });
+    engines.refreshOwnLoads();
+    expect(engines.isCrowded()).to.equal(true);
+  });
+
   it('removes engines that are gone from routing', () => {
     const { catalogue, routing, engines } = createBed();
     catalogue.remove('d1-0');
