--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -15,18 +15,23 @@
 
 const count = z.number().check(z.nonnegative());
 
+/** A message whose optional part is malformed is read without it: it must not delay changes of the store. */
+function optionalPart<T extends z.core.$ZodType>(part: T) {
+  return z.catch(z.optional(part), undefined);
+}
+
 const engineWork = z.object({
   engine: z.string(),
   calls: count,
   kvTokens: count,
-  prefillTokens: z.optional(count),
+  prefillTokens: optionalPart(count),
 });
 
 const reportedWork = z.object({
   running: z.array(engineWork),
   lost: z.array(z.string()),
-  teams: z.optional(z.array(z.object({ team: z.string(), kvTokens: count }))),
-  slow: z.optional(z.array(z.object({ engine: z.string(), factor: count }))),
+  teams: optionalPart(z.array(z.object({ team: z.string(), kvTokens: count }))),
+  slow: optionalPart(z.array(z.object({ engine: z.string(), factor: count }))),
 });
 
 /** Absurd numbers pass here, since `RelayRooms` ignores and logs them. */
@@ -41,8 +46,7 @@
   abroad: z.optional(z.array(z.object({ domain: z.string(), used: uncheckedCount }))),
 });
 
-/** A message with malformed rooms is read without them: they must not delay changes of the store. */
-const reportedRooms = z.catch(z.optional(z.array(reportedRoom)), undefined);
+const reportedRooms = optionalPart(z.array(reportedRoom));
 
 const updateQuery = z.object({
   since: count,
