--- a/packages/daemon/src/DaemonRouting.ts
+++ b/packages/daemon/src/DaemonRouting.ts
@@ -484,7 +484,7 @@
   };
 }
 
-/** For the log: the domain that was chosen, shares of memory in use, and the age of that domain's report. */
+/** Fields of the decision line: the domain that gets the request, shares of memory in use, and the age of that domain's report. */
 function describeSpillover({ domain, ownShare, share, age }: SpillChoice) {
   return { domain, ownShare: roundShare(ownShare), share: roundShare(share), age: Math.round(age) };
 }
