Log the store's era, and when its revision went back

The logs of an instance could not tell a store that came back from a copy from one that dropped its history: neither the era nor a revision below a known one was seen anywhere. Gauges store_era and store_revision tell what an instance has, and the line 'configuration in force' tells the revision beside the source. No decision uses them yet. Unit tests of the store, the platform's adapter and the relay's parts pass.

--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -77,6 +77,12 @@
       'time since all that the store held was known',
       () => Math.round(readState().newsAge),
     ],
+    ['store_era', 'era of the store, by its last answer', () => readState().store.era ?? 0],
+    [
+      'store_revision',
+      'revision of the store, by its last answer',
+      () => readState().store.revision ?? 0,
+    ],
     ['instances', 'live instances known', () => readState().instances],
     ['backends', 'backend servers known', () => readState().backends],
     [
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -14,6 +14,7 @@
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import { watchStoreHistory } from '@skylarksail/store/StoreEras';
 import type { PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
 import { createRelayArrivals } from './RelayArrivals.js';
 import { createRelayPlannedWork } from './RelayPlannedWork.js';
@@ -89,8 +90,12 @@
       ),
     readPeerSlowness,
   });
+  const store = watchStoreHistory(options.store, (next, before) => {
+    metrics.count('store_history_changes', 'times that the store answered from another history');
+    logger.warn({ ...next, before }, 'store answers from another history');
+  });
   const lease = createRelayLease({
-    port: options.store,
+    port: store,
     timers,
     random,
     self,
@@ -130,7 +135,7 @@
     self,
     timers,
     random,
-    store: options.store,
+    store,
     changeTime: options.changeTime,
     readContent: options.readContent,
     readBackendKey: options.readBackendKey,
@@ -429,6 +434,7 @@
       duties: listDomains(catalogue).filter(isPlacing).length,
       isIsolated: sync.peers.isIsolated(),
       newsAge: sync.updates.readState().age,
+      store: store.getHistory(),
     }),
     isReady: () => table !== null && !isLeaving,
     noteSettingsChanged: calm.noteSettingsChange,
--- a/packages/relay/src/RelayPartsTypes.ts
+++ b/packages/relay/src/RelayPartsTypes.ts
@@ -8,6 +8,7 @@
 import type { RequestRouter } from '@skylarksail/requests/RequestRouter';
 import type { SendCrashReports } from '@skylarksail/requests/RouterCrashExchange';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
+import type { StoreHistory } from '@skylarksail/store/StoreEras';
 import type { StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { AskGrant } from './RelayGrants.js';
 import type { AskForUpdates, RelayUpdates } from './RelayUpdates.js';
@@ -98,4 +99,6 @@
   readonly isIsolated: boolean;
   /** Time since the local copy was last in sync with the store. */
   readonly newsAge: Millis;
+  /** Era and revision of the store's last answers to this instance. */
+  readonly store: StoreHistory;
 }
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -70,6 +70,7 @@
 /** How a configuration reached this instance; written to the log under these names. */
 interface ConfigArrival {
   readonly source: UpdateState['source'];
+  readonly revision: number;
   /** Time since the local copy was in sync with the store; null at startup. */
   readonly newsAge: Millis | null;
   readonly bytes: number;
@@ -112,6 +113,7 @@
     } else if (content?.kind === 'config') {
       applyConfig(createRouteTable(content.config), {
         source: origin.source,
+        revision: item.revision,
         newsAge: roundMillis(origin.age),
         bytes: item.value.length,
         readTime: roundMillis(timers.now() - startedAt),
--- a/packages/store/src/StorePort.ts
+++ b/packages/store/src/StorePort.ts
@@ -6,6 +6,12 @@
 import type { InstanceRoleName, LifeStateName } from '@skylarksail/core/CoreConstants';
 import type { DomainId, HostPort, Millis } from '@skylarksail/core/CoreTypes';
 
+/**
+ * Number of the history that the service answered from; absent where the service names none. It rises by one each time
+ * the service comes back from a copy, which loses the latest changes and gives their revisions out again.
+ */
+export type StoreEra = number;
+
 /**
  * Outcome of a call. `refused`: the call has no effect; the service or the local client rejected it.
  * `unknown`: no answer came; the call may have taken effect, may still take effect, or never will.
@@ -16,8 +22,9 @@
       readonly value: T;
       /** Time from the first to the last byte of a long answer; its content is older by this much. */
       readonly arrivalTime?: Millis;
+      readonly era?: StoreEra;
     }
-  | { readonly kind: 'refused'; readonly reason: StoreRefusal }
+  | { readonly kind: 'refused'; readonly reason: StoreRefusal; readonly era?: StoreEra }
   | { readonly kind: 'unknown' };
 
 /** Why the service or the local client refused a call. */
