--- a/packages/store/src/FakeRangeStore.ts
+++ b/packages/store/src/FakeRangeStore.ts
@@ -1,4 +1,6 @@
-/** In-memory StoreRangePort for tests, with outages, lease expiry and compaction as in the real store. */
+/**
+ * In-memory StoreRangePort for tests, with outages, lease expiry, compaction and returns from a copy as in the real store.
+ */
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreOutcome } from './StorePort.js';
@@ -13,9 +15,32 @@
   setAvailable(isUp: boolean): void;
   /** Discards the event history; watches from an older revision get `compacted`. */
   compact(): void;
+  /** Copies the contents, the revision and the leases, to come back from later. */
+  takeCopy(): FakeStoreCopy;
+  /**
+   * Comes back from a copy: revisions and lease ids that were given out since are given out again, waiting watches are
+   * cut, and the era rises by one.
+   */
+  returnFrom(copy: FakeStoreCopy): void;
   countCalls(): number;
 }
 
+/** Contents of the store at one time. */
+export interface FakeStoreCopy {
+  readonly items: ReadonlyMap<string, FakeItem>;
+  readonly leases: ReadonlyMap<number, Lease>;
+  readonly log: readonly StoreEvent[];
+  readonly revision: number;
+  readonly lastLease: number;
+}
+
+type FakeItem = StoreItem & { readonly lease: number };
+
+export interface FakeRangeStoreOptions {
+  /** Whether each answer names the store's era; defaults to false. */
+  readonly namesEra?: boolean;
+}
+
 interface Lease {
   readonly ttl: Millis;
   expiresAt: Millis;
@@ -23,9 +48,13 @@
 
 const PAGE_SIZE = 10;
 
-export function createFakeRangeStore(timers: TimerService): FakeRangeStore {
-  const items = new Map<string, StoreItem & { readonly lease: number }>();
-  const leases = new Map<number, Lease>();
+export function createFakeRangeStore(
+  timers: TimerService,
+  { namesEra = false }: FakeRangeStoreOptions = {},
+): FakeRangeStore {
+  let items = new Map<string, FakeItem>();
+  let leases = new Map<number, Lease>();
+  let era = 1;
   let log: StoreEvent[] = [];
   let revision = 1;
   let compactedRevision = 0;
@@ -85,7 +114,15 @@
   function answer<T>(operation: () => StoreOutcome<T>): Promise<StoreOutcome<T>> {
     calls += 1;
     expireLeases();
-    return Promise.resolve(isUp ? operation() : { kind: 'unknown' });
+    return Promise.resolve(isUp ? nameEra(operation()) : { kind: 'unknown' });
+  }
+
+  function nameEra<T>(outcome: StoreOutcome<T>): StoreOutcome<T> {
+    return namesEra && outcome.kind !== 'unknown' ? { ...outcome, era } : outcome;
+  }
+
+  function copyLeases(from: ReadonlyMap<number, Lease>): Map<number, Lease> {
+    return new Map([...from].map(([id, lease]) => [id, { ...lease }]));
   }
 
   function getRevision(event: StoreEvent): number {
@@ -109,6 +146,21 @@
       log = [];
       notifyWatches();
     },
+    takeCopy: () => ({
+      items: new Map(items),
+      leases: copyLeases(leases),
+      log: [...log],
+      revision,
+      lastLease,
+    }),
+    returnFrom(copy) {
+      items = new Map(copy.items);
+      leases = copyLeases(copy.leases);
+      log = [...copy.log];
+      ({ revision, lastLease } = copy);
+      era += 1;
+      notifyWatches();
+    },
     countCalls: () => calls,
     readRange: (prefix, after) =>
       answer(() => {
@@ -122,19 +174,20 @@
     async watchRange(prefix, from, wait) {
       calls += 1;
       const endsAt = timers.now() + wait;
+      const askedEra = era;
       for (;;) {
         expireLeases();
-        if (!isUp) {
+        if (!isUp || era !== askedEra) {
           return { kind: 'unknown' };
         }
-        if (from < compactedRevision) {
-          return { kind: 'done', value: { kind: 'compacted' } };
+        if (from < compactedRevision || from > revision) {
+          return nameEra({ kind: 'done', value: { kind: 'compacted' } });
         }
         const events = log.filter(
           (event) => getRevision(event) > from && getKey(event).startsWith(prefix),
         );
         if (events.length > 0 || timers.now() >= endsAt) {
-          return { kind: 'done', value: { kind: 'events', events, revision } };
+          return nameEra({ kind: 'done', value: { kind: 'events', events, revision } });
         }
         await waitForChange(endsAt);
       }
