Order changes of the store by the era of its history, then by their revision

Callers were served by old versions, and servers that leave got requests, after the store came back from a copy: until the new revisions passed the old ones each watch got 410, and what was written meanwhile was dropped as older; after that, the watch went on from a number of the history that was gone. Cause: numbers of two histories were compared as if they were of one, wherever a revision or the id of a lease was kept, sent or compared.

A revision is joined with its era (StoreRevisions), from the port to the store (createHistoryPort) on, in the mirror and in messages between instances, which carry the era in a field of its own. A watch of an earlier era ends as compacted, an answer of an earlier era is none, and pages of two eras are no range. Sources that have not seen the era of a query do not answer it. A claim writes a second key, on which its release depends, so that no other's claim is removed. After a return the entry is written again at once, a domain is claimed by its holder first and by others when its lease can't be in force any more, entries that the copy lacks have a grace period, a server that said that it leaves stays leaving, and one that was removed comes back only if its entry changes or stays for five seconds.

--- a/packages/relay/src/RelayCatalogue.ts
+++ b/packages/relay/src/RelayCatalogue.ts
@@ -51,6 +51,11 @@
   noteStoreLost(): void;
   /** A peer gave all its changes, which are applied; it was in sync with the store `age` ago, by default now. */
   notePeerNews(age?: Millis): void;
+  /**
+   * The store came back from a copy, which lacks the entries of servers that registered after it: starts the grace period
+   * anew, in which they register again.
+   */
+  noteStoreReturned(): void;
   /** Starts the grace period when the store is reachable again after an outage, or continues it after a short loss. */
   noteStoreRegained(): void;
   list(): readonly BackendEntry[];
@@ -149,8 +154,7 @@
     return isShortLoss && left > 0 ? left : LAPSED_ENTRY_GRACE;
   }
 
-  function startGrace(): void {
-    const grace = getGrace();
+  function startGrace(grace: Millis): void {
     isLost = false;
     cancelGraceEnd();
     graceEnd = timers.now() + grace;
@@ -246,7 +250,15 @@
         removeReported(timers.now() - age);
       }
     },
-    noteStoreRegained: startGrace,
+    noteStoreReturned() {
+      if (isLost) {
+        // Learned from a peer: the grace period starts when the store is reachable again, and then in full.
+        graceEnd = -Infinity;
+      } else {
+        startGrace(LAPSED_ENTRY_GRACE);
+      }
+    },
+    noteStoreRegained: () => startGrace(getGrace()),
     list() {
       cachedList ??= [...new Map([...entries, ...observations]).values()].filter(({ service }) =>
         isServed(service),
--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -2,13 +2,23 @@
  * Registers this instance in the store and claims duties there. The entry and the duties are bound to leases, so the
  * store removes them after the process ends. Callers check `holds` immediately before they act under a duty: it
  * returns false well before the lease can lapse, also after a pause of the process.
+ *
+ * A store that comes back from a copy may have lost the entry, the claims and the leases, or hold those of before. The
+ * entry is written again at once. A domain is claimed again by its holder, and by others only when the holder can't rely
+ * on its lost lease any more.
  */
 import { selectOwners } from '@skylarksail/core/CoreHash';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import { jitter } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
-import type { DomainId, InstanceId, Millis } from '@skylarksail/core/CoreTypes';
-import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { DomainId, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
+import type {
+  StoreCondition,
+  StoreEvent,
+  StoreItem,
+  StoreRangePort,
+  StoreWrite,
+} from '@skylarksail/store/StoreRange';
 import { createLeaseKeeper } from './RelayLeaseKeeper.js';
 import type { InstanceEntry } from './RelayTypes.js';
 
@@ -27,6 +37,8 @@
 export interface RelayLease {
   /** Applies a change of a key that instances write to the store. */
   applyEvent(event: StoreEvent): void;
+  /** The store came back from a copy; the events that this brings are applied after it. */
+  noteStoreReturned(): void;
   /** Whether this instance holds a domain's placement duty and may act on it now. */
   holds(domain: DomainId): boolean;
   /** The holder of a domain's placement duty by the last known state of the store; null if there is none. */
@@ -46,6 +58,8 @@
 export const RELAY_KEY_PREFIX = 'skylarksail/';
 const INSTANCE_PREFIX = `${RELAY_KEY_PREFIX}instances/`;
 const PLACEMENT_PREFIX = `${RELAY_KEY_PREFIX}placement/`;
+/** Keys that a claim writes beside the placement; only the claim of this instance can give both the same revision. */
+const CLAIM_PREFIX = `${RELAY_KEY_PREFIX}claims/`;
 
 /**
  * How long the duties of a crashed instance stay taken. With a shorter lease, a pause of one second would lose them.
@@ -66,6 +80,11 @@
  * because they still reach its engines when the domain is cut off.
  */
 const FOREIGN_DELAY: Millis = 1500;
+/**
+ * How long the entries of instances that a copy of the store lacks are kept: time to notice the return, to write the
+ * entry again, and for the others to learn of it.
+ */
+const RETURN_GRACE: Millis = 4000;
 const CLAIM_PERIOD: Millis = 400;
 /** Claim period while all placements are held; it may be longer, as the end of a holder's lease is reported at once. */
 const IDLE_CLAIM_PERIOD: Millis = 1000;
@@ -81,13 +100,23 @@
 export function createRelayLease(options: RelayLeaseOptions): RelayLease {
   const { port, timers, random, self, minLeaseTime: leaseLeast } = options;
   const callOptions = { timeout: CALL_TIMEOUT };
+  const dutyLeaseTime = Math.max(DUTY_LEASE_TIME, leaseLeast);
   const keys = new Map<string, Pick<StoreItem, 'value' | 'revision'>>();
   /** Parsed from `keys` after they changed; parsing 64 entries for each engine took a quarter of the run time. */
   let cachedInstances: readonly InstanceEntry[] | null = null;
   const vacantSince = new Map<DomainId, Millis>();
   /** The lease under which each placement was last claimed. */
   const claimLeases = new Map<DomainId, number>();
+  /** When the lease of each claim can end by itself, by its last extension; no other instance claims before. */
+  const claimExpiry = new Map<DomainId, Millis>();
+  /** Domains that this instance held when the store came back from a copy. */
+  let formerDomains: ReadonlySet<DomainId> = new Set();
+  /** Entries of instances that the copy lacks, with what cancels their removal. */
+  const missing = new Map<string, Unregister>();
+  let returnedAt = -Infinity;
   let claimedAt = -Infinity;
+  /** When the lease of the duties can end by itself, by its last extension. */
+  let dutyExpiry = -Infinity;
   let stopped = false;
 
   const entryLease = createLeaseKeeper({
@@ -104,9 +133,10 @@
     port,
     timers,
     random,
-    time: Math.max(DUTY_LEASE_TIME, leaseLeast),
+    time: dutyLeaseTime,
     renewPeriod: DUTY_RENEW_PERIOD,
     onGranted: () => Promise.resolve(true),
+    onExtended: noteExtended,
     // The result of a claim arrives with the store's updates, some hundred milliseconds after the write.
     isNeeded: () =>
       timers.now() - claimedAt < DUTY_LEASE_TIME || options.listDomains().some(isHeldBySelf),
@@ -171,10 +201,13 @@
   }
 
   async function claimOrRelease(domain: DomainId): Promise<void> {
-    const key = `${PLACEMENT_PREFIX}${domain}`;
-    const held = keys.get(key);
+    const held = keys.get(`${PLACEMENT_PREFIX}${domain}`);
     if (held?.value === self.id && belongsToOthers(domain)) {
-      await port.write([{ key, revision: held.revision }], [], [key], callOptions);
+      await release(domain);
+      return;
+    }
+    if (held?.value === self.id && !isClaimCurrent(domain) && mayClaimAgain(domain)) {
+      await claimAgain(domain);
       return;
     }
     if (held !== undefined) {
@@ -186,6 +219,7 @@
     if (
       !belongsToOthers(domain) &&
       entryLease.isValid() &&
+      mayClaimAgain(domain) &&
       timers.now() - since >= getClaimDelay(domain)
     ) {
       vacantSince.set(domain, timers.now());
@@ -193,14 +227,86 @@
     }
   }
 
-  async function claim(domain: DomainId): Promise<void> {
-    const key = `${PLACEMENT_PREFIX}${domain}`;
+  function noteExtended(lease: number, expiresAt: Millis): void {
+    dutyExpiry = expiresAt;
+    claimLeases.forEach((claimLease, domain) => {
+      if (claimLease === lease) {
+        claimExpiry.set(domain, expiresAt);
+      }
+    });
+  }
+
+  /** Whether no other instance may rely on a claim that the store lost when it came back from a copy. */
+  function mayClaimAgain(domain: DomainId): boolean {
+    return formerDomains.has(domain) || timers.now() - returnedAt >= dutyLeaseTime;
+  }
+
+  /** Whether this instance held a domain when the store was lost, and its lease could not have ended by itself since. */
+  function isFormerHolder(domain: DomainId): boolean {
+    const wasHolder = isHeldBySelf(domain) || formerDomains.has(domain);
+    return wasHolder && (claimExpiry.get(domain) ?? -Infinity) > timers.now();
+  }
+
+  /** Starts the lease of the duties; returns its id, or null if it isn't valid. */
+  async function startDutyLease(): Promise<number | null> {
     claimedAt = timers.now();
     await dutyLease.start();
-    const lease = dutyLease.getLeaseId();
-    if (lease !== null && dutyLease.isValid()) {
-      claimLeases.set(domain, lease);
-      await port.write([{ key, revision: 0 }], [{ key, value: self.id, lease }], [], callOptions);
+    return dutyLease.isValid() ? dutyLease.getLeaseId() : null;
+  }
+
+  function listClaimKeys(domain: DomainId): readonly string[] {
+    return [`${PLACEMENT_PREFIX}${domain}`, `${CLAIM_PREFIX}${domain}/${self.id}`];
+  }
+
+  function listClaimWrites(domain: DomainId, lease: number): readonly StoreWrite[] {
+    return listClaimKeys(domain).map((key) => ({ key, value: self.id, lease }));
+  }
+
+  /**
+   * Conditions that hold only while the claim of this instance is in force; null until both keys are known. After a
+   * return from a copy another's claim may have got the revision of this one, but not beside a key that only this
+   * instance writes, together with its claims.
+   */
+  function listClaimConditions(domain: DomainId): readonly StoreCondition[] | null {
+    const conditions = listClaimKeys(domain).flatMap((key) => {
+      const known = keys.get(key);
+      return known ? [{ key, revision: known.revision }] : [];
+    });
+    return conditions.length === listClaimKeys(domain).length ? conditions : null;
+  }
+
+  async function claim(domain: DomainId): Promise<void> {
+    const lease = await startDutyLease();
+    if (lease !== null) {
+      noteClaim(domain, lease);
+      const free = { key: `${PLACEMENT_PREFIX}${domain}`, revision: 0 };
+      await port.write([free], listClaimWrites(domain, lease), [], callOptions);
+    }
+  }
+
+  /** Claims a placement again that the store lists under an earlier lease of this instance. */
+  async function claimAgain(domain: DomainId): Promise<void> {
+    const lease = await startDutyLease();
+    const conditions = listClaimConditions(domain);
+    if (lease === null || conditions === null) {
+      return;
+    }
+    const writes = listClaimWrites(domain, lease);
+    const outcome = await port.write(conditions, writes, [], callOptions);
+    if (outcome.kind === 'done') {
+      noteClaim(domain, lease);
+    }
+  }
+
+  function noteClaim(domain: DomainId, lease: number): void {
+    claimLeases.set(domain, lease);
+    claimExpiry.set(domain, dutyExpiry);
+  }
+
+  async function release(domain: DomainId): Promise<void> {
+    const conditions = listClaimConditions(domain);
+    if (conditions !== null) {
+      await port.write(conditions, [], listClaimKeys(domain), callOptions);
     }
   }
 
@@ -217,18 +323,48 @@
     });
   }
 
+  function applyRemoval(key: string): void {
+    const isReturning = timers.now() - returnedAt < RETURN_GRACE;
+    if (key.startsWith(INSTANCE_PREFIX) && isReturning && keys.has(key)) {
+      missing.get(key)?.();
+      const cancel = timers.registerTimeout(RETURN_GRACE, () => removeKey(key));
+      missing.set(key, cancel);
+    } else {
+      removeKey(key);
+    }
+    if (key === `${INSTANCE_PREFIX}${self.id}` && !stopped) {
+      // Bound to a lease that another ended, or lost with the store's latest changes.
+      entryLease.refresh();
+    }
+  }
+
+  function removeKey(key: string): void {
+    missing.delete(key);
+    cachedInstances = null;
+    keys.delete(key);
+    if (key.startsWith(PLACEMENT_PREFIX)) {
+      vacantSince.set(key.slice(PLACEMENT_PREFIX.length), timers.now());
+    }
+  }
+
   return {
     applyEvent(event) {
       cachedInstances = null;
       if (event.kind === 'written') {
+        missing.get(event.item.key)?.();
+        missing.delete(event.item.key);
         keys.set(event.item.key, event.item);
       } else {
-        keys.delete(event.key);
-        if (event.key.startsWith(PLACEMENT_PREFIX)) {
-          vacantSince.set(event.key.slice(PLACEMENT_PREFIX.length), timers.now());
-        }
+        applyRemoval(event.key);
       }
     },
+    noteStoreReturned() {
+      returnedAt = timers.now();
+      formerDomains = new Set(options.listDomains().filter(isFormerHolder));
+      claimLeases.clear();
+      entryLease.refresh();
+      dutyLease.refresh();
+    },
     holds: (domain) =>
       dutyLease.isValid() &&
       isHeldBySelf(domain) &&
--- a/packages/relay/src/RelayLeaseKeeper.ts
+++ b/packages/relay/src/RelayLeaseKeeper.ts
@@ -25,6 +25,8 @@
   readonly onGranted: (lease: number) => Promise<boolean>;
   /** Whether the lease is still needed; otherwise it is ended. */
   readonly isNeeded: () => boolean;
+  /** The lease was granted or renewed, and can't end by itself before a time. */
+  readonly onExtended?: (lease: number, expiresAt: Millis) => void;
   /** Receives what `onGranted` or a call to the store throws. */
   readonly onError?: (err: unknown) => void;
 }
@@ -34,6 +36,8 @@
   start(): Promise<void>;
   /** Whether the lease's keys are written, and it is valid for at least the safety margin. */
   isValid(): boolean;
+  /** Renews the lease now, or acquires another one if it is gone, and writes its keys again. */
+  refresh(): void;
   /** The id of the current lease, or null if there is none. */
   getLeaseId(): number | null;
   /** Ends the lease and stops renewing it. */
@@ -64,6 +68,10 @@
   let lease: KeptLease | null = null;
   let isKeeping = false;
   let isStopped = false;
+  /** Whether calls of a renewal are under way; two at once would acquire two leases. */
+  let isBusy = false;
+  /** Whether the lease is to be refreshed when they have ended. */
+  let isRefreshDue = false;
   let cancelRenewal: Unregister = () => undefined;
 
   function endLease(id: number): void {
@@ -92,6 +100,7 @@
       safeUntil: requestedAt + time - SAFETY_MARGIN,
       areKeysWritten: false,
     };
+    options.onExtended?.(lease.id, requestedAt + time);
     await writeKeys();
   }
 
@@ -111,6 +120,7 @@
     const outcome = await port.renewLease(current.id, callOptions);
     if (outcome.kind === 'done') {
       current.safeUntil = requestedAt + time - SAFETY_MARGIN;
+      options.onExtended?.(current.id, requestedAt + time);
     } else if (outcome.kind === 'refused' && outcome.reason.kind === 'lapsed') {
       lease = null;
     }
@@ -129,12 +139,30 @@
   }
 
   async function keep(): Promise<void> {
+    isBusy = true;
     try {
       await renewOrAcquire();
     } catch (err) {
       options.onError?.(err);
     }
-    scheduleRenewal();
+    isBusy = false;
+    if (isRefreshDue) {
+      refresh();
+    } else {
+      scheduleRenewal();
+    }
+  }
+
+  function refresh(): void {
+    isRefreshDue = isBusy;
+    if (isBusy || !isKeeping || isStopped) {
+      return;
+    }
+    if (lease) {
+      lease.areKeysWritten = false;
+    }
+    cancelRenewal();
+    void keep();
   }
 
   function scheduleRenewal(): void {
@@ -161,6 +189,7 @@
         await keep();
       }
     },
+    refresh,
     isValid: () =>
       lease !== null && lease.areKeysWritten && !isStopped && timers.now() < lease.safeUntil,
     getLeaseId: () => lease?.id ?? null,
--- a/packages/relay/src/RelayMirror.ts
+++ b/packages/relay/src/RelayMirror.ts
@@ -1,7 +1,8 @@
 /**
  * Local copy of the store, key by key, filled by the store itself or, while the store refuses this instance, by a peer.
  * The higher revision of a key wins, so that changes from a peer are not reverted when the store answers again and
- * replays its history.
+ * replays its history. Revisions have their era: one of a later era is higher than all of an earlier one, since the
+ * store gives numbers out again after it has come back from a copy.
  */
 import type { StoreEvent, StoreItem } from '@skylarksail/store/StoreRange';
 
@@ -28,6 +29,10 @@
    * seen.
    */
   toEvents(changes: MirrorChanges): readonly StoreEvent[];
+  /** The latest known revision of a key, its removal included; 0 if none is known. */
+  getRevision(key: string): number;
+  /** The item of a key, or null if it is removed or not known. */
+  getItem(key: string): StoreItem | null;
   /** All changes up to a revision are applied; returns whether that revision is higher than before. */
   noteComplete(revision: number): boolean;
   /** The revision up to which the copy is complete. */
@@ -131,6 +136,8 @@
       const written = told.map((item): StoreEvent => ({ kind: 'written', item }));
       return [...written, ...gone.map((removal) => ({ kind: 'removed' as const, ...removal }))];
     },
+    getRevision: getKnownRevision,
+    getItem: (key) => items.get(key) ?? null,
     noteComplete(appliedRevision) {
       if (appliedRevision <= completeRevision) {
         return false;
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -14,7 +14,7 @@
 import { createRequestRouter } from '@skylarksail/requests/RequestRouter';
 import { EngineFate } from '@skylarksail/requests/RouterTypes';
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
-import { watchStoreHistory } from '@skylarksail/store/StoreEras';
+import { createHistoryPort } from '@skylarksail/store/StoreEras';
 import type { PeerSlowness } from '@skylarksail/routing/RoutingSlowness';
 import { createRelayArrivals } from './RelayArrivals.js';
 import { createRelayPlannedWork } from './RelayPlannedWork.js';
@@ -90,7 +90,7 @@
       ),
     readPeerSlowness,
   });
-  const store = watchStoreHistory(options.store, (next, before) => {
+  const store = createHistoryPort(options.store, (next, before) => {
     metrics.count('store_history_changes', 'times that the store answered from another history');
     logger.warn({ ...next, before }, 'store answers from another history');
   });
--- a/packages/relay/src/RelayPeerCodec.ts
+++ b/packages/relay/src/RelayPeerCodec.ts
@@ -8,6 +8,7 @@
 import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { UpdateContent, WireChanges, WireItem } from './RelayPeerMessages.js';
+import { readRevision, splitRevision } from './RelayPeerRevisions.js';
 import { readUpdateMessage, readPeerMessage } from './RelayPeerMessages.js';
 import type { PeerAnswer, PeerUpdates } from './RelayPeers.js';
 
@@ -48,17 +49,20 @@
   }
 
   function encodeItem(item: StoreItem, form: AnswerFormName): WireItem {
-    const { key, value, revision } = item;
+    const { key, value } = item;
+    const revision = splitRevision(item.revision);
     return form === AnswerForm.Plain || value.length < MIN_COMPRESSED_LENGTH
-      ? { key, value, revision }
-      : { key, revision, deflated: compress(item) };
+      ? { key, value, ...revision }
+      : { key, ...revision, deflated: compress(item) };
   }
 
   function decodeItem(wireItem: WireItem): StoreItem {
+    const { key } = wireItem;
+    const revision = readRevision(wireItem);
     if ('value' in wireItem) {
-      return wireItem;
+      return { key, value: wireItem.value, revision };
     }
-    const { key, revision, deflated } = wireItem;
+    const { deflated } = wireItem;
     const value = inflateRawSync(deflated, { maxOutputLength: MAX_VALUE_BYTES }).toString('utf8');
     const item = { key, value, revision };
     // Cached for passing the value on. The copy lets the rest of the message be garbage-collected.
@@ -66,12 +70,25 @@
     return item;
   }
 
-  function encodeChanges({ items, ...rest }: MirrorChanges, form: AnswerFormName): WireChanges {
-    return { ...rest, items: items.map((item) => encodeItem(item, form)) };
+  function encodeChanges(changes: MirrorChanges, form: AnswerFormName): WireChanges {
+    return {
+      isWhole: changes.isWhole,
+      items: changes.items.map((item) => encodeItem(item, form)),
+      removed: changes.removed.map(({ key, revision }) => ({ key, ...splitRevision(revision) })),
+      ...splitRevision(changes.revision),
+    };
   }
 
-  function decodeChanges({ items, ...rest }: WireChanges): MirrorChanges {
-    return { ...rest, items: items.map(decodeItem) };
+  function decodeChanges(changes: WireChanges): MirrorChanges {
+    return {
+      isWhole: changes.isWhole,
+      items: changes.items.map(decodeItem),
+      removed: changes.removed.map((removal) => ({
+        key: removal.key,
+        revision: readRevision(removal),
+      })),
+      revision: readRevision(changes),
+    };
   }
 
   return {
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -20,12 +20,14 @@
 import type { AnswerFormName, PeerCodec } from './RelayPeerCodec.js';
 import { AnswerForm, createPeerCodec } from './RelayPeerCodec.js';
 import {
+  packUpdateQuery,
   readCrashReports,
   readObservedMessage,
   readPermitAnswer,
   readPermitQuery,
   readUpdateQuery,
 } from './RelayPeerMessages.js';
+import { parseRevision, splitRevision } from './RelayPeerRevisions.js';
 import { createForwardHttp, FORWARD_PATH, serveTask } from './RelayForwardHttp.js';
 import { MAX_TASK_BYTES } from './RelayForwardMessages.js';
 import type { OpenForward, ServeForward } from './RelayForwardTypes.js';
@@ -133,11 +135,13 @@
 
   return {
     async ask(address, since, timeout) {
-      const raw = await send(address, `${Path.Changes}?since=${since}`, timeout);
+      const { revision, era = 0 } = splitRevision(since);
+      const query = new URLSearchParams({ since: String(revision), era: String(era) });
+      const raw = await send(address, `${Path.Changes}?${query}`, timeout);
       return readAnswer(raw, (got) => readPeerAnswer(got, codec));
     },
     async askForUpdates({ address }, ask, timeout) {
-      const raw = address && (await send(address, Path.Updates, timeout, pack(ask)));
+      const raw = address && (await send(address, Path.Updates, timeout, packUpdateQuery(ask)));
       return readAnswer(raw, (got) => readUpdateAnswer(got, codec));
     },
     async askGrant({ address }, service, wanted, timeout) {
@@ -270,8 +274,11 @@
   handlers: PeerHandlers,
   takesWhole: boolean,
 ): PeerAnswer {
-  const since = Number(asked.get('since') ?? NaN);
-  return Number.isFinite(since) ? handlers.changes(since, takesWhole) : SILENT;
+  const since = parseRevision({
+    revision: Number(asked.get('since') ?? NaN),
+    era: Number(asked.get('era') ?? 0),
+  });
+  return since === null ? SILENT : handlers.changes(since, takesWhole);
 }
 
 async function answerUpdateQuery(body: Buffer, handlers: PeerHandlers): Promise<UpdateAnswer> {
--- a/packages/relay/src/RelayPeerMessages.ts
+++ b/packages/relay/src/RelayPeerMessages.ts
@@ -1,15 +1,16 @@
 /** Validation of messages between peers: the sender may have another version, or be faulty. */
-import { unpack } from 'msgpackr';
+import { pack, unpack } from 'msgpackr';
 import * as z from 'zod/mini';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { PoisonDigest } from '@skylarksail/requests/RequestPoison';
-import type { StoreItem } from '@skylarksail/store/StoreRange';
 import type { MirrorChanges } from './RelayMirror.js';
 import type { UpdateQuery } from './RelayUpdates.js';
 import type { PeerUpdates } from './RelayPeers.js';
 import { FanoutLevel } from './RelayFanout.js';
 import type { PermitAnswer, PermitQuery } from './RelayLimits.js';
+import type { WireRevision } from './RelayPeerRevisions.js';
+import { readRevision, revisionShape, splitRevision } from './RelayPeerRevisions.js';
 import type { BackendEntry } from './RelayTypes.js';
 import type { RoomReport, WorkReport } from './RelayWork.js';
 
@@ -49,7 +50,8 @@
 const reportedRooms = optionalPart(z.array(reportedRoom));
 
 const updateQuery = z.object({
-  since: count,
+  since: revisionShape.revision,
+  era: revisionShape.era,
   hold: count,
   level: z.enum(FanoutLevel),
   takesWhole: z.optional(z.boolean()),
@@ -59,15 +61,15 @@
 });
 
 const wireItem = z.union([
-  z.object({ key: z.string(), value: z.string(), revision: count }),
-  z.object({ key: z.string(), deflated: z.instanceof(Uint8Array), revision: count }),
+  z.object({ key: z.string(), value: z.string(), ...revisionShape }),
+  z.object({ key: z.string(), deflated: z.instanceof(Uint8Array), ...revisionShape }),
 ]);
 
 const changesShape = {
   isWhole: z.optional(z.boolean()),
   items: z.array(wireItem),
-  removed: z.array(z.object({ key: z.string(), revision: count })),
-  revision: count,
+  removed: z.array(z.object({ key: z.string(), ...revisionShape })),
+  ...revisionShape,
 };
 
 /** Instances of an earlier version send no age. */
@@ -121,12 +123,14 @@
 );
 
 /** Item on the wire, with its value as text or compressed. */
-export type WireItem =
-  StoreItem | { readonly key: string; readonly revision: number; readonly deflated: Uint8Array };
+export type WireItem = { readonly key: string } & WireRevision &
+  ({ readonly value: string } | { readonly deflated: Uint8Array });
 
 /** Changes on the wire. */
-export interface WireChanges extends Omit<MirrorChanges, 'items'> {
+export interface WireChanges extends WireRevision {
+  readonly isWhole: boolean;
   readonly items: readonly WireItem[];
+  readonly removed: readonly ({ readonly key: string } & WireRevision)[];
 }
 
 /** Answer of a peer other than the sources, on the wire. */
@@ -180,10 +184,17 @@
   }
 }
 
+/** Encodes a query for updates. */
+export function packUpdateQuery({ since, ...query }: UpdateQuery): Buffer {
+  const { revision, ...era } = splitRevision(since);
+  return pack({ ...query, since: revision, ...era });
+}
+
 /** Reads a query for updates; null if it is invalid. */
 export function readUpdateQuery(body: Buffer): UpdateQuery | null {
   try {
-    return { takesWhole: false, ...updateQuery.parse(unpack(body)) };
+    const { since, era, ...query } = updateQuery.parse(unpack(body));
+    return { takesWhole: false, ...query, since: readRevision({ revision: since, era }) };
   } catch {
     // Such a peer cannot be relied on; it gets the answer of an unknown path.
     return null;
--- a/packages/relay/src/RelayPeers.ts
+++ b/packages/relay/src/RelayPeers.ts
@@ -8,6 +8,7 @@
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, InstanceId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { StoreEvent } from '@skylarksail/store/StoreRange';
+import { getEra } from '@skylarksail/store/StoreRevisions';
 import { LAPSED_ENTRY_GRACE } from './RelayCatalogue.js';
 import type { Mirror, MirrorChanges } from './RelayMirror.js';
 import type { BackendEntry, InstanceEntry } from './RelayTypes.js';
@@ -137,7 +138,7 @@
     } else {
       silent.delete(peer.id);
     }
-    if (answer.kind === 'news') {
+    if (answer.kind === 'news' && isOfKnownEra(answer)) {
       lastUpdateAt = timers.now();
       applyUpdates(peer, answer, askedAt);
     } else if (answer.kind === 'deaf') {
@@ -146,6 +147,11 @@
     }
   }
 
+  /** A peer that has not seen the era of this instance knows nothing of what is in force. */
+  function isOfKnownEra({ changes }: PeerUpdates): boolean {
+    return getEra(changes.revision) >= getEra(mirror.getCompleteRevision());
+  }
+
   function applyUpdates(peer: InstanceEntry, { changes, age }: PeerUpdates, askedAt: Millis): void {
     mirror.toEvents(changes).forEach((event) => options.onEvent(event, peer.id));
     if (mirror.noteComplete(changes.revision)) {
@@ -187,7 +193,8 @@
       isLeaving = true;
     },
     answer(since, takesWhole) {
-      if (cancelRound === null) {
+      const isBehind = getEra(since) > getEra(mirror.getCompleteRevision());
+      if (cancelRound === null && !isBehind) {
         const changes = mirror.readSince(since, takesWhole);
         const isAll = changes.isWhole || mirror.hasChangesSince(since);
         return { kind: 'news', changes, age: isAll ? options.getStaleness() : null };
--- a/packages/relay/src/RelayStoreReads.ts
+++ b/packages/relay/src/RelayStoreReads.ts
@@ -8,6 +8,7 @@
   StorePage,
   StoreRangePort,
 } from '@skylarksail/store/StoreRange';
+import { isSameEra } from '@skylarksail/store/StoreRevisions';
 import type { Mirror } from './RelayMirror.js';
 import type { StalenessTracker } from './RelayStaleness.js';
 import { STORE_SOURCE } from './RelayStaleness.js';
@@ -74,6 +75,10 @@
       if (page.kind !== 'done') {
         return page;
       }
+      if (revision !== null && !isSameEra(revision, page.value.revision)) {
+        // The store came back from a copy between two pages.
+        return { kind: 'done', value: { kind: 'compacted' } };
+      }
       items.push(...page.value.items);
       revision ??= page.value.revision;
       after = page.value.next;
--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -9,6 +9,9 @@
 import type { RouteTable } from '@skylarksail/routes/RouteTable';
 import { createRouteTable } from '@skylarksail/routes/RouteTable';
 import type { StoreEvent, StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
+import type { StoreEra } from '@skylarksail/store/StorePort';
+import type { StoreRevision } from '@skylarksail/store/StoreRevisions';
+import { getEra, getRevisionNumber } from '@skylarksail/store/StoreRevisions';
 import { registerRangeWatch } from '@skylarksail/store/StoreRangeWatch';
 import type { Catalogue } from './RelayCatalogue.js';
 import type { ConfirmCurrent } from './RelayConfirm.js';
@@ -21,6 +24,8 @@
 import type { UpdateState } from './RelayStaleness.js';
 import { STORE_SOURCE } from './RelayStaleness.js';
 import type { AskPeer, RelayPeers } from './RelayPeers.js';
+import type { KnownBeforeReturn } from './RelayReturnedServers.js';
+import { createReturnedServers } from './RelayReturnedServers.js';
 import { createRelayPeers } from './RelayPeers.js';
 import { createFanoutRoleCache, FanoutLevel } from './RelayFanout.js';
 import type { RelayRooms } from './RelayRooms.js';
@@ -70,6 +75,8 @@
 /** How a configuration reached this instance; written to the log under these names. */
 interface ConfigArrival {
   readonly source: UpdateState['source'];
+  /** Era and number of the revision that brought it. */
+  readonly era: StoreEra;
   readonly revision: number;
   /** Time since the local copy was in sync with the store; null at startup. */
   readonly newsAge: Millis | null;
@@ -82,38 +89,67 @@
   const { timers, random, catalogue, lease, logger } = options;
   const mirror = createMirror();
   const role = createFanoutRoleCache(options.self, lease.listInstances);
+  const servers = createReturnedServers(timers, catalogue);
   let version: number | null = null;
+  /** Era of the latest change; null before the first. */
+  let era: StoreEra | null = null;
 
   /** Applies an event of the store or a peer, unless a newer revision of the key is known. */
   function applyEvent(event: StoreEvent, origin: UpdateState): void {
+    const { key, revision } = event.kind === 'written' ? event.item : event;
+    noteEra(getEra(revision), origin);
+    const before = readBeforeReturn(key, revision);
     if (!mirror.apply(event)) {
       return;
     }
-    const key = event.kind === 'written' ? event.item.key : event.key;
     if (key.startsWith(RELAY_KEY_PREFIX)) {
       lease.applyEvent(event);
     } else if (event.kind === 'written') {
-      applyItem(event.item, origin);
+      applyItem(event.item, origin, before);
     } else {
       const backend = options.readBackendKey(key);
       if (backend !== null) {
-        catalogue.remove(backend);
+        servers.remove(backend);
       }
     }
   }
 
-  function applyItem(item: StoreItem, origin: UpdateState): void {
+  function noteEra(next: StoreEra, origin: UpdateState): void {
+    if (era !== null && next <= era) {
+      return;
+    }
+    if (era !== null) {
+      logger.warn({ era: next, before: era, source: origin.source }, 'store came back from a copy');
+      catalogue.noteStoreReturned();
+      lease.noteStoreReturned();
+    }
+    era = next;
+  }
+
+  /** What an earlier history told of a server's key; null if it told nothing, or a later one has told of it since. */
+  function readBeforeReturn(key: string, revision: StoreRevision): KnownBeforeReturn | null {
+    const known = mirror.getRevision(key);
+    if (known === 0 || getEra(known) >= getEra(revision) || options.readBackendKey(key) === null) {
+      return null;
+    }
+    const item = mirror.getItem(key);
+    const content = item && readItem(item);
+    return { entry: content?.kind === 'backend' ? content.entry : null };
+  }
+
+  function applyItem(item: StoreItem, origin: UpdateState, before: KnownBeforeReturn | null): void {
     const startedAt = timers.now();
     const content = readItem(item);
     if (content?.kind === 'backend') {
-      catalogue.put(content.entry);
+      servers.put(content.entry, before);
     } else if (content?.kind === 'unreadable') {
       options.onUnreadable(item.key, content.reason);
       catalogue.drop(content.server);
     } else if (content?.kind === 'config') {
       applyConfig(createRouteTable(content.config), {
         source: origin.source,
-        revision: item.revision,
+        era: getEra(item.revision),
+        revision: getRevisionNumber(item.revision),
         newsAge: roundMillis(origin.age),
         bytes: item.value.length,
         readTime: roundMillis(timers.now() - startedAt),
@@ -180,7 +216,11 @@
       news.noteSynced(age);
       catalogue.notePeerNews(age);
     },
-    onRevision: (peer, revision) => logger.info({ peer, revision }, 'store heard from a peer'),
+    onRevision: (peer, revision) =>
+      logger.info(
+        { peer, era: getEra(revision), revision: getRevisionNumber(revision) },
+        'store heard from a peer',
+      ),
   });
   const confirmNews = createRelayConfirm({
     timers,
--- a/packages/relay/src/RelayUpdates.ts
+++ b/packages/relay/src/RelayUpdates.ts
@@ -7,6 +7,7 @@
 import type { InstanceId, Millis } from '@skylarksail/core/CoreTypes';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
 import type { StoreChanges, StoreRangePort } from '@skylarksail/store/StoreRange';
+import { getEra } from '@skylarksail/store/StoreRevisions';
 import type { Mirror, MirrorChanges } from './RelayMirror.js';
 import type { UpdateState } from './RelayStaleness.js';
 import { createStalenessTracker } from './RelayStaleness.js';
@@ -205,7 +206,7 @@
     } else {
       backoffUntil.delete(source.id);
     }
-    if (answer.kind !== 'news') {
+    if (answer.kind !== 'news' || getEra(answer.changes.revision) < getEra(since)) {
       return null;
     }
     // The full network round trip counts as age, since the time at which the source answered is unknown.
@@ -262,6 +263,7 @@
   /**
    * Only an instance closer to the store may answer: two that polled each other would both miss all changes undetected.
    * One that started after the requested revision lacks earlier removals, and would leave deleted keys at the other.
+   * One that has not seen the era of the requested revision knows nothing of what is in force.
    */
   function canAnswer({ since, level, takesWhole }: UpdateQuery): boolean {
     return (
@@ -269,10 +271,21 @@
       age.get() <= MAX_SOURCE_AGE &&
       getLevel() < level &&
       !isLeaving &&
+      hasEraOf(since) &&
       (mirror.hasChangesSince(since) || (takesWhole && mirror.hasFullState()))
     );
   }
 
+  /**
+   * Whether this instance knows the era of a peer's revision. A peer whose revision has none while this one's has runs
+   * an earlier version, which would take each answer for a change; it then asks the store.
+   */
+  function hasEraOf(since: number): boolean {
+    const era = getEra(since);
+    const own = getEra(mirror.getCompleteRevision());
+    return era <= own && (era > 0 || own === 0);
+  }
+
   /** Whether this instance has nothing new for a peer at this revision. */
   function isUpToDate(since: number): boolean {
     return mirror.hasChangesSince(since) && mirror.getCompleteRevision() <= since;
--- a/packages/relay/src/__tests__/unit/RelayReturnBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayReturnBed.ts
@@ -1,5 +1,4 @@
 /** A fleet of instances that sync with a store that comes back from a copy, in virtual time. */
-import { pack } from 'msgpackr';
 import { pino } from 'pino';
 import { LifeState } from '@skylarksail/core/CoreConstants';
 import { createRandom } from '@skylarksail/core/CoreRandom';
@@ -8,7 +7,7 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { FakeRangeStore } from '@skylarksail/store/FakeRangeStore';
 import { createFakeRangeStore } from '@skylarksail/store/FakeRangeStore';
-import { watchStoreHistory } from '@skylarksail/store/StoreEras';
+import { createHistoryPort } from '@skylarksail/store/StoreEras';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
 import type { StoreItem, StoreRangePort } from '@skylarksail/store/StoreRange';
 import type { Catalogue } from '../../RelayCatalogue.js';
@@ -16,14 +15,14 @@
 import type { RelayLease } from '../../RelayLease.js';
 import { createRelayLease } from '../../RelayLease.js';
 import { AnswerForm, createPeerCodec } from '../../RelayPeerCodec.js';
-import { readUpdateQuery } from '../../RelayPeerMessages.js';
+import { packUpdateQuery, readUpdateQuery } from '../../RelayPeerMessages.js';
 import type { RelaySync } from '../../RelaySync.js';
 import { startRelaySync } from '../../RelaySync.js';
 import type { StoreContent } from '../../RelayTypes.js';
 import { createBackend, createConfig } from './RelayFixtures.js';
 
-const CONFIG_KEY = 'op/config';
-const SERVER_PREFIX = 'servers/';
+const CONFIG_KEY = 'config';
+const SERVER_PREFIX = 'backends/';
 const CHANGE_TIME: Millis = 2000;
 const NO_WORK = { running: [], lost: [] };
 
@@ -121,7 +120,7 @@
     const domain = domains[index % domainCount] ?? '';
     const self = { id, domain, address: { host: '127.0.0.1', port: index + 1 } };
     const random = createRandom(index + 1);
-    const port = watchStoreHistory(
+    const port = createHistoryPort(
       createCutPort(() => members[index]),
       () => undefined,
     );
@@ -153,7 +152,7 @@
         );
       },
       askForUpdates: async (peer, ask) => {
-        const query = readUpdateQuery(pack(ask));
+        const query = readUpdateQuery(packUpdateQuery(ask));
         const answer = query && (await findPeer(peer.id)?.sync.updates.answer(query));
         return answer?.kind === 'news'
           ? { kind: 'news', ...codec.readUpdates(codec.packUpdates(answer, AnswerForm.Deflated)) }
--- a/packages/relay/src/__tests__/unit/RelayStoreReturns.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStoreReturns.test.ts
@@ -63,7 +63,7 @@
         );
         bed.putVersion(2);
         bed.putServer('s1', 'leaving');
-        Array.from({ length: 60 }, (_, i) => bed.store.put('op/other', String(i)));
+        Array.from({ length: 60 }, (_, i) => bed.store.put('other', String(i)));
         await bed.advance(IN_FORCE_BOUND);
         expect(bed.listOutdated(2)).to.deep.equal([]);
         expect(bed.listUsers('s1')).to.deep.equal([]);
@@ -75,7 +75,7 @@
         await returnFromCopy(
           bed,
           () => {
-            Array.from({ length: 20 }, (_, i) => bed.store.put('op/other', String(i)));
+            Array.from({ length: 20 }, (_, i) => bed.store.put('other', String(i)));
             bed.putVersion(2);
           },
           1500,
@@ -164,7 +164,7 @@
         await returnFromCopy(
           bed,
           () => {
-            Array.from({ length: 20 }, (_, i) => bed.store.put('op/other', String(i)));
+            Array.from({ length: 20 }, (_, i) => bed.store.put('other', String(i)));
           },
           1500,
         );
--- a/packages/store/src/StoreRange.ts
+++ b/packages/store/src/StoreRange.ts
@@ -5,7 +5,7 @@
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import type { CallOptions, StoreOutcome } from './StorePort.js';
 
-/** A key with its latest value; `revision` is that of its last write. */
+/** A key with its latest value; `revision` is that of its last write, with its era behind `createHistoryPort`. */
 export interface StoreItem {
   readonly key: string;
   readonly value: string;
--- a/packages/store/src/StoreRangeWatch.ts
+++ b/packages/store/src/StoreRangeWatch.ts
@@ -8,6 +8,7 @@
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import type { StoreOutcome } from './StorePort.js';
 import type { StoreEvent, StoreItem, StoreRangePort } from './StoreRange.js';
+import { isSameEra } from './StoreRevisions.js';
 
 /** Receives the contents and changes of the range. */
 export interface RangeWatchListener {
@@ -75,7 +76,8 @@
 
   /**
    * Reads the range and returns the revision to watch from, or null if a read failed. The watch starts at
-   * the revision of the first page, since later pages may be of later revisions.
+   * the revision of the first page, since later pages may be of later revisions. Pages of two eras are no range: the
+   * store came back from a copy between them.
    */
   async function readAll(): Promise<number | null> {
     const items: StoreItem[] = [];
@@ -91,6 +93,9 @@
       if (value === null) {
         return null;
       }
+      if (from !== null && !isSameEra(from, value.revision)) {
+        return null;
+      }
       items.push(...value.items);
       from ??= value.revision;
       after = value.next;
