--- a/packages/relay/src/RelaySync.ts
+++ b/packages/relay/src/RelaySync.ts
@@ -71,6 +71,8 @@
 /** Longest watch before renewal: a dead connection must not hide a change for long. */
 const WATCH_WAIT: Millis = 2500;
 const STORE_TIMEOUT: Millis = 700;
+/** Era of a store that has not come back from a copy yet. */
+const FIRST_ERA: StoreEra = 1;
 
 /** How a configuration reached this instance; written to the log under these names. */
 interface ConfigArrival {
@@ -118,6 +120,10 @@
     if (era !== null && next <= era) {
       return;
     }
+    if (era === null && next > FIRST_ERA) {
+      // A process that has just started can't tell whether a holder still relies on a claim that was lost.
+      lease.noteStoreReturned();
+    }
     if (era !== null) {
       logger.warn({ era: next, before: era, source: origin.source }, 'store came back from a copy');
       catalogue.noteStoreReturned();
--- a/packages/relay/src/__tests__/unit/RelayReturnBed.ts
+++ b/packages/relay/src/__tests__/unit/RelayReturnBed.ts
@@ -39,6 +39,16 @@
   isStopped: boolean;
 }
 
+/** Shares of the calls whose answer is lost, and of those that the store carries out seconds later, unanswered. */
+export interface CallFaults {
+  readonly lost: number;
+  readonly late: number;
+}
+
+const NO_FAULTS: CallFaults = { lost: 0, late: 0 };
+const MIN_LATE: Millis = 1000;
+const MAX_LATE: Millis = 6000;
+
 export interface ReturnBed {
   readonly timers: VirtualTimers;
   readonly store: FakeRangeStore;
@@ -47,6 +57,8 @@
   start(): ReturnMember;
   /** Ends a member's process: it calls nobody and answers nobody any more. */
   kill(member: ReturnMember): void;
+  /** Loses answers of the store, and delays calls, from now on. */
+  setFaults(next: CallFaults): void;
   putVersion(version: number): void;
   putServer(id: string, state: 'live' | 'leaving'): void;
   removeServer(id: string): void;
@@ -79,6 +91,8 @@
   const codec = createPeerCodec();
   const domains = Array.from({ length: domainCount }, (_, i) => `d${i}`);
   const members: ReturnMember[] = [];
+  const fateRandom = createRandom(instances);
+  let faults = NO_FAULTS;
 
   function sleep(time: Millis): Promise<void> {
     return new Promise((resolve) => {
@@ -93,8 +107,17 @@
       timeout: Millis,
       call: () => Promise<StoreOutcome<T>>,
     ): Promise<StoreOutcome<T>> {
-      const outcome = isCut() ? null : await call();
-      if (outcome === null || isCut()) {
+      const draw = fateRandom.nextFloat();
+      if (draw < faults.late && !isCut()) {
+        const delay = MIN_LATE + fateRandom.nextFloat() * (MAX_LATE - MIN_LATE);
+        timers.registerTimeout(delay, () => {
+          call().catch(() => undefined);
+        });
+      }
+      const isArriving = !isCut() && draw >= faults.late;
+      const outcome = isArriving ? await call() : null;
+      const isLost = draw < faults.late + faults.lost;
+      if (outcome === null || isLost || isCut()) {
         await sleep(timeout);
         return { kind: 'unknown' };
       }
@@ -200,6 +223,9 @@
       Object.assign(member, { isStopped: true });
       member.sync.stop();
     },
+    setFaults(next) {
+      faults = next;
+    },
     putVersion: (version) => store.put(CONFIG_KEY, String(version)),
     putServer: (id, state) => store.put(`${SERVER_PREFIX}${id}`, state),
     removeServer: (id) => store.remove(`${SERVER_PREFIX}${id}`),
