Let the stand-in store and the soak of leases come back from copies

Records of leases and keys have a number that is never given out again, so that the checks of a soak don't take another's key for that of a process that had the same lease id. Unit tests of the stand-in and of the soak's checks pass; the soak itself was not run yet.

--- a/packages/bench/src/SoakLeaseCheck.ts
+++ b/packages/bench/src/SoakLeaseCheck.ts
@@ -40,7 +40,7 @@
   const own = calls.filter((call) => call.owner === process.id && call.lease === lease.id);
   const spans = findNormalSpans(process, own, [...down, ...stalls]);
   const late = keys.filter(
-    (key) => key.lease === lease.id && spans.some((span) => isHeldPast(key, span)),
+    (key) => key.grant === lease.grant && spans.some((span) => isHeldPast(key, span)),
   );
   return late.map(({ key }) =>
     [
--- a/packages/bench/src/SoakLeaseGaps.ts
+++ b/packages/bench/src/SoakLeaseGaps.ts
@@ -54,9 +54,9 @@
 }
 
 function createProcessLookup({ leases, processes }: LeaseEvidence) {
-  const owners = new Map(leases.map(({ id, owner }) => [id, owner]));
-  return ({ lease }: KeyRecord): LeaseProcess | undefined =>
-    processes.find(({ id }) => id === owners.get(lease));
+  const owners = new Map(leases.map(({ grant, owner }) => [grant, owner]));
+  return ({ grant }: KeyRecord): LeaseProcess | undefined =>
+    processes.find(({ id }) => id === owners.get(grant));
 }
 
 /** Times until `end` in which no record of a running process was in the store. */
--- a/packages/bench/src/SoakLeasePlan.ts
+++ b/packages/bench/src/SoakLeasePlan.ts
@@ -24,6 +24,8 @@
   readonly level: StoreFaultLevel;
   /** Whether leases pause while the store is down; otherwise they lapse. */
   readonly pausesLeases: boolean;
+  /** Age of the copy from which the store comes back at the end of the window; null if it loses nothing. */
+  readonly copyAge: Millis | null;
 }
 
 /** The stop of one process; `target` is taken modulo the number of processes that may be stopped. */
@@ -51,6 +53,9 @@
 const MAX_WINDOW: Millis = 5000;
 const MEAN_WINDOW_GAP: Millis = 1500;
 const SLOW_DELAYS: readonly Millis[] = [300, 1000, 2500, 4000];
+const RETURN_SHARE = 0.5;
+const MAX_COPY_AGE: Millis = 4000;
+const COPY_SEED_OFFSET = 1_000_000;
 const MAX_GROUP = 3;
 const MAX_RESTART_DELAY: Millis = 1000;
 const MAX_LEAD: Millis = 800;
@@ -63,16 +68,25 @@
 /** Draws the plan of a seed. */
 export function planLeaseSoak({ seed, time, stopGap }: LeaseSoakOptions): LeaseSoakPlan {
   const random = createRandom(seed);
-  const windows = drawWindows(random, time);
+  const windows = drawWindows(random, createRandom(seed + COPY_SEED_OFFSET), time);
   return { windows, stops: drawStops(random, time, stopGap, windows) };
 }
 
-function drawWindows(random: Random, end: Millis): readonly StoreFaultWindow[] {
+/** Some of the times in which the store is down end with a return from a copy. */
+function drawCopyAge(random: Random, { isDown }: StoreFaultLevel): Millis | null {
+  const age = random.nextFloat() * MAX_COPY_AGE;
+  return isDown && random.nextFloat() < RETURN_SHARE ? age : null;
+}
+
+/** Returns are drawn by a generator of their own, so that a seed draws the other faults and the stops as ever. */
+function drawWindows(random: Random, copies: Random, end: Millis): readonly StoreFaultWindow[] {
   const windows: StoreFaultWindow[] = [];
   let at = FIRST_FAULT;
   while (at < end - MAX_WINDOW) {
     const time = drawBetween(random, MIN_WINDOW, MAX_WINDOW);
-    windows.push({ at, time, level: drawLevel(random), pausesLeases: random.nextFloat() < 0.5 });
+    const level = drawLevel(random);
+    const pausesLeases = random.nextFloat() < 0.5;
+    windows.push({ at, time, level, pausesLeases, copyAge: drawCopyAge(copies, level) });
     at += time + drawGap(random, MEAN_WINDOW_GAP);
   }
   return windows;
--- a/packages/bench/src/SoakLeaseReport.ts
+++ b/packages/bench/src/SoakLeaseReport.ts
@@ -128,11 +128,11 @@
 function listLeftKeys(
   { keys, leases }: LeaseEvidence,
   { id, stopAt, endedAt }: StoppedProcess,
-  lease: number | null,
+  grant: number | null,
 ): readonly LeftKey[] {
-  const own = new Set(leases.filter(({ owner }) => owner === id).map((one) => one.id));
+  const own = new Set(leases.filter(({ owner }) => owner === id).map((one) => one.grant));
   return keys
-    .filter((one) => own.has(one.lease) && (lease === null || one.lease === lease))
+    .filter((one) => own.has(one.grant) && (grant === null || one.grant === grant))
     .filter(({ removedAt }) => (removedAt ?? Infinity) > stopAt)
     .map(({ key, removedAt }) => ({
       key,
@@ -165,7 +165,7 @@
     isAskedAfterStop,
     ageAtStop: Math.round(stopAt - startedAt),
     stopTime: endedAt === null ? null : Math.round(endedAt - stopAt),
-    keys: listLeftKeys(evidence, process, lease.id),
+    keys: listLeftKeys(evidence, process, lease.grant),
     endedAfterStop: lease.endedAt === null ? null : Math.round(lease.endedAt - stopAt),
     end: lease.end,
     trace: writeLeaseTrace(process, lease, isAskedAfterStop ? around : calls),
--- a/packages/bench/src/__tests__/unit/SoakLeaseCheck.test.ts
+++ b/packages/bench/src/__tests__/unit/SoakLeaseCheck.test.ts
@@ -43,12 +43,12 @@
   removedAt: Millis = LAPSE,
   process: Partial<LeaseProcess> = {},
 ): LeaseEvidence {
-  const lease = { id: 1, owner: PROCESS.id, ttl: 6000, grantedAt: 500, renewedAt: [] };
+  const lease = { id: 1, grant: 1, owner: PROCESS.id, ttl: 6000, grantedAt: 500, renewedAt: [] };
   return {
     processes: [{ ...PROCESS, ...process }],
     calls,
     leases: [{ ...lease, endedAt: removedAt, end: LeaseEnd.Lapsed }],
-    keys: [{ key: `${ENTRY_PREFIX}node-0`, value: '', lease: 1, setAt: 600, removedAt }],
+    keys: [{ key: `${ENTRY_PREFIX}node-0`, value: '', lease: 1, grant: 1, setAt: 600, removedAt }],
     domains: ['harbour'],
     faulty: [],
     down: [],
--- a/packages/stand-ins/src/StandInRangeStore.ts
+++ b/packages/stand-ins/src/StandInRangeStore.ts
@@ -1,16 +1,19 @@
 /**
  * In-memory range store with leases, as the relay's store offers them. It keeps the record of every lease and of every
- * binding of a key, so that a soak can tell what a stopped process left behind.
+ * binding of a key, so that a soak can tell what a stopped process left behind. It can come back from a copy: what was
+ * written since is lost, revisions and lease ids are given out again, and the era rises by one.
  */
 import type { Millis } from '@skylarksail/core/CoreTypes';
 
-/** How a lease ended. */
-export const LeaseEnd = { Revoked: 'revoked', Lapsed: 'lapsed' } as const;
+/** How a lease ended; `lost` with the history of its era. */
+export const LeaseEnd = { Revoked: 'revoked', Lapsed: 'lapsed', Lost: 'lost' } as const;
 export type LeaseEndName = (typeof LeaseEnd)[keyof typeof LeaseEnd];
 
 /** A lease with its life so far; `owner` is the process that asked for it. */
 export interface LeaseRecord {
   readonly id: number;
+  /** Number of this record, unlike the id never given out again; a lease that a copy brings back has a new one. */
+  readonly grant: number;
   readonly owner: string;
   readonly ttl: Millis;
   readonly grantedAt: Millis;
@@ -24,6 +27,8 @@
   readonly key: string;
   readonly value: string;
   readonly lease: number;
+  /** Record of the lease; 0 for none. */
+  readonly grant: number;
   readonly setAt: Millis;
   readonly removedAt: Millis | null;
 }
@@ -55,8 +60,22 @@
   | { readonly kind: 'conflict' }
   | { readonly kind: 'no-lease' };
 
+/** Contents of the store at one time. */
+export interface RangeCopy {
+  readonly items: ReadonlyMap<string, RangeItem>;
+  readonly events: readonly RangeEvent[];
+  readonly leases: readonly LeaseRecord[];
+  readonly revision: number;
+  readonly lastLease: number;
+}
+
 export interface StandInRangeStore {
   getRevision(): number;
+  /** Number of the history; 1 until the first return from a copy. */
+  getEra(): number;
+  takeCopy(): RangeCopy;
+  /** Comes back from a copy; its live leases have their whole time again. */
+  returnFrom(copy: RangeCopy): void;
   listItems(prefix: string): readonly RangeItem[];
   listEvents(prefix: string, after: number): readonly RangeEvent[];
   /** Applies all or nothing; `expected` maps keys to revisions, 0 for a key that must not exist. */
@@ -91,10 +110,13 @@
   const items = new Map<string, RangeItem>();
   const events: RangeEvent[] = [];
   const leases = new Map<number, MutableLease>();
+  const leaseRecords: MutableLease[] = [];
   const keyRecords: MutableKey[] = [];
   const openRecords = new Map<string, MutableKey>();
   const listeners = new Set<() => void>();
   let revision = 1;
+  let era = 1;
+  let lastLease = 0;
 
   function findLiveLease(id: number): MutableLease | null {
     const lease = leases.get(id);
@@ -114,12 +136,22 @@
     const item = { key, value, revision, created, lease };
     items.set(key, item);
     events.push(item);
+    openRecord({ key, value, lease });
+  }
+
+  function openRecord({ key, value, lease }: RangeWrite): void {
     closeRecord(key);
-    const record = { key, value, lease, setAt: now(), removedAt: null };
+    const grant = leases.get(lease)?.grant ?? 0;
+    const record = { key, value, lease, grant, setAt: now(), removedAt: null };
     keyRecords.push(record);
     openRecords.set(key, record);
   }
 
+  function addLease(lease: MutableLease): void {
+    leases.set(lease.id, lease);
+    leaseRecords.push(lease);
+  }
+
   function removeItem(key: string): void {
     if (items.delete(key)) {
       events.push({ key, revision, tombstone: true });
@@ -147,8 +179,48 @@
       .forEach((lease) => endLease(lease, LeaseEnd.Lapsed));
   }
 
+  function loseAll(): void {
+    [...openRecords.keys()].forEach(closeRecord);
+    [...leases.values()]
+      .filter(({ endedAt }) => endedAt === null)
+      .forEach((lease) => Object.assign(lease, { endedAt: now(), end: LeaseEnd.Lost }));
+    items.clear();
+    leases.clear();
+  }
+
+  function returnFrom(copy: RangeCopy): void {
+    loseAll();
+    era += 1;
+    ({ revision, lastLease } = copy);
+    events.splice(0, events.length, ...copy.events);
+    copy.leases.forEach((lease) =>
+      addLease({
+        ...lease,
+        grant: leaseRecords.length + 1,
+        renewedAt: [],
+        lapsesAt: now() + lease.ttl,
+      }),
+    );
+    copy.items.forEach((item) => {
+      items.set(item.key, item);
+      openRecord(item);
+    });
+    notify();
+  }
+
   return {
     getRevision: () => revision,
+    getEra: () => era,
+    takeCopy: () => ({
+      items: new Map(items),
+      events: [...events],
+      leases: [...leases.values()]
+        .filter(({ endedAt }) => endedAt === null)
+        .map((lease) => ({ ...lease })),
+      revision,
+      lastLease,
+    }),
+    returnFrom,
     listItems: (prefix) =>
       [...items.values()]
         .filter(({ key }) => key.startsWith(prefix))
@@ -169,9 +241,11 @@
       return { kind: 'written', revision };
     },
     grant(owner, ttl) {
-      const id = leases.size + 1;
-      leases.set(id, {
+      lastLease += 1;
+      const id = lastLease;
+      addLease({
         id,
+        grant: leaseRecords.length + 1,
         owner,
         ttl,
         grantedAt: now(),
@@ -205,7 +279,7 @@
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    listLeases: () => [...leases.values()],
+    listLeases: () => leaseRecords,
     listKeys: () => keyRecords,
   };
 }
--- a/packages/stand-ins/src/__tests__/unit/StandInRangeStore.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/StandInRangeStore.test.ts
@@ -39,7 +39,7 @@
     });
     expect(store.listLeases()[0]?.renewedAt).deep.equal([2000]);
     expect(store.listKeys()).deep.equal([
-      { key: 'a', value: 'eA==', lease, setAt: 0, removedAt: 4500 },
+      { key: 'a', value: 'eA==', lease, grant: 1, setAt: 0, removedAt: 4500 },
     ]);
   });
 
@@ -102,4 +102,40 @@
       expect(new Set(leases).size).equal(leases.length);
     }
   });
+
+  it('comes back from a copy, and gives revisions and lease ids out again', () => {
+    // Guards against soaks that never show what an instance does with numbers of a history that is gone.
+    const { store, bind, advance } = createBed();
+    const kept = store.grant('node-1', TTL);
+    bind('a', kept);
+    const copy = store.takeCopy();
+    const lost = store.grant('node-1', TTL);
+    bind('b', lost);
+    const revision = store.getRevision();
+    advance(500);
+    store.returnFrom(copy);
+    expect(store.getEra()).equal(2);
+    expect(store.listItems('').map(({ key }) => key)).deep.equal(['a']);
+    expect(store.listEvents('', copy.revision)).deep.equal([]);
+    const other = store.grant('node-2', TTL);
+    expect(other).equal(lost);
+    bind('c', other);
+    expect(store.getRevision()).equal(revision);
+    expect(store.listLeases().map(({ grant, id, end }) => [grant, id, end])).deep.equal([
+      [1, kept, LeaseEnd.Lost],
+      [2, lost, LeaseEnd.Lost],
+      [3, kept, null],
+      [4, other, null],
+    ]);
+    expect(store.listKeys().map(({ key, grant, removedAt }) => [key, grant, removedAt])).deep.equal(
+      [
+        ['a', 1, 500],
+        ['b', 2, 500],
+        ['a', 3, null],
+        ['c', 4, null],
+      ],
+    );
+    advance(TTL);
+    expect(store.listItems('')).deep.equal([]);
+  });
 });
