--- a/packages/relay/src/RelayLease.ts
+++ b/packages/relay/src/RelayLease.ts
@@ -58,7 +58,7 @@
 export const RELAY_KEY_PREFIX = 'skylarksail/';
 const INSTANCE_PREFIX = `${RELAY_KEY_PREFIX}instances/`;
 const PLACEMENT_PREFIX = `${RELAY_KEY_PREFIX}placement/`;
-/** Keys that a claim writes beside the placement; only the claim of this instance can give both the same revision. */
+/** Keys that claims write beside the placement, one for each domain and instance; no other instance writes them. */
 const CLAIM_PREFIX = `${RELAY_KEY_PREFIX}claims/`;
 
 /**
