--- a/packages/store/src/__tests__/unit/StoreEras.test.ts
+++ b/packages/store/src/__tests__/unit/StoreEras.test.ts
@@ -6,6 +6,7 @@
 import { createHistoryPort } from '../../StoreEras.js';
 import type { StoreOutcome } from '../../StorePort.js';
 import type { StoreRangePort } from '../../StoreRange.js';
+import { registerRangeWatch } from '../../StoreRangeWatch.js';
 import { getEra, getRevisionNumber, joinRevision } from '../../StoreRevisions.js';
 
 const CALL = { timeout: 100 };
@@ -152,6 +153,45 @@
   });
 });
 
+describe('StoreRangeWatch across a return', () => {
+  it('reads a range again whose pages are of two eras', async () => {
+    // Guards against a copy of the range that mixes what was lost with what came back.
+    const timers = createVirtualTimers();
+    const store = createFakeRangeStore(timers, { namesEra: true });
+    const copy = store.takeCopy();
+    Array.from({ length: 15 }, (_, i) => store.put(`k${10 + i}`, 'lost'));
+    const port = createPort(store);
+    const snapshots: (readonly string[])[] = [];
+    registerRangeWatch({
+      port: {
+        ...port,
+        readRange: async (prefix, after, options) => {
+          const page = await port.readRange(prefix, after, options);
+          if (after === null && snapshots.length === 0 && store.get('k10') === 'lost') {
+            store.returnFrom(copy);
+            store.put('k30', 'kept');
+          }
+          return page;
+        },
+      },
+      timers,
+      random: { nextFloat: () => 0.5, nextInt: () => 0 },
+      prefix: '',
+      wait: 500,
+      timeout: 300,
+      getGatherTime: () => 100,
+      listener: {
+        onSnapshot: (items) => snapshots.push(items.map(({ key }) => key)),
+        onEvent: NOTHING,
+        onLost: NOTHING,
+        onRegained: NOTHING,
+      },
+    });
+    await timers.advanceToAsync(1000);
+    expect(snapshots).to.deep.equal([['k30']]);
+  });
+});
+
 describe('StoreRevisions', () => {
   it('orders by the era first, and gives both parts back', () => {
     // Guards against a revision of an earlier history that counts as later since its number is higher.
