Review case 4: an old configuration is used too long when the store's watchers are cut off

Fleets of more than 10 instances have three that watch the store. When these three do not respond and a version is acknowledged right after, three calm instances send a moved route's requests to the old service for more than config_ms (3 s).

At fault: watchRange in packages/relay/src/RelayUpdates.ts asks silent sources one after the other, 1.2 s each, before it asks the store itself.

Ports of a fleet no longer collide.

--- a/review/lib/ReviewCase.mjs
+++ b/review/lib/ReviewCase.mjs
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { createFleet } from './ReviewFleet.mjs';
 import { createRecord } from './ReviewRecord.mjs';
-import { startStore } from './ReviewStore.mjs';
+import { createStore } from './ReviewStore.mjs';
 
 const Status = { Held: 0, Broken: 1, NotPlayed: 2 };
 const TIME_LIMIT_MS = 110_000;
@@ -16,8 +16,8 @@
 export async function runCase(url, play) {
   const hasTrouble = process.env.TROUBLE !== '0';
   const record = createRecord(dirname(fileURLToPath(url)));
-  const store = await startStore();
-  const fleet = createFleet({ storeAddress: store.address, note: record.note });
+  const store = createStore();
+  const fleet = createFleet({ store, note: record.note });
   const ends = [];
   let status = Status.NotPlayed;
 
--- a/review/lib/ReviewEngines.mjs
+++ b/review/lib/ReviewEngines.mjs
@@ -1,6 +1,7 @@
-/** Model engines that hold layers as they are ordered; they answer reports, health checks and orders only. */
+/** Model engines: they hold layers as they are ordered, and stream answers over chains. */
 import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { HOST } from './ReviewFleet.mjs';
 
 export const MODEL_SERVICE = 'lm-pool';
@@ -50,62 +51,179 @@
   };
 }
 
-/** Starts an engine without layers and registers it. */
-export async function startEngine({ store, id, zone, kind, note }) {
-  const server = createServer(serve);
-  await new Promise((resolve) => {
-    server.listen(0, HOST, resolve);
+/** Host, path and headers of a call for a stream; `events` is its number of events. */
+export const STREAM_ROUTE = { host: 'letters.example', prefix: '/letters/' };
+
+/** The route of streams that may not be resumed. */
+export const STREAM_ROUTE_CONFIG = {
+  name: 'letters',
+  ...STREAM_ROUTE,
+  route_kind: 'stream',
+  sticky: true,
+  service: MODEL_SERVICE,
+  timeout_ms: 20_000,
+  latency_goal_ms: 500,
+  gap_goal_ms: 200,
+  priority: 1,
+  max_attempts: 3,
+};
+export const STREAM_HEADERS = {
+  'x-skylarksail-model': 'letters',
+  'x-skylarksail-token-count': '800,172',
+  'x-skylarksail-prompt-prefix': '5c1e07a2:40,91bd3f06:760',
+};
+const EVENTS = 86;
+const EVENT_GAP_MS = 20;
+const LOAD_MS = 300;
+
+/** Reads the parts of a chain: engines with the layers that each of them is to run. */
+function readChain(header) {
+  return header.split(',').map((part) => {
+    const [address, layers] = part.split('=');
+    const [from, target] = layers.split('-').map(Number);
+    return { address, from, target };
   });
-  const address = `${HOST}:${server.address().port}`;
-  let layers = null;
-  let orders = 0;
+}
 
-  function register() {
-    const entry = createEngineEntry({ id, address, zone, kind, layers, orders });
-    store.put(`servers/${id}`, entry);
-  }
+/** Engines of one deployment; each knows the others by their addresses, as a chain names them. */
+export function createEngines({ store, note, onArrival = () => undefined }) {
+  const byAddress = new Map();
+
+  /** Starts an engine without layers and registers it. */
+  async function start({ id, zone, kind }) {
+    const engine = { id, layers: null, state: 'ready', isHealthFalse: false };
+    const server = createServer(serve);
+    const open = new Set();
+    let orders = 0;
+    await new Promise((resolve) => {
+      server.listen(0, HOST, resolve);
+    });
+    const address = `${HOST}:${server.address().port}`;
 
-  function order({ operation, from, target, expected }) {
-    if (operation !== 'place') {
-      return [400, {}];
+    function register() {
+      const { layers, state } = engine;
+      const entry = createEngineEntry({ id, address, zone, kind, layers, orders });
+      store.put(`servers/${id}`, { ...entry, state });
     }
-    if (expected !== undefined && expected !== orders) {
-      return [409, {}];
+
+    function order({ operation, from, target, expected }) {
+      if (operation !== 'place') {
+        return [400, {}];
+      }
+      if (expected !== undefined && expected !== orders) {
+        return [409, {}];
+      }
+      orders += 1;
+      note(`engine ${id} is ordered to hold ${from}-${target}`);
+      setTimeout(() => {
+        engine.layers = { from, target, version: 1 };
+        register();
+      }, LOAD_MS);
+      return [202, {}];
     }
-    orders += 1;
-    layers = { from, target, version: 1 };
-    note(`engine ${id} is ordered to hold ${from}-${target}`);
-    register();
-    return [202, {}];
-  }
 
-  function answer(url, body) {
-    if (url === '/v1/report') {
-      return [200, { stage: 'both', models: [], busy: false, seq_no: orders, layers }];
+    function answer(url, body) {
+      if (url === '/v1/report') {
+        const { layers } = engine;
+        return [200, { stage: 'both', models: [], busy: false, seq_no: orders, layers }];
+      }
+      return url === '/v1/order' ? order(JSON.parse(body)) : [404, {}];
     }
-    return url === '/v1/order' ? order(JSON.parse(body)) : [404, {}];
-  }
 
-  function serve(req, res) {
-    const chunks = [];
-    req.on('data', (chunk) => chunks.push(chunk));
-    req.on('end', () => {
-      if (req.url === HEALTH_PATH) {
-        res.writeHead(200, { 'x-skylarksail-instance-id': id, 'content-length': 0 }).end();
+    function answerNotRun(req, res, status, faulty) {
+      res.writeHead(status, {
+        'x-skylarksail-request-id': req.headers['x-skylarksail-request-id'],
+        'x-skylarksail-not-executed': '1',
+        'at-server': faulty,
+        'content-length': 0,
+      });
+      res.end();
+    }
+
+    /** Whether an engine of a chain can't run its part: 503 if it is gone or leaves, 421 if it lacks layers. */
+    function findFault({ address: part, from, target }) {
+      const other = byAddress.get(part);
+      if (!other || other.state !== 'ready') {
+        return 503;
+      }
+      const { layers } = other;
+      return layers === null || layers.from > from || layers.target < target ? 421 : null;
+    }
+
+    function stream(req, res) {
+      const requestId = req.headers['x-skylarksail-request-id'];
+      onArrival({ id: requestId, server: id, headers: req.headers });
+      if (req.headers['x-skylarksail-expect-instance'] !== id) {
+        answerNotRun(req, res, 421, address);
+        return;
+      }
+      const chain = readChain(req.headers['x-skylarksail-hop-count'] ?? `${address}=0-80`);
+      const bad = chain.find((part) => findFault(part) !== null);
+      if (bad) {
+        answerNotRun(req, res, findFault(bad), bad.address);
         return;
       }
-      const [status, json] = answer(req.url, Buffer.concat(chunks).toString('utf8'));
-      res.writeHead(status, { 'content-type': 'application/json' });
-      res.end(JSON.stringify(json));
+      res.writeHead(200, {
+        'x-skylarksail-request-id': requestId,
+        'x-skylarksail-server-stamp': `${id}.stamp`,
+        'content-type': 'text/event-stream',
+      });
+      open.add(res);
+      let sent = Number(req.headers['last-event-id'] ?? 0);
+      const timer = setInterval(() => {
+        sent += 1;
+        res.write(`id: ${sent}\ndata: event ${sent}\n\n`);
+        if (sent === EVENTS) {
+          clearInterval(timer);
+          res.end();
+        }
+      }, EVENT_GAP_MS);
+      res.once('close', () => {
+        open.delete(res);
+        clearInterval(timer);
+      });
+    }
+
+    function serve(req, res) {
+      const chunks = [];
+      req.on('data', (chunk) => chunks.push(chunk));
+      req.on('end', () => {
+        if (req.url === HEALTH_PATH) {
+          const isWell = engine.state === 'ready' || engine.isHealthFalse;
+          note(`engine ${id} answers its health check ${isWell ? 200 : 503}`);
+          res.writeHead(isWell ? 200 : 503, { 'x-skylarksail-instance-id': id });
+          res.end();
+        } else if (req.url.startsWith(STREAM_ROUTE.prefix)) {
+          stream(req, res);
+        } else {
+          const [status, json] = answer(req.url, Buffer.concat(chunks).toString('utf8'));
+          res.writeHead(status, { 'content-type': 'application/json' });
+          res.end(JSON.stringify(json));
+        }
+      });
+    }
+
+    Object.assign(engine, {
+      /** The store has acknowledged it when this returns. */
+      leave() {
+        engine.state = 'draining';
+        register();
+      },
+      /** Resets the connection of one stream; false if there is none. */
+      resetOne() {
+        const [res] = open;
+        res?.socket.resetAndDestroy();
+        return res !== undefined;
+      },
+      close() {
+        server.closeAllConnections();
+        server.close();
+      },
     });
+    byAddress.set(address, engine);
+    register();
+    return engine;
   }
 
-  register();
-  return {
-    getLayers: () => layers,
-    close() {
-      server.closeAllConnections();
-      server.close();
-    },
-  };
+  return { start };
 }
--- a/review/lib/ReviewFleet.mjs
+++ b/review/lib/ReviewFleet.mjs
@@ -31,12 +31,32 @@
 };
 export const ZONES = { 'port-hall': 'tt-north', 'arima-hall': 'tt-north', 'chag-hall': 'tt-north' };
 
-/** Ports that are free at the time of the call. */
-export async function findFreePorts(count) {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, HOST));
-  await Promise.all(servers.map((server) => once(server, 'listening')));
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+/** Below the ports that the system gives to outgoing connections, which could take one before its process starts. */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
+
+async function isFree(port) {
+  const server = createServer();
+  server.listen(port, HOST);
+  try {
+    await once(server, 'listening');
+  } catch {
+    return false;
+  }
+  await once(server.close(), 'close');
+  return true;
+}
+
+/** Finds ports that are free at the time of the call, and that `taken` does not hold yet. */
+async function findFreePorts(count, taken) {
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!taken.has(port) && (await isFree(port))) {
+      taken.add(port);
+      ports.push(port);
+    }
+  }
   return ports;
 }
 
@@ -58,13 +78,14 @@
 }
 
 /** `note` records starts and ends. All processes and files are gone after `close`. */
-export function createFleet({ storeAddress, note }) {
+export function createFleet({ store, note }) {
   const folder = mkdtempSync(join(tmpdir(), 'skylarksail-review-'));
   const [program, ...args] = readDeployValue('run').split(' ');
   const template = readFileSync(join(ROOT, readDeployValue('template')), 'utf8');
   const running = new Set();
+  const taken = new Set();
 
-  function createSettings(name, zone, [front, ready, peers, metrics]) {
+  function createSettings({ name, zone, bounds, storeAddress }, [front, ready, peers, metrics]) {
     const text = fillTemplate(template, {
       node_name: name,
       zone,
@@ -73,7 +94,7 @@
       listen: { front: `${HOST}:${front}`, ready: `${HOST}:${ready}` },
       internal_ports: [peers, peers],
       platform: { address: storeAddress, ttl_min_ms: 1000 },
-      bounds: BOUNDS,
+      bounds: { ...BOUNDS, ...bounds },
     });
     // All machines share one address here, so each needs a port of its own for its metrics.
     return JSON.stringify({ ...JSON.parse(text), metricsPort: metrics });
@@ -90,10 +111,11 @@
   }
 
   /** Starts a process; `start` of an instance that has ended starts it again with the same settings. */
-  async function add(name, zone) {
-    const ports = await findFreePorts(4);
+  async function add(name, zone, bounds = {}) {
+    const ports = await findFreePorts(4, taken);
+    const storeAddress = await store.open(name);
     const settings = join(folder, `${name}.json`);
-    writeFileSync(settings, createSettings(name, zone, ports));
+    writeFileSync(settings, createSettings({ name, zone, bounds, storeAddress }, ports));
     const instance = { name, zone, port: ports[0], readyPort: ports[1], child: null, log: '' };
     instance.log = join(folder, `${name}.log`);
     instance.start = () => start(instance, settings);
--- a/review/lib/ReviewServers.mjs
+++ b/review/lib/ReviewServers.mjs
@@ -10,8 +10,8 @@
 const NOT_RUN = { 'x-skylarksail-not-executed': '1' };
 const WHOLE_BODY = 'r'.repeat(800);
 
-/** Writes a configuration with one route to the service, and with `services` beside it. */
-export function putConfig(store, { kind, services = [], maxConnections = 96, version = 1 }) {
+/** Writes a configuration with one route to the service, and with others beside it. */
+export function putConfig(store, { kind, routes = [], services = [], limits = {}, version = 1 }) {
   store.put('op/config', {
     version,
     routes: [
@@ -26,14 +26,16 @@
         priority: 1,
         max_attempts: 3,
       },
+      ...routes,
     ],
-    services: [{ name: SERVICE, max_conns: maxConnections, health_path: HEALTH_PATH }, ...services],
+    services: [{ name: SERVICE, max_conns: 96, health_path: HEALTH_PATH }, ...services],
     tenants: [{ name: TEAM, api_keys: [CALL.key] }],
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
       header_timeout_ms: 3000,
       idle_timeout_ms: 15_000,
+      ...limits,
     },
   });
 }
--- a/review/lib/ReviewStore.mjs
+++ b/review/lib/ReviewStore.mjs
@@ -12,12 +12,15 @@
 /** Keys that the system may not write. */
 const FOREIGN_KEY = /^(op|servers)\//;
 
-/** Starts an empty store; `put` and `remove` are the writes of the operator and of servers. */
-export async function startStore() {
+/** Creates an empty store; `put` and `remove` are the writes of the operator and of servers. */
+export function createStore() {
   const items = new Map();
   const events = [];
   const leases = new Map();
   const waiters = new Set();
+  /** Number of waiting watches, by owner. */
+  const watching = new Map();
+  const servers = [];
   let revision = 1;
   let lastLease = 0;
 
@@ -134,13 +137,21 @@
     return [404, {}];
   }
 
-  async function serve(req, res) {
+  async function serve(owner, req, res) {
     const chunks = [];
     for await (const chunk of req) {
       chunks.push(chunk);
     }
     const url = new URL(req.url, `http://${HOST}`);
-    const [status, json] = await answer(req.method, url, Buffer.concat(chunks).toString('utf8'));
+    const body = Buffer.concat(chunks).toString('utf8');
+    const isWatch = url.pathname === '/v1/kv-watch';
+    if (isWatch) {
+      watching.set(owner, (watching.get(owner) ?? 0) + 1);
+    }
+    const [status, json] = await answer(req.method, url, body);
+    if (isWatch) {
+      watching.set(owner, watching.get(owner) - 1);
+    }
     setTimeout(() => {
       res.writeHead(status, { 'content-type': 'application/json' });
       res.end(JSON.stringify(json));
@@ -151,22 +162,28 @@
     const now = performance.now();
     [...leases].filter(([, { endsAt }]) => endsAt <= now).forEach(([id]) => endLease(id));
   }, EXPIRY_PERIOD_MS);
-  const server = createServer((req, res) => {
-    serve(req, res).catch(() => res.destroy());
-  });
-  await new Promise((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
-
   return {
-    address: `${HOST}:${server.address().port}`,
+    /** Opens an address for one process, by which its calls are known. */
+    async open(owner) {
+      const server = createServer((req, res) => {
+        serve(owner, req, res).catch(() => res.destroy());
+      });
+      servers.push(server);
+      await new Promise((resolve) => {
+        server.listen(0, HOST, resolve);
+      });
+      return `${HOST}:${server.address().port}`;
+    },
+    /** Processes that have a watch waiting now. */
+    listWatching: () => [...watching].filter(([, count]) => count > 0).map(([owner]) => owner),
     put,
     remove: (key) => apply([], [key]),
-    listKeys: (prefix) => listRange(prefix).map(({ key }) => key),
     close() {
       clearInterval(expiry);
-      server.closeAllConnections();
-      server.close();
+      servers.forEach((server) => {
+        server.closeAllConnections();
+        server.close();
+      });
     },
   };
 }
