--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,7 +14,8 @@
 const EXTRA_SHARE = 0.03;
 const FAULTY_SERVER = 'i-1';
 
-await runCase(import.meta.url, async ({ store, fleet, note, hasTrouble, onEnd }) => {
+await runCase(import.meta.url, async ({ store, createFleet, note, hasTrouble, onEnd }) => {
+  const fleet = createFleet(store);
   const runs = new Map();
   const late = new Map();
   let extras = 0;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -16,7 +16,8 @@
 const BODY = `begin ${'r'.repeat(788)} end.`;
 const SENT_BEFORE_RESET = 400;
 
-await runCase(import.meta.url, async ({ store, fleet, note, hasTrouble, onEnd }) => {
+await runCase(import.meta.url, async ({ store, createFleet, note, hasTrouble, onEnd }) => {
+  const fleet = createFleet(store);
   const reset = new Set();
   const answers = new Map();
   const counts = { answered: 0, reset: 0 };
--- a/review/lib/ReviewCase.mjs
+++ b/review/lib/ReviewCase.mjs
@@ -17,12 +17,19 @@
   const hasTrouble = process.env.TROUBLE !== '0';
   const record = createRecord(dirname(fileURLToPath(url)));
   const store = createStore();
-  const fleet = createFleet({ store, note: record.note });
+  const fleets = [];
   const ends = [];
   let status = Status.NotPlayed;
 
+  /** A fleet whose processes reach the store at what `open` of its argument gives. */
+  function addFleet(stores) {
+    const fleet = createFleet({ store: stores, note: record.note });
+    fleets.push(fleet);
+    return fleet;
+  }
+
   async function end() {
-    await fleet.close();
+    await Promise.all(fleets.map((fleet) => fleet.close()));
     ends.forEach((one) => one());
     store.close();
     record.save();
@@ -36,7 +43,7 @@
   try {
     const { isBroken, isPlayed, summary } = await play({
       store,
-      fleet,
+      createFleet: addFleet,
       note: record.note,
       hasTrouble,
       onEnd: (one) => ends.push(one),
--- a/review/lib/ReviewStore.mjs
+++ b/review/lib/ReviewStore.mjs
@@ -21,6 +21,7 @@
   /** Number of waiting watches, by owner. */
   const watching = new Map();
   const servers = [];
+  const watchListeners = [];
   let revision = 1;
   let lastLease = 0;
 
@@ -147,6 +148,7 @@
     const isWatch = url.pathname === '/v1/kv-watch';
     if (isWatch) {
       watching.set(owner, (watching.get(owner) ?? 0) + 1);
+      watchListeners.splice(0).forEach((resolve) => resolve(owner));
     }
     const [status, json] = await answer(req.method, url, body);
     if (isWatch) {
@@ -174,6 +176,11 @@
       });
       return `${HOST}:${server.address().port}`;
     },
+    /** Resolves to the process whose watch begins next. */
+    waitForWatch: () =>
+      new Promise((resolve) => {
+        watchListeners.push(resolve);
+      }),
     /** Processes that have a watch waiting now. */
     listWatching: () => [...watching].filter(([, count]) => count > 0).map(([owner]) => owner),
     put,
