Review case 3: an unframed stream looks complete when its instance is killed

Engines stream without a length. An instance is killed while it passes on four streams: each caller gets 200, 16 to 18 of 86 events, and a regular end.

At fault: writeHead in platform/src/PlatformIngress.ts sends what came without framing without framing, so the close of a killed process looks like the end.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,71 +1,78 @@
-/** An answer without a length whose connection is reset on the way must not reach its caller as a whole answer. */
+/** A stream must not look complete to its caller when the process that passes it on is killed midway. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createCaller, createRequestId } from '../lib/ReviewCallers.mjs';
 import { runCase } from '../lib/ReviewCase.mjs';
+import {
+  createEngines,
+  EVENTS,
+  MODEL_SERVICE_CONFIG,
+  STREAM_HEADERS,
+  STREAM_ROUTE,
+  STREAM_ROUTE_CONFIG,
+} from '../lib/ReviewEngines.mjs';
 import { ZONES } from '../lib/ReviewFleet.mjs';
-import { CALL, putConfig, startServer } from '../lib/ReviewServers.mjs';
+import { CALL, putConfig } from '../lib/ReviewServers.mjs';
 
+/** The engines of one zone of the sheet. */
+const ENGINE_KINDS = ['h100', 'a100s', ...Array(5).fill('l4'), ...Array(7).fill('t4')];
+const ENGINE_ZONE = 'port-hall';
+const PLACING_MS = 6000;
+const CALM_MS = 4000;
+const AFTER_MS = 3000;
 const CALLERS_PER_INSTANCE = 4;
-const DEADLINE_MS = 4000;
-const WORK_MS = 86;
-const CALL_GAP_MS = 60;
-const TIME_MS = 6000;
-/** Time of the disruption, and the share of answers whose connection is reset meanwhile. */
-const TROUBLE_MS = 4000;
-const RESET_SHARE = 0.05;
-const BODY = `begin ${'r'.repeat(788)} end.`;
-const SENT_BEFORE_RESET = 400;
+const CALL_GAP_MS = 50;
+const DEADLINE_MS = 20_000;
+const EVENT_ID = /^id: (\d+)$/gm;
 
 await runCase(import.meta.url, async ({ store, createFleet, note, hasTrouble, onEnd }) => {
   const fleet = createFleet(store);
-  const reset = new Set();
-  const answers = new Map();
-  const counts = { answered: 0, reset: 0 };
-  let isTrouble = false;
-
-  /** Writes an answer that ends with its connection; of the given share, the first half and then a reset. */
-  function writeAnswer({ req, id: server }) {
-    const id = req.headers['x-skylarksail-request-id'];
-    const head = [
-      'HTTP/1.1 200 OK',
-      `X-Skylarksail-Request-Id: ${id}`,
-      `X-Skylarksail-Server-Stamp: ${server}.stamp`,
-    ];
-    counts.answered += 1;
-    req.socket.write(`${head.join('\r\n')}\r\n\r\n`);
-    if (isTrouble && counts.reset + 1 <= RESET_SHARE * counts.answered) {
-      counts.reset += 1;
-      reset.add(id);
-      note(`server ${server} resets the connection after ${SENT_BEFORE_RESET} bytes for ${id}`);
-      req.socket.write(BODY.slice(0, SENT_BEFORE_RESET));
-      req.socket.resetAndDestroy();
-    } else {
-      req.socket.end(BODY);
-    }
-  }
+  const short = [];
+  const counts = { sent: 0, whole: 0 };
+  let isOver = false;
 
-  putConfig(store, { kind: 'unsafe' });
-  for (const [i, zone] of Object.keys(ZONES).entries()) {
-    const id = `i-${i + 1}`;
-    const getWorkTime = () => WORK_MS;
-    const server = await startServer({ store, id, zone, note, getWorkTime, writeAnswer });
-    onEnd(server.close);
+  putConfig(store, {
+    kind: 'unsafe',
+    routes: [STREAM_ROUTE_CONFIG],
+    services: [MODEL_SERVICE_CONFIG],
+  });
+  const engines = createEngines({ store, note });
+  for (const [i, kind] of ENGINE_KINDS.entries()) {
+    const identity = { id: `m-${i + 1}`, zone: ENGINE_ZONE, kind };
+    const engine = await engines.start({ ...identity, isUnframed: true });
+    onEnd(engine.close);
   }
   const instances = [];
   for (const [i, zone] of Object.keys(ZONES).entries()) {
     instances.push(await fleet.add(`edge-${i + 1}`, zone));
   }
   await fleet.waitUntilReady(instances);
+  await sleep(PLACING_MS);
+
+  function noteAnswer(id, instance, { status, failure, body = '' }) {
+    const events = [...body.matchAll(EVENT_ID)].length;
+    note(`caller gets ${status ?? failure} with ${events} events for ${id}`);
+    if (status === 200 && events === EVENTS) {
+      counts.whole += 1;
+    } else if (status === 200) {
+      note(`ORDER ${id} at ${instance.name} ended as complete after ${events} of ${EVENTS} events`);
+      short.push(id);
+    }
+  }
 
-  let isOver = false;
   async function runCaller(caller) {
-    while (!isOver) {
-      const id = createRequestId('receipt');
-      const answer = await caller.send({ ...CALL, id, deadline: DEADLINE_MS });
-      answers.set(id, answer);
-      note(
-        `caller gets ${answer.status ?? answer.failure} with ${answer.body?.length} bytes for ${id}`,
-      );
+    const { instance } = caller;
+    while (!isOver && instance.end === null) {
+      const id = createRequestId('letter');
+      counts.sent += 1;
+      const answer = await caller.send({
+        host: STREAM_ROUTE.host,
+        path: `${STREAM_ROUTE.prefix}${id}`,
+        key: CALL.key,
+        id,
+        deadline: DEADLINE_MS,
+        headers: STREAM_HEADERS,
+      });
+      noteAnswer(id, instance, answer);
       await sleep(CALL_GAP_MS);
     }
   }
@@ -75,23 +82,19 @@
   );
   callers.forEach((caller) => onEnd(caller.close));
   const running = callers.map(runCaller);
-  await sleep((TIME_MS - TROUBLE_MS) / 2);
-  isTrouble = hasTrouble;
-  await sleep(TROUBLE_MS);
-  isTrouble = false;
-  await sleep((TIME_MS - TROUBLE_MS) / 2);
+  await sleep(CALM_MS);
+  if (hasTrouble) {
+    note(`${instances[0].name} is killed`);
+    instances[0].child.kill('SIGKILL');
+  }
+  await sleep(AFTER_MS);
   isOver = true;
   await Promise.all(running);
 
-  const successes = [...answers].filter(([, { status }]) => status === 200);
-  const cut = successes.filter(([, { body }]) => body !== BODY);
-  cut.forEach(([id, { body }]) =>
-    note(`MIXED ${id} was answered 200 with ${body.length} of ${BODY.length} bytes`),
-  );
-  note(`${answers.size} sent, ${successes.length} answered 200, ${reset.size} reset by servers`);
+  note(`${counts.sent} sent, ${counts.whole} answered whole`);
   return {
-    isBroken: cut.length > 0,
-    isPlayed: successes.length > 0 && (!hasTrouble || reset.size > 0),
-    summary: `${cut.length} of ${reset.size} cut answers reached their callers as whole ones`,
+    isBroken: short.length > 0,
+    isPlayed: counts.whole > 0,
+    summary: `${short.length} streams ended as complete before their last event, ${counts.whole} were whole`,
   };
 });
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,74 +1,115 @@
-/** Instances that are in touch must apply a change in time while the few that watch the store for them do not answer. */
+/** An entry of another writer, whose address has a port that is none, must not end processes and lose their requests. */
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { createCaller } from '../lib/ReviewCallers.mjs';
+import { createCaller, createRequestId } from '../lib/ReviewCallers.mjs';
 import { runCase } from '../lib/ReviewCase.mjs';
-import { ZONES } from '../lib/ReviewFleet.mjs';
-import { callRoute, createMovedRoute, SERVICES } from '../lib/ReviewMovedRoute.mjs';
+import { createEngineEntry, createEngines, MODEL_SERVICE_CONFIG } from '../lib/ReviewEngines.mjs';
+import { HOST, ZONES } from '../lib/ReviewFleet.mjs';
+import { CALL, putConfig, startServer } from '../lib/ReviewServers.mjs';
 
-const INSTANCES_PER_ZONE = 5;
-/** Bounds of the site. */
-const BOUNDS = { config_ms: 3000, stable_window_ms: 4000, drain_ms: 3000, retry_budget_slack: 304 };
-const WATCHERS = 3;
-const SETTLE_MS = 8000;
-const ROUNDS = 2;
-const ROUND_MS = 7000;
-const CALL_GAP_MS = 40;
+/** The engines of one zone of the sheet. */
+const ENGINE_KINDS = ['h100', 'a100s', ...Array(5).fill('l4'), ...Array(7).fill('t4')];
+const ENGINE_ZONE = 'port-hall';
+const CALLERS_PER_INSTANCE = 12;
+const CALL_GAP_MS = 60;
+const DEADLINE_MS = 4000;
+const WORK_MS = 86;
+const WINDOW_MS = 3000;
+const CALM_MS = 6000;
+const TROUBLE_MS = 12_000;
+const RESTART_DELAY_MS = 1000;
+const MAX_LOST = 3;
 
 await runCase(import.meta.url, async ({ store, createFleet, note, hasTrouble, onEnd }) => {
   const fleet = createFleet(store);
-  const { putRoute } = await createMovedRoute({ store, note, onEnd });
-  const zones = Object.keys(ZONES);
+  const arrived = new Set();
+  const lost = new Map();
+  const sent = { total: 0, served: 0 };
+  let isOver = false;
+
+  putConfig(store, { kind: 'unsafe', services: [MODEL_SERVICE_CONFIG] });
+  for (const [i, zone] of Object.keys(ZONES).entries()) {
+    const server = await startServer({
+      store,
+      id: `i-${i + 1}`,
+      zone,
+      note,
+      getWorkTime: () => WORK_MS,
+      onArrival: ({ id }) => arrived.add(id),
+    });
+    onEnd(server.close);
+  }
+  const engines = createEngines({ store, note });
+  for (const [i, kind] of ENGINE_KINDS.entries()) {
+    const engine = await engines.start({ id: `m-${i + 1}`, zone: ENGINE_ZONE, kind });
+    onEnd(engine.close);
+  }
   const instances = [];
-  for (let i = 0; i < zones.length * INSTANCES_PER_ZONE; i += 1) {
-    instances.push(await fleet.add(`edge-${i + 1}`, zones[i % zones.length], BOUNDS));
+  for (const [i, zone] of Object.keys(ZONES).entries()) {
+    instances.push(await fleet.add(`edge-${i + 1}`, zone));
   }
   await fleet.waitUntilReady(instances);
-  await sleep(SETTLE_MS);
-  const callers = new Map(instances.map((instance) => [instance, createCaller(instance)]));
-  callers.forEach((caller) => onEnd(caller.close));
-  const late = [];
-  let served = 0;
+  const startedAt = new Map(instances.map(({ name }) => [name, performance.now()]));
+  const ends = new Map(instances.map(({ name }) => [name, 0]));
 
-  async function call(instance, ackAt, service, endsAt) {
-    while (performance.now() < endsAt) {
-      const sentAfter = performance.now() - ackAt;
-      const { id, service: ranAt } = await callRoute(callers.get(instance));
-      served += ranAt === null ? 0 : 1;
-      const isOld = ranAt !== null && ranAt !== service;
-      if (isOld) {
-        note(`${instance.name}: ${id}, sent ${Math.round(sentAfter)} ms after, ran at ${ranAt}`);
-      }
-      if (isOld && sentAfter > BOUNDS.config_ms) {
-        late.push({ instance, sentAfter });
+  /** Starts each process that has ended by itself again, as the platform does. */
+  async function restartEnded() {
+    while (!isOver) {
+      for (const instance of instances.filter(({ end }) => end !== null)) {
+        ends.set(instance.name, ends.get(instance.name) + 1);
+        await sleep(RESTART_DELAY_MS);
+        startedAt.set(instance.name, performance.now());
+        instance.start();
       }
-      await sleep(CALL_GAP_MS);
+      await sleep(20);
     }
   }
 
-  for (let round = 1; round <= ROUNDS; round += 1) {
-    const names = store.listWatching();
-    if (names.length !== WATCHERS) {
-      throw new Error(`${names.length} instances watch the store`);
+  /** A request is lost if its server got it from a process that ran for long enough, and no answer came. */
+  function noteAnswer(instance, id, isKept, wasInTouch, { status, failure }) {
+    note(`caller gets ${status ?? failure} for ${id}`);
+    sent.served += status === 200 ? 1 : 0;
+    if (status === null && isKept && wasInTouch && arrived.has(id)) {
+      lost.set(instance.name, (lost.get(instance.name) ?? 0) + 1);
+      note(`LOST ${id}, passed on by ${instance.name}`);
     }
-    const cut = hasTrouble ? instances.filter(({ name }) => names.includes(name)) : [];
-    cut.forEach(({ name, child }) => {
-      child.kill('SIGSTOP');
-      note(`${name} does not answer from now on`);
-    });
-    const service = SERVICES[round % SERVICES.length];
-    const ackAt = putRoute(service);
-    const calm = instances.filter((instance) => !cut.includes(instance));
-    await Promise.all(calm.map((instance) => call(instance, ackAt, service, ackAt + ROUND_MS)));
-    cut.forEach(({ child }) => child.kill('SIGCONT'));
-    await sleep(SETTLE_MS);
   }
 
-  const names = new Set(late.map(({ instance }) => instance.name));
-  const latest = Math.max(0, ...late.map(({ sentAfter }) => Math.round(sentAfter)));
+  async function runCaller(caller) {
+    const { instance } = caller;
+    let isKept = false;
+    while (!isOver) {
+      const id = createRequestId('receipt');
+      const wasInTouch = performance.now() - startedAt.get(instance.name) > WINDOW_MS;
+      sent.total += 1;
+      const answer = await caller.send({ ...CALL, id, deadline: DEADLINE_MS });
+      noteAnswer(instance, id, isKept, wasInTouch, answer);
+      isKept = answer.status !== null;
+      await sleep(CALL_GAP_MS);
+    }
+  }
+
+  const callers = instances.flatMap((instance) =>
+    Array.from({ length: CALLERS_PER_INSTANCE }, () => createCaller(instance)),
+  );
+  callers.forEach((caller) => onEnd(caller.close));
+  const running = [restartEnded(), ...callers.map(runCaller)];
+  await sleep(CALM_MS);
+  if (hasTrouble) {
+    const stray = { id: 'm-stray', address: `${HOST}:80800`, zone: ENGINE_ZONE, kind: 'l4' };
+    note(`another writer writes servers/${stray.id} with the address ${stray.address}`);
+    store.put(`servers/${stray.id}`, createEngineEntry(stray));
+  }
+  await sleep(TROUBLE_MS);
+  isOver = true;
+  await Promise.all(running);
+
+  const mostLost = Math.max(0, ...lost.values());
+  const ended = [...ends].map(([name, count]) => `${name} ended ${count} times`);
+  note(`${sent.total} sent, ${sent.served} served`);
   return {
-    isBroken: late.length > 0,
-    isPlayed: served > 0,
-    summary: `${late.length} requests ran at the old service too late, at ${names.size} instances; the last was sent ${latest} ms after the acknowledgement`,
+    isBroken: mostLost > MAX_LOST,
+    isPlayed: sent.served > 0,
+    summary: `${ended.join(', ')}; one instance lost ${mostLost} requests`,
   };
 });
--- a/review/lib/ReviewEngines.mjs
+++ b/review/lib/ReviewEngines.mjs
@@ -72,7 +72,7 @@
   'x-skylarksail-token-count': '800,172',
   'x-skylarksail-prompt-prefix': '5c1e07a2:40,91bd3f06:760',
 };
-const EVENTS = 86;
+export const EVENTS = 86;
 const EVENT_GAP_MS = 20;
 const LOAD_MS = 300;
 
@@ -86,14 +86,13 @@
 }
 
 /** Engines of one deployment; each knows the others by their addresses, as a chain names them. */
-export function createEngines({ store, note, onArrival = () => undefined }) {
+export function createEngines({ store, note }) {
   const byAddress = new Map();
 
-  /** Starts an engine without layers and registers it. */
-  async function start({ id, zone, kind }) {
-    const engine = { id, layers: null, state: 'ready', isHealthFalse: false };
+  /** Starts an engine without layers and registers it; `isUnframed`: its answers have no length. */
+  async function start({ id, zone, kind, isUnframed = false }) {
+    const engine = { id, layers: null };
     const server = createServer(serve);
-    const open = new Set();
     let orders = 0;
     await new Promise((resolve) => {
       server.listen(0, HOST, resolve);
@@ -101,9 +100,8 @@
     const address = `${HOST}:${server.address().port}`;
 
     function register() {
-      const { layers, state } = engine;
-      const entry = createEngineEntry({ id, address, zone, kind, layers, orders });
-      store.put(`servers/${id}`, { ...entry, state });
+      const { layers } = engine;
+      store.put(`servers/${id}`, createEngineEntry({ id, address, zone, kind, layers, orders }));
     }
 
     function order({ operation, from, target, expected }) {
@@ -140,10 +138,10 @@
       res.end();
     }
 
-    /** Whether an engine of a chain can't run its part: 503 if it is gone or leaves, 421 if it lacks layers. */
+    /** Why an engine of a chain can't run its part: 503 if it is not there, 421 if it lacks layers. */
     function findFault({ address: part, from, target }) {
       const other = byAddress.get(part);
-      if (!other || other.state !== 'ready') {
+      if (!other) {
         return 503;
       }
       const { layers } = other;
@@ -152,7 +150,7 @@
 
     function stream(req, res) {
       const requestId = req.headers['x-skylarksail-request-id'];
-      onArrival({ id: requestId, server: id, headers: req.headers });
+      note(`engine ${id} gets ${requestId}`);
       if (req.headers['x-skylarksail-expect-instance'] !== id) {
         answerNotRun(req, res, 421, address);
         return;
@@ -163,12 +161,15 @@
         answerNotRun(req, res, findFault(bad), bad.address);
         return;
       }
+      if (isUnframed) {
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+      }
       res.writeHead(200, {
         'x-skylarksail-request-id': requestId,
         'x-skylarksail-server-stamp': `${id}.stamp`,
         'content-type': 'text/event-stream',
       });
-      open.add(res);
       let sent = Number(req.headers['last-event-id'] ?? 0);
       const timer = setInterval(() => {
         sent += 1;
@@ -179,7 +180,6 @@
         }
       }, EVENT_GAP_MS);
       res.once('close', () => {
-        open.delete(res);
         clearInterval(timer);
       });
     }
@@ -189,10 +189,7 @@
       req.on('data', (chunk) => chunks.push(chunk));
       req.on('end', () => {
         if (req.url === HEALTH_PATH) {
-          const isWell = engine.state === 'ready' || engine.isHealthFalse;
-          note(`engine ${id} answers its health check ${isWell ? 200 : 503}`);
-          res.writeHead(isWell ? 200 : 503, { 'x-skylarksail-instance-id': id });
-          res.end();
+          res.writeHead(200, { 'x-skylarksail-instance-id': id, 'content-length': 0 }).end();
         } else if (req.url.startsWith(STREAM_ROUTE.prefix)) {
           stream(req, res);
         } else {
@@ -204,17 +201,6 @@
     }
 
     Object.assign(engine, {
-      /** The store has acknowledged it when this returns. */
-      leave() {
-        engine.state = 'draining';
-        register();
-      },
-      /** Resets the connection of one stream; false if there is none. */
-      resetOne() {
-        const [res] = open;
-        res?.socket.resetAndDestroy();
-        return res !== undefined;
-      },
       close() {
         server.closeAllConnections();
         server.close();
