Review case 4: count only what the site's own window allows

The site's stable_window_ms is 4000; the script took an instance for in touch after 3000, which was stricter than the rule.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -14,7 +14,8 @@
 const CALL_GAP_MS = 60;
 const DEADLINE_MS = 4000;
 const WORK_MS = 86;
-const WINDOW_MS = 3000;
+/** `stable_window_ms` of the site. */
+const WINDOW_MS = 4000;
 const CALM_MS = 6000;
 const TROUBLE_MS = 12_000;
 const RESTART_DELAY_MS = 1000;
