Bound what clients hold at the ports for readiness and metrics

Callers saw: requests ahead at the path that says ready, answers unread, and neither readiness nor ordinary requests were answered; at the metrics port the process ended. With as many connections as descriptors, silent ones at either port, requests and readiness were reset.

Cause: Node parses all requests of one read at once, and both ports had Node's own limits, which count no connections.

Change: the package connections guards a server.

--- /dev/null
+++ b/packages/connections/src/ConnectionBodies.ts
@@ -0,0 +1,115 @@
+/** Reads the bodies of requests into memory that is counted as it is kept. */
+import type { IncomingMessage } from 'node:http';
+
+/** How the reading of a body ended. */
+export const BodyEnd = {
+  Whole: 'whole',
+  TooLarge: 'too-large',
+  /** Its caller left. */
+  Left: 'left',
+  /** It did not arrive within the time that its caller waits, or stood still. */
+  Late: 'late',
+  /** All callers together hold too much, and this one the most. */
+  Crowded: 'crowded',
+  /** Its chunks can't be read. */
+  Malformed: 'malformed',
+} as const;
+
+/** A value of `BodyEnd`. */
+export type BodyEndName = (typeof BodyEnd)[keyof typeof BodyEnd];
+
+/** A body, or the reason why there is none. */
+export type ReadBody =
+  | { readonly end: typeof BodyEnd.Whole; readonly bytes: Buffer }
+  | { readonly end: Exclude<BodyEndName, typeof BodyEnd.Whole> };
+
+export interface BodyReader {
+  /** Resolves once the body is whole or given up. */
+  readonly done: Promise<ReadBody>;
+  /** Ends the reading, unless it has ended; what was kept is let go. */
+  giveUp(end: Exclude<BodyEndName, typeof BodyEnd.Whole>): void;
+}
+
+export interface BodyReaderOptions {
+  readonly maxBytes: number;
+  /** The memory that the body takes has changed, in bytes. */
+  readonly onKept: (bytes: number) => void;
+}
+
+const FIRST_CAPACITY = 1024;
+
+/** Length that a request announces; null if it announces none. */
+export function getAnnouncedLength({ headers }: Pick<IncomingMessage, 'headers'>): number | null {
+  const length = headers['content-length'];
+  return length === undefined ? null : Number(length);
+}
+
+/** Whether a request has a body, by its head. */
+export function hasBody({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+/**
+ * Starts to read a body. Its bytes are copied as they come: a piece that is kept as it is costs some hundred bytes, and
+ * keeps the whole read alive to which it belongs.
+ */
+export function startBodyReader(
+  req: IncomingMessage,
+  { maxBytes, onKept }: BodyReaderOptions,
+): BodyReader {
+  const announced = getAnnouncedLength(req);
+  let kept: Buffer = Buffer.alloc(0);
+  let length = 0;
+  let isOver = false;
+  let settle: (body: ReadBody) => void = () => undefined;
+  const done = new Promise<ReadBody>((resolve) => {
+    settle = resolve;
+  });
+
+  function finish(body: ReadBody): void {
+    if (isOver) {
+      return;
+    }
+    isOver = true;
+    req.off('data', take);
+    if (body.end !== BodyEnd.Whole) {
+      kept = Buffer.alloc(0);
+      onKept(0);
+      req.resume();
+    }
+    settle(body);
+  }
+
+  function take(piece: Buffer): void {
+    const needed = length + piece.byteLength;
+    if (needed > maxBytes) {
+      finish({ end: BodyEnd.TooLarge });
+      return;
+    }
+    if (needed > kept.byteLength) {
+      kept = grow(kept, length, chooseCapacity(needed, kept.byteLength, announced ?? maxBytes));
+      onKept(kept.byteLength);
+    }
+    if (!isOver) {
+      piece.copy(kept, length);
+      length = needed;
+    }
+  }
+
+  req.on('error', () => finish({ end: BodyEnd.Left }));
+  req.on('close', () => finish({ end: BodyEnd.Left }));
+  req.on('end', () => finish({ end: BodyEnd.Whole, bytes: kept.subarray(0, length) }));
+  req.on('data', take);
+  return { done, giveUp: (end) => finish({ end }) };
+}
+
+/** Doubles, so that few bytes are copied twice, but takes no more than the body can need. */
+function chooseCapacity(needed: number, capacity: number, most: number): number {
+  return Math.max(needed, Math.min(most, Math.max(FIRST_CAPACITY, capacity * 2)));
+}
+
+function grow(kept: Buffer, length: number, capacity: number): Buffer {
+  const grown = Buffer.allocUnsafeSlow(capacity);
+  kept.copy(grown, 0, 0, length);
+  return grown;
+}
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -113,6 +113,30 @@
   gauges.forEach(([name, help, read]) => metrics.registerGauge(name, help, read));
 }
 
+/** What all callers hold of this process together. */
+export interface CallerHoldings {
+  countConnections(): number;
+  getHeldBytes(): number;
+  countRequestsAhead(): number;
+}
+
+/** Registers gauges of what callers hold. */
+export function registerCallerMetrics(metrics: DaemonMetrics, callers: CallerHoldings): void {
+  metrics.registerGauge('callers_connections', 'open connections of callers', () =>
+    callers.countConnections(),
+  );
+  metrics.registerGauge(
+    'callers_held_bytes',
+    'bytes of requests not yet answered and of answers not yet read',
+    () => callers.getHeldBytes(),
+  );
+  metrics.registerGauge(
+    'callers_requests_ahead',
+    'requests that wait behind others of their connections',
+    () => callers.countRequestsAhead(),
+  );
+}
+
 /** Registers gauges of the log lines dropped since the start. */
 export function registerLogMetrics(
   metrics: DaemonMetrics,
