Refuse a body that is announced over the limit at once

Callers saw: 10 GB announced and not sent got no answer; with Expect: 100-continue their caller was told to send them.

Cause: the limit was compared with the bytes that had come, and Node answers Expect by itself.

Change: the announced length is compared first, for Expect too. The refusal still reaches a caller that sends on, as the guard reads on behind it for a while.

--- a/packages/connections/src/ConnectionBodies.ts
+++ b/packages/connections/src/ConnectionBodies.ts
@@ -98,8 +98,12 @@
 
   req.on('error', () => finish({ end: BodyEnd.Left }));
   req.on('close', () => finish({ end: BodyEnd.Left }));
-  req.on('end', () => finish({ end: BodyEnd.Whole, bytes: kept.subarray(0, length) }));
-  req.on('data', take);
+  if (announced !== null && announced > maxBytes) {
+    finish({ end: BodyEnd.TooLarge });
+  } else {
+    req.on('end', () => finish({ end: BodyEnd.Whole, bytes: kept.subarray(0, length) }));
+    req.on('data', take);
+  }
   return { done, giveUp: (end) => finish({ end }) };
 }
 
--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -343,6 +343,13 @@
     accept(socket, (stream) => Reflect.apply(serve, server, [stream])),
   );
   server.prependListener('request', track);
+  server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+    const announced = getAnnouncedLength(req);
+    if (announced === null || announced <= options.getMaxBodyBytes()) {
+      res.writeContinue();
+    }
+    server.emit('request', req, res);
+  });
   server.on('clientError', refuseBadRequest);
 
   return {
