--- a/packages/bench/src/StackLauncher.ts
+++ b/packages/bench/src/StackLauncher.ts
@@ -7,7 +7,7 @@
 import type { HostPort } from '@skylarksail/core/CoreTypes';
 import type { StackSize } from './StackPlan.js';
 import { listDomains, planEngines, planManifest, planServices, STACK_HOST } from './StackPlan.js';
-import type { StackProcess } from './StackProcesses.js';
+import type { StackMachine, StackProcess } from './StackProcesses.js';
 import {
   findFreePorts,
   formatUrl,
@@ -62,8 +62,14 @@
   SKYLARKSAIL_OPERATOR_TOKEN: 'stack-operator-token',
 } as const;
 
-/** Launches a stack and waits until every daemon is ready and has reports of all engines. */
-export async function launchStack(size: StackSize): Promise<Stack> {
+/**
+ * Launches a stack and waits until every daemon is ready and has reports of all engines. `machine` limits what each daemon
+ * may use.
+ */
+export async function launchStack(
+  size: StackSize,
+  machine: StackMachine | null = null,
+): Promise<Stack> {
   const folder = mkdtempSync(join(tmpdir(), 'skylarksail-stack-'));
   const processes: StackProcess[] = [];
   const daemons: StackDaemon[] = [];
@@ -157,6 +163,7 @@
       settingsPath,
       SECRETS,
       openSync(join(folder, `${id}.log`), 'a'),
+      machine,
     );
     processes.push(started);
     await register({
--- a/packages/bench/src/StackProcesses.ts
+++ b/packages/bench/src/StackProcesses.ts
@@ -51,20 +51,40 @@
   return { process: wrapChild(child), ready: JSON.parse(line) as StandInReady };
 }
 
+/** What a process may use. */
+export interface StackMachine {
+  readonly heapMb: number;
+  readonly descriptors: number;
+}
+
 /** Starts a daemon with a settings file; its log is written to `logFd`. */
 export function startDaemonProcess(
   settingsPath: string,
   env: Readonly<Record<string, string>>,
   logFd: number,
+  machine: StackMachine | null = null,
 ): StackProcess {
   const script = findScript('daemon/bin/skylarksaild.mjs');
-  const child = spawn(process.execPath, [script, '--config', settingsPath], {
+  const args = [script, '--config', settingsPath];
+  const [file, ...allArgs] =
+    machine === null ? [process.execPath, ...args] : limitCommand(args, machine);
+  const child = spawn(file, allArgs, {
     stdio: ['ignore', logFd, 'inherit'],
     env: { ...process.env, ...env },
   });
   return wrapChild(child);
 }
 
+/** A command that runs Node with less heap and fewer descriptors; the process keeps its id. */
+function limitCommand(
+  args: readonly string[],
+  { heapMb, descriptors }: StackMachine,
+): readonly [string, ...string[]] {
+  const limit = 'ulimit -n "$0" && exec "$@"';
+  const heap = `--max-old-space-size=${heapMb}`;
+  return ['/bin/sh', '-c', limit, String(descriptors), process.execPath, heap, ...args];
+}
+
 /** Runs the command-line tool; returns its exit code, and its stdout and stderr as one text. */
 export async function runCliProcess(
   args: readonly string[],
