Bound what clients hold of the daemon

Callers saw: requests ahead at either port ended the daemon, bodies in chunks of one byte silenced it, and silent connections took all its descriptors.

Cause: only one body and the time to receive it were bounded, and pieces of bodies were kept as they came.

Change: both ports have the guard of connections: limits.connections, limits.adminConnections, limits.heldBytes and limits.requestsAhead of the settings, counters callers_closed_… and admin_closed_…, line connections closed. A body that is let go for others gets 429 with not-run. A stream may have as many listeners as requests wait on it.

--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -30,13 +30,18 @@
   readonly getMaxBodyBytes: () => number;
   /** Time without progress after which a body or an answer is given up; asked each time. */
   readonly getStandstillTime: () => Millis;
+  /** Writes the response to bytes that are no request; by default one without a body. */
+  readonly writeBadRequest?: (err: NodeJS.ErrnoException) => string;
   /** A connection was closed, or its request refused, before its client wanted that. */
   readonly onClosed: (reason: CloseReasonName, heldBytes: number) => void;
 }
 
 export interface ConnectionGuard {
-  /** Reads the body of a request. `timeLeft` is the time that its caller waits; null if it is not known. */
-  readBody(req: IncomingMessage, res: ServerResponse, timeLeft: Millis | null): Promise<ReadBody>;
+  /**
+   * Reads the body of a request. `timeLeft` is the time that its caller waits; null if it is not known. The connection is
+   * closed behind the answer to a body that was not read to its end.
+   */
+  readBody(req: IncomingMessage, timeLeft: Millis | null): Promise<ReadBody>;
   countConnections(): number;
   /** Bytes that all clients hold together. */
   getHeldBytes(): number;
@@ -48,6 +53,8 @@
 interface Guarded extends ConnectionEntry {
   readonly stream: ConnectionStream;
   body: OpenBody | null;
+  /** Response to its latest request. */
+  res: ServerResponse | null;
 }
 
 interface OpenBody {
@@ -124,7 +131,12 @@
       end(oldest, CloseReason.Connections);
     }
     const stream = new ConnectionStream(socket, host);
-    const entry: Guarded = { ...createConnectionEntry(timers.now()), stream, body: null };
+    const entry: Guarded = {
+      ...createConnectionEntry(timers.now()),
+      stream,
+      body: null,
+      res: null,
+    };
     guarded.set(stream, entry);
     stream.once('close', () => forget(entry));
     serve(stream);
@@ -238,6 +250,7 @@
       return;
     }
     setRequests(entry, entry.requests + 1);
+    entry.res = res;
     res.once('close', () => {
       if (guarded.has(entry.stream)) {
         setRequests(entry, Math.max(0, entry.requests - 1));
@@ -248,11 +261,7 @@
     });
   }
 
-  async function readBody(
-    req: IncomingMessage,
-    res: ServerResponse,
-    timeLeft: Millis | null,
-  ): Promise<ReadBody> {
+  async function readBody(req: IncomingMessage, timeLeft: Millis | null): Promise<ReadBody> {
     const entry = guarded.get(req.socket as unknown as ConnectionStream);
     const reader = startBodyReader(req, {
       maxBytes: options.getMaxBodyBytes(),
@@ -276,8 +285,8 @@
     if (entry !== undefined) {
       entry.isReadingBody = false;
       entry.body = null;
-      if (body.end !== BodyEnd.Whole) {
-        res.shouldKeepAlive = false;
+      if (body.end !== BodyEnd.Whole && entry.res !== null) {
+        entry.res.shouldKeepAlive = false;
       }
     }
     return body;
@@ -330,8 +339,7 @@
     } else if (entry.requests > 0) {
       entry.stream.destroy();
     } else {
-      const line = STATUS_LINES[err.code ?? ''] ?? BAD_REQUEST;
-      entry.stream.write(`HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      entry.stream.write((options.writeBadRequest ?? writeBadRequest)(err));
       entry.stream.destroySoon();
     }
   }
@@ -360,3 +368,8 @@
     stop,
   };
 }
+
+function writeBadRequest({ code = '' }: NodeJS.ErrnoException): string {
+  const line = STATUS_LINES[code] ?? BAD_REQUEST;
+  return `HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/packages/connections/src/ConnectionLimits.ts
+++ b/packages/connections/src/ConnectionLimits.ts
@@ -36,9 +36,9 @@
 const CALLERS_SHARE = 0.5;
 const OPEN_FILES = /^Max open files\s+(\d+)/m;
 
-/** Maximum connections of callers: `wanted`, or fewer if the process may open fewer descriptors than that needs. */
-export function limitToDescriptors(wanted: number, descriptors = readDescriptorLimit()): number {
-  return Math.max(1, Math.min(wanted, Math.floor(descriptors * CALLERS_SHARE)));
+/** Maximum connections of a port: `wanted`, or a share of the descriptors that the process may open, if those are fewer. */
+export function limitToDescriptors(wanted: number, share = CALLERS_SHARE): number {
+  return Math.max(1, Math.min(wanted, Math.floor(readDescriptorLimit() * share)));
 }
 
 /** Number of descriptors that this process may open; Infinity if the system does not tell. */
--- a/packages/connections/src/ConnectionStream.ts
+++ b/packages/connections/src/ConnectionStream.ts
@@ -55,6 +55,8 @@
       readableHighWaterMark: 1,
       writableHighWaterMark: tcp.writableHighWaterMark,
     });
+    // Each request that waits for its answer listens for the end of its connection.
+    this.setMaxListeners(0);
     tcp.on('readable', () => this.noteReadable());
     tcp.on('end', () => this.noteEnd());
     tcp.on('error', (err) => this.destroy(err));
--- a/packages/daemon/src/DaemonApp.ts
+++ b/packages/daemon/src/DaemonApp.ts
@@ -1,10 +1,12 @@
 /** Starts the components of the daemon and its two HTTP servers, and shuts them down. */
+import { limitToDescriptors } from '@skylarksail/connections/ConnectionLimits';
 import { createRandom } from '@skylarksail/core/CoreRandom';
 import type { Millis } from '@skylarksail/core/CoreTypes';
 import { AdminModule } from './DaemonAdmin.js';
 import { createAdminGateway } from './DaemonAdminGateway.js';
 import { createCallerGateway } from './DaemonCallerGateway.js';
 import { CallersModule } from './DaemonCallers.js';
+import { createCloseListener } from './DaemonCloseListener.js';
 import { createDecisionLog } from './DaemonDecisions.js';
 import type { HttpServer } from './DaemonHttpServer.js';
 import { startHttpServer } from './DaemonHttpServer.js';
@@ -18,6 +20,10 @@
 
 const RANDOM_RANGE = 2 ** 31;
 const MAX_MANIFEST_BYTES = 64 * 1024 * 1024;
+/** Requests of one connection that are read before the first of them is answered. */
+const REQUESTS_EACH = 8;
+/** Part of the process's descriptors that connections at the admin port may use. */
+const ADMIN_SHARE = 0.125;
 
 export interface DaemonApp {
   /** Stops gracefully; resolves when all requests have ended or the grace period is over. */
@@ -64,7 +70,13 @@
     readonly callers: HttpServer;
     readonly admin: HttpServer;
   }> {
-    const { receiveTimeoutMs: receiveTimeout, bodyBytes } = settings.limits;
+    const {
+      receiveTimeoutMs: receiveTimeout,
+      bodyBytes,
+      heldBytes,
+      requestsAhead,
+    } = settings.limits;
+    const listening = { timers, metrics, logger };
     const gateway = createCallerGateway({
       timers,
       wallNow,
@@ -91,6 +103,14 @@
         receiveTimeout,
         rawBodyPrefix: '/services/',
         reportError,
+        timers,
+        connectionLimits: {
+          connections: limitToDescriptors(settings.limits.connections),
+          heldBytes,
+          requestsAhead,
+          requestsEach: REQUESTS_EACH,
+        },
+        onClosed: createCloseListener(listening, 'callers'),
       }),
       admin: await startHttpServer({
         module: AdminModule.create(adminGateway),
@@ -99,6 +119,14 @@
         receiveTimeout,
         rawBodyPrefix: null,
         reportError,
+        timers,
+        connectionLimits: {
+          connections: limitToDescriptors(settings.limits.adminConnections, ADMIN_SHARE),
+          heldBytes: 2 * MAX_MANIFEST_BYTES,
+          requestsAhead,
+          requestsEach: 1,
+        },
+        onClosed: createCloseListener(listening, 'admin'),
       }),
     };
   }
--- a/packages/daemon/src/DaemonHttpServer.ts
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -2,23 +2,31 @@
  * Starts a Nest application on Fastify with limits that protect it from slow or malformed requests.
  */
 import { randomUUID } from 'node:crypto';
-import type { Socket } from 'node:net';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import { Catch } from '@nestjs/common';
 import type { ArgumentsHost, DynamicModule, ExceptionFilter } from '@nestjs/common';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { BodyEndName } from '@skylarksail/connections/ConnectionBodies';
+import { BodyEnd } from '@skylarksail/connections/ConnectionBodies';
+import type { ConnectionGuard } from '@skylarksail/connections/ConnectionGuard';
+import { registerConnectionGuard } from '@skylarksail/connections/ConnectionGuard';
+import type { CloseReasonName, ConnectionLimits } from '@skylarksail/connections/ConnectionLimits';
 import { RunState } from '@skylarksail/core/CoreConstants';
+import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import { beginUnlessLeft, HangUpStage } from './DaemonHangUps.js';
-import { ProblemKind, createProblemBody } from './DaemonProblems.js';
+import { ProblemKind, createNotRunError, createProblemBody } from './DaemonProblems.js';
 import type { ReportError } from './DaemonReplies.js';
 import { sendThrownError } from './DaemonReplies.js';
+import { afterTurn } from './DaemonTimers.js';
 
 const MAX_HEADER_COUNT = 100;
 const KEEP_ALIVE_TIMEOUT: Millis = 72_000;
 const CHECKS_PER_TIMEOUT = 4;
+/** Time for which an answer may stand unread. */
+const STANDSTILL_TIME: Millis = 60_000;
 
 export interface HttpServerOptions {
   readonly module: DynamicModule;
@@ -28,6 +36,11 @@
   /** Bodies of requests with this path prefix are not parsed. */
   readonly rawBodyPrefix: string | null;
   readonly reportError: ReportError;
+  /** What all clients of the port may hold together. */
+  readonly connectionLimits: ConnectionLimits;
+  readonly timers: TimerService;
+  /** A connection was closed, or its request refused, before its client wanted that. */
+  readonly onClosed: (reason: CloseReasonName, heldBytes: number) => void;
 }
 
 export interface HttpServer {
@@ -68,11 +81,21 @@
     },
     genReqId: () => randomUUID(),
     logger: false,
-    clientErrorHandler: handleClientError,
+    // The guard of connections answers bytes that are no request.
+    clientErrorHandler: () => undefined,
   });
   const fastify: FastifyInstance = adapter.getInstance();
   fastify.server.maxHeadersCount = MAX_HEADER_COUNT;
-  registerBodyParsers(fastify, options.rawBodyPrefix);
+  const guard = registerConnectionGuard(fastify.server, {
+    limits: options.connectionLimits,
+    timers: options.timers,
+    laterTurn: afterTurn,
+    getMaxBodyBytes: () => options.bodyBytes,
+    getStandstillTime: () => STANDSTILL_TIME,
+    writeBadRequest,
+    onClosed: options.onClosed,
+  });
+  registerBodyParsers(fastify, options.rawBodyPrefix, guard);
   registerLeftClientCheck(fastify);
   const app = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
     logger: false,
@@ -87,7 +110,10 @@
       fastify.server.close();
       fastify.server.closeIdleConnections();
     },
-    close: () => app.close(),
+    close: async () => {
+      await app.close();
+      guard.stop();
+    },
   };
 }
 
@@ -110,12 +136,9 @@
   });
 }
 
-/** Sends a problem on a connection whose request is malformed or too slow, and closes it. */
-function handleClientError(err: { readonly code?: string }, socket: Socket): void {
-  if (!socket.writable) {
-    return;
-  }
-  const isSlow = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+/** The problem for a request that is malformed or too slow. */
+function writeBadRequest({ code }: NodeJS.ErrnoException): string {
+  const isSlow = code === 'ERR_HTTP_REQUEST_TIMEOUT';
   const kind = isSlow ? ProblemKind.SlowSender : ProblemKind.BadRequest;
   const body = createProblemBody({ kind, run: RunState.NotRun }, randomUUID());
   const text = JSON.stringify(body);
@@ -125,21 +148,43 @@
     `content-length: ${Buffer.byteLength(text)}`,
     'connection: close',
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${text}`);
+  return `${head.join('\r\n')}\r\n\r\n${text}`;
 }
 
 /** Bodies for plain services are not parsed; all others must be JSON and are rejected otherwise. */
-function registerBodyParsers(fastify: FastifyInstance, rawBodyPrefix: string | null): void {
+function registerBodyParsers(
+  fastify: FastifyInstance,
+  rawBodyPrefix: string | null,
+  guard: Pick<ConnectionGuard, 'readBody'>,
+): void {
   fastify.removeAllContentTypeParsers();
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (req, body, done) => {
+  fastify.addContentTypeParser('*', async (req: FastifyRequest): Promise<unknown> => {
+    const body = await guard.readBody(req.raw, null);
+    if (body.end !== BodyEnd.Whole) {
+      throw createBodyError(body.end);
+    }
+    const { bytes } = body;
     if (rawBodyPrefix !== null && req.url.startsWith(rawBodyPrefix)) {
-      done(null, body);
-      return;
+      return bytes;
     }
     try {
-      done(null, body.length === 0 ? undefined : JSON.parse(body.toString()));
+      return bytes.length === 0 ? undefined : JSON.parse(bytes.toString());
     } catch (err) {
-      done(Object.assign(err as Error, { statusCode: 400 }));
+      throw Object.assign(err as Error, { statusCode: 400 });
     }
   });
 }
+
+/** The error of a request whose body was not read to its end. */
+function createBodyError(end: Exclude<BodyEndName, typeof BodyEnd.Whole>): Error {
+  switch (end) {
+    case BodyEnd.TooLarge:
+      return createNotRunError(ProblemKind.TooLarge);
+    case BodyEnd.Late:
+      return createNotRunError(ProblemKind.SlowSender);
+    case BodyEnd.Crowded:
+      return createNotRunError(ProblemKind.Overloaded, 'too many bytes of all callers');
+    default:
+      return createNotRunError(ProblemKind.BadRequest, 'the body cannot be read');
+  }
+}
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -4,6 +4,7 @@
 import { readFileSync } from 'node:fs';
 import { isIP } from 'node:net';
 import { z } from 'zod';
+import { DEFAULT_CALLER_CONNECTIONS } from '@skylarksail/connections/ConnectionLimits';
 import { SettingsError } from './DaemonErrors.js';
 
 const MAX_PORT = 65535;
@@ -43,6 +44,14 @@
           .min(1024)
           .max(64 * 1024 * 1024)
           .default(1024 * 1024),
+        /** Open connections at the callers' port; half of the process's descriptors at most. */
+        connections: z.int().positive().default(DEFAULT_CALLER_CONNECTIONS),
+        /** Open connections at the admin port. */
+        adminConnections: z.int().positive().default(256),
+        /** Bytes of all callers' requests not yet answered and answers not yet read. */
+        heldBytes: z.int().positive().default(50_331_648),
+        /** Requests at the callers' port that wait behind others of their connections. */
+        requestsAhead: z.int().positive().default(512),
         /** A request that has not arrived completely within this time is rejected. */
         receiveTimeoutMs: z.int().min(100).default(10000),
       })
@@ -86,6 +95,13 @@
         });
       }
     });
+    if (settings.limits.heldBytes < 2 * settings.limits.bodyBytes) {
+      ctx.addIssue({
+        code: 'custom',
+        path: ['limits', 'heldBytes'],
+        message: 'must be twice bodyBytes or more, or the largest body would not be served',
+      });
+    }
     if (settings.shutdown.graceMs <= settings.shutdown.balancerLagMs) {
       ctx.addIssue({
         code: 'custom',
--- a/packages/daemon/src/__tests__/unit/DaemonReplies.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonReplies.test.ts
@@ -9,6 +9,7 @@
 import { startHttpServer } from '../../DaemonHttpServer.js';
 import { createNotRunError, ProblemKind } from '../../DaemonProblems.js';
 import { findPort, startHarness } from './DaemonHarness.js';
+import { createSystemTimers } from '../../DaemonTimers.js';
 
 const HOST = '127.0.0.1';
 const AUTH = { authorization: 'Bearer operator' };
@@ -62,6 +63,9 @@
       receiveTimeout: 1000,
       rawBodyPrefix: null,
       reportError,
+      timers: createSystemTimers(),
+      connectionLimits: { connections: 10, heldBytes: 10_000, requestsAhead: 10, requestsEach: 1 },
+      onClosed: () => undefined,
     });
     const res = await fetch(`http://${HOST}:${port}${path}`, { method, headers: AUTH });
     const body = (await res.json()) as Record<string, unknown>;
