--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -173,7 +173,7 @@
       if (announced !== null) {
         return Math.max(PRESSED_SLICE, announced - getBodyBytesRead(entry, entry.body));
       }
-      return isPressed ? PRESSED_SLICE : CHUNKED_SLICE;
+      return isPressed ? HEAD_SLICE : CHUNKED_SLICE;
     }
     if (entry.requests === 0) {
       return isPressed ? PRESSED_SLICE : HEAD_SLICE;
