--- a/packages/connections/src/ConnectionBodies.ts
+++ b/packages/connections/src/ConnectionBodies.ts
@@ -18,16 +18,18 @@
 /** A value of `BodyEnd`. */
 export type BodyEndName = (typeof BodyEnd)[keyof typeof BodyEnd];
 
+/** Why a body was not read to its end. */
+export type UnreadBodyEnd = Exclude<BodyEndName, typeof BodyEnd.Whole>;
+
 /** A body, or the reason why there is none. */
 export type ReadBody =
-  | { readonly end: typeof BodyEnd.Whole; readonly bytes: Buffer }
-  | { readonly end: Exclude<BodyEndName, typeof BodyEnd.Whole> };
+  { readonly end: typeof BodyEnd.Whole; readonly bytes: Buffer } | { readonly end: UnreadBodyEnd };
 
 export interface BodyReader {
   /** Resolves once the body is whole or given up. */
   readonly done: Promise<ReadBody>;
   /** Ends the reading, unless it has ended; what was kept is let go. */
-  giveUp(end: Exclude<BodyEndName, typeof BodyEnd.Whole>): void;
+  giveUp(end: UnreadBodyEnd): void;
 }
 
 export interface BodyReaderOptions {
--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -6,7 +6,7 @@
 import type { Socket } from 'node:net';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { BodyReader, ReadBody } from './ConnectionBodies.js';
+import type { BodyReader, ReadBody, UnreadBodyEnd } from './ConnectionBodies.js';
 import { BodyEnd, getAnnouncedLength, startBodyReader } from './ConnectionBodies.js';
 import type { CloseReasonName, ConnectionLimits } from './ConnectionLimits.js';
 import { CloseReason } from './ConnectionLimits.js';
@@ -238,12 +238,19 @@
   function endLargest(entry: Guarded): void {
     if (entry.body !== null && entry.unreadBytes === 0 && entry.bodyBytes > 0) {
       onClosed(CloseReason.HeldBytes, getHeldBytes(entry));
-      entry.body.reader.giveUp(BodyEnd.Crowded);
+      giveUpBody(entry, BodyEnd.Crowded);
     } else {
       end(entry, CloseReason.HeldBytes);
     }
   }
 
+  /** Ends the reading of a body at once; its request is answered after that. */
+  function giveUpBody(entry: Guarded, why: UnreadBodyEnd): void {
+    const { body } = entry;
+    Object.assign(entry, { body: null, isReadingBody: false });
+    body?.reader.giveUp(why);
+  }
+
   function track(req: IncomingMessage, res: ServerResponse): void {
     const entry = guarded.get(req.socket as unknown as ConnectionStream);
     if (entry === undefined) {
@@ -303,7 +310,7 @@
       isNeeded ||= body !== null || entry.unreadBytes > 0;
       if (body !== null && (isStill || now >= body.giveUpAt)) {
         onClosed(CloseReason.SlowBody, getHeldBytes(entry));
-        body.reader.giveUp(BodyEnd.Late);
+        giveUpBody(entry, BodyEnd.Late);
       } else if (entry.unreadBytes > 0 && isStill) {
         end(entry, CloseReason.UnreadAnswer);
       }
@@ -333,9 +340,8 @@
       onClosed(CloseReason.BadRequest, getHeldBytes(entry));
     }
     if (entry.body !== null) {
-      entry.body.reader.giveUp(
-        err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? BodyEnd.Late : BodyEnd.Malformed,
-      );
+      const isSlow = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+      giveUpBody(entry, isSlow ? BodyEnd.Late : BodyEnd.Malformed);
     } else if (entry.requests > 0) {
       entry.stream.destroy();
     } else {
--- a/packages/daemon/src/DaemonHttpServer.ts
+++ b/packages/daemon/src/DaemonHttpServer.ts
@@ -8,7 +8,7 @@
 import { Catch } from '@nestjs/common';
 import type { ArgumentsHost, DynamicModule, ExceptionFilter } from '@nestjs/common';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
-import type { BodyEndName } from '@skylarksail/connections/ConnectionBodies';
+import type { UnreadBodyEnd } from '@skylarksail/connections/ConnectionBodies';
 import { BodyEnd } from '@skylarksail/connections/ConnectionBodies';
 import type { ConnectionGuard } from '@skylarksail/connections/ConnectionGuard';
 import { registerConnectionGuard } from '@skylarksail/connections/ConnectionGuard';
@@ -176,7 +176,7 @@
 }
 
 /** The error of a request whose body was not read to its end. */
-function createBodyError(end: Exclude<BodyEndName, typeof BodyEnd.Whole>): Error {
+function createBodyError(end: UnreadBodyEnd): Error {
   switch (end) {
     case BodyEnd.TooLarge:
       return createNotRunError(ProblemKind.TooLarge);
