Count the bodies of requests ahead, and read on a connection that lost its turn

Change: bodies are counted by request, an entry is closed by its own body only, and the answer to a request always lets its connection go on.

--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -52,9 +52,14 @@
 
 interface Guarded extends ConnectionEntry {
   readonly stream: ConnectionStream;
+  /** The body that is being read. */
   body: OpenBody | null;
-  /** Response to its latest request. */
-  res: ServerResponse | null;
+}
+
+interface GuardedRequest {
+  readonly res: ServerResponse;
+  /** Memory that its body takes. */
+  bodyBytes: number;
 }
 
 interface OpenBody {
@@ -88,6 +93,7 @@
   const { limits, timers, onClosed } = options;
   const guarded = new Map<ConnectionStream, Guarded>();
   const blocked = new Set<ConnectionStream>();
+  const tracked = new WeakMap<IncomingMessage, GuardedRequest>();
   const turns = createConnectionTurns(timers.now, options.laterTurn);
   let heldBytes = 0;
   let requestsAhead = 0;
@@ -135,7 +141,6 @@
       ...createConnectionEntry(timers.now()),
       stream,
       body: null,
-      res: null,
     };
     guarded.set(stream, entry);
     stream.once('close', () => forget(entry));
@@ -186,6 +191,9 @@
   }
 
   function requestTurn(stream: ConnectionStream, isNew: boolean): void {
+    if (stream.destroyed || stream.tcp.readableLength === 0) {
+      return;
+    }
     if (getMaxBytes(stream) === 0) {
       blocked.add(stream);
     } else {
@@ -195,12 +203,13 @@
 
   /** Lets a connection go on whose answer is sent, and one of those that were held back by the requests of all. */
   function unblock(stream: ConnectionStream): void {
-    const [first] = blocked;
-    [stream, first].forEach((one) => {
-      if (one !== undefined && blocked.delete(one) && !one.destroyed) {
-        requestTurn(one, false);
-      }
-    });
+    const [first = stream] = blocked;
+    blocked.delete(first);
+    blocked.delete(stream);
+    requestTurn(stream, false);
+    if (first !== stream) {
+      requestTurn(first, false);
+    }
   }
 
   function setRequests(entry: Guarded, requests: number): void {
@@ -251,17 +260,24 @@
     body?.reader.giveUp(why);
   }
 
+  function setBodyBytes(entry: Guarded, request: GuardedRequest, bytes: number): void {
+    const change = bytes - request.bodyBytes;
+    Object.assign(request, { bodyBytes: bytes });
+    update(entry, { bodyBytes: entry.bodyBytes + change });
+  }
+
   function track(req: IncomingMessage, res: ServerResponse): void {
     const entry = guarded.get(req.socket as unknown as ConnectionStream);
     if (entry === undefined) {
       return;
     }
     setRequests(entry, entry.requests + 1);
-    entry.res = res;
+    const request = { res, bodyBytes: 0 };
+    tracked.set(req, request);
     res.once('close', () => {
       if (guarded.has(entry.stream)) {
         setRequests(entry, Math.max(0, entry.requests - 1));
-        update(entry, { bodyBytes: 0 });
+        setBodyBytes(entry, request, 0);
         entry.progressAt = timers.now();
         unblock(entry.stream);
       }
@@ -270,31 +286,33 @@
 
   async function readBody(req: IncomingMessage, timeLeft: Millis | null): Promise<ReadBody> {
     const entry = guarded.get(req.socket as unknown as ConnectionStream);
+    const request = tracked.get(req);
     const reader = startBodyReader(req, {
       maxBytes: options.getMaxBodyBytes(),
       onKept: (bytes) => {
-        if (entry !== undefined) {
-          update(entry, { bodyBytes: bytes });
+        if (entry !== undefined && request !== undefined) {
+          setBodyBytes(entry, request, bytes);
         }
       },
     });
-    if (entry !== undefined) {
-      entry.isReadingBody = true;
-      entry.body = {
-        reader,
-        announced: getAnnouncedLength(req),
-        tcpBytesBefore: entry.stream.tcp.bytesRead - entry.stream.tcp.readableLength,
-        giveUpAt: timers.now() + (timeLeft ?? Infinity),
-      };
-      startChecks();
+    if (entry === undefined || request === undefined) {
+      return reader.done;
     }
+    const open: OpenBody = {
+      reader,
+      announced: getAnnouncedLength(req),
+      tcpBytesBefore: entry.stream.tcp.bytesRead - entry.stream.tcp.readableLength,
+      giveUpAt: timers.now() + (timeLeft ?? Infinity),
+    };
+    Object.assign(entry, { body: open, isReadingBody: true });
+    startChecks();
     const body = await reader.done;
-    if (entry !== undefined) {
-      entry.isReadingBody = false;
-      entry.body = null;
-      if (body.end !== BodyEnd.Whole && entry.res !== null) {
-        entry.res.shouldKeepAlive = false;
-      }
+    // The next request of the connection may have begun to be read.
+    if (entry.body === open) {
+      Object.assign(entry, { body: null, isReadingBody: false });
+    }
+    if (body.end !== BodyEnd.Whole) {
+      request.res.shouldKeepAlive = false;
     }
     return body;
   }
--- a/packages/connections/src/__tests__/unit/ConnectionGuard.test.ts
+++ b/packages/connections/src/__tests__/unit/ConnectionGuard.test.ts
@@ -76,6 +76,53 @@
     expect(closed).to.deep.equal([]);
   });
 
+  it('answers all requests of many connections while too many wait in all', async () => {
+    // Guards against a connection that is held back while it waits for its turn, and is never read again.
+    const [connections, count] = [8, 300];
+    answer = (req, res) => {
+      setImmediate(() => res.end(req.url));
+    };
+    const told = await Promise.all(
+      Array.from({ length: connections }, async () => {
+        const socket = open();
+        const last = 'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n';
+        socket.write(`${'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(count - 1)}${last}`);
+        let text = '';
+        for await (const chunk of socket) {
+          text += String(chunk);
+        }
+        return text.split('HTTP/1.1 200').length - 1;
+      }),
+    );
+    expect(told).to.deep.equal(Array.from({ length: connections }, () => count));
+  });
+
+  it('counts the bodies of all requests of a connection until each is answered', async () => {
+    // Guards against requests ahead whose bodies are kept and not counted.
+    const answers: ServerResponse[] = [];
+    let whole: () => void = () => undefined;
+    const allWhole = new Promise<void>((resolve) => {
+      whole = resolve;
+    });
+    answer = (req, res) => {
+      void guard.readBody(req, null).then(() => {
+        answers.push(res);
+        if (answers.length === 2) {
+          whole();
+        }
+      });
+    };
+    const socket = open();
+    const body = 'x'.repeat(50_000);
+    socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n${body}`.repeat(2));
+    await allWhole;
+    expect(guard.getHeldBytes()).to.equal(100_000);
+    answers.forEach((res) => res.end());
+    await once(answers[1] as ServerResponse, 'close');
+    expect(guard.getHeldBytes()).to.equal(0);
+    socket.destroy();
+  });
+
   it('lets go of a body whose caller leaves while its last bytes wait for their turn', async () => {
     // Guards against bytes that stay counted for good, for which all later callers are refused.
     const ends: string[] = [];
