review: add case 7, a change comes into force late where the watching instances freeze

Shows: of 36 instances the three that watch the store freeze as a version is acknowledged that moves a route; others, which run and reach the store, still serve requests by the earlier version that were sent up to 3.5 s after the acknowledgement, where config_ms is 3 s (CONFIG). Code at fault: RelayUpdates asks its sources one after the other, each with a whole hold time and a margin, and the store last: three silent sources cost 3.6 s.

--- a/review/lib-2/CaseFleet.mjs
+++ b/review/lib-2/CaseFleet.mjs
@@ -9,7 +9,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 
-const HOST = '127.0.0.1';
+/** Each instance has a loopback address of its own. */
+const NETWORK = '127.0.1';
+const PORT_TRIES = 50;
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 /** The command of `deploy/system.toml`. */
 const COMMAND = ['--max-old-space-size=220', '--max-semi-space-size=1', 'target/skylarksail.mjs'];
@@ -29,20 +31,26 @@
   logLevel: 'info',
 };
 
-async function findFreePort() {
-  const server = createServer();
-  await new Promise((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
-  const { port } = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
+/** A port that is free on an address, from `first` on. It is below those that the system gives to connections. */
+async function findFreePort(host, first) {
+  for (let port = first; port < first + PORT_TRIES; port += 1) {
+    if (await isFree(host, port)) {
+      return port;
+    }
+  }
+  throw new Error(`no free port on ${host}`);
+}
+
+function isFree(host, port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
   });
-  return port;
 }
 
-/** Creates a fleet; its settings and logs are in a temporary folder, which `end` removes. */
-export function createFleet({ domains, store }) {
+/** Creates a fleet; `changes` go before the settings of a small deployment. Its settings and logs are in a temporary folder, which `end` removes. */
+export function createFleet({ domains, store, changes = {} }) {
   const folder = mkdtempSync(path.join(tmpdir(), 'review-case-'));
   const live = new Set();
   let count = 0;
@@ -67,28 +75,28 @@
     void ended.then(() => live.delete(child));
   }
 
-  /** Starts an instance; `storeAddress` may be that of a proxy. */
-  async function start(domain, storeAddress = store.address) {
-    const name = `edge-${domain}-${(count += 1)}`;
-    const [callers, readiness, peers] = [
-      await findFreePort(),
-      await findFreePort(),
-      await findFreePort(),
-    ];
+  async function start(domain) {
+    count += 1;
+    const name = `edge-${domain}-${count}`;
+    const host = `${NETWORK}.${count}`;
+    const readiness = await findFreePort(host, 18_220);
+    const callers = await findFreePort(host, 18_320);
+    const peers = await findFreePort(host, 18_420);
     const settingsPath = path.join(folder, `${name}.json`);
     const settings = {
       ...SETTINGS,
+      ...changes,
       instance: name,
       domain,
       domains: Object.fromEntries(domains.map((one) => [one, 'region-1'])),
-      callers: `${HOST}:${callers}`,
-      readiness: `${HOST}:${readiness}`,
-      peers: { host: HOST, firstPort: peers, lastPort: peers },
-      store: storeAddress,
+      callers: `${host}:${callers}`,
+      readiness: `${host}:${readiness}`,
+      peers: { host, firstPort: peers, lastPort: peers },
+      store: await store.openFor(name),
     };
     writeFileSync(settingsPath, JSON.stringify(settings));
     const logPath = path.join(folder, `${name}.log`);
-    const instance = { name, domain, host: HOST, callers, readiness, peers, settingsPath, logPath };
+    const instance = { name, domain, host, callers, readiness, peers, settingsPath, logPath };
     run(instance);
     return instance;
   }
--- a/review/lib-2/CaseServers.mjs
+++ b/review/lib-2/CaseServers.mjs
@@ -83,8 +83,8 @@
   };
 }
 
-/** A configuration with one plain service and one route of a kind to it. */
-export function createConfig({ version = 1, kind, route = {} }) {
+/** A configuration with plain services and one route of a kind to the first of them. */
+export function createConfig({ version = 1, kind, route = {}, services = ['accounts'] }) {
   return {
     version,
     routes: [
@@ -93,7 +93,7 @@
         host: ROUTE_HOST,
         prefix: '/statements/',
         route_kind: kind,
-        service: 'accounts',
+        service: services[0],
         timeout_ms: 20_000,
         latency_goal_ms: 2000,
         priority: 1,
@@ -101,12 +101,12 @@
         ...route,
       },
     ],
-    services: [{ name: 'accounts', max_conns: 96, health_path: HEALTH_PATH }],
+    services: services.map((name) => ({ name, max_conns: 96, health_path: HEALTH_PATH })),
     tenants: [{ name: TENANT, api_keys: [KEY] }],
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
-      header_timeout_ms: 5000,
+      header_timeout_ms: 3000,
       idle_timeout_ms: 15_000,
     },
   };
--- a/review/lib-2/CaseStore.mjs
+++ b/review/lib-2/CaseStore.mjs
@@ -19,6 +19,8 @@
   let revision = 10;
   let lastLease = 100;
   let isSilent = false;
+  const watchedAt = new Map();
+  const servers = [];
 
   function note(event) {
     events.push(event);
@@ -139,7 +141,7 @@
     return [200, {}];
   }
 
-  const server = createServer(async (req, res) => {
+  async function serve(name, req, res) {
     const chunks = [];
     for await (const chunk of req) {
       chunks.push(chunk);
@@ -147,23 +149,39 @@
     if (isSilent) {
       return;
     }
+    if (req.url.startsWith('/v1/kv-watch')) {
+      watchedAt.set(name, performance.now());
+    }
     const [status, json] = await answer(req, res, Buffer.concat(chunks).toString('utf8'));
     if (!isSilent && !res.destroyed) {
       res.writeHead(status, { 'content-type': 'application/json' });
       res.end(JSON.stringify(json));
     }
-  });
-  server.on('connection', (socket) => {
-    open.add(socket);
-    socket.on('error', () => undefined);
-    socket.once('close', () => open.delete(socket));
-  });
-  await new Promise((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
+  }
+
+  /** Opens an address of its own for an instance, so that its calls are known by its name. */
+  async function openFor(name) {
+    const server = createServer((req, res) => {
+      serve(name, req, res).catch(() => res.destroy());
+    });
+    server.on('connection', (socket) => {
+      open.add(socket);
+      socket.on('error', () => undefined);
+      socket.once('close', () => open.delete(socket));
+    });
+    await new Promise((resolve) => {
+      server.listen(0, HOST, resolve);
+    });
+    servers.push(server);
+    return `${HOST}:${server.address().port}`;
+  }
 
   return {
-    address: `${HOST}:${server.address().port}`,
+    address: await openFor('any'),
+    openFor,
+    /** Names of the instances that have watched the store within a time. */
+    listWatching: (withinMs) =>
+      [...watchedAt].filter(([, at]) => performance.now() - at <= withinMs).map(([name]) => name),
     put(key, json) {
       return write([{ key, value: Buffer.from(JSON.stringify(json)).toString('base64') }], []);
     },
@@ -176,7 +194,7 @@
     close() {
       clearInterval(expiry);
       open.forEach((socket) => socket.destroy());
-      server.close();
+      servers.forEach((server) => server.close());
     },
   };
 }
