--- a/review/lib-2/CaseFleet.mjs
+++ b/review/lib-2/CaseFleet.mjs
@@ -1,7 +1,7 @@
 /** Starts instances with the command of the deploy file, on loopback addresses, and ends them by their process ids. */
 import { performance } from 'node:perf_hooks';
 import { spawn } from 'node:child_process';
-import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { request } from 'node:http';
 import { tmpdir } from 'node:os';
@@ -49,8 +49,8 @@
   });
 }
 
-/** Creates a fleet; `changes` go before the settings of a small deployment. Its settings and logs are in a temporary folder, which `end` removes. */
-export function createFleet({ domains, store, changes = {} }) {
+/** Creates a fleet; its settings and logs are in a temporary folder, which `end` removes. */
+export function createFleet({ domains, store }) {
   const folder = mkdtempSync(path.join(tmpdir(), 'review-case-'));
   const live = new Set();
   let count = 0;
@@ -85,14 +85,13 @@
     const settingsPath = path.join(folder, `${name}.json`);
     const settings = {
       ...SETTINGS,
-      ...changes,
       instance: name,
       domain,
       domains: Object.fromEntries(domains.map((one) => [one, 'region-1'])),
       callers: `${host}:${callers}`,
       readiness: `${host}:${readiness}`,
       peers: { host, firstPort: peers, lastPort: peers },
-      store: await store.openFor(name),
+      store: store.address,
     };
     writeFileSync(settingsPath, JSON.stringify(settings));
     const logPath = path.join(folder, `${name}.log`);
@@ -102,10 +101,7 @@
   }
 
   return {
-    folder,
     start,
-    restart: run,
-    readLog: ({ logPath }) => readFileSync(logPath, 'utf8'),
     /** Ends all processes that were started, by their ids. */
     end() {
       live.forEach((child) => {
--- a/review/lib-2/CaseServers.mjs
+++ b/review/lib-2/CaseServers.mjs
@@ -16,7 +16,6 @@
  */
 export async function startServer({ store, id, service, zone, handle }) {
   const runs = [];
-  let state = 'ready';
   let beats = 0;
   const server = createServer(async (req, res) => {
     const chunks = [];
@@ -31,7 +30,7 @@
     if (expected !== undefined && expected !== id) {
       res.writeHead(421).end();
     } else if (req.url === HEALTH_PATH) {
-      res.writeHead(state === 'ready' ? 200 : 503, { 'x-skylarksail-instance-id': id }).end();
+      res.writeHead(200, { 'x-skylarksail-instance-id': id }).end();
     } else {
       runs.push(req.headers['x-skylarksail-request-id']);
       handle(req, res, Buffer.concat(chunks));
@@ -51,7 +50,7 @@
       zone,
       version: 1,
       slots: 64,
-      state,
+      state: 'ready',
       cold_left_ms: 0,
       seq_no: beats,
     });
@@ -63,10 +62,6 @@
     id,
     address,
     runs,
-    setState(next) {
-      state = next;
-      register();
-    },
     close() {
       clearInterval(heartbeat);
       server.closeAllConnections();
--- a/review/lib-2/CaseStore.mjs
+++ b/review/lib-2/CaseStore.mjs
@@ -18,9 +18,6 @@
   const open = new Set();
   let revision = 10;
   let lastLease = 100;
-  let isSilent = false;
-  const watchedAt = new Map();
-  const servers = [];
 
   function note(event) {
     events.push(event);
@@ -141,60 +138,40 @@
     return [200, {}];
   }
 
-  async function serve(name, req, res) {
+  async function serve(req, res) {
     const chunks = [];
     for await (const chunk of req) {
       chunks.push(chunk);
     }
-    if (isSilent) {
-      return;
-    }
-    if (req.url.startsWith('/v1/kv-watch')) {
-      watchedAt.set(name, performance.now());
-    }
     const [status, json] = await answer(req, res, Buffer.concat(chunks).toString('utf8'));
-    if (!isSilent && !res.destroyed) {
+    if (!res.destroyed) {
       res.writeHead(status, { 'content-type': 'application/json' });
       res.end(JSON.stringify(json));
     }
   }
 
-  /** Opens an address of its own for an instance, so that its calls are known by its name. */
-  async function openFor(name) {
-    const server = createServer((req, res) => {
-      serve(name, req, res).catch(() => res.destroy());
-    });
-    server.on('connection', (socket) => {
-      open.add(socket);
-      socket.on('error', () => undefined);
-      socket.once('close', () => open.delete(socket));
-    });
-    await new Promise((resolve) => {
-      server.listen(0, HOST, resolve);
-    });
-    servers.push(server);
-    return `${HOST}:${server.address().port}`;
-  }
+  const server = createServer((req, res) => {
+    serve(req, res).catch(() => res.destroy());
+  });
+  server.on('connection', (socket) => {
+    open.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('close', () => open.delete(socket));
+  });
+  await new Promise((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
 
   return {
-    address: await openFor('any'),
-    openFor,
-    /** Names of the instances that have watched the store within a time. */
-    listWatching: (withinMs) =>
-      [...watchedAt].filter(([, at]) => performance.now() - at <= withinMs).map(([name]) => name),
+    address: `${HOST}:${server.address().port}`,
     put(key, json) {
       return write([{ key, value: Buffer.from(JSON.stringify(json)).toString('base64') }], []);
     },
     remove: (key) => write([], [key]),
-    list: (prefix) => [...items.values()].filter(({ key }) => key.startsWith(prefix)),
-    /** While silent it takes calls and answers none. */
-    setSilent(value) {
-      isSilent = value;
-    },
     close() {
       clearInterval(expiry);
       open.forEach((socket) => socket.destroy());
-      servers.forEach((server) => server.close());
+      server.close();
     },
   };
 }
