Check wherever answers are read that they don't end with a reset

Callers saw: at the product's daemon, part of a plain service's answer as a whole 200, framed by us; nobody reported it. At instances, parts of the store's and the peers' answers counted: a lease as renewed or lapsed, a write as done, retries as granted. Cause: the HTTP client takes a reset for the end of an answer without length and chunks. Only the adapter of backend servers knew of resets; the daemon's four clients, the instances' store client and the peers' did not. Change: the check moves to packages/connections (ConnectionAnswers, with ConnectionEnds) and every client that reads answers of others uses it; an answer that ends with a reset is an error of its request. Why it works: all of them handle an error as an outcome that isn't known, and there is one place that knows what a whole answer is.

--- /dev/null
+++ b/packages/connections/src/ConnectionAnswers.ts
@@ -0,0 +1,65 @@
+/**
+ * Checks the answers that HTTP clients of this process read. What the HTTP client library lets through and is no whole
+ * answer becomes an error of its request, so that every reader of answers is told of it in the same way.
+ */
+import type { buildConnector, Dispatcher } from 'undici';
+import { SkylarkError } from '@skylarksail/core/CoreErrors';
+import type { Millis } from '@skylarksail/core/CoreTypes';
+import { createEndWatch } from './ConnectionEnds.js';
+
+/** An answer is not whole, or not one of the protocol; its request may have run. */
+export const AnswerError = SkylarkError.subclass('AnswerError');
+
+/** Headers of an answer, with names in lower case. */
+type AnswerHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** The checks of one client; it has to use both parts. */
+export interface AnswerChecks {
+  /** Opens its connections. */
+  readonly connect: buildConnector.connector;
+  /** Checks the answers on them. */
+  readonly intercept: Dispatcher.DispatcherComposeInterceptor;
+}
+
+/** Responses with a lower status are interim ones: the answer follows. */
+const FIRST_FINAL_STATUS = 200;
+/** Timeout of connecting, unless the client gives another. */
+const DEFAULT_CONNECT_TIMEOUT: Millis = 10_000;
+
+/** Whether an answer has a length or chunks, so that its end shows in its own bytes. */
+export function isFramedAnswer(headers: AnswerHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/** Creates the checks of a client. */
+export function createAnswerChecks(connectTimeout = DEFAULT_CONNECT_TIMEOUT): AnswerChecks {
+  const { connect, isEndedByReset } = createEndWatch(connectTimeout);
+
+  function createCheckedHandler(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    let isFramed = true;
+
+    return {
+      onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
+      onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
+      onResponseStart(controller, status, headers, message) {
+        isFramed = status < FIRST_FINAL_STATUS || isFramedAnswer(headers);
+        handler.onResponseStart?.(controller, status, headers, message);
+      },
+      onResponseData: (controller, chunk) => handler.onResponseData?.(controller, chunk),
+      onResponseEnd(controller, trailers) {
+        if (!isFramed && isEndedByReset()) {
+          const err = new AnswerError('the connection was reset within the answer');
+          handler.onResponseError?.(controller, err);
+        } else {
+          handler.onResponseEnd?.(controller, trailers);
+        }
+      },
+      onResponseError: (controller, err) => handler.onResponseError?.(controller, err),
+    };
+  }
+
+  return {
+    connect,
+    intercept: (dispatch) => (options, handler) => dispatch(options, createCheckedHandler(handler)),
+  };
+}
--- a/packages/daemon/src/DaemonEngineHttp.ts
+++ b/packages/daemon/src/DaemonEngineHttp.ts
@@ -1,6 +1,7 @@
 /** Calls to model engines over HTTP; implements OpenEngineCall. */
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import type { Chain } from '@skylarksail/core/CoreChain';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
@@ -33,21 +34,24 @@
   readonly open: OpenEngineCall;
   readonly close: () => Promise<void>;
 } {
+  const checks = createAnswerChecks();
   const agent = new Agent({
     connections: CONNECTIONS_PER_ENGINE,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect: checks.connect,
   });
+  const checkedAgent = agent.compose(checks.intercept);
   return {
-    open: (call, listener) => openCall(agent, timers, findAddress, call, listener),
+    open: (call, listener) => openCall(checkedAgent, timers, findAddress, call, listener),
     close: () => agent.destroy(),
   };
 }
 
 function openCall(
-  agent: Agent,
+  agent: Dispatcher,
   timers: TimerService,
   findAddress: FindEngineAddress,
   call: EngineCall,
--- a/packages/daemon/src/DaemonEngineStatus.ts
+++ b/packages/daemon/src/DaemonEngineStatus.ts
@@ -1,6 +1,7 @@
 /** Status reports of engines: their schema, and the adapter that fetches them over HTTP. */
 import { Agent } from 'undici';
 import { z } from 'zod';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import type { EngineFacts, EngineLoad } from '@skylarksail/core/CoreEngine';
 import type { HostPort, Millis } from '@skylarksail/core/CoreTypes';
 import { createTimeoutSignal } from './DaemonAbortSignals.js';
@@ -59,11 +60,13 @@
   readonly fetch: FetchEngineStatus;
   readonly close: () => Promise<void>;
 } {
-  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  const checks = createAnswerChecks();
+  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1, connect: checks.connect });
+  const checkedAgent = agent.compose(checks.intercept);
   return {
     async fetch({ host, port }) {
       try {
-        const res = await agent.request({
+        const res = await checkedAgent.request({
           origin: `http://${host}:${port}`,
           path: '/v1/status',
           method: 'GET',
--- a/packages/daemon/src/DaemonOrderHttp.ts
+++ b/packages/daemon/src/DaemonOrderHttp.ts
@@ -1,6 +1,7 @@
 /** Sends orders to engines over HTTP; implements placement's `sendOrder`. */
 import { Agent } from 'undici';
 import { z } from 'zod';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import type { EngineId, Millis } from '@skylarksail/core/CoreTypes';
 import type { Order, OrderAnswer } from '@skylarksail/placement/PlacementOrderTypes';
 import type { FindEngineAddress } from './DaemonEngineHttp.js';
@@ -31,14 +32,22 @@
   readonly send: (engine: EngineId, order: Order) => Promise<OrderAnswer>;
   readonly close: () => Promise<void>;
 } {
-  const agent = new Agent({ connections: 2, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  const checks = createAnswerChecks();
+  const agent = new Agent({
+    connections: 2,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: checks.connect,
+  });
+  const checkedAgent = agent.compose(checks.intercept);
 
   async function send(engine: EngineId, order: Order): Promise<OrderAnswer> {
     const address = findAddress(engine);
     if (!address) {
       return { kind: 'unknown' };
     }
-    const res = await agent.request({
+    const res = await checkedAgent.request({
       origin: `http://${address.host}:${address.port}`,
       path: '/v1/orders',
       method: 'POST',
--- a/packages/daemon/src/DaemonPlatformHttp.ts
+++ b/packages/daemon/src/DaemonPlatformHttp.ts
@@ -1,5 +1,6 @@
 /** Client of the platform's services over HTTP; implements StorePort. */
 import { Agent } from 'undici';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import { z } from 'zod';
 import {
   collectResponseBody,
@@ -66,7 +67,9 @@
   address: HostPort,
   timers: TimerService,
 ): StorePort & { readonly close: () => Promise<void> } {
-  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  const checks = createAnswerChecks();
+  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1, connect: checks.connect });
+  const checkedAgent = agent.compose(checks.intercept);
   const origin = `http://${address.host}:${address.port}`;
 
   /**
@@ -79,7 +82,7 @@
       ...LARGE_RESPONSE_LIMITS,
     });
     try {
-      const res = await agent.request({
+      const res = await checkedAgent.request({
         origin,
         path: call.path,
         method: call.method,
--- a/packages/daemon/src/DaemonServiceHttp.ts
+++ b/packages/daemon/src/DaemonServiceHttp.ts
@@ -1,6 +1,7 @@
 /** Implements OpenServiceCall: calls plain services over HTTP. */
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import { collectBody } from '@skylarksail/core/CoreResponseTimeout';
 import type { OpenServiceCall, ServiceCall } from '@skylarksail/requests/RequestPorts';
 import { classifySocketError } from './DaemonEngineHttp.js';
@@ -42,7 +43,13 @@
   readonly open: OpenServiceCall;
   readonly close: () => Promise<void>;
 } {
-  const agent = new Agent({ connections: CONNECTIONS_PER_SERVER, pipelining: 1 });
+  const checks = createAnswerChecks();
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_SERVER,
+    pipelining: 1,
+    connect: checks.connect,
+  });
+  const checkedAgent = agent.compose(checks.intercept);
 
   async function send(call: ServiceCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
     const address = findAddress(call.server);
@@ -51,7 +58,7 @@
         code: 'EHOSTUNREACH',
       });
     }
-    return agent.request({
+    return checkedAgent.request({
       origin: `http://${address.host}:${address.port}`,
       path: call.path,
       method: call.method,
--- a/packages/relay/src/RelayForwardHttp.ts
+++ b/packages/relay/src/RelayForwardHttp.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import type { HostPort, Millis, Unregister } from '@skylarksail/core/CoreTypes';
 import { registerHangUpListener } from '@skylarksail/daemon/DaemonHangUps';
 import { createFrameReader, packFrame, packTask, readTask } from './RelayForwardMessages.js';
@@ -28,19 +29,21 @@
 }
 
 export function createForwardHttp(): ForwardHttp {
+  const checks = createAnswerChecks(CONNECT_TIMEOUT);
   const agent = new Agent({
     connections: CONNECTIONS_PER_PEER,
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_TIMEOUT,
-    connect: { timeout: CONNECT_TIMEOUT },
+    connect: checks.connect,
   });
+  const checkedAgent = agent.compose(checks.intercept);
   return {
     open: (peer, task, listener) =>
       peer.address === null
         ? refuse(listener)
-        : sendTask(agent, peer.address, packTask(task), listener),
+        : sendTask(checkedAgent, peer.address, packTask(task), listener),
     close: () => agent.destroy(),
   };
 }
@@ -51,7 +54,7 @@
 }
 
 function sendTask(
-  agent: Agent,
+  agent: Dispatcher,
   { host, port }: HostPort,
   body: Buffer,
   listener: ForwardListener,
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { Agent } from 'undici';
 import { pack } from 'msgpackr';
+import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import {
   collectResponseBody,
   MAX_LARGE_RESPONSE_BYTES,
@@ -102,7 +103,13 @@
 }
 
 export function createPeerHttp(timers: TimerService): PeerHttp {
-  const agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1 });
+  const checks = createAnswerChecks();
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_PEER,
+    pipelining: 1,
+    connect: checks.connect,
+  });
+  const checkedAgent = agent.compose(checks.intercept);
   const codec = createPeerCodec();
   const forwarding = createForwardHttp();
   let stop = (): void => undefined;
@@ -116,7 +123,7 @@
   ): Promise<RawAnswer | null> {
     const arrival = startResponseTimeout(timers, { begin: timeout, ...PEER_ANSWER_LIMITS });
     try {
-      const res = await agent.request({
+      const res = await checkedAgent.request({
         origin: `http://${host}:${port}`,
         path,
         method: body === null ? 'GET' : 'POST',
