Take an answer with a status that the protocol doesn't have for none

Callers saw: an answer with status 600, 777 or 999 and its body, from a server in trouble, which was never avoided for it. A health check with it counted as leaving, an order as refused, and a "leaving" in it was believed. (Reported elsewhere: 000.) Cause: the HTTP client reads any three digits from 100 on as a status, and whatever isn't a success was passed on. Change: ConnectionAnswers makes a status of 600 or more an error of the request, before anything in the answer is read. Why it works: all readers of answers go through it, so callers get 502 or another server's answer, and the server counts as faulty.

--- a/packages/connections/src/ConnectionAnswers.ts
+++ b/packages/connections/src/ConnectionAnswers.ts
@@ -23,6 +23,8 @@
 
 /** Responses with a lower status are interim ones: the answer follows. */
 const FIRST_FINAL_STATUS = 200;
+/** The protocol has no status of six hundred or more. */
+const STATUS_END = 600;
 /** Timeout of connecting, unless the client gives another. */
 const DEFAULT_CONNECT_TIMEOUT: Millis = 10_000;
 
@@ -38,10 +40,20 @@
   function createCheckedHandler(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
     let isFramed = true;
 
+    /** What is wrong with the head of an answer; null if nothing is. */
+    function findFault(status: number): string | null {
+      return status >= STATUS_END ? `the status ${status} is none of the protocol` : null;
+    }
+
     return {
       onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
       onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
       onResponseStart(controller, status, headers, message) {
+        const fault = findFault(status);
+        if (fault !== null) {
+          controller.abort(new AnswerError(fault));
+          return;
+        }
         isFramed = status < FIRST_FINAL_STATUS || isFramedAnswer(headers);
         handler.onResponseStart?.(controller, status, headers, message);
       },
