Take an answer in a transfer coding that nobody asked for as none

Callers saw: the coded bytes of a body as the body itself, where a server's answer named xchunked, gzip or "chunked, gzip"; with the coding identity, which is none, a part of a body that was reset as whole. Cause: the HTTP client decodes chunks only; we drop the header, as it is one of a connection. The header's presence also made an answer count as framed, so that it wasn't checked for a reset. Change: a coding other than chunked and identity is an error of the request; only a length or chunked makes an answer framed. Why it works: what passes the check is either decoded by the client or not coded, and each end without framing is checked.

--- a/packages/connections/src/ConnectionAnswers.ts
+++ b/packages/connections/src/ConnectionAnswers.ts
@@ -25,12 +25,22 @@
 const FIRST_FINAL_STATUS = 200;
 /** The protocol has no status of six hundred or more. */
 const STATUS_END = 600;
+/** The only transfer coding that the HTTP client decodes. */
+const CHUNKED = 'chunked';
+/** Name of no coding. */
+const IDENTITY = 'identity';
 /** Timeout of connecting, unless the client gives another. */
 const DEFAULT_CONNECT_TIMEOUT: Millis = 10_000;
 
 /** Whether an answer has a length or chunks, so that its end shows in its own bytes. */
 export function isFramedAnswer(headers: AnswerHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return headers['content-length'] !== undefined || readCoding(headers) === CHUNKED;
+}
+
+/** Transfer coding of an answer, in lower case; null if it has none. */
+function readCoding({ 'transfer-encoding': coding }: AnswerHeaders): string | null {
+  const name = coding === undefined ? IDENTITY : String(coding).trim().toLowerCase();
+  return name === IDENTITY ? null : name;
 }
 
 /** Creates the checks of a client. */
@@ -41,15 +51,19 @@
     let isFramed = true;
 
     /** What is wrong with the head of an answer; null if nothing is. */
-    function findFault(status: number): string | null {
-      return status >= STATUS_END ? `the status ${status} is none of the protocol` : null;
+    function findFault(status: number, headers: AnswerHeaders): string | null {
+      if (status >= STATUS_END) {
+        return `the status ${status} is none of the protocol`;
+      }
+      const coding = readCoding(headers);
+      return coding === null || coding === CHUNKED ? null : `the body is coded as ${coding}`;
     }
 
     return {
       onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
       onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
       onResponseStart(controller, status, headers, message) {
-        const fault = findFault(status);
+        const fault = findFault(status, headers);
         if (fault !== null) {
           controller.abort(new AnswerError(fault));
           return;
