Give up a server that sends interim answers without end

Callers saw: 504 at their deadline, 13 to 15 of 16, for a server that sent interim answers (103) and never came to its answer; it was not avoided (users' trials). Health checks, reports and orders waited for their whole timeout. Cause: an interim answer says that the answer follows, and we waited for it whatever came. Change: the seventeenth interim answer is an error of its request. Why it works: the failure comes at once, so that the request goes on elsewhere or its caller is told, and it counts against the server. Evidence: PlatformOddAnswers with 100 interim answers at five readers: five tests failed before, all 27 pass now. Held before, kept as tests: a 101 with and without an upgrade, and a 099, are told at once; an answer behind three interim ones is passed on.

--- a/packages/connections/src/ConnectionAnswers.ts
+++ b/packages/connections/src/ConnectionAnswers.ts
@@ -23,6 +23,8 @@
 
 /** Responses with a lower status are interim ones: the answer follows. */
 const FIRST_FINAL_STATUS = 200;
+/** Far more than a server has to say before its answer; one that sends them without end never comes to it. */
+const MAX_INTERIM_ANSWERS = 16;
 /** The protocol has no status of six hundred or more. */
 const STATUS_END = 600;
 /** The only transfer coding that the HTTP client decodes. */
@@ -49,12 +51,17 @@
 
   function createCheckedHandler(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
     let isFramed = true;
+    let interimAnswers = 0;
 
     /** What is wrong with the head of an answer; null if nothing is. */
     function findFault(status: number, headers: AnswerHeaders): string | null {
       if (status >= STATUS_END) {
         return `the status ${status} is none of the protocol`;
       }
+      if (status < FIRST_FINAL_STATUS) {
+        interimAnswers += 1;
+        return interimAnswers > MAX_INTERIM_ANSWERS ? 'too many interim answers' : null;
+      }
       const coding = readCoding(headers);
       return coding === null || coding === CHUNKED ? null : `the body is coded as ${coding}`;
     }
