Count the memory of answers as it is kept, for one and for all together

Cause: each piece was kept as a buffer of its own, some 150 bytes whatever its size, and only bytes were counted; the limit was one answer's, and nothing counted all that are under way. Why it works: what is counted is what is allocated, and the server that sends without end is the one that takes most.

--- a/packages/connections/src/ConnectionBodies.ts
+++ b/packages/connections/src/ConnectionBodies.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of requests into memory that is counted as it is kept. */
 import type { IncomingMessage } from 'node:http';
+import { createByteBuffer } from '@skylarksail/core/CoreByteBuffer';
 
 /** How the reading of a body ended. */
 export const BodyEnd = {
@@ -38,8 +39,6 @@
   readonly onKept: (bytes: number) => void;
 }
 
-const FIRST_CAPACITY = 1024;
-
 /** Length that a request announces; null if it announces none. */
 export function getAnnouncedLength({ headers }: Pick<IncomingMessage, 'headers'>): number | null {
   const length = headers['content-length'];
@@ -51,17 +50,13 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
-/**
- * Starts to read a body. Its bytes are copied as they come: a piece that is kept as it is costs some hundred bytes, and
- * keeps the whole read alive to which it belongs.
- */
+/** Starts to read a body. */
 export function startBodyReader(
   req: IncomingMessage,
   { maxBytes, onKept }: BodyReaderOptions,
 ): BodyReader {
   const announced = getAnnouncedLength(req);
-  let kept: Buffer = Buffer.alloc(0);
-  let length = 0;
+  const buffer = createByteBuffer({ maxBytes, expectedBytes: announced ?? maxBytes });
   let isOver = false;
   let settle: (body: ReadBody) => void = () => undefined;
   const done = new Promise<ReadBody>((resolve) => {
@@ -75,7 +70,7 @@
     isOver = true;
     req.off('data', take);
     if (body.end !== BodyEnd.Whole) {
-      kept = Buffer.alloc(0);
+      buffer.clear();
       onKept(0);
       req.resume();
     }
@@ -83,18 +78,11 @@
   }
 
   function take(piece: Buffer): void {
-    const needed = length + piece.byteLength;
-    if (needed > maxBytes) {
+    const { capacity } = buffer;
+    if (!buffer.append(piece)) {
       finish({ end: BodyEnd.TooLarge });
-      return;
-    }
-    if (needed > kept.byteLength) {
-      kept = grow(kept, length, chooseCapacity(needed, kept.byteLength, announced ?? maxBytes));
-      onKept(kept.byteLength);
-    }
-    if (!isOver) {
-      piece.copy(kept, length);
-      length = needed;
+    } else if (buffer.capacity !== capacity) {
+      onKept(buffer.capacity);
     }
   }
 
@@ -103,19 +91,8 @@
   if (announced !== null && announced > maxBytes) {
     finish({ end: BodyEnd.TooLarge });
   } else {
-    req.on('end', () => finish({ end: BodyEnd.Whole, bytes: kept.subarray(0, length) }));
+    req.on('end', () => finish({ end: BodyEnd.Whole, bytes: buffer.getBytes() }));
     req.on('data', take);
   }
   return { done, giveUp: (end) => finish({ end }) };
 }
-
-/** Doubles, so that few bytes are copied twice, but takes no more than the body can need. */
-function chooseCapacity(needed: number, capacity: number, most: number): number {
-  return Math.max(needed, Math.min(most, Math.max(FIRST_CAPACITY, capacity * 2)));
-}
-
-function grow(kept: Buffer, length: number, capacity: number): Buffer {
-  const grown = Buffer.allocUnsafeSlow(capacity);
-  kept.copy(grown, 0, 0, length);
-  return grown;
-}
--- a/packages/core/src/CoreResponseTimeout.ts
+++ b/packages/core/src/CoreResponseTimeout.ts
@@ -4,6 +4,7 @@
  * would succeed, and the retries would use up the link's bandwidth. The main timeouts therefore limit the time without
  * data; the timeout on the whole response only stops a sender that never finishes.
  */
+import { createByteBuffer } from './CoreByteBuffer.js';
 import type { TimerService } from './CoreTimers.js';
 import type { Millis, Unregister } from './CoreTypes.js';
 
@@ -34,6 +35,9 @@
  */
 const READ_GRACE: Millis = 20;
 
+/** Maximum pieces of one body. A sound sender sends large ones; a flood of small ones takes the process's time. */
+export const MAX_BODY_PIECES = 65_536;
+
 /** Starts the timeouts for a response. */
 export function startResponseTimeout(
   timers: TimerService,
@@ -78,23 +82,23 @@
   return collectBody(body, maxBytes, arrival.recordProgress);
 }
 
-/** Reads a body of up to `maxBytes`; rejects if it has more, which ends its connection. */
+/**
+ * Reads a body of up to `maxBytes`; rejects if it has more, or comes in too many pieces, which ends its connection.
+ * `onChunk` is told after each piece what memory the body takes, in bytes.
+ */
 export async function collectBody(
   body: AsyncIterable<Uint8Array>,
   maxBytes: number,
-  onChunk: () => void = () => undefined,
+  onChunk: (capacity: number) => void = () => undefined,
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const buffer = createByteBuffer({ maxBytes, maxPieces: MAX_BODY_PIECES });
   for await (const chunk of body) {
-    onChunk();
-    bytes += chunk.byteLength;
-    if (bytes > maxBytes) {
-      throw new RangeError(`the body has more than ${maxBytes} bytes`);
+    if (!buffer.append(chunk)) {
+      throw new RangeError(`the body has more than ${maxBytes} bytes, or too many pieces`);
     }
-    chunks.push(chunk);
+    onChunk(buffer.capacity);
   }
-  return Buffer.concat(chunks);
+  return buffer.getBytes();
 }
 
 /** Maximum size of a response that may be large: far more than a page or a change of the whole configuration. */
--- a/packages/daemon/src/DaemonCloseListener.ts
+++ b/packages/daemon/src/DaemonCloseListener.ts
@@ -1,4 +1,5 @@
-/** Counts and logs the connections of a port that were closed for what their clients held. */
+/** Counts and logs what was ended since too much of this process was held: connections of clients, and answers of servers. */
+import { CloseReason } from '@skylarksail/connections/ConnectionLimits';
 import type { CloseReasonName } from '@skylarksail/connections/ConnectionLimits';
 import { createCloseReporter } from '@skylarksail/connections/ConnectionReports';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
@@ -26,3 +27,20 @@
     reporter.note(reason, heldBytes);
   };
 }
+
+/** Creates the listener for answers that were given up since all answers took too much; the lines name the last server. */
+export function createGivenUpListener({
+  timers,
+  metrics,
+  logger,
+}: CloseListenerOptions): (server: string, heldBytes: number) => void {
+  let lastServer = '';
+  const reporter = createCloseReporter(timers, ({ count, heldBytes }) =>
+    logger.warn({ count, heldBytes, lastServer }, 'answers given up'),
+  );
+  return (server, heldBytes) => {
+    lastServer = server;
+    metrics.count('answers_given_up', 'answers that were given up since all answers took too much');
+    reporter.note(CloseReason.HeldBytes, heldBytes);
+  };
+}
--- a/packages/daemon/src/DaemonParts.ts
+++ b/packages/daemon/src/DaemonParts.ts
@@ -1,4 +1,8 @@
 /** Creates and connects the components of the daemon that its HTTP ports use. */
+import {
+  createAnswerMemory,
+  DEFAULT_ANSWER_BYTES,
+} from '@skylarksail/connections/ConnectionAnswerMemory';
 import type { Random } from '@skylarksail/core/CoreRandom';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { EngineId, Millis, Unregister } from '@skylarksail/core/CoreTypes';
@@ -31,6 +35,7 @@
 import { startDaemonPoison } from './DaemonPoison.js';
 import type { DaemonRouting } from './DaemonRouting.js';
 import { createDaemonRouting } from './DaemonRouting.js';
+import { createGivenUpListener } from './DaemonCloseListener.js';
 import { createServiceHttp } from './DaemonServiceHttp.js';
 import type { Settings } from './DaemonSettings.js';
 
@@ -127,7 +132,13 @@
   });
   getClaimShare = claims.owner.getSlotShare;
   const engineHttp = createEngineHttp(directory.findAddress, timers);
-  const serviceHttp = createServiceHttp(directory.findAddress);
+  const serviceHttp = createServiceHttp(
+    directory.findAddress,
+    createAnswerMemory({
+      maxBytes: DEFAULT_ANSWER_BYTES,
+      onGivenUp: createGivenUpListener({ timers, metrics, logger }),
+    }),
+  );
   const orderHttp = createOrderHttp(directory.findAddress);
   const router: RequestRouter = createRequestRouter({
     cfg: DEFAULT_ROUTER_CONFIG,
--- a/packages/daemon/src/DaemonServiceHttp.ts
+++ b/packages/daemon/src/DaemonServiceHttp.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici';
 import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import { collectBody } from '@skylarksail/core/CoreResponseTimeout';
+import type { AnswerMemory } from '@skylarksail/connections/ConnectionAnswerMemory';
 import type { OpenServiceCall, ServiceCall } from '@skylarksail/requests/RequestPorts';
 import { classifySocketError } from './DaemonEngineHttp.js';
 import type { FindEngineAddress } from './DaemonEngineHttp.js';
@@ -39,7 +40,10 @@
   );
 }
 
-export function createServiceHttp(findAddress: FindEngineAddress): {
+export function createServiceHttp(
+  findAddress: FindEngineAddress,
+  memory: AnswerMemory,
+): {
   readonly open: OpenServiceCall;
   readonly close: () => Promise<void>;
 } {
@@ -83,9 +87,10 @@
         notify();
       }
     };
+    const account = memory.open(call.server, () => controller.abort());
     send(call, controller.signal)
       .then(async (res) => {
-        const body = await collectBody(res.body, MAX_ANSWER_BYTES);
+        const body = await collectBody(res.body, MAX_ANSWER_BYTES, account.note);
         const headers = selectForwardedHeaders(res.headers);
         endOnce(() => listener.onAnswer({ status: res.statusCode, headers, body }));
       })
@@ -97,7 +102,8 @@
           ...classifySocketError(err),
         };
         endOnce(() => listener.onFailure(failure));
-      });
+      })
+      .finally(account.close);
     return () => {
       ended = true;
       controller.abort();
--- a/packages/daemon/src/__tests__/unit/DaemonResetAnswers.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonResetAnswers.test.ts
@@ -1,6 +1,10 @@
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { createVirtualTimers } from '@skylarksail/core/CoreTimers';
+import {
+  createAnswerMemory,
+  DEFAULT_ANSWER_BYTES,
+} from '@skylarksail/connections/ConnectionAnswerMemory';
 import type { FakeAnswerServer } from '@skylarksail/connections/FakeAnswerServer';
 import { startFakeAnswerServer } from '@skylarksail/connections/FakeAnswerServer';
 import type { AttemptFailure, ServiceAnswer } from '@skylarksail/requests/RequestPorts';
@@ -30,7 +34,10 @@
   afterEach(() => server.close());
 
   async function callService(body: Buffer): Promise<ServiceAnswer | AttemptFailure> {
-    const http = createServiceHttp(() => server.address);
+    const http = createServiceHttp(
+      () => server.address,
+      createAnswerMemory({ maxBytes: DEFAULT_ANSWER_BYTES, onGivenUp: () => undefined }),
+    );
     try {
       return await new Promise((resolve) => {
         http.open(
--- a/packages/relay/src/RelayMetrics.ts
+++ b/packages/relay/src/RelayMetrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of the relay: calls to the store and to peers, the state of the instance, and dropped log lines. */
+import type { AnswerMemory } from '@skylarksail/connections/ConnectionAnswerMemory';
 import type { DaemonMetrics } from '@skylarksail/daemon/DaemonMetrics';
 import type { LogSink } from '@skylarksail/daemon/DaemonLogSink';
 import type { StoreOutcome } from '@skylarksail/store/StorePort';
@@ -137,6 +138,16 @@
   );
 }
 
+/** Registers the gauge of what answers of servers take. */
+export function registerAnswerMetrics(
+  metrics: DaemonMetrics,
+  memory: Pick<AnswerMemory, 'getBytes'>,
+): void {
+  metrics.registerGauge('answers_held_bytes', 'bytes of answers that are being read', () =>
+    memory.getBytes(),
+  );
+}
+
 /** Registers gauges of the log lines dropped since the start. */
 export function registerLogMetrics(
   metrics: DaemonMetrics,
