Wait in a stop for callers that still take their answers

Cause: the stop waited for requests that run, and one whose answer was handed to the port ran no more. Node.js counts its connection as idle and closes it with the port. Change: the guard closes idle connections itself, by what their clients wait for; the stop waits until all answers are taken, or until the grace period ends. Why it works: the guard counts what a client has not taken, and nothing else closes the connection before the process ends. The two earlier RelayStop tests got the port's new method, and their checks are the same.

--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -3,6 +3,7 @@
  * loop. It counts all of them together, as each may be inside the limits of one request while all of them are too much.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as TcpServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
@@ -18,6 +19,7 @@
   findLargest,
   findLongestIdle,
   getHeldBytes,
+  isAnswerDue,
 } from './ConnectionTable.js';
 import type { LaterTurn } from './ConnectionTurns.js';
 import { createConnectionTurns } from './ConnectionTurns.js';
@@ -46,6 +48,13 @@
   /** Bytes that all clients hold together. */
   getHeldBytes(): number;
   countRequestsAhead(): number;
+  /** Whether a client waits for an answer, or has not taken all of one. */
+  hasAnswersDue(): boolean;
+  /**
+   * Accepts no more connections, and closes those whose clients wait for nothing. Node.js itself would also close those on which
+   * an answer was written that its client has not taken yet.
+   */
+  stopAccepting(): void;
   /** Stops the checks of bodies and answers that stand still. */
   readonly stop: Unregister;
 }
@@ -347,6 +356,15 @@
     stopChecks = null;
   }
 
+  function stopAccepting(): void {
+    Reflect.apply(TcpServer.prototype.close, server, []);
+    for (const entry of [...guarded.values()]) {
+      if (!isAnswerDue(entry) && !entry.isClosing) {
+        entry.stream.destroy();
+      }
+    }
+  }
+
   /** Answers bytes that are no request, unless another answer is due before. */
   function refuseBadRequest(err: NodeJS.ErrnoException, socket: unknown): void {
     const entry = guarded.get(socket as ConnectionStream);
@@ -389,6 +407,8 @@
     countConnections: () => guarded.size,
     getHeldBytes: () => heldBytes,
     countRequestsAhead: () => requestsAhead,
+    stopAccepting,
+    hasAnswersDue: () => [...guarded.values()].some(isAnswerDue),
     stop,
   };
 }
--- a/packages/connections/src/ConnectionTable.ts
+++ b/packages/connections/src/ConnectionTable.ts
@@ -41,6 +41,11 @@
   return entry.receivedBytes + entry.bodyBytes + entry.unreadBytes;
 }
 
+/** Whether its client waits for an answer, or has not taken all of one. */
+export function isAnswerDue({ requests, unreadBytes }: ConnectionEntry): boolean {
+  return requests > 0 || unreadBytes > 0;
+}
+
 /** Requests of a connection that wait behind another of it. */
 export function countRequestsAhead({ requests }: ConnectionEntry): number {
   return Math.max(0, requests - 1);
--- a/packages/relay/src/RelayStop.ts
+++ b/packages/relay/src/RelayStop.ts
@@ -9,6 +9,8 @@
   startClosing(): void;
   /** Accepts no more connections and closes idle ones. */
   stopAccepting(): void;
+  /** Resolves when all callers have taken their answers, or after `limit`. */
+  waitForAnswers(limit: Millis): Promise<void>;
   /** Closes all remaining connections. */
   close(): void;
 }
@@ -33,7 +35,8 @@
 const STOP_MARGIN: Millis = 400;
 
 /**
- * Shuts down; resolves when all accepted requests, the tasks of peers and the leases have ended or the grace period is over. A lease that
+ * Shuts down; resolves when all accepted requests, their answers on the way to callers, the tasks of peers and the leases have
+ * ended or the grace period is over. A lease that
  * the process leaves behind keeps its duties from all others until it lapses.
  */
 export async function stopRelay({ timers, parts, port, grace }: RelayStopOptions): Promise<void> {
@@ -45,6 +48,7 @@
   });
   port.stopAccepting();
   await parts.router.drain(Math.max(0, endsAt - timers.now()));
+  await port.waitForAnswers(Math.max(0, endsAt - timers.now()));
   port.close();
   const timeLeft = endsAt - timers.now();
   if (timeLeft > 0) {
--- a/packages/relay/src/__tests__/unit/RelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/RelayStop.test.ts
@@ -25,6 +25,7 @@
     const port = {
       startClosing: note('closing'),
       stopAccepting: note('no new'),
+      waitForAnswers: () => Promise.resolve(),
       close: note('cut'),
     };
     void stopRelay({ timers, parts, port, grace: 8000 });
@@ -59,6 +60,7 @@
     const port = {
       startClosing: () => undefined,
       stopAccepting: note('no new'),
+      waitForAnswers: () => Promise.resolve(),
       close: note('cut'),
     };
     void stopRelay({ timers, parts, port, grace: 8000 });
@@ -71,4 +73,34 @@
       '3500 stopped',
     ]);
   });
+
+  it('closes its port once callers have taken their answers, or the grace period is over', async () => {
+    // Guards against an answer that its caller still receives, and that a stop cuts since no request runs any more.
+    for (const [taking, cutAt] of [
+      [1500, 4100],
+      [9000, 7600],
+    ] as const) {
+      const timers = createVirtualTimers();
+      const steps: string[] = [];
+      const parts = {
+        startLeaving: () => undefined,
+        stop: () => undefined,
+        router: { drain: () => Promise.resolve() },
+        waitForTasks: () => Promise.resolve(),
+        waitForLeaseEnds: () => Promise.resolve(),
+      } as unknown as RelayParts;
+      const port = {
+        startClosing: () => undefined,
+        stopAccepting: () => undefined,
+        waitForAnswers: (limit: number) =>
+          new Promise<void>((resolve) => {
+            timers.registerTimeout(Math.min(limit, taking), resolve);
+          }),
+        close: () => steps.push(`${timers.now()} cut`),
+      };
+      void stopRelay({ timers, parts, port, grace: 8000 });
+      await timers.advanceToAsync(8000);
+      expect(steps).to.deep.equal([`${cutAt} cut`]);
+    }
+  });
 });
