Read an engine's lines in the daemon in time that grows with their bytes

Callers saw: nothing was reported. A model engine of the daemon that sends one line byte by byte without end took 26 s of the process's time until it was given up, in which nobody else was served. Cause: each piece was put behind the unfinished line, and all of it was searched for the end. Change: only what is new is searched, and the unfinished line lies in one buffer; bodies of peers' queries do, too. Why it works: each byte is searched once. DaemonEngineFrames (the same lines however the bytes are split, seeded; a line without end given up at its limit) and the tests around it: 43 passing.

--- a/packages/daemon/src/DaemonEngineFrames.ts
+++ b/packages/daemon/src/DaemonEngineFrames.ts
@@ -1,9 +1,10 @@
 /** Parses the stream of an engine from bytes to lines to typed frames, with a limit on the line length. */
-import { StringDecoder } from 'node:string_decoder';
 import { z } from 'zod';
+import { createByteBuffer } from '@skylarksail/core/CoreByteBuffer';
 
 /** Maximum length of a line; no working engine sends a longer frame. */
 export const MAX_FRAME_BYTES = 256 * 1024;
+const LINE_FEED = 0x0a;
 
 const layersSchema = z.object({ first: z.int(), end: z.int() });
 
@@ -57,15 +58,33 @@
   return parsed.success ? parsed.data : null;
 }
 
-/** Splits chunks of bytes into lines. `push` returns null if an unfinished line exceeds the limit. */
+/**
+ * Splits chunks of bytes into lines. `push` returns null if an unfinished line exceeds the limit. Only what is new is
+ * searched, as an engine may send its bytes one by one.
+ */
 export function createLineReader(): { push(chunk: Buffer): readonly string[] | null } {
-  const decoder = new StringDecoder('utf8');
-  let partialLine = '';
+  const pending = createByteBuffer({ maxBytes: Infinity });
+
+  function endLine(chunk: Buffer, start: number, end: number): string {
+    if (pending.length === 0) {
+      return chunk.toString('utf8', start, end);
+    }
+    pending.append(chunk.subarray(start, end));
+    const line = pending.getBytes().toString('utf8');
+    pending.clear();
+    return line;
+  }
+
   return {
     push(chunk) {
-      const lines = (partialLine + decoder.write(chunk)).split('\n');
-      partialLine = lines.pop() ?? '';
-      return partialLine.length > MAX_FRAME_BYTES ? null : lines;
+      const lines: string[] = [];
+      let start = 0;
+      for (let end = chunk.indexOf(LINE_FEED); end >= 0; end = chunk.indexOf(LINE_FEED, start)) {
+        lines.push(endLine(chunk, start, end));
+        start = end + 1;
+      }
+      pending.append(chunk.subarray(start));
+      return pending.length > MAX_FRAME_BYTES ? null : lines;
     },
   };
 }
--- a/packages/relay/src/RelayPeerHttp.ts
+++ b/packages/relay/src/RelayPeerHttp.ts
@@ -6,6 +6,7 @@
 import { pack } from 'msgpackr';
 import { createAnswerChecks } from '@skylarksail/connections/ConnectionAnswers';
 import {
+  collectBody,
   collectResponseBody,
   MAX_LARGE_RESPONSE_BYTES,
   startResponseTimeout,
@@ -216,21 +217,8 @@
 }
 
 /** Empty if the peer aborted, or sent more than any valid query. */
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-      bytes += chunk.byteLength;
-      if (bytes > maxBytes) {
-        return Buffer.alloc(0);
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    return Buffer.alloc(0);
-  }
-  return Buffer.concat(chunks);
+function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  return collectBody(req as AsyncIterable<Buffer>, maxBytes).catch(() => Buffer.alloc(0));
 }
 
 async function serve(
