--- a/packages/relay/src/RelayStop.ts
+++ b/packages/relay/src/RelayStop.ts
@@ -36,8 +36,7 @@
 
 /**
  * Shuts down; resolves when all accepted requests, their answers on the way to callers, the tasks of peers and the leases have
- * ended or the grace period is over. A lease that
- * the process leaves behind keeps its duties from all others until it lapses.
+ * ended, or the grace period is over. A lease that the process leaves behind keeps its duties from all others until it lapses.
  */
 export async function stopRelay({ timers, parts, port, grace }: RelayStopOptions): Promise<void> {
   const endsAt = timers.now() + grace - STOP_MARGIN;
