--- a/packages/connections/src/ConnectionGuard.ts
+++ b/packages/connections/src/ConnectionGuard.ts
@@ -7,8 +7,10 @@
 import type { Socket } from 'node:net';
 import type { TimerService } from '@skylarksail/core/CoreTimers';
 import type { Millis, Unregister } from '@skylarksail/core/CoreTypes';
-import type { BodyReader, ReadBody, UnreadBodyEnd } from './ConnectionBodies.js';
+import type { ReadBody, UnreadBodyEnd } from './ConnectionBodies.js';
 import { BodyEnd, getAnnouncedLength, startBodyReader } from './ConnectionBodies.js';
+import { writeBadRequest } from './ConnectionBadRequests.js';
+import type { Guarded, GuardedRequest, OpenBody } from './ConnectionGuardTypes.js';
 import type { CloseReasonName, ConnectionLimits } from './ConnectionLimits.js';
 import { CloseReason } from './ConnectionLimits.js';
 import { ConnectionStream } from './ConnectionStream.js';
@@ -59,25 +61,6 @@
   readonly stop: Unregister;
 }
 
-interface Guarded extends ConnectionEntry {
-  readonly stream: ConnectionStream;
-  /** The body that is being read. */
-  body: OpenBody | null;
-}
-
-interface GuardedRequest {
-  readonly res: ServerResponse;
-  /** Memory that its body takes. */
-  bodyBytes: number;
-}
-
-interface OpenBody {
-  readonly reader: BodyReader;
-  readonly announced: number | null;
-  readonly tcpBytesBefore: number;
-  readonly giveUpAt: Millis;
-}
-
 /** Bytes of heads that are read at once: at most some dozens of requests. */
 const HEAD_SLICE = 2048;
 /** The same in a body whose end is not known, behind which more requests may come. */
@@ -85,12 +68,6 @@
 /** The same while too many requests wait: at most a few. */
 const PRESSED_SLICE = 128;
 const CHECK_PERIOD: Millis = 500;
-const STATUS_LINES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-const BAD_REQUEST = '400 Bad Request';
 /** The client ended its side within a request, as one that leaves does. */
 const CUT_OFF = 'HPE_INVALID_EOF_STATE';
 
@@ -412,8 +389,3 @@
     stop,
   };
 }
-
-function writeBadRequest({ code = '' }: NodeJS.ErrnoException): string {
-  const line = STATUS_LINES[code] ?? BAD_REQUEST;
-  return `HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-}
